Set up the workspace, the test command and the shared base library

Cause: nothing exists yet; every later change needs one place for errors, events, metrics, registries and checks, and one command that verifies. Ruled out: one package without workspace members (the house style asks for small libraries), and setuptools as build back end, which takes about three seconds a member for an editable install. Conclusion: flit back end, one folder a library under libs/.

--- /dev/null
+++ b/libs/admission/src/sequoiagap/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of requests: fair shares, queues, budgets and endpoint limits."""
--- /dev/null
+++ b/libs/agent/src/sequoiagap/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The process beside each endpoint."""
--- /dev/null
+++ b/libs/base/src/sequoiagap/base/_events.py
@@ -0,0 +1,131 @@
+"""Numbered log events.
+
+Each event has a number that never changes meaning. ``docs/EVENTS.md`` is the
+catalogue for operators; a test compares it with :data:`CATALOGUE`.
+"""
+
+import enum
+import logging
+import sys
+
+import structlog
+
+
+class Event(enum.IntEnum):
+    """Numbers of the log events."""
+
+    PROCESS_STARTED = 1001
+    PROCESS_READY = 1002
+    PROCESS_STOPPING = 1003
+    PROCESS_STOPPED = 1004
+    TASK_FAILED = 1005
+    LINK_OPENED = 1101
+    LINK_CLOSED = 1102
+    LINK_SILENT = 1103
+    FRAME_REJECTED = 1104
+    REQUEST_ADMITTED = 1201
+    REQUEST_REFUSED = 1202
+    REQUEST_ANSWERED = 1203
+    ATTEMPT_SENT = 1204
+    ATTEMPT_ENDED = 1205
+    ATTEMPT_REVOKED = 1206
+    REQUEST_CUT = 1207
+    CONFIG_ADOPTED = 1301
+    CONFIG_ACCEPTED = 1302
+    CONFIG_REFUSED = 1303
+    PLATFORM_UNREACHABLE = 1304
+    PLATFORM_REACHABLE = 1305
+    ENDPOINT_STATE = 1401
+    ENDPOINT_SEEN = 1402
+    ENDPOINT_GONE = 1403
+
+
+CATALOGUE = {
+    Event.PROCESS_STARTED: "A process started, with its role and addresses.",
+    Event.PROCESS_READY: "A process takes work.",
+    Event.PROCESS_STOPPING: "A process was told to stop and refuses new work.",
+    Event.PROCESS_STOPPED: "A process has stopped.",
+    Event.TASK_FAILED: "A background task ended with an error.",
+    Event.LINK_OPENED: "A connection to another process is open.",
+    Event.LINK_CLOSED: "A connection to another process has closed.",
+    Event.LINK_SILENT: "A connection gave no sign of life and was abandoned.",
+    Event.FRAME_REJECTED: "A frame did not follow the protocol.",
+    Event.REQUEST_ADMITTED: "A caller's request was admitted.",
+    Event.REQUEST_REFUSED: "A caller's request was refused, with kind and setting.",
+    Event.REQUEST_ANSWERED: "A caller got the whole answer.",
+    Event.ATTEMPT_SENT: "An attempt was sent to an endpoint's agent.",
+    Event.ATTEMPT_ENDED: "An attempt ended, with its outcome.",
+    Event.ATTEMPT_REVOKED: "An attempt was revoked; the agent said what it knows.",
+    Event.REQUEST_CUT: "An answer was cut short; the caller was told.",
+    Event.CONFIG_ADOPTED: "A process adopted a configuration version.",
+    Event.CONFIG_ACCEPTED: "An operator's patch became a version.",
+    Event.CONFIG_REFUSED: "An operator's patch was refused.",
+    Event.PLATFORM_UNREACHABLE: "The platform does not answer.",
+    Event.PLATFORM_REACHABLE: "The platform answers again.",
+    Event.ENDPOINT_STATE: "An endpoint changed its state.",
+    Event.ENDPOINT_SEEN: "An endpoint became known.",
+    Event.ENDPOINT_GONE: "An endpoint is no longer used.",
+}
+
+_WARNINGS = frozenset(
+    {
+        Event.TASK_FAILED,
+        Event.LINK_SILENT,
+        Event.FRAME_REJECTED,
+        Event.REQUEST_CUT,
+        Event.PLATFORM_UNREACHABLE,
+    }
+)
+
+
+class Logger:
+    """Emits numbered events of one component.
+
+    :param str component: name of the component.
+    """
+
+    def __init__(self, component):
+        self.component = component
+        self._log = structlog.get_logger(component=component)
+
+    def emit(self, event, **fields):
+        """Write one event.
+
+        :param Event event: which event.
+        :param fields: values of the event; never prompts, answers or keys.
+        """
+        write = self._log.warning if event in _WARNINGS else self._log.info
+        write(event.name.lower(), number=int(event), **fields)
+
+
+def get_logger(component):
+    """Return the logger of a component.
+
+    :param str component: name of the component.
+    :rtype: Logger
+    """
+    return Logger(component)
+
+
+def configure_logs(level="info", stream=None, **fields):
+    """Set up logs as JSON lines.
+
+    :param str level: lowest level to write: ``debug``, ``info`` or ``warning``.
+    :param stream: text stream to write to; standard error by default.
+    :param fields: values that stand on each line, such as the node id.
+    """
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            logging.getLevelNamesMapping()[level.upper()]
+        ),
+        logger_factory=structlog.PrintLoggerFactory(stream or sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+    structlog.contextvars.clear_contextvars()
+    structlog.contextvars.bind_contextvars(**fields)
--- /dev/null
+++ b/libs/cli/src/sequoiagap/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: every role of the one binary."""
--- /dev/null
+++ b/libs/config/src/sequoiagap/config/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered configuration versions: documents, patches, storage and spread."""
--- /dev/null
+++ b/libs/entry/src/sequoiagap/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The process on each entry host."""
--- /dev/null
+++ b/libs/experts/src/sequoiagap/experts/__init__.py
@@ -0,0 +1,1 @@
+"""Expert maps: planning, placement and the change of map across ranks."""
--- /dev/null
+++ b/libs/members/src/sequoiagap/members/__init__.py
@@ -0,0 +1,1 @@
+"""Membership of endpoints and entries: lists, heartbeats and incarnations."""
--- /dev/null
+++ b/libs/outcome/src/sequoiagap/outcome/__init__.py
@@ -0,0 +1,1 @@
+"""What became of a request: ledgers, claims and revocation."""
--- /dev/null
+++ b/libs/routing/src/sequoiagap/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of an endpoint for an attempt."""
--- /dev/null
+++ b/libs/settings/src/sequoiagap/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Validated models of settings files, in JSON with comments."""
--- /dev/null
+++ b/libs/standins/src/sequoiagap/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, with fault switches, and the load tool."""
--- /dev/null
+++ b/libs/wire/src/sequoiagap/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages and connections between the processes of the system."""
