--- /dev/null
+++ b/libs/outcome/src/sequoiagap/outcome/_journal.py
@@ -0,0 +1,89 @@
+"""Bounded memory of decisions, for ``explain``."""
+
+import collections
+import dataclasses
+import time
+
+from sequoiagap import base
+
+
+@dataclasses.dataclass(frozen=True)
+class Decision:
+    """One decision about a request.
+
+    :param float at: wall-clock time, seconds since the epoch.
+    :param str step: what was decided, such as ``attempt_sent``.
+    :param int config_version: configuration version that it rests on.
+    :param dict details: further values; never prompts, answers or keys.
+    """
+
+    at: float
+    step: str
+    config_version: int
+    details: dict
+
+
+@dataclasses.dataclass
+class _Record:
+    account: str
+    decisions: list[Decision] = dataclasses.field(default_factory=list)
+
+
+class Journal:
+    """Remembers the decisions of the latest requests.
+
+    :param int capacity: how many requests to remember.
+    :param int max_decisions: how many decisions to keep for each.
+
+    >>> journal = Journal(capacity=2)
+    >>> journal.open("req-1", "guild")
+    >>> journal.record("req-1", "admitted", 4)
+    >>> [d["step"] for d in journal.explain("req-1")["decisions"]]
+    ['admitted']
+    """
+
+    def __init__(self, capacity=10_000, max_decisions=32):
+        self.capacity = base.check_positive("capacity", capacity)
+        self.max_decisions = base.check_positive("max_decisions", max_decisions)
+        self._record_by_id = collections.OrderedDict()
+
+    def open(self, request_id, account):
+        """Start the record of a request.
+
+        :param str request_id: the request.
+        :param str account: client account that may read it.
+        """
+        self._record_by_id[request_id] = _Record(account)
+        while len(self._record_by_id) > self.capacity:
+            self._record_by_id.popitem(last=False)
+
+    def record(self, request_id, step, config_version, **details):
+        """Add a decision.
+
+        :param str request_id: the request.
+        :param str step: what was decided.
+        :param int config_version: version that it rests on.
+        :param details: further values.
+        """
+        record = self._record_by_id.get(request_id)
+        if record is None or len(record.decisions) >= self.max_decisions:
+            return
+        record.decisions.append(Decision(time.time(), step, config_version, details))
+
+    def explain(self, request_id, account=None):
+        """Return the decisions about a request.
+
+        :param str request_id: the request.
+        :param str account: who asks; ``None`` for an operator.
+        :returns: account and decisions, or ``None`` if unknown or not theirs.
+        :rtype: dict | None
+        """
+        record = self._record_by_id.get(request_id)
+        if record is None or account not in (None, record.account):
+            return None
+        decisions = [dataclasses.asdict(item) for item in record.decisions]
+        return {
+            "request_id": request_id,
+            "account": record.account,
+            "decisions": decisions,
+        }
--- a/libs/wire/src/sequoiagap/wire/__init__.py
+++ b/libs/wire/src/sequoiagap/wire/__init__.py
@@ -1,1 +1,52 @@
 """Typed messages and connections between the processes of the system."""
+
+from sequoiagap.wire._codec import MESSAGE_TYPES_BY_NUMBER, decode, encode, message
+from sequoiagap.wire._connection import Connection, accept, connect
+from sequoiagap.wire._framing import MAX_FRAME_BYTES, read_frame, write_frame
+from sequoiagap.wire._messages import (
+    PROTOCOL_VERSION,
+    Cancel,
+    Chunk,
+    Execute,
+    Final,
+    Goodbye,
+    Head,
+    Hello,
+    Load,
+    Ping,
+    Pong,
+    Refused,
+    Revoke,
+    Revoked,
+    StateReply,
+    StateRequest,
+)
+
+__all__ = [
+    "MAX_FRAME_BYTES",
+    "MESSAGE_TYPES_BY_NUMBER",
+    "PROTOCOL_VERSION",
+    "Cancel",
+    "Chunk",
+    "Connection",
+    "Execute",
+    "Final",
+    "Goodbye",
+    "Head",
+    "Hello",
+    "Load",
+    "Ping",
+    "Pong",
+    "Refused",
+    "Revoke",
+    "Revoked",
+    "StateReply",
+    "StateRequest",
+    "accept",
+    "connect",
+    "decode",
+    "encode",
+    "message",
+    "read_frame",
+    "write_frame",
+]
--- /dev/null
+++ b/libs/wire/src/sequoiagap/wire/_connection.py
@@ -0,0 +1,250 @@
+"""One connection between two processes, with heartbeats in both directions.
+
+A connection that carries work is probed often, an idle one seldom: the peer is
+taken for lost when a heartbeat stays unanswered for ``silence_timeout_s``.
+"""
+
+import asyncio
+import hmac
+import time
+
+from sequoiagap import base
+from sequoiagap.wire import _codec, _framing, _messages
+
+BUSY_PING_INTERVAL_S = 0.3
+IDLE_PING_INTERVAL_S = 5.0
+SILENCE_TIMEOUT_S = 1.5
+HANDSHAKE_TIMEOUT_S = 1.5
+CONNECT_TIMEOUT_S = 1.0
+
+_log = base.get_logger("wire")
+
+
+class Connection:
+    """A framed, probed connection after its handshake.
+
+    :param asyncio.StreamReader reader: incoming stream.
+    :param asyncio.StreamWriter writer: outgoing stream.
+    :param Hello own: what this side said.
+    :param Hello peer: what the other side said.
+    :param float silence_timeout_s: longest wait for the answer to a heartbeat.
+
+    :ivar bool busy_: whether work depends on the connection; set by its user.
+    :ivar bool closed_: whether the connection has ended.
+    :ivar int bytes_sent_: payload bytes sent so far.
+    :ivar int messages_sent_: messages sent so far.
+    """
+
+    def __init__(self, reader, writer, own, peer, silence_timeout_s=SILENCE_TIMEOUT_S):
+        self.reader = reader
+        self.writer = writer
+        self.own = own
+        self.peer = peer
+        self.silence_timeout_s = silence_timeout_s
+        self.busy_ = False
+        self.closed_ = False
+        self.bytes_sent_ = 0
+        self.messages_sent_ = 0
+        self._silent = False
+        self._sequence = 0
+        self._oldest_ping_at = None
+        self._wake = asyncio.Event()
+
+    async def send(self, item):
+        """Send one message; waits while the peer reads slowly.
+
+        :param item: an instance of a message class.
+        :raises sequoiagap.base.WireError: if the connection is closed.
+        """
+        if self.closed_:
+            raise _lost(self.peer)
+        payload = _codec.encode(item)
+        _framing.write_frame(self.writer, payload)
+        self.bytes_sent_ += len(payload)
+        self.messages_sent_ += 1
+        try:
+            await self.writer.drain()
+        except OSError as error:
+            raise _lost(self.peer) from error
+
+    def mark_busy(self, busy):
+        """Say whether work depends on this connection.
+
+        :param bool busy: busy connections are probed at short intervals.
+        """
+        self.busy_ = busy
+        if busy:
+            self._wake.set()
+
+    async def run(self, handle):
+        """Receive messages until the connection ends.
+
+        :param handle: coroutine function that takes each message.
+        :returns: why the connection ended.
+        :rtype: str
+        """
+        pinger = asyncio.create_task(self._ping_forever(), name="ping")
+        try:
+            return await self._receive(handle)
+        finally:
+            await base.cancel_and_wait(pinger)
+            self.close()
+
+    def close(self):
+        """Close the connection at once; unsent bytes are dropped."""
+        if not self.closed_:
+            self.closed_ = True
+            self.writer.transport.abort()
+
+    async def close_politely(self, reason):
+        """Tell the peer why, flush and close.
+
+        :param str reason: why the connection is closed.
+        """
+        try:
+            async with asyncio.timeout(self.silence_timeout_s):
+                await self.send(_messages.Goodbye(reason))
+                self.writer.write_eof()
+        except (TimeoutError, OSError, base.WireError):
+            pass
+        self.closed_ = True
+        self.writer.close()
+
+    async def _receive(self, handle):
+        while True:
+            try:
+                payload = await _framing.read_frame(self.reader)
+                if payload is None:
+                    return self._end_reason()
+                item = _codec.decode(payload)
+            except base.WireError as error:
+                self._log_rejected(error)
+                return str(error)
+            except OSError as error:
+                return f"connection lost: {error}"
+            if isinstance(item, _messages.Goodbye):
+                return f"peer said goodbye: {item.reason}"
+            if not await self._handle_heartbeat(item):
+                await handle(item)
+
+    async def _handle_heartbeat(self, item):
+        if isinstance(item, _messages.Ping):
+            await self._send_quietly(_messages.Pong(item.sequence))
+            return True
+        if isinstance(item, _messages.Pong):
+            self._oldest_ping_at = None
+            return True
+        return False
+
+    async def _ping_forever(self):
+        while not self.closed_:
+            await self._wait_interval()
+            now = time.monotonic()
+            waiting_since = self._oldest_ping_at
+            if waiting_since is None:
+                self._oldest_ping_at = now
+                self._sequence += 1
+                await self._send_quietly(_messages.Ping(self._sequence))
+            elif now - waiting_since > self.silence_timeout_s:
+                _log.emit(base.Event.LINK_SILENT, peer=self.peer.node_id)
+                self._silent = True
+                self.close()
+
+    def _end_reason(self):
+        if self._silent:
+            return f"no heartbeat answer within {self.silence_timeout_s} s"
+        return "closed here" if self.closed_ else "closed by peer"
+
+    async def _wait_interval(self):
+        probing = self.busy_ or self._oldest_ping_at is not None
+        interval = BUSY_PING_INTERVAL_S if probing else IDLE_PING_INTERVAL_S
+        self._wake.clear()
+        try:
+            async with asyncio.timeout(interval):
+                await self._wake.wait()
+        except TimeoutError:
+            pass
+
+    async def _send_quietly(self, item):
+        try:
+            async with asyncio.timeout(self.silence_timeout_s):
+                await self.send(item)
+        except (TimeoutError, base.WireError):
+            self.close()
+
+    def _log_rejected(self, error):
+        _log.emit(
+            base.Event.FRAME_REJECTED, peer=self.peer.node_id, error=error.message
+        )
+
+
+async def connect(address, port, own):
+    """Open a connection to another process.
+
+    :param str address: IP address.
+    :param int port: TCP port.
+    :param Hello own: what this side says of itself.
+    :rtype: Connection
+    :raises sequoiagap.base.WireError: if the peer can't be reached in time.
+    """
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(address, port)
+    except (OSError, TimeoutError) as error:
+        raise base.WireError(
+            f"{address}:{port} can't be reached ({error!r})",
+            "Check that the process runs and that the address is right",
+        ) from error
+    return await _shake_hands(reader, writer, own)
+
+
+async def accept(reader, writer, own):
+    """Take a connection that another process has opened.
+
+    :param asyncio.StreamReader reader: incoming stream.
+    :param asyncio.StreamWriter writer: outgoing stream.
+    :param Hello own: what this side says of itself.
+    :rtype: Connection
+    :raises sequoiagap.base.WireError: if the peer says no proper hello in time.
+    """
+    return await _shake_hands(reader, writer, own)
+
+
+async def _shake_hands(reader, writer, own):
+    try:
+        _framing.write_frame(writer, _codec.encode(own))
+        async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+            payload = await _framing.read_frame(reader)
+        if payload is None:
+            raise base.WireError("peer closed during the handshake", "Reconnect")
+        peer = _codec.decode(payload)
+        _check_hello(own, peer)
+    except (OSError, TimeoutError) as error:
+        writer.transport.abort()
+        raise base.WireError("peer said no hello in time", "Reconnect") from error
+    except base.WireError:
+        writer.transport.abort()
+        raise
+    return Connection(reader, writer, own, peer)
+
+
+def _check_hello(own, peer):
+    if not isinstance(peer, _messages.Hello):
+        raise base.WireError(
+            f"first message is {type(peer).__name__}, not Hello",
+            "Check that the peer speaks this protocol",
+        )
+    if peer.protocol != own.protocol:
+        raise base.WireError(
+            f"peer speaks protocol {peer.protocol}, not {own.protocol}",
+            "Upgrade the older process",
+        )
+    if not hmac.compare_digest(peer.secret.encode(), own.secret.encode()):
+        raise base.WireError(
+            f"{peer.node_id} gave a wrong deployment secret",
+            "Give both processes the same secret file",
+        )
+
+
+def _lost(peer):
+    return base.WireError(f"connection to {peer.node_id} is closed", "Reconnect")
