Add entry, agent, command line and stand-ins: a request is served end to end

Cause: the thin path is the first aim; every promise is proved on it. Ruled out: holding an answer at the agent until it is whole (streams would lose their first-token time); passing non-stream answers through unheld (a failed attempt could then not be retried unseen).

--- /dev/null
+++ b/libs/agent/src/sequoiagap/agent/_agent.py
@@ -0,0 +1,186 @@
+"""Assembly of the agent process."""
+
+import asyncio
+import json
+import signal
+import time
+
+from sequoiagap import admission, base, config, outcome, platform, settings, wire
+from sequoiagap.agent import _endpoint, _executor, _spread
+
+PROBE_INTERVAL_S = 0.25
+
+_log = base.get_logger("agent")
+
+
+class Agent:
+    """The process beside one endpoint, and the only sender to it.
+
+    :param sequoiagap.settings.AgentSettings settings: checked settings.
+
+    :ivar int port_: TCP port in use, once started.
+    :ivar str incarnation_: fresh id of this run.
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.incarnation_ = base.new_id("inc")
+        self.port_ = 0
+        self.metrics_ = base.Metrics()
+        self.holder_ = config.ConfigHolder()
+        self.connections_ = set()
+        self._tasks = base.TaskSet()
+        self._server = None
+        self._secret = ""
+        self._build()
+
+    def _build(self):
+        endpoint = self.settings.endpoint
+        self.client_ = _endpoint.EndpointClient(endpoint)
+        self.gate_ = admission.EndpointGate(
+            endpoint.warm_limit, endpoint.cold_limit, endpoint.warm_up_s
+        )
+        self.ledger_ = outcome.Ledger(self.incarnation_)
+        self.platform_ = platform.PlatformClient(
+            self.settings.platform.url, self.settings.platform.timeout_s
+        )
+        self.executor_ = _executor.Executor(
+            self.client_,
+            self.gate_,
+            self.ledger_,
+            self.holder_,
+            self.settings.node_id,
+            self.settings.failure_domain,
+        )
+        self.spread_ = _spread.ConfigSpread(self.holder_, self.platform_)
+        self.handlers_ = wire.HandlerTable()
+        self.executor_.attach(self.handlers_)
+        self.spread_.attach(self.handlers_)
+        self.handlers_.add(wire.StateRequest, self._on_state_request)
+
+    async def start(self):
+        """Listen for entries and begin to probe the endpoint."""
+        self._secret = settings.load_secret(self.settings.secret_file)
+        await self.client_.open()
+        self._server = await asyncio.start_server(
+            self._serve, str(self.settings.address), self.settings.port
+        )
+        self.port_ = self._server.sockets[0].getsockname()[1]
+        self._tasks.start(self._probe_forever(), "probe")
+        self._tasks.start(self.spread_.learn(), "learn-config")
+        _log.emit(base.Event.PROCESS_READY, role="agent", port=self.port_)
+
+    async def stop(self):
+        """Refuse new work, let what runs finish within the bound, and close."""
+        _log.emit(base.Event.PROCESS_STOPPING, role="agent")
+        self.executor_.stopping_ = True
+        self.gate_.leave()
+        await self._announce_load()
+        await self.executor_.wait_idle(self.settings.drain_bound_s)
+        self._server.close()
+        for connection in list(self.connections_):
+            await connection.close_politely("agent stops")
+        await self._tasks.close()
+        await self.executor_.close()
+        await self.client_.close()
+        await self.platform_.close()
+        _log.emit(base.Event.PROCESS_STOPPED, role="agent")
+
+    def dump_state(self):
+        """Return the state of the process as plain data.
+
+        :rtype: dict
+        """
+        load = self.executor_.load()
+        return {
+            "node_id": self.settings.node_id,
+            "role": "agent",
+            "incarnation": self.incarnation_,
+            "failure_domain": self.settings.failure_domain,
+            "config_version": self.holder_.current_.number,
+            "endpoint": {
+                "state": load.state,
+                "in_flight": load.in_flight,
+                "limit": load.limit,
+                "service_time_s": load.service_time_s,
+            },
+            "connections": sorted(c.peer.node_id for c in self.connections_),
+            "platform_calls": self.platform_.calls_,
+            "metrics": self.metrics_.to_document(),
+        }
+
+    async def _serve(self, reader, writer):
+        """Serve one connection until it ends."""
+        try:
+            connection = await wire.accept(reader, writer, self._hello())
+        except base.WireError as error:
+            _log.emit(base.Event.FRAME_REJECTED, error=error.message)
+            return
+        self.connections_.add(connection)
+        _log.emit(base.Event.LINK_OPENED, peer=connection.peer.node_id)
+        try:
+            await connection.send(self.executor_.load())
+            await self.spread_.greet(connection)
+            reason = await connection.run(
+                lambda item: self.handlers_.handle(connection, item)
+            )
+            _log.emit(
+                base.Event.LINK_CLOSED, peer=connection.peer.node_id, reason=reason
+            )
+        except base.WireError as error:
+            connection.close()
+            _log.emit(base.Event.LINK_CLOSED, reason=error.message)
+        finally:
+            self.connections_.discard(connection)
+
+    def _hello(self):
+        return wire.Hello(
+            node_id=self.settings.node_id,
+            role="agent",
+            incarnation=self.incarnation_,
+            failure_domain=self.settings.failure_domain,
+            config_version=self.holder_.current_.number,
+            secret=self._secret,
+        )
+
+    async def _probe_forever(self):
+        """Follow the endpoint's own report; announce each change of limit."""
+        announced = None
+        while True:
+            report = await self.client_.report()
+            if report is not None:
+                self.gate_.report_start(report.start_id, time.monotonic(), report.cold)
+            load = self.executor_.load()
+            if (load.state, load.limit) != announced:
+                announced = (load.state, load.limit)
+                await self._announce_load()
+            await asyncio.sleep(PROBE_INTERVAL_S)
+
+    async def _announce_load(self):
+        for connection in list(self.connections_):
+            try:
+                await connection.send(self.executor_.load())
+            except base.WireError:
+                continue
+
+    async def _on_state_request(self, connection, item):
+        document = json.dumps(self.dump_state())
+        await connection.send(wire.StateReply(item.sequence, document))
+
+
+async def run(agent_settings):
+    """Run an agent until it is told to stop.
+
+    :param sequoiagap.settings.AgentSettings agent_settings: checked settings.
+    """
+    agent = Agent(agent_settings)
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    await agent.start()
+    print(
+        json.dumps({"ready": agent_settings.node_id, "port": agent.port_}), flush=True
+    )
+    await stopped.wait()
+    await agent.stop()
--- /dev/null
+++ b/libs/cli/src/sequoiagap/cli/_exit_codes.py
@@ -0,0 +1,14 @@
+"""Exit codes of the commands."""
+
+import enum
+
+
+class ExitCode(enum.IntEnum):
+    """What a command ended with."""
+
+    DONE = 0
+    FAILED = 1
+    BAD_USAGE = 2
+    REFUSED = 3
+    UNREACHABLE = 4
+    UNKNOWN = 5
--- a/libs/config/src/sequoiagap/config/__init__.py
+++ b/libs/config/src/sequoiagap/config/__init__.py
@@ -14,7 +14,7 @@
 )
 from sequoiagap.config._holder import ConfigHolder
 from sequoiagap.config._messages import ConfigBody, ConfigOffer, ConfigPull
-from sequoiagap.config._store import CONFIG_OBJECT, ConfigStore, Patch
+from sequoiagap.config._store import CONFIG_OBJECT, ConfigStore, Patch, parse_stored
 
 __all__ = [
     "CONFIG_OBJECT",
@@ -34,4 +34,5 @@
     "RoutingConfig",
     "ServiceConfig",
     "merge_patch",
+    "parse_stored",
 ]
--- /dev/null
+++ b/libs/entry/src/sequoiagap/entry/_entry.py
@@ -0,0 +1,168 @@
+"""Assembly of the entry process."""
+
+import asyncio
+import json
+import random
+import signal
+
+from aiohttp import web
+
+from sequoiagap import admission, base, config, outcome, platform, settings, wire
+from sequoiagap.entry import (
+    _auth,
+    _callers,
+    _dispatch,
+    _links,
+    _operators,
+    _watch,
+)
+
+_log = base.get_logger("entry")
+
+
+class Entry:
+    """The process that takes callers' requests on an entry host.
+
+    :param sequoiagap.settings.EntrySettings settings: checked settings.
+    :param random.Random random_state: source of randomness; fresh by default.
+
+    :ivar int http_port_: HTTP port in use, once started.
+    :ivar str incarnation_: fresh id of this run.
+    """
+
+    def __init__(self, settings, random_state=None):
+        self.settings = settings
+        self.random_state = random_state or random.Random()
+        self.incarnation_ = base.new_id("inc")
+        self.http_port_ = 0
+        self.metrics_ = base.Metrics()
+        self.holder_ = config.ConfigHolder()
+        self.journal_ = outcome.Journal()
+        self.stopping_ = False
+        self._tasks = base.TaskSet()
+        self._runner = None
+        self._secret = ""
+        self.platform_ = platform.PlatformClient(
+            settings.platform.url, settings.platform.timeout_s
+        )
+        self.links_ = _links.AgentLinks(self.platform_, self._hello, self.holder_)
+
+    async def start(self):
+        """Learn the configuration and the members, and listen for callers."""
+        self._secret = settings.load_secret(self.settings.secret_file)
+        keys = _auth.KeyRing(*settings.load_keys(self.settings.keys_file))
+        self.holder_.add_listener(self._on_adopted)
+        self._tasks.start(_watch.ConfigWatch(self.platform_, self.holder_).run(), "w")
+        self._tasks.start(self.links_.follow_list(), "follow-list")
+        await self._listen(self._make_app(keys))
+        _log.emit(base.Event.PROCESS_READY, role="entry", http_port=self.http_port_)
+
+    async def stop(self):
+        """Fail readiness, let requests finish within the bound, and close."""
+        _log.emit(base.Event.PROCESS_STOPPING, role="entry")
+        self.stopping_ = True
+        await asyncio.sleep(self.settings.drain_lag_s)
+        await self.callers_.wait_idle(self.settings.drain_bound_s)
+        await self._runner.cleanup()
+        await self._tasks.close()
+        await self.links_.close()
+        await self.platform_.close()
+        _log.emit(base.Event.PROCESS_STOPPED, role="entry")
+
+    def is_ready(self):
+        """Return whether the process takes new callers.
+
+        :rtype: bool
+        """
+        return self.holder_.known_.is_set() and not self.stopping_
+
+    def dump_state(self):
+        """Return the state of the process as plain data.
+
+        :rtype: dict
+        """
+        return {
+            "node_id": self.settings.node_id,
+            "role": "entry",
+            "incarnation": self.incarnation_,
+            "failure_domain": self.settings.failure_domain,
+            "config_version": self.holder_.current_.number,
+            "ready": self.is_ready(),
+            "in_flight": self.callers_.in_flight_,
+            "endpoints": {
+                endpoint_id: _describe(link)
+                for endpoint_id, link in sorted(self.links_.by_id.items())
+            },
+            "platform_calls": self.platform_.calls_,
+            "metrics": self.metrics_.to_document(),
+        }
+
+    def _make_app(self, keys):
+        budget = admission.RetryBudget()
+        dispatcher = _dispatch.Dispatcher(
+            self.links_, self.holder_, budget, self.journal_, self.random_state
+        )
+        self.callers_ = _callers.CallersApi(
+            self.settings, dispatcher, self.holder_, keys, self.journal_, self.metrics_
+        )
+        store = config.ConfigStore(self.platform_)
+        operators = _operators.OperatorsApi(self, store, self.holder_, keys)
+        app = web.Application(client_max_size=self.settings.max_body_bytes)
+        self.callers_.add_routes(app.router)
+        operators.add_routes(app.router)
+        return app
+
+    async def _listen(self, app):
+        self._runner = web.AppRunner(
+            app, access_log=None, handler_cancellation=True, shutdown_timeout=1.0
+        )
+        await self._runner.setup()
+        site = web.TCPSite(
+            self._runner, str(self.settings.address), self.settings.http_port
+        )
+        await site.start()
+        self.http_port_ = self._runner.addresses[0][1]
+
+    def _hello(self):
+        return wire.Hello(
+            node_id=self.settings.node_id,
+            role="entry",
+            incarnation=self.incarnation_,
+            failure_domain=self.settings.failure_domain,
+            config_version=self.holder_.current_.number,
+            secret=self._secret,
+        )
+
+    def _on_adopted(self, version):
+        self._tasks.start(self.links_.offer_config(version.number), "offer-config")
+
+
+def _describe(link):
+    view = link.view
+    return {
+        "state": view.state,
+        "failure_domain": view.failure_domain,
+        "connected": view.connected,
+        "leaving": link.member.leaving,
+        "limit": view.limit,
+        "reported_in_flight": view.reported_in_flight,
+        "own_in_flight": view.own_in_flight,
+        "service_time_s": view.service_time_s,
+    }
+
+
+async def run(entry_settings):
+    """Run an entry until it is told to stop.
+
+    :param sequoiagap.settings.EntrySettings entry_settings: checked settings.
+    """
+    entry = Entry(entry_settings)
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    await entry.start()
+    ready = {"ready": entry_settings.node_id, "http_port": entry.http_port_}
+    print(json.dumps(ready), flush=True)
+    await stopped.wait()
+    await entry.stop()
--- /dev/null
+++ b/libs/entry/src/sequoiagap/entry/_operators.py
@@ -0,0 +1,131 @@
+"""The operators' HTTP: configuration, health, metrics and state dumps."""
+
+import dataclasses
+import json
+
+from aiohttp import web
+
+from sequoiagap import base, config
+from sequoiagap.entry import _auth, _exposition, _responses
+
+AGENT_STATE_TIMEOUT_S = 1.0
+
+
+class OperatorsApi:
+    """Handlers of the operators' HTTP.
+
+    :param Entry entry: the process, for its state.
+    :param sequoiagap.config.ConfigStore store: versions in the platform.
+    :param sequoiagap.config.ConfigHolder holder: configuration in force.
+    :param KeyRing keys: keys of client accounts and operators.
+    """
+
+    def __init__(self, entry, store, holder, keys):
+        self.entry = entry
+        self.store = store
+        self.holder = holder
+        self.keys = keys
+
+    def add_routes(self, router):
+        """Register the handlers.
+
+        :param aiohttp.web.UrlDispatcher router: where to register.
+        """
+        router.add_get("/healthz", self.healthz)
+        router.add_get("/readyz", self.readyz)
+        router.add_get("/metrics", self._guarded(self.metrics))
+        router.add_get("/state", self._guarded(self.state))
+        router.add_get("/state/{endpoint_id}", self._guarded(self.agent_state))
+        router.add_get("/config", self._guarded(self.get_config))
+        router.add_post("/config", self._guarded(self.patch_config))
+        router.add_get("/config/history", self._guarded(self.history))
+
+    async def healthz(self, http_request):
+        """Answer whether the process runs."""
+        return web.json_response({"alive": True})
+
+    async def readyz(self, http_request):
+        """Answer whether the process takes new callers."""
+        ready = self.entry.is_ready()
+        return web.json_response({"ready": ready}, status=200 if ready else 503)
+
+    async def metrics(self, http_request, operator):
+        """Answer with all metrics in the usual text format."""
+        text = _exposition.render(self.entry.metrics_, self.entry.settings.node_id)
+        return web.Response(text=text, content_type="text/plain")
+
+    async def state(self, http_request, operator):
+        """Answer with the state dump of this process."""
+        return web.json_response(self.entry.dump_state())
+
+    async def agent_state(self, http_request, operator):
+        """Answer with the state dump of an agent."""
+        endpoint_id = http_request.match_info["endpoint_id"]
+        link = self.entry.links_.by_id.get(endpoint_id)
+        text = await link.request_state(AGENT_STATE_TIMEOUT_S) if link else None
+        if text is None:
+            return self._refuse(
+                base.RefusalKind.NOT_FOUND,
+                f"endpoint {endpoint_id} does not answer",
+                "Use an endpoint that the state of this entry lists as connected",
+            )
+        return web.Response(text=text, content_type="application/json")
+
+    async def get_config(self, http_request, operator):
+        """Answer with the version in force at this process."""
+        current = self.holder.current_
+        document = json.loads(current.to_json())
+        return web.json_response({"version": current.number, "document": document})
+
+    async def patch_config(self, http_request, operator):
+        """Submit an operator's patch."""
+        try:
+            document = await http_request.json()
+            patch = config.Patch(
+                patch_id=str(document.get("patch_id") or base.new_id("patch")),
+                against=int(document["against"]),
+                changes=dict(document["changes"]),
+                operator=operator,
+                override=bool(document.get("override", False)),
+            )
+        except (ValueError, KeyError, TypeError):
+            return self._refuse(
+                base.RefusalKind.BAD_REQUEST,
+                "the body is no patch",
+                'Send {"against": VERSION, "changes": {...}}',
+            )
+        result = await self.store.submit(patch)
+        if result.is_error():
+            return _responses.refusal_response(result.error, patch.patch_id)
+        version = result.ok
+        self.holder.adopt(version, "operator")
+        return web.json_response(
+            {"version": version.number, "patch_id": patch.patch_id}
+        )
+
+    async def history(self, http_request, operator):
+        """Answer with the accepted patches, oldest first."""
+        try:
+            entries = await self.store.history()
+        except base.PlatformError as error:
+            return self._refuse(
+                base.RefusalKind.PLATFORM_DOWN, error.message, error.remedy
+            )
+        items = [dataclasses.asdict(entry) for entry in entries]
+        return web.json_response({"history": items})
+
+    def _guarded(self, handler):
+        async def guarded(http_request):
+            operator = self.keys.find_operator(http_request.headers)
+            if operator is None:
+                refusal = _auth.unauthenticated(self.holder.current_.number)
+                return _responses.refusal_response(refusal, "")
+            return await handler(http_request, operator)
+
+        return guarded
+
+    def _refuse(self, kind, message, remedy):
+        refusal = base.Refusal(
+            kind, message, remedy, config_version=self.holder.current_.number
+        )
+        return _responses.refusal_response(refusal, "")
--- a/libs/standins/src/sequoiagap/standins/__init__.py
+++ b/libs/standins/src/sequoiagap/standins/__init__.py
@@ -1,1 +1,6 @@
 """Stand-ins for outside systems, with fault switches, and the load tool."""
+
+from sequoiagap.standins._fleet import Fleet, FleetPlan, Process
+from sequoiagap.standins._load import LoadReport, run_load
+
+__all__ = ["Fleet", "FleetPlan", "LoadReport", "Process", "run_load"]
--- /dev/null
+++ b/libs/standins/src/sequoiagap/standins/__main__.py
@@ -0,0 +1,23 @@
+"""Run a stand-in: ``python -m sequoiagap.standins KIND [JSON]``."""
+
+import asyncio
+import json
+import sys
+
+from sequoiagap.standins import _engine, _platform, _serve, _service
+
+_MAKERS_BY_KIND = {
+    "engine": _engine.EngineStandIn,
+    "platform": _platform.PlatformStandIn,
+    "service": _service.ServiceStandIn,
+}
+
+
+def main():
+    """Run the stand-in named by the arguments until it is told to stop."""
+    kind = sys.argv[1]
+    parameters = json.loads(sys.argv[2]) if len(sys.argv) > 2 else {}
+    asyncio.run(_serve.serve(_MAKERS_BY_KIND[kind](**parameters)))
+
+
+main()
--- /dev/null
+++ b/libs/standins/src/sequoiagap/standins/_engine.py
@@ -0,0 +1,150 @@
+"""Stand-in for a model engine: batched lock-step decoding with a cold start."""
+
+import asyncio
+import json
+import time
+
+from aiohttp import web
+
+from sequoiagap.standins import _executions, _faults
+
+FALLEN_STATUS = 500
+
+
+class EngineStandIn:
+    """OpenAI-style model engine.
+
+    :param float step_s: time of one decoding step, in seconds.
+    :param int tokens: tokens of an answer where the caller names no number.
+    :param int cold_capacity: requests that it bears at once when cold.
+    :param int capacity: requests that it bears at once when warm.
+    :param float cold_s: how long it stays cold after a start, in seconds.
+    :param float load_lag_s: how far its load report lags, in seconds.
+    :param float recover_s: how long it fails after it fell over, in seconds.
+    :param int port: TCP port; 0 lets the system choose.
+    """
+
+    def __init__(
+        self,
+        step_s=0.005,
+        tokens=8,
+        cold_capacity=2,
+        capacity=32,
+        cold_s=1.0,
+        load_lag_s=0.2,
+        recover_s=1.0,
+        port=0,
+    ):
+        self.step_s = step_s
+        self.tokens = tokens
+        self.cold_capacity = cold_capacity
+        self.capacity = capacity
+        self.cold_s = cold_s
+        self.load_lag_s = load_lag_s
+        self.recover_s = recover_s
+        self.port = port
+        self.faults_ = _faults.Faults()
+        self.executions_ = _executions.Executions()
+        self.fell_over_ = 0
+        self.peak_in_flight_ = 0
+        self.in_flight_ = 0
+        self._starts = 0
+        self._fallen_until = 0.0
+        self._reported = (0.0, 0)
+        self._start()
+
+    def add_routes(self, router):
+        """Register the handlers.
+
+        :param aiohttp.web.UrlDispatcher router: where to register.
+        """
+        router.add_post("/v1/chat/completions", self._on_complete)
+        router.add_post("/v1/completions", self._on_complete)
+        router.add_get("/load", self._on_load)
+        router.add_get("/stats", self._on_stats)
+        router.add_post("/restart", self._on_restart)
+        self.executions_.add_routes(router)
+        self.faults_.add_routes(router)
+
+    def _start(self):
+        self._starts += 1
+        self._started_at = time.monotonic()
+
+    def _is_cold(self):
+        return time.monotonic() - self._started_at < self.cold_s
+
+    async def _on_restart(self, request):
+        self._start()
+        return web.json_response({"start_id": self._starts})
+
+    async def _on_load(self, request):
+        await self.faults_.before_call()
+        now = time.monotonic()
+        if now - self._reported[0] >= self.load_lag_s:
+            self._reported = (now, self.in_flight_)
+        return web.json_response(
+            {
+                "start_id": f"start-{self._starts}",
+                "cold": self._is_cold(),
+                "in_flight": self._reported[1],
+            }
+        )
+
+    async def _on_stats(self, request):
+        return web.json_response(
+            {"fell_over": self.fell_over_, "peak_in_flight": self.peak_in_flight_}
+        )
+
+    async def _on_complete(self, request):
+        await self.faults_.before_call()
+        body = await request.json()
+        bears = self.cold_capacity if self._is_cold() else self.capacity
+        if self.in_flight_ >= bears and time.monotonic() >= self._fallen_until:
+            self.fell_over_ += 1
+            self._fallen_until = time.monotonic() + self.recover_s
+        if time.monotonic() < self._fallen_until:
+            return web.Response(status=FALLEN_STATUS, text="fell over")
+        self.executions_.record(request)
+        self.in_flight_ += 1
+        self.peak_in_flight_ = max(self.peak_in_flight_, self.in_flight_)
+        try:
+            return await self._answer(request, body)
+        finally:
+            self.in_flight_ -= 1
+
+    async def _answer(self, request, body):
+        count = int(body.get("max_tokens") or self.tokens)
+        words = [f"token{i}" for i in range(count)]
+        headers = {"X-Request-Id": self._echo(request)}
+        if body.get("stream"):
+            return await self._stream(request, words, headers)
+        await asyncio.sleep(count * self.step_s)
+        await self._misbehave()
+        message = {"role": "assistant", "content": " ".join(words)}
+        document = {"id": headers["X-Request-Id"], "choices": [{"message": message}]}
+        return web.json_response(document, headers=headers)
+
+    async def _stream(self, request, words, headers):
+        headers = headers | {"Content-Type": "text/event-stream"}
+        response = web.StreamResponse(headers=headers)
+        await response.prepare(request)
+        middle = len(words) // 2
+        for index, word in enumerate(words):
+            await asyncio.sleep(self.step_s)
+            if index == middle:
+                await self._misbehave(request)
+            delta = {"choices": [{"delta": {"content": word + " "}}]}
+            await response.write(f"data: {json.dumps(delta)}\n\n".encode())
+        await response.write(b"data: [DONE]\n\n")
+        await response.write_eof()
+        return response
+
+    async def _misbehave(self, request=None):
+        if self.faults_.stall_s:
+            await asyncio.sleep(self.faults_.stall_s)
+        if request is not None and self.faults_.take("cut_answers"):
+            request.transport.abort()
+
+    def _echo(self, request):
+        own = request.headers.get("X-Request-Id", "")
+        return "att-of-another" if self.faults_.crossed else own
--- /dev/null
+++ b/libs/standins/src/sequoiagap/standins/_fleet.py
@@ -0,0 +1,360 @@
+"""A fleet of real processes on one machine, with stand-ins around it."""
+
+import asyncio
+import dataclasses
+import hashlib
+import json
+import os
+import pathlib
+import signal
+import sys
+
+import aiohttp
+
+READY_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 15.0
+POLL_S = 0.05
+CALLER_KEY = "caller-key"
+OPERATOR_KEY = "operator-key"
+
+
+@dataclasses.dataclass(frozen=True)
+class FleetPlan:
+    """What a fleet consists of.
+
+    :param tuple domains: failure domains.
+    :param int entries: entry processes, spread over the domains in turn.
+    :param int engines_per_domain: model endpoints in each domain.
+    :param int services_per_domain: plain service endpoints in each domain.
+    :param dict engine: parameters of the engine stand-ins.
+    :param dict service: parameters of the service stand-ins.
+    :param dict endpoint: settings of the endpoints, over the defaults.
+    :param dict entry: settings of the entries, over the defaults.
+    :param dict config: merge patch over the default configuration.
+    :param dict platform: parameters of the platform stand-in.
+    :param tuple accounts: client accounts; the key is ``NAME-key``.
+    """
+
+    domains: tuple = ("north", "middle", "south")
+    entries: int = 2
+    engines_per_domain: int = 1
+    services_per_domain: int = 1
+    engine: dict = dataclasses.field(default_factory=dict)
+    service: dict = dataclasses.field(default_factory=dict)
+    endpoint: dict = dataclasses.field(default_factory=dict)
+    entry: dict = dataclasses.field(default_factory=dict)
+    config: dict = dataclasses.field(default_factory=dict)
+    platform: dict = dataclasses.field(default_factory=dict)
+    accounts: tuple = ("caller",)
+
+
+class Process:
+    """A child process that printed its ports.
+
+    :param str name: its name in the fleet.
+    :param list command: program and arguments.
+    :param pathlib.Path log_path: where its standard error goes.
+
+    :ivar dict ready_: the JSON line that it printed when it was ready.
+    """
+
+    def __init__(self, name, command, log_path):
+        self.name = name
+        self.command = command
+        self.log_path = log_path
+        self.ready_ = {}
+        self.child_ = None
+
+    async def start(self):
+        """Start the process and wait until it is ready."""
+        with self.log_path.open("ab") as log:
+            self.child_ = await asyncio.create_subprocess_exec(
+                *self.command, stdout=asyncio.subprocess.PIPE, stderr=log
+            )
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            line = await self.child_.stdout.readline()
+        if not line:
+            raise RuntimeError(f"{self.name} failed: {self.log_path.read_text()}")
+        self.ready_ = json.loads(line)
+
+    def send_signal(self, number):
+        """Send a signal while the process runs.
+
+        :param int number: the signal.
+        """
+        if self.child_ is not None and self.child_.returncode is None:
+            self.child_.send_signal(number)
+
+    async def wait(self, timeout_s=STOP_TIMEOUT_S):
+        """Wait for the end of the process and return its exit code.
+
+        :param float timeout_s: longest wait, in seconds.
+        :rtype: int
+        """
+        async with asyncio.timeout(timeout_s):
+            return await self.child_.wait()
+
+    async def kill(self):
+        """Kill the process and wait for its end."""
+        self.send_signal(signal.SIGKILL)
+        await self.wait()
+
+
+class Fleet:
+    """Starts, breaks and stops a fleet; an asynchronous context manager.
+
+    :param FleetPlan plan: what it consists of.
+    :param pathlib.Path folder: where settings and logs go.
+
+    :ivar dict process_by_name: every process started, by name.
+    """
+
+    def __init__(self, plan, folder):
+        self.plan = plan
+        self.folder = pathlib.Path(folder)
+        self.process_by_name = {}
+        self.session_ = None
+
+    async def __aenter__(self):
+        """Start everything and wait until requests can be served."""
+        self.session_ = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def __aexit__(self, *exc_info):
+        """Kill every process."""
+        for process in self.process_by_name.values():
+            process.send_signal(signal.SIGKILL)
+        for process in self.process_by_name.values():
+            if process.child_ is not None:
+                await process.child_.wait()
+        await self.session_.close()
+
+    def url(self, name):
+        """Return the HTTP address of a process.
+
+        :param str name: name of the process.
+        :rtype: str
+        """
+        ready = self.process_by_name[name].ready_
+        return f"http://127.0.0.1:{ready.get('http_port', ready.get('port'))}"
+
+    def entry_names(self):
+        """Return the names of the entries.
+
+        :rtype: list[str]
+        """
+        return [f"entry-{i}" for i in range(self.plan.entries)]
+
+    def endpoint_names(self):
+        """Return the names of the endpoints, which are those of their agents.
+
+        :rtype: list[str]
+        """
+        return [name for name, _, _ in self._endpoints()]
+
+    async def call(self, name, method, path, body=None, key=OPERATOR_KEY):
+        """Call a process and return status and JSON body.
+
+        :param str name: name of the process.
+        :param str method: HTTP method.
+        :param str path: HTTP path.
+        :param dict body: JSON body, or ``None``.
+        :param str key: key to show.
+        :rtype: tuple[int, dict]
+        """
+        headers = {"Authorization": f"Bearer {key}"}
+        url = self.url(name) + path
+        request = self.session_.request(method, url, json=body, headers=headers)
+        async with request as response:
+            return response.status, await response.json()
+
+    async def set_faults(self, name, **switches):
+        """Change fault switches of a stand-in.
+
+        :param str name: ``platform`` or an endpoint's stand-in, ``NAME-target``.
+        :param switches: new values by switch.
+        """
+        status, document = await self.call(name, "POST", "/faults", switches)
+        if status != 200:
+            raise ValueError(document["error"])
+
+    async def patch_config(self, changes, entry="entry-0"):
+        """Submit a patch against the current version.
+
+        :param dict changes: merge patch.
+        :param str entry: entry to submit to.
+        :rtype: tuple[int, dict]
+        """
+        _, current = await self.call(entry, "GET", "/config")
+        body = {"against": current["version"], "changes": changes}
+        return await self.call(entry, "POST", "/config", body)
+
+    async def executions(self):
+        """Return how often each request key was run, over all endpoints.
+
+        :rtype: dict[str, int]
+        """
+        total = {}
+        for name in self.endpoint_names():
+            _, counts = await self.call(f"{name}-target", "GET", "/executions")
+            for key, count in counts.items():
+                total[key] = total.get(key, 0) + count
+        return total
+
+    async def wait_until(self, condition, timeout_s):
+        """Poll a condition.
+
+        :param condition: coroutine function that returns whether it holds.
+        :param float timeout_s: longest wait, in seconds.
+        :raises TimeoutError: if it does not hold in time.
+        """
+        async with asyncio.timeout(timeout_s):
+            while not await condition():  # noqa: ASYNC110 - state of other processes
+                await asyncio.sleep(POLL_S)
+
+    async def start_entry(self, index):
+        """Start an entry, or start it again.
+
+        :param int index: number of the entry.
+        """
+        name = f"entry-{index}"
+        domain = self.plan.domains[index % len(self.plan.domains)]
+        settings = self._node(name, domain) | {
+            "role": "entry",
+            "http_port": 0,
+            "keys_file": str(self.folder / "keys.json"),
+            "drain_lag_s": 0.3,
+            **self.plan.entry,
+        }
+        await self._start_role("entry", name, settings)
+        host = self._host(name, "entry", domain, [])
+        await self.call("platform", "PUT", f"/hosts/{name}", host)
+
+    async def start_agent(self, name):
+        """Start the agent of an endpoint, or start it again.
+
+        :param str name: name of the endpoint.
+        """
+        kind, domain = {n: (k, d) for n, k, d in self._endpoints()}[name]
+        serves = ["desk-model"] if kind == "model" else ["orders"]
+        endpoint = {
+            "kind": kind,
+            "url": self.url(f"{name}-target"),
+            "serves": serves,
+            "warm_up_s": 1.0,
+            **self.plan.endpoint,
+        }
+        settings = self._node(name, domain) | {"role": "agent", "endpoint": endpoint}
+        await self._start_role("agent", name, settings)
+        host = self._host(name, "agent", domain, serves)
+        await self.call("platform", "PUT", f"/hosts/{name}", host)
+
+    async def start_stand_in(self, name, kind, parameters):
+        """Start a stand-in, or start it again.
+
+        :param str name: name of the process.
+        :param str kind: ``platform``, ``engine`` or ``service``.
+        :param dict parameters: its parameters.
+        """
+        arguments = [kind, json.dumps(parameters)]
+        command = [sys.executable, "-m", "sequoiagap.standins", *arguments]
+        await self._start_process(name, command)
+
+    async def _start(self):
+        self._write_shared_files()
+        await self.start_stand_in("platform", "platform", self.plan.platform)
+        await self._write_config()
+        await asyncio.gather(*(self._start_endpoint(*e) for e in self._endpoints()))
+        await asyncio.gather(*(self.start_entry(i) for i in range(self.plan.entries)))
+        await self.wait_until(self._is_ready, READY_TIMEOUT_S)
+
+    async def _start_endpoint(self, name, kind, domain):
+        if kind == "model":
+            await self.start_stand_in(f"{name}-target", "engine", self.plan.engine)
+        else:
+            await self.start_stand_in(f"{name}-target", "service", self.plan.service)
+        await self.start_agent(name)
+
+    async def _is_ready(self):
+        for name in self.entry_names():
+            _, state = await self.call(name, "GET", "/state")
+            seen = [e for e in state["endpoints"].values() if e["limit"] > 0]
+            usable = [e for e in seen if e["connected"]]
+            if not state["ready"] or len(usable) < len(self.endpoint_names()):
+                return False
+        return True
+
+    def _endpoints(self):
+        rows = []
+        for domain in self.plan.domains:
+            for i in range(self.plan.engines_per_domain):
+                rows.append((f"{domain}-model-{i}", "model", domain))
+            for i in range(self.plan.services_per_domain):
+                rows.append((f"{domain}-desk-{i}", "service", domain))
+        return rows
+
+    def _node(self, name, domain):
+        return {
+            "node_id": name,
+            "deployment": "quickstart",
+            "region": "local",
+            "failure_domain": domain,
+            "address": "127.0.0.1",
+            "port": 0,
+            "platform": {"url": self.url("platform"), "timeout_s": 0.5},
+            "secret_file": str(self.folder / "secret"),
+        }
+
+    def _host(self, name, role, domain, serves):
+        return {
+            "host_id": name,
+            "role": role,
+            "address": "127.0.0.1",
+            "port": self.process_by_name[name].ready_.get("port", 0),
+            "failure_domain": domain,
+            "state": "live",
+            "serves": serves,
+        }
+
+    async def _start_role(self, role, name, settings):
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings, indent=2))
+        command = [sys.executable, "-m", "sequoiagap.cli", role, str(path)]
+        await self._start_process(name, command)
+
+    async def _start_process(self, name, command):
+        process = Process(name, command, self.folder / f"{name}.log")
+        self.process_by_name[name] = process
+        await process.start()
+
+    async def _write_config(self):
+        document = {
+            "failure_domains": {
+                domain: {"state": "in"} for domain in self.plan.domains
+            },
+            "models": {"desk-model": {"repeatable": True}},
+            "services": {"orders": {"repeatable": False}},
+            "client_accounts": {name: {"weight": 1} for name in self.plan.accounts},
+            **self.plan.config,
+        }
+        value = {"number": 1, "document": document, "history": []}
+        body = {"expected_version": 0, "value": value}
+        await self.call("platform", "PUT", "/objects/sequoiagap-config", body)
+
+    def _write_shared_files(self):
+        keys = {
+            "accounts": {name: _digest(f"{name}-key") for name in self.plan.accounts},
+            "operators": {"operator": _digest(OPERATOR_KEY)},
+        }
+        (self.folder / "keys.json").write_text(json.dumps(keys))
+        secret = self.folder / "secret"
+        secret.write_text(os.urandom(16).hex())
+
+
+def _digest(key):
+    return hashlib.sha256(key.encode()).hexdigest()
--- /dev/null
+++ b/libs/standins/src/sequoiagap/standins/_service.py
@@ -0,0 +1,57 @@
+"""Stand-in for a plain service, such as an order desk."""
+
+import asyncio
+
+from aiohttp import web
+
+from sequoiagap.standins import _executions, _faults
+
+
+class ServiceStandIn:
+    """Answers every call after a while and counts executions by key.
+
+    :param float work_s: time of one call, in seconds.
+    :param int port: TCP port; 0 lets the system choose.
+    """
+
+    def __init__(self, work_s=0.02, port=0):
+        self.work_s = work_s
+        self.port = port
+        self.faults_ = _faults.Faults()
+        self.executions_ = _executions.Executions()
+        self.in_flight_ = 0
+
+    def add_routes(self, router):
+        """Register the handlers.
+
+        :param aiohttp.web.UrlDispatcher router: where to register.
+        """
+        router.add_get("/load", self._on_load)
+        self.executions_.add_routes(router)
+        self.faults_.add_routes(router)
+        router.add_route("*", "/{path:.*}", self._on_call)
+
+    async def _on_load(self, request):
+        await self.faults_.before_call()
+        report = {"start_id": "start-1", "cold": False, "in_flight": self.in_flight_}
+        return web.json_response(report)
+
+    async def _on_call(self, request):
+        await self.faults_.before_call()
+        self.executions_.record(request)
+        self.in_flight_ += 1
+        try:
+            await asyncio.sleep(self.work_s + self.faults_.stall_s)
+            body = await request.text()
+        finally:
+            self.in_flight_ -= 1
+        if self.faults_.take("lose_answers"):
+            request.transport.abort()
+        return web.json_response(
+            {"path": request.path, "received": body},
+            headers={"X-Request-Id": self._echo(request)},
+        )
+
+    def _echo(self, request):
+        own = request.headers.get("X-Request-Id", "")
+        return "att-of-another" if self.faults_.crossed else own
--- a/libs/wire/src/sequoiagap/wire/__init__.py
+++ b/libs/wire/src/sequoiagap/wire/__init__.py
@@ -3,6 +3,7 @@
 from sequoiagap.wire._codec import MESSAGE_TYPES_BY_NUMBER, decode, encode, message
 from sequoiagap.wire._connection import Connection, accept, connect
 from sequoiagap.wire._framing import MAX_FRAME_BYTES, read_frame, write_frame
+from sequoiagap.wire._handlers import HandlerTable
 from sequoiagap.wire._messages import (
     PROTOCOL_VERSION,
     Cancel,
@@ -32,6 +33,7 @@
     "Execute",
     "Final",
     "Goodbye",
+    "HandlerTable",
     "Head",
     "Hello",
     "Load",
