--- /dev/null
+++ b/tests/wire/test_connection.py
@@ -0,0 +1,78 @@
+"""Connections: handshake, heartbeats and rejected frames."""
+
+import asyncio
+import time
+import unittest
+
+from sequoiagap import base, wire
+from tests import support
+
+FOUND_WITHIN_S = 2.0
+
+
+def hello(node_id, secret="s", protocol=wire.PROTOCOL_VERSION):
+    """Return a hello of a node."""
+    return wire.Hello(node_id, "agent", "inc", protocol, secret=secret)
+
+
+class ConnectionTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        support.silence_logs()
+        self.accepted = asyncio.Queue()
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.addAsyncCleanup(self._close)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def _close(self):
+        self.server.close()
+
+    async def _serve(self, reader, writer):
+        try:
+            connection = await wire.accept(reader, writer, hello("server"))
+        except base.WireError as error:
+            await self.accepted.put(error)
+            return
+        await self.accepted.put(connection)
+
+    async def test_messages_pass(self):
+        client = await wire.connect("127.0.0.1", self.port, hello("client"))
+        server = await self.accepted.get()
+        got = asyncio.Queue()
+        task = asyncio.create_task(server.run(got.put))
+        await client.send(wire.Cancel("att-1"))
+        self.assertEqual(await got.get(), wire.Cancel("att-1"))
+        await client.close_politely("test ends")
+        self.assertEqual(await task, "peer said goodbye: test ends")
+
+    async def test_silent_peer_is_found_in_two_seconds(self):
+        client = await wire.connect("127.0.0.1", self.port, hello("client"))
+        await self.accepted.get()  # the server never reads: the peer is silent
+        client.mark_busy(True)
+        began = time.monotonic()
+        reason = await client.run(_ignore)
+        self.assertIn("heartbeat", reason)
+        self.assertLess(time.monotonic() - began, FOUND_WITHIN_S + 0.3)
+
+    async def test_handshake_refuses(self):
+        cases = {
+            "wrong secret": hello("client", secret="other"),
+            "other protocol": hello("client", protocol=99),
+            "no hello": wire.Ping(1),
+        }
+        for name, first in cases.items():
+            with self.subTest(name):
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                wire.write_frame(writer, wire.encode(first))
+                self.assertIsInstance(await self.accepted.get(), base.WireError)
+                writer.close()
+
+    async def test_long_frame_ends_the_connection(self):
+        client = await wire.connect("127.0.0.1", self.port, hello("client"))
+        server = await self.accepted.get()
+        client.writer.write(b"\xff\xff\xff\xff")
+        self.assertIn("over the limit", await server.run(_ignore))
+        client.close()
+
+
+async def _ignore(item):
+    pass
