--- a/libs/agent/src/sequoiagap/agent/_agent.py
+++ b/libs/agent/src/sequoiagap/agent/_agent.py
@@ -51,6 +51,7 @@
             self.holder_,
             self.settings.node_id,
             self.settings.failure_domain,
+            self.platform_,
         )
         self.spread_ = _spread.ConfigSpread(self.holder_, self.platform_)
         self.handlers_ = wire.HandlerTable()
@@ -119,7 +120,7 @@
         self.connections_.add(connection)
         _log.emit(base.Event.LINK_OPENED, peer=connection.peer.node_id)
         try:
-            await connection.send(self.executor_.load())
+            await self.executor_.greet(connection)
             await self.spread_.greet(connection)
             reason = await connection.run(
                 lambda item: self.handlers_.handle(connection, item)
@@ -132,6 +133,7 @@
             _log.emit(base.Event.LINK_CLOSED, reason=error.message)
         finally:
             self.connections_.discard(connection)
+            self.executor_.forget_connection(connection)
 
     def _hello(self):
         return wire.Hello(
--- a/libs/agent/src/sequoiagap/agent/_endpoint.py
+++ b/libs/agent/src/sequoiagap/agent/_endpoint.py
@@ -1,16 +1,35 @@
 """HTTP calls from the agent to the endpoint beside it."""
 
+import asyncio
 import dataclasses
 
 import aiohttp
 
 from sequoiagap import base
 
-CHUNK_BYTES = 65536
+CHUNK_BYTES = 16384
 PROBE_TIMEOUT_S = 1.0
-FORWARDED_HEADERS = ("content-type",)
+CONNECT_TIMEOUT_S = 1.0
+CANCEL_TIMEOUT_S = 1.0
+MAX_RESUMES = 5
+ERROR_STATUS = 400
+FORWARDED_HEADERS = (
+    "cache-control",
+    "content-disposition",
+    "content-encoding",
+    "content-language",
+    "content-type",
+    "etag",
+    "last-modified",
+    "location",
+    "retry-after",
+)
+SKIPPED_HEADERS = ("Accept-Encoding", "User-Agent")
 ATTEMPT_HEADER = "X-Request-Id"
 KEY_HEADER = "X-Sequoiagap-Request"
+RESUME_HEADER = "X-Resume-Offset"
+
+_log = base.get_logger("endpoint")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -32,16 +51,23 @@
 
     :param str message: what happened.
     :param bool sent: whether the endpoint may have begun to run it.
+    :param bool resumable: whether a new connection may go on with the answer.
     """
 
-    def __init__(self, message, sent):
+    def __init__(self, message, sent, resumable=True):
         super().__init__(message, "Look at the endpoint's own log")
         self.sent = sent
+        self.resumable = resumable
 
 
 class EndpointClient:
     """Calls one endpoint.
 
+    Repeatable attempts share kept-alive connections; after a failure none of
+    them is used again. Any other attempt has a connection of its own, as a
+    kept-alive one may be dead unseen and the HTTP library sends some methods
+    twice over such a connection.
+
     :param sequoiagap.settings.EndpointSettings settings: where it is and how
         long to wait for it.
     """
@@ -49,17 +75,19 @@
     def __init__(self, settings):
         self.settings = settings
         self._session = None
+        self._single_use_session = None
+        self._calls_by_session = {}
 
     async def open(self):
-        """Open the client session."""
-        connector = aiohttp.TCPConnector(limit=0)
-        self._session = aiohttp.ClientSession(
-            connector=connector, auto_decompress=False
-        )
+        """Open the client sessions."""
+        self._session = _new_session()
+        self._single_use_session = _new_session(force_close=True)
 
     async def close(self):
-        """Close the client session."""
-        await self._session.close()
+        """Close the client sessions."""
+        for session in {*self._calls_by_session, self._session}:
+            await session.close()
+        await self._single_use_session.close()
 
     async def report(self):
         """Return the endpoint's load report, or ``None`` if it gives none.
@@ -80,42 +108,166 @@
     async def call(self, order, on_head, on_data):
         """Run one attempt and pass its answer on as it comes.
 
+        Where the engine can resume, a cut or silent stream goes on at its offset
+        over a new connection.
+
         :param sequoiagap.wire.Execute order: the attempt.
         :param on_head: coroutine function of status and headers.
         :param on_data: coroutine function of bytes.
         :raises EndpointError: if the answer is not whole.
         """
-        timeout = aiohttp.ClientTimeout(
-            total=order.deadline_ms / 1000,
-            sock_connect=PROBE_TIMEOUT_S,
-            sock_read=self.settings.first_byte_timeout_s,
-        )
-        headers = order.headers | {
-            ATTEMPT_HEADER: order.attempt_id,
-            KEY_HEADER: order.idempotency_key or order.request_id,
-        }
-        call = self._session.request(
+        answer = _Answer(on_head, on_data)
+        try:
+            await self._call_resuming(order, answer)
+        except asyncio.CancelledError:
+            await self._cancel_at_engine(order)
+            raise
+
+    async def _call_resuming(self, order, answer):
+        for _ in range(MAX_RESUMES):
+            try:
+                await self._call_once(order, answer)
+                return
+            except EndpointError as error:
+                if not (self.settings.resumes and error.sent and error.resumable):
+                    raise
+                answer.resuming = True
+                _log.emit(
+                    base.Event.STREAM_RESUMED,
+                    attempt_id=order.attempt_id,
+                    offset=answer.size,
+                    error=error.message,
+                )
+        raise EndpointError("the stream broke off too often", True)
+
+    async def _call_once(self, order, answer):
+        session = self._session if order.repeatable else self._single_use_session
+        self._calls_by_session[session] = self._calls_by_session.get(session, 0) + 1
+        try:
+            await self._exchange(session, order, answer)
+        except aiohttp.ClientConnectorError as error:
+            raise EndpointError(
+                f"endpoint can't be reached: {error}", answer.resuming
+            ) from error
+        except (aiohttp.ClientError, TimeoutError) as error:
+            self._suspect(order, error)
+            raise EndpointError(f"endpoint failed: {error!r}", True) from error
+        finally:
+            await self._leave(session)
+
+    async def _exchange(self, session, order, answer):
+        call = session.request(
             order.method,
             self.settings.url + order.path,
             data=order.body,
-            headers=headers,
-            timeout=timeout,
+            headers=_headers(order, answer),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+            allow_redirects=False,
+            skip_auto_headers=SKIPPED_HEADERS,
         )
+        loop = asyncio.get_running_loop()
+        first_byte_by = loop.time() + self._first_byte_timeout_s()
+        async with asyncio.timeout_at(first_byte_by):
+            response = await call
         try:
-            async with call as response:
-                self._check_echo(order, response)
-                await on_head(response.status, _forwarded(response.headers))
-                async for data in response.content.iter_chunked(CHUNK_BYTES):
-                    await on_data(data)
-        except aiohttp.ClientConnectorError as error:
-            raise EndpointError(f"endpoint can't be reached: {error}", False) from error
-        except (aiohttp.ClientError, TimeoutError) as error:
-            raise EndpointError(f"endpoint failed: {error!r}", True) from error
+            _check_echo(order, response)
+            await answer.take_head(response)
+            data = await self._read(response, first_byte_by - loop.time())
+            while data:
+                await answer.take_data(data)
+                data = await self._read(response, self.settings.between_bytes_timeout_s)
+        finally:
+            # A connection whose answer was not read to its end is not used again.
+            if response.content.at_eof():
+                response.release()
+            else:
+                response.close()
+
+    def _first_byte_timeout_s(self):
+        if self.settings.resumes:
+            return self.settings.between_bytes_timeout_s
+        return self.settings.first_byte_timeout_s
+
+    async def _read(self, response, timeout_s):
+        async with asyncio.timeout(max(timeout_s, 0.0)):
+            return await response.content.readany()
+
+    def _suspect(self, order, error):
+        """Use no kept-alive connection again: what lost one may have lost all."""
+        _log.emit(
+            base.Event.ENDPOINT_SUSPECT, attempt_id=order.attempt_id, error=repr(error)
+        )
+        self._calls_by_session.setdefault(self._session, 0)
+        self._session = _new_session()
+
+    async def _leave(self, session):
+        self._calls_by_session[session] -= 1
+        if self._calls_by_session[session] > 0:
+            return
+        del self._calls_by_session[session]
+        if session not in (self._session, self._single_use_session):
+            await session.close()
+
+    async def _cancel_at_engine(self, order):
+        """Tell an engine that holds cut streams that this one is not wanted."""
+        if not self.settings.resumes:
+            return
+        url = f"{self.settings.url}/streams/{order.attempt_id}"
+        timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S)
+        try:
+            async with self._single_use_session.delete(url, timeout=timeout):
+                return
+        except (aiohttp.ClientError, TimeoutError):
+            return
+
+
+class _Answer:
+    """Where the answer of an attempt goes, over one or several connections."""
+
+    def __init__(self, on_head, on_data):
+        self.on_head = on_head
+        self.on_data = on_data
+        self.resuming = False
+        self.size = 0
+        self._has_head = False
+
+    async def take_head(self, response):
+        if self.resuming and response.status >= ERROR_STATUS:
+            raise EndpointError(
+                f"the engine can't resume: status {response.status}",
+                sent=True,
+                resumable=False,
+            )
+        if not self._has_head:
+            self._has_head = True
+            await self.on_head(response.status, _forwarded(response.headers))
+
+    async def take_data(self, data):
+        for start in range(0, len(data), CHUNK_BYTES):
+            piece = data[start : start + CHUNK_BYTES]
+            self.size += len(piece)
+            await self.on_data(piece)
+
+
+def _new_session(force_close=False):
+    connector = aiohttp.TCPConnector(limit=0, force_close=force_close)
+    return aiohttp.ClientSession(connector=connector, auto_decompress=False)
+
+
+def _headers(order, answer):
+    headers = order.headers | {
+        ATTEMPT_HEADER: order.attempt_id,
+        KEY_HEADER: order.idempotency_key or order.request_id,
+    }
+    if answer.resuming:
+        headers[RESUME_HEADER] = str(answer.size)
+    return headers
+
 
-    def _check_echo(self, order, response):
-        echoed = response.headers.get(ATTEMPT_HEADER, order.attempt_id)
-        if echoed != order.attempt_id:
-            raise EndpointError(f"endpoint answered {echoed} instead", True)
+def _check_echo(order, response):
+    echoed = response.headers.get(ATTEMPT_HEADER, order.attempt_id)
+    if echoed != order.attempt_id:
+        raise EndpointError(f"endpoint answered {echoed} instead", True, False)
 
 
 def _forwarded(headers):
--- a/libs/agent/src/sequoiagap/agent/_executor.py
+++ b/libs/agent/src/sequoiagap/agent/_executor.py
@@ -1,13 +1,15 @@
-"""Runs attempts at the endpoint and reports their answers."""
+"""Takes the attempts that entries send, runs them and reports their answers."""
 
 import asyncio
-import time
 
-from sequoiagap import base, wire
-from sequoiagap.agent import _endpoint
+from sequoiagap import base, outcome, wire
+from sequoiagap.agent import _endpoint, _refusals, _runs
 
-RETRY_AFTER_MS = 500
+GRACE_S = 3.0
 SERVICE_TIME_WEIGHT = 0.2
+CLAIM_MARGIN_S = 0.1
+END_SENDING_BOUND_S = 2.0
+MILLISECONDS = 1000
 
 _log = base.get_logger("executor")
 
@@ -21,21 +23,31 @@
     :param sequoiagap.config.ConfigHolder holder: configuration in force.
     :param str node_id: id of the endpoint.
     :param str failure_domain: where the endpoint stands.
+    :param sequoiagap.platform.PlatformClient platform_client: keeps claims.
 
     :ivar float service_time_s_: recent mean time of an attempt in seconds.
+    :ivar bool stopping_: whether new work is refused.
     """
 
-    def __init__(self, client, gate, ledger, holder, node_id, failure_domain):
+    def __init__(
+        self, client, gate, ledger, holder, node_id, failure_domain, platform_client
+    ):
         self.client = client
         self.gate = gate
         self.ledger = ledger
         self.holder = holder
         self.node_id = node_id
         self.failure_domain = failure_domain
+        self.platform_client = platform_client
         self.service_time_s_ = 0.0
         self.stopping_ = False
+        self.table_ = _runs.RunTable()
+        self.refusals_ = _refusals.Refusals(holder)
         self._tasks = base.TaskSet()
-        self._task_by_attempt_id = {}
+        self._senders = base.TaskSet()
+        self._task_by_run = {}
+        self._store_by_service = {}
+        self._waiting_by_connection = {}
 
     def attach(self, handlers):
         """Register the message handlers of attempts.
@@ -44,14 +56,40 @@
         """
         handlers.add(wire.Execute, self._on_execute)
         handlers.add(wire.Cancel, self._on_cancel)
-        handlers.add(wire.Revoke, self._on_revoke)
+        handlers.add(wire.Attach, self._on_attach)
+        handlers.add(wire.Credit, self._on_credit)
+
+    async def greet(self, connection):
+        """Tell a newly connected entry the agent's clock and load.
+
+        :param sequoiagap.wire.Connection connection: the entry.
+        """
+        await connection.send(wire.AgentClock(int(_now() * MILLISECONDS)))
+        await connection.send(self.load())
+
+    def forget_connection(self, connection):
+        """Note that a connection is lost.
+
+        Repeatable runs that nobody takes up again within :data:`GRACE_S` are
+        stopped; the others run to their end and hold their answer.
+
+        :param sequoiagap.wire.Connection connection: the entry.
+        """
+        for run in self.table_.running():
+            listeners = list(run.listener_by_attempt_id.values())
+            for listener in listeners:
+                if listener.connection is connection:
+                    run.leave(listener)
+            if listeners and not run.listener_by_attempt_id:
+                loop = asyncio.get_running_loop()
+                loop.call_later(GRACE_S, self._abandon, run)
 
     def load(self):
         """Return what entries may know of the endpoint.
 
         :rtype: sequoiagap.wire.Load
         """
-        limit = self.gate.limit(time.monotonic())
+        limit = self.gate.limit(_now())
         return wire.Load(
             state=self.gate.state,
             in_flight=self.gate.in_flight_,
@@ -60,100 +98,269 @@
         )
 
     async def wait_idle(self, bound_s):
-        """Wait until no attempt runs.
+        """Wait until no attempt runs; after the bound tell those who wait so.
 
         :param float bound_s: longest wait, in seconds.
         """
-        running = list(self._task_by_attempt_id.values())
-        if running:
-            await asyncio.wait(running, timeout=bound_s)
+        if self._task_by_run:
+            await asyncio.wait(list(self._task_by_run.values()), timeout=bound_s)
+        for run in self.table_.running():
+            run.refuse(self.refusals_.stopped(run.started_))
+        if self._senders.tasks_:
+            await asyncio.wait(list(self._senders.tasks_), timeout=END_SENDING_BOUND_S)
 
     async def close(self):
         """Cancel what still runs."""
         await self._tasks.close()
+        await self._senders.close()
+        for store in self._store_by_service.values():
+            await store.close()
 
     async def _on_execute(self, connection, order):
+        expires_at = order.expires_at_ms / MILLISECONDS
+        if not self.ledger.accept(order.attempt_id, expires_at, _now()):
+            await self._answer_not_accepted(connection, order, expires_at)
+            return
+        wish = self._wish(order)
+        known = None if wish is None else self.table_.by_identity.get(wish.identity)
+        if known is not None:
+            self._join(connection, order, known, wish)
+            return
         refusal = self._find_refusal(order)
         if refusal is not None:
+            self.ledger.finish(order.attempt_id, _now())
             await connection.send(refusal)
             await connection.send(self.load())
             return
-        task = self._tasks.start(self._run(connection, order), order.attempt_id)
-        self._task_by_attempt_id[order.attempt_id] = task
+        self._start(connection, order, wish)
+
+    async def _answer_not_accepted(self, connection, order, expires_at):
+        standing = self.ledger.standing(order.attempt_id, expires_at, _now())
+        if standing == outcome.Standing.NEVER_STARTED:
+            refusal = self.refusals_.too_late(order.attempt_id)
+        elif standing == outcome.Standing.UNKNOWN:
+            refusal = self.refusals_.forgotten(order.attempt_id)
+        else:
+            # The first order runs or ran, and its answer goes to its own entry.
+            _log.emit(base.Event.ATTEMPT_DUPLICATE, attempt_id=order.attempt_id)
+            return
+        await connection.send(refusal)
+
+    def _wish(self, order):
+        """Return the claim that an order needs before it may run, or ``None``."""
+        if order.repeatable or not order.idempotency_key:
+            return None
+        return outcome.Claim(
+            identity=outcome.claim_id(
+                order.account, order.target, order.idempotency_key
+            ),
+            agent=self.node_id,
+            incarnation=self.ledger.incarnation,
+            nonce=order.attempt_id,
+            digest=outcome.body_digest(order.method, order.path, order.body),
+            expires_at=0.0,
+        )
 
-    async def _on_cancel(self, connection, order):
-        task = self._task_by_attempt_id.get(order.attempt_id)
-        if task is not None:
-            task.cancel()
+    def _join(self, connection, order, run, wish):
+        """Let a second request with a key wait for the run of the first."""
+        attempt_id = order.attempt_id
+        self.ledger.start(attempt_id, _now())
+        if wish.digest != run.wish.digest:
+            refusal = self.refusals_.mismatch(attempt_id)
+        elif not run.can_give_from(0):
+            refusal = self.refusals_.answer_gone(attempt_id)
+        else:
+            self.table_.add(run, attempt_id)
+            self._listen(run, connection, attempt_id)
+            return
+        self.ledger.finish(attempt_id, _now())
+        self._senders.start(_send_quietly(connection, refusal), attempt_id)
+
+    def _start(self, connection, order, wish):
+        run = _runs.Run(order, wish)
+        self.table_.add(run, order.attempt_id)
+        self._listen(run, connection, order.attempt_id)
+        task = self._tasks.start(self._run(run), order.attempt_id)
+        self._task_by_run[run] = task
+
+    def _listen(self, run, connection, attempt_id, next_sequence=0):
+        listener = run.listen(connection, attempt_id, next_sequence)
+        self._senders.start(self._send_answer(run, listener), f"send-{attempt_id}")
+
+    async def _send_answer(self, run, listener):
+        connection = listener.connection
+        self._mark_waiting(connection, 1)
+        try:
+            await listener.send_all()
+            run.leave(listener)
+            await connection.send(self.load())
+        except base.WireError:
+            return  # the entry asks for the rest over a new connection
+        finally:
+            self._mark_waiting(connection, -1)
+
+    def _mark_waiting(self, connection, change):
+        """Have a connection probed often while an entry waits on it."""
+        count = self._waiting_by_connection.get(connection, 0) + change
+        if count:
+            self._waiting_by_connection[connection] = count
+        else:
+            self._waiting_by_connection.pop(connection, None)
+        connection.mark_busy(count > 0)
+
+    async def _on_credit(self, connection, item):
+        run = self.table_.by_attempt_id.get(item.attempt_id)
+        listener = run and run.listener_by_attempt_id.get(item.attempt_id)
+        if listener is not None:
+            listener.take_credit(item.next_sequence)
 
-    async def _on_revoke(self, connection, order):
-        standing = self.ledger.revoke(order.attempt_id, order.incarnation)
+    async def _on_cancel(self, connection, order):
+        expires_at = order.expires_at_ms / MILLISECONDS
+        incarnation = self.ledger.incarnation
+        standing = self.ledger.revoke(order.attempt_id, incarnation, expires_at, _now())
+        run = self.table_.by_attempt_id.get(order.attempt_id)
+        if run is None:
+            return
+        listener = run.listener_by_attempt_id.get(order.attempt_id)
+        if listener is not None:
+            run.leave(listener)
+        never_starts = standing == outcome.Standing.NEVER_STARTED
+        is_wasted = run.order.repeatable and not run.listener_by_attempt_id
+        if is_wasted or (never_starts and not run.started_):
+            self._stop_run(run)
+
+    async def _on_attach(self, connection, order):
+        run = self.table_.by_attempt_id.get(order.attempt_id)
+        standing = self._standing_for_attach(order, run)
         _log.emit(
-            base.Event.ATTEMPT_REVOKED, attempt_id=order.attempt_id, standing=standing
+            base.Event.ATTEMPT_REATTACHED,
+            attempt_id=order.attempt_id,
+            standing=str(standing),
+            next_sequence=order.next_sequence,
         )
-        await connection.send(wire.Revoked(order.attempt_id, str(standing)))
+        is_held = run is not None and run.can_give_from(order.next_sequence)
+        if standing == outcome.Standing.UNKNOWN or not is_held:
+            await connection.send(wire.Revoked(order.attempt_id, str(standing)))
+            return
+        old = run.listener_by_attempt_id.get(order.attempt_id)
+        if old is not None:
+            run.leave(old)
+        self._listen(run, connection, order.attempt_id, order.next_sequence)
+
+    def _standing_for_attach(self, order, run):
+        expires_at = order.expires_at_ms / MILLISECONDS
+        if run is None or order.incarnation != self.ledger.incarnation:
+            return self.ledger.revoke(
+                order.attempt_id, order.incarnation, expires_at, _now()
+            )
+        return self.ledger.standing(order.attempt_id, expires_at, _now())
+
+    def _abandon(self, run):
+        is_wanted = run.listener_by_attempt_id or not run.order.repeatable
+        if run.end_ is None and not is_wanted:
+            _log.emit(base.Event.RUN_ABANDONED, attempt_id=run.order.attempt_id)
+            self._stop_run(run)
+
+    def _stop_run(self, run):
+        task = self._task_by_run.get(run)
+        if task is not None:
+            task.cancel()
 
     def _find_refusal(self, order):
         if self.stopping_ or self._is_out():
-            return self._refused(order, base.RefusalKind.DRAINING, "endpoint drains")
-        if not self.gate.try_enter(time.monotonic()):
-            return self._refused(order, base.RefusalKind.OVERLOADED, "no free slot")
-        if not self.ledger.start(order.attempt_id):
-            self.gate.leave_slot()
-            return self._refused(order, base.RefusalKind.REVOKED, "attempt is revoked")
+            return self.refusals_.draining(order.attempt_id, self._out_setting())
+        if not self.gate.try_enter(_now()):
+            return self.refusals_.no_slot(order.attempt_id)
         return None
 
     def _is_out(self):
+        return bool(self._out_setting())
+
+    def _out_setting(self):
         document = self.holder.current_.document
         domain = document.failure_domains.get(self.failure_domain)
         endpoint = document.endpoints.get(self.node_id)
-        return (domain is not None and domain.state == "out") or (
-            endpoint is not None and endpoint.drain
-        )
-
-    async def _run(self, connection, order):
-        began = time.monotonic()
-        answer = _AnswerSender(connection, order.attempt_id)
+        if domain is not None and domain.state == "out":
+            return f"failure_domains.{self.failure_domain}.state"
+        if endpoint is not None and endpoint.drain:
+            return f"endpoints.{self.node_id}.drain"
+        return ""
+
+    async def _run(self, run):
+        """Claim, start and run; the slot is taken already."""
         try:
-            await self.client.call(order, answer.send_head, answer.send_data)
-            await answer.send_final()
-            self._learn_service_time(time.monotonic() - began)
-        except _endpoint.EndpointError as error:
-            await self._send_failure(connection, order, error)
-        except base.WireError:
-            pass  # the entry settles the attempt over a new connection
+            refusal = await self._begin(run)
+            if refusal is None:
+                await self._execute(run)
+            else:
+                run.refuse(refusal)
+        except asyncio.CancelledError:
+            run.refuse(self.refusals_.stopped(run.started_))
+            raise
         finally:
-            self.ledger.finish(order.attempt_id)
-            self.gate.leave_slot()
-            self._task_by_attempt_id.pop(order.attempt_id, None)
-        await self._send_load(connection)
-
-    async def _send_failure(self, connection, order, error):
-        result = base.Outcome.UNKNOWN if error.sent else base.Outcome.NOT_RUN
-        refusal = self._refused(
-            order, base.RefusalKind.ENDPOINT_ERROR, error.message, result
-        )
-        try:
-            await connection.send(refusal)
-        except base.WireError:
-            return
+            self._finish(run)
+
+    async def _begin(self, run):
+        """Make the claim and start; return a refusal if either can't be done."""
+        order = run.order
+        if run.is_keyed:
+            refusal = await self._claim(run)
+            if refusal is not None:
+                return refusal
+        if self.stopping_ or not self.ledger.start(order.attempt_id, _now()):
+            return self.refusals_.revoked(order.attempt_id)
+        run.started_ = True
+        return None
 
-    async def _send_load(self, connection):
+    async def _claim(self, run):
+        store = self._store(run.order.target)
+        left_s = run.order.expires_at_ms / MILLISECONDS - _now() - CLAIM_MARGIN_S
+        run.wish = store.stamp(run.wish)
+        answer = await store.claim(run.wish, max(left_s, 0.0))
+        if answer.verdict == outcome.ClaimVerdict.HELD:
+            return None
+        return self.refusals_.no_claim(answer, self.node_id, self.ledger.incarnation)
+
+    async def _execute(self, run):
+        began = _now()
         try:
-            await connection.send(self.load())
-        except base.WireError:
+            async with asyncio.timeout(self._run_bound_s(run.order)):
+                await self.client.call(run.order, run.take_head, run.take_data)
+            run.finish()
+            self._learn_service_time(_now() - began)
+        except _endpoint.EndpointError as error:
+            run.started_ = error.sent
+            run.refuse(self.refusals_.endpoint_failed(error))
+        except TimeoutError:
+            run.refuse(self.refusals_.past_deadline())
+
+    def _run_bound_s(self, order):
+        """Return how long a run may take; one that may not be repeated has no end."""
+        if not order.repeatable:
+            return None
+        return max(order.expires_at_ms / MILLISECONDS - _now(), 0.0)
+
+    def _finish(self, run):
+        self.gate.leave_slot()
+        self._task_by_run.pop(run, None)
+        for attempt_id in run.attempt_ids_:
+            self.ledger.finish(attempt_id, _now())
+        if run.is_keyed:
+            self._finish_keyed(run)
+        self.table_.hold(run, _now())
+
+    def _finish_keyed(self, run):
+        if run.started_:
+            self._store(run.order.target).mark_done(run.wish)
             return
+        self._store(run.order.target).release(run.wish)
+        self.table_.unkey(run)
 
-    def _refused(self, order, kind, text, result=base.Outcome.NOT_RUN):
-        return wire.Refused(
-            attempt_id=order.attempt_id,
-            kind=str(kind),
-            text=text,
-            remedy="Try another endpoint",
-            outcome=str(result),
-            retry_after_ms=RETRY_AFTER_MS,
-            config_version=self.holder.current_.number,
-        )
+    def _store(self, service):
+        if service not in self._store_by_service:
+            store = outcome.ClaimStore(self.platform_client, service)
+            self._store_by_service[service] = store
+        return self._store_by_service[service]
 
     def _learn_service_time(self, seconds):
         if self.service_time_s_ == 0.0:
@@ -161,28 +368,12 @@
         self.service_time_s_ += SERVICE_TIME_WEIGHT * (seconds - self.service_time_s_)
 
 
-class _AnswerSender:
-    """Numbers the chunks of one answer.
+async def _send_quietly(connection, item):
+    try:
+        await connection.send(item)
+    except base.WireError:
+        return
 
-    :param sequoiagap.wire.Connection connection: the entry.
-    :param str attempt_id: the attempt.
-    """
-
-    def __init__(self, connection, attempt_id):
-        self.connection = connection
-        self.attempt_id = attempt_id
-        self._chunks = 0
-        self._size = 0
-
-    async def send_head(self, status, headers):
-        await self.connection.send(wire.Head(self.attempt_id, status, headers))
 
-    async def send_data(self, data):
-        await self.connection.send(wire.Chunk(self.attempt_id, self._chunks, data))
-        self._chunks += 1
-        self._size += len(data)
-
-    async def send_final(self):
-        await self.connection.send(
-            wire.Final(self.attempt_id, self._chunks, self._size)
-        )
+def _now():
+    return asyncio.get_running_loop().time()
--- a/libs/base/src/sequoiagap/base/_errors.py
+++ b/libs/base/src/sequoiagap/base/_errors.py
@@ -32,6 +32,7 @@
     NOT_READY = "not_ready"
     OVERLOADED = "overloaded"
     PLATFORM_DOWN = "platform_down"
+    REQUEST_TIMEOUT = "request_timeout"
     REVOKED = "revoked"
     STALE_VERSION = "stale_version"
     TOO_LARGE = "too_large"
@@ -51,6 +52,7 @@
     RefusalKind.HARMFUL_CHANGE: 422,
     RefusalKind.IDEMPOTENCY_MISMATCH: 422,
     RefusalKind.NOT_FOUND: 404,
+    RefusalKind.REQUEST_TIMEOUT: 408,
     RefusalKind.STALE_VERSION: 409,
     RefusalKind.TOO_LARGE: 413,
     RefusalKind.UNAUTHENTICATED: 401,
--- a/libs/base/src/sequoiagap/base/_events.py
+++ b/libs/base/src/sequoiagap/base/_events.py
@@ -30,6 +30,12 @@
     ATTEMPT_ENDED = 1205
     ATTEMPT_REVOKED = 1206
     REQUEST_CUT = 1207
+    ATTEMPT_REATTACHED = 1208
+    ATTEMPT_DUPLICATE = 1209
+    CLAIM_WRITE_FAILED = 1210
+    RUN_ABANDONED = 1211
+    ENDPOINT_SUSPECT = 1212
+    STREAM_RESUMED = 1213
     CONFIG_ADOPTED = 1301
     CONFIG_ACCEPTED = 1302
     CONFIG_REFUSED = 1303
@@ -57,6 +63,12 @@
     Event.ATTEMPT_ENDED: "An attempt ended, with its outcome.",
     Event.ATTEMPT_REVOKED: "An attempt was revoked; the agent said what it knows.",
     Event.REQUEST_CUT: "An answer was cut short; the caller was told.",
+    Event.ATTEMPT_REATTACHED: "An entry takes up an answer again by its attempt id.",
+    Event.ATTEMPT_DUPLICATE: "An order came twice; the second was dropped.",
+    Event.CLAIM_WRITE_FAILED: "Claims of keys could not be written or read back.",
+    Event.RUN_ABANDONED: "A run was stopped, as nobody waits for its answer.",
+    Event.ENDPOINT_SUSPECT: "Connections to the endpoint failed; none is used again.",
+    Event.STREAM_RESUMED: "A cut stream goes on at its offset, at the same engine.",
     Event.CONFIG_ADOPTED: "A process adopted a configuration version.",
     Event.CONFIG_ACCEPTED: "An operator's patch became a version.",
     Event.CONFIG_REFUSED: "An operator's patch was refused.",
@@ -73,6 +85,8 @@
         Event.LINK_SILENT,
         Event.FRAME_REJECTED,
         Event.REQUEST_CUT,
+        Event.CLAIM_WRITE_FAILED,
+        Event.ENDPOINT_SUSPECT,
         Event.PLATFORM_UNREACHABLE,
     }
 )
--- a/libs/entry/src/sequoiagap/entry/_callers.py
+++ b/libs/entry/src/sequoiagap/entry/_callers.py
@@ -1,16 +1,18 @@
 """The callers' HTTP: models, services and explanations."""
 
 import asyncio
-import json
+import dataclasses
 import time
 
 from aiohttp import web
 
 from sequoiagap import base
-from sequoiagap.entry import _auth, _dispatch, _responses
+from sequoiagap.entry import _auth, _dispatch, _intake, _responses
 
-REQUEST_ID_HEADER = "X-Request-Id"
-IDEMPOTENCY_HEADER = "Idempotency-Key"
+END_BOUND_S = 2.0
+KEEP_ALIVE_INTERVAL_S = 1.0
+
+_SERVICE_PATH_PARTS = 3
 
 _log = base.get_logger("callers")
 
@@ -26,6 +28,7 @@
     :param sequoiagap.base.Metrics metrics: metrics of the process.
 
     :ivar int in_flight_: requests that run now.
+    :ivar bool draining_: whether new requests are refused.
     """
 
     def __init__(self, settings, dispatcher, holder, keys, journal, metrics):
@@ -36,6 +39,8 @@
         self.journal = journal
         self.metrics = metrics
         self.in_flight_ = 0
+        self.draining_ = False
+        self._sinks = set()
         self._idle = asyncio.Event()
         self._idle.set()
 
@@ -50,11 +55,26 @@
         router.add_route("*", "/services/{service}/{path:.*}", self.call_service)
         router.add_get("/v1/explain/{request_id}", self.explain)
 
-    async def wait_idle(self, bound_s):
-        """Wait until no request runs.
+    async def drain(self, bound_s):
+        """Refuse new requests and wait for those under way.
+
+        After the bound each of them is ended with a truthful refusal.
 
         :param float bound_s: longest wait, in seconds.
         """
+        self.draining_ = True
+        await self._wait_idle(bound_s)
+        self.dispatcher.give_up_all()
+        await self._wait_idle(END_BOUND_S)
+
+    async def keep_streams_alive(self):
+        """Send a comment on each idle stream, so that callers see life in it."""
+        while True:
+            await asyncio.sleep(KEEP_ALIVE_INTERVAL_S)
+            for sink in list(self._sinks):
+                await sink.keep_alive()
+
+    async def _wait_idle(self, bound_s):
         try:
             async with asyncio.timeout(bound_s):
                 await self._idle.wait()
@@ -83,70 +103,84 @@
 
     async def complete(self, http_request):
         """Answer ``POST /v1/chat/completions`` and ``/v1/completions``."""
-        request_id = base.new_id("req")
-        account = self.keys.find_account(http_request.headers)
-        if account is None:
-            return self._refuse(_auth.unauthenticated(self._version()), request_id)
-        try:
-            body = await http_request.read()
-            model = json.loads(body)["model"]
-        except web.HTTPRequestEntityTooLarge:
-            return self._refuse(self._too_large(), request_id)
-        except (ValueError, KeyError, TypeError):
-            return self._refuse(self._malformed(), request_id)
-        models = self.holder.current_.document.models
-        if not isinstance(model, str) or model not in models:
-            return self._refuse(self._not_found(f"model {model!r}"), request_id)
-        repeatable = models[model].repeatable
-        return await self._run(
-            http_request, request_id, account, model, body, repeatable
-        )
+        return await self._serve(http_request, self._find_model)
 
     async def call_service(self, http_request):
         """Answer ``/services/{service}/...``."""
+        return await self._serve(http_request, self._find_service)
+
+    async def _serve(self, http_request, find_target):
+        """Check the caller and the request, and run it."""
         request_id = base.new_id("req")
         account = self.keys.find_account(http_request.headers)
+        self.journal.open(request_id, account or "")
         if account is None:
             return self._refuse(_auth.unauthenticated(self._version()), request_id)
-        service = http_request.match_info["service"]
-        services = self.holder.current_.document.services
-        if service not in services:
-            return self._refuse(self._not_found(f"service {service!r}"), request_id)
+        if self.draining_:
+            return self._refuse(self._draining(), request_id)
         try:
-            body = await http_request.read()
-        except web.HTTPRequestEntityTooLarge:
-            return self._refuse(self._too_large(), request_id)
-        repeatable = services[service].repeatable
-        return await self._run(
-            http_request, request_id, account, service, body, repeatable
-        )
+            intake = await _intake.read(http_request, self.settings)
+            target = find_target(http_request, intake)
+        except _intake.IntakeError as error:
+            return self._refuse(error.refusal, request_id)
+        request = self._build(http_request, request_id, account, target, intake)
+        self._enter()
+        try:
+            return await self._run(http_request, request)
+        except (asyncio.CancelledError, OSError):
+            self.journal.record(request_id, "caller_left", self._version())
+            self.metrics.count("caller_left_total")
+            raise
+        finally:
+            self._exit()
 
-    async def _run(self, http_request, request_id, account, target, body, repeatable):
-        request = self._build(
-            http_request, request_id, account, target, body, repeatable
-        )
-        self.journal.open(request_id, account)
-        self.journal.record(request_id, "admitted", self._version(), target=target)
-        _log.emit(
-            base.Event.REQUEST_ADMITTED,
-            request_id=request_id,
-            account=account,
-            target=target,
-            config_version=self._version(),
-        )
-        sink = _responses.ResponseSink(http_request, request_id)
+    def _find_model(self, http_request, intake):
+        model = _intake.read_model(intake.body)
+        found = self.holder.current_.document.models.get(model)
+        if found is None:
+            raise _intake.IntakeError(self._not_found(f"model {model!r}"))
+        return _Target(model, True, found.repeatable, f"models.{model}.repeatable")
+
+    def _find_service(self, http_request, intake):
+        name = http_request.match_info["service"]
+        found = self.holder.current_.document.services.get(name)
+        if found is None:
+            raise _intake.IntakeError(self._not_found(f"service {name!r}"))
+        return _Target(name, False, found.repeatable, f"services.{name}.repeatable")
+
+    async def _run(self, http_request, request):
+        self._note_admitted(request)
+        sink = _responses.ResponseSink(http_request, request.request_id)
         began = time.monotonic()
-        self._enter()
+        self._sinks.add(sink)
         try:
             result = await self.dispatcher.dispatch(request, sink)
         finally:
-            self._exit()
+            self._sinks.discard(sink)
         self.metrics.observe("request_seconds", time.monotonic() - began)
-        if result.is_ok():
-            self.metrics.count("answered_total")
-            _log.emit(base.Event.REQUEST_ANSWERED, request_id=request_id)
-            return await sink.finish()
-        return await self._end_refused(sink, result.error, request_id)
+        if result.is_error():
+            return await self._end_refused(sink, result.error, request.request_id)
+        self.metrics.count("answered_total")
+        self.journal.record(request.request_id, "answered", self._version())
+        _log.emit(base.Event.REQUEST_ANSWERED, request_id=request.request_id)
+        return await sink.finish()
+
+    def _note_admitted(self, request):
+        self.journal.record(
+            request.request_id,
+            "admitted",
+            self._version(),
+            target=request.target,
+            repeatable=request.repeatable,
+            setting=request.setting,
+        )
+        _log.emit(
+            base.Event.REQUEST_ADMITTED,
+            request_id=request.request_id,
+            account=request.account,
+            target=request.target,
+            config_version=self._version(),
+        )
 
     def _enter(self):
         self.in_flight_ += 1
@@ -161,30 +195,35 @@
         if not sink.started:
             return self._refuse(refusal, request_id)
         self.metrics.count("cut_total")
+        self.journal.record(
+            request_id,
+            "cut",
+            refusal.config_version,
+            kind=str(refusal.kind),
+            outcome=str(refusal.outcome),
+        )
         _log.emit(base.Event.REQUEST_CUT, request_id=request_id, kind=str(refusal.kind))
         return await sink.cut(refusal)
 
-    def _build(self, http_request, request_id, account, target, body, repeatable):
-        path = http_request.path_qs
-        if "path" in http_request.match_info:
-            path = "/" + http_request.match_info["path"]
-            query = http_request.query_string
-            path = f"{path}?{query}" if query else path
-        content_type = http_request.headers.get("Content-Type", "application/json")
+    def _build(self, http_request, request_id, account, target, intake):
         return _dispatch.Request(
             request_id=request_id,
             account=account,
-            target=target,
+            target=target.name,
             method=http_request.method,
-            path=path,
-            headers={"Content-Type": content_type},
-            body=body,
-            deadline=time.monotonic() + self.settings.request_timeout_s,
-            repeatable=repeatable,
-            idempotency_key=http_request.headers.get(IDEMPOTENCY_HEADER, ""),
+            path=_endpoint_path(http_request),
+            headers=_intake.forwarded_headers(http_request.headers),
+            body=intake.body,
+            deadline=time.monotonic() + intake.timeout_s,
+            repeatable=target.repeatable,
+            idempotency_key=intake.idempotency_key,
+            setting=target.setting,
+            for_model=target.is_model,
         )
 
     def _refuse(self, refusal, request_id):
+        if not refusal.config_version:
+            refusal = dataclasses.replace(refusal, config_version=self._version())
         self.metrics.count(f"refused_{refusal.kind}_total")
         self.journal.record(
             request_id,
@@ -215,18 +254,28 @@
             config_version=self._version(),
         )
 
-    def _malformed(self):
+    def _draining(self):
         return base.Refusal(
-            base.RefusalKind.BAD_REQUEST,
-            "the body is not a JSON object with a model",
-            'Send a JSON object with a "model" name',
+            base.RefusalKind.DRAINING,
+            "this entry stops",
+            "Send the request again over a new connection",
+            retry_after_s=1.0,
             config_version=self._version(),
         )
 
-    def _too_large(self):
-        return base.Refusal(
-            base.RefusalKind.TOO_LARGE,
-            f"the body is over {self.settings.max_body_bytes} bytes",
-            "Send a smaller body",
-            config_version=self._version(),
-        )
+
+@dataclasses.dataclass(frozen=True)
+class _Target:
+    name: str
+    is_model: bool
+    repeatable: bool
+    setting: str
+
+
+def _endpoint_path(http_request):
+    """Return the path and query that the endpoint is asked for."""
+    if "path" not in http_request.match_info:
+        return http_request.path_qs
+    path = http_request.rel_url.raw_path.split("/", _SERVICE_PATH_PARTS)[-1]
+    query = http_request.rel_url.raw_query_string
+    return f"/{path}?{query}" if query else f"/{path}"
--- a/libs/entry/src/sequoiagap/entry/_dispatch.py
+++ b/libs/entry/src/sequoiagap/entry/_dispatch.py
@@ -1,16 +1,25 @@
-"""Attempts of a request: choice, sending, settling and retrying."""
+"""Attempts of a request: choice, retrying and the final outcome."""
 
 import asyncio
 import dataclasses
-import time
 
 import expression
 
 from sequoiagap import base, outcome, routing, wire
-from sequoiagap.entry import _link
+from sequoiagap.entry import _attempt, _link
 
 MAX_ATTEMPTS = 4
-MILLISECONDS = 1000
+RECLAIM_DELAY_S = 0.3
+
+_FINAL_KINDS = frozenset(
+    {
+        base.RefusalKind.ALREADY_RAN,
+        base.RefusalKind.DEADLINE,
+        base.RefusalKind.IDEMPOTENCY_MISMATCH,
+        base.RefusalKind.PLATFORM_DOWN,
+        base.RefusalKind.TOO_LARGE,
+    }
+)
 
 _log = base.get_logger("dispatch")
 
@@ -30,6 +39,8 @@
     :param bool repeatable: whether running twice does no harm.
     :param str idempotency_key: key given by the caller, or empty.
     :param int priority: higher goes first.
+    :param str setting: path of the setting that says whether it is repeatable.
+    :param bool for_model: whether a model engine runs it, not a plain service.
     """
 
     request_id: str
@@ -43,6 +54,39 @@
     repeatable: bool
     idempotency_key: str = ""
     priority: int = 0
+    setting: str = ""
+    for_model: bool = False
+
+    @property
+    def is_claimed(self):
+        """Whether a claim of its key lets it run at most once."""
+        return not self.repeatable and bool(self.idempotency_key)
+
+
+@dataclasses.dataclass
+class _Progress:
+    """What is known of a request under way.
+
+    :param set tried: endpoints that were asked.
+    :param set open_ids: attempts that may have run and gave no whole answer.
+    :param str owner: agent to ask next, as it holds the key's claim.
+    """
+
+    tried: set = dataclasses.field(default_factory=set)
+    open_ids: set = dataclasses.field(default_factory=set)
+    owner: str = ""
+
+    def seal(self, refusal):
+        """Return the refusal with the outcome of all attempts together."""
+        if not self.open_ids or refusal.outcome == base.Outcome.UNKNOWN:
+            return refusal
+        return dataclasses.replace(
+            refusal,
+            message=f"{refusal.message}; an attempt before may have run",
+            remedy=_attempt.CHECK_FIRST,
+            outcome=base.Outcome.UNKNOWN,
+            retry_after_s=0.0,
+        )
 
 
 class Dispatcher:
@@ -62,10 +106,14 @@
         self.journal = journal
         self.random_state = random_state
         self._policy_by_name = {}
+        self._timers = set()
+        self._stopping = False
 
     async def dispatch(self, request, sink):
         """Run a request and pass its answer to a sink.
 
+        At the request's deadline the refusal is given at once.
+
         :param Request request: the request.
         :param sink: object with coroutine methods ``head(status, headers)`` and
             ``data(bytes)`` and a flag ``started``: once set, bytes have reached
@@ -74,27 +122,60 @@
         :rtype: expression.Result[None, sequoiagap.base.Refusal]
         """
         self.budget.record_first_attempt()
-        tried = set()
+        progress = _Progress()
+        try:
+            async with asyncio.timeout_at(request.deadline) as timer:
+                self._timers.add(timer)
+                try:
+                    refusal = await self._try_endpoints(request, sink, progress)
+                finally:
+                    self._timers.discard(timer)
+        except TimeoutError:
+            refusal = self._given_up()
+        if refusal is None:
+            return expression.Ok(None)
+        return expression.Error(self._versioned(progress.seal(refusal)))
+
+    def give_up_all(self):
+        """End every request under way at once with a truthful refusal."""
+        self._stopping = True
+        now = asyncio.get_running_loop().time()
+        for timer in self._timers:
+            timer.reschedule(now)
+
+    async def _try_endpoints(self, request, sink, progress):
+        """Try endpoints in turn; return ``None`` for a whole answer."""
         refusal = None
         for number in range(MAX_ATTEMPTS):
             if number and not self.budget.try_spend():
                 break
-            view = self._choose(request, tried)
+            view = self._choose(request, progress)
             if view is None:
                 break
-            tried.add(view.endpoint_id)
-            refusal = await self._attempt(request, view, sink)
-            if refusal is None:
-                return expression.Ok(None)
-            if not self._may_retry(request, refusal, sink):
+            progress.tried.add(view.endpoint_id)
+            end = await self._attempt(request, view, sink, progress)
+            if end.refusal is None:
+                return None
+            refusal = end.refusal
+            if not await self._may_retry(request, end, sink, progress):
                 break
-        return expression.Error(refusal or self._no_endpoint(request))
+        return refusal or self._no_endpoint(request)
 
-    def _choose(self, request, tried):
+    def _choose(self, request, progress):
         candidates = self.links.candidates(request.target)
-        fresh = [view for view in candidates if view.endpoint_id not in tried]
+        by_id = {view.endpoint_id: view for view in candidates}
+        if progress.owner:
+            owner, progress.owner = progress.owner, ""
+            return by_id.get(owner)
+        fresh = [view for view in candidates if view.endpoint_id not in progress.tried]
         if not fresh:
             return None
+        if request.is_claimed:
+            identity = outcome.claim_id(
+                request.account, request.target, request.idempotency_key
+            )
+            ids = [view.endpoint_id for view in fresh]
+            return by_id[outcome.rank_by_affinity(identity, ids)[0]]
         return self._policy().choose(fresh, self.random_state)
 
     def _policy(self):
@@ -103,70 +184,40 @@
             self._policy_by_name[name] = routing.POLICIES.get(name)()
         return self._policy_by_name[name]
 
-    def _may_retry(self, request, refusal, sink):
-        if sink.started or time.monotonic() >= request.deadline:
+    async def _may_retry(self, request, end, sink, progress):
+        """Tell whether another attempt may follow; waits where it has to."""
+        if sink.started:
             return False
-        if refusal.outcome == base.Outcome.NOT_RUN:
+        if end.owner:
+            if end.owner in progress.tried:
+                # It may be about to release the claim, or to come back.
+                await asyncio.sleep(RECLAIM_DELAY_S)
+            progress.owner = end.owner
             return True
-        return request.repeatable
+        if end.refusal.kind in _FINAL_KINDS:
+            return False
+        if end.refusal.outcome == base.Outcome.NOT_RUN:
+            return True
+        return request.repeatable or request.is_claimed
 
-    async def _attempt(self, request, view, sink):
-        """Run one attempt; return ``None`` for a whole answer, else a refusal."""
+    async def _attempt(self, request, view, sink, progress):
         link = self.links.by_id[view.endpoint_id]
-        incarnation = link.member.incarnation
-        order = self._order(request)
-        self._note(request, "attempt_sent", order.attempt_id, view)
         try:
-            events = await link.execute(order)
-            async with asyncio.timeout_at(self._loop_deadline(request)):
-                refusal = await self._follow(order, events, sink)
-        except base.WireError as error:
-            refusal = _lost(error.message)
-        except TimeoutError:
-            await link.cancel(order.attempt_id)
-            refusal = _past_deadline()
-        except asyncio.CancelledError:
-            await link.cancel(order.attempt_id)
-            raise
-        finally:
-            link.forget(order.attempt_id)
-        if refusal is not None and refusal.kind == base.RefusalKind.ENDPOINT_LOST:
-            refusal = await self._settle(link, order, incarnation, refusal)
-        self._note_end(request, order, view, refusal)
-        return refusal
-
-    async def _follow(self, order, events, sink):
-        assembly = outcome.AnswerAssembly(order.attempt_id)
-        while True:
-            event = await events.get()
-            match event:
-                case wire.Head():
-                    await sink.head(event.status, event.headers)
-                case wire.Chunk():
-                    if assembly.accept(event.sequence, event.data):
-                        await sink.data(event.data)
-                case wire.Final():
-                    if assembly.is_whole(event.chunks, event.size):
-                        return None
-                    return _lost("the answer is not whole")
-                case wire.Refused():
-                    return _from_agent(event)
-                case _link.LinkLost():
-                    return _lost("the connection to the agent was lost")
-
-    async def _settle(self, link, order, incarnation, refusal):
-        """Learn by revocation what became of an attempt whose link was lost."""
-        standing = await link.revoke(order.attempt_id, incarnation)
-        if standing != outcome.Standing.NEVER_STARTED:
-            return refusal
-        return dataclasses.replace(
-            refusal,
-            outcome=base.Outcome.NOT_RUN,
-            remedy="The request was not run; send it again",
+            order = self._order(request, link)
+        except _link.NotSentError as error:
+            return _attempt.AttemptEnd(_attempt.not_sent(error.message))
+        self._note_sent(request, order.attempt_id, view)
+        attempt = _attempt.Attempt(
+            link, order, sink, request.for_model and request.repeatable
         )
-
-    def _order(self, request):
-        left_s = request.deadline - time.monotonic()
+        progress.open_ids.add(order.attempt_id)
+        end = await attempt.run()
+        if not end.may_have_run:
+            progress.open_ids.discard(order.attempt_id)
+        self._note_end(request, order, view, end, attempt.reattached_)
+        return end
+
+    def _order(self, request, link):
         return wire.Execute(
             request_id=request.request_id,
             attempt_id=base.new_id("att"),
@@ -176,32 +227,52 @@
             path=request.path,
             headers=request.headers,
             body=request.body,
-            deadline_ms=max(int(left_s * MILLISECONDS), 1),
+            expires_at_ms=link.expires_at_ms(request.deadline),
             repeatable=request.repeatable,
             idempotency_key=request.idempotency_key,
             priority=request.priority,
             config_version=self.holder.current_.number,
         )
 
-    def _loop_deadline(self, request):
-        return asyncio.get_running_loop().time() + request.deadline - time.monotonic()
-
     def _no_endpoint(self, request):
-        version = self.holder.current_.number
         return base.Refusal(
             base.RefusalKind.NO_ENDPOINT,
             f"no endpoint can take work for {request.target}",
             "Come back later; operators: look at endpoints and failure domains",
             retry_after_s=1.0,
-            config_version=version,
             setting="failure_domains",
         )
 
-    def _note(self, request, step, attempt_id, view):
+    def _given_up(self):
+        """Return the refusal of a request that is ended before its attempts are.
+
+        Its outcome is ``NOT_RUN`` unless an attempt is open, see ``seal``.
+        """
+        if self._stopping:
+            return base.Refusal(
+                base.RefusalKind.DRAINING,
+                "this entry stops",
+                "Send the request again",
+                retry_after_s=1.0,
+            )
+        return base.Refusal(
+            base.RefusalKind.DEADLINE,
+            "no whole answer came before the deadline",
+            "Send the request again with a longer deadline",
+            retry_after_s=1.0,
+        )
+
+    def _versioned(self, refusal):
+        if refusal.config_version:
+            return refusal
+        version = self.holder.current_.number
+        return dataclasses.replace(refusal, config_version=version)
+
+    def _note_sent(self, request, attempt_id, view):
         version = self.holder.current_.number
         self.journal.record(
             request.request_id,
-            step,
+            "attempt_sent",
             version,
             attempt_id=attempt_id,
             endpoint=view.endpoint_id,
@@ -215,53 +286,30 @@
             config_version=version,
         )
 
-    def _note_end(self, request, order, view, refusal):
+    def _note_end(self, request, order, view, end, reattached):
+        refusal = end.refusal
         result = base.Outcome.ANSWERED if refusal is None else refusal.outcome
-        kind = "" if refusal is None else str(refusal.kind)
+        details = {"outcome": str(result)}
+        if refusal is not None:
+            details |= {"kind": str(refusal.kind), "reason": refusal.message}
+        if refusal is not None and refusal.setting:
+            details["setting"] = refusal.setting
+        if end.owner:
+            details["owner"] = end.owner
+        if reattached:
+            details["reattached"] = reattached
         self.journal.record(
             request.request_id,
             "attempt_ended",
             order.config_version,
             attempt_id=order.attempt_id,
             endpoint=view.endpoint_id,
-            outcome=str(result),
-            kind=kind,
+            **details,
         )
         _log.emit(
             base.Event.ATTEMPT_ENDED,
             request_id=request.request_id,
             attempt_id=order.attempt_id,
-            outcome=str(result),
-            kind=kind,
             config_version=order.config_version,
+            **details,
         )
-
-
-def _from_agent(event):
-    return base.Refusal(
-        base.RefusalKind(event.kind),
-        event.text,
-        event.remedy,
-        outcome=base.Outcome(event.outcome),
-        retry_after_s=event.retry_after_ms / MILLISECONDS,
-        config_version=event.config_version,
-        setting=event.setting,
-    )
-
-
-def _lost(reason):
-    return base.Refusal(
-        base.RefusalKind.ENDPOINT_LOST,
-        reason,
-        "The request may have run; check before sending it again",
-        outcome=base.Outcome.UNKNOWN,
-    )
-
-
-def _past_deadline():
-    return base.Refusal(
-        base.RefusalKind.DEADLINE,
-        "no whole answer came before the deadline",
-        "The request may have run; check before sending it again",
-        outcome=base.Outcome.UNKNOWN,
-    )
--- a/libs/entry/src/sequoiagap/entry/_entry.py
+++ b/libs/entry/src/sequoiagap/entry/_entry.py
@@ -55,6 +55,7 @@
         self._tasks.start(_watch.ConfigWatch(self.platform_, self.holder_).run(), "w")
         self._tasks.start(self.links_.follow_list(), "follow-list")
         await self._listen(self._make_app(keys))
+        self._tasks.start(self.callers_.keep_streams_alive(), "keep-streams-alive")
         _log.emit(base.Event.PROCESS_READY, role="entry", http_port=self.http_port_)
 
     async def stop(self):
@@ -62,7 +63,8 @@
         _log.emit(base.Event.PROCESS_STOPPING, role="entry")
         self.stopping_ = True
         await asyncio.sleep(self.settings.drain_lag_s)
-        await self.callers_.wait_idle(self.settings.drain_bound_s)
+        await self._site.stop()
+        await self.callers_.drain(self.settings.drain_bound_s)
         await self._runner.cleanup()
         await self._tasks.close()
         await self.links_.close()
@@ -117,10 +119,10 @@
             app, access_log=None, handler_cancellation=True, shutdown_timeout=1.0
         )
         await self._runner.setup()
-        site = web.TCPSite(
+        self._site = web.TCPSite(
             self._runner, str(self.settings.address), self.settings.http_port
         )
-        await site.start()
+        await self._site.start()
         self.http_port_ = self._runner.addresses[0][1]
 
     def _hello(self):
--- a/libs/entry/src/sequoiagap/entry/_link.py
+++ b/libs/entry/src/sequoiagap/entry/_link.py
@@ -7,7 +7,7 @@
 
 RECONNECT_DELAY_S = 0.2
 SETTLE_TIMEOUT_S = 2.0
-MAX_PENDING_EVENTS = 4096
+MILLISECONDS = 1000
 
 _log = base.get_logger("link")
 
@@ -16,6 +16,10 @@
     """Event of an attempt whose connection was lost."""
 
 
+class NotSentError(base.WireError):
+    """An order was not sent, and so was not run."""
+
+
 class AgentLink:
     """Keeps a connection to one agent and routes its messages to attempts.
 
@@ -34,7 +38,9 @@
         self.holder = holder
         self.connection_ = None
         self._events_by_attempt_id = {}
-        self._revoked_by_attempt_id = {}
+        self._clock_offset_s = None
+        self._unreachable = asyncio.Event()
+        self._tasks = base.TaskSet()
         self._states_by_sequence = {}
         self._opened = asyncio.Event()
         self._handlers = self._make_handlers()
@@ -48,6 +54,7 @@
                     host.address, host.port, self.make_hello()
                 )
             except base.WireError:
+                self._unreachable.set()
                 await asyncio.sleep(RECONNECT_DELAY_S)
                 continue
             try:
@@ -57,23 +64,83 @@
                 connection.close()
             await asyncio.sleep(RECONNECT_DELAY_S)
 
+    def expires_at_ms(self, deadline):
+        """Return a deadline on the agent's clock, in milliseconds.
+
+        :param float deadline: on this entry's clock, in seconds.
+        :rtype: int
+        :raises NotSentError: if the agent has not told its clock yet.
+        """
+        if self._clock_offset_s is None:
+            raise NotSentError("no connection to the agent", "Try another endpoint")
+        return int((deadline + self._clock_offset_s) * MILLISECONDS)
+
     async def execute(self, order):
         """Send an attempt and return the queue of its events.
 
+        The agent sends no further ahead than its window, which bounds the queue.
+
         :param sequoiagap.wire.Execute order: the attempt.
         :returns: queue of messages, with :class:`LinkLost` if the link is lost.
         :rtype: asyncio.Queue
-        :raises sequoiagap.base.WireError: if it could not be sent.
+        :raises NotSentError: if it was not sent.
         """
-        if self.connection_ is None:
-            raise base.WireError("no connection to the agent", "Try another endpoint")
-        events = asyncio.Queue(MAX_PENDING_EVENTS)
+        connection = self.connection_
+        if connection is None or connection.closed_:
+            raise NotSentError("no connection to the agent", "Try another endpoint")
+        events = asyncio.Queue()
         self._events_by_attempt_id[order.attempt_id] = events
         self.view.own_in_flight += 1
-        self.connection_.mark_busy(True)
-        await self.connection_.send(order)
+        connection.mark_busy(True)
+        await _send_quietly(connection, order)
         return events
 
+    async def reattach(self, order, incarnation, next_sequence):
+        """Ask for the rest of an attempt's answer over a new connection.
+
+        :param sequoiagap.wire.Execute order: the attempt.
+        :param str incarnation: incarnation of the agent that it was sent to.
+        :param int next_sequence: first chunk that is lacking.
+        :returns: whether the same incarnation could be asked in time.
+        :rtype: bool
+        """
+        if not await self._wait_opened(order.repeatable):
+            return False
+        connection = self.connection_
+        if connection is None or connection.peer.incarnation != incarnation:
+            return False
+        connection.mark_busy(True)
+        item = wire.Attach(
+            order.attempt_id, incarnation, order.expires_at_ms, next_sequence
+        )
+        await _send_quietly(connection, item)
+        return True
+
+    async def _wait_opened(self, repeatable):
+        """Wait for a connection; where another endpoint may do, not for long."""
+        waits = [asyncio.create_task(self._opened.wait())]
+        if repeatable:
+            waits.append(asyncio.create_task(self._unreachable.wait()))
+        try:
+            await asyncio.wait(
+                waits, timeout=SETTLE_TIMEOUT_S, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            for task in waits:
+                task.cancel()
+        return self._opened.is_set()
+
+    async def send_credit(self, attempt_id, next_sequence):
+        """Tell the agent that chunks were taken, so that it may send more.
+
+        :param str attempt_id: the attempt.
+        :param int next_sequence: first chunk that was not taken.
+        """
+        if self.connection_ is not None:
+            await _send_quietly(
+                self.connection_, wire.Credit(attempt_id, next_sequence)
+            )
+
     def forget(self, attempt_id):
         """Stop routing the messages of an attempt; late ones are dropped.
 
@@ -85,34 +152,14 @@
         if self.connection_ is not None and not self._events_by_attempt_id:
             self.connection_.mark_busy(False)
 
-    async def cancel(self, attempt_id):
+    def cancel(self, order):
         """Tell the agent that nobody waits for an attempt any more.
 
-        :param str attempt_id: the attempt.
+        :param sequoiagap.wire.Execute order: the attempt.
         """
         if self.connection_ is not None:
-            await self._send_quietly(wire.Cancel(attempt_id))
-
-    async def revoke(self, attempt_id, incarnation):
-        """Ask the agent, over a new connection if need be, what it knows.
-
-        :param str attempt_id: the attempt.
-        :param str incarnation: incarnation that it was sent to.
-        :returns: a :class:`sequoiagap.outcome.Standing`; ``unknown`` if the
-            agent can't be asked in time.
-        :rtype: str
-        """
-        answer = asyncio.get_running_loop().create_future()
-        self._revoked_by_attempt_id[attempt_id] = answer
-        try:
-            async with asyncio.timeout(SETTLE_TIMEOUT_S):
-                await self._opened.wait()
-                await self.connection_.send(wire.Revoke(attempt_id, incarnation))
-                return await answer
-        except (TimeoutError, base.WireError):
-            return "unknown"
-        finally:
-            self._revoked_by_attempt_id.pop(attempt_id, None)
+            item = wire.Cancel(order.attempt_id, order.expires_at_ms)
+            self._tasks.start(_send_quietly(self.connection_, item), "cancel")
 
     async def request_state(self, timeout_s):
         """Return the agent's state dump as JSON text, or ``None``.
@@ -140,13 +187,13 @@
         :param int number: the version.
         """
         if self.connection_ is not None:
-            await self._send_quietly(config.ConfigOffer(number))
+            await _send_quietly(self.connection_, config.ConfigOffer(number))
 
     async def _use(self, connection):
         self.connection_ = connection
         self.member.alive = True
         self.member.incarnation = connection.peer.incarnation
-        self._opened.set()
+        self._unreachable.clear()
         self.view.connected = True
         _log.emit(base.Event.LINK_OPENED, peer=connection.peer.node_id)
         await self.offer(self.holder.current_.number)
@@ -160,15 +207,16 @@
         self.member.alive = False
         self.view.connected = False
         self._opened.clear()
+        self._clock_offset_s = None
         for events in self._events_by_attempt_id.values():
-            _force(events, LinkLost())
+            events.put_nowait(LinkLost())
 
     def _make_handlers(self):
         handlers = wire.HandlerTable()
-        for kind in (wire.Head, wire.Chunk, wire.Final, wire.Refused):
+        for kind in (wire.Head, wire.Chunk, wire.Final, wire.Refused, wire.Revoked):
             handlers.add(kind, self._on_attempt_event)
+        handlers.add(wire.AgentClock, self._on_clock)
         handlers.add(wire.Load, self._on_load)
-        handlers.add(wire.Revoked, self._on_revoked)
         handlers.add(wire.StateReply, self._on_state)
         handlers.add(config.ConfigPull, self._on_pull)
         return handlers
@@ -176,7 +224,12 @@
     async def _on_attempt_event(self, connection, item):
         events = self._events_by_attempt_id.get(item.attempt_id)
         if events is not None:
-            await events.put(item)
+            events.put_nowait(item)
+
+    async def _on_clock(self, connection, item):
+        now = asyncio.get_running_loop().time()
+        self._clock_offset_s = item.now_ms / MILLISECONDS - now
+        self._opened.set()
 
     async def _on_load(self, connection, item):
         self.view.state = item.state
@@ -187,11 +240,6 @@
         if item.state == "gone":
             self.member.leaving = True
 
-    async def _on_revoked(self, connection, item):
-        answer = self._revoked_by_attempt_id.get(item.attempt_id)
-        if answer is not None and not answer.done():
-            answer.set_result(item.standing)
-
     async def _on_state(self, connection, item):
         answer = self._states_by_sequence.get(item.sequence)
         if answer is not None and not answer.done():
@@ -203,15 +251,9 @@
             body = config.ConfigBody(current.number, current.to_json())
             await connection.send(body)
 
-    async def _send_quietly(self, item):
-        try:
-            await self.connection_.send(item)
-        except base.WireError:
-            return
-
 
-def _force(queue, item):
-    """Put an item on a queue, dropping the oldest where it is full."""
-    if queue.full():
-        queue.get_nowait()
-    queue.put_nowait(item)
+async def _send_quietly(connection, item):
+    try:
+        await connection.send(item)
+    except base.WireError:
+        return
--- a/libs/entry/src/sequoiagap/entry/_responses.py
+++ b/libs/entry/src/sequoiagap/entry/_responses.py
@@ -1,7 +1,9 @@
 """HTTP responses: whole answers, streams, cuts and refusals."""
 
+import asyncio
 import json
 import math
+import time
 
 from aiohttp import web
 
@@ -9,6 +11,9 @@
 
 EVENT_STREAM = "text/event-stream"
 MAX_BUFFERED_BYTES = 16 * 1024 * 1024
+CALLER_STALL_S = 10.0
+KEEP_ALIVE_AFTER_S = 1.0
+_EVENT_END = b"\n\n"
 
 
 def refusal_response(refusal, request_id):
@@ -26,6 +31,10 @@
     )
 
 
+class AnswerTooLargeError(base.SequoiagapError):
+    """An answer that is no stream is too large to be held."""
+
+
 class ResponseSink:
     """Passes an answer to the caller.
 
@@ -46,6 +55,8 @@
         self._headers = {}
         self._buffer = bytearray()
         self._stream = None
+        self._is_at_event_end = False
+        self._wrote_at = 0.0
 
     async def head(self, status, headers):
         """Take status and headers of the answer.
@@ -61,13 +72,14 @@
         """Take a piece of the answer's body.
 
         :param bytes data: the piece.
-        :raises sequoiagap.base.WireError: if a held answer grows too large.
+        :raises AnswerTooLargeError: if a held answer grows too large.
+        :raises OSError: if the caller has left or takes nothing for too long.
         """
         if self._is_stream():
             await self._write(data)
             return
         if len(self._buffer) + len(data) > MAX_BUFFERED_BYTES:
-            raise base.WireError(
+            raise AnswerTooLargeError(
                 f"answer is over {MAX_BUFFERED_BYTES} bytes", "Ask for a stream"
             )
         self._buffer += data
@@ -93,10 +105,21 @@
         """
         document = json.dumps(refusal.to_document(self.request_id))
         event = f"\n\nevent: error\ndata: {document}\n\n"
-        await self._stream.write(event.encode())
-        self.http_request.transport.close()
+        await self._write_in_time(event.encode())
+        if self.http_request.transport is not None:
+            self.http_request.transport.close()
         return self._stream
 
+    async def keep_alive(self):
+        """Send a comment if the stream is idle between two events."""
+        is_idle = time.monotonic() - self._wrote_at >= KEEP_ALIVE_AFTER_S
+        if self._stream is None or not self._is_at_event_end or not is_idle:
+            return
+        self._wrote_at = time.monotonic()
+        transport = self.http_request.transport
+        if transport is not None and transport.get_write_buffer_size() == 0:
+            await self._stream.write(b": keep-alive\n\n")
+
     def _is_stream(self):
         content_type = self._headers.get("content-type", "")
         return content_type.startswith(EVENT_STREAM)
@@ -107,4 +130,18 @@
             self._stream = web.StreamResponse(status=self._status, headers=headers)
             await self._stream.prepare(self.http_request)
         self.started = True
-        await self._stream.write(data)
+        self._wrote_at = time.monotonic()
+        self._is_at_event_end = data.endswith(_EVENT_END)
+        await self._write_in_time(data)
+
+    async def _write_in_time(self, data):
+        try:
+            async with asyncio.timeout(CALLER_STALL_S):
+                await self._stream.write(data)
+        except TimeoutError as error:
+            transport = self.http_request.transport
+            if transport is not None:
+                transport.abort()
+            raise ConnectionAbortedError(
+                f"caller took nothing for {CALLER_STALL_S} s"
+            ) from error
--- /dev/null
+++ b/libs/outcome/src/sequoiagap/outcome/_claim_store.py
@@ -0,0 +1,294 @@
+"""Claims kept in the platform, many in one conditional write."""
+
+import asyncio
+import collections
+import dataclasses
+import time
+
+from sequoiagap import base, platform
+from sequoiagap.outcome import _affinity, _claims
+
+FLUSH_PACE_S = 0.2
+RETRY_DELAY_S = 0.5
+CLOSE_BOUND_S = 1.0
+MAX_TRIES = 4
+_STALE_VERDICTS = frozenset({_claims.ClaimVerdict.TAKEN, _claims.ClaimVerdict.MISMATCH})
+
+_log = base.get_logger("claims")
+
+
+@dataclasses.dataclass(frozen=True)
+class ClaimAnswer:
+    """What became of a wish.
+
+    :param ClaimVerdict verdict: the verdict.
+    :param Claim claim: the claim that stands, if one does.
+    """
+
+    verdict: _claims.ClaimVerdict
+    claim: _claims.Claim | None = None
+
+
+class ClaimStore:
+    """Claims keys for one agent.
+
+    Keys fall into shards, one platform object each. While a write of a shard is
+    under way further wishes gather and go with the next one; a shard writes at
+    most once in ``flush_pace_s``. The conditional write decides between agents.
+
+    :param sequoiagap.platform.PlatformClient client: the platform.
+    :param str service: service whose keys are claimed.
+    :param float flush_pace_s: least time between two writes of a shard, in seconds.
+    :param wall_clock: function that returns seconds since the epoch.
+
+    :ivar int writes_: conditional writes made.
+    :ivar int reads_: reads made.
+    """
+
+    def __init__(
+        self, client, service, flush_pace_s=FLUSH_PACE_S, wall_clock=time.time
+    ):
+        self.client = client
+        self.service = service
+        self.flush_pace_s = flush_pace_s
+        self.wall_clock = wall_clock
+        self.writes_ = 0
+        self.reads_ = 0
+        self._writer_by_shard = {}
+
+    def stamp(self, wish):
+        """Return a wish that expires after the claim window from now.
+
+        :param Claim wish: the claim that is wished for.
+        :rtype: Claim
+        """
+        expires_at = self.wall_clock() + _claims.CLAIM_WINDOW_S
+        return dataclasses.replace(wish, expires_at=expires_at)
+
+    async def claim(self, wish, timeout_s):
+        """Claim a key.
+
+        :param Claim wish: the claim that is wished for.
+        :param float timeout_s: longest wait; after it the wish is withdrawn, and
+            a write of it that is still under way is undone.
+        :rtype: ClaimAnswer
+        """
+        writer = self._writer(wish.identity)
+        answer = writer.add(wish)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await asyncio.shield(answer)
+        except TimeoutError:
+            writer.withdraw(wish)
+            return ClaimAnswer(_claims.ClaimVerdict.TOO_LATE)
+        except asyncio.CancelledError:
+            writer.withdraw(wish)
+            raise
+
+    def release(self, claim):
+        """Give up a claim whose run has not started and never will.
+
+        :param Claim claim: the claim.
+        """
+        self._writer(claim.identity).withdraw(claim)
+
+    def mark_done(self, claim):
+        """Note that a run has ended; written with the shard's next write.
+
+        :param Claim claim: the claim.
+        """
+        self._writer(claim.identity).done.append(claim)
+
+    async def close(self):
+        """Let writes under way end within a bound, and stop writing."""
+        writers = self._writer_by_shard.values()
+        await asyncio.gather(*(writer.close() for writer in writers))
+
+    def _writer(self, identity):
+        shard = _affinity.shard_of(identity)
+        if shard not in self._writer_by_shard:
+            name = f"claims-{self.service}-{shard}"
+            self._writer_by_shard[shard] = _ShardWriter(self, name)
+        return self._writer_by_shard[shard]
+
+
+class _ShardWriter:
+    """Writes one shard, one write at a time.
+
+    :param ClaimStore store: owner, which counts the calls.
+    :param str name: name of the platform's object.
+    """
+
+    def __init__(self, store, name):
+        self.store = store
+        self.name = name
+        self.done = collections.deque(maxlen=_claims.MAX_CLAIMS_PER_SHARD)
+        self._shard = None
+        self._version = 0
+        self._uncertain = False
+        self._sent_nonces = set()
+        self._wish_by_nonce = {}
+        self._answer_by_nonce = {}
+        self._withdrawn_by_nonce = {}
+        self._work = asyncio.Event()
+        self._task = None
+
+    def add(self, wish):
+        """Queue a wish and return the future of its answer.
+
+        :param Claim wish: the wish.
+        :rtype: asyncio.Future
+        """
+        answer = asyncio.get_running_loop().create_future()
+        self._wish_by_nonce[wish.nonce] = wish
+        self._answer_by_nonce[wish.nonce] = answer
+        self._wake()
+        return answer
+
+    def withdraw(self, wish):
+        """See to it that a wish is not and never will be in force.
+
+        :param Claim wish: the wish or claim.
+        """
+        queued = self._wish_by_nonce.pop(wish.nonce, None)
+        self._answer_by_nonce.pop(wish.nonce, None)
+        if queued is not None and wish.nonce not in self._sent_nonces:
+            return
+        self._sent_nonces.discard(wish.nonce)
+        self._withdrawn_by_nonce[wish.nonce] = wish
+        self._wake()
+
+    async def close(self):
+        """Let writes under way end within a bound, and stop writing."""
+        if self._task is None:
+            return
+        await asyncio.wait([self._task], timeout=CLOSE_BOUND_S)
+        await base.cancel_and_wait(self._task)
+
+    def _wake(self):
+        self._work.set()
+        if self._task is None or self._task.done():
+            self._task = asyncio.create_task(self._run(), name=f"claims-{self.name}")
+
+    async def _run(self):
+        while self._wish_by_nonce or self._withdrawn_by_nonce:
+            began = asyncio.get_running_loop().time()
+            try:
+                await self._flush()
+            except base.PlatformError as error:
+                _log.emit(base.Event.CLAIM_WRITE_FAILED, error=error.message)
+                self._answer_all(_claims.ClaimVerdict.PLATFORM_DOWN)
+                await asyncio.sleep(RETRY_DELAY_S)
+            spent = asyncio.get_running_loop().time() - began
+            await asyncio.sleep(max(self.store.flush_pace_s - spent, 0.0))
+
+    async def _flush(self):
+        """Bring every wish and withdrawal of now to an end, or raise."""
+        for _ in range(MAX_TRIES):
+            is_fresh = await self._settle_version()
+            batch = dict(self._wish_by_nonce)
+            withdrawn = dict(self._withdrawn_by_nonce)
+            shard = self._shard.copy()
+            changed = self._apply(shard, batch, withdrawn)
+            if not is_fresh and self._is_any_taken(shard, batch):
+                self._shard = None
+                continue
+            if not changed or await self._write(shard):
+                self._forget_withdrawn(withdrawn)
+                self._answer(batch)
+                return
+
+    async def _settle_version(self):
+        """Read the shard unless it is known; fence a write of unknown effect.
+
+        After a write whose answer was lost the object is read back. If it does
+        not show the write, the write may still land later; the next write of
+        ours takes the version that it needs, so it can only fail then.
+
+        :returns: whether the shard was read now.
+        :rtype: bool
+        """
+        if self._shard is not None and not self._uncertain:
+            return False
+        self.store.reads_ += 1
+        stored = await self.store.client.get(self.name)
+        version = 0 if stored is None else stored.version
+        if version != self._version:
+            self._uncertain = False
+        self._version = version
+        self._shard = _claims.ClaimShard()
+        if stored is not None:
+            self._shard = _claims.ClaimShard.from_value(stored.value)
+        return True
+
+    def _is_any_taken(self, shard, batch):
+        now = self.store.wall_clock()
+        verdicts = {shard.judge(wish, now) for wish in batch.values()}
+        return bool(verdicts & _STALE_VERDICTS)
+
+    def _apply(self, shard, batch, withdrawn):
+        """Change the shard as wished; tell whether it has to be written."""
+        now = self.store.wall_clock()
+        changed = self._uncertain
+        for wish in withdrawn.values():
+            changed |= shard.release(wish.identity, wish.nonce)
+        shard.prune(now)
+        for wish in batch.values():
+            if shard.judge(wish, now) != _claims.ClaimVerdict.HELD:
+                continue
+            if wish.identity not in shard.by_identity:
+                shard.add(wish)
+                self._sent_nonces.add(wish.nonce)
+                changed = True
+        for claim in self.done:
+            shard.mark_done(claim.identity, claim.nonce)
+        return changed
+
+    async def _write(self, shard):
+        """Write the shard; tell whether that took effect."""
+        done = len(self.done)
+        was_uncertain = self._uncertain
+        self.store.writes_ += 1
+        self._uncertain = True
+        try:
+            stored = await self.store.client.put(
+                self.name, shard.to_value(), self._version
+            )
+        except platform.ObjectConflict:
+            self._shard = None
+            self._uncertain = False
+            return False
+        except base.PlatformError as error:
+            if not error.effect_unknown:
+                self._uncertain = was_uncertain
+                raise
+            return False
+        self._shard, self._version = shard, stored.version
+        self._uncertain = False
+        for _ in range(done):
+            self.done.popleft()
+        return True
+
+    def _forget_withdrawn(self, withdrawn):
+        for nonce in withdrawn:
+            self._withdrawn_by_nonce.pop(nonce, None)
+
+    def _answer(self, batch):
+        now = self.store.wall_clock()
+        for wish in batch.values():
+            verdict = self._shard.judge(wish, now)
+            standing = self._shard.by_identity.get(wish.identity)
+            self._answer_one(wish.nonce, ClaimAnswer(verdict, standing))
+
+    def _answer_all(self, verdict):
+        for nonce, wish in list(self._wish_by_nonce.items()):
+            if nonce in self._sent_nonces:
+                self._withdrawn_by_nonce[nonce] = wish
+            self._answer_one(nonce, ClaimAnswer(verdict))
+
+    def _answer_one(self, nonce, answer):
+        self._wish_by_nonce.pop(nonce, None)
+        self._sent_nonces.discard(nonce)
+        future = self._answer_by_nonce.pop(nonce, None)
+        if future is not None and not future.done():
+            future.set_result(answer)
--- a/libs/settings/src/sequoiagap/settings/_models.py
+++ b/libs/settings/src/sequoiagap/settings/_models.py
@@ -45,7 +45,8 @@
     keys_file: str
     drain_lag_s: Seconds = 2.0
     drain_bound_s: Seconds = 60.0
-    request_timeout_s: Seconds = 120.0
+    request_timeout_s: Annotated[float, pydantic.Field(gt=0, le=3000)] = 120.0
+    body_timeout_s: Seconds = 10.0
     max_body_bytes: Annotated[int, pydantic.Field(gt=0, le=4 * 1024 * 1024)] = 1048576
 
 
@@ -60,6 +61,7 @@
     warm_up_s: Seconds = 10.0
     first_byte_timeout_s: Seconds = 20.0
     between_bytes_timeout_s: Seconds = 2.0
+    resumes: bool = False
     engine: Name = "hold_at_step"
     checks_fencing: bool = False
 
--- a/libs/standins/src/sequoiagap/standins/__init__.py
+++ b/libs/standins/src/sequoiagap/standins/__init__.py
@@ -2,5 +2,6 @@
 
 from sequoiagap.standins._fleet import Fleet, FleetPlan, Process
 from sequoiagap.standins._load import LoadReport, run_load
+from sequoiagap.standins._relay import Relay
 
-__all__ = ["Fleet", "FleetPlan", "LoadReport", "Process", "run_load"]
+__all__ = ["Fleet", "FleetPlan", "LoadReport", "Process", "Relay", "run_load"]
--- a/libs/wire/src/sequoiagap/wire/_messages.py
+++ b/libs/wire/src/sequoiagap/wire/_messages.py
@@ -67,7 +67,8 @@
     :param str path: HTTP path and query on the endpoint.
     :param dict headers: HTTP headers for the endpoint.
     :param bytes body: HTTP body.
-    :param int deadline_ms: time that the caller still grants, in milliseconds.
+    :param int expires_at_ms: when the caller gives up, on the agent's own clock as
+        :class:`AgentClock` gave it, in milliseconds; later the order is void.
     :param bool repeatable: whether running twice does no harm.
     :param str idempotency_key: key that scopes at-most-once execution.
     :param int priority: higher goes first.
@@ -82,7 +83,7 @@
     path: str
     headers: dict
     body: bytes
-    deadline_ms: int
+    expires_at_ms: int
     repeatable: bool = True
     idempotency_key: str = ""
     priority: int = 0
@@ -128,6 +129,7 @@
     :param int retry_after_ms: when to come back, in milliseconds.
     :param int config_version: version that the decision rests on.
     :param str setting: path of the setting that the decision rests on.
+    :param str owner: agent that holds the claim of the key, if that is why.
     """
 
     attempt_id: str
@@ -138,30 +140,46 @@
     retry_after_ms: int = 0
     config_version: int = 0
     setting: str = ""
+    owner: str = ""
 
 
 @_codec.message(15)
 class Cancel:
-    """The caller has left or no longer wants the attempt."""
+    """Nobody waits for the attempt any more.
+
+    An attempt that has not started never will; a repeatable one is stopped; any
+    other runs to its end.
+
+    :param str attempt_id: the attempt.
+    :param int expires_at_ms: as in :class:`Execute`.
+    """
 
     attempt_id: str
+    expires_at_ms: int
 
 
 @_codec.message(16)
-class Revoke:
-    """Ask what became of an attempt and forbid it if it has not started.
+class Attach:
+    """Ask for the rest of an attempt's answer, and forbid it if it never came.
+
+    The agent goes on with the answer where it still holds it, and otherwise says
+    in :class:`Revoked` what it knows.
 
     :param str attempt_id: the attempt.
     :param str incarnation: incarnation of the agent that it was sent to.
+    :param int expires_at_ms: as in :class:`Execute`.
+    :param int next_sequence: first chunk that the asker lacks.
     """
 
     attempt_id: str
     incarnation: str
+    expires_at_ms: int
+    next_sequence: int = 0
 
 
 @_codec.message(17)
 class Revoked:
-    """Answer to :class:`Revoke`.
+    """Answer to :class:`Attach` where there is no answer to go on with.
 
     :param str attempt_id: the attempt.
     :param str standing: a :class:`sequoiagap.outcome.Standing`.
@@ -171,6 +189,14 @@
     standing: str
 
 
+@_codec.message(18)
+class Credit:
+    """Chunks before this number were taken; the agent may send more."""
+
+    attempt_id: str
+    next_sequence: int
+
+
 @_codec.message(20)
 class Load:
     """What an agent says about its endpoint.
@@ -202,3 +228,16 @@
 
     sequence: int
     document: str
+
+
+@_codec.message(310)
+class AgentClock:
+    """The agent's own clock, sent on each new connection.
+
+    Entries state deadlines on this clock, so that an order which arrives late is
+    void whatever its path, and an agent may forget ids whose deadline is past.
+
+    :param int now_ms: milliseconds since an arbitrary moment.
+    """
+
+    now_ms: int
--- /dev/null
+++ b/tests/entry/callers.py
@@ -0,0 +1,145 @@
+"""What the tests of requests share: callers, and relays before agents."""
+
+import asyncio
+import dataclasses
+import json
+import time
+
+import aiohttp
+
+from sequoiagap import standins
+
+MODEL = "middle-model-0"
+DESK = "middle-desk-0"
+ONE_DOMAIN = standins.FleetPlan(domains=("middle",), entries=2)
+
+
+@dataclasses.dataclass
+class Answer:
+    """What a caller saw.
+
+    :param int status: HTTP status.
+    :param str text: body, as far as it came.
+    :param dict headers: HTTP headers.
+    :param float seconds: how long it took.
+    :param bool is_whole: whether the HTTP body ended cleanly.
+    """
+
+    status: int
+    text: str
+    headers: dict
+    seconds: float
+    is_whole: bool
+
+    @property
+    def error(self):
+        """The typed refusal, or an empty map."""
+        try:
+            return json.loads(self.text).get("error", {})
+        except ValueError:
+            return {}
+
+    @property
+    def words(self):
+        """Words of a stream, in order."""
+        lines = [x[6:] for x in self.text.splitlines() if x.startswith("data: {")]
+        deltas = [json.loads(x) for x in lines]
+        return [
+            d["choices"][0]["delta"]["content"].strip()
+            for d in deltas
+            if "choices" in d
+        ]
+
+
+async def call(fleet, path, body, entry="entry-0", headers=None, on_data=None):
+    """Send one request and return what the caller saw."""
+    began = time.monotonic()
+    headers = {"Authorization": "Bearer caller-key"} | (headers or {})
+    url = fleet.url(entry) + path
+    text, is_whole = b"", True
+    timeout = aiohttp.ClientTimeout(total=30)
+    async with fleet.session_.post(
+        url, json=body, headers=headers, timeout=timeout
+    ) as response:
+        try:
+            async for data in response.content.iter_any():
+                text += data
+                if on_data is not None:
+                    await on_data(text)
+        except aiohttp.ClientError:
+            is_whole = False
+        return Answer(
+            response.status,
+            text.decode(),
+            dict(response.headers),
+            time.monotonic() - began,
+            is_whole,
+        )
+
+
+async def order(fleet, number, key=None, entry="entry-0", timeout_ms=None):
+    """File one order, which may not be repeated."""
+    headers = {}
+    if key is not None:
+        headers["Idempotency-Key"] = key
+    if timeout_ms is not None:
+        headers["X-Request-Timeout-Ms"] = str(timeout_ms)
+    path = "/services/orders/file"
+    return await call(fleet, path, {"n": number}, entry, headers)
+
+
+async def stream(fleet, tokens, entry="entry-0", on_data=None, timeout_ms=None):
+    """Ask the model for a stream."""
+    headers = {}
+    if timeout_ms is not None:
+        headers["X-Request-Timeout-Ms"] = str(timeout_ms)
+    body = {
+        "model": "desk-model",
+        "messages": [],
+        "stream": True,
+        "max_tokens": tokens,
+    }
+    return await call(fleet, "/v1/chat/completions", body, entry, headers, on_data)
+
+
+async def put_relay(fleet, name):
+    """Put a relay before an agent and wait until every entry uses it."""
+    port = fleet.process_by_name[name].ready_["port"]
+    relay = standins.Relay("127.0.0.1", port)
+    await relay.start()
+    kind = "desk-model" if "model" in name else "orders"
+    host = {
+        "host_id": name,
+        "role": "agent",
+        "address": "127.0.0.1",
+        "port": relay.port_,
+        "failure_domain": "middle",
+        "state": "live",
+        "serves": [kind],
+    }
+    await fleet.call("platform", "PUT", f"/hosts/{name}", host)
+    await asyncio.sleep(0)
+    await fleet.wait_until(lambda: _all_relayed(fleet, relay, name), 10.0)
+    return relay
+
+
+async def _all_relayed(fleet, relay, name):
+    if relay.connections < len(fleet.entry_names()):
+        return False
+    for entry in fleet.entry_names():
+        _, state = await fleet.call(entry, "GET", "/state")
+        if not state["endpoints"][name]["connected"]:
+            return False
+    return True
+
+
+async def executions(fleet, name):
+    """Return how often an endpoint ran each key."""
+    _, counts = await fleet.call(f"{name}-target", "GET", "/executions")
+    return counts
+
+
+async def in_flight(fleet, name):
+    """Return how many requests an agent has at its endpoint."""
+    _, state = await fleet.call("entry-0", "GET", f"/state/{name}")
+    return state["endpoint"]["in_flight"]
--- a/tests/wire/test_connection.py
+++ b/tests/wire/test_connection.py
@@ -39,8 +39,8 @@
         server = await self.accepted.get()
         got = asyncio.Queue()
         task = asyncio.create_task(server.run(got.put))
-        await client.send(wire.Cancel("att-1"))
-        self.assertEqual(await got.get(), wire.Cancel("att-1"))
+        await client.send(wire.Cancel("att-1", 5))
+        self.assertEqual(await got.get(), wire.Cancel("att-1", 5))
         await client.close_politely("test ends")
         self.assertEqual(await task, "peer said goodbye: test ends")
 
