--- a/libs/standins/src/sequoiagap/standins/_engine.py
+++ b/libs/standins/src/sequoiagap/standins/_engine.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from sequoiagap.standins import _executions, _faults
+from sequoiagap.standins import _executions, _faults, _streams
 
 FALLEN_STATUS = 500
 
@@ -21,6 +21,8 @@
     :param float cold_s: how long it stays cold after a start, in seconds.
     :param float load_lag_s: how far its load report lags, in seconds.
     :param float recover_s: how long it fails after it fell over, in seconds.
+    :param bool holds_streams: whether it goes on with streams whose connection
+        broke, and lets them be resumed at an offset or cancelled.
     :param int port: TCP port; 0 lets the system choose.
     """
 
@@ -33,6 +35,7 @@
         cold_s=1.0,
         load_lag_s=0.2,
         recover_s=1.0,
+        holds_streams=False,
         port=0,
     ):
         self.step_s = step_s
@@ -42,7 +45,9 @@
         self.cold_s = cold_s
         self.load_lag_s = load_lag_s
         self.recover_s = recover_s
+        self.holds_streams = holds_streams
         self.port = port
+        self.streams_ = _streams.HeldStreams()
         self.faults_ = _faults.Faults()
         self.executions_ = _executions.Executions()
         self.fell_over_ = 0
@@ -63,6 +68,7 @@
         router.add_get("/load", self._on_load)
         router.add_get("/stats", self._on_stats)
         router.add_post("/restart", self._on_restart)
+        self.streams_.add_routes(router)
         self.executions_.add_routes(router)
         self.faults_.add_routes(router)
 
@@ -92,11 +98,17 @@
 
     async def _on_stats(self, request):
         return web.json_response(
-            {"fell_over": self.fell_over_, "peak_in_flight": self.peak_in_flight_}
+            {
+                "fell_over": self.fell_over_,
+                "peak_in_flight": self.peak_in_flight_,
+                "in_flight": self.in_flight_,
+            }
         )
 
     async def _on_complete(self, request):
         await self.faults_.before_call()
+        if self.holds_streams and _streams.RESUME_HEADER in request.headers:
+            return await self._resume(request)
         body = await request.json()
         bears = self.cold_capacity if self._is_cold() else self.capacity
         if self.in_flight_ >= bears and time.monotonic() >= self._fallen_until:
@@ -117,7 +129,8 @@
         words = [f"token{i}" for i in range(count)]
         headers = {"X-Request-Id": self._echo(request)}
         if body.get("stream"):
-            return await self._stream(request, words, headers)
+            pad = "x" * int(body.get("pad", 0))
+            return await self._stream(request, [w + pad for w in words], headers)
         await asyncio.sleep(count * self.step_s)
         await self._misbehave()
         message = {"role": "assistant", "content": " ".join(words)}
@@ -125,17 +138,47 @@
         return web.json_response(document, headers=headers)
 
     async def _stream(self, request, words, headers):
+        async def produce(add):
+            self.in_flight_ += self.holds_streams
+            try:
+                await self._decode(words, add)
+            finally:
+                self.in_flight_ -= self.holds_streams
+
+        held = self.streams_.start(headers["X-Request-Id"], produce)
+        try:
+            return await self._send(request, held, headers, 0, len(words) // 2)
+        finally:
+            if not self.holds_streams:
+                held.task.cancel()
+
+    async def _resume(self, request):
+        request_id = request.headers["X-Request-Id"]
+        held = self.streams_.by_id.get(request_id)
+        if held is None:
+            return web.Response(status=404)
+        offset = int(request.headers[_streams.RESUME_HEADER])
+        headers = {"X-Request-Id": request_id}
+        return await self._send(request, held, headers, offset, None)
+
+    async def _decode(self, words, add):
+        for word in words:
+            await asyncio.sleep(self.step_s)
+            delta = {"choices": [{"delta": {"content": word + " "}}]}
+            await add(f"data: {json.dumps(delta)}\n\n".encode())
+        await add(b"data: [DONE]\n\n")
+
+    async def _send(self, request, held, headers, offset, middle):
+        """Send a held stream; ``middle`` is the event before which faults strike."""
         headers = headers | {"Content-Type": "text/event-stream"}
         response = web.StreamResponse(headers=headers)
         await response.prepare(request)
-        middle = len(words) // 2
-        for index, word in enumerate(words):
-            await asyncio.sleep(self.step_s)
-            if index == middle:
+        while data := await held.read_from(offset):
+            if middle is not None and held.data.count(b"data: ") > middle:
+                middle = None
                 await self._misbehave(request)
-            delta = {"choices": [{"delta": {"content": word + " "}}]}
-            await response.write(f"data: {json.dumps(delta)}\n\n".encode())
-        await response.write(b"data: [DONE]\n\n")
+            offset += len(data)
+            await response.write(data)
         await response.write_eof()
         return response
 
--- a/tests/entry/callers.py
+++ b/tests/entry/callers.py
@@ -20,14 +20,14 @@
 
     :param int status: HTTP status.
     :param str text: body, as far as it came.
-    :param dict headers: HTTP headers.
+    :param headers: HTTP headers; names match in any case.
     :param float seconds: how long it took.
     :param bool is_whole: whether the HTTP body ended cleanly.
     """
 
     status: int
     text: str
-    headers: dict
+    headers: object
     seconds: float
     is_whole: bool
 
@@ -71,7 +71,7 @@
         return Answer(
             response.status,
             text.decode(),
-            dict(response.headers),
+            response.headers,
             time.monotonic() - began,
             is_whole,
         )
