--- a/libs/standins/src/sequoiagap/standins/_fleet.py
+++ b/libs/standins/src/sequoiagap/standins/_fleet.py
@@ -30,6 +30,7 @@
     :param dict service: parameters of the service stand-ins.
     :param dict endpoint: settings of the endpoints, over the defaults.
     :param dict entry: settings of the entries, over the defaults.
+    :param dict agent: settings of the agents, over the defaults.
     :param dict config: merge patch over the default configuration.
     :param dict platform: parameters of the platform stand-in.
     :param tuple accounts: client accounts; the key is ``NAME-key``.
@@ -43,6 +44,7 @@
     service: dict = dataclasses.field(default_factory=dict)
     endpoint: dict = dataclasses.field(default_factory=dict)
     entry: dict = dataclasses.field(default_factory=dict)
+    agent: dict = dataclasses.field(default_factory=dict)
     config: dict = dataclasses.field(default_factory=dict)
     platform: dict = dataclasses.field(default_factory=dict)
     accounts: tuple = ("caller",)
@@ -249,7 +251,11 @@
             "warm_up_s": 1.0,
             **self.plan.endpoint,
         }
-        settings = self._node(name, domain) | {"role": "agent", "endpoint": endpoint}
+        settings = self._node(name, domain) | {
+            "role": "agent",
+            "endpoint": endpoint,
+            **self.plan.agent,
+        }
         await self._start_role("agent", name, settings)
         host = self._host(name, "agent", domain, serves)
         await self.call("platform", "PUT", f"/hosts/{name}", host)
