--- a/libs/agent/src/sequoiagap/agent/_runs.py
+++ b/libs/agent/src/sequoiagap/agent/_runs.py
@@ -286,7 +286,8 @@
 
         :rtype: list[Run]
         """
-        return [run for run in set(self.by_attempt_id.values()) if run.end_ is None]
+        runs = dict.fromkeys(self.by_attempt_id.values())
+        return [run for run in runs if run.end_ is None]
 
     def _is_to_drop(self, run, ended_before):
         return run.ended_at_ < ended_before or self.held_bytes_ > self.held_bytes
--- a/libs/entry/src/sequoiagap/entry/_attempt.py
+++ b/libs/entry/src/sequoiagap/entry/_attempt.py
@@ -6,6 +6,7 @@
 from sequoiagap.entry import _link
 
 CREDIT_EVERY_CHUNKS = 16
+MAX_REATTACHES = 20
 SERVER_ERROR_STATUS = 500
 MILLISECONDS = 1000
 CHECK_FIRST = "The request may have run; check before sending it again"
@@ -103,11 +104,11 @@
             case wire.Head():
                 return await self._take_head(event)
             case wire.Chunk():
-                await self._take_chunk(event)
+                return await self._take_chunk(event)
             case wire.Final():
-                if self._assembly.is_whole(event.chunks, event.size):
+                if self._has_head and self._assembly.is_whole(event.chunks, event.size):
                     return AttemptEnd()
-                return AttemptEnd(_lost("the answer is not whole"))
+                return await self._reattach()
             case wire.Refused():
                 return AttemptEnd(_from_agent(event), event.owner)
             case wire.Revoked():
@@ -126,14 +127,20 @@
         return None
 
     async def _take_chunk(self, chunk):
+        if not self._has_head or chunk.sequence > self._assembly.chunks_:
+            return await self._reattach()
         if not self._assembly.accept(chunk.sequence, chunk.data):
-            return
+            return None
         await self.sink.data(chunk.data)
         if self._assembly.chunks_ % CREDIT_EVERY_CHUNKS == 0:
             await self.link.send_credit(chunk.attempt_id, self._assembly.chunks_)
+        return None
 
     async def _reattach(self):
+        """Ask for what is lacking; return the end of the attempt if that fails."""
         self.reattached_ += 1
+        if self.reattached_ > MAX_REATTACHES:
+            return AttemptEnd(_lost("the answer came with too many gaps"))
         could_ask = await self.link.reattach(
             self.order, self._incarnation, self._assembly.chunks_
         )
