Authenticate processes by challenge and response, with optional TLS

Cause: Hello carried the deployment's secret in clear to whoever answered, and a stranger could announce a frame of 8 MB before any check.

Now each side sends a fresh nonce and an HMAC over its side and both hellos as sent; secret and TLS contexts are local fields that the codec never encodes. The whole handshake is bounded by 1.5 s and frames of 2 KB. Wire connections and the callers' HTTP take certificate, key and CA files. Keys files hold a list of digests for each name, and errors in them show no value. Idle and slow senders of headers are cut off after header_timeout_s.

--- a/libs/agent/src/sequoiagap/agent/_agent.py
+++ b/libs/agent/src/sequoiagap/agent/_agent.py
@@ -32,6 +32,7 @@
         self._tasks = base.TaskSet()
         self._server = None
         self._secret = ""
+        self.tls_ = None
         self._build()
 
     def _build(self):
@@ -61,9 +62,10 @@
     async def start(self):
         """Listen for entries and begin to probe the endpoint."""
         self._secret = settings.load_secret(self.settings.secret_file)
+        self.tls_ = settings.load_tls(self.settings.tls)
         await self.client_.open()
-        self._server = await asyncio.start_server(
-            self._serve, str(self.settings.address), self.settings.port
+        self._server = await wire.listen(
+            self._serve, str(self.settings.address), self.settings.port, self.tls_
         )
         self.port_ = self._server.sockets[0].getsockname()[1]
         self._tasks.start(self._probe_forever(), "probe")
@@ -141,6 +143,7 @@
             failure_domain=self.settings.failure_domain,
             config_version=self.holder_.current_.number,
             secret=self._secret,
+            tls=self.tls_,
         )
 
     async def _probe_forever(self):
--- a/libs/base/src/sequoiagap/base/__init__.py
+++ b/libs/base/src/sequoiagap/base/__init__.py
@@ -21,6 +21,7 @@
 from sequoiagap.base._metrics import Metrics
 from sequoiagap.base._registry import Registry
 from sequoiagap.base._tasks import TaskSet, cancel_and_wait
+from sequoiagap.base._tls import TlsContexts
 
 __all__ = [
     "CATALOGUE",
@@ -34,6 +35,7 @@
     "Registry",
     "SequoiagapError",
     "TaskSet",
+    "TlsContexts",
     "WireError",
     "cancel_and_wait",
     "check_choice",
--- a/libs/entry/src/sequoiagap/entry/_entry.py
+++ b/libs/entry/src/sequoiagap/entry/_entry.py
@@ -42,6 +42,8 @@
         self._tasks = base.TaskSet()
         self._runner = None
         self._secret = ""
+        self.tls_ = None
+        self.http_tls_ = None
         self.platform_ = platform.PlatformClient(
             settings.platform.url, settings.platform.timeout_s
         )
@@ -50,6 +52,8 @@
     async def start(self):
         """Learn the configuration and the members, and listen for callers."""
         self._secret = settings.load_secret(self.settings.secret_file)
+        self.tls_ = settings.load_tls(self.settings.tls)
+        self.http_tls_ = settings.load_tls(self.settings.http_tls)
         keys = _auth.KeyRing(*settings.load_keys(self.settings.keys_file))
         self.holder_.add_listener(self._on_adopted)
         self._tasks.start(_watch.ConfigWatch(self.platform_, self.holder_).run(), "w")
@@ -114,11 +118,18 @@
 
     async def _listen(self, app):
         self._runner = web.AppRunner(
-            app, access_log=None, handler_cancellation=True, shutdown_timeout=1.0
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=1.0,
+            keepalive_timeout=self.settings.header_timeout_s,
         )
         await self._runner.setup()
         site = web.TCPSite(
-            self._runner, str(self.settings.address), self.settings.http_port
+            self._runner,
+            str(self.settings.address),
+            self.settings.http_port,
+            ssl_context=self.http_tls_.server_ if self.http_tls_ else None,
         )
         await site.start()
         self.http_port_ = self._runner.addresses[0][1]
@@ -131,6 +142,7 @@
             failure_domain=self.settings.failure_domain,
             config_version=self.holder_.current_.number,
             secret=self._secret,
+            tls=self.tls_,
         )
 
     def _on_adopted(self, version):
--- a/libs/settings/src/sequoiagap/settings/_loader.py
+++ b/libs/settings/src/sequoiagap/settings/_loader.py
@@ -6,7 +6,9 @@
 import pydantic
 
 from sequoiagap import base
-from sequoiagap.settings import _models
+from sequoiagap.settings import _models, _problems
+
+MIN_SECRET_CHARACTERS = 16
 
 _MODELS_BY_ROLE = {
     "agent": _models.AgentSettings,
@@ -21,35 +23,45 @@
     :rtype: EntrySettings | AgentSettings
     :raises sequoiagap.base.ConfigError: naming file, key, value and remedy.
     """
-    document = _read(path)
+    document = read_document(path)
     role = document.get("role")
     if role not in _MODELS_BY_ROLE:
         listed = ", ".join(sorted(_MODELS_BY_ROLE))
         raise base.ConfigError(
             f"{path}: role: {role!r} is no role", f"Set role to one of: {listed}"
         )
+    model = _MODELS_BY_ROLE[role]
     try:
-        return _MODELS_BY_ROLE[role].model_validate(document)
+        return model.model_validate(document)
     except pydantic.ValidationError as error:
-        raise _explain(path, error) from error
+        raise _problems.explain(path, model, error) from error
 
 
 def load_keys(path):
     """Load the file of keys.
 
     :param str path: file with ``accounts`` and ``operators``, each a map from
-        name to the SHA-256 of its key in hexadecimal.
+        name to the list of the SHA-256 digests of its keys in hexadecimal.
     :returns: the two maps from digest to name.
     :rtype: tuple[dict[str, str], dict[str, str]]
     :raises sequoiagap.base.ConfigError: if the file can't be used.
     """
-    document = _read(path)
+    document = read_document(path)
     try:
-        keys = KeysFile.model_validate(document)
+        keys = _models.KeysFile.model_validate(document)
     except pydantic.ValidationError as error:
-        raise _explain(path, error) from error
-    accounts = {digest: name for name, digest in keys.accounts.items()}
-    operators = {digest: name for name, digest in keys.operators.items()}
+        raise _problems.explain(
+            path, _models.KeysFile, error, show_values=False
+        ) from error
+    accounts = _name_by_digest(path, "accounts", keys.accounts)
+    operators = _name_by_digest(path, "operators", keys.operators)
+    shared = sorted(accounts.keys() & operators.keys())
+    if shared:
+        raise base.ConfigError(
+            f"{path}: accounts.{accounts[shared[0]]} and "
+            f"operators.{operators[shared[0]]} have the same key",
+            "Make another key with 'sequoiagap key'",
+        )
     return accounts, operators
 
 
@@ -58,50 +70,92 @@
 
     :param str path: file whose first line is the secret.
     :rtype: str
-    :raises sequoiagap.base.ConfigError: if the file is missing or empty.
+    :raises sequoiagap.base.ConfigError: if the file is missing or too short.
     """
-    text = _read_text(path).strip()
-    if not text:
-        raise base.ConfigError(f"{path}: is empty", "Write the secret into it")
-    return text.splitlines()[0]
+    lines = _read_text(path).strip().splitlines()
+    secret = lines[0].strip() if lines else ""
+    if len(secret) < MIN_SECRET_CHARACTERS:
+        raise base.ConfigError(
+            f"{path}: the secret has {len(secret)} characters",
+            f"Write at least {MIN_SECRET_CHARACTERS} random ones into it; "
+            "'sequoiagap key' makes them",
+        )
+    return secret
 
 
-class KeysFile(_models.SettingsModel):
-    """Digests of the keys of client accounts and operators."""
+def load_tls(tls):
+    """Return the contexts of a process's certificate.
 
-    accounts: dict[_models.Name, str]
-    operators: dict[_models.Name, str]
+    :param TlsSettings tls: which files, or ``None``.
+    :rtype: sequoiagap.base.TlsContexts | None
+    :raises sequoiagap.base.ConfigError: if a file can't be used.
+    """
+    if tls is None:
+        return None
+    return base.TlsContexts(tls.certificate_file, tls.key_file, tls.ca_file)
 
 
-def _read_text(path):
-    try:
-        return pathlib.Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise base.ConfigError(
-            f"{path}: can't be read ({error})", "Check the path and its permissions"
-        ) from error
+def schema(role):
+    """Return the JSON schema of a role's settings.
+
+    :param str role: ``agent``, ``entry`` or ``keys``.
+    :rtype: dict
+    :raises ValueError: if there is no such role.
+
+    >>> schema("entry")["properties"]["role"]["const"]
+    'entry'
+    """
+    models = _MODELS_BY_ROLE | {"keys": _models.KeysFile}
+    base.check_choice("role", role, models)
+    return models[role].model_json_schema()
+
+
+def read_document(path):
+    """Read a file in JSON with comments that holds one object.
+
+    :param str path: the file.
+    :rtype: dict
+    :raises sequoiagap.base.ConfigError: if it can't be read or is no object.
+    """
+    return parse_document(path, _read_text(path))
+
 
+def parse_document(name, text):
+    """Return the object of a text in JSON with comments.
 
-def _read(path):
+    :param str name: where the text came from, for messages.
+    :param str text: the text.
+    :rtype: dict
+    :raises sequoiagap.base.ConfigError: if it is no object.
+    """
     try:
-        document = json5.loads(_read_text(path), allow_duplicate_keys=False)
+        document = json5.loads(text, allow_duplicate_keys=False)
     except ValueError as error:
         raise base.ConfigError(
-            f"{path}: is not JSON with comments ({error})", "Mend the named line"
+            f"{name}: is not JSON with comments ({error})", "Mend the named line"
         ) from error
     if not isinstance(document, dict):
-        raise base.ConfigError(f"{path}: is no object", "Put the settings in braces")
+        raise base.ConfigError(f"{name}: is no object", "Put the settings in braces")
     return document
 
 
-def _explain(path, error):
-    lines = []
-    for problem in error.errors():
-        key = ".".join(str(part) for part in problem["loc"])
-        if problem["type"] == "extra_forbidden":
-            lines.append(f"{path}: {key}: unknown key; remove it or mend its name")
-            continue
-        value = problem.get("input")
-        shown = "missing" if problem["type"] == "missing" else repr(value)[:80]
-        lines.append(f"{path}: {key}: {shown}: {problem['msg']}")
-    return base.ConfigError("\n".join(lines), "Mend the named keys")
+def _name_by_digest(path, section, digests_by_name):
+    found = {}
+    for name, digests in digests_by_name.items():
+        for digest in digests:
+            if found.setdefault(digest, name) != name:
+                raise base.ConfigError(
+                    f"{path}: {section}.{name} and {section}.{found[digest]} have "
+                    "the same key",
+                    "Make another key with 'sequoiagap key'",
+                )
+    return found
+
+
+def _read_text(path):
+    try:
+        return pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise base.ConfigError(
+            f"{path}: can't be read ({error})", "Check the path and its permissions"
+        ) from error
--- a/libs/settings/src/sequoiagap/settings/_models.py
+++ b/libs/settings/src/sequoiagap/settings/_models.py
@@ -1,13 +1,27 @@
-"""Models of the settings of each role."""
+"""Models of the settings of each role.
+
+Each field's description and example stand in the schema and in the errors.
+"""
 
 from typing import Annotated, Literal
 
 import pydantic
 
-Name = Annotated[str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$")]
-Port = Annotated[int, pydantic.Field(ge=0, le=65535)]
-Seconds = Annotated[float, pydantic.Field(gt=0, le=86400)]
-IpAddress = pydantic.IPvAnyAddress
+NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$"
+DIGEST_PATTERN = r"^[0-9a-f]{64}$"
+MAX_BODY_BYTES = 4 * 1024 * 1024
+
+Name = Annotated[str, pydantic.Field(pattern=NAME_PATTERN, examples=["north-1"])]
+Port = Annotated[int, pydantic.Field(ge=0, le=65535, examples=[7100])]
+Seconds = Annotated[float, pydantic.Field(gt=0, le=86400, examples=[1.5])]
+Url = Annotated[
+    str, pydantic.Field(pattern=r"^https?://", examples=["http://10.0.1.5:8000"])
+]
+Path = Annotated[str, pydantic.Field(min_length=1, examples=["/etc/sequoiagap/file"])]
+Slots = Annotated[int, pydantic.Field(gt=0, le=4096, examples=[16])]
+IpAddress = Annotated[pydantic.IPvAnyAddress, pydantic.Field(examples=["10.0.1.5"])]
+Digest = Annotated[str, pydantic.Field(pattern=DIGEST_PATTERN)]
+Digests = Annotated[list[Digest], pydantic.Field(min_length=1)]
 
 
 class SettingsModel(pydantic.BaseModel):
@@ -19,10 +33,28 @@
 class PlatformSettings(SettingsModel):
     """Where the platform's object API is."""
 
-    url: Annotated[str, pydantic.Field(pattern=r"^https?://")]
+    url: Url
     timeout_s: Seconds = 1.0
 
 
+class TlsSettings(SettingsModel):
+    """Certificate of a process, in PEM files that it reads again on SIGHUP.
+
+    ``ca_file`` holds the CA whose certificates peers must show; without it peers
+    need none.
+    """
+
+    certificate_file: Path
+    key_file: Path
+    ca_file: str = ""
+
+
+class WireTlsSettings(TlsSettings):
+    """Certificate towards the system's own processes, which must show theirs."""
+
+    ca_file: Path
+
+
 class NodeSettings(SettingsModel):
     """Settings that every role has."""
 
@@ -33,8 +65,11 @@
     address: IpAddress
     port: Port
     platform: PlatformSettings
-    secret_file: str
-    log_level: Literal["debug", "info", "warning"] = "info"
+    secret_file: Path
+    tls: WireTlsSettings | None = None
+    log_level: Annotated[
+        Literal["debug", "info", "warning"], pydantic.Field(examples=["info"])
+    ] = "info"
 
 
 class EntrySettings(NodeSettings):
@@ -42,21 +77,27 @@
 
     role: Literal["entry"]
     http_port: Port
-    keys_file: str
+    http_tls: TlsSettings | None = None
+    keys_file: Path
     drain_lag_s: Seconds = 2.0
     drain_bound_s: Seconds = 60.0
     request_timeout_s: Seconds = 120.0
-    max_body_bytes: Annotated[int, pydantic.Field(gt=0, le=4 * 1024 * 1024)] = 1048576
+    header_timeout_s: Seconds = 15.0
+    max_body_bytes: Annotated[
+        int, pydantic.Field(gt=0, le=MAX_BODY_BYTES, examples=[1048576])
+    ] = 1048576
 
 
 class EndpointSettings(SettingsModel):
     """The endpoint beside an agent."""
 
-    kind: Literal["model", "service"]
-    url: Annotated[str, pydantic.Field(pattern=r"^https?://")]
-    serves: Annotated[list[Name], pydantic.Field(min_length=1)]
-    warm_limit: Annotated[int, pydantic.Field(gt=0, le=4096)] = 16
-    cold_limit: Annotated[int, pydantic.Field(gt=0, le=4096)] = 2
+    kind: Annotated[Literal["model", "service"], pydantic.Field(examples=["model"])]
+    url: Url
+    serves: Annotated[
+        list[Name], pydantic.Field(min_length=1, examples=[["desk-model"]])
+    ]
+    warm_limit: Slots = 16
+    cold_limit: Slots = 2
     warm_up_s: Seconds = 10.0
     first_byte_timeout_s: Seconds = 20.0
     between_bytes_timeout_s: Seconds = 2.0
@@ -70,3 +111,14 @@
     role: Literal["agent"]
     endpoint: EndpointSettings
     drain_bound_s: Seconds = 60.0
+
+
+class KeysFile(SettingsModel):
+    """Digests of the keys of client accounts and operators.
+
+    Each name has a list of the SHA-256 digests, in hexadecimal, of the keys that
+    it may show, so that a key can be replaced without an interruption.
+    """
+
+    accounts: dict[Name, Digests]
+    operators: dict[Name, Digests]
--- a/libs/standins/src/sequoiagap/standins/_fleet.py
+++ b/libs/standins/src/sequoiagap/standins/_fleet.py
@@ -30,6 +30,7 @@
     :param dict service: parameters of the service stand-ins.
     :param dict endpoint: settings of the endpoints, over the defaults.
     :param dict entry: settings of the entries, over the defaults.
+    :param dict node: settings of entries and agents, over the defaults.
     :param dict config: merge patch over the default configuration.
     :param dict platform: parameters of the platform stand-in.
     :param tuple accounts: client accounts; the key is ``NAME-key``.
@@ -43,6 +44,7 @@
     service: dict = dataclasses.field(default_factory=dict)
     endpoint: dict = dataclasses.field(default_factory=dict)
     entry: dict = dataclasses.field(default_factory=dict)
+    node: dict = dataclasses.field(default_factory=dict)
     config: dict = dataclasses.field(default_factory=dict)
     platform: dict = dataclasses.field(default_factory=dict)
     accounts: tuple = ("caller",)
@@ -308,6 +310,7 @@
             "port": 0,
             "platform": {"url": self.url("platform"), "timeout_s": 0.5},
             "secret_file": str(self.folder / "secret"),
+            **self.plan.node,
         }
 
     def _host(self, name, role, domain, serves):
@@ -348,8 +351,8 @@
 
     def _write_shared_files(self):
         keys = {
-            "accounts": {name: _digest(f"{name}-key") for name in self.plan.accounts},
-            "operators": {"operator": _digest(OPERATOR_KEY)},
+            "accounts": {name: [_digest(f"{name}-key")] for name in self.plan.accounts},
+            "operators": {"operator": [_digest(OPERATOR_KEY)]},
         }
         (self.folder / "keys.json").write_text(json.dumps(keys))
         secret = self.folder / "secret"
--- a/libs/wire/src/sequoiagap/wire/__init__.py
+++ b/libs/wire/src/sequoiagap/wire/__init__.py
@@ -1,7 +1,7 @@
 """Typed messages and connections between the processes of the system."""
 
 from sequoiagap.wire._codec import MESSAGE_TYPES_BY_NUMBER, decode, encode, message
-from sequoiagap.wire._connection import Connection, accept, connect
+from sequoiagap.wire._connection import Connection, accept, connect, listen
 from sequoiagap.wire._framing import MAX_FRAME_BYTES, read_frame, write_frame
 from sequoiagap.wire._handlers import HandlerTable
 from sequoiagap.wire._messages import (
@@ -16,6 +16,7 @@
     Load,
     Ping,
     Pong,
+    Proof,
     Refused,
     Revoke,
     Revoked,
@@ -39,6 +40,7 @@
     "Load",
     "Ping",
     "Pong",
+    "Proof",
     "Refused",
     "Revoke",
     "Revoked",
@@ -48,6 +50,7 @@
     "connect",
     "decode",
     "encode",
+    "listen",
     "message",
     "read_frame",
     "write_frame",
--- a/libs/wire/src/sequoiagap/wire/_codec.py
+++ b/libs/wire/src/sequoiagap/wire/_codec.py
@@ -13,6 +13,23 @@
 
 MESSAGE_TYPES_BY_NUMBER = {}
 _FIELD_TYPES_BY_CLASS = {}
+_LOCAL = "local"
+
+
+def local(default):
+    """Return a field of a message that stays in the process, unsent and unshown.
+
+    :param default: value where none is given.
+    :rtype: dataclasses.Field
+
+    >>> @message(65002)
+    ... class Probe:
+    ...     name: str = ""
+    ...     secret: str = local("")
+    >>> decode(encode(Probe("a", secret="hidden")))
+    Probe(name='a')
+    """
+    return dataclasses.field(default=default, repr=False, metadata={_LOCAL: True})
 
 
 def message(number):
@@ -95,7 +112,8 @@
 
 def _field_types(cls):
     hints = typing.get_type_hints(cls)
-    names = [field.name for field in dataclasses.fields(cls)]
+    fields = dataclasses.fields(cls)
+    names = [field.name for field in fields if not field.metadata.get(_LOCAL)]
     return {name: typing.get_origin(hints[name]) or hints[name] for name in names}
 
 
--- a/libs/wire/src/sequoiagap/wire/_connection.py
+++ b/libs/wire/src/sequoiagap/wire/_connection.py
@@ -5,16 +5,14 @@
 """
 
 import asyncio
-import hmac
 import time
 
 from sequoiagap import base
-from sequoiagap.wire import _codec, _framing, _messages
+from sequoiagap.wire import _codec, _framing, _handshake, _messages
 
 BUSY_PING_INTERVAL_S = 0.3
 IDLE_PING_INTERVAL_S = 5.0
 SILENCE_TIMEOUT_S = 1.5
-HANDSHAKE_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 1.0
 
 _log = base.get_logger("wire")
@@ -183,19 +181,22 @@
 
     :param str address: IP address.
     :param int port: TCP port.
-    :param Hello own: what this side says of itself.
+    :param Hello own: what this side says of itself, with secret and contexts.
     :rtype: Connection
-    :raises sequoiagap.base.WireError: if the peer can't be reached in time.
+    :raises sequoiagap.base.WireError: if the peer can't be reached in time or
+        does not prove that it belongs to the deployment.
     """
+    context = own.tls.client_ if own.tls else None
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            reader, writer = await asyncio.open_connection(address, port)
+            reader, writer = await asyncio.open_connection(address, port, ssl=context)
     except (OSError, TimeoutError) as error:
         raise base.WireError(
             f"{address}:{port} can't be reached ({error!r})",
-            "Check that the process runs and that the address is right",
+            "Check that the process runs, its address and its certificate",
         ) from error
-    return await _shake_hands(reader, writer, own)
+    peer = await _handshake.authenticate(reader, writer, own, opened_here=True)
+    return Connection(reader, writer, own, peer)
 
 
 async def accept(reader, writer, own):
@@ -203,47 +204,33 @@
 
     :param asyncio.StreamReader reader: incoming stream.
     :param asyncio.StreamWriter writer: outgoing stream.
-    :param Hello own: what this side says of itself.
+    :param Hello own: what this side says of itself, with the secret.
     :rtype: Connection
-    :raises sequoiagap.base.WireError: if the peer says no proper hello in time.
+    :raises sequoiagap.base.WireError: if the peer does not prove in time that
+        it belongs to the deployment.
     """
-    return await _shake_hands(reader, writer, own)
-
-
-async def _shake_hands(reader, writer, own):
-    try:
-        _framing.write_frame(writer, _codec.encode(own))
-        async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
-            payload = await _framing.read_frame(reader)
-        if payload is None:
-            raise base.WireError("peer closed during the handshake", "Reconnect")
-        peer = _codec.decode(payload)
-        _check_hello(own, peer)
-    except (OSError, TimeoutError) as error:
-        writer.transport.abort()
-        raise base.WireError("peer said no hello in time", "Reconnect") from error
-    except base.WireError:
-        writer.transport.abort()
-        raise
+    peer = await _handshake.authenticate(reader, writer, own, opened_here=False)
     return Connection(reader, writer, own, peer)
 
 
-def _check_hello(own, peer):
-    if not isinstance(peer, _messages.Hello):
-        raise base.WireError(
-            f"first message is {type(peer).__name__}, not Hello",
-            "Check that the peer speaks this protocol",
-        )
-    if peer.protocol != own.protocol:
-        raise base.WireError(
-            f"peer speaks protocol {peer.protocol}, not {own.protocol}",
-            "Upgrade the older process",
-        )
-    if not hmac.compare_digest(peer.secret.encode(), own.secret.encode()):
-        raise base.WireError(
-            f"{peer.node_id} gave a wrong deployment secret",
-            "Give both processes the same secret file",
-        )
+async def listen(serve, address, port, tls=None):
+    """Listen for other processes.
+
+    :param serve: coroutine function of reader and writer of each connection.
+    :param str address: IP address.
+    :param int port: TCP port; 0 lets the system choose.
+    :param TlsContexts tls: contexts of the connections, or ``None``.
+    :rtype: asyncio.Server
+    """
+    if tls is None:
+        return await asyncio.start_server(serve, address, port)
+    return await asyncio.start_server(
+        serve,
+        address,
+        port,
+        ssl=tls.server_,
+        ssl_handshake_timeout=_handshake.HANDSHAKE_TIMEOUT_S,
+    )
 
 
 def _lost(peer):
--- a/libs/wire/src/sequoiagap/wire/_messages.py
+++ b/libs/wire/src/sequoiagap/wire/_messages.py
@@ -7,7 +7,7 @@
 
 from sequoiagap.wire import _codec
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 
 
 @_codec.message(1)
@@ -20,7 +20,9 @@
     :param int protocol: protocol version of the sender.
     :param str failure_domain: failure domain of the sender.
     :param int config_version: highest configuration version it has adopted.
-    :param str secret: the deployment's shared secret for its own processes.
+    :param bytes nonce: fresh random bytes; the handshake fills them in.
+    :param str secret: the deployment's shared secret; never sent.
+    :param TlsContexts tls: contexts of the connection, or ``None``; never sent.
     """
 
     node_id: str
@@ -29,7 +31,9 @@
     protocol: int = PROTOCOL_VERSION
     failure_domain: str = ""
     config_version: int = 0
-    secret: str = ""
+    nonce: bytes = b""
+    secret: str = _codec.local("")
+    tls: object = _codec.local(None)
 
 
 @_codec.message(2)
@@ -55,6 +59,16 @@
     reason: str = ""
 
 
+@_codec.message(5)
+class Proof:
+    """Proof that the sender holds the deployment's secret.
+
+    :param bytes digest: HMAC over the handshake.
+    """
+
+    digest: bytes
+
+
 @_codec.message(10)
 class Execute:
     """Order to run one attempt of a request.
--- /dev/null
+++ b/tests/entry/test_listener.py
@@ -0,0 +1,86 @@
+"""The entry's HTTP listener: TLS and slow senders."""
+
+import asyncio
+import hashlib
+import json
+import pathlib
+import ssl
+import tempfile
+import time
+import unittest
+
+import aiohttp
+
+from sequoiagap import entry, settings
+from tests import support, support_tls
+
+HEADER_TIMEOUT_S = 0.5
+DIGEST = hashlib.sha256(b"operator-key").hexdigest()
+
+
+class ListenerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        support.silence_logs()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        (self.folder / "secret").write_text("the-deployment-secret")
+        keys = {"accounts": {}, "operators": {"ann": [DIGEST]}}
+        (self.folder / "keys.json").write_text(json.dumps(keys))
+
+    async def start(self, **changes):
+        """Start an entry whose platform is down."""
+        document = {
+            "role": "entry",
+            "node_id": "e1",
+            "deployment": "d",
+            "region": "r",
+            "failure_domain": "f",
+            "address": "127.0.0.1",
+            "port": 0,
+            "http_port": 0,
+            "platform": {"url": "http://127.0.0.1:1"},
+            "secret_file": str(self.folder / "secret"),
+            "keys_file": str(self.folder / "keys.json"),
+            "header_timeout_s": HEADER_TIMEOUT_S,
+            "drain_lag_s": 0.01,
+            "drain_bound_s": 0.1,
+        }
+        path = self.folder / "entry.json"
+        path.write_text(json.dumps(document | changes))
+        process = entry.Entry(settings.load(str(path)))
+        await process.start()
+        self.addAsyncCleanup(process.stop)
+        return process.http_port_
+
+    async def test_https(self):
+        authority = support_tls.Authority(self.folder)
+        files = authority.issue("entry")
+        ca_file = files.pop("ca_file")
+        port = await self.start(http_tls=files)
+        context = ssl.create_default_context(cafile=ca_file)
+        context.check_hostname = False
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(f"https://127.0.0.1:{port}/healthz", ssl=context) as answer,
+        ):
+            self.assertEqual(answer.status, 200)
+        with self.assertRaises((aiohttp.ClientError, OSError)):
+            async with (
+                aiohttp.ClientSession() as session,
+                session.get(f"http://127.0.0.1:{port}/healthz"),
+            ):
+                pass
+
+    async def test_slow_senders_are_cut_off(self):
+        port = await self.start()
+        cases = {"nothing": b"", "half a header": b"GET /healthz HTTP/1.1\r\nHost: "}
+        for name, data in cases.items():
+            with self.subTest(name):
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                writer.write(data)
+                began = time.monotonic()
+                async with asyncio.timeout(support.FEW_SECONDS_S):
+                    await reader.read()
+                self.assertLess(time.monotonic() - began, support.FEW_SECONDS_S)
+                writer.close()
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -21,6 +21,9 @@
 }
 
 
+A, B, C = ("a" * 64, "b" * 64, "c" * 64)
+
+
 class LoaderTest(unittest.TestCase):
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
@@ -37,8 +40,20 @@
 
     def test_errors_name_file_key_and_value(self):
         cases = {
-            "unknown key": ({"colour": 1}, "colour: unknown key"),
-            "bad port": ({"port": 70000}, "port: 70000"),
+            "unknown key": ({"colour": 1}, "colour: unknown key; remove it"),
+            "near key": ({"portt": 1}, "portt: unknown key; did you mean 'port'?"),
+            "near key within": (
+                {"platform": {"url": "http://a", "timeout": 1}},
+                "platform.timeout: unknown key; did you mean 'timeout_s'?",
+            ),
+            "missing key": ({"endpoint": {}}, "endpoint.url: missing; add it; write"),
+            "bad port": ({"port": 70000}, "port: 70000: Input should be less than"),
+            "bad choice": ({"log_level": "loud"}, "log_level: 'loud': Input should"),
+            "bad url": ({"platform": {"url": "a:1"}}, "for example, 'http://10."),
+            "item of a list": (
+                {"endpoint": GOOD["endpoint"] | {"serves": ["a b"]}},
+                "endpoint.serves.0: 'a b'",
+            ),
             "bad role": ({"role": "clerk"}, "role: 'clerk'"),
             "bad address": ({"address": "host"}, "address: 'host'"),
         }
@@ -54,3 +69,39 @@
             self.load("{ not json")
         with self.assertRaises(base.ConfigError):
             settings.load(str(self.path.with_name("missing.json")))
+
+
+class KeysTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name) / "keys.json"
+
+    def load(self, accounts, operators=None):
+        document = {"accounts": accounts, "operators": operators or {}}
+        self.path.write_text(json.dumps(document))
+        return settings.load_keys(str(self.path))
+
+    def test_account_has_several_keys(self):
+        accounts, operators = self.load({"guild": [A, B]}, {"ann": [C]})
+        self.assertEqual(accounts, {A: "guild", B: "guild"})
+        self.assertEqual(operators, {C: "ann"})
+
+    def test_bad_files_are_refused_and_show_no_value(self):
+        cases = {
+            "key in place of digest": ({"guild": ["my-plain-key"]}, {}, "pattern"),
+            "no key": ({"guild": []}, {}, "at least 1"),
+            "two accounts, one key": ({"guild": [A], "desk": [A]}, {}, "same key"),
+            "account and operator": ({"guild": [A]}, {"ann": [A]}, "same key"),
+        }
+        for name, (accounts, operators, expected) in cases.items():
+            with self.subTest(name):
+                with self.assertRaises(base.ConfigError) as caught:
+                    self.load(accounts, operators)
+                self.assertIn(expected, str(caught.exception))
+                self.assertNotIn("my-plain-key", str(caught.exception))
+
+    def test_short_secret_is_refused(self):
+        self.path.write_text("short\n")
+        with self.assertRaisesRegex(base.ConfigError, "sequoiagap key"):
+            settings.load_secret(str(self.path))
--- a/tests/wire/test_connection.py
+++ b/tests/wire/test_connection.py
@@ -1,4 +1,4 @@
-"""Connections: handshake, heartbeats and rejected frames."""
+"""Connections: heartbeats and rejected frames."""
 
 import asyncio
 import time
@@ -10,9 +10,9 @@
 FOUND_WITHIN_S = 2.0
 
 
-def hello(node_id, secret="s", protocol=wire.PROTOCOL_VERSION):
+def hello(node_id):
     """Return a hello of a node."""
-    return wire.Hello(node_id, "agent", "inc", protocol, secret=secret)
+    return wire.Hello(node_id, "agent", "inc", secret="the-deployment-secret")
 
 
 class ConnectionTest(unittest.IsolatedAsyncioTestCase):
@@ -53,19 +53,6 @@
         self.assertIn("heartbeat", reason)
         self.assertLess(time.monotonic() - began, FOUND_WITHIN_S + 0.3)
 
-    async def test_handshake_refuses(self):
-        cases = {
-            "wrong secret": hello("client", secret="other"),
-            "other protocol": hello("client", protocol=99),
-            "no hello": wire.Ping(1),
-        }
-        for name, first in cases.items():
-            with self.subTest(name):
-                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-                wire.write_frame(writer, wire.encode(first))
-                self.assertIsInstance(await self.accepted.get(), base.WireError)
-                writer.close()
-
     async def test_long_frame_ends_the_connection(self):
         client = await wire.connect("127.0.0.1", self.port, hello("client"))
         server = await self.accepted.get()
