Bound log lines and metric series, reload keys, dump state on a signal

Cause: a flood of one event wrote a line each; a metric had no labels; keys and certificates needed a restart; an agent that no entry reaches showed no state.

A token bucket for each event number bounds lines and the next line names how many were left out. Metrics take labels, at most 64 series for each metric, the rest adds to "other". Both roles run under one base.run_program: SIGHUP reads keys and certificates again and keeps the old ones where the new are bad, SIGUSR1 writes the state dump as event 1008. Agents' metrics come through an entry. docs/METRICS.md is written from the catalogue.

Ruled out: one bucket for the whole process, in which a flood of one event would hide all others.

--- a/libs/agent/src/sequoiagap/agent/_agent.py
+++ b/libs/agent/src/sequoiagap/agent/_agent.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import signal
 import time
 
 from sequoiagap import admission, base, config, outcome, platform, settings, wire
@@ -88,6 +87,14 @@
         await self.platform_.close()
         _log.emit(base.Event.PROCESS_STOPPED, role="agent")
 
+    def reload(self):
+        """Read the certificate files again.
+
+        :raises sequoiagap.base.ConfigError: if a file can't be used.
+        """
+        if self.tls_ is not None:
+            self.tls_.load()
+
     def dump_state(self):
         """Return the state of the process as plain data.
 
@@ -108,9 +115,17 @@
             },
             "connections": sorted(c.peer.node_id for c in self.connections_),
             "platform_calls": self.platform_.calls_,
-            "metrics": self.metrics_.to_document(),
+            "metrics": self._collect_metrics(load),
         }
 
+    def _collect_metrics(self, load):
+        self.metrics_.set_gauge("endpoint_in_flight", load.in_flight)
+        self.metrics_.set_gauge("endpoint_limit", load.limit)
+        self.metrics_.set_gauge("connections", len(self.connections_))
+        return base.collect_process_metrics(
+            self.metrics_, self.holder_.current_.number, self.platform_.calls_
+        )
+
     async def _serve(self, reader, writer):
         """Serve one connection until it ends."""
         try:
@@ -177,13 +192,5 @@
     :param sequoiagap.settings.AgentSettings agent_settings: checked settings.
     """
     agent = Agent(agent_settings)
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
-    await agent.start()
-    print(
-        json.dumps({"ready": agent_settings.node_id, "port": agent.port_}), flush=True
-    )
-    await stopped.wait()
-    await agent.stop()
+    node_id = agent_settings.node_id
+    await base.run_program(agent, lambda: {"ready": node_id, "port": agent.port_})
--- a/libs/base/src/sequoiagap/base/__init__.py
+++ b/libs/base/src/sequoiagap/base/__init__.py
@@ -16,19 +16,32 @@
     SequoiagapError,
     WireError,
 )
-from sequoiagap.base._events import CATALOGUE, Event, configure_logs, get_logger
+from sequoiagap.base._events import (
+    CATALOGUE,
+    Event,
+    configure_logs,
+    get_logger,
+    suppressed_lines,
+)
 from sequoiagap.base._ids import new_id
-from sequoiagap.base._metrics import Metrics
+from sequoiagap.base._metric_catalogue import METRIC_CATALOGUE
+from sequoiagap.base._metrics import QUANTILES, Metrics
+from sequoiagap.base._program import run_program
+from sequoiagap.base._rates import LineLimiter
 from sequoiagap.base._registry import Registry
 from sequoiagap.base._tasks import TaskSet, cancel_and_wait
 from sequoiagap.base._tls import TlsContexts
+from sequoiagap.base._usage import Usage, collect_process_metrics, read_usage
 
 __all__ = [
     "CATALOGUE",
+    "METRIC_CATALOGUE",
     "ConfigError",
     "Event",
+    "LineLimiter",
     "Metrics",
     "Outcome",
+    "QUANTILES",
     "PlatformError",
     "Refusal",
     "RefusalKind",
@@ -36,6 +49,7 @@
     "SequoiagapError",
     "TaskSet",
     "TlsContexts",
+    "Usage",
     "WireError",
     "cancel_and_wait",
     "check_choice",
@@ -43,7 +57,11 @@
     "check_name",
     "check_non_negative",
     "check_positive",
+    "collect_process_metrics",
     "configure_logs",
     "get_logger",
     "new_id",
+    "read_usage",
+    "run_program",
+    "suppressed_lines",
 ]
--- a/libs/base/src/sequoiagap/base/_events.py
+++ b/libs/base/src/sequoiagap/base/_events.py
@@ -7,9 +7,12 @@
 import enum
 import logging
 import sys
+import time
 
 import structlog
 
+from sequoiagap.base import _rates
+
 
 class Event(enum.IntEnum):
     """Numbers of the log events."""
@@ -19,6 +22,9 @@
     PROCESS_STOPPING = 1003
     PROCESS_STOPPED = 1004
     TASK_FAILED = 1005
+    PROCESS_RELOADED = 1006
+    RELOAD_FAILED = 1007
+    STATE_DUMPED = 1008
     LINK_OPENED = 1101
     LINK_CLOSED = 1102
     LINK_SILENT = 1103
@@ -46,6 +52,9 @@
     Event.PROCESS_STOPPING: "A process was told to stop and refuses new work.",
     Event.PROCESS_STOPPED: "A process has stopped.",
     Event.TASK_FAILED: "A background task ended with an error.",
+    Event.PROCESS_RELOADED: "Keys and certificates were read again.",
+    Event.RELOAD_FAILED: "Bad keys or certificates; the old ones stay in use.",
+    Event.STATE_DUMPED: "The state dump that SIGUSR1 asked for.",
     Event.LINK_OPENED: "A connection to another process is open.",
     Event.LINK_CLOSED: "A connection to another process has closed.",
     Event.LINK_SILENT: "A connection gave no sign of life and was abandoned.",
@@ -70,6 +79,7 @@
 _WARNINGS = frozenset(
     {
         Event.TASK_FAILED,
+        Event.RELOAD_FAILED,
         Event.LINK_SILENT,
         Event.FRAME_REJECTED,
         Event.REQUEST_CUT,
@@ -78,9 +88,15 @@
 )
 
 
+_limiter = _rates.LineLimiter()
+
+
 class Logger:
     """Emits numbered events of one component.
 
+    Lines of one event are bounded in their rate over the whole process; a line
+    that follows others that were left out names their count as ``suppressed``.
+
     :param str component: name of the component.
     """
 
@@ -94,6 +110,11 @@
         :param Event event: which event.
         :param fields: values of the event; never prompts, answers or keys.
         """
+        suppressed = _limiter.take(int(event), time.monotonic())
+        if suppressed is None:
+            return
+        if suppressed:
+            fields["suppressed"] = suppressed
         write = self._log.warning if event in _WARNINGS else self._log.info
         write(event.name.lower(), number=int(event), **fields)
 
@@ -107,13 +128,24 @@
     return Logger(component)
 
 
+def suppressed_lines():
+    """Return how many log lines were left out so far, by name of the event.
+
+    :rtype: dict[str, int]
+    """
+    counts = _limiter.suppressed_by_number
+    return {Event(number).name.lower(): count for number, count in counts.items()}
+
+
 def configure_logs(level="info", stream=None, **fields):
-    """Set up logs as JSON lines.
+    """Set up logs as JSON lines, with fresh bounds on their rate.
 
     :param str level: lowest level to write: ``debug``, ``info`` or ``warning``.
     :param stream: text stream to write to; standard error by default.
     :param fields: values that stand on each line, such as the node id.
     """
+    global _limiter
+    _limiter = _rates.LineLimiter()
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
--- a/libs/entry/src/sequoiagap/entry/_auth.py
+++ b/libs/entry/src/sequoiagap/entry/_auth.py
@@ -10,11 +10,20 @@
 class KeyRing:
     """Client accounts and operators by the digest of their key.
 
-    :param dict account_by_digest: name of the client account by SHA-256.
-    :param dict operator_by_digest: name of the operator by SHA-256.
+    :ivar dict account_by_digest: name of the client account by SHA-256.
+    :ivar dict operator_by_digest: name of the operator by SHA-256.
     """
 
-    def __init__(self, account_by_digest, operator_by_digest):
+    def __init__(self):
+        self.account_by_digest = {}
+        self.operator_by_digest = {}
+
+    def replace(self, account_by_digest, operator_by_digest):
+        """Take the keys of a keys file in place of those so far.
+
+        :param dict account_by_digest: name of the client account by SHA-256.
+        :param dict operator_by_digest: name of the operator by SHA-256.
+        """
         self.account_by_digest = account_by_digest
         self.operator_by_digest = operator_by_digest
 
--- a/libs/entry/src/sequoiagap/entry/_callers.py
+++ b/libs/entry/src/sequoiagap/entry/_callers.py
@@ -185,7 +185,7 @@
         )
 
     def _refuse(self, refusal, request_id):
-        self.metrics.count(f"refused_{refusal.kind}_total")
+        self.metrics.count("refused_total", kind=str(refusal.kind))
         self.journal.record(
             request_id,
             "refused",
--- a/libs/entry/src/sequoiagap/entry/_entry.py
+++ b/libs/entry/src/sequoiagap/entry/_entry.py
@@ -1,9 +1,7 @@
 """Assembly of the entry process."""
 
 import asyncio
-import json
 import random
-import signal
 
 from aiohttp import web
 
@@ -38,6 +36,7 @@
         self.metrics_ = base.Metrics()
         self.holder_ = config.ConfigHolder()
         self.journal_ = outcome.Journal()
+        self.keys_ = _auth.KeyRing()
         self.stopping_ = False
         self._tasks = base.TaskSet()
         self._runner = None
@@ -54,11 +53,11 @@
         self._secret = settings.load_secret(self.settings.secret_file)
         self.tls_ = settings.load_tls(self.settings.tls)
         self.http_tls_ = settings.load_tls(self.settings.http_tls)
-        keys = _auth.KeyRing(*settings.load_keys(self.settings.keys_file))
+        self.keys_.replace(*settings.load_keys(self.settings.keys_file))
         self.holder_.add_listener(self._on_adopted)
         self._tasks.start(_watch.ConfigWatch(self.platform_, self.holder_).run(), "w")
         self._tasks.start(self.links_.follow_list(), "follow-list")
-        await self._listen(self._make_app(keys))
+        await self._listen(self._make_app())
         _log.emit(base.Event.PROCESS_READY, role="entry", http_port=self.http_port_)
 
     async def stop(self):
@@ -73,6 +72,16 @@
         await self.platform_.close()
         _log.emit(base.Event.PROCESS_STOPPED, role="entry")
 
+    def reload(self):
+        """Read keys and certificates again.
+
+        :raises sequoiagap.base.ConfigError: if a file can't be used.
+        """
+        self.keys_.replace(*settings.load_keys(self.settings.keys_file))
+        for tls in (self.tls_, self.http_tls_):
+            if tls is not None:
+                tls.load()
+
     def is_ready(self):
         """Return whether the process takes new callers.
 
@@ -98,19 +107,37 @@
                 for endpoint_id, link in sorted(self.links_.by_id.items())
             },
             "platform_calls": self.platform_.calls_,
-            "metrics": self.metrics_.to_document(),
+            "metrics": self.collect_metrics(),
         }
 
-    def _make_app(self, keys):
+    def collect_metrics(self):
+        """Return every metric, with the gauges as they are now.
+
+        :rtype: dict
+        """
+        links = self.links_.by_id.values()
+        connected = sum(link.view.connected for link in links)
+        self.metrics_.set_gauge("connections", connected)
+        self.metrics_.set_gauge("requests_in_flight", self.callers_.in_flight_)
+        return base.collect_process_metrics(
+            self.metrics_, self.holder_.current_.number, self.platform_.calls_
+        )
+
+    def _make_app(self):
         budget = admission.RetryBudget()
         dispatcher = _dispatch.Dispatcher(
             self.links_, self.holder_, budget, self.journal_, self.random_state
         )
         self.callers_ = _callers.CallersApi(
-            self.settings, dispatcher, self.holder_, keys, self.journal_, self.metrics_
+            self.settings,
+            dispatcher,
+            self.holder_,
+            self.keys_,
+            self.journal_,
+            self.metrics_,
         )
         store = config.ConfigStore(self.platform_)
-        operators = _operators.OperatorsApi(self, store, self.holder_, keys)
+        operators = _operators.OperatorsApi(self, store, self.holder_, self.keys_)
         app = web.Application(client_max_size=self.settings.max_body_bytes)
         self.callers_.add_routes(app.router)
         operators.add_routes(app.router)
@@ -169,12 +196,7 @@
     :param sequoiagap.settings.EntrySettings entry_settings: checked settings.
     """
     entry = Entry(entry_settings)
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
-    await entry.start()
-    ready = {"ready": entry_settings.node_id, "http_port": entry.http_port_}
-    print(json.dumps(ready), flush=True)
-    await stopped.wait()
-    await entry.stop()
+    node_id = entry_settings.node_id
+    await base.run_program(
+        entry, lambda: {"ready": node_id, "http_port": entry.http_port_}
+    )
--- a/libs/entry/src/sequoiagap/entry/_operators.py
+++ b/libs/entry/src/sequoiagap/entry/_operators.py
@@ -34,6 +34,7 @@
         router.add_get("/healthz", self.healthz)
         router.add_get("/readyz", self.readyz)
         router.add_get("/metrics", self._guarded(self.metrics))
+        router.add_get("/metrics/{endpoint_id}", self._guarded(self.agent_metrics))
         router.add_get("/state", self._guarded(self.state))
         router.add_get("/state/{endpoint_id}", self._guarded(self.agent_state))
         router.add_get("/config", self._guarded(self.get_config))
@@ -51,8 +52,16 @@
 
     async def metrics(self, http_request, operator):
         """Answer with all metrics in the usual text format."""
-        text = _exposition.render(self.entry.metrics_, self.entry.settings.node_id)
-        return web.Response(text=text, content_type="text/plain")
+        document = self.entry.collect_metrics()
+        return _metrics_response(document, self.entry.settings.node_id)
+
+    async def agent_metrics(self, http_request, operator):
+        """Answer with all metrics of an agent in the usual text format."""
+        endpoint_id = http_request.match_info["endpoint_id"]
+        text = await self._ask_agent(endpoint_id)
+        if text is None:
+            return self._refuse_endpoint(endpoint_id)
+        return _metrics_response(json.loads(text)["metrics"], endpoint_id)
 
     async def state(self, http_request, operator):
         """Answer with the state dump of this process."""
@@ -61,14 +70,9 @@
     async def agent_state(self, http_request, operator):
         """Answer with the state dump of an agent."""
         endpoint_id = http_request.match_info["endpoint_id"]
-        link = self.entry.links_.by_id.get(endpoint_id)
-        text = await link.request_state(AGENT_STATE_TIMEOUT_S) if link else None
+        text = await self._ask_agent(endpoint_id)
         if text is None:
-            return self._refuse(
-                base.RefusalKind.NOT_FOUND,
-                f"endpoint {endpoint_id} does not answer",
-                "Use an endpoint that the state of this entry lists as connected",
-            )
+            return self._refuse_endpoint(endpoint_id)
         return web.Response(text=text, content_type="application/json")
 
     async def get_config(self, http_request, operator):
@@ -114,6 +118,17 @@
         items = [dataclasses.asdict(entry) for entry in entries]
         return web.json_response({"history": items})
 
+    async def _ask_agent(self, endpoint_id):
+        link = self.entry.links_.by_id.get(endpoint_id)
+        return await link.request_state(AGENT_STATE_TIMEOUT_S) if link else None
+
+    def _refuse_endpoint(self, endpoint_id):
+        return self._refuse(
+            base.RefusalKind.NOT_FOUND,
+            f"endpoint {endpoint_id} does not answer",
+            "Use an endpoint that the state of this entry lists as connected",
+        )
+
     def _guarded(self, handler):
         async def guarded(http_request):
             operator = self.keys.find_operator(http_request.headers)
@@ -129,3 +144,8 @@
             kind, message, remedy, config_version=self.holder.current_.number
         )
         return _responses.refusal_response(refusal, "")
+
+
+def _metrics_response(document, node_id):
+    text = _exposition.render(document, node_id)
+    return web.Response(text=text, content_type="text/plain")
