--- a/libs/cli/src/sequoiagap/cli/_exit_codes.py
+++ b/libs/cli/src/sequoiagap/cli/_exit_codes.py
@@ -1,4 +1,4 @@
-"""Exit codes of the commands."""
+"""Exit codes of the commands; ``docs/OPERATORS.md`` lists them."""
 
 import enum
 
--- /dev/null
+++ b/libs/cli/src/sequoiagap/cli/_local_commands.py
@@ -0,0 +1,76 @@
+"""Commands that need no entry: settings files and keys."""
+
+import hashlib
+import json
+import secrets
+
+from cleo import helpers
+from cleo.commands import command
+
+from sequoiagap import base, settings
+from sequoiagap.cli import _exit_codes
+
+KEY_BYTES = 32
+
+
+class CheckCommand(command.Command):
+    """``sequoiagap check``."""
+
+    name = "check"
+    description = "Check a settings file, or print the JSON schema of a role."
+    arguments = [helpers.argument("settings", "settings file", optional=True)]
+    options = [
+        helpers.option("files", None, "also check the files that it names"),
+        helpers.option("keys", None, "check this keys file", flag=False),
+        helpers.option("schema", None, "print the schema of this role", flag=False),
+    ]
+
+    def handle(self):
+        """Check the file; print its role, or what is wrong with it."""
+        try:
+            return self._act()
+        except (base.ConfigError, ValueError) as error:
+            self.line_error(str(error))
+            return _exit_codes.ExitCode.BAD_USAGE
+
+    def _act(self):
+        if self.option("schema"):
+            document = settings.schema(self.option("schema"))
+            self.line(json.dumps(document, indent=2))
+            return _exit_codes.ExitCode.DONE
+        if self.option("keys"):
+            settings.load_keys(self.option("keys"))
+            self.line(f"{self.option('keys')}: good keys file")
+            return _exit_codes.ExitCode.DONE
+        path = self.argument("settings")
+        if path is None:
+            raise ValueError(
+                "name a settings file, a role with --schema, or a keys file with --keys"
+            )
+        loaded = settings.load(path)
+        if self.option("files"):
+            settings.check_files(loaded)
+        self.line(f"{path}: good settings for {loaded.role}")
+        return _exit_codes.ExitCode.DONE
+
+
+class KeyCommand(command.Command):
+    """``sequoiagap key``."""
+
+    name = "key"
+    description = "Make a new random key and print it with its digest."
+    options = [helpers.option("json", None, "print JSON for scripts")]
+
+    def handle(self):
+        """Print a fresh key, and its digest for the keys file."""
+        key = secrets.token_urlsafe(KEY_BYTES)
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        if self.option("json"):
+            self.line(json.dumps({"key": key, "digest": digest}))
+        else:
+            self.line(f"key     {key}")
+            self.line(f"digest  {digest}")
+        return _exit_codes.ExitCode.DONE
+
+
+COMMANDS = (CheckCommand, KeyCommand)
--- a/libs/cli/src/sequoiagap/cli/_main.py
+++ b/libs/cli/src/sequoiagap/cli/_main.py
@@ -3,9 +3,16 @@
 import sys
 
 from cleo import application
+from cleo import exceptions as cleo_exceptions
 from cleo.io.inputs import argv_input
 
-from sequoiagap.cli import _operator_commands, _role_commands
+from sequoiagap.cli import (
+    _config_commands,
+    _exit_codes,
+    _local_commands,
+    _operator_commands,
+    _role_commands,
+)
 
 VERSION = "0.1.0"
 
@@ -19,8 +26,22 @@
     """
     app = application.Application("sequoiagap", VERSION)
     app.auto_exits(False)
-    for command in (*_role_commands.COMMANDS, *_operator_commands.COMMANDS):
-        app.add(command())
+    app.catch_exceptions(False)
+    for module in (
+        _role_commands,
+        _local_commands,
+        _config_commands,
+        _operator_commands,
+    ):
+        for command in module.COMMANDS:
+            app.add(command())
     if arguments is None:
         arguments = sys.argv[1:]
-    return app.run(argv_input.ArgvInput(["sequoiagap", *arguments]))
+    try:
+        return app.run(argv_input.ArgvInput(["sequoiagap", *arguments]))
+    except cleo_exceptions.CleoError as error:
+        print(
+            f"{str(error).rstrip('.')}. 'sequoiagap list' shows the commands",
+            file=sys.stderr,
+        )
+        return _exit_codes.ExitCode.BAD_USAGE
--- a/libs/cli/src/sequoiagap/cli/_operator_commands.py
+++ b/libs/cli/src/sequoiagap/cli/_operator_commands.py
@@ -1,128 +1,13 @@
-"""Commands of operators, against any entry."""
+"""Commands of operators about domains, endpoints, states and requests."""
 
 import json
 
 from cleo import helpers
-from cleo.commands import command
 
-from sequoiagap.cli import _client, _exit_codes
+from sequoiagap.cli import _operator
 
-DEFAULT_ENTRY = "http://127.0.0.1:8080"
-_REFUSED_STATUS = 400
-_EXIT_BY_OUTCOME = {"outcome_unknown": _exit_codes.ExitCode.UNKNOWN}
 
-
-class _OperatorCommand(command.Command):
-    options = [
-        helpers.option("entry", "e", "URL of an entry", flag=False),
-        helpers.option("json", None, "print JSON for scripts"),
-    ]
-
-    def handle(self):
-        """Call the entry and print its answer."""
-        try:
-            return self.act()
-        except _client.EntryUnreachableError as error:
-            self.line_error(str(error))
-            return _exit_codes.ExitCode.UNREACHABLE
-
-    def call(self, method, path, body=None):
-        """Call the entry named by the options."""
-        return _client.call(self.option("entry") or DEFAULT_ENTRY, method, path, body)
-
-    def show(self, reply, print_table):
-        """Print a reply and return the exit code."""
-        if self.option("json"):
-            self.line(json.dumps(reply.document, indent=2, sort_keys=True))
-        elif reply.status < _REFUSED_STATUS:
-            print_table(reply.document)
-        if reply.status < _REFUSED_STATUS:
-            return _exit_codes.ExitCode.DONE
-        return self._show_refusal(reply.document)
-
-    def print_json(self, document):
-        """Print a document as indented JSON."""
-        self.line(json.dumps(document, indent=2, sort_keys=True))
-
-    def print_table(self, headers, rows):
-        """Print rows as a table."""
-        texts = [[str(cell) for cell in row] for row in rows]
-        self.table(headers, texts).render()
-
-    def submit(self, changes):
-        """Submit a patch against the current version; return the exit code."""
-        current = self.call("GET", "/config")
-        if current.status >= _REFUSED_STATUS:
-            return self._show_refusal(current.document)
-        body = {"against": current.document["version"], "changes": changes}
-        return self.show(self.call("POST", "/config", body), self.print_accepted)
-
-    def print_accepted(self, document):
-        """Print which version a patch made."""
-        self.line(f"accepted as version {document['version']}")
-
-    def _show_refusal(self, document):
-        error = document["error"]
-        self.line_error(f"{error['type']}: {error['message']}. {error['remedy']}")
-        return _EXIT_BY_OUTCOME.get(error["outcome"], _exit_codes.ExitCode.REFUSED)
-
-
-class ConfigGetCommand(_OperatorCommand):
-    """``sequoiagap config get``."""
-
-    name = "config get"
-    description = "Show the configuration in force."
-
-    def act(self):
-        """Show version and document."""
-        return self.show(self.call("GET", "/config"), self.print_json)
-
-
-class ConfigPatchCommand(_OperatorCommand):
-    """``sequoiagap config patch``."""
-
-    name = "config patch"
-    description = "Submit a JSON merge patch against a version."
-    arguments = [helpers.argument("changes", "merge patch as JSON")]
-    options = [
-        *_OperatorCommand.options,
-        helpers.option("against", None, "version it was written against", flag=False),
-        helpers.option("id", None, "patch id, to submit again safely", flag=False),
-        helpers.option("override", None, "accept a change that harm checks refuse"),
-    ]
-
-    def act(self):
-        """Submit the patch."""
-        try:
-            changes = json.loads(self.argument("changes"))
-            against = int(self.option("against"))
-        except (ValueError, TypeError):
-            self.line_error("give a JSON object and --against VERSION")
-            return _exit_codes.ExitCode.BAD_USAGE
-        body = {"against": against, "changes": changes, "patch_id": self.option("id")}
-        body["override"] = self.option("override")
-        return self.show(self.call("POST", "/config", body), self.print_accepted)
-
-
-class ConfigHistoryCommand(_OperatorCommand):
-    """``sequoiagap config history``."""
-
-    name = "config history"
-    description = "Show the accepted patches."
-
-    def act(self):
-        """Show one row for each patch."""
-        return self.show(self.call("GET", "/config/history"), self._print)
-
-    def _print(self, document):
-        rows = [
-            [e["number"], e["operator"], e["patch_id"], json.dumps(e["patch"])]
-            for e in document["history"]
-        ]
-        self.print_table(["version", "operator", "patch id", "changes"], rows)
-
-
-class _DomainCommand(_OperatorCommand):
+class _DomainCommand(_operator.OperatorCommand):
     arguments = [helpers.argument("domain", "failure domain")]
     state = ""
 
@@ -148,13 +33,16 @@
     state = "in"
 
 
-class EndpointDrainCommand(_OperatorCommand):
+class EndpointDrainCommand(_operator.OperatorCommand):
     """``sequoiagap endpoint drain``."""
 
     name = "endpoint drain"
     description = "Drain an endpoint, or take the order back with --undo."
     arguments = [helpers.argument("endpoint", "endpoint id")]
-    options = [*_OperatorCommand.options, helpers.option("undo", None, "take it back")]
+    options = [
+        *_operator.OperatorCommand.options,
+        helpers.option("undo", None, "take it back"),
+    ]
 
     def act(self):
         """Submit the order."""
@@ -162,7 +50,7 @@
         return self.submit({"endpoints": {self.argument("endpoint"): order}})
 
 
-class StateCommand(_OperatorCommand):
+class StateCommand(_operator.OperatorCommand):
     """``sequoiagap state``."""
 
     name = "state"
@@ -188,7 +76,7 @@
         self.print_table(["endpoint", "domain", "state", "connected", "limit"], rows)
 
 
-class ExplainCommand(_OperatorCommand):
+class ExplainCommand(_operator.OperatorCommand):
     """``sequoiagap explain``."""
 
     name = "explain"
@@ -210,9 +98,6 @@
 
 
 COMMANDS = (
-    ConfigGetCommand,
-    ConfigPatchCommand,
-    ConfigHistoryCommand,
     DomainOutCommand,
     DomainInCommand,
     EndpointDrainCommand,
--- a/libs/cli/src/sequoiagap/cli/_role_commands.py
+++ b/libs/cli/src/sequoiagap/cli/_role_commands.py
@@ -1,4 +1,4 @@
-"""Commands that run a role or check its settings."""
+"""Commands that run a role."""
 
 import asyncio
 
@@ -9,33 +9,35 @@
 from sequoiagap.cli import _exit_codes
 
 
-class _SettingsCommand(command.Command):
+class _RoleCommand(command.Command):
     arguments = [helpers.argument("settings", "settings file")]
+    role = ""
 
     def handle(self):
-        """Load the settings file and act on it."""
+        """Load the settings and run the role until it is told to stop."""
         try:
             loaded = settings.load(self.argument("settings"))
         except base.ConfigError as error:
             self.line_error(str(error))
             return _exit_codes.ExitCode.BAD_USAGE
-        return self.act(loaded)
-
-
-class _RoleCommand(_SettingsCommand):
-    role = ""
-
-    def act(self, loaded):
-        """Run the role until it is told to stop."""
         if loaded.role != self.role:
             self.line_error(f"role is {loaded.role!r}. Use 'sequoiagap {loaded.role}'")
             return _exit_codes.ExitCode.BAD_USAGE
         base.configure_logs(loaded.log_level, node=loaded.node_id)
         base.get_logger("main").emit(base.Event.PROCESS_STARTED, role=self.role)
+        return self._run(loaded)
+
+    def _run(self, loaded):
         try:
             asyncio.run(self.run_role(loaded))
-        except (base.ConfigError, OSError) as error:
+        except base.ConfigError as error:
             self.line_error(str(error))
+            return _exit_codes.ExitCode.BAD_USAGE
+        except OSError as error:
+            self.line_error(
+                f"{loaded.node_id} can't listen ({error}). "
+                "Check address and port in the settings"
+            )
             return _exit_codes.ExitCode.FAILED
         return _exit_codes.ExitCode.DONE
 
@@ -68,16 +70,4 @@
         await agent.run(loaded)
 
 
-class CheckCommand(_SettingsCommand):
-    """``sequoiagap check``."""
-
-    name = "check"
-    description = "Check a settings file."
-
-    def act(self, loaded):
-        """Say that the file is good."""
-        self.line(f"{self.argument('settings')}: good settings for {loaded.role}")
-        return _exit_codes.ExitCode.DONE
-
-
-COMMANDS = (EntryCommand, AgentCommand, CheckCommand)
+COMMANDS = (EntryCommand, AgentCommand)
--- a/libs/settings/src/sequoiagap/settings/__init__.py
+++ b/libs/settings/src/sequoiagap/settings/__init__.py
@@ -1,6 +1,7 @@
 """Validated models of settings files, in JSON with comments."""
 
 from sequoiagap.settings._loader import (
+    check_files,
     load,
     load_keys,
     load_secret,
@@ -27,6 +28,7 @@
     "PlatformSettings",
     "SettingsModel",
     "TlsSettings",
+    "check_files",
     "load",
     "load_keys",
     "load_secret",
--- a/libs/settings/src/sequoiagap/settings/_loader.py
+++ b/libs/settings/src/sequoiagap/settings/_loader.py
@@ -95,6 +95,19 @@
     return base.TlsContexts(tls.certificate_file, tls.key_file, tls.ca_file)
 
 
+def check_files(loaded):
+    """Check the files that settings name: secret, keys and certificates.
+
+    :param EntrySettings | AgentSettings loaded: checked settings.
+    :raises sequoiagap.base.ConfigError: if a file can't be used.
+    """
+    load_secret(loaded.secret_file)
+    load_tls(loaded.tls)
+    if isinstance(loaded, _models.EntrySettings):
+        load_tls(loaded.http_tls)
+        load_keys(loaded.keys_file)
+
+
 def schema(role):
     """Return the JSON schema of a role's settings.
 
--- a/libs/standins/src/sequoiagap/standins/_fleet.py
+++ b/libs/standins/src/sequoiagap/standins/_fleet.py
@@ -31,6 +31,8 @@
     :param dict endpoint: settings of the endpoints, over the defaults.
     :param dict entry: settings of the entries, over the defaults.
     :param dict node: settings of entries and agents, over the defaults.
+    :param bool configured: whether version 1 of the configuration exists at the
+        start; otherwise the fleet starts without waiting for it.
     :param dict config: merge patch over the default configuration.
     :param dict platform: parameters of the platform stand-in.
     :param tuple accounts: client accounts; the key is ``NAME-key``.
@@ -45,6 +47,7 @@
     endpoint: dict = dataclasses.field(default_factory=dict)
     entry: dict = dataclasses.field(default_factory=dict)
     node: dict = dataclasses.field(default_factory=dict)
+    configured: bool = True
     config: dict = dataclasses.field(default_factory=dict)
     platform: dict = dataclasses.field(default_factory=dict)
     accounts: tuple = ("caller",)
@@ -270,10 +273,12 @@
     async def _start(self):
         self._write_shared_files()
         await self.start_stand_in("platform", "platform", self.plan.platform)
-        await self._write_config()
+        if self.plan.configured:
+            await self._write_config()
         await asyncio.gather(*(self._start_endpoint(*e) for e in self._endpoints()))
         await asyncio.gather(*(self.start_entry(i) for i in range(self.plan.entries)))
-        await self.wait_until(self._is_ready, READY_TIMEOUT_S)
+        if self.plan.configured:
+            await self.wait_until(self._is_ready, READY_TIMEOUT_S)
 
     async def _start_endpoint(self, name, kind, domain):
         if kind == "model":
