Add a TCP relay stand-in whose links can be cut, silenced and delayed

Cause: processes talk over loopback TCP, so that a cut between failure domains or to the platform could not be caused without firewall tools. A relay tells the source of a connection by its hello frame; FleetPlan(relays=True) puts one before each process and one between each process and the platform.

--- a/libs/standins/src/sequoiagap/standins/__init__.py
+++ b/libs/standins/src/sequoiagap/standins/__init__.py
@@ -2,5 +2,16 @@
 
 from sequoiagap.standins._fleet import Fleet, FleetPlan, Process
 from sequoiagap.standins._load import LoadReport, run_load
+from sequoiagap.standins._relay import LinkMode, Relay
+from sequoiagap.standins._relays import Relays
 
-__all__ = ["Fleet", "FleetPlan", "LoadReport", "Process", "run_load"]
+__all__ = [
+    "Fleet",
+    "FleetPlan",
+    "LinkMode",
+    "LoadReport",
+    "Process",
+    "Relay",
+    "Relays",
+    "run_load",
+]
--- a/libs/standins/src/sequoiagap/standins/_fleet.py
+++ b/libs/standins/src/sequoiagap/standins/_fleet.py
@@ -11,6 +11,8 @@
 
 import aiohttp
 
+from sequoiagap.standins import _relays
+
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.05
@@ -33,6 +35,8 @@
     :param dict config: merge patch over the default configuration.
     :param dict platform: parameters of the platform stand-in.
     :param tuple accounts: client accounts; the key is ``NAME-key``.
+    :param bool relays: whether the links of every process pass through relays,
+        see :attr:`Fleet.relays_`.
     """
 
     domains: tuple = ("north", "middle", "south")
@@ -46,6 +50,7 @@
     config: dict = dataclasses.field(default_factory=dict)
     platform: dict = dataclasses.field(default_factory=dict)
     accounts: tuple = ("caller",)
+    relays: bool = False
 
 
 class Process:
@@ -107,12 +112,14 @@
     :param pathlib.Path folder: where settings and logs go.
 
     :ivar dict process_by_name: every process started, by name.
+    :ivar Relays relays_: relays of the links, empty unless the plan has them.
     """
 
     def __init__(self, plan, folder):
         self.plan = plan
         self.folder = pathlib.Path(folder)
         self.process_by_name = {}
+        self.relays_ = _relays.Relays()
         self.session_ = None
 
     async def __aenter__(self):
@@ -132,6 +139,7 @@
         for process in self.process_by_name.values():
             if process.child_ is not None:
                 await process.child_.wait()
+        await self.relays_.close()
         await self.session_.close()
 
     def url(self, name):
@@ -224,7 +232,8 @@
         """
         name = f"entry-{index}"
         domain = self.plan.domains[index % len(self.plan.domains)]
-        settings = self._node(name, domain) | {
+        node = await self._node(name, domain)
+        settings = node | {
             "role": "entry",
             "http_port": 0,
             "keys_file": str(self.folder / "keys.json"),
@@ -232,7 +241,7 @@
             **self.plan.entry,
         }
         await self._start_role("entry", name, settings)
-        host = self._host(name, "entry", domain, [])
+        host = await self._host(name, "entry", domain, [])
         await self.call("platform", "PUT", f"/hosts/{name}", host)
 
     async def start_agent(self, name):
@@ -249,9 +258,10 @@
             "warm_up_s": 1.0,
             **self.plan.endpoint,
         }
-        settings = self._node(name, domain) | {"role": "agent", "endpoint": endpoint}
+        node = await self._node(name, domain)
+        settings = node | {"role": "agent", "endpoint": endpoint}
         await self._start_role("agent", name, settings)
-        host = self._host(name, "agent", domain, serves)
+        host = await self._host(name, "agent", domain, serves)
         await self.call("platform", "PUT", f"/hosts/{name}", host)
 
     async def start_stand_in(self, name, kind, parameters):
@@ -298,7 +308,12 @@
                 rows.append((f"{domain}-desk-{i}", "service", domain))
         return rows
 
-    def _node(self, name, domain):
+    async def _node(self, name, domain):
+        url = self.url("platform")
+        if self.plan.relays:
+            port = self.process_by_name["platform"].ready_["port"]
+            port = await self.relays_.platform_port(name, port)
+            url = f"http://127.0.0.1:{port}"
         return {
             "node_id": name,
             "deployment": "quickstart",
@@ -306,16 +321,19 @@
             "failure_domain": domain,
             "address": "127.0.0.1",
             "port": 0,
-            "platform": {"url": self.url("platform"), "timeout_s": 0.5},
+            "platform": {"url": url, "timeout_s": 0.5},
             "secret_file": str(self.folder / "secret"),
         }
 
-    def _host(self, name, role, domain, serves):
+    async def _host(self, name, role, domain, serves):
+        port = self.process_by_name[name].ready_.get("port", 0)
+        if self.plan.relays:
+            port = await self.relays_.peer_port(name, port)
         return {
             "host_id": name,
             "role": role,
             "address": "127.0.0.1",
-            "port": self.process_by_name[name].ready_.get("port", 0),
+            "port": port,
             "failure_domain": domain,
             "state": "live",
             "serves": serves,
--- /dev/null
+++ b/tests/standins/test_relay.py
@@ -0,0 +1,65 @@
+"""The relay cuts, silences and delays as it is told."""
+
+import asyncio
+import unittest
+
+from sequoiagap import standins, wire
+
+ANSWER_TIMEOUT_S = 0.3
+
+
+async def _echo(reader, writer):
+    while data := await reader.read(1024):
+        writer.write(data)
+    writer.close()
+
+
+class RelayTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        server = await asyncio.start_server(_echo, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        self.relay = standins.Relay(port, framed=True)
+        await self.relay.start()
+        self.addAsyncCleanup(self.relay.close)
+
+    async def connect(self, source):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.relay.port_)
+        self.addCleanup(writer.close)
+        hello = wire.Hello(source, "entry", "inc-1")
+        wire.write_frame(writer, wire.encode(hello))
+        return reader, writer
+
+    async def answers(self, reader):
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                return bool(await reader.read(1024))
+        except (TimeoutError, OSError):
+            return False
+
+    async def test_modes_act_on_the_named_source(self):
+        for mode in (standins.LinkMode.CUT, standins.LinkMode.SILENT):
+            with self.subTest(mode):
+                self.relay.set_mode(mode, "entry-a")
+                cut, _ = await self.connect("entry-a")
+                other, _ = await self.connect("entry-b")
+                self.assertFalse(await self.answers(cut))
+                self.assertTrue(await self.answers(other))
+                self.relay.heal()
+                healed, _ = await self.connect("entry-a")
+                self.assertTrue(await self.answers(healed))
+
+    async def test_cut_ends_open_connections(self):
+        reader, _ = await self.connect("entry-a")
+        self.assertTrue(await self.answers(reader))
+        self.relay.set_mode(standins.LinkMode.CUT)
+        self.assertFalse(await self.answers(reader))
+
+    async def test_open_connections_go_silent_while_new_ones_pass(self):
+        reader, writer = await self.connect("entry-a")
+        self.assertTrue(await self.answers(reader))
+        self.relay.silence_open()
+        writer.write(b"more")
+        self.assertFalse(await self.answers(reader))
+        fresh, _ = await self.connect("entry-a")
+        self.assertTrue(await self.answers(fresh))
