--- a/libs/agent/src/sequoiagap/agent/_agent.py
+++ b/libs/agent/src/sequoiagap/agent/_agent.py
@@ -5,8 +5,24 @@
 import signal
 import time
 
-from sequoiagap import admission, base, config, outcome, platform, settings, wire
-from sequoiagap.agent import _endpoint, _executor, _spread
+from sequoiagap import (
+    admission,
+    base,
+    config,
+    members,
+    outcome,
+    platform,
+    settings,
+    wire,
+)
+from sequoiagap.agent import (
+    _endpoint,
+    _executor,
+    _guard,
+    _orders,
+    _reports,
+    _spread,
+)
 
 PROBE_INTERVAL_S = 0.25
 
@@ -56,8 +72,23 @@
         self.handlers_ = wire.HandlerTable()
         self.executor_.attach(self.handlers_)
         self.spread_.attach(self.handlers_)
+        self._build_membership()
         self.handlers_.add(wire.StateRequest, self._on_state_request)
 
+    def _build_membership(self):
+        node_id = self.settings.node_id
+        self.guard_ = _guard.ConfigGuard(
+            self.holder_, self.spread_, node_id, self.settings.failure_domain
+        )
+        self.guard_.attach(self.handlers_)
+        self.orders_ = _orders.OrderDesk(
+            self.settings.endpoint, node_id, members.FenceStore(self.platform_)
+        )
+        self.orders_.attach(self.handlers_)
+        self.reporter_ = _reports.Reporter(
+            self.settings, self.holder_, self.connections_, self._hello
+        )
+
     async def start(self):
         """Listen for entries and begin to probe the endpoint."""
         self._secret = settings.load_secret(self.settings.secret_file)
@@ -68,6 +99,7 @@
         self.port_ = self._server.sockets[0].getsockname()[1]
         self._tasks.start(self._probe_forever(), "probe")
         self._tasks.start(self.spread_.learn(), "learn-config")
+        self._tasks.start(self.reporter_.run(self.port_), "report")
         _log.emit(base.Event.PROCESS_READY, role="agent", port=self.port_)
 
     async def stop(self):
@@ -81,6 +113,8 @@
         for connection in list(self.connections_):
             await connection.close_politely("agent stops")
         await self._tasks.close()
+        await self.guard_.close()
+        await self.orders_.close()
         await self.executor_.close()
         await self.client_.close()
         await self.platform_.close()
@@ -98,6 +132,9 @@
             "incarnation": self.incarnation_,
             "failure_domain": self.settings.failure_domain,
             "config_version": self.holder_.current_.number,
+            "config_ready": self.holder_.ready_.is_set(),
+            "local_out": sorted(self.holder_.local_by_domain),
+            "fencing": self.orders_.fence_.highest_,
             "endpoint": {
                 "state": load.state,
                 "in_flight": load.in_flight,
--- a/libs/agent/src/sequoiagap/agent/_spread.py
+++ b/libs/agent/src/sequoiagap/agent/_spread.py
@@ -1,12 +1,14 @@
 """Configuration versions at the agent: learnt at start, then from entries."""
 
 import asyncio
-
-import pydantic
+import time
 
 from sequoiagap import base, config
 
 LEARN_RETRY_S = 0.5
+LEARN_BOUND_S = 2.0
+CATCH_UP_BOUND_S = 1.0
+POLL_S = 0.01
 
 _log = base.get_logger("spread")
 
@@ -21,43 +23,68 @@
     def __init__(self, holder, client):
         self.holder = holder
         self.client = client
+        self.replica_ = config.ConfigReplica(holder)
+        self.channel_ = config.ConfigChannel(self.replica_)
 
     def attach(self, handlers):
         """Register the message handlers of configuration.
 
         :param sequoiagap.wire.HandlerTable handlers: table to fill.
         """
-        handlers.add(config.ConfigOffer, self._on_offer)
-        handlers.add(config.ConfigBody, self._on_body)
+        self.channel_.attach(handlers)
 
     async def learn(self):
-        """Read the version from the platform until some source has given one."""
+        """Learn the highest reachable version; work is refused until then.
+
+        The platform's word is enough. Without it the process waits for a while,
+        so that every entry that has found it can offer what it has.
+        """
         store = config.ConfigStore(self.client)
-        while not self.holder.known_.is_set():
-            try:
-                self.holder.adopt(await store.read(), "platform")
-            except base.PlatformError as error:
-                _log.emit(base.Event.PLATFORM_UNREACHABLE, error=error.message)
+        began = time.monotonic()
+        while not self.holder.ready_.is_set():
+            if await self._read(store) or time.monotonic() - began > LEARN_BOUND_S:
+                self._become_ready()
             await asyncio.sleep(LEARN_RETRY_S)
 
     async def greet(self, connection):
-        """Ask a newly connected entry for its version if it is higher.
+        """Offer an entry on a new connection what this process has.
 
         :param sequoiagap.wire.Connection connection: the entry.
         """
-        own = self.holder.current_.number
-        if connection.peer.config_version > own:
-            await connection.send(config.ConfigPull(own))
+        await self.channel_.greet(connection)
 
-    async def _on_offer(self, connection, item):
+    async def catch_up(self, connection, number):
+        """Pull a version that an entry has decided under.
+
+        :param sequoiagap.wire.Connection connection: the entry.
+        :param int number: the version.
+        :returns: whether it is in force now.
+        :rtype: bool
+        """
         own = self.holder.current_.number
-        if item.number > own:
+        if own < number:
             await connection.send(config.ConfigPull(own))
-
-    async def _on_body(self, connection, item):
         try:
-            version = config.ConfigVersion.from_json(item.number, item.document)
-        except (pydantic.ValidationError, ValueError) as error:
-            _log.emit(base.Event.FRAME_REJECTED, error=str(error))
-            return
-        self.holder.adopt(version, connection.peer.node_id)
+            async with asyncio.timeout(CATCH_UP_BOUND_S):
+                while self.holder.current_.number < number:  # noqa: ASYNC110
+                    await asyncio.sleep(POLL_S)
+        except TimeoutError:
+            return False
+        return True
+
+    async def _read(self, store):
+        """Adopt the platform's version; tell whether the platform answered."""
+        try:
+            head = await store.read()
+        except base.PlatformError as error:
+            _log.emit(base.Event.PLATFORM_UNREACHABLE, error=error.message)
+            return False
+        except base.ConfigError as error:
+            self.replica_.report_malformed(0, "platform", error)
+            return False
+        self.holder.adopt(head.version, "platform", head.steps())
+        return True
+
+    def _become_ready(self):
+        if self.holder.known_.is_set():
+            self.holder.ready_.set()
--- a/libs/base/src/sequoiagap/base/_events.py
+++ b/libs/base/src/sequoiagap/base/_events.py
@@ -35,9 +35,23 @@
     CONFIG_REFUSED = 1303
     PLATFORM_UNREACHABLE = 1304
     PLATFORM_REACHABLE = 1305
+    CONFIG_MALFORMED = 1306
+    PLATFORM_BEHIND = 1307
+    CONFIG_FORKED = 1308
+    LOCAL_ORDER_TAKEN = 1309
+    LOCAL_ORDER_ENDED = 1310
+    WATCH_STARTED = 1311
+    WATCH_STOPPED = 1312
+    ORDER_ISSUED = 1313
+    ORDER_REFUSED = 1314
+    ORDER_DONE = 1315
     ENDPOINT_STATE = 1401
     ENDPOINT_SEEN = 1402
     ENDPOINT_GONE = 1403
+    ENDPOINT_SUSPECT = 1420
+    ENDPOINT_LEAVING = 1421
+    PEER_OPENED = 1422
+    PEER_CLOSED = 1423
 
 
 CATALOGUE = {
@@ -62,9 +76,23 @@
     Event.CONFIG_REFUSED: "An operator's patch was refused.",
     Event.PLATFORM_UNREACHABLE: "The platform does not answer.",
     Event.PLATFORM_REACHABLE: "The platform answers again.",
+    Event.CONFIG_MALFORMED: "A version can't be used; the process keeps its own.",
+    Event.PLATFORM_BEHIND: "The platform holds an older version than is in force.",
+    Event.CONFIG_FORKED: "Another process has other content under the same version.",
+    Event.LOCAL_ORDER_TAKEN: "A local order that a failure domain be out holds.",
+    Event.LOCAL_ORDER_ENDED: "A version has overtaken a local order.",
+    Event.WATCH_STARTED: "This entry watches the configuration on the platform.",
+    Event.WATCH_STOPPED: "This entry leaves the watch to others of its domain.",
+    Event.ORDER_ISSUED: "An order to an endpoint got its fencing number.",
+    Event.ORDER_REFUSED: "An agent refused an order to its endpoint.",
+    Event.ORDER_DONE: "An endpoint has carried out an order.",
     Event.ENDPOINT_STATE: "An endpoint changed its state.",
     Event.ENDPOINT_SEEN: "An endpoint became known.",
     Event.ENDPOINT_GONE: "An endpoint is no longer used.",
+    Event.ENDPOINT_SUSPECT: "An agent's reports stopped; it gets no new work.",
+    Event.ENDPOINT_LEAVING: "An endpoint's agent says that it leaves.",
+    Event.PEER_OPENED: "A connection to another entry is open.",
+    Event.PEER_CLOSED: "A connection to another entry has closed.",
 }
 
 _WARNINGS = frozenset(
@@ -74,6 +102,10 @@
         Event.FRAME_REJECTED,
         Event.REQUEST_CUT,
         Event.PLATFORM_UNREACHABLE,
+        Event.CONFIG_MALFORMED,
+        Event.PLATFORM_BEHIND,
+        Event.CONFIG_FORKED,
+        Event.ENDPOINT_SUSPECT,
     }
 )
 
--- a/libs/cli/src/sequoiagap/cli/_operator_commands.py
+++ b/libs/cli/src/sequoiagap/cli/_operator_commands.py
@@ -109,10 +109,16 @@
 
     name = "config history"
     description = "Show the accepted patches."
+    options = [
+        *_OperatorCommand.options,
+        helpers.option("before", None, "show sealed ones below a version", flag=False),
+    ]
 
     def act(self):
         """Show one row for each patch."""
-        return self.show(self.call("GET", "/config/history"), self._print)
+        before = self.option("before") or "0"
+        path = f"/config/history?before={before}"
+        return self.show(self.call("GET", path), self._print)
 
     def _print(self, document):
         rows = [
@@ -122,6 +128,17 @@
         self.print_table(["version", "operator", "patch id", "changes"], rows)
 
 
+class ConfigRestoreCommand(_OperatorCommand):
+    """``sequoiagap config restore``."""
+
+    name = "config restore"
+    description = "Write the version in force back to a platform that lost it."
+
+    def act(self):
+        """Write it back as the next version."""
+        return self.show(self.call("POST", "/config/restore", {}), self.print_accepted)
+
+
 class _DomainCommand(_OperatorCommand):
     arguments = [helpers.argument("domain", "failure domain")]
     state = ""
@@ -137,8 +154,25 @@
 
     name = "domain out"
     description = "Take a failure domain out: it receives no new work."
+    options = [
+        *_OperatorCommand.options,
+        helpers.option(
+            "local", None, "only in the entry's own failure domain, until a new version"
+        ),
+    ]
     state = "out"
 
+    def act(self):
+        """Submit the patch, or give the local order."""
+        if not self.option("local"):
+            return super().act()
+        body = {"failure_domain": self.argument("domain")}
+        return self.show(self.call("POST", "/local/domain-out", body), self._print)
+
+    def _print(self, document):
+        domain, number = document["failure_domain"], document["against"]
+        self.line(f"{domain} is out here until a version above {number}")
+
 
 class DomainInCommand(_DomainCommand):
     """``sequoiagap domain in``."""
@@ -213,6 +247,7 @@
     ConfigGetCommand,
     ConfigPatchCommand,
     ConfigHistoryCommand,
+    ConfigRestoreCommand,
     DomainOutCommand,
     DomainInCommand,
     EndpointDrainCommand,
--- a/libs/config/src/sequoiagap/config/__init__.py
+++ b/libs/config/src/sequoiagap/config/__init__.py
@@ -1,38 +1,84 @@
 """Numbered configuration versions: documents, patches, storage and spread."""
 
+from sequoiagap.config._channel import ConfigChannel
 from sequoiagap.config._document import (
     AccountConfig,
     ConfigDocument,
-    ConfigVersion,
     DomainConfig,
     EndpointConfig,
-    HistoryEntry,
     ModelConfig,
     RoutingConfig,
     ServiceConfig,
     merge_patch,
+    unknown_keys,
 )
+from sequoiagap.config._duty import FEW_WATCHERS, WatchDuty
+from sequoiagap.config._harm import (
+    HARM_CHECKS,
+    EndpointFact,
+    Harm,
+    HarmFacts,
+    find_harm,
+)
+from sequoiagap.config._head import CONFIG_OBJECT, Head, parse_head
+from sequoiagap.config._history import KEPT_SEGMENTS, SEGMENT_ENTRIES, HistoryEntry
 from sequoiagap.config._holder import ConfigHolder
-from sequoiagap.config._messages import ConfigBody, ConfigOffer, ConfigPull
-from sequoiagap.config._store import CONFIG_OBJECT, ConfigStore, Patch, parse_stored
+from sequoiagap.config._local import LocalOrder
+from sequoiagap.config._messages import (
+    ConfigBody,
+    ConfigDelta,
+    ConfigOffer,
+    ConfigPull,
+    LocalDomainOut,
+)
+from sequoiagap.config._replica import ConfigReplica, local_message
+from sequoiagap.config._store import (
+    SUBMIT_BOUND_S,
+    Accepted,
+    ConfigStore,
+    Patch,
+    patch_from_json,
+)
+from sequoiagap.config._version import ConfigVersion, Step
 
 __all__ = [
     "CONFIG_OBJECT",
+    "FEW_WATCHERS",
+    "HARM_CHECKS",
+    "KEPT_SEGMENTS",
+    "SEGMENT_ENTRIES",
+    "SUBMIT_BOUND_S",
+    "Accepted",
     "AccountConfig",
     "ConfigBody",
+    "ConfigChannel",
+    "ConfigDelta",
     "ConfigDocument",
     "ConfigHolder",
     "ConfigOffer",
     "ConfigPull",
+    "ConfigReplica",
     "ConfigStore",
     "ConfigVersion",
     "DomainConfig",
     "EndpointConfig",
+    "EndpointFact",
+    "Harm",
+    "HarmFacts",
+    "Head",
     "HistoryEntry",
+    "LocalDomainOut",
+    "LocalOrder",
     "ModelConfig",
     "Patch",
     "RoutingConfig",
     "ServiceConfig",
+    "Step",
+    "WatchDuty",
+    "find_harm",
+    "local_message",
     "merge_patch",
-    "parse_stored",
+    "parse_head",
+    "patch_from_json",
+    "unknown_keys",
 ]
--- a/libs/config/src/sequoiagap/config/_document.py
+++ b/libs/config/src/sequoiagap/config/_document.py
@@ -1,7 +1,9 @@
-"""The operators' configuration: its model, versions and patches."""
+"""The operators' configuration: its model and merge patches.
+
+Keys that this program does not know are kept and passed on, so that processes of
+two releases can run side by side; a patch may not bring new ones in.
+"""
 
-import dataclasses
-import json
 from typing import Annotated, Literal
 
 import pydantic
@@ -11,7 +13,7 @@
 
 
 class _Section(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+    model_config = pydantic.ConfigDict(extra="allow", frozen=True)
 
 
 class DomainConfig(_Section):
@@ -63,56 +65,6 @@
     routing: RoutingConfig = RoutingConfig()
 
 
-@dataclasses.dataclass(frozen=True)
-class HistoryEntry:
-    """One accepted patch.
-
-    :param int number: the version that the patch made.
-    :param str patch_id: unique id of the patch.
-    :param str operator: who submitted it.
-    :param float at: wall-clock time of acceptance, seconds since the epoch.
-    :param dict patch: the merge patch.
-    :param bool override: whether harm checks were overridden.
-    """
-
-    number: int
-    patch_id: str
-    operator: str
-    at: float
-    patch: dict
-    override: bool = False
-
-
-@dataclasses.dataclass(frozen=True)
-class ConfigVersion:
-    """A numbered configuration.
-
-    :param int number: version number, from 1; 0 is the empty configuration.
-    :param ConfigDocument document: its content.
-    """
-
-    number: int = 0
-    document: ConfigDocument = dataclasses.field(default_factory=ConfigDocument)
-
-    def to_json(self):
-        """Return the document as JSON text.
-
-        :rtype: str
-        """
-        return self.document.model_dump_json()
-
-    @classmethod
-    def from_json(cls, number, text):
-        """Return the version of a JSON text.
-
-        :param int number: version number.
-        :param str text: the document.
-        :rtype: ConfigVersion
-        :raises pydantic.ValidationError: if the document is not valid.
-        """
-        return cls(number, ConfigDocument.model_validate(json.loads(text)))
-
-
 def merge_patch(document, patch):
     """Return a document with a JSON merge patch (RFC 7396) applied.
 
@@ -132,3 +84,29 @@
         else:
             merged[key] = merge_patch(merged.get(key), value)
     return merged
+
+
+def unknown_keys(section, prefix=""):
+    """Return the dotted paths of the keys that the model does not know.
+
+    :param section: a section of the document, or the document.
+    :param str prefix: path of the section, ending in a dot; empty at the top.
+    :rtype: set[str]
+
+    >>> unknown_keys(ConfigDocument.model_validate({"modles": {}}))
+    {'modles'}
+    """
+    found = {prefix + key for key in section.model_extra or ()}
+    for name in type(section).model_fields:
+        found |= _unknown_below(getattr(section, name), f"{prefix}{name}.")
+    return found
+
+
+def _unknown_below(value, prefix):
+    if isinstance(value, _Section):
+        return unknown_keys(value, prefix)
+    found = set()
+    if isinstance(value, dict):
+        for key, item in value.items():
+            found |= _unknown_below(item, f"{prefix}{key}.")
+    return found
--- a/libs/config/src/sequoiagap/config/_holder.py
+++ b/libs/config/src/sequoiagap/config/_holder.py
@@ -1,9 +1,12 @@
 """The version that a process acts on; it only ever goes up."""
 
 import asyncio
+import json
 
 from sequoiagap import base
-from sequoiagap.config import _document
+from sequoiagap.config import _version
+
+MAX_STEPS = 128
 
 _log = base.get_logger("config")
 
@@ -13,18 +16,25 @@
 
     :ivar ConfigVersion current_: the version in force.
     :ivar asyncio.Event known_: set once a version above 0 is in force.
+    :ivar asyncio.Event ready_: set once the process may take work: it has met
+        the highest version that it could reach.
+    :ivar dict local_by_domain: local orders that hold, by failure domain.
 
     >>> holder = ConfigHolder()
-    >>> holder.adopt(_document.ConfigVersion(2), "platform")
+    >>> holder.adopt(_version.ConfigVersion(2), "platform")
     True
-    >>> holder.adopt(_document.ConfigVersion(1), "peer")
+    >>> holder.adopt(_version.ConfigVersion(1), "peer")
     False
     """
 
     def __init__(self):
-        self.current_ = _document.ConfigVersion()
+        self.current_ = _version.ConfigVersion()
         self.known_ = asyncio.Event()
+        self.ready_ = asyncio.Event()
+        self.local_by_domain = {}
+        self._patch_by_number = {}
         self._listeners = []
+        self._local_listeners = []
 
     def add_listener(self, listener):
         """Call a function with each version that is adopted from now on.
@@ -33,21 +43,105 @@
         """
         self._listeners.append(listener)
 
-    def adopt(self, version, source):
+    def add_local_listener(self, listener):
+        """Call a function with each local order that is taken from now on.
+
+        :param listener: function that takes a :class:`LocalOrder`.
+        """
+        self._local_listeners.append(listener)
+
+    def adopt(self, version, source, steps=()):
         """Put a version in force if it is higher than the current one.
 
         :param ConfigVersion version: the version offered.
         :param str source: where it came from, for the log.
+        :param steps: steps that led there, as far as the source knows them.
+        :type steps: collections.abc.Iterable[Step]
         :returns: whether it was adopted.
         :rtype: bool
         """
         if version.number <= self.current_.number:
             return False
         self.current_ = version
+        self._keep(steps)
         self.known_.set()
+        self._end_overtaken()
         _log.emit(
             base.Event.CONFIG_ADOPTED, config_version=version.number, source=source
         )
         for listener in self._listeners:
             listener(version)
         return True
+
+    def steps_above(self, number):
+        """Return the patches from a version to the current one.
+
+        :param int number: the version to start from.
+        :returns: JSON texts, or ``None`` if one of them is not kept.
+        :rtype: list[str] | None
+        """
+        wanted = range(number + 1, self.current_.number + 1)
+        texts = [self._patch_by_number.get(item) for item in wanted]
+        return None if None in texts else texts
+
+    def take_local(self, order, source):
+        """Put a local order in force unless a version has overtaken it.
+
+        :param LocalOrder order: the order.
+        :param str source: where it came from, for the log.
+        :returns: whether it is new here.
+        :rtype: bool
+        """
+        known = self.local_by_domain.get(order.failure_domain)
+        if order.is_overtaken(self.current_.number):
+            return False
+        if known is not None and known.against >= order.against:
+            return False
+        self.local_by_domain[order.failure_domain] = order
+        _log.emit(
+            base.Event.LOCAL_ORDER_TAKEN,
+            failure_domain=order.failure_domain,
+            operator=order.operator,
+            against=order.against,
+            source=source,
+        )
+        for listener in self._local_listeners:
+            listener(order)
+        return True
+
+    def forbidding_setting(self, failure_domain, endpoint_id):
+        """Return the setting that forbids new work at an endpoint.
+
+        :param str failure_domain: where the endpoint stands.
+        :param str endpoint_id: the endpoint.
+        :returns: path of the setting; empty where work is allowed.
+        :rtype: str
+        """
+        document = self.current_.document
+        domain = document.failure_domains.get(failure_domain)
+        endpoint = document.endpoints.get(endpoint_id)
+        if domain is not None and domain.state == "out":
+            return f"failure_domains.{failure_domain}.state"
+        if failure_domain in self.local_by_domain:
+            return f"local.{failure_domain}"
+        if endpoint is not None and endpoint.drain:
+            return f"endpoints.{endpoint_id}.drain"
+        return ""
+
+    def _keep(self, steps):
+        for step in steps:
+            self._patch_by_number[step.number] = json.dumps(step.patch)
+        oldest = self.current_.number - MAX_STEPS
+        for number in [item for item in self._patch_by_number if item <= oldest]:
+            del self._patch_by_number[number]
+
+    def _end_overtaken(self):
+        number = self.current_.number
+        for domain, order in list(self.local_by_domain.items()):
+            if order.is_overtaken(number):
+                del self.local_by_domain[domain]
+                _log.emit(
+                    base.Event.LOCAL_ORDER_ENDED,
+                    failure_domain=domain,
+                    config_version=number,
+                )
--- /dev/null
+++ b/libs/config/src/sequoiagap/config/_replica.py
@@ -0,0 +1,175 @@
+"""What a process does with offers, pulls, patches and documents; no I/O.
+
+Processes offer the number and digest of what they have, and pull what is higher.
+The answer is the line of patches where the sender still knows it, else the whole
+document. A process adopts only a higher version.
+"""
+
+import json
+
+from sequoiagap import base
+from sequoiagap.config import _local, _messages, _version
+
+UNKNOWN_AGE_MS = -1
+
+_log = base.get_logger("config")
+
+
+class ConfigReplica:
+    """Answers the messages of configuration for one process.
+
+    Each ``on_`` method returns the message to send back, or ``None``.
+
+    :param ConfigHolder holder: the version in force.
+
+    >>> from sequoiagap.config import _holder
+    >>> replica = ConfigReplica(_holder.ConfigHolder())
+    >>> replica.on_offer(_messages.ConfigOffer(3))
+    ConfigPull(above=0, whole=False)
+    """
+
+    def __init__(self, holder):
+        self.holder = holder
+        self._reported = set()
+
+    def offer(self, age_ms=UNKNOWN_AGE_MS):
+        """Return the offer of the version in force.
+
+        :param int age_ms: age of the platform's last word, in milliseconds.
+        :rtype: ConfigOffer
+        """
+        current = self.holder.current_
+        return _messages.ConfigOffer(current.number, current.digest, age_ms)
+
+    def on_offer(self, item):
+        """Take an offer; pull what is higher, answer a lower one with an offer.
+
+        :param ConfigOffer item: the offer.
+        :rtype: ConfigPull | ConfigOffer | None
+        """
+        current = self.holder.current_
+        if item.number > current.number:
+            return _messages.ConfigPull(current.number)
+        if item.number < current.number:
+            return self.offer()
+        if item.digest and item.digest != current.digest:
+            self._report_fork(item)
+        return None
+
+    def on_pull(self, item):
+        """Take a pull; answer with patches or with the document.
+
+        :param ConfigPull item: the pull.
+        :rtype: ConfigDelta | ConfigBody | None
+        """
+        current = self.holder.current_
+        if current.number <= item.above:
+            return None
+        text = current.to_json()
+        steps = None if item.whole else self.holder.steps_above(item.above)
+        if steps is None or sum(map(len, steps)) >= len(text):
+            return _messages.ConfigBody(current.number, text)
+        return _messages.ConfigDelta(item.above, steps, current.digest)
+
+    def on_delta(self, item, source):
+        """Take patches; pull the document where they don't fit.
+
+        :param ConfigDelta item: the patches.
+        :param str source: who sent them, for the log.
+        :rtype: ConfigPull | None
+        """
+        current = self.holder.current_
+        number = item.above + len(item.patches)
+        if number <= current.number:
+            return None
+        if item.above > current.number:
+            return _messages.ConfigPull(current.number)
+        try:
+            patches = [json.loads(text) for text in item.patches]
+            version = current.apply(patches[current.number - item.above :])
+        except (ValueError, TypeError) as error:
+            self.report_malformed(number, source, error)
+            return None
+        if version.digest != item.digest:
+            return _messages.ConfigPull(current.number, whole=True)
+        self.holder.adopt(version, source, steps_of(item.above, patches))
+        return None
+
+    def on_body(self, item, source):
+        """Take a document.
+
+        :param ConfigBody item: the document.
+        :param str source: who sent it, for the log.
+        """
+        try:
+            version = _version.ConfigVersion.from_json(item.number, item.document)
+        except ValueError as error:
+            self.report_malformed(item.number, source, error)
+            return
+        self.holder.adopt(version, source)
+
+    def on_local(self, item, source):
+        """Take a local order.
+
+        :param LocalDomainOut item: the order.
+        :param str source: who sent it, for the log.
+        """
+        order = _local.LocalOrder(
+            item.failure_domain, item.against, item.order_id, item.operator, item.at
+        )
+        self.holder.take_local(order, source)
+
+    def local_orders(self):
+        """Return the messages of the local orders that hold.
+
+        :rtype: list[LocalDomainOut]
+        """
+        return [local_message(o) for o in self.holder.local_by_domain.values()]
+
+    def report_malformed(self, number, source, error):
+        """Log, once for each number and source, a version that can't be used.
+
+        :param int number: the version.
+        :param str source: where it came from.
+        :param Exception error: what is wrong with it.
+        """
+        if (number, source) in self._reported:
+            return
+        self._reported.add((number, source))
+        _log.emit(
+            base.Event.CONFIG_MALFORMED,
+            config_version=number,
+            kept_version=self.holder.current_.number,
+            source=source,
+            error=str(error),
+        )
+
+    def _report_fork(self, item):
+        if (item.number, item.digest) in self._reported:
+            return
+        self._reported.add((item.number, item.digest))
+        _log.emit(base.Event.CONFIG_FORKED, config_version=item.number)
+
+
+def local_message(order):
+    """Return the message of a local order.
+
+    :param LocalOrder order: the order.
+    :rtype: LocalDomainOut
+    """
+    return _messages.LocalDomainOut(
+        order.failure_domain, order.against, order.order_id, order.operator, order.at
+    )
+
+
+def steps_of(above, patches):
+    """Return the steps of a line of patches.
+
+    :param int above: the version that they start from.
+    :param list[dict] patches: one for each number above.
+    :rtype: list[Step]
+    """
+    return [
+        _version.Step(above + offset, patch)
+        for offset, patch in enumerate(patches, start=1)
+    ]
--- a/libs/entry/src/sequoiagap/entry/_entry.py
+++ b/libs/entry/src/sequoiagap/entry/_entry.py
@@ -4,16 +4,32 @@
 import json
 import random
 import signal
+import time
 
 from aiohttp import web
 
-from sequoiagap import admission, base, config, outcome, platform, settings, wire
+from sequoiagap import (
+    admission,
+    base,
+    config,
+    members,
+    outcome,
+    platform,
+    settings,
+    wire,
+)
 from sequoiagap.entry import (
     _auth,
     _callers,
+    _config_api,
     _dispatch,
+    _facts,
+    _host_list,
     _links,
     _operators,
+    _orders,
+    _peers,
+    _reports,
     _watch,
 )
 
@@ -45,15 +61,41 @@
         self.platform_ = platform.PlatformClient(
             settings.platform.url, settings.platform.timeout_s
         )
-        self.links_ = _links.AgentLinks(self.platform_, self._hello, self.holder_)
+        self._build_spread()
+
+    def _build_spread(self):
+        self.duty_ = config.WatchDuty(time.monotonic())
+        replica = config.ConfigReplica(self.holder_)
+        channel = config.ConfigChannel(replica, self._hear_age)
+        self.reports_ = _reports.ReportDesk(replica, self._suspect)
+        self.links_ = _links.AgentLinks(
+            self._hello, self.holder_, channel, self.reports_
+        )
+        self.mesh_ = _peers.PeerMesh(self.settings, self._hello, channel, self.links_)
+        self.mesh_.handlers_.add(members.MemberSuspect, self._on_suspect)
+        self.facts_ = _facts.FactFinder(self.links_, self.mesh_)
+        self.watch_ = _watch.ConfigWatch(
+            self.platform_,
+            self.holder_,
+            replica,
+            self.duty_,
+            lambda: _watch.find_rank(self.settings, self.mesh_),
+        )
+        self.replica_ = replica
 
     async def start(self):
         """Learn the configuration and the members, and listen for callers."""
         self._secret = settings.load_secret(self.settings.secret_file)
         keys = _auth.KeyRing(*settings.load_keys(self.settings.keys_file))
         self.holder_.add_listener(self._on_adopted)
-        self._tasks.start(_watch.ConfigWatch(self.platform_, self.holder_).run(), "w")
-        self._tasks.start(self.links_.follow_list(), "follow-list")
+        self.holder_.add_local_listener(self._on_local)
+        await self.mesh_.start()
+        takers = {"agent": self.links_.apply_list, "entry": self.mesh_.apply_list}
+        host_list = _host_list.HostList(self.platform_, takers)
+        self._tasks.start(self.watch_.run(), "watch-config")
+        self._tasks.start(host_list.run(), "follow-list")
+        self._tasks.start(self.mesh_.run(self._offer), "peers")
+        self._tasks.start(self.reports_.run(self.mesh_.broadcast), "reports")
         await self._listen(self._make_app(keys))
         _log.emit(base.Event.PROCESS_READY, role="entry", http_port=self.http_port_)
 
@@ -65,6 +107,7 @@
         await self.callers_.wait_idle(self.settings.drain_bound_s)
         await self._runner.cleanup()
         await self._tasks.close()
+        await self.mesh_.close()
         await self.links_.close()
         await self.platform_.close()
         _log.emit(base.Event.PROCESS_STOPPED, role="entry")
@@ -74,7 +117,7 @@
 
         :rtype: bool
         """
-        return self.holder_.known_.is_set() and not self.stopping_
+        return self.holder_.ready_.is_set() and not self.stopping_
 
     def dump_state(self):
         """Return the state of the process as plain data.
@@ -93,6 +136,14 @@
                 endpoint_id: _describe(link)
                 for endpoint_id, link in sorted(self.links_.by_id.items())
             },
+            "local_out": sorted(self.holder_.local_by_domain),
+            "platform": {
+                "watching": self.watch_.watching_,
+                "reachable": self.watch_.reachable_,
+                "behind": self.watch_.behind_,
+                "age_ms": self.duty_.age_ms(time.monotonic()),
+            },
+            "peers": sorted({c.peer.node_id for c in self.mesh_.connections_}),
             "platform_calls": self.platform_.calls_,
             "metrics": self.metrics_.to_document(),
         }
@@ -102,11 +153,14 @@
         dispatcher = _dispatch.Dispatcher(
             self.links_, self.holder_, budget, self.journal_, self.random_state
         )
+        counted = _facts.CountedDispatcher(dispatcher, self.facts_)
         self.callers_ = _callers.CallersApi(
-            self.settings, dispatcher, self.holder_, keys, self.journal_, self.metrics_
+            self.settings, counted, self.holder_, keys, self.journal_, self.metrics_
         )
-        store = config.ConfigStore(self.platform_)
-        operators = _operators.OperatorsApi(self, store, self.holder_, keys)
+        store = config.ConfigStore(self.platform_, [_config_api.check_policy])
+        issuer = _orders.OrderIssuer(members.FenceStore(self.platform_), self.links_)
+        config_api = _config_api.ConfigApi(store, self.holder_, self.facts_, issuer)
+        operators = _operators.OperatorsApi(self, config_api, self.holder_, keys)
         app = web.Application(client_max_size=self.settings.max_body_bytes)
         self.callers_.add_routes(app.router)
         operators.add_routes(app.router)
@@ -133,8 +187,27 @@
             secret=self._secret,
         )
 
+    def _offer(self):
+        return self.replica_.offer(self.duty_.age_ms(time.monotonic()))
+
+    def _hear_age(self, age_s):
+        self.duty_.hear(age_s, time.monotonic())
+
     def _on_adopted(self, version):
-        self._tasks.start(self.links_.offer_config(version.number), "offer-config")
+        self._tasks.start(self.mesh_.broadcast(self._offer()), "offer-to-peers")
+        self._tasks.start(self.links_.tell(self.replica_.offer()), "offer-to-agents")
+
+    def _on_local(self, order):
+        item = config.local_message(order)
+        domain = self.settings.failure_domain
+        self._tasks.start(self.mesh_.broadcast(item, True), "local-to-peers")
+        self._tasks.start(self.links_.tell(item, domain), "local-to-agents")
+
+    def _suspect(self, node_id, incarnation):
+        return self.links_.suspect(node_id, incarnation)
+
+    async def _on_suspect(self, connection, item):
+        await self.reports_.suspect(item, self.mesh_.broadcast)
 
 
 def _describe(link):
@@ -144,6 +217,8 @@
         "failure_domain": view.failure_domain,
         "connected": view.connected,
         "leaving": link.member.leaving,
+        "suspect": link.is_suspect(),
+        "listed": link.member.listed,
         "limit": view.limit,
         "reported_in_flight": view.reported_in_flight,
         "own_in_flight": view.own_in_flight,
@@ -163,6 +238,6 @@
         loop.add_signal_handler(number, stopped.set)
     await entry.start()
     ready = {"ready": entry_settings.node_id, "http_port": entry.http_port_}
-    print(json.dumps(ready), flush=True)
+    print(json.dumps(ready | {"port": entry.mesh_.port_}), flush=True)
     await stopped.wait()
     await entry.stop()
--- a/libs/entry/src/sequoiagap/entry/_link.py
+++ b/libs/entry/src/sequoiagap/entry/_link.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 
-from sequoiagap import base, config, wire
+from sequoiagap import base, members, wire
 
 RECONNECT_DELAY_S = 0.2
 SETTLE_TIMEOUT_S = 2.0
@@ -22,17 +22,21 @@
     :param sequoiagap.members.Member member: the agent.
     :param sequoiagap.routing.EndpointView view: what the entry believes of it.
     :param make_hello: function that returns this entry's hello.
-    :param sequoiagap.config.ConfigHolder holder: configuration in force.
+    :param sequoiagap.config.ConfigChannel channel: spreads the configuration.
+    :param reports: object that attaches the handler of agents' reports.
 
     :ivar sequoiagap.wire.Connection connection_: open connection or ``None``.
     """
 
-    def __init__(self, member, view, make_hello, holder):
+    def __init__(self, member, view, make_hello, channel, reports):
         self.member = member
         self.view = view
         self.make_hello = make_hello
-        self.holder = holder
+        self.channel = channel
+        self.reports = reports
         self.connection_ = None
+        self._suspected_at = 0.0
+        self._replies_by_order_id = {}
         self._events_by_attempt_id = {}
         self._revoked_by_attempt_id = {}
         self._states_by_sequence = {}
@@ -134,22 +138,54 @@
         finally:
             self._states_by_sequence.pop(sequence, None)
 
-    async def offer(self, number):
-        """Tell the agent that this entry has adopted a version.
+    async def tell(self, item):
+        """Send the agent a message; a lost connection is settled elsewhere.
 
-        :param int number: the version.
+        :param item: the message.
         """
         if self.connection_ is not None:
-            await self._send_quietly(config.ConfigOffer(number))
+            await self._send_quietly(item)
+
+    def suspect(self):
+        """Give the agent no new work until it gives a sign of life."""
+        self._suspected_at = time.monotonic()
+        if self.connection_ is not None:
+            self.connection_.probe()
+
+    def is_suspect(self):
+        """Return whether the agent went silent and was not heard since.
+
+        :rtype: bool
+        """
+        connection = self.connection_
+        return connection is not None and connection.heard_at_ < self._suspected_at
+
+    async def order(self, order, timeout_s):
+        """Send an order to the endpoint; return the agent's reply or ``None``.
+
+        :param sequoiagap.members.EndpointOrder order: the order.
+        :param float timeout_s: longest wait for the reply, in seconds.
+        :rtype: sequoiagap.members.EndpointOrderReply | None
+        """
+        answer = asyncio.get_running_loop().create_future()
+        self._replies_by_order_id[order.order_id] = answer
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._opened.wait()
+                await self.connection_.send(order)
+                return await answer
+        except (TimeoutError, base.WireError):
+            return None
+        finally:
+            self._replies_by_order_id.pop(order.order_id, None)
 
     async def _use(self, connection):
         self.connection_ = connection
-        self.member.alive = True
-        self.member.incarnation = connection.peer.incarnation
+        self.member.mark_alive(connection.peer.incarnation, time.monotonic())
         self._opened.set()
         self.view.connected = True
         _log.emit(base.Event.LINK_OPENED, peer=connection.peer.node_id)
-        await self.offer(self.holder.current_.number)
+        await self.channel.greet(connection)
         reason = await connection.run(
             lambda item: self._handlers.handle(connection, item)
         )
@@ -157,7 +193,8 @@
 
     def _lost(self):
         self.connection_ = None
-        self.member.alive = False
+        self.member.mark_lost(time.monotonic())
+        self.reports.forget(self.member.host.host_id)
         self.view.connected = False
         self._opened.clear()
         for events in self._events_by_attempt_id.values():
@@ -170,7 +207,9 @@
         handlers.add(wire.Load, self._on_load)
         handlers.add(wire.Revoked, self._on_revoked)
         handlers.add(wire.StateReply, self._on_state)
-        handlers.add(config.ConfigPull, self._on_pull)
+        handlers.add(members.EndpointOrderReply, self._on_order_reply)
+        self.channel.attach(handlers)
+        self.reports.attach(handlers)
         return handlers
 
     async def _on_attempt_event(self, connection, item):
@@ -185,7 +224,7 @@
         self.view.queued = item.queued
         self.view.service_time_s = item.service_time_s
         if item.state == "gone":
-            self.member.leaving = True
+            self.member.mark_leaving()
 
     async def _on_revoked(self, connection, item):
         answer = self._revoked_by_attempt_id.get(item.attempt_id)
@@ -197,11 +236,10 @@
         if answer is not None and not answer.done():
             answer.set_result(item.document)
 
-    async def _on_pull(self, connection, item):
-        current = self.holder.current_
-        if current.number > item.above:
-            body = config.ConfigBody(current.number, current.to_json())
-            await connection.send(body)
+    async def _on_order_reply(self, connection, item):
+        answer = self._replies_by_order_id.get(item.order_id)
+        if answer is not None and not answer.done():
+            answer.set_result(item)
 
     async def _send_quietly(self, item):
         try:
--- a/libs/entry/src/sequoiagap/entry/_links.py
+++ b/libs/entry/src/sequoiagap/entry/_links.py
@@ -1,43 +1,57 @@
-"""Links to all agents, following the platform's list."""
+"""Links to all agents that are listed or otherwise known."""
 
 import asyncio
+import time
 
 from sequoiagap import base, members, routing
 from sequoiagap.entry import _link
 
-LIST_INTERVAL_S = 1.0
-
 _log = base.get_logger("links")
 
 
 class AgentLinks:
     """Links by endpoint id.
 
-    :param sequoiagap.platform.PlatformClient client: the platform.
     :param make_hello: function that returns this entry's hello.
     :param sequoiagap.config.ConfigHolder holder: configuration in force.
+    :param sequoiagap.config.ConfigChannel channel: spreads the configuration.
+    :param reports: object that attaches the handler of agents' reports.
 
     :ivar dict by_id: link by endpoint id.
-    :ivar sequoiagap.members.Directory directory_: members as listed and seen.
+    :ivar sequoiagap.members.Directory directory_: agents as listed and seen.
     """
 
-    def __init__(self, client, make_hello, holder):
-        self.client = client
+    def __init__(self, make_hello, holder, channel, reports):
         self.make_hello = make_hello
         self.holder = holder
+        self.channel = channel
+        self.reports = reports
         self.by_id = {}
         self.directory_ = members.Directory()
         self._task_by_id = {}
 
-    async def follow_list(self):
-        """Poll the platform's list until cancelled."""
-        while True:
-            try:
-                hosts = await self.client.list_hosts()
-                self._apply([host for host in hosts if host.role == "agent"])
-            except base.PlatformError as error:
-                _log.emit(base.Event.PLATFORM_UNREACHABLE, error=error.message)
-            await asyncio.sleep(LIST_INTERVAL_S)
+    def apply_list(self, hosts):
+        """Take the agents of the platform's list.
+
+        :param list[sequoiagap.platform.HostEntry] hosts: agents listed.
+        """
+        now = time.monotonic()
+        for member in self.directory_.apply_list(hosts, now):
+            self._open(member)
+        self.drop_gone()
+
+    def propose(self, hosts):
+        """Take agents that other processes know.
+
+        :param list[sequoiagap.platform.HostEntry] hosts: the agents.
+        """
+        for member in self.directory_.propose(hosts, time.monotonic()):
+            self._open(member)
+
+    def drop_gone(self):
+        """Close the links of agents that are neither listed nor alive."""
+        for endpoint_id in self.directory_.drop_gone(time.monotonic()):
+            self._close(endpoint_id)
 
     def candidates(self, target):
         """Return the endpoints that may take an attempt for a target.
@@ -45,42 +59,55 @@
         :param str target: name of a model or service.
         :rtype: list[sequoiagap.routing.EndpointView]
         """
-        document = self.holder.current_.document
         return [
             link.view
             for link in self.by_id.values()
-            if target in link.view.serves and self._is_usable(link, document)
+            if target in link.view.serves and self._is_usable(link)
         ]
 
+    def suspect(self, node_id, incarnation):
+        """Give an agent no new work until it gives a sign of life.
+
+        :param str node_id: the agent.
+        :param str incarnation: the incarnation that went silent.
+        :returns: whether it was in use here.
+        :rtype: bool
+        """
+        link = self.by_id.get(node_id)
+        if link is None or link.member.incarnation != incarnation:
+            return False
+        if not link.member.alive or link.is_suspect():
+            return False
+        link.suspect()
+        _log.emit(base.Event.ENDPOINT_SUSPECT, endpoint=node_id)
+        return True
+
     async def close(self):
         """Close every link."""
         for task in self._task_by_id.values():
             await base.cancel_and_wait(task)
 
-    async def offer_config(self, number):
-        """Tell every agent that a version was adopted.
+    async def tell(self, item, failure_domain=None):
+        """Send a message to every agent, or to those of one failure domain.
 
-        :param int number: the version.
+        :param item: the message.
+        :param str failure_domain: whom to tell; all by default.
         """
-        await asyncio.gather(*(link.offer(number) for link in self.by_id.values()))
+        links = [
+            link
+            for link in self.by_id.values()
+            if failure_domain in (None, link.view.failure_domain)
+        ]
+        await asyncio.gather(*(link.tell(item) for link in links))
 
-    def _is_usable(self, link, document):
+    def _is_usable(self, link):
         view = link.view
-        domain = document.failure_domains.get(view.failure_domain)
-        order = document.endpoints.get(view.endpoint_id)
-        is_out = domain is not None and domain.state == "out"
-        is_drained = order is not None and order.drain
-        if is_out or is_drained or link.member.leaving or not view.connected:
+        if self.holder.forbidding_setting(view.failure_domain, view.endpoint_id):
+            return False
+        if link.member.leaving or link.is_suspect() or not view.connected:
             return False
         return view.limit > 0
 
-    def _apply(self, hosts):
-        for member in self.directory_.apply_list(hosts):
-            self._open(member)
-        for endpoint_id in list(self.by_id):
-            if endpoint_id not in self.directory_.by_id:
-                self._close(endpoint_id)
-
     def _open(self, member):
         endpoint_id = member.host.host_id
         if endpoint_id in self.by_id:
@@ -88,7 +115,9 @@
         view = routing.EndpointView(
             endpoint_id, member.host.failure_domain, frozenset(member.host.serves)
         )
-        link = _link.AgentLink(member, view, self.make_hello, self.holder)
+        link = _link.AgentLink(
+            member, view, self.make_hello, self.channel, self.reports
+        )
         self.by_id[endpoint_id] = link
         self._task_by_id[endpoint_id] = asyncio.create_task(
             link.run(), name=f"link-{endpoint_id}"
--- a/libs/entry/src/sequoiagap/entry/_operators.py
+++ b/libs/entry/src/sequoiagap/entry/_operators.py
@@ -1,11 +1,8 @@
-"""The operators' HTTP: configuration, health, metrics and state dumps."""
-
-import dataclasses
-import json
+"""The operators' HTTP: health, metrics and state dumps."""
 
 from aiohttp import web
 
-from sequoiagap import base, config
+from sequoiagap import base
 from sequoiagap.entry import _auth, _exposition, _responses
 
 AGENT_STATE_TIMEOUT_S = 1.0
@@ -15,14 +12,14 @@
     """Handlers of the operators' HTTP.
 
     :param Entry entry: the process, for its state.
-    :param sequoiagap.config.ConfigStore store: versions in the platform.
+    :param ConfigApi config_api: handlers that change something.
     :param sequoiagap.config.ConfigHolder holder: configuration in force.
     :param KeyRing keys: keys of client accounts and operators.
     """
 
-    def __init__(self, entry, store, holder, keys):
+    def __init__(self, entry, config_api, holder, keys):
         self.entry = entry
-        self.store = store
+        self.config_api = config_api
         self.holder = holder
         self.keys = keys
 
@@ -36,9 +33,7 @@
         router.add_get("/metrics", self._guarded(self.metrics))
         router.add_get("/state", self._guarded(self.state))
         router.add_get("/state/{endpoint_id}", self._guarded(self.agent_state))
-        router.add_get("/config", self._guarded(self.get_config))
-        router.add_post("/config", self._guarded(self.patch_config))
-        router.add_get("/config/history", self._guarded(self.history))
+        self.config_api.add_routes(router, self._guarded)
 
     async def healthz(self, http_request):
         """Answer whether the process runs."""
@@ -71,49 +66,6 @@
             )
         return web.Response(text=text, content_type="application/json")
 
-    async def get_config(self, http_request, operator):
-        """Answer with the version in force at this process."""
-        current = self.holder.current_
-        document = json.loads(current.to_json())
-        return web.json_response({"version": current.number, "document": document})
-
-    async def patch_config(self, http_request, operator):
-        """Submit an operator's patch."""
-        try:
-            document = await http_request.json()
-            patch = config.Patch(
-                patch_id=str(document.get("patch_id") or base.new_id("patch")),
-                against=int(document["against"]),
-                changes=dict(document["changes"]),
-                operator=operator,
-                override=bool(document.get("override", False)),
-            )
-        except (ValueError, KeyError, TypeError):
-            return self._refuse(
-                base.RefusalKind.BAD_REQUEST,
-                "the body is no patch",
-                'Send {"against": VERSION, "changes": {...}}',
-            )
-        result = await self.store.submit(patch)
-        if result.is_error():
-            return _responses.refusal_response(result.error, patch.patch_id)
-        version = result.ok
-        self.holder.adopt(version, "operator")
-        return web.json_response(
-            {"version": version.number, "patch_id": patch.patch_id}
-        )
-
-    async def history(self, http_request, operator):
-        """Answer with the accepted patches, oldest first."""
-        try:
-            entries = await self.store.history()
-        except base.PlatformError as error:
-            return self._refuse(
-                base.RefusalKind.PLATFORM_DOWN, error.message, error.remedy
-            )
-        items = [dataclasses.asdict(entry) for entry in entries]
-        return web.json_response({"history": items})
-
     def _guarded(self, handler):
         async def guarded(http_request):
             operator = self.keys.find_operator(http_request.headers)
--- /dev/null
+++ b/libs/entry/src/sequoiagap/entry/_peers.py
@@ -0,0 +1,234 @@
+"""Connections between entries: a few from each, and none to all."""
+
+import asyncio
+import dataclasses
+import time
+
+from sequoiagap import base, members, wire
+
+OWN_DOMAIN_PEERS = 3
+OTHER_DOMAIN_PEERS = 2
+ROUND_INTERVAL_S = 0.5
+HEARTBEAT_INTERVAL_S = 1.0
+RECONNECT_DELAY_S = 0.3
+AVOID_S = 5.0
+SEND_TIMEOUT_S = 0.5
+MAX_HOSTS_TOLD = 2000
+
+_log = base.get_logger("peers")
+
+
+class PeerMesh:
+    """Links to a few other entries, chosen by rendezvous.
+
+    :param sequoiagap.settings.EntrySettings settings: checked settings.
+    :param make_hello: function that returns this entry's hello.
+    :param sequoiagap.config.ConfigChannel channel: spreads the configuration.
+    :param AgentLinks links: agents, to pass on and to take from others.
+
+    :ivar int port_: TCP port for peers and agents, once started.
+    :ivar set connections_: open connections, in both directions.
+    :ivar sequoiagap.members.Directory directory_: entries as listed and told.
+    """
+
+    def __init__(self, settings, make_hello, channel, links):
+        self.settings = settings
+        self.make_hello = make_hello
+        self.channel = channel
+        self.links = links
+        self.port_ = 0
+        self.connections_ = set()
+        self.directory_ = members.Directory()
+        self.handlers_ = wire.HandlerTable()
+        self._task_by_key = {}
+        self._avoid_until_by_id = {}
+        self._server = None
+        self._closing = False
+        channel.attach(self.handlers_)
+        self.handlers_.add(members.MemberHosts, self._on_hosts)
+        self.handlers_.add(members.MemberAnnounce, self._on_announce)
+
+    async def start(self):
+        """Listen for entries and for agents that nobody has found."""
+        self._server = await asyncio.start_server(
+            self._serve, str(self.settings.address), self.settings.port
+        )
+        self.port_ = self._server.sockets[0].getsockname()[1]
+
+    async def close(self):
+        """Close the listener and every connection."""
+        self._closing = True
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._task_by_key.values()):
+            await base.cancel_and_wait(task)
+        for connection in list(self.connections_):
+            await connection.close_politely("entry stops")
+
+    def apply_list(self, hosts):
+        """Take the entries of the platform's list.
+
+        :param list[sequoiagap.platform.HostEntry] hosts: entries listed.
+        """
+        now = time.monotonic()
+        self.directory_.apply_list(hosts, now)
+        self.directory_.drop_gone(now)
+
+    def domain_ids(self):
+        """Return the ids of the known entries of the own failure domain.
+
+        :rtype: list[str]
+        """
+        own = self.settings.failure_domain
+        hosts = [member.host for member in self.directory_.by_id.values()]
+        return [host.host_id for host in hosts if host.failure_domain == own]
+
+    def choose(self, now):
+        """Return the entries to connect to: a few near, a few elsewhere.
+
+        :param float now: monotonic time in seconds.
+        :rtype: list[str]
+        """
+        own_id, own_domain = self.settings.node_id, self.settings.failure_domain
+        near, far = [], []
+        for node_id, member in self.directory_.by_id.items():
+            avoided = self._avoid_until_by_id.get(node_id, now) > now
+            if node_id == own_id or avoided or not member.host.port:
+                continue
+            is_near = member.host.failure_domain == own_domain
+            (near if is_near else far).append(node_id)
+        chosen = members.choose(own_id, near, OWN_DOMAIN_PEERS)
+        return chosen + members.choose(own_id, far, OTHER_DOMAIN_PEERS)
+
+    async def run(self, make_offer):
+        """Keep the connections and offer on them, until cancelled.
+
+        :param make_offer: function that returns the offer of this process.
+        """
+        while True:
+            self._follow_choice(time.monotonic())
+            await self.broadcast(make_offer())
+            await asyncio.sleep(ROUND_INTERVAL_S)
+
+    async def broadcast(self, item, within_domain=False):
+        """Send a message on every connection to an entry.
+
+        :param item: the message.
+        :param bool within_domain: whether only to the own failure domain.
+        """
+        own = self.settings.failure_domain
+        targets = [
+            connection
+            for connection in self.connections_
+            if not within_domain or connection.peer.failure_domain == own
+        ]
+        await asyncio.gather(*(_send(connection, item) for connection in targets))
+
+    def _follow_choice(self, now):
+        wanted = set(self.choose(now))
+        for node_id in set(self._task_by_key) - wanted:
+            if not node_id.startswith(_SEED_PREFIX):
+                self._task_by_key.pop(node_id).cancel()
+        for node_id in wanted - set(self._task_by_key):
+            host = self.directory_.by_id[node_id].host
+            self._keep(node_id, host.address, host.port)
+        if not self.connections_:
+            self._try_seeds()
+
+    def _try_seeds(self):
+        for seed in self.settings.seeds:
+            key = f"{_SEED_PREFIX}{seed.address}:{seed.port}"
+            if key not in self._task_by_key:
+                self._keep(key, str(seed.address), seed.port)
+
+    def _keep(self, key, address, port):
+        task = asyncio.create_task(self._dial(key, address, port), name=f"peer-{key}")
+        self._task_by_key[key] = task
+
+    async def _dial(self, key, address, port):
+        """Hold one connection; once it is lost the choice is made anew."""
+        try:
+            connection = await wire.connect(address, port, self.make_hello())
+            await self._use(connection)
+            await asyncio.sleep(RECONNECT_DELAY_S)
+        except base.WireError:
+            self._avoid_until_by_id[key] = time.monotonic() + AVOID_S
+        finally:
+            self._task_by_key.pop(key, None)
+
+    async def _serve(self, reader, writer):
+        try:
+            connection = await wire.accept(reader, writer, self.make_hello())
+        except base.WireError as error:
+            _log.emit(base.Event.FRAME_REJECTED, error=error.message)
+            return
+        await self._use(connection)
+
+    async def _use(self, connection):
+        peer = connection.peer
+        if self._closing or peer.node_id == self.settings.node_id:
+            connection.close()
+            return
+        connection.idle_interval_s = HEARTBEAT_INTERVAL_S
+        _log.emit(base.Event.PEER_OPENED, peer=peer.node_id)
+        reason = "lost at once"
+        try:
+            if peer.role == "entry":
+                self.connections_.add(connection)
+                await self.channel.greet(connection)
+                await connection.send(members.MemberHosts(self._known_hosts()))
+            reason = await connection.run(
+                lambda item: self.handlers_.handle(connection, item)
+            )
+        except base.WireError as error:
+            reason = error.message
+        finally:
+            self.connections_.discard(connection)
+            connection.close()
+            _log.emit(base.Event.PEER_CLOSED, peer=peer.node_id, reason=reason)
+
+    def _known_hosts(self):
+        """Return the hosts that are alive here, near ones first, as plain data."""
+        agents = [
+            link.member.host
+            for link in self.links.by_id.values()
+            if link.member.alive and not link.member.leaving
+        ]
+        connected = {connection.peer.node_id for connection in self.connections_}
+        entries = [
+            member.host
+            for node_id, member in self.directory_.by_id.items()
+            if node_id in connected
+        ]
+        own = self.settings.failure_domain
+        hosts = sorted([*entries, *agents], key=lambda h: h.failure_domain != own)
+        return [dataclasses.asdict(host) for host in hosts[:MAX_HOSTS_TOLD]]
+
+    async def _on_hosts(self, connection, item):
+        self._take([members.host_from_document(document) for document in item.hosts])
+
+    async def _on_announce(self, connection, item):
+        """Take an agent that nobody has found, and tell the own failure domain."""
+        host = members.host_from_document(item.host)
+        if host is None or host.host_id != connection.peer.node_id:
+            return
+        self._take([host])
+        told = members.MemberHosts([dataclasses.asdict(host)])
+        await self.broadcast(told, within_domain=True)
+
+    def _take(self, hosts):
+        known = [host for host in hosts if host is not None]
+        self.links.propose([host for host in known if host.role == "agent"])
+        entries = [host for host in known if host.role == "entry"]
+        self.directory_.propose(entries, time.monotonic())
+
+
+_SEED_PREFIX = "seed "
+
+
+async def _send(connection, item):
+    try:
+        async with asyncio.timeout(SEND_TIMEOUT_S):
+            await connection.send(item)
+    except (TimeoutError, base.WireError):
+        return
--- a/libs/members/src/sequoiagap/members/__init__.py
+++ b/libs/members/src/sequoiagap/members/__init__.py
@@ -1,5 +1,48 @@
 """Membership of endpoints and entries: lists, heartbeats and incarnations."""
 
-from sequoiagap.members._directory import Directory, Member
+from sequoiagap.members._directory import (
+    LIST_TRUST_S,
+    UNLISTED_GRACE_S,
+    Directory,
+    Member,
+)
+from sequoiagap.members._fence import (
+    EndpointOrder,
+    EndpointOrderReply,
+    FenceStore,
+    IssuedOrder,
+    OrderFence,
+    OrderKind,
+    OrderOutcome,
+)
+from sequoiagap.members._liveness import ReportTracker
+from sequoiagap.members._messages import (
+    MemberAnnounce,
+    MemberHosts,
+    MemberReport,
+    MemberSuspect,
+    host_from_document,
+)
+from sequoiagap.members._rendezvous import choose, rank
 
-__all__ = ["Directory", "Member"]
+__all__ = [
+    "LIST_TRUST_S",
+    "UNLISTED_GRACE_S",
+    "Directory",
+    "EndpointOrder",
+    "EndpointOrderReply",
+    "FenceStore",
+    "IssuedOrder",
+    "Member",
+    "MemberAnnounce",
+    "MemberHosts",
+    "MemberReport",
+    "MemberSuspect",
+    "OrderFence",
+    "OrderKind",
+    "OrderOutcome",
+    "ReportTracker",
+    "choose",
+    "host_from_document",
+    "rank",
+]
--- a/libs/platform/src/sequoiagap/platform/__init__.py
+++ b/libs/platform/src/sequoiagap/platform/__init__.py
@@ -1,10 +1,17 @@
 """Client of the platform's object API, host list and watches."""
 
 from sequoiagap.platform._client import (
+    MAX_VALUE_BYTES,
     HostEntry,
     ObjectConflict,
     PlatformClient,
     StoredObject,
 )
 
-__all__ = ["HostEntry", "ObjectConflict", "PlatformClient", "StoredObject"]
+__all__ = [
+    "MAX_VALUE_BYTES",
+    "HostEntry",
+    "ObjectConflict",
+    "PlatformClient",
+    "StoredObject",
+]
--- a/libs/settings/src/sequoiagap/settings/_models.py
+++ b/libs/settings/src/sequoiagap/settings/_models.py
@@ -23,8 +23,19 @@
     timeout_s: Seconds = 1.0
 
 
+class SeedSettings(SettingsModel):
+    """Address of an entry that is asked while the platform's list is down."""
+
+    address: IpAddress
+    port: Port
+
+
 class NodeSettings(SettingsModel):
-    """Settings that every role has."""
+    """Settings that every role has.
+
+    ``seeds`` names entries of the own failure domain. A process that starts while
+    its failure domain is cut off from the platform finds the others there.
+    """
 
     node_id: Name
     deployment: Name
@@ -35,6 +46,7 @@
     platform: PlatformSettings
     secret_file: str
     log_level: Literal["debug", "info", "warning"] = "info"
+    seeds: list[SeedSettings] = []
 
 
 class EntrySettings(NodeSettings):
--- a/libs/standins/src/sequoiagap/standins/_engine.py
+++ b/libs/standins/src/sequoiagap/standins/_engine.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from sequoiagap.standins import _executions, _faults
+from sequoiagap.standins import _engine_orders, _executions, _faults
 
 FALLEN_STATUS = 500
 
@@ -22,6 +22,8 @@
     :param float load_lag_s: how far its load report lags, in seconds.
     :param float recover_s: how long it fails after it fell over, in seconds.
     :param int port: TCP port; 0 lets the system choose.
+    :param bool checks_fencing: whether it refuses orders with an old number.
+    :param float order_s: how long it takes over an order, in seconds.
     """
 
     def __init__(
@@ -34,6 +36,8 @@
         load_lag_s=0.2,
         recover_s=1.0,
         port=0,
+        checks_fencing=False,
+        order_s=0.05,
     ):
         self.step_s = step_s
         self.tokens = tokens
@@ -45,6 +49,7 @@
         self.port = port
         self.faults_ = _faults.Faults()
         self.executions_ = _executions.Executions()
+        self.orders_ = _engine_orders.EngineOrders(checks_fencing, order_s)
         self.fell_over_ = 0
         self.peak_in_flight_ = 0
         self.in_flight_ = 0
@@ -64,6 +69,7 @@
         router.add_get("/stats", self._on_stats)
         router.add_post("/restart", self._on_restart)
         self.executions_.add_routes(router)
+        self.orders_.add_routes(router)
         self.faults_.add_routes(router)
 
     def _start(self):
--- a/libs/standins/src/sequoiagap/standins/_faults.py
+++ b/libs/standins/src/sequoiagap/standins/_faults.py
@@ -21,6 +21,10 @@
     :param bool crossed: answer with the id of another request.
     :param int refuse_next: how many next calls to answer with status 500.
     :param bool lose_watches: hold watches and never answer them.
+    :param int gap_watches: how many next changes watches do not tell of.
+    :param bool stale_reads: answer reads and watches with the content before.
+    :param float late_writes_s: writes take effect this long after the caller
+        was cut off without an answer, in seconds.
     """
 
     down: bool = False
@@ -32,6 +36,9 @@
     crossed: bool = False
     refuse_next: int = 0
     lose_watches: bool = False
+    gap_watches: int = 0
+    stale_reads: bool = False
+    late_writes_s: float = 0.0
 
     def set(self, values):
         """Change some switches.
--- a/libs/standins/src/sequoiagap/standins/_fleet.py
+++ b/libs/standins/src/sequoiagap/standins/_fleet.py
@@ -323,8 +323,32 @@
             "port": 0,
             "platform": {"url": url, "timeout_s": 0.5},
             "secret_file": str(self.folder / "secret"),
+            "seeds": self._seeds(name, domain),
         }
 
+    def _seeds(self, name, domain):
+        """Return the addresses of the entries of a domain that run already."""
+        ports = [
+            self.relays_.peer_by_name[entry].port_
+            if self.plan.relays
+            else self.process_by_name[entry].ready_["port"]
+            for index, entry in enumerate(self.entry_names())
+            if self.plan.domains[index % len(self.plan.domains)] == domain
+            and entry != name
+            and self.is_ready(entry)
+        ]
+        return [{"address": "127.0.0.1", "port": port} for port in ports]
+
+    def is_ready(self, name):
+        """Return whether a process was started and has named its ports.
+
+        :param str name: name of the process.
+        :rtype: bool
+        """
+        process = self.process_by_name.get(name)
+        has_relay = not self.plan.relays or name in self.relays_.peer_by_name
+        return process is not None and bool(process.ready_) and has_relay
+
     async def _host(self, name, role, domain, serves):
         port = self.process_by_name[name].ready_.get("port", 0)
         if self.plan.relays:
--- a/libs/standins/src/sequoiagap/standins/_platform.py
+++ b/libs/standins/src/sequoiagap/standins/_platform.py
@@ -1,11 +1,13 @@
 """Stand-in for the platform: objects, watches and the lagging host list."""
 
 import asyncio
+import copy
 import dataclasses
 import time
 
 from aiohttp import web
 
+from sequoiagap import base
 from sequoiagap.standins import _faults
 
 FOREVER_S = 3600.0
@@ -30,6 +32,9 @@
         self.faults_ = _faults.Faults()
         self.calls_by_method_ = {}
         self._object_by_name = {}
+        self._earlier_by_name = {}
+        self._backup = ({}, 0)
+        self._tasks = base.TaskSet()
         self._last_version = 0
         self._changed = asyncio.Condition()
         self._host_changes = []
@@ -47,6 +52,8 @@
         router.add_put("/hosts/{host_id}", self._on_put_host)
         router.add_delete("/hosts/{host_id}", self._on_delete_host)
         router.add_get("/calls", self._on_calls)
+        router.add_post("/backup", self._on_backup)
+        router.add_post("/restore", self._on_restore)
         self.faults_.add_routes(router)
 
     async def _begin(self, kind):
@@ -58,7 +65,7 @@
 
     async def _on_get(self, request):
         await self._begin("get")
-        found = self._object_by_name.get(request.match_info["name"])
+        found = self._read(request.match_info["name"])
         if found is None:
             return web.json_response({"version": 0}, status=404)
         return web.json_response(dataclasses.asdict(found))
@@ -67,13 +74,42 @@
         await self._begin("put")
         name = request.match_info["name"]
         body = await request.json()
+        if self.faults_.late_writes_s:
+            self._tasks.start(self._write_late(name, body), "late-write")
+            await asyncio.sleep(FOREVER_S)
         version = self._version(name)
-        if body["expected_version"] != version:
+        if not await self._write(name, body):
             return web.json_response({"version": version}, status=409)
+        return await self._answer_write({"version": self._version(name)})
+
+    async def _write_late(self, name, body):
+        await asyncio.sleep(self.faults_.late_writes_s)
+        await self._write(name, body)
+
+    async def _write(self, name, body):
+        """Apply a conditional update; tell whether it took effect."""
+        if body["expected_version"] != self._version(name):
+            return False
         self._last_version += 1
+        self._earlier_by_name[name] = self._object_by_name.get(name)
         self._object_by_name[name] = _Object(self._last_version, body["value"])
-        await self._notify()
-        return await self._answer_write({"version": self._last_version})
+        if not self.faults_.take("gap_watches"):
+            await self._notify()
+        return True
+
+    def _read(self, name):
+        if self.faults_.stale_reads:
+            return self._earlier_by_name.get(name)
+        return self._object_by_name.get(name)
+
+    async def _on_backup(self, request):
+        self._backup = (copy.deepcopy(self._object_by_name), self._last_version)
+        return web.json_response({})
+
+    async def _on_restore(self, request):
+        objects, self._last_version = self._backup
+        self._object_by_name = copy.deepcopy(objects)
+        return web.json_response({})
 
     async def _on_delete(self, request):
         await self._begin("delete")
@@ -102,7 +138,10 @@
                     await self._changed.wait_for(lambda: self._version(name) > after)
         except TimeoutError:
             return web.Response(status=204)
-        return web.json_response(dataclasses.asdict(self._object_by_name[name]))
+        found = self._read(name)
+        if found is None:
+            return web.Response(status=204)
+        return web.json_response(dataclasses.asdict(found))
 
     async def _notify(self):
         async with self._changed:
--- a/libs/wire/src/sequoiagap/wire/_connection.py
+++ b/libs/wire/src/sequoiagap/wire/_connection.py
@@ -29,6 +29,9 @@
     :param Hello peer: what the other side said.
     :param float silence_timeout_s: longest wait for the answer to a heartbeat.
 
+    :ivar float idle_interval_s: time between heartbeats while idle; its user may
+        shorten it.
+    :ivar float heard_at_: when the peer was last heard, monotonic seconds.
     :ivar bool busy_: whether work depends on the connection; set by its user.
     :ivar bool closed_: whether the connection has ended.
     :ivar int bytes_sent_: payload bytes sent so far.
@@ -41,6 +44,8 @@
         self.own = own
         self.peer = peer
         self.silence_timeout_s = silence_timeout_s
+        self.idle_interval_s = IDLE_PING_INTERVAL_S
+        self.heard_at_ = time.monotonic()
         self.busy_ = False
         self.closed_ = False
         self.bytes_sent_ = 0
@@ -76,6 +81,10 @@
         if busy:
             self._wake.set()
 
+    def probe(self):
+        """Ask for a sign of life now, as on a busy connection."""
+        self._wake.set()
+
     async def run(self, handle):
         """Receive messages until the connection ends.
 
@@ -116,6 +125,7 @@
                 payload = await _framing.read_frame(self.reader)
                 if payload is None:
                     return self._end_reason()
+                self.heard_at_ = time.monotonic()
                 item = _codec.decode(payload)
             except base.WireError as error:
                 self._log_rejected(error)
@@ -157,13 +167,13 @@
 
     async def _wait_interval(self):
         probing = self.busy_ or self._oldest_ping_at is not None
-        interval = BUSY_PING_INTERVAL_S if probing else IDLE_PING_INTERVAL_S
-        self._wake.clear()
+        interval = BUSY_PING_INTERVAL_S if probing else self.idle_interval_s
         try:
             async with asyncio.timeout(interval):
                 await self._wake.wait()
         except TimeoutError:
             pass
+        self._wake.clear()
 
     async def _send_quietly(self, item):
         try:
