--- a/libs/standins/src/sequoiagap/standins/_fleet.py
+++ b/libs/standins/src/sequoiagap/standins/_fleet.py
@@ -11,6 +11,8 @@
 
 import aiohttp
 
+from sequoiagap.standins import _relays
+
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.05
@@ -36,6 +38,8 @@
     :param dict config: merge patch over the default configuration.
     :param dict platform: parameters of the platform stand-in.
     :param tuple accounts: client accounts; the key is ``NAME-key``.
+    :param bool relays: whether the links of every process pass through relays,
+        see :attr:`Fleet.relays_`.
     """
 
     domains: tuple = ("north", "middle", "south")
@@ -51,6 +55,7 @@
     config: dict = dataclasses.field(default_factory=dict)
     platform: dict = dataclasses.field(default_factory=dict)
     accounts: tuple = ("caller",)
+    relays: bool = False
 
 
 class Process:
@@ -112,12 +117,14 @@
     :param pathlib.Path folder: where settings and logs go.
 
     :ivar dict process_by_name: every process started, by name.
+    :ivar Relays relays_: relays of the links, empty unless the plan has them.
     """
 
     def __init__(self, plan, folder):
         self.plan = plan
         self.folder = pathlib.Path(folder)
         self.process_by_name = {}
+        self.relays_ = _relays.Relays()
         self.session_ = None
 
     async def __aenter__(self):
@@ -137,6 +144,7 @@
         for process in self.process_by_name.values():
             if process.child_ is not None:
                 await process.child_.wait()
+        await self.relays_.close()
         await self.session_.close()
 
     def url(self, name):
@@ -229,7 +237,8 @@
         """
         name = f"entry-{index}"
         domain = self.plan.domains[index % len(self.plan.domains)]
-        settings = self._node(name, domain) | {
+        node = await self._node(name, domain)
+        settings = node | {
             "role": "entry",
             "http_port": 0,
             "keys_file": str(self.folder / "keys.json"),
@@ -237,7 +246,7 @@
             **self.plan.entry,
         }
         await self._start_role("entry", name, settings)
-        host = self._host(name, "entry", domain, [])
+        host = await self._host(name, "entry", domain, [])
         await self.call("platform", "PUT", f"/hosts/{name}", host)
 
     async def start_agent(self, name):
@@ -254,9 +263,10 @@
             "warm_up_s": 1.0,
             **self.plan.endpoint,
         }
-        settings = self._node(name, domain) | {"role": "agent", "endpoint": endpoint}
+        node = await self._node(name, domain)
+        settings = node | {"role": "agent", "endpoint": endpoint}
         await self._start_role("agent", name, settings)
-        host = self._host(name, "agent", domain, serves)
+        host = await self._host(name, "agent", domain, serves)
         await self.call("platform", "PUT", f"/hosts/{name}", host)
 
     async def start_stand_in(self, name, kind, parameters):
@@ -305,7 +315,12 @@
                 rows.append((f"{domain}-desk-{i}", "service", domain))
         return rows
 
-    def _node(self, name, domain):
+    async def _node(self, name, domain):
+        url = self.url("platform")
+        if self.plan.relays:
+            port = self.process_by_name["platform"].ready_["port"]
+            port = await self.relays_.platform_port(name, port)
+            url = f"http://127.0.0.1:{port}"
         return {
             "node_id": name,
             "deployment": "quickstart",
@@ -313,17 +328,44 @@
             "failure_domain": domain,
             "address": "127.0.0.1",
             "port": 0,
-            "platform": {"url": self.url("platform"), "timeout_s": 0.5},
+            "platform": {"url": url, "timeout_s": 0.5},
             "secret_file": str(self.folder / "secret"),
             **self.plan.node,
+            "seeds": self._seeds(name, domain),
         }
 
-    def _host(self, name, role, domain, serves):
+    def _seeds(self, name, domain):
+        """Return the addresses of the entries of a domain that run already."""
+        ports = [
+            self.relays_.peer_by_name[entry].port_
+            if self.plan.relays
+            else self.process_by_name[entry].ready_["port"]
+            for index, entry in enumerate(self.entry_names())
+            if self.plan.domains[index % len(self.plan.domains)] == domain
+            and entry != name
+            and self.is_ready(entry)
+        ]
+        return [{"address": "127.0.0.1", "port": port} for port in ports]
+
+    def is_ready(self, name):
+        """Return whether a process was started and has named its ports.
+
+        :param str name: name of the process.
+        :rtype: bool
+        """
+        process = self.process_by_name.get(name)
+        has_relay = not self.plan.relays or name in self.relays_.peer_by_name
+        return process is not None and bool(process.ready_) and has_relay
+
+    async def _host(self, name, role, domain, serves):
+        port = self.process_by_name[name].ready_.get("port", 0)
+        if self.plan.relays:
+            port = await self.relays_.peer_port(name, port)
         return {
             "host_id": name,
             "role": role,
             "address": "127.0.0.1",
-            "port": self.process_by_name[name].ready_.get("port", 0),
+            "port": port,
             "failure_domain": domain,
             "state": "live",
             "serves": serves,
