--- a/libs/base/src/sequoiagap/base/_metric_catalogue.py
+++ b/libs/base/src/sequoiagap/base/_metric_catalogue.py
@@ -4,6 +4,7 @@
     "answered_total": "requests whose caller got the whole answer",
     "cut_total": "answers that were cut short after their first byte",
     "refused_total": "refused requests, by `kind`",
+    "caller_left_total": "requests whose caller left before the whole answer",
     "request_seconds": "time from admission to the end of a request",
     "requests_in_flight": "requests that run at an entry now",
     "endpoint_in_flight": "attempts that run at the agent's endpoint now",
--- a/libs/entry/src/sequoiagap/entry/_entry.py
+++ b/libs/entry/src/sequoiagap/entry/_entry.py
@@ -100,6 +100,7 @@
         self._tasks.start(self.mesh_.run(self._offer), "peers")
         self._tasks.start(self.reports_.run(self.mesh_.broadcast), "reports")
         await self._listen(self._make_app())
+        self._tasks.start(self.callers_.keep_streams_alive(), "keep-streams-alive")
         _log.emit(base.Event.PROCESS_READY, role="entry", http_port=self.http_port_)
 
     async def stop(self):
@@ -107,7 +108,8 @@
         _log.emit(base.Event.PROCESS_STOPPING, role="entry")
         self.stopping_ = True
         await asyncio.sleep(self.settings.drain_lag_s)
-        await self.callers_.wait_idle(self.settings.drain_bound_s)
+        await self._site.stop()
+        await self.callers_.drain(self.settings.drain_bound_s)
         await self._runner.cleanup()
         await self._tasks.close()
         await self.mesh_.close()
@@ -206,13 +208,13 @@
             keepalive_timeout=self.settings.header_timeout_s,
         )
         await self._runner.setup()
-        site = web.TCPSite(
+        self._site = web.TCPSite(
             self._runner,
             str(self.settings.address),
             self.settings.http_port,
             ssl_context=self.http_tls_.server_ if self.http_tls_ else None,
         )
-        await site.start()
+        await self._site.start()
         self.http_port_ = self._runner.addresses[0][1]
 
     def _hello(self):
--- a/libs/settings/src/sequoiagap/settings/_models.py
+++ b/libs/settings/src/sequoiagap/settings/_models.py
@@ -93,7 +93,8 @@
     keys_file: Path
     drain_lag_s: Seconds = 2.0
     drain_bound_s: Seconds = 60.0
-    request_timeout_s: Seconds = 120.0
+    request_timeout_s: Annotated[float, pydantic.Field(gt=0, le=3000)] = 120.0
+    body_timeout_s: Seconds = 10.0
     header_timeout_s: Seconds = 15.0
     max_body_bytes: Annotated[
         int, pydantic.Field(gt=0, le=MAX_BODY_BYTES, examples=[1048576])
@@ -113,6 +114,7 @@
     warm_up_s: Seconds = 10.0
     first_byte_timeout_s: Seconds = 20.0
     between_bytes_timeout_s: Seconds = 2.0
+    resumes: bool = False
     engine: Name = "hold_at_step"
     checks_fencing: bool = False
 
