--- /dev/null
+++ b/libs/experts/src/sequoiagap/experts/_load.py
@@ -0,0 +1,112 @@
+"""Expert loads and rank speeds, learnt from reports that lag and have gaps."""
+
+from sequoiagap import base
+
+DEFAULT_HALF_LIVES = (0.2, 1.0, 8.0)  # in reports
+ERROR_MEMORY = 0.8  # share of the old error that is kept at each report
+TIE_RATIO = 1.1  # errors this close are equal: the shortest half-life is taken
+SPEED_WEIGHT = 0.3
+SPEED_DEAD_BAND = 0.05  # speeds this close to the median count as equal
+
+
+class LoadEstimator:
+    """Predicts the load of each expert from counts of past intervals.
+
+    It keeps one moving average for each half-life and predicts, layer by layer,
+    with the one whose recent predictions were nearest to what came: a short one
+    follows a sudden shift, a long one is not led astray by an oscillation.
+
+    :param int layers: layers with experts.
+    :param int experts: experts in a layer.
+    :param tuple half_lives: half-lives of the averages, in reports.
+
+    :ivar int reports_: reports taken so far.
+
+    >>> estimator = LoadEstimator(layers=1, experts=2)
+    >>> estimator.update({0: [30, 10]})
+    >>> estimator.predict()
+    [[0.75, 0.25]]
+    """
+
+    def __init__(self, layers, experts, half_lives=DEFAULT_HALF_LIVES):
+        self.layers = base.check_positive("layers", layers)
+        self.experts = base.check_positive("experts", experts)
+        self.half_lives = half_lives
+        self.reports_ = 0
+        even = [1.0 / experts] * experts
+        self._averages = [[list(even) for _ in range(layers)] for _ in half_lives]
+        self._errors = [[0.0] * layers for _ in half_lives]
+        self._seen = [False] * layers
+
+    def update(self, counts_by_layer):
+        """Take the counts of an interval; a missing layer keeps its estimate.
+
+        :param dict counts_by_layer: for each layer the tokens of each expert.
+        """
+        for layer, counts in counts_by_layer.items():
+            total = sum(counts)
+            if total > 0:
+                self._update_layer(layer, [count / total for count in counts])
+        self.reports_ += 1
+
+    def predict(self):
+        """Return the predicted share of each expert, layer by layer.
+
+        :rtype: list[list[float]]
+        """
+        return [self._averages[self._best(x)][x] for x in range(self.layers)]
+
+    def _update_layer(self, layer, shares):
+        for index, half_life in enumerate(self.half_lives):
+            average = self._averages[index][layer]
+            error = sum(abs(a - s) for a, s in zip(average, shares, strict=True))
+            kept = ERROR_MEMORY * self._errors[index][layer]
+            self._errors[index][layer] = kept + error if self._seen[layer] else 0.0
+            weight = 1.0 - 0.5 ** (1.0 / half_life) if self._seen[layer] else 1.0
+            self._averages[index][layer] = [
+                a + weight * (s - a) for a, s in zip(average, shares, strict=True)
+            ]
+        self._seen[layer] = True
+
+    def _best(self, layer):
+        errors = [self._errors[index][layer] for index in range(len(self.half_lives))]
+        good = min(errors) * TIE_RATIO
+        return next(index for index, error in enumerate(errors) if error <= good)
+
+
+class SpeedEstimator:
+    """Learns how fast each rank is from its load and its time.
+
+    :param int ranks: ranks of the group.
+
+    :ivar list speeds_: speed of each rank; the median rank has 1.
+
+    >>> estimator = SpeedEstimator(ranks=3)
+    >>> estimator.update([1.0, 1.0, 1.0], [1.0, 1.0, 2.0])
+    >>> estimator.speeds_[2] < 1.0
+    True
+    """
+
+    def __init__(self, ranks):
+        self.ranks = base.check_positive("ranks", ranks)
+        self.speeds_ = [1.0] * ranks
+        self._averages = [1.0] * ranks
+
+    def update(self, loads, times_s):
+        """Take the load and the busy time of each rank in an interval.
+
+        :param list loads: load of each rank.
+        :param list times_s: time that each rank computed, in seconds.
+        """
+        if any(t <= 0 or load <= 0 for t, load in zip(times_s, loads, strict=True)):
+            return
+        raw = [load / t for load, t in zip(loads, times_s, strict=True)]
+        median = sorted(raw)[self.ranks // 2]
+        for rank, speed in enumerate(raw):
+            step = speed / median - self._averages[rank]
+            self._averages[rank] += SPEED_WEIGHT * step
+        self.speeds_ = [_snapped(speed) for speed in self._averages]
+
+
+def _snapped(speed):
+    return 1.0 if abs(speed - 1.0) <= SPEED_DEAD_BAND else speed
--- /dev/null
+++ b/libs/experts/src/sequoiagap/experts/_placement.py
@@ -0,0 +1,191 @@
+"""Expert maps: which expert each slot of each rank holds, layer by layer."""
+
+import array
+import dataclasses
+import hashlib
+
+from sequoiagap import base
+
+DIGEST_CHARACTERS = 16
+
+
+class ExpertMapError(base.SequoiagapError):
+    """A placement that no group could run."""
+
+
+@dataclasses.dataclass(frozen=True)
+class MapShape:
+    """Dimensions of the expert maps of a group.
+
+    :param int layers: layers with experts.
+    :param int ranks: ranks of the group.
+    :param int experts: experts in a layer.
+    :param int slots: experts that a rank holds in a layer, replicas included.
+    :raises ValueError: if the slots can't hold every expert once, or if a rank
+        would have to hold an expert twice.
+    """
+
+    layers: int
+    ranks: int
+    experts: int
+    slots: int
+
+    def __post_init__(self):
+        for field in dataclasses.fields(self):
+            base.check_positive(field.name, getattr(self, field.name))
+        if not self.experts <= self.ranks * self.slots:
+            raise ValueError(f"{self} has too few slots for its experts")
+        if self.slots > self.experts:
+            raise ValueError(f"{self} has more slots in a rank than experts")
+
+    @property
+    def spare(self):
+        """Slots of a layer beyond one for each expert."""
+        return self.ranks * self.slots - self.experts
+
+
+@dataclasses.dataclass(frozen=True)
+class ExpertMap:
+    """A placement of experts.
+
+    :param MapShape shape: its dimensions.
+    :param tuple rows: for each layer a tuple of expert ids, rank after rank,
+        ``slots`` ids for each rank.
+    :raises ExpertMapError: if an expert is missing, stands twice on a rank, or
+        the dimensions are wrong.
+
+    >>> shape = MapShape(layers=1, ranks=2, experts=3, slots=2)
+    >>> placement = ExpertMap(shape, ((0, 1, 2, 0),))
+    >>> placement.rank_experts(0, 1)
+    (2, 0)
+    """
+
+    shape: MapShape
+    rows: tuple
+
+    def __post_init__(self):
+        if len(self.rows) != self.shape.layers:
+            raise _bad(f"map has {len(self.rows)} layers, not {self.shape.layers}")
+        for layer, row in enumerate(self.rows):
+            _check_row(self.shape, layer, row)
+
+    @property
+    def digest(self):
+        """Short hash of the content."""
+        hashed = hashlib.sha256(repr(self.shape).encode() + self.to_bytes())
+        return hashed.hexdigest()[:DIGEST_CHARACTERS]
+
+    def rank_experts(self, layer, rank):
+        """Return the experts that a rank holds in a layer.
+
+        :param int layer: the layer.
+        :param int rank: the rank.
+        :rtype: tuple[int, ...]
+        """
+        slots = self.shape.slots
+        return self.rows[layer][rank * slots : (rank + 1) * slots]
+
+    def to_bytes(self):
+        """Return the content as 16-bit little-endian expert ids.
+
+        :rtype: bytes
+        """
+        ids = array.array("H", (expert for row in self.rows for expert in row))
+        return ids.tobytes()
+
+    @classmethod
+    def from_bytes(cls, shape, content):
+        """Return the map of a content.
+
+        :param MapShape shape: its dimensions.
+        :param bytes content: what :meth:`to_bytes` made.
+        :rtype: ExpertMap
+        :raises ExpertMapError: if it is no map of that shape.
+        """
+        width = shape.ranks * shape.slots
+        if len(content) != 2 * width * shape.layers:
+            raise _bad(f"map content has {len(content)} bytes")
+        ids = array.array("H")
+        ids.frombytes(content)
+        starts = range(0, len(ids), width)
+        return cls(shape, tuple(tuple(ids[i : i + width]) for i in starts))
+
+
+@dataclasses.dataclass(frozen=True)
+class Move:
+    """An expert that a rank has to load.
+
+    :param int layer: the layer.
+    :param int rank: the rank that loads it.
+    :param int expert: the expert.
+    """
+
+    layer: int
+    rank: int
+    expert: int
+
+
+def initial_map(shape):
+    """Return the placement that spreads experts in order; spare slots in turn.
+
+    :param MapShape shape: dimensions.
+    :rtype: ExpertMap
+
+    >>> initial_map(MapShape(1, 2, 3, 2)).rows
+    ((0, 2, 1, 0),)
+    """
+    row = []
+    for rank in range(shape.ranks):
+        for slot in range(shape.slots):
+            row.append((slot * shape.ranks + rank) % shape.experts)
+    repaired = _without_doubles(shape, row)
+    return ExpertMap(shape, (tuple(repaired),) * shape.layers)
+
+
+def moves_between(old, new):
+    """Return what each rank has to load to go from one map to another.
+
+    :param ExpertMap old: map in use.
+    :param ExpertMap new: map wanted.
+    :rtype: list[Move]
+    """
+    moves = []
+    for layer, (old_row, new_row) in enumerate(zip(old.rows, new.rows, strict=True)):
+        if old_row == new_row:
+            continue
+        for rank in range(new.shape.ranks):
+            had = set(old.rank_experts(layer, rank))
+            wanted = new.rank_experts(layer, rank)
+            moves += [Move(layer, rank, e) for e in wanted if e not in had]
+    return moves
+
+
+def _without_doubles(shape, row):
+    """Replace an expert that stands twice on a rank by one that does not."""
+    for rank in range(shape.ranks):
+        start = rank * shape.slots
+        held = set()
+        for index in range(start, start + shape.slots):
+            while row[index] in held:
+                row[index] = (row[index] + 1) % shape.experts
+            held.add(row[index])
+    return row
+
+
+def _check_row(shape, layer, row):
+    if len(row) != shape.ranks * shape.slots:
+        raise _bad(f"layer {layer} has {len(row)} slots")
+    missing = set(range(shape.experts)) - set(row)
+    if missing:
+        raise _bad(f"layer {layer} lacks expert {min(missing)}")
+    if max(row) >= shape.experts:
+        raise _bad(f"layer {layer} names expert {max(row)}, which does not exist")
+    for start in range(0, len(row), shape.slots):
+        held = row[start : start + shape.slots]
+        if len(set(held)) != shape.slots:
+            rank = start // shape.slots
+            raise _bad(f"layer {layer} puts an expert twice on rank {rank}")
+
+
+def _bad(message):
+    return ExpertMapError(message, "Plan the map again from the group's own shape")
--- /dev/null
+++ b/libs/experts/src/sequoiagap/experts/_policies.py
@@ -0,0 +1,302 @@
+"""Registered policies that plan the next expert map.
+
+A policy's ``plan`` is a generator: it yields between short pieces of work, so
+that an event loop can run in between, and returns the map.
+"""
+
+import asyncio
+import dataclasses
+import time
+
+from sequoiagap import base
+from sequoiagap.experts import _bound, _placement, _replan, _search
+
+POLICIES = base.Registry("expert map policy")
+SLICE_S = 0.004
+CONFIDENCE_WEIGHT = 0.3
+LOWEST_CONFIDENCE = 0.05
+MAX_EDITS_PER_LAYER = 48
+STUCK_RATIO = 1.05  # a search that ends this far above the bound starts anew
+
+
+@dataclasses.dataclass(frozen=True)
+class PlanCosts:
+    """What moving experts costs and how long a plan has to pay it back.
+
+    :param int expert_bytes: weights of one expert of one layer.
+    :param float store_bytes_s: rate of the weight store for the group.
+    :param float staging_slowdown: share of step time lost while weights load.
+    :param float pause_s: time that a change of map costs the group.
+    :param float horizon_s: how long a plan is expected to hold.
+    :param float interval_s: time between plans.
+    :param float hysteresis: gain must be this many times the cost.
+    """
+
+    expert_bytes: int = 44_000_000
+    store_bytes_s: float = 2e9
+    staging_slowdown: float = 0.05
+    pause_s: float = 0.02
+    horizon_s: float = 600.0
+    interval_s: float = 300.0
+    hysteresis: float = 2.5
+
+    @property
+    def move_s(self):
+        """Step time that one move costs, in seconds."""
+        return self.expert_bytes / self.store_bytes_s * self.staging_slowdown
+
+    @property
+    def moves_per_interval(self):
+        """Moves that the weight store can serve between two plans."""
+        return int(self.store_bytes_s * self.interval_s / self.expert_bytes)
+
+
+@dataclasses.dataclass(frozen=True)
+class PlanInput:
+    """What a plan rests on.
+
+    :param ExpertMap current: map in use.
+    :param list predicted: predicted share of each expert, layer by layer.
+    :param list last: shares of the last reported interval, layer by layer.
+    :param list speeds: speed of each rank.
+    """
+
+    current: _placement.ExpertMap
+    predicted: list
+    last: list
+    speeds: list
+
+
+def finish(plan):
+    """Run a plan to its end without a break.
+
+    :param collections.abc.Generator plan: what a policy's ``plan`` returned.
+    :rtype: ExpertMap
+    """
+    while True:
+        try:
+            next(plan)
+        except StopIteration as stop:
+            return stop.value
+
+
+async def finish_in_slices(plan, slice_s=SLICE_S):
+    """Run a plan in short slices and let the event loop run in between.
+
+    :param collections.abc.Generator plan: what a policy's ``plan`` returned.
+    :param float slice_s: longest work between two breaks, in seconds.
+    :rtype: ExpertMap
+    """
+    began = time.monotonic()
+    while True:
+        try:
+            next(plan)
+        except StopIteration as stop:
+            return stop.value
+        if time.monotonic() - began > slice_s:
+            await asyncio.sleep(0)
+            began = time.monotonic()
+
+
+@POLICIES.register("static")
+class Static:
+    """Keeps the map; a baseline.
+
+    :param PlanCosts costs: not used.
+    """
+
+    def __init__(self, costs):
+        self.costs = costs
+
+    def plan(self, plan_input):
+        """Return the current map.
+
+        :param PlanInput plan_input: what is known.
+        :rtype: collections.abc.Generator
+        """
+        yield
+        return plan_input.current
+
+
+@POLICIES.register("full_replan")
+class FullReplan:
+    """Places all experts anew at each interval, heaviest first; a baseline.
+
+    Spare slots go to the experts with the heaviest replicas; then each replica
+    goes to the rank that would be done first.
+
+    :param PlanCosts costs: not used.
+    """
+
+    def __init__(self, costs):
+        self.costs = costs
+
+    def plan(self, plan_input):
+        """Return the map for the loads of the last interval.
+
+        :param PlanInput plan_input: what is known.
+        :rtype: collections.abc.Generator
+        """
+        shape = plan_input.current.shape
+        rows = []
+        for loads in plan_input.last:
+            rows.append(_replan.place_layer(shape, loads, plan_input.speeds))
+            yield
+        return _placement.ExpertMap(shape, tuple(rows))
+
+
+@POLICIES.register("incremental")
+class Incremental:
+    """Moves as few experts as bring the predicted gain, and only if it pays.
+
+    Gain is the step time saved over the horizon; it is discounted by how much
+    of the gain of earlier plans came true, whether they were carried out or
+    not. Where loads swing too fast to follow, plans don't come true and the
+    map stays.
+
+    :param PlanCosts costs: what moving costs.
+
+    :ivar float confidence_: share of predicted gain that came true lately.
+    """
+
+    def __init__(self, costs):
+        self.costs = costs
+        self.confidence_ = 1.0
+        self._before = None
+        self._proposed = None
+        self._predicted_gain = 0.0
+
+    def plan(self, plan_input):
+        """Return the map that pays best, the current one if none does.
+
+        :param PlanInput plan_input: what is known.
+        :rtype: collections.abc.Generator
+        """
+        self._learn(plan_input)
+        longest = _total_longest(plan_input.current, plan_input, plan_input.predicted)
+        options = []
+        for layer, row in enumerate(plan_input.current.rows):
+            options.append((yield from self._improve(plan_input, layer, row, longest)))
+        proposed = self._choose(plan_input, options)
+        self._remember(plan_input, proposed)
+        return proposed if self._pays(plan_input, proposed) else plan_input.current
+
+    def _improve(self, plan_input, layer, row, longest):
+        """Search one layer; return its best row and the gain, in seconds."""
+        slots = plan_input.current.shape.slots
+        loads = plan_input.predicted[layer]
+        before = max(_bound.rank_times(row, loads, plan_input.speeds, slots))
+        least = _bound.layer_bound(loads, plan_input.speeds, slots)
+        to_s = self.costs.horizon_s / longest
+        yield
+        # With less to gain than one move costs there is no need to search.
+        if (before - least) * to_s <= self.costs.move_s:
+            return row, 0.0
+        search = _LayerSearch(self.costs, row, before, to_s)
+        yield from search.run(row, loads, plan_input.speeds, slots)
+        if search.longest_ > least * STUCK_RATIO:
+            shape = plan_input.current.shape
+            anew = _replan.place_layer(shape, loads, plan_input.speeds)
+            yield
+            aligned = _replan.align(shape, anew, row, plan_input.speeds)
+            yield
+            yield from search.run(aligned, loads, plan_input.speeds, slots)
+        return search.row_, search.gain_
+
+    def _choose(self, plan_input, options):
+        """Take layers by gain until the weight store's interval is full."""
+        rows = list(plan_input.current.rows)
+        slots = plan_input.current.shape.slots
+        left = self.costs.moves_per_interval
+        by_gain = sorted(range(len(rows)), key=lambda x: options[x][1], reverse=True)
+        for layer in by_gain:
+            row, gain = options[layer]
+            moves = _count_moves(slots, rows[layer], row)
+            if gain > 0 and moves <= left:
+                rows[layer] = row
+                left -= moves
+        return _placement.ExpertMap(plan_input.current.shape, tuple(rows))
+
+    def _pays(self, plan_input, proposed):
+        moves = len(_placement.moves_between(plan_input.current, proposed))
+        if not moves:
+            self._predicted_gain = 0.0
+            return False
+        cost = moves * self.costs.move_s + self.costs.pause_s
+        gain = self._predicted_gain * self.costs.horizon_s
+        if gain <= cost * self.costs.hysteresis:
+            # Too small to tell from noise: it says nothing of the loads.
+            self._predicted_gain = 0.0
+            return False
+        return gain * self.confidence_ > cost * self.costs.hysteresis
+
+    def _remember(self, plan_input, proposed):
+        self._before = plan_input.current
+        self._proposed = proposed
+        self._predicted_gain = self._gain(plan_input, plan_input.predicted)
+
+    def _learn(self, plan_input):
+        """Compare the last plan's predicted gain with the loads that came."""
+        if self._predicted_gain <= 0:
+            return
+        came_true = self._gain(plan_input, plan_input.last) / self._predicted_gain
+        share = min(max(came_true, 0.0), 1.0)
+        self.confidence_ += CONFIDENCE_WEIGHT * (share - self.confidence_)
+        self.confidence_ = max(self.confidence_, LOWEST_CONFIDENCE)
+
+    def _gain(self, plan_input, loads):
+        """Return the share of step time that the last proposal saves."""
+        before = _total_longest(self._before, plan_input, loads)
+        after = _total_longest(self._proposed, plan_input, loads)
+        return (before - after) / before
+
+
+class _LayerSearch:
+    """Keeps the row of one layer that is worth most after its moves."""
+
+    def __init__(self, costs, old_row, before, to_s):
+        self.costs = costs
+        self.old_row = old_row
+        self.before = before
+        self.to_s = to_s
+        self.row_ = old_row
+        self.gain_ = 0.0
+        self.longest_ = before
+        self._value = 0.0
+
+    def run(self, row, loads, speeds, slots):
+        """Search from a row; a generator that yields between edits."""
+        state = _search.LayerState(row, loads, speeds, slots)
+        for _ in range(MAX_EDITS_PER_LAYER):
+            self._take_if_better(state, slots)
+            edit = state.find_edit()
+            if edit is None:
+                return
+            state.apply(edit)
+            yield
+        self._take_if_better(state, slots)
+
+    def _take_if_better(self, state, slots):
+        longest = max(state.times_)
+        gain = (self.before - longest) * self.to_s
+        moves = _count_moves(slots, self.old_row, state.row)
+        value = gain - moves * self.costs.move_s * self.costs.hysteresis
+        if value > self._value:
+            self.row_, self.gain_ = tuple(state.row), gain
+            self.longest_, self._value = longest, value
+
+
+def _count_moves(slots, old_row, new_row):
+    moves = 0
+    for start in range(0, len(new_row), slots):
+        end = start + slots
+        moves += len(set(new_row[start:end]) - set(old_row[start:end]))
+    return moves
+
+
+def _total_longest(placement, plan_input, loads):
+    slots = placement.shape.slots
+    return sum(
+        max(_bound.rank_times(row, layer_loads, plan_input.speeds, slots))
+        for row, layer_loads in zip(placement.rows, loads, strict=True)
+    )
--- /dev/null
+++ b/libs/experts/src/sequoiagap/experts/_replan.py
@@ -0,0 +1,97 @@
+"""Placement of one layer from nothing, heaviest replicas first."""
+
+
+def place_layer(shape, loads, speeds):
+    """Return the row of a layer placed anew, heaviest replicas first.
+
+    :param MapShape shape: dimensions.
+    :param list loads: load of each expert.
+    :param list speeds: speed of each rank.
+    :rtype: tuple[int, ...]
+    """
+    copies = _copy_counts(shape, loads)
+    items = [e for e, n in enumerate(copies) for _ in range(n)]
+    items.sort(key=lambda e: loads[e] / copies[e], reverse=True)
+    held = [[] for _ in range(shape.ranks)]
+    times = [0.0] * shape.ranks
+    for expert in items:
+        share = loads[expert] / copies[expert]
+        rank = _first_done(shape, held, times, speeds, expert, share)
+        if rank is None:
+            rank = _make_room(shape, held, expert)
+        held[rank].append(expert)
+        times[rank] += share / speeds[rank]
+    return tuple(expert for experts in held for expert in experts)
+
+
+def _copy_counts(shape, loads):
+    copies = [1] * shape.experts
+    for _ in range(shape.spare):
+        open_experts = (e for e in range(shape.experts) if copies[e] < shape.ranks)
+        heaviest = max(open_experts, key=lambda e: loads[e] / copies[e])
+        copies[heaviest] += 1
+    return copies
+
+
+def _first_done(shape, held, times, speeds, expert, share):
+    best, best_time = None, 0.0
+    for rank in range(shape.ranks):
+        if len(held[rank]) >= shape.slots or expert in held[rank]:
+            continue
+        done = times[rank] + share / speeds[rank]
+        if best is None or done < best_time:
+            best, best_time = rank, done
+    return best
+
+
+def _make_room(shape, held, expert):
+    """Free a slot for an expert that every rank with room holds already."""
+    roomy = next(r for r in range(shape.ranks) if len(held[r]) < shape.slots)
+    for rank in range(shape.ranks):
+        if expert in held[rank]:
+            continue
+        for other in held[rank]:
+            if other not in held[roomy]:
+                held[rank].remove(other)
+                held[roomy].append(other)
+                return rank
+    raise ValueError(f"{shape} can't hold expert {expert} on distinct ranks")
+
+
+def align(shape, row, old_row, speeds):
+    """Renumber the ranks of a new row so that little has to move.
+
+    Only ranks of equal speed change places; those with most experts in common
+    are paired first.
+
+    :param MapShape shape: dimensions.
+    :param tuple row: the new row.
+    :param tuple old_row: the row in use.
+    :param list speeds: speed of each rank.
+    :rtype: tuple[int, ...]
+    """
+    new_sets = _rank_sets(shape, row)
+    old_sets = _rank_sets(shape, old_row)
+    pairs = [
+        (len(new & old), source, target)
+        for source, new in enumerate(new_sets)
+        for target, old in enumerate(old_sets)
+        if speeds[source] == speeds[target]
+    ]
+    pairs.sort(key=lambda pair: (-pair[0], pair[1], pair[2]))
+    source_by_target = {}
+    taken = set()
+    for _, source, target in pairs:
+        if source not in taken and target not in source_by_target:
+            source_by_target[target] = source
+            taken.add(source)
+    aligned = []
+    for target in range(shape.ranks):
+        start = source_by_target[target] * shape.slots
+        aligned += row[start : start + shape.slots]
+    return tuple(aligned)
+
+
+def _rank_sets(shape, row):
+    starts = range(0, len(row), shape.slots)
+    return [set(row[start : start + shape.slots]) for start in starts]
