--- a/libs/agent/src/sequoiagap/agent/_agent.py
+++ b/libs/agent/src/sequoiagap/agent/_agent.py
@@ -2,11 +2,26 @@
 
 import asyncio
 import json
-import signal
 import time
 
-from sequoiagap import admission, base, config, outcome, platform, settings, wire
-from sequoiagap.agent import _endpoint, _executor, _spread
+from sequoiagap import (
+    admission,
+    base,
+    config,
+    members,
+    outcome,
+    platform,
+    settings,
+    wire,
+)
+from sequoiagap.agent import (
+    _endpoint,
+    _executor,
+    _guard,
+    _orders,
+    _reports,
+    _spread,
+)
 
 PROBE_INTERVAL_S = 0.25
 
@@ -32,6 +47,7 @@
         self._tasks = base.TaskSet()
         self._server = None
         self._secret = ""
+        self.tls_ = None
         self._build()
 
     def _build(self):
@@ -57,18 +73,35 @@
         self.handlers_ = wire.HandlerTable()
         self.executor_.attach(self.handlers_)
         self.spread_.attach(self.handlers_)
+        self._build_membership()
         self.handlers_.add(wire.StateRequest, self._on_state_request)
 
+    def _build_membership(self):
+        node_id = self.settings.node_id
+        self.guard_ = _guard.ConfigGuard(
+            self.holder_, self.spread_, node_id, self.settings.failure_domain
+        )
+        self.guard_.attach(self.handlers_)
+        self.orders_ = _orders.OrderDesk(
+            self.settings.endpoint, node_id, members.FenceStore(self.platform_)
+        )
+        self.orders_.attach(self.handlers_)
+        self.reporter_ = _reports.Reporter(
+            self.settings, self.holder_, self.connections_, self._hello
+        )
+
     async def start(self):
         """Listen for entries and begin to probe the endpoint."""
         self._secret = settings.load_secret(self.settings.secret_file)
+        self.tls_ = settings.load_tls(self.settings.tls)
         await self.client_.open()
-        self._server = await asyncio.start_server(
-            self._serve, str(self.settings.address), self.settings.port
+        self._server = await wire.listen(
+            self._serve, str(self.settings.address), self.settings.port, self.tls_
         )
         self.port_ = self._server.sockets[0].getsockname()[1]
         self._tasks.start(self._probe_forever(), "probe")
         self._tasks.start(self.spread_.learn(), "learn-config")
+        self._tasks.start(self.reporter_.run(self.port_), "report")
         _log.emit(base.Event.PROCESS_READY, role="agent", port=self.port_)
 
     async def stop(self):
@@ -82,11 +115,21 @@
         for connection in list(self.connections_):
             await connection.close_politely("agent stops")
         await self._tasks.close()
+        await self.guard_.close()
+        await self.orders_.close()
         await self.executor_.close()
         await self.client_.close()
         await self.platform_.close()
         _log.emit(base.Event.PROCESS_STOPPED, role="agent")
 
+    def reload(self):
+        """Read the certificate files again.
+
+        :raises sequoiagap.base.ConfigError: if a file can't be used.
+        """
+        if self.tls_ is not None:
+            self.tls_.load()
+
     def dump_state(self):
         """Return the state of the process as plain data.
 
@@ -99,6 +142,9 @@
             "incarnation": self.incarnation_,
             "failure_domain": self.settings.failure_domain,
             "config_version": self.holder_.current_.number,
+            "config_ready": self.holder_.ready_.is_set(),
+            "local_out": sorted(self.holder_.local_by_domain),
+            "fencing": self.orders_.fence_.highest_,
             "endpoint": {
                 "state": load.state,
                 "in_flight": load.in_flight,
@@ -107,9 +153,17 @@
             },
             "connections": sorted(c.peer.node_id for c in self.connections_),
             "platform_calls": self.platform_.calls_,
-            "metrics": self.metrics_.to_document(),
+            "metrics": self._collect_metrics(load),
         }
 
+    def _collect_metrics(self, load):
+        self.metrics_.set_gauge("endpoint_in_flight", load.in_flight)
+        self.metrics_.set_gauge("endpoint_limit", load.limit)
+        self.metrics_.set_gauge("connections", len(self.connections_))
+        return base.collect_process_metrics(
+            self.metrics_, self.holder_.current_.number, self.platform_.calls_
+        )
+
     async def _serve(self, reader, writer):
         """Serve one connection until it ends."""
         try:
@@ -143,6 +197,7 @@
             failure_domain=self.settings.failure_domain,
             config_version=self.holder_.current_.number,
             secret=self._secret,
+            tls=self.tls_,
         )
 
     async def _probe_forever(self):
@@ -176,13 +231,5 @@
     :param sequoiagap.settings.AgentSettings agent_settings: checked settings.
     """
     agent = Agent(agent_settings)
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
-    await agent.start()
-    print(
-        json.dumps({"ready": agent_settings.node_id, "port": agent.port_}), flush=True
-    )
-    await stopped.wait()
-    await agent.stop()
+    node_id = agent_settings.node_id
+    await base.run_program(agent, lambda: {"ready": node_id, "port": agent.port_})
--- a/libs/agent/src/sequoiagap/agent/_endpoint.py
+++ b/libs/agent/src/sequoiagap/agent/_endpoint.py
@@ -195,7 +195,9 @@
     def _suspect(self, order, error):
         """Use no kept-alive connection again: what lost one may have lost all."""
         _log.emit(
-            base.Event.ENDPOINT_SUSPECT, attempt_id=order.attempt_id, error=repr(error)
+            base.Event.CONNECTION_SUSPECT,
+            attempt_id=order.attempt_id,
+            error=repr(error),
         )
         self._calls_by_session.setdefault(self._session, 0)
         self._session = _new_session()
--- a/libs/base/src/sequoiagap/base/_events.py
+++ b/libs/base/src/sequoiagap/base/_events.py
@@ -7,9 +7,12 @@
 import enum
 import logging
 import sys
+import time
 
 import structlog
 
+from sequoiagap.base import _rates
+
 
 class Event(enum.IntEnum):
     """Numbers of the log events."""
@@ -19,6 +22,9 @@
     PROCESS_STOPPING = 1003
     PROCESS_STOPPED = 1004
     TASK_FAILED = 1005
+    PROCESS_RELOADED = 1006
+    RELOAD_FAILED = 1007
+    STATE_DUMPED = 1008
     LINK_OPENED = 1101
     LINK_CLOSED = 1102
     LINK_SILENT = 1103
@@ -34,16 +40,30 @@
     ATTEMPT_DUPLICATE = 1209
     CLAIM_WRITE_FAILED = 1210
     RUN_ABANDONED = 1211
-    ENDPOINT_SUSPECT = 1212
+    CONNECTION_SUSPECT = 1212
     STREAM_RESUMED = 1213
     CONFIG_ADOPTED = 1301
     CONFIG_ACCEPTED = 1302
     CONFIG_REFUSED = 1303
     PLATFORM_UNREACHABLE = 1304
     PLATFORM_REACHABLE = 1305
+    CONFIG_MALFORMED = 1306
+    PLATFORM_BEHIND = 1307
+    CONFIG_FORKED = 1308
+    LOCAL_ORDER_TAKEN = 1309
+    LOCAL_ORDER_ENDED = 1310
+    WATCH_STARTED = 1311
+    WATCH_STOPPED = 1312
+    ORDER_ISSUED = 1313
+    ORDER_REFUSED = 1314
+    ORDER_DONE = 1315
     ENDPOINT_STATE = 1401
     ENDPOINT_SEEN = 1402
     ENDPOINT_GONE = 1403
+    ENDPOINT_SUSPECT = 1420
+    ENDPOINT_LEAVING = 1421
+    PEER_OPENED = 1422
+    PEER_CLOSED = 1423
 
 
 CATALOGUE = {
@@ -52,6 +72,9 @@
     Event.PROCESS_STOPPING: "A process was told to stop and refuses new work.",
     Event.PROCESS_STOPPED: "A process has stopped.",
     Event.TASK_FAILED: "A background task ended with an error.",
+    Event.PROCESS_RELOADED: "Keys and certificates were read again.",
+    Event.RELOAD_FAILED: "Bad keys or certificates; the old ones stay in use.",
+    Event.STATE_DUMPED: "The state dump that SIGUSR1 asked for.",
     Event.LINK_OPENED: "A connection to another process is open.",
     Event.LINK_CLOSED: "A connection to another process has closed.",
     Event.LINK_SILENT: "A connection gave no sign of life and was abandoned.",
@@ -67,34 +90,59 @@
     Event.ATTEMPT_DUPLICATE: "An order came twice; the second was dropped.",
     Event.CLAIM_WRITE_FAILED: "Claims of keys could not be written or read back.",
     Event.RUN_ABANDONED: "A run was stopped, as nobody waits for its answer.",
-    Event.ENDPOINT_SUSPECT: "Connections to the endpoint failed; none is used again.",
+    Event.CONNECTION_SUSPECT: "Connections to the endpoint failed; none is used again.",
     Event.STREAM_RESUMED: "A cut stream goes on at its offset, at the same engine.",
     Event.CONFIG_ADOPTED: "A process adopted a configuration version.",
     Event.CONFIG_ACCEPTED: "An operator's patch became a version.",
     Event.CONFIG_REFUSED: "An operator's patch was refused.",
     Event.PLATFORM_UNREACHABLE: "The platform does not answer.",
     Event.PLATFORM_REACHABLE: "The platform answers again.",
+    Event.CONFIG_MALFORMED: "A version can't be used; the process keeps its own.",
+    Event.PLATFORM_BEHIND: "The platform holds an older version than is in force.",
+    Event.CONFIG_FORKED: "Another process has other content under the same version.",
+    Event.LOCAL_ORDER_TAKEN: "A local order that a failure domain be out holds.",
+    Event.LOCAL_ORDER_ENDED: "A version has overtaken a local order.",
+    Event.WATCH_STARTED: "This entry watches the configuration on the platform.",
+    Event.WATCH_STOPPED: "This entry leaves the watch to others of its domain.",
+    Event.ORDER_ISSUED: "An order to an endpoint got its fencing number.",
+    Event.ORDER_REFUSED: "An agent refused an order to its endpoint.",
+    Event.ORDER_DONE: "An endpoint has carried out an order.",
     Event.ENDPOINT_STATE: "An endpoint changed its state.",
     Event.ENDPOINT_SEEN: "An endpoint became known.",
     Event.ENDPOINT_GONE: "An endpoint is no longer used.",
+    Event.ENDPOINT_SUSPECT: "An agent's reports stopped; it gets no new work.",
+    Event.ENDPOINT_LEAVING: "An endpoint's agent says that it leaves.",
+    Event.PEER_OPENED: "A connection to another entry is open.",
+    Event.PEER_CLOSED: "A connection to another entry has closed.",
 }
 
 _WARNINGS = frozenset(
     {
         Event.TASK_FAILED,
+        Event.RELOAD_FAILED,
         Event.LINK_SILENT,
         Event.FRAME_REJECTED,
         Event.REQUEST_CUT,
         Event.CLAIM_WRITE_FAILED,
-        Event.ENDPOINT_SUSPECT,
+        Event.CONNECTION_SUSPECT,
         Event.PLATFORM_UNREACHABLE,
+        Event.CONFIG_MALFORMED,
+        Event.PLATFORM_BEHIND,
+        Event.CONFIG_FORKED,
+        Event.ENDPOINT_SUSPECT,
     }
 )
 
 
+_limiter = _rates.LineLimiter()
+
+
 class Logger:
     """Emits numbered events of one component.
 
+    Lines of one event are bounded in their rate over the whole process; a line
+    that follows others that were left out names their count as ``suppressed``.
+
     :param str component: name of the component.
     """
 
@@ -108,6 +156,11 @@
         :param Event event: which event.
         :param fields: values of the event; never prompts, answers or keys.
         """
+        suppressed = _limiter.take(int(event), time.monotonic())
+        if suppressed is None:
+            return
+        if suppressed:
+            fields["suppressed"] = suppressed
         write = self._log.warning if event in _WARNINGS else self._log.info
         write(event.name.lower(), number=int(event), **fields)
 
@@ -121,13 +174,24 @@
     return Logger(component)
 
 
+def suppressed_lines():
+    """Return how many log lines were left out so far, by name of the event.
+
+    :rtype: dict[str, int]
+    """
+    counts = _limiter.suppressed_by_number
+    return {Event(number).name.lower(): count for number, count in counts.items()}
+
+
 def configure_logs(level="info", stream=None, **fields):
-    """Set up logs as JSON lines.
+    """Set up logs as JSON lines, with fresh bounds on their rate.
 
     :param str level: lowest level to write: ``debug``, ``info`` or ``warning``.
     :param stream: text stream to write to; standard error by default.
     :param fields: values that stand on each line, such as the node id.
     """
+    global _limiter
+    _limiter = _rates.LineLimiter()
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
--- a/libs/entry/src/sequoiagap/entry/_callers.py
+++ b/libs/entry/src/sequoiagap/entry/_callers.py
@@ -224,7 +224,7 @@
     def _refuse(self, refusal, request_id):
         if not refusal.config_version:
             refusal = dataclasses.replace(refusal, config_version=self._version())
-        self.metrics.count(f"refused_{refusal.kind}_total")
+        self.metrics.count("refused_total", kind=str(refusal.kind))
         self.journal.record(
             request_id,
             "refused",
--- a/libs/standins/src/sequoiagap/standins/_engine.py
+++ b/libs/standins/src/sequoiagap/standins/_engine.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from sequoiagap.standins import _executions, _faults, _streams
+from sequoiagap.standins import _engine_orders, _executions, _faults, _streams
 
 FALLEN_STATUS = 500
 
@@ -24,6 +24,8 @@
     :param bool holds_streams: whether it goes on with streams whose connection
         broke, and lets them be resumed at an offset or cancelled.
     :param int port: TCP port; 0 lets the system choose.
+    :param bool checks_fencing: whether it refuses orders with an old number.
+    :param float order_s: how long it takes over an order, in seconds.
     """
 
     def __init__(
@@ -37,6 +39,8 @@
         recover_s=1.0,
         holds_streams=False,
         port=0,
+        checks_fencing=False,
+        order_s=0.05,
     ):
         self.step_s = step_s
         self.tokens = tokens
@@ -50,6 +54,7 @@
         self.streams_ = _streams.HeldStreams()
         self.faults_ = _faults.Faults()
         self.executions_ = _executions.Executions()
+        self.orders_ = _engine_orders.EngineOrders(checks_fencing, order_s)
         self.fell_over_ = 0
         self.peak_in_flight_ = 0
         self.in_flight_ = 0
@@ -70,6 +75,7 @@
         router.add_post("/restart", self._on_restart)
         self.streams_.add_routes(router)
         self.executions_.add_routes(router)
+        self.orders_.add_routes(router)
         self.faults_.add_routes(router)
 
     def _start(self):
--- a/libs/standins/src/sequoiagap/standins/_relay.py
+++ b/libs/standins/src/sequoiagap/standins/_relay.py
@@ -1,103 +1,166 @@
-"""A relay between two processes, whose connections can be cut or go silent."""
+"""TCP relay whose links can be cut, silenced and delayed for each source."""
 
 import asyncio
+import enum
 
-READ_BYTES = 65536
+from sequoiagap import base, wire
+
+CHUNK_BYTES = 65536
+POLL_S = 0.02
+EVERY_SOURCE = ""
+
+
+class LinkMode(enum.StrEnum):
+    """What a relay does with the bytes of a link."""
+
+    PASS = "pass"
+    CUT = "cut"
+    SILENT = "silent"
 
 
 class Relay:
-    """Passes bytes on between callers and one target.
+    """Passes connections on to one target.
 
-    :param str host: IP address of the target.
-    :param int port: TCP port of the target.
+    :param int target_port: TCP port of the target; may be changed later.
+    :param bool framed: whether the first frame of a connection is a hello that
+        names its source; else only the mode of every source counts.
+    :param str target_address: IP address of the target.
 
-    :ivar int port_: own TCP port, once started.
+    :ivar int port_: TCP port that the relay listens on, once started.
+    :ivar float delay_s: how long bytes are held, in seconds.
+
+    .. code-block:: python
+
+        relay = Relay(target_port=7000)
+        await relay.start()
+        relay.set_mode(LinkMode.SILENT)
     """
 
-    def __init__(self, host, port):
-        self.host = host
-        self.port = port
+    def __init__(self, target_port, framed=False, target_address="127.0.0.1"):
+        self.target_port = target_port
+        self.framed = framed
+        self.target_address = target_address
+        self.delay_s = 0.0
         self.port_ = 0
+        self._mode_by_source = {}
+        self._writers_by_source = {}
+        self._accepted = 0
+        self._silent_up_to = 0
+        self._tasks = base.TaskSet()
         self._server = None
-        self._refusing = False
-        self._pairs = set()
 
     async def start(self):
-        """Listen on the loopback address."""
+        """Listen on a port of the system's choice."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.port_ = self._server.sockets[0].getsockname()[1]
 
     async def close(self):
-        """Stop listening and cut every connection."""
+        """Close the listener and every connection."""
         self._server.close()
-        self.cut()
+        self.cut_open()
+        await self._tasks.close()
+
+    def set_mode(self, mode, source=EVERY_SOURCE):
+        """Change what happens to the links of a source.
+
+        :param LinkMode mode: ``CUT`` closes open connections and refuses new
+            ones, ``SILENT`` leaves them open and passes nothing.
+        :param str source: node id of the connecting process; all by default.
+        """
+        self._mode_by_source[source] = LinkMode(mode)
+        if mode == LinkMode.CUT:
+            cut = [source] if source else list(self._writers_by_source)
+            for name in cut:
+                self._abort(name)
+
+    def silence_open(self):
+        """Make the open connections silent for good; new ones pass."""
+        self._silent_up_to = self._accepted
+
+    def cut_open(self):
+        """Cut the open connections; new ones pass."""
+        for source in list(self._writers_by_source):
+            self._abort(source)
 
     @property
     def connections(self):
         """How many connections are open."""
-        return len(self._pairs)
-
-    def silence(self):
-        """Pass nothing more on over the open connections; new ones work."""
-        for pair in self._pairs:
-            pair.silent = True
-
-    def cut(self):
-        """Cut the open connections; new ones work."""
-        for pair in self._pairs:
-            pair.abort()
+        return sum(map(len, self._writers_by_source.values())) // 2
 
-    def refuse(self, refusing):
-        """Cut each new connection at once, or stop doing so.
+    def heal(self):
+        """Let every link pass again, also those that were silent."""
+        self._mode_by_source.clear()
 
-        :param bool refusing: whether to.
-        """
-        self._refusing = refusing
+    def _mode(self, source):
+        every = self._mode_by_source.get(EVERY_SOURCE, LinkMode.PASS)
+        return self._mode_by_source.get(source, every)
 
     async def _serve(self, reader, writer):
-        if self._refusing:
-            writer.transport.abort()
-            return
-        try:
-            far = await asyncio.open_connection(self.host, self.port)
-        except OSError:
-            writer.transport.abort()
-            return
-        pair = _Pair((reader, writer), far)
-        self._pairs.add(pair)
+        task = self._tasks.start(self._relay(reader, writer), "relay")
+        await asyncio.wait([task])
+
+    async def _relay(self, reader, writer):
+        source, first = EVERY_SOURCE, b""
+        own = []
+        self._accepted += 1
+        number = self._accepted
         try:
-            await pair.run()
+            if self.framed:
+                source, first = await _read_source(reader)
+            if self._mode(source) == LinkMode.CUT:
+                return
+            onward = await asyncio.open_connection(
+                self.target_address, self.target_port
+            )
+            own = [writer, onward[1]]
+            self._writers_by_source.setdefault(source, []).extend(own)
+            await self._pass_on(number, source, first, onward[1])
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._pump(number, source, reader, onward[1]))
+                group.create_task(self._pump(number, source, onward[0], writer))
+        except (OSError, base.WireError, ExceptionGroup):
+            pass
         finally:
-            self._pairs.discard(pair)
-
-
-class _Pair:
-    def __init__(self, near, far):
-        self.near = near
-        self.far = far
-        self.silent = False
-
-    def abort(self):
-        self.near[1].transport.abort()
-        self.far[1].transport.abort()
+            self._forget(source, own)
+            writer.transport.abort()
+            for item in own:
+                item.transport.abort()
+
+    async def _pump(self, number, source, reader, writer):
+        while data := await reader.read(CHUNK_BYTES):
+            await self._pass_on(number, source, data, writer)
+        if writer.can_write_eof():
+            writer.write_eof()
+
+    async def _pass_on(self, number, source, data, writer):
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        while self._is_silent(number, source):  # noqa: ASYNC110 - test tool
+            await asyncio.sleep(POLL_S)
+        writer.write(data)
+        await writer.drain()
+
+    def _is_silent(self, number, source):
+        if number <= self._silent_up_to:
+            return True
+        return self._mode(source) == LinkMode.SILENT
+
+    def _abort(self, source):
+        for writer in self._writers_by_source.pop(source, []):
+            writer.transport.abort()
 
-    async def run(self):
-        ways = [
-            asyncio.create_task(self._pass_on(self.near[0], self.far[1])),
-            asyncio.create_task(self._pass_on(self.far[0], self.near[1])),
-        ]
-        try:
-            await asyncio.gather(*ways, return_exceptions=True)
-        finally:
-            self.abort()
-
-    async def _pass_on(self, reader, writer):
-        while True:
-            data = await reader.read(READ_BYTES)
-            if not data and not self.silent:
-                writer.write_eof()
-            if not data:
-                return
-            if not self.silent:
-                writer.write(data)
-                await writer.drain()
+    def _forget(self, source, writers):
+        left = self._writers_by_source.get(source, [])
+        for writer in writers:
+            if writer in left:
+                left.remove(writer)
+
+
+async def _read_source(reader):
+    """Return the node id of a hello, and the frame that carried it."""
+    payload = await wire.read_frame(reader)
+    if payload is None:
+        raise base.WireError("the source closed before its hello", "Reconnect")
+    hello = wire.decode(payload)
+    frame = len(payload).to_bytes(4, "big") + payload
+    return getattr(hello, "node_id", EVERY_SOURCE), frame
--- a/libs/wire/src/sequoiagap/wire/__init__.py
+++ b/libs/wire/src/sequoiagap/wire/__init__.py
@@ -1,7 +1,7 @@
 """Typed messages and connections between the processes of the system."""
 
 from sequoiagap.wire._codec import MESSAGE_TYPES_BY_NUMBER, decode, encode, message
-from sequoiagap.wire._connection import Connection, accept, connect
+from sequoiagap.wire._connection import Connection, accept, connect, listen
 from sequoiagap.wire._framing import MAX_FRAME_BYTES, read_frame, write_frame
 from sequoiagap.wire._handlers import HandlerTable
 from sequoiagap.wire._messages import (
@@ -19,6 +19,7 @@
     Load,
     Ping,
     Pong,
+    Proof,
     Refused,
     Revoked,
     StateReply,
@@ -44,6 +45,7 @@
     "Load",
     "Ping",
     "Pong",
+    "Proof",
     "Refused",
     "Revoked",
     "StateReply",
@@ -52,6 +54,7 @@
     "connect",
     "decode",
     "encode",
+    "listen",
     "message",
     "read_frame",
     "write_frame",
--- a/tests/entry/callers.py
+++ b/tests/entry/callers.py
@@ -105,7 +105,7 @@
 async def put_relay(fleet, name):
     """Put a relay before an agent and wait until every entry uses it."""
     port = fleet.process_by_name[name].ready_["port"]
-    relay = standins.Relay("127.0.0.1", port)
+    relay = standins.Relay(port)
     await relay.start()
     kind = "desk-model" if "model" in name else "orders"
     host = {
--- a/tests/entry/test_requests_links.py
+++ b/tests/entry/test_requests_links.py
@@ -27,7 +27,7 @@
         self.addAsyncCleanup(self.model.close)
 
     async def test_answer_under_way_is_had_over_a_new_connection(self):
-        for fault in ("silence", "cut"):
+        for fault in ("silence_open", "cut_open"):
             with self.subTest(fault, kind="stream"):
                 await self._check_stream(getattr(self.model, fault))
             with self.subTest(fault, kind="order"):
@@ -61,7 +61,7 @@
         self.assertEqual(set(after.values()), {1})
 
     async def test_order_whose_link_was_dead_already_is_run_once(self):
-        self.desk.silence()
+        self.desk.silence_open()
         answer = await callers.order(self.fleet, 8)
         counts = await callers.executions(self.fleet, callers.DESK)
         if answer.status == 200:
