--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -335,6 +335,19 @@
         )
 
 
+class _NoSpread:
+    """Configuration and reports do not spread in a simulation."""
+
+    def attach(self, handlers):
+        pass
+
+    async def greet(self, connection):
+        pass
+
+    def forget(self, node_id):
+        pass
+
+
 class _Links:
     def __init__(self, world, name):
         self.by_id = {}
@@ -346,7 +359,8 @@
                 members.Member(host),
                 view,
                 lambda: wire.Hello(name, "entry", name),
-                world.holder,
+                _NoSpread(),
+                _NoSpread(),
             )
             self.by_id[agent.name] = link
 
