Keep claims in a small head and segments that are set aside

The head now holds at most about 256 claims and the rest lies in segments that never change, named by the head's version, so that the conditional write of the head still decides. Claims expire after 900 s, above the longest deadline that settings allow, and expired segments cost one deletion for 256 claims.

--- a/libs/agent/src/sequoiagap/agent/_executor.py
+++ b/libs/agent/src/sequoiagap/agent/_executor.py
@@ -8,6 +8,7 @@
 GRACE_S = 3.0
 SERVICE_TIME_WEIGHT = 0.2
 CLAIM_MARGIN_S = 0.1
+CLAIM_END_MARGIN_S = 60.0
 END_SENDING_BOUND_S = 2.0
 MILLISECONDS = 1000
 
@@ -335,9 +336,12 @@
             run.refuse(self.refusals_.past_deadline())
 
     def _run_bound_s(self, order):
-        """Return how long a run may take; one that may not be repeated has no end."""
+        """Return how long a run may take, in seconds.
+
+        One that may not be repeated outlives its caller, but not its claim.
+        """
         if not order.repeatable:
-            return None
+            return outcome.CLAIM_WINDOW_S - CLAIM_END_MARGIN_S
         return max(order.expires_at_ms / MILLISECONDS - _now(), 0.0)
 
     def _finish(self, run):
--- a/libs/agent/src/sequoiagap/agent/_refusals.py
+++ b/libs/agent/src/sequoiagap/agent/_refusals.py
@@ -155,7 +155,10 @@
                 )
 
     def _taken(self, claim, agent, incarnation):
-        if claim.done or (claim.agent, claim.incarnation) == (agent, incarnation):
+        if claim.state == outcome.ClaimState.DONE or (
+            claim.agent,
+            claim.incarnation,
+        ) == (agent, incarnation):
             refusal = self.answer_gone("")
         else:
             refusal = self._refused(
--- a/libs/outcome/src/sequoiagap/outcome/__init__.py
+++ b/libs/outcome/src/sequoiagap/outcome/__init__.py
@@ -15,6 +15,7 @@
     MAX_CLAIMS_PER_SHARD,
     Claim,
     ClaimShard,
+    ClaimState,
     ClaimVerdict,
 )
 from sequoiagap.outcome._journal import Journal
@@ -30,6 +31,7 @@
     "Claim",
     "ClaimAnswer",
     "ClaimShard",
+    "ClaimState",
     "ClaimStore",
     "ClaimVerdict",
     "Journal",
--- a/libs/outcome/src/sequoiagap/outcome/_claim_store.py
+++ b/libs/outcome/src/sequoiagap/outcome/_claim_store.py
@@ -112,6 +112,18 @@
         return self._writer_by_shard[shard]
 
 
+@dataclasses.dataclass(frozen=True)
+class _KeptSegment:
+    """A segment as the platform holds it.
+
+    :param int version: version of the segment's own object.
+    :param dict by_identity: its claims.
+    """
+
+    version: int = 0
+    by_identity: dict = dataclasses.field(default_factory=dict)
+
+
 class _ShardWriter:
     """Writes one shard, one write at a time.
 
@@ -127,6 +139,7 @@
         self._version = 0
         self._uncertain = False
         self._sent_nonces = set()
+        self._segment_by_version = {}
         self._wish_by_nonce = {}
         self._answer_by_nonce = {}
         self._withdrawn_by_nonce = {}
@@ -186,6 +199,8 @@
         """Bring every wish and withdrawal of now to an end, or raise."""
         for _ in range(MAX_TRIES):
             is_fresh = await self._settle_version()
+            if self._wish_by_nonce and self._shard.is_head_full:
+                await self._seal()
             batch = dict(self._wish_by_nonce)
             withdrawn = dict(self._withdrawn_by_nonce)
             shard = self._shard.copy()
@@ -196,6 +211,7 @@
             if not changed or await self._write(shard):
                 self._forget_withdrawn(withdrawn)
                 self._answer(batch)
+                await self._drop_segments()
                 return
 
     async def _settle_version(self):
@@ -216,11 +232,62 @@
         if version != self._version:
             self._uncertain = False
         self._version = version
-        self._shard = _claims.ClaimShard()
+        shard = _claims.ClaimShard()
         if stored is not None:
-            self._shard = _claims.ClaimShard.from_value(stored.value)
+            shard = _claims.ClaimShard.from_value(stored.value)
+        for segment in shard.segments:
+            kept = await self._read_segment(segment.version)
+            shard.sealed_by_identity |= kept.by_identity
+        self._shard = shard
         return True
 
+    async def _read_segment(self, version):
+        """Return the claims of a segment, which never change."""
+        if version not in self._segment_by_version:
+            self.store.reads_ += 1
+            stored = await self.store.client.get(self._segment_name(version))
+            kept = _KeptSegment()
+            if stored is not None:
+                shard = _claims.ClaimShard.from_value(stored.value)
+                kept = _KeptSegment(stored.version, shard.by_identity)
+            self._segment_by_version[version] = kept
+        return self._segment_by_version[version]
+
+    async def _seal(self):
+        """Set the full head aside as a segment, which the next write names.
+
+        The segment is named by the head's version, so whoever sets that head
+        aside writes the same; the conditional write of the head decides.
+        """
+        self.store.writes_ += 1
+        try:
+            stored = await self.store.client.put(
+                self._segment_name(self._version), self._shard.to_value(), 0
+            )
+            version = stored.version
+        except platform.ObjectConflict as conflict:
+            version = conflict.version  # set aside before, with the same claims
+        kept = _KeptSegment(version, self._shard.by_identity)
+        self._segment_by_version[self._version] = kept
+        now = self.store.wall_clock()
+        self._shard = self._shard.sealed(self._version, now)
+
+    async def _drop_segments(self):
+        """Delete segments that the head no longer names; each just once."""
+        named = {segment.version for segment in self._shard.segments}
+        for version in [v for v in self._segment_by_version if v not in named]:
+            kept = self._segment_by_version.pop(version)
+            self.store.writes_ += 1
+            try:
+                await self.store.client.delete(
+                    self._segment_name(version), kept.version
+                )
+            except (platform.ObjectConflict, base.PlatformError):
+                continue  # deleted by another agent, or left behind
+
+    def _segment_name(self, version):
+        return f"{self.name}-{version}"
+
     def _is_any_taken(self, shard, batch):
         now = self.store.wall_clock()
         verdicts = {shard.judge(wish, now) for wish in batch.values()}
@@ -236,7 +303,8 @@
         for wish in batch.values():
             if shard.judge(wish, now) != _claims.ClaimVerdict.HELD:
                 continue
-            if wish.identity not in shard.by_identity:
+            known = shard.find(wish.identity)
+            if known is None or known.nonce != wish.nonce:
                 shard.add(wish)
                 self._sent_nonces.add(wish.nonce)
                 changed = True
@@ -277,7 +345,7 @@
         now = self.store.wall_clock()
         for wish in batch.values():
             verdict = self._shard.judge(wish, now)
-            standing = self._shard.by_identity.get(wish.identity)
+            standing = self._shard.find(wish.identity)
             self._answer_one(wish.nonce, ClaimAnswer(verdict, standing))
 
     def _answer_all(self, verdict):
--- a/libs/outcome/src/sequoiagap/outcome/_claims.py
+++ b/libs/outcome/src/sequoiagap/outcome/_claims.py
@@ -3,8 +3,9 @@
 import dataclasses
 import enum
 
-MAX_CLAIMS_PER_SHARD = 4000
-CLAIM_WINDOW_S = 3600.0
+MAX_CLAIMS_PER_SHARD = 8000
+MAX_HEAD_CLAIMS = 256
+CLAIM_WINDOW_S = 900.0
 
 
 class ClaimVerdict(enum.StrEnum):
@@ -18,6 +19,14 @@
     TOO_LATE = "too_late"
 
 
+class ClaimState(enum.StrEnum):
+    """What is known of a claim."""
+
+    HELD = "held"
+    DONE = "done"
+    RELEASED = "released"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Claim:
     """A claim of one key by one run.
@@ -28,7 +37,8 @@
     :param str nonce: unique to this run.
     :param str digest: digest of the request, to tell another body.
     :param float expires_at: wall-clock time, seconds since the epoch.
-    :param bool done: whether the run is known to have ended.
+    :param str state: a :class:`ClaimState`; ``done`` once the run is known to have
+        ended, ``released`` if it never started.
     """
 
     identity: str
@@ -37,13 +47,30 @@
     nonce: str
     digest: str
     expires_at: float
-    done: bool = False
+    state: str = str(ClaimState.HELD)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Segment:
+    """A full head that was set aside; it never changes.
+
+    :param int version: version of the head that it was.
+    :param float expires_at: when its last claim expires.
+    """
+
+    version: int
+    expires_at: float
 
 
 class ClaimShard:
-    """The claims of one shard, as one object of the platform holds them.
+    """The claims of one shard: a small head, and segments set aside.
 
-    :param dict by_identity: claim by identity.
+    Only the head is written again and again. A claim in the head overrides one
+    of the same key in a segment.
+
+    :param dict by_identity: claim of the head by identity.
+    :param tuple segments: segments that the head names.
+    :param dict sealed_by_identity: claim of the segments by identity.
 
     >>> shard = ClaimShard()
     >>> claim = Claim("k", "a1", "inc-1", "n1", "d", expires_at=60.0)
@@ -54,8 +81,24 @@
     <ClaimVerdict.TAKEN: 'taken'>
     """
 
-    def __init__(self, by_identity=None):
+    def __init__(self, by_identity=None, segments=(), sealed_by_identity=None):
         self.by_identity = by_identity or {}
+        self.segments = segments
+        self.sealed_by_identity = sealed_by_identity or {}
+
+    @property
+    def is_head_full(self):
+        """Whether the head is to be set aside before it grows further."""
+        return len(self.by_identity) >= MAX_HEAD_CLAIMS
+
+    def find(self, identity):
+        """Return the claim of a key, or ``None``.
+
+        :param str identity: the key's identity.
+        :rtype: Claim | None
+        """
+        known = self.by_identity.get(identity)
+        return known or self.sealed_by_identity.get(identity)
 
     def judge(self, wish, now):
         """Tell what would become of a wish.
@@ -64,9 +107,10 @@
         :param float now: wall-clock time in seconds.
         :rtype: ClaimVerdict
         """
-        known = self.by_identity.get(wish.identity)
-        if known is None or known.expires_at <= now:
-            is_full = len(self.by_identity) >= MAX_CLAIMS_PER_SHARD
+        known = self.find(wish.identity)
+        if not _is_in_force(known, now):
+            count = len(self.by_identity) + len(self.sealed_by_identity)
+            is_full = count >= MAX_CLAIMS_PER_SHARD
             return ClaimVerdict.FULL if is_full else ClaimVerdict.HELD
         if known.digest != wish.digest:
             return ClaimVerdict.MISMATCH
@@ -82,58 +126,115 @@
         self.by_identity[claim.identity] = claim
 
     def release(self, identity, nonce):
-        """Remove a claim whose run never started.
+        """Take back a claim whose run never started.
 
         :param str identity: the key's identity.
         :param str nonce: the run's nonce; another's claim stays.
-        :returns: whether there was such a claim.
+        :returns: whether there was such a claim in force.
         :rtype: bool
         """
-        known = self.by_identity.get(identity)
+        known = self.find(identity)
         if known is None or known.nonce != nonce:
             return False
-        del self.by_identity[identity]
+        if known.state == ClaimState.RELEASED:
+            return False
+        if identity in self.sealed_by_identity:
+            self.add(dataclasses.replace(known, state=str(ClaimState.RELEASED)))
+        else:
+            del self.by_identity[identity]
         return True
 
     def mark_done(self, identity, nonce):
-        """Record that a run has ended.
+        """Record that a run has ended, if its claim is in the head.
 
         :param str identity: the key's identity.
         :param str nonce: the run's nonce.
         """
         known = self.by_identity.get(identity)
         if known is not None and known.nonce == nonce:
-            self.by_identity[identity] = dataclasses.replace(known, done=True)
+            self.add(dataclasses.replace(known, state=str(ClaimState.DONE)))
 
     def prune(self, now):
-        """Drop expired claims; costs no write of its own.
+        """Drop expired claims and segments; costs no write of its own.
 
         :param float now: wall-clock time in seconds.
         """
         expired = [c.identity for c in self.by_identity.values() if c.expires_at <= now]
         for identity in expired:
             del self.by_identity[identity]
+        segments = tuple(s for s in self.segments if s.expires_at > now)
+        if segments != self.segments:
+            self.segments = segments
+            self.sealed_by_identity = _unexpired(self.sealed_by_identity, now)
+
+    def sealed(self, version, now):
+        """Return the shard with its head set aside as a segment.
+
+        :param int version: version of the head.
+        :param float now: wall-clock time in seconds.
+        :rtype: ClaimShard
+        """
+        last = max(claim.expires_at for claim in self.by_identity.values())
+        kept = _unexpired(self.sealed_by_identity, now)
+        segments = (*self.segments, Segment(version, last))
+        return ClaimShard({}, segments, kept | self.by_identity)
 
     def copy(self):
-        """Return an independent copy.
+        """Return a copy whose head is independent.
 
         :rtype: ClaimShard
         """
-        return ClaimShard(dict(self.by_identity))
+        head = dict(self.by_identity)
+        return ClaimShard(head, self.segments, self.sealed_by_identity)
 
     def to_value(self):
-        """Return the shard as the platform holds it.
+        """Return the head as the platform holds it.
 
         :rtype: dict
         """
-        return {"claims": [dataclasses.astuple(c) for c in self.by_identity.values()]}
+        agents = {}
+        rows = [_to_row(claim, agents) for claim in self.by_identity.values()]
+        segments = [dataclasses.astuple(segment) for segment in self.segments]
+        return {"agents": list(agents), "claims": rows, "segments": segments}
 
     @classmethod
     def from_value(cls, value):
-        """Return the shard of a platform object's value.
+        """Return the head of a platform object's value, without its segments.
 
         :param dict value: what :meth:`to_value` returned.
         :rtype: ClaimShard
         """
-        claims = [Claim(*row) for row in value["claims"]]
-        return cls({claim.identity: claim for claim in claims})
+        agents = value["agents"]
+        claims = [_from_row(row, agents) for row in value["claims"]]
+        segments = tuple(Segment(*row) for row in value["segments"])
+        return cls({claim.identity: claim for claim in claims}, segments)
+
+
+def _unexpired(by_identity, now):
+    return {k: claim for k, claim in by_identity.items() if claim.expires_at > now}
+
+
+def _is_in_force(claim, now):
+    if claim is None or claim.expires_at <= now:
+        return False
+    return claim.state != ClaimState.RELEASED
+
+
+def _to_row(claim, agents):
+    """Return a claim as a list; agents are named once, in a list of their own."""
+    number = agents.setdefault((claim.agent, claim.incarnation), len(agents))
+    expires_at = round(claim.expires_at, 3)
+    return [
+        claim.identity,
+        number,
+        claim.nonce,
+        claim.digest,
+        expires_at,
+        str(claim.state),
+    ]
+
+
+def _from_row(row, agents):
+    identity, number, nonce, digest, expires_at, state = row
+    agent, incarnation = agents[number]
+    return Claim(identity, agent, incarnation, nonce, digest, expires_at, state)
--- a/libs/settings/src/sequoiagap/settings/_models.py
+++ b/libs/settings/src/sequoiagap/settings/_models.py
@@ -93,7 +93,7 @@
     keys_file: Path
     drain_lag_s: Seconds = 2.0
     drain_bound_s: Seconds = 60.0
-    request_timeout_s: Annotated[float, pydantic.Field(gt=0, le=3000)] = 120.0
+    request_timeout_s: Annotated[float, pydantic.Field(gt=0, le=800)] = 120.0
     body_timeout_s: Seconds = 10.0
     header_timeout_s: Seconds = 15.0
     max_body_bytes: Annotated[
--- /dev/null
+++ b/tests/outcome/test_claims.py
@@ -0,0 +1,223 @@
+"""Claims against a platform that loses answers, lands writes late and is down."""
+
+import asyncio
+import dataclasses
+import unittest
+
+from sequoiagap import base, outcome, platform
+from sequoiagap.outcome import _affinity, _claims
+from tests import support, virtual
+
+DELAY_S = 0.01
+
+
+class FakePlatform:
+    """Objects in memory; the next writes may be lost, late or refused."""
+
+    def __init__(self):
+        self.object_by_name = {}
+        self.writes = 0
+        self.faults = []
+        self.down = False
+
+    async def get(self, name):
+        await self._call()
+        return self.object_by_name.get(name)
+
+    async def put(self, name, value, expected_version):
+        await self._call()
+        fault = self.faults.pop(0) if self.faults else None
+        if fault == "late":
+            loop = asyncio.get_running_loop()
+            loop.call_later(3.0, self._write_late, name, value, expected_version)
+            raise base.PlatformError("no answer", "", effect_unknown=True)
+        stored = self._write(name, value, expected_version)
+        if fault == "lost":
+            raise base.PlatformError("no answer", "", effect_unknown=True)
+        return stored
+
+    async def delete(self, name, expected_version):
+        await self._call()
+        if self._version(name) != expected_version:
+            raise platform.ObjectConflict(name, self._version(name))
+        self.object_by_name.pop(name)
+
+    async def _call(self):
+        await asyncio.sleep(DELAY_S)
+        if self.down:
+            raise base.PlatformError("down", "")
+
+    def _version(self, name):
+        known = self.object_by_name.get(name)
+        return 0 if known is None else known.version
+
+    def _write_late(self, *write):
+        try:
+            self._write(*write)
+        except platform.ObjectConflict:
+            return
+
+    def _write(self, name, value, expected_version):
+        if self._version(name) != expected_version:
+            raise platform.ObjectConflict(name, self._version(name))
+        self.writes += 1
+        stored = platform.StoredObject(name, self.writes, value)
+        self.object_by_name[name] = stored
+        return stored
+
+
+class ClaimStoreTest(unittest.TestCase):
+    def setUp(self):
+        support.silence_logs()
+        self.platform = FakePlatform()
+        self.now = 1000.0
+        self.count = 0
+
+    def store(self, pace_s=0.05):
+        return outcome.ClaimStore(
+            self.platform, "orders", pace_s, wall_clock=lambda: self.now
+        )
+
+    def wish(self, store, key="k", digest="d", agent="a"):
+        self.count += 1
+        nonce = f"n{self.count}"
+        claim = outcome.Claim(key, agent, f"inc-{agent}", nonce, digest, 0.0)
+        return store.stamp(claim)
+
+    def run_on(self, scenario):
+        virtual.run(scenario())
+
+    def test_verdicts_between_two_agents(self):
+        async def scenario():
+            one, two = self.store(), self.store()
+            await two.claim(self.wish(two, "other"), 1.0)
+            first = await one.claim(self.wish(one), 1.0)
+            second = await two.claim(self.wish(two, agent="b"), 1.0)
+            mismatch = await two.claim(self.wish(two, digest="e"), 1.0)
+            self.assertEqual(first.verdict, "held")
+            self.assertEqual((second.verdict, second.claim.agent), ("taken", "a"))
+            self.assertEqual(mismatch.verdict, "mismatch")
+
+        self.run_on(scenario)
+
+    def test_race_has_one_winner(self):
+        async def scenario():
+            stores = [self.store() for _ in range(4)]
+            answers = await asyncio.gather(
+                *(
+                    s.claim(self.wish(s, agent=str(i)), 2.0)
+                    for i, s in enumerate(stores)
+                )
+            )
+            verdicts = sorted(a.verdict for a in answers)
+            self.assertEqual(verdicts, ["held", "taken", "taken", "taken"])
+            self.assertEqual(len({a.claim.nonce for a in answers}), 1)
+
+        self.run_on(scenario)
+
+    def test_write_of_unknown_effect(self):
+        for fault in ("lost", "late"):
+            with self.subTest(fault):
+                self.platform = FakePlatform()
+
+                async def scenario(fault=fault):
+                    store = self.store()
+                    self.platform.faults = [fault]
+                    wish = self.wish(store)
+                    self.assertEqual((await store.claim(wish, 1.0)).verdict, "held")
+                    await asyncio.sleep(5.0)  # the late write must not land
+                    again = await self.store().claim(self.wish(store, agent="b"), 1.0)
+                    self.assertEqual(again.claim.nonce, wish.nonce)
+
+                self.run_on(scenario)
+
+    def test_withdrawn_wish_leaves_no_claim(self):
+        for faults in (["late"], ["lost"], []):
+            with self.subTest(faults=faults):
+                self.platform = FakePlatform()
+
+                async def scenario(faults=faults):
+                    store = self.store()
+                    self.platform.faults = list(faults)
+                    timeout_s = 1.5 * DELAY_S if faults == [] else 0.5 * DELAY_S
+                    answer = await store.claim(self.wish(store), timeout_s)
+                    self.assertEqual(answer.verdict, "too_late")
+                    await asyncio.sleep(5.0)
+                    other = self.store()
+                    again = await other.claim(self.wish(other, agent="b"), 1.0)
+                    self.assertEqual(again.verdict, "held")
+
+                self.run_on(scenario)
+
+    def test_platform_down_is_told_and_leaves_no_claim(self):
+        async def scenario():
+            store = self.store()
+            self.platform.down = True
+            answer = await store.claim(self.wish(store), 2.0)
+            self.assertEqual(answer.verdict, "platform_down")
+            self.platform.down = False
+            await asyncio.sleep(1.0)
+            again = await store.claim(self.wish(store), 2.0)
+            self.assertEqual(again.verdict, "held")
+
+        self.run_on(scenario)
+
+    def test_many_claims_share_a_write(self):
+        async def scenario():
+            store = self.store(pace_s=0.2)
+            wishes = [self.wish(store, f"k{i}") for i in range(200)]
+            answers = await asyncio.gather(*(store.claim(w, 2.0) for w in wishes))
+            self.assertEqual({a.verdict for a in answers}, {"held"})
+            self.assertLessEqual(self.platform.writes, 2 * _affinity.SHARDS_PER_SERVICE)
+
+        self.run_on(scenario)
+
+    def test_segments_keep_claims_until_they_expire(self):
+        async def scenario():
+            store = self.store(pace_s=0.0)
+            keys = [k for k in map(str, range(20_000)) if _affinity.shard_of(k) == 0]
+            keys = keys[: 3 * _claims.MAX_HEAD_CLAIMS]
+            for start in range(0, len(keys), 64):
+                wishes = [self.wish(store, k) for k in keys[start : start + 64]]
+                await asyncio.gather(*(store.claim(w, 2.0) for w in wishes))
+            head = self.platform.object_by_name["claims-orders-0"].value
+            self.assertLessEqual(len(head["claims"]), _claims.MAX_HEAD_CLAIMS)
+            fresh = self.store()
+            for key in (keys[0], keys[300], keys[-1]):
+                again = await fresh.claim(self.wish(fresh, key, agent="b"), 2.0)
+                self.assertEqual(again.verdict, "taken", key)
+            self.now += outcome.CLAIM_WINDOW_S + 1
+            again = await fresh.claim(self.wish(fresh, keys[0], agent="b"), 2.0)
+            self.assertEqual(again.verdict, "held")
+            await asyncio.sleep(1.0)
+            self.assertEqual(list(self.platform.object_by_name), ["claims-orders-0"])
+
+        self.run_on(scenario)
+
+    def test_release_of_a_claim_set_aside(self):
+        async def scenario():
+            store = self.store(pace_s=0.0)
+            keys = [k for k in map(str, range(20_000)) if _affinity.shard_of(k) == 0]
+            wishes = [self.wish(store, k) for k in keys[:400]]
+            for wish in wishes[:300]:
+                store._writer(wish.identity).add(wish)
+            await asyncio.sleep(1.0)
+            await store.claim(wishes[350], 1.0)
+            store.release(wishes[0])
+            await asyncio.sleep(1.0)
+            fresh = self.store()
+            again = await fresh.claim(self.wish(fresh, keys[0], agent="b"), 1.0)
+            other = await fresh.claim(self.wish(fresh, keys[1], agent="b"), 1.0)
+            self.assertEqual((again.verdict, other.verdict), ("held", "taken"))
+
+        self.run_on(scenario)
+
+    def test_full_shard_refuses_until_claims_expire(self):
+        shard = outcome.ClaimShard()
+        wish = outcome.Claim("k", "a", "i", "n", "d", 10.0)
+        for i in range(_claims.MAX_CLAIMS_PER_SHARD):
+            shard.add(dataclasses.replace(wish, identity=str(i)))
+        shard = shard.sealed(1, 0.0)
+        self.assertEqual(shard.judge(wish, 5.0), "full")
+        shard.prune(11.0)
+        self.assertEqual(shard.judge(wish, 11.0), "held")
