Give up kept-alive connections together once one of them failed

Cause: the agent's calls to its endpoint and to the platform took the next kept-alive connection of the pool after one had gone silent, and met the same fault again. Seen failing first (tests/entry/test_requests_behind.py): "503 != 200 platform_down" for a key while new connections worked. Ruled out: closing the session, which would break the calls under way over it.

--- a/libs/agent/src/sequoiagap/agent/_endpoint.py
+++ b/libs/agent/src/sequoiagap/agent/_endpoint.py
@@ -5,7 +5,7 @@
 
 import aiohttp
 
-from sequoiagap import base
+from sequoiagap import base, platform
 
 CHUNK_BYTES = 16384
 PROBE_TIMEOUT_S = 1.0
@@ -29,6 +29,8 @@
 KEY_HEADER = "X-Sequoiagap-Request"
 RESUME_HEADER = "X-Resume-Offset"
 
+_SESSION_OPTIONS = {"auto_decompress": False}
+
 _log = base.get_logger("endpoint")
 
 
@@ -74,19 +76,19 @@
 
     def __init__(self, settings):
         self.settings = settings
-        self._session = None
+        self._sessions = platform.HttpSessions(_SESSION_OPTIONS)
         self._single_use_session = None
-        self._calls_by_session = {}
 
     async def open(self):
         """Open the client sessions."""
-        self._session = _new_session()
-        self._single_use_session = _new_session(force_close=True)
+        connector = aiohttp.TCPConnector(limit=0, force_close=True)
+        self._single_use_session = aiohttp.ClientSession(
+            connector=connector, **_SESSION_OPTIONS
+        )
 
     async def close(self):
         """Close the client sessions."""
-        for session in {*self._calls_by_session, self._session}:
-            await session.close()
+        await self._sessions.close()
         await self._single_use_session.close()
 
     async def report(self):
@@ -97,12 +99,16 @@
         timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S)
         url = f"{self.settings.url}/load"
         try:
-            async with self._session.get(url, timeout=timeout) as response:
-                document = await response.json()
-                return LoadReport(
-                    document["start_id"], document["cold"], document["in_flight"]
-                )
-        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError):
+            with self._sessions.borrow() as session:
+                async with session.get(url, timeout=timeout) as response:
+                    document = await response.json()
+            return LoadReport(
+                document["start_id"], document["cold"], document["in_flight"]
+            )
+        except (aiohttp.ClientError, TimeoutError) as error:
+            self._suspect("probe", error)
+            return None
+        except (ValueError, KeyError):
             return None
 
     async def call(self, order, on_head, on_data):
@@ -141,19 +147,19 @@
         raise EndpointError("the stream broke off too often", True)
 
     async def _call_once(self, order, answer):
-        session = self._session if order.repeatable else self._single_use_session
-        self._calls_by_session[session] = self._calls_by_session.get(session, 0) + 1
         try:
-            await self._exchange(session, order, answer)
+            if order.repeatable:
+                with self._sessions.borrow() as session:
+                    await self._exchange(session, order, answer)
+            else:
+                await self._exchange(self._single_use_session, order, answer)
         except aiohttp.ClientConnectorError as error:
             raise EndpointError(
                 f"endpoint can't be reached: {error}", answer.resuming
             ) from error
         except (aiohttp.ClientError, TimeoutError) as error:
-            self._suspect(order, error)
+            self._suspect(order.attempt_id, error)
             raise EndpointError(f"endpoint failed: {error!r}", True) from error
-        finally:
-            await self._leave(session)
 
     async def _exchange(self, session, order, answer):
         call = session.request(
@@ -192,23 +198,10 @@
         async with asyncio.timeout(max(timeout_s, 0.0)):
             return await response.content.readany()
 
-    def _suspect(self, order, error):
+    def _suspect(self, what, error):
         """Use no kept-alive connection again: what lost one may have lost all."""
-        _log.emit(
-            base.Event.CONNECTION_SUSPECT,
-            attempt_id=order.attempt_id,
-            error=repr(error),
-        )
-        self._calls_by_session.setdefault(self._session, 0)
-        self._session = _new_session()
-
-    async def _leave(self, session):
-        self._calls_by_session[session] -= 1
-        if self._calls_by_session[session] > 0:
-            return
-        del self._calls_by_session[session]
-        if session not in (self._session, self._single_use_session):
-            await session.close()
+        _log.emit(base.Event.CONNECTION_SUSPECT, what=what, error=repr(error))
+        self._sessions.renew()
 
     async def _cancel_at_engine(self, order):
         """Tell an engine that holds cut streams that this one is not wanted."""
@@ -251,11 +244,6 @@
             await self.on_data(piece)
 
 
-def _new_session(force_close=False):
-    connector = aiohttp.TCPConnector(limit=0, force_close=force_close)
-    return aiohttp.ClientSession(connector=connector, auto_decompress=False)
-
-
 def _headers(order, answer):
     headers = order.headers | {
         ATTEMPT_HEADER: order.attempt_id,
--- a/libs/outcome/src/sequoiagap/outcome/_claim_store.py
+++ b/libs/outcome/src/sequoiagap/outcome/_claim_store.py
@@ -226,8 +226,7 @@
         """
         if self._shard is not None and not self._uncertain:
             return False
-        self.store.reads_ += 1
-        stored = await self.store.client.get(self.name)
+        stored = await self._read(self.name)
         version = 0 if stored is None else stored.version
         if version != self._version:
             self._uncertain = False
@@ -244,8 +243,7 @@
     async def _read_segment(self, version):
         """Return the claims of a segment, which never change."""
         if version not in self._segment_by_version:
-            self.store.reads_ += 1
-            stored = await self.store.client.get(self._segment_name(version))
+            stored = await self._read(self._segment_name(version))
             kept = _KeptSegment()
             if stored is not None:
                 shard = _claims.ClaimShard.from_value(stored.value)
@@ -253,6 +251,15 @@
             self._segment_by_version[version] = kept
         return self._segment_by_version[version]
 
+    async def _read(self, name):
+        """Read an object; a second time, as a kept connection may be dead."""
+        self.store.reads_ += 1
+        try:
+            return await self.store.client.get(name)
+        except base.PlatformError:
+            self.store.reads_ += 1
+            return await self.store.client.get(name)
+
     async def _seal(self):
         """Set the full head aside as a segment, which the next write names.
 
--- a/libs/platform/src/sequoiagap/platform/__init__.py
+++ b/libs/platform/src/sequoiagap/platform/__init__.py
@@ -7,10 +7,12 @@
     PlatformClient,
     StoredObject,
 )
+from sequoiagap.platform._sessions import HttpSessions
 
 __all__ = [
     "MAX_VALUE_BYTES",
     "HostEntry",
+    "HttpSessions",
     "ObjectConflict",
     "PlatformClient",
     "StoredObject",
--- a/libs/platform/src/sequoiagap/platform/_client.py
+++ b/libs/platform/src/sequoiagap/platform/_client.py
@@ -5,6 +5,7 @@
 import aiohttp
 
 from sequoiagap import base
+from sequoiagap.platform import _sessions
 
 WATCH_TIMEOUT_S = 20.0
 MAX_VALUE_BYTES = 1_000_000
@@ -78,12 +79,11 @@
         self.url = url
         self.timeout_s = timeout_s
         self.calls_ = 0
-        self._session = None
+        self._sessions = _sessions.HttpSessions()
 
     async def close(self):
         """Close the connections to the platform."""
-        if self._session is not None:
-            await self._session.close()
+        await self._sessions.close()
 
     async def get(self, name):
         """Return an object, or ``None`` where there is none.
@@ -158,9 +158,13 @@
     async def _call(self, method, path, body=None, timeout_s=None):
         self.calls_ += 1
         timeout = aiohttp.ClientTimeout(total=timeout_s or self.timeout_s)
-        request = self._open_session().request(
-            method, self.url + path, json=body, timeout=timeout
-        )
+        with self._sessions.borrow() as session:
+            request = session.request(
+                method, self.url + path, json=body, timeout=timeout
+            )
+            return await self._finish_call(method, request)
+
+    async def _finish_call(self, method, request):
         try:
             async with request as response:
                 if response.status >= 500:
@@ -172,13 +176,11 @@
             raise base.PlatformError(
                 f"platform can't be reached ({error})", _CALL_LIMIT_REMEDY
             ) from error
-        except (TimeoutError, aiohttp.ClientError, ValueError) as error:
+        except (TimeoutError, aiohttp.ClientError) as error:
+            self._sessions.renew()
+            raise _unanswered(method, repr(error)) from error
+        except ValueError as error:
             raise _unanswered(method, repr(error)) from error
-
-    def _open_session(self):
-        if self._session is None or self._session.closed:
-            self._session = aiohttp.ClientSession()
-        return self._session
 
 
 def _stored(name, document):
