--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -127,7 +127,9 @@
 async def main(seconds, seed):
     parameters = json.dumps({"list_lag_s": 0.5})
     command = [sys.executable, "-m", "sequoiagap.standins", "platform", parameters]
-    print("| way | wished/s | claims/s | writes/s | ratio | KB/s | p50 ms | p99 ms |")
+    print(
+        "| way | wished/s | claims/s | writes/s | ratio | KB/s | p50 ms | p99 ms | refused |"
+    )
     print("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
     for rate in RATES:
         baseline = 0.0
--- a/libs/agent/src/sequoiagap/agent/_agent.py
+++ b/libs/agent/src/sequoiagap/agent/_agent.py
@@ -151,6 +151,7 @@
                 "limit": load.limit,
                 "service_time_s": load.service_time_s,
             },
+            "attempts": self.executor_.dump_state(),
             "connections": sorted(c.peer.node_id for c in self.connections_),
             "platform_calls": self.platform_.calls_,
             "metrics": self._collect_metrics(load),
--- a/libs/agent/src/sequoiagap/agent/_endpoint.py
+++ b/libs/agent/src/sequoiagap/agent/_endpoint.py
@@ -171,17 +171,23 @@
             allow_redirects=False,
             skip_auto_headers=SKIPPED_HEADERS,
         )
-        loop = asyncio.get_running_loop()
-        first_byte_by = loop.time() + self._first_byte_timeout_s()
-        async with asyncio.timeout_at(first_byte_by):
+        async with asyncio.timeout(self._first_byte_timeout_s()) as timer:
             response = await call
+            await self._read_answer(response, order, answer, timer)
+
+    async def _read_answer(self, response, order, answer, timer):
+        """Pass an answer on; the timer runs only while the endpoint is awaited."""
+        loop = asyncio.get_running_loop()
+        between_s = self.settings.between_bytes_timeout_s
         try:
             _check_echo(order, response)
             await answer.take_head(response)
-            data = await self._read(response, first_byte_by - loop.time())
+            data = await response.content.readany()
             while data:
+                timer.reschedule(None)
                 await answer.take_data(data)
-                data = await self._read(response, self.settings.between_bytes_timeout_s)
+                timer.reschedule(loop.time() + between_s)
+                data = await response.content.readany()
         finally:
             # A connection whose answer was not read to its end is not used again.
             if response.content.at_eof():
@@ -194,10 +200,6 @@
             return self.settings.between_bytes_timeout_s
         return self.settings.first_byte_timeout_s
 
-    async def _read(self, response, timeout_s):
-        async with asyncio.timeout(max(timeout_s, 0.0)):
-            return await response.content.readany()
-
     def _suspect(self, what, error):
         """Use no kept-alive connection again: what lost one may have lost all."""
         _log.emit(base.Event.CONNECTION_SUSPECT, what=what, error=repr(error))
--- a/libs/agent/src/sequoiagap/agent/_executor.py
+++ b/libs/agent/src/sequoiagap/agent/_executor.py
@@ -98,6 +98,22 @@
             service_time_s=self.service_time_s_,
         )
 
+    def dump_state(self):
+        """Return what is known of attempts and claims as plain data.
+
+        :rtype: dict
+        """
+        stores = self._store_by_service.values()
+        return {
+            "running": len(self._task_by_run),
+            "joined": len(self.table_.by_attempt_id),
+            "keyed": len(self.table_.by_identity),
+            "held_bytes": self.table_.held_bytes_,
+            "remembered_ids": len(self.ledger.entry_by_id),
+            "claim_writes": sum(store.writes_ for store in stores),
+            "claim_reads": sum(store.reads_ for store in stores),
+        }
+
     async def wait_idle(self, bound_s):
         """Wait until no attempt runs; after the bound tell those who wait so.
 
--- a/libs/entry/src/sequoiagap/entry/_responses.py
+++ b/libs/entry/src/sequoiagap/entry/_responses.py
@@ -135,6 +135,11 @@
         await self._write_in_time(data)
 
     async def _write_in_time(self, data):
+        transport = self.http_request.transport
+        if transport is not None and transport.get_write_buffer_size() == 0:
+            # Nothing waits for the caller, so the write won't either.
+            await self._stream.write(data)
+            return
         try:
             async with asyncio.timeout(CALLER_STALL_S):
                 await self._stream.write(data)
--- a/libs/outcome/src/sequoiagap/outcome/_journal.py
+++ b/libs/outcome/src/sequoiagap/outcome/_journal.py
@@ -34,6 +34,10 @@
 
     :param int capacity: how many requests to remember.
     :param int max_decisions: how many decisions to keep for each.
+    :param int max_total: how many decisions to keep over all requests; the oldest
+        requests go first.
+
+    :ivar int total_: decisions kept now.
 
     >>> journal = Journal(capacity=2)
     >>> journal.open("req-1", "guild")
@@ -42,9 +46,11 @@
     ['admitted']
     """
 
-    def __init__(self, capacity=10_000, max_decisions=32):
+    def __init__(self, capacity=10_000, max_decisions=32, max_total=30_000):
         self.capacity = base.check_positive("capacity", capacity)
         self.max_decisions = base.check_positive("max_decisions", max_decisions)
+        self.max_total = base.check_positive("max_total", max_total)
+        self.total_ = 0
         self._record_by_id = collections.OrderedDict()
 
     def open(self, request_id, account):
@@ -54,8 +60,7 @@
         :param str account: client account that may read it.
         """
         self._record_by_id[request_id] = _Record(account)
-        while len(self._record_by_id) > self.capacity:
-            self._record_by_id.popitem(last=False)
+        self._drop_oldest()
 
     def record(self, request_id, step, config_version, **details):
         """Add a decision.
@@ -69,6 +74,8 @@
         if record is None or len(record.decisions) >= self.max_decisions:
             return
         record.decisions.append(Decision(time.time(), step, config_version, details))
+        self.total_ += 1
+        self._drop_oldest()
 
     def explain(self, request_id, account=None):
         """Return the decisions about a request.
@@ -87,3 +94,8 @@
             "account": record.account,
             "decisions": decisions,
         }
+
+    def _drop_oldest(self):
+        while len(self._record_by_id) > self.capacity or self.total_ > self.max_total:
+            _, record = self._record_by_id.popitem(last=False)
+            self.total_ -= len(record.decisions)
