--- a/libs/standins/src/sequoiagap/standins/_fleet.py
+++ b/libs/standins/src/sequoiagap/standins/_fleet.py
@@ -35,6 +35,7 @@
         start; otherwise the fleet starts without waiting for it.
     :param dict config: merge patch over the default configuration.
     :param dict platform: parameters of the platform stand-in.
+    :param tuple program: the command that runs a role, with its arguments.
     :param tuple accounts: client accounts; the key is ``NAME-key``.
     """
 
@@ -50,6 +51,7 @@
     configured: bool = True
     config: dict = dataclasses.field(default_factory=dict)
     platform: dict = dataclasses.field(default_factory=dict)
+    program: tuple = (sys.executable, "-m", "sequoiagap.cli")
     accounts: tuple = ("caller",)
 
 
@@ -332,7 +334,7 @@
     async def _start_role(self, role, name, settings):
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings, indent=2))
-        command = [sys.executable, "-m", "sequoiagap.cli", role, str(path)]
+        command = [*self.plan.program, role, str(path)]
         await self._start_process(name, command)
 
     async def _start_process(self, name, command):
--- /dev/null
+++ b/tests/tools/watched.py
@@ -0,0 +1,43 @@
+"""Runs an archive or script and ends it when it starts a child or writes a file.
+
+Usage: ``python -I -S watched.py PROGRAM [ARGUMENT ...]``. The exit code is 99
+when the program was ended.
+"""
+
+import os
+import runpy
+import sys
+
+DENIED_EXIT_CODE = 99
+WRITE_FLAGS = os.O_WRONLY | os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND
+DENIED_PREFIXES = (
+    "os.exec",
+    "os.fork",
+    "os.link",
+    "os.mkdir",
+    "os.posix_spawn",
+    "os.remove",
+    "os.rename",
+    "os.rmdir",
+    "os.spawn",
+    "os.symlink",
+    "os.system",
+    "os.truncate",
+    "pty.",
+    "shutil.",
+    "subprocess.",
+    "tempfile.",
+)
+
+
+def deny(event, arguments):
+    """End the process at a forbidden audit event."""
+    writes = event == "open" and (arguments[2] or 0) & WRITE_FLAGS
+    if writes or event.startswith(DENIED_PREFIXES):
+        os.write(2, f"denied: {event} {arguments}\n".encode())
+        os._exit(DENIED_EXIT_CODE)
+
+
+sys.argv = sys.argv[1:]
+sys.addaudithook(deny)
+runpy.run_path(sys.argv[0], run_name="__main__")
