--- /dev/null
+++ b/tests/tools/test_run_tests.py
@@ -0,0 +1,86 @@
+"""The test command honours KNOWN-RED.txt and no more than that."""
+
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+import unittest
+
+from tests import support
+
+SAMPLE = '''"""Sample."""
+import unittest
+
+
+class SampleTest(unittest.TestCase):
+    def test_good(self):
+        pass
+
+    def test_bad(self):
+        self.fail("red")
+
+    def test_bad_part(self):
+        with self.subTest("part"):
+            self.fail("red")
+
+    @unittest.expectedFailure
+    def test_unexpected_success(self):
+        pass
+'''
+PREFIX = "tests.test_sample.SampleTest."
+BAD = ("test_bad", "test_bad_part", "test_unexpected_success")
+
+
+class RunTestsTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.root = pathlib.Path(folder.name)
+        for name in ("tests", "tools"):
+            (self.root / name).mkdir()
+        (self.root / "tests/__init__.py").touch()
+        (self.root / "tests/test_sample.py").write_text(SAMPLE)
+        shutil.copy(support.ROOT / "tools/run_tests.py", self.root / "tools")
+
+    def run_tests(self, listed, *patterns):
+        """Run the command with listed tests; return exit code and output lines."""
+        lines = [f"{PREFIX}{name} | command | seen | issue" for name in listed]
+        text = "# comment\n" + "\n".join(lines) + "\n"
+        (self.root / "KNOWN-RED.txt").write_text(text)
+        command = [sys.executable, str(self.root / "tools/run_tests.py"), *patterns]
+        done = subprocess.run(command, capture_output=True, text=True)
+        return done.returncode, done.stdout.splitlines()
+
+    def test_unlisted_failure_fails(self):
+        for left_out in BAD:
+            with self.subTest(left_out):
+                listed = [name for name in BAD if name != left_out]
+                code, lines = self.run_tests(listed)
+                self.assertEqual(code, 1)
+                self.assertEqual(lines[-1], "1 passed, 1 failed, 0 skipped")
+                failed = [x for x in lines if x.startswith("FAILED: ")]
+                self.assertTrue(failed[0].startswith(f"FAILED: {PREFIX}{left_out}"))
+
+    def test_listed_failures_pass_and_are_printed(self):
+        code, lines = self.run_tests(BAD)
+        self.assertEqual(code, 0)
+        self.assertEqual(lines[-1], "1 passed, 0 failed, 0 skipped")
+        known = [line for line in lines if line.startswith("known red: ")]
+        self.assertEqual(len(known), len(BAD))
+
+    def test_stale_entries_are_reported(self):
+        code, lines = self.run_tests([*BAD, "test_good", "test_gone"])
+        self.assertEqual(code, 0)
+        stale = [line for line in lines if line.startswith("stale")]
+        names = [line.rpartition(".")[2] for line in stale]
+        self.assertEqual(names, ["test_gone", "test_good"])
+
+    def test_part_of_the_modules_reports_only_what_ran(self):
+        _, lines = self.run_tests([*BAD, "test_good", "test_gone"], "sample")
+        stale = [line for line in lines if line.startswith("stale")]
+        self.assertEqual(len(stale), 1)
+
+    def test_no_test_at_all_fails(self):
+        code, lines = self.run_tests([], "nothing")
+        self.assertEqual((code, lines[-1]), (1, "0 passed, 0 failed, 0 skipped"))
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -2,7 +2,8 @@
 
 Usage: ``python tools/run_tests.py [--jobs N] [PATTERN ...]``. A pattern selects
 the modules whose dotted name contains it. The exit code is 0 when the only
-failures are the ones that KNOWN-RED.txt lists.
+failures are the ones that KNOWN-RED.txt lists; an entry there whose test passes
+or is gone is printed as stale.
 """
 
 import argparse
@@ -118,23 +119,26 @@
     modules = discover_modules(options.patterns)
     with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
         results = list(pool.map(run_module, modules))
-    return summarise(results)
+    return summarise(results, read_known_red(), not options.patterns)
 
 
-def summarise(results):
+def summarise(results, known, ran_all):
     """Print failures and counts; return the exit code.
 
     :param list[ModuleResult] results: one for each module.
+    :param set[str] known: ids of the tests listed in KNOWN-RED.txt.
+    :param bool ran_all: whether every module was run.
     :rtype: int
     """
-    known = read_known_red()
     failed = [test for result in results for test in result.failed]
-    unexpected = [test for test in failed if test not in known]
+    unexpected = [test for test in failed if _test_id(test) not in known]
     for result in results:
-        if any(test in unexpected for test in result.failed):
+        if set(unexpected) & set(result.failed):
             print(f"--- {result.module}\n{result.output}")
-    for test in sorted(set(failed) & known):
+    for test in sorted(set(failed) - set(unexpected)):
         print(f"known red: {test}")
+    for test in find_stale(results, known, ran_all):
+        print(f"stale in {KNOWN_RED.name}, remove it: {test}")
     for test in unexpected:
         print(f"FAILED: {test}")
     passed = sum(len(result.passed) for result in results)
@@ -143,5 +147,24 @@
     return 1 if unexpected or not passed else 0
 
 
+def find_stale(results, known, ran_all):
+    """Return the listed tests that pass, or that a full run did not meet.
+
+    :param list[ModuleResult] results: one for each module.
+    :param set[str] known: ids of the tests listed in KNOWN-RED.txt.
+    :param bool ran_all: whether every module was run.
+    :rtype: list[str]
+    """
+    passed = {test for result in results for test in result.passed}
+    failed = {_test_id(test) for result in results for test in result.failed}
+    stale = known - failed if ran_all else known & passed
+    return sorted(stale)
+
+
+def _test_id(test):
+    """Return the id of a test without the parameters of a subtest."""
+    return test.partition(" ")[0]
+
+
 if __name__ == "__main__":
     sys.exit(main())
