Test every fault switch of the stand-ins and add late answers

A fake that can't fail proves nothing: one check for each field of Faults, so that a new switch without a check fails the test.

--- a/libs/standins/src/sequoiagap/standins/_faults.py
+++ b/libs/standins/src/sequoiagap/standins/_faults.py
@@ -15,6 +15,7 @@
     :param bool down: refuse every call with status 503.
     :param float slow_s: wait before each call, in seconds.
     :param int lose_answers: how many next writes take effect unanswered.
+    :param float late_s: answer writes this long after their effect, in seconds.
     :param bool silent: take calls and never answer.
     :param float stall_s: pause in the middle of the next answers, in seconds.
     :param int cut_answers: how many next answers break off in the middle.
@@ -26,6 +27,7 @@
     down: bool = False
     slow_s: float = 0.0
     lose_answers: int = 0
+    late_s: float = 0.0
     silent: bool = False
     stall_s: float = 0.0
     cut_answers: int = 0
--- a/libs/standins/src/sequoiagap/standins/_platform.py
+++ b/libs/standins/src/sequoiagap/standins/_platform.py
@@ -88,6 +88,8 @@
     async def _answer_write(self, document):
         if self.faults_.take("lose_answers"):
             await asyncio.sleep(FOREVER_S)
+        if self.faults_.late_s:
+            await asyncio.sleep(self.faults_.late_s)
         return web.json_response(document)
 
     async def _on_watch(self, request):
--- /dev/null
+++ b/tests/standins/test_faults.py
@@ -0,0 +1,253 @@
+"""Each fault switch of the stand-ins does what it says, and nothing before."""
+
+import asyncio
+import contextlib
+import dataclasses
+import time
+import unittest
+
+import aiohttp
+
+from sequoiagap.standins import _engine, _faults, _platform, _serve, _service
+
+PATIENCE_S = 0.4
+PAUSE_S = 0.3
+LIST_LAG_S = 0.3
+COMPLETE = "/v1/chat/completions"
+
+
+class StandInCase(unittest.IsolatedAsyncioTestCase):
+    """Runs one stand-in of each kind in this process."""
+
+    async def asyncSetUp(self):
+        self.session = await self.enterAsyncContext(aiohttp.ClientSession())
+        self.url_by_kind = {}
+        stand_ins = {
+            "platform": _platform.PlatformStandIn(list_lag_s=LIST_LAG_S),
+            "engine": _engine.EngineStandIn(
+                step_s=0.001, cold_s=0.0, load_lag_s=PAUSE_S, recover_s=PAUSE_S
+            ),
+            "service": _service.ServiceStandIn(work_s=0.001),
+        }
+        for kind, stand_in in stand_ins.items():
+            runner, port = await _serve.start(stand_in)
+            self.addAsyncCleanup(runner.cleanup)
+            self.url_by_kind[kind] = f"http://127.0.0.1:{port}"
+
+    async def call(self, kind, method, path, body=None, headers=None):
+        """Call a stand-in; return status, body and headers.
+
+        :raises TimeoutError: if no whole answer comes in time.
+        """
+        url = self.url_by_kind[kind] + path
+        async with asyncio.timeout(PATIENCE_S):
+            async with self.session.request(
+                method, url, json=body, headers=headers
+            ) as answer:
+                return answer.status, await answer.text(), answer.headers
+
+    async def timed(self, *arguments):
+        """Call a stand-in; return the seconds until the whole answer."""
+        began = time.monotonic()
+        await self.call(*arguments)
+        return time.monotonic() - began
+
+    async def put(self, name, expected_version, value=1):
+        """Write an object of the platform; return the status."""
+        body = {"expected_version": expected_version, "value": {"n": value}}
+        status, _, _ = await self.call("platform", "PUT", f"/objects/{name}", body)
+        return status
+
+    async def get(self, name):
+        """Return what an object of the platform holds, or ``None``."""
+        url = f"{self.url_by_kind['platform']}/objects/{name}"
+        async with self.session.get(url) as answer:
+            return (await answer.json()).get("value")
+
+    async def wait_for(self, name):
+        """Wait until an object of the platform exists."""
+        async with asyncio.timeout(5 * PATIENCE_S):
+            while await self.get(name) is None:  # noqa: ASYNC110 - asked by HTTP
+                await asyncio.sleep(0.01)
+
+    async def executed(self, kind):
+        """Return how many executions a stand-in has counted."""
+        url = f"{self.url_by_kind[kind]}/executions"
+        async with self.session.get(url) as answer:
+            return sum((await answer.json()).values())
+
+    async def set_faults(self, kind, **switches):
+        """Set switches of a stand-in."""
+        url = f"{self.url_by_kind[kind]}/faults"
+        async with self.session.post(url, json=switches) as answer:
+            self.assertEqual(answer.status, 200)
+
+
+class FaultsTest(StandInCase):
+    CALLS = (
+        ("platform", "GET", "/hosts", None),
+        ("engine", "GET", "/load", None),
+        ("engine", "POST", COMPLETE, {"messages": []}),
+        ("service", "POST", "/file", {"n": 1}),
+    )
+
+    async def test_each_switch(self):
+        for field in dataclasses.fields(_faults.Faults):
+            with self.subTest(field.name):
+                await getattr(self, f"check_{field.name}")()
+                for kind in self.url_by_kind:
+                    await self.set_faults(kind, **{field.name: field.default})
+                for call in self.CALLS:
+                    status, _, _ = await self.call(*call)
+                    self.assertEqual(status, 200, f"after {field.name}")
+
+    async def test_unknown_switch_is_refused(self):
+        for kind in self.url_by_kind:
+            status, text, _ = await self.call(kind, "POST", "/faults", {"dwon": True})
+            self.assertEqual((status, "dwon" in text), (400, True))
+
+    async def check_down(self):
+        for call in self.CALLS:
+            await self.set_faults(call[0], down=True)
+            status, _, _ = await self.call(*call)
+            self.assertEqual(status, 503)
+
+    async def check_slow_s(self):
+        for call in self.CALLS:
+            self.assertLess(await self.timed(*call), PAUSE_S)
+            await self.set_faults(call[0], slow_s=PAUSE_S)
+            self.assertGreaterEqual(await self.timed(*call), PAUSE_S)
+            await self.set_faults(call[0], slow_s=0.0)
+
+    async def check_silent(self):
+        for call in self.CALLS:
+            await self.set_faults(call[0], silent=True)
+            with self.assertRaises(TimeoutError):
+                await self.call(*call)
+
+    async def check_refuse_next(self):
+        for call in self.CALLS:
+            await self.set_faults(call[0], refuse_next=1)
+            statuses = [(await self.call(*call))[0] for _ in range(2)]
+            self.assertEqual(statuses, [500, 200])
+
+    async def check_lose_answers(self):
+        await self.set_faults("platform", lose_answers=1)
+        with self.assertRaises(TimeoutError):
+            await self.put("lost", 0)
+        self.assertEqual(await self.get("lost"), {"n": 1})
+        self.assertEqual(await self.put("next", 0), 200)
+        before = await self.executed("service")
+        await self.set_faults("service", lose_answers=1)
+        with self.assertRaises(aiohttp.ClientError):
+            await self.call("service", "POST", "/file", {"n": 1})
+        self.assertEqual(await self.executed("service"), before + 1)
+
+    async def check_late_s(self):
+        await self.set_faults("platform", late_s=PAUSE_S)
+        began = time.monotonic()
+        write = asyncio.create_task(self.put("late", 0))
+        await self.wait_for("late")
+        self.assertLess(time.monotonic() - began, PAUSE_S)
+        self.assertFalse(write.done())
+        self.assertEqual(await write, 200)
+
+    async def check_stall_s(self):
+        for kind, path in (("engine", COMPLETE), ("service", "/file")):
+            await self.set_faults(kind, stall_s=PAUSE_S)
+            before = await self.executed(kind)
+            elapsed = await self.timed(kind, "POST", path, {"messages": []})
+            self.assertGreaterEqual(elapsed, PAUSE_S)
+            self.assertEqual(await self.executed(kind), before + 1)
+
+    async def check_cut_answers(self):
+        await self.set_faults("engine", cut_answers=1)
+        body = {"messages": [], "stream": True}
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            await self.call("engine", "POST", COMPLETE, body)
+        _, text, _ = await self.call("engine", "POST", COMPLETE, body)
+        self.assertIn("[DONE]", text)
+
+    async def check_crossed(self):
+        for kind, path in (("engine", COMPLETE), ("service", "/file")):
+            call = (kind, "POST", path, {"messages": []}, {"X-Request-Id": "own"})
+            _, _, headers = await self.call(*call)
+            self.assertEqual(headers["X-Request-Id"], "own")
+            await self.set_faults(kind, crossed=True)
+            _, _, headers = await self.call(*call)
+            self.assertNotEqual(headers["X-Request-Id"], "own")
+
+    async def check_lose_watches(self):
+        self.assertIsNotNone(await self._watch_change("watched"))
+        await self.set_faults("platform", lose_watches=True)
+        self.assertIsNone(await self._watch_change("unwatched"))
+
+    async def check_gap_watches(self):
+        await self.set_faults("platform", gap_watches=1)
+        self.assertIsNone(await self._watch_change("gap"))
+        self.assertEqual(await self.get("gap"), {"n": 1})
+
+    async def check_stale_reads(self):
+        await self.put("stale", 0, value=1)
+        version = (await self._read("stale"))["version"]
+        await self.put("stale", version, value=2)
+        self.assertEqual(await self.get("stale"), {"n": 2})
+        await self.set_faults("platform", stale_reads=True)
+        self.assertEqual(await self.get("stale"), {"n": 1})
+
+    async def check_late_writes_s(self):
+        await self.set_faults("platform", late_writes_s=2 * PATIENCE_S)
+        with self.assertRaises(TimeoutError):
+            await self.put("behind", 0)
+        self.assertIsNone(await self.get("behind"))
+        await self.wait_for("behind")
+
+    async def _read(self, name):
+        url = f"{self.url_by_kind['platform']}/objects/{name}"
+        async with self.session.get(url) as answer:
+            return await answer.json()
+
+    async def _watch_change(self, name):
+        """Change an object under a watch; return its answer or ``None``."""
+        path = f"/objects/{name}/watch?after=0&timeout_s=5"
+        watch = asyncio.create_task(self.call("platform", "GET", path))
+        await asyncio.sleep(0.05)
+        self.assertEqual(await self.put(name, 0), 200)
+        with contextlib.suppress(TimeoutError):
+            return await watch
+        return None
+
+
+class BehaviourTest(StandInCase):
+    """What the stand-ins do without a switch, as the platform and engines do."""
+
+    async def test_host_list_lags(self):
+        await self.call("platform", "PUT", "/hosts/h1", {"host_id": "h1"})
+        self.assertNotIn("h1", (await self.call("platform", "GET", "/hosts"))[1])
+        await asyncio.sleep(LIST_LAG_S)
+        self.assertIn("h1", (await self.call("platform", "GET", "/hosts"))[1])
+
+    async def test_conditional_update(self):
+        self.assertEqual(await self.put("a", 0), 200)
+        self.assertEqual(await self.put("a", 0), 409)
+        self.assertEqual(await self.get("a"), {"n": 1})
+
+    async def test_cold_engine_falls_over_and_recovers(self):
+        engine = _engine.EngineStandIn(cold_s=60.0, cold_capacity=1, recover_s=PAUSE_S)
+        runner, port = await _serve.start(engine)
+        self.addAsyncCleanup(runner.cleanup)
+        self.url_by_kind["engine"] = f"http://127.0.0.1:{port}"
+        body = {"messages": [], "max_tokens": 20}
+        answers = await asyncio.gather(
+            *(self.call("engine", "POST", COMPLETE, body) for _ in range(3))
+        )
+        self.assertGreater([status for status, _, _ in answers].count(500), 0)
+        await asyncio.sleep(PAUSE_S)
+        status, _, _ = await self.call("engine", "POST", COMPLETE, body)
+        self.assertEqual(status, 200)
+
+    async def test_restart_shows_in_the_load_report(self):
+        before = (await self.call("engine", "GET", "/load"))[1]
+        await self.call("engine", "POST", "/restart")
+        after = (await self.call("engine", "GET", "/load"))[1]
+        self.assertNotEqual(before, after)
