--- a/libs/cli/src/sequoiagap/cli/_config_commands.py
+++ b/libs/cli/src/sequoiagap/cli/_config_commands.py
@@ -70,10 +70,16 @@
 
     name = "config history"
     description = "Show the accepted patches."
+    options = [
+        *_operator.OperatorCommand.options,
+        helpers.option("before", None, "show sealed ones below a version", flag=False),
+    ]
 
     def act(self):
         """Show one row for each patch."""
-        return self.show(self.call("GET", "/config/history"), self._print)
+        before = self.option("before") or "0"
+        path = f"/config/history?before={before}"
+        return self.show(self.call("GET", path), self._print)
 
     def _print(self, document):
         rows = [
@@ -83,6 +89,17 @@
         self.print_table(["version", "operator", "patch id", "changes"], rows)
 
 
+class ConfigRestoreCommand(_operator.OperatorCommand):
+    """``sequoiagap config restore``."""
+
+    name = "config restore"
+    description = "Write the version in force back to a platform that lost it."
+
+    def act(self):
+        """Write it back as the next version."""
+        return self.show(self.call("POST", "/config/restore", {}), self.print_accepted)
+
+
 def _read_changes(argument):
     """Return the object of an argument: JSON text, a file name or ``-``."""
     if argument == STANDARD_INPUT:
@@ -97,4 +114,5 @@
     ConfigInitCommand,
     ConfigPatchCommand,
     ConfigHistoryCommand,
+    ConfigRestoreCommand,
 )
--- a/libs/cli/src/sequoiagap/cli/_operator_commands.py
+++ b/libs/cli/src/sequoiagap/cli/_operator_commands.py
@@ -22,8 +22,25 @@
 
     name = "domain out"
     description = "Take a failure domain out: it receives no new work."
+    options = [
+        *_operator.OperatorCommand.options,
+        helpers.option(
+            "local", None, "only in the entry's own failure domain, until a new version"
+        ),
+    ]
     state = "out"
 
+    def act(self):
+        """Submit the patch, or give the local order."""
+        if not self.option("local"):
+            return super().act()
+        body = {"failure_domain": self.argument("domain")}
+        return self.show(self.call("POST", "/local/domain-out", body), self._print)
+
+    def _print(self, document):
+        domain, number = document["failure_domain"], document["against"]
+        self.line(f"{domain} is out here until a version above {number}")
+
 
 class DomainInCommand(_DomainCommand):
     """``sequoiagap domain in``."""
--- a/libs/settings/src/sequoiagap/settings/_models.py
+++ b/libs/settings/src/sequoiagap/settings/_models.py
@@ -55,8 +55,19 @@
     ca_file: Path
 
 
+class SeedSettings(SettingsModel):
+    """Address of an entry that is asked while the platform's list is down."""
+
+    address: IpAddress
+    port: Port
+
+
 class NodeSettings(SettingsModel):
-    """Settings that every role has."""
+    """Settings that every role has.
+
+    ``seeds`` names entries of the own failure domain. A process that starts while
+    its failure domain is cut off from the platform finds the others there.
+    """
 
     node_id: Name
     deployment: Name
@@ -70,6 +81,7 @@
     log_level: Annotated[
         Literal["debug", "info", "warning"], pydantic.Field(examples=["info"])
     ] = "info"
+    seeds: list[SeedSettings] = []
 
 
 class EntrySettings(NodeSettings):
