Answer every HTTP call with a typed error and take libraries' warnings as events

Cause: unknown paths, wrong methods, oversized operators' bodies and failures of handlers came as the server's plain text, and libraries wrote tracebacks, with the values in them, to standard error beside the numbered events.

A middleware turns them into refusals; a failed handler is event 1010 with the error's type and place, never its text. Warnings of libraries are event 1009 with their template only.

Seen failing before: test_bad_calls_get_typed_errors, 4 of 5 cases with text/plain for JSON, and no event 1010 in the log.

--- a/libs/base/src/sequoiagap/base/_errors.py
+++ b/libs/base/src/sequoiagap/base/_errors.py
@@ -27,6 +27,7 @@
     HARMFUL_CHANGE = "harmful_change"
     IDEMPOTENCY_MISMATCH = "idempotency_mismatch"
     ALREADY_RAN = "already_ran"
+    INTERNAL_ERROR = "internal_error"
     NO_ENDPOINT = "no_endpoint"
     NOT_FOUND = "not_found"
     NOT_READY = "not_ready"
@@ -50,6 +51,7 @@
     RefusalKind.FORBIDDEN: 403,
     RefusalKind.HARMFUL_CHANGE: 422,
     RefusalKind.IDEMPOTENCY_MISMATCH: 422,
+    RefusalKind.INTERNAL_ERROR: 500,
     RefusalKind.NOT_FOUND: 404,
     RefusalKind.STALE_VERSION: 409,
     RefusalKind.TOO_LARGE: 413,
--- a/libs/base/src/sequoiagap/base/_events.py
+++ b/libs/base/src/sequoiagap/base/_events.py
@@ -13,6 +13,8 @@
 
 from sequoiagap.base import _rates
 
+MAX_TEMPLATE_CHARACTERS = 120
+
 
 class Event(enum.IntEnum):
     """Numbers of the log events."""
@@ -25,6 +27,8 @@
     PROCESS_RELOADED = 1006
     RELOAD_FAILED = 1007
     STATE_DUMPED = 1008
+    LIBRARY_WARNING = 1009
+    HANDLER_FAILED = 1010
     LINK_OPENED = 1101
     LINK_CLOSED = 1102
     LINK_SILENT = 1103
@@ -69,6 +73,8 @@
     Event.PROCESS_RELOADED: "Keys and certificates were read again.",
     Event.RELOAD_FAILED: "Bad keys or certificates; the old ones stay in use.",
     Event.STATE_DUMPED: "The state dump that SIGUSR1 asked for.",
+    Event.LIBRARY_WARNING: "A library warned; its values are left out.",
+    Event.HANDLER_FAILED: "The entry failed on an HTTP call; a fault to report.",
     Event.LINK_OPENED: "A connection to another process is open.",
     Event.LINK_CLOSED: "A connection to another process has closed.",
     Event.LINK_SILENT: "A connection gave no sign of life and was abandoned.",
@@ -108,6 +114,8 @@
     {
         Event.TASK_FAILED,
         Event.RELOAD_FAILED,
+        Event.LIBRARY_WARNING,
+        Event.HANDLER_FAILED,
         Event.LINK_SILENT,
         Event.FRAME_REJECTED,
         Event.REQUEST_CUT,
@@ -191,5 +199,27 @@
         logger_factory=structlog.PrintLoggerFactory(stream or sys.stderr),
         cache_logger_on_first_use=True,
     )
+    _take_library_logs()
     structlog.contextvars.clear_contextvars()
     structlog.contextvars.bind_contextvars(**fields)
+
+
+class _LibraryHandler(logging.Handler):
+    """Turns warnings of libraries into events, without the values in them."""
+
+    def emit(self, record):
+        """Write one record as an event."""
+        error = record.exc_info[0] if record.exc_info else None
+        get_logger("library").emit(
+            Event.LIBRARY_WARNING,
+            library=record.name,
+            template=str(record.msg)[:MAX_TEMPLATE_CHARACTERS],
+            error=error.__name__ if error else "",
+        )
+
+
+def _take_library_logs():
+    root = logging.getLogger()
+    for handler in list(root.handlers):
+        root.removeHandler(handler)
+    root.addHandler(_LibraryHandler(logging.WARNING))
--- a/libs/entry/src/sequoiagap/entry/_entry.py
+++ b/libs/entry/src/sequoiagap/entry/_entry.py
@@ -21,6 +21,7 @@
     _callers,
     _config_api,
     _dispatch,
+    _errors,
     _facts,
     _host_list,
     _links,
@@ -192,7 +193,11 @@
         issuer = _orders.OrderIssuer(members.FenceStore(self.platform_), self.links_)
         config_api = _config_api.ConfigApi(store, self.holder_, self.facts_, issuer)
         operators = _operators.OperatorsApi(self, config_api, self.holder_, self.keys_)
-        app = web.Application(client_max_size=self.settings.max_body_bytes)
+        app = web.Application(
+            client_max_size=self.settings.max_body_bytes,
+            middlewares=[_errors.answer_typed],
+        )
+        app.on_response_prepare.append(_errors.mark_started)
         self.callers_.add_routes(app.router)
         operators.add_routes(app.router)
         return app
--- a/tests/base/test_events.py
+++ b/tests/base/test_events.py
@@ -1,6 +1,7 @@
 """The catalogue of events in the docs is that of the code."""
 
 import json
+import logging
 import unittest
 
 from sequoiagap import base
@@ -41,3 +42,11 @@
         self.assertEqual(taken, [0, 0, None, None, None])
         self.assertEqual(limiter.take(1104, now=1.0), 3)
         self.assertEqual(limiter.take(1104, now=1.0), 0)
+
+    def test_library_warnings_are_events_without_values(self):
+        stream = support.silence_logs()
+        logging.getLogger("some.library").warning("failed on %s", "marked-value")
+        logging.getLogger("some.library").info("not a warning")
+        (line,) = [json.loads(line) for line in stream.getvalue().splitlines()]
+        self.assertEqual((line["number"], line["library"]), (1009, "some.library"))
+        self.assertNotIn("marked-value", stream.getvalue())
--- a/tests/entry/test_listener.py
+++ b/tests/entry/test_listener.py
@@ -20,7 +20,7 @@
 
 class ListenerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        support.silence_logs()
+        self.logs = support.silence_logs()
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.folder = pathlib.Path(folder.name)
@@ -49,6 +49,7 @@
         path = self.folder / "entry.json"
         path.write_text(json.dumps(document | changes))
         process = entry.Entry(settings.load(str(path)))
+        self.process = process
         await process.start()
         self.addAsyncCleanup(process.stop)
         return process.http_port_
@@ -72,6 +73,35 @@
             ):
                 pass
 
+    async def test_bad_calls_get_typed_errors(self):
+        port = await self.start(max_body_bytes=1000)
+        long_body = json.dumps({"against": 0, "changes": {"x": "y" * 2000}})
+        cases = {
+            "no path": ("GET", "/nothing", "", 404, "not_found"),
+            "no method": ("DELETE", "/config", "", 405, "bad_request"),
+            "long body": ("POST", "/config", long_body, 413, "too_large"),
+            "no JSON": ("POST", "/config", "{", 400, "bad_request"),
+            "a failure": ("GET", "/state", "", 500, "internal_error"),
+        }
+
+        def fail():
+            raise KeyError("marked-value")
+
+        self.process.dump_state = fail
+        async with aiohttp.ClientSession() as session:
+            for name, (method, path, body, status, kind) in cases.items():
+                url = f"http://127.0.0.1:{port}{path}"
+                headers = {"Authorization": "Bearer operator-key"}
+                call = session.request(method, url, data=body, headers=headers)
+                with self.subTest(name):
+                    async with call as answer:
+                        document = await answer.json()
+                        self.assertEqual(answer.status, status)
+                        self.assertEqual(document["error"]["type"], kind)
+        log = self.logs.getvalue()
+        self.assertIn('"number": 1010', log)
+        self.assertNotIn("marked-value", log)
+
     async def test_slow_senders_are_cut_off(self):
         port = await self.start()
         cases = {"nothing": b"", "half a header": b"GET /healthz HTTP/1.1\r\nHost: "}
