--- a/libs/standins/src/sequoiagap/standins/_fleet.py
+++ b/libs/standins/src/sequoiagap/standins/_fleet.py
@@ -35,6 +35,7 @@
     :param dict node: settings of entries and agents, over the defaults.
     :param bool configured: whether version 1 of the configuration exists at the
         start; otherwise the fleet starts without waiting for it.
+    :param dict agent: settings of the agents, over the defaults.
     :param dict config: merge patch over the default configuration.
     :param dict platform: parameters of the platform stand-in.
     :param tuple program: the command that runs a role, with its arguments.
@@ -53,6 +54,7 @@
     entry: dict = dataclasses.field(default_factory=dict)
     node: dict = dataclasses.field(default_factory=dict)
     configured: bool = True
+    agent: dict = dataclasses.field(default_factory=dict)
     config: dict = dataclasses.field(default_factory=dict)
     platform: dict = dataclasses.field(default_factory=dict)
     program: tuple = (sys.executable, "-m", "sequoiagap.cli")
@@ -266,7 +268,11 @@
             **self.plan.endpoint,
         }
         node = await self._node(name, domain)
-        settings = node | {"role": "agent", "endpoint": endpoint}
+        settings = node | {
+            "role": "agent",
+            "endpoint": endpoint,
+            **self.plan.agent,
+        }
         await self._start_role("agent", name, settings)
         host = await self._host(name, "agent", domain, serves)
         await self.call("platform", "PUT", f"/hosts/{name}", host)
--- a/tests/wire/test_tls.py
+++ b/tests/wire/test_tls.py
@@ -36,10 +36,10 @@
         """Connect, pass one message to and fro, and return the certificate."""
         connection = await wire.connect("127.0.0.1", self.port, hello("client", tls))
         try:
-            await connection.send(wire.Cancel("att-1"))
+            await connection.send(wire.Cancel("att-1", 0))
             async with asyncio.timeout(support.FEW_SECONDS_S):
                 payload = await wire.read_frame(connection.reader)
-            self.assertEqual(wire.decode(payload), wire.Cancel("att-1"))
+            self.assertEqual(wire.decode(payload), wire.Cancel("att-1", 0))
             return connection.writer.get_extra_info("ssl_object").getpeercert(True)
         finally:
             connection.close()
