Name request, attempt and version on the lines of decisions

Cause: lines of answered and cut requests named no version, the agent's lines no request, and two events of the catalogue were emitted nowhere any more (1206 after revocation moved into Cancel and Attach, 1421).

tests/base/test_events.py reads the calls in the code: before, 5 of its checks failed, among them "Items in the first set but not the second" for the two events.

--- a/libs/agent/src/sequoiagap/agent/_endpoint.py
+++ b/libs/agent/src/sequoiagap/agent/_endpoint.py
@@ -134,6 +134,7 @@
                 answer.resuming = True
                 _log.emit(
                     base.Event.STREAM_RESUMED,
+                    request_id=order.request_id,
                     attempt_id=order.attempt_id,
                     offset=answer.size,
                     error=error.message,
@@ -196,6 +197,7 @@
         """Use no kept-alive connection again: what lost one may have lost all."""
         _log.emit(
             base.Event.CONNECTION_SUSPECT,
+            request_id=order.request_id,
             attempt_id=order.attempt_id,
             error=repr(error),
         )
--- a/libs/agent/src/sequoiagap/agent/_executor.py
+++ b/libs/agent/src/sequoiagap/agent/_executor.py
@@ -142,7 +142,7 @@
             refusal = self.refusals_.forgotten(order.attempt_id)
         else:
             # The first order runs or ran, and its answer goes to its own entry.
-            _log.emit(base.Event.ATTEMPT_DUPLICATE, attempt_id=order.attempt_id)
+            _log.emit(base.Event.ATTEMPT_DUPLICATE, **_ids(order))
             return
         await connection.send(refusal)
 
@@ -218,6 +218,11 @@
         expires_at = order.expires_at_ms / MILLISECONDS
         incarnation = self.ledger.incarnation
         standing = self.ledger.revoke(order.attempt_id, incarnation, expires_at, _now())
+        _log.emit(
+            base.Event.ATTEMPT_REVOKED,
+            attempt_id=order.attempt_id,
+            standing=str(standing),
+        )
         run = self.table_.by_attempt_id.get(order.attempt_id)
         if run is None:
             return
@@ -258,7 +263,7 @@
     def _abandon(self, run):
         is_wanted = run.listener_by_attempt_id or not run.order.repeatable
         if run.end_ is None and not is_wanted:
-            _log.emit(base.Event.RUN_ABANDONED, attempt_id=run.order.attempt_id)
+            _log.emit(base.Event.RUN_ABANDONED, **_ids(run.order))
             self._stop_run(run)
 
     def _stop_run(self, run):
@@ -377,3 +382,12 @@
 
 def _now():
     return asyncio.get_running_loop().time()
+
+
+def _ids(order):
+    """Return what each log line about an attempt names."""
+    return {
+        "request_id": order.request_id,
+        "attempt_id": order.attempt_id,
+        "config_version": order.config_version,
+    }
--- a/libs/entry/src/sequoiagap/entry/_callers.py
+++ b/libs/entry/src/sequoiagap/entry/_callers.py
@@ -162,7 +162,11 @@
             return await self._end_refused(sink, result.error, request.request_id)
         self.metrics.count("answered_total")
         self.journal.record(request.request_id, "answered", self._version())
-        _log.emit(base.Event.REQUEST_ANSWERED, request_id=request.request_id)
+        _log.emit(
+            base.Event.REQUEST_ANSWERED,
+            request_id=request.request_id,
+            config_version=self._version(),
+        )
         return await sink.finish()
 
     def _note_admitted(self, request):
@@ -202,7 +206,12 @@
             kind=str(refusal.kind),
             outcome=str(refusal.outcome),
         )
-        _log.emit(base.Event.REQUEST_CUT, request_id=request_id, kind=str(refusal.kind))
+        _log.emit(
+            base.Event.REQUEST_CUT,
+            request_id=request_id,
+            kind=str(refusal.kind),
+            config_version=refusal.config_version,
+        )
         return await sink.cut(refusal)
 
     def _build(self, http_request, request_id, account, target, intake):
--- a/libs/entry/src/sequoiagap/entry/_link.py
+++ b/libs/entry/src/sequoiagap/entry/_link.py
@@ -278,6 +278,8 @@
         self.view.queued = item.queued
         self.view.service_time_s = item.service_time_s
         if item.state == "gone":
+            if not self.member.leaving:
+                _log.emit(base.Event.ENDPOINT_LEAVING, endpoint=self.view.endpoint_id)
             self.member.mark_leaving()
 
     async def _on_state(self, connection, item):
--- a/tests/base/test_events.py
+++ b/tests/base/test_events.py
@@ -1,5 +1,6 @@
 """The catalogue of events in the docs is that of the code."""
 
+import ast
 import json
 import logging
 import unittest
@@ -7,8 +8,64 @@
 from sequoiagap import base
 from tests import support
 
+IDS_BY_EVENT = {
+    "REQUEST_ADMITTED": {"request_id", "config_version"},
+    "REQUEST_REFUSED": {"request_id", "config_version"},
+    "REQUEST_ANSWERED": {"request_id", "config_version"},
+    "REQUEST_CUT": {"request_id", "config_version"},
+    "ATTEMPT_SENT": {"request_id", "attempt_id", "config_version"},
+    "ATTEMPT_ENDED": {"request_id", "attempt_id", "config_version"},
+    "ATTEMPT_REVOKED": {"attempt_id"},
+    "CONNECTION_SUSPECT": {"request_id", "attempt_id"},
+    "STREAM_RESUMED": {"request_id", "attempt_id"},
+    "CONFIG_ADOPTED": {"config_version"},
+    "CONFIG_ACCEPTED": {"config_version"},
+}
+
+
+def modules():
+    """Return the syntax trees of all modules but the catalogue's own."""
+    for path in sorted((support.ROOT / "libs").rglob("*.py")):
+        if path.name != "_events.py":
+            yield ast.parse(path.read_text())
+
+
+def emitted_fields():
+    """Yield the name of each event that is emitted, with its fields."""
+    for tree in modules():
+        for node in ast.walk(tree):
+            if _is_emit(node):
+                yield node.args[0].attr, {k.arg for k in node.keywords}
+
+
+def _is_emit(node):
+    if not isinstance(node, ast.Call) or not node.args:
+        return False
+    first = node.args[0]
+    is_attribute = isinstance(first, ast.Attribute)
+    return is_attribute and ast.unparse(first.value).endswith("Event")
+
 
 class EventsTest(unittest.TestCase):
+    def test_each_event_of_the_catalogue_is_in_use(self):
+        used = {
+            node.attr
+            for tree in modules()
+            for node in ast.walk(tree)
+            if isinstance(node, ast.Attribute) and node.attr in base.Event.__members__
+        }
+        used.add("LIBRARY_WARNING")  # emitted beside the catalogue
+        self.assertEqual(set(base.Event.__members__) - used, set())
+
+    def test_lines_of_decisions_name_their_ids(self):
+        found = dict.fromkeys(IDS_BY_EVENT, False)
+        for name, fields in emitted_fields():
+            if name in IDS_BY_EVENT:
+                found[name] = True
+                with self.subTest(name):
+                    self.assertLessEqual(IDS_BY_EVENT[name], fields)
+        self.assertTrue(all(found.values()), found)
+
     def test_docs_list_every_event(self):
         text = (support.ROOT / "docs/EVENTS.md").read_text()
         rows = [line for line in text.splitlines() if line.startswith("| 1")]
