--- a/libs/agent/src/sequoiagap/agent/_agent.py
+++ b/libs/agent/src/sequoiagap/agent/_agent.py
@@ -41,7 +41,6 @@
         self.settings = settings
         self.incarnation_ = base.new_id("inc")
         self.port_ = 0
-        self.metrics_ = base.Metrics()
         self.holder_ = config.ConfigHolder()
         self.connections_ = set()
         self._tasks = base.TaskSet()
@@ -69,6 +68,7 @@
             self.settings.failure_domain,
             self.platform_,
         )
+        self.metrics_ = self.executor_.metrics_
         self.spread_ = _spread.ConfigSpread(self.holder_, self.platform_)
         self.handlers_ = wire.HandlerTable()
         self.executor_.attach(self.handlers_)
--- a/libs/agent/src/sequoiagap/agent/_executor.py
+++ b/libs/agent/src/sequoiagap/agent/_executor.py
@@ -25,6 +25,7 @@
     :param str failure_domain: where the endpoint stands.
     :param sequoiagap.platform.PlatformClient platform_client: keeps claims.
 
+    :ivar sequoiagap.base.Metrics metrics_: counts and times of attempts.
     :ivar float service_time_s_: recent mean time of an attempt in seconds.
     :ivar bool stopping_: whether new work is refused.
     """
@@ -39,6 +40,7 @@
         self.node_id = node_id
         self.failure_domain = failure_domain
         self.platform_client = platform_client
+        self.metrics_ = base.Metrics()
         self.service_time_s_ = 0.0
         self.stopping_ = False
         self.table_ = _runs.RunTable()
@@ -333,6 +335,7 @@
                 await self.client.call(run.order, run.take_head, run.take_data)
             run.finish()
             self._learn_service_time(_now() - began)
+            self.metrics_.observe("attempt_seconds", _now() - began)
         except _endpoint.EndpointError as error:
             run.started_ = error.sent
             run.refuse(self.refusals_.endpoint_failed(error))
@@ -347,6 +350,7 @@
 
     def _finish(self, run):
         self.gate.leave_slot()
+        self.metrics_.count("attempts_total", result=_result(run))
         self._task_by_run.pop(run, None)
         for attempt_id in run.attempt_ids_:
             self.ledger.finish(attempt_id, _now())
@@ -391,3 +395,7 @@
         "attempt_id": order.attempt_id,
         "config_version": order.config_version,
     }
+
+
+def _result(run):
+    return str(run.end_.kind) if isinstance(run.end_, wire.Refused) else "answered"
--- a/libs/entry/src/sequoiagap/entry/_callers.py
+++ b/libs/entry/src/sequoiagap/entry/_callers.py
@@ -157,7 +157,8 @@
             result = await self.dispatcher.dispatch(request, sink)
         finally:
             self._sinks.discard(sink)
-        self.metrics.observe("request_seconds", time.monotonic() - began)
+        elapsed = time.monotonic() - began
+        self.metrics.observe("request_seconds", elapsed, target=request.target)
         if result.is_error():
             return await self._end_refused(sink, result.error, request.request_id)
         self.metrics.count("answered_total")
@@ -170,6 +171,7 @@
         return await sink.finish()
 
     def _note_admitted(self, request):
+        self.metrics.count("admitted_total", account=request.account)
         self.journal.record(
             request.request_id,
             "admitted",
--- a/tests/entry/test_secrecy.py
+++ b/tests/entry/test_secrecy.py
@@ -25,10 +25,21 @@
             with self.subTest(name):
                 for value in marked:
                     self.assertNotIn(value, text)
+        self._check_metrics(texts)
         logs = "".join(t for name, t in texts.items() if name.endswith(".log"))
         for request_id in request_ids:
             self.assertIn(request_id, logs)
 
+    def _check_metrics(self, texts):
+        """Check that the metrics of entry and agents tell what happened."""
+        self.assertIn('admitted_total{account="caller"', texts["/metrics"])
+        self.assertIn(
+            'request_seconds_count{node="entry-0",target="orders"}', texts["/metrics"]
+        )
+        agents = "".join(texts[f"/metrics/{n}"] for n in self.fleet.endpoint_names())
+        self.assertIn('result="answered"', agents)
+        self.assertIn('result="endpoint_error"', agents)
+
     async def test_processes_dump_their_state_on_a_signal(self):
         for name in ("entry-0", "north-model-0"):
             with self.subTest(name):
