--- a/libs/cli/src/sequoiagap/cli/_main.py
+++ b/libs/cli/src/sequoiagap/cli/_main.py
@@ -15,6 +15,12 @@
 )
 
 VERSION = "0.1.0"
+COMMANDS = (
+    *_role_commands.COMMANDS,
+    *_local_commands.COMMANDS,
+    *_config_commands.COMMANDS,
+    *_operator_commands.COMMANDS,
+)
 
 
 def main(arguments=None):
@@ -27,14 +33,8 @@
     app = application.Application("sequoiagap", VERSION)
     app.auto_exits(False)
     app.catch_exceptions(False)
-    for module in (
-        _role_commands,
-        _local_commands,
-        _config_commands,
-        _operator_commands,
-    ):
-        for command in module.COMMANDS:
-            app.add(command())
+    for command in COMMANDS:
+        app.add(command())
     if arguments is None:
         arguments = sys.argv[1:]
     try:
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 from sequoiagap import cli, standins
+from sequoiagap.cli import _exit_codes, _main
 from tests import support
 
 EXAMPLE = support.ROOT / "examples/lumbay-wick"
@@ -97,6 +98,20 @@
         self.assertIn("Check address and port", err)
 
 
+class DocsTest(unittest.TestCase):
+    def test_page_lists_every_command_option_and_exit_code(self):
+        text = (support.ROOT / "docs/OPERATORS.md").read_text()
+        for command in _main.COMMANDS:
+            options = [option.name for option in command.options]
+            with self.subTest(command.name):
+                self.assertIn(f"`{command.name}", text)
+                for name in options:
+                    self.assertIn(f"--{name}", text)
+        for item in _exit_codes.ExitCode:
+            with self.subTest(item.name):
+                self.assertIn(f"| {int(item)} | ", text)
+
+
 class OperatorCommandsTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         folder = tempfile.TemporaryDirectory()
