Prove configuration in force through faults and in cut-off failure domains

Cause: no test caused a slow, lost or gapped watch, silent links, a killed entry, a platform that went back, or a failure domain without platform and others.

Found by the tests and mended: a pooled connection to the platform that went silent made a patch fail (503 after 0.5 s): after silence the pool is retired and the read tried once more; a resync of 20 s noticed a restored platform late: now 5 s; a list that lags moved a process back from the address that it had announced.

--- a/libs/config/src/sequoiagap/config/_store.py
+++ b/libs/config/src/sequoiagap/config/_store.py
@@ -12,6 +12,7 @@
 
 SUBMIT_BOUND_S = 5.0
 RETRY_DELAY_S = 0.1
+READ_ATTEMPTS = 2
 MAX_PATCH_ID_CHARACTERS = 128
 
 
@@ -162,12 +163,17 @@
             await asyncio.sleep(RETRY_DELAY_S)
 
     async def _read(self):
-        """Read the head; once a write was sent, keep on until the time is up."""
+        """Read the head; once a write was sent, keep on until the time is up.
+
+        Before that a second try is enough: it takes a fresh connection.
+        """
+        failures = 0
         while True:
             try:
                 return _head.parse_head(await self.client.get(_head.CONFIG_OBJECT))
             except base.PlatformError:
-                if not self.sent_:
+                failures += 1
+                if not self.sent_ and failures == READ_ATTEMPTS:
                     raise
             await asyncio.sleep(RETRY_DELAY_S)
 
--- a/libs/entry/src/sequoiagap/entry/_watch.py
+++ b/libs/entry/src/sequoiagap/entry/_watch.py
@@ -8,7 +8,7 @@
 HOLD_S = 0.5
 BOUND_S = 2.0
 IDLE_CHECK_S = 0.25
-RESYNC_CALLS = 40
+RESYNC_CALLS = 10
 BEHIND_READS = 2
 
 _log = base.get_logger("watch")
--- a/libs/members/src/sequoiagap/members/_directory.py
+++ b/libs/members/src/sequoiagap/members/_directory.py
@@ -6,6 +6,7 @@
 
 LIST_TRUST_S = 10.0
 UNLISTED_GRACE_S = 10.0
+ANNOUNCED_GRACE_S = 2.0
 UNSEEN = ""
 
 
@@ -107,7 +108,7 @@
         fresh = []
         for host in hosts:
             member = self.by_id.get(host.host_id)
-            if member is None or self._has_moved(member, host):
+            if member is None or self._has_moved(member, host, now):
                 member = self._add(host, now)
                 fresh.append(member)
             member.listed_address = (host.address, host.port)
@@ -131,7 +132,8 @@
             if known is not None and (known.alive or _address(known) == _at(host)):
                 continue
             member = self._add(host, now)
-            member.listed = False
+            member.listed = known is not None and known.listed
+            member.listed_address = () if known is None else known.listed_address
             fresh.append(member)
         return fresh
 
@@ -158,11 +160,17 @@
         self.by_id[host.host_id] = member
         return member
 
-    def _has_moved(self, member, host):
-        """Return whether the list shows a new address, not merely an old one."""
+    def _has_moved(self, member, host, now):
+        """Return whether the list shows a new address, not merely an old one.
+
+        An address that a process announced itself counts for more than an
+        unchanged line of the list, unless nobody answers there.
+        """
         if _address(member) == _at(host):
             return False
-        return not member.alive or member.listed_address != _at(host)
+        if member.listed_address != _at(host):
+            return True
+        return not member.alive and now - member.alive_at > ANNOUNCED_GRACE_S
 
 
 def _at(host):
--- a/libs/platform/src/sequoiagap/platform/_client.py
+++ b/libs/platform/src/sequoiagap/platform/_client.py
@@ -78,12 +78,12 @@
         self.url = url
         self.timeout_s = timeout_s
         self.calls_ = 0
-        self._session = None
+        self._pool = None
 
     async def close(self):
         """Close the connections to the platform."""
-        if self._session is not None:
-            await self._session.close()
+        if self._pool is not None:
+            await self._pool.session.close()
 
     async def get(self, name):
         """Return an object, or ``None`` where there is none.
@@ -158,27 +158,58 @@
     async def _call(self, method, path, body=None, timeout_s=None):
         self.calls_ += 1
         timeout = aiohttp.ClientTimeout(total=timeout_s or self.timeout_s)
-        request = self._open_session().request(
-            method, self.url + path, json=body, timeout=timeout
-        )
+        pool = self._open_pool()
+        pool.calls += 1
         try:
-            async with request as response:
-                if response.status >= 500:
-                    raise _unanswered(method, f"status {response.status}")
-                if response.status == 204:
-                    return 204, {}
-                return response.status, await response.json()
-        except aiohttp.ClientConnectorError as error:
-            raise base.PlatformError(
-                f"platform can't be reached ({error})", _CALL_LIMIT_REMEDY
-            ) from error
-        except (TimeoutError, aiohttp.ClientError, ValueError) as error:
-            raise _unanswered(method, repr(error)) from error
+            return await _request(pool.session, method, self.url + path, body, timeout)
+        except TimeoutError as error:
+            self._retire(pool)
+            raise _unanswered(method, "no answer in time") from error
+        finally:
+            pool.calls -= 1
+            if pool.calls == 0 and pool is not self._pool:
+                await pool.session.close()
+
+    def _open_pool(self):
+        if self._pool is None:
+            self._pool = _Pool(aiohttp.ClientSession())
+        return self._pool
+
+    def _retire(self, pool):
+        """Use no open connection again after silence; calls at work may end."""
+        if pool is self._pool:
+            self._pool = None
+
+
+@dataclasses.dataclass
+class _Pool:
+    """Connections that are used together.
+
+    :param aiohttp.ClientSession session: the connections.
+    :param int calls: calls that use them now.
+    """
 
-    def _open_session(self):
-        if self._session is None or self._session.closed:
-            self._session = aiohttp.ClientSession()
-        return self._session
+    session: aiohttp.ClientSession
+    calls: int = 0
+
+
+async def _request(session, method, url, body, timeout):
+    """Return status and JSON body of one call."""
+    try:
+        async with session.request(method, url, json=body, timeout=timeout) as response:
+            if response.status >= 500:
+                raise _unanswered(method, f"status {response.status}")
+            if response.status == 204:
+                return 204, {}
+            return response.status, await response.json()
+    except aiohttp.ClientConnectorError as error:
+        raise base.PlatformError(
+            f"platform can't be reached ({error})", _CALL_LIMIT_REMEDY
+        ) from error
+    except TimeoutError:
+        raise
+    except (aiohttp.ClientError, ValueError) as error:
+        raise _unanswered(method, repr(error)) from error
 
 
 def _stored(name, document):
--- /dev/null
+++ b/tests/config/test_replica.py
@@ -0,0 +1,113 @@
+"""Offers, pulls, patches, documents and local orders; no I/O."""
+
+import json
+import unittest
+
+from sequoiagap import config
+from tests import support
+
+
+def replica_at(number, models=("a",)):
+    """Return a replica whose holder has a version."""
+    replica = config.ConfigReplica(config.ConfigHolder())
+    document = config.ConfigDocument(models={name: {} for name in models})
+    if number:
+        replica.holder.adopt(config.ConfigVersion(number, document), "test")
+    return replica
+
+
+class ReplicaTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.log = support.silence_logs()
+
+    def test_offers(self):
+        digest = replica_at(4).holder.current_.digest
+        cases = [
+            (config.ConfigOffer(5, "x"), config.ConfigPull(4)),
+            (config.ConfigOffer(3, "x"), config.ConfigOffer(4, digest)),
+            (config.ConfigOffer(4, digest), None),
+            (config.ConfigOffer(4, "other"), None),
+        ]
+        for offer, answer in cases:
+            with self.subTest(offer):
+                self.assertEqual(replica_at(4).on_offer(offer), answer)
+        self.assertEqual(self.log.getvalue().count('"config_forked"'), 1)
+
+    def test_patches_go_out_where_they_are_known_and_smaller(self):
+        replica = replica_at(4, [f"model-{i}" for i in range(50)])
+        patch = {"models": {"b": {}}}
+        version = replica.holder.current_.apply([patch])
+        replica.holder.adopt(version, "test", [config.Step(5, patch)])
+        delta = replica.on_pull(config.ConfigPull(4))
+        self.assertEqual(delta.patches, [json.dumps(patch)])
+        for pull in (config.ConfigPull(3), config.ConfigPull(4, whole=True)):
+            self.assertIsInstance(replica.on_pull(pull), config.ConfigBody)
+        self.assertIsNone(replica.on_pull(config.ConfigPull(5)))
+
+    def test_patches_that_do_not_fit_are_not_adopted(self):
+        good = json.dumps({"models": {"b": {}}})
+        digest = replica_at(4).holder.current_.apply([json.loads(good)]).digest
+        cases = [
+            # delta, version afterwards, answer
+            (config.ConfigDelta(4, [good], digest), 5, None),
+            (config.ConfigDelta(3, [good, good], digest), 5, None),
+            (config.ConfigDelta(4, [good], "x"), 4, config.ConfigPull(4, True)),
+            (config.ConfigDelta(6, [good], digest), 4, config.ConfigPull(4)),
+            (config.ConfigDelta(3, [good], digest), 4, None),
+            (config.ConfigDelta(4, ["{"], digest), 4, None),
+            (config.ConfigDelta(4, ["3"], digest), 4, None),
+            (config.ConfigDelta(4, ['{"models": 3}'], digest), 4, None),
+        ]
+        for delta, number, answer in cases:
+            with self.subTest(delta):
+                replica = replica_at(4)
+                self.assertEqual(replica.on_delta(delta, "peer"), answer)
+                self.assertEqual(replica.holder.current_.number, number)
+
+    def test_malformed_documents_are_told_and_kept_out(self):
+        for text in ("{", "3", '{"models": 3}', "[]"):
+            with self.subTest(text):
+                replica = replica_at(4)
+                replica.on_body(config.ConfigBody(5, text), "peer")
+                replica.on_body(config.ConfigBody(5, text), "peer")
+                self.assertEqual(replica.holder.current_.number, 4)
+        self.assertEqual(self.log.getvalue().count('"config_malformed"'), 4)
+
+    def test_local_orders_hold_until_a_version_overtakes_them(self):
+        cases = [(3, ""), (4, "local.north"), (5, "local.north")]
+        for against, setting in cases:
+            with self.subTest(against):
+                replica = replica_at(4)
+                order = config.LocalOrder("north", against, "o", "ann", 0.0)
+                replica.on_local(config.local_message(order), "peer")
+                found = replica.holder.forbidding_setting("north", "e1")
+                self.assertEqual(found, setting)
+                self.assertEqual(replica.holder.forbidding_setting("south", "e"), "")
+                replica.holder.adopt(config.ConfigVersion(against + 1), "test")
+                self.assertEqual(replica.holder.forbidding_setting("north", "e1"), "")
+
+
+class DutyTest(unittest.TestCase):
+    def test_few_watch_and_others_step_in(self):
+        for rank in range(9):
+            with self.subTest(rank=rank):
+                duty = config.WatchDuty(now=0.0)
+                is_watcher = rank < config.FEW_WATCHERS
+                self.assertEqual(duty.wait_s(rank, 1.0) == 0.0, is_watcher)
+                self.assertEqual(duty.wait_s(rank, 3.0), 0.0)
+                duty.hear(age_s=0.5, now=3.0)
+                self.assertEqual(duty.wait_s(rank, 3.0) == 0.0, is_watcher)
+
+    def test_an_outage_brings_few_calls(self):
+        calls = 0
+        for rank in range(73):
+            duty = config.WatchDuty(now=0.0)
+            now = 10.0
+            while now < 70.0:
+                wait_s = duty.wait_s(rank, now)
+                if wait_s == 0.0:
+                    calls += 1
+                    duty.fail(now)
+                now += max(wait_s, 0.1)
+        self.assertLess(calls / 60.0, 12.0)
--- a/tests/support.py
+++ b/tests/support.py
@@ -3,6 +3,7 @@
 import io
 import pathlib
 import tempfile
+import time
 import unittest
 
 from sequoiagap import base, standins
@@ -48,3 +49,50 @@
             url, json=body, headers=headers
         ) as response:
             return response.status, await response.text()
+
+    def names_in(self, domain):
+        """Return the names of the entries and of the agents of a failure domain.
+
+        :rtype: tuple[list[str], list[str]]
+        """
+        domains = self.plan.domains
+        entries = [
+            name
+            for index, name in enumerate(self.fleet.entry_names())
+            if domains[index % len(domains)] == domain
+        ]
+        agents = [n for n in self.fleet.endpoint_names() if n.startswith(domain)]
+        return entries, agents
+
+    async def versions(self, entries=None, agents=None):
+        """Return the version in force by process; -1 where it does not answer.
+
+        :rtype: dict[str, int]
+        """
+        entries = self.fleet.entry_names() if entries is None else entries
+        agents = self.fleet.endpoint_names() if agents is None else agents
+        asked = [(name, name, "/state") for name in entries]
+        asked += [(name, entries[0], f"/state/{name}") for name in agents]
+        found = {}
+        for name, entry, path in asked:
+            try:
+                status, state = await self.fleet.call(entry, "GET", path)
+            except OSError:
+                status = 0
+            found[name] = state["config_version"] if status == 200 else -1
+        return found
+
+    async def wait_in_force(self, number, entries=None, agents=None):
+        """Wait until a version is in force in processes; return the seconds.
+
+        :rtype: float
+        :raises TimeoutError: if it takes over :data:`FEW_SECONDS_S`.
+        """
+        began = time.monotonic()
+
+        async def is_in_force():
+            versions = await self.versions(entries, agents)
+            return all(version >= number for version in versions.values())
+
+        await self.fleet.wait_until(is_in_force, FEW_SECONDS_S)
+        return time.monotonic() - began
