--- a/libs/entry/src/sequoiagap/entry/_entry.py
+++ b/libs/entry/src/sequoiagap/entry/_entry.py
@@ -1,9 +1,7 @@
 """Assembly of the entry process."""
 
 import asyncio
-import json
 import random
-import signal
 import time
 
 from aiohttp import web
@@ -54,10 +52,13 @@
         self.metrics_ = base.Metrics()
         self.holder_ = config.ConfigHolder()
         self.journal_ = outcome.Journal()
+        self.keys_ = _auth.KeyRing()
         self.stopping_ = False
         self._tasks = base.TaskSet()
         self._runner = None
         self._secret = ""
+        self.tls_ = None
+        self.http_tls_ = None
         self.platform_ = platform.PlatformClient(
             settings.platform.url, settings.platform.timeout_s
         )
@@ -86,7 +87,9 @@
     async def start(self):
         """Learn the configuration and the members, and listen for callers."""
         self._secret = settings.load_secret(self.settings.secret_file)
-        keys = _auth.KeyRing(*settings.load_keys(self.settings.keys_file))
+        self.tls_ = settings.load_tls(self.settings.tls)
+        self.http_tls_ = settings.load_tls(self.settings.http_tls)
+        self.keys_.replace(*settings.load_keys(self.settings.keys_file))
         self.holder_.add_listener(self._on_adopted)
         self.holder_.add_local_listener(self._on_local)
         await self.mesh_.start()
@@ -96,7 +99,8 @@
         self._tasks.start(host_list.run(), "follow-list")
         self._tasks.start(self.mesh_.run(self._offer), "peers")
         self._tasks.start(self.reports_.run(self.mesh_.broadcast), "reports")
-        await self._listen(self._make_app(keys))
+        await self._listen(self._make_app())
+        self._tasks.start(self.callers_.keep_streams_alive(), "keep-streams-alive")
         _log.emit(base.Event.PROCESS_READY, role="entry", http_port=self.http_port_)
 
     async def stop(self):
@@ -104,7 +108,8 @@
         _log.emit(base.Event.PROCESS_STOPPING, role="entry")
         self.stopping_ = True
         await asyncio.sleep(self.settings.drain_lag_s)
-        await self.callers_.wait_idle(self.settings.drain_bound_s)
+        await self._site.stop()
+        await self.callers_.drain(self.settings.drain_bound_s)
         await self._runner.cleanup()
         await self._tasks.close()
         await self.mesh_.close()
@@ -112,6 +117,16 @@
         await self.platform_.close()
         _log.emit(base.Event.PROCESS_STOPPED, role="entry")
 
+    def reload(self):
+        """Read keys and certificates again.
+
+        :raises sequoiagap.base.ConfigError: if a file can't be used.
+        """
+        self.keys_.replace(*settings.load_keys(self.settings.keys_file))
+        for tls in (self.tls_, self.http_tls_):
+            if tls is not None:
+                tls.load()
+
     def is_ready(self):
         """Return whether the process takes new callers.
 
@@ -145,22 +160,40 @@
             },
             "peers": sorted({c.peer.node_id for c in self.mesh_.connections_}),
             "platform_calls": self.platform_.calls_,
-            "metrics": self.metrics_.to_document(),
+            "metrics": self.collect_metrics(),
         }
 
-    def _make_app(self, keys):
+    def collect_metrics(self):
+        """Return every metric, with the gauges as they are now.
+
+        :rtype: dict
+        """
+        links = self.links_.by_id.values()
+        connected = sum(link.view.connected for link in links)
+        self.metrics_.set_gauge("connections", connected)
+        self.metrics_.set_gauge("requests_in_flight", self.callers_.in_flight_)
+        return base.collect_process_metrics(
+            self.metrics_, self.holder_.current_.number, self.platform_.calls_
+        )
+
+    def _make_app(self):
         budget = admission.RetryBudget()
         dispatcher = _dispatch.Dispatcher(
             self.links_, self.holder_, budget, self.journal_, self.random_state
         )
         counted = _facts.CountedDispatcher(dispatcher, self.facts_)
         self.callers_ = _callers.CallersApi(
-            self.settings, counted, self.holder_, keys, self.journal_, self.metrics_
+            self.settings,
+            counted,
+            self.holder_,
+            self.keys_,
+            self.journal_,
+            self.metrics_,
         )
         store = config.ConfigStore(self.platform_, [_config_api.check_policy])
         issuer = _orders.OrderIssuer(members.FenceStore(self.platform_), self.links_)
         config_api = _config_api.ConfigApi(store, self.holder_, self.facts_, issuer)
-        operators = _operators.OperatorsApi(self, config_api, self.holder_, keys)
+        operators = _operators.OperatorsApi(self, config_api, self.holder_, self.keys_)
         app = web.Application(client_max_size=self.settings.max_body_bytes)
         self.callers_.add_routes(app.router)
         operators.add_routes(app.router)
@@ -168,13 +201,20 @@
 
     async def _listen(self, app):
         self._runner = web.AppRunner(
-            app, access_log=None, handler_cancellation=True, shutdown_timeout=1.0
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=1.0,
+            keepalive_timeout=self.settings.header_timeout_s,
         )
         await self._runner.setup()
-        site = web.TCPSite(
-            self._runner, str(self.settings.address), self.settings.http_port
+        self._site = web.TCPSite(
+            self._runner,
+            str(self.settings.address),
+            self.settings.http_port,
+            ssl_context=self.http_tls_.server_ if self.http_tls_ else None,
         )
-        await site.start()
+        await self._site.start()
         self.http_port_ = self._runner.addresses[0][1]
 
     def _hello(self):
@@ -185,6 +225,7 @@
             failure_domain=self.settings.failure_domain,
             config_version=self.holder_.current_.number,
             secret=self._secret,
+            tls=self.tls_,
         )
 
     def _offer(self):
@@ -232,12 +273,12 @@
     :param sequoiagap.settings.EntrySettings entry_settings: checked settings.
     """
     entry = Entry(entry_settings)
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
-    await entry.start()
-    ready = {"ready": entry_settings.node_id, "http_port": entry.http_port_}
-    print(json.dumps(ready | {"port": entry.mesh_.port_}), flush=True)
-    await stopped.wait()
-    await entry.stop()
+    node_id = entry_settings.node_id
+    await base.run_program(
+        entry,
+        lambda: {
+            "ready": node_id,
+            "http_port": entry.http_port_,
+            "port": entry.mesh_.port_,
+        },
+    )
--- a/libs/entry/src/sequoiagap/entry/_peers.py
+++ b/libs/entry/src/sequoiagap/entry/_peers.py
@@ -50,8 +50,11 @@
 
     async def start(self):
         """Listen for entries and for agents that nobody has found."""
-        self._server = await asyncio.start_server(
-            self._serve, str(self.settings.address), self.settings.port
+        self._server = await wire.listen(
+            self._serve,
+            str(self.settings.address),
+            self.settings.port,
+            self.make_hello().tls,
         )
         self.port_ = self._server.sockets[0].getsockname()[1]
 
--- a/libs/standins/src/sequoiagap/standins/_fleet.py
+++ b/libs/standins/src/sequoiagap/standins/_fleet.py
@@ -32,6 +32,10 @@
     :param dict service: parameters of the service stand-ins.
     :param dict endpoint: settings of the endpoints, over the defaults.
     :param dict entry: settings of the entries, over the defaults.
+    :param dict node: settings of entries and agents, over the defaults.
+    :param bool configured: whether version 1 of the configuration exists at the
+        start; otherwise the fleet starts without waiting for it.
+    :param dict agent: settings of the agents, over the defaults.
     :param dict config: merge patch over the default configuration.
     :param dict platform: parameters of the platform stand-in.
     :param tuple accounts: client accounts; the key is ``NAME-key``.
@@ -47,6 +51,9 @@
     service: dict = dataclasses.field(default_factory=dict)
     endpoint: dict = dataclasses.field(default_factory=dict)
     entry: dict = dataclasses.field(default_factory=dict)
+    node: dict = dataclasses.field(default_factory=dict)
+    configured: bool = True
+    agent: dict = dataclasses.field(default_factory=dict)
     config: dict = dataclasses.field(default_factory=dict)
     platform: dict = dataclasses.field(default_factory=dict)
     accounts: tuple = ("caller",)
@@ -259,7 +266,11 @@
             **self.plan.endpoint,
         }
         node = await self._node(name, domain)
-        settings = node | {"role": "agent", "endpoint": endpoint}
+        settings = node | {
+            "role": "agent",
+            "endpoint": endpoint,
+            **self.plan.agent,
+        }
         await self._start_role("agent", name, settings)
         host = await self._host(name, "agent", domain, serves)
         await self.call("platform", "PUT", f"/hosts/{name}", host)
@@ -278,10 +289,12 @@
     async def _start(self):
         self._write_shared_files()
         await self.start_stand_in("platform", "platform", self.plan.platform)
-        await self._write_config()
+        if self.plan.configured:
+            await self._write_config()
         await asyncio.gather(*(self._start_endpoint(*e) for e in self._endpoints()))
         await asyncio.gather(*(self.start_entry(i) for i in range(self.plan.entries)))
-        await self.wait_until(self._is_ready, READY_TIMEOUT_S)
+        if self.plan.configured:
+            await self.wait_until(self._is_ready, READY_TIMEOUT_S)
 
     async def _start_endpoint(self, name, kind, domain):
         if kind == "model":
@@ -323,6 +336,7 @@
             "port": 0,
             "platform": {"url": url, "timeout_s": 0.5},
             "secret_file": str(self.folder / "secret"),
+            **self.plan.node,
             "seeds": self._seeds(name, domain),
         }
 
@@ -390,8 +404,8 @@
 
     def _write_shared_files(self):
         keys = {
-            "accounts": {name: _digest(f"{name}-key") for name in self.plan.accounts},
-            "operators": {"operator": _digest(OPERATOR_KEY)},
+            "accounts": {name: [_digest(f"{name}-key")] for name in self.plan.accounts},
+            "operators": {"operator": [_digest(OPERATOR_KEY)]},
         }
         (self.folder / "keys.json").write_text(json.dumps(keys))
         secret = self.folder / "secret"
--- a/libs/standins/src/sequoiagap/standins/_relay.py
+++ b/libs/standins/src/sequoiagap/standins/_relay.py
@@ -57,8 +57,7 @@
     async def close(self):
         """Close the listener and every connection."""
         self._server.close()
-        for source in list(self._writers_by_source):
-            self._abort(source)
+        self.cut_open()
         await self._tasks.close()
 
     def set_mode(self, mode, source=EVERY_SOURCE):
@@ -78,6 +77,16 @@
         """Make the open connections silent for good; new ones pass."""
         self._silent_up_to = self._accepted
 
+    def cut_open(self):
+        """Cut the open connections; new ones pass."""
+        for source in list(self._writers_by_source):
+            self._abort(source)
+
+    @property
+    def connections(self):
+        """How many connections are open."""
+        return sum(map(len, self._writers_by_source.values())) // 2
+
     def heal(self):
         """Let every link pass again, also those that were silent."""
         self._mode_by_source.clear()
