--- a/libs/agent/src/sequoiagap/agent/_agent.py
+++ b/libs/agent/src/sequoiagap/agent/_agent.py
@@ -176,6 +176,7 @@
         try:
             await self.executor_.greet(connection)
             await self.spread_.greet(connection)
+            await self.reporter_.greet(connection)
             reason = await connection.run(
                 lambda item: self.handlers_.handle(connection, item)
             )
--- a/libs/agent/src/sequoiagap/agent/_orders.py
+++ b/libs/agent/src/sequoiagap/agent/_orders.py
@@ -32,6 +32,8 @@
     :param str endpoint_id: id of the endpoint.
     :param sequoiagap.members.FenceStore store: numbers in the platform.
     :param float timeout_s: longest time that an order may take, in seconds.
+
+    :ivar asyncio.Lock lock_: held while an order is at work.
     """
 
     def __init__(self, endpoint, endpoint_id, store, timeout_s=ORDER_TIMEOUT_S):
@@ -42,7 +44,7 @@
         self.fence_ = members.OrderFence()
         self._learnt = False
         self._last = None
-        self._lock = asyncio.Lock()
+        self.lock_ = asyncio.Lock()
         self._tasks = base.TaskSet()
 
     def attach(self, handlers):
@@ -60,7 +62,7 @@
         self._tasks.start(self._answer(connection, order), order.order_id)
 
     async def _answer(self, connection, order):
-        async with self._lock:
+        async with self.lock_:
             result = await self.run(order)
         is_done = result.outcome == members.OrderOutcome.DONE
         _log.emit(
--- a/libs/agent/src/sequoiagap/agent/_reports.py
+++ b/libs/agent/src/sequoiagap/agent/_reports.py
@@ -39,6 +39,15 @@
             await self._announce_if_alone(port)
             await asyncio.sleep(REPORT_INTERVAL_S)
 
+    async def greet(self, connection):
+        """Report on a new connection at once if it is one of the few.
+
+        :param sequoiagap.wire.Connection connection: the entry.
+        """
+        if connection in self.choose():
+            self._chosen.add(connection)
+            await _send(connection, self._make_report())
+
     def choose(self):
         """Return the connections to report on: few, of the own domain first.
 
@@ -52,13 +61,17 @@
 
     async def _report(self):
         chosen = self.choose()
-        number = self.holder.current_.number
-        interval_ms = int(REPORT_INTERVAL_S * 1000)
-        sends = [_send(c, members.MemberReport(interval_ms, number)) for c in chosen]
         left = self._chosen.difference(chosen) & self.connections
-        sends += [_send(c, members.MemberReport(0, number)) for c in left]
         self._chosen = set(chosen)
-        await asyncio.gather(*sends)
+        last = members.MemberReport(0, self.holder.current_.number)
+        await asyncio.gather(
+            *(_send(connection, self._make_report()) for connection in chosen),
+            *(_send(connection, last) for connection in left),
+        )
+
+    def _make_report(self):
+        interval_ms = int(REPORT_INTERVAL_S * 1000)
+        return members.MemberReport(interval_ms, self.holder.current_.number)
 
     async def _announce_if_alone(self, port):
         now = time.monotonic()
