Add the change protocol of expert maps and its model check

Cause: in each step all ranks of a group must use one map, with no coordination service to agree through. Ruled out: a fresh incarnation that recovers by a round of its own (a proposer that holds the predecessor's promise can still act after it); so each round counts on a list of incarnations, and a fresh one takes part only after every peer has retired its predecessor. Broken variants caught: commit by majority, late arm and commit accepted, no join. Conclusion: unanimity of ranks with holding at the step is safe without leases.

--- a/libs/experts/src/sequoiagap/experts/__init__.py
+++ b/libs/experts/src/sequoiagap/experts/__init__.py
@@ -1,7 +1,31 @@
 """Expert maps of rank groups: planning, bounds and the change of map."""
 
 from sequoiagap.experts._bound import layer_bound, rank_times, step_skew
+from sequoiagap.experts._change import (
+    Effects,
+    EngineView,
+    Order,
+    OrderKind,
+    RankState,
+)
 from sequoiagap.experts._load import LoadEstimator, SpeedEstimator
+from sequoiagap.experts._messages import (
+    NO_MAP,
+    Arm,
+    Armed,
+    Join,
+    Joined,
+    MapBody,
+    MapRef,
+    MapRequest,
+    Prepare,
+    Promise,
+    RankReport,
+    Settle,
+    Settled,
+    Stage,
+    Staged,
+)
 from sequoiagap.experts._placement import (
     ExpertMap,
     ExpertMapError,
@@ -17,22 +41,48 @@
     finish,
     finish_in_slices,
 )
+from sequoiagap.experts._round import MapConflict, Phase, Round, Send, next_epoch
 
 __all__ = [
+    "NO_MAP",
     "POLICIES",
+    "Arm",
+    "Armed",
+    "Effects",
+    "EngineView",
     "ExpertMap",
     "ExpertMapError",
+    "Join",
+    "Joined",
     "LoadEstimator",
+    "MapBody",
+    "MapConflict",
+    "MapRef",
+    "MapRequest",
     "MapShape",
     "Move",
+    "Order",
+    "OrderKind",
+    "Phase",
     "PlanCosts",
     "PlanInput",
+    "Prepare",
+    "Promise",
+    "RankReport",
+    "RankState",
+    "Round",
+    "Send",
+    "Settle",
+    "Settled",
     "SpeedEstimator",
+    "Stage",
+    "Staged",
     "finish",
     "finish_in_slices",
     "initial_map",
     "layer_bound",
     "moves_between",
+    "next_epoch",
     "rank_times",
     "step_skew",
 ]
--- /dev/null
+++ b/libs/experts/src/sequoiagap/experts/_round.py
@@ -0,0 +1,219 @@
+"""Decisions of a proposer: one round of a change of map."""
+
+import dataclasses
+import enum
+
+from sequoiagap import base
+from sequoiagap.experts import _messages
+
+
+class Phase(enum.StrEnum):
+    """Phases of a round."""
+
+    PREPARING = "preparing"
+    ARMING = "arming"
+    SETTLING = "settling"
+    DONE = "done"
+    FAILED = "failed"
+
+
+class MapConflict(base.SequoiagapError):
+    """Two ranks report different maps under one version."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Send:
+    """A message for a rank.
+
+    :param int rank: the receiver.
+    :param item: the message.
+    """
+
+    rank: int
+    item: object
+
+
+class Round:
+    """One round: finish what an earlier one left, else change the map.
+
+    :param str group: name of the group.
+    :param int rank: rank of the proposer.
+    :param int epoch: number of the round, see :func:`next_epoch`.
+    :param list incarnations: incarnation of each rank; the round counts on them.
+    :param str wanted: digest of the map to change to; empty to only settle what
+        is open.
+    :param int lead_steps: steps between arming and the change.
+
+    :ivar Phase phase_: where the round stands.
+    :ivar bool committed_: whether it committed a map.
+    :ivar int highest_: highest epoch met, for the next round.
+    :ivar MapRef target_: the map that it arms or commits.
+    """
+
+    def __init__(self, group, rank, epoch, incarnations, wanted="", lead_steps=8):
+        self.group = group
+        self.rank = rank
+        self.epoch = epoch
+        self.incarnations = incarnations
+        self.wanted = wanted
+        self.lead_steps = lead_steps
+        self.phase_ = Phase.PREPARING
+        self.committed_ = False
+        self.highest_ = epoch
+        self.target_ = _messages.NO_MAP
+        self.previous_ = _messages.NO_MAP
+        self.promise_by_rank = {}
+        self.answered_ = set()
+
+    @property
+    def ranks(self):
+        """Number of ranks."""
+        return len(self.incarnations)
+
+    @property
+    def is_over(self):
+        """Whether nothing is left to do."""
+        return self.phase_ in (Phase.DONE, Phase.FAILED)
+
+    def outstanding(self):
+        """Return the messages of this phase that are not answered yet.
+
+        :rtype: list[Send]
+        """
+        if self.is_over:
+            return []
+        item = self._item()
+        return [Send(r, item) for r in range(self.ranks) if r not in self.answered_]
+
+    def on_promise(self, item):
+        """Take an answer to ``Prepare``.
+
+        :param Promise item: the message.
+        :returns: what to send now.
+        :rtype: list[Send]
+        :raises MapConflict: if two ranks committed different maps.
+        """
+        self.highest_ = max(self.highest_, item.promised)
+        if item.epoch != self.epoch or self.phase_ != Phase.PREPARING:
+            return []
+        if not item.accepted:
+            return self._enter(Phase.FAILED)
+        self.promise_by_rank[item.rank] = item
+        return self._count(item.rank, self._decide)
+
+    def on_armed(self, item):
+        """Take an answer to ``Arm``.
+
+        :param Armed item: the message.
+        :returns: what to send now.
+        :rtype: list[Send]
+        """
+        if item.epoch != self.epoch or self.phase_ != Phase.ARMING:
+            return []
+        if not item.accepted:
+            return self._enter(Phase.SETTLING)
+        return self._count(item.rank, self._commit)
+
+    def on_settled(self, item):
+        """Take an answer to ``Settle``.
+
+        :param Settled item: the message.
+        :returns: what to send now.
+        :rtype: list[Send]
+        """
+        if item.epoch != self.epoch or self.phase_ != Phase.SETTLING:
+            return []
+        if not item.accepted:
+            return self._enter(Phase.FAILED)
+        return self._count(item.rank, lambda: self._enter(Phase.DONE))
+
+    def _count(self, rank, complete):
+        self.answered_.add(rank)
+        return complete() if len(self.answered_) == self.ranks else []
+
+    def _enter(self, phase):
+        self.phase_ = phase
+        self.answered_ = set()
+        return self.outstanding()
+
+    def _decide(self):
+        promises = list(self.promise_by_rank.values())
+        newest = max(promises, key=lambda p: p.committed[0])
+        committed = _messages.MapRef.from_wire(newest.committed)
+        self._check_conflict(promises, committed)
+        if any(p.committed[0] < committed.version for p in promises):
+            self.target_ = committed
+            self.previous_ = _messages.MapRef.from_wire(newest.previous)
+            return self._commit()
+        self.previous_ = committed
+        if self._is_armed_everywhere(promises):
+            self.target_ = _messages.MapRef.from_wire(promises[0].armed)
+            return self._commit()
+        if self._may_arm(promises, committed):
+            at_step = max(p.step for p in promises)
+            # A group without a map can't step, so it takes its first at once.
+            at_step += self.lead_steps if committed.version else 0
+            self.target_ = _messages.MapRef(committed.version + 1, self.wanted, at_step)
+            return self._enter(Phase.ARMING)
+        if any(p.armed_epoch for p in promises):
+            return self._enter(Phase.SETTLING)
+        return self._enter(Phase.DONE)
+
+    def _may_arm(self, promises, committed):
+        return bool(self.wanted) and all(
+            p.staged == self.wanted and p.step >= committed.at_step for p in promises
+        )
+
+    def _is_armed_everywhere(self, promises):
+        """Tell whether the map armed last may have been committed."""
+        epochs = {p.armed_epoch for p in promises}
+        return len(epochs) == 1 and 0 not in epochs
+
+    def _commit(self):
+        self.committed_ = True
+        return self._enter(Phase.SETTLING)
+
+    def _check_conflict(self, promises, committed):
+        same = [p for p in promises if p.committed[0] == committed.version]
+        if any(p.committed != committed.to_wire() for p in same):
+            raise MapConflict(
+                f"ranks of {self.group} report different maps {committed.version}",
+                "Stop rebalancing of the group and restart its engines",
+            )
+
+    def _item(self):
+        if self.phase_ == Phase.PREPARING:
+            return _messages.Prepare(
+                self.group, self.rank, self.epoch, self.incarnations
+            )
+        if self.phase_ == Phase.ARMING:
+            return _messages.Arm(
+                self.group,
+                self.rank,
+                self.epoch,
+                self.incarnations,
+                self.target_.to_wire(),
+            )
+        return _messages.Settle(
+            self.group,
+            self.rank,
+            self.epoch,
+            self.incarnations,
+            self.committed_,
+            self.target_.to_wire(),
+            self.previous_.to_wire(),
+        )
+
+
+def next_epoch(highest, rank, ranks):
+    """Return the lowest epoch above another that belongs to a rank.
+
+    :param int highest: highest epoch met.
+    :param int rank: rank of the proposer.
+    :param int ranks: ranks of the group.
+    :rtype: int
+
+    >>> next_epoch(7, rank=1, ranks=3)
+    10
+    """
+    return (highest // ranks + 1) * ranks + rank
--- /dev/null
+++ b/libs/standins/src/sequoiagap/standins/_rank_engine.py
@@ -0,0 +1,150 @@
+"""One rank's engine: which map it uses in each step, and the orders it takes."""
+
+from sequoiagap import base, experts
+
+MODES = base.Registry("switch mode")
+
+
+class OrderRefused(base.SequoiagapError):
+    """The engine does not carry out an order."""
+
+
+class RankEngine:
+    """State of a rank's engine.
+
+    :param str mode: how it changes its map, see :data:`MODES`.
+    :param bool checks_fencing: whether it refuses orders with an old number.
+    :param MapRef committed: map that it starts with.
+
+    :ivar int starts_: how often it has started.
+    :ivar int step_: its next step.
+    :ivar set weights_: digests of the maps whose weights it has.
+    """
+
+    def __init__(self, mode="hold_at_step", checks_fencing=True, committed=None):
+        self.mode = mode
+        self.checks_fencing = checks_fencing
+        self.starts_ = 0
+        self.step_ = 0
+        self.fence_ = 0
+        self._holds = MODES.get(mode)
+        self.restart()
+        if committed is not None:
+            self.committed_ = committed
+            self.weights_.add(committed.digest)
+
+    def restart(self):
+        """Start anew without a map, weights or orders."""
+        self.starts_ += 1
+        self.fence_ = 0
+        self.previous_ = experts.NO_MAP
+        self.committed_ = experts.NO_MAP
+        self.armed_epoch_ = 0
+        self.armed_ = experts.NO_MAP
+        self.weights_ = set()
+        self.staged_ = ""
+
+    def stage(self, digest):
+        """Note that the weights of a map have come.
+
+        :param str digest: digest of the map.
+        """
+        self.weights_.add(digest)
+        self.staged_ = digest
+
+    def lose_staged(self):
+        """Forget staged weights; those of the map in use stay."""
+        current = self.current()
+        self.staged_ = ""
+        self.weights_ = {current.digest} if current else set()
+
+    def view(self):
+        """Return what the engine tells its agent.
+
+        :rtype: sequoiagap.experts.EngineView
+        """
+        return experts.EngineView(
+            self.step_,
+            self.previous_,
+            self.committed_,
+            self.armed_epoch_,
+            self.armed_,
+            self.staged_,
+            self.fence_,
+        )
+
+    def take(self, order):
+        """Carry out an order.
+
+        :param sequoiagap.experts.Order order: the order.
+        :raises OrderRefused: if its number is old or it can't be carried out.
+        """
+        if self.checks_fencing and order.epoch < self.fence_:
+            raise OrderRefused(
+                f"order {order.epoch} is older than {self.fence_}",
+                "Take part in the group again",
+            )
+        self.fence_ = max(self.fence_, order.epoch)
+        if order.kind == experts.OrderKind.ARM:
+            self._arm(order)
+            return
+        self.armed_epoch_ = 0
+        self.armed_ = experts.NO_MAP
+        if order.kind != experts.OrderKind.DISARM:
+            self.previous_ = order.previous
+            self.committed_ = order.target
+
+    def current(self):
+        """Return the map of the next step, or ``None``.
+
+        :rtype: sequoiagap.experts.MapRef | None
+        """
+        in_force = self.step_ >= self.committed_.at_step
+        current = self.committed_ if in_force else self.previous_
+        return current if current.version else None
+
+    def missing(self):
+        """Return digests of the maps whose weights it needs and lacks.
+
+        :rtype: list[str]
+        """
+        needed = (self.previous_, self.committed_)
+        if self.step_ >= self.committed_.at_step:
+            needed = (self.committed_,)
+        return [m.digest for m in needed if m.version and m.digest not in self.weights_]
+
+    def can_step(self):
+        """Tell whether the engine could run its next step.
+
+        :rtype: bool
+        """
+        current = self.current()
+        if current is None or current.digest not in self.weights_:
+            return False
+        return not (self.armed_epoch_ and self._holds(self))
+
+    def _arm(self, order):
+        if order.target.digest not in self.weights_:
+            raise OrderRefused("weights are not staged", "Stage the map again")
+        if order.target.at_step < self.step_:
+            raise OrderRefused("the step is over", "Arm for a later step")
+        self.armed_epoch_ = order.epoch
+        self.armed_ = order.target
+
+
+@MODES.register("hold_at_step")
+def _hold_at_step(engine):
+    """Run on with the old map until the step of the armed one."""
+    return engine.step_ >= engine.armed_.at_step
+
+
+@MODES.register("switch_at_step")
+def _hold_at_once(engine):
+    """Stop where the order meets it: the engine can't wait for a later step."""
+    return True
+
+
+@MODES.register("switch_now")
+def _hold_now(engine):
+    """Stop where the order meets it."""
+    return True
--- /dev/null
+++ b/tests/experts/change_model.py
@@ -0,0 +1,343 @@
+"""Exhaustive exploration of the change protocol over its real decision code.
+
+A world is three ranks with their engines, the proposers' rounds and every
+message in flight. Each choice (deliver any message, step, start a round, crash,
+restart) leads to another world; messages may come in any order or never. What
+can have no effect any more is left out of a world: answers to a phase that is
+over, and requests that their receiver will refuse for good.
+"""
+
+import copy
+import functools
+
+from sequoiagap import experts, wire
+from sequoiagap.standins import _rank_engine
+
+RANKS = 3
+FIRST_MAP = experts.MapRef(1, "first", 0)
+HANDLERS = {
+    experts.Join: "on_join",
+    experts.Joined: "on_joined",
+    experts.Prepare: "on_prepare",
+    experts.Arm: "on_arm",
+    experts.Settle: "on_settle",
+}
+ANSWERS = {
+    experts.Promise: "on_promise",
+    experts.Armed: "on_armed",
+    experts.Settled: "on_settled",
+}
+
+ANSWERED_PHASE = {
+    experts.Promise: experts.Phase.PREPARING,
+    experts.Armed: experts.Phase.ARMING,
+}
+
+
+class TwoMapsError(Exception):
+    """Two ranks used different maps in one step."""
+
+
+class World:
+    """One state of the group.
+
+    :param type rank_type: class of the ranks' decisions.
+    :param type round_type: class of the proposers' decisions.
+    """
+
+    def __init__(self, rank_type=experts.RankState, round_type=experts.Round):
+        self.rank_type = rank_type
+        self.round_type = round_type
+        self.engines = [
+            _rank_engine.RankEngine("hold_at_step", False, FIRST_MAP)
+            for _ in range(RANKS)
+        ]
+        self.messages = []  # (sender, receiver, payload)
+        self.rounds = [None] * RANKS
+        self.starts = [0] * RANKS
+        self.rounds_left = [0] * RANKS
+        self.wanted = [""] * RANKS
+        self.crashes_left = 0
+        self.crash_kinds = ("agent",)
+        self.crash_ranks = range(RANKS)
+        self.states = [None] * RANKS
+        for rank in range(RANKS):
+            self.start(rank)
+        self.deliver_all()
+        self.rank_keys = [self.rank_key(rank) for rank in range(RANKS)]
+
+    def key(self):
+        """Return what tells this world from others."""
+        left = (tuple(self.rounds_left), self.crashes_left)
+        messages = tuple(sorted(self.messages))
+        return (tuple(self.rank_keys), messages, left)
+
+    def following(self, choice):
+        """Return the world that a choice leads to."""
+        world = copy.copy(self)
+        for name in ("engines", "messages", "rounds", "starts", "rounds_left"):
+            setattr(world, name, list(getattr(self, name)))
+        world.states = list(self.states)
+        world.rank_keys = list(self.rank_keys)
+        kind, argument = choice
+        if kind == "step":
+            touched = range(RANKS)
+        else:
+            touched = (argument[1],) if kind == "deliver" else (argument,)
+        for rank in touched:
+            world.own(rank)
+        world.choose(choice)
+        for rank in touched:
+            world.rank_keys[rank] = world.rank_key(rank)
+        world.prune()
+        return world
+
+    def own(self, rank):
+        """Copy what belongs to a rank, so that it may change."""
+        self.engines[rank] = _copied(self.engines[rank])
+        self.states[rank] = _copied(self.states[rank])
+        self.rounds[rank] = _copied(self.rounds[rank])
+
+    def prune(self):
+        """Drop messages that can have no effect any more."""
+        self.messages = [m for m in self.messages if self._matters(m)]
+
+    def _matters(self, message):
+        _, receiver, payload = message
+        item = _decode(payload)
+        if type(item) in (experts.Promise, experts.Armed):
+            phase = ANSWERED_PHASE[type(item)]
+            current = self.rounds[receiver]
+            return current is not None and (current.epoch, current.phase_) == (
+                item.epoch,
+                phase,
+            )
+        if type(item) is experts.Settled:
+            return False
+        if self.crashes_left == 0 and type(item) in (experts.Prepare, experts.Settle):
+            state = self.states[receiver]
+            return state is None or item.epoch >= state.promised_
+        return True
+
+    def rank_key(self, rank):
+        """Return what tells the state of one rank from others."""
+        state, engine, current = (
+            self.states[rank],
+            self.engines[rank],
+            self.rounds[rank],
+        )
+        state_key = state and (
+            state.incarnation,
+            tuple(sorted(state.incarnation_by_rank.items())),
+            tuple(sorted(state.retired_)),
+            (state.promised_, state.settled_, state.armed_epoch_, state.joined_),
+            state.armed_,
+            state.committed_,
+            tuple(sorted(state.acknowledged_)),
+        )
+        engine_key = (
+            engine.step_,
+            engine.committed_,
+            engine.armed_epoch_,
+            engine.armed_,
+            engine.staged_,
+        )
+        round_key = current and (
+            (current.epoch, current.phase_, current.committed_, current.target_),
+            tuple(sorted(current.answered_)),
+            tuple(
+                (peer, wire.encode(promise))
+                for peer, promise in sorted(current.promise_by_rank.items())
+                if current.phase_ == experts.Phase.PREPARING
+            ),
+        )
+        return (state_key, engine_key, round_key)
+
+    def choices(self):
+        """Return every choice that leads on from here."""
+        found = [("deliver", m) for m in sorted(set(self.messages))]
+        for rank in range(RANKS):
+            state = self.states[rank]
+            if state is None:
+                found.append(("start", rank))
+                continue
+            if self.rounds_left[rank] and state.incarnations():
+                found.append(("propose", rank))
+            if self.crashes_left and rank in self.crash_ranks:
+                found += [("crash_" + kind, rank) for kind in self.crash_kinds]
+        if self._can_step():
+            found.append(("step", None))
+        return found
+
+    def choose(self, choice):
+        """Carry out a choice."""
+        kind, argument = choice
+        if kind == "deliver":
+            self.messages.remove(argument)
+            self.deliver(argument)
+        elif kind == "start":
+            self.start(argument)
+        elif kind == "propose":
+            self.propose(argument)
+        elif kind == "step":
+            self.step()
+        else:
+            self.crash(argument, kind)
+
+    def start(self, rank):
+        """Start a fresh incarnation of an agent."""
+        self.starts[rank] += 1
+        incarnation = f"{rank}.{self.starts[rank]}"
+        view = self.engines[rank].view()
+        self.states[rank] = self.rank_type("g", rank, RANKS, incarnation, view)
+        self.ask_to_join(rank)
+
+    def ask_to_join(self, rank):
+        """Send a joining rank's question to the peers that have not answered."""
+        state = self.states[rank]
+        for peer in range(RANKS):
+            if peer not in state.acknowledged_:
+                self.send(rank, peer, state.join(peer))
+
+    def propose(self, rank):
+        """Start a round."""
+        state = self.states[rank]
+        self.rounds_left[rank] -= 1
+        epoch = experts.next_epoch(state.promised_, rank, RANKS)
+        wanted = self.wanted[rank]
+        self.rounds[rank] = self.round_type(
+            "g", rank, epoch, state.incarnations(), wanted, lead_steps=1
+        )
+        self.send_all(rank, self.rounds[rank].outstanding())
+
+    def crash(self, rank, kind):
+        """End an agent, an engine, or both; a new engine is a fresh incarnation."""
+        self.crashes_left -= 1
+        if kind != "crash_agent":
+            self.engines[rank].restart()
+        self.states[rank] = None
+        self.rounds[rank] = None
+
+    def step(self):
+        """Run one step of the group; all ranks must use one map."""
+        used = {engine.current().digest for engine in self.engines}
+        if len(used) != 1:
+            raise TwoMapsError(f"step {self.engines[0].step_} used {sorted(used)}")
+        for engine in self.engines:
+            engine.step_ += 1
+
+    def send_all(self, sender, sends):
+        """Send messages; those to the sender itself are delivered at once."""
+        for send in sends:
+            self.send(sender, send.rank, send.item)
+
+    def send(self, sender, receiver, item):
+        """Put one message in flight."""
+        message = (sender, receiver, wire.encode(item))
+        if sender == receiver:
+            self.deliver(message)
+        elif message not in self.messages:
+            self.messages.append(message)
+
+    def deliver(self, message):
+        """Deliver one message."""
+        sender, receiver, payload = message
+        item = _decode(payload)
+        state = self.states[receiver]
+        if state is None:
+            return
+        if type(item) in ANSWERS:
+            current = self.rounds[receiver]
+            if current is not None:
+                sends = getattr(current, ANSWERS[type(item)])(item)
+                self.send_all(receiver, sends)
+            return
+        state.view = self.engines[receiver].view()
+        effects = getattr(state, HANDLERS[type(item)])(item)
+        for order in effects.orders:
+            for wanted in (order.previous, order.target):
+                self.engines[receiver].stage(wanted.digest)
+            self.engines[receiver].take(order)
+        if effects.reply is not None:
+            self.send(receiver, sender, effects.reply)
+
+    def deliver_all(self):
+        """Deliver messages in order until none is left."""
+        while self.messages:
+            self.deliver(self.messages.pop(0))
+
+    def recover(self):
+        """Go on without faults; return whether the group runs on one map."""
+        self.crashes_left = 0
+        for rank in range(RANKS):
+            if self.states[rank] is None:
+                self.start(rank)
+        for _ in range(3):
+            for rank in range(RANKS):
+                self.ask_to_join(rank)
+            self.deliver_all()
+        for _ in range(4):
+            self.wanted[0] = ""
+            self.propose(0)
+            for _ in range(3):
+                self.send_all(0, self.rounds[0].outstanding())
+                self.deliver_all()
+            before = self.engines[0].step_
+            for _ in range(3):
+                if self._can_step():
+                    self.step()
+            if self.engines[0].step_ == before + 3:
+                return len({e.committed_ for e in self.engines}) == 1
+        return False
+
+    def _can_step(self):
+        return all(engine.can_step() for engine in self.engines)
+
+
+def explore(world, max_worlds, max_step=2, check_progress_every=0):
+    """Visit every world that can be reached, in breadth.
+
+    :param World world: where to start.
+    :param int max_worlds: stop after so many.
+    :param int max_step: no step beyond this one.
+    :param int check_progress_every: check progress from every so many-th world.
+    :returns: how many worlds were visited, and whether that was all of them.
+    :rtype: tuple[int, bool]
+    :raises TwoMapsError: if a step can use two maps.
+    :raises AssertionError: if the group can't recover.
+    """
+    seen = {hash(world.key())}
+    queue = [world]
+    visited = 0
+    while queue:
+        current = queue.pop()
+        visited += 1
+        if visited > max_worlds:
+            return visited, False
+        if check_progress_every and visited % check_progress_every == 0:
+            assert copy.deepcopy(current).recover(), f"no progress: {current.key()}"
+        for choice in current.choices():
+            if choice[0] == "step" and current.engines[0].step_ >= max_step:
+                continue
+            following = current.following(choice)
+            key = hash(following.key())
+            if key not in seen:
+                seen.add(key)
+                queue.append(following)
+    return visited, True
+
+
+@functools.cache
+def _decode(payload):
+    return wire.decode(payload)
+
+
+def _copied(item):
+    """Return a copy whose sets, dicts and lists are its own."""
+    if item is None:
+        return None
+    copied = copy.copy(item)
+    for name, value in vars(item).items():
+        if isinstance(value, set | dict | list):
+            setattr(copied, name, value.copy())
+    return copied
--- /dev/null
+++ b/tests/experts/test_change_model.py
@@ -0,0 +1,89 @@
+"""Every order of messages, with a crash and a restart: one map in each step."""
+
+import unittest
+
+from sequoiagap import experts
+from tests.experts import change_model
+
+MAX_WORLDS = 60_000
+PROGRESS_EVERY = 97
+SCENARIOS = {
+    "a change and a second proposer that settles": {"rounds": (1, 1, 0)},
+    "two proposers that want different maps": {
+        "rounds": (1, 1, 0),
+        "wanted": ("b", "c", ""),
+    },
+    "an agent dies and starts again": {"rounds": (1, 0, 0), "crashes": ("agent",)},
+    "an engine dies, alone or with its agent": {
+        "rounds": (1, 0, 0),
+        "crashes": ("engine", "both"),
+    },
+}
+
+
+class MajorityRound(experts.Round):
+    """Broken: commits when a majority has armed."""
+
+    def _count(self, rank, complete):
+        self.answered_.add(rank)
+        needed = self.ranks
+        if self.phase_ == experts.Phase.ARMING:
+            needed = self.ranks // 2 + 1
+        return complete() if len(self.answered_) >= needed else []
+
+
+class ForgetfulRank(experts.RankState):
+    """Broken: takes late arms and commits of rounds below its promise."""
+
+    def _is_promised(self, item):
+        return self._is_current(item)
+
+
+class HastyRank(experts.RankState):
+    """Broken: takes part without knowing what its predecessor promised."""
+
+    def _is_current(self, item):
+        return True
+
+
+BROKEN = {
+    "majority": (
+        {"round_type": MajorityRound},
+        "a change and a second proposer that settles",
+    ),
+    "late messages": (
+        {"rank_type": ForgetfulRank},
+        "two proposers that want different maps",
+    ),
+    "no join": ({"rank_type": HastyRank}, "an engine dies, alone or with its agent"),
+}
+
+
+def make_world(scenario, **types):
+    """Return the first world of a scenario."""
+    plan = SCENARIOS[scenario]
+    world = change_model.World(**types)
+    world.rounds_left = list(plan["rounds"])
+    world.wanted = list(plan.get("wanted", ("b", "", "")))
+    world.crash_kinds = plan.get("crashes", ())
+    world.crashes_left = 1 if world.crash_kinds else 0
+    for engine in world.engines:
+        for digest in filter(None, world.wanted):
+            engine.stage(digest)
+    return world
+
+
+class ChangeModelTest(unittest.TestCase):
+    def test_all_worlds_keep_one_map_and_make_progress(self):
+        for name in SCENARIOS:
+            with self.subTest(name):
+                visited, complete = change_model.explore(
+                    make_world(name), MAX_WORLDS, check_progress_every=PROGRESS_EVERY
+                )
+                self.assertTrue(complete, f"stopped after {visited} worlds")
+                self.assertGreater(visited, 1000)
+
+    def test_broken_variants_are_caught(self):
+        for name, (types, scenario) in BROKEN.items():
+            with self.subTest(name), self.assertRaises(change_model.TwoMapsError):
+                change_model.explore(make_world(scenario, **types), MAX_WORLDS)
