--- a/libs/wire/src/sequoiagap/wire/__init__.py
+++ b/libs/wire/src/sequoiagap/wire/__init__.py
@@ -1,13 +1,16 @@
 """Typed messages and connections between the processes of the system."""
 
 from sequoiagap.wire._codec import MESSAGE_TYPES_BY_NUMBER, decode, encode, message
-from sequoiagap.wire._connection import Connection, accept, connect
+from sequoiagap.wire._connection import Connection, accept, connect, listen
 from sequoiagap.wire._framing import MAX_FRAME_BYTES, read_frame, write_frame
 from sequoiagap.wire._handlers import HandlerTable
 from sequoiagap.wire._messages import (
     PROTOCOL_VERSION,
+    AgentClock,
+    Attach,
     Cancel,
     Chunk,
+    Credit,
     Execute,
     Final,
     Goodbye,
@@ -16,8 +19,8 @@
     Load,
     Ping,
     Pong,
+    Proof,
     Refused,
-    Revoke,
     Revoked,
     StateReply,
     StateRequest,
@@ -27,9 +30,12 @@
     "MAX_FRAME_BYTES",
     "MESSAGE_TYPES_BY_NUMBER",
     "PROTOCOL_VERSION",
+    "AgentClock",
+    "Attach",
     "Cancel",
     "Chunk",
     "Connection",
+    "Credit",
     "Execute",
     "Final",
     "Goodbye",
@@ -39,8 +45,8 @@
     "Load",
     "Ping",
     "Pong",
+    "Proof",
     "Refused",
-    "Revoke",
     "Revoked",
     "StateReply",
     "StateRequest",
@@ -48,6 +54,7 @@
     "connect",
     "decode",
     "encode",
+    "listen",
     "message",
     "read_frame",
     "write_frame",
