Run the change of map between real agents and rank stand-ins

Cause: the change protocol needs agents that carry out its orders. Ruled out: counting ranks' tokens over an interval as they come (ranks report at different moments: a steady trace changed its map at each interval; rates for each step mended that, one change and then none).

--- a/libs/admission/src/sequoiagap/admission/_gate.py
+++ b/libs/admission/src/sequoiagap/admission/_gate.py
@@ -39,6 +39,8 @@
 
     :ivar str state: state of the endpoint, see :class:`EndpointState`.
     :ivar int in_flight_: attempts that run now.
+    :ivar bool stalled_: whether nothing may enter, because the endpoint's rank
+        group can't step; set by the agent.
 
     >>> gate = EndpointGate(warm_limit=8, cold_limit=1, warm_up_s=4.0)
     >>> gate.report_start("start-1", now=0.0, cold=True)
@@ -51,6 +53,7 @@
         self.cold_limit = base.check_positive("cold_limit", cold_limit)
         self.warm_up_s = base.check_positive("warm_up_s", warm_up_s)
         self.in_flight_ = 0
+        self.stalled_ = False
         self.start_id_ = ""
         self.ramp_began_at_ = 0.0
         self.machine_ = transitions.Machine(
@@ -87,6 +90,8 @@
         :rtype: int
         """
         self._advance(now)
+        if self.stalled_:
+            return 0
         if self.state in (EndpointState.COLD, EndpointState.WARMING):
             return self._ramp_limit(now)
         return self.warm_limit if self.state == EndpointState.WARM else 0
--- a/libs/agent/src/sequoiagap/agent/_agent.py
+++ b/libs/agent/src/sequoiagap/agent/_agent.py
@@ -17,6 +17,7 @@
 from sequoiagap.agent import (
     _endpoint,
     _executor,
+    _group_member,
     _guard,
     _orders,
     _reports,
@@ -74,6 +75,7 @@
         self.executor_.attach(self.handlers_)
         self.spread_.attach(self.handlers_)
         self._build_membership()
+        self._build_group()
         self.handlers_.add(wire.StateRequest, self._on_state_request)
 
     def _build_membership(self):
@@ -90,6 +92,13 @@
             self.settings, self.holder_, self.connections_, self._hello
         )
 
+    def _build_group(self):
+        self.group_ = None
+        if self.settings.group is not None:
+            self.group_ = _group_member.RankGroup(
+                self.settings, self._hello, self.holder_, self.incarnation_
+            )
+
     async def start(self):
         """Listen for entries and begin to probe the endpoint."""
         self._secret = settings.load_secret(self.settings.secret_file)
@@ -102,6 +111,8 @@
         self._tasks.start(self._probe_forever(), "probe")
         self._tasks.start(self.spread_.learn(), "learn-config")
         self._tasks.start(self.reporter_.run(self.port_), "report")
+        if self.group_ is not None:
+            self._tasks.start(self.group_.run(), "group")
         _log.emit(base.Event.PROCESS_READY, role="agent", port=self.port_)
 
     async def stop(self):
@@ -115,6 +126,8 @@
         for connection in list(self.connections_):
             await connection.close_politely("agent stops")
         await self._tasks.close()
+        if self.group_ is not None:
+            await self.group_.close()
         await self.guard_.close()
         await self.orders_.close()
         await self.executor_.close()
@@ -153,6 +166,7 @@
             },
             "connections": sorted(c.peer.node_id for c in self.connections_),
             "platform_calls": self.platform_.calls_,
+            "group": self.group_.dump_state() if self.group_ else None,
             "metrics": self._collect_metrics(load),
         }
 
@@ -171,6 +185,9 @@
         except base.WireError as error:
             _log.emit(base.Event.FRAME_REJECTED, error=error.message)
             return
+        if connection.peer.role == "agent" and self.group_ is not None:
+            await self.group_.serve(connection)
+            return
         self.connections_.add(connection)
         _log.emit(base.Event.LINK_OPENED, peer=connection.peer.node_id)
         try:
@@ -207,6 +224,8 @@
             report = await self.client_.report()
             if report is not None:
                 self.gate_.report_start(report.start_id, time.monotonic(), report.cold)
+            if self.group_ is not None:
+                self.gate_.stalled_ = self.group_.is_stalled
             load = self.executor_.load()
             if (load.state, load.limit) != announced:
                 announced = (load.state, load.limit)
--- /dev/null
+++ b/libs/agent/src/sequoiagap/agent/_group_links.py
@@ -0,0 +1,103 @@
+"""Connections to the agents of the other ranks of a group."""
+
+import asyncio
+
+from sequoiagap import base, experts, wire
+
+RETRY_DELAY_S = 0.2
+
+_log = base.get_logger("group")
+
+
+class GroupLinks:
+    """Opens a connection to a peer when there is something to send.
+
+    :param list peers: settings of the ranks' agents, by rank.
+    :param int rank: own rank.
+    :param make_hello: function that returns this agent's hello.
+
+    :ivar int messages_sent_: messages sent so far.
+    :ivar int bytes_sent_: payload bytes sent so far.
+    """
+
+    def __init__(self, peers, rank, make_hello):
+        self.peers = peers
+        self.rank = rank
+        self.make_hello = make_hello
+        self.handlers_ = wire.HandlerTable()
+        self.messages_sent_ = 0
+        self.bytes_sent_ = 0
+        self._connection_by_rank = {}
+        self._lock_by_rank = {r: asyncio.Lock() for r in range(len(peers))}
+        self._tasks = base.TaskSet()
+
+    async def send(self, rank, item):
+        """Send a message to a rank; tell whether it left.
+
+        :param int rank: the receiver.
+        :param item: the message.
+        :rtype: bool
+        """
+        try:
+            connection = await self._connect(rank)
+            connection.mark_busy(True)
+            before = connection.bytes_sent_
+            await connection.send(item)
+        except base.WireError:
+            return False
+        self.messages_sent_ += 1
+        self.bytes_sent_ += connection.bytes_sent_ - before
+        return True
+
+    def start(self, coroutine, name):
+        """Run a task that ends with the links.
+
+        :param collections.abc.Coroutine coroutine: what to run.
+        :param str name: name of the task, for logs.
+        :rtype: asyncio.Task
+        """
+        return self._tasks.start(coroutine, name)
+
+    def rest(self):
+        """Probe the connections at the long interval again."""
+        for connection in self._connection_by_rank.values():
+            connection.mark_busy(False)
+
+    async def close(self):
+        """Close every connection."""
+        await self._tasks.close()
+        for connection in self._connection_by_rank.values():
+            connection.close()
+
+    async def _connect(self, rank):
+        async with self._lock_by_rank[rank]:
+            connection = self._connection_by_rank.get(rank)
+            if connection is not None and not connection.closed_:
+                return connection
+            peer = self.peers[rank]
+            connection = await wire.connect(
+                str(peer.address), peer.port, self.make_hello()
+            )
+            self._connection_by_rank[rank] = connection
+            self._tasks.start(self._receive(connection), f"group-link-{rank}")
+            return connection
+
+    async def _receive(self, connection):
+        peer = connection.peer.node_id
+        _log.emit(base.Event.LINK_OPENED, peer=peer)
+        reason = await connection.run(
+            lambda item: self.handlers_.handle(connection, item)
+        )
+        _log.emit(base.Event.LINK_CLOSED, peer=peer, reason=reason)
+
+
+def to_map_body(group, placement):
+    """Return the message that carries a map.
+
+    :param str group: name of the group.
+    :param sequoiagap.experts.ExpertMap placement: the map.
+    :rtype: sequoiagap.experts.MapBody
+    """
+    shape = placement.shape
+    numbers = [shape.layers, shape.ranks, shape.experts, shape.slots]
+    return experts.MapBody(group, placement.digest, numbers, placement.to_bytes())
--- /dev/null
+++ b/libs/agent/src/sequoiagap/agent/_rank_engine.py
@@ -0,0 +1,185 @@
+"""HTTP calls to the rank's engine about its expert map."""
+
+import base64
+import dataclasses
+
+import aiohttp
+
+from sequoiagap import base, experts
+
+CALL_TIMEOUT_S = 1.0
+
+ENGINE_KINDS = base.Registry("engine kind")
+
+
+@dataclasses.dataclass(frozen=True)
+class EngineKind:
+    """What engines of a kind can do.
+
+    :param int lead_steps: steps between the proposal of a map and its first use.
+    :param bool holds_on_prepare: whether the engine must stop before a round
+        begins, because it can't wait for a step that is still to come.
+    """
+
+    lead_steps: int
+    holds_on_prepare: bool = False
+
+
+@ENGINE_KINDS.register("hold_at_step")
+def _hold_at_step():
+    """Engines that run on and hold only at the armed step."""
+    return EngineKind(lead_steps=8)
+
+
+@ENGINE_KINDS.register("switch_at_step")
+def _switch_at_step():
+    """Engines that stop when armed and switch at the step once committed."""
+    return EngineKind(lead_steps=8)
+
+
+@ENGINE_KINDS.register("switch_now")
+def _switch_now():
+    """Engines that stop on order and switch at once."""
+    return EngineKind(lead_steps=0, holds_on_prepare=True)
+
+
+class EngineUnavailableError(base.SequoiagapError):
+    """The engine gave no usable answer."""
+
+
+class EngineOrderError(base.SequoiagapError):
+    """The engine refused an order."""
+
+
+@dataclasses.dataclass(frozen=True)
+class EngineReport:
+    """State of the rank's engine.
+
+    :param str start_id: changes whenever the engine starts anew.
+    :param sequoiagap.experts.EngineView view: maps and step.
+    :param tuple missing: digests of maps whose weights it needs and lacks.
+    :param float blocked_s: how long the next step has been waiting.
+    :param float busy_s: time that the rank has computed.
+    :param int map_used: version that the last step used.
+    :param list counts: tokens of each slot since the map changed.
+    """
+
+    start_id: str
+    view: experts.EngineView
+    missing: tuple = ()
+    blocked_s: float = 0.0
+    busy_s: float = 0.0
+    map_used: int = 0
+    counts: list = dataclasses.field(default_factory=list)
+
+
+class RankEngineClient:
+    """The only sender of map orders to the engine.
+
+    It compares fencing numbers itself, because some engines ignore them.
+
+    :param sequoiagap.settings.EndpointSettings settings: where the engine is.
+
+    :ivar int fence_: highest fencing number sent or met.
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.kind = ENGINE_KINDS.get(settings.engine)()
+        self.fence_ = 0
+        self._session = None
+
+    async def open(self):
+        """Open the client session."""
+        self._session = aiohttp.ClientSession()
+
+    async def close(self):
+        """Close the client session."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def report(self):
+        """Return the state of the engine.
+
+        :rtype: EngineReport
+        :raises EngineUnavailableError: if it does not answer in time.
+        """
+        document = await self._call("GET", "/group")
+        try:
+            return _parse(document)
+        except (KeyError, TypeError, ValueError) as error:
+            raise _unavailable(error) from error
+
+    async def order(self, order):
+        """Give the engine an order.
+
+        :param sequoiagap.experts.Order order: the order.
+        :raises EngineOrderError: if its number is old, or the engine refuses.
+        :raises EngineUnavailableError: if the engine does not answer in time.
+        """
+        if order.epoch < self.fence_:
+            raise EngineOrderError(
+                f"order {order.epoch} is older than {self.fence_}", "Ask for a new one"
+            )
+        self.fence_ = order.epoch
+        body = {
+            "kind": str(order.kind),
+            "epoch": order.epoch,
+            "target": order.target.to_wire(),
+            "previous": order.previous.to_wire(),
+        }
+        await self._call("POST", "/group/order", body)
+
+    async def stage(self, item, timeout_s):
+        """Load the weights of a map; returns once they are there.
+
+        :param sequoiagap.experts.MapBody item: the map.
+        :param float timeout_s: longest wait, in seconds.
+        :raises EngineOrderError: if the engine can't get them.
+        :raises EngineUnavailableError: if it does not answer in time.
+        """
+        content = base64.b64encode(item.content).decode()
+        body = {"digest": item.digest, "shape": item.shape, "content": content}
+        await self._call("POST", "/group/stage", body, timeout_s)
+
+    async def _call(self, method, path, body=None, timeout_s=CALL_TIMEOUT_S):
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        url = self.settings.url + path
+        request = self._session.request(method, url, json=body, timeout=timeout)
+        try:
+            async with request as response:
+                document = await response.json()
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            raise _unavailable(error) from error
+        if response.status != 200:
+            raise EngineOrderError(
+                f"the engine refused {path}: {document}", "Look at the engine's log"
+            )
+        return document
+
+
+def _parse(document):
+    view = experts.EngineView(
+        document["step"],
+        experts.MapRef.from_wire(document["previous"]),
+        experts.MapRef.from_wire(document["committed"]),
+        document["armed_epoch"],
+        experts.MapRef.from_wire(document["armed"]),
+        document["staged"],
+        document["fence"],
+    )
+    return EngineReport(
+        document["start_id"],
+        view,
+        tuple(document["missing"]),
+        document["blocked_s"],
+        document["busy_s"],
+        document["map_used"],
+        document["counts"],
+    )
+
+
+def _unavailable(error):
+    return EngineUnavailableError(
+        f"the engine does not answer: {error!r}", "Check that the engine runs"
+    )
--- a/libs/base/src/sequoiagap/base/_events.py
+++ b/libs/base/src/sequoiagap/base/_events.py
@@ -64,6 +64,17 @@
     ENDPOINT_LEAVING = 1421
     PEER_OPENED = 1422
     PEER_CLOSED = 1423
+    RANK_STARTED = 1501
+    RANK_JOINED = 1502
+    RANK_UNREACHABLE = 1503
+    RANK_ORDER_FAILED = 1504
+    MAP_ORDERED = 1505
+    GROUP_STALLED = 1506
+    GROUP_STEPS = 1507
+    WEIGHTS_FAILED = 1508
+    MAP_PLANNED = 1509
+    ROUND_ENDED = 1510
+    MAP_UNKNOWN = 1511
 
 
 CATALOGUE = {
@@ -114,10 +125,25 @@
     Event.ENDPOINT_LEAVING: "An endpoint's agent says that it leaves.",
     Event.PEER_OPENED: "A connection to another entry is open.",
     Event.PEER_CLOSED: "A connection to another entry has closed.",
+    Event.RANK_STARTED: "A rank's engine or agent is fresh and asks its peers.",
+    Event.RANK_JOINED: "A rank got a peer's answer; joined says whether it takes part.",
+    Event.RANK_UNREACHABLE: "The engine of a rank does not answer its agent.",
+    Event.RANK_ORDER_FAILED: "An order about the expert map failed at the engine.",
+    Event.MAP_ORDERED: "The engine carried out an order about its expert map.",
+    Event.GROUP_STALLED: "A rank group can't step; it is offered no requests.",
+    Event.GROUP_STEPS: "A rank group steps again.",
+    Event.WEIGHTS_FAILED: "Weights of an expert map could not be loaded.",
+    Event.MAP_PLANNED: "A new expert map was planned, with moves and predicted skew.",
+    Event.ROUND_ENDED: "A round of the change of map ended, with its phase.",
+    Event.MAP_UNKNOWN: "A wanted expert map is not known to any rank asked.",
 }
 
 _WARNINGS = frozenset(
     {
+        Event.RANK_UNREACHABLE,
+        Event.GROUP_STALLED,
+        Event.WEIGHTS_FAILED,
+        Event.RANK_ORDER_FAILED,
         Event.TASK_FAILED,
         Event.RELOAD_FAILED,
         Event.LINK_SILENT,
--- a/libs/config/src/sequoiagap/config/_document.py
+++ b/libs/config/src/sequoiagap/config/_document.py
@@ -48,6 +48,16 @@
     drain: bool = False
 
 
+class GroupConfig(_Section):
+    """Operators' orders for a rank group.
+
+    ``pinned_map`` is the digest of the expert map to change to and to keep.
+    """
+
+    rebalance: bool = True
+    pinned_map: str | None = None
+
+
 class RoutingConfig(_Section):
     """How entries choose among endpoints."""
 
@@ -62,6 +72,7 @@
     services: dict[Name, ServiceConfig] = {}
     client_accounts: dict[Name, AccountConfig] = {}
     endpoints: dict[Name, EndpointConfig] = {}
+    groups: dict[Name, GroupConfig] = {}
     routing: RoutingConfig = RoutingConfig()
 
 
--- a/libs/experts/src/sequoiagap/experts/__init__.py
+++ b/libs/experts/src/sequoiagap/experts/__init__.py
@@ -21,6 +21,7 @@
     Prepare,
     Promise,
     RankReport,
+    ReportRequest,
     Settle,
     Settled,
     Stage,
@@ -41,7 +42,7 @@
     finish,
     finish_in_slices,
 )
-from sequoiagap.experts._round import MapConflict, Phase, Round, Send, next_epoch
+from sequoiagap.experts._round import MapConflictError, Phase, Round, Send, next_epoch
 
 __all__ = [
     "NO_MAP",
@@ -56,7 +57,7 @@
     "Joined",
     "LoadEstimator",
     "MapBody",
-    "MapConflict",
+    "MapConflictError",
     "MapRef",
     "MapRequest",
     "MapShape",
@@ -70,6 +71,7 @@
     "Promise",
     "RankReport",
     "RankState",
+    "ReportRequest",
     "Round",
     "Send",
     "Settle",
--- a/libs/experts/src/sequoiagap/experts/_change.py
+++ b/libs/experts/src/sequoiagap/experts/_change.py
@@ -22,6 +22,7 @@
     COMMIT = "commit"
     DISARM = "disarm"
     LOAD = "load"
+    HOLD = "hold"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -102,7 +103,7 @@
         self.view = view
         self.incarnation_by_rank = {rank: incarnation}
         self.retired_ = set()
-        self.promised_ = 0
+        self.promised_ = view.fence
         self.settled_ = 0
         self.armed_epoch_ = view.armed_epoch
         self.armed_ = view.armed
@@ -256,8 +257,6 @@
                 _messages.MapRef.from_wire(item.target),
                 _messages.MapRef.from_wire(item.previous),
             )
-        if not self.armed_epoch_:
-            return ()
         self.armed_epoch_ = 0
         self.armed_ = _messages.NO_MAP
         return (Order(OrderKind.DISARM, item.epoch),)
--- a/libs/experts/src/sequoiagap/experts/_messages.py
+++ b/libs/experts/src/sequoiagap/experts/_messages.py
@@ -261,21 +261,34 @@
 
 @wire.message(414)
 class RankReport:
-    """What a rank did since its last report.
+    """What a rank did so far.
 
     :param str group: the group.
     :param int rank: rank of the sender.
-    :param int step: next step of its engine.
-    :param int map_version: committed map.
-    :param float busy_s: time that it computed.
-    :param float step_s: recent mean time of a step.
-    :param list counts: tokens of each of its slots, layer after layer.
+    :param str start_id: start of the engine that counts.
+    :param int step: next step of the engine.
+    :param int map_version: map that the counts belong to.
+    :param float busy_s: time that the rank has computed.
+    :param list counts: tokens of each of its slots, layer after layer, since the
+        engine uses this map.
     """
 
     group: str
     rank: int
+    start_id: str
     step: int
     map_version: int
     busy_s: float
-    step_s: float
     counts: list
+
+
+@wire.message(415)
+class ReportRequest:
+    """The leading rank asks a peer for its report, and so shows that it leads.
+
+    :param str group: the group.
+    :param int rank: rank of the sender.
+    """
+
+    group: str
+    rank: int
--- a/libs/experts/src/sequoiagap/experts/_round.py
+++ b/libs/experts/src/sequoiagap/experts/_round.py
@@ -17,7 +17,7 @@
     FAILED = "failed"
 
 
-class MapConflict(base.SequoiagapError):
+class MapConflictError(base.SequoiagapError):
     """Two ranks report different maps under one version."""
 
 
@@ -43,6 +43,8 @@
     :param str wanted: digest of the map to change to; empty to only settle what
         is open.
     :param int lead_steps: steps between arming and the change.
+    :param bool always_settles: whether engines hold since the round began, so
+        that they must be told even where nothing changes.
 
     :ivar Phase phase_: where the round stands.
     :ivar bool committed_: whether it committed a map.
@@ -50,13 +52,23 @@
     :ivar MapRef target_: the map that it arms or commits.
     """
 
-    def __init__(self, group, rank, epoch, incarnations, wanted="", lead_steps=8):
+    def __init__(
+        self,
+        group,
+        rank,
+        epoch,
+        incarnations,
+        wanted="",
+        lead_steps=8,
+        always_settles=False,
+    ):
         self.group = group
         self.rank = rank
         self.epoch = epoch
         self.incarnations = incarnations
         self.wanted = wanted
         self.lead_steps = lead_steps
+        self.always_settles = always_settles
         self.phase_ = Phase.PREPARING
         self.committed_ = False
         self.highest_ = epoch
@@ -91,7 +103,7 @@
         :param Promise item: the message.
         :returns: what to send now.
         :rtype: list[Send]
-        :raises MapConflict: if two ranks committed different maps.
+        :raises MapConflictError: if two ranks committed different maps.
         """
         self.highest_ = max(self.highest_, item.promised)
         if item.epoch != self.epoch or self.phase_ != Phase.PREPARING:
@@ -155,7 +167,7 @@
             at_step += self.lead_steps if committed.version else 0
             self.target_ = _messages.MapRef(committed.version + 1, self.wanted, at_step)
             return self._enter(Phase.ARMING)
-        if any(p.armed_epoch for p in promises):
+        if self.always_settles or any(p.armed_epoch for p in promises):
             return self._enter(Phase.SETTLING)
         return self._enter(Phase.DONE)
 
@@ -176,7 +188,7 @@
     def _check_conflict(self, promises, committed):
         same = [p for p in promises if p.committed[0] == committed.version]
         if any(p.committed != committed.to_wire() for p in same):
-            raise MapConflict(
+            raise MapConflictError(
                 f"ranks of {self.group} report different maps {committed.version}",
                 "Stop rebalancing of the group and restart its engines",
             )
--- a/libs/settings/src/sequoiagap/settings/_models.py
+++ b/libs/settings/src/sequoiagap/settings/_models.py
@@ -119,11 +119,44 @@
     checks_fencing: bool = False
 
 
+class GroupSettings(SettingsModel):
+    """The rank group that the endpoint's engine belongs to.
+
+    ``peers`` names the agents of all ranks, by rank; ``rank`` is the own one.
+    """
+
+    name: Name
+    rank: Annotated[int, pydantic.Field(ge=0, lt=1024)]
+    peers: Annotated[list[SeedSettings], pydantic.Field(min_length=1)]
+    layers: Slots
+    experts: Slots
+    slots: Slots
+    policy: Name = "incremental"
+    interval_s: Seconds = 300.0
+    report_interval_s: Seconds = 10.0
+    horizon_s: Seconds = 600.0
+    expert_bytes: Annotated[int, pydantic.Field(gt=0)] = 44_000_000
+    store_bytes_s: Annotated[float, pydantic.Field(gt=0)] = 2e9
+
+    @pydantic.model_validator(mode="after")
+    def _check_shape(self):
+        ranks = len(self.peers)
+        if self.rank >= ranks:
+            raise ValueError(f"rank {self.rank} has no address among the peers")
+        if not self.slots <= self.experts <= ranks * self.slots:
+            raise ValueError(
+                f"{ranks} ranks of {self.slots} slots can't hold {self.experts} "
+                "experts; a rank holds an expert once at most"
+            )
+        return self
+
+
 class AgentSettings(NodeSettings):
     """Settings of ``sequoiagap agent``; ``port`` is for the entries."""
 
     role: Literal["agent"]
     endpoint: EndpointSettings
+    group: GroupSettings | None = None
     drain_bound_s: Seconds = 60.0
 
 
--- a/libs/standins/src/sequoiagap/standins/__main__.py
+++ b/libs/standins/src/sequoiagap/standins/__main__.py
@@ -4,12 +4,21 @@
 import json
 import sys
 
-from sequoiagap.standins import _engine, _platform, _serve, _service
+from sequoiagap.standins import (
+    _engine,
+    _platform,
+    _ranks,
+    _serve,
+    _service,
+    _weights,
+)
 
 _MAKERS_BY_KIND = {
     "engine": _engine.EngineStandIn,
     "platform": _platform.PlatformStandIn,
+    "ranks": _ranks.RankGroupStandIn,
     "service": _service.ServiceStandIn,
+    "weights": _weights.WeightStoreStandIn,
 }
 
 
--- a/libs/standins/src/sequoiagap/standins/_rank_engine.py
+++ b/libs/standins/src/sequoiagap/standins/_rank_engine.py
@@ -37,6 +37,7 @@
         """Start anew without a map, weights or orders."""
         self.starts_ += 1
         self.fence_ = 0
+        self.held_ = False
         self.previous_ = experts.NO_MAP
         self.committed_ = experts.NO_MAP
         self.armed_epoch_ = 0
@@ -85,9 +86,13 @@
                 "Take part in the group again",
             )
         self.fence_ = max(self.fence_, order.epoch)
+        if order.kind == experts.OrderKind.HOLD:
+            self.held_ = True
+            return
         if order.kind == experts.OrderKind.ARM:
             self._arm(order)
             return
+        self.held_ = False
         self.armed_epoch_ = 0
         self.armed_ = experts.NO_MAP
         if order.kind != experts.OrderKind.DISARM:
@@ -119,7 +124,7 @@
         :rtype: bool
         """
         current = self.current()
-        if current is None or current.digest not in self.weights_:
+        if self.held_ or current is None or current.digest not in self.weights_:
             return False
         return not (self.armed_epoch_ and self._holds(self))
 
