--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -128,7 +128,8 @@
     parameters = json.dumps({"list_lag_s": 0.5})
     command = [sys.executable, "-m", "sequoiagap.standins", "platform", parameters]
     print(
-        "| way | wished/s | claims/s | writes/s | ratio | KB/s | p50 ms | p99 ms | refused |"
+        "| way | wished/s | claims/s | writes/s | ratio | KB/s | p50 ms | p99 ms "
+        "| refused |"
     )
     print("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
     for rate in RATES:
--- a/libs/agent/src/sequoiagap/agent/_agent.py
+++ b/libs/agent/src/sequoiagap/agent/_agent.py
@@ -17,6 +17,7 @@
 from sequoiagap.agent import (
     _endpoint,
     _executor,
+    _group_member,
     _guard,
     _orders,
     _reports,
@@ -41,7 +42,6 @@
         self.settings = settings
         self.incarnation_ = base.new_id("inc")
         self.port_ = 0
-        self.metrics_ = base.Metrics()
         self.holder_ = config.ConfigHolder()
         self.connections_ = set()
         self._tasks = base.TaskSet()
@@ -69,11 +69,13 @@
             self.settings.failure_domain,
             self.platform_,
         )
+        self.metrics_ = self.executor_.metrics_
         self.spread_ = _spread.ConfigSpread(self.holder_, self.platform_)
         self.handlers_ = wire.HandlerTable()
         self.executor_.attach(self.handlers_)
         self.spread_.attach(self.handlers_)
         self._build_membership()
+        self._build_group()
         self.handlers_.add(wire.StateRequest, self._on_state_request)
 
     def _build_membership(self):
@@ -90,6 +92,13 @@
             self.settings, self.holder_, self.connections_, self._hello
         )
 
+    def _build_group(self):
+        self.group_ = None
+        if self.settings.group is not None:
+            self.group_ = _group_member.RankGroup(
+                self.settings, self._hello, self.holder_, self.incarnation_
+            )
+
     async def start(self):
         """Listen for entries and begin to probe the endpoint."""
         self._secret = settings.load_secret(self.settings.secret_file)
@@ -102,6 +111,8 @@
         self._tasks.start(self._probe_forever(), "probe")
         self._tasks.start(self.spread_.learn(), "learn-config")
         self._tasks.start(self.reporter_.run(self.port_), "report")
+        if self.group_ is not None:
+            self._tasks.start(self.group_.run(), "group")
         _log.emit(base.Event.PROCESS_READY, role="agent", port=self.port_)
 
     async def stop(self):
@@ -115,6 +126,8 @@
         for connection in list(self.connections_):
             await connection.close_politely("agent stops")
         await self._tasks.close()
+        if self.group_ is not None:
+            await self.group_.close()
         await self.guard_.close()
         await self.orders_.close()
         await self.executor_.close()
@@ -154,6 +167,7 @@
             "attempts": self.executor_.dump_state(),
             "connections": sorted(c.peer.node_id for c in self.connections_),
             "platform_calls": self.platform_.calls_,
+            "group": self.group_.dump_state() if self.group_ else None,
             "metrics": self._collect_metrics(load),
         }
 
@@ -172,11 +186,15 @@
         except base.WireError as error:
             _log.emit(base.Event.FRAME_REJECTED, error=error.message)
             return
+        if connection.peer.role == "agent" and self.group_ is not None:
+            await self.group_.serve(connection)
+            return
         self.connections_.add(connection)
         _log.emit(base.Event.LINK_OPENED, peer=connection.peer.node_id)
         try:
             await self.executor_.greet(connection)
             await self.spread_.greet(connection)
+            await self.reporter_.greet(connection)
             reason = await connection.run(
                 lambda item: self.handlers_.handle(connection, item)
             )
@@ -208,6 +226,8 @@
             report = await self.client_.report()
             if report is not None:
                 self.gate_.report_start(report.start_id, time.monotonic(), report.cold)
+            if self.group_ is not None:
+                self.gate_.stalled_ = self.group_.is_stalled
             load = self.executor_.load()
             if (load.state, load.limit) != announced:
                 announced = (load.state, load.limit)
--- a/libs/agent/src/sequoiagap/agent/_endpoint.py
+++ b/libs/agent/src/sequoiagap/agent/_endpoint.py
@@ -98,18 +98,18 @@
         """
         timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S)
         url = f"{self.settings.url}/load"
-        try:
-            with self._sessions.borrow() as session:
+        with self._sessions.borrow() as session:
+            try:
                 async with session.get(url, timeout=timeout) as response:
                     document = await response.json()
-            return LoadReport(
-                document["start_id"], document["cold"], document["in_flight"]
-            )
-        except (aiohttp.ClientError, TimeoutError) as error:
-            self._suspect("probe", error)
-            return None
-        except (ValueError, KeyError):
-            return None
+                return LoadReport(
+                    document["start_id"], document["cold"], document["in_flight"]
+                )
+            except (aiohttp.ClientError, TimeoutError) as error:
+                self._suspect(session, error)
+            except (ValueError, KeyError):
+                pass
+        return None
 
     async def call(self, order, on_head, on_data):
         """Run one attempt and pass its answer on as it comes.
@@ -140,6 +140,7 @@
                 answer.resuming = True
                 _log.emit(
                     base.Event.STREAM_RESUMED,
+                    request_id=order.request_id,
                     attempt_id=order.attempt_id,
                     offset=answer.size,
                     error=error.message,
@@ -147,18 +148,21 @@
         raise EndpointError("the stream broke off too often", True)
 
     async def _call_once(self, order, answer):
+        if not order.repeatable:
+            await self._call_over(self._single_use_session, order, answer)
+            return
+        with self._sessions.borrow() as session:
+            await self._call_over(session, order, answer)
+
+    async def _call_over(self, session, order, answer):
         try:
-            if order.repeatable:
-                with self._sessions.borrow() as session:
-                    await self._exchange(session, order, answer)
-            else:
-                await self._exchange(self._single_use_session, order, answer)
+            await self._exchange(session, order, answer)
         except aiohttp.ClientConnectorError as error:
             raise EndpointError(
                 f"endpoint can't be reached: {error}", answer.resuming
             ) from error
         except (aiohttp.ClientError, TimeoutError) as error:
-            self._suspect(order.attempt_id, error)
+            self._suspect(session, error, order.request_id, order.attempt_id)
             raise EndpointError(f"endpoint failed: {error!r}", True) from error
 
     async def _exchange(self, session, order, answer):
@@ -200,10 +204,15 @@
             return self.settings.between_bytes_timeout_s
         return self.settings.first_byte_timeout_s
 
-    def _suspect(self, what, error):
+    def _suspect(self, session, error, request_id="", attempt_id=""):
         """Use no kept-alive connection again: what lost one may have lost all."""
-        _log.emit(base.Event.CONNECTION_SUSPECT, what=what, error=repr(error))
-        self._sessions.renew()
+        _log.emit(
+            base.Event.CONNECTION_SUSPECT,
+            request_id=request_id,
+            attempt_id=attempt_id,
+            error=repr(error),
+        )
+        self._sessions.renew(session)
 
     async def _cancel_at_engine(self, order):
         """Tell an engine that holds cut streams that this one is not wanted."""
--- a/libs/agent/src/sequoiagap/agent/_executor.py
+++ b/libs/agent/src/sequoiagap/agent/_executor.py
@@ -26,6 +26,7 @@
     :param str failure_domain: where the endpoint stands.
     :param sequoiagap.platform.PlatformClient platform_client: keeps claims.
 
+    :ivar sequoiagap.base.Metrics metrics_: counts and times of attempts.
     :ivar float service_time_s_: recent mean time of an attempt in seconds.
     :ivar bool stopping_: whether new work is refused.
     """
@@ -40,6 +41,7 @@
         self.node_id = node_id
         self.failure_domain = failure_domain
         self.platform_client = platform_client
+        self.metrics_ = base.Metrics()
         self.service_time_s_ = 0.0
         self.stopping_ = False
         self.table_ = _runs.RunTable()
@@ -159,7 +161,7 @@
             refusal = self.refusals_.forgotten(order.attempt_id)
         else:
             # The first order runs or ran, and its answer goes to its own entry.
-            _log.emit(base.Event.ATTEMPT_DUPLICATE, attempt_id=order.attempt_id)
+            _log.emit(base.Event.ATTEMPT_DUPLICATE, **_ids(order))
             return
         await connection.send(refusal)
 
@@ -235,6 +237,11 @@
         expires_at = order.expires_at_ms / MILLISECONDS
         incarnation = self.ledger.incarnation
         standing = self.ledger.revoke(order.attempt_id, incarnation, expires_at, _now())
+        _log.emit(
+            base.Event.ATTEMPT_REVOKED,
+            attempt_id=order.attempt_id,
+            standing=str(standing),
+        )
         run = self.table_.by_attempt_id.get(order.attempt_id)
         if run is None:
             return
@@ -275,7 +282,7 @@
     def _abandon(self, run):
         is_wanted = run.listener_by_attempt_id or not run.order.repeatable
         if run.end_ is None and not is_wanted:
-            _log.emit(base.Event.RUN_ABANDONED, attempt_id=run.order.attempt_id)
+            _log.emit(base.Event.RUN_ABANDONED, **_ids(run.order))
             self._stop_run(run)
 
     def _stop_run(self, run):
@@ -345,6 +352,7 @@
                 await self.client.call(run.order, run.take_head, run.take_data)
             run.finish()
             self._learn_service_time(_now() - began)
+            self.metrics_.observe("attempt_seconds", _now() - began)
         except _endpoint.EndpointError as error:
             run.started_ = error.sent
             run.refuse(self.refusals_.endpoint_failed(error))
@@ -362,6 +370,7 @@
 
     def _finish(self, run):
         self.gate.leave_slot()
+        self.metrics_.count("attempts_total", result=_result(run))
         self._task_by_run.pop(run, None)
         for attempt_id in run.attempt_ids_:
             self.ledger.finish(attempt_id, _now())
@@ -397,3 +406,16 @@
 
 def _now():
     return asyncio.get_running_loop().time()
+
+
+def _ids(order):
+    """Return what each log line about an attempt names."""
+    return {
+        "request_id": order.request_id,
+        "attempt_id": order.attempt_id,
+        "config_version": order.config_version,
+    }
+
+
+def _result(run):
+    return str(run.end_.kind) if isinstance(run.end_, wire.Refused) else "answered"
--- a/libs/platform/src/sequoiagap/platform/_client.py
+++ b/libs/platform/src/sequoiagap/platform/_client.py
@@ -162,9 +162,9 @@
             request = session.request(
                 method, self.url + path, json=body, timeout=timeout
             )
-            return await self._finish_call(method, request)
+            return await self._finish_call(method, request, session)
 
-    async def _finish_call(self, method, request):
+    async def _finish_call(self, method, request, session):
         try:
             async with request as response:
                 if response.status >= 500:
@@ -177,7 +177,7 @@
                 f"platform can't be reached ({error})", _CALL_LIMIT_REMEDY
             ) from error
         except (TimeoutError, aiohttp.ClientError) as error:
-            self._sessions.renew()
+            self._sessions.renew(session)
             raise _unanswered(method, repr(error)) from error
         except ValueError as error:
             raise _unanswered(method, repr(error)) from error
--- a/libs/platform/src/sequoiagap/platform/_sessions.py
+++ b/libs/platform/src/sequoiagap/platform/_sessions.py
@@ -37,11 +37,14 @@
             self._current = aiohttp.ClientSession(connector=connector, **self.options)
         return _Loan(self, self._current)
 
-    def renew(self):
-        """Use no open connection again."""
-        old, self._current = self._current, None
-        if old is not None and old not in self._count_by_session:
-            self._closing.start(old.close(), "close-session")
+    def renew(self, failed):
+        """Use no open connection of a session again.
+
+        :param aiohttp.ClientSession failed: the borrowed session that failed; it
+            may have been replaced already.
+        """
+        if failed is self._current:
+            self._current = None
 
     async def close(self):
         """Close every connection."""
