Keep a cold endpoint within its cold limit whatever restarts around it

Cause: the gate believed one probe each 0.25 s and nothing else. In that gap a restarted endpoint got up to its warm limit; a fresh agent began from "nothing in flight"; the ramp ran by the clock while the endpoint still called itself cold; and an endpoint that turned cold in silence was never noticed.

Change: the gate stays shut until the endpoint has said for 0.5 s what still runs there, and counts that. It opens above the cold limit by time and by one slot for each good answer. A new start id (in a report or on an answer), the end of an idle connection held to the endpoint, a cold report, errors in a row or five first bytes in a row above three times the usual bring it down at once. Each relapse doubles the next ramp, up to eight times.

Ruled out: a shorter probe interval alone; it narrows the gap and costs calls.

--- a/libs/admission/src/sequoiagap/admission/__init__.py
+++ b/libs/admission/src/sequoiagap/admission/__init__.py
@@ -1,6 +1,19 @@
 """Admission of requests: fair shares, queues, budgets and endpoint limits."""
 
 from sequoiagap.admission._budget import RetryBudget
+from sequoiagap.admission._fair import FairQueue, Shed, effective_weight
 from sequoiagap.admission._gate import EndpointGate, EndpointState
+from sequoiagap.admission._health import EndpointHealth
+from sequoiagap.admission._usage import AccountUsage, UsageTable
 
-__all__ = ["EndpointGate", "EndpointState", "RetryBudget"]
+__all__ = [
+    "AccountUsage",
+    "EndpointGate",
+    "EndpointHealth",
+    "EndpointState",
+    "FairQueue",
+    "RetryBudget",
+    "Shed",
+    "UsageTable",
+    "effective_weight",
+]
--- a/libs/admission/src/sequoiagap/admission/_gate.py
+++ b/libs/admission/src/sequoiagap/admission/_gate.py
@@ -5,6 +5,11 @@
 import transitions
 
 from sequoiagap import base
+from sequoiagap.admission import _health
+
+DEFAULT_SETTLE_S = 0.5
+MAX_RAMP_DOUBLINGS = 3
+CALM_S = 60.0
 
 _log = base.get_logger("gate")
 
@@ -26,6 +31,7 @@
     ["found_warm", ["starting", "warming"], "warm"],
     ["drain", ["starting", "cold", "warming", "warm"], "draining"],
     ["undrain", "draining", "cold"],
+    ["restart", "draining", "starting"],
     ["leave", "*", "gone"],
 ]
 
@@ -33,26 +39,53 @@
 class EndpointGate:
     """Bounds the attempts that run at an endpoint at once.
 
+    The gate is shut until the endpoint has said for ``settle_s`` what still runs
+    there from before. It then opens to the cold limit while the endpoint calls
+    itself cold, and above it one slot for each good answer, no faster than
+    ``warm_up_s`` allows. A new start id, a jump of first-byte time or errors in
+    a row bring it down to the cold limit at once.
+
     :param int warm_limit: attempts that a warm endpoint bears.
     :param int cold_limit: attempts that a cold endpoint bears.
-    :param float warm_up_s: length of the ramp from cold to warm, in seconds.
+    :param float warm_up_s: shortest ramp from cold to warm, in seconds.
+    :param float settle_s: how far the endpoint's reports may lag, in seconds.
 
     :ivar str state: state of the endpoint, see :class:`EndpointState`.
-    :ivar int in_flight_: attempts that run now.
+    :ivar int in_flight_: attempts of this agent that run now.
+    :ivar int foreign_: attempts from before this agent that may still run.
+    :ivar int proven_: good answers since the ramp began.
+    :ivar int relapses_: how often it turned cold again of late.
+    :ivar bool trusted_: whether the start id was confirmed since the last doubt.
 
     >>> gate = EndpointGate(warm_limit=8, cold_limit=1, warm_up_s=4.0)
     >>> gate.report_start("start-1", now=0.0, cold=True)
-    >>> gate.try_enter(now=0.0), gate.try_enter(now=0.0)
+    >>> gate.try_enter(now=0.0)
+    False
+    >>> gate.report_start("start-1", now=0.5, cold=True)
+    >>> gate.try_enter(now=0.5), gate.try_enter(now=0.5)
     (True, False)
     """
 
-    def __init__(self, warm_limit, cold_limit, warm_up_s):
+    def __init__(self, warm_limit, cold_limit, warm_up_s, settle_s=DEFAULT_SETTLE_S):
         self.warm_limit = base.check_positive("warm_limit", warm_limit)
         self.cold_limit = base.check_positive("cold_limit", cold_limit)
         self.warm_up_s = base.check_positive("warm_up_s", warm_up_s)
+        self.settle_s = settle_s
+        self.health_ = _health.EndpointHealth()
         self.in_flight_ = 0
+        self.foreign_ = 0
+        self.proven_ = 0
+        self.relapses_ = 0
+        self.trusted_ = False
         self.start_id_ = ""
         self.ramp_began_at_ = 0.0
+        self._calls_itself_cold = False
+        self._was_starting = False
+        self._first_report_at = None
+        self._doubted_at = 0.0
+        self._warm_since = 0.0
+        self._low = 0
+        self._previous_low = 0
         self.machine_ = transitions.Machine(
             model=self,
             states=[str(state) for state in EndpointState],
@@ -62,23 +95,95 @@
             after_state_change="_log_state",
         )
 
-    def report_start(self, start_id, now, cold):
-        """Take the start id that the endpoint reports.
+    def report_start(self, start_id, now, cold, in_flight=0, asked_at=None):
+        """Take what the endpoint reports.
 
         :param str start_id: changes whenever the endpoint starts anew.
         :param float now: monotonic time in seconds.
         :param bool cold: whether the endpoint calls itself cold.
+        :param int in_flight: requests that it says run there; it may lag.
+        :param float asked_at: when it was asked; ``now`` by default.
         """
-        if start_id == self.start_id_ and self.state != EndpointState.STARTING:
-            return
-        self.start_id_ = start_id
-        if self.state == EndpointState.DRAINING or self.state == EndpointState.GONE:
+        asked_at = now if asked_at is None else asked_at
+        if asked_at >= self._doubted_at:
+            self.trusted_ = True
+        if self.state == EndpointState.GONE:
             return
-        if cold:
-            self.found_cold()
-            self.ramp_began_at_ = now
+        if self.state == EndpointState.STARTING:
+            self._settle(start_id, now, cold, in_flight)
+        elif start_id != self.start_id_:
+            self.start_id_ = start_id
+            self._turn_cold(now, "new_start_id")
         else:
-            self._warm_from_start(now)
+            self._correct_foreign(in_flight)
+        self._follow_coldness(cold, now)
+
+    def confirm_start(self, start_id, now):
+        """Take the start id that stands on an answer, if any.
+
+        :param str start_id: the start id, or empty.
+        :param float now: monotonic time in seconds.
+        """
+        if start_id and self.start_id_ and start_id != self.start_id_:
+            self.start_id_ = start_id
+            self._calls_itself_cold = True
+            self._turn_cold(now, "new_start_id")
+
+    def set_out(self, is_out, now):
+        """Follow the operators' order to leave or to take work again.
+
+        An endpoint that comes back begins at its cold limit and ramps in.
+
+        :param bool is_out: whether the endpoint is to take no new work.
+        :param float now: monotonic time in seconds.
+        """
+        if is_out and self.state not in (EndpointState.DRAINING, EndpointState.GONE):
+            self._was_starting = self.state == EndpointState.STARTING
+            self.drain()
+        elif not is_out and self.state == EndpointState.DRAINING:
+            self._begin_ramp(now)
+            if self._was_starting:
+                self._first_report_at = None
+                self.restart()
+            else:
+                self.undrain()
+
+    def doubt(self, now):
+        """Trust no more than the cold limit until the endpoint reports again.
+
+        :param float now: monotonic time in seconds.
+        """
+        self.trusted_ = False
+        self._doubted_at = now
+
+    def record_answer(self, first_byte_s, now):
+        """Take an answer that was given whole.
+
+        :param float first_byte_s: time to its first byte in seconds; 0 where
+            it says nothing, as for answers that come in one piece.
+        :param float now: monotonic time in seconds.
+        """
+        may_learn = self.state in (EndpointState.WARMING, EndpointState.WARM)
+        suspected = bool(first_byte_s) and self.health_.record_answer(
+            first_byte_s, learn=may_learn
+        )
+        if suspected and self.state in (EndpointState.WARMING, EndpointState.WARM):
+            self._turn_cold(now, "slow_first_byte")
+        elif not self.health_.is_slow(first_byte_s):
+            self.proven_ += 1
+
+    def record_error(self, now):
+        """Take an attempt that the endpoint failed.
+
+        One error in the ramp is enough to begin it again; a warm endpoint is
+        suspected when errors follow each other.
+
+        :param float now: monotonic time in seconds.
+        """
+        suspected = self.health_.record_error()
+        is_ramping = self.state in (EndpointState.COLD, EndpointState.WARMING)
+        if is_ramping or (suspected and self.state == EndpointState.WARM):
+            self._turn_cold(now, "errors")
 
     def limit(self, now):
         """Return how many attempts may run at once.
@@ -88,8 +193,10 @@
         """
         self._advance(now)
         if self.state in (EndpointState.COLD, EndpointState.WARMING):
-            return self._ramp_limit(now)
-        return self.warm_limit if self.state == EndpointState.WARM else 0
+            bound = self._ramp_limit(now)
+        else:
+            bound = self.warm_limit if self.state == EndpointState.WARM else 0
+        return bound if self.trusted_ else min(bound, self.cold_limit)
 
     def try_enter(self, now):
         """Take a slot if there is one.
@@ -97,7 +204,7 @@
         :param float now: monotonic time in seconds.
         :rtype: bool
         """
-        if self.in_flight_ >= self.limit(now):
+        if self.in_flight_ + self.foreign_ >= self.limit(now):
             return False
         self.in_flight_ += 1
         return True
@@ -105,24 +212,88 @@
     def leave_slot(self):
         """Give a slot back."""
         self.in_flight_ -= 1
+        self._low = min(self._low, self.in_flight_)
 
-    def _warm_from_start(self, now):
-        if self.state == EndpointState.STARTING:
-            self.found_warm()
+    def describe(self):
+        """Return what the limit rests on, for the state dump.
+
+        :rtype: dict
+        """
+        return {
+            "start_id": self.start_id_,
+            "trusted": self.trusted_,
+            "foreign": self.foreign_,
+            "proven": self.proven_,
+            "relapses": self.relapses_,
+            "usual_first_byte_s": self.health_.baseline_s_,
+        }
+
+    def _settle(self, start_id, now, cold, in_flight):
+        """Open once one and the same start was reported for ``settle_s``."""
+        if self._first_report_at is None or start_id != self.start_id_:
+            self.start_id_ = start_id
+            self._first_report_at = now
+            self.foreign_ = in_flight
+        self.foreign_ = max(self.foreign_, in_flight)
+        if now - self._first_report_at < self.settle_s:
+            return
+        self._previous_low = self._low = 0
+        if cold:
+            self._turn_cold(now, "start")
         else:
+            self._warm_since = now
+            self.found_warm()
+
+    def _follow_coldness(self, cold, now):
+        """Keep the ramp from beginning while the endpoint calls itself cold."""
+        if cold and self.state in (EndpointState.WARM, EndpointState.WARMING):
+            self._turn_cold(now, "reported_cold")
+        if cold or self._calls_itself_cold:
+            self._begin_ramp(now)
+        self._calls_itself_cold = cold
+
+    def _begin_ramp(self, now):
+        self.ramp_began_at_ = now
+        self.proven_ = 0
+
+    def _turn_cold(self, now, reason):
+        if self.state in (EndpointState.DRAINING, EndpointState.GONE):
+            return
+        if self.state != EndpointState.STARTING:
+            self.relapses_ += 1
+        self.health_.suspect(now)
+        self._begin_ramp(now)
+        if self.state != EndpointState.COLD:
+            _log.emit(base.Event.ENDPOINT_TURNED_COLD, reason=reason)
             self.found_cold()
-            self.ramp_began_at_ = now
+
+    def _correct_foreign(self, in_flight):
+        """Lower the count of attempts from before this agent, never raise it."""
+        lowest = min(self._low, self._previous_low)
+        self.foreign_ = min(self.foreign_, max(in_flight - lowest, 0))
+        self._previous_low, self._low = self._low, self.in_flight_
 
     def _advance(self, now):
-        elapsed = now - self.ramp_began_at_
-        if self.state == EndpointState.COLD and elapsed > 0:
+        self.health_.advance(now)
+        can_warm = not self._calls_itself_cold and now > self.ramp_began_at_
+        if self.state == EndpointState.COLD and can_warm:
             self.begin_warming()
-        if self.state == EndpointState.WARMING and elapsed >= self.warm_up_s:
+        if self.state == EndpointState.WARMING and self._is_proven(now):
+            self._warm_since = now
             self.found_warm()
+        if self.state == EndpointState.WARM and now - self._warm_since > CALM_S:
+            self.relapses_ = 0
+
+    def _is_proven(self, now):
+        return self._ramp_limit(now) >= self.warm_limit
+
+    def _ramp_s(self):
+        return self.warm_up_s * 2 ** min(self.relapses_, MAX_RAMP_DOUBLINGS)
 
     def _ramp_limit(self, now):
-        share = min(max((now - self.ramp_began_at_) / self.warm_up_s, 0.0), 1.0)
-        return int(self.cold_limit + share * (self.warm_limit - self.cold_limit))
+        share = min(max((now - self.ramp_began_at_) / self._ramp_s(), 0.0), 1.0)
+        by_time = int(share * max(self.warm_limit - self.cold_limit, 0))
+        return min(self.cold_limit + min(by_time, self.proven_), self.warm_limit)
 
     def _log_state(self):
         _log.emit(base.Event.ENDPOINT_STATE, state=self.state)
--- /dev/null
+++ b/libs/admission/src/sequoiagap/admission/_health.py
@@ -0,0 +1,117 @@
+"""Judgement of an endpoint by its own answers."""
+
+import collections
+import statistics
+
+from sequoiagap import base
+
+BASELINE_SAMPLES = 64
+MIN_BASELINE_SAMPLES = 8
+SLOW_FACTOR = 3.0
+SLOW_FLOOR_S = 0.02
+CONFIRMING_ANSWERS = 5
+CONFIRMING_ERRORS = 2
+FORGET_S = 60.0
+
+
+class EndpointHealth:
+    """Tells a jump of first-byte time or of errors from ordinary variation.
+
+    One slow answer or one error proves nothing: a long prompt is slow too. An
+    endpoint is suspected when the *fastest* of the last few answers is slower
+    than a multiple of its usual time, or when errors follow each other.
+
+    :param float slow_factor: multiple of the usual first-byte time.
+    :param int confirming_answers: answers in a row that must all be slow.
+    :param int confirming_errors: errors in a row that count.
+
+    :ivar float baseline_s_: usual first-byte time in seconds; 0 while unknown.
+
+    >>> health = EndpointHealth(confirming_errors=2)
+    >>> health.record_error(), health.record_error()
+    (False, True)
+    """
+
+    def __init__(
+        self,
+        slow_factor=SLOW_FACTOR,
+        confirming_answers=CONFIRMING_ANSWERS,
+        confirming_errors=CONFIRMING_ERRORS,
+    ):
+        self.slow_factor = base.check_positive("slow_factor", slow_factor)
+        self.confirming_answers = base.check_positive(
+            "confirming_answers", confirming_answers
+        )
+        self.confirming_errors = base.check_positive(
+            "confirming_errors", confirming_errors
+        )
+        self.baseline_s_ = 0.0
+        self.errors_in_row_ = 0
+        self._usual = collections.deque(maxlen=BASELINE_SAMPLES)
+        self._latest = collections.deque(maxlen=confirming_answers)
+        self._suspected_at = None
+
+    def record_answer(self, first_byte_s, learn=True):
+        """Take the first-byte time of an answer.
+
+        :param float first_byte_s: time to the first byte in seconds.
+        :param bool learn: whether the usual time may be learnt from it.
+        :returns: whether the endpoint is to be suspected.
+        :rtype: bool
+        """
+        self.errors_in_row_ = 0
+        self._latest.append(first_byte_s)
+        if not self.is_slow(first_byte_s) and learn:
+            self._learn(first_byte_s)
+        enough = len(self._latest) == self.confirming_answers
+        return enough and self.is_slow(min(self._latest))
+
+    def record_error(self):
+        """Take an attempt that the endpoint failed.
+
+        :returns: whether the endpoint is to be suspected.
+        :rtype: bool
+        """
+        self.errors_in_row_ += 1
+        return self.errors_in_row_ >= self.confirming_errors
+
+    def is_slow(self, first_byte_s):
+        """Tell whether a first-byte time is far above the usual one.
+
+        :param float first_byte_s: time to the first byte in seconds.
+        :rtype: bool
+        """
+        if not self.baseline_s_:
+            return False
+        bound = max(self.baseline_s_ * self.slow_factor, SLOW_FLOOR_S)
+        return first_byte_s > bound
+
+    def suspect(self, now):
+        """Forget the latest answers after the endpoint was turned cold.
+
+        :param float now: monotonic time in seconds.
+        """
+        self._latest.clear()
+        self.errors_in_row_ = 0
+        if self._suspected_at is None:
+            self._suspected_at = now
+
+    def advance(self, now):
+        """Learn the usual time anew when the endpoint stays slow for long.
+
+        A lasting change, such as a larger model, must not hold an endpoint at
+        its cold limit for ever.
+
+        :param float now: monotonic time in seconds.
+        """
+        if self._suspected_at is None or now - self._suspected_at < FORGET_S:
+            return
+        self._suspected_at = None
+        self.baseline_s_ = 0.0
+        self._usual.clear()
+        self._latest.clear()
+
+    def _learn(self, first_byte_s):
+        self._usual.append(first_byte_s)
+        if len(self._usual) >= MIN_BASELINE_SAMPLES:
+            self.baseline_s_ = statistics.median(self._usual)
--- /dev/null
+++ b/libs/admission/src/sequoiagap/admission/_usage.py
@@ -0,0 +1,125 @@
+"""Usage of client accounts, exchanged among the entries of a deployment."""
+
+import dataclasses
+
+from sequoiagap import base, wire
+
+USAGE_EXPIRY_S = 3.0
+
+
+@wire.message(500)
+class AccountUsage:
+    """What client accounts used at one entry since its last report.
+
+    :param str entry_id: the entry.
+    :param str incarnation: its incarnation.
+    :param dict used_s: slot time since the last report, in seconds, by account.
+    :param dict in_flight: requests that run or wait there now, by account.
+    """
+
+    entry_id: str
+    incarnation: str
+    used_s: dict
+    in_flight: dict
+
+
+@dataclasses.dataclass
+class _Entry:
+    heard_at: float = 0.0
+    in_flight: dict = dataclasses.field(default_factory=dict)
+
+
+class UsageTable:
+    """Own usage, and that of other entries until it expires.
+
+    :param str entry_id: id of this entry.
+    :param str incarnation: its incarnation.
+    :param float expiry_s: how long a report counts, in seconds.
+
+    >>> table = UsageTable("entry-0", "inc-0")
+    >>> report = AccountUsage("entry-1", "inc-1", {"guild": 1.0}, {"guild": 2})
+    >>> table.take(report, now=1.0), table.remote_in_flight("guild")
+    ({'guild': 1.0}, 2)
+    """
+
+    def __init__(self, entry_id, incarnation, expiry_s=USAGE_EXPIRY_S):
+        self.entry_id = entry_id
+        self.incarnation = incarnation
+        self.expiry_s = base.check_positive("expiry_s", expiry_s)
+        self.in_flight_ = {}
+        self._used_s = {}
+        self._entry_by_id = {}
+
+    def enter(self, account):
+        """Count a request that begins to wait or run here.
+
+        :param str account: client account.
+        """
+        self.in_flight_[account] = self.in_flight_.get(account, 0) + 1
+
+    def leave(self, account, used_s):
+        """Count the end of a request and the slot time that it used.
+
+        :param str account: client account.
+        :param float used_s: slot time in seconds.
+        """
+        left = self.in_flight_.get(account, 0) - 1
+        if left > 0:
+            self.in_flight_[account] = left
+        else:
+            self.in_flight_.pop(account, None)
+        self._used_s[account] = self._used_s.get(account, 0.0) + used_s
+
+    def make_report(self):
+        """Return the message for the other entries, and begin the next one.
+
+        :rtype: AccountUsage
+        """
+        used_s, self._used_s = self._used_s, {}
+        return AccountUsage(
+            self.entry_id, self.incarnation, used_s, dict(self.in_flight_)
+        )
+
+    def take(self, report, now):
+        """Take the report of another entry.
+
+        :param AccountUsage report: the report.
+        :param float now: monotonic time in seconds.
+        :returns: slot time that accounts used there, in seconds.
+        :rtype: dict[str, float]
+        """
+        if report.entry_id == self.entry_id:
+            return {}
+        self._entry_by_id[report.entry_id] = _Entry(now, dict(report.in_flight))
+        return report.used_s
+
+    def expire(self, now):
+        """Forget entries that have not reported of late.
+
+        :param float now: monotonic time in seconds.
+        :returns: ids of the entries forgotten.
+        :rtype: list[str]
+        """
+        silent = [
+            entry_id
+            for entry_id, entry in self._entry_by_id.items()
+            if now - entry.heard_at > self.expiry_s
+        ]
+        for entry_id in silent:
+            del self._entry_by_id[entry_id]
+        return silent
+
+    def remote_in_flight(self, account):
+        """Return how many requests of an account run or wait at other entries.
+
+        :param str account: client account.
+        :rtype: int
+        """
+        return sum(e.in_flight.get(account, 0) for e in self._entry_by_id.values())
+
+    def entries_heard(self):
+        """Return the ids of the entries whose usage counts now.
+
+        :rtype: list[str]
+        """
+        return sorted(self._entry_by_id)
--- a/libs/agent/src/sequoiagap/agent/_agent.py
+++ b/libs/agent/src/sequoiagap/agent/_agent.py
@@ -3,12 +3,9 @@
 import asyncio
 import json
 import signal
-import time
 
 from sequoiagap import admission, base, config, outcome, platform, settings, wire
-from sequoiagap.agent import _endpoint, _executor, _spread
-
-PROBE_INTERVAL_S = 0.25
+from sequoiagap.agent import _endpoint, _executor, _gatekeeper, _spread
 
 _log = base.get_logger("agent")
 
@@ -36,10 +33,10 @@
 
     def _build(self):
         endpoint = self.settings.endpoint
-        self.client_ = _endpoint.EndpointClient(endpoint)
         self.gate_ = admission.EndpointGate(
             endpoint.warm_limit, endpoint.cold_limit, endpoint.warm_up_s
         )
+        self.client_ = _endpoint.EndpointClient(endpoint, self.gate_)
         self.ledger_ = outcome.Ledger(self.incarnation_)
         self.platform_ = platform.PlatformClient(
             self.settings.platform.url, self.settings.platform.timeout_s
@@ -52,6 +49,9 @@
             self.settings.node_id,
             self.settings.failure_domain,
         )
+        self.gatekeeper_ = _gatekeeper.GateKeeper(
+            self.client_, self.gate_, self.executor_.is_out, self._announce_load
+        )
         self.spread_ = _spread.ConfigSpread(self.holder_, self.platform_)
         self.handlers_ = wire.HandlerTable()
         self.executor_.attach(self.handlers_)
@@ -66,7 +66,9 @@
             self._serve, str(self.settings.address), self.settings.port
         )
         self.port_ = self._server.sockets[0].getsockname()[1]
-        self._tasks.start(self._probe_forever(), "probe")
+        self.holder_.add_listener(self._on_adopted)
+        self._tasks.start(self.gatekeeper_.probe_forever(), "probe")
+        self._tasks.start(self.gatekeeper_.watch_connection(), "watch-endpoint")
         self._tasks.start(self.spread_.learn(), "learn-config")
         _log.emit(base.Event.PROCESS_READY, role="agent", port=self.port_)
 
@@ -103,6 +105,7 @@
                 "in_flight": load.in_flight,
                 "limit": load.limit,
                 "service_time_s": load.service_time_s,
+                "gate": self.gate_.describe(),
             },
             "connections": sorted(c.peer.node_id for c in self.connections_),
             "platform_calls": self.platform_.calls_,
@@ -143,18 +146,8 @@
             secret=self._secret,
         )
 
-    async def _probe_forever(self):
-        """Follow the endpoint's own report; announce each change of limit."""
-        announced = None
-        while True:
-            report = await self.client_.report()
-            if report is not None:
-                self.gate_.report_start(report.start_id, time.monotonic(), report.cold)
-            load = self.executor_.load()
-            if (load.state, load.limit) != announced:
-                announced = (load.state, load.limit)
-                await self._announce_load()
-            await asyncio.sleep(PROBE_INTERVAL_S)
+    def _on_adopted(self, version):
+        self._tasks.start(self.gatekeeper_.follow_orders(), "follow-orders")
 
     async def _announce_load(self):
         for connection in list(self.connections_):
--- a/libs/agent/src/sequoiagap/agent/_endpoint.py
+++ b/libs/agent/src/sequoiagap/agent/_endpoint.py
@@ -5,6 +5,7 @@
 import aiohttp
 
 from sequoiagap import base
+from sequoiagap.agent import _observer
 
 CHUNK_BYTES = 65536
 PROBE_TIMEOUT_S = 1.0
@@ -44,10 +45,12 @@
 
     :param sequoiagap.settings.EndpointSettings settings: where it is and how
         long to wait for it.
+    :param sequoiagap.admission.EndpointGate gate: is told how attempts end.
     """
 
-    def __init__(self, settings):
+    def __init__(self, settings, gate):
         self.settings = settings
+        self.gate = gate
         self._session = None
 
     async def open(self):
@@ -101,15 +104,21 @@
             headers=headers,
             timeout=timeout,
         )
+        observer = _observer.AttemptObserver(self.gate)
         try:
             async with call as response:
+                observer.head(response.status, response.headers)
                 self._check_echo(order, response)
                 await on_head(response.status, _forwarded(response.headers))
                 async for data in response.content.iter_chunked(CHUNK_BYTES):
+                    observer.data()
                     await on_data(data)
+            observer.done()
         except aiohttp.ClientConnectorError as error:
+            observer.failed(error)
             raise EndpointError(f"endpoint can't be reached: {error}", False) from error
         except (aiohttp.ClientError, TimeoutError) as error:
+            observer.failed(error)
             raise EndpointError(f"endpoint failed: {error!r}", True) from error
 
     def _check_echo(self, order, response):
--- a/libs/agent/src/sequoiagap/agent/_executor.py
+++ b/libs/agent/src/sequoiagap/agent/_executor.py
@@ -94,7 +94,7 @@
         await connection.send(wire.Revoked(order.attempt_id, str(standing)))
 
     def _find_refusal(self, order):
-        if self.stopping_ or self._is_out():
+        if self.stopping_ or self.is_out():
             return self._refused(order, base.RefusalKind.DRAINING, "endpoint drains")
         if not self.gate.try_enter(time.monotonic()):
             return self._refused(order, base.RefusalKind.OVERLOADED, "no free slot")
@@ -103,7 +103,11 @@
             return self._refused(order, base.RefusalKind.REVOKED, "attempt is revoked")
         return None
 
-    def _is_out(self):
+    def is_out(self):
+        """Return whether operators took the endpoint or its domain out.
+
+        :rtype: bool
+        """
         document = self.holder.current_.document
         domain = document.failure_domains.get(self.failure_domain)
         endpoint = document.endpoints.get(self.node_id)
--- a/libs/base/src/sequoiagap/base/_events.py
+++ b/libs/base/src/sequoiagap/base/_events.py
@@ -38,6 +38,11 @@
     ENDPOINT_STATE = 1401
     ENDPOINT_SEEN = 1402
     ENDPOINT_GONE = 1403
+    ENDPOINT_TURNED_COLD = 1404
+    ENDPOINT_DOUBTED = 1405
+    USAGE_EXPIRED = 1601
+    ADMISSION_OVERLOADED = 1602
+    ADMISSION_CALM = 1603
 
 
 CATALOGUE = {
@@ -65,6 +70,11 @@
     Event.ENDPOINT_STATE: "An endpoint changed its state.",
     Event.ENDPOINT_SEEN: "An endpoint became known.",
     Event.ENDPOINT_GONE: "An endpoint is no longer used.",
+    Event.ENDPOINT_TURNED_COLD: "An endpoint is held to its cold limit, with reason.",
+    Event.ENDPOINT_DOUBTED: "An endpoint's connection ended; it is asked again.",
+    Event.USAGE_EXPIRED: "An entry's usage of client accounts is no longer counted.",
+    Event.ADMISSION_OVERLOADED: "Requests wait or are shed for lack of capacity.",
+    Event.ADMISSION_CALM: "No request waits for capacity any more.",
 }
 
 _WARNINGS = frozenset(
--- a/libs/entry/src/sequoiagap/entry/_callers.py
+++ b/libs/entry/src/sequoiagap/entry/_callers.py
@@ -19,7 +19,7 @@
     """Handlers of the callers' HTTP.
 
     :param sequoiagap.settings.EntrySettings settings: checked settings.
-    :param Dispatcher dispatcher: runs requests.
+    :param EntryAdmission admission: admits requests and runs them.
     :param sequoiagap.config.ConfigHolder holder: configuration in force.
     :param KeyRing keys: keys of client accounts and operators.
     :param sequoiagap.outcome.Journal journal: remembers decisions.
@@ -28,9 +28,9 @@
     :ivar int in_flight_: requests that run now.
     """
 
-    def __init__(self, settings, dispatcher, holder, keys, journal, metrics):
+    def __init__(self, settings, admission, holder, keys, journal, metrics):
         self.settings = settings
-        self.dispatcher = dispatcher
+        self.admission = admission
         self.holder = holder
         self.keys = keys
         self.journal = journal
@@ -138,7 +138,7 @@
         began = time.monotonic()
         self._enter()
         try:
-            result = await self.dispatcher.dispatch(request, sink)
+            result = await self.admission.run(request, sink)
         finally:
             self._exit()
         self.metrics.observe("request_seconds", time.monotonic() - began)
@@ -182,6 +182,7 @@
             deadline=time.monotonic() + self.settings.request_timeout_s,
             repeatable=repeatable,
             idempotency_key=http_request.headers.get(IDEMPOTENCY_HEADER, ""),
+            priority=self._priority(account),
         )
 
     def _refuse(self, refusal, request_id):
@@ -204,6 +205,10 @@
         )
         return _responses.refusal_response(refusal, request_id)
 
+    def _priority(self, account):
+        order = self.holder.current_.document.client_accounts.get(account)
+        return order.priority if order else 0
+
     def _version(self):
         return self.holder.current_.number
 
--- a/libs/entry/src/sequoiagap/entry/_dispatch.py
+++ b/libs/entry/src/sequoiagap/entry/_dispatch.py
@@ -53,9 +53,11 @@
     :param sequoiagap.admission.RetryBudget budget: bounds retries.
     :param sequoiagap.outcome.Journal journal: remembers decisions.
     :param random.Random random_state: source of randomness.
+    :param str failure_domain: failure domain of this entry.
     """
 
-    def __init__(self, links, holder, budget, journal, random_state):
+    def __init__(self, links, holder, budget, journal, random_state, failure_domain=""):
+        self.failure_domain = failure_domain
         self.links = links
         self.holder = holder
         self.budget = budget
@@ -95,7 +97,10 @@
         fresh = [view for view in candidates if view.endpoint_id not in tried]
         if not fresh:
             return None
-        return self._policy().choose(fresh, self.random_state)
+        context = routing.make_context(
+            time.monotonic(), self.failure_domain, request.target, request.body
+        )
+        return self._policy().choose(fresh, self.random_state, context)
 
     def _policy(self):
         name = self.holder.current_.document.routing.policy
--- a/libs/entry/src/sequoiagap/entry/_entry.py
+++ b/libs/entry/src/sequoiagap/entry/_entry.py
@@ -9,6 +9,7 @@
 
 from sequoiagap import admission, base, config, outcome, platform, settings, wire
 from sequoiagap.entry import (
+    _admission,
     _auth,
     _callers,
     _dispatch,
@@ -65,6 +66,7 @@
         await self.callers_.wait_idle(self.settings.drain_bound_s)
         await self._runner.cleanup()
         await self._tasks.close()
+        await self.admission_.close()
         await self.links_.close()
         await self.platform_.close()
         _log.emit(base.Event.PROCESS_STOPPED, role="entry")
@@ -89,6 +91,7 @@
             "config_version": self.holder_.current_.number,
             "ready": self.is_ready(),
             "in_flight": self.callers_.in_flight_,
+            "admission": self.admission_.describe(),
             "endpoints": {
                 endpoint_id: _describe(link)
                 for endpoint_id, link in sorted(self.links_.by_id.items())
@@ -100,10 +103,28 @@
     def _make_app(self, keys):
         budget = admission.RetryBudget()
         dispatcher = _dispatch.Dispatcher(
-            self.links_, self.holder_, budget, self.journal_, self.random_state
+            self.links_,
+            self.holder_,
+            budget,
+            self.journal_,
+            self.random_state,
+            self.settings.failure_domain,
+        )
+        self.admission_ = _admission.EntryAdmission(
+            self.settings,
+            self.incarnation_,
+            dispatcher,
+            self.holder_,
+            self.metrics_,
+            self.random_state,
         )
         self.callers_ = _callers.CallersApi(
-            self.settings, dispatcher, self.holder_, keys, self.journal_, self.metrics_
+            self.settings,
+            self.admission_,
+            self.holder_,
+            keys,
+            self.journal_,
+            self.metrics_,
         )
         store = config.ConfigStore(self.platform_)
         operators = _operators.OperatorsApi(self, store, self.holder_, keys)
--- a/libs/entry/src/sequoiagap/entry/_link.py
+++ b/libs/entry/src/sequoiagap/entry/_link.py
@@ -179,11 +179,7 @@
             await events.put(item)
 
     async def _on_load(self, connection, item):
-        self.view.state = item.state
-        self.view.limit = item.limit
-        self.view.reported_in_flight = item.in_flight
-        self.view.queued = item.queued
-        self.view.service_time_s = item.service_time_s
+        self.view.take_report(item, time.monotonic())
         if item.state == "gone":
             self.member.leaving = True
 
--- a/libs/routing/src/sequoiagap/routing/_endpoint.py
+++ b/libs/routing/src/sequoiagap/routing/_endpoint.py
@@ -2,6 +2,10 @@
 
 import dataclasses
 
+FULL_WAIT_SHARE = 1.0
+REPORT_HALF_LIFE_S = 0.5
+DEFAULT_SERVICE_TIME_S = 0.2
+
 
 @dataclasses.dataclass
 class EndpointView:
@@ -17,6 +21,8 @@
     :param int queued: attempts that wait at the agent, as reported.
     :param float service_time_s: recent mean time of an attempt in seconds.
     :param bool connected: whether its agent can be reached.
+    :param int own_at_report: own attempts when the report came.
+    :param float reported_at: when the report came, monotonic time in seconds.
     """
 
     endpoint_id: str
@@ -29,3 +35,62 @@
     queued: int = 0
     service_time_s: float = 0.0
     connected: bool = False
+    own_at_report: int = 0
+    reported_at: float = 0.0
+
+    def take_report(self, load, now):
+        """Take what the agent says.
+
+        :param load: message with the fields of the same names.
+        :param float now: monotonic time in seconds.
+        """
+        self.state = load.state
+        self.limit = load.limit
+        self.reported_in_flight = load.in_flight
+        self.queued = load.queued
+        self.service_time_s = load.service_time_s
+        self.own_at_report = self.own_in_flight
+        self.reported_at = now
+
+    def expected_in_flight(self, now):
+        """Return how many attempts are expected to run and wait there.
+
+        Own attempts are known; those of other entries are as reported, and the
+        older the report, the less it counts.
+
+        :param float now: monotonic time in seconds.
+        :rtype: float
+
+        >>> view = EndpointView("e", "a", frozenset(), reported_in_flight=8)
+        >>> view.expected_in_flight(0.0), view.expected_in_flight(0.5)
+        (8.0, 4.0)
+        """
+        others = max(self.reported_in_flight + self.queued - self.own_at_report, 0)
+        age = max(now - self.reported_at, 0.0)
+        return self.own_in_flight + others * 0.5 ** (age / REPORT_HALF_LIFE_S)
+
+    def free_slots(self, now):
+        """Return how many more attempts it is expected to take at once.
+
+        :param float now: monotonic time in seconds.
+        :rtype: int
+        """
+        return max(self.limit - round(self.expected_in_flight(now)), 0)
+
+    def expected_wait_s(self, now):
+        """Return the delay that an attempt would meet, in seconds.
+
+        It grows with the share of the slots in use; an endpoint without a free
+        slot costs the time until one is free on top.
+
+        :param float now: monotonic time in seconds.
+        :rtype: float
+
+        >>> view = EndpointView("e", "a", frozenset(), limit=4, own_in_flight=2)
+        >>> view.expected_wait_s(0.0)
+        0.1
+        """
+        service_time_s = self.service_time_s or DEFAULT_SERVICE_TIME_S
+        used = self.expected_in_flight(now) / max(self.limit, 1)
+        full = FULL_WAIT_SHARE if used >= 1.0 else 0.0
+        return service_time_s * (used + full)
--- a/libs/routing/src/sequoiagap/routing/_policies.py
+++ b/libs/routing/src/sequoiagap/routing/_policies.py
@@ -1,26 +1,16 @@
-"""Registered policies; each takes candidates and a random generator."""
+"""Registered policies; each takes candidates, a random generator and a context."""
+
+import xxhash
 
 from sequoiagap import base
 
 POLICIES = base.Registry("policy")
-DEFAULT_SERVICE_TIME_S = 0.2
-CHOICES = 2
-
-
-def expected_wait_s(endpoint):
-    """Return the wait that an attempt would meet, in seconds.
-
-    :param EndpointView endpoint: the endpoint.
-    :rtype: float
-
-    >>> from sequoiagap.routing import EndpointView
-    >>> view = EndpointView("e", "a", frozenset(), limit=2, own_in_flight=4)
-    >>> expected_wait_s(view)
-    0.4
-    """
-    in_flight = max(endpoint.reported_in_flight, endpoint.own_in_flight)
-    service_time = endpoint.service_time_s or DEFAULT_SERVICE_TIME_S
-    return service_time * (in_flight + endpoint.queued) / max(endpoint.limit, 1)
+NEAR_CHOICES = 2
+FAR_CHOICES = 1
+FAR_PENALTY_S = 0.005
+COLD_PENALTY_S = 0.002
+PREFILL_S_PER_BYTE = 25e-6
+_COLD_STATES = frozenset({"cold", "warming"})
 
 
 @POLICIES.register("round_robin")
@@ -30,11 +20,12 @@
     def __init__(self):
         self._next = 0
 
-    def choose(self, candidates, random_state):
+    def choose(self, candidates, random_state, context):
         """Return the next candidate.
 
         :param list[EndpointView] candidates: at least one.
         :param random.Random random_state: not used.
+        :param RouteContext context: not used.
         :rtype: EndpointView
         """
         self._next += 1
@@ -45,11 +36,12 @@
 class LeastInFlight:
     """Takes the endpoint with the fewest attempts of this entry; a baseline."""
 
-    def choose(self, candidates, random_state):
+    def choose(self, candidates, random_state, context):
         """Return a candidate with the fewest own attempts.
 
         :param list[EndpointView] candidates: at least one.
         :param random.Random random_state: breaks ties.
+        :param RouteContext context: not used.
         :rtype: EndpointView
         """
         return min(candidates, key=lambda e: (e.own_in_flight, random_state.random()))
@@ -57,18 +49,71 @@
 
 @POLICIES.register("expected_wait")
 class ExpectedWait:
-    """Takes the shorter expected wait of two random endpoints.
+    """Takes the least expected wait of a few endpoints.
 
-    Two choices instead of all keep entries that see the same idle endpoint
+    Two random endpoints of the entry's own failure domain, one of the others,
+    and the one that prefers the prompt's prefix by rendezvous hashing. Few
+    random choices instead of all keep entries that see the same idle endpoint
     from rushing it together.
+
+    :param float prefill_s_per_byte: time that a remembered prefix saves.
+    :param float far_penalty_s: what another failure domain costs.
     """
 
-    def choose(self, candidates, random_state):
-        """Return the better of a random pair of candidates.
+    def __init__(
+        self, prefill_s_per_byte=PREFILL_S_PER_BYTE, far_penalty_s=FAR_PENALTY_S
+    ):
+        self.prefill_s_per_byte = prefill_s_per_byte
+        self.far_penalty_s = far_penalty_s
+
+    def choose(self, candidates, random_state, context):
+        """Return the candidate with the least cost among the few.
 
         :param list[EndpointView] candidates: at least one.
-        :param random.Random random_state: draws the pair.
+        :param random.Random random_state: draws the few.
+        :param RouteContext context: where the request came in, and its prefix.
         :rtype: EndpointView
         """
-        pair = random_state.sample(candidates, min(CHOICES, len(candidates)))
-        return min(pair, key=expected_wait_s)
+        few = self._draw(candidates, random_state, context)
+        saving_s = 0.0
+        preferred = None
+        if context.prefix:
+            preferred = prefer(candidates, context.prefix)
+            saving_s = context.prompt_bytes * self.prefill_s_per_byte
+            few.append(preferred)
+        costs = [
+            (self._cost_s(view, context) - saving_s * (view is preferred), i)
+            for i, view in enumerate(few)
+        ]
+        return few[min(costs)[1]]
+
+    def _draw(self, candidates, random_state, context):
+        near = [e for e in candidates if e.failure_domain == context.failure_domain]
+        far = [e for e in candidates if e.failure_domain != context.failure_domain]
+        few = random_state.sample(near, min(NEAR_CHOICES, len(near)))
+        wanted = FAR_CHOICES if near else NEAR_CHOICES
+        return few + random_state.sample(far, min(wanted, len(far)))
+
+    def _cost_s(self, view, context):
+        cost = view.expected_wait_s(context.now)
+        if view.failure_domain != context.failure_domain:
+            cost += self.far_penalty_s
+        if view.state in _COLD_STATES:
+            cost += COLD_PENALTY_S
+        return cost
+
+
+def prefer(candidates, prefix):
+    """Return the candidate that a prefix prefers, by rendezvous hashing.
+
+    Each entry finds the same one without a word, and when an endpoint leaves,
+    only its own prefixes move.
+
+    :param list[EndpointView] candidates: at least one.
+    :param int prefix: digest of the start of the prompt.
+    :rtype: EndpointView
+    """
+    return max(
+        candidates,
+        key=lambda view: xxhash.xxh64_intdigest(view.endpoint_id, seed=prefix),
+    )
--- a/libs/settings/src/sequoiagap/settings/_models.py
+++ b/libs/settings/src/sequoiagap/settings/_models.py
@@ -46,6 +46,7 @@
     drain_lag_s: Seconds = 2.0
     drain_bound_s: Seconds = 60.0
     request_timeout_s: Seconds = 120.0
+    max_queue_wait_s: Seconds = 1.0
     max_body_bytes: Annotated[int, pydantic.Field(gt=0, le=4 * 1024 * 1024)] = 1048576
 
 
--- a/libs/standins/src/sequoiagap/standins/_engine.py
+++ b/libs/standins/src/sequoiagap/standins/_engine.py
@@ -3,12 +3,14 @@
 import asyncio
 import json
 import time
+import uuid
 
 from aiohttp import web
 
-from sequoiagap.standins import _executions, _faults
+from sequoiagap.standins import _executions, _faults, _prefixes
 
 FALLEN_STATUS = 500
+BYTES_PER_KB = 1024
 
 
 class EngineStandIn:
@@ -21,6 +23,9 @@
     :param float cold_s: how long it stays cold after a start, in seconds.
     :param float load_lag_s: how far its load report lags, in seconds.
     :param float recover_s: how long it fails after it fell over, in seconds.
+    :param float cold_slowdown: factor on its times while it is cold.
+    :param float prefill_s_per_kb: time to read a prompt, in seconds for 1024 bytes.
+    :param int cached_prefixes: prompt prefixes that it remembers.
     :param int port: TCP port; 0 lets the system choose.
     """
 
@@ -33,6 +38,9 @@
         cold_s=1.0,
         load_lag_s=0.2,
         recover_s=1.0,
+        cold_slowdown=1.0,
+        prefill_s_per_kb=0.0,
+        cached_prefixes=64,
         port=0,
     ):
         self.step_s = step_s
@@ -42,13 +50,20 @@
         self.cold_s = cold_s
         self.load_lag_s = load_lag_s
         self.recover_s = recover_s
+        self.cold_slowdown = cold_slowdown
+        self.prefill_s_per_kb = prefill_s_per_kb
+        self.cached_prefixes = cached_prefixes
         self.port = port
         self.faults_ = _faults.Faults()
         self.executions_ = _executions.Executions()
         self.fell_over_ = 0
         self.peak_in_flight_ = 0
+        self.peak_cold_ = 0
+        self.arrived_ = 0
         self.in_flight_ = 0
         self._starts = 0
+        self._start_prefix = uuid.uuid4().hex[:8]
+        self._chilled_until = 0.0
         self._fallen_until = 0.0
         self._reported = (0.0, 0)
         self._start()
@@ -63,19 +78,33 @@
         router.add_get("/load", self._on_load)
         router.add_get("/stats", self._on_stats)
         router.add_post("/restart", self._on_restart)
+        router.add_post("/chill", self._on_chill)
         self.executions_.add_routes(router)
         self.faults_.add_routes(router)
 
     def _start(self):
         self._starts += 1
         self._started_at = time.monotonic()
+        self._prefixes = _prefixes.PrefixCache(self.cached_prefixes)
 
-    def _is_cold(self):
+    def _start_id(self):
+        return f"start-{self._start_prefix}-{self._starts}"
+
+    def _admits_cold(self):
         return time.monotonic() - self._started_at < self.cold_s
 
+    def _is_cold(self):
+        return self._admits_cold() or time.monotonic() < self._chilled_until
+
     async def _on_restart(self, request):
         self._start()
-        return web.json_response({"start_id": self._starts})
+        return web.json_response({"start_id": self._start_id()})
+
+    async def _on_chill(self, request):
+        """Turn cold without a word: neither start id nor report show it."""
+        seconds = float((await request.json())["seconds"])
+        self._chilled_until = time.monotonic() + seconds
+        return web.json_response({"chilled_s": seconds})
 
     async def _on_load(self, request):
         await self.faults_.before_call()
@@ -84,41 +113,68 @@
             self._reported = (now, self.in_flight_)
         return web.json_response(
             {
-                "start_id": f"start-{self._starts}",
-                "cold": self._is_cold(),
+                "start_id": self._start_id(),
+                "cold": self._admits_cold(),
                 "in_flight": self._reported[1],
             }
         )
 
     async def _on_stats(self, request):
         return web.json_response(
-            {"fell_over": self.fell_over_, "peak_in_flight": self.peak_in_flight_}
+            {
+                "fell_over": self.fell_over_,
+                "peak_in_flight": self.peak_in_flight_,
+                "peak_cold": self.peak_cold_,
+                "arrived": self.arrived_,
+                "prefix_hits": self._prefixes.hits_,
+                "prefix_misses": self._prefixes.misses_,
+            }
         )
 
     async def _on_complete(self, request):
         await self.faults_.before_call()
         body = await request.json()
+        self.arrived_ += 1
+        start_headers = {"X-Start-Id": self._start_id()}
         bears = self.cold_capacity if self._is_cold() else self.capacity
         if self.in_flight_ >= bears and time.monotonic() >= self._fallen_until:
             self.fell_over_ += 1
             self._fallen_until = time.monotonic() + self.recover_s
         if time.monotonic() < self._fallen_until:
-            return web.Response(status=FALLEN_STATUS, text="fell over")
+            return web.Response(
+                status=FALLEN_STATUS, text="fell over", headers=start_headers
+            )
         self.executions_.record(request)
         self.in_flight_ += 1
         self.peak_in_flight_ = max(self.peak_in_flight_, self.in_flight_)
+        if self._is_cold():
+            self.peak_cold_ = max(self.peak_cold_, self.in_flight_)
         try:
+            await self._prefill(body)
             return await self._answer(request, body)
         finally:
             self.in_flight_ -= 1
 
+    async def _prefill(self, body):
+        prompt = json.dumps(body.get("messages") or body.get("prompt") or "")
+        unread = self._prefixes.read(prompt)
+        seconds = unread / BYTES_PER_KB * self.prefill_s_per_kb
+        if seconds:
+            await asyncio.sleep(seconds * self._slowdown())
+
+    def _slowdown(self):
+        return self.cold_slowdown if self._is_cold() else 1.0
+
     async def _answer(self, request, body):
         count = int(body.get("max_tokens") or self.tokens)
         words = [f"token{i}" for i in range(count)]
-        headers = {"X-Request-Id": self._echo(request)}
+        headers = {
+            "X-Request-Id": self._echo(request),
+            "X-Start-Id": self._start_id(),
+        }
         if body.get("stream"):
             return await self._stream(request, words, headers)
-        await asyncio.sleep(count * self.step_s)
+        await asyncio.sleep(count * self.step_s * self._slowdown())
         await self._misbehave()
         message = {"role": "assistant", "content": " ".join(words)}
         document = {"id": headers["X-Request-Id"], "choices": [{"message": message}]}
@@ -130,7 +186,7 @@
         await response.prepare(request)
         middle = len(words) // 2
         for index, word in enumerate(words):
-            await asyncio.sleep(self.step_s)
+            await asyncio.sleep(self.step_s * self._slowdown())
             if index == middle:
                 await self._misbehave(request)
             delta = {"choices": [{"delta": {"content": word + " "}}]}
--- /dev/null
+++ b/tests/agent/test_cold_endpoints.py
@@ -0,0 +1,127 @@
+"""Endpoints that fall over when cold are never pushed over by the fleet."""
+
+import asyncio
+import signal
+
+import aiohttp
+
+from sequoiagap import standins
+from tests import support
+
+COLD_CAPACITY = 2
+COLD_S = 1.5
+CALLERS = 40
+RECOVERY_S = 4.0
+
+
+class ColdEndpointsTest(support.FleetCase):
+    """Closed-loop callers keep every slot busy while processes come and go."""
+
+    plan = standins.FleetPlan(
+        entries=3,
+        services_per_domain=0,
+        engine={
+            "cold_capacity": COLD_CAPACITY,
+            "capacity": 16,
+            "cold_s": COLD_S,
+            "step_s": 0.02,
+            "cold_slowdown": 6.0,
+        },
+        endpoint={"cold_limit": COLD_CAPACITY, "warm_limit": 16, "warm_up_s": 1.0},
+    )
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self._callers = [asyncio.create_task(self._call(i)) for i in range(CALLERS)]
+        self.addAsyncCleanup(self._stop_callers)
+        await self._wait_warm()
+
+    async def test_no_restart_pushes_an_endpoint_over(self):
+        faults = {
+            "engine killed and started again": self._restart_engine,
+            "agent killed while its endpoint works": self._restart_agent,
+            "engine and agent together": self._restart_both,
+            "every entry healed from a pause": self._pause_entries,
+            "entries killed and started again": self._restart_entries,
+        }
+        for name, cause in faults.items():
+            with self.subTest(name):
+                await cause("north-model-0")
+                await asyncio.sleep(COLD_S + RECOVERY_S)
+                self.assertEqual(await self._count_falls(), 0)
+                await self._wait_warm()
+
+    async def test_silent_cold_is_found_by_its_errors(self):
+        """Nobody can know before the first fall; there must be no second."""
+        await asyncio.sleep(1.0)
+        await self._post("north-model-0-target", "/chill", {"seconds": 4.0})
+        await asyncio.sleep(4.0)
+        self.assertLessEqual(await self._count_falls(), 1)
+
+    async def _restart_engine(self, name):
+        target = self.fleet.process_by_name[f"{name}-target"]
+        port = target.ready_["port"]
+        await target.kill()
+        await self.fleet.start_stand_in(
+            f"{name}-target", "engine", {**self.plan.engine, "port": port}
+        )
+
+    async def _restart_agent(self, name):
+        await self.fleet.process_by_name[name].kill()
+        await self.fleet.start_agent(name)
+
+    async def _restart_both(self, name):
+        await self.fleet.process_by_name[name].kill()
+        await self._restart_engine(name)
+        await self.fleet.start_agent(name)
+
+    async def _pause_entries(self, name):
+        entries = [self.fleet.process_by_name[n] for n in self.fleet.entry_names()]
+        for entry in entries:
+            entry.send_signal(signal.SIGSTOP)
+        await self._restart_engine(name)
+        await asyncio.sleep(2.0)
+        for entry in entries:
+            entry.send_signal(signal.SIGCONT)
+
+    async def _restart_entries(self, name):
+        for index in range(self.plan.entries):
+            await self.fleet.process_by_name[f"entry-{index}"].kill()
+        await self._restart_engine(name)
+        await asyncio.gather(
+            *(self.fleet.start_entry(index) for index in range(self.plan.entries))
+        )
+
+    async def _call(self, number):
+        entry = f"entry-{number % self.plan.entries}"
+        while True:
+            try:
+                status, _ = await self.post_model(entry, stream=True)
+            except (OSError, aiohttp.ClientError):
+                status = 0
+            if status != 200:
+                await asyncio.sleep(0.05)
+
+    async def _stop_callers(self):
+        for caller in self._callers:
+            caller.cancel()
+        await asyncio.gather(*self._callers, return_exceptions=True)
+
+    async def _wait_warm(self):
+        await self.fleet.wait_until(self._all_warm, 15.0)
+
+    async def _all_warm(self):
+        _, state = await self.fleet.call("entry-1", "GET", "/state")
+        endpoints = state["endpoints"].values()
+        return all(view["state"] == "warm" for view in endpoints)
+
+    async def _count_falls(self):
+        falls = 0
+        for name in self.fleet.endpoint_names():
+            _, stats = await self.fleet.call(f"{name}-target", "GET", "/stats")
+            falls += stats["fell_over"]
+        return falls
+
+    async def _post(self, name, path, body):
+        status, _ = await self.fleet.call(name, "POST", path, body)
+        self.assertEqual(status, 200)
