--- a/libs/agent/src/sequoiagap/agent/_agent.py
+++ b/libs/agent/src/sequoiagap/agent/_agent.py
@@ -1,8 +1,6 @@
 """Assembly of the agent process."""
 
-import asyncio
 import json
-import signal
 
 from sequoiagap import admission, base, config, outcome, platform, settings, wire
 from sequoiagap.agent import _endpoint, _executor, _gatekeeper, _spread
@@ -29,6 +27,7 @@
         self._tasks = base.TaskSet()
         self._server = None
         self._secret = ""
+        self.tls_ = None
         self._build()
 
     def _build(self):
@@ -61,9 +60,10 @@
     async def start(self):
         """Listen for entries and begin to probe the endpoint."""
         self._secret = settings.load_secret(self.settings.secret_file)
+        self.tls_ = settings.load_tls(self.settings.tls)
         await self.client_.open()
-        self._server = await asyncio.start_server(
-            self._serve, str(self.settings.address), self.settings.port
+        self._server = await wire.listen(
+            self._serve, str(self.settings.address), self.settings.port, self.tls_
         )
         self.port_ = self._server.sockets[0].getsockname()[1]
         self.holder_.add_listener(self._on_adopted)
@@ -88,6 +88,14 @@
         await self.platform_.close()
         _log.emit(base.Event.PROCESS_STOPPED, role="agent")
 
+    def reload(self):
+        """Read the certificate files again.
+
+        :raises sequoiagap.base.ConfigError: if a file can't be used.
+        """
+        if self.tls_ is not None:
+            self.tls_.load()
+
     def dump_state(self):
         """Return the state of the process as plain data.
 
@@ -109,9 +117,17 @@
             },
             "connections": sorted(c.peer.node_id for c in self.connections_),
             "platform_calls": self.platform_.calls_,
-            "metrics": self.metrics_.to_document(),
+            "metrics": self._collect_metrics(load),
         }
 
+    def _collect_metrics(self, load):
+        self.metrics_.set_gauge("endpoint_in_flight", load.in_flight)
+        self.metrics_.set_gauge("endpoint_limit", load.limit)
+        self.metrics_.set_gauge("connections", len(self.connections_))
+        return base.collect_process_metrics(
+            self.metrics_, self.holder_.current_.number, self.platform_.calls_
+        )
+
     async def _serve(self, reader, writer):
         """Serve one connection until it ends."""
         try:
@@ -144,6 +160,7 @@
             failure_domain=self.settings.failure_domain,
             config_version=self.holder_.current_.number,
             secret=self._secret,
+            tls=self.tls_,
         )
 
     def _on_adopted(self, version):
@@ -167,13 +184,5 @@
     :param sequoiagap.settings.AgentSettings agent_settings: checked settings.
     """
     agent = Agent(agent_settings)
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
-    await agent.start()
-    print(
-        json.dumps({"ready": agent_settings.node_id, "port": agent.port_}), flush=True
-    )
-    await stopped.wait()
-    await agent.stop()
+    node_id = agent_settings.node_id
+    await base.run_program(agent, lambda: {"ready": node_id, "port": agent.port_})
--- a/libs/entry/src/sequoiagap/entry/_admission.py
+++ b/libs/entry/src/sequoiagap/entry/_admission.py
@@ -126,6 +126,14 @@
             "entries_heard": self.usage_.entries_heard(),
         }
 
+    def collect_metrics(self):
+        """Set the gauges and counters of admission as they are now."""
+        waiting = sum(queue.size_ for queue in self._queue_by_target.values())
+        budget = self.dispatcher.budget
+        self.metrics.set_gauge("requests_waiting", waiting)
+        self.metrics.counters_by_name["attempts_total"] = budget.first_attempts_
+        self.metrics.counters_by_name["retries_total"] = budget.retries_
+
     async def close(self):
         """Stop waking requests."""
         await self._tasks.close()
