--- /dev/null
+++ b/benchmarks/slopes.py
@@ -0,0 +1,459 @@
+"""Memory, processor time and bytes of entries and agents as counts grow.
+
+Usage: ``python -m benchmarks.slopes [--seconds N] [--counts 3,30,100,200]
+[--rates 0,20,60] [--accounts 10,100,400] [--json FILE]``.
+
+One real entry is connected to light agents, which one further process speaks for
+over the wire protocol; one real agent is connected to light entries. Resident
+memory is read from ``/proc/PID/status``, processor time from ``/proc/PID/stat``
+and bytes from the connections of the light side. The slope is the least-squares
+line over the counts.
+"""
+
+import argparse
+import asyncio
+import dataclasses
+import json
+import os
+import pathlib
+import random
+import tempfile
+import time
+
+import numpy
+
+from sequoiagap import base, config, standins, wire
+
+SEED = 3
+SETTLE_S = 3.0
+ANSWER_S = 0.05
+ACCOUNT = "account"
+CONFIG_CHANGES_PER_S = 39_000 / 86_400
+FRAME_HEADER_BYTES = 4
+ROW = "{:<34}{:>8}{:>12}{:>12}{:>14}{:>14}"
+HEAD = ("subject", "count", "resident MB", "cpu %", "bytes in /s", "bytes out /s")
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+@dataclasses.dataclass(frozen=True)
+class Usage:
+    """What a process has used so far.
+
+    :param float resident_mb: resident memory in 2**20 bytes.
+    :param float cpu_s: processor time in seconds.
+    :param float at: monotonic time in seconds.
+    """
+
+    resident_mb: float
+    cpu_s: float
+    at: float
+
+
+def read_usage(pid):
+    """Return what a process has used.
+
+    :param int pid: the process.
+    :rtype: Usage
+    """
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    line = next(x for x in status.splitlines() if x.startswith("VmRSS:"))
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    cpu_s = (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+    return Usage(int(line.split()[1]) / 1024, cpu_s, time.monotonic())
+
+
+def count_received(reader, note):
+    """Call a function with the size of all data that a stream receives.
+
+    :param asyncio.StreamReader reader: the stream.
+    :param note: function of a number of bytes.
+    """
+    feed = reader.feed_data
+
+    def counting(data):
+        note(len(data))
+        feed(data)
+
+    reader.feed_data = counting
+
+
+def count_sent(connection):
+    """Return the bytes that a connection has sent, frame headers included.
+
+    :param sequoiagap.wire.Connection connection: the connection.
+    :rtype: int
+    """
+    return connection.bytes_sent_ + FRAME_HEADER_BYTES * connection.messages_sent_
+
+
+class LightAgent:
+    """An agent of the wire protocol alone, many to a process.
+
+    :param str node_id: id of the endpoint.
+    :param str failure_domain: where it stands.
+    :param str secret: the deployment's secret.
+    """
+
+    def __init__(self, node_id, failure_domain, secret):
+        self.node_id = node_id
+        self.failure_domain = failure_domain
+        self.secret = secret
+        self.incarnation = base.new_id("inc")
+        self.received_ = 0
+        self.port_ = 0
+        self._connections = []
+        self._in_flight = 0
+        self._tasks = base.TaskSet()
+        self._handlers = wire.HandlerTable()
+        self._handlers.add(wire.Execute, self._on_execute)
+        for kind in (config.ConfigOffer, config.ConfigBody, wire.Cancel):
+            self._handlers.add(kind, self._ignore)
+
+    async def start(self):
+        """Listen on the loopback address."""
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port_ = server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader, writer):
+        hello = wire.Hello(
+            node_id=self.node_id,
+            role="agent",
+            incarnation=self.incarnation,
+            failure_domain=self.failure_domain,
+            secret=self.secret,
+        )
+        connection = await wire.accept(reader, writer, hello)
+        self._connections.append(connection)
+        count_received(reader, self._note_received)
+        await connection.send(self._load())
+        await connection.run(lambda item: self._handlers.handle(connection, item))
+
+    @property
+    def sent_(self):
+        """Bytes sent so far."""
+        return sum(count_sent(connection) for connection in self._connections)
+
+    def _note_received(self, size):
+        self.received_ += size
+
+    async def _on_execute(self, connection, order):
+        self._tasks.start(self._answer(connection, order), order.attempt_id)
+
+    async def _answer(self, connection, order):
+        self._in_flight += 1
+        await asyncio.sleep(ANSWER_S)
+        self._in_flight -= 1
+        body = b'{"choices": []}'
+        headers = {"content-type": "application/json"}
+        await connection.send(wire.Head(order.attempt_id, 200, headers))
+        await connection.send(wire.Chunk(order.attempt_id, 0, body))
+        await connection.send(wire.Final(order.attempt_id, 1, len(body)))
+        await connection.send(self._load())
+
+    async def _ignore(self, connection, item):
+        return
+
+    def _load(self):
+        return wire.Load("warm", self._in_flight, 64, 0, ANSWER_S)
+
+
+class Bench:
+    """A platform, one entry or agent under measurement, and light peers.
+
+    :param pathlib.Path folder: where settings and logs go.
+    :param int accounts: client accounts.
+    """
+
+    def __init__(self, folder, accounts=10):
+        names = tuple(f"{ACCOUNT}-{i}" for i in range(accounts))
+        plan = standins.FleetPlan(
+            entries=0, engines_per_domain=0, services_per_domain=0, accounts=names
+        )
+        self.fleet = standins.Fleet(plan, folder)
+        self.secret_path = folder / "secret"
+        self.accounts = names
+
+    async def add_light_agents(self, count):
+        """Start light agents and list them on the platform.
+
+        :param int count: how many.
+        :rtype: list[LightAgent]
+        """
+        secret = self.secret_path.read_text()
+        agents = []
+        for number in range(count):
+            domain = self.fleet.plan.domains[number % 3]
+            agent = LightAgent(f"light-{number}", domain, secret)
+            await agent.start()
+            host = {
+                "host_id": agent.node_id,
+                "role": "agent",
+                "address": "127.0.0.1",
+                "port": agent.port_,
+                "failure_domain": domain,
+                "state": "live",
+                "serves": ["desk-model"],
+            }
+            await self.fleet.call("platform", "PUT", f"/hosts/{agent.node_id}", host)
+            agents.append(agent)
+        return agents
+
+
+async def measure_entry(count, rate, accounts, seconds, changes=False):
+    """Measure one entry with some light agents at some rate.
+
+    :param int count: light agents.
+    :param float rate: requests a second.
+    :param int accounts: client accounts that send.
+    :param float seconds: length of the measurement.
+    :param bool changes: whether configuration changes at the design rate.
+    :returns: memory, processor share, bytes in and out.
+    :rtype: dict
+    """
+    with tempfile.TemporaryDirectory() as text:
+        folder = pathlib.Path(text)
+        bench = Bench(folder, accounts)
+        async with bench.fleet as fleet:
+            agents = await bench.add_light_agents(count)
+            await fleet.start_entry(0)
+            await fleet.wait_until(lambda: _sees(fleet, count), 20.0)
+            await asyncio.sleep(SETTLE_S)
+            pid = fleet.process_by_name["entry-0"].child_.pid
+            changing = asyncio.create_task(_change(fleet)) if changes else None
+            result = await _observe(fleet, pid, agents, rate, bench.accounts, seconds)
+            await base.cancel_and_wait(changing)
+            return result | {"count": count, "rate": rate, "accounts": accounts}
+
+
+async def _sees(fleet, count):
+    _, state = await fleet.call("entry-0", "GET", "/state")
+    return sum(e["connected"] for e in state["endpoints"].values()) >= count
+
+
+async def _change(fleet):
+    number = 0
+    while True:
+        number += 1
+        weight = {"client_accounts": {f"{ACCOUNT}-0": {"weight": number}}}
+        await fleet.patch_config(weight)
+        await asyncio.sleep(1 / CONFIG_CHANGES_PER_S)
+
+
+async def _observe(fleet, pid, agents, rate, accounts, seconds):
+    received = sum(a.received_ for a in agents)
+    sent = sum(a.sent_ for a in agents)
+    before = read_usage(pid)
+    if rate:
+        loads = [
+            standins.AccountLoad(name, rate / len(accounts), stream=False)
+            for name in accounts
+        ]
+        urls = [fleet.url("entry-0")]
+        generator = standins.LoadGenerator(urls, loads, random.Random(SEED))
+        book = await generator.run(seconds)
+        answered = book.total().answered
+    else:
+        await asyncio.sleep(seconds)
+        answered = 0
+    after = read_usage(pid)
+    spent_s = after.at - before.at
+    return {
+        "resident_mb": after.resident_mb,
+        "cpu_percent": 100 * (after.cpu_s - before.cpu_s) / spent_s,
+        "bytes_in": (sum(a.sent_ for a in agents) - sent) / spent_s,
+        "bytes_out": (sum(a.received_ for a in agents) - received) / spent_s,
+        "answered": answered,
+    }
+
+
+async def measure_agent(count, rate, seconds):
+    """Measure one agent with some light entries at some rate.
+
+    :param int count: light entries.
+    :param float rate: attempts a second of all of them.
+    :param float seconds: length of the measurement.
+    :rtype: dict
+    """
+    with tempfile.TemporaryDirectory() as text:
+        folder = pathlib.Path(text)
+        plan = standins.FleetPlan(
+            domains=("north",), entries=0, services_per_domain=0, engine={"cold_s": 0.1}
+        )
+        async with standins.Fleet(plan, folder) as fleet:
+            agent = fleet.process_by_name["north-model-0"]
+            secret = (folder / "secret").read_text()
+            port = agent.ready_["port"]
+            entries = [LightEntry(i, secret) for i in range(count)]
+            for entry in entries:
+                await entry.start(port)
+            await asyncio.sleep(SETTLE_S)
+            before = read_usage(agent.child_.pid)
+            count_before = _count_bytes(entries)
+            await _execute(entries, rate, seconds)
+            after = read_usage(agent.child_.pid)
+            spent_s = after.at - before.at
+            grown = [
+                b - a for a, b in zip(count_before, _count_bytes(entries), strict=True)
+            ]
+            return {
+                "count": count,
+                "rate": rate,
+                "resident_mb": after.resident_mb,
+                "cpu_percent": 100 * (after.cpu_s - before.cpu_s) / spent_s,
+                "bytes_in": grown[0] / spent_s,
+                "bytes_out": grown[1] / spent_s,
+                "answered": sum(e.answered_ for e in entries),
+            }
+
+
+class LightEntry:
+    """An entry of the wire protocol alone, many to a process.
+
+    :param int number: its number.
+    :param str secret: the deployment's secret.
+    """
+
+    def __init__(self, number, secret):
+        self.number = number
+        self.secret = secret
+        self.received_ = 0
+        self.answered_ = 0
+        self.connection_ = None
+        self._tasks = base.TaskSet()
+
+    async def start(self, port):
+        """Connect to the agent.
+
+        :param int port: its TCP port.
+        """
+        hello = wire.Hello(
+            node_id=f"light-entry-{self.number}",
+            role="entry",
+            incarnation=base.new_id("inc"),
+            failure_domain="north",
+            secret=self.secret,
+        )
+        self.connection_ = await wire.connect("127.0.0.1", port, hello)
+        count_received(self.connection_.reader, self._note_received)
+        self._tasks.start(self.connection_.run(self._on_message), "run")
+
+    async def execute(self):
+        """Send one attempt."""
+        body = json.dumps({"model": "desk-model", "messages": []}).encode()
+        order = wire.Execute(
+            request_id=base.new_id("req"),
+            attempt_id=base.new_id("att"),
+            account="guild",
+            target="desk-model",
+            method="POST",
+            path="/v1/chat/completions",
+            headers={"Content-Type": "application/json"},
+            body=body,
+            deadline_ms=10_000,
+        )
+        await self.connection_.send(order)
+
+    async def _on_message(self, item):
+        self.answered_ += isinstance(item, wire.Final)
+
+    def _note_received(self, size):
+        self.received_ += size
+
+
+def _count_bytes(entries):
+    sent = sum(count_sent(e.connection_) for e in entries)
+    return sent, sum(e.received_ for e in entries)
+
+
+async def _execute(entries, rate, seconds):
+    random_state = random.Random(SEED)
+    end = time.monotonic() + seconds
+    due = time.monotonic()
+    while rate and due < end:
+        due += random_state.expovariate(rate)
+        await asyncio.sleep(max(due - time.monotonic(), 0))
+        await random_state.choice(entries).execute()
+    await asyncio.sleep(max(end - time.monotonic(), 0))
+
+
+def fit(results, by, field):
+    """Return intercept and slope of a field over a count.
+
+    :param list[dict] results: measurements.
+    :param str by: the count.
+    :param str field: the field.
+    :rtype: tuple[float, float]
+    """
+    slope, intercept = numpy.polyfit(
+        [r[by] for r in results], [r[field] for r in results], 1
+    )
+    return float(intercept), float(slope)
+
+
+def report(title, results, by):
+    """Print one series and its slopes.
+
+    :param str title: what was measured.
+    :param list[dict] results: measurements.
+    :param str by: the count that grew.
+    """
+    for r in results:
+        numbers = [f"{r['resident_mb']:.1f}", f"{r['cpu_percent']:.2f}"]
+        numbers += [f"{r['bytes_in']:.0f}", f"{r['bytes_out']:.0f}"]
+        print(ROW.format(title, r[by], *numbers))
+    for field in ("resident_mb", "cpu_percent", "bytes_in", "bytes_out"):
+        intercept, slope = fit(results, by, field)
+        print(f"    {field} = {intercept:.3f} + {slope:.5f} x {by}")
+
+
+async def main():
+    """Run every series."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--counts", default="3,30,100,200")
+    parser.add_argument("--rates", default="0,20,60")
+    parser.add_argument("--accounts", default="10,100,400")
+    parser.add_argument("--json", type=pathlib.Path)
+    options = parser.parse_args()
+    base.configure_logs("warning")
+    counts, rates, accounts = (
+        [int(x) for x in text.split(",")]
+        for text in (options.counts, options.rates, options.accounts)
+    )
+    seconds = options.seconds
+    print(ROW.format(*HEAD))
+    series = {
+        "entry, idle agents": (
+            "count",
+            [await measure_entry(n, 0, 10, seconds) for n in counts],
+        ),
+        "entry, requests a second": (
+            "rate",
+            [await measure_entry(30, r, 10, seconds) for r in rates],
+        ),
+        "entry, client accounts": (
+            "accounts",
+            [await measure_entry(30, rates[-1], n, seconds) for n in accounts],
+        ),
+        "agent, idle entries": (
+            "count",
+            [await measure_agent(n, 0, seconds) for n in counts],
+        ),
+        "agent, attempts a second": (
+            "rate",
+            [await measure_agent(4, r, seconds) for r in rates],
+        ),
+        "entry, agents, config changes": (
+            "count",
+            [await measure_entry(n, 0, 10, seconds, True) for n in counts[:3]],
+        ),
+    }
+    for title, (by, results) in series.items():
+        report(title, results, by)
+    if options.json:
+        plain = {title: results for title, (_, results) in series.items()}
+        options.json.write_text(json.dumps(plain, indent=1))
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- a/libs/routing/src/sequoiagap/routing/_policies.py
+++ b/libs/routing/src/sequoiagap/routing/_policies.py
@@ -115,5 +115,5 @@
     """
     return max(
         candidates,
-        key=lambda view: xxhash.xxh64_intdigest(view.endpoint_id, seed=prefix),
+        key=lambda view: xxhash.xxh64_intdigest(view.endpoint_id.encode(), prefix),
     )
