--- a/libs/agent/src/sequoiagap/agent/_agent.py
+++ b/libs/agent/src/sequoiagap/agent/_agent.py
@@ -2,8 +2,25 @@
 
 import json
 
-from sequoiagap import admission, base, config, outcome, platform, settings, wire
-from sequoiagap.agent import _endpoint, _executor, _gatekeeper, _spread
+from sequoiagap import (
+    admission,
+    base,
+    config,
+    members,
+    outcome,
+    platform,
+    settings,
+    wire,
+)
+from sequoiagap.agent import (
+    _endpoint,
+    _executor,
+    _gatekeeper,
+    _guard,
+    _orders,
+    _reports,
+    _spread,
+)
 
 _log = base.get_logger("agent")
 
@@ -47,6 +64,7 @@
             self.holder_,
             self.settings.node_id,
             self.settings.failure_domain,
+            self.platform_,
         )
         self.gatekeeper_ = _gatekeeper.GateKeeper(
             self.client_, self.gate_, self.executor_.is_out, self._announce_load
@@ -55,8 +73,23 @@
         self.handlers_ = wire.HandlerTable()
         self.executor_.attach(self.handlers_)
         self.spread_.attach(self.handlers_)
+        self._build_membership()
         self.handlers_.add(wire.StateRequest, self._on_state_request)
 
+    def _build_membership(self):
+        node_id = self.settings.node_id
+        self.guard_ = _guard.ConfigGuard(
+            self.holder_, self.spread_, node_id, self.settings.failure_domain
+        )
+        self.guard_.attach(self.handlers_)
+        self.orders_ = _orders.OrderDesk(
+            self.settings.endpoint, node_id, members.FenceStore(self.platform_)
+        )
+        self.orders_.attach(self.handlers_)
+        self.reporter_ = _reports.Reporter(
+            self.settings, self.holder_, self.connections_, self._hello
+        )
+
     async def start(self):
         """Listen for entries and begin to probe the endpoint."""
         self._secret = settings.load_secret(self.settings.secret_file)
@@ -70,6 +103,7 @@
         self._tasks.start(self.gatekeeper_.probe_forever(), "probe")
         self._tasks.start(self.gatekeeper_.watch_connection(), "watch-endpoint")
         self._tasks.start(self.spread_.learn(), "learn-config")
+        self._tasks.start(self.reporter_.run(self.port_), "report")
         _log.emit(base.Event.PROCESS_READY, role="agent", port=self.port_)
 
     async def stop(self):
@@ -83,6 +117,8 @@
         for connection in list(self.connections_):
             await connection.close_politely("agent stops")
         await self._tasks.close()
+        await self.guard_.close()
+        await self.orders_.close()
         await self.executor_.close()
         await self.client_.close()
         await self.platform_.close()
@@ -108,6 +144,9 @@
             "incarnation": self.incarnation_,
             "failure_domain": self.settings.failure_domain,
             "config_version": self.holder_.current_.number,
+            "config_ready": self.holder_.ready_.is_set(),
+            "local_out": sorted(self.holder_.local_by_domain),
+            "fencing": self.orders_.fence_.highest_,
             "endpoint": {
                 "state": load.state,
                 "in_flight": load.in_flight,
@@ -138,7 +177,7 @@
         self.connections_.add(connection)
         _log.emit(base.Event.LINK_OPENED, peer=connection.peer.node_id)
         try:
-            await connection.send(self.executor_.load())
+            await self.executor_.greet(connection)
             await self.spread_.greet(connection)
             reason = await connection.run(
                 lambda item: self.handlers_.handle(connection, item)
@@ -151,6 +190,7 @@
             _log.emit(base.Event.LINK_CLOSED, reason=error.message)
         finally:
             self.connections_.discard(connection)
+            self.executor_.forget_connection(connection)
 
     def _hello(self):
         return wire.Hello(
--- a/libs/agent/src/sequoiagap/agent/_observer.py
+++ b/libs/agent/src/sequoiagap/agent/_observer.py
@@ -2,8 +2,6 @@
 
 import time
 
-import aiohttp
-
 START_ID_HEADER = "X-Start-Id"
 EVENT_STREAM = "text/event-stream"
 FIRST_SERVER_ERROR = 500
@@ -46,15 +44,10 @@
         else:
             self.gate.record_answer(self._first_byte_s if self._is_stream else 0.0, now)
 
-    def failed(self, error):
+    def failed(self):
         """Note that the endpoint gave no whole answer.
 
-        The end of the caller's own time says nothing about the endpoint.
-
-        :param Exception error: how the call ended.
+        The end of the caller's own time comes as a cancellation and is not noted:
+        it says nothing about the endpoint.
         """
-        is_callers = isinstance(error, TimeoutError) and not isinstance(
-            error, aiohttp.ServerTimeoutError
-        )
-        if not is_callers:
-            self.gate.record_error(time.monotonic())
+        self.gate.record_error(time.monotonic())
--- a/libs/base/src/sequoiagap/base/_events.py
+++ b/libs/base/src/sequoiagap/base/_events.py
@@ -36,16 +36,36 @@
     ATTEMPT_ENDED = 1205
     ATTEMPT_REVOKED = 1206
     REQUEST_CUT = 1207
+    ATTEMPT_REATTACHED = 1208
+    ATTEMPT_DUPLICATE = 1209
+    CLAIM_WRITE_FAILED = 1210
+    RUN_ABANDONED = 1211
+    CONNECTION_SUSPECT = 1212
+    STREAM_RESUMED = 1213
     CONFIG_ADOPTED = 1301
     CONFIG_ACCEPTED = 1302
     CONFIG_REFUSED = 1303
     PLATFORM_UNREACHABLE = 1304
     PLATFORM_REACHABLE = 1305
+    CONFIG_MALFORMED = 1306
+    PLATFORM_BEHIND = 1307
+    CONFIG_FORKED = 1308
+    LOCAL_ORDER_TAKEN = 1309
+    LOCAL_ORDER_ENDED = 1310
+    WATCH_STARTED = 1311
+    WATCH_STOPPED = 1312
+    ORDER_ISSUED = 1313
+    ORDER_REFUSED = 1314
+    ORDER_DONE = 1315
     ENDPOINT_STATE = 1401
     ENDPOINT_SEEN = 1402
     ENDPOINT_GONE = 1403
     ENDPOINT_TURNED_COLD = 1404
     ENDPOINT_DOUBTED = 1405
+    ENDPOINT_SUSPECT = 1420
+    ENDPOINT_LEAVING = 1421
+    PEER_OPENED = 1422
+    PEER_CLOSED = 1423
     USAGE_EXPIRED = 1601
     ADMISSION_OVERLOADED = 1602
     ADMISSION_CALM = 1603
@@ -71,11 +91,27 @@
     Event.ATTEMPT_ENDED: "An attempt ended, with its outcome.",
     Event.ATTEMPT_REVOKED: "An attempt was revoked; the agent said what it knows.",
     Event.REQUEST_CUT: "An answer was cut short; the caller was told.",
+    Event.ATTEMPT_REATTACHED: "An entry takes up an answer again by its attempt id.",
+    Event.ATTEMPT_DUPLICATE: "An order came twice; the second was dropped.",
+    Event.CLAIM_WRITE_FAILED: "Claims of keys could not be written or read back.",
+    Event.RUN_ABANDONED: "A run was stopped, as nobody waits for its answer.",
+    Event.CONNECTION_SUSPECT: "Connections to the endpoint failed; none is used again.",
+    Event.STREAM_RESUMED: "A cut stream goes on at its offset, at the same engine.",
     Event.CONFIG_ADOPTED: "A process adopted a configuration version.",
     Event.CONFIG_ACCEPTED: "An operator's patch became a version.",
     Event.CONFIG_REFUSED: "An operator's patch was refused.",
     Event.PLATFORM_UNREACHABLE: "The platform does not answer.",
     Event.PLATFORM_REACHABLE: "The platform answers again.",
+    Event.CONFIG_MALFORMED: "A version can't be used; the process keeps its own.",
+    Event.PLATFORM_BEHIND: "The platform holds an older version than is in force.",
+    Event.CONFIG_FORKED: "Another process has other content under the same version.",
+    Event.LOCAL_ORDER_TAKEN: "A local order that a failure domain be out holds.",
+    Event.LOCAL_ORDER_ENDED: "A version has overtaken a local order.",
+    Event.WATCH_STARTED: "This entry watches the configuration on the platform.",
+    Event.WATCH_STOPPED: "This entry leaves the watch to others of its domain.",
+    Event.ORDER_ISSUED: "An order to an endpoint got its fencing number.",
+    Event.ORDER_REFUSED: "An agent refused an order to its endpoint.",
+    Event.ORDER_DONE: "An endpoint has carried out an order.",
     Event.ENDPOINT_STATE: "An endpoint changed its state.",
     Event.ENDPOINT_SEEN: "An endpoint became known.",
     Event.ENDPOINT_GONE: "An endpoint is no longer used.",
@@ -84,6 +120,10 @@
     Event.USAGE_EXPIRED: "An entry's usage of client accounts is no longer counted.",
     Event.ADMISSION_OVERLOADED: "Requests wait or are shed for lack of capacity.",
     Event.ADMISSION_CALM: "No request waits for capacity any more.",
+    Event.ENDPOINT_SUSPECT: "An agent's reports stopped; it gets no new work.",
+    Event.ENDPOINT_LEAVING: "An endpoint's agent says that it leaves.",
+    Event.PEER_OPENED: "A connection to another entry is open.",
+    Event.PEER_CLOSED: "A connection to another entry has closed.",
 }
 
 _WARNINGS = frozenset(
@@ -93,7 +133,13 @@
         Event.LINK_SILENT,
         Event.FRAME_REJECTED,
         Event.REQUEST_CUT,
+        Event.CLAIM_WRITE_FAILED,
+        Event.CONNECTION_SUSPECT,
         Event.PLATFORM_UNREACHABLE,
+        Event.CONFIG_MALFORMED,
+        Event.PLATFORM_BEHIND,
+        Event.CONFIG_FORKED,
+        Event.ENDPOINT_SUSPECT,
     }
 )
 
--- a/libs/base/src/sequoiagap/base/_metric_catalogue.py
+++ b/libs/base/src/sequoiagap/base/_metric_catalogue.py
@@ -9,6 +9,7 @@
     "attempts_total": "first attempts that the entry has sent",
     "retries_total": "further attempts that the retry budget has granted",
     "refused_total": "refused requests, by `kind`",
+    "caller_left_total": "requests whose caller left before the whole answer",
     "request_seconds": "time from admission to the end of a request",
     "requests_in_flight": "requests that run at an entry now",
     "endpoint_in_flight": "attempts that run at the agent's endpoint now",
--- a/libs/entry/src/sequoiagap/entry/_admission.py
+++ b/libs/entry/src/sequoiagap/entry/_admission.py
@@ -36,7 +36,7 @@
 
     :param sequoiagap.settings.EntrySettings settings: checked settings.
     :param str incarnation: incarnation of this entry.
-    :param Dispatcher dispatcher: runs admitted requests.
+    :param CountedDispatcher dispatcher: runs admitted requests.
     :param sequoiagap.config.ConfigHolder holder: configuration in force.
     :param sequoiagap.base.Metrics metrics: metrics of the process.
     :param random.Random random_state: source of randomness.
@@ -58,8 +58,9 @@
         self._running_by_target = {}
         self._tasks = base.TaskSet()
         self._pumping = set()
+        self._stopping = False
 
-    async def run(self, request, sink):
+    async def dispatch(self, request, sink):
         """Run a request when its turn comes, or refuse it.
 
         An agent's refusal for lack of a slot sends the request back to the
@@ -80,7 +81,7 @@
                 refusal = await self._wait_turn(request, began)
                 if refusal is not None:
                     return expression.Error(refusal)
-                result, seconds = await self._dispatch(request, sink)
+                result, seconds = await self._run_round(request, sink)
                 used_s += seconds
                 if not self._may_wait_again(result, sink):
                     return result
@@ -88,6 +89,16 @@
         finally:
             self.usage_.leave(request.account, used_s)
 
+    def give_up_all(self):
+        """End every request that waits or runs, at once, with a refusal."""
+        self._stopping = True
+        for queue in self._queue_by_target.values():
+            while queue.size_:
+                _, ticket = queue.pop()
+                if not ticket.turn.done():
+                    ticket.turn.set_result(False)
+        self.dispatcher.give_up_all()
+
     async def exchange_forever(self, send_to_peers):
         """Tell the other entries about usage until cancelled.
 
@@ -138,7 +149,7 @@
         """Stop waking requests."""
         await self._tasks.close()
 
-    async def _dispatch(self, request, sink):
+    async def _run_round(self, request, sink):
         """Run one round; return its result and the slot time that it used."""
         target = request.target
         queue = self._queue(target)
@@ -174,24 +185,25 @@
         return await self._wait_ticket(request, queue, ticket, began)
 
     async def _wait_ticket(self, request, queue, ticket, began):
+        """Wait for a turn; one that is given counts as running."""
         entered = time.monotonic()
         bound_s = began + self.settings.max_queue_wait_s - entered
         try:
             async with asyncio.timeout(min(bound_s, request.deadline - entered)):
-                await asyncio.shield(ticket.turn)
+                given = await asyncio.shield(ticket.turn)
         except TimeoutError:
-            if ticket.turn.done():
+            if ticket.turn.done() and ticket.turn.result():
                 return None
             wait_s = self.settings.max_queue_wait_s
             return self._refuse(request, wait_s, queue.retry_after_s(wait_s))
         except asyncio.CancelledError:
-            if ticket.turn.done():
+            if ticket.turn.done() and ticket.turn.result():
                 self._running_by_target[request.target] -= 1
             raise
         finally:
             queue.remove(ticket.account, ticket)
         self.metrics.observe("queue_seconds", time.monotonic() - entered)
-        return None
+        return None if given else self._stopped()
 
     def _may_wait_again(self, result, sink):
         if result.is_ok() or sink.started:
@@ -227,7 +239,7 @@
             _, ticket = queue.pop()
             if not ticket.turn.done():
                 self._count_running(target)
-                ticket.turn.set_result(None)
+                ticket.turn.set_result(True)
 
     def _has_slot(self, target, candidates):
         """Tell whether an endpoint is expected to take one more at once.
@@ -274,6 +286,15 @@
             setting=f"client_accounts.{request.account}.weight",
         )
 
+    def _stopped(self):
+        return base.Refusal(
+            base.RefusalKind.DRAINING,
+            "this entry stops",
+            "Send the request again",
+            retry_after_s=LEAST_RETRY_AFTER_S,
+            config_version=self.holder.current_.number,
+        )
+
     def _weight(self, account):
         order = self.holder.current_.document.client_accounts.get(account)
         if order is None:
--- a/libs/settings/src/sequoiagap/settings/_models.py
+++ b/libs/settings/src/sequoiagap/settings/_models.py
@@ -55,8 +55,19 @@
     ca_file: Path
 
 
+class SeedSettings(SettingsModel):
+    """Address of an entry that is asked while the platform's list is down."""
+
+    address: IpAddress
+    port: Port
+
+
 class NodeSettings(SettingsModel):
-    """Settings that every role has."""
+    """Settings that every role has.
+
+    ``seeds`` names entries of the own failure domain. A process that starts while
+    its failure domain is cut off from the platform finds the others there.
+    """
 
     node_id: Name
     deployment: Name
@@ -70,6 +81,7 @@
     log_level: Annotated[
         Literal["debug", "info", "warning"], pydantic.Field(examples=["info"])
     ] = "info"
+    seeds: list[SeedSettings] = []
 
 
 class EntrySettings(NodeSettings):
@@ -81,8 +93,9 @@
     keys_file: Path
     drain_lag_s: Seconds = 2.0
     drain_bound_s: Seconds = 60.0
-    request_timeout_s: Seconds = 120.0
+    request_timeout_s: Annotated[float, pydantic.Field(gt=0, le=3000)] = 120.0
     max_queue_wait_s: Seconds = 1.0
+    body_timeout_s: Seconds = 10.0
     header_timeout_s: Seconds = 15.0
     max_body_bytes: Annotated[
         int, pydantic.Field(gt=0, le=MAX_BODY_BYTES, examples=[1048576])
@@ -102,6 +115,7 @@
     warm_up_s: Seconds = 10.0
     first_byte_timeout_s: Seconds = 20.0
     between_bytes_timeout_s: Seconds = 2.0
+    resumes: bool = False
     engine: Name = "hold_at_step"
     checks_fencing: bool = False
 
--- a/libs/standins/src/sequoiagap/standins/_engine.py
+++ b/libs/standins/src/sequoiagap/standins/_engine.py
@@ -7,7 +7,13 @@
 
 from aiohttp import web
 
-from sequoiagap.standins import _executions, _faults, _prefixes
+from sequoiagap.standins import (
+    _engine_orders,
+    _executions,
+    _faults,
+    _prefixes,
+    _streams,
+)
 
 FALLEN_STATUS = 500
 BYTES_PER_KB = 1024
@@ -26,7 +32,11 @@
     :param float cold_slowdown: factor on its times while it is cold.
     :param float prefill_s_per_kb: time to read a prompt, in seconds for 1024 bytes.
     :param int cached_prefixes: prompt prefixes that it remembers.
+    :param bool holds_streams: whether it goes on with streams whose connection
+        broke, and lets them be resumed at an offset or cancelled.
     :param int port: TCP port; 0 lets the system choose.
+    :param bool checks_fencing: whether it refuses orders with an old number.
+    :param float order_s: how long it takes over an order, in seconds.
     """
 
     def __init__(
@@ -41,7 +51,10 @@
         cold_slowdown=1.0,
         prefill_s_per_kb=0.0,
         cached_prefixes=64,
+        holds_streams=False,
         port=0,
+        checks_fencing=False,
+        order_s=0.05,
     ):
         self.step_s = step_s
         self.tokens = tokens
@@ -53,9 +66,12 @@
         self.cold_slowdown = cold_slowdown
         self.prefill_s_per_kb = prefill_s_per_kb
         self.cached_prefixes = cached_prefixes
+        self.holds_streams = holds_streams
         self.port = port
+        self.streams_ = _streams.HeldStreams()
         self.faults_ = _faults.Faults()
         self.executions_ = _executions.Executions()
+        self.orders_ = _engine_orders.EngineOrders(checks_fencing, order_s)
         self.fell_over_ = 0
         self.peak_in_flight_ = 0
         self.peak_cold_ = 0
@@ -79,7 +95,9 @@
         router.add_get("/stats", self._on_stats)
         router.add_post("/restart", self._on_restart)
         router.add_post("/chill", self._on_chill)
+        self.streams_.add_routes(router)
         self.executions_.add_routes(router)
+        self.orders_.add_routes(router)
         self.faults_.add_routes(router)
 
     def _start(self):
@@ -128,11 +146,14 @@
                 "arrived": self.arrived_,
                 "prefix_hits": self._prefixes.hits_,
                 "prefix_misses": self._prefixes.misses_,
+                "in_flight": self.in_flight_,
             }
         )
 
     async def _on_complete(self, request):
         await self.faults_.before_call()
+        if self.holds_streams and _streams.RESUME_HEADER in request.headers:
+            return await self._resume(request)
         body = await request.json()
         self.arrived_ += 1
         start_headers = {"X-Start-Id": self._start_id()}
@@ -173,7 +194,8 @@
             "X-Start-Id": self._start_id(),
         }
         if body.get("stream"):
-            return await self._stream(request, words, headers)
+            pad = "x" * int(body.get("pad", 0))
+            return await self._stream(request, [w + pad for w in words], headers)
         await asyncio.sleep(count * self.step_s * self._slowdown())
         await self._misbehave()
         message = {"role": "assistant", "content": " ".join(words)}
@@ -181,17 +203,47 @@
         return web.json_response(document, headers=headers)
 
     async def _stream(self, request, words, headers):
+        async def produce(add):
+            self.in_flight_ += self.holds_streams
+            try:
+                await self._decode(words, add)
+            finally:
+                self.in_flight_ -= self.holds_streams
+
+        held = self.streams_.start(headers["X-Request-Id"], produce)
+        try:
+            return await self._send(request, held, headers, 0, len(words) // 2)
+        finally:
+            if not self.holds_streams:
+                held.task.cancel()
+
+    async def _resume(self, request):
+        request_id = request.headers["X-Request-Id"]
+        held = self.streams_.by_id.get(request_id)
+        if held is None:
+            return web.Response(status=404)
+        offset = int(request.headers[_streams.RESUME_HEADER])
+        headers = {"X-Request-Id": request_id}
+        return await self._send(request, held, headers, offset, None)
+
+    async def _decode(self, words, add):
+        for word in words:
+            await asyncio.sleep(self.step_s * self._slowdown())
+            delta = {"choices": [{"delta": {"content": word + " "}}]}
+            await add(f"data: {json.dumps(delta)}\n\n".encode())
+        await add(b"data: [DONE]\n\n")
+
+    async def _send(self, request, held, headers, offset, middle):
+        """Send a held stream; ``middle`` is the event before which faults strike."""
         headers = headers | {"Content-Type": "text/event-stream"}
         response = web.StreamResponse(headers=headers)
         await response.prepare(request)
-        middle = len(words) // 2
-        for index, word in enumerate(words):
-            await asyncio.sleep(self.step_s * self._slowdown())
-            if index == middle:
+        while data := await held.read_from(offset):
+            if middle is not None and held.data.count(b"data: ") > middle:
+                middle = None
                 await self._misbehave(request)
-            delta = {"choices": [{"delta": {"content": word + " "}}]}
-            await response.write(f"data: {json.dumps(delta)}\n\n".encode())
-        await response.write(b"data: [DONE]\n\n")
+            offset += len(data)
+            await response.write(data)
         await response.write_eof()
         return response
 
