--- a/libs/agent/src/sequoiagap/agent/_endpoint.py
+++ b/libs/agent/src/sequoiagap/agent/_endpoint.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 from sequoiagap import base
+from sequoiagap.agent import _observer
 
 CHUNK_BYTES = 16384
 PROBE_TIMEOUT_S = 1.0
@@ -70,10 +71,12 @@
 
     :param sequoiagap.settings.EndpointSettings settings: where it is and how
         long to wait for it.
+    :param sequoiagap.admission.EndpointGate gate: is told how attempts end.
     """
 
-    def __init__(self, settings):
+    def __init__(self, settings, gate):
         self.settings = settings
+        self.gate = gate
         self._session = None
         self._single_use_session = None
         self._calls_by_session = {}
@@ -144,19 +147,23 @@
     async def _call_once(self, order, answer):
         session = self._session if order.repeatable else self._single_use_session
         self._calls_by_session[session] = self._calls_by_session.get(session, 0) + 1
+        observer = _observer.AttemptObserver(self.gate)
         try:
-            await self._exchange(session, order, answer)
+            await self._exchange(session, order, answer, observer)
+            observer.done()
         except aiohttp.ClientConnectorError as error:
+            observer.failed()
             raise EndpointError(
                 f"endpoint can't be reached: {error}", answer.resuming
             ) from error
         except (aiohttp.ClientError, TimeoutError) as error:
+            observer.failed()
             self._suspect(order, error)
             raise EndpointError(f"endpoint failed: {error!r}", True) from error
         finally:
             await self._leave(session)
 
-    async def _exchange(self, session, order, answer):
+    async def _exchange(self, session, order, answer, observer):
         call = session.request(
             order.method,
             self.settings.url + order.path,
@@ -171,10 +178,12 @@
         async with asyncio.timeout_at(first_byte_by):
             response = await call
         try:
+            observer.head(response.status, response.headers)
             _check_echo(order, response)
             await answer.take_head(response)
             data = await self._read(response, first_byte_by - loop.time())
             while data:
+                observer.data()
                 await answer.take_data(data)
                 data = await self._read(response, self.settings.between_bytes_timeout_s)
         finally:
--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -162,6 +162,7 @@
 
     state = "warm"
     in_flight_ = 0
+    foreign_ = 0
 
     def limit(self, now):
         """Return the limit."""
