--- a/libs/agent/src/sequoiagap/agent/_endpoint.py
+++ b/libs/agent/src/sequoiagap/agent/_endpoint.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 from sequoiagap import base, platform
+from sequoiagap.agent import _observer
 
 CHUNK_BYTES = 16384
 PROBE_TIMEOUT_S = 1.0
@@ -72,10 +73,12 @@
 
     :param sequoiagap.settings.EndpointSettings settings: where it is and how
         long to wait for it.
+    :param sequoiagap.admission.EndpointGate gate: is told how attempts end.
     """
 
-    def __init__(self, settings):
+    def __init__(self, settings, gate):
         self.settings = settings
+        self.gate = gate
         self._sessions = platform.HttpSessions(_SESSION_OPTIONS)
         self._single_use_session = None
 
@@ -155,17 +158,21 @@
             await self._call_over(session, order, answer)
 
     async def _call_over(self, session, order, answer):
+        observer = _observer.AttemptObserver(self.gate)
         try:
-            await self._exchange(session, order, answer)
+            await self._exchange(session, order, answer, observer)
+            observer.done()
         except aiohttp.ClientConnectorError as error:
+            observer.failed()
             raise EndpointError(
                 f"endpoint can't be reached: {error}", answer.resuming
             ) from error
         except (aiohttp.ClientError, TimeoutError) as error:
+            observer.failed()
             self._suspect(session, error, order.request_id, order.attempt_id)
             raise EndpointError(f"endpoint failed: {error!r}", True) from error
 
-    async def _exchange(self, session, order, answer):
+    async def _exchange(self, session, order, answer, observer):
         call = session.request(
             order.method,
             self.settings.url + order.path,
@@ -177,18 +184,20 @@
         )
         async with asyncio.timeout(self._first_byte_timeout_s()) as timer:
             response = await call
-            await self._read_answer(response, order, answer, timer)
+            await self._read_answer(response, order, answer, timer, observer)
 
-    async def _read_answer(self, response, order, answer, timer):
+    async def _read_answer(self, response, order, answer, timer, observer):
         """Pass an answer on; the timer runs only while the endpoint is awaited."""
         loop = asyncio.get_running_loop()
         between_s = self.settings.between_bytes_timeout_s
         try:
+            observer.head(response.status, response.headers)
             _check_echo(order, response)
             await answer.take_head(response)
             data = await response.content.readany()
             while data:
                 timer.reschedule(None)
+                observer.data()
                 await answer.take_data(data)
                 timer.reschedule(loop.time() + between_s)
                 data = await response.content.readany()
--- a/libs/base/src/sequoiagap/base/_events.py
+++ b/libs/base/src/sequoiagap/base/_events.py
@@ -64,6 +64,8 @@
     ENDPOINT_STATE = 1401
     ENDPOINT_SEEN = 1402
     ENDPOINT_GONE = 1403
+    ENDPOINT_TURNED_COLD = 1404
+    ENDPOINT_DOUBTED = 1405
     ENDPOINT_SUSPECT = 1420
     ENDPOINT_LEAVING = 1421
     PEER_OPENED = 1422
@@ -79,6 +81,9 @@
     MAP_PLANNED = 1509
     ROUND_ENDED = 1510
     MAP_UNKNOWN = 1511
+    USAGE_EXPIRED = 1601
+    ADMISSION_OVERLOADED = 1602
+    ADMISSION_CALM = 1603
 
 
 CATALOGUE = {
@@ -127,6 +132,11 @@
     Event.ENDPOINT_STATE: "An endpoint changed its state.",
     Event.ENDPOINT_SEEN: "An endpoint became known.",
     Event.ENDPOINT_GONE: "An endpoint is no longer used.",
+    Event.ENDPOINT_TURNED_COLD: "An endpoint is held to its cold limit, with reason.",
+    Event.ENDPOINT_DOUBTED: "An endpoint's connection ended; it is asked again.",
+    Event.USAGE_EXPIRED: "An entry's usage of client accounts is no longer counted.",
+    Event.ADMISSION_OVERLOADED: "Requests wait or are shed for lack of capacity.",
+    Event.ADMISSION_CALM: "No request waits for capacity any more.",
     Event.ENDPOINT_SUSPECT: "An agent's reports stopped; it gets no new work.",
     Event.ENDPOINT_LEAVING: "An endpoint's agent says that it leaves.",
     Event.PEER_OPENED: "A connection to another entry is open.",
--- a/libs/entry/src/sequoiagap/entry/_dispatch.py
+++ b/libs/entry/src/sequoiagap/entry/_dispatch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import time
 
 import expression
 
@@ -10,6 +11,8 @@
 
 MAX_ATTEMPTS = 4
 RECLAIM_DELAY_S = 0.3
+RETRY_WAIT_S = 2.0
+RETRY_POLL_S = 0.05
 
 _FINAL_KINDS = frozenset(
     {
@@ -97,9 +100,11 @@
     :param sequoiagap.admission.RetryBudget budget: bounds retries.
     :param sequoiagap.outcome.Journal journal: remembers decisions.
     :param random.Random random_state: source of randomness.
+    :param str failure_domain: failure domain of this entry.
     """
 
-    def __init__(self, links, holder, budget, journal, random_state):
+    def __init__(self, links, holder, budget, journal, random_state, failure_domain=""):
+        self.failure_domain = failure_domain
         self.links = links
         self.holder = holder
         self.budget = budget
@@ -147,7 +152,7 @@
         """Try endpoints in turn; return ``None`` for a whole answer."""
         refusal = None
         for number in range(MAX_ATTEMPTS):
-            if number and not self.budget.try_spend():
+            if number and not await self._spend_retry(request):
                 break
             view = self._choose(request, progress)
             if view is None:
@@ -161,6 +166,15 @@
                 break
         return refusal or self._no_endpoint(request)
 
+    async def _spend_retry(self, request):
+        """Spend one retry; a repeatable request waits a little for it."""
+        until = time.monotonic() + (RETRY_WAIT_S if request.repeatable else 0.0)
+        while not self.budget.try_spend():
+            if time.monotonic() >= until:
+                return False
+            await asyncio.sleep(RETRY_POLL_S)
+        return True
+
     def _choose(self, request, progress):
         candidates = self.links.candidates(request.target)
         by_id = {view.endpoint_id: view for view in candidates}
@@ -176,7 +190,10 @@
             )
             ids = [view.endpoint_id for view in fresh]
             return by_id[outcome.rank_by_affinity(identity, ids)[0]]
-        return self._policy().choose(fresh, self.random_state)
+        context = routing.make_context(
+            time.monotonic(), self.failure_domain, request.target, request.body
+        )
+        return self._policy().choose(fresh, self.random_state, context)
 
     def _policy(self):
         name = self.holder.current_.document.routing.policy
@@ -196,6 +213,8 @@
             return True
         if end.refusal.kind in _FINAL_KINDS:
             return False
+        if end.refusal.kind == base.RefusalKind.OVERLOADED and not progress.open_ids:
+            return False  # it waits for its turn again and costs no retry
         if end.refusal.outcome == base.Outcome.NOT_RUN:
             return True
         return request.repeatable or request.is_claimed
--- a/tests/entry/test_requests_behind.py
+++ b/tests/entry/test_requests_behind.py
@@ -45,10 +45,7 @@
         self.assertLess(answer.seconds, FOUND_S)
 
     async def _stream_under_way(self, break_link):
-        async def on_data(text):
-            if text.count(b"data: ") == 5:
-                break_link()
-
+        on_data = callers.once_at_event(5, break_link)
         answer = await callers.stream(self.fleet, 40, on_data=on_data)
         self.assertEqual(answer.words, [f"token{i}" for i in range(40)])
         self.assertLess(answer.seconds, 40 * STEP_S + FOUND_S + 1.0)
