Let the quick start create its configuration by the operators' command

The quick start wrote version 1 past the entries into the platform stand-in. It now runs 'config init' as an operator would. Plan and child processes of the fleet are modules of their own; the public names stay.

--- a/libs/standins/src/sequoiagap/standins/__init__.py
+++ b/libs/standins/src/sequoiagap/standins/__init__.py
@@ -1,9 +1,11 @@
 """Stand-ins for outside systems, with fault switches, and the load tool."""
 
 from sequoiagap.standins._engine_orders import EngineOrders
-from sequoiagap.standins._fleet import Fleet, FleetPlan, Process
+from sequoiagap.standins._fleet import Fleet
 from sequoiagap.standins._load import LoadReport, run_load
+from sequoiagap.standins._plan import FleetPlan
 from sequoiagap.standins._platform import PlatformStandIn
+from sequoiagap.standins._process import Process
 from sequoiagap.standins._relay import LinkMode, Relay
 from sequoiagap.standins._relays import Relays
 from sequoiagap.standins._serve import start
--- a/libs/standins/src/sequoiagap/standins/_fleet.py
+++ b/libs/standins/src/sequoiagap/standins/_fleet.py
@@ -1,7 +1,6 @@
 """A fleet of real processes on one machine, with stand-ins around it."""
 
 import asyncio
-import dataclasses
 import hashlib
 import json
 import os
@@ -11,109 +10,14 @@
 
 import aiohttp
 
-from sequoiagap.standins import _relays
+from sequoiagap.standins import _process, _relays
 
 READY_TIMEOUT_S = 20.0
-STOP_TIMEOUT_S = 15.0
 POLL_S = 0.05
 CALLER_KEY = "caller-key"
 OPERATOR_KEY = "operator-key"
 
 
-@dataclasses.dataclass(frozen=True)
-class FleetPlan:
-    """What a fleet consists of.
-
-    :param tuple domains: failure domains.
-    :param int entries: entry processes, spread over the domains in turn.
-    :param int engines_per_domain: model endpoints in each domain.
-    :param int services_per_domain: plain service endpoints in each domain.
-    :param dict engine: parameters of the engine stand-ins.
-    :param dict service: parameters of the service stand-ins.
-    :param dict endpoint: settings of the endpoints, over the defaults.
-    :param dict entry: settings of the entries, over the defaults.
-    :param dict node: settings of entries and agents, over the defaults.
-    :param bool configured: whether version 1 of the configuration exists at the
-        start; otherwise the fleet starts without waiting for it.
-    :param dict agent: settings of the agents, over the defaults.
-    :param dict config: merge patch over the default configuration.
-    :param dict platform: parameters of the platform stand-in.
-    :param tuple program: the command that runs a role, with its arguments.
-    :param tuple accounts: client accounts; the key is ``NAME-key``.
-    :param bool relays: whether the links of every process pass through relays,
-        see :attr:`Fleet.relays_`.
-    """
-
-    domains: tuple = ("north", "middle", "south")
-    entries: int = 2
-    engines_per_domain: int = 1
-    services_per_domain: int = 1
-    engine: dict = dataclasses.field(default_factory=dict)
-    service: dict = dataclasses.field(default_factory=dict)
-    endpoint: dict = dataclasses.field(default_factory=dict)
-    entry: dict = dataclasses.field(default_factory=dict)
-    node: dict = dataclasses.field(default_factory=dict)
-    configured: bool = True
-    agent: dict = dataclasses.field(default_factory=dict)
-    config: dict = dataclasses.field(default_factory=dict)
-    platform: dict = dataclasses.field(default_factory=dict)
-    program: tuple = (sys.executable, "-m", "sequoiagap.cli")
-    accounts: tuple = ("caller",)
-    relays: bool = False
-
-
-class Process:
-    """A child process that printed its ports.
-
-    :param str name: its name in the fleet.
-    :param list command: program and arguments.
-    :param pathlib.Path log_path: where its standard error goes.
-
-    :ivar dict ready_: the JSON line that it printed when it was ready.
-    """
-
-    def __init__(self, name, command, log_path):
-        self.name = name
-        self.command = command
-        self.log_path = log_path
-        self.ready_ = {}
-        self.child_ = None
-
-    async def start(self):
-        """Start the process and wait until it is ready."""
-        with self.log_path.open("ab") as log:
-            self.child_ = await asyncio.create_subprocess_exec(
-                *self.command, stdout=asyncio.subprocess.PIPE, stderr=log
-            )
-        async with asyncio.timeout(READY_TIMEOUT_S):
-            line = await self.child_.stdout.readline()
-        if not line:
-            raise RuntimeError(f"{self.name} failed: {self.log_path.read_text()}")
-        self.ready_ = json.loads(line)
-
-    def send_signal(self, number):
-        """Send a signal while the process runs.
-
-        :param int number: the signal.
-        """
-        if self.child_ is not None and self.child_.returncode is None:
-            self.child_.send_signal(number)
-
-    async def wait(self, timeout_s=STOP_TIMEOUT_S):
-        """Wait for the end of the process and return its exit code.
-
-        :param float timeout_s: longest wait, in seconds.
-        :rtype: int
-        """
-        async with asyncio.timeout(timeout_s):
-            return await self.child_.wait()
-
-    async def kill(self):
-        """Kill the process and wait for its end."""
-        self.send_signal(signal.SIGKILL)
-        await self.wait()
-
-
 class Fleet:
     """Starts, breaks and stops a fleet; an asynchronous context manager.
 
@@ -234,6 +138,25 @@
             while not await condition():  # noqa: ASYNC110 - state of other processes
                 await asyncio.sleep(POLL_S)
 
+    async def wait_ready(self):
+        """Wait until every entry can reach every endpoint."""
+        await self.wait_until(self._is_ready, READY_TIMEOUT_S)
+
+    def first_config(self):
+        """Return the document of version 1 of the configuration.
+
+        :rtype: dict
+        """
+        return {
+            "failure_domains": {
+                domain: {"state": "in"} for domain in self.plan.domains
+            },
+            "models": {"desk-model": {"repeatable": True}},
+            "services": {"orders": {"repeatable": False}},
+            "client_accounts": {name: {"weight": 1} for name in self.plan.accounts},
+            **self.plan.config,
+        }
+
     async def start_entry(self, index):
         """Start an entry, or start it again.
 
@@ -296,7 +219,7 @@
         await asyncio.gather(*(self._start_endpoint(*e) for e in self._endpoints()))
         await asyncio.gather(*(self.start_entry(i) for i in range(self.plan.entries)))
         if self.plan.configured:
-            await self.wait_until(self._is_ready, READY_TIMEOUT_S)
+            await self.wait_ready()
 
     async def _start_endpoint(self, name, kind, domain):
         if kind == "model":
@@ -386,21 +309,12 @@
         await self._start_process(name, command)
 
     async def _start_process(self, name, command):
-        process = Process(name, command, self.folder / f"{name}.log")
+        process = _process.Process(name, command, self.folder / f"{name}.log")
         self.process_by_name[name] = process
         await process.start()
 
     async def _write_config(self):
-        document = {
-            "failure_domains": {
-                domain: {"state": "in"} for domain in self.plan.domains
-            },
-            "models": {"desk-model": {"repeatable": True}},
-            "services": {"orders": {"repeatable": False}},
-            "client_accounts": {name: {"weight": 1} for name in self.plan.accounts},
-            **self.plan.config,
-        }
-        value = {"number": 1, "document": document, "history": []}
+        value = {"number": 1, "document": self.first_config(), "history": []}
         body = {"expected_version": 0, "value": value}
         await self.call("platform", "PUT", "/objects/sequoiagap-config", body)
 
--- a/libs/standins/src/sequoiagap/standins/quickstart.py
+++ b/libs/standins/src/sequoiagap/standins/quickstart.py
@@ -5,6 +5,7 @@
 
 import argparse
 import asyncio
+import json
 import os
 import pathlib
 import random
@@ -80,6 +81,17 @@
     )
 
 
+async def create_config(fleet, path):
+    """Create version 1 of the configuration and wait until it is in use.
+
+    :param Fleet fleet: the fleet.
+    :param pathlib.Path path: where to write the document.
+    """
+    path.write_text(json.dumps(fleet.first_config(), indent=2))
+    await run_operator_command(fleet, "config", "init", str(path))
+    await fleet.wait_ready()
+
+
 async def call_service(fleet):
     """File one order at a plain service and print the answer.
 
@@ -102,10 +114,11 @@
     parser.add_argument("--rate", type=float, default=60.0, help="requests a second")
     options = parser.parse_args()
     random_state = random.Random(SEED)
-    plan = _fleet.FleetPlan(engines_per_domain=2)
+    plan = standins.FleetPlan(engines_per_domain=2, configured=False)
     with tempfile.TemporaryDirectory() as folder:
         async with standins.Fleet(plan, pathlib.Path(folder)) as fleet:
             print(f"{len(fleet.process_by_name)} processes run")
+            await create_config(fleet, pathlib.Path(folder) / "first.json")
             await call_service(fleet)
             await _run_phases(fleet, options, random_state)
 
