Test that each path serves only its kind of key

The check walks the router, so that a new path without a guard fails it: with the guard of /state left out, it failed for no key, a wrong key and a caller's key.

--- a/tests/entry/test_listener.py
+++ b/tests/entry/test_listener.py
@@ -4,6 +4,7 @@
 import hashlib
 import json
 import pathlib
+import re
 import ssl
 import tempfile
 import time
@@ -15,7 +16,11 @@
 from tests import support, support_tls
 
 HEADER_TIMEOUT_S = 0.5
-DIGEST = hashlib.sha256(b"operator-key").hexdigest()
+OPEN_PATHS = ("/healthz", "/readyz")
+CALLER_PATHS = (*OPEN_PATHS, "/v1/", "/services/")
+PATHS_BY_KEY = {"": OPEN_PATHS, "wrong": OPEN_PATHS, "caller-key": CALLER_PATHS}
+OPERATOR_DIGEST = hashlib.sha256(b"operator-key").hexdigest()
+CALLER_DIGEST = hashlib.sha256(b"caller-key").hexdigest()
 
 
 class ListenerTest(unittest.IsolatedAsyncioTestCase):
@@ -25,7 +30,10 @@
         self.addCleanup(folder.cleanup)
         self.folder = pathlib.Path(folder.name)
         (self.folder / "secret").write_text("the-deployment-secret")
-        keys = {"accounts": {}, "operators": {"ann": [DIGEST]}}
+        keys = {
+            "accounts": {"guild": [CALLER_DIGEST]},
+            "operators": {"ann": [OPERATOR_DIGEST]},
+        }
         (self.folder / "keys.json").write_text(json.dumps(keys))
 
     async def start(self, **changes):
@@ -102,6 +110,25 @@
         self.assertIn('"number": 1010', log)
         self.assertNotIn("marked-value", log)
 
+    async def test_each_path_serves_only_its_kind_of_key(self):
+        port = await self.start()
+        routes = list(self.process._runner.app.router.routes())
+        self.assertGreater(len(routes), 15)
+        async with aiohttp.ClientSession() as session:
+            for route in routes:
+                path = re.sub(r"{[^}]*}", "x", route.resource.canonical)
+                method = "GET" if route.method == "*" else route.method
+                for key, prefixes in PATHS_BY_KEY.items():
+                    with self.subTest(path, method=method, key=key):
+                        call = session.request(
+                            method,
+                            f"http://127.0.0.1:{port}{path}",
+                            headers={"Authorization": f"Bearer {key}"},
+                        )
+                        async with call as answer:
+                            is_open = path.startswith(prefixes)
+                            self.assertEqual(answer.status != 401, is_open)
+
     async def test_slow_senders_are_cut_off(self):
         port = await self.start()
         cases = {"nothing": b"", "half a header": b"GET /healthz HTTP/1.1\r\nHost: "}
--- a/tests/entry/test_secrecy.py
+++ b/tests/entry/test_secrecy.py
@@ -14,7 +14,9 @@
 
 
 class SecrecyTest(support.FleetCase):
-    plan = standins.FleetPlan(domains=("north", "south"), entries=1)
+    plan = standins.FleetPlan(
+        domains=("north", "south"), entries=1, accounts=("caller", "other")
+    )
 
     async def test_fleet_shows_no_marked_value(self):
         request_ids = await self._send_requests()
@@ -30,6 +32,14 @@
         for request_id in request_ids:
             self.assertIn(request_id, logs)
 
+    async def test_only_its_account_and_operators_read_a_request(self):
+        path = f"/v1/explain/{await self._complete({'model': 'desk-model'}, False)}"
+        cases = {"caller-key": 200, "other-key": 404, "operator-key": 200, "x": 401}
+        for key, expected in cases.items():
+            with self.subTest(key):
+                status, _ = await self.fleet.call("entry-0", "GET", path, key=key)
+                self.assertEqual(status, expected)
+
     def _check_metrics(self, texts):
         """Check that the metrics of entry and agents tell what happened."""
         self.assertIn('admitted_total{account="caller"', texts["/metrics"])
