--- a/libs/entry/src/sequoiagap/entry/_entry.py
+++ b/libs/entry/src/sequoiagap/entry/_entry.py
@@ -17,6 +17,7 @@
     wire,
 )
 from sequoiagap.entry import (
+    _admission,
     _auth,
     _callers,
     _config_api,
@@ -101,6 +102,8 @@
         self._tasks.start(self.mesh_.run(self._offer), "peers")
         self._tasks.start(self.reports_.run(self.mesh_.broadcast), "reports")
         await self._listen(self._make_app())
+        exchange = self.admission_.exchange_forever(self.mesh_.broadcast)
+        self._tasks.start(exchange, "exchange-usage")
         self._tasks.start(self.callers_.keep_streams_alive(), "keep-streams-alive")
         _log.emit(base.Event.PROCESS_READY, role="entry", http_port=self.http_port_)
 
@@ -113,6 +116,7 @@
         await self.callers_.drain(self.settings.drain_bound_s)
         await self._runner.cleanup()
         await self._tasks.close()
+        await self.admission_.close()
         await self.mesh_.close()
         await self.links_.close()
         await self.platform_.close()
@@ -148,6 +152,7 @@
             "config_version": self.holder_.current_.number,
             "ready": self.is_ready(),
             "in_flight": self.callers_.in_flight_,
+            "admission": self.admission_.describe(),
             "endpoints": {
                 endpoint_id: _describe(link)
                 for endpoint_id, link in sorted(self.links_.by_id.items())
@@ -173,6 +178,7 @@
         connected = sum(link.view.connected for link in links)
         self.metrics_.set_gauge("connections", connected)
         self.metrics_.set_gauge("requests_in_flight", self.callers_.in_flight_)
+        self.admission_.collect_metrics()
         return base.collect_process_metrics(
             self.metrics_, self.holder_.current_.number, self.platform_.calls_
         )
@@ -180,12 +186,25 @@
     def _make_app(self):
         budget = admission.RetryBudget()
         dispatcher = _dispatch.Dispatcher(
-            self.links_, self.holder_, budget, self.journal_, self.random_state
+            self.links_,
+            self.holder_,
+            budget,
+            self.journal_,
+            self.random_state,
+            self.settings.failure_domain,
+        )
+        self.admission_ = _admission.EntryAdmission(
+            self.settings,
+            self.incarnation_,
+            _facts.CountedDispatcher(dispatcher, self.facts_),
+            self.holder_,
+            self.metrics_,
+            self.random_state,
         )
-        counted = _facts.CountedDispatcher(dispatcher, self.facts_)
+        self.admission_.attach(self.mesh_.handlers_)
         self.callers_ = _callers.CallersApi(
             self.settings,
-            counted,
+            self.admission_,
             self.holder_,
             self.keys_,
             self.journal_,
