--- a/libs/experts/src/sequoiagap/experts/__init__.py
+++ b/libs/experts/src/sequoiagap/experts/__init__.py
@@ -1,7 +1,32 @@
 """Expert maps of rank groups: planning, bounds and the change of map."""
 
 from sequoiagap.experts._bound import layer_bound, rank_times, step_skew
+from sequoiagap.experts._change import (
+    Effects,
+    EngineView,
+    Order,
+    OrderKind,
+    RankState,
+)
 from sequoiagap.experts._load import LoadEstimator, SpeedEstimator
+from sequoiagap.experts._messages import (
+    NO_MAP,
+    Arm,
+    Armed,
+    Join,
+    Joined,
+    MapBody,
+    MapRef,
+    MapRequest,
+    Prepare,
+    Promise,
+    RankReport,
+    ReportRequest,
+    Settle,
+    Settled,
+    Stage,
+    Staged,
+)
 from sequoiagap.experts._placement import (
     ExpertMap,
     ExpertMapError,
@@ -17,22 +42,49 @@
     finish,
     finish_in_slices,
 )
+from sequoiagap.experts._round import MapConflictError, Phase, Round, Send, next_epoch
 
 __all__ = [
+    "NO_MAP",
     "POLICIES",
+    "Arm",
+    "Armed",
+    "Effects",
+    "EngineView",
     "ExpertMap",
     "ExpertMapError",
+    "Join",
+    "Joined",
     "LoadEstimator",
+    "MapBody",
+    "MapConflictError",
+    "MapRef",
+    "MapRequest",
     "MapShape",
     "Move",
+    "Order",
+    "OrderKind",
+    "Phase",
     "PlanCosts",
     "PlanInput",
+    "Prepare",
+    "Promise",
+    "RankReport",
+    "RankState",
+    "ReportRequest",
+    "Round",
+    "Send",
+    "Settle",
+    "Settled",
     "SpeedEstimator",
+    "Stage",
+    "Staged",
     "finish",
     "finish_in_slices",
     "initial_map",
     "layer_bound",
     "moves_between",
+    "next_epoch",
     "rank_times",
     "step_skew",
 ]
