--- a/libs/config/src/sequoiagap/config/_replica.py
+++ b/libs/config/src/sequoiagap/config/_replica.py
@@ -11,6 +11,7 @@
 from sequoiagap.config import _local, _messages, _version
 
 UNKNOWN_AGE_MS = -1
+MAX_DELTA_BYTES = 65_536
 
 _log = base.get_logger("config")
 
@@ -65,10 +66,9 @@
         current = self.holder.current_
         if current.number <= item.above:
             return None
-        text = current.to_json()
         steps = None if item.whole else self.holder.steps_above(item.above)
-        if steps is None or sum(map(len, steps)) >= len(text):
-            return _messages.ConfigBody(current.number, text)
+        if steps is None or sum(map(len, steps)) > MAX_DELTA_BYTES:
+            return _messages.ConfigBody(current.number, current.to_json())
         return _messages.ConfigDelta(item.above, steps, current.digest)
 
     def on_delta(self, item, source):
--- a/libs/entry/src/sequoiagap/entry/_watch.py
+++ b/libs/entry/src/sequoiagap/entry/_watch.py
@@ -98,6 +98,10 @@
 
     def _take(self, stored):
         self._object_version = stored.version
+        number = stored.value.get("number") if isinstance(stored.value, dict) else None
+        if type(number) is int and 0 < number <= self.holder.current_.number:
+            self._note_number(number)
+            return
         head = config.parse_head(stored)
         self._note_number(head.version.number)
         self.holder.adopt(head.version, "platform", head.steps())
