Test rank groups under faults with real agents

Cause: the promise of one map in each step needs its faults caused for real. Ruled out: a change while an agent is dead (unanimity needs every rank; the group steps on with its map, and changes once the agent is back).

--- /dev/null
+++ b/tests/agent/test_groups.py
@@ -0,0 +1,166 @@
+"""Rank groups of real agents under faults: one map in each step, recovery."""
+
+import asyncio
+import signal
+import tempfile
+import unittest
+
+from sequoiagap import standins
+from sequoiagap.standins import _relay
+from tests import support
+
+RECOVERS_WITHIN_S = 3 * support.FEW_SECONDS_S
+SETTINGS = {"policy": "full_replan"}
+ENGINE = {"trace": "oscillation", "checks_fencing": False}
+
+
+class GroupCase(unittest.IsolatedAsyncioTestCase):
+    """Runs tests against one group of agents and its engines."""
+
+    plan = standins.RankFleetPlan(group=SETTINGS, engine=ENGINE)
+
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.fleet = await self.enterAsyncContext(
+            standins.RankFleet(self.plan, folder.name)
+        )
+
+    async def wait_for_change(self):
+        """Wait until the group has changed its map once more and steps on."""
+        before = await self.fleet.group()
+
+        def has_changed(state):
+            return (
+                state["versions_used"][-1:] > before["versions_used"][-1:]
+                and state["step"] > before["step"]
+            )
+
+        return await self.fleet.wait_until(has_changed, RECOVERS_WITHIN_S)
+
+    async def check(self):
+        """Check that the group recovers and never used two maps in a step."""
+        state = await self.wait_for_change()
+        self.assertEqual(state["violations"], 0)
+
+
+class GroupFaultsTest(GroupCase):
+    async def test_faults(self):
+        await self.wait_for_change()
+        for name in sorted(n for n in dir(self) if n.startswith("fault_")):
+            with self.subTest(name):
+                await getattr(self, name)()
+                await self.check()
+
+    async def fault_agent_of_a_rank_dies(self):
+        await self.fleet.process_by_name["rank-1"].kill()
+        await asyncio.sleep(0.5)
+        await self.fleet.start_agent(1)
+
+    async def fault_agent_is_paused(self):
+        process = self.fleet.process_by_name["rank-2"]
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(2.0)
+        process.send_signal(signal.SIGCONT)
+
+    async def fault_engine_restarts_without_map(self):
+        await self.fleet.set_rank_faults(1, restart=True)
+
+    async def fault_engine_and_agent_restart(self):
+        await self.fleet.process_by_name["rank-2"].kill()
+        await self.fleet.set_rank_faults(2, restart=True)
+        stopped = await self.fleet.group()
+        await asyncio.sleep(0.3)
+        self.assertFalse((await self.fleet.group())["can_step"], stopped)
+        await self.fleet.start_agent(2)
+
+    async def fault_engine_freezes(self):
+        await self.fleet.set_rank_faults(1, frozen=True)
+        await asyncio.sleep(2.0)
+        await self.fleet.set_rank_faults(1, frozen=False)
+
+    async def fault_rank_is_cut_off(self):
+        for mode in (_relay.LinkMode.CUT, _relay.LinkMode.SILENT):
+            self.fleet.relays_[1].set_mode(mode)
+            await asyncio.sleep(1.0)
+        self.fleet.relays_[1].heal()
+
+    async def fault_staged_weights_are_lost(self):
+        for _ in range(10):
+            for rank in range(3):
+                await self.fleet.set_rank_faults(rank, lose_staged=True)
+            await asyncio.sleep(0.05)
+
+    async def fault_proposer_dies_at_each_point(self):
+        for relay in self.fleet.relays_:
+            relay.delay_s = 0.08
+        for after_s in (0.05, 0.15, 0.25, 0.35, 0.45):
+            planned = self.fleet.log(0).count("map_planned")
+            await self.fleet.wait_until(
+                lambda _, n=planned: self.fleet.log(0).count("map_planned") > n,
+                RECOVERS_WITHIN_S,
+            )
+            await asyncio.sleep(after_s)
+            await self.fleet.process_by_name["rank-0"].kill()
+            await self.fleet.start_agent(0)
+        for relay in self.fleet.relays_:
+            relay.delay_s = 0.0
+
+    async def fault_weight_store_refuses(self):
+        await self.fleet.set_faults("weights", down=True)
+        await asyncio.sleep(1.0)
+        steps = (await self.fleet.group())["step"]
+        await self.fleet.wait_until(
+            lambda state: state["step"] > steps, support.FEW_SECONDS_S
+        )
+        await self.fleet.set_faults("weights", down=False)
+
+    async def fault_weight_store_is_slow(self):
+        await self.fleet.set_faults("weights", slow_s=0.7)
+        await asyncio.sleep(1.5)
+        await self.fleet.set_faults("weights", slow_s=0.0)
+
+
+class ColdGroupTest(GroupCase):
+    plan = standins.RankFleetPlan(
+        group=SETTINGS,
+        engine=ENGINE | {"starts_with_map": False, "checks_fencing": True},
+        platform_up=False,
+    )
+
+    async def test_group_without_maps_or_platform_starts(self):
+        await self.fleet.wait_until(lambda s: s["step"] > 10, RECOVERS_WITHIN_S)
+        await self.check()
+
+
+class SwitchAtStepTest(GroupCase):
+    plan = standins.RankFleetPlan(group=SETTINGS, engine=ENGINE, mode="switch_at_step")
+
+    async def test_proposer_dies(self):
+        for _ in range(3):
+            await self.wait_for_change()
+            await self.fleet.process_by_name["rank-0"].kill()
+            await self.fleet.start_agent(0)
+            await self.check()
+
+
+class SwitchNowTest(SwitchAtStepTest):
+    plan = standins.RankFleetPlan(group=SETTINGS, engine=ENGINE, mode="switch_now")
+
+
+class StandInTest(GroupCase):
+    async def test_two_maps_in_one_step_are_counted(self):
+        state = await self.wait_for_change()
+        version, digest, _ = state["committed"][0]
+        order = {
+            "kind": "load",
+            "epoch": 10_000,
+            "target": [version + 1, digest, 0],
+            "previous": [version, digest, 0],
+        }
+        url = self.fleet.url("ranks") + "/ranks/1/group/order"
+        async with self.fleet.session_.post(url, json=order) as response:
+            self.assertEqual(response.status, 200)
+        await self.fleet.wait_until(
+            lambda s: s["violations"] > 0, support.FEW_SECONDS_S
+        )
