--- a/libs/agent/src/sequoiagap/agent/_rounds.py
+++ b/libs/agent/src/sequoiagap/agent/_rounds.py
@@ -53,8 +53,8 @@
 
     async def _run(self, wanted):
         state = self.member.state_
-        incarnations = state.incarnations() if state is not None else None
-        if incarnations is None:
+        membership = state.membership() if state is not None else ""
+        if not membership:
             return None
         settings = self.member.settings
         kind = self.member.engine.kind
@@ -62,8 +62,9 @@
         self._round = experts.Round(
             settings.name,
             settings.rank,
+            self.member.ranks,
             experts.next_epoch(highest, settings.rank, self.member.ranks),
-            incarnations,
+            membership,
             wanted,
             kind.lead_steps,
             kind.holds_on_prepare,
--- a/libs/experts/src/sequoiagap/experts/_change.py
+++ b/libs/experts/src/sequoiagap/experts/_change.py
@@ -11,9 +11,12 @@
 
 import dataclasses
 import enum
+import hashlib
 
 from sequoiagap.experts import _messages
 
+MEMBERSHIP_CHARACTERS = 16
+
 
 class OrderKind(enum.StrEnum):
     """Orders to an engine."""
@@ -120,14 +123,16 @@
         """
         return _messages.Join(self.group, self.rank, self.incarnation)
 
-    def incarnations(self):
-        """Return the incarnation of each rank, or ``None`` if not all are known.
+    def membership(self):
+        """Return a digest of the ranks' incarnations; empty while not joined.
 
-        :rtype: list[str] | None
+        :rtype: str
         """
-        if not self.joined_ or len(self.incarnation_by_rank) < self.ranks:
-            return None
-        return [self.incarnation_by_rank[rank] for rank in range(self.ranks)]
+        if not self.joined_:
+            return ""
+        names = [self.incarnation_by_rank[rank] for rank in range(self.ranks)]
+        hashed = hashlib.sha256(repr(names).encode())
+        return hashed.hexdigest()[:MEMBERSHIP_CHARACTERS]
 
     def on_join(self, item):
         """Acknowledge a peer's fresh incarnation.
@@ -246,7 +251,7 @@
 
     def _is_current(self, item):
         """Tell whether a round counts on the incarnations known here."""
-        return self.joined_ and item.incarnations == self.incarnations()
+        return self.joined_ and item.membership == self.membership()
 
     def _is_promised(self, item):
         return self._is_current(item) and item.epoch == self.promised_
--- a/libs/experts/src/sequoiagap/experts/_messages.py
+++ b/libs/experts/src/sequoiagap/experts/_messages.py
@@ -84,13 +84,14 @@
     :param str group: the group.
     :param int rank: rank of the proposer.
     :param int epoch: number of the round.
-    :param list incarnations: incarnation of each rank, in the proposer's view.
+    :param str membership: digest of the ranks' incarnations that the proposer counts
+        on, see :meth:`RankState.membership`.
     """
 
     group: str
     rank: int
     epoch: int
-    incarnations: list
+    membership: str
 
 
 @wire.message(403)
@@ -130,14 +131,14 @@
     :param str group: the group.
     :param int rank: rank of the proposer.
     :param int epoch: the round.
-    :param list incarnations: as in :class:`Prepare`.
+    :param str membership: as in :class:`Prepare`.
     :param list target: the map to arm.
     """
 
     group: str
     rank: int
     epoch: int
-    incarnations: list
+    membership: str
     target: list
 
 
@@ -164,7 +165,7 @@
     :param str group: the group.
     :param int rank: rank of the proposer.
     :param int epoch: the round.
-    :param list incarnations: as in :class:`Prepare`.
+    :param str membership: as in :class:`Prepare`.
     :param bool commit: whether the target is committed, or what is armed dropped.
     :param list target: the committed map.
     :param list previous: the map before it.
@@ -173,7 +174,7 @@
     group: str
     rank: int
     epoch: int
-    incarnations: list
+    membership: str
     commit: bool
     target: list
     previous: list
--- a/libs/experts/src/sequoiagap/experts/_round.py
+++ b/libs/experts/src/sequoiagap/experts/_round.py
@@ -38,8 +38,9 @@
 
     :param str group: name of the group.
     :param int rank: rank of the proposer.
+    :param int ranks: ranks of the group.
     :param int epoch: number of the round, see :func:`next_epoch`.
-    :param list incarnations: incarnation of each rank; the round counts on them.
+    :param str membership: digest of the incarnations that the round counts on.
     :param str wanted: digest of the map to change to; empty to only settle what
         is open.
     :param int lead_steps: steps between arming and the change.
@@ -56,16 +57,18 @@
         self,
         group,
         rank,
+        ranks,
         epoch,
-        incarnations,
+        membership,
         wanted="",
         lead_steps=8,
         always_settles=False,
     ):
         self.group = group
         self.rank = rank
+        self.ranks = ranks
         self.epoch = epoch
-        self.incarnations = incarnations
+        self.membership = membership
         self.wanted = wanted
         self.lead_steps = lead_steps
         self.always_settles = always_settles
@@ -77,11 +80,6 @@
         self.promise_by_rank = {}
         self.answered_ = set()
 
-    @property
-    def ranks(self):
-        """Number of ranks."""
-        return len(self.incarnations)
-
     @property
     def is_over(self):
         """Whether nothing is left to do."""
@@ -195,22 +193,20 @@
 
     def _item(self):
         if self.phase_ == Phase.PREPARING:
-            return _messages.Prepare(
-                self.group, self.rank, self.epoch, self.incarnations
-            )
+            return _messages.Prepare(self.group, self.rank, self.epoch, self.membership)
         if self.phase_ == Phase.ARMING:
             return _messages.Arm(
                 self.group,
                 self.rank,
                 self.epoch,
-                self.incarnations,
+                self.membership,
                 self.target_.to_wire(),
             )
         return _messages.Settle(
             self.group,
             self.rank,
             self.epoch,
-            self.incarnations,
+            self.membership,
             self.committed_,
             self.target_.to_wire(),
             self.previous_.to_wire(),
--- a/libs/standins/src/sequoiagap/standins/_rank_fleet.py
+++ b/libs/standins/src/sequoiagap/standins/_rank_fleet.py
@@ -24,6 +24,8 @@
     :param str mode: how the engines change their map.
     :param float store_rate: bytes a second of the weight store.
     :param bool platform_up: whether the platform runs.
+    :param str platform_url: platform to use; empty to start one.
+    :param str secret_file: secret to use; empty to make one.
     """
 
     shape: tuple = (2, 3, 6, 3)
@@ -32,6 +34,8 @@
     mode: str = "hold_at_step"
     store_rate: float = 1e9
     platform_up: bool = True
+    platform_url: str = ""
+    secret_file: str = ""
 
 
 class RankFleet:
@@ -127,17 +131,40 @@
                     return state
                 await asyncio.sleep(POLL_S)
 
-    async def start_agent(self, rank):
+    async def start_agent(self, rank, **group):
         """Start the agent of a rank, or start it again.
 
         :param int rank: the rank.
+        :param group: settings of the group for this agent only.
         """
         path = self.folder / f"rank-{rank}.json"
-        path.write_text(json.dumps(self._settings(rank)))
+        settings = self._settings(rank)
+        settings["group"] |= group
+        path.write_text(json.dumps(settings))
         command = [sys.executable, "-m", "sequoiagap.cli", "agent", str(path)]
         process = await self._start_process(f"rank-{rank}", command)
         self.relays_[rank].target_port = process.ready_["port"]
 
+    async def register(self, rank, serves=("desk-model",)):
+        """Put a rank's agent on the platform's list of hosts.
+
+        :param int rank: the rank.
+        :param tuple serves: models that it serves.
+        """
+        name = f"rank-{rank}"
+        host = {
+            "host_id": name,
+            "role": "agent",
+            "address": "127.0.0.1",
+            "port": self.process_by_name[name].ready_["port"],
+            "failure_domain": "north",
+            "state": "live",
+            "serves": list(serves),
+        }
+        url = self.plan.platform_url or self.url("platform")
+        async with self.session_.put(f"{url}/hosts/{name}", json=host) as response:
+            response.raise_for_status()
+
     def log(self, rank):
         """Return the log of a rank's agent.
 
@@ -147,8 +174,10 @@
         return (self.folder / f"rank-{rank}.log").read_text()
 
     async def _start(self):
-        (self.folder / "secret").write_text(os.urandom(16).hex())
-        await self._start_stand_in("platform", "platform", {})
+        if not self.plan.secret_file:
+            (self.folder / "secret").write_text(os.urandom(16).hex())
+        if not self.plan.platform_url:
+            await self._start_stand_in("platform", "platform", {})
         if not self.plan.platform_up:
             await self.set_faults("platform", down=True)
         rate = {"rate_bytes_s": self.plan.store_rate}
@@ -186,8 +215,11 @@
             "failure_domain": "north",
             "address": "127.0.0.1",
             "port": 0,
-            "platform": {"url": self.url("platform"), "timeout_s": 0.5},
-            "secret_file": str(self.folder / "secret"),
+            "platform": {
+                "url": self.plan.platform_url or self.url("platform"),
+                "timeout_s": 0.5,
+            },
+            "secret_file": self.plan.secret_file or str(self.folder / "secret"),
             "endpoint": {
                 "kind": "model",
                 "url": f"{self.url('ranks')}/ranks/{rank}",
--- a/libs/standins/src/sequoiagap/standins/_ranks.py
+++ b/libs/standins/src/sequoiagap/standins/_ranks.py
@@ -73,6 +73,7 @@
         self.violations_ = 0
         self.versions_used_ = []
         self.skews_ = []
+        self.completions_ = 0
         self.longest_wait_s_ = 0.0
         self.blocked_since_ = time.monotonic()
         self._task = None
@@ -160,6 +161,7 @@
                 "skews": self.skews_[-200:],
                 "longest_wait_s": self.longest_wait_s_,
                 "can_step": self._can_step(),
+                "completions": self.completions_,
                 "committed": [e.committed_.to_wire() for e in self.engines_],
             }
         )
@@ -256,6 +258,7 @@
             return repr(error)
 
     async def _on_complete(self, request, rank):
+        self.completions_ += 1
         goal = self.engines_[rank].step_ + self.tokens
         while self.engines_[rank].step_ < goal:  # noqa: ASYNC110 - decoding
             await asyncio.sleep(POLL_S)
--- /dev/null
+++ b/tests/agent/test_group_kinds.py
@@ -0,0 +1,76 @@
+"""Rank groups whose engines change their map in different ways."""
+
+import asyncio
+
+from sequoiagap import standins
+from tests import support
+from tests.agent import group_case
+
+
+class SwitchAtStepTest(group_case.GroupCase):
+    plan = standins.RankFleetPlan(
+        group=group_case.SETTINGS, engine=group_case.ENGINE, mode="switch_at_step"
+    )
+
+    async def test_proposer_dies(self):
+        for _ in range(3):
+            await self.wait_for_change()
+            await self.fleet.process_by_name["rank-0"].kill()
+            await self.fleet.start_agent(0)
+            await self.check()
+
+
+class SwitchNowTest(SwitchAtStepTest):
+    plan = standins.RankFleetPlan(
+        group=group_case.SETTINGS, engine=group_case.ENGINE, mode="switch_now"
+    )
+
+
+class StuckChangeTest(group_case.GroupCase):
+    """No plan follows the broken one: the ranks themselves must settle it."""
+
+    plan = standins.RankFleetPlan(
+        group=group_case.SETTINGS | {"interval_s": 600.0},
+        engine=group_case.ENGINE,
+        mode="switch_now",
+    )
+
+    async def test_ranks_settle_what_a_dead_proposer_left(self):
+        for after_s in (0.2, 0.4, 0.6):
+            await self.fleet.process_by_name["rank-0"].kill()
+            await self.fleet.start_agent(0, interval_s=1.0)
+            for relay in self.fleet.relays_:
+                relay.delay_s = 0.1
+            planned = self.fleet.log(0).count("map_planned")
+            await self.fleet.wait_until(
+                lambda _, n=planned: self.fleet.log(0).count("map_planned") > n,
+                group_case.RECOVERS_WITHIN_S,
+            )
+            await asyncio.sleep(after_s)
+            await self.fleet.process_by_name["rank-0"].kill()
+            for relay in self.fleet.relays_:
+                relay.delay_s = 0.0
+            await self.fleet.start_agent(0)
+            steps = (await self.fleet.group())["step"]
+            state = await self.fleet.wait_until(
+                lambda s, n=steps: s["step"] > n + 3, support.FEW_SECONDS_S
+            )
+            self.assertEqual(state["violations"], 0)
+
+
+class StandInTest(group_case.GroupCase):
+    async def test_two_maps_in_one_step_are_counted(self):
+        state = await self.wait_for_change()
+        version, digest, _ = state["committed"][0]
+        order = {
+            "kind": "load",
+            "epoch": 10_000,
+            "target": [version + 1, digest, 0],
+            "previous": [version, digest, 0],
+        }
+        url = self.fleet.url("ranks") + "/ranks/1/group/order"
+        async with self.fleet.session_.post(url, json=order) as response:
+            self.assertEqual(response.status, 200)
+        await self.fleet.wait_until(
+            lambda s: s["violations"] > 0, support.FEW_SECONDS_S
+        )
--- a/tests/agent/test_groups.py
+++ b/tests/agent/test_groups.py
@@ -2,49 +2,14 @@
 
 import asyncio
 import signal
-import tempfile
-import unittest
 
 from sequoiagap import standins
 from sequoiagap.standins import _relay
 from tests import support
+from tests.agent import group_case
 
-RECOVERS_WITHIN_S = 3 * support.FEW_SECONDS_S
-SETTINGS = {"policy": "full_replan"}
-ENGINE = {"trace": "oscillation", "checks_fencing": False}
 
-
-class GroupCase(unittest.IsolatedAsyncioTestCase):
-    """Runs tests against one group of agents and its engines."""
-
-    plan = standins.RankFleetPlan(group=SETTINGS, engine=ENGINE)
-
-    async def asyncSetUp(self):
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.fleet = await self.enterAsyncContext(
-            standins.RankFleet(self.plan, folder.name)
-        )
-
-    async def wait_for_change(self):
-        """Wait until the group has changed its map once more and steps on."""
-        before = await self.fleet.group()
-
-        def has_changed(state):
-            return (
-                state["versions_used"][-1:] > before["versions_used"][-1:]
-                and state["step"] > before["step"]
-            )
-
-        return await self.fleet.wait_until(has_changed, RECOVERS_WITHIN_S)
-
-    async def check(self):
-        """Check that the group recovers and never used two maps in a step."""
-        state = await self.wait_for_change()
-        self.assertEqual(state["violations"], 0)
-
-
-class GroupFaultsTest(GroupCase):
+class GroupFaultsTest(group_case.GroupCase):
     async def test_faults(self):
         await self.wait_for_change()
         for name in sorted(n for n in dir(self) if n.startswith("fault_")):
@@ -98,7 +63,7 @@
             planned = self.fleet.log(0).count("map_planned")
             await self.fleet.wait_until(
                 lambda _, n=planned: self.fleet.log(0).count("map_planned") > n,
-                RECOVERS_WITHIN_S,
+                group_case.RECOVERS_WITHIN_S,
             )
             await asyncio.sleep(after_s)
             await self.fleet.process_by_name["rank-0"].kill()
@@ -121,46 +86,15 @@
         await self.fleet.set_faults("weights", slow_s=0.0)
 
 
-class ColdGroupTest(GroupCase):
+class ColdGroupTest(group_case.GroupCase):
     plan = standins.RankFleetPlan(
-        group=SETTINGS,
-        engine=ENGINE | {"starts_with_map": False, "checks_fencing": True},
+        group=group_case.SETTINGS,
+        engine=group_case.ENGINE | {"starts_with_map": False, "checks_fencing": True},
         platform_up=False,
     )
 
     async def test_group_without_maps_or_platform_starts(self):
-        await self.fleet.wait_until(lambda s: s["step"] > 10, RECOVERS_WITHIN_S)
-        await self.check()
-
-
-class SwitchAtStepTest(GroupCase):
-    plan = standins.RankFleetPlan(group=SETTINGS, engine=ENGINE, mode="switch_at_step")
-
-    async def test_proposer_dies(self):
-        for _ in range(3):
-            await self.wait_for_change()
-            await self.fleet.process_by_name["rank-0"].kill()
-            await self.fleet.start_agent(0)
-            await self.check()
-
-
-class SwitchNowTest(SwitchAtStepTest):
-    plan = standins.RankFleetPlan(group=SETTINGS, engine=ENGINE, mode="switch_now")
-
-
-class StandInTest(GroupCase):
-    async def test_two_maps_in_one_step_are_counted(self):
-        state = await self.wait_for_change()
-        version, digest, _ = state["committed"][0]
-        order = {
-            "kind": "load",
-            "epoch": 10_000,
-            "target": [version + 1, digest, 0],
-            "previous": [version, digest, 0],
-        }
-        url = self.fleet.url("ranks") + "/ranks/1/group/order"
-        async with self.fleet.session_.post(url, json=order) as response:
-            self.assertEqual(response.status, 200)
         await self.fleet.wait_until(
-            lambda s: s["violations"] > 0, support.FEW_SECONDS_S
+            lambda s: s["step"] > 10, group_case.RECOVERS_WITHIN_S
         )
+        await self.check()
--- a/tests/experts/change_model.py
+++ b/tests/experts/change_model.py
@@ -161,7 +161,7 @@
             if state is None:
                 found.append(("start", rank))
                 continue
-            if self.rounds_left[rank] and state.incarnations():
+            if self.rounds_left[rank] and state.membership():
                 found.append(("propose", rank))
             if self.crashes_left and rank in self.crash_ranks:
                 found += [("crash_" + kind, rank) for kind in self.crash_kinds]
@@ -206,7 +206,7 @@
         epoch = experts.next_epoch(state.promised_, rank, RANKS)
         wanted = self.wanted[rank]
         self.rounds[rank] = self.round_type(
-            "g", rank, epoch, state.incarnations(), wanted, lead_steps=1
+            "g", rank, RANKS, epoch, state.membership(), wanted, lead_steps=1
         )
         self.send_all(rank, self.rounds[rank].outstanding())
 
