--- a/benchmarks/group_cost.py
+++ b/benchmarks/group_cost.py
@@ -14,11 +14,12 @@
 import pathlib
 import tempfile
 
-from sequoiagap import base, standins, wire
+from sequoiagap import agent, base, standins, wire
 
 WARM_UP_S = 8.0
 RUN_S = 20.0
 LAYERS = 60
+MESSAGES_OF = agent  # imported so that its messages are known
 TICKS = os.sysconf("SC_CLK_TCK")
 
 
@@ -54,8 +55,8 @@
     experts_count = 2 * ranks
     plan = standins.RankFleetPlan(
         shape=(LAYERS, ranks, experts_count, 3),
-        group={"interval_s": 5.0, "report_interval_s": 2.0},
-        engine={"trace": "oscillation", "step_s": 0.2},
+        group={"interval_s": 5.0, "report_interval_s": 2.0, "policy": "full_replan"},
+        engine={"trace": "oscillation", "step_s": 0.02},
     )
     with tempfile.TemporaryDirectory() as folder:
         async with standins.RankFleet(plan, folder) as fleet:
--- a/libs/agent/src/sequoiagap/agent/_group.py
+++ b/libs/agent/src/sequoiagap/agent/_group.py
@@ -7,7 +7,9 @@
 from sequoiagap import base, experts
 from sequoiagap.agent import _group_links, _rank_engine
 
-POLL_S = 0.1
+CALM_POLL_S = 0.5
+BUSY_POLL_S = 0.1
+CALM_BLOCKED_S = 0.2  # a step that waits longer than this is no longer calm
 JOIN_RETRY_S = 0.3
 STALLED_S = 1.0
 STAGE_TIMEOUT_S = 600.0
@@ -58,6 +60,7 @@
         self._start_id = None
         self._begun = 0
         self._was_stalled = False
+        self._was_joining = False
         self._staging_by_digest = {}
         self._lock = asyncio.Lock()
 
@@ -96,7 +99,7 @@
                 if self._start_id is not None:
                     _log.emit(base.Event.RANK_UNREACHABLE, error=error.message)
             self._note_stall()
-            await asyncio.sleep(POLL_S)
+            await asyncio.sleep(CALM_POLL_S if self._is_calm() else BUSY_POLL_S)
 
     async def handle(self, item):
         """Decide on a message and carry out what follows.
@@ -141,12 +144,15 @@
             self.map_by_digest = {d: m for d, m in kept if d in needed}
         self.map_by_digest[placement.digest] = placement
 
-    def make_report(self):
-        """Return what the rank did.
+    async def make_report(self):
+        """Return what the rank did, or ``None`` if its engine does not answer.
 
-        :rtype: sequoiagap.experts.RankReport
+        :rtype: sequoiagap.experts.RankReport | None
         """
-        report = self.report_
+        try:
+            report = await self.engine.report(with_counts=True)
+        except base.SequoiagapError:
+            return None
         return experts.RankReport(
             self.settings.name,
             self.settings.rank,
@@ -193,10 +199,22 @@
                 self._begin(report)
             self.state_.view = report.view
         if not self.state_.joined_:
+            self.links.mark_busy(True)
             self._ask_to_join()
+        elif self._was_joining:
+            self.links.mark_busy(False)
+        self._was_joining = not self.state_.joined_
         if report.missing:
             self._fetch(report.missing)
 
+    def _is_calm(self):
+        """Tell whether nothing waits for this rank."""
+        if self.state_ is None or not self.engine_answers_:
+            return False
+        report = self.report_
+        is_open = report.missing or report.blocked_s > CALM_BLOCKED_S
+        return self.state_.joined_ and not is_open
+
     def _begin(self, report):
         """Start a fresh incarnation of the rank."""
         self._start_id = report.start_id
@@ -335,8 +353,9 @@
     async def _on_report_request(self, connection, item):
         if item.rank < self.settings.rank:
             self.heard_at_ = time.monotonic()
-        if self.report_ is not None and self.engine_answers_:
-            await connection.send(self.make_report())
+        report = await self.make_report()
+        if report is not None:
+            await connection.send(report)
 
     def _log_joined(self):
         _log.emit(
--- a/libs/agent/src/sequoiagap/agent/_group_links.py
+++ b/libs/agent/src/sequoiagap/agent/_group_links.py
@@ -27,6 +27,7 @@
         self.handlers_ = wire.HandlerTable()
         self.messages_sent_ = 0
         self.bytes_sent_ = 0
+        self._busy = False
         self._connection_by_rank = {}
         self._lock_by_rank = {r: asyncio.Lock() for r in range(len(peers))}
         self._tasks = base.TaskSet()
@@ -40,7 +41,6 @@
         """
         try:
             connection = await self._connect(rank)
-            connection.mark_busy(True)
             before = connection.bytes_sent_
             await connection.send(item)
         except base.WireError:
@@ -58,10 +58,15 @@
         """
         return self._tasks.start(coroutine, name)
 
-    def rest(self):
-        """Probe the connections at the long interval again."""
+    def mark_busy(self, busy):
+        """Say whether a decision waits for the peers.
+
+        :param bool busy: busy connections are probed at short intervals, so that
+            one that has gone silent is found and opened anew.
+        """
+        self._busy = busy
         for connection in self._connection_by_rank.values():
-            connection.mark_busy(False)
+            connection.mark_busy(busy)
 
     async def close(self):
         """Close every connection."""
@@ -78,6 +83,7 @@
             connection = await wire.connect(
                 str(peer.address), peer.port, self.make_hello()
             )
+            connection.mark_busy(self._busy)
             self._connection_by_rank[rank] = connection
             self._tasks.start(self._receive(connection), f"group-link-{rank}")
             return connection
--- a/libs/agent/src/sequoiagap/agent/_rank_engine.py
+++ b/libs/agent/src/sequoiagap/agent/_rank_engine.py
@@ -98,13 +98,16 @@
         if self._session is not None:
             await self._session.close()
 
-    async def report(self):
+    async def report(self, with_counts=False):
         """Return the state of the engine.
 
+        :param bool with_counts: whether to ask for the tokens of each slot.
         :rtype: EngineReport
         :raises EngineUnavailableError: if it does not answer in time.
         """
-        document = await self._call("GET", "/group")
+        document = await self._call(
+            "GET", "/group?counts=1" if with_counts else "/group"
+        )
         try:
             return _parse(document)
         except (KeyError, TypeError, ValueError) as error:
@@ -175,7 +178,7 @@
         document["blocked_s"],
         document["busy_s"],
         document["map_used"],
-        document["counts"],
+        document.get("counts", []),
     )
 
 
--- a/libs/agent/src/sequoiagap/agent/_rebalance.py
+++ b/libs/agent/src/sequoiagap/agent/_rebalance.py
@@ -92,7 +92,9 @@
             request = experts.ReportRequest(
                 self.member.settings.name, self.member.settings.rank
             )
-            self.loads_.add(self.member.make_report())
+            own = await self.member.make_report()
+            if own is not None:
+                self.loads_.add(own)
             for rank in self._peers():
                 self.links.start(self.links.send(rank, request), "report-request")
 
@@ -107,7 +109,6 @@
                     await self._change_to(wanted)
             except base.SequoiagapError as error:
                 _log.emit(base.Event.WEIGHTS_FAILED, error=error.message)
-            self.links.rest()
 
     async def _choose_map(self):
         """Return the map to change to, or ``None`` to stay."""
--- a/libs/agent/src/sequoiagap/agent/_rounds.py
+++ b/libs/agent/src/sequoiagap/agent/_rounds.py
@@ -49,7 +49,11 @@
         :rtype: sequoiagap.experts.Round | None
         """
         async with self._lock:
-            return await self._run(wanted)
+            self.links.mark_busy(True)
+            try:
+                return await self._run(wanted)
+            finally:
+                self.links.mark_busy(False)
 
     async def _run(self, wanted):
         state = self.member.state_
--- a/libs/standins/src/sequoiagap/standins/_ranks.py
+++ b/libs/standins/src/sequoiagap/standins/_ranks.py
@@ -184,7 +184,6 @@
     async def _on_view(self, request, rank):
         engine = self.engines_[rank]
         view = engine.view()
-        slots = range(rank * self.shape.slots, (rank + 1) * self.shape.slots)
         blocked = not self._can_step()
         waited_s = time.monotonic() - self.blocked_since_ if blocked else 0.0
         return web.json_response(
@@ -201,14 +200,18 @@
                 "blocked_s": waited_s,
                 "busy_s": self.busy_s_[rank],
                 "map_used": self.versions_used_[-1] if self.versions_used_ else 0,
-                "counts": [
-                    int(self.counts_.get((layer, slot), 0))
-                    for layer in range(self.shape.layers)
-                    for slot in slots
-                ],
             }
+            | ({"counts": self._slot_counts(rank)} if request.query else {})
         )
 
+    def _slot_counts(self, rank):
+        slots = range(rank * self.shape.slots, (rank + 1) * self.shape.slots)
+        return [
+            int(self.counts_.get((layer, slot), 0))
+            for layer in range(self.shape.layers)
+            for slot in slots
+        ]
+
     async def _on_order(self, request, rank):
         body = await request.json()
         order = experts.Order(
