--- a/libs/agent/src/sequoiagap/agent/_executor.py
+++ b/libs/agent/src/sequoiagap/agent/_executor.py
@@ -3,11 +3,12 @@
 import asyncio
 
 from sequoiagap import base, outcome, wire
-from sequoiagap.agent import _endpoint, _refusals, _runs
+from sequoiagap.agent import _endpoint, _refusals, _runs, _slots
 
 GRACE_S = 3.0
 SERVICE_TIME_WEIGHT = 0.2
 CLAIM_MARGIN_S = 0.1
+CLAIM_END_MARGIN_S = 60.0
 END_SENDING_BOUND_S = 2.0
 MILLISECONDS = 1000
 
@@ -25,6 +26,7 @@
     :param str failure_domain: where the endpoint stands.
     :param sequoiagap.platform.PlatformClient platform_client: keeps claims.
 
+    :ivar sequoiagap.base.Metrics metrics_: counts and times of attempts.
     :ivar float service_time_s_: recent mean time of an attempt in seconds.
     :ivar bool stopping_: whether new work is refused.
     """
@@ -39,10 +41,12 @@
         self.node_id = node_id
         self.failure_domain = failure_domain
         self.platform_client = platform_client
+        self.metrics_ = base.Metrics()
         self.service_time_s_ = 0.0
         self.stopping_ = False
         self.table_ = _runs.RunTable()
         self.refusals_ = _refusals.Refusals(holder)
+        self.slots_ = _slots.SlotQueue(gate)
         self._tasks = base.TaskSet()
         self._senders = base.TaskSet()
         self._task_by_run = {}
@@ -92,8 +96,9 @@
         limit = self.gate.limit(_now())
         return wire.Load(
             state=self.gate.state,
-            in_flight=self.gate.in_flight_,
+            in_flight=self.gate.in_flight_ + self.gate.foreign_,
             limit=limit,
+            queued=self.slots_.size_,
             service_time_s=self.service_time_s_,
         )
 
@@ -142,7 +147,7 @@
             refusal = self.refusals_.forgotten(order.attempt_id)
         else:
             # The first order runs or ran, and its answer goes to its own entry.
-            _log.emit(base.Event.ATTEMPT_DUPLICATE, attempt_id=order.attempt_id)
+            _log.emit(base.Event.ATTEMPT_DUPLICATE, **_ids(order))
             return
         await connection.send(refusal)
 
@@ -178,10 +183,18 @@
 
     def _start(self, connection, order, wish):
         run = _runs.Run(order, wish)
+        run.place_ = self.slots_.enter(_now())
         self.table_.add(run, order.attempt_id)
         self._listen(run, connection, order.attempt_id)
         task = self._tasks.start(self._run(run), order.attempt_id)
         self._task_by_run[run] = task
+        task.add_done_callback(lambda _: self._finish_unbegun(run))
+
+    def _finish_unbegun(self, run):
+        """Finish a run whose task was cancelled before its first step."""
+        if run in self._task_by_run:
+            run.refuse(self.refusals_.stopped(run.started_))
+            self._finish(run)
 
     def _listen(self, run, connection, attempt_id, next_sequence=0):
         listener = run.listen(connection, attempt_id, next_sequence)
@@ -218,6 +231,11 @@
         expires_at = order.expires_at_ms / MILLISECONDS
         incarnation = self.ledger.incarnation
         standing = self.ledger.revoke(order.attempt_id, incarnation, expires_at, _now())
+        _log.emit(
+            base.Event.ATTEMPT_REVOKED,
+            attempt_id=order.attempt_id,
+            standing=str(standing),
+        )
         run = self.table_.by_attempt_id.get(order.attempt_id)
         if run is None:
             return
@@ -258,7 +276,7 @@
     def _abandon(self, run):
         is_wanted = run.listener_by_attempt_id or not run.order.repeatable
         if run.end_ is None and not is_wanted:
-            _log.emit(base.Event.RUN_ABANDONED, attempt_id=run.order.attempt_id)
+            _log.emit(base.Event.RUN_ABANDONED, **_ids(run.order))
             self._stop_run(run)
 
     def _stop_run(self, run):
@@ -267,13 +285,17 @@
             task.cancel()
 
     def _find_refusal(self, order):
-        if self.stopping_ or self._is_out():
+        if self.stopping_ or self.is_out():
             return self.refusals_.draining(order.attempt_id, self._out_setting())
-        if not self.gate.try_enter(_now()):
+        if not self.slots_.has_room(_now()):
             return self.refusals_.no_slot(order.attempt_id)
         return None
 
-    def _is_out(self):
+    def is_out(self):
+        """Return whether operators took the endpoint or its domain out.
+
+        :rtype: bool
+        """
         return bool(self._out_setting())
 
     def _out_setting(self):
@@ -287,9 +309,12 @@
         return ""
 
     async def _run(self, run):
-        """Claim, start and run; the slot is taken already."""
+        """Wait for a slot, claim, start and run."""
+        place = run.place_
         try:
-            refusal = await self._begin(run)
+            refusal = await self._begin(run) if await place.wait() else None
+            if not place.given_:
+                refusal = self.refusals_.no_slot(run.order.attempt_id)
             if refusal is None:
                 await self._execute(run)
             else:
@@ -328,6 +353,7 @@
                 await self.client.call(run.order, run.take_head, run.take_data)
             run.finish()
             self._learn_service_time(_now() - began)
+            self.metrics_.observe("attempt_seconds", _now() - began)
         except _endpoint.EndpointError as error:
             run.started_ = error.sent
             run.refuse(self.refusals_.endpoint_failed(error))
@@ -335,13 +361,17 @@
             run.refuse(self.refusals_.past_deadline())
 
     def _run_bound_s(self, order):
-        """Return how long a run may take; one that may not be repeated has no end."""
+        """Return how long a run may take, in seconds.
+
+        One that may not be repeated outlives its caller, but not its claim.
+        """
         if not order.repeatable:
-            return None
+            return outcome.CLAIM_WINDOW_S - CLAIM_END_MARGIN_S
         return max(order.expires_at_ms / MILLISECONDS - _now(), 0.0)
 
     def _finish(self, run):
-        self.gate.leave_slot()
+        self.metrics_.count("attempts_total", result=_result(run))
+        self.slots_.leave(run.place_, _now())
         self._task_by_run.pop(run, None)
         for attempt_id in run.attempt_ids_:
             self.ledger.finish(attempt_id, _now())
@@ -377,3 +407,16 @@
 
 def _now():
     return asyncio.get_running_loop().time()
+
+
+def _ids(order):
+    """Return what each log line about an attempt names."""
+    return {
+        "request_id": order.request_id,
+        "attempt_id": order.attempt_id,
+        "config_version": order.config_version,
+    }
+
+
+def _result(run):
+    return str(run.end_.kind) if isinstance(run.end_, wire.Refused) else "answered"
--- a/libs/agent/src/sequoiagap/agent/_runs.py
+++ b/libs/agent/src/sequoiagap/agent/_runs.py
@@ -107,6 +107,7 @@
     :ivar float ended_at_: when it ended, on the agent's clock.
     :ivar int held_bytes_: bytes that were held at its end.
     :ivar list attempt_ids_: attempts that joined it.
+    :ivar Place place_: its slot, or its place in the queue for one.
     """
 
     def __init__(self, order, wish=None):
@@ -121,6 +122,7 @@
         self.ended_at_ = 0.0
         self.held_bytes_ = 0
         self.attempt_ids_ = []
+        self.place_ = None
         self._room = asyncio.Event()
 
     @property
@@ -286,7 +288,8 @@
 
         :rtype: list[Run]
         """
-        return [run for run in set(self.by_attempt_id.values()) if run.end_ is None]
+        runs = dict.fromkeys(self.by_attempt_id.values())
+        return [run for run in runs if run.end_ is None]
 
     def _is_to_drop(self, run, ended_before):
         return run.ended_at_ < ended_before or self.held_bytes_ > self.held_bytes
--- a/libs/base/src/sequoiagap/base/_events.py
+++ b/libs/base/src/sequoiagap/base/_events.py
@@ -13,6 +13,8 @@
 
 from sequoiagap.base import _rates
 
+MAX_TEMPLATE_CHARACTERS = 120
+
 
 class Event(enum.IntEnum):
     """Numbers of the log events."""
@@ -25,6 +27,8 @@
     PROCESS_RELOADED = 1006
     RELOAD_FAILED = 1007
     STATE_DUMPED = 1008
+    LIBRARY_WARNING = 1009
+    HANDLER_FAILED = 1010
     LINK_OPENED = 1101
     LINK_CLOSED = 1102
     LINK_SILENT = 1103
@@ -60,6 +64,8 @@
     ENDPOINT_STATE = 1401
     ENDPOINT_SEEN = 1402
     ENDPOINT_GONE = 1403
+    ENDPOINT_TURNED_COLD = 1404
+    ENDPOINT_DOUBTED = 1405
     ENDPOINT_SUSPECT = 1420
     ENDPOINT_LEAVING = 1421
     PEER_OPENED = 1422
@@ -75,6 +81,9 @@
     MAP_PLANNED = 1509
     ROUND_ENDED = 1510
     MAP_UNKNOWN = 1511
+    USAGE_EXPIRED = 1601
+    ADMISSION_OVERLOADED = 1602
+    ADMISSION_CALM = 1603
 
 
 CATALOGUE = {
@@ -86,6 +95,8 @@
     Event.PROCESS_RELOADED: "Keys and certificates were read again.",
     Event.RELOAD_FAILED: "Bad keys or certificates; the old ones stay in use.",
     Event.STATE_DUMPED: "The state dump that SIGUSR1 asked for.",
+    Event.LIBRARY_WARNING: "A library warned; its values are left out.",
+    Event.HANDLER_FAILED: "The entry failed on an HTTP call; a fault to report.",
     Event.LINK_OPENED: "A connection to another process is open.",
     Event.LINK_CLOSED: "A connection to another process has closed.",
     Event.LINK_SILENT: "A connection gave no sign of life and was abandoned.",
@@ -121,6 +132,11 @@
     Event.ENDPOINT_STATE: "An endpoint changed its state.",
     Event.ENDPOINT_SEEN: "An endpoint became known.",
     Event.ENDPOINT_GONE: "An endpoint is no longer used.",
+    Event.ENDPOINT_TURNED_COLD: "An endpoint is held to its cold limit, with reason.",
+    Event.ENDPOINT_DOUBTED: "An endpoint's connection ended; it is asked again.",
+    Event.USAGE_EXPIRED: "An entry's usage of client accounts is no longer counted.",
+    Event.ADMISSION_OVERLOADED: "Requests wait or are shed for lack of capacity.",
+    Event.ADMISSION_CALM: "No request waits for capacity any more.",
     Event.ENDPOINT_SUSPECT: "An agent's reports stopped; it gets no new work.",
     Event.ENDPOINT_LEAVING: "An endpoint's agent says that it leaves.",
     Event.PEER_OPENED: "A connection to another entry is open.",
@@ -146,6 +162,8 @@
         Event.RANK_ORDER_FAILED,
         Event.TASK_FAILED,
         Event.RELOAD_FAILED,
+        Event.LIBRARY_WARNING,
+        Event.HANDLER_FAILED,
         Event.LINK_SILENT,
         Event.FRAME_REJECTED,
         Event.REQUEST_CUT,
@@ -231,5 +249,27 @@
         logger_factory=structlog.PrintLoggerFactory(stream or sys.stderr),
         cache_logger_on_first_use=True,
     )
+    _take_library_logs()
     structlog.contextvars.clear_contextvars()
     structlog.contextvars.bind_contextvars(**fields)
+
+
+class _LibraryHandler(logging.Handler):
+    """Turns warnings of libraries into events, without the values in them."""
+
+    def emit(self, record):
+        """Write one record as an event."""
+        error = record.exc_info[0] if record.exc_info else None
+        get_logger("library").emit(
+            Event.LIBRARY_WARNING,
+            library=record.name,
+            template=str(record.msg)[:MAX_TEMPLATE_CHARACTERS],
+            error=error.__name__ if error else "",
+        )
+
+
+def _take_library_logs():
+    root = logging.getLogger()
+    for handler in list(root.handlers):
+        root.removeHandler(handler)
+    root.addHandler(_LibraryHandler(logging.WARNING))
