--- a/benchmarks/expert_maps.py
+++ b/benchmarks/expert_maps.py
@@ -1,7 +1,8 @@
 """Step-time skew and bytes moved of each planning policy over drift traces.
 
-Usage: ``python benchmarks/expert_maps.py [--layers N] [--seed N]``. Prints a
-Markdown table; every row of a trace comes from the same steps.
+Usage: ``python benchmarks/expert_maps.py [--layers N] [--seeds N ...]``. Prints
+medians over the seeds as a Markdown table; the rows of a trace come from the same
+steps.
 """
 
 import argparse
@@ -24,6 +25,7 @@
 ASSIGNMENTS = 32 * 512 * 8  # tokens of a step times experts for each token
 LAG_STEPS = 4
 LONG_LAG_STEPS = 60
+SETTLED_AFTER = 6  # intervals
 GAP_EVERY = 7  # every so many-th report of a layer is missing
 SLOW_RANK = 5
 SLOW_SPEED = 0.6
@@ -138,26 +140,42 @@
     return counts, rank_load, rank_time
 
 
-def print_scenario(scenario, shape, costs, seed):
-    runs = {p: run_policy(p, scenario, shape, costs, seed) for p in POLICIES}
-    full = runs["full_replan"]
-    for name, run in runs.items():
-        p95 = statistics.quantiles(run.skews, n=20)[-1]
-        mean = statistics.mean(run.skews)
-        terabytes = run.moves * costs.expert_bytes / 1e12
-        ratio = run.moves / full.moves if full.moves else 0.0
+def print_scenario(scenario, shape, costs, seeds):
+    """Print the median over the seeds of each figure of each policy."""
+    rows = {policy: [] for policy in POLICIES}
+    for seed in seeds:
+        runs = {p: run_policy(p, scenario, shape, costs, seed) for p in POLICIES}
+        for name, run in runs.items():
+            rows[name].append(_figures(run, runs["full_replan"], costs))
+    for name, figures in rows.items():
+        medians = [statistics.median(column) for column in zip(*figures, strict=True)]
+        mean, p95, ratio, bound, settled, answers, moved, share, *rest = medians
+        changes, pauses, plan_ms = rest
         print(
-            f"| {scenario.name} | {name} | {mean:.3f} | {p95:.3f} | "
-            f"{mean / statistics.mean(full.skews):.3f} | "
-            f"{statistics.mean(run.to_bound):.3f} | "
-            f"{statistics.median(run.to_bound[INTERVAL * 6 :]):.3f} | "
-            f"{sum(full.times) / sum(run.times):.3f} | "
-            f"{terabytes:.2f} | {ratio:.3f} | {run.changes} | "
-            f"{run.changes * costs.pause_s:.2f} | "
-            f"{statistics.median(run.plan_s) * 1000:.1f} |"
+            f"| {scenario.name} | {name} | {mean:.3f} | {p95:.3f} | {ratio:.3f} | "
+            f"{bound:.3f} | {settled:.3f} | {answers:.3f} | {moved:.2f} | "
+            f"{share:.3f} | {changes:.0f} | {pauses:.2f} | {plan_ms:.1f} |",
+            flush=True,
         )
 
 
+def _figures(run, full, costs):
+    mean = statistics.mean(run.skews)
+    return (
+        mean,
+        statistics.quantiles(run.skews, n=20)[-1],
+        mean / statistics.mean(full.skews),
+        statistics.mean(run.to_bound),
+        statistics.median(run.to_bound[INTERVAL * SETTLED_AFTER :]),
+        sum(full.times) / sum(run.times),
+        run.moves * costs.expert_bytes / 1e12,
+        run.moves / full.moves if full.moves else 0.0,
+        run.changes,
+        run.changes * costs.pause_s,
+        statistics.median(run.plan_s) * 1000,
+    )
+
+
 async def measure_planning(layers, seed):
     """Plan at full size while a probe watches the event loop."""
     shape = experts.MapShape(layers, RANKS, EXPERTS, SLOTS)
@@ -194,7 +212,7 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--layers", type=int, default=4)
     parser.add_argument("--planning-layers", type=int, default=MODEL_LAYERS)
-    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, nargs="*", default=[1, 2, 3])
     options = parser.parse_args()
     shape = experts.MapShape(options.layers, RANKS, EXPERTS, SLOTS)
     costs = scaled_costs(options.layers)
@@ -205,10 +223,10 @@
     )
     print("| --- " * 13 + "|")
     for scenario in SCENARIOS:
-        print_scenario(scenario, shape, costs, options.seed)
+        print_scenario(scenario, shape, costs, options.seeds)
     print("\n| policy | plan ms | CPU ms | longest loop gap ms | moves |")
     print("| --- " * 5 + "|")
-    asyncio.run(measure_planning(options.planning_layers, options.seed))
+    asyncio.run(measure_planning(options.planning_layers, options.seeds[0]))
     peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
     print(f"\npeak resident memory of this run: {peak:.0f} MB")
 
--- a/libs/agent/src/sequoiagap/agent/_agent.py
+++ b/libs/agent/src/sequoiagap/agent/_agent.py
@@ -184,6 +184,8 @@
     def _collect_metrics(self, load):
         self.metrics_.set_gauge("endpoint_in_flight", load.in_flight)
         self.metrics_.set_gauge("endpoint_limit", load.limit)
+        if self.group_ is not None:
+            self.group_.set_gauges(self.metrics_)
         self.metrics_.set_gauge("connections", len(self.connections_))
         return base.collect_process_metrics(
             self.metrics_, self.holder_.current_.number, self.platform_.calls_
--- a/libs/agent/src/sequoiagap/agent/_group_member.py
+++ b/libs/agent/src/sequoiagap/agent/_group_member.py
@@ -55,6 +55,20 @@
         await self.links_.close()
         await self.engine_.close()
 
+    def set_gauges(self, metrics):
+        """Bring the group's gauges up to date.
+
+        :param sequoiagap.base.Metrics metrics: metrics of the agent.
+        """
+        lead = self.rebalancer_
+        state = self.member_.state_
+        version = state.committed_.version if state is not None else 0
+        metrics.set_gauge("group_step_skew", lead.loads_.skew_)
+        metrics.set_gauge("group_map_version", version)
+        metrics.set_gauge("group_stalled", int(self.is_stalled))
+        metrics.set_gauge("group_map_changes", lead.changes_)
+        metrics.set_gauge("group_bytes_moved", lead.bytes_moved_)
+
     def dump_state(self):
         """Return the group's part of the state dump.
 
