Test service through domain moves and a flood; measure slopes of tokens

The moves are ordered, ordered with the platform down, silent with the platform down, and killed: no repeatable request is lost or refused. In an outage of one domain a flooding account leaves a small one whole, is told different times to come back, and the attempts offered stay within 1.1 of what callers send.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -13,6 +13,7 @@
 import argparse
 import asyncio
 import dataclasses
+import functools
 import json
 import os
 import pathlib
@@ -30,6 +31,10 @@
 ACCOUNT = "account"
 CONFIG_CHANGES_PER_S = 39_000 / 86_400
 FRAME_HEADER_BYTES = 4
+TOKEN = b'data: {"choices": [{"delta": {"content": "token "}}]}\n\n'
+DONE = b"data: [DONE]\n\n"
+CREDIT_EVERY_CHUNKS = 8
+TOKEN_RATE = 10
 MILLISECONDS = 1000
 ANSWER_BOUND_MS = 10_000
 ROW = "{:<34}{:>8}{:>12}{:>12}{:>14}{:>14}"
@@ -142,14 +147,18 @@
             self._tasks.start(self._answer(connection, item), item.attempt_id)
 
     async def _answer(self, connection, order):
+        tokens = json.loads(order.body).get("max_tokens", 1)
+        attempt_id = order.attempt_id
+        headers = {"content-type": "text/event-stream" if tokens > 1 else "text/plain"}
         self._in_flight += 1
-        await asyncio.sleep(ANSWER_S)
+        await connection.send(wire.Head(attempt_id, 200, headers))
+        for number in range(tokens):
+            await asyncio.sleep(ANSWER_S / tokens)
+            data = DONE if number == tokens - 1 else TOKEN
+            await connection.send(wire.Chunk(attempt_id, number, data))
         self._in_flight -= 1
-        body = b'{"choices": []}'
-        headers = {"content-type": "application/json"}
-        await connection.send(wire.Head(order.attempt_id, 200, headers))
-        await connection.send(wire.Chunk(order.attempt_id, 0, body))
-        await connection.send(wire.Final(order.attempt_id, 1, len(body)))
+        size = len(TOKEN) * (tokens - 1) + len(DONE)
+        await connection.send(wire.Final(attempt_id, tokens, size))
         await connection.send(self._load())
 
     def _load(self):
@@ -198,7 +207,7 @@
         return agents
 
 
-async def measure_entry(count, rate, accounts, seconds, changes=False):
+async def measure_entry(count, rate, accounts, seconds, changes=False, tokens=1):
     """Measure one entry with some light agents at some rate.
 
     :param int count: light agents.
@@ -206,6 +215,7 @@
     :param int accounts: client accounts that send.
     :param float seconds: length of the measurement.
     :param bool changes: whether configuration changes at the design rate.
+    :param int tokens: pieces of each answer; more than one makes it a stream.
     :returns: memory, processor share, bytes in and out.
     :rtype: dict
     """
@@ -219,9 +229,16 @@
             await asyncio.sleep(SETTLE_S)
             pid = fleet.process_by_name["entry-0"].child_.pid
             changing = asyncio.create_task(_change(fleet)) if changes else None
-            result = await _observe(fleet, pid, agents, rate, bench.accounts, seconds)
+            loads = [
+                standins.AccountLoad(
+                    name, rate / accounts, stream=tokens > 1, max_tokens=tokens
+                )
+                for name in bench.accounts
+            ]
+            result = await _observe(fleet, pid, agents, loads, seconds)
             await base.cancel_and_wait(changing)
-            return result | {"count": count, "rate": rate, "accounts": accounts}
+            counts = {"count": count, "rate": rate, "accounts": accounts}
+            return result | counts | {"tokens_a_second": rate * tokens}
 
 
 async def _sees(fleet, count):
@@ -238,15 +255,11 @@
         await asyncio.sleep(1 / CONFIG_CHANGES_PER_S)
 
 
-async def _observe(fleet, pid, agents, rate, accounts, seconds):
+async def _observe(fleet, pid, agents, loads, seconds):
     received = sum(a.received_ for a in agents)
     sent = sum(a.sent_ for a in agents)
     before = read_usage(pid)
-    if rate:
-        loads = [
-            standins.AccountLoad(name, rate / len(accounts), stream=False)
-            for name in accounts
-        ]
+    if loads[0].rate:
         urls = [fleet.url("entry-0")]
         generator = standins.LoadGenerator(urls, loads, random.Random(SEED))
         book = await generator.run(seconds)
@@ -265,18 +278,22 @@
     }
 
 
-async def measure_agent(count, rate, seconds):
+async def measure_agent(count, rate, seconds, tokens=8):
     """Measure one agent with some light entries at some rate.
 
     :param int count: light entries.
     :param float rate: attempts a second of all of them.
     :param float seconds: length of the measurement.
+    :param int tokens: tokens of each answer, which is a stream.
     :rtype: dict
     """
     with tempfile.TemporaryDirectory() as text:
         folder = pathlib.Path(text)
         plan = standins.FleetPlan(
-            domains=("north",), entries=0, services_per_domain=0, engine={"cold_s": 0.1}
+            domains=("north",),
+            entries=0,
+            services_per_domain=0,
+            engine={"cold_s": 0.1, "tokens": tokens, "step_s": ANSWER_S / tokens},
         )
         async with standins.Fleet(plan, folder) as fleet:
             agent = fleet.process_by_name["north-model-0"]
@@ -297,6 +314,7 @@
             return {
                 "count": count,
                 "rate": rate,
+                "tokens_a_second": rate * tokens,
                 "resident_mb": after.resident_mb,
                 "cpu_percent": 100 * (after.cpu_s - before.cpu_s) / spent_s,
                 "bytes_in": grown[0] / spent_s,
@@ -338,7 +356,7 @@
 
     async def execute(self):
         """Send one attempt."""
-        body = json.dumps({"model": "desk-model", "messages": []}).encode()
+        body = b'{"model": "desk-model", "stream": true, "messages": []}'
         now_ms = int(asyncio.get_running_loop().time() * MILLISECONDS)
         order = wire.Execute(
             request_id=base.new_id("req"),
@@ -355,6 +373,9 @@
 
     async def _on_message(self, item):
         self.answered_ += isinstance(item, wire.Final)
+        if isinstance(item, wire.Chunk) and item.sequence % CREDIT_EVERY_CHUNKS == 0:
+            credit = wire.Credit(item.attempt_id, item.sequence + 1)
+            await self.connection_.send(credit)
 
     def _note_received(self, size):
         self.received_ += size
@@ -406,6 +427,47 @@
         print(f"    {field} = {intercept:.3f} + {slope:.5f} x {by}")
 
 
+def list_series(options):
+    """Return title, count that grows, and measurements of each series.
+
+    :param argparse.Namespace options: parsed arguments.
+    :rtype: list[tuple]
+    """
+    counts, rates, accounts, tokens = (
+        [int(x) for x in text.split(",")]
+        for text in (options.counts, options.rates, options.accounts, options.tokens)
+    )
+    entry = functools.partial(measure_entry, seconds=options.seconds)
+    agent = functools.partial(measure_agent, seconds=options.seconds)
+    part = functools.partial
+    return [
+        ("entry, idle agents", "count", [part(entry, n, 0, 10) for n in counts]),
+        ("entry, requests a second", "rate", [part(entry, 30, r, 10) for r in rates]),
+        (
+            "entry, client accounts",
+            "accounts",
+            [part(entry, 30, rates[-1], n) for n in accounts],
+        ),
+        (
+            "entry, tokens a second",
+            "tokens_a_second",
+            [part(entry, 30, TOKEN_RATE, 10, tokens=n) for n in tokens],
+        ),
+        ("agent, idle entries", "count", [part(agent, n, 0) for n in counts]),
+        ("agent, attempts a second", "rate", [part(agent, 4, r) for r in rates]),
+        (
+            "agent, tokens a second",
+            "tokens_a_second",
+            [part(agent, 4, TOKEN_RATE, tokens=n) for n in tokens],
+        ),
+        (
+            "entry, agents and config changes",
+            "count",
+            [part(entry, n, 0, 10, changes=True) for n in counts[:3]],
+        ),
+    ]
+
+
 async def main():
     """Run every series."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
@@ -413,46 +475,19 @@
     parser.add_argument("--counts", default="3,30,100,200")
     parser.add_argument("--rates", default="0,20,60")
     parser.add_argument("--accounts", default="10,100,400")
+    parser.add_argument("--tokens", default="10,50,150")
+    parser.add_argument("--only", default="", help="part of the title of a series")
     parser.add_argument("--json", type=pathlib.Path)
     options = parser.parse_args()
     base.configure_logs("warning")
-    counts, rates, accounts = (
-        [int(x) for x in text.split(",")]
-        for text in (options.counts, options.rates, options.accounts)
-    )
-    seconds = options.seconds
     print(ROW.format(*HEAD))
-    series = {
-        "entry, idle agents": (
-            "count",
-            [await measure_entry(n, 0, 10, seconds) for n in counts],
-        ),
-        "entry, requests a second": (
-            "rate",
-            [await measure_entry(30, r, 10, seconds) for r in rates],
-        ),
-        "entry, client accounts": (
-            "accounts",
-            [await measure_entry(30, rates[-1], n, seconds) for n in accounts],
-        ),
-        "agent, idle entries": (
-            "count",
-            [await measure_agent(n, 0, seconds) for n in counts],
-        ),
-        "agent, attempts a second": (
-            "rate",
-            [await measure_agent(4, r, seconds) for r in rates],
-        ),
-        "entry, agents, config changes": (
-            "count",
-            [await measure_entry(n, 0, 10, seconds, True) for n in counts[:3]],
-        ),
-    }
-    for title, (by, results) in series.items():
-        report(title, results, by)
+    results_by_title = {}
+    for title, by, calls in list_series(options):
+        if options.only in title:
+            results_by_title[title] = [await call() for call in calls]
+            report(title, results_by_title[title], by)
     if options.json:
-        plain = {title: results for title, (_, results) in series.items()}
-        options.json.write_text(json.dumps(plain, indent=1))
+        options.json.write_text(json.dumps(results_by_title, indent=1))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/entry/test_domain_moves.py
@@ -0,0 +1,141 @@
+"""Service while a failure domain leaves and returns, and under a flood."""
+
+import asyncio
+import random
+import signal
+
+from sequoiagap import standins
+from tests import support
+
+DOMAIN = "south"
+RATE = 15.0
+FLOOD_RATE = 100.0
+SMALL_RATE = 4.0
+PHASE_S = 2.5
+MAX_OFFERED = 1.1
+SEED = 5
+
+
+class DomainMovesTest(support.FleetCase):
+    """Six servers of two slots each: 60 requests a second, 40 without a domain."""
+
+    plan = standins.FleetPlan(
+        engines_per_domain=2,
+        services_per_domain=0,
+        accounts=("large", "small"),
+        engine={
+            "step_s": 0.02,
+            "tokens": 10,
+            "cold_capacity": 1,
+            "capacity": 2,
+            "cold_s": 0.5,
+        },
+        endpoint={"warm_limit": 2, "cold_limit": 1, "warm_up_s": 0.5},
+    )
+
+    async def test_moves_lose_and_refuse_no_repeatable_request(self):
+        moves = {
+            "ordered out and in": (self._order_out, self._order_in),
+            "ordered, platform down": (self._order_out_then_outage, self._end_and_in),
+            "silent, platform down": (self._silence_in_outage, self._wake),
+            "killed and started again": (self._kill, self._start_again),
+        }
+        for name, (leave, come_back) in moves.items():
+            with self.subTest(name):
+                load = standins.AccountLoad("large", RATE, stream=False)
+                generator = self._generator([load])
+                sending = asyncio.create_task(generator.run(PHASE_S * 3))
+                await asyncio.sleep(PHASE_S / 2)
+                await leave()
+                await asyncio.sleep(PHASE_S)
+                await come_back()
+                book = await sending
+                total = book.total()
+                self.assertEqual(total.count_by_result, {"answered": total.sent})
+                await self.fleet.wait_until(self._all_usable, 15.0)
+
+    async def test_flood_in_an_outage_leaves_a_small_account_whole(self):
+        await self._kill()
+        await asyncio.sleep(support.FEW_SECONDS_S)
+        before = await self._count_attempts()
+        loads = [
+            standins.AccountLoad("large", FLOOD_RATE, stream=False),
+            standins.AccountLoad("small", SMALL_RATE, stream=False),
+        ]
+        book = await self._generator(loads).run(support.FEW_SECONDS_S)
+        large, small = (book.total(account=load.name) for load in loads)
+        self.assertEqual(small.count_by_result, {"answered": small.sent})
+        self.assertEqual(set(large.refusals()), {"overloaded"})
+        self.assertEqual(large.unknown, 0)
+        told = [round(seconds, 3) for seconds in large.retry_after_s]
+        self.assertEqual(len(told), large.refused)
+        self.assertGreater(len(set(told)), len(told) * 0.8)
+        offered = await self._count_attempts() - before
+        self.assertLessEqual(offered, MAX_OFFERED * book.total().sent)
+
+    def _generator(self, loads):
+        urls = [self.fleet.url(name) for name in self.fleet.entry_names()]
+        return standins.LoadGenerator(urls, loads, random.Random(SEED))
+
+    async def _order(self, state):
+        changes = {"failure_domains": {DOMAIN: {"state": state}}}
+        status, document = await self.fleet.patch_config(changes)
+        self.assertEqual(status, 200, document)
+
+    async def _order_out(self):
+        await self._order("out")
+
+    async def _order_in(self):
+        await self._order("in")
+
+    async def _order_out_then_outage(self):
+        await self._order("out")
+        await self.fleet.set_faults("platform", down=True)
+
+    async def _end_and_in(self):
+        await self.fleet.set_faults("platform", down=False)
+        await self._order("in")
+
+    async def _silence_in_outage(self):
+        await self.fleet.set_faults("platform", down=True)
+        self._signal(signal.SIGSTOP)
+
+    async def _wake(self):
+        self._signal(signal.SIGCONT)
+        await self.fleet.set_faults("platform", down=False)
+
+    async def _kill(self):
+        names = [n for n in self.fleet.process_by_name if n.startswith(DOMAIN)]
+        await asyncio.gather(*(self.fleet.process_by_name[n].kill() for n in names))
+
+    async def _start_again(self):
+        for name in self._names():
+            await self.fleet.start_stand_in(
+                f"{name}-target", "engine", self.plan.engine
+            )
+            await self.fleet.start_agent(name)
+
+    def _names(self):
+        return [n for n in self.fleet.endpoint_names() if n.startswith(DOMAIN)]
+
+    def _signal(self, number):
+        for name, process in self.fleet.process_by_name.items():
+            if name.startswith(DOMAIN):
+                process.send_signal(number)
+
+    async def _all_usable(self):
+        for name in self.fleet.entry_names():
+            _, state = await self.fleet.call(name, "GET", "/state")
+            views = state["endpoints"].values()
+            usable = [v for v in views if v["connected"] and v["limit"] > 0]
+            if len(usable) < len(self.fleet.endpoint_names()):
+                return False
+        return True
+
+    async def _count_attempts(self):
+        total = 0
+        for name in self.fleet.entry_names():
+            _, state = await self.fleet.call(name, "GET", "/state")
+            counters = state["metrics"]["counters"]
+            total += counters["attempts_total"] + counters["retries_total"]
+        return total
