--- a/libs/admission/src/sequoiagap/admission/_gate.py
+++ b/libs/admission/src/sequoiagap/admission/_gate.py
@@ -56,6 +56,8 @@
     :ivar int proven_: good answers since the ramp began.
     :ivar int relapses_: how often it turned cold again of late.
     :ivar bool trusted_: whether the start id was confirmed since the last doubt.
+    :ivar bool stalled_: whether nothing may enter, because the endpoint's rank
+        group can't step; set by the agent.
 
     >>> gate = EndpointGate(warm_limit=8, cold_limit=1, warm_up_s=4.0)
     >>> gate.report_start("start-1", now=0.0, cold=True)
@@ -77,6 +79,7 @@
         self.proven_ = 0
         self.relapses_ = 0
         self.trusted_ = False
+        self.stalled_ = False
         self.start_id_ = ""
         self.ramp_began_at_ = 0.0
         self._calls_itself_cold = False
@@ -192,6 +195,8 @@
         :rtype: int
         """
         self._advance(now)
+        if self.stalled_:
+            return 0
         if self.state in (EndpointState.COLD, EndpointState.WARMING):
             bound = self._ramp_limit(now)
         else:
--- a/libs/agent/src/sequoiagap/agent/_agent.py
+++ b/libs/agent/src/sequoiagap/agent/_agent.py
@@ -16,6 +16,7 @@
     _endpoint,
     _executor,
     _gatekeeper,
+    _group_member,
     _guard,
     _orders,
     _reports,
@@ -38,7 +39,6 @@
         self.settings = settings
         self.incarnation_ = base.new_id("inc")
         self.port_ = 0
-        self.metrics_ = base.Metrics()
         self.holder_ = config.ConfigHolder()
         self.connections_ = set()
         self._tasks = base.TaskSet()
@@ -66,18 +66,21 @@
             self.settings.failure_domain,
             self.platform_,
         )
+        self.metrics_ = self.executor_.metrics_
         self.gatekeeper_ = _gatekeeper.GateKeeper(
             self.client_,
             self.gate_,
             self.executor_.is_out,
             self._announce_load,
             self.executor_.slots_.pump,
+            self._is_stalled,
         )
         self.spread_ = _spread.ConfigSpread(self.holder_, self.platform_)
         self.handlers_ = wire.HandlerTable()
         self.executor_.attach(self.handlers_)
         self.spread_.attach(self.handlers_)
         self._build_membership()
+        self._build_group()
         self.handlers_.add(wire.StateRequest, self._on_state_request)
 
     def _build_membership(self):
@@ -94,6 +97,13 @@
             self.settings, self.holder_, self.connections_, self._hello
         )
 
+    def _build_group(self):
+        self.group_ = None
+        if self.settings.group is not None:
+            self.group_ = _group_member.RankGroup(
+                self.settings, self._hello, self.holder_, self.incarnation_
+            )
+
     async def start(self):
         """Listen for entries and begin to probe the endpoint."""
         self._secret = settings.load_secret(self.settings.secret_file)
@@ -108,6 +118,8 @@
         self._tasks.start(self.gatekeeper_.watch_connection(), "watch-endpoint")
         self._tasks.start(self.spread_.learn(), "learn-config")
         self._tasks.start(self.reporter_.run(self.port_), "report")
+        if self.group_ is not None:
+            self._tasks.start(self.group_.run(), "group")
         _log.emit(base.Event.PROCESS_READY, role="agent", port=self.port_)
 
     async def stop(self):
@@ -121,6 +133,8 @@
         for connection in list(self.connections_):
             await connection.close_politely("agent stops")
         await self._tasks.close()
+        if self.group_ is not None:
+            await self.group_.close()
         await self.guard_.close()
         await self.orders_.close()
         await self.executor_.close()
@@ -160,6 +174,7 @@
             },
             "connections": sorted(c.peer.node_id for c in self.connections_),
             "platform_calls": self.platform_.calls_,
+            "group": self.group_.dump_state() if self.group_ else None,
             "metrics": self._collect_metrics(load),
         }
 
@@ -178,11 +193,15 @@
         except base.WireError as error:
             _log.emit(base.Event.FRAME_REJECTED, error=error.message)
             return
+        if connection.peer.role == "agent" and self.group_ is not None:
+            await self.group_.serve(connection)
+            return
         self.connections_.add(connection)
         _log.emit(base.Event.LINK_OPENED, peer=connection.peer.node_id)
         try:
             await self.executor_.greet(connection)
             await self.spread_.greet(connection)
+            await self.reporter_.greet(connection)
             reason = await connection.run(
                 lambda item: self.handlers_.handle(connection, item)
             )
@@ -210,6 +229,9 @@
     def _on_adopted(self, version):
         self._tasks.start(self.gatekeeper_.follow_orders(), "follow-orders")
 
+    def _is_stalled(self):
+        return self.group_ is not None and self.group_.is_stalled
+
     async def _announce_load(self):
         for connection in list(self.connections_):
             try:
--- a/libs/agent/src/sequoiagap/agent/_gatekeeper.py
+++ b/libs/agent/src/sequoiagap/agent/_gatekeeper.py
@@ -25,14 +25,16 @@
     :param is_out: function that returns whether operators took it out.
     :param announce: coroutine function, called when entries must know.
     :param pump: function of the time, called when slots may have become free.
+    :param is_stalled: function that returns whether the rank group can't step.
     """
 
-    def __init__(self, client, gate, is_out, announce, pump):
+    def __init__(self, client, gate, is_out, announce, pump, is_stalled):
         self.client = client
         self.gate = gate
         self.is_out = is_out
         self.announce = announce
         self.pump = pump
+        self.is_stalled = is_stalled
         self._wake = asyncio.Event()
         self._announced = None
 
@@ -62,6 +64,7 @@
         """Apply the operators' orders and announce a change of state or limit."""
         now = time.monotonic()
         self.gate.set_out(self.is_out(), now)
+        self.gate.stalled_ = self.is_stalled()
         self.pump(now)
         seen = (self.gate.limit(now), self.gate.state)
         if seen != self._announced:
--- a/libs/base/src/sequoiagap/base/_events.py
+++ b/libs/base/src/sequoiagap/base/_events.py
@@ -13,6 +13,8 @@
 
 from sequoiagap.base import _rates
 
+MAX_TEMPLATE_CHARACTERS = 120
+
 
 class Event(enum.IntEnum):
     """Numbers of the log events."""
@@ -25,6 +27,8 @@
     PROCESS_RELOADED = 1006
     RELOAD_FAILED = 1007
     STATE_DUMPED = 1008
+    LIBRARY_WARNING = 1009
+    HANDLER_FAILED = 1010
     LINK_OPENED = 1101
     LINK_CLOSED = 1102
     LINK_SILENT = 1103
@@ -66,6 +70,17 @@
     ENDPOINT_LEAVING = 1421
     PEER_OPENED = 1422
     PEER_CLOSED = 1423
+    RANK_STARTED = 1501
+    RANK_JOINED = 1502
+    RANK_UNREACHABLE = 1503
+    RANK_ORDER_FAILED = 1504
+    MAP_ORDERED = 1505
+    GROUP_STALLED = 1506
+    GROUP_STEPS = 1507
+    WEIGHTS_FAILED = 1508
+    MAP_PLANNED = 1509
+    ROUND_ENDED = 1510
+    MAP_UNKNOWN = 1511
     USAGE_EXPIRED = 1601
     ADMISSION_OVERLOADED = 1602
     ADMISSION_CALM = 1603
@@ -80,6 +95,8 @@
     Event.PROCESS_RELOADED: "Keys and certificates were read again.",
     Event.RELOAD_FAILED: "Bad keys or certificates; the old ones stay in use.",
     Event.STATE_DUMPED: "The state dump that SIGUSR1 asked for.",
+    Event.LIBRARY_WARNING: "A library warned; its values are left out.",
+    Event.HANDLER_FAILED: "The entry failed on an HTTP call; a fault to report.",
     Event.LINK_OPENED: "A connection to another process is open.",
     Event.LINK_CLOSED: "A connection to another process has closed.",
     Event.LINK_SILENT: "A connection gave no sign of life and was abandoned.",
@@ -124,12 +141,29 @@
     Event.ENDPOINT_LEAVING: "An endpoint's agent says that it leaves.",
     Event.PEER_OPENED: "A connection to another entry is open.",
     Event.PEER_CLOSED: "A connection to another entry has closed.",
+    Event.RANK_STARTED: "A rank's engine or agent is fresh and asks its peers.",
+    Event.RANK_JOINED: "A rank got a peer's answer; joined says whether it takes part.",
+    Event.RANK_UNREACHABLE: "The engine of a rank does not answer its agent.",
+    Event.RANK_ORDER_FAILED: "An order about the expert map failed at the engine.",
+    Event.MAP_ORDERED: "The engine carried out an order about its expert map.",
+    Event.GROUP_STALLED: "A rank group can't step; it is offered no requests.",
+    Event.GROUP_STEPS: "A rank group steps again.",
+    Event.WEIGHTS_FAILED: "Weights of an expert map could not be loaded.",
+    Event.MAP_PLANNED: "A new expert map was planned, with moves and predicted skew.",
+    Event.ROUND_ENDED: "A round of the change of map ended, with its phase.",
+    Event.MAP_UNKNOWN: "A wanted expert map is not known to any rank asked.",
 }
 
 _WARNINGS = frozenset(
     {
+        Event.RANK_UNREACHABLE,
+        Event.GROUP_STALLED,
+        Event.WEIGHTS_FAILED,
+        Event.RANK_ORDER_FAILED,
         Event.TASK_FAILED,
         Event.RELOAD_FAILED,
+        Event.LIBRARY_WARNING,
+        Event.HANDLER_FAILED,
         Event.LINK_SILENT,
         Event.FRAME_REJECTED,
         Event.REQUEST_CUT,
@@ -215,5 +249,27 @@
         logger_factory=structlog.PrintLoggerFactory(stream or sys.stderr),
         cache_logger_on_first_use=True,
     )
+    _take_library_logs()
     structlog.contextvars.clear_contextvars()
     structlog.contextvars.bind_contextvars(**fields)
+
+
+class _LibraryHandler(logging.Handler):
+    """Turns warnings of libraries into events, without the values in them."""
+
+    def emit(self, record):
+        """Write one record as an event."""
+        error = record.exc_info[0] if record.exc_info else None
+        get_logger("library").emit(
+            Event.LIBRARY_WARNING,
+            library=record.name,
+            template=str(record.msg)[:MAX_TEMPLATE_CHARACTERS],
+            error=error.__name__ if error else "",
+        )
+
+
+def _take_library_logs():
+    root = logging.getLogger()
+    for handler in list(root.handlers):
+        root.removeHandler(handler)
+    root.addHandler(_LibraryHandler(logging.WARNING))
--- a/libs/base/src/sequoiagap/base/_metric_catalogue.py
+++ b/libs/base/src/sequoiagap/base/_metric_catalogue.py
@@ -1,16 +1,19 @@
 """What each metric means; ``docs/METRICS.md`` is written from it."""
 
 METRIC_CATALOGUE = {
+    "admitted_total": "requests that an entry took, by client `account`",
     "answered_total": "requests whose caller got the whole answer",
     "cut_total": "answers that were cut short after their first byte",
     "queue_seconds": "time that admitted requests waited for a slot",
     "requests_waiting": "requests that wait for a slot at an entry now",
     "shed_total": "requests refused for lack of capacity, at once or after a wait",
-    "attempts_total": "first attempts that the entry has sent",
+    "first_attempts_total": "first attempts that the entry has sent",
     "retries_total": "further attempts that the retry budget has granted",
     "refused_total": "refused requests, by `kind`",
     "caller_left_total": "requests whose caller left before the whole answer",
-    "request_seconds": "time from admission to the end of a request",
+    "request_seconds": "time from admission to the end of a request, by `target`",
+    "attempts_total": "attempts that ended at an agent, by `result`",
+    "attempt_seconds": "time of an answered attempt at the endpoint",
     "requests_in_flight": "requests that run at an entry now",
     "endpoint_in_flight": "attempts that run at the agent's endpoint now",
     "endpoint_limit": "attempts that the endpoint bears at once now",
--- a/libs/entry/src/sequoiagap/entry/_admission.py
+++ b/libs/entry/src/sequoiagap/entry/_admission.py
@@ -142,7 +142,7 @@
         waiting = sum(queue.size_ for queue in self._queue_by_target.values())
         budget = self.dispatcher.budget
         self.metrics.set_gauge("requests_waiting", waiting)
-        self.metrics.counters_by_name["attempts_total"] = budget.first_attempts_
+        self.metrics.counters_by_name["first_attempts_total"] = budget.first_attempts_
         self.metrics.counters_by_name["retries_total"] = budget.retries_
 
     async def close(self):
--- a/libs/entry/src/sequoiagap/entry/_callers.py
+++ b/libs/entry/src/sequoiagap/entry/_callers.py
@@ -157,15 +157,21 @@
             result = await self.dispatcher.dispatch(request, sink)
         finally:
             self._sinks.discard(sink)
-        self.metrics.observe("request_seconds", time.monotonic() - began)
+        elapsed = time.monotonic() - began
+        self.metrics.observe("request_seconds", elapsed, target=request.target)
         if result.is_error():
             return await self._end_refused(sink, result.error, request.request_id)
         self.metrics.count("answered_total")
         self.journal.record(request.request_id, "answered", self._version())
-        _log.emit(base.Event.REQUEST_ANSWERED, request_id=request.request_id)
+        _log.emit(
+            base.Event.REQUEST_ANSWERED,
+            request_id=request.request_id,
+            config_version=self._version(),
+        )
         return await sink.finish()
 
     def _note_admitted(self, request):
+        self.metrics.count("admitted_total", account=request.account)
         self.journal.record(
             request.request_id,
             "admitted",
@@ -202,7 +208,12 @@
             kind=str(refusal.kind),
             outcome=str(refusal.outcome),
         )
-        _log.emit(base.Event.REQUEST_CUT, request_id=request_id, kind=str(refusal.kind))
+        _log.emit(
+            base.Event.REQUEST_CUT,
+            request_id=request_id,
+            kind=str(refusal.kind),
+            config_version=refusal.config_version,
+        )
         return await sink.cut(refusal)
 
     def _build(self, http_request, request_id, account, target, intake):
--- a/libs/entry/src/sequoiagap/entry/_link.py
+++ b/libs/entry/src/sequoiagap/entry/_link.py
@@ -283,6 +283,8 @@
     async def _on_load(self, connection, item):
         self.view.take_report(item, time.monotonic())
         if item.state == "gone":
+            if not self.member.leaving:
+                _log.emit(base.Event.ENDPOINT_LEAVING, endpoint=self.view.endpoint_id)
             self.member.mark_leaving()
 
     async def _on_state(self, connection, item):
--- a/libs/standins/src/sequoiagap/standins/_fleet.py
+++ b/libs/standins/src/sequoiagap/standins/_fleet.py
@@ -38,6 +38,7 @@
     :param dict agent: settings of the agents, over the defaults.
     :param dict config: merge patch over the default configuration.
     :param dict platform: parameters of the platform stand-in.
+    :param tuple program: the command that runs a role, with its arguments.
     :param tuple accounts: client accounts; the key is ``NAME-key``.
     :param bool relays: whether the links of every process pass through relays,
         see :attr:`Fleet.relays_`.
@@ -56,6 +57,7 @@
     agent: dict = dataclasses.field(default_factory=dict)
     config: dict = dataclasses.field(default_factory=dict)
     platform: dict = dataclasses.field(default_factory=dict)
+    program: tuple = (sys.executable, "-m", "sequoiagap.cli")
     accounts: tuple = ("caller",)
     relays: bool = False
 
@@ -380,7 +382,7 @@
     async def _start_role(self, role, name, settings):
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings, indent=2))
-        command = [sys.executable, "-m", "sequoiagap.cli", role, str(path)]
+        command = [*self.plan.program, role, str(path)]
         await self._start_process(name, command)
 
     async def _start_process(self, name, command):
--- a/tests/entry/test_domain_moves.py
+++ b/tests/entry/test_domain_moves.py
@@ -14,6 +14,7 @@
 PHASE_S = 2.5
 MAX_OFFERED = 1.1
 SEED = 5
+LONG_TOKENS = 1000
 
 
 class DomainMovesTest(support.FleetCase):
@@ -73,6 +74,26 @@
         offered = await self._count_attempts() - before
         self.assertLessEqual(offered, MAX_OFFERED * book.total().sent)
 
+    async def test_usage_at_one_entry_counts_at_the_other_until_it_is_lost(self):
+        changes = {"client_accounts": {"small": {"max_in_flight": 1}}}
+        status, document = await self.fleet.patch_config(changes)
+        self.assertEqual(status, 200, document)
+        long_request = asyncio.create_task(
+            self.post_model("entry-0", key="small-key", max_tokens=LONG_TOKENS)
+        )
+        self.addAsyncCleanup(asyncio.gather, long_request, return_exceptions=True)
+        await self.fleet.wait_until(self._small_is_limited, support.FEW_SECONDS_S)
+        await self.fleet.process_by_name["entry-0"].kill()
+        await self.fleet.wait_until(self._small_is_served, support.FEW_SECONDS_S)
+
+    async def _small_is_limited(self):
+        status, text = await self.post_model("entry-1", key="small-key", max_tokens=1)
+        return status == 429 and "account_limit" in text
+
+    async def _small_is_served(self):
+        status, _ = await self.post_model("entry-1", key="small-key", max_tokens=1)
+        return status == 200
+
     def _generator(self, loads):
         urls = [self.fleet.url(name) for name in self.fleet.entry_names()]
         return standins.LoadGenerator(urls, loads, random.Random(SEED))
@@ -137,5 +158,5 @@
         for name in self.fleet.entry_names():
             _, state = await self.fleet.call(name, "GET", "/state")
             counters = state["metrics"]["counters"]
-            total += counters["attempts_total"] + counters["retries_total"]
+            total += counters["first_attempts_total"] + counters["retries_total"]
         return total
