--- a/libs/admission/src/sequoiagap/admission/_gate.py
+++ b/libs/admission/src/sequoiagap/admission/_gate.py
@@ -51,13 +51,13 @@
     :param float settle_s: how far the endpoint's reports may lag, in seconds.
 
     :ivar str state: state of the endpoint, see :class:`EndpointState`.
+    :ivar bool stalled_: whether nothing may enter, because the endpoint's rank
+        group can't step; set by the agent.
     :ivar int in_flight_: attempts of this agent that run now.
     :ivar int foreign_: attempts from before this agent that may still run.
     :ivar int proven_: good answers since the ramp began.
     :ivar int relapses_: how often it turned cold again of late.
     :ivar bool trusted_: whether the start id was confirmed since the last doubt.
-    :ivar bool stalled_: whether nothing may enter, because the endpoint's rank
-        group can't step; set by the agent.
 
     >>> gate = EndpointGate(warm_limit=8, cold_limit=1, warm_up_s=4.0)
     >>> gate.report_start("start-1", now=0.0, cold=True)
@@ -75,11 +75,11 @@
         self.settle_s = settle_s
         self.health_ = _health.EndpointHealth()
         self.in_flight_ = 0
+        self.stalled_ = False
         self.foreign_ = 0
         self.proven_ = 0
         self.relapses_ = 0
         self.trusted_ = False
-        self.stalled_ = False
         self.start_id_ = ""
         self.ramp_began_at_ = 0.0
         self._calls_itself_cold = False
--- a/libs/agent/src/sequoiagap/agent/_agent.py
+++ b/libs/agent/src/sequoiagap/agent/_agent.py
@@ -70,10 +70,10 @@
         self.gatekeeper_ = _gatekeeper.GateKeeper(
             self.client_,
             self.gate_,
+            self._is_stalled,
             self.executor_.is_out,
             self._announce_load,
             self.executor_.slots_.pump,
-            self._is_stalled,
         )
         self.spread_ = _spread.ConfigSpread(self.holder_, self.platform_)
         self.handlers_ = wire.HandlerTable()
@@ -104,6 +104,9 @@
                 self.settings, self._hello, self.holder_, self.incarnation_
             )
 
+    def _is_stalled(self):
+        return self.group_ is not None and self.group_.is_stalled
+
     async def start(self):
         """Listen for entries and begin to probe the endpoint."""
         self._secret = settings.load_secret(self.settings.secret_file)
@@ -229,9 +232,6 @@
     def _on_adopted(self, version):
         self._tasks.start(self.gatekeeper_.follow_orders(), "follow-orders")
 
-    def _is_stalled(self):
-        return self.group_ is not None and self.group_.is_stalled
-
     async def _announce_load(self):
         for connection in list(self.connections_):
             try:
--- a/libs/agent/src/sequoiagap/agent/_executor.py
+++ b/libs/agent/src/sequoiagap/agent/_executor.py
@@ -370,8 +370,8 @@
         return max(order.expires_at_ms / MILLISECONDS - _now(), 0.0)
 
     def _finish(self, run):
-        self.slots_.leave(run.place_, _now())
         self.metrics_.count("attempts_total", result=_result(run))
+        self.slots_.leave(run.place_, _now())
         self._task_by_run.pop(run, None)
         for attempt_id in run.attempt_ids_:
             self.ledger.finish(attempt_id, _now())
--- a/libs/agent/src/sequoiagap/agent/_gatekeeper.py
+++ b/libs/agent/src/sequoiagap/agent/_gatekeeper.py
@@ -22,19 +22,20 @@
 
     :param EndpointClient client: the endpoint.
     :param sequoiagap.admission.EndpointGate gate: what it bears.
+    :param is_stalled: function that returns whether the endpoint's rank group
+        can't step.
     :param is_out: function that returns whether operators took it out.
     :param announce: coroutine function, called when entries must know.
     :param pump: function of the time, called when slots may have become free.
-    :param is_stalled: function that returns whether the rank group can't step.
     """
 
-    def __init__(self, client, gate, is_out, announce, pump, is_stalled):
+    def __init__(self, client, gate, is_stalled, is_out, announce, pump):
         self.client = client
         self.gate = gate
+        self.is_stalled = is_stalled
         self.is_out = is_out
         self.announce = announce
         self.pump = pump
-        self.is_stalled = is_stalled
         self._wake = asyncio.Event()
         self._announced = None
 
