--- /dev/null
+++ b/benchmarks/sizes.py
@@ -0,0 +1,89 @@
+"""Sizes and processor time of what grows with the fleet, at the design size.
+
+Usage: ``python -m benchmarks.sizes``.
+"""
+
+import json
+import random
+import time
+
+from sequoiagap import admission, config, wire
+
+ACCOUNTS = 2500
+MODELS = 17
+DOMAINS = 12
+HOSTS = 10_870
+ENTRY_IN_FLIGHT = 745
+REPEATS = 50
+MILLISECONDS = 1000
+
+
+def make_document():
+    """Return a configuration of the design size.
+
+    :rtype: dict
+    """
+    return {
+        "failure_domains": {f"domain-{i}": {"state": "in"} for i in range(DOMAINS)},
+        "models": {f"model-{i}": {"repeatable": True} for i in range(MODELS)},
+        "client_accounts": {
+            _account(i): {"weight": 1 + i % 5, "max_in_flight": 256}
+            for i in range(ACCOUNTS)
+        },
+    }
+
+
+def time_ms(call):
+    """Return the processor time of a call in milliseconds.
+
+    :param call: function without arguments.
+    :rtype: float
+    """
+    began = time.process_time()
+    for _ in range(REPEATS):
+        call()
+    return (time.process_time() - began) / REPEATS * MILLISECONDS
+
+
+def make_queue():
+    """Return a fair queue in which each account in flight at an entry waits.
+
+    :rtype: sequoiagap.admission.FairQueue
+    """
+    queue = admission.FairQueue(1.0, random.Random(0))
+    for i in range(ENTRY_IN_FLIGHT):
+        queue.offer(_account(i), i, 1.0, ENTRY_IN_FLIGHT)
+    return queue
+
+
+def _account(number):
+    return f"client-account-{number:04d}"
+
+
+def main():
+    """Print each size."""
+    version = config.ConfigVersion.from_json(1, json.dumps(make_document()))
+    text = version.to_json()
+    used_s = {_account(i): 1.0 for i in range(30)}
+    in_flight = {_account(i): 1 for i in range(ENTRY_IN_FLIGHT)}
+    usage = admission.AccountUsage("entry-000", "inc-0", used_s, in_flight)
+    host = {
+        "host_id": "region-0-domain-00-model-0000",
+        "role": "agent",
+        "address": "10.0.0.1",
+        "port": 40000,
+        "failure_domain": "region-0-domain-00",
+        "state": "live",
+        "serves": ["model-1"],
+    }
+    queue = make_queue()
+    print(f"configuration document: {len(text)} bytes")
+    parse_ms = time_ms(lambda: config.ConfigVersion.from_json(1, text))
+    print(f"configuration parsed: {parse_ms:.2f} ms")
+    print(f"host list: {len(json.dumps(host)) * HOSTS} bytes")
+    print(f"report of usage: {len(wire.encode(usage))} bytes")
+    print(f"turn in the fair queue: {time_ms(queue.pop):.3f} ms")
+
+
+if __name__ == "__main__":
+    main()
--- a/libs/agent/src/sequoiagap/agent/_agent.py
+++ b/libs/agent/src/sequoiagap/agent/_agent.py
@@ -85,9 +85,7 @@
 
     def _build_membership(self):
         node_id = self.settings.node_id
-        self.guard_ = _guard.ConfigGuard(
-            self.holder_, self.spread_, node_id, self.settings.failure_domain
-        )
+        self.guard_ = _guard.ConfigGuard(self.holder_, self.spread_)
         self.guard_.attach(self.handlers_)
         self.orders_ = _orders.OrderDesk(
             self.settings.endpoint, node_id, members.FenceStore(self.platform_)
@@ -185,6 +183,8 @@
     def _collect_metrics(self, load):
         self.metrics_.set_gauge("endpoint_in_flight", load.in_flight)
         self.metrics_.set_gauge("endpoint_limit", load.limit)
+        if self.group_ is not None:
+            self.group_.set_gauges(self.metrics_)
         self.metrics_.set_gauge("connections", len(self.connections_))
         return base.collect_process_metrics(
             self.metrics_, self.holder_.current_.number, self.platform_.calls_
--- a/libs/agent/src/sequoiagap/agent/_rounds.py
+++ b/libs/agent/src/sequoiagap/agent/_rounds.py
@@ -49,12 +49,16 @@
         :rtype: sequoiagap.experts.Round | None
         """
         async with self._lock:
-            return await self._run(wanted)
+            self.links.mark_busy(True)
+            try:
+                return await self._run(wanted)
+            finally:
+                self.links.mark_busy(False)
 
     async def _run(self, wanted):
         state = self.member.state_
-        incarnations = state.incarnations() if state is not None else None
-        if incarnations is None:
+        membership = state.membership() if state is not None else ""
+        if not membership:
             return None
         settings = self.member.settings
         kind = self.member.engine.kind
@@ -62,8 +66,9 @@
         self._round = experts.Round(
             settings.name,
             settings.rank,
+            self.member.ranks,
             experts.next_epoch(highest, settings.rank, self.member.ranks),
-            incarnations,
+            membership,
             wanted,
             kind.lead_steps,
             kind.holds_on_prepare,
--- a/libs/standins/src/sequoiagap/standins/_ranks.py
+++ b/libs/standins/src/sequoiagap/standins/_ranks.py
@@ -73,6 +73,7 @@
         self.violations_ = 0
         self.versions_used_ = []
         self.skews_ = []
+        self.completions_ = 0
         self.longest_wait_s_ = 0.0
         self.blocked_since_ = time.monotonic()
         self._task = None
@@ -160,6 +161,7 @@
                 "skews": self.skews_[-200:],
                 "longest_wait_s": self.longest_wait_s_,
                 "can_step": self._can_step(),
+                "completions": self.completions_,
                 "committed": [e.committed_.to_wire() for e in self.engines_],
             }
         )
@@ -182,7 +184,6 @@
     async def _on_view(self, request, rank):
         engine = self.engines_[rank]
         view = engine.view()
-        slots = range(rank * self.shape.slots, (rank + 1) * self.shape.slots)
         blocked = not self._can_step()
         waited_s = time.monotonic() - self.blocked_since_ if blocked else 0.0
         return web.json_response(
@@ -199,14 +200,18 @@
                 "blocked_s": waited_s,
                 "busy_s": self.busy_s_[rank],
                 "map_used": self.versions_used_[-1] if self.versions_used_ else 0,
-                "counts": [
-                    int(self.counts_.get((layer, slot), 0))
-                    for layer in range(self.shape.layers)
-                    for slot in slots
-                ],
             }
+            | ({"counts": self._slot_counts(rank)} if request.query else {})
         )
 
+    def _slot_counts(self, rank):
+        slots = range(rank * self.shape.slots, (rank + 1) * self.shape.slots)
+        return [
+            int(self.counts_.get((layer, slot), 0))
+            for layer in range(self.shape.layers)
+            for slot in slots
+        ]
+
     async def _on_order(self, request, rank):
         body = await request.json()
         order = experts.Order(
@@ -256,6 +261,7 @@
             return repr(error)
 
     async def _on_complete(self, request, rank):
+        self.completions_ += 1
         goal = self.engines_[rank].step_ + self.tokens
         while self.engines_[rank].step_ < goal:  # noqa: ASYNC110 - decoding
             await asyncio.sleep(POLL_S)
