Log which address failed a handshake and that an agent can't be connected

Cause: a rejected stranger was logged without an address, and an entry that could not connect an agent (down, another secret, TLS on one side only) logged nothing.

Handshake errors name the peer's address. Event 1105 is written once for each outage of a link. Seen failing: without the event TimeoutError, with one at each retry "6 != 1" (test_unreachable_agent_is_told_once).

--- a/libs/base/src/sequoiagap/base/_events.py
+++ b/libs/base/src/sequoiagap/base/_events.py
@@ -33,6 +33,7 @@
     LINK_CLOSED = 1102
     LINK_SILENT = 1103
     FRAME_REJECTED = 1104
+    LINK_UNREACHABLE = 1105
     REQUEST_ADMITTED = 1201
     REQUEST_REFUSED = 1202
     REQUEST_ANSWERED = 1203
@@ -100,7 +101,8 @@
     Event.LINK_OPENED: "A connection to another process is open.",
     Event.LINK_CLOSED: "A connection to another process has closed.",
     Event.LINK_SILENT: "A connection gave no sign of life and was abandoned.",
-    Event.FRAME_REJECTED: "A frame did not follow the protocol.",
+    Event.FRAME_REJECTED: "A frame or handshake did not follow the protocol.",
+    Event.LINK_UNREACHABLE: "An agent can't be connected; tried again until it can.",
     Event.REQUEST_ADMITTED: "A caller's request was admitted.",
     Event.REQUEST_REFUSED: "A caller's request was refused, with kind and setting.",
     Event.REQUEST_ANSWERED: "A caller got the whole answer.",
@@ -166,6 +168,7 @@
         Event.HANDLER_FAILED,
         Event.LINK_SILENT,
         Event.FRAME_REJECTED,
+        Event.LINK_UNREACHABLE,
         Event.REQUEST_CUT,
         Event.CLAIM_WRITE_FAILED,
         Event.CONNECTION_SUSPECT,
--- a/libs/entry/src/sequoiagap/entry/_link.py
+++ b/libs/entry/src/sequoiagap/entry/_link.py
@@ -58,8 +58,8 @@
                 connection = await wire.connect(
                     host.address, host.port, self.make_hello()
                 )
-            except base.WireError:
-                self._unreachable.set()
+            except base.WireError as error:
+                self._note_unreachable(error)
                 await asyncio.sleep(RECONNECT_DELAY_S)
                 continue
             try:
@@ -69,6 +69,16 @@
                 connection.close()
             await asyncio.sleep(RECONNECT_DELAY_S)
 
+    def _note_unreachable(self, error):
+        """Log the first failure of each outage."""
+        if not self._unreachable.is_set():
+            _log.emit(
+                base.Event.LINK_UNREACHABLE,
+                peer=self.view.endpoint_id,
+                error=error.message,
+            )
+        self._unreachable.set()
+
     def expires_at_ms(self, deadline):
         """Return a deadline on the agent's clock, in milliseconds.
 
--- a/libs/wire/src/sequoiagap/wire/_handshake.py
+++ b/libs/wire/src/sequoiagap/wire/_handshake.py
@@ -53,13 +53,17 @@
                 return await _initiate(reader, writer, own)
             return await _answer(reader, writer, own)
     except (OSError, TimeoutError) as error:
-        writer.transport.abort()
-        raise base.WireError(
-            "peer did not finish the handshake in time", "Reconnect"
-        ) from error
-    except base.WireError:
-        writer.transport.abort()
-        raise
+        message = "did not finish the handshake in time"
+        raise _refuse(writer, message, "Reconnect") from error
+    except base.WireError as error:
+        raise _refuse(writer, error.message, error.remedy) from error
+
+
+def _refuse(writer, message, remedy):
+    """Drop a connection; return the error, which names the peer's address."""
+    address = writer.get_extra_info("peername") or ("unknown", 0)
+    writer.transport.abort()
+    return base.WireError(f"{address[0]}:{address[1]}: {message}", remedy)
 
 
 def make_proof(secret, side, first_hello, second_hello):
--- a/tests/entry/test_reload.py
+++ b/tests/entry/test_reload.py
@@ -1,5 +1,6 @@
-"""SIGHUP: keys are replaced without a restart, bad files change nothing."""
+"""What an entry does on SIGHUP, and what it logs of a lost agent."""
 
+import asyncio
 import hashlib
 import json
 import signal
@@ -7,6 +8,8 @@
 from sequoiagap import standins
 from tests import support
 
+RETRIES_S = 1.0
+
 
 class ReloadTest(support.FleetCase):
     plan = standins.FleetPlan(domains=("north",), entries=1, services_per_domain=0)
@@ -20,6 +23,16 @@
         await self._reload(None, 1007)
         self.assertEqual(await self._status("kept"), {"caller-key": 401, "new": 200})
 
+    async def test_unreachable_agent_is_told_once(self):
+        await self.fleet.process_by_name["north-model-0"].kill()
+
+        async def logged():
+            return self._count(1105) > 0
+
+        await self.fleet.wait_until(logged, support.FEW_SECONDS_S)
+        await asyncio.sleep(RETRIES_S)
+        self.assertEqual(self._count(1105), 1)
+
     async def _status(self, phase):
         found = {}
         for key in ("caller-key", "new"):
--- a/tests/wire/test_handshake.py
+++ b/tests/wire/test_handshake.py
@@ -45,6 +45,7 @@
         async with asyncio.timeout(FOUND_WITHIN_S):
             found = await self.accepted.get()
         self.assertIsInstance(found, base.WireError)
+        self.assertRegex(str(found), r"^127\.0\.0\.1:\d+: ")
         return str(found)
 
     async def test_both_sides_learn_who_the_peer_is(self):
