Keep a stranger's question out of the record of a request

Cause: a refused GET /v1/explain/REQUEST_ID wrote its refusal under the request's own id, so that anyone who knew or guessed an id could add "refused" to what its owner and operators are told. Seen: "'refused' unexpectedly found in ['admitted', 'attempt_sent', 'attempt_ended', 'answered', 'refused', 'refused']" (test_only_its_account_and_operators_read_a_request). The refusal now carries no request id, and its remedy says where to ask.

--- a/libs/entry/src/sequoiagap/entry/_callers.py
+++ b/libs/entry/src/sequoiagap/entry/_callers.py
@@ -14,6 +14,8 @@
 
 _SERVICE_PATH_PARTS = 3
 
+CONFIGURED_NAME_REMEDY = "Use a configured name; GET /v1/models lists the models"
+
 _log = base.get_logger("callers")
 
 
@@ -95,10 +97,13 @@
         account = self.keys.find_account(http_request.headers)
         operator = self.keys.find_operator(http_request.headers)
         if account is None and operator is None:
-            return self._refuse(_auth.unauthenticated(self._version()), request_id)
+            # Without the id: who may not read a record may not add to it.
+            return self._refuse(_auth.unauthenticated(self._version()), "")
         found = self.journal.explain(request_id, None if operator else account)
         if found is None:
-            return self._refuse(self._not_found(f"request {request_id}"), request_id)
+            remedy = "Ask the entry that took it, with the key that sent it"
+            refusal = self._not_found(f"request {request_id}", remedy)
+            return self._refuse(refusal, "")
         return web.json_response(found)
 
     async def complete(self, http_request):
@@ -257,11 +262,11 @@
     def _version(self):
         return self.holder.current_.number
 
-    def _not_found(self, what):
+    def _not_found(self, what, remedy=CONFIGURED_NAME_REMEDY):
         return base.Refusal(
             base.RefusalKind.NOT_FOUND,
             f"{what} is unknown",
-            "Use a configured name; GET /v1/models lists the models",
+            remedy,
             config_version=self._version(),
         )
 
--- a/tests/entry/test_secrecy.py
+++ b/tests/entry/test_secrecy.py
@@ -39,6 +39,9 @@
             with self.subTest(key):
                 status, _ = await self.fleet.call("entry-0", "GET", path, key=key)
                 self.assertEqual(status, expected)
+        _, found = await self.fleet.call("entry-0", "GET", path)
+        steps = [decision["step"] for decision in found["decisions"]]
+        self.assertNotIn("refused", steps)
 
     def _check_metrics(self, texts):
         """Check that the metrics of entry and agents tell what happened."""
