Probe idle connections at their interval and cover the operators' calls

Tried and taken back: not counting a pause of the own process as silence of the peer; its test did not fail without the change, so it proved nothing.

--- a/libs/cli/src/sequoiagap/cli/_operator.py
+++ b/libs/cli/src/sequoiagap/cli/_operator.py
@@ -109,7 +109,7 @@
         except _client.EffectUnknownError:
             self._advise_same_id(body)
             raise
-        exit_code = self.show(reply, self._print_accepted)
+        exit_code = self.show(reply, self.print_accepted)
         if exit_code == _exit_codes.ExitCode.UNKNOWN:
             self._advise_same_id(body)
         return exit_code
@@ -120,5 +120,6 @@
             "with the same changes submits this patch again without a second effect"
         )
 
-    def _print_accepted(self, document):
+    def print_accepted(self, document):
+        """Print which version a patch made."""
         self.line(f"accepted as version {document['version']}")
--- a/libs/wire/src/sequoiagap/wire/_connection.py
+++ b/libs/wire/src/sequoiagap/wire/_connection.py
@@ -52,6 +52,8 @@
         self.silent_ = False
         self._sequence = 0
         self._oldest_ping_at = None
+        self._pinged_at = time.monotonic()
+        self._probe_wanted = False
         self._wake = asyncio.Event()
 
     async def send(self, item):
@@ -82,6 +84,7 @@
 
     def probe(self):
         """Ask for a sign of life now, as on a busy connection."""
+        self._probe_wanted = True
         self._wake.set()
 
     async def run(self, handle):
@@ -151,22 +154,32 @@
             now = time.monotonic()
             waiting_since = self._oldest_ping_at
             if waiting_since is None:
-                self._oldest_ping_at = now
-                self._sequence += 1
-                await self._send_quietly(_messages.Ping(self._sequence))
+                await self._ping_if_due(now)
             elif now - waiting_since > self.silence_timeout_s:
                 _log.emit(base.Event.LINK_SILENT, peer=self.peer.node_id)
                 self.silent_ = True
                 self.close()
 
+    async def _ping_if_due(self, now):
+        is_idle_due = now - self._pinged_at >= self.idle_interval_s
+        if not (self.busy_ or self._probe_wanted or is_idle_due):
+            return
+        self._probe_wanted = False
+        self._pinged_at = now
+        self._oldest_ping_at = now
+        self._sequence += 1
+        await self._send_quietly(_messages.Ping(self._sequence))
+
     def _end_reason(self):
         if self.silent_:
             return f"no heartbeat answer within {self.silence_timeout_s} s"
         return "closed here" if self.closed_ else "closed by peer"
 
     async def _wait_interval(self):
-        probing = self.busy_ or self._oldest_ping_at is not None
-        interval = BUSY_PING_INTERVAL_S if probing else self.idle_interval_s
+        interval = BUSY_PING_INTERVAL_S
+        if not self.busy_ and self._oldest_ping_at is None:
+            idle_s = time.monotonic() - self._pinged_at
+            interval = max(self.idle_interval_s - idle_s, 0.0)
         try:
             async with asyncio.timeout(interval):
                 await self._wake.wait()
--- a/tests/agent/test_orders.py
+++ b/tests/agent/test_orders.py
@@ -1,6 +1,8 @@
 """Orders that come late, twice, or from orderers that race."""
 
 import asyncio
+import pathlib
+import tempfile
 import unittest
 
 from sequoiagap import agent, base, members, platform, settings, standins
@@ -205,3 +207,38 @@
         self.assertEqual((status, reply["error"]["outcome"]), (503, "not_run"))
         _, engine = await self.fleet.call(f"{ENDPOINT}-target", "GET", "/orders")
         self.assertEqual(engine["applied"], [1])
+
+
+class OneAgentTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_second_agent_cannot_start_on_the_same_port(self):
+        support.silence_logs()
+        secret = self._write_secret()
+        first = agent.Agent(self._settings(secret, 0))
+        await first.start()
+        self.addAsyncCleanup(first.stop)
+        second = agent.Agent(self._settings(secret, first.port_))
+        self.addAsyncCleanup(second.client_.close)
+        with self.assertRaises(OSError):
+            await second.start()
+
+    def _write_secret(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        secret = pathlib.Path(folder.name, "secret")
+        secret.write_text("a shared secret of some length")
+        return secret
+
+    def _settings(self, secret, port):
+        return settings.AgentSettings(
+            role="agent",
+            node_id=ENDPOINT,
+            deployment="test",
+            region="local",
+            failure_domain="north",
+            address="127.0.0.1",
+            port=port,
+            platform={"url": "http://127.0.0.1:1"},
+            secret_file=str(secret),
+            endpoint={"kind": "model", "url": "http://127.0.0.1:1", "serves": ["m"]},
+            drain_bound_s=0.1,
+        )
--- a/tests/wire/test_connection.py
+++ b/tests/wire/test_connection.py
@@ -8,6 +8,7 @@
 from tests import support
 
 FOUND_WITHIN_S = 2.0
+IDLE_INTERVAL_S = 0.8
 
 
 def hello(node_id):
@@ -53,6 +54,21 @@
         self.assertIn("heartbeat", reason)
         self.assertLess(time.monotonic() - began, FOUND_WITHIN_S + 0.3)
 
+    async def test_idle_connections_are_probed_seldom_and_on_request(self):
+        client = await wire.connect("127.0.0.1", self.port, hello("client"))
+        server = await self.accepted.get()
+        client.idle_interval_s = IDLE_INTERVAL_S
+        tasks = [asyncio.create_task(c.run(_ignore)) for c in (client, server)]
+        await asyncio.sleep(3.5 * IDLE_INTERVAL_S)
+        self.assertIn(client.messages_sent_, (2, 3))
+        before = client.messages_sent_, client.heard_at_
+        client.probe()
+        await asyncio.sleep(IDLE_INTERVAL_S / 4)
+        self.assertEqual(client.messages_sent_, before[0] + 1)
+        self.assertGreater(client.heard_at_, before[1])
+        client.close()
+        await asyncio.gather(*tasks)
+
     async def test_long_frame_ends_the_connection(self):
         client = await wire.connect("127.0.0.1", self.port, hello("client"))
         server = await self.accepted.get()
