--- a/libs/agent/src/sequoiagap/agent/_agent.py
+++ b/libs/agent/src/sequoiagap/agent/_agent.py
@@ -1,8 +1,6 @@
 """Assembly of the agent process."""
 
-import asyncio
 import json
-import time
 
 from sequoiagap import (
     admission,
@@ -17,6 +15,7 @@
 from sequoiagap.agent import (
     _endpoint,
     _executor,
+    _gatekeeper,
     _group_member,
     _guard,
     _orders,
@@ -24,8 +23,6 @@
     _spread,
 )
 
-PROBE_INTERVAL_S = 0.25
-
 _log = base.get_logger("agent")
 
 
@@ -52,10 +49,10 @@
 
     def _build(self):
         endpoint = self.settings.endpoint
-        self.client_ = _endpoint.EndpointClient(endpoint)
         self.gate_ = admission.EndpointGate(
             endpoint.warm_limit, endpoint.cold_limit, endpoint.warm_up_s
         )
+        self.client_ = _endpoint.EndpointClient(endpoint, self.gate_)
         self.ledger_ = outcome.Ledger(self.incarnation_)
         self.platform_ = platform.PlatformClient(
             self.settings.platform.url, self.settings.platform.timeout_s
@@ -70,6 +67,14 @@
             self.platform_,
         )
         self.metrics_ = self.executor_.metrics_
+        self.gatekeeper_ = _gatekeeper.GateKeeper(
+            self.client_,
+            self.gate_,
+            self._is_stalled,
+            self.executor_.is_out,
+            self._announce_load,
+            self.executor_.slots_.pump,
+        )
         self.spread_ = _spread.ConfigSpread(self.holder_, self.platform_)
         self.handlers_ = wire.HandlerTable()
         self.executor_.attach(self.handlers_)
@@ -97,6 +102,9 @@
                 self.settings, self._hello, self.holder_, self.incarnation_
             )
 
+    def _is_stalled(self):
+        return self.group_ is not None and self.group_.is_stalled
+
     async def start(self):
         """Listen for entries and begin to probe the endpoint."""
         self._secret = settings.load_secret(self.settings.secret_file)
@@ -106,7 +114,9 @@
             self._serve, str(self.settings.address), self.settings.port, self.tls_
         )
         self.port_ = self._server.sockets[0].getsockname()[1]
-        self._tasks.start(self._probe_forever(), "probe")
+        self.holder_.add_listener(self._on_adopted)
+        self._tasks.start(self.gatekeeper_.probe_forever(), "probe")
+        self._tasks.start(self.gatekeeper_.watch_connection(), "watch-endpoint")
         self._tasks.start(self.spread_.learn(), "learn-config")
         self._tasks.start(self.reporter_.run(self.port_), "report")
         if self.group_ is not None:
@@ -161,6 +171,7 @@
                 "in_flight": load.in_flight,
                 "limit": load.limit,
                 "service_time_s": load.service_time_s,
+                "gate": self.gate_.describe(),
             },
             "connections": sorted(c.peer.node_id for c in self.connections_),
             "platform_calls": self.platform_.calls_,
@@ -171,6 +182,8 @@
     def _collect_metrics(self, load):
         self.metrics_.set_gauge("endpoint_in_flight", load.in_flight)
         self.metrics_.set_gauge("endpoint_limit", load.limit)
+        if self.group_ is not None:
+            self.group_.set_gauges(self.metrics_)
         self.metrics_.set_gauge("connections", len(self.connections_))
         return base.collect_process_metrics(
             self.metrics_, self.holder_.current_.number, self.platform_.calls_
@@ -216,20 +229,8 @@
             tls=self.tls_,
         )
 
-    async def _probe_forever(self):
-        """Follow the endpoint's own report; announce each change of limit."""
-        announced = None
-        while True:
-            report = await self.client_.report()
-            if report is not None:
-                self.gate_.report_start(report.start_id, time.monotonic(), report.cold)
-            if self.group_ is not None:
-                self.gate_.stalled_ = self.group_.is_stalled
-            load = self.executor_.load()
-            if (load.state, load.limit) != announced:
-                announced = (load.state, load.limit)
-                await self._announce_load()
-            await asyncio.sleep(PROBE_INTERVAL_S)
+    def _on_adopted(self, version):
+        self._tasks.start(self.gatekeeper_.follow_orders(), "follow-orders")
 
     async def _announce_load(self):
         for connection in list(self.connections_):
