Split the group's maps from its protocol; give up a map that no agent knows

Ruled out: asking the engine for it (engines differ in whether they can say). Conclusion: after two plans left out the group changes to the initial map.

--- a/libs/agent/src/sequoiagap/agent/_group.py
+++ b/libs/agent/src/sequoiagap/agent/_group.py
@@ -5,14 +5,13 @@
 import time
 
 from sequoiagap import base, experts
-from sequoiagap.agent import _group_links, _rank_engine
+from sequoiagap.agent import _rank_engine
 
 CALM_POLL_S = 0.5
 BUSY_POLL_S = 0.1
 CALM_BLOCKED_S = 0.2  # a step that waits longer than this is no longer calm
 JOIN_RETRY_S = 0.3
 STALLED_S = 1.0
-STAGE_TIMEOUT_S = 600.0
 HANDLERS = {
     experts.Join: "on_join",
     experts.Prepare: "on_prepare",
@@ -32,28 +31,24 @@
     :param sequoiagap.settings.GroupSettings settings: the group and the rank.
     :param RankEngineClient engine: the engine of the rank.
     :param GroupLinks links: connections to the other ranks.
+    :param MapLibrary maps: the maps that are known here.
     :param str incarnation: incarnation of the agent.
 
     :ivar sequoiagap.experts.RankState state_: decisions, once the engine is seen.
     :ivar EngineReport report_: last state of the engine.
-    :ivar dict map_by_digest: maps that are known here.
     :ivar float heard_at_: when a lower rank last led, monotonic seconds.
     :ivar float prepared_at_: when a peer last opened a round, monotonic seconds.
     :ivar bool engine_answers_: whether the engine answered last.
     """
 
-    def __init__(self, settings, engine, links, incarnation):
+    def __init__(self, settings, engine, links, maps, incarnation):
         self.settings = settings
+        self.maps = maps
         self.engine = engine
         self.links = links
         self.incarnation = incarnation
         self.state_ = None
         self.report_ = None
-        self.shape = experts.MapShape(
-            settings.layers, len(settings.peers), settings.experts, settings.slots
-        )
-        self.initial_map = experts.initial_map(self.shape)
-        self.map_by_digest = {self.initial_map.digest: self.initial_map}
         self.heard_at_ = time.monotonic()
         self.prepared_at_ = 0.0
         self.engine_answers_ = False
@@ -61,7 +56,6 @@
         self._begun = 0
         self._was_stalled = False
         self._was_joining = False
-        self._staging_by_digest = {}
         self._lock = asyncio.Lock()
 
     @property
@@ -83,11 +77,8 @@
         """
         for kind in HANDLERS:
             handlers.add(kind, self._on_request)
-        handlers.add(experts.Stage, self._on_stage)
-        handlers.add(experts.MapRequest, self._on_map_request)
         handlers.add(experts.ReportRequest, self._on_report_request)
         self.links.handlers_.add(experts.Joined, self._on_joined)
-        self.links.handlers_.add(experts.MapBody, self._on_map_body)
 
     async def run(self):
         """Follow the engine until cancelled."""
@@ -116,34 +107,6 @@
                 _log.emit(base.Event.RANK_ORDER_FAILED, error=error.message)
                 return None
 
-    async def stage(self, body):
-        """Have the engine load the weights of a map; raise if it can't.
-
-        :param sequoiagap.experts.MapBody body: the map.
-        :raises sequoiagap.base.SequoiagapError: if it can't.
-        """
-        self.remember(body)
-        task = self._staging_by_digest.get(body.digest)
-        if task is None or task.done():
-            call = self.engine.stage(body, STAGE_TIMEOUT_S)
-            task = asyncio.ensure_future(call)
-            self._staging_by_digest = {body.digest: task}
-        await asyncio.shield(task)
-
-    def remember(self, body):
-        """Keep a map; those that nobody needs any more are dropped.
-
-        :param body: a message with shape and content.
-        """
-        shape = experts.MapShape(*body.shape)
-        placement = experts.ExpertMap.from_bytes(shape, body.content)
-        if self.state_ is not None:
-            needed = {self.state_.previous_.digest, self.state_.committed_.digest}
-            needed.add(self.initial_map.digest)
-            kept = self.map_by_digest.items()
-            self.map_by_digest = {d: m for d, m in kept if d in needed}
-        self.map_by_digest[placement.digest] = placement
-
     async def make_report(self):
         """Return what the rank did, or ``None`` if its engine does not answer.
 
@@ -205,7 +168,7 @@
             self.links.mark_busy(False)
         self._was_joining = not self.state_.joined_
         if report.missing:
-            self._fetch(report.missing)
+            self.maps.fetch(report.missing)
 
     def _is_calm(self):
         """Tell whether nothing waits for this rank."""
@@ -279,6 +242,9 @@
                 map_version=order.target.version,
                 at_step=order.target.at_step,
             )
+            self.maps.forget_except(
+                {self.state_.previous_.digest, self.state_.committed_.digest}
+            )
         return effects.reply
 
     def _take_back(self, order):
@@ -292,28 +258,6 @@
         promise = isinstance(reply, experts.Promise) and reply.accepted
         return promise and self.engine.kind.holds_on_prepare
 
-    def _fetch(self, digests):
-        """Load weights that the engine lacks for a map that is committed."""
-        for digest in digests:
-            task = self._staging_by_digest.get(digest)
-            if task is not None and not task.done():
-                continue
-            placement = self.map_by_digest.get(digest)
-            if placement is not None:
-                body = _group_links.to_map_body(self.settings.name, placement)
-                self.links.start(self._stage_quietly(body), f"stage-{digest}")
-                return
-            request = experts.MapRequest(self.settings.name, self.settings.rank, digest)
-            for rank in range(self.ranks):
-                if rank != self.settings.rank:
-                    self.links.start(self.links.send(rank, request), "map-request")
-
-    async def _stage_quietly(self, body):
-        try:
-            await self.stage(body)
-        except base.SequoiagapError as error:
-            _log.emit(base.Event.WEIGHTS_FAILED, error=error.message)
-
     async def _on_request(self, connection, item):
         if item.group != self.settings.name:
             return
@@ -326,30 +270,6 @@
     async def _on_joined(self, connection, item):
         await self.handle(item)
 
-    async def _on_stage(self, connection, item):
-        self.links.start(self._answer_stage(connection, item), "stage")
-
-    async def _answer_stage(self, connection, item):
-        ready, error_text = True, ""
-        try:
-            await self.stage(item)
-        except base.SequoiagapError as error:
-            ready, error_text = False, error.message
-            _log.emit(base.Event.WEIGHTS_FAILED, error=error_text)
-        group, rank = self.settings.name, self.settings.rank
-        await connection.send(
-            experts.Staged(group, rank, item.digest, ready, error_text)
-        )
-
-    async def _on_map_request(self, connection, item):
-        placement = self.map_by_digest.get(item.digest)
-        if placement is not None:
-            body = _group_links.to_map_body(self.settings.name, placement)
-            await connection.send(body)
-
-    async def _on_map_body(self, connection, item):
-        self.remember(item)
-
     async def _on_report_request(self, connection, item):
         if item.rank < self.settings.rank:
             self.heard_at_ = time.monotonic()
--- a/libs/agent/src/sequoiagap/agent/_group_links.py
+++ b/libs/agent/src/sequoiagap/agent/_group_links.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from sequoiagap import base, experts, wire
+from sequoiagap import base, wire
 
 RETRY_DELAY_S = 0.2
 
@@ -95,15 +95,3 @@
             lambda item: self.handlers_.handle(connection, item)
         )
         _log.emit(base.Event.LINK_CLOSED, peer=peer, reason=reason)
-
-
-def to_map_body(group, placement):
-    """Return the message that carries a map.
-
-    :param str group: name of the group.
-    :param sequoiagap.experts.ExpertMap placement: the map.
-    :rtype: sequoiagap.experts.MapBody
-    """
-    shape = placement.shape
-    numbers = [shape.layers, shape.ranks, shape.experts, shape.slots]
-    return experts.MapBody(group, placement.digest, numbers, placement.to_bytes())
--- a/libs/agent/src/sequoiagap/agent/_group_member.py
+++ b/libs/agent/src/sequoiagap/agent/_group_member.py
@@ -6,6 +6,7 @@
 from sequoiagap.agent import (
     _group,
     _group_links,
+    _group_maps,
     _rank_engine,
     _rebalance,
     _rounds,
@@ -25,10 +26,14 @@
         group = settings.group
         self.engine_ = _rank_engine.RankEngineClient(settings.endpoint)
         self.links_ = _group_links.GroupLinks(group.peers, group.rank, make_hello)
-        self.member_ = _group.GroupMember(group, self.engine_, self.links_, incarnation)
+        maps = _group_maps.MapLibrary(group, self.engine_, self.links_)
+        self.member_ = _group.GroupMember(
+            group, self.engine_, self.links_, maps, incarnation
+        )
         rounds = _rounds.RoundRunner(self.member_, self.links_)
         self.handlers_ = wire.HandlerTable()
         self.member_.attach(self.handlers_)
+        maps.attach(self.handlers_)
         self.rebalancer_ = _rebalance.Rebalancer(
             self.member_, self.links_, rounds, holder
         )
--- a/libs/agent/src/sequoiagap/agent/_rebalance.py
+++ b/libs/agent/src/sequoiagap/agent/_rebalance.py
@@ -4,12 +4,13 @@
 import time
 
 from sequoiagap import base, experts
-from sequoiagap.agent import _group_links, _group_loads
+from sequoiagap.agent import _group_loads
 
 TICK_S = 0.1
 SETTLE_AFTER_S = 0.4
 SETTLE_STAGGER_S = 0.4
 SETTLE_STAGGER_RANKS = 8  # ranks beyond this one wait no longer
+UNKNOWN_MAP_PATIENCE = 2  # plans that are left out to ask for the map in use
 LEAD_AFTER_INTERVALS = 2.5
 LEAD_STAGGER_INTERVALS = 0.5
 
@@ -40,8 +41,9 @@
             interval_s=settings.interval_s,
         )
         self.policy_ = experts.POLICIES.get(settings.policy)(self.costs_)
-        self.loads_ = _group_loads.GroupLoads(member.shape)
+        self.loads_ = _group_loads.GroupLoads(member.maps.shape)
         self.changes_ = 0
+        self._asked = 0
         self.bytes_moved_ = 0
         self._staged_by_rank = {}
         self._staged = asyncio.Event()
@@ -67,7 +69,7 @@
             "changes": self.changes_,
             "bytes_moved": self.bytes_moved_,
             "rounds": self.rounds.rounds_,
-            "known_maps": sorted(self.member.map_by_digest),
+            "known_maps": sorted(self.member.maps.by_digest),
         }
 
     async def _settle_forever(self):
@@ -114,11 +116,11 @@
         """Return the map to change to, or ``None`` to stay."""
         committed = self.member.state_.committed_
         if not committed.version:
-            return self.member.initial_map
-        current = self.member.map_by_digest.get(committed.digest)
+            return self.member.maps.initial_map
+        current = self.member.maps.by_digest.get(committed.digest)
         if current is None:
-            self._ask_for(committed.digest)
-            return None
+            return self._find_unknown(committed.digest)
+        self._asked = 0
         complete = self.loads_.close_interval(committed.version, current)
         orders = self.holder.current_.document.groups.get(self.member.settings.name)
         if orders is not None and orders.pinned_map is not None:
@@ -132,23 +134,28 @@
     def _pinned(self, digest, current):
         if digest == current.digest:
             return None
-        pinned = self.member.map_by_digest.get(digest)
+        pinned = self.member.maps.by_digest.get(digest)
         if pinned is None:
             self._ask_for(digest)
         return pinned
 
+    def _find_unknown(self, digest):
+        """Ask for the map in use; give it up where no agent knows it any more."""
+        self._asked += 1
+        if self._asked > UNKNOWN_MAP_PATIENCE:
+            return self.member.maps.initial_map
+        self._ask_for(digest)
+        return None
+
     def _ask_for(self, digest):
         _log.emit(
             base.Event.MAP_UNKNOWN, group=self.member.settings.name, digest=digest
         )
-        settings = self.member.settings
-        request = experts.MapRequest(settings.name, settings.rank, digest)
-        for rank in self._peers():
-            self.links.start(self.links.send(rank, request), "map-request")
+        self.member.maps.ask_for(digest)
 
     async def _change_to(self, wanted):
         committed = self.member.state_.committed_
-        current = self.member.map_by_digest.get(committed.digest, wanted)
+        current = self.member.maps.by_digest.get(committed.digest, wanted)
         moves = len(experts.moves_between(current, wanted))
         _log.emit(
             base.Event.MAP_PLANNED,
@@ -167,7 +174,7 @@
 
     async def _stage(self, wanted):
         """Have every rank load the weights; tell whether all did."""
-        body = _group_links.to_map_body(self.member.settings.name, wanted)
+        body = self.member.maps.to_body(wanted)
         item = experts.Stage(body.group, body.digest, body.shape, body.content)
         self._staged_by_rank = {}
         self._staged.clear()
@@ -175,7 +182,7 @@
             self.links.start(self.links.send(rank, item), "stage")
         try:
             async with asyncio.timeout(self.member.settings.interval_s * 2):
-                await self.member.stage(body)
+                await self.member.maps.stage(body)
                 self._staged_by_rank[self.member.settings.rank] = True
                 while len(self._staged_by_rank) < self.member.ranks:
                     self._staged.clear()
--- a/libs/experts/src/sequoiagap/experts/_policies.py
+++ b/libs/experts/src/sequoiagap/experts/_policies.py
@@ -15,7 +15,6 @@
 SLICE_S = 0.004
 CONFIDENCE_WEIGHT = 0.3
 LOWEST_CONFIDENCE = 0.05
-MAX_EDITS_PER_LAYER = 48
 STUCK_RATIO = 1.05  # a search that ends this far above the bound starts anew
 
 
@@ -192,7 +191,9 @@
         # With less to gain than one move costs there is no need to search.
         if (before - least) * to_s <= self.costs.move_s:
             return row, 0.0
-        search = _LayerSearch(self.costs, row, before, to_s)
+        search = _search.LayerSearch(
+            self.costs.move_s * self.costs.hysteresis, row, before, to_s
+        )
         yield from search.run(row, loads, plan_input.speeds, slots)
         if search.longest_ > least * STUCK_RATIO:
             shape = plan_input.current.shape
@@ -211,7 +212,7 @@
         by_gain = sorted(range(len(rows)), key=lambda x: options[x][1], reverse=True)
         for layer in by_gain:
             row, gain = options[layer]
-            moves = _count_moves(slots, rows[layer], row)
+            moves = _search.count_moves(slots, rows[layer], row)
             if gain > 0 and moves <= left:
                 rows[layer] = row
                 left -= moves
@@ -251,49 +252,6 @@
         return (before - after) / before
 
 
-class _LayerSearch:
-    """Keeps the row of one layer that is worth most after its moves."""
-
-    def __init__(self, costs, old_row, before, to_s):
-        self.costs = costs
-        self.old_row = old_row
-        self.before = before
-        self.to_s = to_s
-        self.row_ = old_row
-        self.gain_ = 0.0
-        self.longest_ = before
-        self._value = 0.0
-
-    def run(self, row, loads, speeds, slots):
-        """Search from a row; a generator that yields between edits."""
-        state = _search.LayerState(row, loads, speeds, slots)
-        for _ in range(MAX_EDITS_PER_LAYER):
-            self._take_if_better(state, slots)
-            edit = state.find_edit()
-            if edit is None:
-                return
-            state.apply(edit)
-            yield
-        self._take_if_better(state, slots)
-
-    def _take_if_better(self, state, slots):
-        longest = max(state.times_)
-        gain = (self.before - longest) * self.to_s
-        moves = _count_moves(slots, self.old_row, state.row)
-        value = gain - moves * self.costs.move_s * self.costs.hysteresis
-        if value > self._value:
-            self.row_, self.gain_ = tuple(state.row), gain
-            self.longest_, self._value = longest, value
-
-
-def _count_moves(slots, old_row, new_row):
-    moves = 0
-    for start in range(0, len(new_row), slots):
-        end = start + slots
-        moves += len(set(new_row[start:end]) - set(old_row[start:end]))
-    return moves
-
-
 def _total_longest(placement, plan_input, loads):
     slots = placement.shape.slots
     return sum(
--- a/libs/experts/src/sequoiagap/experts/_search.py
+++ b/libs/experts/src/sequoiagap/experts/_search.py
@@ -4,6 +4,8 @@
 
 from sequoiagap.experts import _bound
 
+MAX_EDITS_PER_LAYER = 48
+
 
 @dataclasses.dataclass(frozen=True)
 class Edit:
@@ -146,3 +148,74 @@
             self.times_[r] + change / self.speeds[r]
             for r, change in change_by_rank.items()
         )
+
+
+class LayerSearch:
+    """Keeps the row of one layer that is worth most after its moves.
+
+    :param float move_s: what a move must bring, in seconds.
+    :param tuple old_row: the row in use.
+    :param float before: longest rank time of the row in use.
+    :param float to_s: seconds that a unit of rank time is worth.
+
+    :ivar tuple row_: the best row so far.
+    :ivar float gain_: what it saves, in seconds.
+    :ivar float longest_: its longest rank time.
+    """
+
+    def __init__(self, move_s, old_row, before, to_s):
+        self.move_s = move_s
+        self.old_row = old_row
+        self.before = before
+        self.to_s = to_s
+        self.row_ = old_row
+        self.gain_ = 0.0
+        self.longest_ = before
+        self._value = 0.0
+
+    def run(self, row, loads, speeds, slots):
+        """Search from a row.
+
+        :param tuple row: where to start.
+        :param list loads: load of each expert.
+        :param list speeds: speed of each rank.
+        :param int slots: slots of a rank.
+        :returns: a generator that yields between edits.
+        :rtype: collections.abc.Generator
+        """
+        state = LayerState(row, loads, speeds, slots)
+        for _ in range(MAX_EDITS_PER_LAYER):
+            self._take_if_better(state, slots)
+            edit = state.find_edit()
+            if edit is None:
+                return
+            state.apply(edit)
+            yield
+        self._take_if_better(state, slots)
+
+    def _take_if_better(self, state, slots):
+        longest = max(state.times_)
+        gain = (self.before - longest) * self.to_s
+        moves = count_moves(slots, self.old_row, state.row)
+        value = gain - moves * self.move_s
+        if value > self._value:
+            self.row_, self.gain_ = tuple(state.row), gain
+            self.longest_, self._value = longest, value
+
+
+def count_moves(slots, old_row, new_row):
+    """Return how many experts ranks have to load to change a row.
+
+    :param int slots: slots of a rank.
+    :param tuple old_row: the row in use.
+    :param tuple new_row: the row wanted.
+    :rtype: int
+
+    >>> count_moves(2, (0, 1, 2, 3), (1, 0, 2, 4))
+    1
+    """
+    moves = 0
+    for start in range(0, len(new_row), slots):
+        end = start + slots
+        moves += len(set(new_row[start:end]) - set(old_row[start:end]))
+    return moves
--- a/tests/agent/test_groups.py
+++ b/tests/agent/test_groups.py
@@ -22,6 +22,12 @@
         await asyncio.sleep(0.5)
         await self.fleet.start_agent(1)
 
+    async def fault_all_agents_are_replaced(self):
+        for rank in range(3):
+            await self.fleet.process_by_name[f"rank-{rank}"].kill()
+        for rank in range(3):
+            await self.fleet.start_agent(rank)
+
     async def fault_agent_is_paused(self):
         process = self.fleet.process_by_name["rank-2"]
         process.send_signal(signal.SIGSTOP)
