--- a/libs/standins/src/sequoiagap/standins/_rank_fleet.py
+++ b/libs/standins/src/sequoiagap/standins/_rank_fleet.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from sequoiagap.standins import _fleet, _relay
+from sequoiagap.standins import _process, _relay
 
 POLL_S = 0.05
 
@@ -199,7 +199,7 @@
         await self._start_process(name, [*command, json.dumps(parameters)])
 
     async def _start_process(self, name, command):
-        process = _fleet.Process(name, command, self.folder / f"{name}.log")
+        process = _process.Process(name, command, self.folder / f"{name}.log")
         self.process_by_name[name] = process
         await process.start()
         return process
