--- a/benchmarks/expert_maps.py
+++ b/benchmarks/expert_maps.py
@@ -22,7 +22,9 @@
 SLOTS = 3
 INTERVAL = 20  # steps between plans
 INTERVALS = 100
-ASSIGNMENTS = 32 * 512 * 8  # tokens of a step times experts for each token
+TOKENS_PER_RANK = 512  # in a step
+EXPERTS_PER_TOKEN = 8
+SMALL_BATCH = 64  # tokens of a rank in a step
 LAG_STEPS = 4
 LONG_LAG_STEPS = 60
 SETTLED_AFTER = 6  # intervals
@@ -40,6 +42,12 @@
     trace: str
     lag: int = LAG_STEPS
     straggler: bool = False
+    tokens_per_rank: int = TOKENS_PER_RANK
+
+    @property
+    def assignments(self):
+        """Tokens of a step times the experts of each token."""
+        return RANKS * self.tokens_per_rank * EXPERTS_PER_TOKEN
 
 
 SCENARIOS = (
@@ -49,6 +57,7 @@
     Scenario("hot expert", "hot_expert"),
     Scenario("straggling rank", "slow_drift", straggler=True),
     Scenario("lagging counts", "slow_drift", lag=LONG_LAG_STEPS),
+    Scenario("small batches", "slow_drift", tokens_per_rank=SMALL_BATCH),
 )
 
 
@@ -113,7 +122,7 @@
     run = Run()
     reports = collections.deque(maxlen=INTERVAL + scenario.lag)
     for step in range(INTERVAL * INTERVALS):
-        counts = trace.sample(step, ASSIGNMENTS)
+        counts = trace.sample(step, scenario.assignments)
         reports.append(_run_step(run, planner.map, counts, speeds))
         if step % INTERVAL == INTERVAL - 1 and len(reports) == reports.maxlen:
             began = time.perf_counter()
@@ -212,6 +221,7 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--layers", type=int, default=4)
     parser.add_argument("--planning-layers", type=int, default=MODEL_LAYERS)
+    parser.add_argument("--traces", nargs="*", help="names; all by default")
     parser.add_argument("--seeds", type=int, nargs="*", default=[1, 2, 3])
     options = parser.parse_args()
     shape = experts.MapShape(options.layers, RANKS, EXPERTS, SLOTS)
@@ -223,6 +233,8 @@
     )
     print("| --- " * 13 + "|")
     for scenario in SCENARIOS:
+        if options.traces and scenario.name not in options.traces:
+            continue
         print_scenario(scenario, shape, costs, options.seeds)
     print("\n| policy | plan ms | CPU ms | longest loop gap ms | moves |")
     print("| --- " * 5 + "|")
