--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -22,24 +22,17 @@
 import time
 
 import numpy
+from benchmarks import light
 
-from sequoiagap import base, config, members, standins, wire
+from sequoiagap import base, standins
 
 SEED = 3
 SETTLE_S = 3.0
-ANSWER_S = 0.05
 ACCOUNT = "account"
 CONFIG_CHANGES_PER_S = 39_000 / 86_400
-FRAME_HEADER_BYTES = 4
-TOKEN = b'data: {"choices": [{"delta": {"content": "token "}}]}\n\n'
-DONE = b"data: [DONE]\n\n"
-CREDIT_EVERY_CHUNKS = 8
 TOKEN_RATE = 10
-MILLISECONDS = 1000
-ANSWER_BOUND_MS = 10_000
 ROW = "{:<34}{:>8}{:>12}{:>12}{:>14}{:>14}"
 HEAD = ("subject", "count", "resident MB", "cpu %", "bytes in /s", "bytes out /s")
-MESSAGE_LIBRARIES = (config, members)  # their messages can be decoded then
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
@@ -70,101 +63,6 @@
     return Usage(int(line.split()[1]) / 1024, cpu_s, time.monotonic())
 
 
-def count_received(reader, note):
-    """Call a function with the size of all data that a stream receives.
-
-    :param asyncio.StreamReader reader: the stream.
-    :param note: function of a number of bytes.
-    """
-    feed = reader.feed_data
-
-    def counting(data):
-        note(len(data))
-        feed(data)
-
-    reader.feed_data = counting
-
-
-def count_sent(connection):
-    """Return the bytes that a connection has sent, frame headers included.
-
-    :param sequoiagap.wire.Connection connection: the connection.
-    :rtype: int
-    """
-    return connection.bytes_sent_ + FRAME_HEADER_BYTES * connection.messages_sent_
-
-
-class LightAgent:
-    """An agent of the wire protocol alone, many to a process.
-
-    :param str node_id: id of the endpoint.
-    :param str failure_domain: where it stands.
-    :param str secret: the deployment's secret.
-    """
-
-    def __init__(self, node_id, failure_domain, secret):
-        self.node_id = node_id
-        self.failure_domain = failure_domain
-        self.secret = secret
-        self.incarnation = base.new_id("inc")
-        self.received_ = 0
-        self.port_ = 0
-        self._connections = []
-        self._in_flight = 0
-        self._tasks = base.TaskSet()
-
-    async def start(self):
-        """Listen on the loopback address."""
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port_ = server.sockets[0].getsockname()[1]
-
-    async def _serve(self, reader, writer):
-        hello = wire.Hello(
-            node_id=self.node_id,
-            role="agent",
-            incarnation=self.incarnation,
-            failure_domain=self.failure_domain,
-            secret=self.secret,
-        )
-        connection = await wire.accept(reader, writer, hello)
-        self._connections.append(connection)
-        count_received(reader, self._note_received)
-        clock_ms = int(asyncio.get_running_loop().time() * MILLISECONDS)
-        await connection.send(wire.AgentClock(clock_ms))
-        await connection.send(self._load())
-        await connection.run(lambda item: self._handle(connection, item))
-
-    @property
-    def sent_(self):
-        """Bytes sent so far."""
-        return sum(count_sent(connection) for connection in self._connections)
-
-    def _note_received(self, size):
-        self.received_ += size
-
-    async def _handle(self, connection, item):
-        if isinstance(item, wire.Execute):
-            self._tasks.start(self._answer(connection, item), item.attempt_id)
-
-    async def _answer(self, connection, order):
-        tokens = json.loads(order.body).get("max_tokens", 1)
-        attempt_id = order.attempt_id
-        headers = {"content-type": "text/event-stream" if tokens > 1 else "text/plain"}
-        self._in_flight += 1
-        await connection.send(wire.Head(attempt_id, 200, headers))
-        for number in range(tokens):
-            await asyncio.sleep(ANSWER_S / tokens)
-            data = DONE if number == tokens - 1 else TOKEN
-            await connection.send(wire.Chunk(attempt_id, number, data))
-        self._in_flight -= 1
-        size = len(TOKEN) * (tokens - 1) + len(DONE)
-        await connection.send(wire.Final(attempt_id, tokens, size))
-        await connection.send(self._load())
-
-    def _load(self):
-        return wire.Load("warm", self._in_flight, 64, 0, ANSWER_S)
-
-
 class Bench:
     """A platform, one entry or agent under measurement, and light peers.
 
@@ -185,13 +83,13 @@
         """Start light agents and list them on the platform.
 
         :param int count: how many.
-        :rtype: list[LightAgent]
+        :rtype: list[light.LightAgent]
         """
         secret = self.secret_path.read_text()
         agents = []
         for number in range(count):
             domain = self.fleet.plan.domains[number % 3]
-            agent = LightAgent(f"light-{number}", domain, secret)
+            agent = light.LightAgent(f"light-{number}", domain, secret)
             await agent.start()
             host = {
                 "host_id": agent.node_id,
@@ -278,6 +176,44 @@
     }
 
 
+async def measure_peers(count, seconds):
+    """Measure one entry with three light agents and some light entries.
+
+    :param int count: light entries.
+    :param float seconds: length of the measurement.
+    :rtype: dict
+    """
+    with tempfile.TemporaryDirectory() as text:
+        bench = Bench(pathlib.Path(text))
+        async with bench.fleet as fleet:
+            await bench.add_light_agents(3)
+            await fleet.start_entry(0)
+            await fleet.wait_until(lambda: _sees(fleet, 3), 20.0)
+            entry = fleet.process_by_name["entry-0"]
+            secret = bench.secret_path.read_text()
+            peers = [light.LightEntry(i, secret) for i in range(count)]
+            for peer in peers:
+                await peer.start(entry.ready_["port"])
+            await asyncio.sleep(SETTLE_S)
+            before = read_usage(entry.child_.pid)
+            bytes_before = _count_bytes(peers)
+            await asyncio.sleep(seconds)
+            after = read_usage(entry.child_.pid)
+            return {"count": count, **_compare(before, after, bytes_before, peers)}
+
+
+def _compare(before, after, bytes_before, peers):
+    spent_s = after.at - before.at
+    pairs = zip(bytes_before, _count_bytes(peers), strict=True)
+    bytes_in, bytes_out = (late - early for early, late in pairs)
+    return {
+        "resident_mb": after.resident_mb,
+        "cpu_percent": 100 * (after.cpu_s - before.cpu_s) / spent_s,
+        "bytes_in": bytes_in / spent_s,
+        "bytes_out": bytes_out / spent_s,
+    }
+
+
 async def measure_agent(count, rate, seconds, tokens=8):
     """Measure one agent with some light entries at some rate.
 
@@ -293,13 +229,13 @@
             domains=("north",),
             entries=0,
             services_per_domain=0,
-            engine={"cold_s": 0.1, "tokens": tokens, "step_s": ANSWER_S / tokens},
+            engine={"cold_s": 0.1, "tokens": tokens, "step_s": light.ANSWER_S / tokens},
         )
         async with standins.Fleet(plan, folder) as fleet:
             agent = fleet.process_by_name["north-model-0"]
             secret = (folder / "secret").read_text()
             port = agent.ready_["port"]
-            entries = [LightEntry(i, secret) for i in range(count)]
+            entries = [light.LightEntry(i, secret) for i in range(count)]
             for entry in entries:
                 await entry.start(port)
             await asyncio.sleep(SETTLE_S)
@@ -307,82 +243,14 @@
             count_before = _count_bytes(entries)
             await _execute(entries, rate, seconds)
             after = read_usage(agent.child_.pid)
-            spent_s = after.at - before.at
-            grown = [
-                b - a for a, b in zip(count_before, _count_bytes(entries), strict=True)
-            ]
-            return {
-                "count": count,
-                "rate": rate,
-                "tokens_a_second": rate * tokens,
-                "resident_mb": after.resident_mb,
-                "cpu_percent": 100 * (after.cpu_s - before.cpu_s) / spent_s,
-                "bytes_in": grown[0] / spent_s,
-                "bytes_out": grown[1] / spent_s,
-                "answered": sum(e.answered_ for e in entries),
-            }
-
-
-class LightEntry:
-    """An entry of the wire protocol alone, many to a process.
-
-    :param int number: its number.
-    :param str secret: the deployment's secret.
-    """
-
-    def __init__(self, number, secret):
-        self.number = number
-        self.secret = secret
-        self.received_ = 0
-        self.answered_ = 0
-        self.connection_ = None
-        self._tasks = base.TaskSet()
-
-    async def start(self, port):
-        """Connect to the agent.
-
-        :param int port: its TCP port.
-        """
-        hello = wire.Hello(
-            node_id=f"light-entry-{self.number}",
-            role="entry",
-            incarnation=base.new_id("inc"),
-            failure_domain="north",
-            secret=self.secret,
-        )
-        self.connection_ = await wire.connect("127.0.0.1", port, hello)
-        count_received(self.connection_.reader, self._note_received)
-        self._tasks.start(self.connection_.run(self._on_message), "run")
-
-    async def execute(self):
-        """Send one attempt."""
-        body = b'{"model": "desk-model", "stream": true, "messages": []}'
-        now_ms = int(asyncio.get_running_loop().time() * MILLISECONDS)
-        order = wire.Execute(
-            request_id=base.new_id("req"),
-            attempt_id=base.new_id("att"),
-            account="guild",
-            target="desk-model",
-            method="POST",
-            path="/v1/chat/completions",
-            headers={"Content-Type": "application/json"},
-            body=body,
-            expires_at_ms=now_ms + ANSWER_BOUND_MS,
-        )
-        await self.connection_.send(order)
-
-    async def _on_message(self, item):
-        self.answered_ += isinstance(item, wire.Final)
-        if isinstance(item, wire.Chunk) and item.sequence % CREDIT_EVERY_CHUNKS == 0:
-            credit = wire.Credit(item.attempt_id, item.sequence + 1)
-            await self.connection_.send(credit)
-
-    def _note_received(self, size):
-        self.received_ += size
+            counts = {"count": count, "rate": rate, "tokens_a_second": rate * tokens}
+            answered = sum(entry.answered_ for entry in entries)
+            usage = _compare(before, after, count_before, entries)
+            return counts | usage | {"answered": answered}
 
 
 def _count_bytes(entries):
-    sent = sum(count_sent(e.connection_) for e in entries)
+    sent = sum(light.count_sent(e.connection_) for e in entries)
     return sent, sum(e.received_ for e in entries)
 
 
@@ -439,6 +307,7 @@
     )
     entry = functools.partial(measure_entry, seconds=options.seconds)
     agent = functools.partial(measure_agent, seconds=options.seconds)
+    peers = functools.partial(measure_peers, seconds=options.seconds)
     part = functools.partial
     return [
         ("entry, idle agents", "count", [part(entry, n, 0, 10) for n in counts]),
@@ -453,6 +322,7 @@
             "tokens_a_second",
             [part(entry, 30, TOKEN_RATE, 10, tokens=n) for n in tokens],
         ),
+        ("entry, idle peers", "count", [part(peers, n) for n in counts[:3]]),
         ("agent, idle entries", "count", [part(agent, n, 0) for n in counts]),
         ("agent, attempts a second", "rate", [part(agent, 4, r) for r in rates]),
         (
--- a/libs/entry/src/sequoiagap/entry/_link.py
+++ b/libs/entry/src/sequoiagap/entry/_link.py
@@ -201,6 +201,15 @@
         if self.connection_ is not None:
             self.connection_.probe()
 
+    def unanswered_s(self, now):
+        """Return for how long the agent has left a heartbeat unanswered.
+
+        :param float now: monotonic time in seconds.
+        :rtype: float
+        """
+        connection = self.connection_
+        return 0.0 if connection is None else connection.unanswered_s(now)
+
     def is_suspect(self):
         """Return whether the agent went silent and was not heard since.
 
--- a/libs/entry/src/sequoiagap/entry/_links.py
+++ b/libs/entry/src/sequoiagap/entry/_links.py
@@ -59,11 +59,15 @@
         :param str target: name of a model or service.
         :rtype: list[sequoiagap.routing.EndpointView]
         """
-        return [
-            link.view
+        now = time.monotonic()
+        usable = [
+            link
             for link in self.by_id.values()
             if target in link.view.serves and self._is_usable(link)
         ]
+        for link in usable:
+            link.view.unanswered_s = link.unanswered_s(now)
+        return [link.view for link in usable]
 
     def suspect(self, node_id, incarnation):
         """Give an agent no new work until it gives a sign of life.
--- a/libs/routing/src/sequoiagap/routing/_endpoint.py
+++ b/libs/routing/src/sequoiagap/routing/_endpoint.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+SILENT_S = 0.15
+SILENT_PENALTY_S = 10.0
 FULL_WAIT_SHARE = 1.0
 REPORT_HALF_LIFE_S = 2.0
 DEFAULT_SERVICE_TIME_S = 0.2
@@ -23,6 +25,8 @@
     :param bool connected: whether its agent can be reached.
     :param int own_at_report: own attempts when the report came.
     :param float reported_at: when the report came, monotonic time in seconds.
+    :param float unanswered_s: for how long its agent has left a heartbeat
+        unanswered, in seconds.
     """
 
     endpoint_id: str
@@ -37,6 +41,12 @@
     connected: bool = False
     own_at_report: int = 0
     reported_at: float = 0.0
+    unanswered_s: float = 0.0
+
+    @property
+    def is_silent(self):
+        """Whether its agent has left a heartbeat unanswered for too long."""
+        return self.unanswered_s > SILENT_S
 
     def take_report(self, load, now):
         """Take what the agent says.
@@ -72,9 +82,13 @@
     def free_slots(self, now):
         """Return how many more attempts it is expected to take at once.
 
+        A silent endpoint is expected to take none; it may be lost.
+
         :param float now: monotonic time in seconds.
         :rtype: int
         """
+        if self.is_silent:
+            return 0
         return max(self.limit - round(self.expected_in_flight(now)), 0)
 
     def expected_wait_s(self, now):
@@ -93,4 +107,5 @@
         service_time_s = self.service_time_s or DEFAULT_SERVICE_TIME_S
         used = self.expected_in_flight(now) / max(self.limit, 1)
         full = FULL_WAIT_SHARE if used >= 1.0 else 0.0
-        return service_time_s * (used + full)
+        silent_s = SILENT_PENALTY_S if self.is_silent else 0.0
+        return service_time_s * (used + full) + silent_s
--- a/libs/wire/src/sequoiagap/wire/_connection.py
+++ b/libs/wire/src/sequoiagap/wire/_connection.py
@@ -144,6 +144,17 @@
             return True
         return False
 
+    def unanswered_s(self, now):
+        """Return for how long a heartbeat has been without an answer.
+
+        :param float now: monotonic time in seconds.
+        :returns: time in seconds; 0 if none is under way or the peer was heard.
+        :rtype: float
+        """
+        if self._oldest_ping_at is None:
+            return 0.0
+        return max(now - max(self._oldest_ping_at, self.heard_at_), 0.0)
+
     async def _ping_forever(self):
         while not self.closed_:
             await self._wait_interval()
--- a/tests/routing/test_policies.py
+++ b/tests/routing/test_policies.py
@@ -34,6 +34,10 @@
         cases = {
             "less wait": (make_view(0, **busy), make_view(1)),
             "a free slot": (make_view(0, **full), make_view(1, own_in_flight=15)),
+            "a heartbeat answered": (
+                make_view(0, unanswered_s=0.3),
+                make_view(1, "south", **full),
+            ),
             "warmth": (make_view(0, state="warming"), make_view(1)),
             "own failure domain": (make_view(0, "south"), make_view(1)),
             "wait before failure domain": (make_view(0, **busy), make_view(1, "south")),
