--- a/tests/entry/callers.py
+++ b/tests/entry/callers.py
@@ -1,6 +1,5 @@
 """What the tests of requests share: callers, and relays before agents."""
 
-import asyncio
 import dataclasses
 import json
 import time
@@ -116,37 +115,6 @@
     return on_data
 
 
-async def put_relay(fleet, name):
-    """Put a relay before an agent and wait until every entry uses it."""
-    port = fleet.process_by_name[name].ready_["port"]
-    relay = standins.Relay(port)
-    await relay.start()
-    kind = "desk-model" if "model" in name else "orders"
-    host = {
-        "host_id": name,
-        "role": "agent",
-        "address": "127.0.0.1",
-        "port": relay.port_,
-        "failure_domain": "middle",
-        "state": "live",
-        "serves": [kind],
-    }
-    await fleet.call("platform", "PUT", f"/hosts/{name}", host)
-    await asyncio.sleep(0)
-    await fleet.wait_until(lambda: _all_relayed(fleet, relay, name), 10.0)
-    return relay
-
-
-async def _all_relayed(fleet, relay, name):
-    if relay.connections < len(fleet.entry_names()):
-        return False
-    for entry in fleet.entry_names():
-        _, state = await fleet.call(entry, "GET", "/state")
-        if not state["endpoints"][name]["connected"]:
-            return False
-    return True
-
-
 async def executions(fleet, name):
     """Return how often an endpoint ran each key."""
     _, counts = await fleet.call(f"{name}-target", "GET", "/executions")
--- a/tests/entry/test_requests_links.py
+++ b/tests/entry/test_requests_links.py
@@ -17,14 +17,13 @@
         callers.ONE_DOMAIN,
         engine={"step_s": ANSWER_S / TOKENS, "cold_s": 0.0},
         service={"work_s": ANSWER_S},
+        relays=True,
     )
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
-        self.desk = await callers.put_relay(self.fleet, callers.DESK)
-        self.model = await callers.put_relay(self.fleet, callers.MODEL)
-        self.addAsyncCleanup(self.desk.close)
-        self.addAsyncCleanup(self.model.close)
+        self.desk = self.fleet.relays_.peer_by_name[callers.DESK]
+        self.model = self.fleet.relays_.peer_by_name[callers.MODEL]
 
     async def test_cases(self):
         for case in (
