Count a rank as staged only for the map that is being staged

Cause: an answer of an earlier staging that comes late counted for the next one; the round then found the weights missing and the change waited an interval. Ruled out: a fault of safety (a rank arms only what its engine has staged). Conclusion: answers are matched by digest.

--- a/libs/agent/src/sequoiagap/agent/_rebalance.py
+++ b/libs/agent/src/sequoiagap/agent/_rebalance.py
@@ -45,6 +45,7 @@
         self.changes_ = 0
         self._asked = 0
         self.bytes_moved_ = 0
+        self._staging = ""
         self._staged_by_rank = {}
         self._staged = asyncio.Event()
         links.handlers_.add(experts.RankReport, self._on_report)
@@ -176,6 +177,7 @@
         """Have every rank load the weights; tell whether all did."""
         body = self.member.maps.to_body(wanted)
         item = experts.Stage(body.group, body.digest, body.shape, body.content)
+        self._staging = wanted.digest
         self._staged_by_rank = {}
         self._staged.clear()
         for rank in self._peers():
@@ -198,8 +200,9 @@
             self.loads_.add(item)
 
     async def _on_staged(self, connection, item):
-        self._staged_by_rank[item.rank] = item.ready
-        self._staged.set()
+        if item.digest == self._staging:
+            self._staged_by_rank[item.rank] = item.ready
+            self._staged.set()
 
     def _leads(self):
         settings = self.member.settings
