--- a/libs/agent/src/sequoiagap/agent/_agent.py
+++ b/libs/agent/src/sequoiagap/agent/_agent.py
@@ -173,6 +173,7 @@
                 "service_time_s": load.service_time_s,
                 "gate": self.gate_.describe(),
             },
+            "attempts": self.executor_.dump_state(),
             "connections": sorted(c.peer.node_id for c in self.connections_),
             "platform_calls": self.platform_.calls_,
             "group": self.group_.dump_state() if self.group_ else None,
--- a/libs/agent/src/sequoiagap/agent/_endpoint.py
+++ b/libs/agent/src/sequoiagap/agent/_endpoint.py
@@ -5,7 +5,7 @@
 
 import aiohttp
 
-from sequoiagap import base
+from sequoiagap import base, platform
 from sequoiagap.agent import _observer
 
 CHUNK_BYTES = 16384
@@ -30,6 +30,8 @@
 KEY_HEADER = "X-Sequoiagap-Request"
 RESUME_HEADER = "X-Resume-Offset"
 
+_SESSION_OPTIONS = {"auto_decompress": False}
+
 _log = base.get_logger("endpoint")
 
 
@@ -77,19 +79,19 @@
     def __init__(self, settings, gate):
         self.settings = settings
         self.gate = gate
-        self._session = None
+        self._sessions = platform.HttpSessions(_SESSION_OPTIONS)
         self._single_use_session = None
-        self._calls_by_session = {}
 
     async def open(self):
         """Open the client sessions."""
-        self._session = _new_session()
-        self._single_use_session = _new_session(force_close=True)
+        connector = aiohttp.TCPConnector(limit=0, force_close=True)
+        self._single_use_session = aiohttp.ClientSession(
+            connector=connector, **_SESSION_OPTIONS
+        )
 
     async def close(self):
         """Close the client sessions."""
-        for session in {*self._calls_by_session, self._session}:
-            await session.close()
+        await self._sessions.close()
         await self._single_use_session.close()
 
     async def report(self):
@@ -99,14 +101,18 @@
         """
         timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S)
         url = f"{self.settings.url}/load"
-        try:
-            async with self._session.get(url, timeout=timeout) as response:
-                document = await response.json()
+        with self._sessions.borrow() as session:
+            try:
+                async with session.get(url, timeout=timeout) as response:
+                    document = await response.json()
                 return LoadReport(
                     document["start_id"], document["cold"], document["in_flight"]
                 )
-        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError):
-            return None
+            except (aiohttp.ClientError, TimeoutError) as error:
+                self._suspect(session, error)
+            except (ValueError, KeyError):
+                pass
+        return None
 
     async def call(self, order, on_head, on_data):
         """Run one attempt and pass its answer on as it comes.
@@ -145,8 +151,13 @@
         raise EndpointError("the stream broke off too often", True)
 
     async def _call_once(self, order, answer):
-        session = self._session if order.repeatable else self._single_use_session
-        self._calls_by_session[session] = self._calls_by_session.get(session, 0) + 1
+        if not order.repeatable:
+            await self._call_over(self._single_use_session, order, answer)
+            return
+        with self._sessions.borrow() as session:
+            await self._call_over(session, order, answer)
+
+    async def _call_over(self, session, order, answer):
         observer = _observer.AttemptObserver(self.gate)
         try:
             await self._exchange(session, order, answer, observer)
@@ -158,10 +169,8 @@
             ) from error
         except (aiohttp.ClientError, TimeoutError) as error:
             observer.failed()
-            self._suspect(order, error)
+            self._suspect(session, error, order.request_id, order.attempt_id)
             raise EndpointError(f"endpoint failed: {error!r}", True) from error
-        finally:
-            await self._leave(session)
 
     async def _exchange(self, session, order, answer, observer):
         call = session.request(
@@ -173,19 +182,25 @@
             allow_redirects=False,
             skip_auto_headers=SKIPPED_HEADERS,
         )
-        loop = asyncio.get_running_loop()
-        first_byte_by = loop.time() + self._first_byte_timeout_s()
-        async with asyncio.timeout_at(first_byte_by):
+        async with asyncio.timeout(self._first_byte_timeout_s()) as timer:
             response = await call
+            await self._read_answer(response, order, answer, timer, observer)
+
+    async def _read_answer(self, response, order, answer, timer, observer):
+        """Pass an answer on; the timer runs only while the endpoint is awaited."""
+        loop = asyncio.get_running_loop()
+        between_s = self.settings.between_bytes_timeout_s
         try:
             observer.head(response.status, response.headers)
             _check_echo(order, response)
             await answer.take_head(response)
-            data = await self._read(response, first_byte_by - loop.time())
+            data = await response.content.readany()
             while data:
+                timer.reschedule(None)
                 observer.data()
                 await answer.take_data(data)
-                data = await self._read(response, self.settings.between_bytes_timeout_s)
+                timer.reschedule(loop.time() + between_s)
+                data = await response.content.readany()
         finally:
             # A connection whose answer was not read to its end is not used again.
             if response.content.at_eof():
@@ -198,28 +213,15 @@
             return self.settings.between_bytes_timeout_s
         return self.settings.first_byte_timeout_s
 
-    async def _read(self, response, timeout_s):
-        async with asyncio.timeout(max(timeout_s, 0.0)):
-            return await response.content.readany()
-
-    def _suspect(self, order, error):
+    def _suspect(self, session, error, request_id="", attempt_id=""):
         """Use no kept-alive connection again: what lost one may have lost all."""
         _log.emit(
             base.Event.CONNECTION_SUSPECT,
-            request_id=order.request_id,
-            attempt_id=order.attempt_id,
+            request_id=request_id,
+            attempt_id=attempt_id,
             error=repr(error),
         )
-        self._calls_by_session.setdefault(self._session, 0)
-        self._session = _new_session()
-
-    async def _leave(self, session):
-        self._calls_by_session[session] -= 1
-        if self._calls_by_session[session] > 0:
-            return
-        del self._calls_by_session[session]
-        if session not in (self._session, self._single_use_session):
-            await session.close()
+        self._sessions.renew(session)
 
     async def _cancel_at_engine(self, order):
         """Tell an engine that holds cut streams that this one is not wanted."""
@@ -262,11 +264,6 @@
             await self.on_data(piece)
 
 
-def _new_session(force_close=False):
-    connector = aiohttp.TCPConnector(limit=0, force_close=force_close)
-    return aiohttp.ClientSession(connector=connector, auto_decompress=False)
-
-
 def _headers(order, answer):
     headers = order.headers | {
         ATTEMPT_HEADER: order.attempt_id,
--- a/libs/platform/src/sequoiagap/platform/_client.py
+++ b/libs/platform/src/sequoiagap/platform/_client.py
@@ -5,6 +5,7 @@
 import aiohttp
 
 from sequoiagap import base
+from sequoiagap.platform import _sessions
 
 WATCH_TIMEOUT_S = 20.0
 MAX_VALUE_BYTES = 1_000_000
@@ -78,12 +79,11 @@
         self.url = url
         self.timeout_s = timeout_s
         self.calls_ = 0
-        self._pool = None
+        self._sessions = _sessions.HttpSessions()
 
     async def close(self):
         """Close the connections to the platform."""
-        if self._pool is not None:
-            await self._pool.session.close()
+        await self._sessions.close()
 
     async def get(self, name):
         """Return an object, or ``None`` where there is none.
@@ -158,58 +158,29 @@
     async def _call(self, method, path, body=None, timeout_s=None):
         self.calls_ += 1
         timeout = aiohttp.ClientTimeout(total=timeout_s or self.timeout_s)
-        pool = self._open_pool()
-        pool.calls += 1
-        try:
-            return await _request(pool.session, method, self.url + path, body, timeout)
-        except TimeoutError as error:
-            self._retire(pool)
-            raise _unanswered(method, "no answer in time") from error
-        finally:
-            pool.calls -= 1
-            if pool.calls == 0 and pool is not self._pool:
-                await pool.session.close()
-
-    def _open_pool(self):
-        if self._pool is None:
-            self._pool = _Pool(aiohttp.ClientSession())
-        return self._pool
-
-    def _retire(self, pool):
-        """Use no open connection again after silence; calls at work may end."""
-        if pool is self._pool:
-            self._pool = None
-
-
-@dataclasses.dataclass
-class _Pool:
-    """Connections that are used together.
-
-    :param aiohttp.ClientSession session: the connections.
-    :param int calls: calls that use them now.
-    """
+        with self._sessions.borrow() as session:
+            request = session.request(
+                method, self.url + path, json=body, timeout=timeout
+            )
+            return await self._finish_call(method, request, session)
 
-    session: aiohttp.ClientSession
-    calls: int = 0
-
-
-async def _request(session, method, url, body, timeout):
-    """Return status and JSON body of one call."""
-    try:
-        async with session.request(method, url, json=body, timeout=timeout) as response:
-            if response.status >= 500:
-                raise _unanswered(method, f"status {response.status}")
-            if response.status == 204:
-                return 204, {}
-            return response.status, await response.json()
-    except aiohttp.ClientConnectorError as error:
-        raise base.PlatformError(
-            f"platform can't be reached ({error})", _CALL_LIMIT_REMEDY
-        ) from error
-    except TimeoutError:
-        raise
-    except (aiohttp.ClientError, ValueError) as error:
-        raise _unanswered(method, repr(error)) from error
+    async def _finish_call(self, method, request, session):
+        try:
+            async with request as response:
+                if response.status >= 500:
+                    raise _unanswered(method, f"status {response.status}")
+                if response.status == 204:
+                    return 204, {}
+                return response.status, await response.json()
+        except aiohttp.ClientConnectorError as error:
+            raise base.PlatformError(
+                f"platform can't be reached ({error})", _CALL_LIMIT_REMEDY
+            ) from error
+        except (TimeoutError, aiohttp.ClientError) as error:
+            self._sessions.renew(session)
+            raise _unanswered(method, repr(error)) from error
+        except ValueError as error:
+            raise _unanswered(method, repr(error)) from error
 
 
 def _stored(name, document):
--- a/tests/entry/callers.py
+++ b/tests/entry/callers.py
@@ -102,6 +102,20 @@
     return await call(fleet, "/v1/chat/completions", body, entry, headers, on_data)
 
 
+def once_at_event(number, action):
+    """Return a reader that acts once, when an event of a stream has come.
+
+    Comments that keep a stream alive come after it, so a count alone is met twice.
+    """
+    left = [action]
+
+    async def on_data(text):
+        if text.count(b"data: ") >= number and left:
+            left.pop()()
+
+    return on_data
+
+
 async def put_relay(fleet, name):
     """Put a relay before an agent and wait until every entry uses it."""
     port = fleet.process_by_name[name].ready_["port"]
