Let a suspicion count only once an own probe stays unanswered

Cause: an entry that another one told of a silent agent refused requests at once with no_endpoint, though its own connection was healthy and the answer to its probe was milliseconds away. Ruled out: waiting in the queue for any endpoint (a refusal that nobody can serve must come at once), and ignoring suspicions of others (a frozen agent would then get work until the idle heartbeat finds it). Conclusion: a suspicion takes force 0.3 s after the probe; repeated ones do not put it off.

--- a/libs/entry/src/sequoiagap/entry/_entry.py
+++ b/libs/entry/src/sequoiagap/entry/_entry.py
@@ -300,7 +300,7 @@
         "failure_domain": view.failure_domain,
         "connected": view.connected,
         "leaving": link.member.leaving,
-        "suspect": link.is_suspect(),
+        "suspect": link.is_suspect(time.monotonic()),
         "listed": link.member.listed,
         "limit": view.limit,
         "reported_in_flight": view.reported_in_flight,
--- a/libs/entry/src/sequoiagap/entry/_link.py
+++ b/libs/entry/src/sequoiagap/entry/_link.py
@@ -7,6 +7,7 @@
 
 RECONNECT_DELAY_S = 0.2
 SETTLE_TIMEOUT_S = 2.0
+PROBE_ANSWER_S = 0.3
 MILLISECONDS = 1000
 
 _log = base.get_logger("link")
@@ -205,9 +206,13 @@
         if self.connection_ is not None:
             await _send_quietly(self.connection_, item)
 
-    def suspect(self):
-        """Give the agent no new work until it gives a sign of life."""
-        self._suspected_at = time.monotonic()
+    def suspect(self, now):
+        """Probe the agent; it gets no new work if the answer does not come soon.
+
+        :param float now: monotonic time in seconds.
+        """
+        if not self._awaits_answer():
+            self._suspected_at = now
         if self.connection_ is not None:
             self.connection_.probe()
 
@@ -220,11 +225,15 @@
         connection = self.connection_
         return 0.0 if connection is None else connection.unanswered_s(now)
 
-    def is_suspect(self):
-        """Return whether the agent went silent and was not heard since.
+    def is_suspect(self, now):
+        """Return whether the agent left a probe unanswered and was not heard since.
 
+        :param float now: monotonic time in seconds.
         :rtype: bool
         """
+        return self._awaits_answer() and now - self._suspected_at > PROBE_ANSWER_S
+
+    def _awaits_answer(self):
         connection = self.connection_
         return connection is not None and connection.heard_at_ < self._suspected_at
 
--- a/libs/entry/src/sequoiagap/entry/_links.py
+++ b/libs/entry/src/sequoiagap/entry/_links.py
@@ -63,7 +63,7 @@
         usable = [
             link
             for link in self.by_id.values()
-            if target in link.view.serves and self._is_usable(link)
+            if target in link.view.serves and self._is_usable(link, now)
         ]
         for link in usable:
             link.view.unanswered_s = link.unanswered_s(now)
@@ -80,9 +80,10 @@
         link = self.by_id.get(node_id)
         if link is None or link.member.incarnation != incarnation:
             return False
-        if not link.member.alive or link.is_suspect():
+        now = time.monotonic()
+        if not link.member.alive or link.is_suspect(now):
             return False
-        link.suspect()
+        link.suspect(now)
         _log.emit(base.Event.ENDPOINT_SUSPECT, endpoint=node_id)
         return True
 
@@ -96,7 +97,7 @@
         """
         for link in self.by_id.values():
             if link.view.failure_domain == failure_domain:
-                link.suspect()
+                link.suspect(time.monotonic())
 
     async def close(self):
         """Close every link."""
@@ -116,11 +117,11 @@
         ]
         await asyncio.gather(*(link.tell(item) for link in links))
 
-    def _is_usable(self, link):
+    def _is_usable(self, link, now):
         view = link.view
         if self.holder.forbidding_setting(view.failure_domain, view.endpoint_id):
             return False
-        if link.member.leaving or link.is_suspect() or not view.connected:
+        if link.member.leaving or link.is_suspect(now) or not view.connected:
             return False
         return view.limit > 0
 
