Predict a wait by the entry's part of the slots, and by who goes next

Cause: an entry took the slots it had in use at the moment as those it can count on. With one in use, a request of a small account that was next in turn was predicted to wait over a second because a large account had a queue, and was shed after 0.02 s. Ruled out: waits at the agents (no refusal came after a wait); a longer bound on the queue (it would hold the large account's refusals back too). Conclusion: slots are the entry's part of all limits, or those in use if more; an account that goes next waits for one slot only.

--- a/libs/admission/src/sequoiagap/admission/_fair.py
+++ b/libs/admission/src/sequoiagap/admission/_fair.py
@@ -94,10 +94,12 @@
 
         :param str name: client account.
         :param float weight: its effective weight.
-        :param int slots: slots that this entry has in use.
+        :param int slots: slots that this entry counts on.
         :rtype: float
         """
         slots = max(slots, 1)
+        if self._goes_next(name):
+            return self.service_time_s_ / slots
         account = self._account_by_name.get(name)
         own = len(account.waiting) if account else 0
         others = sum(
@@ -116,7 +118,7 @@
         :param str name: client account.
         :param item: the request; given back by :meth:`pop`.
         :param float weight: effective weight of the account.
-        :param int slots: slots that this entry has in use.
+        :param int slots: slots that this entry counts on.
         :rtype: Shed | None
         """
         wait_s = self.predict_wait_s(name, weight, slots)
@@ -209,7 +211,7 @@
         :param str name: client account.
         :param float used_s: slot time in seconds.
         :param float weight: effective weight of the account.
-        :param int slots: slots that this entry has in use.
+        :param int slots: slots that this entry counts on.
         """
         account = self._touch(name, weight)
         active = sum(a.weight for a in self._account_by_name.values() if a.waiting)
@@ -233,6 +235,15 @@
             n: len(a.waiting) for n, a in self._account_by_name.items() if a.waiting
         }
 
+    def _goes_next(self, name):
+        """Tell whether a new request of an account would be the next to start."""
+        account = self._account_by_name.get(name)
+        if account is not None and account.waiting:
+            return False
+        idle_tag = self._virtual_now - self.burst_s
+        tag = self._virtual_now if account is None else max(account.tag, idle_tag)
+        return all(tag <= a.tag for a in self._account_by_name.values() if a.waiting)
+
     def _touch(self, name, weight):
         account = self._account_by_name.get(name)
         if account is None:
--- a/libs/entry/src/sequoiagap/entry/_admission.py
+++ b/libs/entry/src/sequoiagap/entry/_admission.py
@@ -161,7 +161,7 @@
         if again:
             turns.queue.put_back(account, turn, weight)
         else:
-            shed = turns.queue.offer(account, turn, weight, turns.running_)
+            shed = turns.queue.offer(account, turn, weight, turns.slots())
             if shed is not None:
                 return self._refuse(request, shed.predicted_wait_s, shed.retry_after_s)
         entered = time.monotonic()
@@ -234,7 +234,13 @@
             queue = admission.FairQueue(
                 self.settings.max_queue_wait_s, self.random_state
             )
-            turns = _turns.Turns(target, queue, self.links.candidates, self._tasks)
+            turns = _turns.Turns(
+                target,
+                queue,
+                self.links.candidates,
+                self._tasks,
+                lambda: 1 + len(self.usage_.entries_heard()),
+            )
             self._turns_by_target[target] = turns
         return turns
 
@@ -243,4 +249,4 @@
         for account, used_s in grown.items():
             weight = self._weight(account)
             for turns in self._turns_by_target.values():
-                turns.queue.record_remote(account, used_s, weight, turns.running_)
+                turns.queue.record_remote(account, used_s, weight, turns.slots())
--- a/libs/entry/src/sequoiagap/entry/_turns.py
+++ b/libs/entry/src/sequoiagap/entry/_turns.py
@@ -26,15 +26,17 @@
     :param sequoiagap.admission.FairQueue queue: order of those who wait.
     :param find_candidates: function of the target that returns endpoint views.
     :param sequoiagap.base.TaskSet tasks: owns the task that wakes requests.
+    :param count_entries: function that returns how many entries share the slots.
 
     :ivar int running_: requests that had their turn and have not ended.
     """
 
-    def __init__(self, target, queue, find_candidates, tasks):
+    def __init__(self, target, queue, find_candidates, tasks, count_entries):
         self.target = target
         self.queue = queue
         self.find_candidates = find_candidates
         self.tasks = tasks
+        self.count_entries = count_entries
         self.running_ = 0
         self._is_pumping = False
 
@@ -76,6 +78,17 @@
         finally:
             self.queue.remove(account, turn)
 
+    def slots(self):
+        """Return how many slots this entry counts on when it predicts a wait.
+
+        That is its part of all slots, or those in use here if they are more: the
+        ones in use alone may be very few for a moment.
+
+        :rtype: int
+        """
+        limits = sum(view.limit for view in self.find_candidates(self.target))
+        return max(self.running_, limits // self.count_entries(), 1)
+
     def leave(self):
         """Note that a request that had its turn has ended, and give the next."""
         self.running_ -= 1
--- a/tests/admission/test_fair.py
+++ b/tests/admission/test_fair.py
@@ -170,3 +170,22 @@
         self.assertEqual(table.remote_in_flight("a"), 7)
         self.assertEqual(table.expire(3.1), ["entry-1"])
         self.assertEqual(table.remote_in_flight("a"), 0)
+
+
+class NextInTurnTest(unittest.TestCase):
+    def test_account_behind_its_share_is_not_shed_for_the_others_queue(self):
+        queue = admission.FairQueue(1.0, random.Random(0))
+        queue.service_time_s_ = 0.6
+        for _ in range(3):
+            queue.charge_start("large", 1.0)
+        queue.offer("large", "first", 1.0, slots=1)
+        self.assertIsNone(queue.offer("small", "own", 1.0, slots=1))
+        self.assertEqual(queue.pop(), ("small", "own"))
+
+    def test_account_that_used_its_share_is_still_shed(self):
+        queue = admission.FairQueue(1.0, random.Random(0))
+        queue.service_time_s_ = 0.6
+        for _ in range(9):
+            queue.charge_start("large", 1.0)
+        queue.offer("small", "own", 1.0, slots=1)
+        self.assertIsNotNone(queue.offer("large", "next", 1.0, slots=1))
