Split the executor's claims and senders, and the writer of claim shards

Ruled out: splitting by size alone; claims, senders and the shard writer each have state that nothing else touches. Conclusion: behaviour unchanged.

--- a/libs/agent/src/sequoiagap/agent/_executor.py
+++ b/libs/agent/src/sequoiagap/agent/_executor.py
@@ -3,13 +3,18 @@
 import asyncio
 
 from sequoiagap import base, outcome, wire
-from sequoiagap.agent import _endpoint, _refusals, _runs, _slots
+from sequoiagap.agent import (
+    _answers,
+    _claim_desk,
+    _endpoint,
+    _refusals,
+    _runs,
+    _slots,
+)
 
 GRACE_S = 3.0
 SERVICE_TIME_WEIGHT = 0.2
-CLAIM_MARGIN_S = 0.1
 CLAIM_END_MARGIN_S = 60.0
-END_SENDING_BOUND_S = 2.0
 MILLISECONDS = 1000
 
 _log = base.get_logger("executor")
@@ -48,10 +53,11 @@
         self.refusals_ = _refusals.Refusals(holder)
         self.slots_ = _slots.SlotQueue(gate)
         self._tasks = base.TaskSet()
-        self._senders = base.TaskSet()
+        self.claims_ = _claim_desk.ClaimDesk(
+            platform_client, node_id, ledger.incarnation
+        )
+        self.answers_ = _answers.AnswerSenders(self.load)
         self._task_by_run = {}
-        self._store_by_service = {}
-        self._waiting_by_connection = {}
 
     def attach(self, handlers):
         """Register the message handlers of attempts.
@@ -107,15 +113,14 @@
 
         :rtype: dict
         """
-        stores = self._store_by_service.values()
         return {
             "running": len(self._task_by_run),
             "joined": len(self.table_.by_attempt_id),
             "keyed": len(self.table_.by_identity),
             "held_bytes": self.table_.held_bytes_,
             "remembered_ids": len(self.ledger.entry_by_id),
-            "claim_writes": sum(store.writes_ for store in stores),
-            "claim_reads": sum(store.reads_ for store in stores),
+            "claim_writes": self.claims_.writes_,
+            "claim_reads": self.claims_.reads_,
         }
 
     async def wait_idle(self, bound_s):
@@ -127,22 +132,20 @@
             await asyncio.wait(list(self._task_by_run.values()), timeout=bound_s)
         for run in self.table_.running():
             run.refuse(self.refusals_.stopped(run.started_))
-        if self._senders.tasks_:
-            await asyncio.wait(list(self._senders.tasks_), timeout=END_SENDING_BOUND_S)
+        await self.answers_.wait_sent()
 
     async def close(self):
         """Cancel what still runs."""
         await self._tasks.close()
-        await self._senders.close()
-        for store in self._store_by_service.values():
-            await store.close()
+        await self.answers_.close()
+        await self.claims_.close()
 
     async def _on_execute(self, connection, order):
         expires_at = order.expires_at_ms / MILLISECONDS
         if not self.ledger.accept(order.attempt_id, expires_at, _now()):
             await self._answer_not_accepted(connection, order, expires_at)
             return
-        wish = self._wish(order)
+        wish = self.claims_.wish(order)
         known = None if wish is None else self.table_.by_identity.get(wish.identity)
         if known is not None:
             self._join(connection, order, known, wish)
@@ -167,21 +170,6 @@
             return
         await connection.send(refusal)
 
-    def _wish(self, order):
-        """Return the claim that an order needs before it may run, or ``None``."""
-        if order.repeatable or not order.idempotency_key:
-            return None
-        return outcome.Claim(
-            identity=outcome.claim_id(
-                order.account, order.target, order.idempotency_key
-            ),
-            agent=self.node_id,
-            incarnation=self.ledger.incarnation,
-            nonce=order.attempt_id,
-            digest=outcome.body_digest(order.method, order.path, order.body),
-            expires_at=0.0,
-        )
-
     def _join(self, connection, order, run, wish):
         """Let a second request with a key wait for the run of the first."""
         attempt_id = order.attempt_id
@@ -192,16 +180,16 @@
             refusal = self.refusals_.answer_gone(attempt_id)
         else:
             self.table_.add(run, attempt_id)
-            self._listen(run, connection, attempt_id)
+            self.answers_.start(run, connection, attempt_id)
             return
         self.ledger.finish(attempt_id, _now())
-        self._senders.start(_send_quietly(connection, refusal), attempt_id)
+        self.answers_.send(connection, refusal)
 
     def _start(self, connection, order, wish):
         run = _runs.Run(order, wish)
         run.place_ = self.slots_.enter(_now())
         self.table_.add(run, order.attempt_id)
-        self._listen(run, connection, order.attempt_id)
+        self.answers_.start(run, connection, order.attempt_id)
         task = self._tasks.start(self._run(run), order.attempt_id)
         self._task_by_run[run] = task
         task.add_done_callback(lambda _: self._finish_unbegun(run))
@@ -212,31 +200,6 @@
             run.refuse(self.refusals_.stopped(run.started_))
             self._finish(run)
 
-    def _listen(self, run, connection, attempt_id, next_sequence=0):
-        listener = run.listen(connection, attempt_id, next_sequence)
-        self._senders.start(self._send_answer(run, listener), f"send-{attempt_id}")
-
-    async def _send_answer(self, run, listener):
-        connection = listener.connection
-        self._mark_waiting(connection, 1)
-        try:
-            await listener.send_all()
-            run.leave(listener)
-            await connection.send(self.load())
-        except base.WireError:
-            return  # the entry asks for the rest over a new connection
-        finally:
-            self._mark_waiting(connection, -1)
-
-    def _mark_waiting(self, connection, change):
-        """Have a connection probed often while an entry waits on it."""
-        count = self._waiting_by_connection.get(connection, 0) + change
-        if count:
-            self._waiting_by_connection[connection] = count
-        else:
-            self._waiting_by_connection.pop(connection, None)
-        connection.mark_busy(count > 0)
-
     async def _on_credit(self, connection, item):
         run = self.table_.by_attempt_id.get(item.attempt_id)
         listener = run and run.listener_by_attempt_id.get(item.attempt_id)
@@ -279,7 +242,7 @@
         old = run.listener_by_attempt_id.get(order.attempt_id)
         if old is not None:
             run.leave(old)
-        self._listen(run, connection, order.attempt_id, order.next_sequence)
+        self.answers_.start(run, connection, order.attempt_id, order.next_sequence)
 
     def _standing_for_attach(self, order, run):
         expires_at = order.expires_at_ms / MILLISECONDS
@@ -338,23 +301,16 @@
         """Make the claim and start; return a refusal if either can't be done."""
         order = run.order
         if run.is_keyed:
-            refusal = await self._claim(run)
-            if refusal is not None:
-                return refusal
+            answer = await self.claims_.claim(run)
+            if answer.verdict != outcome.ClaimVerdict.HELD:
+                return self.refusals_.no_claim(
+                    answer, self.node_id, self.ledger.incarnation
+                )
         if self.stopping_ or not self.ledger.start(order.attempt_id, _now()):
             return self.refusals_.revoked(order.attempt_id)
         run.started_ = True
         return None
 
-    async def _claim(self, run):
-        store = self._store(run.order.target)
-        left_s = run.order.expires_at_ms / MILLISECONDS - _now() - CLAIM_MARGIN_S
-        run.wish = store.stamp(run.wish)
-        answer = await store.claim(run.wish, max(left_s, 0.0))
-        if answer.verdict == outcome.ClaimVerdict.HELD:
-            return None
-        return self.refusals_.no_claim(answer, self.node_id, self.ledger.incarnation)
-
     async def _execute(self, run):
         began = _now()
         try:
@@ -385,35 +341,17 @@
         for attempt_id in run.attempt_ids_:
             self.ledger.finish(attempt_id, _now())
         if run.is_keyed:
-            self._finish_keyed(run)
+            self.claims_.finish(run)
+            if not run.started_:
+                self.table_.unkey(run)
         self.table_.hold(run, _now())
 
-    def _finish_keyed(self, run):
-        if run.started_:
-            self._store(run.order.target).mark_done(run.wish)
-            return
-        self._store(run.order.target).release(run.wish)
-        self.table_.unkey(run)
-
-    def _store(self, service):
-        if service not in self._store_by_service:
-            store = outcome.ClaimStore(self.platform_client, service)
-            self._store_by_service[service] = store
-        return self._store_by_service[service]
-
     def _learn_service_time(self, seconds):
         if self.service_time_s_ == 0.0:
             self.service_time_s_ = seconds
         self.service_time_s_ += SERVICE_TIME_WEIGHT * (seconds - self.service_time_s_)
 
 
-async def _send_quietly(connection, item):
-    try:
-        await connection.send(item)
-    except base.WireError:
-        return
-
-
 def _now():
     return asyncio.get_running_loop().time()
 
--- a/libs/outcome/src/sequoiagap/outcome/__init__.py
+++ b/libs/outcome/src/sequoiagap/outcome/__init__.py
@@ -9,7 +9,7 @@
 )
 from sequoiagap.outcome._assembly import AnswerAssembly
 from sequoiagap.outcome._buffer import AnswerBuffer
-from sequoiagap.outcome._claim_store import ClaimAnswer, ClaimStore
+from sequoiagap.outcome._claim_store import ClaimStore
 from sequoiagap.outcome._claims import (
     CLAIM_WINDOW_S,
     MAX_CLAIMS_PER_SHARD,
@@ -20,6 +20,7 @@
 )
 from sequoiagap.outcome._journal import Journal
 from sequoiagap.outcome._ledger import MAX_DEADLINE_S, Ledger, Standing
+from sequoiagap.outcome._shard_writer import ClaimAnswer
 
 __all__ = [
     "CLAIM_WINDOW_S",
--- /dev/null
+++ b/libs/outcome/src/sequoiagap/outcome/_shard_writer.py
@@ -0,0 +1,284 @@
+"""The writer of one shard of claims: batches, lost answers and segments."""
+
+import asyncio
+import collections
+import dataclasses
+
+from sequoiagap import base, platform
+from sequoiagap.outcome import _claims
+
+RETRY_DELAY_S = 0.5
+CLOSE_BOUND_S = 1.0
+MAX_TRIES = 4
+_STALE_VERDICTS = frozenset({_claims.ClaimVerdict.TAKEN, _claims.ClaimVerdict.MISMATCH})
+
+_log = base.get_logger("claims")
+
+
+@dataclasses.dataclass(frozen=True)
+class ClaimAnswer:
+    """What became of a wish.
+
+    :param ClaimVerdict verdict: the verdict.
+    :param Claim claim: the claim that stands, if one does.
+    """
+
+    verdict: _claims.ClaimVerdict
+    claim: _claims.Claim | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class _KeptSegment:
+    """A segment as the platform holds it.
+
+    :param int version: version of the segment's own object.
+    :param dict by_identity: its claims.
+    """
+
+    version: int = 0
+    by_identity: dict = dataclasses.field(default_factory=dict)
+
+
+class ShardWriter:
+    """Writes one shard, one write at a time.
+
+    :param ClaimStore store: owner, which counts the calls.
+    :param str name: name of the platform's object.
+    """
+
+    def __init__(self, store, name):
+        self.store = store
+        self.name = name
+        self.done = collections.deque(maxlen=_claims.MAX_CLAIMS_PER_SHARD)
+        self._shard = None
+        self._version = 0
+        self._uncertain = False
+        self._sent_nonces = set()
+        self._segment_by_version = {}
+        self._wish_by_nonce = {}
+        self._answer_by_nonce = {}
+        self._withdrawn_by_nonce = {}
+        self._work = asyncio.Event()
+        self._task = None
+
+    def add(self, wish):
+        """Queue a wish and return the future of its answer.
+
+        :param Claim wish: the wish.
+        :rtype: asyncio.Future
+        """
+        answer = asyncio.get_running_loop().create_future()
+        self._wish_by_nonce[wish.nonce] = wish
+        self._answer_by_nonce[wish.nonce] = answer
+        self._wake()
+        return answer
+
+    def withdraw(self, wish):
+        """See to it that a wish is not and never will be in force.
+
+        :param Claim wish: the wish or claim.
+        """
+        queued = self._wish_by_nonce.pop(wish.nonce, None)
+        self._answer_by_nonce.pop(wish.nonce, None)
+        if queued is not None and wish.nonce not in self._sent_nonces:
+            return
+        self._sent_nonces.discard(wish.nonce)
+        self._withdrawn_by_nonce[wish.nonce] = wish
+        self._wake()
+
+    async def close(self):
+        """Let writes under way end within a bound, and stop writing."""
+        if self._task is None:
+            return
+        await asyncio.wait([self._task], timeout=CLOSE_BOUND_S)
+        await base.cancel_and_wait(self._task)
+
+    def _wake(self):
+        self._work.set()
+        if self._task is None or self._task.done():
+            self._task = asyncio.create_task(self._run(), name=f"claims-{self.name}")
+
+    async def _run(self):
+        while self._wish_by_nonce or self._withdrawn_by_nonce:
+            began = asyncio.get_running_loop().time()
+            try:
+                await self._flush()
+            except base.PlatformError as error:
+                _log.emit(base.Event.CLAIM_WRITE_FAILED, error=error.message)
+                self._answer_all(_claims.ClaimVerdict.PLATFORM_DOWN)
+                await asyncio.sleep(RETRY_DELAY_S)
+            spent = asyncio.get_running_loop().time() - began
+            await asyncio.sleep(max(self.store.flush_pace_s - spent, 0.0))
+
+    async def _flush(self):
+        """Bring every wish and withdrawal of now to an end, or raise."""
+        for _ in range(MAX_TRIES):
+            is_fresh = await self._settle_version()
+            if self._wish_by_nonce and self._shard.is_head_full:
+                await self._seal()
+            batch = dict(self._wish_by_nonce)
+            withdrawn = dict(self._withdrawn_by_nonce)
+            shard = self._shard.copy()
+            changed = self._apply(shard, batch, withdrawn)
+            if not is_fresh and self._is_any_taken(shard, batch):
+                self._shard = None
+                continue
+            if not changed or await self._write(shard):
+                self._forget_withdrawn(withdrawn)
+                self._answer(batch)
+                await self._drop_segments()
+                return
+
+    async def _settle_version(self):
+        """Read the shard unless it is known; fence a write of unknown effect.
+
+        After a write whose answer was lost the object is read back. If it does
+        not show the write, the write may still land later; the next write of
+        ours takes the version that it needs, so it can only fail then.
+
+        :returns: whether the shard was read now.
+        :rtype: bool
+        """
+        if self._shard is not None and not self._uncertain:
+            return False
+        stored = await self._read(self.name)
+        version = 0 if stored is None else stored.version
+        if version != self._version:
+            self._uncertain = False
+        self._version = version
+        shard = _claims.ClaimShard()
+        if stored is not None:
+            shard = _claims.ClaimShard.from_value(stored.value)
+        for segment in shard.segments:
+            kept = await self._read_segment(segment.version)
+            shard.sealed_by_identity |= kept.by_identity
+        self._shard = shard
+        return True
+
+    async def _read_segment(self, version):
+        """Return the claims of a segment, which never change."""
+        if version not in self._segment_by_version:
+            stored = await self._read(self._segment_name(version))
+            kept = _KeptSegment()
+            if stored is not None:
+                shard = _claims.ClaimShard.from_value(stored.value)
+                kept = _KeptSegment(stored.version, shard.by_identity)
+            self._segment_by_version[version] = kept
+        return self._segment_by_version[version]
+
+    async def _read(self, name):
+        """Read an object; a second time, as a kept connection may be dead."""
+        self.store.reads_ += 1
+        try:
+            return await self.store.client.get(name)
+        except base.PlatformError:
+            self.store.reads_ += 1
+            return await self.store.client.get(name)
+
+    async def _seal(self):
+        """Set the full head aside as a segment, which the next write names.
+
+        The segment is named by the head's version, so whoever sets that head
+        aside writes the same; the conditional write of the head decides.
+        """
+        self.store.writes_ += 1
+        try:
+            stored = await self.store.client.put(
+                self._segment_name(self._version), self._shard.to_value(), 0
+            )
+            version = stored.version
+        except platform.ObjectConflict as conflict:
+            version = conflict.version  # set aside before, with the same claims
+        kept = _KeptSegment(version, self._shard.by_identity)
+        self._segment_by_version[self._version] = kept
+        now = self.store.wall_clock()
+        self._shard = self._shard.sealed(self._version, now)
+
+    async def _drop_segments(self):
+        """Delete segments that the head no longer names; each just once."""
+        named = {segment.version for segment in self._shard.segments}
+        for version in [v for v in self._segment_by_version if v not in named]:
+            kept = self._segment_by_version.pop(version)
+            self.store.writes_ += 1
+            try:
+                await self.store.client.delete(
+                    self._segment_name(version), kept.version
+                )
+            except (platform.ObjectConflict, base.PlatformError):
+                continue  # deleted by another agent, or left behind
+
+    def _segment_name(self, version):
+        return f"{self.name}-{version}"
+
+    def _is_any_taken(self, shard, batch):
+        now = self.store.wall_clock()
+        verdicts = {shard.judge(wish, now) for wish in batch.values()}
+        return bool(verdicts & _STALE_VERDICTS)
+
+    def _apply(self, shard, batch, withdrawn):
+        """Change the shard as wished; tell whether it has to be written."""
+        now = self.store.wall_clock()
+        changed = self._uncertain
+        for wish in withdrawn.values():
+            changed |= shard.release(wish.identity, wish.nonce)
+        shard.prune(now)
+        for wish in batch.values():
+            if shard.judge(wish, now) != _claims.ClaimVerdict.HELD:
+                continue
+            known = shard.find(wish.identity)
+            if known is None or known.nonce != wish.nonce:
+                shard.add(wish)
+                self._sent_nonces.add(wish.nonce)
+                changed = True
+        for claim in self.done:
+            shard.mark_done(claim.identity, claim.nonce)
+        return changed
+
+    async def _write(self, shard):
+        """Write the shard; tell whether that took effect."""
+        done = len(self.done)
+        was_uncertain = self._uncertain
+        self.store.writes_ += 1
+        self._uncertain = True
+        try:
+            stored = await self.store.client.put(
+                self.name, shard.to_value(), self._version
+            )
+        except platform.ObjectConflict:
+            self._shard = None
+            self._uncertain = False
+            return False
+        except base.PlatformError as error:
+            if not error.effect_unknown:
+                self._uncertain = was_uncertain
+                raise
+            return False
+        self._shard, self._version = shard, stored.version
+        self._uncertain = False
+        for _ in range(done):
+            self.done.popleft()
+        return True
+
+    def _forget_withdrawn(self, withdrawn):
+        for nonce in withdrawn:
+            self._withdrawn_by_nonce.pop(nonce, None)
+
+    def _answer(self, batch):
+        now = self.store.wall_clock()
+        for wish in batch.values():
+            verdict = self._shard.judge(wish, now)
+            standing = self._shard.find(wish.identity)
+            self._answer_one(wish.nonce, ClaimAnswer(verdict, standing))
+
+    def _answer_all(self, verdict):
+        for nonce, wish in list(self._wish_by_nonce.items()):
+            if nonce in self._sent_nonces:
+                self._withdrawn_by_nonce[nonce] = wish
+            self._answer_one(nonce, ClaimAnswer(verdict))
+
+    def _answer_one(self, nonce, answer):
+        self._wish_by_nonce.pop(nonce, None)
+        self._sent_nonces.discard(nonce)
+        future = self._answer_by_nonce.pop(nonce, None)
+        if future is not None and not future.done():
+            future.set_result(answer)
--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -259,9 +259,9 @@
             pipe.far.close()
         self.pipes = []
         self.start()
-        for task in old._tasks.tasks_ | old._senders.tasks_:
+        for task in old._tasks.tasks_ | old.answers_.tasks_.tasks_:
             task.cancel()
-        for store in old._store_by_service.values():
+        for store in old.claims_._store_by_service.values():
             for writer in store._writer_by_shard.values():
                 await base.cancel_and_wait(writer._task)
 
