Send quietly by one function, and count the slots once for each usage report

Ruled out: a method of Connection; the tests' connections are plain fakes that only send. The connection's own quiet send stays, as it also gives the connection up. A shared constant for milliseconds: six one-line constants with their unit read as well where they stand. Conclusion: wire.try_send; a constant that nothing used is gone.

--- a/libs/agent/src/sequoiagap/agent/_agent.py
+++ b/libs/agent/src/sequoiagap/agent/_agent.py
@@ -235,10 +235,7 @@
 
     async def _announce_load(self):
         for connection in list(self.connections_):
-            try:
-                await connection.send(self.executor_.load())
-            except base.WireError:
-                continue
+            await wire.try_send(connection, self.executor_.load())
 
     async def _on_state_request(self, connection, item):
         document = json.dumps(self.dump_state())
--- a/libs/agent/src/sequoiagap/agent/_answers.py
+++ b/libs/agent/src/sequoiagap/agent/_answers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from sequoiagap import base
+from sequoiagap import base, wire
 
 END_SENDING_BOUND_S = 2.0
 
@@ -36,7 +36,7 @@
         :param sequoiagap.wire.Connection connection: the entry.
         :param item: the message.
         """
-        self.tasks_.start(_send_quietly(connection, item), "send")
+        self.tasks_.start(wire.try_send(connection, item), "send")
 
     async def wait_sent(self):
         """Wait until everything is sent, within :data:`END_SENDING_BOUND_S`."""
@@ -67,10 +67,3 @@
         else:
             self._waiting_by_connection.pop(connection, None)
         connection.mark_busy(count > 0)
-
-
-async def _send_quietly(connection, item):
-    try:
-        await connection.send(item)
-    except base.WireError:
-        return
--- a/libs/agent/src/sequoiagap/agent/_group.py
+++ b/libs/agent/src/sequoiagap/agent/_group.py
@@ -10,7 +10,6 @@
 CALM_POLL_S = 0.5
 BUSY_POLL_S = 0.1
 CALM_BLOCKED_S = 0.2  # a step that waits longer than this is no longer calm
-JOIN_RETRY_S = 0.3
 STALLED_S = 1.0
 HANDLERS = {
     experts.Join: "on_join",
--- a/libs/agent/src/sequoiagap/agent/_orders.py
+++ b/libs/agent/src/sequoiagap/agent/_orders.py
@@ -5,7 +5,7 @@
 
 import aiohttp
 
-from sequoiagap import base, members
+from sequoiagap import base, members, wire
 
 ORDER_TIMEOUT_S = 30.0
 IDLE_BOUND_S = 5.0
@@ -75,10 +75,8 @@
         reply = members.EndpointOrderReply(
             order.order_id, str(result.outcome), result.text
         )
-        try:
-            await connection.send(reply)
-        except base.WireError:
-            return  # the orderer asks again with the same order id
+        # Where this fails, the orderer asks again with the same order id.
+        await wire.try_send(connection, reply)
 
     async def run(self, order):
         """Run one order; the caller sees to it that there is one at a time.
--- a/libs/entry/src/sequoiagap/entry/_admission.py
+++ b/libs/entry/src/sequoiagap/entry/_admission.py
@@ -246,7 +246,8 @@
 
     async def _on_usage(self, connection, report):
         grown = self.usage_.take(report, time.monotonic())
-        for account, used_s in grown.items():
-            weight = self._weight(account)
-            for turns in self._turns_by_target.values():
-                turns.queue.record_remote(account, used_s, weight, turns.slots())
+        for turns in self._turns_by_target.values():
+            slots = turns.slots()
+            for account, used_s in grown.items():
+                weight = self._weight(account)
+                turns.queue.record_remote(account, used_s, weight, slots)
--- a/libs/entry/src/sequoiagap/entry/_link.py
+++ b/libs/entry/src/sequoiagap/entry/_link.py
@@ -109,7 +109,7 @@
         self._open_ids.add(order.attempt_id)
         self.view.own_in_flight = len(self._open_ids)
         connection.mark_busy(True)
-        await _send_quietly(connection, order)
+        await wire.try_send(connection, order)
         return events
 
     async def reattach(self, order, incarnation, next_sequence):
@@ -130,7 +130,7 @@
         item = wire.Attach(
             order.attempt_id, incarnation, order.expires_at_ms, next_sequence
         )
-        await _send_quietly(connection, item)
+        await wire.try_send(connection, item)
         return True
 
     async def _wait_opened(self, repeatable):
@@ -154,7 +154,7 @@
         :param int next_sequence: first chunk that was not taken.
         """
         if self.connection_ is not None:
-            await _send_quietly(
+            await wire.try_send(
                 self.connection_, wire.Credit(attempt_id, next_sequence)
             )
 
@@ -176,7 +176,7 @@
         """
         if self.connection_ is not None:
             item = wire.Cancel(order.attempt_id, order.expires_at_ms)
-            self._tasks.start(_send_quietly(self.connection_, item), "cancel")
+            self._tasks.start(wire.try_send(self.connection_, item), "cancel")
 
     async def request_state(self, timeout_s):
         """Return the agent's state dump as JSON text, or ``None``.
@@ -204,7 +204,7 @@
         :param item: the message.
         """
         if self.connection_ is not None:
-            await _send_quietly(self.connection_, item)
+            await wire.try_send(self.connection_, item)
 
     def suspect(self, now):
         """Probe the agent; it gets no new work if the answer does not come soon.
@@ -324,10 +324,3 @@
         answer = self._replies_by_order_id.get(item.order_id)
         if answer is not None and not answer.done():
             answer.set_result(item)
-
-
-async def _send_quietly(connection, item):
-    try:
-        await connection.send(item)
-    except base.WireError:
-        return
--- a/libs/wire/src/sequoiagap/wire/__init__.py
+++ b/libs/wire/src/sequoiagap/wire/__init__.py
@@ -1,7 +1,13 @@
 """Typed messages and connections between the processes of the system."""
 
 from sequoiagap.wire._codec import MESSAGE_TYPES_BY_NUMBER, decode, encode, message
-from sequoiagap.wire._connection import Connection, accept, connect, listen
+from sequoiagap.wire._connection import (
+    Connection,
+    accept,
+    connect,
+    listen,
+    try_send,
+)
 from sequoiagap.wire._framing import MAX_FRAME_BYTES, read_frame, write_frame
 from sequoiagap.wire._handlers import HandlerTable
 from sequoiagap.wire._messages import (
@@ -57,5 +63,6 @@
     "listen",
     "message",
     "read_frame",
+    "try_send",
     "write_frame",
 ]
--- a/libs/wire/src/sequoiagap/wire/_connection.py
+++ b/libs/wire/src/sequoiagap/wire/_connection.py
@@ -248,6 +248,21 @@
     return Connection(reader, writer, own, peer)
 
 
+async def try_send(connection, item):
+    """Send a message unless the connection is lost, which is settled elsewhere.
+
+    :param Connection connection: where to send it.
+    :param item: an instance of a message class.
+    :returns: whether it was handed over to the connection.
+    :rtype: bool
+    """
+    try:
+        await connection.send(item)
+    except base.WireError:
+        return False
+    return True
+
+
 async def listen(serve, address, port, tls=None):
     """Listen for other processes.
 
