Bound calls by asyncio.timeout, so that no cancellation is swallowed

Cause: test_unknown_outcome_is_settled_by_the_same_patch failed once on a busy machine: the store accepted a patch after its bound had passed. The HTTP client's own timer and the bound around it fell due in one turn of the event loop; the client nests one timer twice, takes back both cancellations and raises its own TimeoutError, so the bound (or a stop of the task) was lost and the writer went on. In an outage it would have gone on without end.

Ruled out: the stand-in's late write landing early (it came 2.1 s after the call); asyncio.timeout nested in asyncio.timeout, which keeps both cancellations.

Conclusion: sessions are untimed, and whoever makes a call bounds it by asyncio.timeout.

--- a/libs/agent/src/sequoiagap/agent/_orders.py
+++ b/libs/agent/src/sequoiagap/agent/_orders.py
@@ -5,7 +5,7 @@
 
 import aiohttp
 
-from sequoiagap import base, members, wire
+from sequoiagap import base, members, platform, wire
 
 ORDER_TIMEOUT_S = 30.0
 IDLE_BOUND_S = 5.0
@@ -122,16 +122,15 @@
             ) from error
 
     async def _is_at_work(self):
-        timeout = aiohttp.ClientTimeout(total=STATUS_TIMEOUT_S)
         async with (
-            aiohttp.ClientSession(timeout=timeout) as session,
+            asyncio.timeout(STATUS_TIMEOUT_S),
+            aiohttp.ClientSession(timeout=platform.UNTIMED) as session,
             session.get(f"{self.endpoint.url}/orders") as response,
         ):
             document = await response.json()
             return bool(document.get("at_work"))
 
     async def _send(self, order):
-        timeout = aiohttp.ClientTimeout(total=self.timeout_s)
         body = {
             "order_id": order.order_id,
             "fencing": order.fencing,
@@ -140,7 +139,8 @@
         }
         try:
             async with (
-                aiohttp.ClientSession(timeout=timeout) as session,
+                asyncio.timeout(self.timeout_s),
+                aiohttp.ClientSession(timeout=platform.UNTIMED) as session,
                 session.post(f"{self.endpoint.url}/orders", json=body) as response,
             ):
                 if response.status < 400:
--- a/libs/agent/src/sequoiagap/agent/_rank_engine.py
+++ b/libs/agent/src/sequoiagap/agent/_rank_engine.py
@@ -1,11 +1,12 @@
 """HTTP calls to the rank's engine about its expert map."""
 
+import asyncio
 import base64
 import dataclasses
 
 import aiohttp
 
-from sequoiagap import base, experts
+from sequoiagap import base, experts, platform
 
 CALL_TIMEOUT_S = 1.0
 
@@ -91,7 +92,7 @@
 
     async def open(self):
         """Open the client session."""
-        self._session = aiohttp.ClientSession()
+        self._session = aiohttp.ClientSession(timeout=platform.UNTIMED)
 
     async def close(self):
         """Close the client session."""
@@ -146,11 +147,10 @@
         await self._call("POST", "/group/stage", body, timeout_s)
 
     async def _call(self, method, path, body=None, timeout_s=CALL_TIMEOUT_S):
-        timeout = aiohttp.ClientTimeout(total=timeout_s)
         url = self.settings.url + path
-        request = self._session.request(method, url, json=body, timeout=timeout)
+        request = self._session.request(method, url, json=body)
         try:
-            async with request as response:
+            async with asyncio.timeout(timeout_s), request as response:
                 document = await response.json()
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             raise _unavailable(error) from error
--- a/libs/platform/src/sequoiagap/platform/__init__.py
+++ b/libs/platform/src/sequoiagap/platform/__init__.py
@@ -7,10 +7,11 @@
     PlatformClient,
     StoredObject,
 )
-from sequoiagap.platform._sessions import HttpSessions
+from sequoiagap.platform._sessions import UNTIMED, HttpSessions
 
 __all__ = [
     "MAX_VALUE_BYTES",
+    "UNTIMED",
     "HostEntry",
     "HttpSessions",
     "ObjectConflict",
--- a/libs/platform/src/sequoiagap/platform/_client.py
+++ b/libs/platform/src/sequoiagap/platform/_client.py
@@ -1,5 +1,6 @@
 """Client of the platform: objects with versions, watches and the host list."""
 
+import asyncio
 import dataclasses
 
 import aiohttp
@@ -157,16 +158,14 @@
 
     async def _call(self, method, path, body=None, timeout_s=None):
         self.calls_ += 1
-        timeout = aiohttp.ClientTimeout(total=timeout_s or self.timeout_s)
         with self._sessions.borrow() as session:
-            request = session.request(
-                method, self.url + path, json=body, timeout=timeout
-            )
-            return await self._finish_call(method, request, session)
+            request = session.request(method, self.url + path, json=body)
+            timer = asyncio.timeout(timeout_s or self.timeout_s)
+            return await self._finish_call(method, request, session, timer)
 
-    async def _finish_call(self, method, request, session):
+    async def _finish_call(self, method, request, session, timer):
         try:
-            async with request as response:
+            async with timer, request as response:
                 if response.status >= 500:
                     raise _unanswered(method, f"status {response.status}")
                 if response.status == 204:
--- a/libs/platform/src/sequoiagap/platform/_sessions.py
+++ b/libs/platform/src/sequoiagap/platform/_sessions.py
@@ -4,6 +4,10 @@
 
 from sequoiagap import base
 
+# Calls are bounded by asyncio.timeout: a timer of aiohttp that ends a request in
+# the same turn of the event loop as a cancellation from outside swallows the latter.
+UNTIMED = aiohttp.ClientTimeout(total=None)
+
 
 class HttpSessions:
     """Lends a client session; after a failure a fresh one takes its place.
@@ -11,8 +15,10 @@
     What lost one kept-alive connection may have lost them all unseen, so none
     of them is used again. Calls under way over the old session go on.
 
+    The sessions bound no call: whoever borrows one does, by ``asyncio.timeout``.
+
     :param dict options: arguments of each :class:`aiohttp.ClientSession` but its
-        connector.
+        connector and timeout.
 
     .. code-block:: python
 
@@ -34,7 +40,9 @@
         """
         if self._current is None or self._current.closed:
             connector = aiohttp.TCPConnector(limit=0)
-            self._current = aiohttp.ClientSession(connector=connector, **self.options)
+            self._current = aiohttp.ClientSession(
+                connector=connector, timeout=UNTIMED, **self.options
+            )
         return _Loan(self, self._current)
 
     def renew(self, failed):
