Draw again where all drawn endpoints are busy and slow, so a slow group is relieved

test_slow_group_is_relieved_and_stalled_group_is_not_fed failed once: 34 of 60 requests went to the slowed group, 42 to the healthy one, where 0.75 is the bound.

Cause, by a trace of each choice over 4 runs (2 at once): the entry draws two of the three endpoints, and the group is two of them. In 20 to 23 of 60 choices of the last phase only its ranks were drawn, so the group got 21 to 25 whatever its wait; only 1 or 2 of the 39 choices that saw the other endpoint too went to the group. A share of a third with a spread of 3.7 in 60 reaches the bound now and then.

Ruled out: service times learnt slowly (0.23 s against 0.044 s by the second 60 requests), overhead of the stand-ins (steps dominate), prefix affinity (the prompts are empty). A longer answer or more requests would have hidden the cause, which is the product's.

Now, where all drawn are busy and slower than the usual service time of the draws, as many again are drawn.

--- a/libs/routing/src/sequoiagap/routing/_policies.py
+++ b/libs/routing/src/sequoiagap/routing/_policies.py
@@ -7,6 +7,7 @@
 POLICIES = base.Registry("policy")
 NEAR_CHOICES = 2
 FAR_CHOICES = 1
+USUAL_WEIGHT = 0.02  # the usual service time is that of the last fifty draws
 FAR_PENALTY_S = 0.005
 COLD_PENALTY_S = 0.002
 PREFILL_S_PER_BYTE = 25e-6
@@ -54,10 +55,14 @@
     Two random endpoints of the entry's own failure domain, one of the others,
     and the one that prefers the prompt's prefix by rendezvous hashing. Few
     random choices instead of all keep entries that see the same idle endpoint
-    from rushing it together.
+    from rushing it together. Where all of them are busy and slower than usual, as
+    many again are drawn: the ranks of a slow group are many endpoints, and would
+    else keep the share of the draws that meet nothing but them.
 
     :param float prefill_s_per_byte: time that a remembered prefix saves.
     :param float far_penalty_s: what another failure domain costs.
+
+    :ivar float usual_s_: mean service time of the endpoints drawn lately, in seconds.
     """
 
     def __init__(
@@ -65,6 +70,7 @@
     ):
         self.prefill_s_per_byte = prefill_s_per_byte
         self.far_penalty_s = far_penalty_s
+        self.usual_s_ = 0.0
 
     def choose(self, candidates, random_state, context):
         """Return the candidate with the least cost among the few.
@@ -77,6 +83,8 @@
         few = self._draw(candidates, random_state, context)
         if not any(view.free_slots(context.now) for view in few):
             few += self._draw_free(candidates, random_state, context)
+        elif self._are_slow(few, context):
+            few += self._draw(candidates, random_state, context)
         saving_s = 0.0
         preferred = None
         if context.prefix:
@@ -101,6 +109,18 @@
         free = [view for view in candidates if view.free_slots(context.now)]
         return random_state.sample(free, min(NEAR_CHOICES, len(free)))
 
+    def _are_slow(self, few, context):
+        """Learn the usual service time; tell whether all of these are slower."""
+        mean_s = sum(view.service_time_s for view in few) / len(few)
+        if not self.usual_s_:
+            self.usual_s_ = mean_s
+        self.usual_s_ += USUAL_WEIGHT * (mean_s - self.usual_s_)
+        return all(
+            view.service_time_s > self.usual_s_
+            and round(view.expected_in_flight(context.now)) > 0
+            for view in few
+        )
+
     def _cost_s(self, view, context):
         cost = view.expected_wait_s(context.now)
         if view.failure_domain != context.failure_domain:
--- a/tests/entry/test_group_routing.py
+++ b/tests/entry/test_group_routing.py
@@ -71,7 +71,7 @@
         await self.send()
         slowed, statuses = await self.send()
         self.assertEqual(statuses, {200})
-        self.assertLess(slowed, healthy * 0.75)
+        self.assertLess(slowed, healthy * 0.6)
         await self.group.set_rank_faults(1, slowness=1.0, frozen=True)
         await self.fleet.wait_until(self.is_not_fed, support.FEW_SECONDS_S)
         stalled, statuses = await self.send()
--- a/tests/routing/test_policies.py
+++ b/tests/routing/test_policies.py
@@ -81,6 +81,13 @@
             arrived[view.endpoint_id] += 1
         self.assertLessEqual(arrived["endpoint-11"], 20 / 2)
 
+    def test_slow_endpoints_do_not_keep_the_draws_that_meet_only_them(self):
+        """Two ranks of a slow group and one endpoint that is fast."""
+        slow = [make_view(i, service_time_s=1.6, own_in_flight=1) for i in range(2)]
+        fast = make_view(2, own_in_flight=2)
+        chosen = count_choices([*slow, fast], routing.RouteContext(NOW, "north"))
+        self.assertGreater(chosen[fast.endpoint_id], 600 * 0.8)
+
     def test_old_reports_of_others_count_less_and_own_attempts_always(self):
         view = make_view(0, own_in_flight=4)
         load = wire.Load("warm", in_flight=16, limit=16, service_time_s=0.2)
