Send requests only to endpoints whose role can serve them

Cause: endpoints change between prefill, decode and both by order, and neither the agent nor the choice knew of it; a request sent to an endpoint of another role fails, and a change cut off what ran there.

Now the endpoint's report names its role; the agent shuts its gate while the role can't serve, and waits for attempts in flight before it passes an order that changes it; entries filter by role before any policy chooses.

Ruled out: following the order instead of the report (lost or late orders, fresh agents); a new setting for the role (wrong after each order).

Also moves the states of an endpoint to a module of their own. Not built: a request split over a prefill and a decode endpoint.

--- a/libs/admission/src/sequoiagap/admission/_gate.py
+++ b/libs/admission/src/sequoiagap/admission/_gate.py
@@ -1,11 +1,9 @@
 """What an endpoint can bear, kept by its agent."""
 
-import enum
-
 import transitions
 
 from sequoiagap import base
-from sequoiagap.admission import _health
+from sequoiagap.admission import _health, _roles, _states
 
 DEFAULT_SETTLE_S = 0.5
 MAX_RAMP_DOUBLINGS = 3
@@ -14,28 +12,6 @@
 _log = base.get_logger("gate")
 
 
-class EndpointState(enum.StrEnum):
-    """States of an endpoint."""
-
-    STARTING = "starting"
-    COLD = "cold"
-    WARMING = "warming"
-    WARM = "warm"
-    DRAINING = "draining"
-    GONE = "gone"
-
-
-_TRANSITIONS = [
-    ["found_cold", ["starting", "cold", "warming", "warm"], "cold"],
-    ["begin_warming", "cold", "warming"],
-    ["found_warm", ["starting", "warming"], "warm"],
-    ["drain", ["starting", "cold", "warming", "warm"], "draining"],
-    ["undrain", "draining", "cold"],
-    ["restart", "draining", "starting"],
-    ["leave", "*", "gone"],
-]
-
-
 class EndpointGate:
     """Bounds the attempts that run at an endpoint at once.
 
@@ -58,6 +34,8 @@
     :ivar int proven_: good answers since the ramp began.
     :ivar int relapses_: how often it turned cold again of late.
     :ivar bool trusted_: whether the start id was confirmed since the last doubt.
+    :ivar str role_: role of the endpoint, see :class:`EndpointRole`.
+    :ivar bool reports_role_: whether the endpoint says which role it has.
 
     >>> gate = EndpointGate(warm_limit=8, cold_limit=1, warm_up_s=4.0)
     >>> gate.report_start("start-1", now=0.0, cold=True)
@@ -80,6 +58,8 @@
         self.proven_ = 0
         self.relapses_ = 0
         self.trusted_ = False
+        self.role_ = str(_roles.EndpointRole.BOTH)
+        self.reports_role_ = False
         self.start_id_ = ""
         self.ramp_began_at_ = 0.0
         self._calls_itself_cold = False
@@ -91,9 +71,9 @@
         self._previous_low = 0
         self.machine_ = transitions.Machine(
             model=self,
-            states=[str(state) for state in EndpointState],
-            transitions=_TRANSITIONS,
-            initial=str(EndpointState.STARTING),
+            states=[str(state) for state in _states.EndpointState],
+            transitions=_states.TRANSITIONS,
+            initial=str(_states.EndpointState.STARTING),
             auto_transitions=False,
             after_state_change="_log_state",
         )
@@ -110,9 +90,9 @@
         asked_at = now if asked_at is None else asked_at
         if asked_at >= self._doubted_at:
             self.trusted_ = True
-        if self.state == EndpointState.GONE:
+        if self.state == _states.EndpointState.GONE:
             return
-        if self.state == EndpointState.STARTING:
+        if self.state == _states.EndpointState.STARTING:
             self._settle(start_id, now, cold, in_flight)
         elif start_id != self.start_id_:
             self.start_id_ = start_id
@@ -130,6 +110,7 @@
         if start_id and self.start_id_ and start_id != self.start_id_:
             self.start_id_ = start_id
             self._calls_itself_cold = True
+            self.doubt(now)
             self._turn_cold(now, "new_start_id")
 
     def set_out(self, is_out, now):
@@ -140,10 +121,13 @@
         :param bool is_out: whether the endpoint is to take no new work.
         :param float now: monotonic time in seconds.
         """
-        if is_out and self.state not in (EndpointState.DRAINING, EndpointState.GONE):
-            self._was_starting = self.state == EndpointState.STARTING
+        if is_out and self.state not in (
+            _states.EndpointState.DRAINING,
+            _states.EndpointState.GONE,
+        ):
+            self._was_starting = self.state == _states.EndpointState.STARTING
             self.drain()
-        elif not is_out and self.state == EndpointState.DRAINING:
+        elif not is_out and self.state == _states.EndpointState.DRAINING:
             self._begin_ramp(now)
             if self._was_starting:
                 self._first_report_at = None
@@ -151,6 +135,23 @@
             else:
                 self.undrain()
 
+    def set_role(self, role):
+        """Take the role of an endpoint that reports it.
+
+        :param str role: the role.
+        """
+        self.role_ = str(role)
+        self.reports_role_ = True
+
+    @property
+    def serves_whole(self):
+        """Whether the role is known to serve whole requests.
+
+        An endpoint that started anew may have another role than before.
+        """
+        is_known = self.trusted_ or not self.reports_role_
+        return is_known and _roles.serves_whole(self.role_)
+
     def doubt(self, now):
         """Trust no more than the cold limit until the endpoint reports again.
 
@@ -166,11 +167,17 @@
             it says nothing, as for answers that come in one piece.
         :param float now: monotonic time in seconds.
         """
-        may_learn = self.state in (EndpointState.WARMING, EndpointState.WARM)
+        may_learn = self.state in (
+            _states.EndpointState.WARMING,
+            _states.EndpointState.WARM,
+        )
         suspected = bool(first_byte_s) and self.health_.record_answer(
             first_byte_s, learn=may_learn
         )
-        if suspected and self.state in (EndpointState.WARMING, EndpointState.WARM):
+        if suspected and self.state in (
+            _states.EndpointState.WARMING,
+            _states.EndpointState.WARM,
+        ):
             self._turn_cold(now, "slow_first_byte")
         elif not self.health_.is_slow(first_byte_s):
             self.proven_ += 1
@@ -184,8 +191,11 @@
         :param float now: monotonic time in seconds.
         """
         suspected = self.health_.record_error()
-        is_ramping = self.state in (EndpointState.COLD, EndpointState.WARMING)
-        if is_ramping or (suspected and self.state == EndpointState.WARM):
+        is_ramping = self.state in (
+            _states.EndpointState.COLD,
+            _states.EndpointState.WARMING,
+        )
+        if is_ramping or (suspected and self.state == _states.EndpointState.WARM):
             self._turn_cold(now, "errors")
 
     def limit(self, now):
@@ -195,12 +205,12 @@
         :rtype: int
         """
         self._advance(now)
-        if self.stalled_:
+        if self.stalled_ or not self.serves_whole:
             return 0
-        if self.state in (EndpointState.COLD, EndpointState.WARMING):
+        if self.state in (_states.EndpointState.COLD, _states.EndpointState.WARMING):
             bound = self._ramp_limit(now)
         else:
-            bound = self.warm_limit if self.state == EndpointState.WARM else 0
+            bound = self.warm_limit if self.state == _states.EndpointState.WARM else 0
         return bound if self.trusted_ else min(bound, self.cold_limit)
 
     def try_enter(self, now):
@@ -227,6 +237,7 @@
         return {
             "start_id": self.start_id_,
             "trusted": self.trusted_,
+            "role": self.role_,
             "foreign": self.foreign_,
             "proven": self.proven_,
             "relapses": self.relapses_,
@@ -251,7 +262,10 @@
 
     def _follow_coldness(self, cold, now):
         """Keep the ramp from beginning while the endpoint calls itself cold."""
-        if cold and self.state in (EndpointState.WARM, EndpointState.WARMING):
+        if cold and self.state in (
+            _states.EndpointState.WARM,
+            _states.EndpointState.WARMING,
+        ):
             self._turn_cold(now, "reported_cold")
         if cold or self._calls_itself_cold:
             self._begin_ramp(now)
@@ -262,13 +276,13 @@
         self.proven_ = 0
 
     def _turn_cold(self, now, reason):
-        if self.state in (EndpointState.DRAINING, EndpointState.GONE):
+        if self.state in (_states.EndpointState.DRAINING, _states.EndpointState.GONE):
             return
-        if self.state != EndpointState.STARTING:
+        if self.state != _states.EndpointState.STARTING:
             self.relapses_ += 1
         self.health_.suspect(now)
         self._begin_ramp(now)
-        if self.state != EndpointState.COLD:
+        if self.state != _states.EndpointState.COLD:
             _log.emit(base.Event.ENDPOINT_TURNED_COLD, reason=reason)
             self.found_cold()
 
@@ -281,12 +295,12 @@
     def _advance(self, now):
         self.health_.advance(now)
         can_warm = not self._calls_itself_cold and now > self.ramp_began_at_
-        if self.state == EndpointState.COLD and can_warm:
+        if self.state == _states.EndpointState.COLD and can_warm:
             self.begin_warming()
-        if self.state == EndpointState.WARMING and self._is_proven(now):
+        if self.state == _states.EndpointState.WARMING and self._is_proven(now):
             self._warm_since = now
             self.found_warm()
-        if self.state == EndpointState.WARM and now - self._warm_since > CALM_S:
+        if self.state == _states.EndpointState.WARM and now - self._warm_since > CALM_S:
             self.relapses_ = 0
 
     def _is_proven(self, now):
--- a/libs/agent/src/sequoiagap/agent/_agent.py
+++ b/libs/agent/src/sequoiagap/agent/_agent.py
@@ -20,6 +20,7 @@
     _guard,
     _orders,
     _reports,
+    _roles,
     _spread,
 )
 
@@ -67,6 +68,9 @@
             self.platform_,
         )
         self.metrics_ = self.executor_.metrics_
+        self.roles_ = _roles.RoleKeeper(
+            self.gate_, self._has_order_at_work, self._follow_orders
+        )
         self.gatekeeper_ = _gatekeeper.GateKeeper(
             self.client_,
             self.gate_,
@@ -74,6 +78,7 @@
             self.executor_.is_out,
             self._announce_load,
             self.executor_.slots_.pump,
+            self.roles_.take_report,
         )
         self.spread_ = _spread.ConfigSpread(self.holder_, self.platform_)
         self.handlers_ = wire.HandlerTable()
@@ -88,7 +93,10 @@
         self.guard_ = _guard.ConfigGuard(self.holder_, self.spread_)
         self.guard_.attach(self.handlers_)
         self.orders_ = _orders.OrderDesk(
-            self.settings.endpoint, node_id, members.FenceStore(self.platform_)
+            self.settings.endpoint,
+            node_id,
+            members.FenceStore(self.platform_),
+            roles=self.roles_,
         )
         self.orders_.attach(self.handlers_)
         self.reporter_ = _reports.Reporter(
@@ -138,6 +146,7 @@
             await self.group_.close()
         await self.guard_.close()
         await self.orders_.close()
+        await self.roles_.close()
         await self.executor_.close()
         await self.client_.close()
         await self.platform_.close()
@@ -230,6 +239,12 @@
             tls=self.tls_,
         )
 
+    async def _has_order_at_work(self):
+        return await self.orders_.is_at_work()
+
+    async def _follow_orders(self):
+        await self.gatekeeper_.follow_orders()
+
     def _on_adopted(self, version):
         self._tasks.start(self.gatekeeper_.follow_orders(), "follow-orders")
 
--- a/libs/agent/src/sequoiagap/agent/_endpoint.py
+++ b/libs/agent/src/sequoiagap/agent/_endpoint.py
@@ -42,11 +42,13 @@
     :param str start_id: changes whenever the endpoint starts anew.
     :param bool cold: whether it calls itself cold.
     :param int in_flight: requests that run there.
+    :param str role: its role, or empty if it names none.
     """
 
     start_id: str
     cold: bool
     in_flight: int
+    role: str = ""
 
 
 class EndpointError(base.SequoiagapError):
@@ -106,7 +108,10 @@
                 async with session.get(url, timeout=timeout) as response:
                     document = await response.json()
                 return LoadReport(
-                    document["start_id"], document["cold"], document["in_flight"]
+                    document["start_id"],
+                    document["cold"],
+                    document["in_flight"],
+                    str(document.get("role", "")),
                 )
             except (aiohttp.ClientError, TimeoutError) as error:
                 self._suspect(session, error)
--- a/libs/agent/src/sequoiagap/agent/_executor.py
+++ b/libs/agent/src/sequoiagap/agent/_executor.py
@@ -107,6 +107,7 @@
             limit=limit,
             queued=self.slots_.size_,
             service_time_s=self.service_time_s_,
+            role=self.gate.role_,
         )
 
     def dump_state(self):
--- a/libs/agent/src/sequoiagap/agent/_gatekeeper.py
+++ b/libs/agent/src/sequoiagap/agent/_gatekeeper.py
@@ -27,15 +27,18 @@
     :param is_out: function that returns whether operators took it out.
     :param announce: coroutine function, called when entries must know.
     :param pump: function of the time, called when slots may have become free.
+    :param take_role: function of the role that the endpoint reports and of the
+        time at which it was asked.
     """
 
-    def __init__(self, client, gate, is_stalled, is_out, announce, pump):
+    def __init__(self, client, gate, is_stalled, is_out, announce, pump, take_role):
         self.client = client
         self.gate = gate
         self.is_stalled = is_stalled
         self.is_out = is_out
         self.announce = announce
         self.pump = pump
+        self.take_role = take_role
         self._wake = asyncio.Event()
         self._announced = None
 
@@ -56,6 +59,7 @@
         report = await self.client.report()
         now = time.monotonic()
         if report is not None:
+            self.take_role(report.role, asked_at)
             self.gate.report_start(
                 report.start_id, now, report.cold, report.in_flight, asked_at
             )
@@ -67,7 +71,7 @@
         self.gate.set_out(self.is_out(), now)
         self.gate.stalled_ = self.is_stalled()
         self.pump(now)
-        seen = (self.gate.limit(now), self.gate.state)
+        seen = (self.gate.limit(now), self.gate.state, self.gate.role_)
         if seen != self._announced:
             self._announced = seen
             await self.announce()
--- a/libs/agent/src/sequoiagap/agent/_orders.py
+++ b/libs/agent/src/sequoiagap/agent/_orders.py
@@ -6,11 +6,13 @@
 import aiohttp
 
 from sequoiagap import base, members, wire
+from sequoiagap.agent import _roles
 
 ORDER_TIMEOUT_S = 30.0
 IDLE_BOUND_S = 5.0
 IDLE_POLL_S = 0.1
 STATUS_TIMEOUT_S = 1.0
+NOT_FOUND_STATUS = 404
 
 _log = base.get_logger("orders")
 
@@ -32,15 +34,19 @@
     :param str endpoint_id: id of the endpoint.
     :param sequoiagap.members.FenceStore store: numbers in the platform.
     :param float timeout_s: longest time that an order may take, in seconds.
+    :param RoleKeeper roles: keeps work away while the role changes.
 
     :ivar asyncio.Lock lock_: held while an order is at work.
     """
 
-    def __init__(self, endpoint, endpoint_id, store, timeout_s=ORDER_TIMEOUT_S):
+    def __init__(
+        self, endpoint, endpoint_id, store, timeout_s=ORDER_TIMEOUT_S, roles=None
+    ):
         self.endpoint = endpoint
         self.endpoint_id = endpoint_id
         self.store = store
         self.timeout_s = timeout_s
+        self.roles = roles
         self.fence_ = members.OrderFence()
         self._learnt = False
         self._last = None
@@ -97,12 +103,26 @@
         objection = self.fence_.find_objection(order.fencing, order.order_id)
         if objection:
             return _Result(members.OrderOutcome.REFUSED, objection)
-        self.fence_.pass_order(order.fencing, order.order_id)
-        result = await self._send(order)
+        result = await self._pass_on(order)
         if result.outcome != members.OrderOutcome.UNKNOWN:
             self._last = (order.order_id, result)
         return result
 
+    async def _pass_on(self, order):
+        """Send an order that may pass; a change of role waits for the attempts."""
+        if order.kind != members.OrderKind.CHANGE_ROLE or self.roles is None:
+            self.fence_.pass_order(order.fencing, order.order_id)
+            return await self._send(order)
+        try:
+            await self.roles.prepare()
+        except _roles.RoleError as error:
+            return _Result(members.OrderOutcome.REFUSED, str(error))
+        try:
+            self.fence_.pass_order(order.fencing, order.order_id)
+            return await self._send(order)
+        finally:
+            self.roles.finish()
+
     async def _learn(self):
         """Learn once, in a fresh process, which number was issued last."""
         if not self._learnt:
@@ -113,7 +133,7 @@
         """Wait until the endpoint has no order at work, of whatever sender."""
         try:
             async with asyncio.timeout(IDLE_BOUND_S):
-                while await self._is_at_work():  # noqa: ASYNC110 - asked over HTTP
+                while await self.is_at_work():  # noqa: ASYNC110 - asked over HTTP
                     await asyncio.sleep(IDLE_POLL_S)
         except (TimeoutError, aiohttp.ClientError, ValueError) as error:
             raise base.ConfigError(
@@ -121,12 +141,20 @@
                 "Look at the endpoint, then send the order again",
             ) from error
 
-    async def _is_at_work(self):
+    async def is_at_work(self):
+        """Return whether the endpoint has an order at work, of whatever sender.
+
+        One that takes no orders has none.
+
+        :rtype: bool
+        """
         timeout = aiohttp.ClientTimeout(total=STATUS_TIMEOUT_S)
         async with (
             aiohttp.ClientSession(timeout=timeout) as session,
             session.get(f"{self.endpoint.url}/orders") as response,
         ):
+            if response.status == NOT_FOUND_STATUS:
+                return False
             document = await response.json()
             return bool(document.get("at_work"))
 
--- a/libs/agent/src/sequoiagap/agent/_slots.py
+++ b/libs/agent/src/sequoiagap/agent/_slots.py
@@ -63,7 +63,7 @@
         limit = self.gate.limit(now)
         if self.gate.in_flight_ + self.gate.foreign_ < limit and not self._waiting:
             return True
-        if self.gate.state not in _OPEN_STATES:
+        if self.gate.state not in _OPEN_STATES or not self.gate.serves_whole:
             return False
         return len(self._waiting) < max(int(limit * WAITING_PER_SLOT), 1)
 
--- a/libs/entry/src/sequoiagap/entry/_entry.py
+++ b/libs/entry/src/sequoiagap/entry/_entry.py
@@ -297,6 +297,7 @@
     view = link.view
     return {
         "state": view.state,
+        "role": view.role,
         "failure_domain": view.failure_domain,
         "connected": view.connected,
         "leaving": link.member.leaving,
--- a/libs/entry/src/sequoiagap/entry/_links.py
+++ b/libs/entry/src/sequoiagap/entry/_links.py
@@ -67,7 +67,7 @@
         ]
         for link in usable:
             link.view.unanswered_s = link.unanswered_s(now)
-        return [link.view for link in usable]
+        return routing.filter_by_role([link.view for link in usable])
 
     def suspect(self, node_id, incarnation):
         """Give an agent no new work until it gives a sign of life.
--- a/libs/routing/src/sequoiagap/routing/_endpoint.py
+++ b/libs/routing/src/sequoiagap/routing/_endpoint.py
@@ -7,6 +7,7 @@
 FULL_WAIT_SHARE = 1.0
 REPORT_HALF_LIFE_S = 2.0
 DEFAULT_SERVICE_TIME_S = 0.2
+WHOLE_ROLE = "both"
 
 
 @dataclasses.dataclass
@@ -25,6 +26,7 @@
     :param bool connected: whether its agent can be reached.
     :param int own_at_report: own attempts when the report came.
     :param float reported_at: when the report came, monotonic time in seconds.
+    :param str role: what it does of a request, as reported.
     :param float unanswered_s: for how long its agent has left a heartbeat
         unanswered, in seconds.
     """
@@ -42,6 +44,7 @@
     own_at_report: int = 0
     reported_at: float = 0.0
     unanswered_s: float = 0.0
+    role: str = WHOLE_ROLE
 
     @property
     def is_silent(self):
@@ -59,6 +62,7 @@
         self.reported_in_flight = load.in_flight
         self.queued = load.queued
         self.service_time_s = load.service_time_s
+        self.role = load.role
         self.own_at_report = self.own_in_flight
         self.reported_at = now
 
--- a/libs/routing/src/sequoiagap/routing/_policies.py
+++ b/libs/routing/src/sequoiagap/routing/_policies.py
@@ -3,6 +3,7 @@
 import xxhash
 
 from sequoiagap import base
+from sequoiagap.routing import _endpoint
 
 POLICIES = base.Registry("policy")
 NEAR_CHOICES = 2
@@ -110,6 +111,18 @@
         return cost
 
 
+def filter_by_role(candidates):
+    """Return the candidates whose role serves a whole request.
+
+    Every policy chooses among these only. An endpoint that only reads prompts or
+    only decodes can't give an answer alone, however little there is to wait.
+
+    :param list[EndpointView] candidates: endpoints of any role.
+    :rtype: list[EndpointView]
+    """
+    return [view for view in candidates if view.role == _endpoint.WHOLE_ROLE]
+
+
 def prefer(candidates, prefix):
     """Return the candidate that a prefix prefers, by rendezvous hashing.
 
--- a/libs/standins/src/sequoiagap/standins/_engine.py
+++ b/libs/standins/src/sequoiagap/standins/_engine.py
@@ -16,6 +16,8 @@
 )
 
 FALLEN_STATUS = 500
+WRONG_ROLE_STATUS = 503
+WHOLE_ROLE = "both"
 BYTES_PER_KB = 1024
 
 
@@ -76,6 +78,7 @@
         self.peak_in_flight_ = 0
         self.peak_cold_ = 0
         self.arrived_ = 0
+        self.misplaced_ = 0
         self.in_flight_ = 0
         self._starts = 0
         self._start_prefix = uuid.uuid4().hex[:8]
@@ -114,6 +117,15 @@
     def _is_cold(self):
         return self._admits_cold() or time.monotonic() < self._chilled_until
 
+    def _role(self):
+        """Return its role; a change cuts off what it can no longer serve."""
+        order = self.orders_.state_by_kind.get("change_role", {})
+        return order.get("role", WHOLE_ROLE)
+
+    def _misplaced(self):
+        self.misplaced_ += 1
+        return web.Response(status=WRONG_ROLE_STATUS, text="wrong role")
+
     async def _on_restart(self, request):
         self._start()
         return web.json_response({"start_id": self._start_id()})
@@ -134,6 +146,7 @@
                 "start_id": self._start_id(),
                 "cold": self._admits_cold(),
                 "in_flight": self._reported[1],
+                "role": self._role(),
             }
         )
 
@@ -144,6 +157,7 @@
                 "peak_in_flight": self.peak_in_flight_,
                 "peak_cold": self.peak_cold_,
                 "arrived": self.arrived_,
+                "misplaced": self.misplaced_,
                 "prefix_hits": self._prefixes.hits_,
                 "prefix_misses": self._prefixes.misses_,
                 "in_flight": self.in_flight_,
@@ -156,6 +170,8 @@
             return await self._resume(request)
         body = await request.json()
         self.arrived_ += 1
+        if self._role() != WHOLE_ROLE:
+            return self._misplaced()
         start_headers = {"X-Start-Id": self._start_id()}
         bears = self.cold_capacity if self._is_cold() else self.capacity
         if self.in_flight_ >= bears and time.monotonic() >= self._fallen_until:
@@ -197,6 +213,8 @@
             pad = "x" * int(body.get("pad", 0))
             return await self._stream(request, [w + pad for w in words], headers)
         await asyncio.sleep(count * self.step_s * self._slowdown())
+        if self._role() != WHOLE_ROLE:
+            return self._misplaced()
         await self._misbehave()
         message = {"role": "assistant", "content": " ".join(words)}
         document = {"id": headers["X-Request-Id"], "choices": [{"message": message}]}
@@ -229,6 +247,9 @@
     async def _decode(self, words, add):
         for word in words:
             await asyncio.sleep(self.step_s * self._slowdown())
+            if self._role() != WHOLE_ROLE:
+                self.misplaced_ += 1
+                return
             delta = {"choices": [{"delta": {"content": word + " "}}]}
             await add(f"data: {json.dumps(delta)}\n\n".encode())
         await add(b"data: [DONE]\n\n")
--- a/libs/wire/src/sequoiagap/wire/_messages.py
+++ b/libs/wire/src/sequoiagap/wire/_messages.py
@@ -220,6 +220,7 @@
     :param int limit: attempts that may run at once.
     :param int queued: attempts that wait at the agent.
     :param float service_time_s: recent mean time of one attempt in seconds.
+    :param str role: what the endpoint does of a request.
     """
 
     state: str
@@ -227,6 +228,7 @@
     limit: int
     queued: int = 0
     service_time_s: float = 0.0
+    role: str = "both"
 
 
 @_codec.message(30)
--- a/tests/routing/test_policies.py
+++ b/tests/routing/test_policies.py
@@ -48,6 +48,20 @@
                 chosen = count_choices([worse, better], context)
                 self.assertEqual(set(chosen), {better.endpoint_id})
 
+    def test_no_policy_sees_an_endpoint_whose_role_cannot_serve(self):
+        roles = ("prefill", "decode", "changing", "of another kind")
+        views = [make_view(0, own_in_flight=15)]
+        views += [make_view(i, role=role) for i, role in enumerate(roles, 1)]
+        able = routing.filter_by_role(views)
+        context = routing.make_context(NOW, "north", "m", PROMPT)
+        for policy in routing.POLICIES.by_name:
+            with self.subTest(policy):
+                self.assertEqual(
+                    set(count_choices(able, context, policy)), {"endpoint-0"}
+                )
+        views[1].take_report(wire.Load("warm", 0, 16, role="both"), NOW)
+        self.assertEqual(len(routing.filter_by_role(views)), 2)
+
     def test_entries_agree_on_a_prefix_until_its_endpoint_is_loaded(self):
         views = [make_view(i) for i in range(12)]
         contexts = [
