Find callers who take nothing within caller_stall_s, and keep slow readers

Cause: a caller that took no bytes was bounded only by 10 s on one write, which the system's send buffer (2.8 MB on this machine) hides, and no test caused it.

Ruled out: TCP_USER_TIMEOUT. A bound on a write: it cuts slow readers and misses what is buffered.

Now each caller's acknowledged bytes are looked at each 0.25 s (TCP_INFO), also while the rest of an answer waits after its request.

Decisions of callers are told by one function to log and explain, with the same values; a caller who left is event 1214.

--- a/libs/base/src/sequoiagap/base/_events.py
+++ b/libs/base/src/sequoiagap/base/_events.py
@@ -47,6 +47,7 @@
     RUN_ABANDONED = 1211
     CONNECTION_SUSPECT = 1212
     STREAM_RESUMED = 1213
+    CALLER_LEFT = 1214
     CONFIG_ADOPTED = 1301
     CONFIG_ACCEPTED = 1302
     CONFIG_REFUSED = 1303
@@ -116,6 +117,7 @@
     Event.RUN_ABANDONED: "A run was stopped, as nobody waits for its answer.",
     Event.CONNECTION_SUSPECT: "Connections to the endpoint failed; none is used again.",
     Event.STREAM_RESUMED: "A cut stream goes on at its offset, at the same engine.",
+    Event.CALLER_LEFT: "A caller left or was cut off before its whole answer.",
     Event.CONFIG_ADOPTED: "A process adopted a configuration version.",
     Event.CONFIG_ACCEPTED: "An operator's patch became a version.",
     Event.CONFIG_REFUSED: "An operator's patch was refused.",
--- a/libs/entry/src/sequoiagap/entry/_callers.py
+++ b/libs/entry/src/sequoiagap/entry/_callers.py
@@ -7,10 +7,10 @@
 from aiohttp import web
 
 from sequoiagap import base
-from sequoiagap.entry import _auth, _dispatch, _intake, _responses
+from sequoiagap.entry import _auth, _decisions, _dispatch, _intake, _responses
 
 END_BOUND_S = 2.0
-KEEP_ALIVE_INTERVAL_S = 1.0
+LOOK_INTERVAL_S = 0.25
 
 _SERVICE_PATH_PARTS = 3
 
@@ -42,7 +42,9 @@
         self.metrics = metrics
         self.in_flight_ = 0
         self.draining_ = False
+        self._decisions = _decisions.DecisionLog(journal, _log)
         self._sinks = set()
+        self._ended_sinks = set()
         self._idle = asyncio.Event()
         self._idle.set()
 
@@ -70,11 +72,16 @@
         await self._wait_idle(END_BOUND_S)
 
     async def keep_streams_alive(self):
-        """Send a comment on each idle stream, so that callers see life in it."""
+        """Look at each caller: show life in idle streams, drop stalled callers."""
         while True:
-            await asyncio.sleep(KEEP_ALIVE_INTERVAL_S)
+            await asyncio.sleep(LOOK_INTERVAL_S)
+            now = time.monotonic()
             for sink in list(self._sinks):
+                sink.drop_stalled(now)
                 await sink.keep_alive()
+            for sink in list(self._ended_sinks):
+                if not sink.drop_stalled(now):
+                    self._ended_sinks.discard(sink)
 
     async def _wait_idle(self, bound_s):
         try:
@@ -129,15 +136,17 @@
         except _intake.IntakeError as error:
             return self._refuse(error.refusal, request_id)
         request = self._build(http_request, request_id, account, target, intake)
-        self._enter()
+        sink = _responses.ResponseSink(
+            http_request, request_id, self.settings.caller_stall_s
+        )
+        self._enter(sink)
         try:
-            return await self._run(http_request, request)
+            return await self._run(request, sink)
         except (asyncio.CancelledError, OSError):
-            self.journal.record(request_id, "caller_left", self._version())
-            self.metrics.count("caller_left_total")
+            self._note_left(request_id, sink)
             raise
         finally:
-            self._exit()
+            self._exit(sink)
 
     def _find_model(self, http_request, intake):
         model = _intake.read_model(intake.body)
@@ -153,22 +162,16 @@
             raise _intake.IntakeError(self._not_found(f"service {name!r}"))
         return _Target(name, False, found.repeatable, f"services.{name}.repeatable")
 
-    async def _run(self, http_request, request):
+    async def _run(self, request, sink):
         self._note_admitted(request)
-        sink = _responses.ResponseSink(http_request, request.request_id)
         began = time.monotonic()
-        self._sinks.add(sink)
-        try:
-            result = await self.dispatcher.dispatch(request, sink)
-        finally:
-            self._sinks.discard(sink)
+        result = await self.dispatcher.dispatch(request, sink)
         elapsed = time.monotonic() - began
         self.metrics.observe("request_seconds", elapsed, target=request.target)
         if result.is_error():
             return await self._end_refused(sink, result.error, request.request_id)
         self.metrics.count("answered_total")
-        self.journal.record(request.request_id, "answered", self._version())
-        _log.emit(
+        self._decisions.note(
             base.Event.REQUEST_ANSWERED,
             request_id=request.request_id,
             config_version=self._version(),
@@ -177,28 +180,38 @@
 
     def _note_admitted(self, request):
         self.metrics.count("admitted_total", account=request.account)
-        self.journal.record(
-            request.request_id,
-            "admitted",
-            self._version(),
-            target=request.target,
-            repeatable=request.repeatable,
-            setting=request.setting,
-        )
-        _log.emit(
+        self._decisions.note(
             base.Event.REQUEST_ADMITTED,
             request_id=request.request_id,
+            config_version=self._version(),
             account=request.account,
             target=request.target,
+            repeatable=request.repeatable,
+            setting=request.setting,
+        )
+
+    def _note_left(self, request_id, sink):
+        self.metrics.count("caller_left_total")
+        reason = "closed the connection or its host died"
+        if sink.caller_stalled_:
+            reason = f"took nothing for {sink.stall_s} s"
+        self._decisions.note(
+            base.Event.CALLER_LEFT,
+            request_id=request_id,
             config_version=self._version(),
+            reason=reason,
+            setting="caller_stall_s" if sink.caller_stalled_ else "",
         )
 
-    def _enter(self):
+    def _enter(self, sink):
         self.in_flight_ += 1
+        self._sinks.add(sink)
         self._idle.clear()
 
-    def _exit(self):
+    def _exit(self, sink):
         self.in_flight_ -= 1
+        self._sinks.discard(sink)
+        self._ended_sinks.add(sink)  # the rest of the answer may still wait
         if self.in_flight_ == 0:
             self._idle.set()
 
@@ -206,18 +219,12 @@
         if not sink.started:
             return self._refuse(refusal, request_id)
         self.metrics.count("cut_total")
-        self.journal.record(
-            request_id,
-            "cut",
-            refusal.config_version,
-            kind=str(refusal.kind),
-            outcome=str(refusal.outcome),
-        )
-        _log.emit(
+        self._decisions.note(
             base.Event.REQUEST_CUT,
             request_id=request_id,
-            kind=str(refusal.kind),
             config_version=refusal.config_version,
+            kind=str(refusal.kind),
+            outcome=str(refusal.outcome),
         )
         return await sink.cut(refusal)
 
@@ -241,21 +248,13 @@
         if not refusal.config_version:
             refusal = dataclasses.replace(refusal, config_version=self._version())
         self.metrics.count("refused_total", kind=str(refusal.kind))
-        self.journal.record(
-            request_id,
-            "refused",
-            refusal.config_version,
-            kind=str(refusal.kind),
-            outcome=str(refusal.outcome),
-            setting=refusal.setting,
-        )
-        _log.emit(
+        self._decisions.note(
             base.Event.REQUEST_REFUSED,
             request_id=request_id,
+            config_version=refusal.config_version,
             kind=str(refusal.kind),
             outcome=str(refusal.outcome),
             setting=refusal.setting,
-            config_version=refusal.config_version,
         )
         return _responses.refusal_response(refusal, request_id)
 
--- a/libs/entry/src/sequoiagap/entry/_intake.py
+++ b/libs/entry/src/sequoiagap/entry/_intake.py
@@ -134,7 +134,11 @@
 
 
 def _probe_caller(transport):
-    """Have the system probe the caller, so that a dead connection is found."""
+    """Have the system probe an idle caller, so that a dead one is found.
+
+    Not ``TCP_USER_TIMEOUT``: Linux then also ends the connection of a caller that
+    reads slowly, see :class:`CallerProgress`.
+    """
     sock = transport.get_extra_info("socket") if transport is not None else None
     if sock is None:
         return
--- a/libs/entry/src/sequoiagap/entry/_responses.py
+++ b/libs/entry/src/sequoiagap/entry/_responses.py
@@ -1,6 +1,5 @@
 """HTTP responses: whole answers, streams, cuts and refusals."""
 
-import asyncio
 import json
 import math
 import time
@@ -8,10 +7,10 @@
 from aiohttp import web
 
 from sequoiagap import base
+from sequoiagap.entry import _caller_progress
 
 EVENT_STREAM = "text/event-stream"
 MAX_BUFFERED_BYTES = 16 * 1024 * 1024
-CALLER_STALL_S = 10.0
 KEEP_ALIVE_AFTER_S = 1.0
 _EVENT_END = b"\n\n"
 
@@ -43,14 +42,21 @@
 
     :param aiohttp.web.Request http_request: the caller's request.
     :param str request_id: id of the request.
+    :param float stall_s: how long the caller may take nothing, in seconds.
 
     :ivar bool started: whether bytes have reached the caller.
+    :ivar bool caller_stalled_: whether the caller was cut off for that.
     """
 
-    def __init__(self, http_request, request_id):
+    def __init__(self, http_request, request_id, stall_s):
         self.http_request = http_request
         self.request_id = request_id
+        self.stall_s = stall_s
         self.started = False
+        self.caller_stalled_ = False
+        self._progress = _caller_progress.CallerProgress(
+            http_request.transport, stall_s
+        )
         self._status = 200
         self._headers = {}
         self._buffer = bytearray()
@@ -73,7 +79,7 @@
 
         :param bytes data: the piece.
         :raises AnswerTooLargeError: if a held answer grows too large.
-        :raises OSError: if the caller has left or takes nothing for too long.
+        :raises OSError: if the caller has left or was cut off.
         """
         if self._is_stream():
             await self._write(data)
@@ -105,7 +111,7 @@
         """
         document = json.dumps(refusal.to_document(self.request_id))
         event = f"\n\nevent: error\ndata: {document}\n\n"
-        await self._write_in_time(event.encode())
+        await self._stream.write(event.encode())
         if self.http_request.transport is not None:
             self.http_request.transport.close()
         return self._stream
@@ -117,9 +123,25 @@
             return
         self._wrote_at = time.monotonic()
         transport = self.http_request.transport
-        if transport is not None and transport.get_write_buffer_size() == 0:
+        if transport is None or transport.is_closing():
+            return
+        if transport.get_write_buffer_size() == 0:
             await self._stream.write(b": keep-alive\n\n")
 
+    def drop_stalled(self, now):
+        """Cut the caller off if it has taken nothing for too long.
+
+        Its request then ends like that of a caller who left.
+
+        :param float now: monotonic time in seconds.
+        :returns: whether bytes still wait for the caller.
+        :rtype: bool
+        """
+        if self._progress.is_stalled(now):
+            self.caller_stalled_ = True
+            self._progress.transport.abort()
+        return self._progress.is_waiting_
+
     def _is_stream(self):
         content_type = self._headers.get("content-type", "")
         return content_type.startswith(EVENT_STREAM)
@@ -132,21 +154,4 @@
         self.started = True
         self._wrote_at = time.monotonic()
         self._is_at_event_end = data.endswith(_EVENT_END)
-        await self._write_in_time(data)
-
-    async def _write_in_time(self, data):
-        transport = self.http_request.transport
-        if transport is not None and transport.get_write_buffer_size() == 0:
-            # Nothing waits for the caller, so the write won't either.
-            await self._stream.write(data)
-            return
-        try:
-            async with asyncio.timeout(CALLER_STALL_S):
-                await self._stream.write(data)
-        except TimeoutError as error:
-            transport = self.http_request.transport
-            if transport is not None:
-                transport.abort()
-            raise ConnectionAbortedError(
-                f"caller took nothing for {CALLER_STALL_S} s"
-            ) from error
+        await self._stream.write(data)
--- a/libs/settings/src/sequoiagap/settings/_models.py
+++ b/libs/settings/src/sequoiagap/settings/_models.py
@@ -97,6 +97,7 @@
     max_queue_wait_s: Seconds = 1.0
     body_timeout_s: Seconds = 10.0
     header_timeout_s: Seconds = 15.0
+    caller_stall_s: Annotated[float, pydantic.Field(ge=1, le=60, examples=[2.0])] = 2.0
     max_body_bytes: Annotated[
         int, pydantic.Field(gt=0, le=MAX_BODY_BYTES, examples=[1048576])
     ] = 1048576
--- a/tests/base/test_events.py
+++ b/tests/base/test_events.py
@@ -13,6 +13,7 @@
     "REQUEST_REFUSED": {"request_id", "config_version"},
     "REQUEST_ANSWERED": {"request_id", "config_version"},
     "REQUEST_CUT": {"request_id", "config_version"},
+    "CALLER_LEFT": {"request_id", "config_version"},
     "ATTEMPT_SENT": {"request_id", "attempt_id", "config_version"},
     "ATTEMPT_ENDED": {"request_id", "attempt_id", "config_version"},
     "ATTEMPT_REVOKED": {"attempt_id"},
