Find a first byte that will not come within seconds

Cause: before the first byte an endpoint that can't resume was bounded only by first_byte_timeout_s (20 s), also when the connection or the host was dead.

Ruled out: a shorter bound (refuses what rightly takes long) and TCP_USER_TIMEOUT (cuts endpoints that read a long body slowly). Ending every wait when probes go unanswered would lose answers of what may not be repeated, so only the others end.

Now each connection to an endpoint is probed by the system (keepalive), load reports that lack an attempt for a second end its wait, and unanswered probes end the waits of what may be repeated. A service's report may name the ids of what runs.

--- a/libs/agent/src/sequoiagap/agent/_endpoint.py
+++ b/libs/agent/src/sequoiagap/agent/_endpoint.py
@@ -1,12 +1,11 @@
 """HTTP calls from the agent to the endpoint beside it."""
 
 import asyncio
-import dataclasses
 
 import aiohttp
 
 from sequoiagap import base, platform
-from sequoiagap.agent import _observer
+from sequoiagap.agent import _first_bytes, _load_report, _observer
 
 CHUNK_BYTES = 16384
 PROBE_TIMEOUT_S = 1.0
@@ -35,20 +34,6 @@
 _log = base.get_logger("endpoint")
 
 
-@dataclasses.dataclass(frozen=True)
-class LoadReport:
-    """What an endpoint says of itself; it lags.
-
-    :param str start_id: changes whenever the endpoint starts anew.
-    :param bool cold: whether it calls itself cold.
-    :param int in_flight: requests that run there.
-    """
-
-    start_id: str
-    cold: bool
-    in_flight: int
-
-
 class EndpointError(base.SequoiagapError):
     """The endpoint failed an attempt.
 
@@ -79,12 +64,19 @@
     def __init__(self, settings, gate):
         self.settings = settings
         self.gate = gate
-        self._sessions = platform.HttpSessions(_SESSION_OPTIONS)
+        self._sessions = platform.HttpSessions(
+            _SESSION_OPTIONS, _first_bytes.open_probed_socket
+        )
         self._single_use_session = None
+        self._first_bytes = _first_bytes.FirstBytes()
 
     async def open(self):
         """Open the client sessions."""
-        connector = aiohttp.TCPConnector(limit=0, force_close=True)
+        connector = aiohttp.TCPConnector(
+            limit=0,
+            force_close=True,
+            socket_factory=_first_bytes.open_probed_socket,
+        )
         self._single_use_session = aiohttp.ClientSession(
             connector=connector, **_SESSION_OPTIONS
         )
@@ -101,18 +93,19 @@
         """
         timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S)
         url = f"{self.settings.url}/load"
+        asked_at = asyncio.get_running_loop().time()
         with self._sessions.borrow() as session:
             try:
                 async with session.get(url, timeout=timeout) as response:
-                    document = await response.json()
-                return LoadReport(
-                    document["start_id"], document["cold"], document["in_flight"]
-                )
+                    report = _load_report.from_document(await response.json())
             except (aiohttp.ClientError, TimeoutError) as error:
                 self._suspect(session, error)
+                self._first_bytes.take_silence()
+                return None
             except (ValueError, KeyError):
-                pass
-        return None
+                return None
+        self._first_bytes.take_report(report, asked_at)
+        return report
 
     async def call(self, order, on_head, on_data):
         """Run one attempt and pass its answer on as it comes.
@@ -182,9 +175,17 @@
             allow_redirects=False,
             skip_auto_headers=SKIPPED_HEADERS,
         )
-        async with asyncio.timeout(self._first_byte_timeout_s()) as timer:
-            response = await call
-            await self._read_answer(response, order, answer, timer, observer)
+        bound_s = self._first_byte_timeout_s()
+        wait = self._first_bytes.begin(order)
+        try:
+            async with asyncio.timeout(bound_s) as wait.timer:
+                response = await call
+                self._first_bytes.end(wait)
+                await self._read_answer(response, order, answer, wait.timer, observer)
+        except TimeoutError as error:
+            raise TimeoutError(wait.vain_ or "no answer in time") from error
+        finally:
+            self._first_bytes.end(wait)
 
     async def _read_answer(self, response, order, answer, timer, observer):
         """Pass an answer on; the timer runs only while the endpoint is awaited."""
--- a/libs/platform/src/sequoiagap/platform/_sessions.py
+++ b/libs/platform/src/sequoiagap/platform/_sessions.py
@@ -13,6 +13,8 @@
 
     :param dict options: arguments of each :class:`aiohttp.ClientSession` but its
         connector.
+    :param socket_factory: function of an address information that opens sockets;
+        the library's own by default.
 
     .. code-block:: python
 
@@ -21,8 +23,9 @@
                 ...
     """
 
-    def __init__(self, options=None):
+    def __init__(self, options=None, socket_factory=None):
         self.options = options or {}
+        self.socket_factory = socket_factory
         self._current = None
         self._count_by_session = {}
         self._closing = base.TaskSet()
@@ -33,7 +36,9 @@
         :rtype: contextlib.AbstractContextManager
         """
         if self._current is None or self._current.closed:
-            connector = aiohttp.TCPConnector(limit=0)
+            connector = aiohttp.TCPConnector(
+                limit=0, socket_factory=self.socket_factory
+            )
             self._current = aiohttp.ClientSession(connector=connector, **self.options)
         return _Loan(self, self._current)
 
--- a/libs/standins/src/sequoiagap/standins/_relay.py
+++ b/libs/standins/src/sequoiagap/standins/_relay.py
@@ -85,7 +85,12 @@
     @property
     def connections(self):
         """How many connections are open."""
-        return sum(map(len, self._writers_by_source.values())) // 2
+        return len(self.writers) // 2
+
+    @property
+    def writers(self):
+        """The writers of the open connections, to both sides."""
+        return [item for own in self._writers_by_source.values() for item in own]
 
     def heal(self):
         """Let every link pass again, also those that were silent."""
--- a/libs/standins/src/sequoiagap/standins/_service.py
+++ b/libs/standins/src/sequoiagap/standins/_service.py
@@ -19,7 +19,7 @@
         self.port = port
         self.faults_ = _faults.Faults()
         self.executions_ = _executions.Executions()
-        self.in_flight_ = 0
+        self.running_ = []
 
     def add_routes(self, router):
         """Register the handlers.
@@ -33,18 +33,25 @@
 
     async def _on_load(self, request):
         await self.faults_.before_call()
-        report = {"start_id": "start-1", "cold": False, "in_flight": self.in_flight_}
-        return web.json_response(report)
+        return web.json_response(
+            {
+                "start_id": "start-1",
+                "cold": False,
+                "in_flight": len(self.running_),
+                "running": self.running_,
+            }
+        )
 
     async def _on_call(self, request):
         await self.faults_.before_call()
         self.executions_.record(request)
-        self.in_flight_ += 1
+        request_id = request.headers.get("X-Request-Id", "")
+        self.running_.append(request_id)
         try:
             await asyncio.sleep(self.work_s + self.faults_.stall_s)
             body = await request.text()
         finally:
-            self.in_flight_ -= 1
+            self.running_.remove(request_id)
         if self.faults_.take("lose_answers"):
             request.transport.abort()
         return web.json_response(
--- a/tests/entry/callers.py
+++ b/tests/entry/callers.py
@@ -1,7 +1,10 @@
 """What the tests of requests share: callers, and relays before agents."""
 
+import ctypes
 import dataclasses
 import json
+import socket
+import struct
 import time
 
 import aiohttp
@@ -10,6 +13,8 @@
 
 MODEL = "middle-model-0"
 DESK = "middle-desk-0"
+SO_ATTACH_FILTER = 26
+_DROP_ALL = ctypes.create_string_buffer(struct.pack("HBBI", 6, 0, 0, 0))
 ONE_DOMAIN = standins.FleetPlan(domains=("middle",), entries=2)
 
 
@@ -125,3 +130,12 @@
     """Return how many requests an agent has at its endpoint."""
     _, state = await fleet.call("entry-0", "GET", f"/state/{name}")
     return state["endpoint"]["in_flight"]
+
+
+def drop_all(sock):
+    """Let the system drop what comes to a socket unacknowledged.
+
+    To its peer that is a host that has died.
+    """
+    program = struct.pack("HxxxxxxP", 1, ctypes.addressof(_DROP_ALL))
+    sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
--- a/tests/entry/test_requests_callers.py
+++ b/tests/entry/test_requests_callers.py
@@ -1,12 +1,10 @@
 """Callers that take nothing, whose host has died, or that read slowly."""
 
 import asyncio
-import ctypes
 import dataclasses
 import json
 import pathlib
 import socket
-import struct
 
 from tests import support
 from tests.entry import callers
@@ -20,8 +18,6 @@
 BODY_BYTES = 1_000_000
 SLOW_READ_S = 0.3
 LONG_S = 30.0  # the slow reader needs 10 s
-SO_ATTACH_FILTER = 26
-_DROP_ALL = ctypes.create_string_buffer(struct.pack("HBBI", 6, 0, 0, 0))
 
 
 class RawCaller:
@@ -62,8 +58,7 @@
 
     def die(self):
         """Let the system acknowledge nothing any more, as a dead host does."""
-        program = struct.pack("HxxxxxxP", 1, ctypes.addressof(_DROP_ALL))
-        self.sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+        callers.drop_all(self.sock)
 
 
 class CallersTest(support.FleetCase):
