Leave word of ended runs at a stop, and no segment of claims behind

Cause, of the first: ends of runs were written with a shard's next write only, so a second call after a graceful stop got 'may have run' of what was known to have run. Ruled out: staying up while answers are held, handing them to other agents, keeping them in the platform; see claims.md. Now a stop writes them, one write a shard at most, within its second. Seen failing: endpoint_lost for already_ran, held for done.

Cause, of the second: an expired segment was unnamed first and deleted once, and a full head could be written over without naming the segment of an agent that died. Now whoever writes over a full head sets it aside, and names end with the deletion. Seen failing: unnamed when expired, 3 of 3 cases left an object; set aside only for new claims, 1 of 3; a failed deletion taken for done, 3 of 3.

--- a/libs/outcome/src/sequoiagap/outcome/_claims.py
+++ b/libs/outcome/src/sequoiagap/outcome/_claims.py
@@ -144,28 +144,39 @@
             del self.by_identity[identity]
         return True
 
-    def mark_done(self, identity, nonce):
+    def mark_done(self, identity, nonce, overrides=False):
         """Record that a run has ended, if its claim is in the head.
 
         :param str identity: the key's identity.
         :param str nonce: the run's nonce.
+        :param bool overrides: whether to override a claim that was set aside too,
+            if the head has room.
+        :returns: whether that changed the shard.
+        :rtype: bool
         """
-        known = self.by_identity.get(identity)
-        if known is not None and known.nonce == nonce:
-            self.add(dataclasses.replace(known, state=str(ClaimState.DONE)))
+        known = self.find(identity)
+        if known is None or known.nonce != nonce or known.state == ClaimState.DONE:
+            return False
+        may_add = overrides and not self.is_head_full
+        if identity not in self.by_identity and not may_add:
+            return False
+        self.add(dataclasses.replace(known, state=str(ClaimState.DONE)))
+        return True
+
+    def prune(self, now, deleted=()):
+        """Drop expired claims and deleted segments; costs no write of its own.
 
-    def prune(self, now):
-        """Drop expired claims and segments; costs no write of its own.
+        A segment is named until it is deleted, so that none is forgotten.
 
         :param float now: wall-clock time in seconds.
+        :param deleted: versions of the segments that are known to be deleted.
         """
         expired = [c.identity for c in self.by_identity.values() if c.expires_at <= now]
         for identity in expired:
             del self.by_identity[identity]
-        segments = tuple(s for s in self.segments if s.expires_at > now)
-        if segments != self.segments:
-            self.segments = segments
+        if any(segment.expires_at <= now for segment in self.segments):
             self.sealed_by_identity = _unexpired(self.sealed_by_identity, now)
+        self.segments = tuple(s for s in self.segments if s.version not in deleted)
 
     def sealed(self, version, now):
         """Return the shard with its head set aside as a segment.
--- a/libs/outcome/src/sequoiagap/outcome/_shard_writer.py
+++ b/libs/outcome/src/sequoiagap/outcome/_shard_writer.py
@@ -1,11 +1,11 @@
-"""The writer of one shard of claims: batches, lost answers and segments."""
+"""The writer of one shard of claims: batches and lost answers."""
 
 import asyncio
 import collections
 import dataclasses
 
 from sequoiagap import base, platform
-from sequoiagap.outcome import _claims
+from sequoiagap.outcome import _claims, _segments
 
 RETRY_DELAY_S = 0.5
 CLOSE_BOUND_S = 1.0
@@ -27,18 +27,6 @@
     claim: _claims.Claim | None = None
 
 
-@dataclasses.dataclass(frozen=True)
-class _KeptSegment:
-    """A segment as the platform holds it.
-
-    :param int version: version of the segment's own object.
-    :param dict by_identity: its claims.
-    """
-
-    version: int = 0
-    by_identity: dict = dataclasses.field(default_factory=dict)
-
-
 class ShardWriter:
     """Writes one shard, one write at a time.
 
@@ -54,11 +42,12 @@
         self._version = 0
         self._uncertain = False
         self._sent_nonces = set()
-        self._segment_by_version = {}
+        self._segments = _segments.Segments(store, name, self._read)
         self._wish_by_nonce = {}
         self._answer_by_nonce = {}
         self._withdrawn_by_nonce = {}
         self._work = asyncio.Event()
+        self._closing = False
         self._task = None
 
     def add(self, wish):
@@ -87,7 +76,14 @@
         self._wake()
 
     async def close(self):
-        """Let writes under way end within a bound, and stop writing."""
+        """Let writes under way end within a bound, and stop writing.
+
+        Ends of runs that wait for a next write are written now, as their answers
+        go with this process: others then say "already ran" and not "may have run".
+        """
+        self._closing = True
+        if self.done:
+            self._wake()
         if self._task is None:
             return
         await asyncio.wait([self._task], timeout=CLOSE_BOUND_S)
@@ -99,7 +95,7 @@
             self._task = asyncio.create_task(self._run(), name=f"claims-{self.name}")
 
     async def _run(self):
-        while self._wish_by_nonce or self._withdrawn_by_nonce:
+        while self._has_work():
             began = asyncio.get_running_loop().time()
             try:
                 await self._flush()
@@ -110,11 +106,15 @@
             spent = asyncio.get_running_loop().time() - began
             await asyncio.sleep(max(self.store.flush_pace_s - spent, 0.0))
 
+    def _has_work(self):
+        is_last = self._closing and self.done
+        return bool(self._wish_by_nonce or self._withdrawn_by_nonce or is_last)
+
     async def _flush(self):
         """Bring every wish and withdrawal of now to an end, or raise."""
         for _ in range(MAX_TRIES):
             is_fresh = await self._settle_version()
-            if self._wish_by_nonce and self._shard.is_head_full:
+            if self._shard.is_head_full:
                 await self._seal()
             batch = dict(self._wish_by_nonce)
             withdrawn = dict(self._withdrawn_by_nonce)
@@ -123,10 +123,12 @@
             if not is_fresh and self._is_any_taken(shard, batch):
                 self._shard = None
                 continue
+            if not changed and self._closing:
+                self.done.clear()  # nothing of them is left to be marked
             if not changed or await self._write(shard):
                 self._forget_withdrawn(withdrawn)
                 self._answer(batch)
-                await self._drop_segments()
+                await self._segments.delete_expired(self._shard.segments)
                 return
 
     async def _settle_version(self):
@@ -150,22 +152,10 @@
         if stored is not None:
             shard = _claims.ClaimShard.from_value(stored.value)
         for segment in shard.segments:
-            kept = await self._read_segment(segment.version)
-            shard.sealed_by_identity |= kept.by_identity
+            shard.sealed_by_identity |= await self._segments.claims(segment.version)
         self._shard = shard
         return True
 
-    async def _read_segment(self, version):
-        """Return the claims of a segment, which never change."""
-        if version not in self._segment_by_version:
-            stored = await self._read(self._segment_name(version))
-            kept = _KeptSegment()
-            if stored is not None:
-                shard = _claims.ClaimShard.from_value(stored.value)
-                kept = _KeptSegment(stored.version, shard.by_identity)
-            self._segment_by_version[version] = kept
-        return self._segment_by_version[version]
-
     async def _read(self, name):
         """Read an object; a second time, as a kept connection may be dead."""
         self.store.reads_ += 1
@@ -176,40 +166,11 @@
             return await self.store.client.get(name)
 
     async def _seal(self):
-        """Set the full head aside as a segment, which the next write names.
-
-        The segment is named by the head's version, so whoever sets that head
-        aside writes the same; the conditional write of the head decides.
-        """
-        self.store.writes_ += 1
-        try:
-            stored = await self.store.client.put(
-                self._segment_name(self._version), self._shard.to_value(), 0
-            )
-            version = stored.version
-        except platform.ObjectConflict as conflict:
-            version = conflict.version  # set aside before, with the same claims
-        kept = _KeptSegment(version, self._shard.by_identity)
-        self._segment_by_version[self._version] = kept
+        """Set the full head aside as a segment, which the next write names."""
+        await self._segments.set_aside(self._version, self._shard)
         now = self.store.wall_clock()
         self._shard = self._shard.sealed(self._version, now)
 
-    async def _drop_segments(self):
-        """Delete segments that the head no longer names; each just once."""
-        named = {segment.version for segment in self._shard.segments}
-        for version in [v for v in self._segment_by_version if v not in named]:
-            kept = self._segment_by_version.pop(version)
-            self.store.writes_ += 1
-            try:
-                await self.store.client.delete(
-                    self._segment_name(version), kept.version
-                )
-            except (platform.ObjectConflict, base.PlatformError):
-                continue  # deleted by another agent, or left behind
-
-    def _segment_name(self, version):
-        return f"{self.name}-{version}"
-
     def _is_any_taken(self, shard, batch):
         now = self.store.wall_clock()
         verdicts = {shard.judge(wish, now) for wish in batch.values()}
@@ -221,7 +182,7 @@
         changed = self._uncertain
         for wish in withdrawn.values():
             changed |= shard.release(wish.identity, wish.nonce)
-        shard.prune(now)
+        shard.prune(now, self._segments.deleted_)
         for wish in batch.values():
             if shard.judge(wish, now) != _claims.ClaimVerdict.HELD:
                 continue
@@ -231,7 +192,8 @@
                 self._sent_nonces.add(wish.nonce)
                 changed = True
         for claim in self.done:
-            shard.mark_done(claim.identity, claim.nonce)
+            is_marked = shard.mark_done(claim.identity, claim.nonce, self._closing)
+            changed |= is_marked and self._closing
         return changed
 
     async def _write(self, shard):
--- a/tests/entry/test_requests_keys.py
+++ b/tests/entry/test_requests_keys.py
@@ -32,6 +32,7 @@
             self._platform_slow_past_the_deadline_is_not_run,
             self._agent_paused_across_its_claim_runs_once_at_most,
             self._endpoint_that_cannot_be_reached_is_not_run,
+            self._agent_that_stopped_after_running_leaves_word,
             self._agent_that_died_after_running_is_not_run_again,
         ):
             with self.subTest(case.__name__.strip("_")):
@@ -166,6 +167,20 @@
             self.assertEqual(answer.error["outcome"], "not_run", answer.text)
         self.assertEqual(await self._count("unreached"), int(answer.status == 200))
 
+    async def _agent_that_stopped_after_running_leaves_word(self):
+        owner = self._owner("stopped")
+        first = await callers.order(self.fleet, 13, "stopped")
+        agent = self.fleet.process_by_name[owner]
+        agent.send_signal(signal.SIGTERM)
+        await agent.wait()
+        for entry in ("entry-0", "entry-1"):
+            again = await callers.order(self.fleet, 13, "stopped", entry)
+            self.assertEqual(again.error["type"], "already_ran", again.text)
+            self.assertEqual(again.error["outcome"], "outcome_unknown")
+        self.assertEqual((first.status, await self._count("stopped")), (200, 1))
+        await self.fleet.start_agent(owner)
+        await self.fleet.wait_ready()
+
     async def _agent_that_died_after_running_is_not_run_again(self):
         owner = self._owner("dead")
         first = await callers.order(self.fleet, 12, "dead")
--- a/tests/outcome/test_claims.py
+++ b/tests/outcome/test_claims.py
@@ -19,13 +19,14 @@
         self.writes = 0
         self.faults = []
         self.down = False
+        self.denied = set()
 
     async def get(self, name):
-        await self._call()
+        await self._call("get")
         return self.object_by_name.get(name)
 
     async def put(self, name, value, expected_version):
-        await self._call()
+        await self._call("put" if "-0-" in name else "put_head")
         fault = self.faults.pop(0) if self.faults else None
         if fault == "late":
             loop = asyncio.get_running_loop()
@@ -37,14 +38,14 @@
         return stored
 
     async def delete(self, name, expected_version):
-        await self._call()
+        await self._call("delete")
         if self._version(name) != expected_version:
             raise platform.ObjectConflict(name, self._version(name))
         self.object_by_name.pop(name)
 
-    async def _call(self):
+    async def _call(self, kind):
         await asyncio.sleep(DELAY_S)
-        if self.down:
+        if self.down or kind in self.denied:
             raise base.PlatformError("down", "")
 
     def _version(self, name):
@@ -162,6 +163,30 @@
 
                 self.run_on(scenario)
 
+    def test_stopped_agent_leaves_the_ends_of_its_runs(self):
+        async def scenario():
+            store = self.store()
+            wishes = [self.wish(store, key) for key in map(str, range(64))]
+            await asyncio.gather(*(store.claim(wish, 1.0) for wish in wishes))
+            for wish in wishes:
+                store.mark_done(wish)
+            await asyncio.sleep(1.0)
+            before = self.platform.writes
+            await store.close()
+            written = self.platform.writes - before
+            self.assertLessEqual(written, _affinity.SHARDS_PER_SERVICE)
+            other = self.store()
+            for key in ("0", "63"):
+                again = await other.claim(self.wish(other, key, agent="b"), 1.0)
+                self.assertEqual((again.verdict, again.claim.state), ("taken", "done"))
+            for wish in wishes:
+                other.mark_done(wish)  # as they stand
+            self.platform.down = True
+            async with asyncio.timeout(support.FEW_SECONDS_S):
+                await other.close()
+
+        self.run_on(scenario)
+
     def test_platform_down_is_told_and_leaves_no_claim(self):
         async def scenario():
             store = self.store()
@@ -207,6 +232,47 @@
 
         self.run_on(scenario)
 
+    def test_no_segment_stays_behind(self):
+        table = {
+            "deletions fail": ({"delete"}, None),
+            "the head's write fails and another agent goes on": ({"put_head"}, "claim"),
+            "another agent only takes a claim back": ({"put_head"}, "release"),
+        }
+        for name, (denied, other_does) in table.items():
+            with self.subTest(name):
+                self.platform = FakePlatform()
+                self.now = 1000.0
+                self.run_on(lambda d=denied, o=other_does: self._seal_in_outage(d, o))
+
+    async def _seal_in_outage(self, denied, other_does):
+        keys = [k for k in map(str, range(20_000)) if _affinity.shard_of(k) == 0]
+        one, two = self.store(pace_s=0.0), self.store(pace_s=0.0)
+        wishes = [self.wish(two, key) for key in keys[: _claims.MAX_HEAD_CLAIMS]]
+        await asyncio.gather(*(two.claim(wish, 2.0) for wish in wishes))
+        await one.claim(self.wish(one, keys[0], agent="b"), 1.0)
+        self.platform.denied = denied
+        answer = await one.claim(self.wish(one, keys[300], agent="b"), 1.0)
+        self.platform.denied = {"delete"}
+        if other_does == "claim":
+            await two.claim(self.wish(two, keys[301]), 1.0)
+        elif other_does == "release":
+            two.release(wishes[0])
+        await asyncio.sleep(1.0)
+        self.assertEqual(answer.verdict == "held", denied == {"delete"})
+        self.now += outcome.CLAIM_WINDOW_S + 1
+        for key in ("400", "401"):  # while deletions fail still
+            await two.claim(self.wish(two, keys[int(key)]), 1.0)
+            await asyncio.sleep(1.0)
+        self.assertEqual(len(self.platform.object_by_name), 2)
+        self.platform.denied = set()
+        fresh = self.store(pace_s=0.0)  # the other agents are gone
+        for key in keys[500:502]:
+            await fresh.claim(self.wish(fresh, key), 1.0)
+            await asyncio.sleep(1.0)
+        self.assertEqual(list(self.platform.object_by_name), ["claims-orders-0"])
+        head = self.platform.object_by_name["claims-orders-0"].value
+        self.assertEqual(head["segments"], [])
+
     def test_release_of_a_claim_set_aside(self):
         async def scenario():
             store = self.store(pace_s=0.0)
