--- a/libs/entry/src/sequoiagap/entry/_link.py
+++ b/libs/entry/src/sequoiagap/entry/_link.py
@@ -4,10 +4,10 @@
 import time
 
 from sequoiagap import base, members, wire
+from sequoiagap.entry import _attempt_events, _pending, _reachability, _suspicion
 
 RECONNECT_DELAY_S = 0.2
 SETTLE_TIMEOUT_S = 2.0
-PROBE_ANSWER_S = 0.3
 MILLISECONDS = 1000
 
 _log = base.get_logger("link")
@@ -31,6 +31,10 @@
     :param reports: object that attaches the handler of agents' reports.
 
     :ivar sequoiagap.wire.Connection connection_: open connection or ``None``.
+    :ivar float used_at_: when an attempt or question last needed the link,
+        monotonic time in seconds.
+    :ivar float lost_at_: since when there is no connection, monotonic time in
+        seconds, or ``None`` while there is one.
     """
 
     def __init__(self, member, view, make_hello, channel, reports):
@@ -40,15 +44,14 @@
         self.channel = channel
         self.reports = reports
         self.connection_ = None
-        self._suspected_at = 0.0
-        self._replies_by_order_id = {}
-        self._events_by_attempt_id = {}
-        self._open_ids = set()
+        self.used_at_ = time.monotonic()
+        self.lost_at_ = self.used_at_
+        self._suspicion = _suspicion.Suspicion()
+        self._replies = _pending.PendingReplies()
+        self._attempts = _attempt_events.AttemptEvents(view)
         self._clock_offset_s = None
-        self._unreachable = asyncio.Event()
         self._tasks = base.TaskSet()
-        self._states_by_sequence = {}
-        self._opened = asyncio.Event()
+        self._reachability = _reachability.Reachability(view.endpoint_id)
         self._handlers = self._make_handlers()
 
     async def run(self):
@@ -60,7 +63,7 @@
                     host.address, host.port, self.make_hello()
                 )
             except base.WireError as error:
-                self._note_unreachable(error)
+                self._reachability.note_unreachable(error)
                 await asyncio.sleep(RECONNECT_DELAY_S)
                 continue
             try:
@@ -70,16 +73,6 @@
                 connection.close()
             await asyncio.sleep(RECONNECT_DELAY_S)
 
-    def _note_unreachable(self, error):
-        """Log the first failure of each outage."""
-        if not self._unreachable.is_set():
-            _log.emit(
-                base.Event.LINK_UNREACHABLE,
-                peer=self.view.endpoint_id,
-                error=error.message,
-            )
-        self._unreachable.set()
-
     def expires_at_ms(self, deadline):
         """Return a deadline on the agent's clock, in milliseconds.
 
@@ -104,10 +97,8 @@
         connection = self.connection_
         if connection is None or connection.closed_:
             raise NotSentError("no connection to the agent", "Try another endpoint")
-        events = asyncio.Queue()
-        self._events_by_attempt_id[order.attempt_id] = events
-        self._open_ids.add(order.attempt_id)
-        self.view.own_in_flight = len(self._open_ids)
+        self.used_at_ = time.monotonic()
+        events = self._attempts.open(order.attempt_id)
         connection.mark_busy(True)
         await wire.try_send(connection, order)
         return events
@@ -121,7 +112,9 @@
         :returns: whether the same incarnation could be asked in time.
         :rtype: bool
         """
-        if not await self._wait_opened(order.repeatable):
+        # Where another endpoint may do, an outage is not waited out.
+        through_outage = not order.repeatable
+        if not await self._reachability.wait(SETTLE_TIMEOUT_S, through_outage):
             return False
         connection = self.connection_
         if connection is None or connection.peer.incarnation != incarnation:
@@ -133,20 +126,6 @@
         await wire.try_send(connection, item)
         return True
 
-    async def _wait_opened(self, repeatable):
-        """Wait for a connection; where another endpoint may do, not for long."""
-        waits = [asyncio.create_task(self._opened.wait())]
-        if repeatable:
-            waits.append(asyncio.create_task(self._unreachable.wait()))
-        try:
-            await asyncio.wait(
-                waits, timeout=SETTLE_TIMEOUT_S, return_when=asyncio.FIRST_COMPLETED
-            )
-        finally:
-            for task in waits:
-                task.cancel()
-        return self._opened.is_set()
-
     async def send_credit(self, attempt_id, next_sequence):
         """Tell the agent that chunks were taken, so that it may send more.
 
@@ -163,10 +142,10 @@
 
         :param str attempt_id: the attempt.
         """
-        if self._events_by_attempt_id.pop(attempt_id, None) is None:
+        if not self._attempts.forget(attempt_id):
             return
-        self._close_attempt(attempt_id)
-        if self.connection_ is not None and not self._events_by_attempt_id:
+        self.used_at_ = time.monotonic()
+        if self.connection_ is not None and self._attempts.is_empty():
             self.connection_.mark_busy(False)
 
     def cancel(self, order):
@@ -186,17 +165,9 @@
         """
         if self.connection_ is None:
             return None
-        answer = asyncio.get_running_loop().create_future()
         sequence = time.monotonic_ns()
-        self._states_by_sequence[sequence] = answer
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self.connection_.send(wire.StateRequest(sequence))
-                return await answer
-        except (TimeoutError, base.WireError):
-            return None
-        finally:
-            self._states_by_sequence.pop(sequence, None)
+        question = wire.StateRequest(sequence)
+        return await self._ask(sequence, question, timeout_s)
 
     async def tell(self, item):
         """Send the agent a message; a lost connection is settled elsewhere.
@@ -211,10 +182,7 @@
 
         :param float now: monotonic time in seconds.
         """
-        if not self._awaits_answer():
-            self._suspected_at = now
-        if self.connection_ is not None:
-            self.connection_.probe()
+        self._suspicion.raise_on(self.connection_, now)
 
     def unanswered_s(self, now):
         """Return for how long the agent has left a heartbeat unanswered.
@@ -231,11 +199,28 @@
         :param float now: monotonic time in seconds.
         :rtype: bool
         """
-        return self._awaits_answer() and now - self._suspected_at > PROBE_ANSWER_S
+        return self._suspicion.counts(self.connection_, now)
 
-    def _awaits_answer(self):
-        connection = self.connection_
-        return connection is not None and connection.heard_at_ < self._suspected_at
+    def is_down(self, now, grace_s):
+        """Return whether the agent can't be used, and not only for a moment.
+
+        :param float now: monotonic time in seconds.
+        :param float grace_s: how long a connection may be lacking, in seconds.
+        :rtype: bool
+        """
+        if self.lost_at_ is None:
+            return self.is_suspect(now)
+        return now - self.lost_at_ > grace_s
+
+    @property
+    def is_idle(self):
+        """Whether nothing awaits an answer over this link."""
+        return self._attempts.is_empty() and self._replies.is_empty()
+
+    @property
+    def is_open(self):
+        """Whether an attempt could be sent now."""
+        return self.connection_ is not None and self._clock_offset_s is not None
 
     async def order(self, order, timeout_s):
         """Send an order to the endpoint; return the agent's reply or ``None``.
@@ -244,23 +229,21 @@
         :param float timeout_s: longest wait for the reply, in seconds.
         :rtype: sequoiagap.members.EndpointOrderReply | None
         """
-        answer = asyncio.get_running_loop().create_future()
-        self._replies_by_order_id[order.order_id] = answer
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self._opened.wait()
-                await self.connection_.send(order)
-                return await answer
-        except (TimeoutError, base.WireError):
-            return None
-        finally:
-            self._replies_by_order_id.pop(order.order_id, None)
+        return await self._ask(order.order_id, order, timeout_s)
+
+    async def _ask(self, reply_id, question, timeout_s):
+        async def send():
+            await self._reachability.wait_opened()
+            await self.connection_.send(question)
+
+        self.used_at_ = time.monotonic()
+        return await self._replies.ask(reply_id, send, timeout_s)
 
     async def _use(self, connection):
         self.connection_ = connection
+        self.lost_at_ = None
         self.member.mark_alive(connection.peer.incarnation, time.monotonic())
-        self._unreachable.clear()
-        self._opened.set()
+        self._reachability.note_opened()
         self.view.connected = True
         _log.emit(base.Event.LINK_OPENED, peer=connection.peer.node_id)
         await self.channel.greet(connection)
@@ -271,13 +254,13 @@
 
     def _lost(self):
         self.connection_ = None
-        self.member.mark_lost(time.monotonic())
+        self.lost_at_ = time.monotonic()
+        self.member.mark_lost(self.lost_at_)
         self.reports.forget(self.member.host.host_id)
         self.view.connected = False
-        self._opened.clear()
+        self._reachability.note_lost()
         self._clock_offset_s = None
-        for events in self._events_by_attempt_id.values():
-            events.put_nowait(LinkLost())
+        self._attempts.put_all(LinkLost())
 
     def _make_handlers(self):
         handlers = wire.HandlerTable()
@@ -294,19 +277,13 @@
     async def _on_attempt_event(self, connection, item):
         if isinstance(item, wire.Final | wire.Refused):
             # Before the load that follows, which no longer counts it.
-            self._close_attempt(item.attempt_id)
-        events = self._events_by_attempt_id.get(item.attempt_id)
-        if events is not None:
-            events.put_nowait(item)
-
-    def _close_attempt(self, attempt_id):
-        self._open_ids.discard(attempt_id)
-        self.view.own_in_flight = len(self._open_ids)
+            self._attempts.close(item.attempt_id)
+        self._attempts.put(item.attempt_id, item)
 
     async def _on_clock(self, connection, item):
         now = asyncio.get_running_loop().time()
         self._clock_offset_s = item.now_ms / MILLISECONDS - now
-        self._opened.set()
+        self._reachability.note_opened()
 
     async def _on_load(self, connection, item):
         self.view.take_report(item, time.monotonic())
@@ -316,11 +293,7 @@
             self.member.mark_leaving()
 
     async def _on_state(self, connection, item):
-        answer = self._states_by_sequence.get(item.sequence)
-        if answer is not None and not answer.done():
-            answer.set_result(item.document)
+        self._replies.settle(item.sequence, item.document)
 
     async def _on_order_reply(self, connection, item):
-        answer = self._replies_by_order_id.get(item.order_id)
-        if answer is not None and not answer.done():
-            answer.set_result(item)
+        self._replies.settle(item.order_id, item)
