Link at most 127 agents from an entry, chosen by rendezvous

Cause: every entry opened a link to every listed agent; at 870 entries and 10,000 agents that is 54% of a core at an entry and 6% at an agent. An entry now links at most max_links agents (a setting, 127 by default). What has no link is linked on demand: a tenth of the links more, closed after 5 s without use. Fleets of up to 127 agents keep all links. Ruled out: handing a request to another entry (a second hop, and a second place where an answer can get lost); a random subset (a lost agent moves whole subsets, a lost entry 136 links against 60 allowed; agents with 2 links); links replaced by time alone (a frozen agent was chosen again each few seconds).

--- a/libs/base/src/sequoiagap/base/_events.py
+++ b/libs/base/src/sequoiagap/base/_events.py
@@ -71,6 +71,7 @@
     ENDPOINT_LEAVING = 1421
     PEER_OPENED = 1422
     PEER_CLOSED = 1423
+    LINK_ON_DEMAND = 1424
     RANK_STARTED = 1501
     RANK_JOINED = 1502
     RANK_UNREACHABLE = 1503
@@ -143,6 +144,7 @@
     Event.ENDPOINT_LEAVING: "An endpoint's agent says that it leaves.",
     Event.PEER_OPENED: "A connection to another entry is open.",
     Event.PEER_CLOSED: "A connection to another entry has closed.",
+    Event.LINK_ON_DEMAND: "A further agent is linked, as a request needs it.",
     Event.RANK_STARTED: "A rank's engine or agent is fresh and asks its peers.",
     Event.RANK_JOINED: "A rank got a peer's answer; joined says whether it takes part.",
     Event.RANK_UNREACHABLE: "The engine of a rank does not answer its agent.",
--- a/libs/entry/src/sequoiagap/entry/_dispatch.py
+++ b/libs/entry/src/sequoiagap/entry/_dispatch.py
@@ -154,6 +154,7 @@
         for number in range(MAX_ATTEMPTS):
             if number and not await self._spend_retry(request):
                 break
+            await self.links.reach(request.target, progress.tried, progress.owner)
             view = self._choose(request, progress)
             if view is None:
                 break
@@ -176,7 +177,9 @@
         return True
 
     def _choose(self, request, progress):
-        candidates = self.links.candidates(request.target)
+        candidates = self.links.candidates(
+            request.target, progress.tried, progress.owner
+        )
         by_id = {view.endpoint_id: view for view in candidates}
         if progress.owner:
             owner, progress.owner = progress.owner, ""
--- a/libs/entry/src/sequoiagap/entry/_entry.py
+++ b/libs/entry/src/sequoiagap/entry/_entry.py
@@ -20,6 +20,7 @@
     _admission,
     _auth,
     _callers,
+    _chooser,
     _config_api,
     _dispatch,
     _errors,
@@ -30,6 +31,7 @@
     _orders,
     _peers,
     _reports,
+    _state,
     _watch,
 )
 
@@ -74,7 +76,16 @@
             replica, self._suspect, self._suspect_domain
         )
         self.links_ = _links.AgentLinks(
-            self._hello, self.holder_, channel, self.reports_
+            self._hello,
+            self.holder_,
+            channel,
+            self.reports_,
+            _chooser.LinkChooser(
+                self.settings.node_id,
+                self.settings.failure_domain,
+                self.settings.max_links,
+            ),
+            lambda: self.mesh_.domain_by_id(),
         )
         self.mesh_ = _peers.PeerMesh(self.settings, self._hello, channel, self.links_)
         self.mesh_.handlers_.add(members.MemberSuspect, self._on_suspect)
@@ -103,6 +114,7 @@
         host_list = _host_list.HostList(self.platform_, takers)
         self._tasks.start(self.watch_.run(), "watch-config")
         self._tasks.start(host_list.run(), "follow-list")
+        self._tasks.start(self.links_.run(), "follow-links")
         self._tasks.start(self.mesh_.run(self._offer), "peers")
         self._tasks.start(self.reports_.run(self.mesh_.broadcast), "reports")
         await self._listen(self._make_app())
@@ -148,44 +160,14 @@
 
         :rtype: dict
         """
-        return {
-            "node_id": self.settings.node_id,
-            "role": "entry",
-            "incarnation": self.incarnation_,
-            "failure_domain": self.settings.failure_domain,
-            "config_version": self.holder_.current_.number,
-            "ready": self.is_ready(),
-            "in_flight": self.callers_.in_flight_,
-            "admission": self.admission_.describe(),
-            "endpoints": {
-                endpoint_id: _describe(link)
-                for endpoint_id, link in sorted(self.links_.by_id.items())
-            },
-            "local_out": sorted(self.holder_.local_by_domain),
-            "platform": {
-                "watching": self.watch_.watching_,
-                "reachable": self.watch_.reachable_,
-                "behind": self.watch_.behind_,
-                "age_ms": self.duty_.age_ms(time.monotonic()),
-            },
-            "peers": sorted({c.peer.node_id for c in self.mesh_.connections_}),
-            "platform_calls": self.platform_.calls_,
-            "metrics": self.collect_metrics(),
-        }
+        return _state.dump(self)
 
     def collect_metrics(self):
         """Return every metric, with the gauges as they are now.
 
         :rtype: dict
         """
-        links = self.links_.by_id.values()
-        connected = sum(link.view.connected for link in links)
-        self.metrics_.set_gauge("connections", connected)
-        self.metrics_.set_gauge("requests_in_flight", self.callers_.in_flight_)
-        self.admission_.collect_metrics()
-        return base.collect_process_metrics(
-            self.metrics_, self.holder_.current_.number, self.platform_.calls_
-        )
+        return _state.collect_metrics(self)
 
     def _make_app(self):
         budget = admission.RetryBudget()
@@ -293,22 +275,6 @@
         await self.reports_.suspect_domain(item, spread)
 
 
-def _describe(link):
-    view = link.view
-    return {
-        "state": view.state,
-        "failure_domain": view.failure_domain,
-        "connected": view.connected,
-        "leaving": link.member.leaving,
-        "suspect": link.is_suspect(time.monotonic()),
-        "listed": link.member.listed,
-        "limit": view.limit,
-        "reported_in_flight": view.reported_in_flight,
-        "own_in_flight": view.own_in_flight,
-        "service_time_s": view.service_time_s,
-    }
-
-
 async def run(entry_settings):
     """Run an entry until it is told to stop.
 
--- a/libs/entry/src/sequoiagap/entry/_facts.py
+++ b/libs/entry/src/sequoiagap/entry/_facts.py
@@ -67,10 +67,9 @@
         """
         endpoints = tuple(
             config.EndpointFact(
-                link.view.endpoint_id, link.view.failure_domain, link.view.serves
+                host.host_id, host.failure_domain, frozenset(host.serves)
             )
-            for link in self.links.by_id.values()
-            if link.member.alive and not link.member.leaving
+            for host in self.links.working_hosts()
         )
         total = self.peaks_.peaks(time.monotonic())
         for peaks in await self._ask_peers():
--- a/libs/entry/src/sequoiagap/entry/_link.py
+++ b/libs/entry/src/sequoiagap/entry/_link.py
@@ -33,8 +33,9 @@
     :ivar sequoiagap.wire.Connection connection_: open connection or ``None``.
     :ivar float used_at_: when an attempt or question last needed the link,
         monotonic time in seconds.
-    :ivar float lost_at_: since when there is no connection, monotonic time in
-        seconds, or ``None`` while there is one.
+    :ivar float lost_at_: since when there is no connection, or when a silent one
+        was last heard, monotonic time in seconds; ``None`` while there is one.
+    :ivar Reachability reachability_: what the last try to connect has shown.
     """
 
     def __init__(self, member, view, make_hello, channel, reports):
@@ -51,7 +52,7 @@
         self._attempts = _attempt_events.AttemptEvents(view)
         self._clock_offset_s = None
         self._tasks = base.TaskSet()
-        self._reachability = _reachability.Reachability(view.endpoint_id)
+        self.reachability_ = _reachability.Reachability(view.endpoint_id)
         self._handlers = self._make_handlers()
 
     async def run(self):
@@ -63,7 +64,7 @@
                     host.address, host.port, self.make_hello()
                 )
             except base.WireError as error:
-                self._reachability.note_unreachable(error)
+                self.reachability_.note_unreachable(error)
                 await asyncio.sleep(RECONNECT_DELAY_S)
                 continue
             try:
@@ -114,7 +115,7 @@
         """
         # Where another endpoint may do, an outage is not waited out.
         through_outage = not order.repeatable
-        if not await self._reachability.wait(SETTLE_TIMEOUT_S, through_outage):
+        if not await self.reachability_.wait(SETTLE_TIMEOUT_S, through_outage):
             return False
         connection = self.connection_
         if connection is None or connection.peer.incarnation != incarnation:
@@ -132,10 +133,7 @@
         :param str attempt_id: the attempt.
         :param int next_sequence: first chunk that was not taken.
         """
-        if self.connection_ is not None:
-            await wire.try_send(
-                self.connection_, wire.Credit(attempt_id, next_sequence)
-            )
+        await self.tell(wire.Credit(attempt_id, next_sequence))
 
     def forget(self, attempt_id):
         """Stop routing the messages of an attempt; late ones are dropped.
@@ -233,7 +231,7 @@
 
     async def _ask(self, reply_id, question, timeout_s):
         async def send():
-            await self._reachability.wait_opened()
+            await self.reachability_.wait_opened()
             await self.connection_.send(question)
 
         self.used_at_ = time.monotonic()
@@ -243,7 +241,7 @@
         self.connection_ = connection
         self.lost_at_ = None
         self.member.mark_alive(connection.peer.incarnation, time.monotonic())
-        self._reachability.note_opened()
+        self.reachability_.note_opened()
         self.view.connected = True
         _log.emit(base.Event.LINK_OPENED, peer=connection.peer.node_id)
         await self.channel.greet(connection)
@@ -253,12 +251,13 @@
         _log.emit(base.Event.LINK_CLOSED, peer=connection.peer.node_id, reason=reason)
 
     def _lost(self):
-        self.connection_ = None
-        self.lost_at_ = time.monotonic()
-        self.member.mark_lost(self.lost_at_)
+        now = time.monotonic()
+        connection, self.connection_ = self.connection_, None
+        self.lost_at_ = connection.heard_at_ if connection.silent_ else now
+        self.member.mark_lost(now)
         self.reports.forget(self.member.host.host_id)
         self.view.connected = False
-        self._reachability.note_lost()
+        self.reachability_.note_lost()
         self._clock_offset_s = None
         self._attempts.put_all(LinkLost())
 
@@ -283,7 +282,7 @@
     async def _on_clock(self, connection, item):
         now = asyncio.get_running_loop().time()
         self._clock_offset_s = item.now_ms / MILLISECONDS - now
-        self._reachability.note_opened()
+        self.reachability_.note_opened()
 
     async def _on_load(self, connection, item):
         self.view.take_report(item, time.monotonic())
--- a/libs/entry/src/sequoiagap/entry/_links.py
+++ b/libs/entry/src/sequoiagap/entry/_links.py
@@ -1,10 +1,14 @@
-"""Links to all agents that are listed or otherwise known."""
+"""Links to the agents that this entry has chosen, and to some on demand."""
 
 import asyncio
 import time
 
 from sequoiagap import base, members, routing
-from sequoiagap.entry import _link
+from sequoiagap.entry import _demand, _link, _selection
+
+FOLLOW_INTERVAL_S = 0.25
+IDLE_S = 5.0
+DEMAND_SHARE = 0.1
 
 _log = base.get_logger("links")
 
@@ -12,22 +16,36 @@
 class AgentLinks:
     """Links by endpoint id.
 
+    All agents are known from the list, from other entries and by their word; only
+    ``max_links`` of them are linked. A link that is down keeps trying to connect
+    while another one takes its place.
+
     :param make_hello: function that returns this entry's hello.
     :param sequoiagap.config.ConfigHolder holder: configuration in force.
     :param sequoiagap.config.ConfigChannel channel: spreads the configuration.
     :param reports: object that attaches the handler of agents' reports.
+    :param LinkChooser chooser: chooses the agents to link.
+    :param find_entries: function that returns the failure domain of each known
+        entry by its id.
 
     :ivar dict by_id: link by endpoint id.
     :ivar sequoiagap.members.Directory directory_: agents as listed and seen.
+    :ivar LinkSelection selection_: which agents are to be linked.
+    :ivar LinkDemand demand_: opens further links when requests need them.
     """
 
-    def __init__(self, make_hello, holder, channel, reports):
+    def __init__(self, make_hello, holder, channel, reports, chooser, find_entries):
         self.make_hello = make_hello
         self.holder = holder
         self.channel = channel
         self.reports = reports
         self.by_id = {}
         self.directory_ = members.Directory()
+        self.selection_ = _selection.LinkSelection(
+            chooser, self.directory_, holder, find_entries
+        )
+        max_extra = max(int(chooser.max_links * DEMAND_SHARE), 1)
+        self.demand_ = _demand.LinkDemand(self, self.selection_, max_extra)
         self._task_by_id = {}
 
     def apply_list(self, hosts):
@@ -36,35 +54,80 @@
         :param list[sequoiagap.platform.HostEntry] hosts: agents listed.
         """
         now = time.monotonic()
-        for member in self.directory_.apply_list(hosts, now):
-            self._open(member)
+        self._renew(self.directory_.apply_list(hosts, now))
         self.drop_gone()
+        self.follow(now)
 
     def propose(self, hosts):
         """Take agents that other processes know.
 
         :param list[sequoiagap.platform.HostEntry] hosts: the agents.
         """
-        for member in self.directory_.propose(hosts, time.monotonic()):
-            self._open(member)
+        now = time.monotonic()
+        self._renew(self.directory_.propose(hosts, now))
+        self.follow(now)
 
     def drop_gone(self):
         """Close the links of agents that are neither listed nor alive."""
         for endpoint_id in self.directory_.drop_gone(time.monotonic()):
-            self._close(endpoint_id)
+            self.close_link(endpoint_id)
+            _log.emit(base.Event.ENDPOINT_GONE, endpoint=endpoint_id)
+
+    async def run(self):
+        """Follow the agents and their failures until cancelled."""
+        while True:
+            await self.selection_.learn()
+            self.follow(time.monotonic())
+            await asyncio.sleep(FOLLOW_INTERVAL_S)
+
+    def follow(self, now):
+        """Open the links that are chosen now, and close idle ones that are not.
+
+        :param float now: monotonic time in seconds.
+        """
+        self.selection_.update(self.by_id, now)
+        for endpoint_id in self.selection_.chosen_ | self.selection_.awaited_:
+            if endpoint_id not in self.by_id and endpoint_id in self.directory_.by_id:
+                self.open(endpoint_id)
+        self._close_idle(now)
+
+    def extras(self):
+        """Return the agents that are linked without being chosen, oldest use first.
 
-    def candidates(self, target):
+        :rtype: list[str]
+        """
+        extras = [i for i in self.by_id if not self.is_wanted(i)]
+        return sorted(extras, key=lambda i: self.by_id[i].used_at_)
+
+    async def reach(self, target, tried=(), endpoint_id=""):
+        """Open further links if no endpoint for a request is linked.
+
+        See :meth:`LinkDemand.reach`.
+        """
+        await self.demand_.reach(target, tried, endpoint_id)
+
+    def candidates(self, target, tried=(), endpoint_id=""):
         """Return the endpoints that may take an attempt for a target.
 
+        Those that were chosen go first; others are used where none of them can.
+
         :param str target: name of a model or service.
+        :param tried: endpoints that have been asked already.
+        :type tried: collections.abc.Container[str]
+        :param str endpoint_id: the only endpoint that will do; any by default.
         :rtype: list[sequoiagap.routing.EndpointView]
         """
         now = time.monotonic()
         usable = [
             link
             for link in self.by_id.values()
-            if target in link.view.serves and self._is_usable(link, now)
+            if target in link.view.serves
+            and endpoint_id in ("", link.view.endpoint_id)
+            and self.is_usable(link, now)
         ]
+        chosen = [link for link in usable if self.is_wanted(link.view.endpoint_id)]
+        if any(link.view.endpoint_id not in tried for link in chosen):
+            usable = chosen
         for link in usable:
             link.view.unanswered_s = link.unanswered_s(now)
         return [link.view for link in usable]
@@ -105,7 +168,7 @@
             await base.cancel_and_wait(task)
 
     async def tell(self, item, failure_domain=None):
-        """Send a message to every agent, or to those of one failure domain.
+        """Send a message to every linked agent, or to those of one failure domain.
 
         :param item: the message.
         :param str failure_domain: whom to tell; all by default.
@@ -117,7 +180,27 @@
         ]
         await asyncio.gather(*(link.tell(item) for link in links))
 
-    def _is_usable(self, link, now):
+    def working_hosts(self):
+        """Return the agents that are taken to be alive and don't leave.
+
+        Of those without a link the list's word is taken.
+
+        :rtype: list[sequoiagap.platform.HostEntry]
+        """
+        return [
+            member.host
+            for endpoint_id, member in self.directory_.by_id.items()
+            if not member.leaving
+            and (member.alive if endpoint_id in self.by_id else member.listed)
+        ]
+
+    def is_usable(self, link, now):
+        """Return whether a link's endpoint may take an attempt.
+
+        :param AgentLink link: the link.
+        :param float now: monotonic time in seconds.
+        :rtype: bool
+        """
         view = link.view
         if self.holder.forbidding_setting(view.failure_domain, view.endpoint_id):
             return False
@@ -125,10 +208,14 @@
             return False
         return view.limit > 0
 
-    def _open(self, member):
-        endpoint_id = member.host.host_id
-        if endpoint_id in self.by_id:
-            self._close(endpoint_id)
+    def open(self, endpoint_id):
+        """Open a link to a known agent.
+
+        :param str endpoint_id: the agent.
+        :returns: the link.
+        :rtype: AgentLink
+        """
+        member = self.directory_.by_id[endpoint_id]
         view = routing.EndpointView(
             endpoint_id, member.host.failure_domain, frozenset(member.host.serves)
         )
@@ -139,9 +226,39 @@
         self._task_by_id[endpoint_id] = asyncio.create_task(
             link.run(), name=f"link-{endpoint_id}"
         )
-        _log.emit(base.Event.ENDPOINT_SEEN, endpoint=endpoint_id)
+        return link
+
+    def close_link(self, endpoint_id):
+        """Close the link to an agent, if there is one.
+
+        :param str endpoint_id: the agent.
+        """
+        if self.by_id.pop(endpoint_id, None) is not None:
+            self._task_by_id.pop(endpoint_id).cancel()
+
+    def is_wanted(self, endpoint_id):
+        """Return whether an agent is to be linked without a request for it.
+
+        :param str endpoint_id: the agent.
+        :rtype: bool
+        """
+        selection = self.selection_
+        return endpoint_id in selection.chosen_ or endpoint_id in selection.awaited_
+
+    def _close_idle(self, now):
+        """Close links that were not chosen once they are idle or too many."""
+        extras = self.extras()
+        surplus = len(extras) - self.demand_.max_extra
+        for endpoint_id in extras:
+            link = self.by_id[endpoint_id]
+            if link.is_idle and (surplus > 0 or now - link.used_at_ > IDLE_S):
+                self.close_link(endpoint_id)
+                surplus -= 1
 
-    def _close(self, endpoint_id):
-        del self.by_id[endpoint_id]
-        self._task_by_id.pop(endpoint_id).cancel()
-        _log.emit(base.Event.ENDPOINT_GONE, endpoint=endpoint_id)
+    def _renew(self, fresh):
+        """Take agents that are new or have moved to another address."""
+        for member in fresh:
+            endpoint_id = member.host.host_id
+            self.close_link(endpoint_id)
+            self.selection_.welcome(endpoint_id)
+            _log.emit(base.Event.ENDPOINT_SEEN, endpoint=endpoint_id)
--- a/libs/entry/src/sequoiagap/entry/_operators.py
+++ b/libs/entry/src/sequoiagap/entry/_operators.py
@@ -73,7 +73,7 @@
         return web.Response(text=text, content_type="application/json")
 
     async def _ask_agent(self, endpoint_id):
-        link = self.entry.links_.by_id.get(endpoint_id)
+        link = await self.entry.links_.demand_.reach_endpoint(endpoint_id)
         return await link.request_state(AGENT_STATE_TIMEOUT_S) if link else None
 
     def _refuse_endpoint(self, endpoint_id):
--- a/libs/entry/src/sequoiagap/entry/_orders.py
+++ b/libs/entry/src/sequoiagap/entry/_orders.py
@@ -32,7 +32,7 @@
         :returns: the fencing number of the order that was done, or a refusal.
         :rtype: expression.Result[int, sequoiagap.base.Refusal]
         """
-        link = self.links.by_id.get(endpoint_id)
+        link = await self.links.demand_.reach_endpoint(endpoint_id)
         if link is None:
             return expression.Error(_unknown_endpoint(endpoint_id))
         try:
--- a/libs/entry/src/sequoiagap/entry/_peers.py
+++ b/libs/entry/src/sequoiagap/entry/_peers.py
@@ -91,6 +91,14 @@
         hosts = [member.host for member in self.directory_.by_id.values()]
         return [host.host_id for host in hosts if host.failure_domain == own]
 
+    def domain_by_id(self):
+        """Return the failure domain of each known entry.
+
+        :rtype: dict[str, str]
+        """
+        members_by_id = self.directory_.by_id
+        return {i: member.host.failure_domain for i, member in members_by_id.items()}
+
     def choose(self, now):
         """Return the entries to connect to: a few near, one in a few other domains.
 
--- a/libs/entry/src/sequoiagap/entry/_reachability.py
+++ b/libs/entry/src/sequoiagap/entry/_reachability.py
@@ -18,6 +18,11 @@
         self._opened = asyncio.Event()
         self._unreachable = asyncio.Event()
 
+    @property
+    def is_unreachable(self):
+        """Whether no connection could be opened last time."""
+        return self._unreachable.is_set()
+
     def note_opened(self):
         """Note that a connection is open."""
         self._unreachable.clear()
--- a/libs/settings/src/sequoiagap/settings/_models.py
+++ b/libs/settings/src/sequoiagap/settings/_models.py
@@ -10,6 +10,7 @@
 NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$"
 DIGEST_PATTERN = r"^[0-9a-f]{64}$"
 MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_LINKS = 127
 
 Name = Annotated[str, pydantic.Field(pattern=NAME_PATTERN, examples=["north-1"])]
 Port = Annotated[int, pydantic.Field(ge=0, le=65535, examples=[7100])]
@@ -97,6 +98,9 @@
     max_queue_wait_s: Seconds = 1.0
     body_timeout_s: Seconds = 10.0
     header_timeout_s: Seconds = 15.0
+    max_links: Annotated[
+        int, pydantic.Field(ge=2, le=MAX_LINKS, examples=[MAX_LINKS])
+    ] = MAX_LINKS
     max_body_bytes: Annotated[
         int, pydantic.Field(gt=0, le=MAX_BODY_BYTES, examples=[1048576])
     ] = 1048576
