--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -29,6 +29,8 @@
 SEED = 3
 SETTLE_S = 3.0
 ACCOUNT = "account"
+MAX_LINKS = 127
+FEW_LINKS = 30
 CONFIG_CHANGES_PER_S = 39_000 / 86_400
 TOKEN_RATE = 10
 ROW = "{:<34}{:>8}{:>12}{:>12}{:>14}{:>14}"
@@ -68,12 +70,17 @@
 
     :param pathlib.Path folder: where settings and logs go.
     :param int accounts: client accounts.
+    :param int max_links: most agents that an entry links.
     """
 
-    def __init__(self, folder, accounts=10):
+    def __init__(self, folder, accounts=10, max_links=MAX_LINKS):
         names = tuple(f"{ACCOUNT}-{i}" for i in range(accounts))
         plan = standins.FleetPlan(
-            entries=0, engines_per_domain=0, services_per_domain=0, accounts=names
+            entries=0,
+            engines_per_domain=0,
+            services_per_domain=0,
+            accounts=names,
+            entry={"max_links": max_links},
         )
         self.fleet = standins.Fleet(plan, folder)
         self.secret_path = folder / "secret"
@@ -105,7 +112,9 @@
         return agents
 
 
-async def measure_entry(count, rate, accounts, seconds, changes=False, tokens=1):
+async def measure_entry(
+    count, rate, accounts, seconds, changes=False, tokens=1, max_links=MAX_LINKS
+):
     """Measure one entry with some light agents at some rate.
 
     :param int count: light agents.
@@ -114,16 +123,18 @@
     :param float seconds: length of the measurement.
     :param bool changes: whether configuration changes at the design rate.
     :param int tokens: pieces of each answer; more than one makes it a stream.
+    :param int max_links: most agents that the entry links.
     :returns: memory, processor share, bytes in and out.
     :rtype: dict
     """
     with tempfile.TemporaryDirectory() as text:
         folder = pathlib.Path(text)
-        bench = Bench(folder, accounts)
+        bench = Bench(folder, accounts, max_links)
         async with bench.fleet as fleet:
             agents = await bench.add_light_agents(count)
             await fleet.start_entry(0)
-            await fleet.wait_until(lambda: _sees(fleet, count), 20.0)
+            linked = min(count, max_links)
+            await fleet.wait_until(lambda: _sees(fleet, linked), 20.0)
             await asyncio.sleep(SETTLE_S)
             pid = fleet.process_by_name["entry-0"].child_.pid
             changing = asyncio.create_task(_change(fleet)) if changes else None
@@ -311,6 +322,11 @@
     part = functools.partial
     return [
         ("entry, idle agents", "count", [part(entry, n, 0, 10) for n in counts]),
+        (
+            f"entry, idle agents, {FEW_LINKS} links",
+            "count",
+            [part(entry, n, 0, 10, max_links=FEW_LINKS) for n in counts],
+        ),
         ("entry, requests a second", "rate", [part(entry, 30, r, 10) for r in rates]),
         (
             "entry, client accounts",
