--- a/tests/routing/test_policies.py
+++ b/tests/routing/test_policies.py
@@ -40,6 +40,10 @@
             ),
             "warmth": (make_view(0, state="warming"), make_view(1)),
             "own failure domain": (make_view(0, "south"), make_view(1)),
+            "own failure domain before a little wait": (
+                make_view(0, "south", limit=64),
+                make_view(1, limit=64, own_in_flight=1),
+            ),
             "wait before failure domain": (make_view(0, **busy), make_view(1, "south")),
         }
         context = routing.RouteContext(NOW, "north")
