--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -164,6 +164,7 @@
     state = "warm"
     in_flight_ = 0
     foreign_ = 0
+    role_ = "both"
 
     def limit(self, now):
         """Return the limit."""
