Take the next fencing number at once after a lost race

Cause: test_the_later_order_stays (racing orderers) failed on a busy machine with no number within its 1 s. Every orderer rested 0.1 s after each lost race, all of them in step, so six needed 0.52 s on any machine. A conflict means that another one went on, so nothing is gained by resting.

Ruled out: slowness of the platform stand-in (a round is 3 ms); a rest of random length, which only spreads the same waiting.

The rest stays where a write's effect is unknown.

--- a/libs/members/src/sequoiagap/members/_fence.py
+++ b/libs/members/src/sequoiagap/members/_fence.py
@@ -179,7 +179,7 @@
             try:
                 await self.client.put(name, written, stored.version if stored else 0)
             except platform.ObjectConflict:
-                pass
+                continue  # another order got the number; its writer needs no rest
             except base.PlatformError as error:
                 if not error.effect_unknown:
                     raise
