Double and cross the frames between real agents, and measure a quiet leader

A relay of the test tools doubles and crosses the frames of the group protocol and passes all others; the group's fault table has a row each for doubled, for doubled and crossed, and for late, doubled and crossed messages.

Found: frames later than the steps between arming and the change (40 ms in the stand-in) keep changes from being made at all; the group steps on with its map. So the late row asks for steps, the other two for changes.

Not shown failing: with a rank's answer to a second Arm off, with the rounds' check of epochs off, and with all checks of epochs and fences off the rows still pass, as the rounds of one leader seldom overlap.

--- a/benchmarks/change_worlds.py
+++ b/benchmarks/change_worlds.py
@@ -1,6 +1,6 @@
 """Every world of the change protocol with two proposers and a crash together.
 
-Usage, from the root: ``PYTHONPATH=. python benchmarks/change_worlds.py``. It visits
+Usage, from the root: ``python -m benchmarks.change_worlds``. It visits
 what takes the tests too long: each rank as the one that dies, alone or with its
 engine, and proposers that want the same map or different ones. Prints how many
 worlds were visited, and whether that was all of them.
--- a/benchmarks/group_cost.py
+++ b/benchmarks/group_cost.py
@@ -1,10 +1,11 @@
 """Cost of control in a rank group of real agents, by number of ranks.
 
-Usage: ``python benchmarks/group_cost.py [--ranks N ...]``. For each size it runs
-a group around its stand-in, with reports each 2 s and plans each 5 s on a trace
-that oscillates, and prints messages, bytes, processor time and memory of the
+Usage: ``python benchmarks/group_cost.py [--ranks N ...] [--quiet]``. For each
+size it runs a group around its stand-in, with reports each 2 s and plans each 5 s on
+a trace that oscillates, and prints messages, bytes, processor time and memory of the
 leading agent and of a following one, and the stand-in's longest wait between two
-steps. Linux only: it reads ``/proc``.
+steps. With ``--quiet`` the loads are steady, nothing changes and reports are asked
+for each 10 s, as by default. Linux only: it reads ``/proc``.
 """
 
 import argparse
@@ -51,12 +52,15 @@
     return cpu_s, int(line.split()[1]) / 1024
 
 
-async def measure(ranks):
+async def measure(ranks, quiet):
     experts_count = 2 * ranks
+    group = {"interval_s": 5.0, "report_interval_s": 2.0, "policy": "full_replan"}
+    if quiet:
+        group = {"interval_s": 600.0, "report_interval_s": 10.0}
     plan = standins.RankFleetPlan(
         shape=(LAYERS, ranks, experts_count, 3),
-        group={"interval_s": 5.0, "report_interval_s": 2.0, "policy": "full_replan"},
-        engine={"trace": "oscillation", "step_s": 0.02},
+        group=group,
+        engine={"trace": "steady" if quiet else "oscillation", "step_s": 0.02},
     )
     with tempfile.TemporaryDirectory() as folder:
         async with standins.RankFleet(plan, folder) as fleet:
@@ -84,6 +88,7 @@
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("--ranks", type=int, nargs="*", default=[3, 8, 16, 32])
+    parser.add_argument("--quiet", action="store_true", help="no changes")
     options = parser.parse_args()
     print(
         "| ranks | agent | changes | messages sent /s | KB sent /s | % of a core | "
@@ -91,7 +96,7 @@
     )
     print("| --- " * 9 + "|")
     for ranks in options.ranks:
-        asyncio.run(measure(ranks))
+        asyncio.run(measure(ranks, options.quiet))
 
 
 if __name__ == "__main__":
--- a/libs/standins/src/sequoiagap/standins/__init__.py
+++ b/libs/standins/src/sequoiagap/standins/__init__.py
@@ -2,6 +2,7 @@
 
 from sequoiagap.standins._engine_orders import EngineOrders
 from sequoiagap.standins._fleet import Fleet
+from sequoiagap.standins._frame_relay import FrameRelay
 from sequoiagap.standins._load import AccountLoad, LoadGenerator, run_load
 from sequoiagap.standins._plan import FleetPlan
 from sequoiagap.standins._platform import PlatformStandIn
@@ -17,6 +18,7 @@
     "EngineOrders",
     "Fleet",
     "FleetPlan",
+    "FrameRelay",
     "LinkMode",
     "LoadBook",
     "LoadGenerator",
--- a/tests/agent/test_groups.py
+++ b/tests/agent/test_groups.py
@@ -1,13 +1,25 @@
 """Rank groups of real agents under faults: one map in each step, recovery."""
 
 import asyncio
+import collections
 import signal
 
-from sequoiagap import standins
+from sequoiagap import experts, standins
 from sequoiagap.standins import _relay
 from tests import support
 from tests.agent import group_case
 
+CROSSED_S = 0.02  # shorter than the steps between arming and the change
+LATE_S = 0.4  # longer than a proposer waits before it sends again
+ROUND_MESSAGES = (
+    experts.Prepare,
+    experts.Promise,
+    experts.Arm,
+    experts.Armed,
+    experts.Settle,
+    experts.Settled,
+)
+
 
 class GroupFaultsTest(group_case.GroupCase):
     async def test_faults(self):
@@ -62,6 +74,40 @@
                 await self.fleet.set_rank_faults(rank, lose_staged=True)
             await asyncio.sleep(0.05)
 
+    async def fault_messages_are_doubled(self):
+        await self.disturb(self.wait_for_change, copies=2)
+
+    async def fault_messages_are_doubled_and_crossed(self):
+        await self.disturb(self.wait_for_change, copies=2, spread_s=CROSSED_S)
+
+    async def fault_messages_are_late_doubled_and_crossed(self):
+        await self.disturb(self.wait_for_steps, copies=2, spread_s=LATE_S)
+
+    async def wait_for_steps(self):
+        """Wait until the group has gone on, with whatever map."""
+        await asyncio.sleep(2 * LATE_S)
+        steps = (await self.fleet.group())["step"]
+        await self.fleet.wait_until(
+            lambda state: state["step"] > steps, support.FEW_SECONDS_S
+        )
+
+    async def disturb(self, wait, copies, spread_s=0.0):
+        """Disturb frames between ranks until the group got on three times."""
+        for relay in self.fleet.relays_:
+            relay.passed_by_number.clear()
+            relay.crossed_ = 0
+            relay.disturb(copies, spread_s)
+        for _ in range(3):
+            await wait()
+        for relay in self.fleet.relays_:
+            relay.disturb()
+        counts = (relay.passed_by_number for relay in self.fleet.relays_)
+        passed = sum(counts, collections.Counter())
+        for kind in ROUND_MESSAGES:
+            self.assertGreater(passed[kind.NUMBER], 0, kind)
+        if spread_s:
+            self.assertGreater(sum(r.crossed_ for r in self.fleet.relays_), 0)
+
     async def fault_proposer_dies_at_each_point(self):
         for relay in self.fleet.relays_:
             relay.delay_s = 0.08
--- a/tests/standins/test_relay.py
+++ b/tests/standins/test_relay.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from sequoiagap import standins, wire
+from sequoiagap import experts, standins, wire
 
 ANSWER_TIMEOUT_S = 0.3
 
@@ -63,3 +63,28 @@
         self.assertFalse(await self.answers(reader))
         fresh, _ = await self.connect("entry-a")
         self.assertTrue(await self.answers(fresh))
+
+
+class FrameRelayTest(RelayTest):
+    """The frames of the group protocol come twice and crossed; others as ever."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.relay = standins.FrameRelay(self.relay.target_port)
+        await self.relay.start()
+        self.addAsyncCleanup(self.relay.close)
+
+    async def test_frames_between_ranks_are_doubled_and_crossed(self):
+        self.relay.disturb(copies=2, spread_s=0.05)
+        reader, writer = await self.connect("rank-1")
+        hello = wire.decode(await wire.read_frame(reader))
+        self.assertIsInstance(hello, wire.Hello)
+        joins = [experts.Join("g", rank, "inc") for rank in range(20)]
+        for join in joins:
+            wire.write_frame(writer, wire.encode(join))
+        writer.write_eof()
+        # Each comes twice to the echo, and each of these twice back.
+        got = [wire.decode(await wire.read_frame(reader)).rank for _ in range(80)]
+        self.assertEqual(sorted(got), sorted([j.rank for j in joins] * 4))
+        self.assertNotEqual(got, sorted(got))
+        self.assertGreater(self.relay.crossed_, 0)
