Refuse engines that switch maps by themselves and can't be stopped

Armed with a step number alone, such an engine switches whether or not the others have armed, so a late message gives two maps in one step. Weighed: a longer lead (rarer, never ruled out), arming only after all have agreed (a rank that refuses then can't be undone in time). Seen failing without the kind: ValueError of the registry.

--- a/libs/agent/src/sequoiagap/agent/_rank_engine.py
+++ b/libs/agent/src/sequoiagap/agent/_rank_engine.py
@@ -43,6 +43,25 @@
     return EngineKind(lead_steps=0, holds_on_prepare=True)
 
 
+class UnstoppableEngineError(base.ConfigError):
+    """The engine can't be stopped at a step, so no group can rely on it."""
+
+
+@ENGINE_KINDS.register("never_holds")
+def _never_holds():
+    """Engines that switch at a step by themselves and can't be stopped.
+
+    Armed for a step they would switch there whether or not the other ranks have
+    armed too. A message that is late then gives two maps in one step, and nothing
+    that the agents do can prevent it.
+    """
+    raise UnstoppableEngineError(
+        "endpoint.engine: engines of kind never_holds can't be kept to one map",
+        "Leave out the section group, which keeps the map that the engines have, "
+        "or let the engines hold at a step until they are told to go on",
+    )
+
+
 class EngineUnavailableError(base.SequoiagapError):
     """The engine gave no usable answer."""
 
--- a/tests/agent/test_group_kinds.py
+++ b/tests/agent/test_group_kinds.py
@@ -1,8 +1,11 @@
 """Rank groups whose engines change their map in different ways."""
 
 import asyncio
+import types
+import unittest
 
-from sequoiagap import standins
+from sequoiagap import base, standins
+from sequoiagap.agent import _rank_engine
 from tests import support
 from tests.agent import group_case
 
@@ -26,6 +29,13 @@
     )
 
 
+class UnstoppableEngineTest(unittest.TestCase):
+    def test_engine_that_never_holds_is_refused_with_a_remedy(self):
+        endpoint = types.SimpleNamespace(engine="never_holds")
+        with self.assertRaisesRegex(base.ConfigError, "Leave out the section group"):
+            _rank_engine.RankEngineClient(endpoint)
+
+
 class StuckChangeTest(group_case.GroupCase):
     """No plan follows the broken one: the ranks themselves must settle it."""
 
