Split the executor and the dispatcher, and tell each decision once

Attempts are told to log and explain by DecisionLog, as callers' decisions are, so both name the same values. A request that has to queue looks the candidates up once and not twice.

No behaviour was to change: the tests of requests, turns and events pass as before; those of the turns pass the candidates, which they looked up by themselves.

--- a/libs/agent/src/sequoiagap/agent/_executor.py
+++ b/libs/agent/src/sequoiagap/agent/_executor.py
@@ -7,12 +7,12 @@
     _answers,
     _claim_desk,
     _endpoint,
+    _follow_ups,
     _refusals,
     _runs,
     _slots,
 )
 
-GRACE_S = 3.0
 SERVICE_TIME_WEIGHT = 0.2
 CLAIM_END_MARGIN_S = 60.0
 MILLISECONDS = 1000
@@ -58,6 +58,9 @@
         )
         self.answers_ = _answers.AnswerSenders(self.load)
         self._task_by_run = {}
+        self._follow_ups = _follow_ups.FollowUps(
+            ledger, self.table_, self.answers_, self._stop_run
+        )
 
     def attach(self, handlers):
         """Register the message handlers of attempts.
@@ -65,9 +68,7 @@
         :param sequoiagap.wire.HandlerTable handlers: table to fill.
         """
         handlers.add(wire.Execute, self._on_execute)
-        handlers.add(wire.Cancel, self._on_cancel)
-        handlers.add(wire.Attach, self._on_attach)
-        handlers.add(wire.Credit, self._on_credit)
+        self._follow_ups.attach(handlers)
 
     async def greet(self, connection):
         """Tell a newly connected entry the agent's clock and load.
@@ -78,21 +79,11 @@
         await connection.send(self.load())
 
     def forget_connection(self, connection):
-        """Note that a connection is lost.
-
-        Repeatable runs that nobody takes up again within :data:`GRACE_S` are
-        stopped; the others run to their end and hold their answer.
+        """Note that a connection is lost, see :class:`FollowUps`.
 
         :param sequoiagap.wire.Connection connection: the entry.
         """
-        for run in self.table_.running():
-            listeners = list(run.listener_by_attempt_id.values())
-            for listener in listeners:
-                if listener.connection is connection:
-                    run.leave(listener)
-            if listeners and not run.listener_by_attempt_id:
-                loop = asyncio.get_running_loop()
-                loop.call_later(GRACE_S, self._abandon, run)
+        self._follow_ups.forget_connection(connection)
 
     def load(self):
         """Return what entries may know of the endpoint.
@@ -166,7 +157,12 @@
             refusal = self.refusals_.forgotten(order.attempt_id)
         else:
             # The first order runs or ran, and its answer goes to its own entry.
-            _log.emit(base.Event.ATTEMPT_DUPLICATE, **_ids(order))
+            _log.emit(
+                base.Event.ATTEMPT_DUPLICATE,
+                request_id=order.request_id,
+                attempt_id=order.attempt_id,
+                config_version=order.config_version,
+            )
             return
         await connection.send(refusal)
 
@@ -200,64 +196,6 @@
             run.refuse(self.refusals_.stopped(run.started_))
             self._finish(run)
 
-    async def _on_credit(self, connection, item):
-        run = self.table_.by_attempt_id.get(item.attempt_id)
-        listener = run and run.listener_by_attempt_id.get(item.attempt_id)
-        if listener is not None:
-            listener.take_credit(item.next_sequence)
-
-    async def _on_cancel(self, connection, order):
-        expires_at = order.expires_at_ms / MILLISECONDS
-        incarnation = self.ledger.incarnation
-        standing = self.ledger.revoke(order.attempt_id, incarnation, expires_at, _now())
-        _log.emit(
-            base.Event.ATTEMPT_REVOKED,
-            attempt_id=order.attempt_id,
-            standing=str(standing),
-        )
-        run = self.table_.by_attempt_id.get(order.attempt_id)
-        if run is None:
-            return
-        listener = run.listener_by_attempt_id.get(order.attempt_id)
-        if listener is not None:
-            run.leave(listener)
-        never_starts = standing == outcome.Standing.NEVER_STARTED
-        is_wasted = run.order.repeatable and not run.listener_by_attempt_id
-        if is_wasted or (never_starts and not run.started_):
-            self._stop_run(run)
-
-    async def _on_attach(self, connection, order):
-        run = self.table_.by_attempt_id.get(order.attempt_id)
-        standing = self._standing_for_attach(order, run)
-        _log.emit(
-            base.Event.ATTEMPT_REATTACHED,
-            attempt_id=order.attempt_id,
-            standing=str(standing),
-            next_sequence=order.next_sequence,
-        )
-        is_held = run is not None and run.can_give_from(order.next_sequence)
-        if standing == outcome.Standing.UNKNOWN or not is_held:
-            await connection.send(wire.Revoked(order.attempt_id, str(standing)))
-            return
-        old = run.listener_by_attempt_id.get(order.attempt_id)
-        if old is not None:
-            run.leave(old)
-        self.answers_.start(run, connection, order.attempt_id, order.next_sequence)
-
-    def _standing_for_attach(self, order, run):
-        expires_at = order.expires_at_ms / MILLISECONDS
-        if run is None or order.incarnation != self.ledger.incarnation:
-            return self.ledger.revoke(
-                order.attempt_id, order.incarnation, expires_at, _now()
-            )
-        return self.ledger.standing(order.attempt_id, expires_at, _now())
-
-    def _abandon(self, run):
-        is_wanted = run.listener_by_attempt_id or not run.order.repeatable
-        if run.end_ is None and not is_wanted:
-            _log.emit(base.Event.RUN_ABANDONED, **_ids(run.order))
-            self._stop_run(run)
-
     def _stop_run(self, run):
         task = self._task_by_run.get(run)
         if task is not None:
@@ -356,14 +294,5 @@
     return asyncio.get_running_loop().time()
 
 
-def _ids(order):
-    """Return what each log line about an attempt names."""
-    return {
-        "request_id": order.request_id,
-        "attempt_id": order.attempt_id,
-        "config_version": order.config_version,
-    }
-
-
 def _result(run):
     return str(run.end_.kind) if isinstance(run.end_, wire.Refused) else "answered"
--- a/libs/entry/src/sequoiagap/entry/_admission.py
+++ b/libs/entry/src/sequoiagap/entry/_admission.py
@@ -155,13 +155,15 @@
         account = request.account
         turns = self._turns(request.target)
         weight = self._weight(account)
-        if not again and turns.try_take(account, weight):
+        candidates = turns.candidates()
+        if not again and turns.try_take(account, weight, candidates):
             return None
         turn = asyncio.get_running_loop().create_future()
         if again:
             turns.queue.put_back(account, turn, weight)
         else:
-            shed = turns.queue.offer(account, turn, weight, turns.slots())
+            slots = turns.slots(candidates)
+            shed = turns.queue.offer(account, turn, weight, slots)
             if shed is not None:
                 return self._refuse(request, shed.predicted_wait_s, shed.retry_after_s)
         entered = time.monotonic()
@@ -247,7 +249,7 @@
     async def _on_usage(self, connection, report):
         grown = self.usage_.take(report, time.monotonic())
         for turns in self._turns_by_target.values():
-            slots = turns.slots()
+            slots = turns.slots(turns.candidates())
             for account, used_s in grown.items():
                 weight = self._weight(account)
                 turns.queue.record_remote(account, used_s, weight, slots)
--- a/libs/entry/src/sequoiagap/entry/_attempt.py
+++ b/libs/entry/src/sequoiagap/entry/_attempt.py
@@ -32,6 +32,25 @@
         is_unknown = refusal is not None and refusal.outcome == base.Outcome.UNKNOWN
         return is_unknown and not self.owner
 
+    def describe(self):
+        """Return outcome and reason as plain data.
+
+        :rtype: dict
+        """
+        refusal = self.refusal
+        if refusal is None:
+            return {"outcome": str(base.Outcome.ANSWERED)}
+        details = {
+            "outcome": str(refusal.outcome),
+            "kind": str(refusal.kind),
+            "reason": refusal.message,
+        }
+        if refusal.setting:
+            details["setting"] = refusal.setting
+        if self.owner:
+            details["owner"] = self.owner
+        return details
+
 
 class Attempt:
     """Follows one attempt.
--- a/libs/entry/src/sequoiagap/entry/_dispatch.py
+++ b/libs/entry/src/sequoiagap/entry/_dispatch.py
@@ -1,4 +1,4 @@
-"""Attempts of a request: choice, retrying and the final outcome."""
+"""Attempts of a request: retrying and the final outcome."""
 
 import asyncio
 import dataclasses
@@ -6,8 +6,8 @@
 
 import expression
 
-from sequoiagap import base, outcome, routing, wire
-from sequoiagap.entry import _attempt, _link
+from sequoiagap import base, wire
+from sequoiagap.entry import _attempt, _choice, _decisions, _link
 
 MAX_ATTEMPTS = 4
 RECLAIM_DELAY_S = 0.3
@@ -110,7 +110,10 @@
         self.budget = budget
         self.journal = journal
         self.random_state = random_state
-        self._policy_by_name = {}
+        self._chooser = _choice.EndpointChooser(
+            links, holder, random_state, failure_domain
+        )
+        self._decisions = _decisions.DecisionLog(journal, _log)
         self._timers = set()
         self._stopping = False
 
@@ -176,30 +179,8 @@
         return True
 
     def _choose(self, request, progress):
-        candidates = self.links.candidates(request.target)
-        by_id = {view.endpoint_id: view for view in candidates}
-        if progress.owner:
-            owner, progress.owner = progress.owner, ""
-            return by_id.get(owner)
-        fresh = [view for view in candidates if view.endpoint_id not in progress.tried]
-        if not fresh:
-            return None
-        if request.is_claimed:
-            identity = outcome.claim_id(
-                request.account, request.target, request.idempotency_key
-            )
-            ids = [view.endpoint_id for view in fresh]
-            return by_id[outcome.rank_by_affinity(identity, ids)[0]]
-        context = routing.make_context(
-            time.monotonic(), self.failure_domain, request.target, request.body
-        )
-        return self._policy().choose(fresh, self.random_state, context)
-
-    def _policy(self):
-        name = self.holder.current_.document.routing.policy
-        if name not in self._policy_by_name:
-            self._policy_by_name[name] = routing.POLICIES.get(name)()
-        return self._policy_by_name[name]
+        owner, progress.owner = progress.owner, ""
+        return self._chooser.choose(request, progress.tried, owner)
 
     async def _may_retry(self, request, end, sink, progress):
         """Tell whether another attempt may follow; waits where it has to."""
@@ -288,47 +269,24 @@
         return dataclasses.replace(refusal, config_version=version)
 
     def _note_sent(self, request, attempt_id, view):
-        version = self.holder.current_.number
-        self.journal.record(
-            request.request_id,
-            "attempt_sent",
-            version,
-            attempt_id=attempt_id,
-            endpoint=view.endpoint_id,
-            failure_domain=view.failure_domain,
-        )
-        _log.emit(
+        self._decisions.note(
             base.Event.ATTEMPT_SENT,
             request_id=request.request_id,
+            config_version=self.holder.current_.number,
             attempt_id=attempt_id,
             endpoint=view.endpoint_id,
-            config_version=version,
+            failure_domain=view.failure_domain,
         )
 
     def _note_end(self, request, order, view, end, reattached):
-        refusal = end.refusal
-        result = base.Outcome.ANSWERED if refusal is None else refusal.outcome
-        details = {"outcome": str(result)}
-        if refusal is not None:
-            details |= {"kind": str(refusal.kind), "reason": refusal.message}
-        if refusal is not None and refusal.setting:
-            details["setting"] = refusal.setting
-        if end.owner:
-            details["owner"] = end.owner
+        details = end.describe()
         if reattached:
             details["reattached"] = reattached
-        self.journal.record(
-            request.request_id,
-            "attempt_ended",
-            order.config_version,
-            attempt_id=order.attempt_id,
-            endpoint=view.endpoint_id,
-            **details,
-        )
-        _log.emit(
+        self._decisions.note(
             base.Event.ATTEMPT_ENDED,
             request_id=request.request_id,
-            attempt_id=order.attempt_id,
             config_version=order.config_version,
+            attempt_id=order.attempt_id,
+            endpoint=view.endpoint_id,
             **details,
         )
--- a/libs/entry/src/sequoiagap/entry/_turns.py
+++ b/libs/entry/src/sequoiagap/entry/_turns.py
@@ -40,7 +40,14 @@
         self.running_ = 0
         self._is_pumping = False
 
-    def try_take(self, account, weight):
+    def candidates(self):
+        """Return the endpoints that can take work now.
+
+        :rtype: list[sequoiagap.routing.EndpointView]
+        """
+        return self.find_candidates(self.target)
+
+    def try_take(self, account, weight, candidates):
         """Take a turn at once if nobody waits and a slot is expected to be free.
 
         Where no endpoint can take work at all, the turn is given too: the
@@ -48,9 +55,9 @@
 
         :param str account: client account.
         :param float weight: its effective weight.
+        :param list candidates: what :meth:`candidates` returned just now.
         :rtype: bool
         """
-        candidates = self.find_candidates(self.target)
         if candidates and (self.queue.size_ or not self._has_slot(candidates)):
             return False
         self.queue.charge_start(account, weight)
@@ -78,15 +85,16 @@
         finally:
             self.queue.remove(account, turn)
 
-    def slots(self):
+    def slots(self, candidates):
         """Return how many slots this entry counts on when it predicts a wait.
 
         That is its part of all slots, or those in use here if they are more: the
         ones in use alone may be very few for a moment.
 
+        :param list candidates: what :meth:`candidates` returned just now.
         :rtype: int
         """
-        limits = sum(view.limit for view in self.find_candidates(self.target))
+        limits = sum(view.limit for view in candidates)
         return max(self.running_, limits // self.count_entries(), 1)
 
     def leave(self):
@@ -98,7 +106,7 @@
         """Give turns for as long as a slot is expected to be free."""
         if not self.queue.size_:
             return
-        candidates = self.find_candidates(self.target)
+        candidates = self.candidates()
         while self.queue.size_ and (not candidates or self._has_slot(candidates)):
             _, turn = self.queue.pop()
             if not turn.done():
--- a/tests/agent/test_executor.py
+++ b/tests/agent/test_executor.py
@@ -4,7 +4,7 @@
 import unittest
 
 from sequoiagap import config, outcome, wire
-from sequoiagap.agent import _executor, _runs
+from sequoiagap.agent import _executor, _follow_ups, _runs
 from tests import support, virtual
 from tests.entry import simulation
 
@@ -103,7 +103,7 @@
             await self.send(order())
             await asyncio.sleep(1.5)
             self.executor.forget_connection(self.entry)
-            await asyncio.sleep(_executor.GRACE_S - 0.1)
+            await asyncio.sleep(_follow_ups.GRACE_S - 0.1)
             self.assertEqual(self.endpoint.ended, [])
             await asyncio.sleep(0.2)
             self.assertEqual(self.endpoint.ended, ["a1"])
--- a/tests/entry/test_turns.py
+++ b/tests/entry/test_turns.py
@@ -22,9 +22,10 @@
     def test_entry_counts_on_its_part_of_the_slots(self):
         for entries, expected in ((1, 12), (3, 4), (24, 1)):
             with self.subTest(entries=entries):
-                self.assertEqual(make_turns(entries).slots(), expected)
+                turns = make_turns(entries)
+                self.assertEqual(turns.slots(turns.candidates()), expected)
 
     def test_slots_in_use_count_where_they_are_more(self):
         turns = make_turns(entries=3)
         turns.running_ = 9
-        self.assertEqual(turns.slots(), 9)
+        self.assertEqual(turns.slots(turns.candidates()), 9)
