--- a/libs/entry/src/sequoiagap/entry/_links.py
+++ b/libs/entry/src/sequoiagap/entry/_links.py
@@ -118,19 +118,17 @@
         :rtype: list[sequoiagap.routing.EndpointView]
         """
         now = time.monotonic()
-        usable = [
-            link
-            for link in self.by_id.values()
-            if target in link.view.serves
-            and endpoint_id in ("", link.view.endpoint_id)
-            and self.is_usable(link, now)
-        ]
-        chosen = [link for link in usable if self.is_wanted(link.view.endpoint_id)]
-        if any(link.view.endpoint_id not in tried for link in chosen):
-            usable = chosen
-        for link in usable:
-            link.view.unanswered_s = link.unanswered_s(now)
-        return routing.filter_by_role([link.view for link in usable])
+        views = []
+        for link in self.by_id.values():
+            view = link.view
+            is_asked_for = endpoint_id in ("", view.endpoint_id)
+            if target in view.serves and is_asked_for and self.is_usable(link, now):
+                view.unanswered_s = link.unanswered_s(now)
+                views.append(view)
+        able = routing.filter_by_role(views)
+        chosen = [view for view in able if self.is_wanted(view.endpoint_id)]
+        is_chosen_left = any(view.endpoint_id not in tried for view in chosen)
+        return chosen if is_chosen_left else able
 
     def suspect(self, node_id, incarnation):
         """Give an agent no new work until it gives a sign of life.
