Cut a domain off for longer than callers wait, also in silence

Cause: the test cut a failure domain off for 1.5 s while callers waited for 30, so it passed with retries and the watch over silent connections off: a request could sit the cut out. Now the cut lasts 5.5 s, callers wait 4, and connections that fall silent are a case beside those that are cut.

Seen failing: silence not noticed, 2 of 143 got no answer. Not shown failing where connections are cut: one attempt only, and silence not noticed, passed.

--- a/tests/entry/test_domain_moves.py
+++ b/tests/entry/test_domain_moves.py
@@ -12,6 +12,8 @@
 FLOOD_RATE = 100.0
 SMALL_RATE = 4.0
 PHASE_S = 1.5
+CUT_S = support.FEW_SECONDS_S + PHASE_S
+PATIENT_S = 30.0
 MAX_OFFERED = 1.1
 SEED = 5
 LONG_TOKENS = 1000
@@ -42,16 +44,19 @@
             "ordered, platform down": (self._order_out_then_outage, self._end_and_in),
             "silent, platform down": (self._silence_in_outage, self._wake),
             "cut off from the others": (self._cut_off, self._heal),
+            "cut off in silence": (self._cut_off_in_silence, self._heal),
             "killed and started again": (self._kill, self._start_again),
         }
         for name, (leave, come_back) in moves.items():
             with self.subTest(name):
+                # Nobody inside or outside of a cut may wait for its end.
+                away_s = CUT_S if come_back == self._heal else PHASE_S
                 load = standins.AccountLoad("large", RATE, stream=False)
-                generator = self._generator([load])
-                sending = asyncio.create_task(generator.run(PHASE_S * 3))
+                generator = self._generator([load], support.FEW_SECONDS_S)
+                sending = asyncio.create_task(generator.run(PHASE_S * 2 + away_s))
                 await asyncio.sleep(PHASE_S / 2)
                 await leave()
-                await asyncio.sleep(PHASE_S)
+                await asyncio.sleep(away_s)
                 await come_back()
                 book = await sending
                 total = book.total()
@@ -97,9 +102,9 @@
         status, _ = await self.post_model("entry-1", key="small-key", max_tokens=1)
         return status == 200
 
-    def _generator(self, loads):
+    def _generator(self, loads, timeout_s=PATIENT_S):
         urls = [self.fleet.url(name) for name in self.fleet.entry_names()]
-        return standins.LoadGenerator(urls, loads, random.Random(SEED))
+        return standins.LoadGenerator(urls, loads, random.Random(SEED), timeout_s)
 
     async def _order(self, state):
         changes = {"failure_domains": {DOMAIN: {"state": state}}}
@@ -128,11 +133,14 @@
         self._signal(signal.SIGCONT)
         await self.fleet.set_faults("platform", down=False)
 
-    async def _cut_off(self):
+    async def _cut_off_in_silence(self):
+        await self._cut_off(standins.LinkMode.SILENT)
+
+    async def _cut_off(self, mode=standins.LinkMode.CUT):
         inside = ["entry-2", *self._names()]
         known = [*self.fleet.entry_names(), *self.fleet.endpoint_names()]
         outside = [name for name in known if name not in inside]
-        self.fleet.relays_.cut_between(inside, outside)
+        self.fleet.relays_.cut_between(inside, outside, mode)
         self.fleet.relays_.cut_platform(inside)
 
     async def _heal(self):
