--- a/tests/agent/test_orders.py
+++ b/tests/agent/test_orders.py
@@ -152,6 +152,34 @@
                     await bench.desk._send(bench.order(order_id, number))
                 self.assertEqual(bench.loaded(), loaded)
 
+    async def test_an_order_on_the_wire_of_a_killed_agent(self):
+        """An engine that checks refuses it; another may carry it out late."""
+        for checks_fencing, loaded in ((False, "first"), (True, "second")):
+            with self.subTest(checks=checks_fencing):
+                bench = await self.make_bench(checks_fencing)
+                port = int(bench.endpoint.url.rpartition(":")[2])
+                relay = standins.Relay(port)
+                await relay.start()
+                self.addAsyncCleanup(relay.close)
+                direct = bench.endpoint
+                url = f"http://127.0.0.1:{relay.port_}"
+                bench.endpoint = direct.model_copy(update={"url": url})
+                bench.replace_agent()
+                relay.set_mode(standins.LinkMode.SILENT)
+                first = await bench.take_number("first")
+                on_wire = asyncio.create_task(
+                    bench.desk._send(bench.order("first", first))
+                )
+                await asyncio.sleep(LATE_S)
+                on_wire.cancel()
+                bench.endpoint = direct
+                bench.replace_agent()
+                second = await bench.take_number("second")
+                self.assertEqual(await bench.deliver("second", second), "done")
+                relay.heal()
+                await asyncio.sleep(2 * LATE_S)
+                self.assertEqual(bench.loaded(), loaded)
+
     async def test_numbers_are_settled_truthfully(self):
         bench = await self.make_bench(False)
         bench.platform.faults_.set({"lose_answers": 1})
