--- a/libs/entry/src/sequoiagap/entry/_state.py
+++ b/libs/entry/src/sequoiagap/entry/_state.py
@@ -32,6 +32,8 @@
             "reachable": entry.watch_.reachable_,
             "behind": entry.watch_.behind_,
             "age_ms": entry.duty_.age_ms(time.monotonic()),
+            "polling_list": entry.host_list_.polling_,
+            "list_age_ms": entry.host_list_.age_ms(),
         },
         "peers": sorted({c.peer.node_id for c in entry.mesh_.connections_}),
         "platform_calls": entry.platform_.calls_,
