Split the documents that a fleet's processes start from off the fleet

Keys, secret, first configuration and the settings of a node are written by _documents.py; nothing else changes. test_thin_path and tests.standins pass.

--- a/libs/standins/src/sequoiagap/standins/_fleet.py
+++ b/libs/standins/src/sequoiagap/standins/_fleet.py
@@ -1,21 +1,19 @@
 """A fleet of real processes on one machine, with stand-ins around it."""
 
 import asyncio
-import hashlib
 import json
-import os
 import pathlib
 import signal
 import sys
 
 import aiohttp
 
-from sequoiagap.standins import _process, _relays
+from sequoiagap.standins import _documents, _process, _relays
 
 READY_TIMEOUT_S = 20.0
 POLL_S = 0.05
 CALLER_KEY = "caller-key"
-OPERATOR_KEY = "operator-key"
+OPERATOR_KEY = _documents.OPERATOR_KEY
 
 
 class Fleet:
@@ -147,15 +145,7 @@
 
         :rtype: dict
         """
-        return {
-            "failure_domains": {
-                domain: {"state": "in"} for domain in self.plan.domains
-            },
-            "models": {"desk-model": {"repeatable": True}},
-            "services": {"orders": {"repeatable": False}},
-            "client_accounts": {name: {"weight": 1} for name in self.plan.accounts},
-            **self.plan.config,
-        }
+        return _documents.first_config(self.plan)
 
     async def start_entry(self, index):
         """Start an entry, or start it again.
@@ -212,7 +202,7 @@
         await self._start_process(name, command)
 
     async def _start(self):
-        self._write_shared_files()
+        _documents.write_shared_files(self.folder, self.plan.accounts)
         await self.start_stand_in("platform", "platform", self.plan.platform)
         if self.plan.configured:
             await self._write_config()
@@ -254,18 +244,8 @@
             port = self.process_by_name["platform"].ready_["port"]
             port = await self.relays_.platform_port(name, port)
             url = f"http://127.0.0.1:{port}"
-        return {
-            "node_id": name,
-            "deployment": "quickstart",
-            "region": "local",
-            "failure_domain": domain,
-            "address": "127.0.0.1",
-            "port": 0,
-            "platform": {"url": url, "timeout_s": 0.5},
-            "secret_file": str(self.folder / "secret"),
-            **self.plan.node,
-            "seeds": self._seeds(name, domain),
-        }
+        settings = _documents.node_settings(self.plan, self.folder, name, domain, url)
+        return settings | {"seeds": self._seeds(name, domain)}
 
     def _seeds(self, name, domain):
         """Return the addresses of the entries of a domain that run already."""
@@ -319,16 +299,3 @@
         value = {"number": 1, "document": self.first_config(), "history": []}
         body = {"expected_version": 0, "value": value}
         await self.call("platform", "PUT", "/objects/sequoiagap-config", body)
-
-    def _write_shared_files(self):
-        keys = {
-            "accounts": {name: [_digest(f"{name}-key")] for name in self.plan.accounts},
-            "operators": {"operator": [_digest(OPERATOR_KEY)]},
-        }
-        (self.folder / "keys.json").write_text(json.dumps(keys))
-        secret = self.folder / "secret"
-        secret.write_text(os.urandom(16).hex())
-
-
-def _digest(key):
-    return hashlib.sha256(key.encode()).hexdigest()
