--- a/libs/standins/src/sequoiagap/standins/_fleet.py
+++ b/libs/standins/src/sequoiagap/standins/_fleet.py
@@ -181,11 +181,7 @@
             **self.plan.endpoint,
         }
         node = await self._node(name, domain)
-        settings = node | {
-            "role": "agent",
-            "endpoint": endpoint,
-            **self.plan.agent,
-        }
+        settings = node | {"role": "agent", "endpoint": endpoint, **self.plan.agent}
         await self._start_role("agent", name, settings)
         host = await self._host(name, "agent", domain, serves)
         await self.call("platform", "PUT", f"/hosts/{name}", host)
