Bound the links opened in a second, and look at agents only when they change

Cause: a flood of requests for a model whose endpoints all take no work would have opened and closed links without end, and the choice went through all known agents four times a second to see whether they had changed. 20 links a second are opened on demand at most, and an agent that takes no work is avoided for 10 s. Agents are looked at when the list or a word of others changes them.

--- a/libs/entry/src/sequoiagap/entry/_config_api.py
+++ b/libs/entry/src/sequoiagap/entry/_config_api.py
@@ -183,10 +183,10 @@
         return _responses.refusal_response(refusal, patch_id)
 
     def _is_known_domain(self, domain):
-        links = self.facts.links.by_id.values()
+        agents = self.facts.links.directory_.by_id.values()
         return isinstance(domain, str) and (
             domain in self.holder.current_.document.failure_domains
-            or any(link.view.failure_domain == domain for link in links)
+            or any(agent.host.failure_domain == domain for agent in agents)
         )
 
     def _bad_request(self, message, remedy):
--- a/libs/entry/src/sequoiagap/entry/_demand.py
+++ b/libs/entry/src/sequoiagap/entry/_demand.py
@@ -9,6 +9,7 @@
 TRY_S = 0.75
 POLL_S = 0.01
 AT_ONCE = 2
+MAX_OPENED_PER_S = 20
 
 _log = base.get_logger("links")
 
@@ -25,6 +26,8 @@
         self.links = links
         self.selection = selection
         self.max_extra = max_extra
+        self._second = 0
+        self._opened_in_second = 0
 
     async def reach(self, target, tried=(), endpoint_id=""):
         """See to it that an endpoint for a request can be used, if one can.
@@ -71,6 +74,8 @@
         for wanted_id in wanted:
             if wanted_id in tried:
                 continue
+            if wanted_id not in self.links.by_id and not self._may_open(now):
+                break
             connecting += self._connect(wanted_id, now)
             if connecting >= AT_ONCE:
                 break
@@ -80,16 +85,26 @@
         """Open a link unless there is one; return whether it may open soon."""
         link = self.links.by_id.get(endpoint_id)
         if link is None:
-            if not self._make_room():
-                return False
             link = self.links.open(endpoint_id)
             _log.emit(base.Event.LINK_ON_DEMAND, endpoint=endpoint_id)
         if link.reachability_.is_unreachable or link.is_down(now, TRY_S):
             if not self.links.is_wanted(endpoint_id):
                 self.selection.avoid(endpoint_id, now)
             return False
+        if link.is_open and not self.links.is_wanted(endpoint_id):
+            self.selection.avoid(endpoint_id, now)  # it takes no work now
         return not link.is_open
 
+    def _may_open(self, now):
+        """Bound the links and those opened in a second, whatever requests want."""
+        if int(now) != self._second:
+            self._second = int(now)
+            self._opened_in_second = 0
+        if self._opened_in_second >= MAX_OPENED_PER_S or not self._make_room():
+            return False
+        self._opened_in_second += 1
+        return True
+
     def _make_room(self):
         extras = self.links.extras()
         if len(extras) < self.max_extra:
--- a/libs/entry/src/sequoiagap/entry/_links.py
+++ b/libs/entry/src/sequoiagap/entry/_links.py
@@ -70,6 +70,7 @@
     def drop_gone(self):
         """Close the links of agents that are neither listed nor alive."""
         for endpoint_id in self.directory_.drop_gone(time.monotonic()):
+            self.selection_.note_agents_changed()
             self.close_link(endpoint_id)
             _log.emit(base.Event.ENDPOINT_GONE, endpoint=endpoint_id)
 
@@ -261,4 +262,5 @@
             endpoint_id = member.host.host_id
             self.close_link(endpoint_id)
             self.selection_.welcome(endpoint_id)
+            self.selection_.note_agents_changed()
             _log.emit(base.Event.ENDPOINT_SEEN, endpoint=endpoint_id)
--- a/libs/entry/src/sequoiagap/entry/_selection.py
+++ b/libs/entry/src/sequoiagap/entry/_selection.py
@@ -28,7 +28,8 @@
         self.find_entries = find_entries
         self.chosen_ = frozenset()
         self.awaited_ = frozenset()
-        self._learnt = None
+        self._learnt_entries = None
+        self._agents_changed = True
         self._seen = None
         self._leaving = frozenset()
         self._avoid_until_by_id = {}
@@ -42,14 +43,19 @@
         """Teach the chooser the agents and entries, if they have changed."""
         if not self.is_limited:
             return
-        hosts = {i: member.host for i, member in self.directory.by_id.items()}
-        learnt = (hosts, dict(self.find_entries()))
-        if self._learnt == learnt:
+        entries = self.find_entries()
+        if not self._agents_changed and entries == self._learnt_entries:
             return
+        self._agents_changed = False
+        hosts = {i: member.host for i, member in self.directory.by_id.items()}
         # A copy learns in a thread: to rank thousands takes tens of milliseconds.
         chooser = copy.copy(self.chooser)
-        self.chooser = await asyncio.to_thread(chooser.fit, *learnt)
-        self._learnt = learnt
+        self.chooser = await asyncio.to_thread(chooser.fit, hosts, entries)
+        self._learnt_entries = entries
+
+    def note_agents_changed(self):
+        """Note that agents came, went or moved."""
+        self._agents_changed = True
 
     def update(self, link_by_id, now):
         """Choose anew if something has changed.
@@ -61,7 +67,7 @@
             self.chosen_ = frozenset(self.directory.by_id)
             self.awaited_ = frozenset()
             return
-        if self._learnt is None:
+        if self._learnt_entries is None:
             return
         lost = self._find_lost(link_by_id, now)
         resting = self._find_resting(link_by_id)
@@ -124,7 +130,10 @@
         known = self.directory.by_id
         seen = self._leaving.union(link_by_id, self.chosen_)
         self._leaving = frozenset(i for i in seen if i in known and known[i].leaving)
-        domains = {member.host.failure_domain for member in known.values()}
+        domains = {
+            *self.holder.current_.document.failure_domains,
+            *self.holder.local_by_domain,
+        }
         out = {d for d in domains if self.holder.forbidding_setting(d, "")}
         drained = {
             endpoint_id
