--- a/libs/entry/src/sequoiagap/entry/_chooser.py
+++ b/libs/entry/src/sequoiagap/entry/_chooser.py
@@ -1,6 +1,7 @@
 """Choice of the agents that an entry keeps links to."""
 
 import functools
+import itertools
 
 import xxhash
 
@@ -125,11 +126,13 @@
     def serving(self, target):
         """Yield the agents that serve a model or service, preferred first.
 
+        Near and far ones take turns, as a whole failure domain may be lost.
+
         :param str target: the model or service.
         :rtype: collections.abc.Iterator[str]
         """
-        for ids in self._targets.get(target, ()):
-            yield from ids
+        for pair in itertools.zip_longest(*self._targets.get(target, ())):
+            yield from (agent_id for agent_id in pair if agent_id is not None)
 
     def _take(self, chosen, ids, room):
         for agent_id in ids:
--- a/tests/entry/test_links_choice.py
+++ b/tests/entry/test_links_choice.py
@@ -91,6 +91,13 @@
         for ids in choose_all(self.hosts, self.entries, self.max_links).values():
             self.assertLessEqual(set(few), ids)
 
+    def test_near_and_far_agents_of_a_model_take_turns_on_demand(self):
+        chooser = _chooser.LinkChooser("entry-0-0", "domain-0", self.max_links)
+        chooser.fit(self.hosts, self.entries)
+        order = [self.domain(a) == "domain-0" for a in chooser.serving("model-1")]
+        self.assertEqual(order[:6], [True, False] * 3)
+        self.assertEqual(len(order), len(self.hosts) / MODELS)
+
     def test_every_agent_stays_linked_when_an_entry_is_lost(self):
         for lost in list(self.entries)[::5]:
             rest = {e: ids for e, ids in self.chosen.items() if e != lost}
