--- a/libs/agent/src/sequoiagap/agent/_orders.py
+++ b/libs/agent/src/sequoiagap/agent/_orders.py
@@ -5,7 +5,7 @@
 
 import aiohttp
 
-from sequoiagap import base, members, wire
+from sequoiagap import base, members, platform, wire
 from sequoiagap.agent import _roles
 
 ORDER_TIMEOUT_S = 30.0
@@ -148,9 +148,9 @@
 
         :rtype: bool
         """
-        timeout = aiohttp.ClientTimeout(total=STATUS_TIMEOUT_S)
         async with (
-            aiohttp.ClientSession(timeout=timeout) as session,
+            asyncio.timeout(STATUS_TIMEOUT_S),
+            aiohttp.ClientSession(timeout=platform.UNTIMED) as session,
             session.get(f"{self.endpoint.url}/orders") as response,
         ):
             if response.status == NOT_FOUND_STATUS:
@@ -159,7 +159,6 @@
             return bool(document.get("at_work"))
 
     async def _send(self, order):
-        timeout = aiohttp.ClientTimeout(total=self.timeout_s)
         body = {
             "order_id": order.order_id,
             "fencing": order.fencing,
@@ -168,7 +167,8 @@
         }
         try:
             async with (
-                aiohttp.ClientSession(timeout=timeout) as session,
+                asyncio.timeout(self.timeout_s),
+                aiohttp.ClientSession(timeout=platform.UNTIMED) as session,
                 session.post(f"{self.endpoint.url}/orders", json=body) as response,
             ):
                 if response.status < 400:
--- a/libs/agent/src/sequoiagap/agent/_rank_engine.py
+++ b/libs/agent/src/sequoiagap/agent/_rank_engine.py
@@ -1,11 +1,12 @@
 """HTTP calls to the rank's engine about its expert map."""
 
+import asyncio
 import base64
 import dataclasses
 
 import aiohttp
 
-from sequoiagap import base, experts
+from sequoiagap import base, experts, platform
 
 CALL_TIMEOUT_S = 1.0
 
@@ -43,6 +44,25 @@
     return EngineKind(lead_steps=0, holds_on_prepare=True)
 
 
+class UnstoppableEngineError(base.ConfigError):
+    """The engine can't be stopped at a step, so no group can rely on it."""
+
+
+@ENGINE_KINDS.register("never_holds")
+def _never_holds():
+    """Engines that switch at a step by themselves and can't be stopped.
+
+    Armed for a step they would switch there whether or not the other ranks have
+    armed too. A message that is late then gives two maps in one step, and nothing
+    that the agents do can prevent it.
+    """
+    raise UnstoppableEngineError(
+        "endpoint.engine: engines of kind never_holds can't be kept to one map",
+        "Leave out the section group, which keeps the map that the engines have, "
+        "or let the engines hold at a step until they are told to go on",
+    )
+
+
 class EngineUnavailableError(base.SequoiagapError):
     """The engine gave no usable answer."""
 
@@ -91,7 +111,7 @@
 
     async def open(self):
         """Open the client session."""
-        self._session = aiohttp.ClientSession()
+        self._session = aiohttp.ClientSession(timeout=platform.UNTIMED)
 
     async def close(self):
         """Close the client session."""
@@ -146,11 +166,10 @@
         await self._call("POST", "/group/stage", body, timeout_s)
 
     async def _call(self, method, path, body=None, timeout_s=CALL_TIMEOUT_S):
-        timeout = aiohttp.ClientTimeout(total=timeout_s)
         url = self.settings.url + path
-        request = self._session.request(method, url, json=body, timeout=timeout)
+        request = self._session.request(method, url, json=body)
         try:
-            async with request as response:
+            async with asyncio.timeout(timeout_s), request as response:
                 document = await response.json()
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             raise _unavailable(error) from error
--- a/libs/base/src/sequoiagap/base/_events.py
+++ b/libs/base/src/sequoiagap/base/_events.py
@@ -47,6 +47,7 @@
     RUN_ABANDONED = 1211
     CONNECTION_SUSPECT = 1212
     STREAM_RESUMED = 1213
+    CALLER_LEFT = 1214
     CONFIG_ADOPTED = 1301
     CONFIG_ACCEPTED = 1302
     CONFIG_REFUSED = 1303
@@ -71,6 +72,7 @@
     ENDPOINT_LEAVING = 1421
     PEER_OPENED = 1422
     PEER_CLOSED = 1423
+    LINK_ON_DEMAND = 1424
     RANK_STARTED = 1501
     RANK_JOINED = 1502
     RANK_UNREACHABLE = 1503
@@ -116,6 +118,7 @@
     Event.RUN_ABANDONED: "A run was stopped, as nobody waits for its answer.",
     Event.CONNECTION_SUSPECT: "Connections to the endpoint failed; none is used again.",
     Event.STREAM_RESUMED: "A cut stream goes on at its offset, at the same engine.",
+    Event.CALLER_LEFT: "A caller left or was cut off before its whole answer.",
     Event.CONFIG_ADOPTED: "A process adopted a configuration version.",
     Event.CONFIG_ACCEPTED: "An operator's patch became a version.",
     Event.CONFIG_REFUSED: "An operator's patch was refused.",
@@ -143,6 +146,7 @@
     Event.ENDPOINT_LEAVING: "An endpoint's agent says that it leaves.",
     Event.PEER_OPENED: "A connection to another entry is open.",
     Event.PEER_CLOSED: "A connection to another entry has closed.",
+    Event.LINK_ON_DEMAND: "A further agent is linked, as a request needs it.",
     Event.RANK_STARTED: "A rank's engine or agent is fresh and asks its peers.",
     Event.RANK_JOINED: "A rank got a peer's answer; joined says whether it takes part.",
     Event.RANK_UNREACHABLE: "The engine of a rank does not answer its agent.",
--- a/libs/platform/src/sequoiagap/platform/_sessions.py
+++ b/libs/platform/src/sequoiagap/platform/_sessions.py
@@ -4,6 +4,10 @@
 
 from sequoiagap import base
 
+# Calls are bounded by asyncio.timeout: a timer of aiohttp that ends a request in
+# the same turn of the event loop as a cancellation from outside swallows the latter.
+UNTIMED = aiohttp.ClientTimeout(total=None)
+
 
 class HttpSessions:
     """Lends a client session; after a failure a fresh one takes its place.
@@ -11,8 +15,12 @@
     What lost one kept-alive connection may have lost them all unseen, so none
     of them is used again. Calls under way over the old session go on.
 
+    The sessions bound no call: whoever borrows one does, by ``asyncio.timeout``.
+
     :param dict options: arguments of each :class:`aiohttp.ClientSession` but its
-        connector.
+        connector and timeout.
+    :param socket_factory: function of an address information that opens sockets;
+        the library's own by default.
 
     .. code-block:: python
 
@@ -21,8 +29,9 @@
                 ...
     """
 
-    def __init__(self, options=None):
+    def __init__(self, options=None, socket_factory=None):
         self.options = options or {}
+        self.socket_factory = socket_factory
         self._current = None
         self._count_by_session = {}
         self._closing = base.TaskSet()
@@ -33,8 +42,12 @@
         :rtype: contextlib.AbstractContextManager
         """
         if self._current is None or self._current.closed:
-            connector = aiohttp.TCPConnector(limit=0)
-            self._current = aiohttp.ClientSession(connector=connector, **self.options)
+            connector = aiohttp.TCPConnector(
+                limit=0, socket_factory=self.socket_factory
+            )
+            self._current = aiohttp.ClientSession(
+                connector=connector, timeout=UNTIMED, **self.options
+            )
         return _Loan(self, self._current)
 
     def renew(self, failed):
--- a/tests/routing/test_policies.py
+++ b/tests/routing/test_policies.py
@@ -40,6 +40,10 @@
             ),
             "warmth": (make_view(0, state="warming"), make_view(1)),
             "own failure domain": (make_view(0, "south"), make_view(1)),
+            "own failure domain before a little wait": (
+                make_view(0, "south", limit=64),
+                make_view(1, limit=64, own_in_flight=1),
+            ),
             "wait before failure domain": (make_view(0, **busy), make_view(1, "south")),
         }
         context = routing.RouteContext(NOW, "north")
@@ -95,6 +99,13 @@
             arrived[view.endpoint_id] += 1
         self.assertLessEqual(arrived["endpoint-11"], 20 / 2)
 
+    def test_slow_endpoints_do_not_keep_the_draws_that_meet_only_them(self):
+        """Two ranks of a slow group and one endpoint that is fast."""
+        slow = [make_view(i, service_time_s=1.6, own_in_flight=1) for i in range(2)]
+        fast = make_view(2, own_in_flight=2)
+        chosen = count_choices([*slow, fast], routing.RouteContext(NOW, "north"))
+        self.assertGreater(chosen[fast.endpoint_id], 600 * 0.8)
+
     def test_old_reports_of_others_count_less_and_own_attempts_always(self):
         view = make_view(0, own_in_flight=4)
         load = wire.Load("warm", in_flight=16, limit=16, service_time_s=0.2)
