Take work from the first version on, without another reading of the platform

An agent that had started before the first configuration was written took a version from an entry, but became ready only at its next reading of the platform, 0.5 s apart; on a quiet machine the commands are quicker than that.

Ruled out: the limited links, and roles (the endpoint was warm, connected and chosen); lost offers (the refusal named version 8, which the agent had).

After the platform's word the agent now waits for the first version and is ready at once. The new test read the platform twice before.

--- a/libs/agent/src/sequoiagap/agent/_spread.py
+++ b/libs/agent/src/sequoiagap/agent/_spread.py
@@ -43,8 +43,9 @@
         began = time.monotonic()
         while not self.holder.ready_.is_set():
             if await self._read(store) or time.monotonic() - began > LEARN_BOUND_S:
-                self._become_ready()
-            await asyncio.sleep(LEARN_RETRY_S)
+                await self._become_ready()
+            else:
+                await asyncio.sleep(LEARN_RETRY_S)
 
     async def greet(self, connection):
         """Offer an entry on a new connection what this process has.
@@ -85,6 +86,11 @@
         self.holder.adopt(head.version, "platform", head.steps())
         return True
 
-    def _become_ready(self):
-        if self.holder.known_.is_set():
-            self.holder.ready_.set()
+    async def _become_ready(self):
+        """Take work from the first version on; wait for it until the next reading."""
+        try:
+            async with asyncio.timeout(LEARN_RETRY_S):
+                await self.holder.known_.wait()
+        except TimeoutError:
+            return
+        self.holder.ready_.set()
--- a/tests/agent/test_guard.py
+++ b/tests/agent/test_guard.py
@@ -85,3 +85,31 @@
             await guard.wait_idle()
         refusals = [item for item in connection.sent if isinstance(item, wire.Refused)]
         return seen, refusals[0] if refusals else None
+
+
+class EmptyPlatform:
+    """Answers that there is no configuration; counts how often it was asked."""
+
+    def __init__(self):
+        self.reads = 0
+
+    async def get(self, name):
+        """Return no object."""
+        self.reads += 1
+
+
+class LearnTest(unittest.IsolatedAsyncioTestCase):
+    async def test_first_version_is_worked_under_before_the_platform_is_read_again(
+        self,
+    ):
+        support.silence_logs()
+        platform = EmptyPlatform()
+        holder = config.ConfigHolder()
+        learning = asyncio.create_task(agent.ConfigSpread(holder, platform).learn())
+        while not platform.reads:
+            await asyncio.sleep(0)
+        holder.adopt(config.ConfigVersion(1, FREE), "entry")
+        async with asyncio.timeout(support.FEW_SECONDS_S):
+            await learning
+        self.assertTrue(holder.ready_.is_set())
+        self.assertEqual(platform.reads, 1)
--- a/tests/entry/simulation.py
+++ b/tests/entry/simulation.py
@@ -166,7 +166,6 @@
     serves_whole = True
     in_flight_ = 0
     foreign_ = 0
-    role_ = "both"
 
     def limit(self, now):
         """Return the limit."""
