--- a/tests/agent/test_guard.py
+++ b/tests/agent/test_guard.py
@@ -92,10 +92,12 @@
 
     def __init__(self):
         self.reads = 0
+        self.was_read = asyncio.Event()
 
     async def get(self, name):
         """Return no object."""
         self.reads += 1
+        self.was_read.set()
 
 
 class LearnTest(unittest.IsolatedAsyncioTestCase):
@@ -106,8 +108,7 @@
         platform = EmptyPlatform()
         holder = config.ConfigHolder()
         learning = asyncio.create_task(agent.ConfigSpread(holder, platform).learn())
-        while not platform.reads:
-            await asyncio.sleep(0)
+        await platform.was_read.wait()
         holder.adopt(config.ConfigVersion(1, FREE), "entry")
         async with asyncio.timeout(support.FEW_SECONDS_S):
             await learning
