Move the simulated worlds out of the tests, which benchmarks share with them

Now simulations/ holds them: the rank group with its scenarios, its reduction and its exploration as modules of their own, the deployment and what surrounds it, the fleet that exchanges usage, the platform of claims and the virtual clock. Assertions stay in tests/ unchanged.

--- a/benchmarks/change_worlds.py
+++ b/benchmarks/change_worlds.py
@@ -9,33 +9,24 @@
 import itertools
 import time
 
-from tests.experts import change_model, test_change_model
+from simulations import group_exploration, group_scenarios, group_world
 
 MAX_WORLDS = 1_000_000
 WANTED = {"one map": ("b", "", ""), "two maps": ("b", "c", "")}
 CRASHES = {"agent": ("agent",), "engine, alone or with agent": ("engine", "both")}
 
 
-def make_world(wanted, crashes, rank):
-    """Return the first world."""
-    name = "benchmark"
-    test_change_model.SCENARIOS[name] = {
-        "rounds": (1, 1, 0),
-        "wanted": wanted,
-        "crashes": crashes,
-        "crash_ranks": (rank,),
-    }
-    return test_change_model.make_world(name)
-
-
 def main():
     print("| proposers want | dies | rank | worlds | all | CPU s |")
     print("| --- " * 6 + "|")
-    cases = itertools.product(WANTED, CRASHES, range(change_model.RANKS))
+    cases = itertools.product(WANTED, CRASHES, range(group_world.RANKS))
     for wanted, crashes, rank in cases:
-        world = make_world(WANTED[wanted], CRASHES[crashes], rank)
+        scenario = group_scenarios.Scenario(
+            (1, 1, 0), WANTED[wanted], CRASHES[crashes], crash_ranks=(rank,)
+        )
+        world = group_scenarios.make_world(scenario)
         began = time.process_time()
-        visited, complete = change_model.explore(world, MAX_WORLDS)
+        visited, complete = group_exploration.explore(world, MAX_WORLDS)
         took_s = time.process_time() - began
         print(
             f"| {wanted} | {crashes} | {rank} | {visited} | "
--- a/benchmarks/claims_sustained.py
+++ b/benchmarks/claims_sustained.py
@@ -13,8 +13,8 @@
 import random
 import tracemalloc
 
-from tests import support, virtual
-from tests.outcome import test_claims
+from simulations import claims_platform, virtual
+from tests import support
 
 from sequoiagap import outcome
 from sequoiagap.outcome import _affinity
@@ -22,7 +22,7 @@
 TIMEOUT_S = 2.0
 
 
-class CountingPlatform(test_claims.FakePlatform):
+class CountingPlatform(claims_platform.ClaimsPlatform):
     """Counts reads and the bytes of writes."""
 
     def __init__(self):
--- a/benchmarks/usage.py
+++ b/benchmarks/usage.py
@@ -11,7 +11,7 @@
 import random
 import statistics
 
-from tests.admission import usage_fleet
+from simulations import usage_fleet
 
 from sequoiagap import admission, wire
 
--- a/tests/experts/change_model.py
+++ b/simulations/group_world.py
@@ -1,15 +1,8 @@
-"""Exhaustive exploration of the change protocol over its real decision code.
+"""A rank group in memory whose change protocol runs its real decision code.
 
 A world is three ranks with their engines, the proposers' rounds and every
 message in flight. Each choice (deliver any message, step, start a round, crash,
 restart) leads to another world; messages may come in any order or never.
-
-Worlds that can't differ in what follows are taken as one. Left out of a world are
-answers to a phase that is over, requests that their receiver will refuse for good,
-and rounds that wait for an answer that can't come any more. An answer that only
-adds to what a proposer has gathered touches no engine and commutes with every other
-choice, so it is delivered at once; whether an answer is such a one is found by
-giving it to a copy of the round, not taken from what a right round would do.
 """
 
 import copy
@@ -33,18 +26,6 @@
     experts.Settled: "on_settled",
 }
 
-ANSWERED_PHASE = {
-    experts.Promise: experts.Phase.PREPARING,
-    experts.Armed: experts.Phase.ARMING,
-}
-
-
-REQUESTS = (experts.Prepare, experts.Arm, experts.Settle)
-REQUEST_IN = {
-    experts.Phase.PREPARING: (experts.Prepare, experts.Promise),
-    experts.Phase.ARMING: (experts.Arm, experts.Armed),
-}
-
 
 class TwoMapsError(Exception):
     """Two ranks used different maps in one step."""
@@ -55,13 +36,9 @@
 
     :param type rank_type: class of the ranks' decisions.
     :param type round_type: class of the proposers' decisions.
-    :param bool reduces: whether worlds that can't differ in what follows are one.
     """
 
-    def __init__(
-        self, rank_type=experts.RankState, round_type=experts.Round, reduces=True
-    ):
-        self.reduces = reduces
+    def __init__(self, rank_type=experts.RankState, round_type=experts.Round):
         self.rank_type = rank_type
         self.round_type = round_type
         self.engines = [
@@ -105,106 +82,19 @@
         for rank in touched:
             world.own(rank)
         world.choose(choice)
-        changed = set(touched) | world.settle_answers() | world.drop_dead_rounds()
-        for rank in changed:
-            world.rank_keys[rank] = world.rank_key(rank)
+        world.note_changes(touched)
         return world
 
+    def note_changes(self, ranks):
+        """Take what tells the states of changed ranks from others anew."""
+        for rank in ranks:
+            self.rank_keys[rank] = self.rank_key(rank)
+
     def own(self, rank):
         """Copy what belongs to a rank, so that it may change."""
-        self.engines[rank] = _copied(self.engines[rank])
-        self.states[rank] = _copied(self.states[rank])
-        self.rounds[rank] = _copied(self.rounds[rank])
-
-    def settle_answers(self):
-        """Deliver answers that commute with every choice; return who got one."""
-        changed = set()
-        self.prune()
-        for message in sorted(self.messages) if self.reduces else ():
-            _, receiver, payload = message
-            if type(_decode(payload)) not in ANSWERED_PHASE:
-                continue
-            after = self._gathered(receiver, payload)
-            if after is not None:
-                self.messages.remove(message)
-                self.rounds[receiver] = after
-                changed.add(receiver)
-        self.prune()
-        return changed
-
-    def _gathered(self, receiver, payload):
-        """Return the round with one more answer, or ``None`` if more follows."""
-        item = _decode(payload)
-        after = _copied(self.rounds[receiver])
-        phase = after.phase_
-        sends = getattr(after, ANSWERS[type(item)])(item)
-        if not sends and after.phase_ in (phase, experts.Phase.FAILED):
-            return after
-        return None
-
-    def drop_dead_rounds(self):
-        """Drop rounds that can do nothing any more; return their ranks."""
-        if not self.reduces:
-            return set()
-        dropped = set()
-        awaited = {
-            (type(item), item.rank, item.epoch)
-            for item in (_decode(payload) for _, _, payload in self.messages)
-            if type(item) in ANSWERED_PHASE
-        }
-        asked = {
-            (type(item), receiver, item.epoch)
-            for _, receiver, payload in self.messages
-            for item in (_decode(payload),)
-            if type(item) in (experts.Prepare, experts.Arm)
-        }
-        for rank, current in enumerate(self.rounds):
-            if current is not None and not _may_go_on(current, asked, awaited):
-                self.rounds[rank] = None
-                dropped.add(rank)
-        if dropped:
-            self.prune()
-        return dropped
-
-    def prune(self):
-        """Drop messages that can have no effect any more."""
-        self.messages = [m for m in self.messages if self._matters(m)]
-
-    def _matters(self, message):
-        sender, receiver, payload = message
-        item = _decode(payload)
-        if type(item) in ANSWERED_PHASE:
-            return self._is_in(receiver, item, ANSWERED_PHASE[type(item)])
-        if type(item) is experts.Settled:
-            return False
-        if self.crashes_left or type(item) not in REQUESTS or not self.reduces:
-            return True
-        state = self.states[receiver]
-        if state is None or not self._refuses_for_good(state, item):
-            return True
-        # A refused ``Arm`` makes its proposer drop the round.
-        return type(item) is experts.Arm and self._is_in(
-            sender, item, experts.Phase.ARMING
-        )
-
-    def _is_in(self, rank, item, phase):
-        current = self.rounds[rank]
-        return current is not None and (current.epoch, current.phase_) == (
-            item.epoch,
-            phase,
-        )
-
-    def _refuses_for_good(self, state, item):
-        """Tell whether a rank refuses a request now and in all that may follow."""
-        if item.epoch < state.promised_:
-            return True
-        if state._is_current(item):
-            return False
-        counted_on = self.incarnations[item.membership]
-        return any(
-            incarnation > counted_on[rank]
-            for rank, incarnation in state.incarnation_by_rank.items()
-        )
+        self.engines[rank] = copy_decisions(self.engines[rank])
+        self.states[rank] = copy_decisions(self.states[rank])
+        self.rounds[rank] = copy_decisions(self.rounds[rank])
 
     def rank_key(self, rank):
         """Return what tells the state of one rank from others."""
@@ -332,7 +222,7 @@
     def deliver(self, message):
         """Deliver one message."""
         sender, receiver, payload = message
-        item = _decode(payload)
+        item = decode_payload(payload)
         state = self.states[receiver]
         if state is None:
             return
@@ -384,65 +274,20 @@
         return all(engine.can_step() for engine in self.engines)
 
 
-def explore(world, max_worlds, max_step=2, check_progress_every=0, engine_states=None):
-    """Visit every world that can be reached, in breadth.
+@functools.cache
+def decode_payload(payload):
+    """Return the message of a payload; every caller gets the same one.
 
-    :param World world: where to start.
-    :param int max_worlds: stop after so many.
-    :param int max_step: no step beyond this one.
-    :param int check_progress_every: check progress from every so many-th world.
-    :param set engine_states: takes each state of the engines that was met.
-    :returns: how many worlds were visited, and whether that was all of them.
-    :rtype: tuple[int, bool]
-    :raises TwoMapsError: if a step can use two maps.
-    :raises AssertionError: if the group can't recover.
+    :param bytes payload: an encoded message.
     """
-    seen = {hash(world.key())}
-    queue = [world]
-    visited = 0
-    while queue:
-        current = queue.pop()
-        visited += 1
-        if engine_states is not None:
-            engine_states.add(tuple(key[1] for key in current.rank_keys))
-        if visited > max_worlds:
-            return visited, False
-        if check_progress_every and visited % check_progress_every == 0:
-            assert copy.deepcopy(current).recover(), f"no progress: {current.key()}"
-        for choice in current.choices():
-            if choice[0] == "step" and current.engines[0].step_ >= max_step:
-                continue
-            following = current.following(choice)
-            key = hash(following.key())
-            if key not in seen:
-                seen.add(key)
-                queue.append(following)
-    return visited, True
-
-
-def _may_go_on(current, asked, awaited):
-    """Tell whether a round can still send something."""
-    if current.phase_ not in REQUEST_IN:
-        return False
-    request, answer = REQUEST_IN[current.phase_]
-    coming = [
-        (request, rank, current.epoch) in asked
-        or (answer, rank, current.epoch) in awaited
-        for rank in range(RANKS)
-        if rank not in current.answered_
-    ]
-    if current.phase_ == experts.Phase.PREPARING:
-        return all(coming)
-    return any(coming)
-
-
-@functools.cache
-def _decode(payload):
     return wire.decode(payload)
 
 
-def _copied(item):
-    """Return a copy whose sets, dicts and lists are its own."""
+def copy_decisions(item):
+    """Return a copy whose sets, dicts and lists are its own.
+
+    :param item: an object of decision code, or ``None``.
+    """
     if item is None:
         return None
     copied = object.__new__(type(item))
--- a/tests/admission/test_collectors.py
+++ b/tests/admission/test_collectors.py
@@ -3,9 +3,10 @@
 import random
 import unittest
 
+from simulations import usage_fleet
+
 from sequoiagap import admission
 from tests import support
-from tests.admission import usage_fleet
 
 ENTRIES = 36
 ACCOUNTS = 50
--- a/tests/agent/test_executor.py
+++ b/tests/agent/test_executor.py
@@ -3,10 +3,11 @@
 import asyncio
 import unittest
 
+from simulations import requests_fakes, virtual
+
 from sequoiagap import config, outcome, wire
 from sequoiagap.agent import _executor, _follow_ups, _runs
-from tests import support, virtual
-from tests.entry import simulation
+from tests import support
 
 EXPIRES_S = 60.0
 
@@ -73,7 +74,7 @@
     def run_on(self, scenario, **endpoint):
         async def run():
             self.endpoint = FakeEndpoint(**endpoint)
-            self.gate = simulation.Gate()
+            self.gate = requests_fakes.Gate()
             self.executor = _executor.Executor(
                 self.endpoint,
                 self.gate,
--- a/tests/agent/test_first_bytes.py
+++ b/tests/agent/test_first_bytes.py
@@ -5,8 +5,9 @@
 import itertools
 import unittest
 
+from simulations import virtual
+
 from sequoiagap.agent import _first_bytes, _load_report
-from tests import virtual
 
 PROBE_S = 0.25
 BOUND_S = 20.0
--- a/tests/entry/test_requests_interleaved.py
+++ b/tests/entry/test_requests_interleaved.py
@@ -5,17 +5,18 @@
 import unittest
 from unittest import mock
 
+from simulations import requests_fakes, requests_world, virtual
+
 from sequoiagap import base, wire
 from sequoiagap.entry import _dispatch
-from tests import support, virtual
-from tests.entry import simulation
+from tests import support
 
 SEEDS = range(40)
 REQUESTS = 16
 SETTLE_S = 30.0
 LATE_ANSWER_S = 0.05
 
-ALL = simulation.Faults(
+ALL = requests_world.Faults(
     cut=0.01,
     crash=0.01,
     pause=0.02,
@@ -26,10 +27,10 @@
     endpoint=0.05,
 )
 TABLE = {
-    "cut": simulation.Faults(cut=0.05, late=0.7, duplicate=0.05),
-    "crash": simulation.Faults(crash=0.05, cut=0.01, late=0.7),
-    "pause": simulation.Faults(pause=0.08, cut=0.02, late=0.7),
-    "platform": simulation.Faults(lost_write=0.4, down=0.1, pause=0.03),
+    "cut": requests_world.Faults(cut=0.05, late=0.7, duplicate=0.05),
+    "crash": requests_world.Faults(crash=0.05, cut=0.01, late=0.7),
+    "pause": requests_world.Faults(pause=0.08, cut=0.02, late=0.7),
+    "platform": requests_world.Faults(lost_write=0.4, down=0.1, pause=0.03),
     "all": ALL,
 }
 
@@ -39,7 +40,7 @@
     """One request and what became of it."""
 
     request: _dispatch.Request
-    sink: simulation.Sink
+    sink: requests_fakes.Sink
     result: object = None
     seconds: float = 0.0
 
@@ -62,7 +63,7 @@
 
     def test_without_faults_all_are_answered(self):
         for seed in range(5):
-            _, calls = simulation_of(seed, simulation.Faults())
+            _, calls = simulation_of(seed, requests_world.Faults())
             self.assertTrue(all(call.result.is_ok() for call in calls))
 
     def test_the_simulation_does_harm(self):
@@ -80,7 +81,7 @@
         for key, count in world.executions.items():
             self.assertLessEqual(count, 1, key)
         for call in calls:
-            self.assertLess(call.seconds, simulation.DEADLINE_S + LATE_ANSWER_S)
+            self.assertLess(call.seconds, requests_world.DEADLINE_S + LATE_ANSWER_S)
             if call.result.is_ok():
                 self.assertEqual(call.sink.data_, f"answer of {call.key} ".encode())
         for key, again in world.later_by_key.items():
@@ -99,7 +100,7 @@
 
 
 async def _simulate(seed, faults):
-    world = simulation.World(seed, faults)
+    world = requests_world.World(seed, faults)
     with mock.patch.object(wire, "connect", world.connect):
         for dispatcher in world.dispatchers:
             dispatcher.links.run()
@@ -115,13 +116,13 @@
 
 async def _call_keys_again(world, calls):
     """Call each key once more without faults: an unused one must not be stuck."""
-    faults, world.faults = world.faults, simulation.Faults()
+    faults, world.faults = world.faults, requests_world.Faults()
     await asyncio.sleep(SETTLE_S)
     world.executions_before = dict(world.executions)
     world.later_by_key = {}
     for call in calls:
         if call.request.idempotency_key and call.key not in world.later_by_key:
-            again = Call(call.request, simulation.Sink())
+            again = Call(call.request, requests_fakes.Sink())
             await _send(world, again)
             world.later_by_key[call.key] = again.result
     world.faults = faults
@@ -141,14 +142,16 @@
         repeatable=False,
         idempotency_key=key,
     )
-    return Call(request, simulation.Sink())
+    return Call(request, requests_fakes.Sink())
 
 
 async def _send(world, call):
     loop = asyncio.get_running_loop()
     await asyncio.sleep(world.random.uniform(0, 8))
     began = loop.time()
-    request = dataclasses.replace(call.request, deadline=began + simulation.DEADLINE_S)
+    request = dataclasses.replace(
+        call.request, deadline=began + requests_world.DEADLINE_S
+    )
     dispatcher = world.random.choice(world.dispatchers)
     call.result = await dispatcher.dispatch(request, call.sink)
     call.seconds = loop.time() - began
--- a/tests/entry/test_usage_exchange.py
+++ b/tests/entry/test_usage_exchange.py
@@ -4,9 +4,11 @@
 import types
 import unittest
 
+from simulations import virtual
+
 from sequoiagap import admission, wire
 from sequoiagap.entry import _peers, _usage_exchange
-from tests import support, virtual
+from tests import support
 
 DOMAINS = ("north", "middle", "south")
 LARGE = 12
--- a/tests/experts/test_change_model.py
+++ b/tests/experts/test_change_model.py
@@ -2,27 +2,26 @@
 
 import unittest
 
+from simulations import group_exploration, group_scenarios, group_world
+
 from sequoiagap import experts
-from tests.experts import change_model
 
 MAX_WORLDS = 60_000
 PROGRESS_EVERY = 97
 SCENARIOS = {
-    "a change and a second proposer that settles": {"rounds": (1, 1, 0)},
-    "two proposers that want different maps": {
-        "rounds": (1, 1, 0),
-        "wanted": ("b", "c", ""),
-    },
-    "an agent dies and starts again": {"rounds": (1, 0, 0), "crashes": ("agent",)},
-    "an engine dies, alone or with its agent": {
-        "rounds": (1, 0, 0),
-        "crashes": ("engine", "both"),
-    },
-    "two proposers, and one of them dies, its engine, or both": {
-        "rounds": (1, 1, 0),
-        "crashes": ("agent", "engine", "both"),
-        "crash_ranks": (0,),
-    },
+    "a change and a second proposer that settles": group_scenarios.Scenario((1, 1, 0)),
+    "two proposers that want different maps": group_scenarios.Scenario(
+        (1, 1, 0), wanted=("b", "c", "")
+    ),
+    "an agent dies and starts again": group_scenarios.Scenario(
+        (1, 0, 0), crashes=("agent",)
+    ),
+    "an engine dies, alone or with its agent": group_scenarios.Scenario(
+        (1, 0, 0), crashes=("engine", "both")
+    ),
+    "two proposers, and one dies, its engine, or both": group_scenarios.Scenario(
+        (1, 1, 0), crashes=("agent", "engine", "both"), crash_ranks=(0,)
+    ),
 }
 PLAIN = "an agent dies and starts again"  # small enough to visit without reduction
 
@@ -65,27 +64,14 @@
 }
 
 
-def make_world(scenario, **types):
-    """Return the first world of a scenario."""
-    plan = SCENARIOS[scenario]
-    world = change_model.World(**types)
-    world.rounds_left = list(plan["rounds"])
-    world.wanted = list(plan.get("wanted", ("b", "", "")))
-    world.crash_kinds = plan.get("crashes", ())
-    world.crash_ranks = plan.get("crash_ranks", range(change_model.RANKS))
-    world.crashes_left = 1 if world.crash_kinds else 0
-    for engine in world.engines:
-        for digest in filter(None, world.wanted):
-            engine.stage(digest)
-    return world
-
-
 class ChangeModelTest(unittest.TestCase):
     def test_all_worlds_keep_one_map_and_make_progress(self):
         for name in SCENARIOS:
             with self.subTest(name):
-                visited, complete = change_model.explore(
-                    make_world(name), MAX_WORLDS, check_progress_every=PROGRESS_EVERY
+                visited, complete = group_exploration.explore(
+                    group_scenarios.make_world(SCENARIOS[name]),
+                    MAX_WORLDS,
+                    check_progress_every=PROGRESS_EVERY,
                 )
                 self.assertTrue(complete, f"stopped after {visited} worlds")
                 self.assertGreater(visited, 1000)
@@ -94,13 +80,16 @@
         met = []
         for reduces in (True, False):
             states = set()
-            world = make_world(PLAIN, reduces=reduces)
-            _, complete = change_model.explore(world, MAX_WORLDS, engine_states=states)
+            world = group_scenarios.make_world(SCENARIOS[PLAIN])
+            _, complete = group_exploration.explore(
+                world, MAX_WORLDS, engine_states=states, reduces=reduces
+            )
             self.assertTrue(complete)
             met.append(states)
         self.assertEqual(met[0], met[1])
 
     def test_broken_variants_are_caught(self):
         for name, (types, scenario) in BROKEN.items():
-            with self.subTest(name), self.assertRaises(change_model.TwoMapsError):
-                change_model.explore(make_world(scenario, **types), MAX_WORLDS)
+            with self.subTest(name), self.assertRaises(group_world.TwoMapsError):
+                world = group_scenarios.make_world(SCENARIOS[scenario], **types)
+                group_exploration.explore(world, MAX_WORLDS)
--- a/tests/outcome/test_claims.py
+++ b/tests/outcome/test_claims.py
@@ -4,73 +4,17 @@
 import dataclasses
 import unittest
 
-from sequoiagap import base, outcome, platform
+from simulations import claims_platform, virtual
+
+from sequoiagap import outcome
 from sequoiagap.outcome import _affinity, _claims
-from tests import support, virtual
-
-DELAY_S = 0.01
-
-
-class FakePlatform:
-    """Objects in memory; the next writes may be lost, late or refused."""
-
-    def __init__(self):
-        self.object_by_name = {}
-        self.writes = 0
-        self.faults = []
-        self.down = False
-        self.denied = set()
-
-    async def get(self, name):
-        await self._call("get")
-        return self.object_by_name.get(name)
-
-    async def put(self, name, value, expected_version):
-        await self._call("put" if "-0-" in name else "put_head")
-        fault = self.faults.pop(0) if self.faults else None
-        if fault == "late":
-            loop = asyncio.get_running_loop()
-            loop.call_later(3.0, self._write_late, name, value, expected_version)
-            raise base.PlatformError("no answer", "", effect_unknown=True)
-        stored = self._write(name, value, expected_version)
-        if fault == "lost":
-            raise base.PlatformError("no answer", "", effect_unknown=True)
-        return stored
-
-    async def delete(self, name, expected_version):
-        await self._call("delete")
-        if self._version(name) != expected_version:
-            raise platform.ObjectConflict(name, self._version(name))
-        self.object_by_name.pop(name)
-
-    async def _call(self, kind):
-        await asyncio.sleep(DELAY_S)
-        if self.down or kind in self.denied:
-            raise base.PlatformError("down", "")
-
-    def _version(self, name):
-        known = self.object_by_name.get(name)
-        return 0 if known is None else known.version
-
-    def _write_late(self, *write):
-        try:
-            self._write(*write)
-        except platform.ObjectConflict:
-            return
-
-    def _write(self, name, value, expected_version):
-        if self._version(name) != expected_version:
-            raise platform.ObjectConflict(name, self._version(name))
-        self.writes += 1
-        stored = platform.StoredObject(name, self.writes, value)
-        self.object_by_name[name] = stored
-        return stored
+from tests import support
 
 
 class ClaimStoreTest(unittest.TestCase):
     def setUp(self):
         support.silence_logs()
-        self.platform = FakePlatform()
+        self.platform = claims_platform.ClaimsPlatform()
         self.now = 1000.0
         self.count = 0
 
@@ -132,7 +76,7 @@
     def test_write_of_unknown_effect(self):
         for fault in ("lost", "late"):
             with self.subTest(fault):
-                self.platform = FakePlatform()
+                self.platform = claims_platform.ClaimsPlatform()
 
                 async def scenario(fault=fault):
                     store = self.store()
@@ -148,13 +92,15 @@
     def test_withdrawn_wish_leaves_no_claim(self):
         for faults in (["late"], ["lost"], []):
             with self.subTest(faults=faults):
-                self.platform = FakePlatform()
+                self.platform = claims_platform.ClaimsPlatform()
 
                 async def scenario(faults=faults):
                     store = self.store()
                     self.platform.faults = list(faults)
                     # It runs out while the write is under way.
-                    answer = await store.claim(self.wish(store), 1.5 * DELAY_S)
+                    answer = await store.claim(
+                        self.wish(store), 1.5 * claims_platform.DELAY_S
+                    )
                     self.assertEqual(answer.verdict, "too_late")
                     await asyncio.sleep(5.0)
                     other = self.store()
@@ -240,7 +186,7 @@
         }
         for name, (denied, other_does) in table.items():
             with self.subTest(name):
-                self.platform = FakePlatform()
+                self.platform = claims_platform.ClaimsPlatform()
                 self.now = 1000.0
                 self.run_on(lambda d=denied, o=other_does: self._seal_in_outage(d, o))
 
