Set up the platform stand-in of unit tests in one place

Cause: three test classes had the same ten lines, and a benchmark its own copy of the tables of handlers of the change protocol.

The set-up is support.PlatformCase; the benchmark takes the tables of the simulated group. A first form that opened the log for each test failed one of them, since loggers keep the first stream.

--- a/benchmarks/map_change.py
+++ b/benchmarks/map_change.py
@@ -1,6 +1,6 @@
 """Pause, messages and processor time of a change of map, by number of ranks.
 
-Usage: ``python benchmarks/map_change.py [--changes N] [--ranks N ...]``. The
+Usage: ``python -m benchmarks.map_change [--changes N] [--ranks N ...]``. The
 real decision code runs over simulated links with the same delays for each way:
 
 - arm-commit: ranks run on until the armed step;
@@ -18,6 +18,8 @@
 import statistics
 import time
 
+from simulations import group_world
+
 from sequoiagap import experts, wire
 from sequoiagap.standins import _rank_engine
 
@@ -29,16 +31,6 @@
 LATE_S = 0.2
 LOCAL_CALL_S = 0.0005  # one order to the engine on the same host
 LEADER_PAUSE_S = 2.0
-HANDLERS = {
-    experts.Prepare: "on_prepare",
-    experts.Arm: "on_arm",
-    experts.Settle: "on_settle",
-}
-ANSWERS = {
-    experts.Promise: "on_promise",
-    experts.Armed: "on_armed",
-    experts.Settled: "on_settled",
-}
 
 
 class Group:
@@ -158,7 +150,7 @@
         if self.mode == "switch_now" and isinstance(send.item, experts.Prepare):
             engine.take(experts.Order(experts.OrderKind.HOLD, send.item.epoch))
         state.view = engine.view()
-        effects = getattr(state, HANDLERS[type(send.item)])(send.item)
+        effects = getattr(state, group_world.HANDLERS[type(send.item)])(send.item)
         for order in effects.orders:
             engine.take(order)
         delay_s = LOCAL_CALL_S * len(effects.orders)
@@ -168,7 +160,7 @@
         self._at(delay_s, lambda: self._answer(effects.reply))
 
     def _answer(self, reply):
-        self._send_all(getattr(self.round, ANSWERS[type(reply)])(reply))
+        self._send_all(getattr(self.round, group_world.ANSWERS[type(reply)])(reply))
 
     def _count(self, item):
         self.messages += 1
--- a/tests/config/test_store.py
+++ b/tests/config/test_store.py
@@ -3,9 +3,8 @@
 import asyncio
 import json
 import time
-import unittest
 
-from sequoiagap import base, config, platform, standins
+from sequoiagap import base, config, platform
 from tests import support
 
 CALL_TIMEOUT_S = 0.2
@@ -20,16 +19,11 @@
     return config.Patch(patch_id, against, changes, "ann", override)
 
 
-class StoreCase(unittest.IsolatedAsyncioTestCase):
+class StoreCase(support.PlatformCase):
+    call_timeout_s = CALL_TIMEOUT_S
+
     async def asyncSetUp(self):
-        self.log = support.silence_logs()
-        self.stand_in = standins.PlatformStandIn()
-        runner, port = await standins.start(self.stand_in)
-        self.addAsyncCleanup(runner.cleanup)
-        self.client = platform.PlatformClient(
-            f"http://127.0.0.1:{port}", CALL_TIMEOUT_S
-        )
-        self.addAsyncCleanup(self.client.close)
+        await super().asyncSetUp()
         self.store = config.ConfigStore(self.client, bound_s=BOUND_S)
 
     async def accept(self, patch_id, against, changes=None):
--- a/tests/entry/test_config_watch.py
+++ b/tests/entry/test_config_watch.py
@@ -2,9 +2,8 @@
 
 import asyncio
 import time
-import unittest
 
-from sequoiagap import config, platform, standins
+from sequoiagap import config, platform
 from sequoiagap.entry import _watch
 from tests import support
 
@@ -25,20 +24,13 @@
         return status, document
 
 
-class ConfigWatchTest(unittest.IsolatedAsyncioTestCase):
-    @classmethod
-    def setUpClass(cls):
-        cls.log = support.silence_logs()
+class ConfigWatchTest(support.PlatformCase):
+    call_timeout_s = CALL_TIMEOUT_S
 
     async def asyncSetUp(self):
-        self.stand_in = standins.PlatformStandIn()
-        runner, port = await standins.start(self.stand_in)
-        self.addAsyncCleanup(runner.cleanup)
-        url = f"http://127.0.0.1:{port}"
-        self.client = CountingClient(url, CALL_TIMEOUT_S)
-        self.addAsyncCleanup(self.client.close)
-        self.operator = platform.PlatformClient(url, CALL_TIMEOUT_S)
-        self.addAsyncCleanup(self.operator.close)
+        await super().asyncSetUp()
+        self.operator = self.client
+        self.client = self.open_client(CountingClient)
         self.store = config.ConfigStore(self.operator)
         self.holder = config.ConfigHolder()
         self.watch = _watch.ConfigWatch(
--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -2,9 +2,8 @@
 
 import asyncio
 import time
-import unittest
 
-from sequoiagap import base, platform, standins
+from sequoiagap import base
 from tests import support
 
 CALL_TIMEOUT_S = 0.2
@@ -13,16 +12,11 @@
 SILENCE_S = 2.0
 
 
-class BoundsTest(unittest.IsolatedAsyncioTestCase):
+class BoundsTest(support.PlatformCase):
+    call_timeout_s = CALL_TIMEOUT_S
+
     async def asyncSetUp(self):
-        self.log = support.silence_logs()
-        self.stand_in = standins.PlatformStandIn()
-        runner, port = await standins.start(self.stand_in)
-        self.addAsyncCleanup(runner.cleanup)
-        self.client = platform.PlatformClient(
-            f"http://127.0.0.1:{port}", CALL_TIMEOUT_S
-        )
-        self.addAsyncCleanup(self.client.close)
+        await super().asyncSetUp()
         self.stand_in.faults_.set({"silent": True})
 
     async def call_again_and_again(self):
--- a/tests/support.py
+++ b/tests/support.py
@@ -8,7 +8,7 @@
 import time
 import unittest
 
-from sequoiagap import base, standins
+from sequoiagap import base, platform, standins
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 FEW_SECONDS_S = 4.0
@@ -24,6 +24,35 @@
     return stream
 
 
+class PlatformCase(unittest.IsolatedAsyncioTestCase):
+    """Runs each test against a platform stand-in in this process.
+
+    :cvar float call_timeout_s: longest wait of the client for an answer.
+    :ivar sequoiagap.standins.PlatformStandIn stand_in: the platform.
+    :ivar sequoiagap.platform.PlatformClient client: a client of it.
+    """
+
+    call_timeout_s = 0.2
+
+    @classmethod
+    def setUpClass(cls):
+        # Once for each class, since loggers keep the first stream that they met.
+        cls.log = silence_logs()
+
+    async def asyncSetUp(self):
+        self.stand_in = standins.PlatformStandIn()
+        runner, port = await standins.start(self.stand_in)
+        self.addAsyncCleanup(runner.cleanup)
+        self.url = f"http://127.0.0.1:{port}"
+        self.client = self.open_client()
+
+    def open_client(self, client_type=platform.PlatformClient):
+        """Return a client that is closed after the test."""
+        client = client_type(self.url, self.call_timeout_s)
+        self.addAsyncCleanup(client.close)
+        return client
+
+
 class FleetCase(unittest.IsolatedAsyncioTestCase):
     """Runs each test against a fleet of real processes.
 
