Split the table of runs and the choice of peers off, and name sets of states

The table of runs and the choice of peers are modules of their own; the gate asks for NOT_SERVING, RAMPING and PAST_COLD.

--- a/libs/admission/src/sequoiagap/admission/_gate.py
+++ b/libs/admission/src/sequoiagap/admission/_gate.py
@@ -120,10 +120,7 @@
         :param bool is_out: whether the endpoint is to take no new work.
         :param float now: monotonic time in seconds.
         """
-        if is_out and self.state not in (
-            _states.EndpointState.DRAINING,
-            _states.EndpointState.GONE,
-        ):
+        if is_out and self.state not in _states.NOT_SERVING:
             self._was_starting = self.state == _states.EndpointState.STARTING
             self.drain()
         elif not is_out and self.state == _states.EndpointState.DRAINING:
@@ -162,17 +159,11 @@
             it says nothing, as for answers that come in one piece.
         :param float now: monotonic time in seconds.
         """
-        may_learn = self.state in (
-            _states.EndpointState.WARMING,
-            _states.EndpointState.WARM,
-        )
+        is_past_cold = self.state in _states.PAST_COLD
         suspected = bool(first_byte_s) and self.health_.record_answer(
-            first_byte_s, learn=may_learn
+            first_byte_s, learn=is_past_cold
         )
-        if suspected and self.state in (
-            _states.EndpointState.WARMING,
-            _states.EndpointState.WARM,
-        ):
+        if suspected and is_past_cold:
             self._turn_cold(now, "slow_first_byte")
         elif not self.health_.is_slow(first_byte_s):
             self.proven_ += 1
@@ -186,10 +177,7 @@
         :param float now: monotonic time in seconds.
         """
         suspected = self.health_.record_error()
-        is_ramping = self.state in (
-            _states.EndpointState.COLD,
-            _states.EndpointState.WARMING,
-        )
+        is_ramping = self.state in _states.RAMPING
         if is_ramping or (suspected and self.state == _states.EndpointState.WARM):
             self._turn_cold(now, "errors")
 
@@ -202,7 +190,7 @@
         self._advance(now)
         if self.stalled_ or not self.serves_whole:
             return 0
-        if self.state in (_states.EndpointState.COLD, _states.EndpointState.WARMING):
+        if self.state in _states.RAMPING:
             bound = self._ramp_limit(now)
         else:
             bound = self.warm_limit if self.state == _states.EndpointState.WARM else 0
@@ -257,10 +245,7 @@
 
     def _follow_coldness(self, cold, now):
         """Keep the ramp from beginning while the endpoint calls itself cold."""
-        if cold and self.state in (
-            _states.EndpointState.WARM,
-            _states.EndpointState.WARMING,
-        ):
+        if cold and self.state in _states.PAST_COLD:
             self._turn_cold(now, "reported_cold")
         if cold or self._calls_itself_cold:
             self._begin_ramp(now)
@@ -271,7 +256,7 @@
         self.proven_ = 0
 
     def _turn_cold(self, now, reason):
-        if self.state in (_states.EndpointState.DRAINING, _states.EndpointState.GONE):
+        if self.state in _states.NOT_SERVING:
             return
         if self.state != _states.EndpointState.STARTING:
             self.relapses_ += 1
--- a/libs/admission/src/sequoiagap/admission/_states.py
+++ b/libs/admission/src/sequoiagap/admission/_states.py
@@ -14,6 +14,10 @@
     GONE = "gone"
 
 
+NOT_SERVING = (EndpointState.DRAINING, EndpointState.GONE)
+RAMPING = (EndpointState.COLD, EndpointState.WARMING)
+PAST_COLD = (EndpointState.WARMING, EndpointState.WARM)
+
 TRANSITIONS = [
     ["found_cold", ["starting", "cold", "warming", "warm"], "cold"],
     ["begin_warming", "cold", "warming"],
--- a/libs/agent/src/sequoiagap/agent/_executor.py
+++ b/libs/agent/src/sequoiagap/agent/_executor.py
@@ -9,6 +9,7 @@
     _endpoint,
     _follow_ups,
     _refusals,
+    _run_table,
     _runs,
     _slots,
 )
@@ -49,7 +50,7 @@
         self.metrics_ = base.Metrics()
         self.service_time_s_ = 0.0
         self.stopping_ = False
-        self.table_ = _runs.RunTable()
+        self.table_ = _run_table.RunTable()
         self.refusals_ = _refusals.Refusals(holder)
         self._tasks = base.TaskSet()
         self.claims_ = _claim_desk.ClaimDesk(
--- a/libs/entry/src/sequoiagap/entry/_peers.py
+++ b/libs/entry/src/sequoiagap/entry/_peers.py
@@ -5,16 +5,14 @@
 import time
 
 from sequoiagap import base, members, wire
+from sequoiagap.entry import _peer_choice
 
-OWN_DOMAIN_PEERS = 3
-OTHER_DOMAIN_PEERS = 2
 ROUND_INTERVAL_S = 0.5
 HEARTBEAT_INTERVAL_S = 1.0
 RECONNECT_DELAY_S = 0.3
 AVOID_S = 2.0
 SEND_TIMEOUT_S = 0.5
 MAX_HOSTS_TOLD = 2000
-MAX_FULL_MESH = 8
 
 _log = base.get_logger("peers")
 
@@ -113,15 +111,7 @@
         """
         own_id, own_domain = self.settings.node_id, self.settings.failure_domain
         ids_by_domain = self.ids_by_domain(now)
-        is_small = is_full_mesh(ids_by_domain)
-        ids_by_domain[own_domain].remove(own_id)
-        if is_small:
-            return [node_id for ids in ids_by_domain.values() for node_id in ids]
-        near = ids_by_domain.pop(own_domain)
-        chosen = members.choose(own_id, near, OWN_DOMAIN_PEERS)
-        for domain in members.choose(own_id, ids_by_domain, OTHER_DOMAIN_PEERS):
-            chosen += members.choose(own_id, ids_by_domain[domain], 1)
-        return chosen
+        return _peer_choice.choose(own_id, own_domain, ids_by_domain)
 
     def ids_by_domain(self, now):
         """Return the ids of the entries that can be used, this one among them.
@@ -292,15 +282,6 @@
 _SEED_PREFIX = "seed "
 
 
-def is_full_mesh(ids_by_domain):
-    """Return whether so few entries are known that all connect to all.
-
-    :param dict ids_by_domain: ids of entries by failure domain.
-    :rtype: bool
-    """
-    return sum(len(ids) for ids in ids_by_domain.values()) <= MAX_FULL_MESH
-
-
 async def _send(connection, item):
     try:
         async with asyncio.timeout(SEND_TIMEOUT_S):
--- a/libs/entry/src/sequoiagap/entry/_usage_exchange.py
+++ b/libs/entry/src/sequoiagap/entry/_usage_exchange.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from sequoiagap import admission, base, members
-from sequoiagap.entry import _peers
+from sequoiagap.entry import _peer_choice
 
 DIRECT_INTERVAL_S = 0.5
 COLLECTED_INTERVAL_S = 1.0
@@ -46,7 +46,7 @@
         while True:
             now = _now()
             ids_by_domain = self.mesh.ids_by_domain(now)
-            if _peers.is_full_mesh(ids_by_domain):
+            if _peer_choice.is_full_mesh(ids_by_domain):
                 await self._tell_all(now)
                 await asyncio.sleep(DIRECT_INTERVAL_S)
             else:
@@ -131,7 +131,7 @@
     def _find_collectors(self, now):
         """Return the collectors that this entry needs a connection to."""
         ids_by_domain = self.mesh.ids_by_domain(now)
-        if _peers.is_full_mesh(ids_by_domain):
+        if _peer_choice.is_full_mesh(ids_by_domain):
             return []
         by_domain = _choose_collectors(ids_by_domain)
         own = by_domain.get(self.settings.failure_domain, [])
--- a/tests/agent/test_executor.py
+++ b/tests/agent/test_executor.py
@@ -6,7 +6,7 @@
 from simulations import requests_fakes, virtual
 
 from sequoiagap import config, outcome, wire
-from sequoiagap.agent import _executor, _follow_ups, _runs
+from sequoiagap.agent import _executor, _follow_ups, _run_table, _runs
 from tests import support
 
 EXPIRES_S = 60.0
@@ -201,7 +201,7 @@
         table = {
             "never came": (None, 0.0, {}, "never_started"),
             "another incarnation": (order(), 1.0, {"incarnation": "old"}, "unknown"),
-            "answer dropped": (order(), 2 * _runs.HOLD_S, {}, "finished"),
+            "answer dropped": (order(), 2 * _run_table.HOLD_S, {}, "finished"),
         }
         for name, (first, wait_s, changes, expected) in table.items():
             with self.subTest(name):
--- a/tests/entry/test_usage_exchange.py
+++ b/tests/entry/test_usage_exchange.py
@@ -7,7 +7,7 @@
 from simulations import virtual
 
 from sequoiagap import admission, wire
-from sequoiagap.entry import _peers, _usage_exchange
+from sequoiagap.entry import _peer_choice, _usage_exchange
 from tests import support
 
 DOMAINS = ("north", "middle", "south")
@@ -191,6 +191,6 @@
         """Return a collector in use, or the second entry of a small deployment."""
         mesh = network.by_id["entry-0"].mesh
         ids = mesh.ids_by_domain(0.0)
-        if _peers.is_full_mesh(ids):
+        if _peer_choice.is_full_mesh(ids):
             return next(i for i in network.by_id if i not in network.lost)
         return _usage_exchange._choose_collectors(ids)["north"][0]
