--- a/libs/experts/src/sequoiagap/experts/__init__.py
+++ b/libs/experts/src/sequoiagap/experts/__init__.py
@@ -27,6 +27,7 @@
     Stage,
     Staged,
 )
+from sequoiagap.experts._paced import Holdings, Pace, holdings_skew, plan_paced
 from sequoiagap.experts._placement import (
     ExpertMap,
     ExpertMapError,
@@ -53,6 +54,7 @@
     "EngineView",
     "ExpertMap",
     "ExpertMapError",
+    "Holdings",
     "Join",
     "Joined",
     "LoadEstimator",
@@ -64,6 +66,7 @@
     "Move",
     "Order",
     "OrderKind",
+    "Pace",
     "Phase",
     "PlanCosts",
     "PlanInput",
@@ -81,10 +84,12 @@
     "Staged",
     "finish",
     "finish_in_slices",
+    "holdings_skew",
     "initial_map",
     "layer_bound",
     "moves_between",
     "next_epoch",
+    "plan_paced",
     "rank_times",
     "step_skew",
 ]
--- /dev/null
+++ b/libs/experts/src/sequoiagap/experts/_paced.py
@@ -0,0 +1,257 @@
+"""Small, frequent improvements of a placement, priced by copy.
+
+Engines that take a new map while they run, but only a few new experts a rank at a
+time, are best led to a good placement in steps. The load that it answers: demand that
+shifts every few seconds, where a copy costs memory bandwidth and a slow rank every
+pass. Places may be empty; replicas share an expert's load evenly.
+"""
+
+import dataclasses
+
+MAX_EDITS = 64  # of one layer and plan
+MAX_TAKERS = 5  # least loaded ranks that an expert may be given to
+NO_COPY_PRICE = 0.25  # of a copy: an edit that copies nothing is nearly free
+
+
+@dataclasses.dataclass(frozen=True)
+class Holdings:
+    """Which experts each rank holds.
+
+    :param int experts: experts in a layer.
+    :param int slots: experts that a rank holds of a layer at most.
+    :param tuple layers: for each layer a tuple of each rank's tuple of expert ids.
+    """
+
+    experts: int
+    slots: int
+    layers: tuple
+
+    @property
+    def ranks(self):
+        """Number of ranks."""
+        return len(self.layers[0]) if self.layers else 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Pace:
+    """What a plan may do and what it has to bring.
+
+    :param int new_per_rank: experts new to a rank and layer at most; 0 for no bound.
+    :param float copy_s: time that a copy has to save, in seconds.
+    :param float horizon_s: how long the placement is expected to be of use.
+    :param float expert_share: share of a pass that goes to experts.
+    :param float target_skew: skew of a layer that is good enough.
+    """
+
+    new_per_rank: int = 0
+    copy_s: float = 0.01
+    horizon_s: float = 4.0
+    expert_share: float = 1.0
+    target_skew: float = 1.05
+
+
+@dataclasses.dataclass(frozen=True)
+class Edit:
+    """One change of a layer.
+
+    :param tuple adds: pairs of rank and expert to hold from now on.
+    :param tuple drops: pairs of rank and expert to hold no longer.
+    """
+
+    adds: tuple = ()
+    drops: tuple = ()
+
+
+class _Layer:
+    """One layer under way."""
+
+    def __init__(self, held, loads, pace, slots):
+        self.loads = loads
+        self.pace = pace
+        self.slots = slots
+        self.old = [frozenset(experts) for experts in held]
+        self.held = [set(experts) for experts in held]
+        self.holders = [set() for _ in loads]
+        for rank, experts in enumerate(held):
+            for expert in experts:
+                self.holders[expert].add(rank)
+        self.times = [self._time(rank) for rank in range(len(held))]
+        self.copies = 0
+
+    def share(self, expert):
+        return self.loads[expert] / len(self.holders[expert])
+
+    def find_edit(self):
+        """Return the best edit for the slowest rank, what it brings and its copies."""
+        slowest = max(range(len(self.times)), key=self.times.__getitem__)
+        longest = self.times[slowest]
+        best, best_value, best_gain, best_copies = None, 0.0, 0.0, 0
+        for edit in self._edits(slowest):
+            gain = longest - self._worst_after(edit, slowest)
+            if gain <= longest * 1e-4:
+                continue
+            copies = sum(e not in self.old[r] for r, e in edit.adds)
+            value = gain / (copies or NO_COPY_PRICE)
+            if value > best_value:
+                best, best_value = edit, value
+                best_gain, best_copies = gain, copies
+        return best, best_gain, best_copies
+
+    def apply(self, edit):
+        touched = set()
+        for rank, expert in edit.adds:
+            self.held[rank].add(expert)
+            self.holders[expert].add(rank)
+            touched |= self.holders[expert]
+        for rank, expert in edit.drops:
+            self.held[rank].discard(expert)
+            touched |= self.holders[expert]
+            self.holders[expert].discard(rank)
+        for rank in touched:
+            self.times[rank] = self._time(rank)
+
+    def rows(self):
+        """Return each rank's experts, those that it kept first in their old order."""
+        return tuple(tuple(sorted(experts)) for experts in self.held)
+
+    def _time(self, rank):
+        return sum(self.share(expert) for expert in self.held[rank])
+
+    def _edits(self, slowest):
+        experts = sorted(self.held[slowest], key=self.share, reverse=True)
+        ranks = sorted(range(len(self.times)), key=self.times.__getitem__)
+        for expert in experts:
+            if len(self.holders[expert]) > 1:
+                yield Edit(drops=((slowest, expert),))
+            takers = 0
+            for rank in ranks:
+                if rank == slowest or expert in self.held[rank]:
+                    continue
+                if self._may_add(rank, expert):
+                    yield from self._additions(slowest, rank, expert)
+                    takers += 1
+                if takers >= MAX_TAKERS:
+                    break
+
+    def _additions(self, slowest, rank, expert):
+        """Yield edits that give an expert of the slowest rank to another rank."""
+        if len(self.held[rank]) < self.slots:
+            yield Edit(adds=((rank, expert),))
+            yield Edit(adds=((rank, expert),), drops=((slowest, expert),))
+        for other in self.held[rank]:
+            if len(self.holders[other]) > 1:
+                drop = ((rank, other),)
+                yield Edit(adds=((rank, expert),), drops=drop)
+                yield Edit(adds=((rank, expert),), drops=(*drop, (slowest, expert)))
+            if self._may_swap(slowest, expert, other):
+                yield Edit(
+                    adds=((rank, expert), (slowest, other)),
+                    drops=((slowest, expert), (rank, other)),
+                )
+
+    def _may_swap(self, slowest, expert, other):
+        """Return whether the slowest rank may take a lighter expert for one it has."""
+        is_lighter = self.share(other) < self.share(expert)
+        is_new = other not in self.held[slowest]
+        return is_lighter and is_new and self._may_add(slowest, other)
+
+    def _may_add(self, rank, expert):
+        bound = self.pace.new_per_rank
+        if not bound or expert in self.old[rank]:
+            return True
+        return len(self.held[rank] - self.old[rank]) < bound
+
+    def _worst_after(self, edit, slowest):
+        """Return the longest time of the ranks that an edit touches."""
+        count_by_expert = {}
+        for _, expert in edit.adds:
+            count_by_expert[expert] = count_by_expert.get(expert, 0) + 1
+        for _, expert in edit.drops:
+            count_by_expert[expert] = count_by_expert.get(expert, 0) - 1
+        change_by_rank = {slowest: 0.0}
+        new_share_by_expert = {}
+        for expert, change in count_by_expert.items():
+            holders = self.holders[expert]
+            old_share = self.loads[expert] / len(holders)
+            new_share = self.loads[expert] / (len(holders) + change)
+            new_share_by_expert[expert] = new_share
+            if change:
+                for rank in holders:
+                    change_by_rank[rank] = (
+                        change_by_rank.get(rank, 0.0) + new_share - old_share
+                    )
+        for rank, expert in edit.adds:
+            change = change_by_rank.get(rank, 0.0)
+            change_by_rank[rank] = change + new_share_by_expert[expert]
+        for rank, expert in edit.drops:
+            change = change_by_rank.get(rank, 0.0)
+            change_by_rank[rank] = change - new_share_by_expert[expert]
+        return max(self.times[r] + change for r, change in change_by_rank.items())
+
+
+def plan_paced(current, loads, pace):
+    """Plan the next placement.
+
+    :param Holdings current: the placement in use.
+    :param list loads: predicted share of each expert, layer by layer.
+    :param Pace pace: what the plan may do and has to bring.
+    :returns: a generator that yields between short pieces of work and returns the
+        new :class:`Holdings` and the number of copies.
+    :rtype: collections.abc.Generator
+
+    >>> from sequoiagap.experts import _policies
+    >>> current = Holdings(3, 2, (((0, 1), (2,)),))
+    >>> planned, copies = _policies.finish(plan_paced(current, [[4, 1, 1]], Pace()))
+    >>> planned.layers, copies
+    ((((0, 1), (0, 2)),), 1)
+    """
+    longest = sum(
+        max(_times(row, shares))
+        for row, shares in zip(current.layers, loads, strict=True)
+    )
+    rows, copies = [], 0
+    for held, shares in zip(current.layers, loads, strict=True):
+        layer = _Layer(held, shares, pace, current.slots)
+        floor = pace.target_skew * sum(layer.times) / len(layer.times)
+        for _ in range(MAX_EDITS):
+            if max(layer.times) <= floor:
+                break
+            edit, gain, new = layer.find_edit()
+            yield
+            if edit is None:
+                break
+            saved_s = gain / longest * pace.expert_share * pace.horizon_s
+            if saved_s < new * pace.copy_s:
+                break
+            layer.apply(edit)
+            copies += new
+        rows.append(layer.rows())
+    planned = Holdings(current.experts, current.slots, tuple(rows))
+    return planned, copies
+
+
+def holdings_skew(holdings, loads):
+    """Return longest over mean rank time, summed over the layers.
+
+    :param Holdings holdings: the placement.
+    :param list loads: load of each expert, layer by layer.
+    :rtype: float
+
+    >>> holdings_skew(Holdings(2, 1, (((0,), (1,)),)), [[3, 1]])
+    1.5
+    """
+    longest, mean = 0.0, 0.0
+    for held, shares in zip(holdings.layers, loads, strict=True):
+        times = _times(held, shares)
+        longest += max(times)
+        mean += sum(times) / len(times)
+    return longest / mean if mean else 1.0
+
+
+def _times(held, loads):
+    copies = [0] * len(loads)
+    for experts in held:
+        for expert in experts:
+            copies[expert] += 1
+    shares = [load / max(n, 1) for load, n in zip(loads, copies, strict=True)]
+    return [sum(shares[expert] for expert in experts) for experts in held]
--- /dev/null
+++ b/libs/ranks/src/sequoiagap/ranks/__init__.py
@@ -0,0 +1,44 @@
+"""Agent beside a rank's engine: load reports and changes of expert map."""
+
+from sequoiagap.ranks._agent import RankAgent, run
+from sequoiagap.ranks._change import (
+    ChangePlan,
+    ChangeResult,
+    MapChange,
+    RankReply,
+    Step,
+    make_safe,
+    release,
+    resolve_hold,
+)
+from sequoiagap.ranks._demand import GroupDemand
+from sequoiagap.ranks._leader import GroupLeader
+from sequoiagap.ranks._ports import (
+    EngineReport,
+    ExpertCounts,
+    OrderKind,
+    OrderResult,
+    RankEngine,
+    RankOrder,
+)
+
+__all__ = [
+    "ChangePlan",
+    "ChangeResult",
+    "EngineReport",
+    "ExpertCounts",
+    "GroupDemand",
+    "GroupLeader",
+    "MapChange",
+    "OrderKind",
+    "OrderResult",
+    "RankAgent",
+    "RankEngine",
+    "RankOrder",
+    "RankReply",
+    "Step",
+    "make_safe",
+    "release",
+    "resolve_hold",
+    "run",
+]
--- /dev/null
+++ b/libs/ranks/src/sequoiagap/ranks/_access.py
@@ -0,0 +1,251 @@
+"""Ways to the ranks of a group: by their agents, or straight to their engines."""
+
+import asyncio
+import dataclasses
+import itertools
+
+from sequoiagap import base, wire
+from sequoiagap.ranks import _change, _messages, _ports
+
+ASK_TIMEOUT_S = 0.3
+RECONNECT_S = 0.3
+LINK_PING_S = 1.0
+
+_log = base.get_logger("ranks")
+
+
+class OwnRank:
+    """The rank beside this process.
+
+    :param RankEngine engine: calls of engines.
+    :param str address: where the rank's engine listens.
+    """
+
+    def __init__(self, engine, address):
+        self.engine = engine
+        self.address = address
+
+    async def answer_poll(self, poll):
+        """Return the answer to a poll.
+
+        :param RankPoll poll: the poll.
+        :rtype: RankState
+        """
+        report = await self.engine.report(self.address)
+        state = _state(poll.number, report)
+        if report is None:
+            return state
+        if poll.wants_counts:
+            counts = await self.engine.counts(self.address)
+            if counts is not None and counts.epoch == report.epoch:
+                state.counts = counts.counts
+        if poll.wants_experts:
+            held = await self.engine.held_experts(self.address)
+            if held is not None:
+                state.map_version, state.experts = held
+        return state
+
+    async def answer_order(self, item):
+        """Give an order to the engine and return what came of it.
+
+        :param RankOrderMessage item: the order.
+        :rtype: RankState
+        """
+        order = _ports.RankOrder(
+            kind=_ports.OrderKind(item.kind),
+            epoch=item.epoch,
+            version=item.version,
+            step=item.step,
+            layers=item.layers,
+        )
+        result = await self.engine.order(self.address, order)
+        state = _state(item.number, await self.engine.report(self.address))
+        state.result = str(result)
+        _log.emit(
+            base.Event.RANK_ORDER_SENT,
+            kind=item.kind,
+            leader=item.leader,
+            epoch=item.epoch,
+            version=item.version,
+            step=item.step,
+            result=str(result),
+        )
+        return state
+
+
+class RankLink:
+    """A connection to the agent of another rank, kept open while leading.
+
+    :param gateway.Node node: the agent.
+    :param make_hello: function that returns the :class:`wire.Hello` of this process.
+    """
+
+    def __init__(self, node, make_hello):
+        self.node = node
+        self.make_hello = make_hello
+        self._connection = None
+        self._numbers = itertools.count(1)
+        self._future_by_number = {}
+
+    @property
+    def is_open(self):
+        """Whether the agent is connected."""
+        return self._connection is not None
+
+    async def run(self):
+        """Keep the connection open until cancelled."""
+        while True:
+            try:
+                connection = await wire.connect(
+                    self.node.address, self.node.port, self.make_hello()
+                )
+            except base.WireError:
+                await asyncio.sleep(RECONNECT_S)
+                continue
+            connection.idle_interval_s = LINK_PING_S
+            self._connection = connection
+            try:
+                await connection.run(self._take)
+            finally:
+                self._connection = None
+                self._drop_questions()
+            await asyncio.sleep(RECONNECT_S)
+
+    async def ask(self, item, timeout_s=ASK_TIMEOUT_S):
+        """Send a poll or an order and return the answer.
+
+        :param item: a message with a ``number``, which is set here.
+        :param float timeout_s: longest wait, in seconds.
+        :rtype: RankState | None
+        """
+        connection = self._connection
+        if connection is None:
+            return None
+        item.number = next(self._numbers)
+        future = asyncio.get_running_loop().create_future()
+        self._future_by_number[item.number] = future
+        try:
+            async with asyncio.timeout(timeout_s):
+                await connection.send(item)
+                return await future
+        except (TimeoutError, base.WireError):
+            return None
+        finally:
+            self._future_by_number.pop(item.number, None)
+
+    async def _take(self, item):
+        if isinstance(item, _messages.RankState):
+            future = self._future_by_number.get(item.number)
+            if future is not None and not future.done():
+                future.set_result(item)
+
+    def _drop_questions(self):
+        for future in self._future_by_number.values():
+            if not future.done():
+                future.set_result(None)
+
+
+class GroupAccess:
+    """Reaches every rank of a group.
+
+    An agent that does not answer is passed over after a while: its engine is asked
+    from here, which costs more. Orders are then the same, so nothing else changes.
+
+    :param OwnRank own: the own rank.
+    :param int own_rank: its number.
+
+    :ivar dict link_by_rank: :class:`RankLink` of each other rank's agent.
+    :ivar dict address_by_rank: where each rank's engine listens.
+    """
+
+    def __init__(self, own, own_rank):
+        self.own = own
+        self.own_rank = own_rank
+        self.link_by_rank = {}
+        self.address_by_rank = {}
+
+    async def carry_out(self, step):
+        """Carry out a step of a change.
+
+        :param Step step: the step.
+        :returns: the replies by rank.
+        :rtype: dict[int, RankReply]
+        """
+        if step.wait_s:
+            await asyncio.sleep(step.wait_s)
+        ranks = list(step.order_by_rank)
+        replies = await asyncio.gather(
+            *(self._give(rank, step.order_by_rank[rank]) for rank in ranks)
+        )
+        return dict(zip(ranks, replies, strict=True))
+
+    async def poll(self, rank, wants_counts=False, wants_experts=False):
+        """Return what a rank's agent says, or ``None``.
+
+        :param int rank: the rank.
+        :param bool wants_counts: whether to ask for the counts of experts.
+        :param bool wants_experts: whether to ask for the experts that it holds.
+        :rtype: RankState | None
+        """
+        poll = _messages.RankPoll(0, self.own_rank, wants_counts, wants_experts)
+        if rank == self.own_rank:
+            return await self.own.answer_poll(poll)
+        link = self.link_by_rank.get(rank)
+        return await link.ask(poll) if link is not None else None
+
+    async def _give(self, rank, order):
+        state = await self._ask(rank, order)
+        if state is None:
+            return await self._give_direct(rank, order)
+        if not state.is_known:
+            return _change.RankReply()
+        result = _ports.OrderResult(state.result or _ports.OrderResult.UNKNOWN)
+        return _change.RankReply(result, read_report(state))
+
+    async def _ask(self, rank, order):
+        item = _messages.RankPoll(0, self.own_rank)
+        if order is not None:
+            item = _messages.RankOrderMessage(
+                0,
+                self.own_rank,
+                str(order.kind),
+                order.epoch,
+                order.version,
+                order.step,
+                order.layers,
+            )
+        if rank == self.own_rank:
+            if order is None:
+                return await self.own.answer_poll(item)
+            return await self.own.answer_order(item)
+        link = self.link_by_rank.get(rank)
+        return await link.ask(item) if link is not None else None
+
+    async def _give_direct(self, rank, order):
+        address = self.address_by_rank.get(rank)
+        if address is None:
+            return _change.RankReply()
+        result = _ports.OrderResult.UNKNOWN
+        if order is not None:
+            result = await self.own.engine.order(address, order)
+        report = await self.own.engine.report(address)
+        if report is not None and report.rank != rank:
+            return _change.RankReply()
+        return _change.RankReply(result, report)
+
+
+def read_report(state):
+    """Return the engine's report of a state.
+
+    :param RankState state: the state.
+    :rtype: EngineReport | None
+    """
+    if not state.is_known:
+        return None
+    known = {field.name for field in dataclasses.fields(_ports.EngineReport)}
+    return _ports.EngineReport(**{k: v for k, v in state.report.items() if k in known})
+
+
+def _state(number, report):
+    fields = {} if report is None else dataclasses.asdict(report)
+    return _messages.RankState(number, report is not None, fields, [])
--- /dev/null
+++ b/libs/ranks/src/sequoiagap/ranks/_agent.py
@@ -0,0 +1,344 @@
+"""The process beside a rank's engine: reports, orders and leading."""
+
+import asyncio
+import time
+
+from aiohttp import web
+
+from sequoiagap import base, gateway, wire
+from sequoiagap.ranks import _access, _leader, _messages
+
+REPORT_INTERVAL_S = 0.05
+QUIET_REPORT_S = 0.25  # an unchanged report is sent again after this long
+NODES_INTERVAL_S = 3.0
+FIRST_NODES_S = 0.4
+CONFIG_INTERVAL_S = 5.0
+LEAD_CHECK_S = 0.1
+LEAD_AFTER_S = 1.2  # without a poll by a lower rank
+LEAD_STAGGER_S = 0.5  # more for each rank
+MAX_STAGGER_RANKS = 6
+STOP_BOUND_S = 3.0
+
+_log = base.get_logger("agent")
+
+
+class RankAgent:
+    """Agent beside a rank's engine.
+
+    :param settings.RankSettings settings: checked settings.
+    :param gateway.Store store: registers processes and names the engine's terms.
+    :param RankEngine engine: calls of engines.
+    """
+
+    def __init__(self, settings, store, engine):
+        self.settings = settings
+        self.store = store
+        self.engine = engine
+        self.metrics = base.Metrics()
+        self.incarnation = base.new_id("run")
+        self.report_ = None
+        self.own = _access.OwnRank(engine, settings.endpoint)
+        self._node_by_id = {}
+        self._terms = None
+        self._polled_at = time.monotonic()
+        self._polled_by = None
+        self._leader = None
+        self._leading = None
+        self._link_by_node = {}
+        self._tasks = base.TaskSet()
+        self._server = None
+        self._transport = None
+        self._runner = None
+
+    async def start(self):
+        """Listen and begin to report."""
+        host, port = str(self.settings.address), self.settings.port
+        self._server = await wire.listen(self._serve, host, port)
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            asyncio.DatagramProtocol, local_addr=(host, 0)
+        )
+        await self._listen_for_metrics()
+        self._tasks.start(self._report_forever(), "report")
+        self._tasks.start(self._find_nodes_forever(), "nodes")
+        self._tasks.start(self._read_terms_forever(), "terms")
+        self._tasks.start(self._lead_forever(), "lead")
+
+    async def stop(self):
+        """End; a change under way is left for others to settle."""
+        _log.emit(base.Event.PROCESS_STOPPING, leads=self._leader is not None)
+        await self._finish_change()
+        await self._tasks.close()
+        self._server.close()
+        self._transport.close()
+        if self._runner is not None:
+            await self._runner.cleanup()
+        _log.emit(base.Event.PROCESS_STOPPED)
+
+    def reload(self):
+        """Nothing is read again: the store is followed all the time."""
+
+    def dump_state(self):
+        """Return everything that the process knows, as plain data.
+
+        :rtype: dict
+        """
+        leader = self._leader
+        return {
+            "report": None if self.report_ is None else vars(self.report_),
+            "nodes": sorted(self._node_by_id),
+            "leads": leader is not None,
+            "changes": leader.changes_ if leader else 0,
+            "copies": leader.copies_ if leader else 0,
+        }
+
+    async def _finish_change(self):
+        """Let a change under way end, so that nobody has to settle it."""
+        if self._leading is None:
+            return
+        if self._leader is not None:
+            self._leader.stop()
+        await asyncio.wait([self._leading], timeout=STOP_BOUND_S)
+
+    async def _report_forever(self):
+        sequence, last, sent_at = 0, None, 0.0
+        while True:
+            report = await self.engine.report(self.settings.endpoint)
+            self._note_group(report)
+            self.report_ = report
+            now = time.monotonic()
+            if report is not None:
+                sequence += 1
+                item = self._make_report(report, sequence)
+                shown = (item.running, item.waiting, item.kv_used, item.is_open)
+                if shown != last or now - sent_at >= QUIET_REPORT_S:
+                    self._send_report(item)
+                    last, sent_at = shown, now
+            await asyncio.sleep(REPORT_INTERVAL_S)
+
+    def _make_report(self, report, sequence):
+        slots = self._terms.slots if self._terms else 1
+        return gateway.EndpointReport(
+            endpoint=self.settings.endpoint,
+            incarnation=self.incarnation,
+            sequence=sequence,
+            running=report.running,
+            waiting=report.waiting,
+            slots=slots,
+            kv_used=report.kv_used,
+            kv_total=report.kv_total,
+            is_open=report.is_open,
+        )
+
+    def _send_report(self, item):
+        payload = wire.encode(item)
+        for node in self._node_by_id.values():
+            if node.role == "gateway":
+                self._transport.sendto(payload, (node.address, node.port))
+
+    def _note_group(self, report):
+        before = self.report_
+        if report is None:
+            if before is not None:
+                _log.emit(base.Event.RANK_UNREACHABLE, endpoint=self.settings.endpoint)
+            return
+        seen = None if before is None else (before.epoch, before.is_open)
+        if seen != (report.epoch, report.is_open):
+            _log.emit(
+                base.Event.GROUP_SEEN,
+                group=report.group,
+                epoch=report.epoch,
+                size=report.size,
+                rank=report.rank,
+                is_open=report.is_open,
+            )
+
+    async def _find_nodes_forever(self):
+        is_announced = False
+        while True:
+            try:
+                if not is_announced:
+                    await self.store.announce(self._node())
+                    is_announced = True
+                # A list that is read late may lack some; those known stay known.
+                self._node_by_id |= await self.store.list_nodes()
+            except base.PlatformError:
+                await asyncio.sleep(FIRST_NODES_S)
+                continue
+            is_alone = len(self._node_by_id) < 2
+            await asyncio.sleep(FIRST_NODES_S if is_alone else NODES_INTERVAL_S)
+
+    async def _read_terms_forever(self):
+        while True:
+            try:
+                snapshot = self.store.decode("config", await self.store.read("config"))
+            except (base.PlatformError, ValueError):
+                await asyncio.sleep(FIRST_NODES_S)
+                continue
+            table = snapshot.value
+            service = table and table.service_by_name.get(self.settings.service)
+            if service is not None and service.engine is not None:
+                self._terms = service.engine
+            wait_s = CONFIG_INTERVAL_S if self._terms else FIRST_NODES_S
+            await asyncio.sleep(wait_s)
+
+    async def _lead_forever(self):
+        while True:
+            await asyncio.sleep(LEAD_CHECK_S)
+            report = self.report_
+            if report is None or not report.size or self._terms is None:
+                continue
+            if not self._terms.experts:
+                continue
+            if self._leader is None:
+                if self._should_lead(report):
+                    await self._lead(report)
+            else:
+                self._update_links()
+
+    def _should_lead(self, report):
+        if report.rank == 0:
+            return True
+        rank = min(report.rank, MAX_STAGGER_RANKS)
+        patience_s = LEAD_AFTER_S + LEAD_STAGGER_S * rank
+        return time.monotonic() - self._polled_at > patience_s
+
+    async def _lead(self, report):
+        access = _access.GroupAccess(self.own, report.rank)
+        self._leader = _leader.GroupLeader(access, report, self._terms, self.metrics)
+        _log.emit(
+            base.Event.GROUP_LED, group=report.group, rank=report.rank, leads=True
+        )
+        self._update_links()
+        self._leading = self._tasks.start(self._run_leader(), "leader")
+
+    async def _run_leader(self):
+        leader = self._leader
+        try:
+            await leader.run()
+        finally:
+            _log.emit(
+                base.Event.GROUP_LED,
+                group=leader.group,
+                rank=leader.own_rank,
+                leads=False,
+            )
+            if self._leader is leader:
+                self._leader = None
+            self._leading = None
+
+    def _update_links(self):
+        """Link the agents of the group, by the rank that each one's engine has."""
+        access = self._leader.access
+        for node in list(self._node_by_id.values()):
+            is_agent = node.role == "ranks" and node.endpoint
+            if not is_agent or node.node_id == self.settings.node_id:
+                continue
+            known = self._link_by_node.get(node.node_id)
+            if known is None or known.node != node:
+                link = _access.RankLink(node, self._hello)
+                self._link_by_node[node.node_id] = link
+                self._tasks.start(self._keep_link(link, access), f"rank-{node.node_id}")
+
+    async def _keep_link(self, link, access):
+        runner = asyncio.ensure_future(link.run())
+        try:
+            while self._link_by_node.get(link.node.node_id) is link:
+                await self._place_link(link)
+                await asyncio.sleep(LEAD_CHECK_S * 5)
+        finally:
+            await base.cancel_and_wait(runner)
+
+    async def _place_link(self, link):
+        """Ask an agent which rank it serves, and use the link for that rank."""
+        leader = self._leader
+        if leader is None or not link.is_open:
+            return
+        state = await link.ask(_messages.RankPoll(0, leader.own_rank))
+        if state is None or not state.is_known:
+            return
+        report = _access.read_report(state)
+        if report.group != leader.group:
+            return
+        leader.access.link_by_rank[report.rank] = link
+        leader.access.address_by_rank[report.rank] = link.node.endpoint
+
+    async def _serve(self, reader, writer):
+        try:
+            connection = await wire.accept(reader, writer, self._hello())
+        except base.WireError:
+            return
+
+        async def handle(item):
+            if isinstance(item, _messages.RankPoll):
+                self._note_poll(item.leader)
+                answer = self.own.answer_poll(item)
+            elif isinstance(item, _messages.RankOrderMessage):
+                answer = self.own.answer_order(item)
+            else:
+                return
+            self._tasks.start(_reply(connection, answer), "reply")
+
+        await connection.run(handle)
+
+    def _note_poll(self, leader_rank):
+        """Leave the lead to a lower rank that leads."""
+        report = self.report_
+        if report is None or leader_rank >= report.rank:
+            return
+        self._polled_at = time.monotonic()
+        if self._leader is not None:
+            self._leader.stop()
+
+    async def _listen_for_metrics(self):
+        if not self.settings.metrics_port:
+            return
+        server = web.Server(self._metrics, access_log=None)
+        self._runner = web.ServerRunner(server, handle_signals=False)
+        await self._runner.setup()
+        site = web.TCPSite(
+            self._runner, str(self.settings.address), self.settings.metrics_port
+        )
+        await site.start()
+
+    async def _metrics(self, http_request):
+        # Loaded when it is first asked for, as most processes never are.
+        from sequoiagap.base import exposition
+
+        document = base.collect_process_metrics(self.metrics, 0, 0)
+        text = exposition.render(document, self.settings.node_id)
+        return web.Response(text=text)
+
+    def _node(self):
+        return gateway.Node(
+            node_id=self.settings.node_id,
+            role="ranks",
+            address=str(self.settings.address),
+            port=self.settings.port,
+            failure_domain=self.settings.failure_domain,
+            endpoint=self.settings.endpoint,
+        )
+
+    def _hello(self):
+        return wire.Hello(
+            node_id=self.settings.node_id,
+            role="agent",
+            incarnation=self.incarnation,
+            failure_domain=self.settings.failure_domain,
+            secret=self.settings.deployment,
+        )
+
+
+async def _reply(connection, answer):
+    await wire.try_send(connection, await answer)
+
+
+async def run(rank_settings, store, engine):
+    """Run the agent until it is told to stop.
+
+    :param settings.RankSettings rank_settings: checked settings.
+    :param gateway.Store store: registers processes and names the engine's terms.
+    :param RankEngine engine: calls of engines.
+    """
+    agent = RankAgent(rank_settings, store, engine)
+    await base.run_program(agent, lambda: {"ready": rank_settings.node_id})
--- /dev/null
+++ b/libs/ranks/src/sequoiagap/ranks/_leader.py
@@ -0,0 +1,283 @@
+"""Leads a rank group: follows demand, plans maps and has them changed."""
+
+import asyncio
+import random
+import time
+
+from sequoiagap import base, experts
+from sequoiagap.ranks import _access, _change, _demand
+
+POLL_INTERVAL_S = 0.25
+REST_S = 0.35  # after a change, so that demand under the new map is seen
+ORPHAN_S = 0.6  # a hold this long without a change here is nobody's
+MIN_READINGS = 2
+STEP_GUARD = 16  # passes that begin before a fresh leader's first change
+VERSION_SPREAD = 4096
+MIN_SAVING = 0.04  # share of a pass that a change has to save
+COPY_S = 0.012  # time of passes that one copy has to save
+HORIZON_S = 4.0  # demand is expected to stay alike for this long
+TARGET_SKEW = 1.08
+MILLISECONDS = 1000
+
+_log = base.get_logger("leader")
+
+
+class GroupLeader:
+    """Leads the group of the rank beside this process.
+
+    :param GroupAccess access: ways to the ranks.
+    :param EngineReport report: report of the own rank, as leading begins.
+    :param routes.EngineTerms terms: terms of the group's engines.
+    :param base.Metrics metrics: metrics of the process.
+    :param random.Random random_state: makes versions that nobody else uses.
+    """
+
+    def __init__(self, access, report, terms, metrics, random_state=None):
+        self.access = access
+        self.group = report.group
+        self.size = report.size
+        self.own_rank = report.rank
+        self.terms = terms
+        self.metrics = metrics
+        self.random_state = random_state or random.Random()
+        self.pace = make_pace(terms)
+        self.report_by_rank_ = {}
+        self.holdings_ = None
+        self.epoch_ = report.epoch
+        self.changes_ = 0
+        self.copies_ = 0
+        self._demand = None
+        self._first_step = None
+        self._last_step = 0
+        self._rest_until = 0.0
+        self._held_since_by_rank = {}
+        self._is_stopping = False
+        self._reset(report.epoch)
+
+    def stop(self):
+        """End leading after the turn under way, which leaves nothing half done."""
+        self._is_stopping = True
+
+    async def run(self):
+        """Lead until stopped."""
+        while not self._is_stopping:
+            began = time.monotonic()
+            await self.turn()
+            spent = time.monotonic() - began
+            await asyncio.sleep(max(POLL_INTERVAL_S - spent, 0.02))
+
+    async def turn(self):
+        """Poll all ranks once and do what is to be done."""
+        states = await self._poll()
+        known = {
+            rank: _access.read_report(state)
+            for rank, state in states.items()
+            if state is not None and state.is_known
+        }
+        self.report_by_rank_ = known
+        own = known.get(self.own_rank)
+        if own is None or not own.is_open:
+            return
+        if own.epoch != self.epoch_:
+            self._reset(own.epoch)
+        if self._first_step is None:
+            self._first_step = own.step
+        if await self._resolve_orphans(known):
+            return
+        has_work = self._demand.take(
+            {r: s.counts for r, s in states.items() if s is not None and s.counts}
+        )
+        if has_work and self._may_change(known, own):
+            await self._improve(known, own)
+
+    def _reset(self, epoch):
+        """Forget what was true of the group before it formed anew."""
+        _log.emit(
+            base.Event.GROUP_SEEN,
+            group=self.group,
+            epoch=epoch,
+            size=self.size,
+            rank=self.own_rank,
+        )
+        self.epoch_ = epoch
+        self.holdings_ = None
+        self._demand = _demand.GroupDemand(self.terms.layers, self.terms.experts)
+        self._first_step = None
+        self._last_step = 0
+        self._held_since_by_rank = {}
+
+    async def _poll(self):
+        wants_experts = self.holdings_ is None
+        ranks = range(self.size)
+        states = await asyncio.gather(
+            *(self.access.poll(rank, True, wants_experts) for rank in ranks)
+        )
+        by_rank = dict(zip(ranks, states, strict=True))
+        if wants_experts:
+            self._learn_holdings(by_rank)
+        return by_rank
+
+    def _learn_holdings(self, state_by_rank):
+        """Take the map in use, once all ranks say that they use the same."""
+        states = [state_by_rank[rank] for rank in range(self.size)]
+        if any(state is None or not state.experts for state in states):
+            return
+        versions = {state.map_version for state in states}
+        epochs = {state.report.get("epoch") for state in states}
+        if len(versions) > 1 or epochs != {self.epoch_}:
+            return
+        layers = tuple(
+            tuple(tuple(state.experts[layer]) for state in states)
+            for layer in range(self.terms.layers)
+        )
+        self.holdings_ = experts.Holdings(
+            self.terms.experts, self.terms.slots_per_rank, layers
+        )
+
+    def _may_change(self, known, own):
+        return (
+            self.holdings_ is not None
+            and len(known) == self.size
+            and all(report.epoch == own.epoch for report in known.values())
+            and len({report.map_version for report in known.values()}) == 1
+            and not any(report.armed or report.held_step for report in known.values())
+            and self._demand.readings_ >= MIN_READINGS
+            and own.step >= self._first_step + STEP_GUARD
+            and time.monotonic() >= self._rest_until
+        )
+
+    async def _improve(self, known, own):
+        loads = self._demand.predict()
+        before = experts.holdings_skew(self.holdings_, loads)
+        self.metrics.set_gauge("group_step_skew", before)
+        began = time.monotonic()
+        planned, copies = await experts.finish_in_slices(
+            experts.plan_paced(self.holdings_, loads, self.pace)
+        )
+        if planned == self.holdings_:
+            return
+        after = experts.holdings_skew(planned, loads)
+        if not self._pays(before, after, copies):
+            return
+        planned_ms = round((time.monotonic() - began) * MILLISECONDS)
+        plan = self._make_plan(known, planned.layers)
+        _log.emit(
+            base.Event.MAP_CHANGE_BEGAN,
+            group=self.group,
+            epoch=plan.epoch,
+            version=plan.version,
+            skew=round(before, 3),
+            planned_skew=round(after, 3),
+            copies=copies,
+            planned_ms=planned_ms,
+            readings=self._demand.readings_,
+        )
+        await self._change(plan, planned, copies)
+
+    def _pays(self, before, after, copies):
+        fixed = 1.0 - self.pace.expert_share
+        share = self.pace.expert_share
+        saving = 1.0 - (fixed + share * after) / (fixed + share * before)
+        cost = copies * self.pace.copy_s / self.pace.horizon_s
+        return saving >= MIN_SAVING and saving > cost
+
+    def _make_plan(self, known, layers):
+        highest = max(max(r.map_version, r.prepared, r.armed) for r in known.values())
+        return _change.ChangePlan(
+            version=highest + 1 + self._draw_version(),
+            layers=layers,
+            old_layers=self.holdings_.layers,
+            size=self.size,
+            own_rank=self.own_rank,
+            epoch=self.epoch_,
+            after_step=self._last_step,
+        )
+
+    def _draw_version(self):
+        gap = _change.VERSION_GAP
+        return gap * self.random_state.randrange(VERSION_SPREAD)
+
+    async def _change(self, plan, planned, copies):
+        began = time.monotonic()
+        change = _change.MapChange(plan)
+        result = await self._drive(change.run())
+        self._last_step = max(self._last_step, change.step_)
+        self._rest_until = time.monotonic() + REST_S
+        if result == _change.ChangeResult.DONE:
+            self.holdings_ = planned
+            self.changes_ += 1
+            self.copies_ += copies
+            self.metrics.count("group_map_changes")
+            self.metrics.set_gauge("group_map_version", plan.version)
+        else:
+            self.holdings_ = None
+        _log.emit(
+            base.Event.MAP_CHANGE_ENDED,
+            group=self.group,
+            epoch=plan.epoch,
+            version=plan.version,
+            step=change.step_,
+            result=str(result),
+            detail=change.detail_,
+            took_ms=round((time.monotonic() - began) * MILLISECONDS),
+        )
+
+    async def _resolve_orphans(self, known):
+        """Release a hold that has stood too long; return whether there is one."""
+        now = time.monotonic()
+        held = {r: report.held_step for r, report in known.items() if report.held_step}
+        self._held_since_by_rank = {
+            rank: self._held_since_by_rank.get(rank, (step, now))
+            if self._held_since_by_rank.get(rank, (step, now))[0] == step
+            else (step, now)
+            for rank, step in held.items()
+        }
+        for rank, (step, since) in self._held_since_by_rank.items():
+            if rank == self.own_rank or now - since >= ORPHAN_S:
+                await self._resolve(rank, step, known)
+                return True
+        return bool(held)
+
+    async def _resolve(self, rank, step, known):
+        if self.holdings_ is None:
+            return  # the map in use is learnt first, with the next polls
+        plan = self._make_plan(known, self.holdings_.layers)
+        result = await self._drive(_change.resolve_hold(rank, step, plan))
+        self._last_step = max(self._last_step, step)
+        self.holdings_ = None
+        _log.emit(
+            base.Event.HOLD_RESOLVED,
+            group=self.group,
+            rank=rank,
+            step=step,
+            version=plan.version,
+            result=str(result),
+        )
+
+    async def _drive(self, procedure):
+        """Carry out a procedure of :mod:`_change` to its end."""
+        replies = None
+        while True:
+            try:
+                step = procedure.send(replies)
+            except StopIteration as stop:
+                return stop.value
+            replies = await self.access.carry_out(step)
+
+
+def make_pace(terms):
+    """Return what plans for a group have to bring.
+
+    A rank that copies slows every pass of its group a little; a copy also uses
+    bandwidth that others pay for.
+
+    :param routes.EngineTerms terms: terms of the group's engines.
+    :rtype: sequoiagap.experts.Pace
+    """
+    return experts.Pace(
+        new_per_rank=terms.new_per_change,
+        copy_s=COPY_S,
+        horizon_s=HORIZON_S,
+        expert_share=terms.expert_share or 1.0,
+        target_skew=TARGET_SKEW,
+    )
