--- a/libs/gateway/src/sequoiagap/gateway/_dispatch.py
+++ b/libs/gateway/src/sequoiagap/gateway/_dispatch.py
@@ -189,7 +189,7 @@
         load.sent_at_by_attempt[attempt_id] = now
         if load.cold_until > routes.suspend_aware_time():
             load.cold_sends.append(now)
-        self._note_sent(request, load, expected, now, is_repeat)
+        self._note_sent(request, attempt_id, load, expected, now, is_repeat)
         try:
             end = await attempt.run(sink if request.is_stream else None)
         finally:
@@ -203,7 +203,7 @@
         progress.reason = end.reason
         if end.answer is not None:
             progress.failed_answer = end.answer
-        self._note_end(request, load, attempt, end, now)
+        self._note_end(request, attempt_id, load, attempt, end, now)
         return end
 
     def _build(self, request, endpoint, left_s, sink):
@@ -322,11 +322,12 @@
             retry_after_s=self._retry_after(),
         )
 
-    def _note_sent(self, request, load, expected, now, is_repeat):
+    def _note_sent(self, request, attempt_id, load, expected, now, is_repeat):
         self.metrics.count("attempts_sent_total", service=request.service)
         _log.emit(
             base.Event.ATTEMPT_SENT,
             request_id=request.request_id,
+            attempt_id=attempt_id,
             endpoint=load.endpoint.endpoint_id,
             failure_domain=load.endpoint.failure_domain,
             config_version=self.state.table.version,
@@ -336,7 +337,7 @@
             repeat=is_repeat,
         )
 
-    def _note_end(self, request, load, attempt, end, began):
+    def _note_end(self, request, attempt_id, load, attempt, end, began):
         elapsed = time.monotonic() - began
         self.metrics.observe(
             "attempt_seconds", elapsed, outcome=str(end.outcome), target=request.service
@@ -344,6 +345,8 @@
         _log.emit(
             base.Event.ATTEMPT_ENDED,
             request_id=request.request_id,
+            attempt_id=attempt_id,
+            config_version=self.state.table.version,
             endpoint=load.endpoint.endpoint_id,
             outcome=str(end.outcome),
             reason=end.reason,
@@ -363,7 +366,7 @@
         "this entry can't prove that the key is still good",
         "Send the request again; another entry may reach the platform",
         retry_after_s=retry_after_s,
-        setting="key_proof_s",
+        setting="key_proof_ms",
     )
 
 
--- a/libs/gateway/src/sequoiagap/gateway/_feed.py
+++ b/libs/gateway/src/sequoiagap/gateway/_feed.py
@@ -9,6 +9,7 @@
 READ_TIMEOUT_S = 0.8
 INTERVAL_S_BY_TOPIC = {"config": 0.75, "endpoints": 0.75, "domains": 1.0}
 RETRY_S = 0.25
+MAX_AWAY_S = 86400.0  # shown where the store has never answered
 AWAY_S = 1.2  # an unanswered store this long may have let entries lapse
 
 _log = base.get_logger("feed")
@@ -22,7 +23,6 @@
     :ivar bytes content: its content.
     :ivar float read_at: when it was asked for, suspend-aware seconds.
     :ivar bool is_away: whether the store did not answer last time.
-    :ivar float away_since: since when, suspend-aware seconds.
     """
 
     name: str
@@ -30,7 +30,6 @@
     content: bytes = b""
     read_at: float = float("-inf")
     is_away: bool = False
-    away_since: float = 0.0
 
 
 class StoreFeed:
@@ -95,7 +94,7 @@
         began = time.monotonic()
         content, way = await self._fetch(topic)
         if content is None:
-            self._note_away(topic, asked_at)
+            topic.is_away = True
             return False
         self.metrics.observe(
             "store_read_seconds", time.monotonic() - began, topic=topic.name
@@ -136,16 +135,11 @@
         topic.read_at = asked_at
         self.take_by_topic[topic.name](snapshot.value, asked_at)
 
-    def _note_away(self, topic, now):
-        if not topic.is_away:
-            topic.is_away = True
-            topic.away_since = now
-
     def _note_back(self, topic, way):
         if not topic.is_away:
             return
         topic.is_away = False
-        away_s = routes.suspend_aware_time() - topic.away_since
+        away_s = min(routes.suspend_aware_time() - topic.read_at, MAX_AWAY_S)
         _log.emit(
             base.Event.PLATFORM_REACHABLE,
             topic=topic.name,
--- a/libs/ranks/src/sequoiagap/ranks/__init__.py
+++ b/libs/ranks/src/sequoiagap/ranks/__init__.py
@@ -8,6 +8,8 @@
     RankReply,
     Step,
     make_safe,
+    make_version,
+    may_begin,
     release,
     resolve_hold,
 )
@@ -38,6 +40,8 @@
     "RankReply",
     "Step",
     "make_safe",
+    "make_version",
+    "may_begin",
     "release",
     "resolve_hold",
     "run",
--- a/libs/ranks/src/sequoiagap/ranks/_change.py
+++ b/libs/ranks/src/sequoiagap/ranks/_change.py
@@ -9,7 +9,7 @@
   the old one any more, however late the order comes.
 - Versions are never used for two maps, and a leader never holds a pass twice.
 - Whoever finds a hold that nobody answers for holds the same pass on another rank
-  first. Then the old leader, should it wake, releases nothing by itself.
+  first. Then a release by the old leader, late or sent as it wakes, releases nothing.
 - A group that forms anew forgets everything; orders of an older epoch are refused.
 
 The procedures are generators: they yield steps to carry out and are sent what came of
@@ -26,7 +26,9 @@
 PREPARE_PATIENCE_S = 4.0
 ARM_TRIES = 3
 HOLD_TRIES = 2
-VERSION_GAP = 2  # a change uses its version and, to give it up, the next
+VERSIONS_PER_CHANGE = 2  # its own and, to give it up, the next
+VERSION_SPREAD = 4096
+STEP_GUARD = 16  # passes that begin before a fresh leader's first change
 
 
 class ChangeResult(enum.StrEnum):
@@ -209,18 +211,58 @@
         )
 
     def _give_up(self):
-        made_safe = yield from make_safe(
-            self.plan.size,
-            self.plan.version + 1,
-            self.plan.old_layers,
-            self.plan.epoch,
-        )
+        following = dataclasses.replace(self.plan, version=self.plan.version + 1)
+        made_safe = yield from make_safe(following, self.step_, self.plan.version)
         if not made_safe:
             return ChangeResult.FORMED_ANEW
         yield from release([self.plan.own_rank], self.step_, self.plan.epoch)
         return ChangeResult.GIVEN_UP
 
 
+def make_version(report_by_rank, own_rank, size, random_state):
+    """Return a version that nobody else uses and that is later than all known ones.
+
+    Each rank has versions of its own; the random part keeps a leader from using one
+    again that its predecessor at the same rank has used unseen.
+
+    :param dict report_by_rank: newest reports.
+    :param int own_rank: rank of the leader.
+    :param int size: ranks of the group.
+    :param random.Random random_state: source of randomness.
+    :rtype: int
+    """
+    highest = max(
+        max(report.map_version, report.prepared, report.armed)
+        for report in report_by_rank.values()
+    )
+    unit = VERSIONS_PER_CHANGE * size
+    block = highest // unit + 1 + random_state.randrange(VERSION_SPREAD)
+    return block * unit + VERSIONS_PER_CHANGE * own_rank
+
+
+def may_begin(report_by_rank, size, own_rank, first_step):
+    """Return whether a leader may begin a change.
+
+    :param dict report_by_rank: newest reports.
+    :param int size: ranks of the group.
+    :param int own_rank: rank of the leader.
+    :param int first_step: pass at which it first saw the group in this epoch. Holds
+        and releases of a predecessor may still be on their way; they name passes that
+        have begun by the time that this one may hold one.
+    :rtype: bool
+    """
+    reports = list(report_by_rank.values())
+    own = report_by_rank.get(own_rank)
+    return (
+        own is not None
+        and len(reports) == size
+        and all(report.is_open and report.epoch == own.epoch for report in reports)
+        and len({report.map_version for report in reports}) == 1
+        and not any(report.armed or report.held_step for report in reports)
+        and own.step >= first_step + STEP_GUARD
+    )
+
+
 def resolve_hold(found_rank, step, plan):
     """Release a hold that nobody answers for.
 
@@ -230,37 +272,60 @@
     :returns: a generator as that of :meth:`MapChange.run`.
     :rtype: collections.abc.Generator
     """
-    own = plan.own_rank
-    if found_rank != own:
-        order = _ports.RankOrder(_ports.OrderKind.HOLD, plan.epoch, step=step)
-        reply = (yield Step({own: order}))[own]
-        report = reply.report
-        if report is None or report.epoch != plan.epoch or report.held_step != step:
-            return ChangeResult.NOT_HELD
-    made_safe = yield from make_safe(
-        plan.size, plan.version, plan.old_layers, plan.epoch
-    )
+    is_held = yield from _hold_elsewhere(found_rank, step, plan)
+    if not is_held:
+        return ChangeResult.NOT_HELD
+    made_safe = yield from make_safe(plan, step)
     if not made_safe:
         return ChangeResult.FORMED_ANEW
-    yield from release(sorted({found_rank, own}), step, plan.epoch)
+    yield from release(range(plan.size), step, plan.epoch)
     return ChangeResult.GIVEN_UP
 
 
-def make_safe(size, version, layers, epoch):
-    """See that no rank is armed for, or can be armed for, an earlier version.
+def _hold_elsewhere(found_rank, step, plan):
+    """Hold a pass at one more rank, the own one if it may be.
 
-    :param int size: ranks of the group.
-    :param int version: a fresh version, to be prepared everywhere with the map in
-        use, which copies nothing.
-    :param tuple layers: the map in use.
-    :param int epoch: epoch of the group.
+    A release by the leader that began the change may still be on its way to the rank
+    where the hold was found, also if that is the own rank: the leader may have been
+    this agent before it was started again.
+    """
+    order = _ports.RankOrder(_ports.OrderKind.HOLD, plan.epoch, step=step)
+    for offset in range(plan.size):
+        rank = (plan.own_rank + offset) % plan.size
+        if rank == found_rank:
+            continue
+        report = (yield Step({rank: order}))[rank].report
+        if report is None:
+            continue
+        if report.epoch != plan.epoch or report.step >= step:
+            return False
+        if report.held_step == step:
+            return True
+    return False
+
+
+def make_safe(plan, step, own_version=0):
+    """See that no rank is armed for a change, or can be armed for it any more.
+
+    A rank that is armed by another change is safe: the weights that the old order
+    needs are no longer prepared there. Only what belongs to this change is disarmed,
+    since a later one may be under way when a paused leader wakes here.
+
+    :param ChangePlan plan: with a fresh version, to be prepared everywhere with the
+        map in use, which copies nothing.
+    :param int step: pass of the change; once it has begun there is nothing to do.
+    :param int own_version: version of the change; 0 where it is not known, for all
+        that are armed for that pass.
     :returns: a generator that returns false if the group has formed anew.
     :rtype: collections.abc.Generator
     """
     prepare = _ports.RankOrder(
-        _ports.OrderKind.PREPARE, epoch, version=version, layers=layers
+        _ports.OrderKind.PREPARE,
+        plan.epoch,
+        version=plan.version,
+        layers=plan.old_layers,
     )
-    unsafe = dict.fromkeys(range(size), prepare)
+    unsafe = dict.fromkeys(range(plan.size), prepare)
     wait_s = 0.0
     while unsafe:
         replies = yield Step(dict(unsafe), wait_s)
@@ -268,20 +333,31 @@
             report = reply.report
             if report is None:
                 continue
-            if report.epoch != epoch:
+            if report.epoch != plan.epoch:
                 return False
-            if report.prepared >= version and not report.armed:
+            if report.step >= step:
+                return True
+            if report.prepared >= plan.version:
                 del unsafe[rank]
-            elif report.armed:
+            elif not report.armed:
+                unsafe[rank] = prepare
+            elif _belongs(report, step, own_version):
                 unsafe[rank] = _ports.RankOrder(
-                    _ports.OrderKind.DISARM, epoch, version=report.armed
+                    _ports.OrderKind.DISARM, plan.epoch, version=report.armed
                 )
             else:
-                unsafe[rank] = prepare
+                del unsafe[rank]
         wait_s = POLL_S
     return True
 
 
+def _belongs(report, step, own_version):
+    """Return whether a rank is armed by the change in question."""
+    if own_version:
+        return report.armed == own_version
+    return report.armed_step == step
+
+
 def release(ranks, step, epoch):
     """Release a held pass at some ranks, until they say that it is not held.
 
--- a/libs/ranks/src/sequoiagap/ranks/_leader.py
+++ b/libs/ranks/src/sequoiagap/ranks/_leader.py
@@ -11,8 +11,6 @@
 REST_S = 0.35  # after a change, so that demand under the new map is seen
 ORPHAN_S = 0.6  # a hold this long without a change here is nobody's
 MIN_READINGS = 2
-STEP_GUARD = 16  # passes that begin before a fresh leader's first change
-VERSION_SPREAD = 4096
 MIN_SAVING = 0.04  # share of a pass that a change has to save
 COPY_S = 0.012  # time of passes that one copy has to save
 HORIZON_S = 4.0  # demand is expected to stay alike for this long
@@ -87,8 +85,8 @@
         has_work = self._demand.take(
             {r: s.counts for r, s in states.items() if s is not None and s.counts}
         )
-        if has_work and self._may_change(known, own):
-            await self._improve(known, own)
+        if has_work and self._may_change(known):
+            await self._improve(known)
 
     def _reset(self, epoch):
         """Forget what was true of the group before it formed anew."""
@@ -134,19 +132,15 @@
             self.terms.experts, self.terms.slots_per_rank, layers
         )
 
-    def _may_change(self, known, own):
+    def _may_change(self, known):
         return (
             self.holdings_ is not None
-            and len(known) == self.size
-            and all(report.epoch == own.epoch for report in known.values())
-            and len({report.map_version for report in known.values()}) == 1
-            and not any(report.armed or report.held_step for report in known.values())
             and self._demand.readings_ >= MIN_READINGS
-            and own.step >= self._first_step + STEP_GUARD
             and time.monotonic() >= self._rest_until
+            and _change.may_begin(known, self.size, self.own_rank, self._first_step)
         )
 
-    async def _improve(self, known, own):
+    async def _improve(self, known):
         loads = self._demand.predict()
         before = experts.holdings_skew(self.holdings_, loads)
         self.metrics.set_gauge("group_step_skew", before)
@@ -182,9 +176,10 @@
         return saving >= MIN_SAVING and saving > cost
 
     def _make_plan(self, known, layers):
-        highest = max(max(r.map_version, r.prepared, r.armed) for r in known.values())
         return _change.ChangePlan(
-            version=highest + 1 + self._draw_version(),
+            version=_change.make_version(
+                known, self.own_rank, self.size, self.random_state
+            ),
             layers=layers,
             old_layers=self.holdings_.layers,
             size=self.size,
@@ -193,10 +188,6 @@
             after_step=self._last_step,
         )
 
-    def _draw_version(self):
-        gap = _change.VERSION_GAP
-        return gap * self.random_state.randrange(VERSION_SPREAD)
-
     async def _change(self, plan, planned, copies):
         began = time.monotonic()
         change = _change.MapChange(plan)
--- a/libs/standins/src/sequoiagap/standins/__init__.py
+++ b/libs/standins/src/sequoiagap/standins/__init__.py
@@ -1,5 +1,11 @@
 """Stand-ins for outside systems, with fault switches, and the load tool."""
 
+from sequoiagap.standins._direct import (
+    DirectDialect,
+    DirectEndpoint,
+    DirectStore,
+    EndpointFaults,
+)
 from sequoiagap.standins._engine_orders import EngineOrders
 from sequoiagap.standins._fleet import Fleet
 from sequoiagap.standins._frame_relay import FrameRelay
@@ -15,6 +21,10 @@
 
 __all__ = [
     "AccountLoad",
+    "DirectDialect",
+    "DirectEndpoint",
+    "DirectStore",
+    "EndpointFaults",
     "EngineOrders",
     "Fleet",
     "FleetPlan",
--- /dev/null
+++ b/libs/standins/src/sequoiagap/standins/_direct.py
@@ -0,0 +1,271 @@
+"""Stand-ins for what a gateway meets: headers, a store and endpoints."""
+
+import asyncio
+import dataclasses
+import socket
+import struct
+
+import multidict
+
+from sequoiagap import base, gateway, routes
+
+READ_BYTES = 65536
+SIGNATURE = "X-Signature"
+_OWN_HEADERS = ("X-Key", "X-Account", "X-Endpoint", "X-Remaining-Ms")
+_HEAD_END = b"\r\n\r\n"
+
+
+class DirectDialect:
+    """Headers as the stand-ins spell them."""
+
+    def read_request(self, headers):
+        """Return what a caller's headers say."""
+        remaining = headers.get("X-Remaining-Ms")
+        last = headers.get("Last-Event-Id")
+        return gateway.RequestHead(
+            request_id=headers.get("X-Request-Id", ""),
+            deadline_s=None if remaining is None else int(remaining) / 1000,
+            key=headers.get("X-Key", ""),
+            last_event_id=None if last is None else int(last),
+        )
+
+    def write_request(self, headers, pass_on):
+        """Return the headers for an endpoint."""
+        written = multidict.CIMultiDict(headers)
+        for name in _OWN_HEADERS:
+            written.popall(name, None)
+        written["X-Endpoint"] = pass_on.endpoint_id
+        written["X-Remaining-Ms"] = str(int(pass_on.remaining_s * 1000))
+        if pass_on.account:
+            written["X-Account"] = pass_on.account
+        if pass_on.resume_after is not None:
+            written["Last-Event-Id"] = str(pass_on.resume_after)
+        return written
+
+    def read_answer(self, status, headers):
+        """Return what status and headers of an endpoint's answer say."""
+        return gateway.AnswerHead(
+            request_id=headers.get("X-Request-Id", ""),
+            is_sealed=SIGNATURE in headers,
+            is_not_run="X-Not-Run" in headers,
+        )
+
+    def write_refusal(self, request_id, refusal):
+        """Return the headers of a refusal."""
+        written = {"X-Request-Id": request_id}
+        if refusal.retry_after_s:
+            written["Retry-After"] = f"{refusal.retry_after_s:.3f}"
+        return written
+
+
+class DirectStore:
+    """A store in memory that may be away.
+
+    :ivar dict snapshot_by_topic: what each topic holds now.
+    :ivar bool is_away: whether it answers nobody.
+    :ivar dict node_by_id: the registered processes.
+    """
+
+    def __init__(self):
+        self.is_away = False
+        self.revision = 1
+        self.node_by_id = {}
+        self.snapshot_by_topic = {
+            "config": gateway.Snapshot(0, None),
+            "endpoints": gateway.Snapshot(1, {}),
+            "domains": gateway.Snapshot(1, frozenset()),
+        }
+
+    def put(self, topic, value):
+        """Set what a topic holds."""
+        self.revision += 1
+        self.snapshot_by_topic[topic] = gateway.Snapshot(self.revision, value)
+
+    async def read(self, topic):
+        """Return the content of a topic."""
+        self._check()
+        return f"{topic} {self.snapshot_by_topic[topic].revision}".encode()
+
+    def decode(self, topic, content):
+        """Return the snapshot of a content."""
+        return self.snapshot_by_topic[topic]
+
+    async def announce(self, node):
+        """Register a process."""
+        self._check()
+        self.node_by_id[node.node_id] = node
+
+    async def list_nodes(self):
+        """Return the registered processes by id."""
+        self._check()
+        return dict(self.node_by_id)
+
+    def _check(self):
+        if self.is_away:
+            raise base.PlatformError("the store is away", "Switch it on")
+
+
+@dataclasses.dataclass
+class EndpointFaults:
+    """What an endpoint does wrong.
+
+    :param str mode: empty for nothing, ``refuse`` (not run), ``fail`` (status 500),
+        ``reset`` (runs, then resets), ``mute`` (runs, never answers), ``short``
+        (a body that is cut off), ``unframed_reset`` (a body without length, then a
+        reset), ``extra`` (a second answer after the first), ``crossed`` (the answer
+        to another request), ``cut`` (a stream cut in the middle of an event).
+    :param int times: how many requests it does this to.
+    """
+
+    mode: str = ""
+    times: int = 1_000_000
+
+    def take(self):
+        """Return the mode for the next request."""
+        if not self.mode or self.times <= 0:
+            return ""
+        self.times -= 1
+        return self.mode
+
+
+class DirectEndpoint:
+    """A server that answers requests as bytes, so that it can answer wrongly.
+
+    :param str endpoint_id: its id.
+    :param int events: events of a stream.
+    :param float event_s: time between two events, in seconds.
+
+    :ivar list seen: method, path, headers and body of each request that ran.
+    :ivar EndpointFaults faults: what it does wrong.
+    """
+
+    def __init__(self, endpoint_id, events=5, event_s=0.005):
+        self.endpoint_id = endpoint_id
+        self.events = events
+        self.event_s = event_s
+        self.seen = []
+        self.arrivals = 0
+        self.left = 0
+        self.work_s = 0.0
+        self.faults = EndpointFaults()
+        self.port = 0
+        self._server = None
+
+    async def start(self):
+        """Listen on the loopback address."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self):
+        """Stop listening."""
+        self._server.close()
+
+    def record(self, service, failure_domain="a", state=routes.EndpointState.READY):
+        """Return the entry that registers this endpoint.
+
+        :rtype: sequoiagap.routes.Endpoint
+        """
+        return routes.Endpoint(
+            self.endpoint_id,
+            service,
+            "127.0.0.1",
+            self.port,
+            failure_domain,
+            state,
+            slots=4,
+        )
+
+    async def _serve(self, reader, writer):
+        try:
+            await self._answer(reader, writer)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            self.left += 1
+        finally:
+            writer.close()
+
+    async def _answer(self, reader, writer):
+        head = (await reader.readuntil(_HEAD_END)).decode("latin-1")
+        first, *lines = head.strip().split("\r\n")
+        method, path, _ = first.split(" ")
+        headers = multidict.CIMultiDict(line.split(": ", 1) for line in lines)
+        body = await reader.readexactly(int(headers.get("Content-Length", 0)))
+        self.arrivals += 1
+        request_id = headers.get("X-Request-Id", "")
+        mode = self.faults.take()
+        if headers.get("X-Endpoint") != self.endpoint_id or mode == "refuse":
+            _write(writer, 503, request_id, b"full", {"X-Not-Run": "1"}, signed=False)
+            return
+        self.seen.append((method, path, headers, body))
+        await asyncio.sleep(self.work_s)
+        if "stream" in path:
+            await self._stream(writer, headers, mode)
+        else:
+            await self._whole(writer, request_id, mode)
+        await writer.drain()
+
+    async def _whole(self, writer, request_id, mode):
+        answer = f"answer of {self.endpoint_id}".encode()
+        if mode == "mute":
+            await asyncio.sleep(60)
+        elif mode == "reset":
+            _reset(writer)
+        elif mode == "fail":
+            _write(writer, 500, request_id, b"failed")
+        elif mode == "short":
+            writer.write(_head(200, request_id, len(answer) + 9) + answer)
+        elif mode == "unframed_reset":
+            writer.write(_head(200, request_id, None) + answer)
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            _reset(writer)
+        elif mode == "crossed":
+            _write(writer, 200, "another", answer)
+        else:
+            _write(writer, 200, request_id, answer)
+            if mode == "extra":
+                _write(writer, 200, "another", b"nobody asked")
+
+    async def _stream(self, writer, headers, mode):
+        kind = {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
+        writer.write(_head(200, headers.get("X-Request-Id", ""), None, kind))
+        after = int(headers.get("Last-Event-Id", 0))
+        for number in range(after + 1, self.events + 1):
+            await asyncio.sleep(self.event_s)
+            event = f"id: {number}\ndata: {number}\n\n".encode()
+            if mode == "cut" and number == self.events // 2 + 1:
+                _write_chunk(writer, event[:5])
+                await writer.drain()
+                _reset(writer)
+                return
+            if mode == "mute" and number == self.events // 2 + 1:
+                await asyncio.sleep(60)
+            _write_chunk(writer, event)
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+
+
+def _reset(writer):
+    """Close a connection by a reset, not by its orderly end."""
+    connection = writer.get_extra_info("socket")
+    linger = struct.pack("ii", 1, 0)  # on, with nothing left to wait for
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+def _head(status, request_id, length, more=None, signed=True):
+    headers = {"X-Request-Id": request_id} | (more or {})
+    if signed:
+        headers[SIGNATURE] = "s"
+    if length is not None:
+        headers["Content-Length"] = str(length)
+    lines = [f"HTTP/1.1 {status} Status"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def _write(writer, status, request_id, body, more=None, signed=True):
+    writer.write(_head(status, request_id, len(body), more, signed) + body)
+
+
+def _write_chunk(writer, data):
+    writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
--- /dev/null
+++ b/simulations/rank_world.py
@@ -0,0 +1,287 @@
+"""A rank group in memory, with orders that are lost or carried out late.
+
+Its engines keep to what engines without a check of maps promise: each switches by
+itself, a hold stands until it is released, and nothing compares the ranks. Leaders
+run the real procedures of :mod:`sequoiagap.ranks`.
+"""
+
+import dataclasses
+import random
+
+from sequoiagap import ranks
+
+SIZE = 3
+
+
+class TwoMapsError(AssertionError):
+    """A pass began with two maps."""
+
+
+@dataclasses.dataclass
+class Engine:
+    """One rank's engine."""
+
+    rank: int
+    map_version: int = 0
+    content: object = "first"
+    prepared: int = 0
+    prepared_content: object = None
+    highest: int = 0
+    armed: tuple | None = None
+    held: int = 0
+
+    def forget(self):
+        """Be as after the group has formed anew."""
+        self.map_version, self.content = 0, "first"
+        self.prepared, self.prepared_content, self.highest = 0, None, 0
+        self.armed, self.held = None, 0
+
+
+class Leader:
+    """A leader that may be killed or paused at any moment."""
+
+    def __init__(self, world, rank):
+        self.world = world
+        self.rank = rank
+        self.is_paused = False
+        self.start()
+
+    def start(self):
+        """Begin as a fresh process."""
+        self.procedure = None
+        self.change = None
+        self.waiting = {}
+        self.replies = {}
+        self.epoch = self.world.epoch
+        self.first_step = self.world.step
+        self.last_step = 0
+
+    def advance(self, choose):
+        """Do one thing: begin a procedure, or carry out one order of it."""
+        if self.procedure is None:
+            self._begin(choose)
+        elif self.waiting:
+            rank = choose(sorted(self.waiting))
+            order = self.waiting.pop(rank)
+            self.replies[rank] = self.world.carry_out(rank, order, choose)
+            if not self.waiting:
+                self._send(self.replies)
+
+    def _begin(self, choose):
+        world = self.world
+        if self.epoch != world.epoch:
+            self.start()
+        reports = {engine.rank: world.report(engine) for engine in world.engines}
+        held = [r for r, report in reports.items() if report.held_step]
+        plan = self._plan(reports)
+        if held and choose((True, False)):
+            rank = choose(held)
+            step = reports[rank].held_step
+            self.last_step = max(self.last_step, step)
+            self.procedure = ranks.resolve_hold(rank, step, plan)
+            self._send(None)
+        elif ranks.may_begin(reports, SIZE, self.rank, self.first_step):
+            self.change = ranks.MapChange(plan)
+            self.procedure = self.change.run()
+            self._send(None)
+
+    def _plan(self, reports):
+        version = ranks.make_version(reports, self.rank, SIZE, self.world.random)
+        return ranks.ChangePlan(
+            version=version,
+            layers=("new", version),
+            old_layers=self.world.engines[0].content,
+            size=SIZE,
+            own_rank=self.rank,
+            epoch=self.epoch,
+            after_step=self.last_step,
+        )
+
+    def _send(self, replies):
+        self.replies = {}
+        try:
+            step = self.procedure.send(replies)
+        except StopIteration as stop:
+            self.world.results.append(stop.value)
+            if self.change is not None:
+                self.last_step = max(self.last_step, self.change.step_)
+            self.procedure, self.change = None, None
+            return
+        if self.change is not None:
+            self.last_step = max(self.last_step, self.change.step_)
+        self.waiting = dict(step.order_by_rank)
+
+
+class World:
+    """A group, its leaders, and the orders that are still on their way.
+
+    :param int seed: seed of every choice.
+    :param float loss: share of the orders that get no answer.
+    """
+
+    def __init__(self, seed, loss=0.3):
+        self.random = random.Random(seed)
+        self.loss = loss
+        self.step = 20
+        self.epoch = 1
+        self.engines = [Engine(rank) for rank in range(SIZE)]
+        self.late = []
+        self.results = []
+        self.passes = 0
+        self.is_idle = False
+        self.leaders = [Leader(self, 0), Leader(self, 1)]
+
+    def run(self, turns):
+        """Take a number of random turns.
+
+        :param int turns: how many.
+        :raises TwoMapsError: if a pass begins with two maps.
+        """
+        for _ in range(turns):
+            self._turn()
+
+    def settle(self, turns):
+        """Let one leader go on under load without trouble, as after the last fault.
+
+        :param int turns: how many turns.
+        """
+        self.loss = 0.0
+        self.leaders[1].procedure = None
+        self.leaders[0].is_paused = False
+        for _ in range(turns):
+            self.leaders[0].advance(self.random.choice)
+            self.begin_pass()
+
+    def _turn(self):
+        draw = self.random.random()
+        if draw < 0.62:
+            leader = self.random.choice(self.leaders)
+            if not leader.is_paused:
+                leader.advance(self.random.choice)
+        elif draw < 0.82:
+            if not self.is_idle:
+                self.begin_pass()
+        elif draw < 0.92:
+            self._carry_out_late()
+        elif draw < 0.96:
+            leader = self.random.choice(self.leaders)
+            leader.is_paused = not leader.is_paused
+        elif draw < 0.985:
+            self.random.choice(self.leaders).start()
+        elif draw < 0.988:
+            self._form_anew()
+        else:
+            self.is_idle = not self.is_idle
+
+    def begin_pass(self):
+        """Begin the next pass unless it is held, and check the maps in it."""
+        following = self.step + 1
+        if any(engine.held == following for engine in self.engines):
+            return
+        self.step = following
+        self.passes += 1
+        for engine in self.engines:
+            if engine.armed is not None and engine.armed[1] == following:
+                engine.map_version = engine.armed[0]
+                engine.content = engine.prepared_content
+                engine.armed = None
+        contents = {(e.map_version, repr(e.content)) for e in self.engines}
+        if len(contents) > 1:
+            raise TwoMapsError(f"pass {following} begins with {contents}")
+
+    def carry_out(self, rank, order, choose):
+        """Give an order as a leader does, and return the reply."""
+        engine = self.engines[rank]
+        if order is None:
+            return ranks.RankReply(report=self._read(engine))
+        if self.random.random() < self.loss:
+            if choose((True, False)):
+                self._execute(engine, order)
+            else:
+                self.late.append((rank, order))
+            return ranks.RankReply(report=self._read(engine))
+        return ranks.RankReply(self._execute(engine, order), self._read(engine))
+
+    def report(self, engine):
+        """Return the report of an engine."""
+        armed = engine.armed or (0, 0)
+        return ranks.EngineReport(
+            group="g",
+            epoch=self.epoch,
+            rank=engine.rank,
+            size=SIZE,
+            is_open=True,
+            step=self.step,
+            map_version=engine.map_version,
+            prepared=engine.prepared,
+            armed=armed[0],
+            armed_step=armed[1],
+            held_step=engine.held,
+        )
+
+    def _read(self, engine):
+        if self.random.random() < self.loss / 3:
+            return None
+        return self.report(engine)
+
+    def carry_out_all_late(self):
+        """Carry out every order that is still on its way."""
+        while self.late:
+            self._carry_out_late()
+
+    def _carry_out_late(self):
+        if self.late:
+            rank, order = self.late.pop(self.random.randrange(len(self.late)))
+            self._execute(self.engines[rank], order)
+
+    def _form_anew(self):
+        self.epoch += 1
+        for engine in self.engines:
+            engine.forget()
+
+    def _execute(self, engine, order):
+        if order.epoch != self.epoch:
+            return ranks.OrderResult.CONFLICT
+        return _EXECUTE_BY_KIND[order.kind](self, engine, order)
+
+    def _prepare(self, engine, order):
+        if order.version <= engine.highest or engine.armed is not None:
+            return ranks.OrderResult.CONFLICT
+        engine.highest = engine.prepared = order.version
+        engine.prepared_content = order.layers
+        return ranks.OrderResult.DONE
+
+    def _arm(self, engine, order):
+        if engine.prepared != order.version or order.step <= self.step:
+            return ranks.OrderResult.CONFLICT
+        if engine.map_version == order.version:
+            return ranks.OrderResult.CONFLICT
+        engine.armed = (order.version, order.step)
+        return ranks.OrderResult.DONE
+
+    def _disarm(self, engine, order):
+        if engine.map_version == order.version:
+            return ranks.OrderResult.CONFLICT
+        if engine.armed is not None and engine.armed[0] == order.version:
+            engine.armed = None
+        return ranks.OrderResult.DONE
+
+    def _hold(self, engine, order):
+        if order.step <= self.step or engine.held not in (0, order.step):
+            return ranks.OrderResult.CONFLICT
+        engine.held = order.step
+        return ranks.OrderResult.DONE
+
+    def _release(self, engine, order):
+        if engine.held == order.step:
+            engine.held = 0
+        return ranks.OrderResult.DONE
+
+
+_EXECUTE_BY_KIND = {
+    ranks.OrderKind.PREPARE: World._prepare,
+    ranks.OrderKind.ARM: World._arm,
+    ranks.OrderKind.DISARM: World._disarm,
+    ranks.OrderKind.HOLD: World._hold,
+    ranks.OrderKind.RELEASE: World._release,
+}
--- a/tests/base/test_events.py
+++ b/tests/base/test_events.py
@@ -26,7 +26,8 @@
 
 def modules():
     """Return the syntax trees of all modules but the catalogue's own."""
-    for path in sorted((support.ROOT / "libs").rglob("*.py")):
+    folders = (support.ROOT / "libs", support.ROOT / "platform")
+    for path in sorted(p for folder in folders for p in folder.rglob("*.py")):
         if path.name != "_events.py":
             yield ast.parse(path.read_text())
 
--- /dev/null
+++ b/tests/gateway/gateway_case.py
@@ -0,0 +1,140 @@
+"""A gateway in this process, with stand-ins around it."""
+
+import itertools
+import socket
+import unittest
+
+import aiohttp
+import yarl
+
+from sequoiagap import gateway, routes, settings, standins
+from tests import support
+
+HOST = "desk.example"
+KEY = "key-of-guild"
+
+
+def route(kind, prefix, **fields):
+    """Return a route to the one service."""
+    defaults = {
+        "timeout_s": 2.0,
+        "max_attempts": 2,
+        "is_resumable": kind == routes.RequestKind.STREAM,
+    }
+    return routes.Route(
+        name=prefix,
+        host=HOST,
+        path_prefix=prefix,
+        kind=kind,
+        targets=(routes.WeightedTarget("desk"),),
+        **(defaults | fields),
+    )
+
+
+ROUTES = (
+    route(routes.RequestKind.SAFE, "/safe/"),
+    route(routes.RequestKind.UNSAFE, "/order/", max_attempts=1),
+    route(routes.RequestKind.UNSAFE, "/order-twice/"),
+    route(routes.RequestKind.STREAM, "/stream/"),
+    route(routes.RequestKind.SAFE, "/public/", is_public=True),
+    route(routes.RequestKind.SAFE, "/short/", timeout_s=0.2, max_attempts=1),
+)
+
+
+ACCOUNTS = (routes.ClientAccount("guild", (KEY,)),)
+
+
+def table(version=1, accounts=ACCOUNTS, **fields):
+    """Return a configuration with all routes."""
+    return routes.RouteTable(
+        version=version,
+        routes=ROUTES,
+        service_by_name={"desk": routes.Service("desk")},
+        accounts=accounts,
+        **fields,
+    )
+
+
+def free_port():
+    """Return a TCP port that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class GatewayCase(unittest.IsolatedAsyncioTestCase):
+    """Runs each test against a gateway and two endpoints.
+
+    :cvar dict more_settings: settings that differ from the usual ones.
+    """
+
+    more_settings = {"retry_slack": 1000.0}
+
+    @classmethod
+    def setUpClass(cls):
+        cls.log = support.silence_logs()
+
+    async def asyncSetUp(self):
+        self.numbers = itertools.count(1)
+        self.store = standins.DirectStore()
+        self.endpoints = [standins.DirectEndpoint(f"e{i}") for i in (1, 2)]
+        for endpoint in self.endpoints:
+            await endpoint.start()
+            self.addAsyncCleanup(endpoint.stop)
+        self.publish()
+        self.store.put("config", table())
+        self.gateway = await self.start_gateway("g1")
+        self.session = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.session.close)
+        await support.eventually(self.gateway.is_ready)
+
+    def publish(self, **state_by_id):
+        """Register the endpoints, in the state given or ready."""
+        ready = routes.EndpointState.READY
+        records = [
+            endpoint.record("desk", state=state_by_id.get(endpoint.endpoint_id, ready))
+            for endpoint in self.endpoints
+        ]
+        self.store.put("endpoints", {r.endpoint_id: r for r in records})
+
+    async def start_gateway(self, node_id, store=None):
+        """Start a gateway that is stopped after the test."""
+        port = free_port()
+        front = free_port()
+        loaded = settings.GatewaySettings(
+            role="gateway",
+            node_id=node_id,
+            deployment="test",
+            region="r",
+            failure_domain="a",
+            address="127.0.0.1",
+            port=port,
+            store={"url": "http://127.0.0.1:1"},
+            front_address=f"127.0.0.1:{front}",
+            ready_address=f"127.0.0.1:{free_port()}",
+            **self.more_settings,
+        )
+        started = gateway.Gateway(loaded, store or self.store, standins.DirectDialect())
+        await started.start()
+        self.addAsyncCleanup(started.stop)
+        started.url = f"http://127.0.0.1:{front}"
+        return started
+
+    async def call(self, path, method="GET", key=KEY, to=None, **headers):
+        """Send a request; return status, headers and body."""
+        sent = {"Host": HOST, "X-Request-Id": f"r{next(self.numbers)}"}
+        if key:
+            sent["X-Key"] = key
+        sent |= {name.replace("_", "-"): value for name, value in headers.items()}
+        url = yarl.URL((to or self.gateway).url + path, encoded=True)
+        async with self.session.request(method, url, headers=sent) as response:
+            return response.status, response.headers, await response.read()
+
+    def ran(self):
+        """Return how many requests ran, over all endpoints."""
+        return sum(len(endpoint.seen) for endpoint in self.endpoints)
+
+    def fault(self, mode, times=1_000_000):
+        """Have all endpoints do something wrong; ``times`` counts over each."""
+        for endpoint in self.endpoints:
+            endpoint.faults = standins.EndpointFaults(mode, times)
--- a/tests/support.py
+++ b/tests/support.py
@@ -1,5 +1,6 @@
 """Shared helpers of the tests."""
 
+import asyncio
 import datetime
 import io
 import json
@@ -146,3 +147,15 @@
                     key = event["endpoint"]
                     counts[key] = counts.get(key, 0) + 1
         return counts
+
+
+async def eventually(is_true, bound_s=FEW_SECONDS_S):
+    """Wait until a function returns true.
+
+    :param is_true: function without arguments.
+    :param float bound_s: longest wait, in seconds.
+    :raises TimeoutError: if it does not in time.
+    """
+    async with asyncio.timeout(bound_s):
+        while not is_true():  # noqa: ASYNC110 - any state may be waited for
+            await asyncio.sleep(0.01)
--- a/tools/write_events.py
+++ b/tools/write_events.py
@@ -7,8 +7,9 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HEADER = """# Log events
 
-Each process writes one JSON line for each event to standard error. `number` and
-the event's name never change their meaning. Written by `tools/write_events.py`.
+Each process writes one JSON line for each event to standard error, gateways and
+agents of ranks to standard output. `number` and the event's name never change their
+meaning. Written by `tools/write_events.py`.
 
 | number | event | meaning |
 | --- | --- | --- |
