Test the adapter, and write logs without waiting for their reader

Why: bad input from the store and from callers has to cost nothing but itself, and a log that nobody reads must not hold up a request.

--- a/libs/base/src/sequoiagap/base/__init__.py
+++ b/libs/base/src/sequoiagap/base/__init__.py
@@ -24,6 +24,7 @@
     suppressed_lines,
 )
 from sequoiagap.base._ids import new_id
+from sequoiagap.base._log_stream import BoundedStream
 from sequoiagap.base._metric_catalogue import METRIC_CATALOGUE
 from sequoiagap.base._metrics import QUANTILES, Metrics
 from sequoiagap.base._program import run_program
@@ -34,6 +35,7 @@
 from sequoiagap.base._usage import Usage, collect_process_metrics, read_usage
 
 __all__ = [
+    "BoundedStream",
     "CATALOGUE",
     "METRIC_CATALOGUE",
     "ConfigError",
--- /dev/null
+++ b/tests/platform_site/test_headers.py
@@ -0,0 +1,92 @@
+"""Headers are read and written in one place."""
+
+import sys
+import unittest
+
+import multidict
+
+from sequoiagap import base, gateway
+from tests import support
+
+sys.path.insert(0, str(support.ROOT / "platform"))
+
+from sequoiagap_site import headers  # noqa: E402 - found by the path above
+
+
+class HeadersTest(unittest.TestCase):
+    def setUp(self):
+        self.dialect = headers.PlatformDialect()
+
+    def test_request(self):
+        head = self.dialect.read_request(
+            multidict.CIMultiDict(
+                {
+                    "request-id": "r1",
+                    "Deadline-Ms": "1013",
+                    "Authorization": "Token k1",
+                    "Token-Counts": "1460,80",
+                    "Last-Event-Id": "12",
+                }
+            )
+        )
+        self.assertEqual(
+            (head.request_id, head.deadline_s, head.key), ("r1", 1.013, "k1")
+        )
+        self.assertEqual((head.prompt_tokens, head.answer_tokens), (1460, 80))
+        self.assertEqual(head.last_event_id, 12)
+
+    def test_bad_deadline_is_named(self):
+        for value in ("soon", "-5", "inf", ""):
+            with self.subTest(value), self.assertRaisesRegex(ValueError, "Deadline-Ms"):
+                self.dialect.read_request({"Deadline-Ms": value})
+
+    def test_other_schemes_are_no_key(self):
+        for value in ("Bearer k", "k", "Token", ""):
+            self.assertEqual(
+                self.dialect.read_request({"Authorization": value}).key, ""
+            )
+
+    def test_what_the_system_sets_is_never_the_callers(self):
+        sent = multidict.CIMultiDict(
+            [
+                ("Tenant", "other"),
+                ("tenant", "third"),
+                ("Expect-Instance", "i9"),
+                ("Authorization", "Token k1"),
+                ("Deadline-Ms", "99999"),
+                ("Request-Priority", "0"),
+                ("X-Kept", "yes"),
+            ]
+        )
+        pass_on = gateway.PassOn("i1", 0.75, "t1", resume_after=4)
+        written = self.dialect.write_request(sent, pass_on)
+        self.assertEqual(written.getall("Tenant"), ["t1"])
+        self.assertEqual(written["Expect-Instance"], "i1")
+        self.assertEqual(written["Deadline-Ms"], "750")
+        self.assertEqual(written["Last-Event-Id"], "4")
+        self.assertNotIn("Authorization", written)
+        self.assertNotIn("Request-Priority", written)
+        self.assertEqual(written["X-Kept"], "yes")
+
+    def test_without_account_none_is_named(self):
+        written = self.dialect.write_request(
+            multidict.CIMultiDict({"Tenant": "x"}), gateway.PassOn("i1", 1.0)
+        )
+        self.assertNotIn("Tenant", written)
+
+    def test_answer(self):
+        read = self.dialect.read_answer
+        self.assertTrue(read(421, {}).is_not_run)
+        self.assertTrue(read(503, {"Not-Executed": "1"}).is_not_run)
+        self.assertFalse(read(503, {}).is_not_run)
+        self.assertTrue(read(200, {"Server-Seal": "x"}).is_sealed)
+        load = read(200, {"Server-Load": "3,1,8"}).load
+        self.assertEqual((load.running, load.waiting, load.slots), (3, 1, 8))
+        self.assertIsNone(read(200, {"Server-Load": "many"}).load)
+
+    def test_refusal(self):
+        refusal = base.Refusal(
+            base.RefusalKind.OVERLOADED, "full", "wait", retry_after_s=0.25
+        )
+        written = self.dialect.write_refusal("r1", refusal)
+        self.assertEqual(written, {"Request-Id": "r1", "Retry-After": "0.250"})
--- /dev/null
+++ b/tests/platform_site/test_records.py
@@ -0,0 +1,144 @@
+"""The store's objects are decoded once; what is broken costs the others nothing."""
+
+import json
+import sys
+import unittest
+
+from sequoiagap import routes
+from tests import support
+
+sys.path.insert(0, str(support.ROOT / "platform"))
+
+from sequoiagap_site import records  # noqa: E402 - found by the path above
+
+ROUTE = {
+    "Name": "r1",
+    "Host": "h.example",
+    "PathPrefix": "/a/",
+    "Kind": "stream",
+    "TimeoutMs": 8000,
+    "TargetLatencyMs": 400,
+    "Priority": 1,
+    "TrafficSplit": [{"Service": "s1", "Weight": 90}, {"Service": "s2", "Weight": 10}],
+    "MaxAttempts": 2,
+    "Public": False,
+    "Sticky": True,
+    "Resumable": True,
+    "TargetGapMs": 120,
+    "NewField": {"x": 1},
+}
+SERVER = {
+    "Service": "s1",
+    "Address": "10.0.0.9:8080",
+    "Zone": "z1",
+    "Version": "v1",
+    "Slots": 6,
+    "State": "ready",
+    "ColdRemainingMs": 1500,
+    "Sequence": 4,
+}
+
+
+def config(**spec):
+    """Return a stored configuration."""
+    document = {"Version": 7, "Routes": [ROUTE], "Services": [{"Name": "s1"}]} | spec
+    stored = {"Metadata": {"Name": "main", "Revision": 41}, "Spec": document}
+    return json.dumps(stored).encode()
+
+
+def page(*items, revision=9):
+    """Return a page of a list of servers."""
+    return json.dumps({"Items": items, "HasMore": False, "AsOf": revision}).encode()
+
+
+def item(name, **fields):
+    """Return the entry of a server, with fields changed."""
+    return {"Metadata": {"Name": name}, "Spec": SERVER | fields}
+
+
+def setUpModule():
+    """Keep the log; loggers stay with the first stream that they meet."""
+    global LOG
+    LOG = support.silence_logs()
+
+
+class ConfigTest(unittest.TestCase):
+    def test_route(self):
+        snapshot = records.decode_config(config())
+        self.assertEqual((snapshot.revision, snapshot.value.version), (41, 7))
+        route = snapshot.value.find_route("h.example:80", "/a/b?c")
+        self.assertEqual(route.kind, routes.RequestKind.STREAM)
+        self.assertEqual((route.timeout_s, route.target_gap_s), (8.0, 0.12))
+        self.assertEqual([t.service for t in route.targets], ["s1", "s2"])
+        self.assertTrue(route.is_idempotent)
+
+    def test_nobody_needs_a_key_where_there_are_no_accounts(self):
+        self.assertFalse(records.decode_config(config()).value.needs_keys)
+        table = records.decode_config(config(Tenants=[])).value
+        self.assertTrue(table.needs_keys)
+
+    def test_account(self):
+        tenant = {"Name": "t", "ApiKeys": ["k1", "k2"], "Priority": 0}
+        table = records.decode_config(config(Tenants=[tenant])).value
+        self.assertEqual(table.find_account("k2").name, "t")
+        self.assertIsNone(table.find_account("k3"))
+
+    def test_broken_routes_cost_the_others_nothing(self):
+        broken = [
+            ROUTE | {"Kind": "often"},
+            ROUTE | {"Host": 5},
+            ROUTE | {"TrafficSplit": None, "Service": None},
+            ROUTE | {"PathPrefix": "b"},
+            "no object",
+        ]
+        for each in broken:
+            with self.subTest(each):
+                table = records.decode_config(config(Routes=[each, ROUTE])).value
+                self.assertEqual(len(table.routes), 1)
+        self.assertIn("config_malformed", LOG.getvalue())
+
+    def test_object_that_is_no_configuration_is_an_error(self):
+        for content in (b"[]", b"{}", b"nonsense", config(Version="7")):
+            with self.subTest(content), self.assertRaises(ValueError):
+                records.decode_config(content)
+
+    def test_none_yet(self):
+        self.assertIsNone(records.decode_config(b"").value)
+
+
+class EndpointsTest(unittest.TestCase):
+    def test_server(self):
+        snapshot = records.decode_endpoints([page(item("i1")), page(item("i2"))])
+        self.assertEqual((snapshot.revision, set(snapshot.value)), (9, {"i1", "i2"}))
+        endpoint = snapshot.value["i1"]
+        self.assertEqual((endpoint.address, endpoint.port), ("10.0.0.9", 8080))
+        self.assertEqual(endpoint.cold_remaining_s, 1.5)
+
+    def test_broken_entries_name_no_server(self):
+        broken = [
+            item("x", State="asleep"),
+            item("x", Address="nowhere"),
+            item("x", Service=None),
+            item("x", Slots="6"),
+            {"Metadata": {"Name": "x"}, "Spec": "text"},
+            {"Metadata": {}, "Spec": SERVER},
+            {"Spec": SERVER},
+            "text",
+            None,
+        ]
+        found = records.decode_endpoints([page(*broken, item("i1"))]).value
+        self.assertEqual(set(found), {"i1"})
+        self.assertIn("endpoint_record_bad", LOG.getvalue())
+
+    def test_domains_taken_out(self):
+        items = [{"Metadata": {"Name": "z1"}, "Spec": {}}, "text"]
+        self.assertEqual(records.decode_domains([page(*items)]).value, {"z1"})
+
+    def test_nodes(self):
+        node = {"node_id": "n", "role": "gateway", "address": "10.0.0.1", "port": 7}
+        items = [
+            {"Metadata": {"Name": "n"}, "Spec": node},
+            {"Metadata": {"Name": "bad"}, "Spec": {"x": 1}},
+            {"Metadata": {"Name": "worse"}, "Spec": None},
+        ]
+        self.assertEqual(set(records.decode_nodes([page(*items)])), {"n"})
--- /dev/null
+++ b/tests/platform_site/test_store.py
@@ -0,0 +1,112 @@
+"""The client of the store, against a stand-in that answers as the store does."""
+
+import asyncio
+import json
+import sys
+import unittest
+
+from aiohttp import web
+
+from sequoiagap import base, gateway
+from tests import support
+
+sys.path.insert(0, str(support.ROOT / "platform"))
+
+from sequoiagap_site import store  # noqa: E402 - found by the path above
+
+
+class StoreStandIn:
+    """Lists objects in pages of two; may fail."""
+
+    def __init__(self):
+        self.by_kind = {"servers": {}, "sequoiagap-nodes": {}}
+        self.status = 0
+        self.delay_s = 0.0
+        self.calls = []
+
+    async def answer(self, request):
+        """Answer one call."""
+        self.calls.append((request.method, request.path_qs))
+        await asyncio.sleep(self.delay_s)
+        if self.status:
+            return web.Response(status=self.status)
+        kind, _, name = request.path.removeprefix("/api/objects/").partition("/")
+        objects = self.by_kind.get(kind, {})
+        if request.method in ("POST", "PUT"):
+            document = json.loads(await request.read())
+            name = document["Metadata"]["Name"]
+            if request.method == "POST" and name in objects:
+                return web.json_response(objects[name], status=409)
+            objects[name] = document
+            return web.json_response(document)
+        if name:
+            found = objects.get(name)
+            return web.json_response(found or {}, status=200 if found else 404)
+        after = request.query.get("After", "")
+        names = [n for n in sorted(objects) if n > after]
+        page = [objects[n] for n in names[:2]]
+        body = {"Items": page, "HasMore": len(names) > 2, "AsOf": 5}
+        return web.json_response(body)
+
+
+class StoreTest(unittest.IsolatedAsyncioTestCase):
+    @classmethod
+    def setUpClass(cls):
+        support.silence_logs()
+
+    async def asyncSetUp(self):
+        self.stand_in = StoreStandIn()
+        runner = web.ServerRunner(web.Server(self.stand_in.answer))
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        self.addAsyncCleanup(runner.cleanup)
+        port = runner.addresses[0][1]
+        self.store = store.PlatformStore(f"http://127.0.0.1:{port}")
+        self.addAsyncCleanup(self.store.close)
+
+    async def test_list_of_several_pages(self):
+        for number in range(5):
+            name = f"i{number}"
+            self.stand_in.by_kind["servers"][name] = {
+                "Metadata": {"Name": name},
+                "Spec": {
+                    "Service": "s",
+                    "Address": f"10.0.0.{number}:80",
+                    "Zone": "z",
+                    "State": "ready",
+                },
+            }
+        content = await self.store.read("endpoints")
+        found = self.store.decode("endpoints", content).value
+        self.assertEqual(sorted(found), ["i0", "i1", "i2", "i3", "i4"])
+
+    async def test_no_configuration_yet(self):
+        content = await self.store.read("config")
+        self.assertIsNone(self.store.decode("config", content).value)
+
+    async def test_failures_are_typed(self):
+        for status in (429, 500, 503):
+            self.stand_in.status = status
+            with self.assertRaises(base.PlatformError):
+                await self.store.read("config")
+
+    async def test_slow_store_is_given_up(self):
+        self.stand_in.delay_s = 5.0
+        with self.assertRaises(base.PlatformError):
+            async with asyncio.timeout(2.0):
+                await self.store.read("config")
+
+    async def test_processes_find_each_other_and_start_again(self):
+        first = gateway.Node("n1", "gateway", "10.0.0.1", 7000, "z")
+        await self.store.announce(first)
+        moved = gateway.Node("n1", "gateway", "10.0.0.2", 7000, "z")
+        await self.store.announce(moved)
+        self.assertEqual(await self.store.list_nodes(), {"n1": moved})
+
+    async def test_only_lists_that_may_be_old_are_asked_for_as_such(self):
+        await self.store.read("endpoints")
+        await self.store.list_nodes()
+        (fresh, old) = self.stand_in.calls
+        self.assertNotIn("AllowStale", fresh[1])
+        self.assertIn("AllowStale=1", old[1])
