--- /dev/null
+++ b/libs/cli/src/sequoiagap/cli/_log_file.py
@@ -0,0 +1,68 @@
+"""Decisions about a request, read from a log file."""
+
+import dataclasses
+import json
+
+from sequoiagap import base
+
+_LEFT_OUT = frozenset(
+    {"component", "event", "level", "node", "number", "request_id", "timestamp"}
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class LoggedDecision:
+    """A line of a log about a request.
+
+    :param str at: when it was written.
+    :param str node: process that wrote it.
+    :param str step: name of the event.
+    :param dict details: what it says.
+    """
+
+    at: str
+    node: str
+    step: str
+    details: dict
+
+
+def find_decisions(path, request_id):
+    """Return the lines of a log file about a request, in order of time.
+
+    Lines that are no JSON are left out; text before the JSON, as some collectors
+    put there, is skipped.
+
+    :param str path: the log file.
+    :param str request_id: the request.
+    :rtype: list[LoggedDecision]
+    :raises sequoiagap.base.ConfigError: if the file can't be read.
+    """
+    found = []
+    try:
+        with open(path, encoding="utf-8", errors="replace") as log:
+            for line in log:
+                if request_id in line:
+                    found += _read_line(line, request_id)
+    except OSError as error:
+        raise base.ConfigError(
+            f"{path}: can't be read ({error})", "Check the path and its permissions"
+        ) from error
+    return sorted(found, key=lambda decision: decision.at)
+
+
+def _read_line(line, request_id):
+    start = line.find("{")
+    try:
+        document = json.loads(line[start:]) if start >= 0 else None
+    except ValueError:
+        return []
+    if not isinstance(document, dict) or document.get("request_id") != request_id:
+        return []
+    return [
+        LoggedDecision(
+            at=str(document.get("timestamp", "")),
+            node=str(document.get("node", "")),
+            step=str(document.get("event", "")),
+            details={k: v for k, v in document.items() if k not in _LEFT_OUT},
+        )
+    ]
--- a/libs/cli/src/sequoiagap/cli/_operator_commands.py
+++ b/libs/cli/src/sequoiagap/cli/_operator_commands.py
@@ -1,10 +1,12 @@
 """Commands of operators about domains, endpoints, states and requests."""
 
+import dataclasses
 import json
 
 from cleo import helpers
 
-from sequoiagap.cli import _operator
+from sequoiagap import base
+from sequoiagap.cli import _exit_codes, _log_file, _operator
 
 
 class _DomainCommand(_operator.OperatorCommand):
@@ -99,12 +101,34 @@
     name = "explain"
     description = "Show what was decided about a request, and on which version."
     arguments = [helpers.argument("request_id", "id of the request")]
+    options = [
+        *_operator.OperatorCommand.options,
+        helpers.option("log", None, "read this log file, not an entry", flag=False),
+    ]
 
     def act(self):
         """Show one row for each decision."""
+        if self.option("log"):
+            return self._explain_log(self.option("log"))
         path = f"/v1/explain/{self.argument('request_id')}"
         return self.show(self.call("GET", path), self._print)
 
+    def _explain_log(self, path):
+        """Show the decisions that a log file has about the request."""
+        request_id = self.argument("request_id")
+        found = _log_file.find_decisions(path, request_id)
+        if not found:
+            raise base.ConfigError(
+                f"{path}: has no line about request {request_id}",
+                "Read the logs of the process that took it; a retry has its own id",
+            )
+        if self.option("json"):
+            self.line(json.dumps([dataclasses.asdict(d) for d in found]))
+            return _exit_codes.ExitCode.DONE
+        rows = [[d.at, d.node, d.step, json.dumps(d.details)] for d in found]
+        self.print_table(["at", "node", "step", "details"], rows)
+        return _exit_codes.ExitCode.DONE
+
     def _print(self, document):
         rows = [
             [d["step"], d["config_version"], json.dumps(d["details"])]
--- a/libs/cli/src/sequoiagap/cli/_role_commands.py
+++ b/libs/cli/src/sequoiagap/cli/_role_commands.py
@@ -21,7 +21,7 @@
             self.line_error(str(error))
             return _exit_codes.ExitCode.BAD_USAGE
         if loaded.role != self.role:
-            self.line_error(f"role is {loaded.role!r}. Use 'sequoiagap {loaded.role}'")
+            self.line_error(f"role is {loaded.role!r}. {_start_remedy(loaded.role)}")
             return _exit_codes.ExitCode.BAD_USAGE
         base.configure_logs(loaded.log_level, node=loaded.node_id)
         base.get_logger("main").emit(base.Event.PROCESS_STARTED, role=self.role)
@@ -70,4 +70,10 @@
         await agent.run(loaded)
 
 
+def _start_remedy(role):
+    if role in settings.ADAPTED_ROLES:
+        return "A platform's adapter starts it, see docs/OPERATIONS.md"
+    return f"Use 'sequoiagap {role}'"
+
+
 COMMANDS = (EntryCommand, AgentCommand)
--- a/libs/gateway/src/sequoiagap/gateway/_admission.py
+++ b/libs/gateway/src/sequoiagap/gateway/_admission.py
@@ -11,6 +11,7 @@
 WAIT_SHARE = 0.6  # of the target latency that may be spent in a queue
 SERVICE_WEIGHT = 0.1  # of the newest answer in the mean time of service
 FULL_RETRY_S = 0.6
+WAITS_UNTIL_RETRY = 4.0  # of the wait now; overload lasts longer than one queue
 DOWN_RETRY_S = 2.4  # a group that lost a rank takes seconds to serve again
 RETRY_SPREAD = 0.5  # share of the time to come back by which callers are spread
 
@@ -71,7 +72,8 @@
         if wait_s <= WAIT_SHARE * target_latency_s:
             return Verdict(True)
         reason = f"all endpoints are full for {wait_s:.2f} s"
-        return self._refuse(reason, max(FULL_RETRY_S, wait_s))
+        retry_s = max(FULL_RETRY_S, WAITS_UNTIL_RETRY * wait_s)
+        return self._refuse(reason, min(retry_s, DOWN_RETRY_S))
 
     def _wait(self, load, now):
         """Return how long a request would wait for a slot, in seconds."""
--- a/libs/ranks/src/sequoiagap/ranks/_agent.py
+++ b/libs/ranks/src/sequoiagap/ranks/_agent.py
@@ -14,6 +14,8 @@
 FIRST_NODES_S = 0.4
 CONFIG_INTERVAL_S = 20.0
 LEAD_CHECK_S = 0.1
+PLACE_RETRY_S = 0.05  # until an agent has said which rank it serves
+PLACED_CHECK_S = 1.0
 LEAD_AFTER_S = 0.8  # without a poll by a lower rank
 LEAD_STAGGER_S = 0.3  # more for each rank
 MAX_STAGGER_RANKS = 6
@@ -256,24 +258,28 @@
         runner = asyncio.ensure_future(link.run())
         try:
             while self._link_by_node.get(link.node.node_id) is link:
-                await self._place_link(link)
-                await asyncio.sleep(LEAD_CHECK_S * 5)
+                is_placed = await self._place_link(link)
+                await asyncio.sleep(PLACED_CHECK_S if is_placed else PLACE_RETRY_S)
         finally:
             await base.cancel_and_wait(runner)
 
     async def _place_link(self, link):
-        """Ask an agent which rank it serves, and use the link for that rank."""
+        """Ask an agent which rank it serves, and use the link for that rank.
+
+        :returns: whether the agent said so.
+        """
         leader = self._leader
         if leader is None or not link.is_open:
-            return
+            return False
         state = await link.ask(_messages.RankPoll(0, leader.own_rank))
         if state is None or not state.is_known:
-            return
+            return False
         report = _access.read_report(state)
         if report.group != leader.group:
-            return
+            return True
         leader.access.link_by_rank[report.rank] = link
         self._endpoint_by_rank[report.rank] = link.node.endpoint
+        return True
 
     async def _serve(self, reader, writer):
         try:
--- a/libs/settings/src/sequoiagap/settings/__init__.py
+++ b/libs/settings/src/sequoiagap/settings/__init__.py
@@ -1,6 +1,7 @@
 """Validated models of settings files, in JSON with comments."""
 
 from sequoiagap.settings._loader import (
+    ADAPTED_ROLES,
     check_files,
     load,
     load_keys,
@@ -24,6 +25,7 @@
 )
 
 __all__ = [
+    "ADAPTED_ROLES",
     "AgentSettings",
     "EndpointSettings",
     "EntrySettings",
--- a/libs/settings/src/sequoiagap/settings/_loader.py
+++ b/libs/settings/src/sequoiagap/settings/_loader.py
@@ -9,6 +9,7 @@
 from sequoiagap.settings import _models, _problems
 
 MIN_SECRET_CHARACTERS = 16
+ADAPTED_ROLES = frozenset({"gateway", "ranks"})  # started by a platform's adapter
 
 _MODELS_BY_ROLE = {
     "agent": _models.AgentSettings,
@@ -103,6 +104,8 @@
     :param EntrySettings | AgentSettings loaded: checked settings.
     :raises sequoiagap.base.ConfigError: if a file can't be used.
     """
+    if loaded.role in ADAPTED_ROLES:
+        return  # their settings name no files
     load_secret(loaded.secret_file)
     load_tls(loaded.tls)
     if isinstance(loaded, _models.EntrySettings):
