Find a hold whose rank is heard now and then, and read anew at a misdirected request

Cause: a rank whose agent is silent is asked directly every third turn only, and each turn without it forgot since when it held; the new test of a silent agent's hold failed on it.

Now a rank that says nothing in a turn counts as in the last one, and a misdirected request drops the endpoint and has the list read at once.

--- a/libs/gateway/src/sequoiagap/gateway/_dispatch.py
+++ b/libs/gateway/src/sequoiagap/gateway/_dispatch.py
@@ -115,7 +115,8 @@
 class Dispatcher:
     """Runs requests at endpoints.
 
-    :param state: object with ``table``, ``pool``, ``freshness`` in force.
+    :param state: object with ``table``, ``pool``, ``freshness`` in force, and with
+        ``note_misdirected(endpoint_id)``.
     :param Dialect dialect: names of headers.
     :param EndpointChooser chooser: chooses endpoints.
     :param Budgets budgets: bounds shared with other gateways.
@@ -310,8 +311,11 @@
     def _learn(self, load, attempt, end, elapsed_s):
         now = time.monotonic()
         self.reach.note(attempt.is_sent_)
-        if attempt.head_ is not None and attempt.head_.load is not None:
-            load.take_sample(attempt.head_.load, now)
+        head = attempt.head_
+        if head is not None and head.load is not None:
+            load.take_sample(head.load, now)
+        if head is not None and head.is_misdirected:
+            self.state.note_misdirected(load.endpoint.endpoint_id)
         if end.outcome == _attempt.AttemptOutcome.ANSWERED:
             load.note_success()
             self.admission(load.endpoint.service).note_answered(elapsed_s)
--- a/libs/gateway/src/sequoiagap/gateway/_feed.py
+++ b/libs/gateway/src/sequoiagap/gateway/_feed.py
@@ -8,6 +8,7 @@
 
 READ_TIMEOUT_S = 0.8
 INTERVAL_S_BY_TOPIC = {"config": 0.9, "endpoints": 0.9, "domains": 2.0}
+MIN_INTERVAL_S = 0.1
 RETRY_S = 0.25
 MAX_AWAY_S = 86400.0  # shown where the store has never answered
 AWAY_S = 1.2  # an unanswered store this long may have let entries lapse
@@ -24,6 +25,7 @@
     :ivar object value: the value decoded from it.
     :ivar float read_at: when it was asked for, suspend-aware seconds.
     :ivar bool is_away: whether the store did not answer last time.
+    :ivar asyncio.Event is_wanted: set where it is to be read at once.
     """
 
     name: str
@@ -32,6 +34,7 @@
     value: object = None
     read_at: float = float("-inf")
     is_away: bool = False
+    is_wanted: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
 
 class StoreFeed:
@@ -90,12 +93,24 @@
         except (base.PlatformError, TimeoutError):
             return None
 
+    def hurry(self, name):
+        """Read a topic at once, as what is known of it has proved old.
+
+        :param str name: the topic.
+        """
+        self.by_topic[name].is_wanted.set()
+
     async def _follow(self, topic):
         while True:
-            if await self._read(topic):
-                await asyncio.sleep(INTERVAL_S_BY_TOPIC[topic.name])
-            else:
-                await asyncio.sleep(RETRY_S)
+            topic.is_wanted.clear()
+            is_read = await self._read(topic)
+            interval_s = INTERVAL_S_BY_TOPIC[topic.name] if is_read else RETRY_S
+            await asyncio.sleep(MIN_INTERVAL_S)
+            try:
+                async with asyncio.timeout(interval_s - MIN_INTERVAL_S):
+                    await topic.is_wanted.wait()
+            except TimeoutError:
+                continue
 
     async def _read(self, topic):
         """Read a topic once; return whether the store answered."""
--- a/libs/gateway/src/sequoiagap/gateway/_gateway.py
+++ b/libs/gateway/src/sequoiagap/gateway/_gateway.py
@@ -143,6 +143,14 @@
         age = self.freshness.age(routes.suspend_aware_time())
         return age <= min(READY_PROOF_S, self.freshness.max_age_s)
 
+    def note_misdirected(self, endpoint_id):
+        """Take it that an address belongs to another endpoint now, and read anew.
+
+        :param str endpoint_id: the endpoint that was meant.
+        """
+        self.pool.discard(endpoint_id)
+        self.feed.hurry("endpoints")
+
     def dump_state(self):
         """Return everything that the process knows, as plain data.
 
--- a/libs/gateway/src/sequoiagap/gateway/_pool.py
+++ b/libs/gateway/src/sequoiagap/gateway/_pool.py
@@ -57,6 +57,14 @@
             _log.emit(base.Event.DOMAINS_OUT, domains=sorted(domains_out))
         self.domains_out_ = domains_out
 
+    def discard(self, endpoint_id):
+        """Use an endpoint no more until the next reading, as its address has moved.
+
+        :param str endpoint_id: the endpoint.
+        """
+        if endpoint_id in self.load_by_id:
+            self._drop(endpoint_id)
+
     def find_by_address(self, address):
         """Return the load of the endpoint at ``address:port``, or ``None``.
 
--- a/libs/gateway/src/sequoiagap/gateway/_ports.py
+++ b/libs/gateway/src/sequoiagap/gateway/_ports.py
@@ -48,12 +48,14 @@
     :param str request_id: id of the request that it answers; empty if missing.
     :param bool is_sealed: whether the endpoint signed it.
     :param bool is_not_run: whether it says that the request did not run.
+    :param bool is_misdirected: whether another endpoint has the address now.
     :param LoadSample load: the endpoint's load, if told.
     """
 
     request_id: str = ""
     is_sealed: bool = False
     is_not_run: bool = False
+    is_misdirected: bool = False
     load: LoadSample | None = None
 
 
--- a/libs/ranks/src/sequoiagap/ranks/_leader.py
+++ b/libs/ranks/src/sequoiagap/ranks/_leader.py
@@ -235,18 +235,18 @@
     async def _resolve_orphans(self, known):
         """Release a hold that has stood too long; return whether there is one."""
         now = time.monotonic()
-        held = {r: report.held_step for r, report in known.items() if report.held_step}
-        self._held_since_by_rank = {
-            rank: self._held_since_by_rank.get(rank, (step, now))
-            if self._held_since_by_rank.get(rank, (step, now))[0] == step
-            else (step, now)
-            for rank, step in held.items()
-        }
+        for rank, report in known.items():
+            since = self._held_since_by_rank.get(rank)
+            if not report.held_step:
+                self._held_since_by_rank.pop(rank, None)
+            elif since is None or since[0] != report.held_step:
+                self._held_since_by_rank[rank] = (report.held_step, now)
+        # A rank that says nothing in this turn counts as it did in the last.
         for rank, (step, since) in self._held_since_by_rank.items():
             if rank == self.own_rank or now - since >= ORPHAN_S:
                 await self._resolve(rank, step, known)
                 return True
-        return bool(held)
+        return bool(self._held_since_by_rank)
 
     async def _resolve(self, rank, step, known):
         if self.holdings_ is None:
@@ -254,6 +254,7 @@
         plan = self._make_plan(known, self.holdings_.layers)
         result = await self._drive(_change.resolve_hold(rank, step, plan))
         self._last_step = max(self._last_step, step)
+        self._held_since_by_rank = {}
         self.holdings_ = None
         _log.emit(
             base.Event.HOLD_RESOLVED,
--- a/libs/standins/src/sequoiagap/standins/_direct.py
+++ b/libs/standins/src/sequoiagap/standins/_direct.py
@@ -9,7 +9,7 @@
 
 from sequoiagap import base, gateway, routes
 
-READ_BYTES = 65536
+MISDIRECTED_STATUS = 421
 SIGNATURE = "X-Signature"
 _OWN_HEADERS = ("X-Key", "X-Account", "X-Endpoint", "X-Remaining-Ms")
 _HEAD_END = b"\r\n\r\n"
@@ -48,6 +48,7 @@
             request_id=headers.get("X-Request-Id", ""),
             is_sealed=SIGNATURE in headers,
             is_not_run="X-Not-Run" in headers,
+            is_misdirected=status == MISDIRECTED_STATUS,
         )
 
     def write_refusal(self, request_id, refusal):
@@ -192,8 +193,12 @@
         self.arrivals += 1
         request_id = headers.get("X-Request-Id", "")
         mode = self.faults.take()
-        if headers.get("X-Endpoint") != self.endpoint_id or mode == "refuse":
-            _write(writer, 503, request_id, b"full", {"X-Not-Run": "1"}, signed=False)
+        is_meant = headers.get("X-Endpoint") == self.endpoint_id
+        if not is_meant or mode == "refuse":
+            status = 503 if is_meant else MISDIRECTED_STATUS
+            _write(
+                writer, status, request_id, b"full", {"X-Not-Run": "1"}, signed=False
+            )
             return
         self.seen.append((method, path, headers, body))
         await asyncio.sleep(self.work_s)
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -150,6 +150,14 @@
         self.assertEqual((status, self.ran()), (503, 0))
         self.assertIn("Retry-After", headers)
 
+    async def test_new_ids_are_learnt_at_the_first_misdirected_request(self):
+        for endpoint in self.endpoints:
+            endpoint.endpoint_id += "-again"
+        self.publish()
+        await self.call("/safe/")  # may be told that it has not run
+        await asyncio.sleep(0.3)  # a third of the time between two readings
+        self.assertEqual((await self.call("/safe/"))[0], 200)
+
     async def test_endpoints_stay_while_the_store_is_away(self):
         self.store.is_away = True
         await asyncio.sleep(1.6)
--- /dev/null
+++ b/tests/ranks/test_leader.py
@@ -0,0 +1,185 @@
+"""A leader follows demand and settles what others have left, over lossy orders."""
+
+import asyncio
+import unittest
+
+from simulations import rank_world
+
+from sequoiagap import base, ranks, routes
+from sequoiagap.ranks import _access, _leader
+from tests import support
+
+TERMS = routes.EngineTerms(
+    slots=6,
+    layers=1,
+    experts=6,
+    slots_per_rank=3,
+    new_per_change=2,
+    expert_share=0.85,
+)
+LAYERS = (((0, 1), (2, 3), (4, 5)),)
+HEAVY = [0, 0, 0, 0, 90, 90]  # all demand on one rank
+
+
+class GroupStandIn:
+    """A rank group as the calls of its engines show it.
+
+    :ivar dict lost_by_kind: how many orders of a kind go without an answer.
+    """
+
+    def __init__(self):
+        self.world = rank_world.World(1, loss=0.0)
+        self.lost_by_kind = {}
+        self.counts_by_rank = [[0] * 6 for _ in range(rank_world.SIZE)]
+        self.silent = set()
+        for engine in self.world.engines:
+            engine.content = LAYERS
+
+    def engine(self, address):
+        return self.world.engines[int(address)]
+
+    async def report(self, address):
+        if address in self.silent:
+            return None
+        return self.world.report(self.engine(address))
+
+    async def counts(self, address):
+        return ranks.ExpertCounts(self.world.epoch, self.counts_by_rank[int(address)])
+
+    async def held_experts(self, address):
+        engine = self.engine(address)
+        held = [list(layer[engine.rank]) for layer in engine.content]
+        return engine.map_version, held
+
+    async def order(self, address, order):
+        left = self.lost_by_kind.get(order.kind, 0)
+        if left:
+            self.lost_by_kind[order.kind] = left - 1
+            return ranks.OrderResult.UNKNOWN
+        return self.world._execute(self.engine(address), order)
+
+    def work(self, counts, passes=8):
+        """Let requests choose experts while passes go by."""
+        for rank in range(rank_world.SIZE):
+            before = self.counts_by_rank[rank]
+            self.counts_by_rank[rank] = [
+                b + c for b, c in zip(before, counts, strict=True)
+            ]
+        for _ in range(passes):
+            self.world.begin_pass()
+
+
+class LeaderTest(unittest.IsolatedAsyncioTestCase):
+    @classmethod
+    def setUpClass(cls):
+        support.silence_logs()
+
+    async def asyncSetUp(self):
+        self.group = GroupStandIn()
+        self.leader = await self.lead(0)
+
+    async def lead(self, rank):
+        """Return a leader beside a rank that reaches the others' engines directly."""
+        own = _access.OwnRank(self.group, str(rank))
+        addresses = {r: str(r) for r in range(rank_world.SIZE) if r != rank}
+        access = _access.GroupAccess(own, rank, addresses)
+
+        async def poll(asked, wants_counts=False, wants_experts=False):
+            if asked != rank and str(asked) in self.group.silent:
+                return None
+            engine = _access.OwnRank(self.group, str(asked))
+            item = _access._messages.RankPoll(0, rank, wants_counts, wants_experts)
+            return await engine.answer_poll(item)
+
+        access.poll = poll
+        report = self.group.world.report(self.group.world.engines[rank])
+        return ranks.GroupLeader(access, report, TERMS, base.Metrics())
+
+    async def turns(self, leader, counts=HEAVY, number=6):
+        for _ in range(number):
+            self.group.work(counts)
+            await leader.turn()
+
+    def contents(self):
+        return {repr(engine.content) for engine in self.group.world.engines}
+
+    async def test_map_follows_demand(self):
+        await self.turns(self.leader)
+        self.group.work(HEAVY)
+        self.assertGreater(self.leader.changes_, 0)
+        (content,) = self.contents()
+        self.assertNotEqual(content, repr(LAYERS))
+        holders = [
+            sum(expert in held for held in self.leader.holdings_.layers[0])
+            for expert in (4, 5)
+        ]
+        self.assertGreater(max(holders), 1)
+
+    async def test_nothing_changes_without_work(self):
+        await self.turns(self.leader, counts=[0] * 6)
+        self.assertEqual(self.leader.changes_, 0)
+
+    async def test_lost_orders_are_given_again(self):
+        for kind in ranks.OrderKind:
+            with self.subTest(kind):
+                await self.asyncSetUp()
+                self.group.lost_by_kind = {kind: 1}
+                await self.turns(self.leader, number=10)
+                self.group.work(HEAVY)
+                self.assertGreater(self.leader.changes_, 0)
+                self.assertEqual(len(self.contents()), 1)
+                self.assertFalse([e for e in self.group.world.engines if e.held])
+
+    async def test_hold_of_another_leader_is_resolved(self):
+        await self.turns(self.leader, number=3)
+        world = self.group.world
+        step = world.step + 2
+        world.engines[1].held = step
+        await self.wait_for_orphan()
+        self.group.work(HEAVY)
+        self.assertGreater(world.step, step)
+
+    async def test_own_hold_from_before_a_restart_is_resolved_at_once(self):
+        await self.turns(self.leader, number=2)
+        world = self.group.world
+        world.engines[0].held = world.step + 1
+        fresh = await self.lead(0)
+        for _ in range(3):
+            await fresh.turn()
+        self.assertFalse([engine for engine in world.engines if engine.held])
+
+    async def test_hold_of_a_rank_whose_agent_is_silent_is_found(self):
+        await self.turns(self.leader, number=2)
+        world = self.group.world
+        world.engines[2].held = world.step + 1
+        poll = self.leader.access.poll
+
+        async def poll_without_last(asked, *wants):
+            return None if asked == 2 else await poll(asked, *wants)
+
+        self.leader.access.poll = poll_without_last
+        await self.wait_for_orphan()
+        self.assertFalse([engine for engine in world.engines if engine.held])
+
+    async def test_group_that_forms_anew_is_learnt_again(self):
+        await self.turns(self.leader)
+        world = self.group.world
+        world._form_anew()
+        for engine in world.engines:
+            engine.content = LAYERS
+        before = self.leader.changes_
+        await asyncio.sleep(2 * _leader.REST_S)
+        await self.turns(self.leader, number=10)
+        self.assertEqual(self.leader.epoch_, world.epoch)
+        self.assertGreater(self.leader.changes_, before)
+        self.assertEqual(len(self.contents()), 1)
+
+    async def wait_for_orphan(self):
+        """Take turns until nothing is held any more."""
+        engines = self.group.world.engines
+        for _ in range(60):
+            await self.leader.turn()
+            if not any(engine.held for engine in engines):
+                return
+            await asyncio.sleep(0.02)
+        self.fail("still held")
