--- a/libs/gateway/src/sequoiagap/gateway/_attempt.py
+++ b/libs/gateway/src/sequoiagap/gateway/_attempt.py
@@ -137,7 +137,7 @@
     async def _take(self, response, sink):
         head = self.dialect.read_answer(response.status, response.headers)
         self.head_ = head
-        if head.request_id and head.request_id != outgoing_id(self.outgoing):
+        if head.request_id and head.request_id != self.outgoing.request_id:
             return self._failed(f"the answer is one to {head.request_id}")
         if head.is_not_run:
             reason = f"refused by the endpoint with status {response.status}"
@@ -228,15 +228,6 @@
     resume_after: int | None = None
 
 
-def outgoing_id(outgoing):
-    """Return the id that the answer of a request has to name.
-
-    :param Outgoing outgoing: the request.
-    :rtype: str
-    """
-    return outgoing.request_id
-
-
 def open_session():
     """Return a client session whose connections carry one request each.
 
