--- a/libs/gateway/src/sequoiagap/gateway/_dispatch.py
+++ b/libs/gateway/src/sequoiagap/gateway/_dispatch.py
@@ -176,7 +176,7 @@
             end = await self._attempt(request, load, sink, progress)
             if end.outcome == _attempt.AttemptOutcome.ANSWERED:
                 return end.answer
-            if not self._may_go_on(request, end, sink, progress):
+            if not self._may_go_on(request, end, progress):
                 break
         if progress.failed_answer is not None:
             return progress.failed_answer
@@ -291,7 +291,7 @@
             return STREAM_FIRST_BYTE_S, STREAM_SILENCE_S
         return left_s * FIRST_BYTE_SHARE, left_s
 
-    def _may_go_on(self, request, end, sink, progress):
+    def _may_go_on(self, request, end, progress):
         """Tell whether another endpoint may be asked."""
         if end.outcome == _attempt.AttemptOutcome.NOT_SENT:
             return True
--- a/libs/gateway/src/sequoiagap/gateway/_gateway.py
+++ b/libs/gateway/src/sequoiagap/gateway/_gateway.py
@@ -22,7 +22,6 @@
 READY_PROOF_S = 3.0  # without a proof this long, callers are better off elsewhere
 PROOF_SHARE = 0.94  # of the time allowed; the rest is for the way to the endpoint
 MILLISECONDS = 1000
-UDP_BYTES = 2048
 
 _log = base.get_logger("gateway")
 
--- a/libs/gateway/src/sequoiagap/gateway/_loads.py
+++ b/libs/gateway/src/sequoiagap/gateway/_loads.py
@@ -69,7 +69,6 @@
     :ivar int failures: failures in a row.
     :ivar float cold_until: until when it bears only a little, suspend-aware seconds.
     :ivar list cold_sends: times of the requests sent while it was cold.
-    :ivar float latency_s: recent time to the first byte; 0 if not known.
     """
 
     endpoint: object
@@ -81,7 +80,6 @@
     failures: int = 0
     cold_until: float = 0.0
     cold_sends: list = dataclasses.field(default_factory=list)
-    latency_s: float = 0.0
 
     def expected(self, now):
         """Return how many requests it has, as far as can be told.
--- a/libs/gateway/src/sequoiagap/gateway/_peers.py
+++ b/libs/gateway/src/sequoiagap/gateway/_peers.py
@@ -58,16 +58,6 @@
         """Close all links."""
         await self._tasks.close()
 
-    def peer_count(self):
-        """Return how many other gateways are known.
-
-        :rtype: int
-        """
-        return sum(
-            node.role == self.own.role and node_id != self.own.node_id
-            for node_id, node in self.node_by_id.items()
-        )
-
     async def serve(self, reader, writer):
         """Serve a connection that another process has opened."""
         try:
--- a/libs/ranks/src/sequoiagap/ranks/_access.py
+++ b/libs/ranks/src/sequoiagap/ranks/_access.py
@@ -235,20 +235,18 @@
         return _change.RankReply(result, read_report(state))
 
     async def _ask(self, rank, order):
-        item = _messages.RankPoll(0, self.own_rank)
-        if order is not None:
-            item = _messages.RankOrderMessage(
-                0,
-                self.own_rank,
-                str(order.kind),
-                order.epoch,
-                order.version,
-                order.step,
-                order.layers,
-            )
+        if order is None:
+            return await self.poll(rank)
+        item = _messages.RankOrderMessage(
+            0,
+            self.own_rank,
+            str(order.kind),
+            order.epoch,
+            order.version,
+            order.step,
+            order.layers,
+        )
         if rank == self.own_rank:
-            if order is None:
-                return await self.own.answer_poll(item)
             return await self.own.answer_order(item)
         link = self.link_by_rank.get(rank)
         return await link.ask(item) if link is not None else None
--- a/libs/ranks/src/sequoiagap/ranks/_agent.py
+++ b/libs/ranks/src/sequoiagap/ranks/_agent.py
@@ -43,7 +43,6 @@
         self._node_by_id = {}
         self._terms = None
         self._polled_at = time.monotonic()
-        self._polled_by = None
         self._leader = None
         self._leading = None
         self._link_by_node = {}
@@ -68,7 +67,7 @@
         self._tasks.start(self._lead_forever(), "lead")
 
     async def stop(self):
-        """End; a change under way is left for others to settle."""
+        """End a change under way, within a bound, and leave."""
         _log.emit(base.Event.PROCESS_STOPPING, leads=self._leader is not None)
         await self._finish_change()
         await self._tasks.close()
@@ -243,7 +242,6 @@
 
     def _update_links(self):
         """Link the agents of the group, by the rank that each one's engine has."""
-        access = self._leader.access
         for node in list(self._node_by_id.values()):
             is_agent = node.role == "ranks" and node.endpoint
             if not is_agent or node.node_id == self.settings.node_id:
@@ -252,9 +250,9 @@
             if known is None or known.node != node:
                 link = _access.RankLink(node, self._hello)
                 self._link_by_node[node.node_id] = link
-                self._tasks.start(self._keep_link(link, access), f"rank-{node.node_id}")
+                self._tasks.start(self._keep_link(link), f"rank-{node.node_id}")
 
-    async def _keep_link(self, link, access):
+    async def _keep_link(self, link):
         runner = asyncio.ensure_future(link.run())
         try:
             while self._link_by_node.get(link.node.node_id) is link:
--- a/libs/ranks/src/sequoiagap/ranks/_leader.py
+++ b/libs/ranks/src/sequoiagap/ranks/_leader.py
@@ -42,7 +42,6 @@
         self.metrics = metrics
         self.random_state = random_state or random.Random()
         self.pace = make_pace(terms)
-        self.report_by_rank_ = {}
         self.holdings_ = None
         self.epoch_ = report.epoch
         self.changes_ = 0
@@ -76,7 +75,6 @@
             for rank, state in states.items()
             if state is not None and state.is_known
         }
-        self.report_by_rank_ = known
         own = known.get(self.own_rank)
         if own is None or not own.is_open:
             return
