Lead maps over lost orders, at once after a group formed, and only as even as callers feel

After the cut the first change came 1.2 s after the group had formed (skew 3.6 until then), though nothing of a predecessor could still be on its way in that epoch.

Ruled out: load (3 of 12 places taken on average), slow planning (40 to 60 ms). The lead is a time now. An agent that has not answered was first left out of polls too, which kept a leader from changing anything; now only orders pass it over.

A pass is never held further ahead than a successor waits; the guard of a fresh leader is tested by leaving it out altogether (with the guard constant at zero no change would begin at all now), in a model with the short lead that the test had before.

--- a/libs/base/src/sequoiagap/base/_events.py
+++ b/libs/base/src/sequoiagap/base/_events.py
@@ -48,6 +48,7 @@
     CONNECTION_SUSPECT = 1212
     STREAM_RESUMED = 1213
     CALLER_LEFT = 1214
+    REQUEST_WAITED = 1215
     CONFIG_ADOPTED = 1301
     CONFIG_ACCEPTED = 1302
     CONFIG_REFUSED = 1303
@@ -92,6 +93,7 @@
     HOLD_RESOLVED = 1515
     GROUP_SEEN = 1516
     GROUP_LED = 1517
+    RANK_SILENT = 1518
     USAGE_EXPIRED = 1601
     ADMISSION_OVERLOADED = 1602
     ADMISSION_CALM = 1603
@@ -127,6 +129,7 @@
     Event.CONNECTION_SUSPECT: "Connections to the endpoint failed; none is used again.",
     Event.STREAM_RESUMED: "A cut stream goes on at its offset, at the same engine.",
     Event.CALLER_LEFT: "A caller left or was cut off before its whole answer.",
+    Event.REQUEST_WAITED: "A request waited for its endpoints' group to serve again.",
     Event.CONFIG_ADOPTED: "A process adopted a configuration version.",
     Event.CONFIG_ACCEPTED: "An operator's patch became a version.",
     Event.CONFIG_REFUSED: "An operator's patch was refused.",
@@ -154,6 +157,7 @@
     Event.RANK_ORDER_SENT: "An order was given to a rank's engine, with its result.",
     Event.HOLD_RESOLVED: "A hold that nobody answered for was released.",
     Event.GROUP_SEEN: "A rank group formed anew or changed its state.",
+    Event.RANK_SILENT: "The agent of a rank left a question without an answer.",
     Event.GROUP_LED: "This agent began or ceased to lead its rank group.",
     Event.USAGE_EXPIRED: "An entry's usage of client accounts is no longer counted.",
     Event.ADMISSION_OVERLOADED: "Requests wait or are shed for lack of capacity.",
--- a/libs/ranks/src/sequoiagap/ranks/_access.py
+++ b/libs/ranks/src/sequoiagap/ranks/_access.py
@@ -3,11 +3,13 @@
 import asyncio
 import dataclasses
 import itertools
+import time
 
 from sequoiagap import base, wire
 from sequoiagap.ranks import _change, _messages, _ports
 
 ASK_TIMEOUT_S = 0.3
+SILENT_S = 1.0  # orders pass an agent over that did not answer this long ago
 RECONNECT_S = 0.3
 LINK_PING_S = 1.0
 
@@ -84,6 +86,7 @@
         self.node = node
         self.make_hello = make_hello
         self._connection = None
+        self._silent_until = 0.0
         self._numbers = itertools.count(1)
         self._future_by_number = {}
 
@@ -92,6 +95,11 @@
         """Whether the agent is connected."""
         return self._connection is not None
 
+    @property
+    def is_silent(self):
+        """Whether the agent left a question without an answer a moment ago."""
+        return time.monotonic() < self._silent_until
+
     async def run(self):
         """Keep the connection open until cancelled."""
         while True:
@@ -127,11 +135,22 @@
         try:
             async with asyncio.timeout(timeout_s):
                 await connection.send(item)
-                return await future
-        except (TimeoutError, base.WireError):
+                answer = await future
+        except TimeoutError:
+            self._note_silent()
+            return None
+        except base.WireError:
             return None
         finally:
             self._future_by_number.pop(item.number, None)
+        self._silent_until = 0.0
+        return answer
+
+    def _note_silent(self):
+        now = time.monotonic()
+        if not self.is_silent:
+            _log.emit(base.Event.RANK_SILENT, peer=self.node.node_id)
+        self._silent_until = now + SILENT_S
 
     async def _take(self, item):
         if isinstance(item, _messages.RankState):
@@ -235,6 +254,9 @@
         return _change.RankReply(result, read_report(state))
 
     async def _ask(self, rank, order):
+        link = self.link_by_rank.get(rank)
+        if link is not None and link.is_silent:
+            return None
         if order is None:
             return await self.poll(rank)
         item = _messages.RankOrderMessage(
@@ -248,7 +270,6 @@
         )
         if rank == self.own_rank:
             return await self.own.answer_order(item)
-        link = self.link_by_rank.get(rank)
         return await link.ask(item) if link is not None else None
 
     async def _give_direct(self, rank, order):
--- a/libs/ranks/src/sequoiagap/ranks/_agent.py
+++ b/libs/ranks/src/sequoiagap/ranks/_agent.py
@@ -30,6 +30,8 @@
     :param settings.RankSettings settings: checked settings.
     :param gateway.Store store: registers processes and names the engine's terms.
     :param RankEngine engine: calls of engines.
+
+    :ivar EngineReport report_: newest report of the engine, or ``None``.
     """
 
     def __init__(self, settings, store, engine):
@@ -42,7 +44,9 @@
         self.own = _access.OwnRank(engine, settings.endpoint)
         self._node_by_id = {}
         self._terms = None
+        self._longest_pause_s = 0.0
         self._polled_at = time.monotonic()
+        self._guarded_epoch = None
         self._leader = None
         self._leading = None
         self._link_by_node = {}
@@ -146,6 +150,8 @@
             if before is not None:
                 _log.emit(base.Event.RANK_UNREACHABLE, endpoint=self.settings.endpoint)
             return
+        if self._guarded_epoch is None:
+            self._guarded_epoch = report.epoch
         seen = None if before is None else (before.epoch, before.is_open)
         if seen != (report.epoch, report.is_open):
             _log.emit(
@@ -184,6 +190,7 @@
             service = table and table.service_by_name.get(self.settings.service)
             if service is not None and service.engine is not None:
                 self._terms = service.engine
+                self._longest_pause_s = table.longest_pause(service.name)
             wait_s = CONFIG_INTERVAL_S if self._terms else FIRST_NODES_S
             await asyncio.sleep(wait_s)
 
@@ -212,7 +219,14 @@
         access = _access.GroupAccess(
             self.own, report.rank, self._endpoint_by_rank, self._list_endpoints
         )
-        self._leader = _leader.GroupLeader(access, report, self._terms, self.metrics)
+        self._leader = _leader.GroupLeader(
+            access,
+            report,
+            self._terms,
+            self.metrics,
+            self._longest_pause_s,
+            self._guarded_epoch,
+        )
         _log.emit(
             base.Event.GROUP_LED, group=report.group, rank=report.rank, leads=True
         )
@@ -236,6 +250,7 @@
                 rank=leader.own_rank,
                 leads=False,
             )
+            self._guarded_epoch = max(self._guarded_epoch, leader.epoch_)
             if self._leader is leader:
                 self._leader = None
             self._leading = None
--- a/libs/ranks/src/sequoiagap/ranks/_change.py
+++ b/libs/ranks/src/sequoiagap/ranks/_change.py
@@ -22,9 +22,11 @@
 from sequoiagap.ranks import _ports
 
 LEAD_PASSES = 3
+LOSSY_LEAD_PASSES = 8  # time to give lost orders again before the pass is due
 POLL_S = 0.04
 PREPARE_PATIENCE_S = 4.0
 ARM_TRIES = 3
+LOSSY_ARM_TRIES = 8
 HOLD_TRIES = 2
 VERSIONS_PER_CHANGE = 2  # its own and, to give it up, the next
 VERSION_SPREAD = 4096
@@ -76,6 +78,9 @@
     :param int own_rank: rank of the leader.
     :param int epoch: epoch of the group.
     :param int after_step: pass after which alone the change may take place.
+    :param bool is_lossy: whether orders have gone without an answer of late.
+    :param int lead_passes: passes ahead at which the ranks switch.
+    :param int lossy_lead_passes: the same where orders go without an answer.
     """
 
     version: int
@@ -85,6 +90,9 @@
     own_rank: int
     epoch: int
     after_step: int = 0
+    is_lossy: bool = False
+    lead_passes: int = LEAD_PASSES
+    lossy_lead_passes: int = LOSSY_LEAD_PASSES
 
 
 class MapChange:
@@ -93,14 +101,21 @@
     :param ChangePlan plan: what to change.
 
     :ivar int step_: pass at which the ranks switch; 0 before it is chosen.
+    :ivar int lost_orders_: orders that got no answer.
     :ivar str detail_: what kept the change from being made.
     """
 
     def __init__(self, plan):
         self.plan = plan
         self.step_ = 0
+        self.lost_orders_ = 0
         self.detail_ = ""
 
+    @property
+    def is_lossy_(self):
+        """Whether orders go without an answer, in this change or shortly before."""
+        return self.plan.is_lossy or self.lost_orders_ > 0
+
     def run(self):
         """Make the change.
 
@@ -112,7 +127,13 @@
         if reports is None:
             return ChangeResult.NOT_PREPARED
         newest = max(report.step for report in reports.values())
-        self.step_ = max(newest, self.plan.after_step) + LEAD_PASSES
+        plan = self.plan
+        lead = plan.lossy_lead_passes if self.is_lossy_ else plan.lead_passes
+        self.step_ = max(newest + lead, self.plan.after_step + 1)
+        if self.step_ >= newest + STEP_GUARD:
+            # A successor would take it for safe before this pass has begun.
+            self.detail_ = f"pass {self.step_} is too far ahead"
+            return ChangeResult.NOT_HELD
         is_held = yield from self._hold()
         if not is_held:
             yield from release([self.plan.own_rank], self.step_, self.plan.epoch)
@@ -127,6 +148,15 @@
     def _order(self, kind, **fields):
         return _ports.RankOrder(kind, self.plan.epoch, **fields)
 
+    def _give(self, order_by_rank, wait_s=0.0):
+        """Give orders and count those that get no answer; return the replies."""
+        replies = yield Step(dict(order_by_rank), wait_s)
+        self.lost_orders_ += sum(
+            order is not None and replies[rank].result == _ports.OrderResult.UNKNOWN
+            for rank, order in order_by_rank.items()
+        )
+        return replies
+
     def _prepare(self):
         """Have every rank copy the weights; return all reports once they are there."""
         order = self._order(
@@ -140,7 +170,7 @@
             if waited_s > PREPARE_PATIENCE_S:
                 self.detail_ = f"ranks {sorted(missing)[:4]} are not prepared"
                 return None
-            replies = yield Step(dict(missing), wait_s)
+            replies = yield from self._give(missing, wait_s)
             for rank, reply in replies.items():
                 if not self._take_prepared(rank, reply, missing, reports):
                     return None
@@ -172,7 +202,7 @@
         order = self._order(_ports.OrderKind.HOLD, step=self.step_)
         own = self.plan.own_rank
         for _ in range(HOLD_TRIES):
-            reply = (yield Step({own: order}))[own]
+            reply = (yield from self._give({own: order}))[own]
             if self._is_held(reply.report):
                 return True
             if reply.result == _ports.OrderResult.CONFLICT:
@@ -185,8 +215,9 @@
             _ports.OrderKind.ARM, version=self.plan.version, step=self.step_
         )
         missing = dict.fromkeys(range(self.plan.size), order)
-        for _ in range(ARM_TRIES):
-            replies = yield Step(missing)
+        tries = LOSSY_ARM_TRIES if self.is_lossy_ else ARM_TRIES
+        for _ in range(tries):
+            replies = yield from self._give(missing)
             for rank, reply in replies.items():
                 if self._is_armed(reply.report):
                     missing.pop(rank, None)
@@ -248,7 +279,8 @@
     :param int own_rank: rank of the leader.
     :param int first_step: pass at which it first saw the group in this epoch. Holds
         and releases of a predecessor may still be on their way; they name passes that
-        have begun by the time that this one may hold one.
+        have begun by the time that this one may hold one. ``None`` where there was
+        no predecessor at this rank in this epoch.
     :rtype: bool
     """
     reports = list(report_by_rank.values())
@@ -259,7 +291,7 @@
         and all(report.is_open and report.epoch == own.epoch for report in reports)
         and len({report.map_version for report in reports}) == 1
         and not any(report.armed or report.held_step for report in reports)
-        and own.step >= first_step + STEP_GUARD
+        and (first_step is None or own.step >= first_step + STEP_GUARD)
     )
 
 
--- a/libs/ranks/src/sequoiagap/ranks/_demand.py
+++ b/libs/ranks/src/sequoiagap/ranks/_demand.py
@@ -12,12 +12,14 @@
     :param int experts: experts of a layer.
 
     :ivar int readings_: readings that showed work.
+    :ivar list newest_: counts of the newest such reading alone, layer by layer.
     """
 
     def __init__(self, layers, experts_per_layer):
         self.layers = layers
         self.experts_per_layer = experts_per_layer
         self.readings_ = 0
+        self.newest_ = []
         self._estimator = experts.LoadEstimator(layers, experts_per_layer, HALF_LIVES)
         self._last_by_rank = {}
 
@@ -40,9 +42,8 @@
             totals = [t + n - o for t, n, o in zip(totals, counts, last, strict=True)]
         if not any(totals):
             return False
-        self._estimator.update(
-            {x: totals[x * width : (x + 1) * width] for x in range(self.layers)}
-        )
+        self.newest_ = [totals[x * width :][:width] for x in range(self.layers)]
+        self._estimator.update(dict(enumerate(self.newest_)))
         self.readings_ += 1
         return True
 
--- a/libs/ranks/src/sequoiagap/ranks/_leader.py
+++ b/libs/ranks/src/sequoiagap/ranks/_leader.py
@@ -1,11 +1,12 @@
 """Leads a rank group: follows demand, plans maps and has them changed."""
 
 import asyncio
+import dataclasses
 import random
 import time
 
 from sequoiagap import base, experts
-from sequoiagap.ranks import _access, _change, _demand
+from sequoiagap.ranks import _access, _change, _demand, _pass_time
 
 POLL_INTERVAL_S = 0.2
 REST_S = 0.05  # after a change
@@ -18,6 +19,9 @@
 HORIZON_S = 4.0  # demand is expected to stay alike for this long
 TARGET_SKEW = 1.08
 COPIES_PER_RANK = 3  # of one change; each delays the switch by a copy's time
+LEAD_S = 0.08  # holding, arming and releasing take 0.01 to 0.03 s
+LOSSY_LEAD_S = 0.35  # with time to give lost orders again
+LOSSY_S = 4.0  # after an order without an answer more of them are expected
 MILLISECONDS = 1000
 
 _log = base.get_logger("leader")
@@ -30,26 +34,44 @@
     :param EngineReport report: report of the own rank, as leading begins.
     :param routes.EngineTerms terms: terms of the group's engines.
     :param base.Metrics metrics: metrics of the process.
+    :param float longest_pause_s: longest pause between two events that callers bear,
+        in seconds; 0 for none.
+    :param int guarded_epoch: last epoch in which orders of a predecessor at this rank
+        may still be on their way; that of the report if not given.
     :param random.Random random_state: makes versions that nobody else uses.
     """
 
-    def __init__(self, access, report, terms, metrics, random_state=None):
+    def __init__(
+        self,
+        access,
+        report,
+        terms,
+        metrics,
+        longest_pause_s=0.0,
+        guarded_epoch=None,
+        random_state=None,
+    ):
         self.access = access
+        self.guarded_epoch = report.epoch if guarded_epoch is None else guarded_epoch
         self.group = report.group
         self.size = report.size
         self.own_rank = report.rank
         self.terms = terms
         self.metrics = metrics
         self.random_state = random_state or random.Random()
+        self.longest_pause_s = longest_pause_s
         self.pace = make_pace(terms)
+        self.timer = _pass_time.PassTimer(self.pace.expert_share)
         self.holdings_ = None
         self.epoch_ = report.epoch
         self.changes_ = 0
+        self.changes_in_epoch_ = 0
         self.copies_ = 0
-        self._demand = None
+        self._demand = _demand.GroupDemand(terms.layers, terms.experts)
         self._first_step = None
         self._last_step = 0
         self._rest_until = 0.0
+        self._lossy_until = 0.0
         self._held_since_by_rank = {}
         self._is_stopping = False
         self._silent_turns_by_rank = {}
@@ -87,11 +109,24 @@
         has_work = self._demand.take(
             {r: s.counts for r, s in states.items() if s is not None and s.counts}
         )
-        if has_work and self._may_change(known):
+        if has_work and self.holdings_ is not None:
+            self._time_passes(known, own)
+        is_first = self.changes_in_epoch_ == 0 and self.epoch_ > self.guarded_epoch
+        if (has_work or is_first) and self._may_change(known):
             await self._improve(known)
 
+    def _time_passes(self, known, own):
+        skew = experts.holdings_skew(self.holdings_, self._demand.newest_)
+        is_busy = any(report.running for report in known.values())
+        self.timer.take(own.step, time.monotonic(), is_busy, skew)
+        self.metrics.set_gauge("group_pass_seconds", self.timer.even_pass_s_)
+
     def _reset(self, epoch):
-        """Forget what was true of the group before it formed anew."""
+        """Forget what was true of the group before it formed anew.
+
+        What its requests ask for is remembered: a group that forms anew has the
+        first map again, and needs a better one before its next passes.
+        """
         _log.emit(
             base.Event.GROUP_SEEN,
             group=self.group,
@@ -101,7 +136,7 @@
         )
         self.epoch_ = epoch
         self.holdings_ = None
-        self._demand = _demand.GroupDemand(self.terms.layers, self.terms.experts)
+        self.changes_in_epoch_ = 0
         self._first_step = None
         self._last_step = 0
         self._held_since_by_rank = {}
@@ -150,11 +185,13 @@
         )
 
     def _may_change(self, known):
+        has_predecessor = self.epoch_ <= self.guarded_epoch
+        first_step = self._first_step if has_predecessor else None
         return (
             self.holdings_ is not None
             and self._demand.readings_ >= MIN_READINGS
             and time.monotonic() >= self._rest_until
-            and _change.may_begin(known, self.size, self.own_rank, self._first_step)
+            and _change.may_begin(known, self.size, self.own_rank, first_step)
         )
 
     async def _improve(self, known):
@@ -162,8 +199,10 @@
         before = experts.holdings_skew(self.holdings_, loads)
         self.metrics.set_gauge("group_step_skew", before)
         began = time.monotonic()
+        target = self.timer.tolerable_skew(self.longest_pause_s, TARGET_SKEW)
+        pace = dataclasses.replace(self.pace, target_skew=target)
         planned, copies = await experts.finish_in_slices(
-            experts.plan_paced(self.holdings_, loads, self.pace)
+            experts.plan_paced(self.holdings_, loads, pace)
         )
         if planned == self.holdings_:
             return
@@ -179,6 +218,7 @@
             version=plan.version,
             skew=round(before, 3),
             planned_skew=round(after, 3),
+            target_skew=round(target, 3),
             copies=copies,
             planned_ms=planned_ms,
             readings=self._demand.readings_,
@@ -203,17 +243,26 @@
             own_rank=self.own_rank,
             epoch=self.epoch_,
             after_step=self._last_step,
+            is_lossy=time.monotonic() < self._lossy_until,
+            lead_passes=self.timer.passes_ahead(LEAD_S, _change.LEAD_PASSES),
+            lossy_lead_passes=self.timer.passes_ahead(
+                LOSSY_LEAD_S, _change.LOSSY_LEAD_PASSES
+            ),
         )
 
     async def _change(self, plan, planned, copies):
         began = time.monotonic()
         change = _change.MapChange(plan)
         result = await self._drive(change.run())
+        now = time.monotonic()
         self._last_step = max(self._last_step, change.step_)
-        self._rest_until = time.monotonic() + REST_S
+        self._rest_until = now + REST_S
+        if change.lost_orders_:
+            self._lossy_until = now + LOSSY_S
         if result == _change.ChangeResult.DONE:
             self.holdings_ = planned
             self.changes_ += 1
+            self.changes_in_epoch_ += 1
             self.copies_ += copies
             self.metrics.count("group_map_changes")
             self.metrics.set_gauge("group_map_version", plan.version)
@@ -227,7 +276,8 @@
             step=change.step_,
             result=str(result),
             detail=change.detail_,
-            took_ms=round((time.monotonic() - began) * MILLISECONDS),
+            lost_orders=change.lost_orders_,
+            took_ms=round((now - began) * MILLISECONDS),
         )
 
     async def _resolve_orphans(self, known):
--- /dev/null
+++ b/libs/ranks/src/sequoiagap/ranks/_pass_time.py
@@ -0,0 +1,92 @@
+"""How long the passes of a group take, and how uneven its ranks may be.
+
+The load that it answers: a group whose passes are well within the longest pause that
+callers bear gains nothing from ranks that are more even, while each copy of an expert
+costs bandwidth and slows every pass. The nearer passes come to that pause, the more
+even the ranks have to be.
+"""
+
+import math
+
+COMFORT_SHARE = 0.45  # of the longest pause; prompts that are read take the rest
+MAX_SKEW = 1.8  # however short the passes, as a shift of demand adds to it
+SAMPLE_WEIGHT = 0.25
+MAX_AHEAD = 12  # passes
+MAX_PASS_S = 1.0  # longer ones were held or stalled
+
+
+class PassTimer:
+    """Follows the time of a pass with even ranks.
+
+    :param float expert_share: share of such a pass that goes to experts, 0 to 1.
+
+    :ivar float even_pass_s_: mean time with even ranks, in seconds; 0 if unknown.
+    :ivar float pass_s_: time of the newest passes, in seconds; 0 if unknown.
+    """
+
+    def __init__(self, expert_share):
+        self.expert_share = expert_share
+        self.even_pass_s_ = 0.0
+        self.pass_s_ = 0.0
+        self._last = None
+
+    def take(self, step, now, is_busy, skew):
+        """Take a reading of the last pass that was begun.
+
+        :param int step: the pass.
+        :param float now: monotonic time in seconds.
+        :param bool is_busy: whether the group has requests.
+        :param float skew: longest over mean rank time since the reading before.
+        """
+        last, self._last = self._last, (step, now) if is_busy else None
+        if last is None or not is_busy or step <= last[0]:
+            return
+        pass_s = (now - last[1]) / (step - last[0])
+        if pass_s > MAX_PASS_S:
+            return
+        self.pass_s_ = pass_s
+        even_s = pass_s / self._factor(skew)
+        if not self.even_pass_s_:
+            self.even_pass_s_ = even_s
+        self.even_pass_s_ += SAMPLE_WEIGHT * (even_s - self.even_pass_s_)
+
+    def tolerable_skew(self, longest_pause_s, least):
+        """Return up to which skew passes stay well within a pause.
+
+        :param float longest_pause_s: longest pause that callers bear; 0 for none.
+        :param float least: skew that is good enough in any case.
+        :rtype: float
+
+        >>> timer = PassTimer(expert_share=1.0)
+        >>> timer.tolerable_skew(0.12, least=1.1)
+        1.1
+        >>> timer.take(10, 0.0, True, 1.0)
+        >>> timer.take(11, 0.04, True, 1.0)
+        >>> round(timer.tolerable_skew(0.12, least=1.1), 2)
+        1.35
+        """
+        if not self.even_pass_s_ or not longest_pause_s:
+            return least
+        factor = COMFORT_SHARE * longest_pause_s / self.even_pass_s_
+        skew = (factor - 1.0 + self.expert_share) / self.expert_share
+        return min(max(skew, least), MAX_SKEW)
+
+    def passes_ahead(self, lead_s, default):
+        """Return how many passes ahead one begins after a time, but not much later.
+
+        :param float lead_s: the time, in seconds.
+        :param int default: the number where the time of a pass is not known.
+        :rtype: int
+
+        >>> timer = PassTimer(expert_share=1.0)
+        >>> timer.take(10, 0.0, True, 1.0)
+        >>> timer.take(11, 0.1, True, 1.0)
+        >>> timer.passes_ahead(0.08, 3), timer.passes_ahead(0.35, 8)
+        (2, 5)
+        """
+        if not self.pass_s_:
+            return default
+        return min(1 + math.ceil(lead_s / self.pass_s_), MAX_AHEAD)
+
+    def _factor(self, skew):
+        return 1.0 - self.expert_share + self.expert_share * skew
--- a/libs/routes/src/sequoiagap/routes/_model.py
+++ b/libs/routes/src/sequoiagap/routes/_model.py
@@ -44,6 +44,8 @@
     :param float target_latency_s: time in which an answer, or the first event of
         a stream, is on time; 0 for none.
     :param float target_gap_s: longest pause of a stream on time; 0 for none.
+    :param float patience_s: how long callers of a stream wait for its next event
+        before they leave; 0 if that is not known.
     :param int priority: rank of its requests; 0 is the most urgent.
     :param int max_attempts: endpoints that one request may be sent to.
     :param bool is_public: whether requests need no key.
@@ -59,6 +61,7 @@
     timeout_s: float
     target_latency_s: float = 0.0
     target_gap_s: float = 0.0
+    patience_s: float = 0.0
     priority: int = 0
     max_attempts: int = 1
     is_public: bool = False
--- a/simulations/rank_world.py
+++ b/simulations/rank_world.py
@@ -56,6 +56,11 @@
         self.first_step = self.world.step
         self.last_step = 0
 
+    def see_new_epoch(self):
+        """Begin with a group that has formed anew under this process's eyes."""
+        self.start()
+        self.first_step = None
+
     def advance(self, choose):
         """Do one thing: begin a procedure, or carry out one order of it."""
         if self.procedure is None:
@@ -70,7 +75,7 @@
     def _begin(self, choose):
         world = self.world
         if self.epoch != world.epoch:
-            self.start()
+            self.see_new_epoch()
         reports = {engine.rank: world.report(engine) for engine in world.engines}
         held = [r for r, report in reports.items() if report.held_step]
         plan = self._plan(reports)
--- a/tests/ranks/test_change_model.py
+++ b/tests/ranks/test_change_model.py
@@ -3,6 +3,7 @@
 Each guard of the procedure is taken out once, to show that the model finds it.
 """
 
+import functools
 import unittest
 from unittest import mock
 
@@ -18,6 +19,16 @@
 SETTLE_TURNS = 400
 
 
+def short_lead():
+    """Return a patch that lets a lossy change take place as soon as any other.
+
+    Orders on their way then meet the successor's more often, so that fewer seeds
+    show that a guard matters.
+    """
+    plan = functools.partial(ranks.ChangePlan, lossy_lead_passes=_change.LEAD_PASSES)
+    return mock.patch.object(ranks, "ChangePlan", plan)
+
+
 def find_two_maps(seeds=SEEDS_WITHOUT_GUARD):
     """Return the first seed whose world shows two maps in a pass, or ``None``."""
     for seed in range(seeds):
@@ -40,6 +51,20 @@
                 self.assertIn(result, results)
         self.assertGreater(results.count(ranks.ChangeResult.DONE), SEEDS // 2)
 
+    def test_no_pass_has_two_maps_with_a_short_lead(self):
+        with short_lead():
+            self.assertIsNone(find_two_maps(SEEDS))
+
+    def test_no_pass_is_held_further_ahead_than_a_successor_waits(self):
+        after_step = 10 + _change.STEP_GUARD - 1
+        plan = ranks.ChangePlan(900, (), (), 1, 0, 1, after_step)
+        report = ranks.EngineReport(epoch=1, step=10, prepared=900)
+        procedure = ranks.MapChange(plan).run()
+        procedure.send(None)
+        with self.assertRaises(StopIteration) as ended:
+            procedure.send({0: ranks.RankReply(ranks.OrderResult.DONE, report)})
+        self.assertEqual(ended.exception.value, ranks.ChangeResult.NOT_HELD)
+
     def test_group_goes_on_once_the_trouble_is_over(self):
         for seed in range(SEEDS // 3):
             world = rank_world.World(seed)
@@ -122,7 +147,40 @@
             self.assertIsNotNone(find_two_maps())
 
     def test_a_fresh_leader_waits_for_passes(self):
-        with mock.patch.object(_change, "STEP_GUARD", 0):
+        def may_begin_at_once(reports, size, own_rank, first_step):
+            return may_begin(reports, size, own_rank, None)
+
+        may_begin = ranks.may_begin
+        with short_lead(), mock.patch.object(ranks, "may_begin", may_begin_at_once):
+            self.assertIsNotNone(find_two_maps())
+
+    def test_lost_orders_are_followed_by_a_change_further_ahead(self):
+        plan = ranks.ChangePlan(900, (), (), size=2, own_rank=0, epoch=1)
+        report = ranks.EngineReport(epoch=1, step=10, prepared=900)
+        done = ranks.RankReply(ranks.OrderResult.DONE, report)
+        lost = ranks.RankReply(ranks.OrderResult.UNKNOWN, report)
+        for second, is_lossy, lead in (
+            (done, False, _change.LEAD_PASSES),
+            (lost, False, _change.LOSSY_LEAD_PASSES),
+            (done, True, _change.LOSSY_LEAD_PASSES),
+        ):
+            change = ranks.MapChange(
+                _change.dataclasses.replace(plan, is_lossy=is_lossy)
+            )
+            procedure = change.run()
+            procedure.send(None)
+            procedure.send({0: done, 1: second})
+            self.assertEqual(change.step_, 10 + lead)
+
+    def test_only_what_saw_the_group_form_may_begin_at_once(self):
+        start = rank_world.Leader.start
+
+        def forget_predecessor(leader):
+            start(leader)
+            leader.first_step = None
+
+        patch = mock.patch.object(rank_world.Leader, "start", forget_predecessor)
+        with short_lead(), patch:
             self.assertIsNotNone(find_two_maps())
 
     def test_a_leader_does_not_hold_a_pass_twice(self):
--- a/tests/ranks/test_leader.py
+++ b/tests/ranks/test_leader.py
@@ -6,7 +6,7 @@
 from simulations import rank_world
 
 from sequoiagap import base, ranks, routes
-from sequoiagap.ranks import _access, _leader
+from sequoiagap.ranks import _access, _change, _leader
 from tests import support
 
 TERMS = routes.EngineTerms(
@@ -174,6 +174,28 @@
         self.assertGreater(self.leader.changes_, before)
         self.assertEqual(len(self.contents()), 1)
 
+    async def test_group_that_forms_anew_has_a_good_map_before_its_next_passes(self):
+        await self.turns(self.leader)
+        world = self.group.world
+        world._form_anew()
+        for engine in world.engines:
+            engine.content = LAYERS
+        await asyncio.sleep(2 * _leader.REST_S)
+        for _ in range(2):
+            await self.leader.turn()
+        self.assertEqual(self.leader.changes_in_epoch_, 1)
+        for _ in range(_change.LEAD_PASSES):
+            world.begin_pass()
+        (content,) = self.contents()
+        self.assertNotEqual(content, repr(LAYERS))
+
+    async def test_lost_orders_are_expected_again_for_a_while(self):
+        self.group.lost_by_kind = {ranks.OrderKind.PREPARE: 1}
+        await self.turns(self.leader)
+        self.assertGreater(self.leader.changes_, 0)
+        reports = {e.rank: self.group.world.report(e) for e in self.group.world.engines}
+        self.assertTrue(self.leader._make_plan(reports, LAYERS).is_lossy)
+
     async def wait_for_orphan(self):
         """Take turns until nothing is held any more."""
         engines = self.group.world.engines
