Let requests wait for a group that may be back, and send the others away for longer

All 269 refusals had the reason that the group does not serve.

Now everybody is told to come back as late as is heeded; once the outage has lasted long enough that the group may form, requests wait for as long as callers wait for a first event (2 s), and are sent as soon as the group serves. Places are bounded by what the endpoints run at once, half of them kept for callers that came back. An answer that blames another rank closes the group at once.

--- a/libs/gateway/src/sequoiagap/gateway/_admission.py
+++ b/libs/gateway/src/sequoiagap/gateway/_admission.py
@@ -7,12 +7,15 @@
 """
 
 import dataclasses
+import math
+
+from sequoiagap.gateway import _outage
 
 WAIT_SHARE = 0.6  # of the target latency that may be spent in a queue
 SERVICE_WEIGHT = 0.1  # of the newest answer in the mean time of service
 FULL_RETRY_S = 0.6
 WAITS_UNTIL_RETRY = 4.0  # of the wait now; overload lasts longer than one queue
-DOWN_RETRY_S = 2.4  # a group that lost a rank takes seconds to serve again
+MAX_FULL_RETRY_S = 2.4
 RETRY_SPREAD = 0.5  # share of the time to come back by which callers are spread
 
 
@@ -36,11 +39,13 @@
     :param random.Random random_state: spreads the times to come back at.
 
     :ivar float service_s: mean time of an answered request, in seconds; 0 if unknown.
+    :ivar WaitingRoom room: requests that wait for the endpoints' group.
     """
 
     def __init__(self, random_state):
         self.random_state = random_state
         self.service_s = 0.0
+        self.room = _outage.WaitingRoom()
 
     def note_answered(self, elapsed_s):
         """Learn from an answered request.
@@ -51,12 +56,13 @@
             self.service_s = elapsed_s
         self.service_s += SERVICE_WEIGHT * (elapsed_s - self.service_s)
 
-    def judge(self, loads, target_latency_s, now):
+    def judge(self, loads, target_latency_s, now, left_s=math.inf):
         """Judge a request.
 
         :param list loads: :class:`EndpointLoad` of the endpoints that may be asked.
         :param float target_latency_s: time in which its answer is on time; 0 for none.
         :param float now: monotonic time in seconds.
+        :param float left_s: time that the caller has left, in seconds.
         :rtype: Verdict
         """
         if not loads:
@@ -65,7 +71,11 @@
             )
         open_loads = [load for load in loads if not load.is_closed(now)]
         if not open_loads:
-            return self._refuse("the endpoints' group does not serve", DOWN_RETRY_S)
+            return Verdict(
+                False,
+                "the endpoints' group does not serve",
+                _outage.come_back_s(left_s, self.random_state),
+            )
         if not target_latency_s or not self.service_s:
             return Verdict(True)
         wait_s = min(self._wait(load, now) for load in open_loads)
@@ -73,7 +83,7 @@
             return Verdict(True)
         reason = f"all endpoints are full for {wait_s:.2f} s"
         retry_s = max(FULL_RETRY_S, WAITS_UNTIL_RETRY * wait_s)
-        return self._refuse(reason, min(retry_s, DOWN_RETRY_S))
+        return self._refuse(reason, min(retry_s, MAX_FULL_RETRY_S))
 
     def _wait(self, load, now):
         """Return how long a request would wait for a slot, in seconds."""
--- a/libs/gateway/src/sequoiagap/gateway/_dispatch.py
+++ b/libs/gateway/src/sequoiagap/gateway/_dispatch.py
@@ -5,7 +5,14 @@
 import time
 
 from sequoiagap import admission, base, routes
-from sequoiagap.gateway import _admission, _attempt, _headers, _loads, _ports
+from sequoiagap.gateway import (
+    _admission,
+    _attempt,
+    _headers,
+    _loads,
+    _outage,
+    _ports,
+)
 
 MAX_TRIES = 4  # endpoints that are looked at for one request, unreachable ones too
 FIRST_BYTE_SHARE = 0.45  # of the time left, where another endpoint may be asked
@@ -34,6 +41,7 @@
     :param str path: path and query.
     :param headers: multi-value map of its headers.
     :param bytes body: its body.
+    :param float came_at: when it came, monotonic seconds.
     :param float ends_at: when the final answer is due, monotonic seconds.
     :param RequestHead head: what its headers say.
     """
@@ -47,6 +55,7 @@
     path: str
     headers: object
     body: bytes
+    came_at: float
     ends_at: float
     head: _ports.RequestHead
 
@@ -116,7 +125,7 @@
     """Runs requests at endpoints.
 
     :param state: object with ``table``, ``pool``, ``freshness`` in force, and with
-        ``note_misdirected(endpoint_id)``.
+        ``note_misdirected(endpoint_id)`` and ``gateways()``.
     :param Dialect dialect: names of headers.
     :param EndpointChooser chooser: chooses endpoints.
     :param Budgets budgets: bounds shared with other gateways.
@@ -168,6 +177,7 @@
 
     async def _try_endpoints(self, request, sink, progress):
         for _ in range(MAX_TRIES):
+            await self._outlast_outage(request, progress)
             if request.needs_key and not self._is_key_fresh():
                 return self._fail(progress, keys_unproved(self._retry_after()))
             load = self._choose(request, progress)
@@ -183,6 +193,36 @@
         reason = f"no endpoint of the service took it: {progress.reason}"
         return self._fail(progress, _overloaded(reason, self._retry_after(request)))
 
+    async def _outlast_outage(self, request, progress):
+        """Wait while the endpoints' group does not serve, if the caller gains by it."""
+        if progress.sent:
+            return
+        began = time.monotonic()
+        loads = self.state.pool.candidates(request.service)
+        if not _is_down(loads, began):
+            return
+        judge = self.admission(request.service)
+        caller = _outage.Caller(
+            request.came_at,
+            request.ends_at,
+            request.route.timeout_s,
+            request.route.patience_s,
+        )
+        outage_s = max(load.closed_for(began) for load in loads)
+        places = sum(load.endpoint.slots for load in loads) // self.state.gateways()
+        until = judge.room.waits_until(caller, outage_s, judge.service_s, places, began)
+        if until <= began:
+            return
+        with judge.room:
+            await self._wait_for_group(request.service, until)
+        self._note_waited(request, outage_s, began)
+
+    async def _wait_for_group(self, service, until):
+        while (now := time.monotonic()) < until:
+            if not _is_down(self.state.pool.candidates(service), now):
+                return
+            await asyncio.sleep(min(_outage.CHECK_INTERVAL_S, until - now))
+
     def _choose(self, request, progress):
         """Return the load of the endpoint to ask, or a refusal.
 
@@ -191,7 +231,7 @@
         now = time.monotonic()
         candidates = self._candidates(request.service, now)
         verdict = self.admission(request.service).judge(
-            candidates, request.route.target_latency_s, now
+            candidates, request.route.target_latency_s, now, request.ends_at - now
         )
         is_first = not progress.sent
         if not verdict.is_admitted and (is_first or not candidates):
@@ -316,6 +356,8 @@
             load.take_sample(head.load, now)
         if head is not None and head.is_misdirected:
             self.state.note_misdirected(load.endpoint.endpoint_id)
+        if head is not None and _names_another(head, load.endpoint):
+            load.note_group_down(now)
         if end.outcome == _attempt.AttemptOutcome.ANSWERED:
             load.note_success()
             self.admission(load.endpoint.service).note_answered(elapsed_s)
@@ -344,9 +386,8 @@
         if request is None:
             return RETRY_AFTER_S * spread
         now = time.monotonic()
-        loads = self.state.pool.candidates(request.service)
-        if loads and all(load.is_closed(now) for load in loads):
-            return _admission.DOWN_RETRY_S * (0.75 + spread / 4)
+        if _is_down(self.state.pool.candidates(request.service), now):
+            return _outage.come_back_s(request.ends_at - now, self.random_state)
         return RETRY_AFTER_S * spread
 
     def _fail(self, progress, refusal):
@@ -371,6 +412,17 @@
             )
         return _overloaded("no endpoint could be reached in time", self._retry_after())
 
+    def _note_waited(self, request, outage_s, began):
+        waited_s = time.monotonic() - began
+        self.metrics.observe("outage_wait_seconds", waited_s, target=request.service)
+        _log.emit(
+            base.Event.REQUEST_WAITED,
+            request_id=request.request_id,
+            config_version=self.state.table.version,
+            outage_s=round(outage_s, 2),
+            waited_ms=round(waited_s * MILLISECONDS),
+        )
+
     def _note_sent(self, request, attempt_id, load, expected, now, is_repeat):
         self.metrics.count("attempts_sent_total", service=request.service)
         _log.emit(
@@ -404,6 +456,17 @@
         )
 
 
+def _is_down(loads, now):
+    """Return whether there are endpoints, and their group is known not to serve."""
+    return bool(loads) and all(load.is_closed(now) for load in loads)
+
+
+def _names_another(head, endpoint):
+    """Return whether an answer blames another rank of the endpoint's group."""
+    named = head.faulty_endpoint
+    return head.is_not_run and bool(named) and named != endpoint.endpoint_id
+
+
 def _overloaded(reason, retry_after_s):
     return base.Refusal(
         base.RefusalKind.OVERLOADED,
--- a/libs/gateway/src/sequoiagap/gateway/_front.py
+++ b/libs/gateway/src/sequoiagap/gateway/_front.py
@@ -168,6 +168,7 @@
             path=path,
             headers=http_request.headers,
             body=body,
+            came_at=began,
             ends_at=began + timeout_s,
             head=head,
         )
--- a/libs/gateway/src/sequoiagap/gateway/_gateway.py
+++ b/libs/gateway/src/sequoiagap/gateway/_gateway.py
@@ -150,6 +150,13 @@
         self.pool.discard(endpoint_id)
         self.feed.hurry("endpoints")
 
+    def gateways(self):
+        """Return how many gateways share the endpoints, as far as can be seen.
+
+        :rtype: int
+        """
+        return self.peers.linked() + 1
+
     def dump_state(self):
         """Return everything that the process knows, as plain data.
 
--- a/libs/gateway/src/sequoiagap/gateway/_loads.py
+++ b/libs/gateway/src/sequoiagap/gateway/_loads.py
@@ -24,11 +24,13 @@
     :ivar int epoch: how often it has formed.
     :ivar bool is_open: whether it serves.
     :ivar float heard_at: when that was last said, monotonic seconds.
+    :ivar float closed_at: when it was first said not to serve since it last did.
     """
 
     epoch: int = -1
     is_open: bool = True
     heard_at: float = 0.0
+    closed_at: float = 0.0
 
     def take(self, epoch, is_open, now):
         """Take what a rank says.
@@ -39,6 +41,8 @@
         """
         if epoch < self.epoch:
             return
+        if self.is_open and not is_open:
+            self.closed_at = now
         if epoch > self.epoch:
             self.epoch, self.is_open = epoch, is_open
             self.heard_at = now
@@ -102,6 +106,22 @@
         """
         return self.group is not None and self.group.is_closed(now)
 
+    def note_group_down(self, now):
+        """Take it that a rank of its group is lost, as an answer said so.
+
+        :param float now: monotonic time in seconds.
+        """
+        if self.group is not None:
+            self.group.take(self.group.epoch, False, now)
+
+    def closed_for(self, now):
+        """Return how long its group is known not to serve, in seconds.
+
+        :param float now: monotonic time in seconds.
+        :rtype: float
+        """
+        return now - self.group.closed_at if self.is_closed(now) else 0.0
+
     def take_sample(self, sample, at):
         """Take a report unless a newer one is known.
 
--- a/libs/gateway/src/sequoiagap/gateway/_peers.py
+++ b/libs/gateway/src/sequoiagap/gateway/_peers.py
@@ -66,6 +66,13 @@
             return
         await self._run(connection)
 
+    def linked(self):
+        """Return how many gateways are linked now.
+
+        :rtype: int
+        """
+        return len(self._connection_by_id)
+
     async def read(self, topic):
         """Ask all linked gateways to read a topic and take the first answer.
 
--- a/libs/gateway/src/sequoiagap/gateway/_ports.py
+++ b/libs/gateway/src/sequoiagap/gateway/_ports.py
@@ -49,6 +49,8 @@
     :param bool is_sealed: whether the endpoint signed it.
     :param bool is_not_run: whether it says that the request did not run.
     :param bool is_misdirected: whether another endpoint has the address now.
+    :param str faulty_endpoint: id of the endpoint that failed to do its part of the
+        work; empty where none is named.
     :param LoadSample load: the endpoint's load, if told.
     """
 
@@ -56,6 +58,7 @@
     is_sealed: bool = False
     is_not_run: bool = False
     is_misdirected: bool = False
+    faulty_endpoint: str = ""
     load: LoadSample | None = None
 
 
--- a/tests/gateway/gateway_case.py
+++ b/tests/gateway/gateway_case.py
@@ -36,6 +36,13 @@
     route(routes.RequestKind.UNSAFE, "/order/", max_attempts=1),
     route(routes.RequestKind.UNSAFE, "/order-twice/"),
     route(routes.RequestKind.STREAM, "/stream/"),
+    route(
+        routes.RequestKind.STREAM,
+        "/patient/",
+        timeout_s=8.0,
+        target_latency_s=0.4,
+        patience_s=2.0,
+    ),
     route(routes.RequestKind.SAFE, "/public/", is_public=True),
     route(routes.RequestKind.SAFE, "/short/", timeout_s=0.2, max_attempts=1),
 )
--- /dev/null
+++ b/tests/gateway/test_outage.py
@@ -0,0 +1,153 @@
+"""What callers get while the endpoints' group does not serve for some seconds."""
+
+import asyncio
+import json
+import random
+import time
+import unittest
+
+from sequoiagap import gateway
+from sequoiagap.gateway import _outage
+from tests.gateway import gateway_case
+
+NOW = 100.0
+SERVICE_S = 1.2
+PLACES = 3
+
+
+def caller(left_s, patience_s=2.0, route_s=8.0):
+    """Return a caller whose request has come just now."""
+    return _outage.Caller(NOW, NOW + left_s, route_s, patience_s)
+
+
+class ComeBackTest(unittest.TestCase):
+    def test_never_later_than_the_caller_heeds(self):
+        random_state = random.Random(1)
+        for left_s in (1.0, 3.0, 5.4, 8.0, 60.0):
+            times = {_outage.come_back_s(left_s, random_state) for _ in range(50)}
+            self.assertLessEqual(max(times), max(left_s / 3, 0.25))
+            self.assertGreater(len(times), 10)
+
+    def test_as_late_as_it_may_be_within_usual_outages(self):
+        self.assertGreater(_outage.come_back_s(8.0, random.Random(1)), 2.4)
+
+
+class WaitingRoomTest(unittest.TestCase):
+    def setUp(self):
+        self.room = _outage.WaitingRoom()
+
+    def wait(self, left_s, outage_s=2.0, **fields):
+        found = caller(left_s, **fields)
+        until = self.room.waits_until(found, outage_s, SERVICE_S, PLACES, NOW)
+        return until - NOW
+
+    def test_nobody_waits_while_the_group_can_hardly_be_back_in_time(self):
+        self.assertEqual(self.wait(8.0, outage_s=0.2), 0)
+        self.assertEqual(self.wait(5.4, outage_s=0.2), 0)
+
+    def test_callers_wait_within_their_patience(self):
+        self.assertAlmostEqual(self.wait(5.4), 2.0 - _outage.FIRST_EVENT_S)
+        self.assertAlmostEqual(self.wait(8.0), 2.0 - _outage.FIRST_EVENT_S)
+
+    def test_places_are_kept_for_callers_that_came_back(self):
+        with self.room:
+            self.assertEqual(self.wait(8.0), 0)
+            self.assertGreater(self.wait(5.4), 0)
+
+    def test_time_for_the_whole_answer_is_left(self):
+        self.assertAlmostEqual(self.wait(2.5), 2.5 - 1.3 * SERVICE_S)
+        self.assertEqual(self.wait(1.0), 0)
+
+    def test_nobody_waits_for_what_will_hardly_end_or_with_unknown_patience(self):
+        self.assertEqual(self.wait(5.4, outage_s=30.0), 0)
+        self.assertEqual(self.wait(5.4, patience_s=0.0), 0)
+
+    def test_no_more_wait_than_can_be_served_then(self):
+        with self.room, self.room:
+            self.assertGreater(self.wait(5.4), 0)
+            with self.room:
+                self.assertEqual(self.wait(5.4), 0)
+        self.assertGreater(self.wait(5.4), 0)
+
+
+class OutageTest(gateway_case.GatewayCase):
+    def report(self, epoch, is_open):
+        """Have the agents of both endpoints say whether their group serves."""
+        for endpoint in self.endpoints:
+            report = gateway.EndpointReport(
+                endpoint=f"127.0.0.1:{endpoint.port}",
+                incarnation="a",
+                sequence=self.sequence,
+                running=0,
+                waiting=0,
+                slots=4,
+                kv_used=0,
+                kv_total=0,
+                is_open=is_open,
+                group="g",
+                epoch=epoch,
+            )
+            self.gateway._take_report(report)
+        self.sequence += 1
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.sequence = 1
+        self.report(1, False)
+        reporting = asyncio.create_task(self.report_forever())
+        self.addCleanup(reporting.cancel)
+
+    async def report_forever(self):
+        while True:
+            self.report(1, False)
+            await asyncio.sleep(0.25)
+
+    async def reopen(self, after_s):
+        await asyncio.sleep(after_s)
+        self.report(2, True)
+
+    def waits(self):
+        """Return how long requests have waited, in milliseconds."""
+        lines = map(json.loads, self.log.getvalue().splitlines())
+        return [x["waited_ms"] for x in lines if x["event"] == "request_waited"]
+
+    async def test_early_call_is_refused_at_once_with_a_time_to_come_back(self):
+        began = time.monotonic()
+        status, headers, _ = await self.call("/patient/", X_Remaining_Ms="8000")
+        self.assertEqual((status, self.ran()), (503, 0))
+        self.assertLess(time.monotonic() - began, 0.5)
+        self.assertGreater(float(headers["Retry-After"]), 2.0)
+
+    def age_outage(self, seconds):
+        """Have the outage begun earlier."""
+        for load in self.gateway.pool.load_by_id.values():
+            load.group.closed_at = time.monotonic() - seconds
+
+    async def test_returned_call_is_served_once_the_group_is_back(self):
+        self.age_outage(2.0)
+        reopening = asyncio.create_task(self.reopen(0.4))
+        status, _, body = await self.call("/patient/stream", X_Remaining_Ms="5300")
+        await reopening
+        self.assertEqual(status, 200)
+        self.assertEqual(body.count(b"data:"), 5)
+        self.assertEqual(self.ran(), 1)
+        self.assertGreaterEqual(self.waits()[-1], 300)
+
+    async def test_returned_call_is_refused_within_its_patience(self):
+        self.age_outage(2.0)
+        began = time.monotonic()
+        status, _, _ = await self.call("/patient/", X_Remaining_Ms="5300")
+        elapsed = time.monotonic() - began
+        self.assertEqual((status, self.ran()), (503, 0))
+        self.assertGreater(elapsed, 1.0)
+        self.assertLess(elapsed, 2.0)
+
+    async def test_a_caller_that_leaves_while_it_waits_reaches_no_endpoint(self):
+        self.age_outage(2.0)
+        call = asyncio.create_task(self.call("/patient/", X_Remaining_Ms="5300"))
+        await asyncio.sleep(0.2)
+        call.cancel()
+        await self.reopen(0.3)
+        await asyncio.sleep(0.2)
+        self.assertEqual(self.ran(), 0)
+        self.assertEqual(self.gateway.front.in_flight_, 0)
--- a/tests/platform_site/test_records.py
+++ b/tests/platform_site/test_records.py
@@ -69,6 +69,7 @@
         route = snapshot.value.find_route("h.example:80", "/a/b?c")
         self.assertEqual(route.kind, routes.RequestKind.STREAM)
         self.assertEqual((route.timeout_s, route.target_gap_s), (8.0, 0.12))
+        self.assertEqual(route.patience_s, 2.0)
         self.assertEqual([t.service for t in route.targets], ["s1", "s2"])
         self.assertTrue(route.is_idempotent)
 
