Give slow ranks less, and let a request that finds its group down wait for it

A pass of a group lasts as long as its slowest rank, and the maps treated all ranks alike. Engines say how slow they are; the planner now gives a slow rank less, and gateways send it fewer requests.

No second attempt goes to a group that is known to be down.

Ruled out: load (half of the places taken), the number of copies.

--- a/libs/experts/src/sequoiagap/experts/_paced.py
+++ b/libs/experts/src/sequoiagap/experts/_paced.py
@@ -3,7 +3,8 @@
 Engines that take a new map while they run, but only a few new experts a rank at a
 time, are best led to a good placement in steps. The load that it answers: demand that
 shifts every few seconds, where a copy costs memory bandwidth and a slow rank every
-pass. Places may be empty; replicas share an expert's load evenly.
+pass. Places may be empty; replicas share an expert's load evenly. A rank that is slow
+takes longer for the same work, so it is given less.
 """
 
 import dataclasses
@@ -84,8 +85,9 @@
 class _Layer:
     """One layer under way."""
 
-    def __init__(self, held, loads, pace, slots, new_by_rank):
+    def __init__(self, held, loads, costs, pace, slots, new_by_rank):
         self.loads = loads
+        self.costs = costs
         self.pace = pace
         self.slots = slots
         self.new_by_rank = new_by_rank  # shared by all layers
@@ -96,7 +98,7 @@
             for expert in experts:
                 self.holders[expert].add(rank)
         self.times = [self._time(rank) for rank in range(len(held))]
-        self.floor = pace.target_skew * sum(self.times) / len(self.times)
+        self.floor = pace.target_skew * _even_time(loads, costs)
 
     def share(self, expert):
         return self.loads[expert] / len(self.holders[expert])
@@ -145,7 +147,7 @@
         return tuple(tuple(sorted(experts)) for experts in self.held)
 
     def _time(self, rank):
-        return sum(self.share(expert) for expert in self.held[rank])
+        return self.costs[rank] * sum(self.share(expert) for expert in self.held[rank])
 
     def _edits(self, slowest):
         experts = sorted(self.held[slowest], key=self.share, reverse=True)
@@ -220,15 +222,20 @@
         for rank, expert in edit.drops:
             change = change_by_rank.get(rank, 0.0)
             change_by_rank[rank] = change - new_share_by_expert[expert]
-        return max(self.times[r] + change for r, change in change_by_rank.items())
+        return max(
+            self.times[rank] + self.costs[rank] * change
+            for rank, change in change_by_rank.items()
+        )
 
 
-def plan_paced(current, loads, pace):
+def plan_paced(current, loads, pace, costs=None):
     """Plan the next placement.
 
     :param Holdings current: the placement in use.
     :param list loads: predicted share of each expert, layer by layer.
     :param Pace pace: what the plan may do and has to bring.
+    :param tuple costs: time of each rank for the same work, 1 for a usual one; all
+        alike if not given.
     :returns: a generator that yields between short pieces of work and returns the
         new :class:`Holdings` and the number of copies.
     :rtype: collections.abc.Generator
@@ -240,9 +247,10 @@
     ((((0, 1), (0, 2)),), 1)
     """
     new_by_rank = [0] * current.ranks
+    costs = costs or _usual_costs(current)
     layers = []
     for held, shares in zip(current.layers, loads, strict=True):
-        layers.append(_Layer(held, shares, pace, current.slots, new_by_rank))
+        layers.append(_Layer(held, shares, costs, pace, current.slots, new_by_rank))
         yield
     longest = sum(max(layer.times) for layer in layers)
     proposals = {}
@@ -278,28 +286,41 @@
     return max(worths, key=worths.__getitem__, default=None)
 
 
-def holdings_skew(holdings, loads):
-    """Return longest over mean rank time, summed over the layers.
+def holdings_skew(holdings, loads, costs=None):
+    """Return longest over even rank time, summed over the layers.
 
     :param Holdings holdings: the placement.
     :param list loads: load of each expert, layer by layer.
+    :param tuple costs: time of each rank for the same work; all alike if not given.
     :rtype: float
 
     >>> holdings_skew(Holdings(2, 1, (((0,), (1,)),)), [[3, 1]])
     1.5
     """
-    longest, mean = 0.0, 0.0
+    longest, even = 0.0, 0.0
+    costs = costs or _usual_costs(holdings)
     for held, shares in zip(holdings.layers, loads, strict=True):
-        times = _times(held, shares)
-        longest += max(times)
-        mean += sum(times) / len(times)
-    return longest / mean if mean else 1.0
+        longest += max(_times(held, shares, costs))
+        even += _even_time(shares, costs)
+    return longest / even if even else 1.0
 
 
-def _times(held, loads):
+def _usual_costs(holdings):
+    return (1.0,) * holdings.ranks
+
+
+def _even_time(loads, costs):
+    """Return the time that each rank would take if all took the same."""
+    return sum(loads) / sum(1.0 / cost for cost in costs)
+
+
+def _times(held, loads, costs):
     copies = [0] * len(loads)
     for experts in held:
         for expert in experts:
             copies[expert] += 1
     shares = [load / max(n, 1) for load, n in zip(loads, copies, strict=True)]
-    return [sum(shares[expert] for expert in experts) for experts in held]
+    return [
+        cost * sum(shares[expert] for expert in experts)
+        for cost, experts in zip(costs, held, strict=True)
+    ]
--- a/libs/gateway/src/sequoiagap/gateway/_dispatch.py
+++ b/libs/gateway/src/sequoiagap/gateway/_dispatch.py
@@ -125,7 +125,7 @@
 
     async def _outlast_outage(self, request, progress):
         """Wait while the endpoints' group does not serve, if the caller gains by it."""
-        if progress.sent:
+        if progress.may_have_run:
             return
         began = time.monotonic()
         loads = self.state.pool.candidates(request.service)
@@ -164,7 +164,8 @@
             candidates, request.route.target_latency_s, now, request.ends_at - now
         )
         is_first = not progress.sent
-        if not verdict.is_admitted and (is_first or not candidates):
+        is_hopeless = not candidates or _is_down(candidates, now)
+        if not verdict.is_admitted and (is_first or is_hopeless):
             return _refusals.overloaded(verdict.reason, verdict.retry_after_s)
         opened = [load for load in candidates if not load.is_closed(now)]
         return self.chooser.choose(opened or candidates, now, progress.tried)
@@ -277,7 +278,7 @@
         if head is not None and head.is_misdirected:
             self.state.note_misdirected(load.endpoint.endpoint_id)
         if head is not None and _names_another(head, load.endpoint):
-            load.note_group_down(now)
+            self.state.pool.note_group_down(load, now)
         if end.outcome == _attempt.AttemptOutcome.ANSWERED:
             load.note_success()
             self.admission(load.endpoint.service).note_answered(elapsed_s)
--- a/libs/gateway/src/sequoiagap/gateway/_loads.py
+++ b/libs/gateway/src/sequoiagap/gateway/_loads.py
@@ -9,6 +9,7 @@
 
 REPORT_LAG_S = 0.03  # a request sent this long before a report may be missing in it
 REPORT_LIFE_S = 1.5  # older reports say nothing
+UNKNOWN_OUTAGE_S = 3.0  # taken for the age of one that began unseen
 SUSPECT_S = 1.0
 MAX_SUSPECT_S = 8.0
 COLD_WINDOW_S = 1.0
@@ -42,7 +43,8 @@
         if epoch < self.epoch:
             return
         if self.is_open and not is_open:
-            self.closed_at = now
+            is_known = self.epoch >= 0
+            self.closed_at = now if is_known else now - UNKNOWN_OUTAGE_S
         if epoch > self.epoch:
             self.epoch, self.is_open = epoch, is_open
             self.heard_at = now
@@ -73,6 +75,7 @@
     :ivar int failures: failures in a row.
     :ivar float cold_until: until when it bears only a little, suspend-aware seconds.
     :ivar list cold_sends: times of the requests sent while it was cold.
+    :ivar float slowness: time that it takes over the usual time, as last reported.
     """
 
     endpoint: object
@@ -84,6 +87,7 @@
     failures: int = 0
     cold_until: float = 0.0
     cold_sends: list = dataclasses.field(default_factory=list)
+    slowness: float = 1.0
 
     def expected(self, now):
         """Return how many requests it has, as far as can be told.
@@ -106,14 +110,6 @@
         """
         return self.group is not None and self.group.is_closed(now)
 
-    def note_group_down(self, now):
-        """Take it that a rank of its group is lost, as an answer said so.
-
-        :param float now: monotonic time in seconds.
-        """
-        if self.group is not None:
-            self.group.take(self.group.epoch, False, now)
-
     def closed_for(self, now):
         """Return how long its group is known not to serve, in seconds.
 
@@ -145,7 +141,7 @@
 
 
 class EndpointChooser:
-    """Chooses the endpoint with the least load for its slots.
+    """Chooses the endpoint with the least load for its slots and its speed.
 
     :param random.Random random_state: breaks ties, so that gateways which know the
         same do not all choose the same endpoint.
@@ -174,7 +170,7 @@
 
     def _key(self, load, now, tried):
         endpoint = load.endpoint
-        share = load.expected(now) / max(endpoint.slots, 1)
+        share = (load.expected(now) + 1) / max(endpoint.slots, 1) * load.slowness
         is_far = endpoint.failure_domain != self.failure_domain
         return (
             endpoint.endpoint_id in tried,
--- a/libs/gateway/src/sequoiagap/gateway/_messages.py
+++ b/libs/gateway/src/sequoiagap/gateway/_messages.py
@@ -44,6 +44,7 @@
     :param bool is_open: whether its group serves.
     :param str group: name of its rank group; empty for none.
     :param int epoch: how often the group has formed.
+    :param float slowness: time that it takes over the usual time.
     """
 
     endpoint: str
@@ -57,3 +58,4 @@
     is_open: bool = True
     group: str = ""
     epoch: int = 0
+    slowness: float = 1.0
--- a/libs/gateway/src/sequoiagap/gateway/_outage.py
+++ b/libs/gateway/src/sequoiagap/gateway/_outage.py
@@ -17,7 +17,7 @@
 RETURNED_SHARE = 0.9  # of its route's time; with less left a caller was here before
 FIRST_EVENT_S = 0.3  # from the end of the wait until the caller has the first event
 SERVICE_TIMES = 1.3  # of the mean, for a whole answer right after an outage
-SHORT_OUTAGE_S = 2.5  # a rank hardly starts, and its group forms, in less
+SHORT_OUTAGE_S = 3.5  # a rank hardly comes back, and its group forms, in less
 LONG_OUTAGE_S = 9.0  # one that has lasted longer is not expected to end in time
 FIRST_SHARE = 0.5  # of the places that those may take who can come back
 
--- a/libs/gateway/src/sequoiagap/gateway/_pool.py
+++ b/libs/gateway/src/sequoiagap/gateway/_pool.py
@@ -83,12 +83,30 @@
             return
         sample = _ports.LoadSample(report.running, report.waiting, report.slots)
         load.take_sample(sample, now)
+        load.slowness = max(report.slowness, 1.0)
         if not report.group:
             return
         group = self._group_by_name.setdefault(report.group, _loads.GroupState())
         group.take(report.epoch, report.is_open, now)
         load.group = group
 
+    def note_group_down(self, load, now):
+        """Take it that an endpoint's group lacks a rank, as an answer said so.
+
+        Before any agent has named the groups, those endpoints of the service of which
+        none is known are taken for one group.
+
+        :param EndpointLoad load: the endpoint that answered.
+        :param float now: monotonic time in seconds.
+        """
+        if load.group is None:
+            service = load.endpoint.service
+            group = _loads.GroupState()
+            for other in self.load_by_id.values():
+                if other.endpoint.service == service and other.group is None:
+                    other.group = group
+        load.group.take(load.group.epoch, False, now)
+
     def candidates(self, service):
         """Return the loads of a service's endpoints that may get requests.
 
--- a/libs/ranks/src/sequoiagap/ranks/_agent.py
+++ b/libs/ranks/src/sequoiagap/ranks/_agent.py
@@ -118,7 +118,13 @@
             if report is not None:
                 sequence += 1
                 item = self._make_report(report, sequence)
-                shown = (item.running, item.waiting, item.kv_used, item.is_open)
+                shown = (
+                    item.running,
+                    item.waiting,
+                    item.kv_used,
+                    item.is_open,
+                    item.slowness,
+                )
                 if shown != last or now - sent_at >= QUIET_REPORT_S:
                     self._send_report(item)
                     last, sent_at = shown, now
@@ -145,6 +151,7 @@
             is_open=report.is_open,
             group=report.group,
             epoch=report.epoch,
+            slowness=report.slowness,
         )
 
     def _send_report(self, item):
--- a/libs/ranks/src/sequoiagap/ranks/_leader.py
+++ b/libs/ranks/src/sequoiagap/ranks/_leader.py
@@ -19,6 +19,7 @@
 HORIZON_S = 4.0  # demand is expected to stay alike for this long
 TARGET_SKEW = 1.08
 COPIES_PER_RANK = 3  # of one change; each delays the switch by a copy's time
+SLOW_RANK = 1.15  # a rank that takes longer than this is planned as a slow one
 LEAD_S = 0.08  # holding, arming and releasing take 0.01 to 0.03 s
 LOSSY_LEAD_S = 0.35  # with time to give lost orders again
 LOSSY_S = 4.0  # after an order without an answer more of them are expected
@@ -116,11 +117,20 @@
             await self._improve(known)
 
     def _time_passes(self, known, own):
-        skew = experts.holdings_skew(self.holdings_, self._demand.newest_)
+        skew = experts.holdings_skew(
+            self.holdings_, self._demand.newest_, self._costs(known)
+        )
         is_busy = any(report.running for report in known.values())
         self.timer.take(own.step, time.monotonic(), is_busy, skew)
         self.metrics.set_gauge("group_pass_seconds", self.timer.even_pass_s_)
 
+    def _costs(self, known):
+        """Return the time of each rank for the same work, 1 for a usual one."""
+        slowness = [
+            known[rank].slowness if rank in known else 1.0 for rank in range(self.size)
+        ]
+        return tuple(s if s > SLOW_RANK else 1.0 for s in slowness)
+
     def _reset(self, epoch):
         """Forget what was true of the group before it formed anew.
 
@@ -196,17 +206,18 @@
 
     async def _improve(self, known):
         loads = self._demand.predict()
-        before = experts.holdings_skew(self.holdings_, loads)
+        costs = self._costs(known)
+        before = experts.holdings_skew(self.holdings_, loads, costs)
         self.metrics.set_gauge("group_step_skew", before)
         began = time.monotonic()
         target = self.timer.tolerable_skew(self.longest_pause_s, TARGET_SKEW)
         pace = dataclasses.replace(self.pace, target_skew=target)
         planned, copies = await experts.finish_in_slices(
-            experts.plan_paced(self.holdings_, loads, pace)
+            experts.plan_paced(self.holdings_, loads, pace, costs)
         )
         if planned == self.holdings_:
             return
-        after = experts.holdings_skew(planned, loads)
+        after = experts.holdings_skew(planned, loads, costs)
         if not self._pays(before, after, copies):
             return
         planned_ms = round((time.monotonic() - began) * MILLISECONDS)
@@ -219,6 +230,7 @@
             skew=round(before, 3),
             planned_skew=round(after, 3),
             target_skew=round(target, 3),
+            slow_ranks=sum(cost > 1.0 for cost in costs),
             copies=copies,
             planned_ms=planned_ms,
             readings=self._demand.readings_,
--- a/libs/ranks/src/sequoiagap/ranks/_ports.py
+++ b/libs/ranks/src/sequoiagap/ranks/_ports.py
@@ -25,6 +25,7 @@
     :param int kv_used: tokens in memory that can't yield.
     :param int kv_total: tokens that the memory holds.
     :param int started_ms: when the engine started, Unix milliseconds.
+    :param float slowness: time that it takes over the usual time; 1 for a usual one.
     """
 
     group: str = ""
@@ -43,6 +44,7 @@
     kv_used: int = 0
     kv_total: int = 0
     started_ms: int = 0
+    slowness: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -80,6 +80,12 @@
         chosen = self.chooser.choose(loads, NOW)
         self.assertEqual(chosen.endpoint.endpoint_id, "c")
 
+    def test_slow_endpoint_is_left_alone_until_the_others_are_busier(self):
+        slow = load(0, name="a")
+        slow.slowness = 6.0
+        self.assertIsNot(self.chooser.choose([slow, load(3, name="b")], NOW), slow)
+        self.assertIs(self.chooser.choose([slow, load(6, 3, name="b")], NOW), slow)
+
     def test_own_requests_count_before_any_report_shows_them(self):
         busy = load(0, name="a")
         busy.sent_at_by_attempt = {"x": NOW, "y": NOW}
--- a/tests/ranks/test_leader.py
+++ b/tests/ranks/test_leader.py
@@ -1,6 +1,7 @@
 """A leader follows demand and settles what others have left, over lossy orders."""
 
 import asyncio
+import dataclasses
 import unittest
 
 from simulations import rank_world
@@ -189,6 +190,21 @@
         (content,) = self.contents()
         self.assertNotEqual(content, repr(LAYERS))
 
+    async def test_slow_rank_is_relieved(self):
+        report = self.group.report
+
+        async def report_slow(address):
+            found = await report(address)
+            slowness = 8.0 if address == "1" else 1.0
+            return dataclasses.replace(found, slowness=slowness)
+
+        self.group.report = report_slow
+        await self.turns(self.leader, counts=[10] * 6)
+        self.group.work(HEAVY)
+        (content,) = {repr(e.content) for e in self.group.world.engines}
+        self.assertNotEqual(content, repr(LAYERS))
+        self.assertEqual(self.leader.holdings_.layers[0][1], ())
+
     async def test_lost_orders_are_expected_again_for_a_while(self):
         self.group.lost_by_kind = {ranks.OrderKind.PREPARE: 1}
         await self.turns(self.leader)
