Say truly how places to wait are kept

The module's comment said that callers who came back go first; half of the places are kept for them, nothing else. No code changed; tests.gateway.test_outage and tests.test_arrows pass (17 tests), formatter and linter are clean.

--- a/libs/gateway/src/sequoiagap/gateway/_outage.py
+++ b/libs/gateway/src/sequoiagap/gateway/_outage.py
@@ -2,9 +2,9 @@
 
 The load that it answers: tens of requests a second during the seconds in which a group
 is without a rank. Once the group may be back at any moment, requests wait here for as
-long as callers wait for a first event, and go on as soon as it serves; those of callers
-that have come back before go first. Everybody else is refused at once and told to come
-back, as late as callers heed.
+long as callers wait for a first event, and go on as soon as it serves; half of the
+places are kept for callers that have come back before. Everybody else is refused at
+once and told to come back, as late as callers heed.
 """
 
 import dataclasses
