--- a/libs/base/src/sequoiagap/base/_events.py
+++ b/libs/base/src/sequoiagap/base/_events.py
@@ -94,6 +94,8 @@
     GROUP_SEEN = 1516
     GROUP_LED = 1517
     RANK_SILENT = 1518
+    HOLD_FOUND = 1519
+    KEEPER_ASKED = 1520
     USAGE_EXPIRED = 1601
     ADMISSION_OVERLOADED = 1602
     ADMISSION_CALM = 1603
@@ -158,6 +160,8 @@
     Event.HOLD_RESOLVED: "A hold that nobody answered for was released.",
     Event.GROUP_SEEN: "A rank group formed anew or changed its state.",
     Event.RANK_SILENT: "The agent of a rank left a question without an answer.",
+    Event.HOLD_FOUND: "A hold that nobody answers for is about to be released.",
+    Event.KEEPER_ASKED: "A leader asked this agent to keep a hold, or to allow arming.",
     Event.GROUP_LED: "This agent began or ceased to lead its rank group.",
     Event.USAGE_EXPIRED: "An entry's usage of client accounts is no longer counted.",
     Event.ADMISSION_OVERLOADED: "Requests wait or are shed for lack of capacity.",
--- a/libs/gateway/src/sequoiagap/gateway/_attempt.py
+++ b/libs/gateway/src/sequoiagap/gateway/_attempt.py
@@ -1,8 +1,11 @@
 """One attempt of a request at one endpoint over HTTP."""
 
 import asyncio
+import contextvars
 import dataclasses
 import enum
+import socket
+import struct
 import time
 
 import aiohttp
@@ -13,9 +16,13 @@
 CONNECT_TIMEOUT_S = 0.5
 SERVER_ERROR_STATUS = 500
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, for 0 s
 SKIPPED_HEADERS = frozenset({"Accept", "Accept-Encoding", "User-Agent", "Content-Type"})
 
 
+_attempt_here = contextvars.ContextVar("attempt")
+
+
 class AttemptOutcome(enum.StrEnum):
     """What became of an attempt."""
 
@@ -59,7 +66,8 @@
 
     Each attempt has a connection of its own: bytes that an endpoint sends after a
     whole answer, or late, then belong to no later request, and no request is lost to
-    an idle connection that went away.
+    an idle connection that went away. An attempt that is given up resets it: an
+    endpoint can take an orderly end for that of the request alone, and work on.
 
     :param aiohttp.ClientSession session: opens the connection.
     :param Dialect dialect: names of headers.
@@ -83,6 +91,11 @@
         self.first_byte_s_ = 0.0
         self._timer = None
         self._closed = None
+        self._socket = None
+
+    def note_socket(self, opened):
+        """Take the socket on which the request is about to be sent."""
+        self._socket = opened
 
     def note_connected(self):
         """Note that a connection is open; the request may be on its way."""
@@ -99,6 +112,7 @@
             answer until it is whole.
         :rtype: AttemptEnd
         """
+        _attempt_here.set(self)
         try:
             return await self._exchange(sink)
         except TimeoutError:
@@ -107,6 +121,9 @@
             return self._failed(f"{type(error).__name__}: {error}"[:160])
         except _event_stream.EventStreamError as error:
             return self._failed(str(error))
+        except asyncio.CancelledError:
+            self._reset()
+            raise
 
     async def _exchange(self, sink):
         outgoing = self.outgoing
@@ -202,7 +219,14 @@
             return False
         return closed.exception() is None
 
+    def _reset(self):
+        """Have the connection reset as it is closed, which follows at once."""
+        opened = self._socket
+        if opened is not None and opened.fileno() >= 0:
+            opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
     def _failed(self, reason):
+        self._reset()
         if not self.is_sent_:
             return AttemptEnd(AttemptOutcome.NOT_SENT, f"no connection: {reason}")
         return AttemptEnd(AttemptOutcome.UNKNOWN, reason)
@@ -236,7 +260,9 @@
     trace = aiohttp.TraceConfig()
     trace.on_connection_create_end.append(_note_connected)
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        connector=aiohttp.TCPConnector(
+            limit=0, force_close=True, socket_factory=_open_socket
+        ),
         timeout=aiohttp.ClientTimeout(total=None),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
@@ -244,6 +270,13 @@
     )
 
 
+def _open_socket(address):
+    family, kind, protocol, *_ = address
+    opened = socket.socket(family, kind, protocol)
+    _attempt_here.get().note_socket(opened)
+    return opened
+
+
 def _take_exception(closed):
     """Mark the way in which a connection ended as seen."""
     if not closed.cancelled():
--- a/libs/ranks/src/sequoiagap/ranks/__init__.py
+++ b/libs/ranks/src/sequoiagap/ranks/__init__.py
@@ -2,6 +2,8 @@
 
 from sequoiagap.ranks._agent import RankAgent, run
 from sequoiagap.ranks._change import (
+    STEP_GUARD,
+    Ask,
     ChangePlan,
     ChangeResult,
     MapChange,
@@ -14,6 +16,7 @@
     resolve_hold,
 )
 from sequoiagap.ranks._demand import GroupDemand
+from sequoiagap.ranks._keeper import HeldChange, Keeper
 from sequoiagap.ranks._leader import GroupLeader
 from sequoiagap.ranks._ports import (
     EngineReport,
@@ -25,12 +28,16 @@
 )
 
 __all__ = [
+    "STEP_GUARD",
+    "Ask",
     "ChangePlan",
     "ChangeResult",
     "EngineReport",
     "ExpertCounts",
     "GroupDemand",
     "GroupLeader",
+    "HeldChange",
+    "Keeper",
     "MapChange",
     "OrderKind",
     "OrderResult",
--- a/libs/ranks/src/sequoiagap/ranks/_access.py
+++ b/libs/ranks/src/sequoiagap/ranks/_access.py
@@ -2,17 +2,18 @@
 
 import asyncio
 import dataclasses
-import time
 
-from sequoiagap import base, wire
-from sequoiagap.ranks import _change, _messages, _ports
+from sequoiagap import base
+from sequoiagap.ranks import (
+    _change,
+    _keeper,
+    _links,
+    _messages,
+    _ports,
+    _succession,
+)
 
-ASK_TIMEOUT_S = 0.3
-SILENT_S = 1.0  # orders pass an agent over that did not answer this long ago
-RECONNECT_S = 0.3
-LINK_PING_S = 1.0
-
-_REPORT_FIELDS = frozenset(f.name for f in dataclasses.fields(_ports.EngineReport))
+HELD_ASK_TIMEOUT_S = 0.15  # while a pass may be held; then the engine is asked
 
 _log = base.get_logger("ranks")
 
@@ -76,81 +77,6 @@
         return state
 
 
-class RankLink:
-    """A connection to the agent of another rank, kept open while leading.
-
-    :param gateway.Node node: the agent.
-    :param make_hello: function that returns the :class:`wire.Hello` of this process.
-    """
-
-    def __init__(self, node, make_hello):
-        self.node = node
-        self.make_hello = make_hello
-        self._connection = None
-        self._silent_until = 0.0
-        self._questions = wire.Questions()
-
-    @property
-    def is_open(self):
-        """Whether the agent is connected."""
-        return self._connection is not None
-
-    @property
-    def is_silent(self):
-        """Whether the agent left a question without an answer a moment ago."""
-        return time.monotonic() < self._silent_until
-
-    async def run(self):
-        """Keep the connection open until cancelled."""
-        while True:
-            try:
-                connection = await wire.connect(
-                    self.node.address, self.node.port, self.make_hello()
-                )
-            except base.WireError:
-                await asyncio.sleep(RECONNECT_S)
-                continue
-            connection.idle_interval_s = LINK_PING_S
-            self._connection = connection
-            try:
-                await connection.run(self._take)
-            finally:
-                self._connection = None
-                self._questions.drop()
-            await asyncio.sleep(RECONNECT_S)
-
-    async def ask(self, item, timeout_s=ASK_TIMEOUT_S):
-        """Send a poll or an order and return the answer.
-
-        :param item: a message with a ``number``, which is set here.
-        :param float timeout_s: longest wait, in seconds.
-        :rtype: RankState | None
-        """
-        connection = self._connection
-        if connection is None:
-            return None
-        try:
-            async with asyncio.timeout(timeout_s):
-                answer = await self._questions.ask(connection, item)
-        except TimeoutError:
-            self._note_silent()
-            return None
-        except base.WireError:
-            return None
-        self._silent_until = 0.0
-        return answer
-
-    def _note_silent(self):
-        now = time.monotonic()
-        if not self.is_silent:
-            _log.emit(base.Event.RANK_SILENT, peer=self.node.node_id)
-        self._silent_until = now + SILENT_S
-
-    async def _take(self, item):
-        if isinstance(item, _messages.RankState):
-            self._questions.take(item)
-
-
 class GroupAccess:
     """Reaches every rank of a group.
 
@@ -161,16 +87,26 @@
     :param int own_rank: its number.
     :param dict address_by_rank: where each rank's engine listens, as far as known.
     :param list_addresses: function that returns where engines may listen besides.
-
-    :ivar dict link_by_rank: :class:`RankLink` of each other rank's agent.
+    :param dict link_by_rank: :class:`RankLink` of each other rank's agent, as it gets
+        known; none if not given.
+    :param Keeper keeper: decides about holds at the own rank; a fresh one if not given.
     """
 
-    def __init__(self, own, own_rank, address_by_rank, list_addresses=list):
+    def __init__(
+        self,
+        own,
+        own_rank,
+        address_by_rank,
+        list_addresses=list,
+        link_by_rank=None,
+        keeper=None,
+    ):
         self.own = own
         self.own_rank = own_rank
         self.address_by_rank = address_by_rank
         self.list_addresses = list_addresses
-        self.link_by_rank = {}
+        self.link_by_rank = {} if link_by_rank is None else link_by_rank
+        self.keeper = keeper or _keeper.Keeper()
 
     async def carry_out(self, step):
         """Carry out a step of a change.
@@ -199,7 +135,83 @@
         if rank == self.own_rank:
             return await self.own.answer_poll(poll)
         link = self.link_by_rank.get(rank)
-        return await link.ask(poll) if link is not None else None
+        if link is None or link.is_silent:
+            return None
+        return await link.ask(poll)
+
+    def pass_over(self, rank):
+        """Ask a rank's engine rather than its agent for a while.
+
+        :param int rank: the rank.
+        """
+        link = self.link_by_rank.get(rank)
+        if link is not None:
+            link.note_silent()
+
+    @property
+    def is_alone(self):
+        """Whether no other agent of the group is known."""
+        return not self.link_by_rank
+
+    def find_deputies(self):
+        """Return the ranks whose agents are to settle a change that is left behind.
+
+        :rtype: list[int]
+        """
+        linked = (
+            rank
+            for rank, link in sorted(self.link_by_rank.items())
+            if link.is_open and not link.is_silent
+        )
+        return list(linked)[: _succession.DEPUTIES]
+
+    async def tell_deputies(self, deputies, is_changing=True):
+        """Tell deputies that a change is under way, or that it has ended.
+
+        :param list deputies: their ranks, the first to act first.
+        :param bool is_changing: whether the change is still under way.
+        :returns: those that have heard it.
+        :rtype: list[int]
+        """
+        heard = await asyncio.gather(
+            *(
+                self.link_by_rank[rank].ask(
+                    _messages.ChangeNotice(
+                        0,
+                        self.own_rank,
+                        place if is_changing else _succession.NO_DEPUTY,
+                    ),
+                    HELD_ASK_TIMEOUT_S,
+                )
+                for place, rank in enumerate(deputies)
+            )
+        )
+        answers = zip(deputies, heard, strict=True)
+        return [rank for rank, answer in answers if answer is not None]
+
+    async def ask_keeper(self, question):
+        """Ask a keeper.
+
+        :param Ask question: the question.
+        :returns: whether it agrees; not so if it does not answer.
+        :rtype: bool
+        """
+        change = question.change
+        if question.keeper == self.own_rank:
+            return self.keeper.decide(change, question.wants_arming)
+        link = self.link_by_rank.get(question.keeper)
+        if link is None:
+            return False
+        item = _messages.KeeperQuestion(
+            0,
+            self.own_rank,
+            change.epoch,
+            change.version,
+            change.step,
+            question.wants_arming,
+        )
+        answer = await link.ask(item, HELD_ASK_TIMEOUT_S)
+        return answer is not None and answer.is_agreed
 
     async def poll_engine(self, rank, wants_experts=False):
         """Return what a rank's engine says to a question from here, or ``None``.
@@ -232,6 +244,12 @@
                 self.address_by_rank[report.rank] = address
 
     async def _give(self, rank, order):
+        if order is not None and order.kind == _ports.OrderKind.HOLD:
+            # Without the agent between; but only its reports are fresh.
+            reply = await self._give_direct(rank, order)
+            state = await self.poll(rank)
+            report = None if state is None else read_report(state)
+            return dataclasses.replace(reply, report=report)
         state = await self._ask(rank, order)
         if state is None:
             return await self._give_direct(rank, order)
@@ -257,10 +275,16 @@
         )
         if rank == self.own_rank:
             return await self.own.answer_order(item)
-        return await link.ask(item) if link is not None else None
+        if link is None:
+            return None
+        is_held = order.kind != _ports.OrderKind.PREPARE
+        timeout_s = HELD_ASK_TIMEOUT_S if is_held else _links.ASK_TIMEOUT_S
+        return await link.ask(item, timeout_s)
 
     async def _give_direct(self, rank, order):
         address = self.address_by_rank.get(rank)
+        if rank == self.own_rank:
+            address = self.own.address
         if address is None:
             return _change.RankReply()
         result = _ports.OrderResult.UNKNOWN
@@ -273,15 +297,12 @@
 
 
 def read_report(state):
-    """Return the engine's report of a state.
+    """Return the engine's report of a state, or ``None`` where it did not answer.
 
     :param RankState state: the state.
     :rtype: EngineReport | None
     """
-    if not state.is_known:
-        return None
-    known = state.report.items()
-    return _ports.EngineReport(**{k: v for k, v in known if k in _REPORT_FIELDS})
+    return _ports.read_report(state.report) if state.is_known else None
 
 
 def _state(number, report):
--- a/libs/ranks/src/sequoiagap/ranks/_agent.py
+++ b/libs/ranks/src/sequoiagap/ranks/_agent.py
@@ -6,7 +6,15 @@
 from aiohttp import web
 
 from sequoiagap import base, gateway, wire
-from sequoiagap.ranks import _access, _leader, _messages
+from sequoiagap.ranks import (
+    _access,
+    _change,
+    _keeper,
+    _leader,
+    _links,
+    _messages,
+    _succession,
+)
 
 REPORT_INTERVAL_S = 0.1
 BUSY_REPORT_INTERVAL_S = 0.05  # where each request more or less matters to a choice
@@ -16,11 +24,7 @@
 FIRST_NODES_S = 0.4
 CONFIG_INTERVAL_S = 20.0
 LEAD_CHECK_S = 0.1
-PLACE_RETRY_S = 0.05  # until an agent has said which rank it serves
-PLACED_CHECK_S = 1.0
-LEAD_AFTER_S = 0.8  # without a poll by a lower rank
-LEAD_STAGGER_S = 0.3  # more for each rank
-MAX_STAGGER_RANKS = 6
+DEPUTY_CHECK_S = 0.03
 STOP_BOUND_S = 3.0
 
 _log = base.get_logger("agent")
@@ -47,13 +51,15 @@
         self._node_by_id = {}
         self._terms = None
         self._longest_pause_s = 0.0
-        self._polled_at = time.monotonic()
+        self._succession = _succession.Succession(time.monotonic())
+        self._keeper = _keeper.Keeper()
         self._guarded_epoch = None
         self._leader = None
         self._leading = None
-        self._link_by_node = {}
-        self._endpoint_by_rank = {}
         self._tasks = base.TaskSet()
+        self._links = _links.RankLinks(
+            self._tasks, settings.node_id, self._hello, lambda: self.report_
+        )
         self._server = None
         self._transport = None
         self._runner = None
@@ -168,6 +174,8 @@
             return
         if self._guarded_epoch is None:
             self._guarded_epoch = report.epoch
+            first_step = report.step + _change.STEP_GUARD
+            self._keeper = _keeper.Keeper(report.epoch, first_step)
         seen = None if before is None else (before.epoch, before.is_open)
         if seen != (report.epoch, report.is_open):
             _log.emit(
@@ -212,29 +220,31 @@
 
     async def _lead_forever(self):
         while True:
-            await asyncio.sleep(LEAD_CHECK_S)
+            is_deputy = self._leader is None and self._succession.is_deputy
+            interval_s = DEPUTY_CHECK_S if is_deputy else LEAD_CHECK_S
+            await asyncio.sleep(interval_s)
             report = self.report_
             if report is None or not report.size or self._terms is None:
                 continue
             if not self._terms.experts:
                 continue
-            if self._leader is None:
-                if self._should_lead(report):
-                    await self._lead(report)
-            else:
-                self._update_links()
-
-    def _should_lead(self, report):
-        if report.rank == 0:
-            return True
-        rank = min(report.rank, MAX_STAGGER_RANKS)
-        patience_s = LEAD_AFTER_S + LEAD_STAGGER_S * rank
-        return time.monotonic() - self._polled_at > patience_s
+            if self._leader is not None or is_deputy:
+                self._links.update(self._node_by_id.values())
+            now = time.monotonic()
+            should_lead = self._succession.should_lead(report.rank, now, interval_s)
+            if self._leader is None and should_lead:
+                self._lead(report)
 
-    async def _lead(self, report):
+    def _lead(self, report):
         access = _access.GroupAccess(
-            self.own, report.rank, self._endpoint_by_rank, self._list_endpoints
+            self.own,
+            report.rank,
+            self._links.address_by_rank,
+            self._list_endpoints,
+            self._links.by_rank,
+            self._keeper,
         )
+        left_by = self._succession.leader_ if self._succession.is_deputy else None
         self._leader = _leader.GroupLeader(
             access,
             report,
@@ -242,11 +252,18 @@
             self.metrics,
             self._longest_pause_s,
             self._guarded_epoch,
+            left_by=left_by,
+            unarmed=self._keeper.take_over(),
         )
         _log.emit(
-            base.Event.GROUP_LED, group=report.group, rank=report.rank, leads=True
+            base.Event.GROUP_LED,
+            group=report.group,
+            rank=report.rank,
+            leads=True,
+            left_by=left_by,
         )
-        self._update_links()
+        self._succession.end_change()
+        self._links.update(self._node_by_id.values())
         self._leading = self._tasks.start(self._run_leader(), "leader")
 
     def _list_endpoints(self):
@@ -271,45 +288,6 @@
                 self._leader = None
             self._leading = None
 
-    def _update_links(self):
-        """Link the agents of the group, by the rank that each one's engine has."""
-        for node in list(self._node_by_id.values()):
-            is_agent = node.role == "ranks" and node.endpoint
-            if not is_agent or node.node_id == self.settings.node_id:
-                continue
-            known = self._link_by_node.get(node.node_id)
-            if known is None or known.node != node:
-                link = _access.RankLink(node, self._hello)
-                self._link_by_node[node.node_id] = link
-                self._tasks.start(self._keep_link(link), f"rank-{node.node_id}")
-
-    async def _keep_link(self, link):
-        runner = asyncio.ensure_future(link.run())
-        try:
-            while self._link_by_node.get(link.node.node_id) is link:
-                is_placed = await self._place_link(link)
-                await asyncio.sleep(PLACED_CHECK_S if is_placed else PLACE_RETRY_S)
-        finally:
-            await base.cancel_and_wait(runner)
-
-    async def _place_link(self, link):
-        """Ask an agent which rank it serves, and use the link for that rank.
-
-        :returns: whether the agent said so.
-        """
-        leader = self._leader
-        if leader is None or not link.is_open:
-            return False
-        state = await link.ask(_messages.RankPoll(0, leader.own_rank))
-        if state is None or not state.is_known:
-            return False
-        report = _access.read_report(state)
-        if report.group != leader.group:
-            return True
-        leader.access.link_by_rank[report.rank] = link
-        self._endpoint_by_rank[report.rank] = link.node.endpoint
-        return True
-
     async def _serve(self, reader, writer):
         try:
             connection = await wire.accept(reader, writer, self._hello())
@@ -318,23 +296,48 @@
 
         async def handle(item):
             if isinstance(item, _messages.RankPoll):
-                self._note_poll(item.leader)
+                self._note_leader(item.leader)
                 answer = self.own.answer_poll(item)
             elif isinstance(item, _messages.RankOrderMessage):
+                self._note_leader(item.leader)
                 answer = self.own.answer_order(item)
+            elif isinstance(item, _messages.KeeperQuestion):
+                self._note_leader(item.leader)
+                answer = self._answer_as_keeper(item)
+            elif isinstance(item, _messages.ChangeNotice):
+                self._note_leader(item.leader, item.deputy)
+                answer = _acknowledge(item)
             else:
                 return
             self._tasks.start(_reply(connection, answer), "reply")
 
         await connection.run(handle)
 
-    def _note_poll(self, leader_rank):
-        """Leave the lead to a lower rank that leads."""
+    async def _answer_as_keeper(self, item):
+        """Agree to a hold or to arming, unless this agent leads by itself."""
+        change = _keeper.HeldChange(item.epoch, item.version, item.step)
+        is_free = self._leader is None
+        is_agreed = is_free and self._keeper.decide(change, item.wants_arming)
+        _log.emit(
+            base.Event.KEEPER_ASKED,
+            leader=item.leader,
+            epoch=item.epoch,
+            version=item.version,
+            step=item.step,
+            wants_arming=item.wants_arming,
+            agreed=is_agreed,
+        )
+        return _messages.KeeperAnswer(item.number, is_agreed)
+
+    def _note_leader(self, leader, deputy=None):
+        """Take a word of a leader, and leave the lead to a lower rank."""
         report = self.report_
-        if report is None or leader_rank >= report.rank:
+        if report is None or leader == _messages.NOT_LEADING or leader == report.rank:
             return
-        self._polled_at = time.monotonic()
-        if self._leader is not None:
+        is_senior = leader < report.rank
+        if is_senior or self._leader is None:
+            self._succession.note_leader(leader, time.monotonic(), deputy)
+        if is_senior and self._leader is not None:
             self._leader.stop()
 
     async def _listen_for_metrics(self):
@@ -376,6 +379,10 @@
         )
 
 
+async def _acknowledge(notice):
+    return _messages.KeeperAnswer(notice.number, True)
+
+
 async def _reply(connection, answer):
     await wire.try_send(connection, await answer)
 
--- a/libs/ranks/src/sequoiagap/ranks/_change.py
+++ b/libs/ranks/src/sequoiagap/ranks/_change.py
@@ -3,10 +3,12 @@
 Engines don't compare maps: each switches by itself at the pass that it is armed for.
 Orders may be lost, or carried out seconds later. The procedure rests on this:
 
-- The group is held at a pass by one rank before any rank is armed for it. It is
-  released only once every rank is known to be armed alike, or to be safe: a rank is
-  safe from a version once a later version is prepared there, as it can't be armed for
-  the old one any more, however late the order comes.
+- The group is held at a pass by one rank before any rank is armed for it. That rank's
+  agent, the keeper, is asked before the hold and again before the first rank is armed;
+  until then it may release the pass by itself. Afterwards the pass is released only
+  once every rank is known to be armed alike, or to be safe: a rank is safe from a
+  version once a later version is prepared there, as it can't be armed for the old one
+  any more, however late the order comes.
 - Versions are never used for two maps, and a leader never holds a pass twice.
 - Whoever finds a hold that nobody answers for holds the same pass on another rank
   first. Then a release by the old leader, late or sent as it wakes, releases nothing.
@@ -19,7 +21,7 @@
 import dataclasses
 import enum
 
-from sequoiagap.ranks import _ports
+from sequoiagap.ranks import _keeper, _ports
 
 LEAD_PASSES = 3
 LOSSY_LEAD_PASSES = 8  # time to give lost orders again before the pass is due
@@ -39,6 +41,7 @@
     DONE = "done"
     NOT_PREPARED = "not_prepared"
     NOT_HELD = "not_held"
+    NOT_ALLOWED = "not_allowed"
     GIVEN_UP = "given_up"
     FORMED_ANEW = "formed_anew"
 
@@ -55,6 +58,20 @@
     wait_s: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True)
+class Ask:
+    """A question to the keeper; its answer is whether it agrees.
+
+    :param int keeper: its rank.
+    :param HeldChange change: the change that it is about.
+    :param bool wants_arming: whether ranks are to be armed, rather than a pass held.
+    """
+
+    keeper: int
+    change: _keeper.HeldChange
+    wants_arming: bool = False
+
+
 @dataclasses.dataclass(frozen=True)
 class RankReply:
     """What came of a step at a rank.
@@ -81,6 +98,7 @@
     :param bool is_lossy: whether orders have gone without an answer of late.
     :param int lead_passes: passes ahead at which the ranks switch.
     :param int lossy_lead_passes: the same where orders go without an answer.
+    :param int keeper: rank at which the pass is held; that of the leader if not given.
     """
 
     version: int
@@ -93,6 +111,12 @@
     is_lossy: bool = False
     lead_passes: int = LEAD_PASSES
     lossy_lead_passes: int = LOSSY_LEAD_PASSES
+    keeper: int = -1
+
+    @property
+    def held_rank(self):
+        """Rank at which the pass is held."""
+        return self.own_rank if self.keeper < 0 else self.keeper
 
 
 class MapChange:
@@ -103,6 +127,7 @@
     :ivar int step_: pass at which the ranks switch; 0 before it is chosen.
     :ivar int lost_orders_: orders that got no answer.
     :ivar str detail_: what kept the change from being made.
+    :ivar bool is_abandoned_: whether to make nothing of it, if no pass is held yet.
     """
 
     def __init__(self, plan):
@@ -110,6 +135,7 @@
         self.step_ = 0
         self.lost_orders_ = 0
         self.detail_ = ""
+        self.is_abandoned_ = False
 
     @property
     def is_lossy_(self):
@@ -120,7 +146,8 @@
         """Make the change.
 
         :returns: a generator of :class:`Step`, sent a dict of :class:`RankReply` by
-            rank, that returns a :class:`ChangeResult`.
+            rank, and of :class:`Ask`, sent whether the keeper agrees, that returns a
+            :class:`ChangeResult`.
         :rtype: collections.abc.Generator
         """
         reports = yield from self._prepare()
@@ -134,17 +161,33 @@
             # A successor would take it for safe before this pass has begun.
             self.detail_ = f"pass {self.step_} is too far ahead"
             return ChangeResult.NOT_HELD
+        is_agreed = yield from self._ask_keeper(wants_arming=False)
+        if not is_agreed:
+            self.detail_ = "the keeper did not agree to a hold"
+            return ChangeResult.NOT_ALLOWED
         is_held = yield from self._hold()
         if not is_held:
-            yield from release([self.plan.own_rank], self.step_, self.plan.epoch)
+            yield from self._release()
             return ChangeResult.NOT_HELD
+        is_allowed = yield from self._ask_keeper(wants_arming=True)
+        if not is_allowed:
+            self.detail_ = "the keeper did not allow to arm"
+            yield from self._release()
+            return ChangeResult.NOT_ALLOWED
         is_armed = yield from self._arm()
         if is_armed:
-            ranks = [self.plan.own_rank]
-            yield from release(ranks, self.step_, self.plan.epoch)
+            yield from self._release()
             return ChangeResult.DONE
         return (yield from self._give_up())
 
+    def _ask_keeper(self, wants_arming):
+        plan = self.plan
+        change = _keeper.HeldChange(plan.epoch, plan.version, self.step_)
+        return (yield Ask(plan.held_rank, change, wants_arming))
+
+    def _release(self):
+        return release([self.plan.held_rank], self.step_, self.plan.epoch)
+
     def _order(self, kind, **fields):
         return _ports.RankOrder(kind, self.plan.epoch, **fields)
 
@@ -167,6 +210,9 @@
         missing = dict.fromkeys(range(self.plan.size), order)
         reports, waited_s, wait_s = {}, 0.0, 0.0
         while missing:
+            if self.is_abandoned_:
+                self.detail_ = "another agent leads"
+                return None
             if waited_s > PREPARE_PATIENCE_S:
                 self.detail_ = f"ranks {sorted(missing)[:4]} are not prepared"
                 return None
@@ -200,9 +246,9 @@
 
     def _hold(self):
         order = self._order(_ports.OrderKind.HOLD, step=self.step_)
-        own = self.plan.own_rank
+        rank = self.plan.held_rank
         for _ in range(HOLD_TRIES):
-            reply = (yield from self._give({own: order}))[own]
+            reply = (yield from self._give({rank: order}))[rank]
             if self._is_held(reply.report):
                 return True
             if reply.result == _ports.OrderResult.CONFLICT:
@@ -246,7 +292,7 @@
         made_safe = yield from make_safe(following, self.step_, self.plan.version)
         if not made_safe:
             return ChangeResult.FORMED_ANEW
-        yield from release([self.plan.own_rank], self.step_, self.plan.epoch)
+        yield from self._release()
         return ChangeResult.GIVEN_UP
 
 
--- a/libs/ranks/src/sequoiagap/ranks/_leader.py
+++ b/libs/ranks/src/sequoiagap/ranks/_leader.py
@@ -6,9 +6,10 @@
 import time
 
 from sequoiagap import base, experts
-from sequoiagap.ranks import _access, _change, _demand, _pass_time
+from sequoiagap.ranks import _access, _change, _demand, _pass_time, _succession
 
 POLL_INTERVAL_S = 0.2
+URGENT_INTERVAL_S = 0.03  # until what a predecessor has left is settled
 REST_S = 0.05  # after a change
 ORPHAN_S = 0.35  # a hold this long without a change here is nobody's
 MIN_READINGS = 2
@@ -40,6 +41,10 @@
     :param int guarded_epoch: last epoch in which orders of a predecessor at this rank
         may still be on their way; that of the report if not given.
     :param random.Random random_state: makes versions that nobody else uses.
+    :param int left_by: rank whose agent fell silent during a change, which is to be
+        settled first; ``None`` where there is no such.
+    :param HeldChange unarmed: change for which the own rank may be held and that no
+        rank is armed for; ``None`` where there is no such.
     """
 
     def __init__(
@@ -51,6 +56,8 @@
         longest_pause_s=0.0,
         guarded_epoch=None,
         random_state=None,
+        left_by=None,
+        unarmed=None,
     ):
         self.access = access
         self.guarded_epoch = report.epoch if guarded_epoch is None else guarded_epoch
@@ -75,12 +82,20 @@
         self._lossy_until = 0.0
         self._held_since_by_rank = {}
         self._is_stopping = False
+        self._changing = None
+        self._refusals = 0
         self._silent_turns_by_rank = {}
+        self._unarmed = unarmed
+        self._is_urgent = left_by is not None
+        if self._is_urgent:
+            access.pass_over(left_by)
         self._reset(report.epoch)
 
     def stop(self):
         """End leading after the turn under way, which leaves nothing half done."""
         self._is_stopping = True
+        if self._changing is not None:
+            self._changing.is_abandoned_ = True
 
     async def run(self):
         """Lead until stopped."""
@@ -88,10 +103,12 @@
             began = time.monotonic()
             await self.turn()
             spent = time.monotonic() - began
-            await asyncio.sleep(max(POLL_INTERVAL_S - spent, 0.02))
+            interval_s = URGENT_INTERVAL_S if self._is_urgent else POLL_INTERVAL_S
+            await asyncio.sleep(max(interval_s - spent, 0.02))
 
     async def turn(self):
         """Poll all ranks once and do what is to be done."""
+        await self._release_unarmed()
         states = await self._poll()
         known = {
             rank: _access.read_report(state)
@@ -168,14 +185,20 @@
 
         One of those agents may have been the leader, and have left a hold.
         """
+        asked = []
         for rank, state in state_by_rank.items():
             if state is not None:
                 self._silent_turns_by_rank.pop(rank, None)
                 continue
             turns = self._silent_turns_by_rank.get(rank, 0) + 1
             self._silent_turns_by_rank[rank] = turns
-            if turns == SILENT_TURNS or turns % SILENT_REPEAT_TURNS == 0:
-                state_by_rank[rank] = await self.access.poll_engine(rank, wants_experts)
+            is_due = turns == SILENT_TURNS or turns % SILENT_REPEAT_TURNS == 0
+            if is_due or self._is_urgent:
+                asked.append(rank)
+        states = await asyncio.gather(
+            *(self.access.poll_engine(rank, wants_experts) for rank in asked)
+        )
+        state_by_rank.update(zip(asked, states, strict=True))
 
     def _learn_holdings(self, state_by_rank):
         """Take the map in use, once all ranks say that they use the same."""
@@ -265,13 +288,24 @@
     async def _change(self, plan, planned, copies):
         began = time.monotonic()
         change = _change.MapChange(plan)
-        result = await self._drive(change.run())
+
+        def run(keeper):
+            change.plan = dataclasses.replace(plan, keeper=keeper)
+            return change.run()
+
+        self._changing = change
+        result = await self._drive_watched(run)
+        self._changing = None
+        # A keeper that refuses has just begun, or leads itself; another may agree.
+        self._refusals += result == _change.ChangeResult.NOT_ALLOWED
         now = time.monotonic()
         self._last_step = max(self._last_step, change.step_)
         self._rest_until = now + REST_S
         if change.lost_orders_:
             self._lossy_until = now + LOSSY_S
-        if result == _change.ChangeResult.DONE:
+        if result is None:
+            change.detail_ = "no other agent would settle it"
+        elif result == _change.ChangeResult.DONE:
             self.holdings_ = planned
             self.changes_ += 1
             self.changes_in_epoch_ += 1
@@ -286,7 +320,7 @@
             epoch=plan.epoch,
             version=plan.version,
             step=change.step_,
-            result=str(result),
+            result=str(result or "not_begun"),
             detail=change.detail_,
             lost_orders=change.lost_orders_,
             took_ms=round((now - began) * MILLISECONDS),
@@ -301,18 +335,33 @@
                 self._held_since_by_rank.pop(rank, None)
             elif since is None or since[0] != report.held_step:
                 self._held_since_by_rank[rank] = (report.held_step, now)
+        patience_s = 0.0 if self._is_urgent else ORPHAN_S
         # A rank that says nothing in this turn counts as it did in the last.
         for rank, (step, since) in self._held_since_by_rank.items():
-            if rank == self.own_rank or now - since >= ORPHAN_S:
+            if rank == self.own_rank or now - since >= patience_s:
                 await self._resolve(rank, step, known)
                 return True
+        if len(known) == self.size:
+            self._is_urgent = False
         return bool(self._held_since_by_rank)
 
     async def _resolve(self, rank, step, known):
         if self.holdings_ is None:
             return  # the map in use is learnt first, with the next polls
         plan = self._make_plan(known, self.holdings_.layers)
-        result = await self._drive(_change.resolve_hold(rank, step, plan))
+        began = time.monotonic()
+        _log.emit(
+            base.Event.HOLD_FOUND,
+            group=self.group,
+            rank=rank,
+            step=step,
+            version=plan.version,
+        )
+
+        def run(keeper):
+            return _change.resolve_hold(rank, step, plan)
+
+        result = await self._drive_watched(run, is_needed=True)
         self._last_step = max(self._last_step, step)
         self._held_since_by_rank = {}
         self.holdings_ = None
@@ -323,8 +372,60 @@
             step=step,
             version=plan.version,
             result=str(result),
+            took_ms=round((time.monotonic() - began) * MILLISECONDS),
         )
 
+    async def _release_unarmed(self):
+        """Release the own rank if no rank was armed for what it is held for."""
+        change = self._unarmed
+        if change is None:
+            return
+        began = time.monotonic()
+        state = await self.access.poll(self.own_rank)
+        report = _access.read_report(state)
+        if report is None or report.epoch != change.epoch:
+            return
+        if report.held_step != change.step:
+            return
+        procedure = _change.release([self.own_rank], change.step, change.epoch)
+        await self._drive(procedure)
+        self._last_step = max(self._last_step, change.step)
+        _log.emit(
+            base.Event.HOLD_RESOLVED,
+            group=self.group,
+            rank=self.own_rank,
+            step=change.step,
+            version=change.version,
+            result="unarmed",
+            took_ms=round((time.monotonic() - began) * MILLISECONDS),
+        )
+
+    async def _drive_watched(self, make_procedure, is_needed=False):
+        """Carry out a procedure while deputies hear that its leader is alive.
+
+        :param make_procedure: function of the rank that is to keep a hold, which
+            returns a procedure of :mod:`_change`.
+        :param bool is_needed: whether it is carried out even if no deputy answers.
+        :returns: its result, or ``None`` where it was not begun.
+        :rtype: ChangeResult | None
+        """
+        deputies = await self.access.tell_deputies(self.access.find_deputies())
+        if not (deputies or is_needed or self.access.is_alone):
+            return None
+        places = deputies or [self.own_rank]
+        keeper = places[self._refusals % len(places)]
+        teller = asyncio.ensure_future(self._tell_forever(deputies))
+        try:
+            return await self._drive(make_procedure(keeper))
+        finally:
+            await base.cancel_and_wait(teller)
+            await self.access.tell_deputies(deputies, is_changing=False)
+
+    async def _tell_forever(self, deputies):
+        while True:
+            await asyncio.sleep(_succession.ALIVE_INTERVAL_S)
+            await self.access.tell_deputies(deputies)
+
     async def _drive(self, procedure):
         """Carry out a procedure of :mod:`_change` to its end."""
         replies = None
@@ -333,7 +434,10 @@
                 step = procedure.send(replies)
             except StopIteration as stop:
                 return stop.value
-            replies = await self.access.carry_out(step)
+            if isinstance(step, _change.Ask):
+                replies = await self.access.ask_keeper(step)
+            else:
+                replies = await self.access.carry_out(step)
 
 
 def make_pace(terms):
--- /dev/null
+++ b/libs/ranks/src/sequoiagap/ranks/_links.py
@@ -0,0 +1,159 @@
+"""Connections to the agents of the other ranks of a group."""
+
+import asyncio
+import time
+
+from sequoiagap import base, wire
+from sequoiagap.ranks import _messages, _ports
+
+ASK_TIMEOUT_S = 0.3
+OWN_LAG_S = 0.1  # a process this late itself has not shown that others are silent
+SILENT_S = 1.0  # an agent is passed over that did not answer this long ago
+RECONNECT_S = 0.3
+LINK_PING_S = 1.0
+PLACE_RETRY_S = 0.05  # until an agent has said which rank it serves
+PLACED_CHECK_S = 1.0
+
+_log = base.get_logger("ranks")
+
+
+class RankLink:
+    """A connection to the agent of another rank.
+
+    :param gateway.Node node: the agent.
+    :param make_hello: function that returns the :class:`wire.Hello` of this process.
+    """
+
+    def __init__(self, node, make_hello):
+        self.node = node
+        self.make_hello = make_hello
+        self._connection = None
+        self._silent_until = 0.0
+        self._questions = wire.Questions()
+
+    @property
+    def is_open(self):
+        """Whether the agent is connected."""
+        return self._connection is not None
+
+    @property
+    def is_silent(self):
+        """Whether the agent left a question without an answer a moment ago."""
+        return time.monotonic() < self._silent_until
+
+    async def run(self):
+        """Keep the connection open until cancelled."""
+        while True:
+            try:
+                connection = await wire.connect(
+                    self.node.address, self.node.port, self.make_hello()
+                )
+            except base.WireError:
+                await asyncio.sleep(RECONNECT_S)
+                continue
+            connection.idle_interval_s = LINK_PING_S
+            self._connection = connection
+            try:
+                await connection.run(self._take)
+            finally:
+                self._connection = None
+                self._questions.drop()
+            await asyncio.sleep(RECONNECT_S)
+
+    async def ask(self, item, timeout_s=ASK_TIMEOUT_S):
+        """Send a question and return its answer.
+
+        :param item: a message with a ``number``, which is set here.
+        :param float timeout_s: longest wait, in seconds.
+        :rtype: RankState | KeeperAnswer | None
+        """
+        connection = self._connection
+        if connection is None:
+            return None
+        began = time.monotonic()
+        try:
+            async with asyncio.timeout(timeout_s):
+                answer = await self._questions.ask(connection, item)
+        except TimeoutError:
+            if time.monotonic() - began < timeout_s + OWN_LAG_S:
+                self.note_silent()
+            return None
+        except base.WireError:
+            return None
+        self._silent_until = 0.0
+        return answer
+
+    def note_silent(self):
+        """Take it that the agent does not answer, for a while."""
+        now = time.monotonic()
+        if not self.is_silent:
+            _log.emit(base.Event.RANK_SILENT, peer=self.node.node_id)
+        self._silent_until = now + SILENT_S
+
+    async def _take(self, item):
+        if isinstance(item, _messages.RankState | _messages.KeeperAnswer):
+            self._questions.take(item)
+
+
+class RankLinks:
+    """Links to the agents of the own group, found by the rank that each serves.
+
+    :param base.TaskSet tasks: keeps the links' tasks.
+    :param str node_id: own id.
+    :param make_hello: function that returns the :class:`wire.Hello` of this process.
+    :param own_report: function that returns the newest report of the own engine, or
+        ``None``.
+
+    :ivar dict by_rank: :class:`RankLink` of each rank's agent that has said so.
+    :ivar dict address_by_rank: where the engines of these ranks listen.
+    """
+
+    def __init__(self, tasks, node_id, make_hello, own_report):
+        self.tasks = tasks
+        self.node_id = node_id
+        self.make_hello = make_hello
+        self.own_report = own_report
+        self.by_rank = {}
+        self.address_by_rank = {}
+        self._link_by_node = {}
+
+    def update(self, nodes):
+        """Link the agents among the registered processes.
+
+        :param nodes: the :class:`gateway.Node` of each.
+        """
+        for node in list(nodes):
+            is_agent = node.role == "ranks" and node.endpoint
+            if not is_agent or node.node_id == self.node_id:
+                continue
+            known = self._link_by_node.get(node.node_id)
+            if known is None or known.node != node:
+                link = RankLink(node, self.make_hello)
+                self._link_by_node[node.node_id] = link
+                self.tasks.start(self._keep(link), f"rank-{node.node_id}")
+
+    async def _keep(self, link):
+        runner = asyncio.ensure_future(link.run())
+        try:
+            while self._link_by_node.get(link.node.node_id) is link:
+                is_placed = await self._place(link)
+                await asyncio.sleep(PLACED_CHECK_S if is_placed else PLACE_RETRY_S)
+        finally:
+            await base.cancel_and_wait(runner)
+
+    async def _place(self, link):
+        """Ask an agent which rank it serves, and use the link for that rank.
+
+        :returns: whether the agent said so.
+        """
+        own = self.own_report()
+        if own is None or not link.is_open or link.is_silent:
+            return False
+        state = await link.ask(_messages.RankPoll(0, _messages.NOT_LEADING))
+        if state is None or not state.is_known:
+            return False
+        report = _ports.read_report(state.report)
+        if report.group == own.group:
+            self.by_rank[report.rank] = link
+            self.address_by_rank[report.rank] = link.node.endpoint
+        return True
--- a/libs/ranks/src/sequoiagap/ranks/_messages.py
+++ b/libs/ranks/src/sequoiagap/ranks/_messages.py
@@ -5,13 +5,15 @@
 
 from sequoiagap import wire
 
+NOT_LEADING = -1
+
 
 @wire.message(700)
 class RankPoll:
-    """Ask a rank's agent for what it knows; the asker leads the group.
+    """Ask a rank's agent for what it knows.
 
     :param int number: number of the question on this connection.
-    :param int leader: rank of the asker.
+    :param int leader: rank of the asker; ``NOT_LEADING`` where it doesn't lead.
     :param bool wants_counts: whether to send the counts of experts.
     :param bool wants_experts: whether to send the experts that the rank holds.
     """
@@ -64,3 +66,50 @@
     version: int = 0
     step: int = 0
     layers: list = ()
+
+
+@wire.message(703)
+class KeeperQuestion:
+    """Ask the agent of a rank to keep a hold for a change, or to allow arming.
+
+    :param int number: number of the question on this connection.
+    :param int leader: rank of the asker.
+    :param int epoch: epoch of the group.
+    :param int version: version of the new map.
+    :param int step: the pass to be held.
+    :param bool wants_arming: whether ranks are to be armed, rather than a pass held.
+    """
+
+    number: int
+    leader: int
+    epoch: int
+    version: int
+    step: int
+    wants_arming: bool = False
+
+
+@wire.message(704)
+class KeeperAnswer:
+    """Answer to a question to the keeper, or to a notice.
+
+    :param int number: number of the question.
+    :param bool is_agreed: whether the agent agrees.
+    """
+
+    number: int
+    is_agreed: bool
+
+
+@wire.message(705)
+class ChangeNotice:
+    """Tell an agent that a change is under way, or has ended; answered by its number.
+
+    :param int number: number of the question on this connection.
+    :param int leader: rank of the leader.
+    :param int deputy: place of the agent among those that would settle the change, 0
+        first; -1 where it has ended.
+    """
+
+    number: int
+    leader: int
+    deputy: int
--- a/libs/ranks/src/sequoiagap/ranks/_ports.py
+++ b/libs/ranks/src/sequoiagap/ranks/_ports.py
@@ -47,6 +47,19 @@
     slowness: float = 1.0
 
 
+_REPORT_FIELDS = frozenset(f.name for f in dataclasses.fields(EngineReport))
+
+
+def read_report(values_by_field):
+    """Return the report that another agent sent; fields not known here are left out.
+
+    :param dict values_by_field: its fields.
+    :rtype: EngineReport
+    """
+    known = values_by_field.items()
+    return EngineReport(**{k: v for k, v in known if k in _REPORT_FIELDS})
+
+
 @dataclasses.dataclass(frozen=True)
 class ExpertCounts:
     """How often a rank's requests chose each expert since its engine started.
--- a/simulations/rank_world.py
+++ b/simulations/rank_world.py
@@ -48,6 +48,9 @@
 
     def start(self):
         """Begin as a fresh process."""
+        first_step = self.world.step + ranks.STEP_GUARD
+        self.keeper = ranks.Keeper(self.world.epoch, first_step)
+        self.question = None
         self.procedure = None
         self.change = None
         self.waiting = {}
@@ -58,13 +61,18 @@
 
     def see_new_epoch(self):
         """Begin with a group that has formed anew under this process's eyes."""
+        keeper = self.keeper
         self.start()
+        self.keeper = keeper
         self.first_step = None
 
     def advance(self, choose):
         """Do one thing: begin a procedure, or carry out one order of it."""
         if self.procedure is None:
             self._begin(choose)
+        elif self.question is not None:
+            question, self.question = self.question, None
+            self._send(self.world.ask_keeper(self, question))
         elif self.waiting:
             rank = choose(sorted(self.waiting))
             order = self.waiting.pop(rank)
@@ -78,19 +86,26 @@
             self.see_new_epoch()
         reports = {engine.rank: world.report(engine) for engine in world.engines}
         held = [r for r, report in reports.items() if report.held_step]
-        plan = self._plan(reports)
+        plan = self._plan(reports, choose)
         if held and choose((True, False)):
             rank = choose(held)
             step = reports[rank].held_step
             self.last_step = max(self.last_step, step)
-            self.procedure = ranks.resolve_hold(rank, step, plan)
+            self.procedure = self._resolve(rank, step, plan)
             self._send(None)
         elif ranks.may_begin(reports, SIZE, self.rank, self.first_step):
             self.change = ranks.MapChange(plan)
             self.procedure = self.change.run()
             self._send(None)
 
-    def _plan(self, reports):
+    def _resolve(self, rank, step, plan):
+        unarmed = self.keeper.take_over() if rank == self.rank else None
+        if unarmed is None or (unarmed.epoch, unarmed.step) != (self.epoch, step):
+            return ranks.resolve_hold(rank, step, plan)
+        self.world.released_alone += 1
+        return ranks.release([rank], step, self.epoch)
+
+    def _plan(self, reports, choose):
         version = ranks.make_version(reports, self.rank, SIZE, self.world.random)
         return ranks.ChangePlan(
             version=version,
@@ -100,6 +115,7 @@
             own_rank=self.rank,
             epoch=self.epoch,
             after_step=self.last_step,
+            keeper=choose((self.rank, 1 - self.rank)),
         )
 
     def _send(self, replies):
@@ -107,13 +123,17 @@
         try:
             step = self.procedure.send(replies)
         except StopIteration as stop:
-            self.world.results.append(stop.value)
+            if stop.value is not None:
+                self.world.results.append(stop.value)
             if self.change is not None:
                 self.last_step = max(self.last_step, self.change.step_)
             self.procedure, self.change = None, None
             return
         if self.change is not None:
             self.last_step = max(self.last_step, self.change.step_)
+        if isinstance(step, ranks.Ask):
+            self.question = step
+            return
         self.waiting = dict(step.order_by_rank)
 
 
@@ -133,6 +153,7 @@
         self.late = []
         self.results = []
         self.passes = 0
+        self.released_alone = 0
         self.is_idle = False
         self.leaders = [Leader(self, 0), Leader(self, 1)]
 
@@ -207,6 +228,22 @@
             return ranks.RankReply(report=self._read(engine))
         return ranks.RankReply(self._execute(engine, order), self._read(engine))
 
+    def ask_keeper(self, leader, question):
+        """Ask the agent of a rank, as a leader does; return whether it agreed.
+
+        Question or answer may be lost; an agent that is paused answers nobody, and
+        one that leads agrees with nobody else.
+        """
+        agent = self.leaders[question.keeper]
+        if agent is leader:
+            return agent.keeper.decide(question.change, question.wants_arming)
+        if agent.is_paused or agent.procedure is not None:
+            return False
+        if self.random.random() < self.loss:
+            return False
+        is_agreed = agent.keeper.decide(question.change, question.wants_arming)
+        return is_agreed and self.random.random() >= self.loss
+
     def report(self, engine):
         """Return the report of an engine."""
         armed = engine.armed or (0, 0)
--- /dev/null
+++ b/tests/gateway/test_leaving.py
@@ -0,0 +1,112 @@
+"""An endpoint is told at once, by a reset, that nobody waits for its answer."""
+
+import asyncio
+
+from sequoiagap import routes
+from tests import support
+from tests.gateway import gateway_case
+
+TOLD_S = 0.3  # well within the half second after which work counts as in vain
+REQUEST_END = b"\r\n\r\n"
+
+
+class WatchingEndpoint:
+    """Takes requests, answers as told, and notes how each connection ends.
+
+    :param list pieces: what it sends once a request is there, before it falls silent.
+    """
+
+    def __init__(self, pieces=()):
+        self.pieces = pieces
+        self.arrivals = 0
+        self.resets = 0
+        self.ends = 0
+        self.closed = asyncio.Event()
+        self.server = None
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        return self.server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader, writer):
+        try:
+            await reader.readuntil(REQUEST_END)
+            self.arrivals += 1
+            for piece in self.pieces:
+                writer.write(piece)
+            if await reader.read() == b"":
+                self.ends += 1
+        except ConnectionResetError:
+            self.resets += 1
+        finally:
+            self.closed.set()
+            writer.close()
+
+
+class LeavingTest(gateway_case.GatewayCase):
+    async def serve_with(self, *pieces):
+        """Have one endpoint, which answers with the pieces and falls silent."""
+        self.endpoint = WatchingEndpoint(pieces)
+        port = await self.endpoint.start()
+        self.addAsyncCleanup(self.close_endpoint)
+        ready = routes.EndpointState.READY
+        name = f"e{port}"
+        record = routes.Endpoint(name, "desk", "127.0.0.1", port, "a", ready, slots=4)
+        self.store.put("endpoints", {name: record})
+        await support.eventually(lambda: set(self.gateway.pool.load_by_id) == {name})
+
+    async def close_endpoint(self):
+        self.endpoint.server.close()
+
+    async def leave(self, path, after):
+        """Send a request and close the connection once ``after()`` is true."""
+        host, _, port = self.gateway.url.removeprefix("http://").partition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        head = (
+            f"GET {path} HTTP/1.1",
+            f"Host: {gateway_case.HOST}",
+            f"X-Key: {gateway_case.KEY}",
+            "X-Request-Id: left",
+        )
+        writer.write("\r\n".join(head).encode() + REQUEST_END)
+        await support.eventually(after)
+        writer.close()
+
+    async def expect_reset(self):
+        async with asyncio.timeout(TOLD_S):
+            await self.endpoint.closed.wait()
+        self.assertEqual((self.endpoint.resets, self.endpoint.ends), (1, 0))
+
+    async def test_before_the_first_byte(self):
+        for path in ("/safe/x", "/order/x", "/patient/stream"):
+            with self.subTest(path):
+                await self.serve_with()
+                await self.leave(path, lambda: self.endpoint.arrivals)
+                await self.expect_reset()
+
+    async def test_in_the_middle_of_a_stream(self):
+        head = (
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            b"X-Request-Id: left\r\nX-Signature: s\r\n\r\n"
+        )
+        await self.serve_with(head, b"id: 1\ndata: 1\n\n")
+        await self.leave("/patient/stream", lambda: self.endpoint.arrivals)
+        await self.expect_reset()
+
+    async def test_at_the_end_of_the_time_allowed(self):
+        await self.serve_with()
+        status, _, _ = await self.call("/short/x")
+        self.assertEqual(status, 504)
+        await self.expect_reset()
+
+    async def test_a_whole_answer_ends_its_connection_in_order(self):
+        answer = (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+            b"X-Request-Id: r1\r\nX-Signature: s\r\n\r\nok"
+        )
+        await self.serve_with(answer)
+        status, _, body = await self.call("/safe/x")
+        self.assertEqual((status, body), (200, b"ok"))
+        await self.endpoint.closed.wait()
+        self.assertEqual(self.endpoint.ends, 1)
+        self.assertEqual(self.endpoint.resets, 0)
--- a/tests/ranks/change_search.py
+++ b/tests/ranks/change_search.py
@@ -23,6 +23,20 @@
     return mock.patch.object(ranks, "ChangePlan", plan)
 
 
+def forgetful_keepers():
+    """Return a patch that lets keepers agree to any pass, also to one held before.
+
+    They refuse what a leader's own memory of passes keeps it from, so that a guard of
+    one kind only shows once the other is out too.
+    """
+
+    def agree(keeper, change):
+        keeper.agreed_ = change
+        return True
+
+    return mock.patch.object(ranks.Keeper, "agree_to_hold", agree)
+
+
 def find_two_maps(seeds=SEEDS_WITHOUT_GUARD):
     """Return the first seed whose world shows two maps in a pass, or ``None``."""
     for seed in range(seeds):
--- a/tests/ranks/test_change_guards.py
+++ b/tests/ranks/test_change_guards.py
@@ -75,6 +75,7 @@
         may_begin = ranks.may_begin
         with (
             change_search.short_lead(),
+            change_search.forgetful_keepers(),
             mock.patch.object(ranks, "may_begin", may_begin_at_once),
         ):
             self.assertIsNotNone(change_search.find_two_maps())
@@ -87,7 +88,7 @@
             leader.first_step = None
 
         patch = mock.patch.object(rank_world.Leader, "start", forget_predecessor)
-        with change_search.short_lead(), patch:
+        with change_search.short_lead(), change_search.forgetful_keepers(), patch:
             self.assertIsNotNone(change_search.find_two_maps())
 
     def test_a_leader_does_not_hold_a_pass_twice(self):
@@ -96,7 +97,24 @@
         def forget_last(change, plan):
             run(change, _change.dataclasses.replace(plan, after_step=0))
 
-        with mock.patch.object(_change.MapChange, "__init__", forget_last):
+        patch = mock.patch.object(_change.MapChange, "__init__", forget_last)
+        with change_search.forgetful_keepers(), patch:
+            self.assertIsNotNone(change_search.find_two_maps())
+
+    def test_arming_needs_the_keepers_leave(self):
+        ask = _change.MapChange._ask_keeper
+
+        def arm_unasked(change, wants_arming):
+            return True if wants_arming else (yield from ask(change, wants_arming))
+
+        with mock.patch.object(_change.MapChange, "_ask_keeper", arm_unasked):
+            self.assertIsNotNone(change_search.find_two_maps(change_search.RARE_SEEDS))
+
+    def test_a_keeper_that_allowed_arming_may_not_release_alone(self):
+        def take_over(keeper):
+            return keeper.agreed_ or keeper._allowed
+
+        with mock.patch.object(ranks.Keeper, "take_over", take_over):
             self.assertIsNotNone(change_search.find_two_maps())
 
 
--- a/tests/ranks/test_change_model.py
+++ b/tests/ranks/test_change_model.py
@@ -17,15 +17,17 @@
 
 class ChangeModelTest(unittest.TestCase):
     def test_no_pass_has_two_maps_and_changes_are_made(self):
-        results = []
+        results, released_alone = [], 0
         for seed in range(SEEDS):
             world = rank_world.World(seed)
             world.run(change_search.TURNS)
             results += world.results
+            released_alone += world.released_alone
         for result in ranks.ChangeResult:
             if result != ranks.ChangeResult.NOT_PREPARED:
                 self.assertIn(result, results)
         self.assertGreater(results.count(ranks.ChangeResult.DONE), SEEDS // 2)
+        self.assertGreater(released_alone, SEEDS // 100)
 
     def test_no_pass_has_two_maps_with_a_short_lead(self):
         with change_search.short_lead():
