Count how requests ended from a log, second by second: sequoiagap outcomes

Which requests were lost, when and for which reason was read by hand from logs of some thousand lines.

--- a/libs/base/src/sequoiagap/base/_events.py
+++ b/libs/base/src/sequoiagap/base/_events.py
@@ -71,6 +71,7 @@
     ENDPOINT_DOUBTED = 1405
     ENDPOINT_RECORD_BAD = 1406
     DOMAINS_OUT = 1407
+    ENDPOINT_RESTARTED = 1408
     ENDPOINT_SUSPECT = 1420
     ENDPOINT_LEAVING = 1421
     PEER_OPENED = 1422
@@ -154,6 +155,7 @@
     Event.ENDPOINT_DOUBTED: "An endpoint's connection ended; it is asked again.",
     Event.ENDPOINT_RECORD_BAD: "A registered entry is unreadable and left out.",
     Event.DOMAINS_OUT: "Operators took failure domains out or back.",
+    Event.ENDPOINT_RESTARTED: "An endpoint started anew and is not registered so yet.",
     Event.MAP_CHANGE_BEGAN: "A change of expert map was begun, with its reason.",
     Event.MAP_CHANGE_ENDED: "A change of expert map ended, with its result.",
     Event.RANK_ORDER_SENT: "An order was given to a rank's engine, with its result.",
--- a/libs/cli/src/sequoiagap/cli/_local_commands.py
+++ b/libs/cli/src/sequoiagap/cli/_local_commands.py
@@ -1,14 +1,16 @@
-"""Commands that need no entry: settings files and keys."""
+"""Commands that need no entry: settings files, keys and logs."""
 
+import dataclasses
 import hashlib
 import json
+import pathlib
 import secrets
 
 from cleo import helpers
 from cleo.commands import command
 
 from sequoiagap import base, settings
-from sequoiagap.cli import _exit_codes
+from sequoiagap.cli import _exit_codes, _log_file, _outcomes
 
 KEY_BYTES = 32
 
@@ -73,4 +75,35 @@
         return _exit_codes.ExitCode.DONE
 
 
-COMMANDS = (CheckCommand, KeyCommand)
+class OutcomesCommand(command.Command):
+    """``sequoiagap outcomes``."""
+
+    name = "outcomes"
+    description = "Count how the requests in a log ended, and why, for each second."
+    options = [
+        helpers.option("log", None, "log of gateways and agents", flag=False),
+        helpers.option("plot", None, "also write an SVG picture here", flag=False),
+        helpers.option("json", None, "print JSON for scripts"),
+    ]
+
+    def handle(self):
+        """Print the table."""
+        if not self.option("log"):
+            self.line_error("name the log with --log FILE")
+            return _exit_codes.ExitCode.BAD_USAGE
+        try:
+            found = _outcomes.collect(_log_file.read_lines(self.option("log")))
+        except base.ConfigError as error:
+            self.line_error(str(error))
+            return _exit_codes.ExitCode.BAD_USAGE
+        if self.option("plot"):
+            pathlib.Path(self.option("plot")).write_text(_outcomes.plot(found))
+        if self.option("json"):
+            self.line(json.dumps(dataclasses.asdict(found)))
+        else:
+            for line in _outcomes.table(found):
+                self.line(line)
+        return _exit_codes.ExitCode.DONE
+
+
+COMMANDS = (CheckCommand, KeyCommand, OutcomesCommand)
--- a/libs/cli/src/sequoiagap/cli/_log_file.py
+++ b/libs/cli/src/sequoiagap/cli/_log_file.py
@@ -37,32 +37,47 @@
     :rtype: list[LoggedDecision]
     :raises sequoiagap.base.ConfigError: if the file can't be read.
     """
-    found = []
+    documents = read_lines(path)
+    found = [
+        _decision(document)
+        for document in documents
+        if document.get("request_id") == request_id
+    ]
+    return sorted(found, key=lambda decision: decision.at)
+
+
+def read_lines(path):
+    """Yield what each line of a log file says; lines that are no JSON are left out.
+
+    :param str path: the log file.
+    :rtype: collections.abc.Iterator[dict]
+    :raises sequoiagap.base.ConfigError: if the file can't be read.
+    """
     try:
         with open(path, encoding="utf-8", errors="replace") as log:
             for line in log:
-                if request_id in line:
-                    found += _read_line(line, request_id)
+                document = _parse(line)
+                if document is not None:
+                    yield document
     except OSError as error:
         raise base.ConfigError(
             f"{path}: can't be read ({error})", "Check the path and its permissions"
         ) from error
-    return sorted(found, key=lambda decision: decision.at)
 
 
-def _read_line(line, request_id):
+def _parse(line):
     start = line.find("{")
     try:
         document = json.loads(line[start:]) if start >= 0 else None
     except ValueError:
-        return []
-    if not isinstance(document, dict) or document.get("request_id") != request_id:
-        return []
-    return [
-        LoggedDecision(
-            at=str(document.get("timestamp", "")),
-            node=str(document.get("node", "")),
-            step=str(document.get("event", "")),
-            details={k: v for k, v in document.items() if k not in _LEFT_OUT},
-        )
-    ]
+        return None
+    return document if isinstance(document, dict) else None
+
+
+def _decision(document):
+    return LoggedDecision(
+        at=str(document.get("timestamp", "")),
+        node=str(document.get("node", "")),
+        step=str(document.get("event", "")),
+        details={k: v for k, v in document.items() if k not in _LEFT_OUT},
+    )
--- a/libs/gateway/src/sequoiagap/gateway/_dispatch.py
+++ b/libs/gateway/src/sequoiagap/gateway/_dispatch.py
@@ -105,9 +105,8 @@
         for _ in range(MAX_TRIES):
             await self._outlast_outage(request, progress)
             if request.needs_key and not self._is_key_fresh():
-                return _refusals.settle(
-                    progress, _refusals.keys_unproved(self._retry_after())
-                )
+                refusal = _refusals.keys_unproved(self._retry_after(request))
+                return _refusals.settle(progress, refusal)
             load = self._choose(request, progress)
             if isinstance(load, base.Refusal):
                 return _refusals.settle(progress, load)
--- a/libs/gateway/src/sequoiagap/gateway/_gateway.py
+++ b/libs/gateway/src/sequoiagap/gateway/_gateway.py
@@ -232,7 +232,9 @@
         if is_same_run and report.sequence <= run[1]:
             return
         self._sequence_by_run[report.endpoint] = (report.incarnation, report.sequence)
-        self.pool.take_report(report, time.monotonic())
+        if self.pool.take_report(report, time.monotonic()):
+            _log.emit(base.Event.ENDPOINT_RESTARTED, address=report.endpoint)
+            self.feed.hurry("endpoints")
 
     def _hello(self):
         return wire.Hello(
--- a/libs/gateway/src/sequoiagap/gateway/_loads.py
+++ b/libs/gateway/src/sequoiagap/gateway/_loads.py
@@ -9,6 +9,9 @@
 
 REPORT_LAG_S = 0.03  # a request sent this long before a report may be missing in it
 REPORT_LIFE_S = 1.5  # older reports say nothing
+SILENT_S = 0.8  # without a report; agents send one each 0.25 s at least
+GROUP_HEARD_S = 0.3  # others of the group were heard this shortly before
+REPLACED_S = 1.5  # by then the registry names what started anew
 UNKNOWN_OUTAGE_S = 3.0  # taken for the age of one that began unseen
 SUSPECT_S = 1.0
 MAX_SUSPECT_S = 8.0
@@ -26,12 +29,14 @@
     :ivar bool is_open: whether it serves.
     :ivar float heard_at: when that was last said, monotonic seconds.
     :ivar float closed_at: when it was first said not to serve since it last did.
+    :ivar float reported_at: when any of its ranks reported last.
     """
 
     epoch: int = -1
     is_open: bool = True
     heard_at: float = 0.0
     closed_at: float = 0.0
+    reported_at: float = 0.0
 
     def take(self, epoch, is_open, now):
         """Take what a rank says.
@@ -76,6 +81,8 @@
     :ivar float cold_until: until when it bears only a little, suspend-aware seconds.
     :ivar list cold_sends: times of the requests sent while it was cold.
     :ivar float slowness: time that it takes over the usual time, as last reported.
+    :ivar float replaced_at: when it was heard that something started later at its
+        address, monotonic seconds, or ``None``.
     """
 
     endpoint: object
@@ -88,6 +95,7 @@
     cold_until: float = 0.0
     cold_sends: list = dataclasses.field(default_factory=list)
     slowness: float = 1.0
+    replaced_at: float | None = None
 
     def expected(self, now):
         """Return how many requests it has, as far as can be told.
@@ -103,20 +111,58 @@
         return max(own, self.sample.running + self.sample.waiting + unseen)
 
     def is_closed(self, now):
-        """Return whether its group is known not to serve now.
+        """Return whether it is known not to serve now, or its group is.
 
         :param float now: monotonic time in seconds.
         :rtype: bool
         """
+        if self._is_replaced(now):
+            return True
         return self.group is not None and self.group.is_closed(now)
 
     def closed_for(self, now):
-        """Return how long its group is known not to serve, in seconds.
+        """Return how long it is known not to serve, in seconds.
 
         :param float now: monotonic time in seconds.
         :rtype: float
         """
-        return now - self.group.closed_at if self.is_closed(now) else 0.0
+        if self.group is not None and self.group.is_closed(now):
+            return now - self.group.closed_at
+        if self._is_replaced(now):
+            return UNKNOWN_OUTAGE_S + now - self.replaced_at
+        return 0.0
+
+    def is_silent(self, now):
+        """Return whether its agent fell silent while others of the group are heard.
+
+        Its host stands still or is cut off, and answers nobody.
+
+        :param float now: monotonic time in seconds.
+        :rtype: bool
+        """
+        if self.group is None or self.sample is None:
+            return False
+        is_group_heard = now - self.group.reported_at <= GROUP_HEARD_S
+        return is_group_heard and now - self.sampled_at > SILENT_S
+
+    def take_start(self, started_ms, now):
+        """Take when what listens at its address started.
+
+        :param int started_ms: Unix milliseconds; 0 if not known.
+        :param float now: monotonic time in seconds.
+        :returns: whether that is news of another start than the registered one.
+        :rtype: bool
+        """
+        registered_ms = self.endpoint.started_ms
+        if not registered_ms or started_ms <= registered_ms:
+            return False
+        is_news = self.replaced_at is None
+        if is_news:
+            self.replaced_at = now
+        return is_news
+
+    def _is_replaced(self, now):
+        return self.replaced_at is not None and now - self.replaced_at <= REPLACED_S
 
     def take_sample(self, sample, at):
         """Take a report unless a newer one is known.
@@ -174,7 +220,7 @@
         is_far = endpoint.failure_domain != self.failure_domain
         return (
             endpoint.endpoint_id in tried,
-            now < load.suspect_until,
+            now < load.suspect_until or load.is_silent(now),
             share,
             is_far,
             self.random_state.random(),
--- a/libs/gateway/src/sequoiagap/gateway/_messages.py
+++ b/libs/gateway/src/sequoiagap/gateway/_messages.py
@@ -45,6 +45,7 @@
     :param str group: name of its rank group; empty for none.
     :param int epoch: how often the group has formed.
     :param float slowness: time that it takes over the usual time.
+    :param int started_ms: when the endpoint started, Unix milliseconds; 0 if not known.
     """
 
     endpoint: str
@@ -59,3 +60,4 @@
     group: str = ""
     epoch: int = 0
     slowness: float = 1.0
+    started_ms: int = 0
--- a/libs/gateway/src/sequoiagap/gateway/_pool.py
+++ b/libs/gateway/src/sequoiagap/gateway/_pool.py
@@ -43,10 +43,11 @@
         for endpoint_id in list(self.load_by_id.keys() - endpoint_by_id.keys()):
             if now >= self._hold_until or self._is_replaced(endpoint_id):
                 self._drop(endpoint_id)
-        self._load_by_address = {
-            f"{load.endpoint.address}:{load.endpoint.port}": load
-            for load in self.load_by_id.values()
-        }
+        # An address belongs to what started there last, whatever else is registered.
+        by_start = sorted(
+            self.load_by_id.values(), key=lambda load: load.endpoint.started_ms
+        )
+        self._load_by_address = {_address(load.endpoint): load for load in by_start}
 
     def take_domains(self, domains_out):
         """Take the failure domains that operators took out.
@@ -77,18 +78,23 @@
 
         :param EndpointReport report: the report.
         :param float now: when it came, monotonic seconds.
+        :returns: whether the endpoint has started anew and is not registered as such.
+        :rtype: bool
         """
         load = self.find_by_address(report.endpoint)
         if load is None:
-            return
+            return False
         sample = _ports.LoadSample(report.running, report.waiting, report.slots)
         load.take_sample(sample, now)
         load.slowness = max(report.slowness, 1.0)
+        is_new_start = load.take_start(report.started_ms, now)
         if not report.group:
-            return
+            return is_new_start
         group = self._group_by_name.setdefault(report.group, _loads.GroupState())
         group.take(report.epoch, report.is_open, now)
+        group.reported_at = now
         load.group = group
+        return is_new_start
 
     def note_group_down(self, load, now):
         """Take it that an endpoint's group lacks a rank, as an answer said so.
@@ -119,6 +125,7 @@
             if load.endpoint.service == service
             and load.endpoint.state == routes.EndpointState.READY
             and load.endpoint.failure_domain not in self.domains_out_
+            and self._load_by_address.get(_address(load.endpoint)) is load
         ]
 
     def _take(self, endpoint_id, endpoint):
@@ -160,5 +167,9 @@
         _log.emit(base.Event.ENDPOINT_GONE, endpoint=endpoint_id)
 
 
+def _address(endpoint):
+    return f"{endpoint.address}:{endpoint.port}"
+
+
 def _cold_until(endpoint):
     return routes.suspend_aware_time() + endpoint.cold_remaining_s
--- a/libs/ranks/src/sequoiagap/ranks/_agent.py
+++ b/libs/ranks/src/sequoiagap/ranks/_agent.py
@@ -158,6 +158,7 @@
             group=report.group,
             epoch=report.epoch,
             slowness=report.slowness,
+            started_ms=report.started_ms,
         )
 
     def _send_report(self, item):
--- /dev/null
+++ b/tests/gateway/test_restarts.py
@@ -0,0 +1,127 @@
+"""Endpoints that start anew at their address, and hosts that stand still."""
+
+import asyncio
+import random
+import unittest
+
+from sequoiagap import routes
+from sequoiagap.gateway import _loads, _messages, _pool
+from tests import support
+from tests.gateway import gateway_case
+
+OLD_MS, NEW_MS = 1000, 2000
+NOW = 50.0
+READY = routes.EndpointState.READY
+
+
+def endpoint(endpoint_id, port, started_ms=OLD_MS):
+    """Return a registered endpoint."""
+    return routes.Endpoint(
+        endpoint_id,
+        "desk",
+        "10.0.0.1",
+        port,
+        "a",
+        READY,
+        slots=4,
+        started_ms=started_ms,
+    )
+
+
+def report(port, started_ms=OLD_MS, sequence=1, address="10.0.0.1"):
+    """Return an agent's report."""
+    return _messages.EndpointReport(
+        f"{address}:{port}", "run", sequence, 0, 0, 4, group="g", started_ms=started_ms
+    )
+
+
+class PoolTest(unittest.TestCase):
+    def setUp(self):
+        self.pool = _pool.EndpointPool()
+        self.pool.update({"a": endpoint("a", 1), "b": endpoint("b", 2)}, NOW)
+
+    def candidates(self):
+        return {load.endpoint.endpoint_id for load in self.pool.candidates("desk")}
+
+    def test_address_belongs_to_what_started_there_last(self):
+        for order in (("a", "c"), ("c", "a")):
+            with self.subTest(order):
+                known = {"a": endpoint("a", 1), "c": endpoint("c", 1, NEW_MS)}
+                self.pool.update({name: known[name] for name in order}, NOW)
+                self.assertEqual(self.candidates(), {"c"})
+
+    def test_a_start_that_is_not_registered_yet_is_news_once(self):
+        self.assertFalse(self.pool.take_report(report(1), NOW))
+        self.assertTrue(self.pool.take_report(report(1, NEW_MS), NOW))
+        self.assertFalse(self.pool.take_report(report(1, NEW_MS), NOW + 0.1))
+
+    def test_what_started_anew_gets_nothing_until_it_is_registered(self):
+        self.pool.take_report(report(1, NEW_MS), NOW)
+        load = self.pool.load_by_id["a"]
+        self.assertTrue(load.is_closed(NOW + 0.1))
+        self.pool.update({"c": endpoint("c", 1, NEW_MS)}, NOW + 0.2)
+        (fresh,) = self.pool.candidates("desk")
+        self.assertFalse(fresh.is_closed(NOW + 0.2))
+
+    def test_it_is_tried_where_the_registry_says_nothing_new_for_long(self):
+        self.pool.take_report(report(1, NEW_MS), NOW)
+        later = NOW + _loads.REPLACED_S + 0.1
+        self.assertFalse(self.pool.load_by_id["a"].is_closed(later))
+
+    def test_the_same_id_may_start_anew(self):
+        self.pool.take_report(report(1, NEW_MS), NOW)
+        self.pool.update({"a": endpoint("a", 1, NEW_MS)}, NOW + 0.2)
+        self.assertFalse(self.pool.load_by_id["a"].is_closed(NOW + 0.2))
+
+
+class SilentHostTest(unittest.TestCase):
+    def setUp(self):
+        self.pool = _pool.EndpointPool()
+        self.pool.update({"a": endpoint("a", 1), "b": endpoint("b", 2)}, NOW)
+        for port in (1, 2):
+            self.pool.take_report(report(port), NOW)
+
+    def is_silent(self, endpoint_id, after_s):
+        return self.pool.load_by_id[endpoint_id].is_silent(NOW + after_s)
+
+    def test_one_silent_agent_of_a_group_that_is_heard(self):
+        self.pool.take_report(report(2, sequence=2), NOW + 1.0)
+        self.assertTrue(self.is_silent("a", 1.0))
+        self.assertFalse(self.is_silent("b", 1.0))
+
+    def test_own_deafness_is_no_silence_of_one(self):
+        self.assertFalse(self.is_silent("a", 1.0))
+        self.assertFalse(self.is_silent("b", 1.0))
+
+    def test_silent_endpoint_is_chosen_last(self):
+        self.pool.take_report(report(2, sequence=2), NOW + 1.0)
+        random_state = random.Random(1)
+        chooser = _loads.EndpointChooser(random_state, "a")
+        busy = self.pool.load_by_id["b"]
+        busy.sent_at_by_attempt = {str(n): NOW for n in range(3)}
+        chosen = chooser.choose(self.pool.candidates("desk"), NOW + 1.0)
+        self.assertEqual(chosen.endpoint.endpoint_id, "b")
+
+
+class RestartedEndpointTest(gateway_case.GatewayCase):
+    def register(self, endpoint_id, started_ms):
+        port = self.endpoints[0].port
+        record = routes.Endpoint(
+            endpoint_id, "desk", "127.0.0.1", port, "a", READY, 4, started_ms=started_ms
+        )
+        self.store.put("endpoints", {endpoint_id: record})
+
+    async def test_requests_wait_for_the_new_name_and_meet_nobody_else(self):
+        first = self.endpoints[0]
+        self.register("e1", OLD_MS)
+        known = self.gateway.pool.load_by_id
+        await support.eventually(lambda: set(known) == {"e1"})
+        first.endpoint_id = "e9"
+        news = report(first.port, NEW_MS, address="127.0.0.1")
+        self.gateway._take_report(news)
+        call = asyncio.ensure_future(self.call("/patient/stream"))
+        await asyncio.sleep(0.3)
+        self.register("e9", NEW_MS)
+        status, _, _ = await call
+        self.assertEqual(status, 200)
+        self.assertEqual(first.arrivals, 1)
