Share the cold rate among the gateways that there are, and wait for the next second

The bound (rate, overshoot and slack) is divided among the registered gateways, less a fifth for those just added; the old division counts until the registry has been read.

Tests: tests.gateway.test_together, two new ones failed before; the bound for all gateways together is checked as before.

--- a/libs/gateway/src/sequoiagap/gateway/_admission.py
+++ b/libs/gateway/src/sequoiagap/gateway/_admission.py
@@ -14,6 +14,7 @@
 WAIT_SHARE = 0.6  # of the target latency that may be spent in a queue
 SERVICE_WEIGHT = 0.1  # of the newest answer in the mean time of service
 FULL_RETRY_S = 0.6
+COLD_RETRY_S = 0.9  # by then another second's share is free
 WAITS_UNTIL_RETRY = 4.0  # of the wait now; overload lasts longer than one queue
 MAX_FULL_RETRY_S = 2.4
 RETRY_SPREAD = 0.5  # share of the time to come back by which callers are spread
@@ -56,15 +57,20 @@
             self.service_s = elapsed_s
         self.service_s += SERVICE_WEIGHT * (elapsed_s - self.service_s)
 
-    def judge(self, loads, target_latency_s, now, left_s=math.inf):
+    def judge(self, loads, target_latency_s, now, left_s=math.inf, known=()):
         """Judge a request.
 
         :param list loads: :class:`EndpointLoad` of the endpoints that may be asked.
         :param float target_latency_s: time in which its answer is on time; 0 for none.
         :param float now: monotonic time in seconds.
         :param float left_s: time that the caller has left, in seconds.
+        :param list known: those of all endpoints, cold ones too that have got their
+            share of this second.
         :rtype: Verdict
         """
+        is_cold = any(not load.is_closed(now) for load in known)
+        if is_cold and all(load.is_closed(now) for load in loads):
+            return self._refuse("the endpoints are cold and have enough", COLD_RETRY_S)
         if not loads:
             return self._refuse(
                 "no endpoint of the service takes requests", FULL_RETRY_S
--- a/libs/gateway/src/sequoiagap/gateway/_budgets.py
+++ b/libs/gateway/src/sequoiagap/gateway/_budgets.py
@@ -6,6 +6,7 @@
 from sequoiagap.gateway import _loads
 
 RATIO_SHARE = 0.8  # of the allowed ratio; the rest covers windows that slide
+COLD_SHARE = 0.8  # of what cold endpoints bear; the rest is for gateways just added
 
 
 @dataclasses.dataclass(frozen=True)
@@ -15,12 +16,14 @@
     :param float retry_ratio: attempts beyond the first, for each request.
     :param float retry_slack: further such attempts in a window, of all gateways.
     :param float cold_overshoot: factor by which cold endpoints may be overrun.
-    :param int gateways: gateways that may exist at most.
+    :param float cold_slack: further requests to one in a second, of all gateways.
+    :param int gateways: gateways that there may be, while they are not known.
     """
 
     retry_ratio: float = 0.1
     retry_slack: float = 20.0
     cold_overshoot: float = 1.0
+    cold_slack: float = 0.0
     gateways: int = 1
 
 
@@ -28,10 +31,13 @@
     """Part of one gateway in the shared bounds.
 
     :param Budgets budgets: the bounds.
+    :param count_gateways: function that returns how many gateways are registered; 0
+        where that is not known.
     """
 
-    def __init__(self, budgets):
+    def __init__(self, budgets, count_gateways=lambda: 0):
         self.budgets = budgets
+        self.count_gateways = count_gateways
         self._shares = max(budgets.gateways, 1)
         self._retries_by_service = {}
 
@@ -60,8 +66,9 @@
         """
         if service is None or not service.cold_requests_s:
             return loads
-        overshoot = self.budgets.cold_overshoot
-        allowed = service.cold_requests_s * overshoot / self._shares
+        budgets = self.budgets
+        bound = service.cold_requests_s * budgets.cold_overshoot + budgets.cold_slack
+        allowed = COLD_SHARE * bound / (self.count_gateways() or self._shares)
         cold_now = routes.suspend_aware_time()
         return [
             load
--- a/libs/gateway/src/sequoiagap/gateway/_dispatch.py
+++ b/libs/gateway/src/sequoiagap/gateway/_dispatch.py
@@ -8,6 +8,7 @@
     _admission,
     _attempt,
     _headers,
+    _loads,
     _outage,
     _ports,
     _refusals,
@@ -128,7 +129,8 @@
             return
         began = time.monotonic()
         loads = self.state.pool.candidates(request.service)
-        if not _is_down(loads, began):
+        outage_s = self._blocked_for(request.service, loads, began)
+        if outage_s is None:
             return
         judge = self.admission(request.service)
         caller = _outage.Caller(
@@ -137,7 +139,6 @@
             request.route.timeout_s,
             request.route.patience_s,
         )
-        outage_s = max(load.closed_for(began) for load in loads)
         places = sum(load.endpoint.slots for load in loads) // self.state.gateways()
         until = judge.room.waits_until(caller, outage_s, judge.service_s, places, began)
         if until <= began:
@@ -148,10 +149,27 @@
 
     async def _wait_for_group(self, service, until):
         while (now := time.monotonic()) < until:
-            if not _is_down(self.state.pool.candidates(service), now):
+            loads = self.state.pool.candidates(service)
+            if self._blocked_for(service, loads, now) is None:
                 return
             await asyncio.sleep(min(_outage.CHECK_INTERVAL_S, until - now))
 
+    def _blocked_for(self, service_name, loads, now):
+        """Return for how long no endpoint may take a request; ``None`` if one may.
+
+        Endpoints that are back cold bear few requests a second at first; those that
+        wait for one go on as each second's share allows.
+        """
+        if not loads:
+            return None
+        if _is_down(loads, now):
+            return max(load.closed_for(now) for load in loads)
+        service = self.state.table.service_by_name.get(service_name)
+        usable = self.budgets.keep_cold_rate(service, loads, now)
+        if all(load.is_closed(now) for load in usable):
+            return _loads.UNKNOWN_OUTAGE_S
+        return None
+
     def _choose(self, request, progress):
         """Return the load of the endpoint to ask, or a refusal.
 
@@ -160,7 +178,11 @@
         now = time.monotonic()
         candidates = self._candidates(request.service, now)
         verdict = self.admission(request.service).judge(
-            candidates, request.route.target_latency_s, now, request.ends_at - now
+            candidates,
+            request.route.target_latency_s,
+            now,
+            request.ends_at - now,
+            self.state.pool.candidates(request.service),
         )
         is_first = not progress.sent
         is_hopeless = not candidates or _is_down(candidates, now)
--- a/libs/gateway/src/sequoiagap/gateway/_gateway.py
+++ b/libs/gateway/src/sequoiagap/gateway/_gateway.py
@@ -87,8 +87,10 @@
                 retry_ratio=settings.retry_ratio,
                 retry_slack=settings.retry_slack,
                 cold_overshoot=settings.cold_overshoot,
+                cold_slack=settings.cold_slack,
                 gateways=settings.max_gateways,
-            )
+            ),
+            self.peers.registered,
         )
         chooser = _loads.EndpointChooser(self._random, settings.failure_domain)
         self.dispatcher = _dispatch.Dispatcher(
--- a/libs/gateway/src/sequoiagap/gateway/_peers.py
+++ b/libs/gateway/src/sequoiagap/gateway/_peers.py
@@ -64,6 +64,14 @@
             return
         await self._run(connection)
 
+    def registered(self):
+        """Return how many gateways are registered; 0 before that has been read.
+
+        :rtype: int
+        """
+        nodes = self.node_by_id.values()
+        return sum(node.role == self.own.role for node in nodes)
+
     def linked(self):
         """Return how many gateways are linked now.
 
--- a/libs/settings/src/sequoiagap/settings/_models.py
+++ b/libs/settings/src/sequoiagap/settings/_models.py
@@ -193,7 +193,9 @@
 
     ``key_proof_ms`` is how old the proof may be that a key is still good.
     ``retry_ratio`` and ``retry_slack`` bound the further attempts of all gateways
-    together, ``max_gateways`` is how many there may be.
+    together. A cold endpoint gets ``cold_overshoot`` times what it bears and
+    ``cold_slack`` more in a second, from all gateways. ``max_gateways`` is how many
+    there may be while the registered ones are not known.
     """
 
     role: Literal["gateway"]
@@ -208,6 +210,7 @@
     retry_ratio: Annotated[float, pydantic.Field(ge=0, le=1, examples=[0.2])] = 0.2
     retry_slack: Annotated[float, pydantic.Field(ge=0, examples=[88])] = 20.0
     cold_overshoot: Annotated[float, pydantic.Field(gt=0, examples=[1.5])] = 1.0
+    cold_slack: Annotated[float, pydantic.Field(ge=0, examples=[5])] = 0.0
     max_gateways: Slots = 8
 
 
--- a/tests/gateway/test_together.py
+++ b/tests/gateway/test_together.py
@@ -46,7 +46,8 @@
         self.assertGreater(repeats, 0)
         self.assertLessEqual(repeats, 0.2 * 120 + 40)
 
-    async def test_cold_endpoints_get_no_more_than_their_rate_from_all(self):
+    async def publish_cold(self):
+        """Register the endpoints as cold, and wait until both gateways know it."""
         service = routes.Service("desk", cold_requests_s=COLD_REQUESTS_S)
         cold = [
             dataclasses.replace(endpoint.record("desk"), cold_remaining_s=30.0)
@@ -64,6 +65,9 @@
             await support.eventually(
                 lambda x=loads: all(load.endpoint.cold_remaining_s for load in x), 3.0
             )
+
+    async def test_cold_endpoints_get_no_more_than_their_rate_from_all(self):
+        await self.publish_cold()
         began = time.monotonic()
         statuses = await self.call_both("/safe/", 60)
         seconds = time.monotonic() - began
@@ -73,6 +77,21 @@
         self.assertIn(200, statuses)
         self.assertIn(503, statuses)
 
+    async def test_cold_rate_is_shared_among_the_gateways_that_there_are(self):
+        self.gateway.dispatcher.budgets._shares = 16  # while they are not known
+        await support.eventually(lambda: self.gateway.peers.registered() == 2, 4.0)
+        await self.publish_cold()
+        calls = [self.call("/patient/stream") for _ in range(12)]
+        statuses = [status for status, _, _ in await asyncio.gather(*calls)]
+        self.assertEqual(statuses, [200] * 12)
+
+    async def test_callers_wait_for_the_next_second_of_cold_endpoints(self):
+        await self.publish_cold()
+        for load in self.gateway.pool.load_by_id.values():
+            load.cold_sends = [time.monotonic()] * int(COLD_REQUESTS_S * OVERSHOOT)
+        status, _, _ = await self.call("/patient/stream")
+        self.assertEqual(status, 200)
+
     async def test_leaving_endpoint_gets_nothing_where_a_peer_read_of_it(self):
         self.cut_store.is_away = True
         self.publish(e1=routes.EndpointState.DRAINING)
