Spare a slow rank while the others of its group have room

Ranks run in lock-step, so one request there holds up all others, while the same request on another rank costs little.

The choice counts a slow rank (over 1.15 of the usual time) of a group as 0.6 full beside its load, so it serves only where the others are nearly full. An endpoint without a group still gets its share by speed, as it delays nobody else.

Tests: tests.gateway.test_choice failed before (the slow rank got requests while the others were three quarters full).

--- a/libs/gateway/src/sequoiagap/gateway/_loads.py
+++ b/libs/gateway/src/sequoiagap/gateway/_loads.py
@@ -16,6 +16,8 @@
 SUSPECT_S = 1.0
 MAX_SUSPECT_S = 8.0
 COLD_WINDOW_S = 1.0
+SLOW_RANK = 1.15  # a rank that takes longer than this holds up its whole group
+SLOW_RANK_SHARE = 0.6  # of its slots that count as taken where others have room
 
 
 @dataclasses.dataclass
@@ -217,6 +219,8 @@
     def _key(self, load, now, tried):
         endpoint = load.endpoint
         share = (load.expected(now) + 1) / max(endpoint.slots, 1) * load.slowness
+        if load.group is not None and load.slowness > SLOW_RANK:
+            share += SLOW_RANK_SHARE
         is_far = endpoint.failure_domain != self.failure_domain
         return (
             endpoint.endpoint_id in tried,
--- /dev/null
+++ b/tests/gateway/test_choice.py
@@ -0,0 +1,52 @@
+"""Which endpoint a request goes to, by load and speed."""
+
+import collections
+import random
+import unittest
+
+from sequoiagap import routes
+from sequoiagap.gateway import _loads
+
+NOW = 10.0
+SLOTS = 12
+SLOW = 3.0
+
+
+def make_load(name, slowness=1.0, group=None):
+    """Return an idle endpoint's load."""
+    endpoint = routes.Endpoint(
+        name, "desk", "10.0.0.1", 1, "a", routes.EndpointState.READY, slots=SLOTS
+    )
+    load = _loads.EndpointLoad(endpoint)
+    load.slowness = slowness
+    load.group = group
+    return load
+
+
+class SlowRankTest(unittest.TestCase):
+    """One slow rank of four; requests stay, so that the group fills."""
+
+    def fill(self, requests, is_group):
+        group = _loads.GroupState(epoch=1) if is_group else None
+        loads = [make_load(f"e{n}", group=group) for n in range(3)]
+        loads.append(make_load("slow", SLOW, group))
+        chooser = _loads.EndpointChooser(random.Random(1), "a")
+        taken = collections.Counter()
+        for number in range(requests):
+            load = chooser.choose(loads, NOW)
+            load.sent_at_by_attempt[str(number)] = NOW
+            taken[load.endpoint.endpoint_id] += 1
+        return taken
+
+    def test_it_gets_nothing_while_the_others_have_room(self):
+        self.assertEqual(self.fill(3 * SLOTS * 3 // 4, is_group=True)["slow"], 0)
+
+    def test_it_serves_where_the_others_are_full(self):
+        taken = self.fill(3 * SLOTS + 2, is_group=True)
+        self.assertGreater(taken["slow"], 0)
+        self.assertLess(taken["slow"], SLOTS / 2)
+
+    def test_a_slow_endpoint_by_itself_gets_its_share(self):
+        taken = self.fill(SLOTS, is_group=False)
+        self.assertGreater(taken["slow"], 0)
+        self.assertLess(taken["slow"], taken["e0"])
