Don't take an own pause for the silence of a peer

Cause: a process that stood still longer than a heartbeat may stay unanswered closed all its connections as it woke, with the answers waiting in its sockets.

Change: the probing task counts by how much it is late itself, and puts the heartbeat under way off by that. A peer that stays silent is still found within the same bound after the pause.

Tests: test_own_pause_is_not_the_peers_silence failed before; the test beside it holds the bound for a peer that is silent indeed.

--- a/libs/wire/src/sequoiagap/wire/_connection.py
+++ b/libs/wire/src/sequoiagap/wire/_connection.py
@@ -1,7 +1,8 @@
 """One connection between two processes, with heartbeats in both directions.
 
 A connection that carries work is probed often, an idle one seldom: the peer is
-taken for lost when a heartbeat stays unanswered for ``silence_timeout_s``.
+taken for lost when a heartbeat stays unanswered for ``silence_timeout_s``. Time in
+which this process stood still itself doesn't count.
 """
 
 import asyncio
@@ -14,6 +15,7 @@
 IDLE_PING_INTERVAL_S = 5.0
 SILENCE_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 1.0
+OWN_LAG_S = 0.1  # a process this late itself has not shown that its peer is silent
 
 _log = base.get_logger("wire")
 
@@ -161,7 +163,9 @@
 
     async def _ping_forever(self):
         while not self.closed_:
-            await self._wait_interval()
+            lag_s = await self._wait_interval()
+            if lag_s > OWN_LAG_S and self._oldest_ping_at is not None:
+                self._oldest_ping_at += lag_s
             now = time.monotonic()
             waiting_since = self._oldest_ping_at
             if waiting_since is None:
@@ -187,16 +191,19 @@
         return "closed here" if self.closed_ else "closed by peer"
 
     async def _wait_interval(self):
+        """Wait until the next check; return by how much it is late, in seconds."""
         interval = BUSY_PING_INTERVAL_S
         if not self.busy_ and self._oldest_ping_at is None:
             idle_s = time.monotonic() - self._pinged_at
             interval = max(self.idle_interval_s - idle_s, 0.0)
+        due_at = time.monotonic() + interval
         try:
             async with asyncio.timeout(interval):
                 await self._wake.wait()
         except TimeoutError:
-            pass
+            return time.monotonic() - due_at
         self._wake.clear()
+        return 0.0
 
     async def _send_quietly(self, item):
         try:
--- a/tests/wire/test_connection.py
+++ b/tests/wire/test_connection.py
@@ -9,6 +9,7 @@
 
 FOUND_WITHIN_S = 2.0
 IDLE_INTERVAL_S = 0.8
+PAUSE_S = 1.8  # longer than a heartbeat may stay unanswered
 
 
 def hello(node_id):
@@ -83,6 +84,30 @@
         client.close()
         await asyncio.gather(probing, answering)
 
+    async def test_own_pause_is_not_the_peers_silence(self):
+        client = await wire.connect("127.0.0.1", self.port, hello("client"))
+        server = await self.accepted.get()
+        client.mark_busy(True)
+        probing = asyncio.create_task(client.run(_ignore))
+        await support.eventually(lambda: client.unanswered_s(time.monotonic()) > 0)
+        time.sleep(PAUSE_S)  # noqa: ASYNC251 - this process stands still
+        answering = asyncio.create_task(server.run(_ignore))
+        await asyncio.sleep(0.5)
+        self.assertFalse(client.silent_)
+        client.close()
+        await asyncio.gather(probing, answering)
+
+    async def test_peer_that_stays_silent_is_found_after_an_own_pause(self):
+        client = await wire.connect("127.0.0.1", self.port, hello("client"))
+        await self.accepted.get()
+        client.mark_busy(True)
+        probing = asyncio.create_task(client.run(_ignore))
+        await support.eventually(lambda: client.unanswered_s(time.monotonic()) > 0)
+        time.sleep(PAUSE_S)  # noqa: ASYNC251 - this process stands still
+        began = time.monotonic()
+        self.assertIn("heartbeat", await probing)
+        self.assertLess(time.monotonic() - began, FOUND_WITHIN_S + 0.3)
+
     async def test_long_frame_ends_the_connection(self):
         client = await wire.connect("127.0.0.1", self.port, hello("client"))
         server = await self.accepted.get()
