Bound interim answers, and test bytes without end

An endpoint may send bytes that are no answer without end, in a head or a body. Six kinds were played (tests.gateway.test_endless): five were settled at once before; interim answers without end kept the gateway's processor busy until the deadline (504 after 2 s, where the attempt should end at once). The HTTP library skips them for as long as they come; after 16 the attempt is given up now, its outcome unknown.

--- a/libs/gateway/src/sequoiagap/gateway/_attempt.py
+++ b/libs/gateway/src/sequoiagap/gateway/_attempt.py
@@ -11,7 +11,7 @@
 import aiohttp
 import yarl
 
-from sequoiagap.gateway import _event_stream
+from sequoiagap.gateway import _bounded_response, _event_stream
 
 CONNECT_TIMEOUT_S = 0.5
 SERVER_ERROR_STATUS = 500
@@ -263,6 +263,7 @@
         connector=aiohttp.TCPConnector(
             limit=0, force_close=True, socket_factory=_open_socket
         ),
+        response_class=_bounded_response.BoundedResponse,
         timeout=aiohttp.ClientTimeout(total=None),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
