Work out candidates once a request, and keep one copy of what stood twice

From a read of the whole change; behaviour stays as it is.

- A request walked its service's endpoints twice more than it needed, and the share of cold endpoints was worked out by two pieces of code; one serves both now.
- The bound beyond which a process takes itself for late stood in wire, in the links and in the succession of ranks; it is base's.
The entry's reports detect pauses of their own with another bound (0.5 s) and were left.
- A leader wrote over the plan that a change was made with, to name its keeper; it appoints deputies first and makes the change then.
- The raw endpoints of two tests and their registration are one piece of the test case; the tests keep their assertions.
An unused constant is gone.

--- a/libs/gateway/src/sequoiagap/gateway/_dispatch.py
+++ b/libs/gateway/src/sequoiagap/gateway/_dispatch.py
@@ -164,9 +164,7 @@
             return None
         if _is_down(loads, now):
             return max(load.closed_for(now) for load in loads)
-        service = self.state.table.service_by_name.get(service_name)
-        usable = self.budgets.keep_cold_rate(service, loads, now)
-        if all(load.is_closed(now) for load in usable):
+        if all(load.is_closed(now) for load in self._usable(service_name, loads, now)):
             return _loads.UNKNOWN_OUTAGE_S
         return None
 
@@ -176,13 +174,14 @@
         :rtype: EndpointLoad | sequoiagap.base.Refusal
         """
         now = time.monotonic()
-        candidates = self._candidates(request.service, now)
+        known = self.state.pool.candidates(request.service)
+        candidates = self._usable(request.service, known, now)
         verdict = self.admission(request.service).judge(
             candidates,
             request.route.target_latency_s,
             now,
             request.ends_at - now,
-            self.state.pool.candidates(request.service),
+            known,
         )
         is_first = not progress.sent
         is_hopeless = not candidates or _is_down(candidates, now)
@@ -191,9 +190,9 @@
         opened = [load for load in candidates if not load.is_closed(now)]
         return self.chooser.choose(opened or candidates, now, progress.tried)
 
-    def _candidates(self, service_name, now):
+    def _usable(self, service_name, loads, now):
+        """Return the endpoints that have not yet got their share of this second."""
         service = self.state.table.service_by_name.get(service_name)
-        loads = self.state.pool.candidates(service_name)
         return self.budgets.keep_cold_rate(service, loads, now)
 
     def admission(self, service):
--- a/libs/ranks/src/sequoiagap/ranks/_keeping.py
+++ b/libs/ranks/src/sequoiagap/ranks/_keeping.py
@@ -8,7 +8,6 @@
 
 RELEASE_RETRY_S = 0.02
 HOLD_ARRIVES_S = 0.5  # by then a hold that was agreed is there, or was lost
-MILLISECONDS = 1000
 
 _log = base.get_logger("keeper")
 
--- a/libs/ranks/src/sequoiagap/ranks/_leader.py
+++ b/libs/ranks/src/sequoiagap/ranks/_leader.py
@@ -284,15 +284,15 @@
 
     async def _change(self, plan, planned, copies):
         began = time.monotonic()
-        change = _change.MapChange(plan)
-
-        def run(keeper):
-            change.plan = dataclasses.replace(plan, keeper=keeper)
-            return change.run()
-
-        self._changing = change
-        result = await self._drive_watched(run)
-        self._changing = None
+        deputies = await self._appoint()
+        change = _change.MapChange(
+            dataclasses.replace(plan, keeper=self._choose_keeper(deputies))
+        )
+        result = None
+        if deputies or self._is_alone():
+            self._changing = change
+            result = await self._drive_watched(change.run(), deputies)
+            self._changing = None
         # A keeper that refuses has just begun, or leads itself; another may agree.
         self._refusals += result == _change.ChangeResult.NOT_ALLOWED
         now = time.monotonic()
@@ -354,11 +354,8 @@
             step=step,
             version=plan.version,
         )
-
-        def run(keeper):
-            return _change.resolve_hold(rank, step, plan)
-
-        result = await self._drive_watched(run, is_needed=True)
+        procedure = _change.resolve_hold(rank, step, plan)
+        result = await self._drive_watched(procedure, await self._appoint())
         self._last_step = max(self._last_step, step)
         self._held_since_by_rank = {}
         self.holdings_ = None
@@ -372,23 +369,25 @@
             took_ms=round((time.monotonic() - began) * MILLISECONDS),
         )
 
-    async def _drive_watched(self, make_procedure, is_needed=False):
+    async def _appoint(self):
+        """Tell deputies that a change begins; return those that have heard it."""
+        return await self.access.tell_deputies(self.access.find_deputies())
+
+    def _choose_keeper(self, deputies):
+        """Return the rank to be held; another one after each refusal."""
+        places = deputies or [self.own_rank]
+        return places[self._refusals % len(places)]
+
+    async def _drive_watched(self, procedure, deputies):
         """Carry out a procedure while deputies hear that its leader is alive.
 
-        :param make_procedure: function of the rank that is to keep a hold, which
-            returns a procedure of :mod:`_change`.
-        :param bool is_needed: whether it is carried out even if no deputy answers.
-        :returns: its result, or ``None`` where it was not begun.
-        :rtype: ChangeResult | None
+        :param procedure: a procedure of :mod:`_change`.
+        :param list deputies: their ranks.
+        :rtype: ChangeResult
         """
-        deputies = await self.access.tell_deputies(self.access.find_deputies())
-        if not (deputies or is_needed or self._is_alone()):
-            return None
-        places = deputies or [self.own_rank]
-        keeper = places[self._refusals % len(places)]
         teller = asyncio.ensure_future(self._tell_forever(deputies))
         try:
-            return await self._drive(make_procedure(keeper))
+            return await self._drive(procedure)
         finally:
             await base.cancel_and_wait(teller)
             await self.access.tell_deputies(deputies, is_changing=False)
--- a/libs/ranks/src/sequoiagap/ranks/_links.py
+++ b/libs/ranks/src/sequoiagap/ranks/_links.py
@@ -7,7 +7,6 @@
 from sequoiagap.ranks import _messages, _ports
 
 ASK_TIMEOUT_S = 0.3
-OWN_LAG_S = 0.1  # a process this late itself has not shown that others are silent
 SILENT_S = 1.0  # an agent is passed over that did not answer this long ago
 RECONNECT_S = 0.3
 LINK_PING_S = 1.0
@@ -76,7 +75,7 @@
             async with asyncio.timeout(timeout_s):
                 answer = await self._questions.ask(connection, item)
         except TimeoutError:
-            if time.monotonic() - began < timeout_s + OWN_LAG_S:
+            if time.monotonic() - began < timeout_s + base.OWN_LAG_S:
                 self.note_silent()
             return None
         except base.WireError:
--- a/libs/ranks/src/sequoiagap/ranks/_succession.py
+++ b/libs/ranks/src/sequoiagap/ranks/_succession.py
@@ -7,6 +7,8 @@
 and the ranks follow each other patiently.
 """
 
+from sequoiagap import base
+
 ALIVE_INTERVAL_S = 0.08  # between two words of a changing leader to its deputies
 DEPUTIES = 3
 DEPUTY_PATIENCE_S = 0.25
@@ -15,7 +17,6 @@
 LEAD_STAGGER_S = 0.3  # more for each rank
 MAX_STAGGER_RANKS = 6
 NO_DEPUTY = -1
-LAG_S = 0.1  # between two checks of one process beyond what was asked for
 
 
 class Succession:
@@ -71,7 +72,7 @@
         """
         lag_s = now - self._checked_at - interval_s
         self._checked_at = now
-        if lag_s > LAG_S:
+        if lag_s > base.OWN_LAG_S:
             self._heard_at += lag_s
         return rank == 0 or now - self._heard_at > self._patience(rank)
 
--- a/libs/wire/src/sequoiagap/wire/_connection.py
+++ b/libs/wire/src/sequoiagap/wire/_connection.py
@@ -15,7 +15,6 @@
 IDLE_PING_INTERVAL_S = 5.0
 SILENCE_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 1.0
-OWN_LAG_S = 0.1  # a process this late itself has not shown that its peer is silent
 
 _log = base.get_logger("wire")
 
@@ -164,7 +163,7 @@
     async def _ping_forever(self):
         while not self.closed_:
             lag_s = await self._wait_interval()
-            if lag_s > OWN_LAG_S and self._oldest_ping_at is not None:
+            if lag_s > base.OWN_LAG_S and self._oldest_ping_at is not None:
                 self._oldest_ping_at += lag_s
             now = time.monotonic()
             waiting_since = self._oldest_ping_at
--- a/tests/gateway/gateway_case.py
+++ b/tests/gateway/gateway_case.py
@@ -1,5 +1,6 @@
 """A gateway in this process, with stand-ins around it."""
 
+import asyncio
 import itertools
 import socket
 import unittest
@@ -69,6 +70,26 @@
         return probe.getsockname()[1]
 
 
+class RawEndpoint:
+    """Listens on the loopback address; what it sends is up to ``serve``.
+
+    :ivar asyncio.Event closed: set once a caller's connection has ended.
+    """
+
+    def __init__(self):
+        self.closed = asyncio.Event()
+        self.server = None
+
+    async def start(self):
+        """Listen, and return the port."""
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        return self.server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader, writer):
+        """Serve a connection."""
+        raise NotImplementedError
+
+
 class GatewayCase(unittest.IsolatedAsyncioTestCase):
     """Runs each test against a gateway and two endpoints.
 
@@ -104,6 +125,17 @@
         ]
         self.store.put("endpoints", {r.endpoint_id: r for r in records})
 
+    async def serve_only(self, endpoint):
+        """Have one endpoint, a :class:`RawEndpoint`, and wait until that is known."""
+        port = await endpoint.start()
+        self.addCleanup(endpoint.server.close)
+        name = f"e{port}"
+        ready = routes.EndpointState.READY
+        record = routes.Endpoint(name, "desk", "127.0.0.1", port, "a", ready, slots=4)
+        self.store.put("endpoints", {name: record})
+        known = self.gateway.pool.load_by_id
+        await support.eventually(lambda: set(known) == {name})
+
     async def start_gateway(self, node_id, store=None):
         """Start a gateway that is stopped after the test."""
         port = free_port()
--- a/tests/gateway/test_endless.py
+++ b/tests/gateway/test_endless.py
@@ -4,8 +4,6 @@
 import time
 import tracemalloc
 
-from sequoiagap import routes
-from tests import support
 from tests.gateway import gateway_case
 
 SETTLED_S = 1.0
@@ -24,18 +22,13 @@
 }
 
 
-class EndlessEndpoint:
+class EndlessEndpoint(gateway_case.RawEndpoint):
     """Sends a beginning, and then the same bytes until the caller closes."""
 
     def __init__(self, beginning, piece):
+        super().__init__()
         self.beginning = beginning
         self.piece = piece
-        self.closed = asyncio.Event()
-        self.server = None
-
-    async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        return self.server.sockets[0].getsockname()[1]
 
     async def serve(self, reader, writer):
         try:
@@ -51,22 +44,11 @@
 
 
 class EndlessTest(gateway_case.GatewayCase):
-    async def serve_with(self, beginning, piece):
-        endpoint = EndlessEndpoint(beginning, piece)
-        port = await endpoint.start()
-        self.addCleanup(endpoint.server.close)
-        name = f"e{port}"
-        ready = routes.EndpointState.READY
-        record = routes.Endpoint(name, "desk", "127.0.0.1", port, "a", ready, slots=4)
-        self.store.put("endpoints", {name: record})
-        known = self.gateway.pool.load_by_id
-        await support.eventually(lambda: set(known) == {name})
-        return endpoint
-
     async def test_each_is_settled_at_once(self):
         for name, (beginning, piece) in CASES.items():
             with self.subTest(name):
-                endpoint = await self.serve_with(beginning, piece)
+                endpoint = EndlessEndpoint(beginning, piece)
+                await self.serve_only(endpoint)
                 path = "/stream/" if STREAM in beginning else "/order/x"
                 began = time.monotonic()
                 tracemalloc.start()
--- a/tests/gateway/test_leaving.py
+++ b/tests/gateway/test_leaving.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-from sequoiagap import routes
 from tests import support
 from tests.gateway import gateway_case
 
@@ -10,23 +9,18 @@
 REQUEST_END = b"\r\n\r\n"
 
 
-class WatchingEndpoint:
+class WatchingEndpoint(gateway_case.RawEndpoint):
     """Takes requests, answers as told, and notes how each connection ends.
 
     :param list pieces: what it sends once a request is there, before it falls silent.
     """
 
     def __init__(self, pieces=()):
+        super().__init__()
         self.pieces = pieces
         self.arrivals = 0
         self.resets = 0
         self.ends = 0
-        self.closed = asyncio.Event()
-        self.server = None
-
-    async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        return self.server.sockets[0].getsockname()[1]
 
     async def serve(self, reader, writer):
         try:
@@ -47,16 +41,7 @@
     async def serve_with(self, *pieces):
         """Have one endpoint, which answers with the pieces and falls silent."""
         self.endpoint = WatchingEndpoint(pieces)
-        port = await self.endpoint.start()
-        self.addAsyncCleanup(self.close_endpoint)
-        ready = routes.EndpointState.READY
-        name = f"e{port}"
-        record = routes.Endpoint(name, "desk", "127.0.0.1", port, "a", ready, slots=4)
-        self.store.put("endpoints", {name: record})
-        await support.eventually(lambda: set(self.gateway.pool.load_by_id) == {name})
-
-    async def close_endpoint(self):
-        self.endpoint.server.close()
+        await self.serve_only(self.endpoint)
 
     async def leave(self, path, after):
         """Send a request and close the connection once ``after()`` is true."""
