Rename gateway names that other parts use

gateway.PassOn -> ForwardHead pass_on (parameter of Dialect.write_request) -> forward_head gateway.Registration.keep -> write_if_missing _outage.come_back_s -> outage_retry_delay_s _outage.WaitingRoom -> OutageQueue OutageQueue.waits_until -> wait_deadline ServiceAdmission.room -> queue ServiceAdmission.judge -> decide ServiceAdmission.note_answered -> record_answer EndpointLoad.take_sample -> record_sample GroupState.take -> update

--- a/libs/gateway/src/sequoiagap/gateway/_admission.py
+++ b/libs/gateway/src/sequoiagap/gateway/_admission.py
@@ -46,9 +46,9 @@
     def __init__(self, random_state):
         self.random_state = random_state
         self.service_s = 0.0
-        self.room = _outage.WaitingRoom()
+        self.queue = _outage.OutageQueue()
 
-    def note_answered(self, elapsed_s):
+    def record_answer(self, elapsed_s):
         """Learn from an answered request.
 
         :param float elapsed_s: time that the endpoint took.
@@ -57,7 +57,7 @@
             self.service_s = elapsed_s
         self.service_s += SERVICE_WEIGHT * (elapsed_s - self.service_s)
 
-    def judge(self, loads, target_latency_s, now, left_s=math.inf, known=()):
+    def decide(self, loads, target_latency_s, now, left_s=math.inf, known=()):
         """Judge a request.
 
         :param list loads: :class:`EndpointLoad` of the endpoints that may be asked.
@@ -80,7 +80,7 @@
             return Verdict(
                 False,
                 "the endpoints' group does not serve",
-                _outage.come_back_s(left_s, self.random_state),
+                _outage.outage_retry_delay_s(left_s, self.random_state),
             )
         if not target_latency_s or not self.service_s:
             return Verdict(True)
--- a/libs/gateway/src/sequoiagap/gateway/_dispatch.py
+++ b/libs/gateway/src/sequoiagap/gateway/_dispatch.py
@@ -140,10 +140,12 @@
             request.route.patience_s,
         )
         places = sum(load.endpoint.slots for load in loads) // self.state.gateways()
-        until = judge.room.waits_until(caller, outage_s, judge.service_s, places, began)
+        until = judge.queue.wait_deadline(
+            caller, outage_s, judge.service_s, places, began
+        )
         if until <= began:
             return
-        with judge.room:
+        with judge.queue:
             await self._wait_for_group(request.service, until)
         self._notes.waited(request, outage_s, began)
 
@@ -176,7 +178,7 @@
         now = time.monotonic()
         known = self.state.pool.candidates(request.service)
         candidates = self._usable(request.service, known, now)
-        verdict = self.admission(request.service).judge(
+        verdict = self.admission(request.service).decide(
             candidates,
             request.route.target_latency_s,
             now,
@@ -253,7 +255,7 @@
         resume_after = sink.last_id if request.is_stream else None
         if resume_after is None:
             resume_after = request.head.last_event_id
-        pass_on = _ports.PassOn(
+        forward_head = _ports.ForwardHead(
             endpoint_id=endpoint.endpoint_id,
             remaining_s=max(left_s, 0.0),
             account=request.account,
@@ -264,7 +266,7 @@
             method=request.method,
             url=f"http://{endpoint.address}:{endpoint.port}{request.path}",
             headers=self.dialect.write_request(
-                _headers.end_to_end(request.headers), pass_on
+                _headers.end_to_end(request.headers), forward_head
             ),
             body=request.body,
             resume_after=resume_after if request.is_stream else None,
@@ -311,14 +313,14 @@
         self.reach.note(attempt.is_sent_)
         head = attempt.head_
         if head is not None and head.load is not None:
-            load.take_sample(head.load, now)
+            load.record_sample(head.load, now)
         if head is not None and head.is_misdirected:
             self.state.note_misdirected(load.endpoint.endpoint_id)
         if head is not None and _names_another(head, load.endpoint):
             self.state.pool.note_group_down(load, now)
         if end.outcome == _attempt.AttemptOutcome.ANSWERED:
             load.note_success()
-            self.admission(load.endpoint.service).note_answered(elapsed_s)
+            self.admission(load.endpoint.service).record_answer(elapsed_s)
         elif end.answer is None:
             load.note_failure(now)
 
@@ -334,7 +336,9 @@
             return RETRY_AFTER_S * spread
         now = time.monotonic()
         if _is_down(self.state.pool.candidates(request.service), now):
-            return _outage.come_back_s(request.ends_at - now, self.random_state)
+            return _outage.outage_retry_delay_s(
+                request.ends_at - now, self.random_state
+            )
         return RETRY_AFTER_S * spread
 
     def _given_up(self, progress):
--- a/libs/gateway/src/sequoiagap/gateway/_loads.py
+++ b/libs/gateway/src/sequoiagap/gateway/_loads.py
@@ -40,7 +40,7 @@
     closed_at: float = 0.0
     reported_at: float = 0.0
 
-    def take(self, epoch, is_open, now):
+    def update(self, epoch, is_open, now):
         """Take what a rank says.
 
         :param int epoch: its epoch.
@@ -167,7 +167,7 @@
     def _is_replaced(self, now):
         return self.replaced_at is not None and now - self.replaced_at <= REPLACED_S
 
-    def take_sample(self, sample, at):
+    def record_sample(self, sample, at):
         """Take a report unless a newer one is known.
 
         :param LoadSample sample: the report.
--- a/libs/gateway/src/sequoiagap/gateway/_outage.py
+++ b/libs/gateway/src/sequoiagap/gateway/_outage.py
@@ -22,7 +22,7 @@
 FIRST_SHARE = 0.5  # of the places that those may take who can come back
 
 
-def come_back_s(left_s, random_state):
+def outage_retry_delay_s(left_s, random_state):
     """Return when a caller should come back that is refused during an outage.
 
     :param float left_s: time that the caller has left, in seconds.
@@ -56,7 +56,7 @@
         return self.ends_at - self.came_at < RETURNED_SHARE * self.route_s
 
 
-class WaitingRoom:
+class OutageQueue:
     """Requests of one service that wait for its group.
 
     :ivar int waiting_: how many there are now.
@@ -65,7 +65,7 @@
     def __init__(self):
         self.waiting_ = 0
 
-    def waits_until(self, caller, outage_s, service_s, places, now):
+    def wait_deadline(self, caller, outage_s, service_s, places, now):
         """Return until when a request may wait; ``now`` if it should not.
 
         :param Caller caller: who sent it.
--- a/libs/gateway/src/sequoiagap/gateway/_peers.py
+++ b/libs/gateway/src/sequoiagap/gateway/_peers.py
@@ -50,7 +50,7 @@
         backoff = base.Backoff(FIRST_DISCOVERY_S, LONGEST_RETRY_S, random.Random())
         while True:
             try:
-                await self._registration.keep()
+                await self._registration.write_if_missing()
                 node_by_id = await self.store.list_nodes()
                 self._registration.check(node_by_id)
                 self._learn(node_by_id)
--- a/libs/gateway/src/sequoiagap/gateway/_pool.py
+++ b/libs/gateway/src/sequoiagap/gateway/_pool.py
@@ -102,13 +102,13 @@
         if load is None:
             return False
         sample = _ports.LoadSample(report.running, report.waiting, report.slots)
-        load.take_sample(sample, now)
+        load.record_sample(sample, now)
         load.slowness = max(report.slowness, 1.0)
         is_new_start = load.take_start(report.started_ms, now)
         if not report.group:
             return is_new_start
         group = self._group_by_name.setdefault(report.group, _loads.GroupState())
-        group.take(report.epoch, report.is_open, now)
+        group.update(report.epoch, report.is_open, now)
         group.reported_at = now
         load.group = group
         return is_new_start
@@ -128,7 +128,7 @@
             for other in self.load_by_id.values():
                 if other.endpoint.service == service and other.group is None:
                     other.group = group
-        load.group.take(load.group.epoch, False, now)
+        load.group.update(load.group.epoch, False, now)
 
     def candidates(self, service):
         """Return the loads of a service's endpoints that may get requests.
--- a/libs/gateway/src/sequoiagap/gateway/_ports.py
+++ b/libs/gateway/src/sequoiagap/gateway/_ports.py
@@ -63,7 +63,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class PassOn:
+class ForwardHead:
     """What the gateway adds to a request that it passes on.
 
     :param str endpoint_id: endpoint that alone may run it.
@@ -89,7 +89,7 @@
         :raises ValueError: naming header and value, if one can't be read.
         """
 
-    def write_request(self, headers, pass_on):
+    def write_request(self, headers, forward_head):
         """Return the headers for an endpoint, as a multi-value map."""
 
     def read_answer(self, status, headers):
--- a/libs/gateway/src/sequoiagap/gateway/_registration.py
+++ b/libs/gateway/src/sequoiagap/gateway/_registration.py
@@ -27,7 +27,7 @@
         self._written_at = None
         self._write_at = 0.0
 
-    async def keep(self):
+    async def write_if_missing(self):
         """Write the entry if it is missing, as far as known.
 
         :raises sequoiagap.base.PlatformError: if the store does not answer.
--- a/libs/ranks/src/sequoiagap/ranks/_agent.py
+++ b/libs/ranks/src/sequoiagap/ranks/_agent.py
@@ -159,7 +159,7 @@
         backoff = base.Backoff(FIRST_NODES_S, LONGEST_RETRY_S, random.Random())
         while True:
             try:
-                await registration.keep()
+                await registration.write_if_missing()
                 node_by_id = await self.store.list_nodes()
                 registration.check(node_by_id)
                 # A list that is read late may lack some; those known stay known.
--- a/libs/standins/src/sequoiagap/standins/_direct.py
+++ b/libs/standins/src/sequoiagap/standins/_direct.py
@@ -29,17 +29,17 @@
             last_event_id=None if last is None else int(last),
         )
 
-    def write_request(self, headers, pass_on):
+    def write_request(self, headers, forward_head):
         """Return the headers for an endpoint."""
         written = multidict.CIMultiDict(headers)
         for name in _OWN_HEADERS:
             written.popall(name, None)
-        written["X-Endpoint"] = pass_on.endpoint_id
-        written["X-Remaining-Ms"] = str(int(pass_on.remaining_s * 1000))
-        if pass_on.account:
-            written["X-Account"] = pass_on.account
-        if pass_on.resume_after is not None:
-            written["Last-Event-Id"] = str(pass_on.resume_after)
+        written["X-Endpoint"] = forward_head.endpoint_id
+        written["X-Remaining-Ms"] = str(int(forward_head.remaining_s * 1000))
+        if forward_head.account:
+            written["X-Account"] = forward_head.account
+        if forward_head.resume_after is not None:
+            written["Last-Event-Id"] = str(forward_head.resume_after)
         return written
 
     def read_answer(self, status, headers):
--- a/simulations/outage_load.py
+++ b/simulations/outage_load.py
@@ -100,9 +100,9 @@
 def _decide(world, room, caller, left_s, now):
     who = _outage.Caller(now, now + left_s, DEADLINE_S, PATIENCE_S)
     places = ENDPOINTS * SLOTS // GATEWAYS
-    until = room.waits_until(who, world.outage_age(now), ANSWER_S, places, now)
+    until = room.wait_deadline(who, world.outage_age(now), ANSWER_S, places, now)
     later_s = left_s - (until - now)
-    return Decision(until, _outage.come_back_s(later_s, world.random))
+    return Decision(until, _outage.outage_retry_delay_s(later_s, world.random))
 
 
 class Gateway:
@@ -117,7 +117,7 @@
             for i in range(ENDPOINTS)
         ]
         self.admission = _admission.ServiceAdmission(random_state)
-        self.admission.note_answered(ANSWER_S)
+        self.admission.record_answer(ANSWER_S)
         self.chooser = _loads.EndpointChooser(random_state)
 
 
@@ -178,10 +178,10 @@
         for index, running in enumerate(self.running):
             sample = gateway.LoadSample(len(running), 0, SLOTS)
             for known in self.gateways:
-                known.loads[index].take_sample(sample, now)
+                known.loads[index].record_sample(sample, now)
         for known in self.gateways:
             epoch = 2 if now >= self.opens_at else 1
-            known.loads[0].group.take(epoch, self._is_open(now), now)
+            known.loads[0].group.update(epoch, self._is_open(now), now)
 
     def _come(self, now, caller):
         caller.tries += 1
@@ -190,7 +190,7 @@
             self._send(now, caller, known)
             return
         left_s = caller.came_at + DEADLINE_S - now
-        room = known.admission.room
+        room = known.admission.queue
         decision = self.decide(self, room, caller, left_s, now)
         if decision.wait_until <= now:
             self._refuse(now, caller, decision.retry_after_s)
@@ -203,11 +203,11 @@
         self._at(at, self._end_wait, caller, known, decision)
 
     def _leave(self, now, known):
-        known.admission.room.__exit__()
+        known.admission.queue.__exit__()
         self.count_by_result_[Result.LEFT] += 1
 
     def _end_wait(self, now, caller, known, decision):
-        known.admission.room.__exit__()
+        known.admission.queue.__exit__()
         if self._is_open(now):
             self._send(now, caller, known)
             return
@@ -215,7 +215,7 @@
         self._refuse(now, caller, decision.retry_after_s)
 
     def _send(self, now, caller, known):
-        verdict = known.admission.judge(known.loads, TARGET_S, now)
+        verdict = known.admission.decide(known.loads, TARGET_S, now)
         if not verdict.is_admitted:
             self._refuse(now, caller, verdict.retry_after_s)
             return
@@ -244,7 +244,7 @@
 
     def _refuse_stalled(self, now, caller):
         left_s = caller.came_at + DEADLINE_S - now
-        decision = self.decide(self, _outage.WaitingRoom(), caller, left_s, now)
+        decision = self.decide(self, _outage.OutageQueue(), caller, left_s, now)
         self._refuse(now, caller, decision.retry_after_s)
 
     def _refuse(self, now, caller, retry_after_s):
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -15,7 +15,7 @@
         fields.pop("name", "e"), "s", "10.0.0.1", 80, "a", "ready", slots
     )
     made = _loads.EndpointLoad(endpoint, group=group, **fields)
-    made.take_sample(gateway.LoadSample(running, waiting, slots), NOW - 0.02)
+    made.record_sample(gateway.LoadSample(running, waiting, slots), NOW - 0.02)
     return made
 
 
@@ -23,51 +23,51 @@
     def setUp(self):
         self.admission = _admission.ServiceAdmission(random.Random(1))
         for _ in range(50):
-            self.admission.note_answered(1.2)
+            self.admission.record_answer(1.2)
 
     def test_admits_while_a_place_is_free(self):
         loads = [load(6, 9), load(5, 0)]
-        self.assertTrue(self.admission.judge(loads, 0.4, NOW).is_admitted)
+        self.assertTrue(self.admission.decide(loads, 0.4, NOW).is_admitted)
 
     def test_admits_a_short_wait_and_refuses_a_long_one(self):
-        self.assertTrue(self.admission.judge([load(6, 0)], 0.4, NOW).is_admitted)
-        verdict = self.admission.judge([load(6, 3), load(6, 2)], 0.4, NOW)
+        self.assertTrue(self.admission.decide([load(6, 0)], 0.4, NOW).is_admitted)
+        verdict = self.admission.decide([load(6, 3), load(6, 2)], 0.4, NOW)
         self.assertFalse(verdict.is_admitted)
         self.assertGreater(verdict.retry_after_s, 0)
 
     def test_times_to_come_back_are_spread(self):
         times = {
-            round(self.admission.judge([load(6, 5)], 0.4, NOW).retry_after_s, 2)
+            round(self.admission.decide([load(6, 5)], 0.4, NOW).retry_after_s, 2)
             for _ in range(20)
         }
         self.assertGreater(len(times), 5)
 
     def test_group_that_is_down_is_not_asked(self):
         group = _loads.GroupState()
-        group.take(3, False, NOW)
+        group.update(3, False, NOW)
         silent = load(0, 0, group=group)
         silent.sampled_at = NOW - 9  # its agent is cut off and says nothing
-        verdict = self.admission.judge([load(0, 0, group=group), silent], 0.4, NOW)
+        verdict = self.admission.decide([load(0, 0, group=group), silent], 0.4, NOW)
         self.assertFalse(verdict.is_admitted)
         self.assertGreater(verdict.retry_after_s, 1.5)
 
     def test_without_news_the_group_is_asked_again(self):
         group = _loads.GroupState()
-        group.take(3, False, NOW - 5)
+        group.update(3, False, NOW - 5)
         loads = [load(0, 0, group=group)]
-        self.assertTrue(self.admission.judge(loads, 0.4, NOW).is_admitted)
+        self.assertTrue(self.admission.decide(loads, 0.4, NOW).is_admitted)
 
 
 class GroupStateTest(unittest.TestCase):
     def test_a_cut_off_rank_does_not_open_the_group(self):
         group = _loads.GroupState()
-        group.take(2, True, NOW)
-        group.take(2, False, NOW)
-        group.take(2, True, NOW)
+        group.update(2, True, NOW)
+        group.update(2, False, NOW)
+        group.update(2, True, NOW)
         self.assertTrue(group.is_closed(NOW))
-        group.take(3, True, NOW)
+        group.update(3, True, NOW)
         self.assertFalse(group.is_closed(NOW))
-        group.take(2, False, NOW)
+        group.update(2, False, NOW)
         self.assertFalse(group.is_closed(NOW))
 
 
--- a/tests/gateway/test_outage.py
+++ b/tests/gateway/test_outage.py
@@ -23,21 +23,23 @@
     def test_never_later_than_the_caller_heeds(self):
         random_state = random.Random(1)
         for left_s in (1.0, 3.0, 5.4, 8.0, 60.0):
-            times = {_outage.come_back_s(left_s, random_state) for _ in range(50)}
+            times = {
+                _outage.outage_retry_delay_s(left_s, random_state) for _ in range(50)
+            }
             self.assertLessEqual(max(times), max(left_s / 3, 0.25))
             self.assertGreater(len(times), 10)
 
     def test_as_late_as_it_may_be_within_usual_outages(self):
-        self.assertGreater(_outage.come_back_s(8.0, random.Random(1)), 2.4)
+        self.assertGreater(_outage.outage_retry_delay_s(8.0, random.Random(1)), 2.4)
 
 
 class WaitingRoomTest(unittest.TestCase):
     def setUp(self):
-        self.room = _outage.WaitingRoom()
+        self.room = _outage.OutageQueue()
 
     def wait(self, left_s, outage_s=3.0, **fields):
         found = caller(left_s, **fields)
-        until = self.room.waits_until(found, outage_s, SERVICE_S, PLACES, NOW)
+        until = self.room.wait_deadline(found, outage_s, SERVICE_S, PLACES, NOW)
         return until - NOW
 
     def test_nobody_waits_while_the_group_can_hardly_be_back_in_time(self):
--- a/tests/gateway/test_silent_hosts.py
+++ b/tests/gateway/test_silent_hosts.py
@@ -75,7 +75,7 @@
     def tell(self, host):
         sample = gateway.LoadSample(self.running[host], 0, SLOTS)
         for loads in self.loads_by_gateway:
-            loads[host].take_sample(sample, self.now)
+            loads[host].record_sample(sample, self.now)
             loads[host].group.reported_at = self.now
 
     def send(self, is_still):
--- a/tests/platform_site/test_headers.py
+++ b/tests/platform_site/test_headers.py
@@ -58,8 +58,8 @@
                 ("X-Kept", "yes"),
             ]
         )
-        pass_on = gateway.PassOn("i1", 0.75, "t1", resume_after=4)
-        written = self.dialect.write_request(sent, pass_on)
+        forward_head = gateway.ForwardHead("i1", 0.75, "t1", resume_after=4)
+        written = self.dialect.write_request(sent, forward_head)
         self.assertEqual(written.getall("Tenant"), ["t1"])
         self.assertEqual(written["Expect-Instance"], "i1")
         self.assertEqual(written["Deadline-Ms"], "750")
@@ -70,7 +70,7 @@
 
     def test_without_account_none_is_named(self):
         written = self.dialect.write_request(
-            multidict.CIMultiDict({"Tenant": "x"}), gateway.PassOn("i1", 1.0)
+            multidict.CIMultiDict({"Tenant": "x"}), gateway.ForwardHead("i1", 1.0)
         )
         self.assertNotIn("Tenant", written)
 
