Name the result of an attempt as the entry does

AttemptEnd -> AttemptResult, and its locals end -> result. The texts "this entry is shutting down" and "all endpoints are full for ... s" match the other parts and the log examples of the command line's test.

--- a/libs/gateway/src/sequoiagap/gateway/_admission.py
+++ b/libs/gateway/src/sequoiagap/gateway/_admission.py
@@ -87,7 +87,7 @@
         wait_s = min(self._wait(load, now) for load in open_loads)
         if wait_s <= WAIT_SHARE * target_latency_s:
             return AdmissionDecision(True)
-        reason = f"all endpoints are busy for another {wait_s:.2f} s"
+        reason = f"all endpoints are full for {wait_s:.2f} s"
         retry_s = max(FULL_RETRY_S, RETRY_WAIT_FACTOR * wait_s)
         return self._reject(reason, min(retry_s, MAX_FULL_RETRY_S))
 
--- a/libs/gateway/src/sequoiagap/gateway/_attempt.py
+++ b/libs/gateway/src/sequoiagap/gateway/_attempt.py
@@ -47,7 +47,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class AttemptEnd:
+class AttemptResult:
     """Result of an attempt.
 
     :param AttemptOutcome outcome: what is proved about the attempt.
@@ -124,7 +124,7 @@
         :param sink: receives the events of a stream as they arrive, by its coroutine
             methods ``send_head(status, headers)`` and ``send_events(events, last_id)``;
             ``None`` buffers the answer until it is complete.
-        :rtype: AttemptEnd
+        :rtype: AttemptResult
         """
         _current_attempt.set(self)
         try:
@@ -143,7 +143,7 @@
         """Return the result of an attempt that was cancelled.
 
         :param str reason: why it was cancelled.
-        :rtype: AttemptEnd
+        :rtype: AttemptResult
         """
         return self._failed(reason)
 
@@ -181,7 +181,7 @@
             return self._failed(f"the answer belongs to request {head.request_id}")
         if head.is_not_run:
             reason = f"refused by the endpoint with status {response.status}"
-            return AttemptEnd(AttemptOutcome.NOT_RUN, reason)
+            return AttemptResult(AttemptOutcome.NOT_RUN, reason)
         if "Content-Encoding" in response.headers:
             return self._failed("the answer has an encoding that was not requested")
         is_stream = response.headers.get("Content-Type", "").startswith("text/event")
@@ -204,8 +204,8 @@
         answer = Answer(response.status, response.headers, b"".join(pieces))
         if response.status >= SERVER_ERROR_STATUS:
             reason = f"the endpoint failed with status {response.status}"
-            return AttemptEnd(AttemptOutcome.UNKNOWN, reason, answer)
-        return AttemptEnd(AttemptOutcome.ANSWERED, answer=answer)
+            return AttemptResult(AttemptOutcome.UNKNOWN, reason, answer)
+        return AttemptResult(AttemptOutcome.ANSWERED, answer=answer)
 
     async def _forward_stream(self, response, sink):
         if not self.head_.is_sealed:
@@ -221,7 +221,7 @@
         if not splitter.is_at_end() or not self._is_complete(response):
             return self._failed("the stream was cut off")
         await sink.send_head(response.status, response.headers)
-        return AttemptEnd(AttemptOutcome.ANSWERED)
+        return AttemptResult(AttemptOutcome.ANSWERED)
 
     async def _pieces(self, response):
         while True:
@@ -256,8 +256,8 @@
     def _failed(self, reason):
         self._reset()
         if not self.is_sent_:
-            return AttemptEnd(AttemptOutcome.NOT_SENT, f"no connection: {reason}")
-        return AttemptEnd(AttemptOutcome.UNKNOWN, reason)
+            return AttemptResult(AttemptOutcome.NOT_SENT, f"no connection: {reason}")
+        return AttemptResult(AttemptOutcome.UNKNOWN, reason)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/libs/gateway/src/sequoiagap/gateway/_attempt_log.py
+++ b/libs/gateway/src/sequoiagap/gateway/_attempt_log.py
@@ -77,26 +77,26 @@
         outcome = _attempt.AttemptOutcome.UNKNOWN
         if not attempt.is_sent_:
             outcome = _attempt.AttemptOutcome.NOT_SENT
-        end = _attempt.AttemptEnd(outcome, "the request was cancelled")
-        self.record_end(request, attempt_id, load, attempt, end, began)
+        result = _attempt.AttemptResult(outcome, "the request was cancelled")
+        self.record_end(request, attempt_id, load, attempt, result, began)
         loop = asyncio.get_running_loop()
         loop.call_later(CLOSE_CHECK_S, _log_lingering, request, attempt_id, attempt)
 
-    def record_end(self, request, attempt_id, load, attempt, end, began):
+    def record_end(self, request, attempt_id, load, attempt, result, began):
         """Record how an attempt ended.
 
         :param Request request: the request.
         :param str attempt_id: id of the attempt.
         :param EndpointLoad load: load of the endpoint.
         :param Attempt attempt: the attempt.
-        :param AttemptEnd end: its result.
+        :param AttemptResult result: its result.
         :param float began: when it began, monotonic seconds.
         """
         elapsed_s = time.monotonic() - began
         self.metrics.observe(
             "attempt_seconds",
             elapsed_s,
-            outcome=str(end.outcome),
+            outcome=str(result.outcome),
             target=request.service,
         )
         _log.emit(
@@ -105,8 +105,8 @@
             attempt_id=attempt_id,
             config_version=self.config_version(),
             endpoint=load.endpoint.endpoint_id,
-            outcome=str(end.outcome),
-            reason=end.reason,
+            outcome=str(result.outcome),
+            reason=result.reason,
             first_byte_ms=round(attempt.first_byte_s_ * MILLISECONDS),
             elapsed_ms=round(elapsed_s * MILLISECONDS),
             is_closed=attempt.is_closed_,
--- a/libs/gateway/src/sequoiagap/gateway/_dispatch.py
+++ b/libs/gateway/src/sequoiagap/gateway/_dispatch.py
@@ -113,10 +113,10 @@
             load = self._choose(request, progress)
             if isinstance(load, base.Refusal):
                 return _refusals.final_refusal(progress, load)
-            end = await self._attempt(request, load, sink, progress)
-            if end.outcome == _attempt.AttemptOutcome.ANSWERED:
-                return end.answer
-            if not self._may_retry(request, end, progress):
+            result = await self._attempt(request, load, sink, progress)
+            if result.outcome == _attempt.AttemptOutcome.ANSWERED:
+                return result.answer
+            if not self._may_retry(request, result, progress):
                 break
         if progress.failed_answer is not None:
             return progress.failed_answer
@@ -235,7 +235,7 @@
         may_have_run = progress.may_have_run
         self._attempt_log.record_sent(request, attempt_id, load, expected, is_repeat)
         try:
-            end = await _host_watch.run_watched(
+            result = await _host_watch.run_watched(
                 attempt,
                 load,
                 sink if request.is_stream else None,
@@ -249,14 +249,14 @@
             progress.sent += attempt.is_sent_
             if attempt.is_sent_:
                 progress.may_have_run = True
-        if end.outcome == _attempt.AttemptOutcome.NOT_RUN:
+        if result.outcome == _attempt.AttemptOutcome.NOT_RUN:
             progress.may_have_run = may_have_run
-        self._record_end(load, attempt, end, time.monotonic() - now)
-        progress.reason = end.reason
-        if end.answer is not None:
-            progress.failed_answer = end.answer
-        self._attempt_log.record_end(request, attempt_id, load, attempt, end, now)
-        return end
+        self._record_end(load, attempt, result, time.monotonic() - now)
+        progress.reason = result.reason
+        if result.answer is not None:
+            progress.failed_answer = result.answer
+        self._attempt_log.record_end(request, attempt_id, load, attempt, result, now)
+        return result
 
     def _build_outgoing(self, request, endpoint, timeout_s, sink):
         resume_after = sink.last_id if request.is_stream else None
@@ -297,13 +297,13 @@
         progress.is_retry_reserved = self.budgets.retries(request.service).try_spend()
         return progress.is_retry_reserved
 
-    def _may_retry(self, request, end, progress):
+    def _may_retry(self, request, result, progress):
         """Return whether the request may be sent to another endpoint."""
-        if end.outcome == _attempt.AttemptOutcome.NOT_SENT:
+        if result.outcome == _attempt.AttemptOutcome.NOT_SENT:
             return True
         if progress.sent >= request.route.max_attempts:
             return False
-        is_unknown = end.outcome == _attempt.AttemptOutcome.UNKNOWN
+        is_unknown = result.outcome == _attempt.AttemptOutcome.UNKNOWN
         if is_unknown and not request.route.is_idempotent:
             return False
         if request.deadline - time.monotonic() < MIN_ATTEMPT_S:
@@ -315,7 +315,7 @@
         self.metrics.count("retries_total", service=request.service)
         return True
 
-    def _record_end(self, load, attempt, end, elapsed_s):
+    def _record_end(self, load, attempt, result, elapsed_s):
         now = time.monotonic()
         self.reachability.record(attempt.is_sent_)
         head = attempt.head_
@@ -325,10 +325,10 @@
             self.state.record_misdirected(load.endpoint.endpoint_id)
         if head is not None and _blames_other_rank(head, load.endpoint):
             self.state.pool.record_group_down(load, now)
-        if end.outcome == _attempt.AttemptOutcome.ANSWERED:
+        if result.outcome == _attempt.AttemptOutcome.ANSWERED:
             load.record_success()
             self.admission(load.endpoint.service).record_answer(elapsed_s)
-        elif end.answer is None:
+        elif result.answer is None:
             load.record_failure(now)
 
     def _is_key_fresh(self):
--- a/libs/gateway/src/sequoiagap/gateway/_feed.py
+++ b/libs/gateway/src/sequoiagap/gateway/_feed.py
@@ -201,8 +201,8 @@
     def _apply(self, topic, reading, requested_at):
         position, value = self._decode(topic, reading)
         order = _position.compare(position, topic.position)
-        is_of_lost_era = reading.era < self.era_
-        if order == _position.PositionOrder.OVERTAKEN or is_of_lost_era:
+        is_of_earlier_era = reading.era < self.era_
+        if order == _position.PositionOrder.OVERTAKEN or is_of_earlier_era:
             _log.emit(
                 base.Event.READING_OVERTAKEN,
                 topic=topic.name,
@@ -232,7 +232,7 @@
         return _position.Position(reading.era, snapshot.revision), snapshot.value
 
     def _record_era(self, topic, era):
-        """Record the era of a reading; a new one invalidates earlier readings."""
+        """Record the era of a reading; after a restore, refresh all topics."""
         previous_era = self.era_
         if era == previous_era:
             return
--- a/libs/gateway/src/sequoiagap/gateway/_front.py
+++ b/libs/gateway/src/sequoiagap/gateway/_front.py
@@ -197,7 +197,7 @@
             return
         refusal = base.Refusal(
             base.RefusalKind.DRAINING,
-            "this entry is stopping",
+            "this entry is shutting down",
             "Send the request again over a new connection",
             retry_after_s=0.01,
         )
--- a/libs/gateway/src/sequoiagap/gateway/_host_watch.py
+++ b/libs/gateway/src/sequoiagap/gateway/_host_watch.py
@@ -22,7 +22,7 @@
     :param EndpointLoad load: load of the endpoint.
     :param sink: as for :meth:`Attempt.run`.
     :param may_reroute: function that returns whether the request may be sent elsewhere.
-    :rtype: AttemptEnd
+    :rtype: AttemptResult
     """
     running = asyncio.ensure_future(attempt.run(sink))
     try:
