Rename entry names that simulations and benchmarks use

reach -> ensure_reachable (AgentLinks, LinkDemand and the stand-in of simulations/requests_world.py) sequoiagap.entry._watch -> sequoiagap.entry._config_watch

The gateway's own `reach` is a different method and stays as it is.

--- a/benchmarks/watch_bytes.py
+++ b/benchmarks/watch_bytes.py
@@ -10,7 +10,7 @@
 from benchmarks import sizes
 
 from sequoiagap import config, platform, standins
-from sequoiagap.entry import _watch
+from sequoiagap.entry import _config_watch
 
 CHUNK_BYTES = 65_536
 IDLE_S = 12.0
@@ -64,7 +64,7 @@
     holder = config.ConfigHolder()
     duty = config.WatchDuty(time.monotonic())
     replica = config.ConfigReplica(holder)
-    watch = _watch.ConfigWatch(watched, holder, replica, duty, lambda: 0)
+    watch = _config_watch.ConfigWatch(watched, holder, replica, duty, lambda: 0)
     task = asyncio.create_task(watch.run())
     await asyncio.sleep(2.0)
     idle = await _count(relay, asyncio.sleep(IDLE_S))
--- a/libs/entry/src/sequoiagap/entry/_demand.py
+++ b/libs/entry/src/sequoiagap/entry/_demand.py
@@ -29,7 +29,7 @@
         self._second = 0
         self._opened_in_second = 0
 
-    async def reach(self, target, tried=(), endpoint_id=""):
+    async def ensure_reachable(self, target, tried=(), endpoint_id=""):
         """See to it that an endpoint for a request can be used, if one can.
 
         :param str target: the model or service.
@@ -52,7 +52,7 @@
         :param str endpoint_id: the endpoint.
         :rtype: AgentLink | None
         """
-        await self.reach("", endpoint_id=endpoint_id)
+        await self.ensure_reachable("", endpoint_id=endpoint_id)
         return self.links.by_id.get(endpoint_id)
 
     def _is_near(self, target, tried, endpoint_id):
--- a/libs/entry/src/sequoiagap/entry/_dispatch.py
+++ b/libs/entry/src/sequoiagap/entry/_dispatch.py
@@ -157,7 +157,9 @@
         for number in range(MAX_ATTEMPTS):
             if number and not await self._spend_retry(request):
                 break
-            await self.links.reach(request.target, progress.tried, progress.owner)
+            await self.links.ensure_reachable(
+                request.target, progress.tried, progress.owner
+            )
             view = self._choose(request, progress)
             if view is None:
                 break
--- a/libs/entry/src/sequoiagap/entry/_entry.py
+++ b/libs/entry/src/sequoiagap/entry/_entry.py
@@ -22,6 +22,7 @@
     _callers,
     _chooser,
     _config_api,
+    _config_watch,
     _dispatch,
     _errors,
     _facts,
@@ -32,7 +33,6 @@
     _peers,
     _reports,
     _state,
-    _watch,
 )
 
 _log = base.get_logger("entry")
@@ -92,19 +92,19 @@
         self.mesh_.handlers_.add(members.DomainSuspect, self._on_suspect_domain)
         self.mesh_.on_silence = self._tell_silence
         self.facts_ = _facts.FactFinder(self.links_, self.mesh_)
-        self.watch_ = _watch.ConfigWatch(
+        self.watch_ = _config_watch.ConfigWatch(
             self.platform_,
             self.holder_,
             replica,
             self.duty_,
-            lambda: _watch.find_rank(self.settings, self.mesh_),
+            lambda: _config_watch.find_rank(self.settings, self.mesh_),
         )
         self.replica_ = replica
         self.host_list_ = _host_list.make_list(
             self.platform_,
             self.links_,
             self.mesh_,
-            lambda: _watch.find_rank(self.settings, self.mesh_),
+            lambda: _config_watch.find_rank(self.settings, self.mesh_),
         )
 
     async def start(self):
--- a/libs/entry/src/sequoiagap/entry/_links.py
+++ b/libs/entry/src/sequoiagap/entry/_links.py
@@ -100,12 +100,12 @@
         extras = [i for i in self.by_id if not self.is_wanted(i)]
         return sorted(extras, key=lambda i: self.by_id[i].used_at_)
 
-    async def reach(self, target, tried=(), endpoint_id=""):
+    async def ensure_reachable(self, target, tried=(), endpoint_id=""):
         """Open further links if no endpoint for a request is linked.
 
         See :meth:`LinkDemand.reach`.
         """
-        await self.demand_.reach(target, tried, endpoint_id)
+        await self.demand_.ensure_reachable(target, tried, endpoint_id)
 
     def candidates(self, target, tried=(), endpoint_id=""):
         """Return the endpoints that may take an attempt for a target.
--- a/simulations/requests_world.py
+++ b/simulations/requests_world.py
@@ -190,7 +190,7 @@
         """Start every link."""
         self.tasks = [asyncio.create_task(link.run()) for link in self.by_id.values()]
 
-    async def reach(self, target, tried=(), endpoint_id=""):
+    async def ensure_reachable(self, target, tried=(), endpoint_id=""):
         """Every agent is linked."""
 
     def candidates(self, target, tried=(), endpoint_id=""):
--- a/tests/entry/test_config_watch.py
+++ b/tests/entry/test_config_watch.py
@@ -4,7 +4,7 @@
 import time
 
 from sequoiagap import config, platform
-from sequoiagap.entry import _watch
+from sequoiagap.entry import _config_watch
 from tests import support
 
 CALL_TIMEOUT_S = 0.5
@@ -33,7 +33,7 @@
         self.client = self.open_client(CountingClient)
         self.store = config.ConfigStore(self.operator)
         self.holder = config.ConfigHolder()
-        self.watch = _watch.ConfigWatch(
+        self.watch = _config_watch.ConfigWatch(
             self.client,
             self.holder,
             config.ConfigReplica(self.holder),
@@ -117,7 +117,7 @@
         return number
 
     async def _accept_after_silence(self):
-        await asyncio.sleep(CALL_TIMEOUT_S + _watch.HOLD_S)
+        await asyncio.sleep(CALL_TIMEOUT_S + _config_watch.HOLD_S)
         self.stand_in.faults_.__init__()
         return await self.accept()
 
@@ -146,7 +146,7 @@
         await self.wait_until(lambda: self.watch.behind_)
         self.assertIn('"platform_behind"', self.log.getvalue())
         wholes = self.client.wholes
-        await asyncio.sleep(2 * _watch.CHECK_INTERVAL_S)
+        await asyncio.sleep(2 * _config_watch.CHECK_INTERVAL_S)
         self.assertEqual(self.client.wholes, wholes)
         patch = config.Patch("back", number, {}, "ann")
         await self.store.restore(self.holder.current_, patch)
--- a/tests/entry/test_links_demand.py
+++ b/tests/entry/test_links_demand.py
@@ -89,14 +89,14 @@
     async def test_agents_that_cannot_be_reached_are_passed_over(self):
         dead = AGENTS[: 2 * MAX_EXTRA]
         links = Links(reachable=AGENTS[len(dead) :], working=AGENTS[len(dead) :])
-        await links.demand.reach("m")
+        await links.demand.ensure_reachable("m")
         self.assertTrue(links.candidates("m"))
         self.assertEqual(len(links.opened), len(set(links.opened)))
 
     async def test_a_flood_for_a_model_that_takes_no_work_opens_few_links(self):
         links = Links(reachable=AGENTS)
         began = time.monotonic()
-        await asyncio.gather(*(links.demand.reach("m") for _ in range(50)))
+        await asyncio.gather(*(links.demand.ensure_reachable("m") for _ in range(50)))
         spent_s = time.monotonic() - began
         self.assertLess(spent_s, support.FEW_SECONDS_S)
         windows = int(spent_s) + 2
@@ -108,5 +108,5 @@
         in_use = AGENTS[-1 - MAX_EXTRA : -1]
         for name in in_use:
             links.open(name).is_idle = False
-        await links.demand.reach("m")
+        await links.demand.ensure_reachable("m")
         self.assertEqual(list(links.by_id), in_use)
