--- a/libs/ranks/src/sequoiagap/ranks/_access.py
+++ b/libs/ranks/src/sequoiagap/ranks/_access.py
@@ -15,10 +15,10 @@
     _succession,
 )
 
-HELD_ASK_TIMEOUT_S = 0.15  # while a pass may be held; then the engine is asked
+HELD_REQUEST_TIMEOUT_S = 0.15  # while a pass may be held; then the engine is asked
 HEARTBEAT_INTERVAL_S = 0.2
-DIRECT_CALLS = 16  # at once to engines of other hosts, each on a connection
-LATE_ASK_TIMEOUT_S = 1.0  # of an agent that is heard, but is slow or far behind
+MAX_DIRECT_CALLS = 16  # at once to engines of other hosts, each on a connection
+SLOW_AGENT_TIMEOUT_S = 1.0  # of an agent that is heard, but is slow or far behind
 
 
 class GroupAccess:
@@ -56,10 +56,10 @@
         self.keeper = keeper or _keeper.Keeper()
         self._maps = _map_changes.MapSender()
         self._pacer = _pacing.LinkPacer(map_bytes_s)
-        self._direct_calls = asyncio.Semaphore(DIRECT_CALLS)
-        self._finding = None
+        self._direct_calls = asyncio.Semaphore(MAX_DIRECT_CALLS)
+        self._discovery = None
 
-    async def carry_out(self, step):
+    async def execute(self, step):
         """Carry out a step of a change.
 
         :param Step step: the step.
@@ -70,7 +70,7 @@
             await asyncio.sleep(step.wait_s)
         ranks = list(step.order_by_rank)
         replies = await asyncio.gather(
-            *(self._give(rank, step.order_by_rank[rank]) for rank in ranks)
+            *(self._send_order(rank, step.order_by_rank[rank]) for rank in ranks)
         )
         return dict(zip(ranks, replies, strict=True))
 
@@ -94,14 +94,14 @@
         link = self.link_by_rank.get(rank)
         if link is None or link.is_silent:
             return None
-        return await link.ask(poll, LATE_ASK_TIMEOUT_S)
+        return await link.request(poll, SLOW_AGENT_TIMEOUT_S)
 
-    async def show_life(self):
+    async def send_heartbeats(self):
         """Let the agents that were told nothing of late know that this one leads."""
         oldest = time.monotonic() - HEARTBEAT_INTERVAL_S / 2
         for link in list(self.link_by_rank.values()):
-            if link.told_at_ < oldest:
-                await link.tell(_messages.LeaderHeartbeat(self.own_rank))
+            if link.last_sent_at_ < oldest:
+                await link.send(_messages.LeaderHeartbeat(self.own_rank))
 
     def lacks_map(self, rank, layers):
         """Return whether a rank's agent could be told a map that it does not have.
@@ -112,33 +112,35 @@
         """
         link = self.link_by_rank.get(rank)
         is_reached = link is not None and link.is_open and not link.is_silent
-        return is_reached and not self._maps.knows(rank, layers)
+        return is_reached and not self._maps.has_map(rank, layers)
 
-    async def tell_map(self, rank, layers):
+    async def send_map(self, rank, layers):
         """Tell a rank's agent the map in use, to which later ones can differ.
 
         :param int rank: the rank.
         :param tuple layers: the map.
         """
         link = self.link_by_rank[rank]
-        item = _messages.MapNotice(0, self.own_rank, *self._maps.encode(rank, layers))
-        await self._pacer.take(len(item.changes))
-        answer = await link.ask(item)
+        message = _messages.MapNotice(
+            0, self.own_rank, *self._maps.encode(rank, layers)
+        )
+        await self._pacer.acquire(len(message.changes))
+        answer = await link.request(message)
         if answer is not None and answer.is_agreed:
-            self._maps.note_taken(rank, layers)
+            self._maps.record_received(rank, layers)
         elif answer is not None:
             self._maps.forget(rank)
 
-    def pass_over(self, rank):
+    def bypass_agent(self, rank):
         """Ask a rank's engine rather than its agent for a while.
 
         :param int rank: the rank.
         """
         link = self.link_by_rank.get(rank)
         if link is not None:
-            link.note_silent()
+            link.mark_silent()
 
-    def find_deputies(self):
+    def choose_deputies(self):
         """Return the ranks whose agents are to settle a change that is left behind.
 
         :rtype: list[int]
@@ -148,9 +150,9 @@
             for rank, link in sorted(self.link_by_rank.items())
             if link.is_open and not link.is_silent
         )
-        return list(linked)[: _succession.DEPUTIES]
+        return list(linked)[: _succession.MAX_DEPUTIES]
 
-    async def tell_deputies(self, deputies, is_changing=True):
+    async def notify_deputies(self, deputies, is_changing=True):
         """Tell deputies that a change is under way, or that it has ended.
 
         :param list deputies: their ranks, the first to act first.
@@ -158,7 +160,7 @@
         :returns: those that have heard it.
         :rtype: list[int]
         """
-        heard = await asyncio.gather(
+        responses = await asyncio.gather(
             *(
                 self.link_by_rank[rank].ask(
                     _messages.ChangeNotice(
@@ -166,36 +168,36 @@
                         self.own_rank,
                         place if is_changing else _succession.NO_DEPUTY,
                     ),
-                    HELD_ASK_TIMEOUT_S,
+                    HELD_REQUEST_TIMEOUT_S,
                 )
                 for place, rank in enumerate(deputies)
             )
         )
-        answers = zip(deputies, heard, strict=True)
+        answers = zip(deputies, responses, strict=True)
         return [rank for rank, answer in answers if answer is not None]
 
-    async def ask_keeper(self, question):
+    async def query_keeper(self, query):
         """Ask a keeper.
 
-        :param Ask question: the question.
+        :param Ask query: the question.
         :returns: whether it agrees; not so if it does not answer.
         :rtype: bool
         """
-        change = question.change
-        if question.keeper == self.own_rank:
-            return self.keeper.decide(change, question.wants_arming)
-        link = self.link_by_rank.get(question.keeper)
+        change = query.change
+        if query.keeper == self.own_rank:
+            return self.keeper.decide(change, query.wants_arming)
+        link = self.link_by_rank.get(query.keeper)
         if link is None:
             return False
-        item = _messages.KeeperQuestion(
+        message = _messages.KeeperRequest(
             0,
             self.own_rank,
             change.epoch,
             change.version,
             change.step,
-            question.wants_arming,
+            query.wants_arming,
         )
-        answer = await link.ask(item, HELD_ASK_TIMEOUT_S)
+        answer = await link.request(message, HELD_REQUEST_TIMEOUT_S)
         return answer is not None and answer.is_agreed
 
     async def poll_engine(self, rank, wants_experts=False):
@@ -208,7 +210,7 @@
         :rtype: RankState | None
         """
         if rank not in self.address_by_rank:
-            await self._find_engines()
+            await self._discover_engines()
         address = self.address_by_rank.get(rank)
         if address is None:
             return None
@@ -219,69 +221,75 @@
         is_rank = state.is_known and _own_rank.read_report(state).rank == rank
         return state if is_rank else None
 
-    async def _find_engines(self):
+    async def _discover_engines(self):
         """Ask engines whose rank is not known for it, once for all that want one."""
-        if self._finding is None or self._finding.done():
-            self._finding = asyncio.ensure_future(self._ask_for_ranks())
-        await asyncio.shield(self._finding)
-
-    async def _ask_for_ranks(self):
-        known = set(self.address_by_rank.values())
-        addresses = [a for a in self.list_addresses() if a not in known]
-        reports = await asyncio.gather(*(self._ask_engine(a) for a in addresses))
+        if self._discovery is None or self._discovery.done():
+            self._discovery = asyncio.ensure_future(self._query_engine_ranks())
+        await asyncio.shield(self._discovery)
+
+    async def _query_engine_ranks(self):
+        known_addresses = set(self.address_by_rank.values())
+        addresses = [
+            found for found in self.list_addresses() if found not in known_addresses
+        ]
+        reports = await asyncio.gather(
+            *(self._query_engine(found) for found in addresses)
+        )
         own = await self.own.engine.report(self.own.address)
         for address, report in zip(addresses, reports, strict=True):
             if report is not None and own is not None and report.group == own.group:
                 self.address_by_rank[report.rank] = address
 
-    async def _ask_engine(self, address):
+    async def _query_engine(self, address):
         async with self._direct_calls:
             return await self.own.engine.report(address)
 
-    async def _give(self, rank, order):
+    async def _send_order(self, rank, order):
         if order is not None and order.kind == _ports.OrderKind.HOLD:
             # Without the agent between; but only its reports are fresh.
-            reply = await self._give_direct(rank, order)
+            reply = await self._send_direct(rank, order)
             state = await self.poll(rank)
             report = None if state is None else _own_rank.read_report(state)
             return dataclasses.replace(reply, report=report)
-        state = await self._ask(rank, order)
+        state = await self._send_via_agent(rank, order)
         if state is None:
-            return await self._give_direct(rank, order)
+            return await self._send_direct(rank, order)
         if not state.is_known:
             return _change.RankReply()
         result = _ports.OrderResult(state.result or _ports.OrderResult.UNKNOWN)
         return _change.RankReply(result, _own_rank.read_report(state))
 
-    async def _ask(self, rank, order):
+    async def _send_via_agent(self, rank, order):
         link = self.link_by_rank.get(rank)
         if link is not None and link.is_silent:
             return None
         if order is None:
             return await self.poll(rank)
         if rank == self.own_rank:
-            return await self.own.give(_order_message(order, self.own_rank), order)
+            return await self.own.execute_order(
+                _make_order_message(order, self.own_rank), order
+            )
         if link is None:
             return None
         is_held = order.kind != _ports.OrderKind.PREPARE
-        timeout_s = HELD_ASK_TIMEOUT_S if is_held else LATE_ASK_TIMEOUT_S
-        item = _order_message(order, self.own_rank)
+        timeout_s = HELD_REQUEST_TIMEOUT_S if is_held else SLOW_AGENT_TIMEOUT_S
+        message = _make_order_message(order, self.own_rank)
         if order.layers:
             encoded = self._maps.encode(rank, order.layers)
-            item.base, item.changes, item.name = encoded
-            await self._pacer.take(len(item.changes))
-        state = await link.ask(item, timeout_s)
+            message.base, message.changes, message.name = encoded
+            await self._pacer.acquire(len(message.changes))
+        state = await link.request(message, timeout_s)
         if state is not None and order.layers:
-            self._note_map(rank, order.layers, state)
+            self._record_map(rank, order.layers, state)
         return state
 
-    def _note_map(self, rank, layers, state):
+    def _record_map(self, rank, layers, state):
         if state.lacks_base:
             self._maps.forget(rank)
         elif state.is_known:
-            self._maps.note_taken(rank, layers)
+            self._maps.record_received(rank, layers)
 
-    async def _give_direct(self, rank, order):
+    async def _send_direct(self, rank, order):
         address = self.address_by_rank.get(rank)
         if rank == self.own_rank:
             address = self.own.address
@@ -296,7 +304,7 @@
         return _change.RankReply(result, report)
 
 
-def _order_message(order, leader):
+def _make_order_message(order, leader):
     """Return an order without its map."""
     return _messages.RankOrderMessage(
         0, leader, str(order.kind), order.epoch, order.version, order.step
--- a/libs/ranks/src/sequoiagap/ranks/_agent.py
+++ b/libs/ranks/src/sequoiagap/ranks/_agent.py
@@ -9,7 +9,7 @@
 from sequoiagap import base, gateway, wire
 from sequoiagap.ranks import (
     _access,
-    _keeping,
+    _keeper_service,
     _leader,
     _links,
     _messages,
@@ -19,15 +19,15 @@
     _succession,
 )
 
-RECENT_REPORT_S = 0.06  # a leader that asks gets a report of this age at most
-NODES_INTERVAL_S = 3.0
-FIRST_NODES_S = 0.4
-LONGEST_RETRY_S = 3.0
+RECENT_REPORT_MAX_AGE_S = 0.06  # a leader that asks gets a report of this age at most
+DISCOVERY_INTERVAL_S = 3.0
+FIRST_RETRY_S = 0.4
+MAX_RETRY_S = 3.0
 CONFIG_INTERVAL_S = 20.0
 LEAD_CHECK_S = 0.1
-UNLIKELY_CHECK_S = 0.5  # where several others would lead before
+LOW_PRIORITY_CHECK_S = 0.5  # where several others would lead before
 DEPUTY_CHECK_S = 0.03
-STOP_BOUND_S = 3.0
+STOP_TIMEOUT_S = 3.0
 MILLISECONDS = 1000
 BYTES_PER_MBIT = 125_000
 
@@ -57,11 +57,11 @@
         self._terms = None
         self._longest_pause_s = 0.0
         self._succession = _succession.Succession(time.monotonic())
-        self._keeping = _keeping.HoldKeeping(self.own)
-        self._made_deputy = asyncio.Event()
+        self._keeper_service = _keeper_service.KeeperService(self.own)
+        self._became_deputy = asyncio.Event()
         self._guarded_epoch = None
         self._leader = None
-        self._leading = None
+        self._leader_task = None
         self._tasks = base.TaskSet()
         self._links = _links.RankLinks(
             self._tasks, settings.node_id, self._hello, lambda: self.report_
@@ -79,7 +79,7 @@
         await self._reporter.open(host)
         await self._listen_for_metrics()
         self._tasks.start(self._report_forever(), "report")
-        self._tasks.start(self._find_nodes_forever(), "nodes")
+        self._tasks.start(self._discover_nodes_forever(), "nodes")
         self._tasks.start(self._read_terms_forever(), "terms")
         self._tasks.start(self._lead_forever(), "lead")
 
@@ -113,27 +113,27 @@
 
     async def _finish_change(self):
         """Let a change under way end, so that nobody has to settle it."""
-        if self._leading is None:
+        if self._leader_task is None:
             return
         if self._leader is not None:
             self._leader.stop()
-        await asyncio.wait([self._leading], timeout=STOP_BOUND_S)
+        await asyncio.wait([self._leader_task], timeout=STOP_TIMEOUT_S)
 
     async def _report_forever(self):
         while True:
-            asked_at = time.monotonic()
+            requested_at = time.monotonic()
             report = await self.engine.report(self.settings.endpoint)
-            self._note_group(report)
-            self.report_, self._reported_at = report, asked_at
+            self._record_report(report)
+            self.report_, self._reported_at = report, requested_at
             slots = self._terms.slots if self._terms else 1
             if report is not None:
-                self._reporter.show(report, slots, time.monotonic())
+                self._reporter.publish(report, slots, time.monotonic())
             await asyncio.sleep(_reporter.reading_interval(report, slots))
 
     def _list_gateways(self):
         return [node for node in self._node_by_id.values() if node.role == "gateway"]
 
-    def _note_group(self, report):
+    def _record_report(self, report):
         before = self.report_
         if report is None:
             if before is not None:
@@ -141,7 +141,7 @@
             return
         if self._guarded_epoch is None:
             self._guarded_epoch = report.epoch
-            self._keeping.start(report)
+            self._keeper_service.start(report)
         seen = None if before is None else (before.epoch, before.is_open)
         if seen != (report.epoch, report.is_open):
             _log.emit(
@@ -153,10 +153,10 @@
                 is_open=report.is_open,
             )
 
-    async def _find_nodes_forever(self):
+    async def _discover_nodes_forever(self):
         registration = gateway.Registration(self._node(), self.store)
-        discovery = base.Backoff(FIRST_NODES_S, NODES_INTERVAL_S, random.Random())
-        backoff = base.Backoff(FIRST_NODES_S, LONGEST_RETRY_S, random.Random())
+        discovery = base.Backoff(FIRST_RETRY_S, DISCOVERY_INTERVAL_S, random.Random())
+        backoff = base.Backoff(FIRST_RETRY_S, MAX_RETRY_S, random.Random())
         while True:
             try:
                 await registration.keep()
@@ -168,22 +168,22 @@
                 await asyncio.sleep(backoff.next_wait())
                 continue
             backoff.reset()
-            if len(self._node_by_id) < 2 or self._lacks_ranks():
+            if len(self._node_by_id) < 2 or self._has_unknown_ranks():
                 await asyncio.sleep(discovery.next_wait())
                 continue
             discovery.reset()
-            await asyncio.sleep(NODES_INTERVAL_S)
+            await asyncio.sleep(DISCOVERY_INTERVAL_S)
 
-    def _lacks_ranks(self):
+    def _has_unknown_ranks(self):
         """Return whether this agent may lead and does not know all others yet."""
         report = self.report_
-        if report is None or self._is_unlikely():
+        if report is None or self._is_low_priority():
             return False
-        known = sum(node.role == "ranks" for node in self._node_by_id.values())
-        return known < report.size
+        known_ranks = sum(node.role == "ranks" for node in self._node_by_id.values())
+        return known_ranks < report.size
 
     async def _read_terms_forever(self):
-        backoff = base.Backoff(FIRST_NODES_S, LONGEST_RETRY_S, random.Random())
+        backoff = base.Backoff(FIRST_RETRY_S, MAX_RETRY_S, random.Random())
         while True:
             try:
                 reading = await self.store.read("config", may_be_old=True)
@@ -197,7 +197,7 @@
             if service is not None and service.engine is not None:
                 self._terms = service.engine
                 self._longest_pause_s = table.longest_pause(service.name)
-            wait_s = CONFIG_INTERVAL_S if self._terms else FIRST_NODES_S
+            wait_s = CONFIG_INTERVAL_S if self._terms else FIRST_RETRY_S
             await asyncio.sleep(wait_s)
 
     async def _lead_forever(self):
@@ -209,14 +209,14 @@
                 continue
             if not self._terms.experts:
                 continue
-            is_likely = not self._is_unlikely()
-            if self._leader is not None or is_deputy or is_likely:
+            is_high_priority = not self._is_low_priority()
+            if self._leader is not None or is_deputy or is_high_priority:
                 is_leading = self._leader is not None
                 self._links.update(self._node_by_id.values(), is_leading)
             now = time.monotonic()
             should_lead = self._succession.should_lead(report.rank, now, interval_s)
-            if self._keeping.is_left(self._succession.leader_, now):
-                self._tasks.start(self._keeping.release(), "release")
+            if self._keeper_service.has_abandoned_hold(self._succession.leader_, now):
+                self._tasks.start(self._keeper_service.release(), "release")
             if self._leader is None and should_lead:
                 self._lead(report)
 
@@ -229,20 +229,20 @@
         if is_deputy:
             await asyncio.sleep(DEPUTY_CHECK_S)
             return DEPUTY_CHECK_S
-        interval_s = UNLIKELY_CHECK_S if self._is_unlikely() else LEAD_CHECK_S
+        interval_s = LOW_PRIORITY_CHECK_S if self._is_low_priority() else LEAD_CHECK_S
         began = time.monotonic()
-        self._made_deputy.clear()
+        self._became_deputy.clear()
         try:
             async with asyncio.timeout(interval_s):
-                await self._made_deputy.wait()
+                await self._became_deputy.wait()
         except TimeoutError:
             return interval_s
         return min(time.monotonic() - began, interval_s)
 
-    def _is_unlikely(self):
+    def _is_low_priority(self):
         """Return whether several others would lead before this agent."""
         report = self.report_
-        return report is not None and report.rank > _succession.DEPUTIES
+        return report is not None and report.rank > _succession.MAX_DEPUTIES
 
     def _lead(self, report):
         link_bytes_s = self.settings.link_mbit_s * BYTES_PER_MBIT
@@ -252,7 +252,7 @@
             self._links.address_by_rank,
             self._list_endpoints,
             self._links.by_rank,
-            self._keeping.keeper,
+            self._keeper_service.keeper,
             _pacing.MAP_SHARE * link_bytes_s,
         )
         left_by = self._succession.leader_ if self._succession.is_deputy else None
@@ -275,7 +275,7 @@
         )
         self._succession.end_change()
         self._links.update(self._node_by_id.values(), is_leading=True)
-        self._leading = self._tasks.start(self._run_leader(), "leader")
+        self._leader_task = self._tasks.start(self._run_leader(), "leader")
 
     def _list_endpoints(self):
         """Return where the engines beside the registered agents listen."""
@@ -296,10 +296,10 @@
             )
             self._guarded_epoch = max(self._guarded_epoch, leader.epoch_)
             if leader.senior_ is not None:
-                self._succession.note_leader(*leader.senior_)
+                self._succession.record_leader(*leader.senior_)
             if self._leader is leader:
                 self._leader = None
-            self._leading = None
+            self._leader_task = None
 
     async def _serve(self, reader, writer):
         try:
@@ -307,38 +307,38 @@
         except base.WireError:
             return
 
-        async def handle(item):
-            if isinstance(item, _messages.RankPoll):
-                self._note_leader(item.leader)
-                answer = self._answer_poll(item)
-            elif isinstance(item, _messages.LeaderHeartbeat):
-                self._note_leader(item.leader)
+        async def handle(message):
+            if isinstance(message, _messages.RankPoll):
+                self._record_leader(message.leader)
+                response = self._answer_poll(message)
+            elif isinstance(message, _messages.LeaderHeartbeat):
+                self._record_leader(message.leader)
                 return
-            elif isinstance(item, _messages.MapNotice):
-                self._note_leader(item.leader)
-                is_known = self.own.take_map(item)
-                answer = _at_once(_messages.KeeperAnswer(item.number, is_known))
-            elif isinstance(item, _messages.RankOrderMessage):
-                self._note_leader(item.leader)
-                answer = self.own.answer_order(item)
-            elif isinstance(item, _messages.KeeperQuestion):
-                self._note_leader(item.leader)
+            elif isinstance(message, _messages.MapNotice):
+                self._record_leader(message.leader)
+                is_known = self.own.receive_map(message)
+                response = _resolved(_messages.KeeperAnswer(message.number, is_known))
+            elif isinstance(message, _messages.RankOrderMessage):
+                self._record_leader(message.leader)
+                response = self.own.answer_order(message)
+            elif isinstance(message, _messages.KeeperRequest):
+                self._record_leader(message.leader)
                 is_leading = self._leader is not None
-                answer = _at_once(self._keeping.answer(item, is_leading))
-            elif isinstance(item, _messages.ChangeNotice):
-                self._note_leader(item.leader, item.deputy)
-                answer = _at_once(_messages.KeeperAnswer(item.number, True))
+                response = _resolved(self._keeper_service.answer(message, is_leading))
+            elif isinstance(message, _messages.ChangeNotice):
+                self._record_leader(message.leader, message.deputy)
+                response = _resolved(_messages.KeeperAnswer(message.number, True))
             else:
                 return
-            self._tasks.start(_reply(connection, answer), "reply")
+            self._tasks.start(_reply(connection, response), "reply")
 
         await connection.run(handle)
 
     async def _answer_poll(self, poll):
-        is_recent = time.monotonic() - self._reported_at < RECENT_REPORT_S
+        is_recent = time.monotonic() - self._reported_at < RECENT_REPORT_MAX_AGE_S
         report = self.report_ if poll.may_be_recent and is_recent else None
         state = await self.own.answer_poll(poll, report)
-        leader, age_s = self._succession.heard(time.monotonic())
+        leader, age_s = self._succession.last_heard(time.monotonic())
         if self._leader is not None:
             leader, age_s = self._leader.own_rank, 0.0
         if leader is not None:
@@ -346,17 +346,17 @@
             state.leader_age_ms = round(age_s * MILLISECONDS)
         return state
 
-    def _note_leader(self, leader, deputy=None):
+    def _record_leader(self, leader, deputy=None):
         """Take a word of a leader, and leave the lead to a lower rank."""
         report = self.report_
         if report is None or leader == _messages.NOT_LEADING or leader == report.rank:
             return
         is_senior = leader < report.rank
         if is_senior or self._leader is None:
-            self._succession.note_leader(leader, time.monotonic(), deputy)
+            self._succession.record_leader(leader, time.monotonic(), deputy)
             if self._succession.is_deputy:
-                self._made_deputy.set()
-        self._keeping.note_leader(leader, time.monotonic())
+                self._became_deputy.set()
+        self._keeper_service.record_leader(leader, time.monotonic())
         if is_senior and self._leader is not None:
             self._leader.stop()
 
@@ -399,12 +399,12 @@
         )
 
 
-async def _at_once(answer):
-    return answer
+async def _resolved(response):
+    return response
 
 
-async def _reply(connection, answer):
-    await wire.try_send(connection, await answer)
+async def _reply(connection, response):
+    await wire.try_send(connection, await response)
 
 
 async def run(rank_settings, store, engine):
--- a/libs/ranks/src/sequoiagap/ranks/_change.py
+++ b/libs/ranks/src/sequoiagap/ranks/_change.py
@@ -25,11 +25,11 @@
 
 LEAD_PASSES = 3
 LOSSY_LEAD_PASSES = 8  # time to give lost orders again before the pass is due
-POLL_S = 0.04
-PREPARE_PATIENCE_S = 4.0
-ARM_TRIES = 3
-LOSSY_ARM_TRIES = 8
-HOLD_TRIES = 2
+COPY_POLL_INTERVAL_S = 0.04
+PREPARE_TIMEOUT_S = 4.0
+ARM_ATTEMPTS = 3
+LOSSY_ARM_ATTEMPTS = 8
+HOLD_ATTEMPTS = 2
 VERSIONS_PER_CHANGE = 2  # its own and, to give it up, the next
 VERSION_SPREAD = 4096
 STEP_GUARD = 16  # passes that begin before a fresh leader's first change
@@ -113,7 +113,7 @@
     lead_passes: int = LEAD_PASSES
     lossy_lead_passes: int = LOSSY_LEAD_PASSES
     keeper: int = -1
-    poll_s: float = POLL_S
+    poll_s: float = COPY_POLL_INTERVAL_S
 
     @property
     def held_rank(self):
@@ -163,7 +163,7 @@
             # A successor would take it for safe before this pass has begun.
             self.detail_ = f"pass {self.step_} is too far ahead"
             return ChangeResult.NOT_HELD
-        is_agreed = yield from self._ask_keeper(wants_arming=False)
+        is_agreed = yield from self._query_keeper(wants_arming=False)
         if not is_agreed:
             self.detail_ = "the keeper did not agree to a hold"
             return ChangeResult.NOT_ALLOWED
@@ -171,7 +171,7 @@
         if not is_held:
             yield from self._release()
             return ChangeResult.NOT_HELD
-        is_allowed = yield from self._ask_keeper(wants_arming=True)
+        is_allowed = yield from self._query_keeper(wants_arming=True)
         if not is_allowed:
             self.detail_ = "the keeper did not allow to arm"
             yield from self._release()
@@ -180,9 +180,9 @@
         if is_armed:
             yield from self._release()
             return ChangeResult.DONE
-        return (yield from self._give_up())
+        return (yield from self._abort())
 
-    def _ask_keeper(self, wants_arming):
+    def _query_keeper(self, wants_arming):
         plan = self.plan
         change = _keeper.HeldChange(plan.epoch, plan.version, self.step_)
         return (yield Ask(plan.held_rank, change, wants_arming))
@@ -193,7 +193,7 @@
     def _order(self, kind, **fields):
         return _ports.RankOrder(kind, self.plan.epoch, **fields)
 
-    def _give(self, order_by_rank, wait_s=0.0):
+    def _send_orders(self, order_by_rank, wait_s=0.0):
         """Give orders and count those that get no answer; return the replies."""
         replies = yield Step(dict(order_by_rank), wait_s)
         self.lost_orders_ += sum(
@@ -215,18 +215,18 @@
             if self.is_abandoned_:
                 self.detail_ = "another agent leads"
                 return None
-            if waited_s > PREPARE_PATIENCE_S:
+            if waited_s > PREPARE_TIMEOUT_S:
                 self.detail_ = f"ranks {sorted(missing)[:4]} are not prepared"
                 return None
-            replies = yield from self._give(missing, wait_s)
+            replies = yield from self._send_orders(missing, wait_s)
             for rank, reply in replies.items():
-                if not self._take_prepared(rank, reply, missing, reports):
+                if not self._record_prepared(rank, reply, missing, reports):
                     return None
             wait_s = self.plan.poll_s
             waited_s += wait_s
         return reports
 
-    def _take_prepared(self, rank, reply, missing, reports):
+    def _record_prepared(self, rank, reply, missing, reports):
         """Take one rank's reply; return whether the change may still be made."""
         report = reply.report
         if report is None:
@@ -239,7 +239,7 @@
             del missing[rank]
             return True
         is_refused = reply.result == _ports.OrderResult.CONFLICT
-        if is_refused and not _may_have_taken(report, self.plan.version):
+        if is_refused and not _may_have_accepted(report, self.plan.version):
             self.detail_ = f"rank {rank} refused to prepare"
             return False
         if reply.result != _ports.OrderResult.UNKNOWN:
@@ -249,8 +249,8 @@
     def _hold(self):
         order = self._order(_ports.OrderKind.HOLD, step=self.step_)
         rank = self.plan.held_rank
-        for _ in range(HOLD_TRIES):
-            reply = (yield from self._give({rank: order}))[rank]
+        for _ in range(HOLD_ATTEMPTS):
+            reply = (yield from self._send_orders({rank: order}))[rank]
             if self._is_held(reply.report):
                 return True
             if reply.result == _ports.OrderResult.CONFLICT:
@@ -263,9 +263,9 @@
             _ports.OrderKind.ARM, version=self.plan.version, step=self.step_
         )
         missing = dict.fromkeys(range(self.plan.size), order)
-        tries = LOSSY_ARM_TRIES if self.is_lossy_ else ARM_TRIES
-        for _ in range(tries):
-            replies = yield from self._give(missing)
+        attempts = LOSSY_ARM_ATTEMPTS if self.is_lossy_ else ARM_ATTEMPTS
+        for _ in range(attempts):
+            replies = yield from self._send_orders(missing)
             for rank, reply in replies.items():
                 if self._is_armed(reply.report):
                     missing.pop(rank, None)
@@ -289,9 +289,9 @@
             and report.armed_step == self.step_
         )
 
-    def _give_up(self):
-        following = dataclasses.replace(self.plan, version=self.plan.version + 1)
-        made_safe = yield from make_safe(following, self.step_, self.plan.version)
+    def _abort(self):
+        abort_plan = dataclasses.replace(self.plan, version=self.plan.version + 1)
+        made_safe = yield from make_safe(abort_plan, self.step_, self.plan.version)
         if not made_safe:
             return ChangeResult.FORMED_ANEW
         yield from self._release()
@@ -421,17 +421,17 @@
                 del unsafe[rank]
             elif not report.armed:
                 unsafe[rank] = prepare
-            elif _belongs(report, step, own_version):
+            elif _is_armed_by_change(report, step, own_version):
                 unsafe[rank] = _ports.RankOrder(
                     _ports.OrderKind.DISARM, plan.epoch, version=report.armed
                 )
             else:
                 del unsafe[rank]
-        wait_s = POLL_S
+        wait_s = COPY_POLL_INTERVAL_S
     return True
 
 
-def _belongs(report, step, own_version):
+def _is_armed_by_change(report, step, own_version):
     """Return whether a rank is armed by the change in question."""
     if own_version:
         return report.armed == own_version
@@ -458,10 +458,10 @@
                 continue
             if report.epoch != epoch or report.held_step != step:
                 del held[rank]
-        wait_s = POLL_S
+        wait_s = COPY_POLL_INTERVAL_S
 
 
-def _may_have_taken(report, version):
+def _may_have_accepted(report, version):
     """Return whether a refusal may mean that the order was taken before."""
     newest = max(report.prepared, report.map_version)
     return not report.armed and newest < version
--- a/libs/ranks/src/sequoiagap/ranks/_counts.py
+++ b/libs/ranks/src/sequoiagap/ranks/_counts.py
@@ -10,7 +10,7 @@
 
 LEVELS = 63  # of the largest count; half a level is within the noise of demand
 COMPRESSION = 1
-LEAST_SPAN_S = 0.001
+MIN_SPAN_S = 0.001
 
 
 @dataclasses.dataclass(frozen=True)
@@ -41,7 +41,7 @@
     def __init__(self):
         self._last = None
 
-    def take(self, counts, now):
+    def sample(self, counts, now):
         """Take the engine's counts and return the reading since the last ones.
 
         :param list counts: counts since the engine's start, layer after layer.
@@ -59,7 +59,7 @@
         last, self._last = self._last, (counts, now)
         if last is None or len(last[0]) != len(counts):
             return None
-        span_s = max(now - last[1], LEAST_SPAN_S)
+        span_s = max(now - last[1], MIN_SPAN_S)
         changes = [new - old for new, old in zip(counts, last[0], strict=True)]
         if min(changes, default=0) < 0:
             return None
--- a/libs/ranks/src/sequoiagap/ranks/_demand.py
+++ b/libs/ranks/src/sequoiagap/ranks/_demand.py
@@ -21,8 +21,8 @@
     :param int ranks: ranks of the group.
 
     :ivar int readings_: readings that showed work.
-    :ivar list newest_: choices a second of all ranks, layer by layer, in the newest
-        such reading.
+    :ivar list newest_rates_: choices a second of all ranks, layer by layer, in the
+        newest such reading.
     """
 
     def __init__(self, layers, experts_per_layer, ranks):
@@ -30,21 +30,21 @@
         self.experts_per_layer = experts_per_layer
         self.ranks = ranks
         self.readings_ = 0
-        self.newest_ = []
+        self.newest_rates_ = []
         self._estimator = experts.LoadEstimator(layers, experts_per_layer, HALF_LIVES)
         self._rates_by_rank = {}
 
     @property
-    def asked_in_order_(self):
+    def ranks_by_age_(self):
         """Ranks, those first whose counts are the oldest."""
-        return sorted(range(self.ranks), key=self._read_at)
+        return sorted(range(self.ranks), key=self._last_reading_at)
 
     @property
-    def is_covered_(self):
+    def has_coverage_(self):
         """Whether enough ranks have said what they chose."""
         return len(self._rates_by_rank) >= COVERAGE * self.ranks
 
-    def take(self, reading_by_rank, now):
+    def update(self, reading_by_rank, now):
         """Take what ranks have chosen of late.
 
         :param dict reading_by_rank: a :class:`CountsReading` of some ranks.
@@ -59,8 +59,8 @@
                 self._rates_by_rank[rank] = (rates, now)
                 has_work = has_work or any(rates)
         self._drop_old(now)
-        if has_work and self.is_covered_:
-            self._update()
+        if has_work and self.has_coverage_:
+            self._update_estimate()
         return has_work
 
     def predict(self):
@@ -70,13 +70,13 @@
         """
         return self._estimator.predict()
 
-    def _update(self):
+    def _update_estimate(self):
         totals = [0.0] * (self.layers * self.experts_per_layer)
         for rates, _ in self._rates_by_rank.values():
             totals = list(map(operator.add, totals, rates))
         width = self.experts_per_layer
-        self.newest_ = [totals[x * width :][:width] for x in range(self.layers)]
-        self._estimator.update(dict(enumerate(self.newest_)))
+        self.newest_rates_ = [totals[x * width :][:width] for x in range(self.layers)]
+        self._estimator.update(dict(enumerate(self.newest_rates_)))
         self.readings_ += 1
 
     def _drop_old(self, now):
@@ -84,6 +84,6 @@
         for rank in old:
             del self._rates_by_rank[rank]
 
-    def _read_at(self, rank):
+    def _last_reading_at(self, rank):
         found = self._rates_by_rank.get(rank)
         return found[1] if found is not None else 0.0
--- a/libs/ranks/src/sequoiagap/ranks/_driver.py
+++ b/libs/ranks/src/sequoiagap/ranks/_driver.py
@@ -12,17 +12,17 @@
 
     :param GroupAccess access: ways to the ranks.
 
-    :ivar float arming_s_: how long the newest change took from the question whether
-        ranks may be armed to its end, in seconds; 0 before the first.
+    :ivar float arming_duration_s_: how long the newest change took from the
+        request to arm ranks to its end, in seconds; 0 before the first.
     """
 
     def __init__(self, access):
         self.access = access
-        self.arming_s_ = 0.0
+        self.arming_duration_s_ = 0.0
 
-    async def appoint(self):
+    async def appoint_deputies(self):
         """Tell deputies that a change begins; return those that have heard it."""
-        return await self.access.tell_deputies(self.access.find_deputies())
+        return await self.access.notify_deputies(self.access.choose_deputies())
 
     async def run(self, procedure, deputies):
         """Carry out a procedure while deputies hear that its leader is alive.
@@ -33,31 +33,31 @@
         :param list deputies: their ranks.
         :rtype: ChangeResult
         """
-        teller = asyncio.ensure_future(self._tell_forever(deputies))
+        notifier = asyncio.ensure_future(self._notify_forever(deputies))
         try:
-            result = await self._carry_out(procedure)
+            result = await self._execute(procedure)
         finally:
-            await base.cancel_and_wait(teller)
-        await self.access.tell_deputies(deputies, is_changing=False)
+            await base.cancel_and_wait(notifier)
+        await self.access.notify_deputies(deputies, is_changing=False)
         return result
 
-    async def _tell_forever(self, deputies):
+    async def _notify_forever(self, deputies):
         while True:
-            await asyncio.sleep(_succession.ALIVE_INTERVAL_S)
-            await self.access.tell_deputies(deputies)
+            await asyncio.sleep(_succession.DEPUTY_NOTICE_INTERVAL_S)
+            await self.access.notify_deputies(deputies)
 
-    async def _carry_out(self, procedure):
+    async def _execute(self, procedure):
         replies, armed_at = None, None
         while True:
             try:
                 step = procedure.send(replies)
             except StopIteration as stop:
                 if armed_at is not None:
-                    self.arming_s_ = time.monotonic() - armed_at
+                    self.arming_duration_s_ = time.monotonic() - armed_at
                 return stop.value
             if isinstance(step, _change.Ask):
                 if step.wants_arming:
                     armed_at = time.monotonic()
-                replies = await self.access.ask_keeper(step)
+                replies = await self.access.query_keeper(step)
             else:
-                replies = await self.access.carry_out(step)
+                replies = await self.access.execute(step)
--- a/libs/ranks/src/sequoiagap/ranks/_holds.py
+++ b/libs/ranks/src/sequoiagap/ranks/_holds.py
@@ -1,9 +1,9 @@
 """Holds that a leader finds at the ranks of its group."""
 
-ORPHAN_S = 0.35  # a hold this long without a change here is nobody's
+ORPHAN_TIMEOUT_S = 0.35  # a hold this long without a change here is nobody's
 
 
-class HoldWatch:
+class HoldTracker:
     """Remembers since when a pass has been held at a rank.
 
     :param int own_rank: rank of the leader; a hold found there is nobody's at once.
@@ -14,11 +14,11 @@
         self._since_by_rank = {}
 
     @property
-    def is_any_(self):
+    def has_holds_(self):
         """Whether a hold is known that has not been settled."""
         return bool(self._since_by_rank)
 
-    def note(self, report_by_rank, now):
+    def record(self, report_by_rank, now):
         """Take what ranks say; one that says nothing counts as it did before.
 
         :param dict report_by_rank: fresh reports.
@@ -39,9 +39,9 @@
         :returns: the rank and the pass, or ``None``.
         :rtype: tuple[int, int] | None
         """
-        patience_s = 0.0 if is_urgent else ORPHAN_S
+        timeout_s = 0.0 if is_urgent else ORPHAN_TIMEOUT_S
         for rank, (step, since) in self._since_by_rank.items():
-            if rank == self.own_rank or now - since >= patience_s:
+            if rank == self.own_rank or now - since >= timeout_s:
                 return rank, step
         return None
 
--- a/libs/ranks/src/sequoiagap/ranks/_keeping.py
+++ b/libs/ranks/src/sequoiagap/ranks/_keeper_service.py
@@ -7,12 +7,12 @@
 from sequoiagap.ranks import _change, _keeper, _messages, _ports, _succession
 
 RELEASE_RETRY_S = 0.02
-HOLD_ARRIVES_S = 0.5  # by then a hold that was agreed is there, or was lost
+HOLD_ARRIVAL_TIMEOUT_S = 0.5  # by then a hold that was agreed is there, or was lost
 
 _log = base.get_logger("keeper")
 
 
-class HoldKeeping:
+class KeeperService:
     """Keeps holds at the rank beside this process.
 
     :param OwnRank own: the own rank.
@@ -34,33 +34,33 @@
         first_step = report.step + _change.STEP_GUARD
         self.keeper = _keeper.Keeper(report.epoch, first_step)
 
-    def answer(self, question, is_leading):
+    def answer(self, request, is_leading):
         """Agree to a hold or to arming, unless this agent leads by itself.
 
         Before the engine's first report it agrees to nothing, as it can't know what its
         predecessor has agreed to.
 
-        :param KeeperQuestion question: the question.
+        :param KeeperRequest request: the question.
         :param bool is_leading: whether this agent leads.
         :rtype: KeeperAnswer
         """
-        change = _keeper.HeldChange(question.epoch, question.version, question.step)
+        change = _keeper.HeldChange(request.epoch, request.version, request.step)
         is_free = self.keeper is not None and not is_leading
-        is_agreed = is_free and self.keeper.decide(change, question.wants_arming)
+        is_agreed = is_free and self.keeper.decide(change, request.wants_arming)
         if is_agreed:
-            self._leader, self._heard_at = question.leader, time.monotonic()
+            self._leader, self._heard_at = request.leader, time.monotonic()
         _log.emit(
             base.Event.KEEPER_ASKED,
-            leader=question.leader,
-            epoch=question.epoch,
-            version=question.version,
-            step=question.step,
-            wants_arming=question.wants_arming,
+            leader=request.leader,
+            epoch=request.epoch,
+            version=request.version,
+            step=request.step,
+            wants_arming=request.wants_arming,
             agreed=is_agreed,
         )
-        return _messages.KeeperAnswer(question.number, is_agreed)
+        return _messages.KeeperAnswer(request.number, is_agreed)
 
-    def note_leader(self, leader, now):
+    def record_leader(self, leader, now):
         """Take a word of a leader.
 
         :param int leader: its rank.
@@ -69,7 +69,7 @@
         if leader == self._leader:
             self._heard_at = now
 
-    def is_left(self, leader, now):
+    def has_abandoned_hold(self, leader, now):
         """Return whether a hold without arming has been left behind here.
 
         :param int leader: rank that leads, as far as this agent has heard.
@@ -78,7 +78,7 @@
         """
         if self.keeper is None or self.keeper.agreed_ is None:
             return False
-        is_silent = now - self._heard_at > _succession.DEPUTY_PATIENCE_S
+        is_silent = now - self._heard_at > _succession.DEPUTY_TIMEOUT_S
         return is_silent or leader != self._leader
 
     async def release(self):
@@ -88,7 +88,7 @@
             return
         began = time.monotonic()
         is_released = False
-        while time.monotonic() - began < HOLD_ARRIVES_S:
+        while time.monotonic() - began < HOLD_ARRIVAL_TIMEOUT_S:
             report = await self.own.engine.report(self.own.address)
             is_held = report is not None and report.held_step == change.step
             if is_released and not is_held:
--- a/libs/ranks/src/sequoiagap/ranks/_leader.py
+++ b/libs/ranks/src/sequoiagap/ranks/_leader.py
@@ -12,28 +12,28 @@
     _counts,
     _demand,
     _driver,
-    _follower,
     _holds,
-    _map_book,
+    _map_registry,
     _messages,
     _own_rank,
     _pacing,
     _planning,
+    _poller,
 )
 
 POLL_INTERVAL_S = 0.2
 URGENT_INTERVAL_S = 0.03  # until what a predecessor has left is settled
-REST_S = 0.05  # after a change
-ALONE_AFTER_S = 3.0  # by then the agents of other ranks are linked, if there are any
+CHANGE_COOLDOWN_S = 0.05  # after a change
+PEER_DISCOVERY_S = 3.0  # by then the agents of other ranks are linked, if there are any
 MIN_READINGS = 2
 STATE_MAX_AGE_S = 1.0  # of what a rank said, for a change to begin
 SENIOR_MARGIN_S = 0.1  # a senior leader heard this long after the lead was taken
 POLLS_PER_S = 400  # questions to ranks that copy weights
-LEAD_S = 0.08  # for holding, arming and releasing, before any of it was timed
+MIN_LEAD_S = 0.08  # for holding, arming and releasing, before any of it was timed
 ARMING_MARGIN = 1.5  # times the last change's time for that
 LOSSY_LEAD_S = 0.35  # with time to give lost orders again
-LOSSY_S = 4.0  # after an order without an answer more of them are expected
-FOLLOWED_LOG_S = 2.0  # between two lines on what is known of the ranks
+LOSSY_PERIOD_S = 4.0  # after an order without an answer more of them are expected
+POLL_LOG_INTERVAL_S = 2.0  # between two lines on what is known of the ranks
 MILLISECONDS = 1000
 
 _log = base.get_logger("leader")
@@ -89,111 +89,113 @@
         self.changes_in_epoch_ = 0
         self.copies_ = 0
         self._demand = _demand.GroupDemand(terms.layers, terms.experts, report.size)
-        self._follower = _follower.GroupFollower(access, report.size, report.rank)
-        self._budget = _follower.ReadingBudget(
+        self._poller = _poller.RankPoller(access, report.size, report.rank)
+        self._budget = _poller.ReadingBudget(
             _pacing.READING_SHARE * link_bytes_s, terms.layers * terms.experts
         )
         self._driver = _driver.ProcedureDriver(access)
-        self._maps = _map_book.MapBook(terms, report.size)
+        self._maps = _map_registry.MapRegistry(terms, report.size)
         self._settled_at = 0.0
         self._first_step = None
         self._last_step = 0
-        self._rest_until = 0.0
+        self._cooldown_until = 0.0
         self._led_since = time.monotonic()
         self._lossy_until = 0.0
-        self._holds = _holds.HoldWatch(report.rank)
+        self._holds = _holds.HoldTracker(report.rank)
         self._is_stopping = False
-        self._changing = None
+        self._active_change = None
         self._refusals = 0
-        self._waits_for = ""
+        self._obstacle = ""
         self._logged_at = 0.0
         self._is_urgent = left_by is not None
         if self._is_urgent:
-            access.pass_over(left_by)
+            access.bypass_agent(left_by)
         self._reset(report.epoch)
 
     def stop(self):
         """End leading after the turn under way, which leaves nothing half done."""
         self._is_stopping = True
-        if self._changing is not None:
-            self._changing.is_abandoned_ = True
+        if self._active_change is not None:
+            self._active_change.is_abandoned_ = True
 
     async def run(self):
         """Lead until stopped."""
-        heartbeats = asyncio.ensure_future(self._show_life_forever())
+        heartbeats = asyncio.ensure_future(self._send_heartbeats_forever())
         try:
             while not self._is_stopping:
                 began = time.monotonic()
-                await self.turn()
+                await self.run_cycle()
                 spent = time.monotonic() - began
                 interval_s = URGENT_INTERVAL_S if self._is_urgent else POLL_INTERVAL_S
                 await asyncio.sleep(max(interval_s - spent, 0.02))
         finally:
             await base.cancel_and_wait(heartbeats)
-            self._follower.close()
+            self._poller.close()
 
-    async def _show_life_forever(self):
+    async def _send_heartbeats_forever(self):
         """Let the other agents know that this one leads, whatever a turn waits for."""
         while True:
-            await self.access.show_life()
+            await self.access.send_heartbeats()
             await asyncio.sleep(_access.HEARTBEAT_INTERVAL_S)
 
-    async def turn(self):
+    async def run_cycle(self):
         """Ask the ranks once and do what is to be done."""
-        states = await self._ask_ranks()
-        known = self._reports(states)
-        own = known.get(self.own_rank)
+        state_by_rank = await self._poll_ranks()
+        report_by_rank = self._read_reports(state_by_rank)
+        own = report_by_rank.get(self.own_rank)
         if own is None or not own.is_open:
             return
         if own.epoch != self.epoch_:
             self._reset(own.epoch)
         if self._first_step is None:
             self._first_step = own.step
-        if self._defers_to_senior(states):
+        if self._defers_to_senior(state_by_rank):
             return
-        newest = self._newest()
-        self._learn_holdings(newest)
-        if await self._resolve_orphans(known):
+        newest = self._newest_reports()
+        self._update_holdings(newest)
+        if await self._resolve_orphans(report_by_rank):
             return
-        has_work = self._demand.take(self._readings(states), time.monotonic())
-        self._note_followed(states)
-        if has_work and self.holdings_ is not None and self._demand.newest_:
+        has_work = self._demand.update(self._readings(state_by_rank), time.monotonic())
+        self._log_polling(state_by_rank)
+        if has_work and self.holdings_ is not None and self._demand.newest_rates_:
             self.planner.time_passes(
-                self.holdings_, self._demand.newest_, newest, own.step
+                self.holdings_, self._demand.newest_rates_, newest, own.step
             )
         is_first = self.changes_in_epoch_ == 0 and self.epoch_ > self.guarded_epoch
         if has_work or is_first:
-            self._note_waiting(self._find_obstacle(newest))
-        await self._tell_map()
-        if (has_work or is_first) and not self._waits_for:
-            await self._improve(newest)
+            self._log_obstacle(self._find_obstacle(newest))
+        await self._send_map()
+        if (has_work or is_first) and not self._obstacle:
+            await self._plan_change(newest)
 
-    def _reports(self, state_by_rank):
+    def _read_reports(self, state_by_rank):
         return {
             rank: _own_rank.read_report(state)
             for rank, state in state_by_rank.items()
             if state.is_known
         }
 
-    def _newest(self):
+    def _newest_reports(self):
         """Return the newest report of each rank since the last change, by rank."""
-        return self._reports(self._follower.newest(self._settled_at, STATE_MAX_AGE_S))
+        return self._read_reports(
+            self._poller.newest(self._settled_at, STATE_MAX_AGE_S)
+        )
 
-    def _readings(self, states):
+    def _readings(self, state_by_rank):
         """Return what the ranks have chosen, of those that were asked for it."""
         found = {}
-        for rank, state in states.items():
+        for rank, state in state_by_rank.items():
             if state.levels:
-                self._budget.note_size(len(state.levels))
+                self._budget.record_size(len(state.levels))
                 found[rank] = _counts.CountsReading(
                     state.levels, state.scale, state.span_s
                 )
         return found
 
-    def _defers_to_senior(self, states):
+    def _defers_to_senior(self, state_by_rank):
         """Stop leading where ranks have heard a leader of lower rank since."""
         now = time.monotonic()
-        for state in states.values():
+        for state in state_by_rank.values():
             heard_at = now - state.leader_age_ms / MILLISECONDS
             is_senior = _messages.NOT_LEADING < state.leader < self.own_rank
             if is_senior and heard_at > self._led_since + SENIOR_MARGIN_S:
@@ -202,7 +204,7 @@
                 return True
         return False
 
-    async def _tell_map(self):
+    async def _send_map(self):
         """Tell ranks the map in use, so that the next one takes few bytes."""
         if self.holdings_ is None:
             return
@@ -212,11 +214,11 @@
             for rank in range(self.size)
             if rank != self.own_rank and self.access.lacks_map(rank, layers)
         ]
-        await asyncio.gather(*(self.access.tell_map(rank, layers) for rank in lacking))
+        await asyncio.gather(*(self.access.send_map(rank, layers) for rank in lacking))
 
-    def _note_waiting(self, obstacle):
+    def _log_obstacle(self, obstacle):
         """Log why no change begins, once for each reason in a row."""
-        if obstacle and obstacle != self._waits_for:
+        if obstacle and obstacle != self._obstacle:
             _log.emit(
                 base.Event.MAP_CHANGE_WAITS,
                 group=self.group,
@@ -224,12 +226,12 @@
                 reason=obstacle,
                 readings=self._demand.readings_,
             )
-        self._waits_for = obstacle
+        self._obstacle = obstacle
 
-    def _note_followed(self, states):
+    def _log_polling(self, state_by_rank):
         """Log from time to time how many ranks answer, and what that costs."""
         now = time.monotonic()
-        if now - self._logged_at < FOLLOWED_LOG_S:
+        if now - self._logged_at < POLL_LOG_INTERVAL_S:
             return
         self._logged_at = now
         links = self.access.link_by_rank.values()
@@ -237,7 +239,7 @@
             base.Event.GROUP_FOLLOWED,
             group=self.group,
             epoch=self.epoch_,
-            answered=len(states),
+            answered=len(state_by_rank),
             size=self.size,
             silent=sum(link.is_silent for link in links),
             late_answers=sum(link.late_answers_ for link in links),
@@ -259,48 +261,56 @@
         )
         self.epoch_ = epoch
         self.holdings_ = None
-        self._maps.forget()
+        self._maps.clear()
         self._settled_at = time.monotonic()
         self.changes_in_epoch_ = 0
         self._first_step = None
         self._last_step = 0
         self._holds.clear()
 
-    async def _ask_ranks(self):
+    async def _poll_ranks(self):
         """Ask the ranks; return the answers that tell what stands now, by rank."""
-        fitting = self._budget.ranks(self.size, POLL_INTERVAL_S)
-        counts_of = set(self._demand.asked_in_order_[:fitting])
-        heard = await self._follower.ask(counts_of, self._maps.unknown_ranks_)
+        fitting = self._budget.max_ranks(self.size, POLL_INTERVAL_S)
+        counts_of = set(self._demand.ranks_by_age_[:fitting])
+        answer_by_rank = await self._poller.poll(counts_of, self._maps.missing_ranks_)
         # An answer from before the last change may still show its hold.
-        fresh_since = max(time.monotonic() - _follower.FRESH_S, self._settled_at)
-        states = {r: h.state for r, h in heard.items() if h.asked_at >= fresh_since}
-        await self._ask_silent(states)
-        for rank, report in self._reports(states).items():
-            state = states[rank]
+        fresh_since = max(time.monotonic() - _poller.MAX_FRESH_AGE_S, self._settled_at)
+        state_by_rank = {
+            r: answer.state
+            for r, answer in answer_by_rank.items()
+            if answer.requested_at >= fresh_since
+        }
+        await self._poll_silent_engines(state_by_rank)
+        for rank, report in self._read_reports(state_by_rank).items():
+            state = state_by_rank[rank]
             if state.experts and report.epoch == self.epoch_:
-                self._maps.note_experts(rank, state.map_version, state.experts)
-        return states
+                self._maps.record_experts(rank, state.map_version, state.experts)
+        return state_by_rank
 
-    async def _ask_silent(self, state_by_rank):
+    async def _poll_silent_engines(self, state_by_rank):
         """Ask the engines of ranks whose agents have been silent for a few turns.
 
         One of those agents may have been the leader, and have left a hold.
         """
-        asked = self._follower.take_silent(self._is_urgent)
-        wants_experts = bool(self._maps.unknown_ranks_)
+        silent_ranks = self._poller.select_silent(self._is_urgent)
+        wants_experts = bool(self._maps.missing_ranks_)
         states = await asyncio.gather(
-            *(self.access.poll_engine(rank, wants_experts) for rank in asked)
+            *(self.access.poll_engine(rank, wants_experts) for rank in silent_ranks)
         )
-        for rank, state in zip(asked, states, strict=True):
+        for rank, state in zip(silent_ranks, states, strict=True):
             if state is not None:
                 state_by_rank[rank] = state
-                self._follower.note_direct(rank, state)
+                self._poller.record_direct(rank, state)
 
-    def _learn_holdings(self, known):
+    def _update_holdings(self, report_by_rank):
         """Take the map in use, once all ranks are known to use the same."""
-        versions = {report.map_version for report in known.values()}
-        epochs = {report.epoch for report in known.values()}
-        if len(known) < self.size or len(versions) > 1 or epochs != {self.epoch_}:
+        versions = {report.map_version for report in report_by_rank.values()}
+        epochs = {report.epoch for report in report_by_rank.values()}
+        if (
+            len(report_by_rank) < self.size
+            or len(versions) > 1
+            or epochs != {self.epoch_}
+        ):
             return
         layers = self._maps.find(*versions)
         if layers is None:
@@ -310,32 +320,34 @@
                 self.terms.experts, self.terms.slots_per_rank, layers
             )
 
-    def _find_obstacle(self, known):
+    def _find_obstacle(self, report_by_rank):
         """Return why no change may begin; empty if one may.
 
         :rtype: str
         """
         if self._is_stopping:
             return "another agent leads"
-        if len(known) < self.size:
+        if len(report_by_rank) < self.size:
             return "some ranks have not said of late what they do"
         if self.holdings_ is None:
             return "the experts that the ranks hold are not known"
         if self._demand.readings_ < MIN_READINGS:
             return "the demand is not known"
-        if time.monotonic() < self._rest_until:
+        if time.monotonic() < self._cooldown_until:
             return "a change has just ended"
         has_predecessor = self.epoch_ <= self.guarded_epoch
         first_step = self._first_step if has_predecessor else None
-        if _change.may_begin(known, self.size, self.own_rank, first_step):
+        if _change.may_begin(report_by_rank, self.size, self.own_rank, first_step):
             return ""
         return "the ranks are not known to be at rest with one map"
 
-    async def _improve(self, known):
-        found = await self.planner.plan(self.holdings_, self._demand.predict(), known)
+    async def _plan_change(self, report_by_rank):
+        found = await self.planner.plan(
+            self.holdings_, self._demand.predict(), report_by_rank
+        )
         if found is None or self._is_stopping:
             return
-        plan = self._make_plan(known, found.holdings.layers)
+        plan = self._make_plan(report_by_rank, found.holdings.layers)
         _log.emit(
             base.Event.MAP_CHANGE_BEGAN,
             group=self.group,
@@ -349,14 +361,14 @@
             planned_ms=round(found.took_s * MILLISECONDS),
             readings=self._demand.readings_,
         )
-        await self._change(plan, found)
+        await self._run_change(plan, found)
 
-    def _make_plan(self, known, layers):
+    def _make_plan(self, report_by_rank, layers):
         timer = self.planner.timer
-        lead_s = max(LEAD_S, ARMING_MARGIN * self._driver.arming_s_)
+        lead_s = max(MIN_LEAD_S, ARMING_MARGIN * self._driver.arming_duration_s_)
         return _change.ChangePlan(
             version=_change.make_version(
-                known, self.own_rank, self.size, self.random_state
+                report_by_rank, self.own_rank, self.size, self.random_state
             ),
             layers=layers,
             old_layers=self.holdings_.layers,
@@ -369,29 +381,29 @@
             lossy_lead_passes=timer.passes_ahead(
                 max(LOSSY_LEAD_S, lead_s), _change.LOSSY_LEAD_PASSES
             ),
-            poll_s=max(_change.POLL_S, self.size / POLLS_PER_S),
+            poll_s=max(_change.COPY_POLL_INTERVAL_S, self.size / POLLS_PER_S),
         )
 
-    async def _change(self, plan, found):
+    async def _run_change(self, plan, found):
         began = time.monotonic()
-        deputies = await self._driver.appoint()
+        deputies = await self._driver.appoint_deputies()
         change = _change.MapChange(
             dataclasses.replace(plan, keeper=self._choose_keeper(deputies))
         )
         result = None
-        if deputies or self._is_alone():
-            self._changing = change
+        if deputies or self._has_no_peers():
+            self._active_change = change
             result = await self._driver.run(change.run(), deputies)
-            self._changing = None
+            self._active_change = None
         # A keeper that refuses has just begun, or leads itself; another may agree.
         self._refusals += result == _change.ChangeResult.NOT_ALLOWED
         now = time.monotonic()
         self._settled_at = now
         self._last_step = max(self._last_step, change.step_)
-        self._rest_until = now + REST_S
+        self._cooldown_until = now + CHANGE_COOLDOWN_S
         self._maps.add(plan.version, plan.layers)
         if change.lost_orders_:
-            self._lossy_until = now + LOSSY_S
+            self._lossy_until = now + LOSSY_PERIOD_S
         if result is None:
             change.detail_ = "no other agent would settle it"
         elif result == _change.ChangeResult.DONE:
@@ -415,22 +427,22 @@
             took_ms=round((now - began) * MILLISECONDS),
         )
 
-    async def _resolve_orphans(self, known):
+    async def _resolve_orphans(self, report_by_rank):
         """Release a hold that has stood too long; return whether there is one."""
         now = time.monotonic()
-        self._holds.note(known, now)
+        self._holds.record(report_by_rank, now)
         orphan = self._holds.find_orphan(now, self._is_urgent)
         if orphan is not None:
-            await self._resolve(*orphan, known)
+            await self._resolve(*orphan, report_by_rank)
             return True
-        if len(known) == self.size:
+        if len(report_by_rank) == self.size:
             self._is_urgent = False
-        return self._holds.is_any_
+        return self._holds.has_holds_
 
-    async def _resolve(self, rank, step, known):
+    async def _resolve(self, rank, step, report_by_rank):
         if self.holdings_ is None:
             return  # the map in use is learnt first, with the next polls
-        plan = self._make_plan(known, self.holdings_.layers)
+        plan = self._make_plan(report_by_rank, self.holdings_.layers)
         began = time.monotonic()
         _log.emit(
             base.Event.HOLD_FOUND,
@@ -440,7 +452,9 @@
             version=plan.version,
         )
         procedure = _change.resolve_hold(rank, step, plan)
-        result = await self._driver.run(procedure, await self._driver.appoint())
+        result = await self._driver.run(
+            procedure, await self._driver.appoint_deputies()
+        )
         self._last_step = max(self._last_step, step)
         self._holds.clear()
         self.holdings_ = None
@@ -457,12 +471,12 @@
 
     def _choose_keeper(self, deputies):
         """Return the rank to be held; another one after each refusal."""
-        places = deputies or [self.own_rank]
-        return places[self._refusals % len(places)]
+        candidates = deputies or [self.own_rank]
+        return candidates[self._refusals % len(candidates)]
 
-    def _is_alone(self):
+    def _has_no_peers(self):
         """Return whether there is no other agent that could settle a change."""
         if self.size == 1:
             return True
-        has_waited = time.monotonic() - self._led_since > ALONE_AFTER_S
+        has_waited = time.monotonic() - self._led_since > PEER_DISCOVERY_S
         return has_waited and not self.access.link_by_rank
--- a/libs/ranks/src/sequoiagap/ranks/_links.py
+++ b/libs/ranks/src/sequoiagap/ranks/_links.py
@@ -6,12 +6,12 @@
 from sequoiagap import base, wire
 from sequoiagap.ranks import _messages, _ports
 
-ASK_TIMEOUT_S = 0.3  # without a sign of life
-SILENT_S = 1.0  # an agent is passed over that did not answer this long ago
+REPLY_TIMEOUT_S = 0.3  # without a sign of life
+SILENT_BACKOFF_S = 1.0  # an agent is passed over that did not answer this long ago
 RECONNECT_S = 0.3
 LINK_PING_S = 3.0  # a link that a question goes unanswered on is probed at once
-PLACE_RETRY_S = 0.05  # until an agent has said which rank it serves
-PLACED_CHECK_S = 1.0
+IDENTIFY_RETRY_S = 0.05  # until an agent has said which rank it serves
+IDENTIFIED_CHECK_S = 1.0
 IDLE_CHECK_S = 5.0  # the same while this agent doesn't lead
 
 _log = base.get_logger("ranks")
@@ -23,7 +23,7 @@
     :param gateway.Node node: the agent.
     :param make_hello: function that returns the :class:`wire.Hello` of this process.
 
-    :ivar float told_at_: when something was sent last, monotonic seconds.
+    :ivar float last_sent_at_: when something was sent last, monotonic seconds.
     :ivar int late_answers_: answers that came after nobody waited for them any more.
     """
 
@@ -33,8 +33,8 @@
         self._connection = None
         self._silent_until = 0.0
         self.late_answers_ = 0
-        self.told_at_ = 0.0
-        self._questions = wire.Questions()
+        self.last_sent_at_ = 0.0
+        self._requests = wire.Questions()
 
     @property
     def is_open(self):
@@ -67,16 +67,16 @@
             connection.idle_interval_s = LINK_PING_S
             self._connection = connection
             try:
-                await connection.run(self._take)
+                await connection.run(self._on_message)
             finally:
                 self._connection = None
-                self._questions.drop()
+                self._requests.drop()
             await asyncio.sleep(RECONNECT_S)
 
-    async def ask(self, item, timeout_s=ASK_TIMEOUT_S):
+    async def request(self, message, timeout_s=REPLY_TIMEOUT_S):
         """Send a question and return its answer.
 
-        :param item: a message with a ``number``, which is set here.
+        :param message: a message with a ``number``, which is set here.
         :param float timeout_s: longest wait, in seconds.
         :rtype: RankState | KeeperAnswer | None
         """
@@ -84,21 +84,21 @@
         if connection is None:
             return None
         loop = asyncio.get_running_loop()
-        self.told_at_ = began = time.monotonic()
+        self.last_sent_at_ = began = time.monotonic()
         try:
             async with asyncio.timeout(timeout_s) as timer:
                 check = loop.call_later(
-                    ASK_TIMEOUT_S, _expire_if_silent, timer, connection, began
+                    REPLY_TIMEOUT_S, _expire_if_silent, timer, connection, began
                 )
                 try:
-                    answer = await self._questions.ask(connection, item)
+                    answer = await self._requests.ask(connection, message)
                 finally:
                     check.cancel()
         except TimeoutError:
             waited_s = time.monotonic() - began
-            is_on_time = waited_s < max(timeout_s, ASK_TIMEOUT_S) + base.OWN_LAG_S
+            is_on_time = waited_s < max(timeout_s, REPLY_TIMEOUT_S) + base.OWN_LAG_S
             if is_on_time and connection.heard_at_ < began:
-                self.note_silent()
+                self.mark_silent()
                 connection.probe()
             return None
         except base.WireError:
@@ -106,26 +106,26 @@
         self._silent_until = 0.0
         return answer
 
-    async def tell(self, item):
+    async def send(self, message):
         """Send a message that is not answered, unless earlier ones wait to be sent.
 
-        :param item: the message.
+        :param message: the message.
         """
         connection = self._connection
         if connection is not None and not connection.is_congested_:
-            self.told_at_ = time.monotonic()
-            await wire.try_send(connection, item)
+            self.last_sent_at_ = time.monotonic()
+            await wire.try_send(connection, message)
 
-    def note_silent(self):
+    def mark_silent(self):
         """Take it that nothing is heard from the agent, for a while."""
         now = time.monotonic()
         if not self.is_silent:
             _log.emit(base.Event.RANK_SILENT, peer=self.node.node_id)
-        self._silent_until = now + SILENT_S
+        self._silent_until = now + SILENT_BACKOFF_S
 
-    async def _take(self, item):
-        if isinstance(item, _messages.RankState | _messages.KeeperAnswer):
-            self.late_answers_ += not self._questions.take(item)
+    async def _on_message(self, message):
+        if isinstance(message, _messages.RankState | _messages.KeeperAnswer):
+            self.late_answers_ += not self._requests.take(message)
 
 
 def _expire_if_silent(timer, connection, began):
@@ -155,7 +155,7 @@
         self.by_rank = {}
         self.address_by_rank = {}
         self._is_leading = False
-        self._link_by_node = {}
+        self._link_by_node_id = {}
 
     def update(self, nodes, is_leading):
         """Link the agents among the registered processes.
@@ -168,27 +168,27 @@
             is_agent = node.role == "ranks" and node.endpoint
             if not is_agent or node.node_id == self.node_id:
                 continue
-            known = self._link_by_node.get(node.node_id)
-            if known is None or known.node != node:
+            existing = self._link_by_node_id.get(node.node_id)
+            if existing is None or existing.node != node:
                 link = RankLink(node, self.make_hello)
-                self._link_by_node[node.node_id] = link
-                self.tasks.start(self._keep(link), f"rank-{node.node_id}")
+                self._link_by_node_id[node.node_id] = link
+                self.tasks.start(self._maintain(link), f"rank-{node.node_id}")
 
-    async def _keep(self, link):
+    async def _maintain(self, link):
         runner = asyncio.ensure_future(link.run())
         try:
-            while self._link_by_node.get(link.node.node_id) is link:
-                is_placed = await self._place(link)
-                await asyncio.sleep(self._check_interval(is_placed))
+            while self._link_by_node_id.get(link.node.node_id) is link:
+                is_identified = await self._identify(link)
+                await asyncio.sleep(self._check_interval(is_identified))
         finally:
             await base.cancel_and_wait(runner)
 
-    def _check_interval(self, is_placed):
-        if not is_placed:
-            return PLACE_RETRY_S
-        return PLACED_CHECK_S if self._is_leading else IDLE_CHECK_S
+    def _check_interval(self, is_identified):
+        if not is_identified:
+            return IDENTIFY_RETRY_S
+        return IDENTIFIED_CHECK_S if self._is_leading else IDLE_CHECK_S
 
-    async def _place(self, link):
+    async def _identify(self, link):
         """Ask an agent which rank it serves, and use the link for that rank.
 
         :returns: whether the agent said so.
@@ -196,7 +196,7 @@
         own = self.own_report()
         if own is None or not link.is_open or link.is_silent:
             return False
-        state = await link.ask(_messages.RankPoll(0, _messages.NOT_LEADING))
+        state = await link.request(_messages.RankPoll(0, _messages.NOT_LEADING))
         if state is None or not state.is_known:
             return False
         report = _ports.read_report(state.report)
--- a/libs/ranks/src/sequoiagap/ranks/_map_changes.py
+++ b/libs/ranks/src/sequoiagap/ranks/_map_changes.py
@@ -13,7 +13,7 @@
 import msgpack
 
 DIGEST_BYTES = 8
-KEPT_MAPS = 4
+MAX_MAPS = 4
 COMPRESSION = 1
 
 
@@ -75,17 +75,17 @@
     place = 0
     for distance in numbers:
         place += distance
-        rows[place].update(_take_counted(numbers))
-        rows[place].difference_update(_take_counted(numbers))
+        rows[place].update(_read_counted(numbers))
+        rows[place].difference_update(_read_counted(numbers))
     ordered = [tuple(sorted(row)) for row in rows]
     return tuple(tuple(ordered[x * size :][:size]) for x in range(layers))
 
 
-def _take_counted(numbers):
+def _read_counted(numbers):
     return [next(numbers) for _ in range(next(numbers))]
 
 
-class KnownMaps:
+class MapCache:
     """The newest maps that a process has met, by digest."""
 
     def __init__(self):
@@ -97,53 +97,53 @@
         :param tuple layers: the map.
         :rtype: bytes
         """
-        name = digest(layers)
-        self._layers_by_digest[name] = layers
-        self._layers_by_digest.move_to_end(name)
-        while len(self._layers_by_digest) > KEPT_MAPS:
+        map_digest = digest(layers)
+        self._layers_by_digest[map_digest] = layers
+        self._layers_by_digest.move_to_end(map_digest)
+        while len(self._layers_by_digest) > MAX_MAPS:
             self._layers_by_digest.popitem(last=False)
-        return name
+        return map_digest
 
-    def get(self, name):
+    def get(self, map_digest):
         """Return the map of a digest, or ``None``."""
-        return self._layers_by_digest.get(name)
+        return self._layers_by_digest.get(map_digest)
 
-    def build(self, base, changes, name):
+    def build(self, base, changes, map_digest):
         """Return a map from what it changes and keep it.
 
         :param bytes base: digest of the map that it changes; empty for one without
             experts.
         :param bytes changes: as :func:`pack_changes` returns them.
-        :param bytes name: digest of the map.
+        :param bytes map_digest: digest of the map.
         :returns: the map, or ``None`` where the base is not known here.
         :rtype: tuple | None
         """
-        known = self._layers_by_digest.get(base)
-        if base and known is None:
+        base_layers = self._layers_by_digest.get(base)
+        if base and base_layers is None:
             return None
-        built = apply_changes(known, changes)
-        return built if self.add(built) == name else None
+        built = apply_changes(base_layers, changes)
+        return built if self.add(built) == map_digest else None
 
 
 class MapSender:
     """Chooses in which form each rank gets a map."""
 
     def __init__(self):
-        self._maps = KnownMaps()
-        self._names_by_rank = collections.defaultdict(list)
+        self._maps = MapCache()
+        self._digests_by_rank = collections.defaultdict(list)
         self._target = None
-        self._name = b""
+        self._target_digest = b""
         self._changes_by_base = {}
 
-    def knows(self, rank, layers):
+    def has_map(self, rank, layers):
         """Return whether a rank's agent has a map.
 
         :param int rank: the rank.
         :param tuple layers: the map.
         :rtype: bool
         """
-        self._aim(layers)
-        return self._name in self._names_by_rank[rank]
+        self._select_target(layers)
+        return self._target_digest in self._digests_by_rank[rank]
 
     def encode(self, rank, layers):
         """Return the digest of the best base for a rank and what changes in it.
@@ -153,46 +153,46 @@
         :returns: digest of the base, the changes, and digest of the map.
         :rtype: tuple[bytes, bytes, bytes]
         """
-        self._aim(layers)
-        names = [b"", *self._names_by_rank[rank]]
-        found = {name: self._changes(name) for name in names}
-        best = min(names, key=lambda name: len(found[name]))
-        return best, found[best], self._name
+        self._select_target(layers)
+        digests = [b"", *self._digests_by_rank[rank]]
+        found = {map_digest: self._changes(map_digest) for map_digest in digests}
+        best = min(digests, key=lambda map_digest: len(found[map_digest]))
+        return best, found[best], self._target_digest
 
-    def note_taken(self, rank, layers):
+    def record_received(self, rank, layers):
         """Take it that a rank's agent has a map.
 
         :param int rank: the rank.
         :param tuple layers: the map.
         """
-        self._aim(layers)
-        known = self._names_by_rank[rank]
-        if self._name in known:
-            known.remove(self._name)
-        known.append(self._name)
-        del known[:-KEPT_MAPS]
+        self._select_target(layers)
+        base_layers = self._digests_by_rank[rank]
+        if self._target_digest in base_layers:
+            base_layers.remove(self._target_digest)
+        base_layers.append(self._target_digest)
+        del base_layers[:-MAX_MAPS]
 
     def forget(self, rank):
         """Take it that a rank's agent has no map, as it has started anew.
 
         :param int rank: the rank.
         """
-        self._names_by_rank.pop(rank, None)
+        self._digests_by_rank.pop(rank, None)
 
-    def _aim(self, layers):
+    def _select_target(self, layers):
         """Prepare for a map that is about to go to many ranks."""
         if layers is self._target:
             return
         self._target = layers
-        self._name = self._maps.add(layers)
+        self._target_digest = self._maps.add(layers)
         self._changes_by_base = {b"": pack_changes(None, layers)}
 
-    def _changes(self, name):
-        changes = self._changes_by_base.get(name)
+    def _changes(self, map_digest):
+        changes = self._changes_by_base.get(map_digest)
         if changes is None:
-            base = self._maps.get(name)
+            base = self._maps.get(map_digest)
             changes = self._changes_by_base[b""]
             if base is not None:
                 changes = pack_changes(base, self._target)
-            self._changes_by_base[name] = changes
+            self._changes_by_base[map_digest] = changes
         return changes
--- a/libs/ranks/src/sequoiagap/ranks/_map_book.py
+++ b/libs/ranks/src/sequoiagap/ranks/_map_registry.py
@@ -2,10 +2,10 @@
 
 import collections
 
-KEPT_MAPS = 4
+MAX_MAPS = 4
 
 
-class MapBook:
+class MapRegistry:
     """Learns the map in use from what each rank holds, and keeps those given since.
 
     Versions are never used for two maps in an epoch, so a rank need say only once
@@ -20,16 +20,16 @@
         self.size = size
         self._layers_by_version = collections.OrderedDict()
         self._held_by_rank = {}
-        self._wanted = None
-        self._is_known = False
+        self._requested_version = None
+        self._is_complete = False
 
     @property
-    def unknown_ranks_(self):
+    def missing_ranks_(self):
         """Ranks that have yet to say what they hold."""
-        if self._is_known:
+        if self._is_complete:
             return set()
         versions = {r: version for r, (version, _) in self._held_by_rank.items()}
-        wanted = self._wanted
+        wanted = self._requested_version
         return {
             rank
             for rank in range(self.size)
@@ -42,10 +42,10 @@
         :param int version: the version.
         :rtype: tuple | None
         """
-        found = self._layers_by_version.get(version) or self._put_together(version)
-        self._is_known = found is not None
-        self._wanted = version
-        return found
+        layers = self._layers_by_version.get(version) or self._assemble(version)
+        self._is_complete = layers is not None
+        self._requested_version = version
+        return layers
 
     def add(self, version, layers):
         """Keep a map that the ranks were given.
@@ -54,10 +54,10 @@
         :param tuple layers: the map.
         """
         self._layers_by_version[version] = layers
-        while len(self._layers_by_version) > KEPT_MAPS:
+        while len(self._layers_by_version) > MAX_MAPS:
             self._layers_by_version.popitem(last=False)
 
-    def note_experts(self, rank, version, experts):
+    def record_experts(self, rank, version, experts):
         """Take what a rank says that it holds.
 
         :param int rank: the rank.
@@ -66,14 +66,14 @@
         """
         self._held_by_rank[rank] = (version, experts)
 
-    def forget(self):
+    def clear(self):
         """Forget everything, as the group has formed anew."""
         self._layers_by_version.clear()
         self._held_by_rank = {}
-        self._wanted = None
-        self._is_known = False
+        self._requested_version = None
+        self._is_complete = False
 
-    def _put_together(self, version):
+    def _assemble(self, version):
         held = [self._held_by_rank.get(rank) for rank in range(self.size)]
         if any(item is None or item[0] != version for item in held):
             return None
--- a/libs/ranks/src/sequoiagap/ranks/_messages.py
+++ b/libs/ranks/src/sequoiagap/ranks/_messages.py
@@ -86,7 +86,7 @@
 
 
 @wire.message(703)
-class KeeperQuestion:
+class KeeperRequest:
     """Ask the agent of a rank to keep a hold for a change, or to allow arming.
 
     :param int number: number of the question on this connection.
--- a/libs/ranks/src/sequoiagap/ranks/_own_rank.py
+++ b/libs/ranks/src/sequoiagap/ranks/_own_rank.py
@@ -19,7 +19,7 @@
         self.engine = engine
         self.address = address
         self._sampler = _counts.CountsSampler()
-        self._maps = _map_changes.KnownMaps()
+        self._maps = _map_changes.MapCache()
 
     async def answer_poll(self, poll, report=None):
         """Return the answer to a poll.
@@ -30,7 +30,7 @@
         """
         if report is None:
             report = await self.engine.report(self.address)
-        state = _state(poll.number, report)
+        state = _make_state(poll.number, report)
         if report is None:
             return state
         if poll.wants_counts:
@@ -44,60 +44,60 @@
         return state
 
     def _add_counts(self, state, counts):
-        reading = self._sampler.take(counts, time.monotonic())
+        reading = self._sampler.sample(counts, time.monotonic())
         if reading is not None:
             state.levels = reading.levels
             state.scale = reading.scale
             state.span_s = reading.span_s
 
-    def take_map(self, item):
+    def receive_map(self, message):
         """Keep a map that later ones may be sent as differences to.
 
-        :param MapNotice item: the map.
+        :param MapNotice message: the map.
         :returns: whether it is known now.
         :rtype: bool
         """
-        return self._maps.build(item.base, item.changes, item.name) is not None
+        return self._maps.build(message.base, message.changes, message.name) is not None
 
-    async def answer_order(self, item):
+    async def answer_order(self, message):
         """Give another agent's order to the engine and return what came of it.
 
-        :param RankOrderMessage item: the order.
+        :param RankOrderMessage message: the order.
         :rtype: RankState
         """
         layers = ()
-        if item.changes:
-            layers = self._maps.build(item.base, item.changes, item.name)
+        if message.changes:
+            layers = self._maps.build(message.base, message.changes, message.name)
         if layers is None:
-            state = _state(item.number, await self.engine.report(self.address))
+            state = _make_state(message.number, await self.engine.report(self.address))
             state.lacks_base = True
             return state
         order = _ports.RankOrder(
-            kind=_ports.OrderKind(item.kind),
-            epoch=item.epoch,
-            version=item.version,
-            step=item.step,
+            kind=_ports.OrderKind(message.kind),
+            epoch=message.epoch,
+            version=message.version,
+            step=message.step,
             layers=layers,
         )
-        return await self.give(item, order)
+        return await self.execute_order(message, order)
 
-    async def give(self, item, order):
+    async def execute_order(self, message, order):
         """Give an order to the engine and return what came of it.
 
-        :param RankOrderMessage item: the message that the order is known by.
+        :param RankOrderMessage message: the message that the order is known by.
         :param RankOrder order: the order.
         :rtype: RankState
         """
         result = await self.engine.order(self.address, order)
-        state = _state(item.number, await self.engine.report(self.address))
+        state = _make_state(message.number, await self.engine.report(self.address))
         state.result = str(result)
         _log.emit(
             base.Event.RANK_ORDER_SENT,
-            kind=item.kind,
-            leader=item.leader,
-            epoch=item.epoch,
-            version=item.version,
-            step=item.step,
+            kind=message.kind,
+            leader=message.leader,
+            epoch=message.epoch,
+            version=message.version,
+            step=message.step,
             result=str(result),
         )
         return state
@@ -112,6 +112,6 @@
     return _ports.read_report(state.report) if state.is_known else None
 
 
-def _state(number, report):
+def _make_state(number, report):
     values = [] if report is None else _ports.write_report(report)
     return _messages.RankState(number, report is not None, values)
--- a/libs/ranks/src/sequoiagap/ranks/_pacing.py
+++ b/libs/ranks/src/sequoiagap/ranks/_pacing.py
@@ -17,7 +17,7 @@
         self.bytes_s = bytes_s
         self._free_at = 0.0
 
-    async def take(self, size):
+    async def acquire(self, size):
         """Wait until bytes may be sent.
 
         :param int size: how many.
--- a/libs/ranks/src/sequoiagap/ranks/_pass_time.py
+++ b/libs/ranks/src/sequoiagap/ranks/_pass_time.py
@@ -8,10 +8,10 @@
 
 import math
 
-COMFORT_SHARE = 0.45  # of the longest pause; prompts that are read take the rest
+TARGET_PAUSE_SHARE = 0.45  # of the longest pause; prompts that are read take the rest
 MAX_SKEW = 1.8  # however short the passes, as a shift of demand adds to it
 SAMPLE_WEIGHT = 0.25
-MAX_AHEAD = 12  # passes
+MAX_PASSES_AHEAD = 12  # passes
 MAX_PASS_S = 1.0  # longer ones were held or stalled
 
 
@@ -30,7 +30,7 @@
         self.pass_s_ = 0.0
         self._last = None
 
-    def take(self, step, now, is_busy, skew):
+    def record(self, step, now, is_busy, skew):
         """Take a reading of the last pass that was begun.
 
         :param int step: the pass.
@@ -45,16 +45,16 @@
         if pass_s > MAX_PASS_S:
             return
         self.pass_s_ = pass_s
-        even_s = pass_s / self._factor(skew)
+        even_s = pass_s / self._pass_factor(skew)
         if not self.even_pass_s_:
             self.even_pass_s_ = even_s
         self.even_pass_s_ += SAMPLE_WEIGHT * (even_s - self.even_pass_s_)
 
-    def tolerable_skew(self, longest_pause_s, least):
+    def tolerable_skew(self, longest_pause_s, min_skew):
         """Return up to which skew passes stay well within a pause.
 
         :param float longest_pause_s: longest pause that callers bear; 0 for none.
-        :param float least: skew that is good enough in any case.
+        :param float min_skew: skew that is good enough in any case.
         :rtype: float
 
         >>> timer = PassTimer(expert_share=1.0)
@@ -66,10 +66,10 @@
         1.35
         """
         if not self.even_pass_s_ or not longest_pause_s:
-            return least
-        factor = COMFORT_SHARE * longest_pause_s / self.even_pass_s_
+            return min_skew
+        factor = TARGET_PAUSE_SHARE * longest_pause_s / self.even_pass_s_
         skew = (factor - 1.0 + self.expert_share) / self.expert_share
-        return min(max(skew, least), MAX_SKEW)
+        return min(max(skew, min_skew), MAX_SKEW)
 
     def passes_ahead(self, lead_s, default):
         """Return how many passes ahead one begins after a time, but not much later.
@@ -86,7 +86,7 @@
         """
         if not self.pass_s_:
             return default
-        return min(1 + math.ceil(lead_s / self.pass_s_), MAX_AHEAD)
+        return min(1 + math.ceil(lead_s / self.pass_s_), MAX_PASSES_AHEAD)
 
-    def _factor(self, skew):
+    def _pass_factor(self, skew):
         return 1.0 - self.expert_share + self.expert_share * skew
--- a/libs/ranks/src/sequoiagap/ranks/_planning.py
+++ b/libs/ranks/src/sequoiagap/ranks/_planning.py
@@ -11,11 +11,11 @@
 from sequoiagap.ranks import _pass_time
 
 MIN_SAVING = 0.05  # share of a pass that a change has to save
-COPY_RANK_S = 0.48  # time of one rank that a copy has to save
+COPY_COST_RANK_S = 0.48  # time of one rank that a copy has to save
 HORIZON_S = 4.0  # demand is expected to stay alike for this long
 TARGET_SKEW = 1.08
 COPIES_PER_RANK = 3  # of one change; each delays the switch by a copy's time
-SLOW_RANK = 1.15  # a rank that takes longer than this is planned as a slow one
+SLOW_RANK_FACTOR = 1.15  # a rank that takes longer than this is planned as a slow one
 
 
 @dataclasses.dataclass(frozen=True)
@@ -68,9 +68,9 @@
         :param dict report_by_rank: newest reports.
         :param int step: the pass.
         """
-        skew = experts.holdings_skew(holdings, loads, self._costs(report_by_rank))
+        skew = experts.holdings_skew(holdings, loads, self._rank_costs(report_by_rank))
         is_busy = any(report.running for report in report_by_rank.values())
-        self.timer.take(step, time.monotonic(), is_busy, skew)
+        self.timer.record(step, time.monotonic(), is_busy, skew)
         self.metrics.set_gauge("group_pass_seconds", self.timer.even_pass_s_)
 
     async def plan(self, holdings, loads, report_by_rank):
@@ -82,7 +82,7 @@
         :rtype: Improvement | None
         """
         began = time.monotonic()
-        costs = self._costs(report_by_rank)
+        costs = self._rank_costs(report_by_rank)
         skew = experts.holdings_skew(holdings, loads, costs)
         self.metrics.set_gauge("group_step_skew", skew)
         target = self.timer.tolerable_skew(self.longest_pause_s, TARGET_SKEW)
@@ -101,17 +101,17 @@
             slow_ranks=sum(cost > 1.0 for cost in costs),
             took_s=time.monotonic() - began,
         )
-        return found if self._pays(found) else None
+        return found if self._is_worthwhile(found) else None
 
-    def _costs(self, report_by_rank):
+    def _rank_costs(self, report_by_rank):
         """Return the time of each rank for the same work, 1 for a usual one."""
         slowness = [
             report_by_rank[rank].slowness if rank in report_by_rank else 1.0
             for rank in range(self.size)
         ]
-        return tuple(s if s > SLOW_RANK else 1.0 for s in slowness)
+        return tuple(s if s > SLOW_RANK_FACTOR else 1.0 for s in slowness)
 
-    def _pays(self, found):
+    def _is_worthwhile(self, found):
         share = self.pace.expert_share
         before = 1.0 - share + share * found.skew
         after = 1.0 - share + share * found.planned_skew
@@ -133,7 +133,7 @@
     return experts.Pace(
         new_per_rank=terms.new_per_change,
         copies_per_rank=COPIES_PER_RANK,
-        copy_s=COPY_RANK_S / size,
+        copy_s=COPY_COST_RANK_S / size,
         horizon_s=HORIZON_S,
         expert_share=terms.expert_share or 1.0,
         target_skew=TARGET_SKEW,
--- a/libs/ranks/src/sequoiagap/ranks/_follower.py
+++ b/libs/ranks/src/sequoiagap/ranks/_poller.py
@@ -10,25 +10,25 @@
 import dataclasses
 import time
 
-TURN_WAIT_S = 0.12  # for the answers of a turn; later ones count in the next
-FRESH_S = 0.35  # an answer no older than this tells what stands now
-QUESTION_BYTES = 150  # a question and its answer without counts, with all headers
+CYCLE_TIMEOUT_S = 0.12  # for the answers of a turn; later ones count in the next
+MAX_FRESH_AGE_S = 0.35  # an answer no older than this tells what stands now
+POLL_BYTES = 150  # a question and its answer without counts, with all headers
 COUNT_BYTES = 0.8  # of a count, before any has been received
-SILENT_TURNS = 2  # without an answer of its agent a rank's engine is asked
-SILENT_REPEAT_TURNS = 3  # and again after so many
+SILENT_CYCLES = 2  # without an answer of its agent a rank's engine is asked
+SILENT_REPEAT_CYCLES = 3  # and again after so many
 SIZE_WEIGHT = 0.2  # of a new answer in the mean size
 
 
 @dataclasses.dataclass(frozen=True)
-class Heard:
+class PollAnswer:
     """An answer of a rank.
 
     :param RankState state: the answer.
-    :param float asked_at: when the question was sent, monotonic seconds.
+    :param float requested_at: when the question was sent, monotonic seconds.
     """
 
     state: object
-    asked_at: float
+    requested_at: float
 
 
 class ReadingBudget:
@@ -36,18 +36,18 @@
 
     :param float bytes_s: bytes a second that a leader may have sent to it; 0 for no
         bound.
-    :param int count_number: counts of one rank.
+    :param int counts_per_rank: counts of one rank.
     """
 
-    def __init__(self, bytes_s, count_number):
+    def __init__(self, bytes_s, counts_per_rank):
         self.bytes_s = bytes_s
-        self._mean_bytes = count_number * COUNT_BYTES
+        self._mean_bytes = counts_per_rank * COUNT_BYTES
 
-    def note_size(self, size):
+    def record_size(self, size):
         """Take the size of an answer's counts, in bytes."""
         self._mean_bytes += SIZE_WEIGHT * (size - self._mean_bytes)
 
-    def ranks(self, size, interval_s):
+    def max_ranks(self, size, interval_s):
         """Return how many ranks to ask for their counts.
 
         :param int size: ranks of the group.
@@ -61,12 +61,12 @@
         """
         if not self.bytes_s:
             return size
-        left = self.bytes_s * interval_s - size * QUESTION_BYTES
-        fitting = int(left / self._mean_bytes) if self._mean_bytes else size
+        remaining_bytes = self.bytes_s * interval_s - size * POLL_BYTES
+        fitting = int(remaining_bytes / self._mean_bytes) if self._mean_bytes else size
         return min(max(fitting, 1), size)
 
 
-class GroupFollower:
+class RankPoller:
     """Asks the ranks of a group and keeps what each has said last.
 
     :param GroupAccess access: ways to the ranks.
@@ -78,11 +78,11 @@
         self.access = access
         self.size = size
         self.own_rank = own_rank
-        self._heard_by_rank = {}
-        self._question_by_rank = {}
-        self._silent_turns_by_rank = {}
+        self._answer_by_rank = {}
+        self._pending_by_rank = {}
+        self._silent_cycles_by_rank = {}
 
-    async def ask(self, counts_of, experts_of):
+    async def poll(self, counts_of, experts_of):
         """Ask all ranks that have no question left to answer.
 
         :param set counts_of: ranks to ask for the counts of experts.
@@ -91,11 +91,11 @@
         :rtype: dict[int, Heard]
         """
         for rank in range(self.size):
-            if rank in self._question_by_rank:
+            if rank in self._pending_by_rank:
                 continue
-            question = self._ask_rank(rank, rank in counts_of, rank in experts_of)
-            self._question_by_rank[rank] = asyncio.ensure_future(question)
-        await asyncio.wait(self._question_by_rank.values(), timeout=TURN_WAIT_S)
+            task = self._poll_rank(rank, rank in counts_of, rank in experts_of)
+            self._pending_by_rank[rank] = asyncio.ensure_future(task)
+        await asyncio.wait(self._pending_by_rank.values(), timeout=CYCLE_TIMEOUT_S)
         return self._collect()
 
     def silent_ranks(self):
@@ -103,32 +103,34 @@
 
         :rtype: list[int]
         """
-        answering = self._heard_by_rank.keys() | self._question_by_rank.keys()
+        answering = self._answer_by_rank.keys() | self._pending_by_rank.keys()
         return [rank for rank in range(self.size) if rank not in answering]
 
-    def take_silent(self, is_urgent):
+    def select_silent(self, is_urgent):
         """Return the silent ranks whose engines are to be asked in this turn.
 
         :param bool is_urgent: whether all of them are.
         :rtype: list[int]
         """
-        turns_by_rank = self._silent_turns_by_rank
-        self._silent_turns_by_rank = {
-            rank: turns_by_rank.get(rank, 0) + 1 for rank in self.silent_ranks()
+        cycles_by_rank = self._silent_cycles_by_rank
+        self._silent_cycles_by_rank = {
+            rank: cycles_by_rank.get(rank, 0) + 1 for rank in self.silent_ranks()
         }
         return [
             rank
-            for rank, turns in self._silent_turns_by_rank.items()
-            if is_urgent or turns == SILENT_TURNS or turns % SILENT_REPEAT_TURNS == 0
+            for rank, cycles in self._silent_cycles_by_rank.items()
+            if is_urgent
+            or cycles == SILENT_CYCLES
+            or cycles % SILENT_REPEAT_CYCLES == 0
         ]
 
-    def note_direct(self, rank, state):
+    def record_direct(self, rank, state):
         """Take what a rank's engine said to a question from here.
 
         :param int rank: the rank.
         :param RankState state: what it said.
         """
-        self._heard_by_rank[rank] = Heard(state, time.monotonic())
+        self._answer_by_rank[rank] = PollAnswer(state, time.monotonic())
 
     def newest(self, since, max_age_s):
         """Return the answers to questions sent after a moment.
@@ -138,30 +140,34 @@
         :rtype: dict[int, RankState]
         """
         oldest = max(since, time.monotonic() - max_age_s)
-        heard = self._heard_by_rank.items()
-        return {rank: h.state for rank, h in heard if h.asked_at >= oldest}
+        answers = self._answer_by_rank.items()
+        return {
+            rank: answer.state
+            for rank, answer in answers
+            if answer.requested_at >= oldest
+        }
 
     def close(self):
         """Leave the questions that are not answered yet."""
-        for question in self._question_by_rank.values():
-            question.cancel()
-        self._question_by_rank = {}
+        for task in self._pending_by_rank.values():
+            task.cancel()
+        self._pending_by_rank = {}
 
-    async def _ask_rank(self, rank, wants_counts, wants_experts):
-        asked_at = time.monotonic()
+    async def _poll_rank(self, rank, wants_counts, wants_experts):
+        requested_at = time.monotonic()
         may_be_recent = True
         state = await self.access.poll(rank, wants_counts, wants_experts, may_be_recent)
-        return None if state is None else Heard(state, asked_at)
+        return None if state is None else PollAnswer(state, requested_at)
 
     def _collect(self):
         found = {}
-        for rank, question in list(self._question_by_rank.items()):
-            if not question.done():
+        for rank, task in list(self._pending_by_rank.items()):
+            if not task.done():
                 continue
-            del self._question_by_rank[rank]
-            heard = question.result()
-            if heard is None:
-                self._heard_by_rank.pop(rank, None)
+            del self._pending_by_rank[rank]
+            answer = task.result()
+            if answer is None:
+                self._answer_by_rank.pop(rank, None)
                 continue
-            self._heard_by_rank[rank] = found[rank] = heard
+            self._answer_by_rank[rank] = found[rank] = answer
         return found
--- a/libs/ranks/src/sequoiagap/ranks/_reporter.py
+++ b/libs/ranks/src/sequoiagap/ranks/_reporter.py
@@ -14,8 +14,8 @@
 BUSY_INTERVAL_S = 0.05  # where each request more or less matters to a choice
 BUSY_SHARE = 0.5  # of the requests that the engine runs at once
 GROUP_READINGS_PER_S = 400  # among many endpoints one matters less to a choice
-LONGEST_INTERVAL_S = 0.16  # so that an endpoint is heard of before it counts as silent
-QUIET_REPORT_S = 0.25  # an unchanged report is sent again after this long
+MAX_INTERVAL_S = 0.16  # so that an endpoint is heard of before it counts as silent
+UNCHANGED_REPORT_INTERVAL_S = 0.25  # an unchanged report is sent again after this long
 
 
 def reading_interval(report, slots):
@@ -31,7 +31,7 @@
     is_busy = report.running + report.waiting > BUSY_SHARE * slots
     is_urgent = is_busy or not report.is_open
     interval_s = BUSY_INTERVAL_S if is_urgent else READING_INTERVAL_S
-    group_interval_s = min(report.size / GROUP_READINGS_PER_S, LONGEST_INTERVAL_S)
+    group_interval_s = min(report.size / GROUP_READINGS_PER_S, MAX_INTERVAL_S)
     return max(interval_s, group_interval_s)
 
 
@@ -49,7 +49,7 @@
         self.incarnation = incarnation
         self.list_gateways = list_gateways
         self._sequence = 0
-        self._last = None
+        self._last_values = None
         self._sent_at = 0.0
         self._transport = None
 
@@ -68,14 +68,14 @@
         if self._transport is not None:
             self._transport.close()
 
-    def show(self, report, slots, now):
+    def publish(self, report, slots, now):
         """Tell the gateways, if they don't know it or have not heard for a while.
 
         :param EngineReport report: what the engine says.
         :param int slots: requests that it runs at once.
         :param float now: monotonic time in seconds.
         """
-        shown = (
+        values = (
             report.running,
             report.waiting,
             report.is_open,
@@ -83,13 +83,16 @@
             report.slowness,
             report.started_ms,
         )
-        if shown == self._last and now - self._sent_at < QUIET_REPORT_S:
+        if (
+            values == self._last_values
+            and now - self._sent_at < UNCHANGED_REPORT_INTERVAL_S
+        ):
             return
-        self._last, self._sent_at = shown, now
+        self._last_values, self._sent_at = values, now
         self._sequence += 1
-        self._send(self._make(report, slots))
+        self._send(self._make_message(report, slots))
 
-    def _make(self, report, slots):
+    def _make_message(self, report, slots):
         return gateway.EndpointReport(
             endpoint=self.endpoint,
             incarnation=self.incarnation,
@@ -104,7 +107,7 @@
             started_ms=report.started_ms,
         )
 
-    def _send(self, item):
-        payload = wire.encode(item)
+    def _send(self, message):
+        payload = wire.encode(message)
         for node in self.list_gateways():
             self._transport.sendto(payload, (node.address, node.port))
--- a/libs/ranks/src/sequoiagap/ranks/_succession.py
+++ b/libs/ranks/src/sequoiagap/ranks/_succession.py
@@ -9,11 +9,13 @@
 
 from sequoiagap import base
 
-ALIVE_INTERVAL_S = 0.08  # between two words of a changing leader to its deputies
-DEPUTIES = 3
-DEPUTY_PATIENCE_S = 0.25
+DEPUTY_NOTICE_INTERVAL_S = (
+    0.08  # between two words of a changing leader to its deputies
+)
+MAX_DEPUTIES = 3
+DEPUTY_TIMEOUT_S = 0.25
 DEPUTY_STAGGER_S = 0.15  # more for each deputy before
-LEAD_AFTER_S = 0.8  # without a poll by a lower rank
+LEADER_TIMEOUT_S = 0.8  # without a poll by a lower rank
 LEAD_STAGGER_S = 0.3  # more for each rank, so that few ever lead at once
 NO_DEPUTY = -1
 
@@ -42,7 +44,7 @@
         """Whether a change is under way and this agent would have to settle it."""
         return self.deputy_ != NO_DEPUTY
 
-    def note_leader(self, leader, now, deputy=None):
+    def record_leader(self, leader, now, deputy=None):
         """Take a word of the leader.
 
         :param int leader: its rank.
@@ -57,7 +59,7 @@
         self.leader_ = leader
         self._heard_at = now
 
-    def heard(self, now):
+    def last_heard(self, now):
         """Return the leader heard last and how long ago.
 
         :param float now: monotonic time in seconds.
@@ -82,9 +84,9 @@
         self._checked_at = now
         if lag_s > base.OWN_LAG_S:
             self._heard_at += lag_s
-        return rank == 0 or now - self._heard_at > self._patience(rank)
+        return rank == 0 or now - self._heard_at > self._timeout_s(rank)
 
-    def _patience(self, rank):
+    def _timeout_s(self, rank):
         if self.is_deputy:
-            return DEPUTY_PATIENCE_S + DEPUTY_STAGGER_S * self.deputy_
-        return LEAD_AFTER_S + LEAD_STAGGER_S * rank
+            return DEPUTY_TIMEOUT_S + DEPUTY_STAGGER_S * self.deputy_
+        return LEADER_TIMEOUT_S + LEAD_STAGGER_S * rank
--- a/tests/ranks/test_access.py
+++ b/tests/ranks/test_access.py
@@ -55,4 +55,4 @@
 
     async def test_a_large_group_does_not_take_all_descriptors(self):
         await self.poll_all()
-        self.assertLessEqual(self.engine.most_at_once, _access.DIRECT_CALLS + 1)
+        self.assertLessEqual(self.engine.most_at_once, _access.MAX_DIRECT_CALLS + 1)
--- a/tests/ranks/test_change_guards.py
+++ b/tests/ranks/test_change_guards.py
@@ -102,12 +102,12 @@
             self.assertIsNotNone(change_search.find_two_maps())
 
     def test_arming_needs_the_keepers_leave(self):
-        ask = _change.MapChange._ask_keeper
+        ask = _change.MapChange._query_keeper
 
         def arm_unasked(change, wants_arming):
             return True if wants_arming else (yield from ask(change, wants_arming))
 
-        with mock.patch.object(_change.MapChange, "_ask_keeper", arm_unasked):
+        with mock.patch.object(_change.MapChange, "_query_keeper", arm_unasked):
             self.assertIsNotNone(change_search.find_two_maps(change_search.RARE_SEEDS))
 
     def test_a_keeper_that_allowed_arming_may_not_release_alone(self):
--- a/tests/ranks/test_counts.py
+++ b/tests/ranks/test_counts.py
@@ -8,8 +8,8 @@
 def sample(before, after, span_s=0.5):
     """Return the reading between two counts."""
     sampler = _counts.CountsSampler()
-    sampler.take(before, 1.0)
-    return sampler.take(after, 1.0 + span_s)
+    sampler.sample(before, 1.0)
+    return sampler.sample(after, 1.0 + span_s)
 
 
 class CountsTest(unittest.TestCase):
@@ -34,26 +34,26 @@
     def setUp(self):
         self.demand = _demand.GroupDemand(layers=1, experts_per_layer=2, ranks=3)
 
-    def take(self, now, **counts):
+    def update(self, now, **counts):
         readings = {int(k[1:]): sample([0, 0], v, 1.0) for k, v in counts.items()}
-        return self.demand.take(readings, now)
+        return self.demand.update(readings, now)
 
     def test_ranks_that_say_nothing_in_a_turn_count_as_before(self):
-        self.take(0.0, r0=[10, 0], r1=[10, 0], r2=[10, 0])
-        self.take(0.2, r1=[0, 10])
-        self.assertEqual(self.demand.newest_, [[20.0, 10.0]])
+        self.update(0.0, r0=[10, 0], r1=[10, 0], r2=[10, 0])
+        self.update(0.2, r1=[0, 10])
+        self.assertEqual(self.demand.newest_rates_, [[20.0, 10.0]])
 
     def test_ranks_that_are_silent_for_long_are_left_out(self):
-        self.take(0.0, r0=[10, 0], r1=[10, 0], r2=[10, 0])
+        self.update(0.0, r0=[10, 0], r1=[10, 0], r2=[10, 0])
         later = 2 * _demand.MAX_AGE_S
-        self.take(later, r0=[0, 10], r1=[0, 10])
-        self.assertEqual(self.demand.newest_, [[0.0, 20.0]])
+        self.update(later, r0=[0, 10], r1=[0, 10])
+        self.assertEqual(self.demand.newest_rates_, [[0.0, 20.0]])
 
     def test_a_few_ranks_are_no_reading_of_the_group(self):
-        self.take(0.0, r0=[10, 0])
+        self.update(0.0, r0=[10, 0])
         self.assertEqual(self.demand.readings_, 0)
 
     def test_the_oldest_counts_are_asked_for_first(self):
-        self.take(1.0, r0=[1, 0], r1=[1, 0])
-        self.take(1.2, r0=[1, 0])
-        self.assertEqual(self.demand.asked_in_order_, [2, 1, 0])
+        self.update(1.0, r0=[1, 0], r1=[1, 0])
+        self.update(1.2, r0=[1, 0])
+        self.assertEqual(self.demand.ranks_by_age_, [2, 1, 0])
--- a/tests/ranks/test_driver.py
+++ b/tests/ranks/test_driver.py
@@ -11,19 +11,19 @@
 class RecordingAccess:
     """Ways to ranks that carry out nothing until told.
 
-    :ivar list told: whether a change was under way, for each notice to deputies.
+    :ivar list notices: whether a change was under way, for each notice to deputies.
     """
 
     def __init__(self):
-        self.told = []
-        self.may_go_on = asyncio.Event()
+        self.notices = []
+        self.may_proceed = asyncio.Event()
 
-    async def tell_deputies(self, deputies, is_changing=True):
-        self.told.append(is_changing)
+    async def notify_deputies(self, deputies, is_changing=True):
+        self.notices.append(is_changing)
         return deputies
 
-    async def carry_out(self, step):
-        await self.may_go_on.wait()
+    async def execute(self, step):
+        await self.may_proceed.wait()
         return {}
 
 
@@ -42,11 +42,11 @@
         await asyncio.sleep(0)
 
     async def test_deputies_hear_that_a_change_has_ended(self):
-        self.access.may_go_on.set()
+        self.access.may_proceed.set()
         self.assertEqual(await self.running, _change.ChangeResult.DONE)
-        self.assertEqual(self.access.told[-1], False)
+        self.assertEqual(self.access.notices[-1], False)
 
     async def test_deputies_of_a_change_that_is_cut_short_are_left_to_settle_it(self):
         self.running.cancel()
         await asyncio.gather(self.running, return_exceptions=True)
-        self.assertNotIn(False, self.access.told)
+        self.assertNotIn(False, self.access.notices)
--- a/tests/ranks/test_fresh_reports.py
+++ b/tests/ranks/test_fresh_reports.py
@@ -31,8 +31,8 @@
     def __init__(self, agent):
         self.agent = agent
 
-    async def ask(self, item, timeout_s):
-        return await self.agent._answer_poll(item)
+    async def request(self, message, timeout_s):
+        return await self.agent._answer_poll(message)
 
 
 class FreshReportsTest(support.AsyncCase):
@@ -52,7 +52,7 @@
 
     async def test_hold_is_seen_right_after_it_was_ordered(self):
         order = ranks.RankOrder(ranks.OrderKind.HOLD, epoch=1, step=HELD_STEP)
-        replies = await self.access.carry_out(ranks.Step({1: order}))
+        replies = await self.access.execute(ranks.Step({1: order}))
         self.assertEqual(replies[1].report.held_step, HELD_STEP)
 
     async def test_report_of_a_moment_ago_is_told_only_where_it_will_do(self):
--- a/tests/ranks/test_holds.py
+++ b/tests/ranks/test_holds.py
@@ -13,31 +13,33 @@
     return ranks.EngineReport(held_step=held_step)
 
 
-class HoldWatchTest(unittest.TestCase):
+class HoldTrackerTest(unittest.TestCase):
     def setUp(self):
-        self.watch = _holds.HoldWatch(OWN_RANK)
+        self.tracker = _holds.HoldTracker(OWN_RANK)
 
     def test_hold_of_another_rank_is_left_to_its_leader_for_a_while(self):
-        self.watch.note({1: report(7)}, 0.0)
-        self.assertIsNone(self.watch.find_orphan(_holds.ORPHAN_S / 2, False))
-        self.assertEqual(self.watch.find_orphan(_holds.ORPHAN_S, False), (1, 7))
+        self.tracker.record({1: report(7)}, 0.0)
+        self.assertIsNone(self.tracker.find_orphan(_holds.ORPHAN_TIMEOUT_S / 2, False))
+        self.assertEqual(
+            self.tracker.find_orphan(_holds.ORPHAN_TIMEOUT_S, False), (1, 7)
+        )
 
     def test_hold_at_the_own_rank_is_found_at_once(self):
-        self.watch.note({OWN_RANK: report(7)}, 0.0)
-        self.assertEqual(self.watch.find_orphan(0.0, False), (OWN_RANK, 7))
+        self.tracker.record({OWN_RANK: report(7)}, 0.0)
+        self.assertEqual(self.tracker.find_orphan(0.0, False), (OWN_RANK, 7))
 
     def test_hold_of_a_lost_predecessor_is_found_at_once(self):
-        self.watch.note({1: report(7)}, 0.0)
-        self.assertEqual(self.watch.find_orphan(0.0, True), (1, 7))
+        self.tracker.record({1: report(7)}, 0.0)
+        self.assertEqual(self.tracker.find_orphan(0.0, True), (1, 7))
 
     def test_another_pass_held_at_the_rank_is_another_hold(self):
-        self.watch.note({1: report(7)}, 0.0)
-        self.watch.note({1: report(9)}, _holds.ORPHAN_S)
-        self.assertIsNone(self.watch.find_orphan(_holds.ORPHAN_S, False))
+        self.tracker.record({1: report(7)}, 0.0)
+        self.tracker.record({1: report(9)}, _holds.ORPHAN_TIMEOUT_S)
+        self.assertIsNone(self.tracker.find_orphan(_holds.ORPHAN_TIMEOUT_S, False))
 
     def test_rank_that_says_nothing_is_held_as_before(self):
-        self.watch.note({1: report(7)}, 0.0)
-        self.watch.note({}, 1.0)
-        self.assertTrue(self.watch.is_any_)
-        self.watch.note({1: report()}, 1.2)
-        self.assertFalse(self.watch.is_any_)
+        self.tracker.record({1: report(7)}, 0.0)
+        self.tracker.record({}, 1.0)
+        self.assertTrue(self.tracker.has_holds_)
+        self.tracker.record({1: report()}, 1.2)
+        self.assertFalse(self.tracker.has_holds_)
--- a/tests/ranks/test_leader.py
+++ b/tests/ranks/test_leader.py
@@ -47,19 +47,19 @@
         access.poll = poll
         report = self.group.world.report(self.group.world.engines[rank])
         leader = ranks.GroupLeader(access, report, TERMS, base.Metrics())
-        leader._led_since -= 2 * _leader.ALONE_AFTER_S  # no other agent came up
+        leader._led_since -= 2 * _leader.PEER_DISCOVERY_S  # no other agent came up
         return leader
 
-    async def turns(self, leader, counts=HEAVY, number=6):
+    async def run_cycles(self, leader, counts=HEAVY, number=6):
         for _ in range(number):
             self.group.work(counts)
-            await leader.turn()
+            await leader.run_cycle()
 
     def contents(self):
         return {repr(engine.content) for engine in self.group.world.engines}
 
     async def test_map_follows_demand(self):
-        await self.turns(self.leader)
+        await self.run_cycles(self.leader)
         self.group.work(HEAVY)
         self.assertGreater(self.leader.changes_, 0)
         (content,) = self.contents()
@@ -71,15 +71,15 @@
         self.assertGreater(max(holders), 1)
 
     async def test_no_pass_is_held_before_another_agent_could_release_it(self):
-        self.leader._led_since += 2 * _leader.ALONE_AFTER_S
-        await self.turns(self.leader)
+        self.leader._led_since += 2 * _leader.PEER_DISCOVERY_S
+        await self.run_cycles(self.leader)
         self.assertEqual(self.leader.changes_, 0)
         self.assertFalse([engine for engine in self.group.world.engines if engine.held])
 
     async def test_a_leader_that_another_one_relieves_begins_no_change(self):
-        await self.turns(self.leader, number=1)
+        await self.run_cycles(self.leader, number=1)
         self.leader.stop()
-        await self.turns(self.leader)
+        await self.run_cycles(self.leader)
         self.assertEqual(self.leader.changes_, 0)
 
     async def test_a_leader_gives_way_to_a_senior_that_ranks_have_heard_since(self):
@@ -94,7 +94,7 @@
 
         leader.access.poll = poll_follower
         leader._led_since -= 2 * _leader.SENIOR_MARGIN_S
-        await self.turns(leader)
+        await self.run_cycles(leader)
         self.assertEqual(leader.changes_, 0)
         self.assertEqual(leader.senior_[0], 0)
 
@@ -108,12 +108,12 @@
             return state
 
         leader.access.poll = poll_follower
-        await self.turns(leader)
+        await self.run_cycles(leader)
         self.assertIsNone(leader.senior_)
         self.assertGreater(leader.changes_, 0)
 
     async def test_nothing_changes_without_work(self):
-        await self.turns(self.leader, counts=[0] * 6)
+        await self.run_cycles(self.leader, counts=[0] * 6)
         self.assertEqual(self.leader.changes_, 0)
 
     async def test_lost_orders_are_given_again(self):
@@ -121,14 +121,14 @@
             with self.subTest(kind):
                 await self.asyncSetUp()
                 self.group.lost_by_kind = {kind: 1}
-                await self.turns(self.leader, number=10)
+                await self.run_cycles(self.leader, number=10)
                 self.group.work(HEAVY)
                 self.assertGreater(self.leader.changes_, 0)
                 self.assertEqual(len(self.contents()), 1)
                 self.assertFalse([e for e in self.group.world.engines if e.held])
 
     async def test_hold_of_another_leader_is_resolved(self):
-        await self.turns(self.leader, number=3)
+        await self.run_cycles(self.leader, number=3)
         world = self.group.world
         step = world.step + 2
         world.engines[1].held = step
@@ -137,16 +137,16 @@
         self.assertGreater(world.step, step)
 
     async def test_own_hold_from_before_a_restart_is_resolved_at_once(self):
-        await self.turns(self.leader, number=2)
+        await self.run_cycles(self.leader, number=2)
         world = self.group.world
         world.engines[0].held = world.step + 1
         fresh = await self.lead(0)
         for _ in range(3):
-            await fresh.turn()
+            await fresh.run_cycle()
         self.assertFalse([engine for engine in world.engines if engine.held])
 
     async def test_hold_of_a_rank_whose_agent_is_silent_is_found(self):
-        await self.turns(self.leader, number=2)
+        await self.run_cycles(self.leader, number=2)
         world = self.group.world
         world.engines[2].held = world.step + 1
         poll = self.leader.access.poll
@@ -159,27 +159,27 @@
         self.assertFalse([engine for engine in world.engines if engine.held])
 
     async def test_group_that_forms_anew_is_learnt_again(self):
-        await self.turns(self.leader)
+        await self.run_cycles(self.leader)
         world = self.group.world
         world._form_anew()
         for engine in world.engines:
             engine.content = LAYERS
         before = self.leader.changes_
-        await asyncio.sleep(2 * _leader.REST_S)
-        await self.turns(self.leader, number=10)
+        await asyncio.sleep(2 * _leader.CHANGE_COOLDOWN_S)
+        await self.run_cycles(self.leader, number=10)
         self.assertEqual(self.leader.epoch_, world.epoch)
         self.assertGreater(self.leader.changes_, before)
         self.assertEqual(len(self.contents()), 1)
 
     async def test_group_that_forms_anew_has_a_good_map_before_its_next_passes(self):
-        await self.turns(self.leader)
+        await self.run_cycles(self.leader)
         world = self.group.world
         world._form_anew()
         for engine in world.engines:
             engine.content = LAYERS
-        await asyncio.sleep(2 * _leader.REST_S)
+        await asyncio.sleep(2 * _leader.CHANGE_COOLDOWN_S)
         for _ in range(2):
-            await self.leader.turn()
+            await self.leader.run_cycle()
         self.assertEqual(self.leader.changes_in_epoch_, 1)
         for _ in range(_change.LEAD_PASSES):
             world.begin_pass()
@@ -195,7 +195,7 @@
             return dataclasses.replace(found, slowness=slowness)
 
         self.group.report = report_slow
-        await self.turns(self.leader, counts=[10] * 6)
+        await self.run_cycles(self.leader, counts=[10] * 6)
         self.group.work(HEAVY)
         (content,) = {repr(e.content) for e in self.group.world.engines}
         self.assertNotEqual(content, repr(LAYERS))
@@ -203,7 +203,7 @@
 
     async def test_lost_orders_are_expected_again_for_a_while(self):
         self.group.lost_by_kind = {ranks.OrderKind.PREPARE: 1}
-        await self.turns(self.leader)
+        await self.run_cycles(self.leader)
         self.assertGreater(self.leader.changes_, 0)
         reports = {e.rank: self.group.world.report(e) for e in self.group.world.engines}
         self.assertTrue(self.leader._make_plan(reports, LAYERS).is_lossy)
@@ -212,7 +212,7 @@
         """Take turns until nothing is held any more."""
         engines = self.group.world.engines
         for _ in range(60):
-            await self.leader.turn()
+            await self.leader.run_cycle()
             if not any(engine.held for engine in engines):
                 return
             await asyncio.sleep(0.02)
--- a/tests/ranks/test_links.py
+++ b/tests/ranks/test_links.py
@@ -16,14 +16,14 @@
     """A connection whose agent shows life, or answers, after a while.
 
     :param float answer_s: time until the answer; ``None`` for none.
-    :param float life_s: time until another sign of life; ``None`` for none.
+    :param float heartbeat_s: time until another sign of life; ``None`` for none.
     """
 
     is_congested_ = False
 
-    def __init__(self, answer_s=None, life_s=None):
+    def __init__(self, answer_s=None, heartbeat_s=None):
         self.answer_s = answer_s
-        self.life_s = life_s
+        self.heartbeat_s = heartbeat_s
         self.heard_at_ = -1.0
         self.probes = 0
         self.link = None
@@ -31,19 +31,19 @@
     def probe(self):
         self.probes += 1
 
-    async def send(self, item):
+    async def send(self, message):
         loop = asyncio.get_running_loop()
-        if self.life_s is not None:
-            loop.call_later(self.life_s, self._show_life)
+        if self.heartbeat_s is not None:
+            loop.call_later(self.heartbeat_s, self._receive_heartbeat)
         if self.answer_s is not None:
-            loop.call_later(self.answer_s, self._answer, item.number)
+            loop.call_later(self.answer_s, self._answer, message.number)
 
-    def _show_life(self):
+    def _receive_heartbeat(self):
         self.heard_at_ = time.monotonic()
 
     def _answer(self, number):
-        self._show_life()
-        self.link._questions.take(_messages.KeeperAnswer(number, True))
+        self._receive_heartbeat()
+        self.link._requests.take(_messages.KeeperAnswer(number, True))
 
 
 class LinkTest(unittest.TestCase):
@@ -51,11 +51,11 @@
     def setUpClass(cls):
         support.silence_logs()
 
-    def ask(self, connection, timeout_s):
+    def request(self, connection, timeout_s):
         """Ask over a connection; return the answer and the time until it came."""
-        return virtual.run(self._ask(connection, timeout_s))
+        return virtual.run(self._request(connection, timeout_s))
 
-    async def _ask(self, connection, timeout_s):
+    async def _request(self, connection, timeout_s):
         loop = asyncio.get_running_loop()
         self.failures = []
         loop.set_exception_handler(lambda _, context: self.failures.append(context))
@@ -64,8 +64,8 @@
             self.link = connection.link = _links.RankLink(node, None)
             self.link._connection = connection
             began = loop.time()
-            item = _messages.KeeperQuestion(0, 0, 1, 2, 3)
-            answer = await self.link.ask(item, timeout_s)
+            message = _messages.KeeperRequest(0, 0, 1, 2, 3)
+            answer = await self.link.request(message, timeout_s)
             took_s = loop.time() - began
             await asyncio.sleep(1.0)
             self.assertEqual(self.failures, [])
@@ -75,22 +75,22 @@
         return self.link._silent_until > 0.0
 
     def test_late_answer_of_an_agent_that_is_heard_counts(self):
-        answer, _ = self.ask(StubConnection(answer_s=0.8, life_s=0.1), 1.0)
+        answer, _ = self.request(StubConnection(answer_s=0.8, heartbeat_s=0.1), 1.0)
         self.assertTrue(answer.is_agreed)
         self.assertFalse(self.is_silent())
 
     def test_agent_that_is_heard_and_does_not_answer_is_not_silent(self):
-        answer, took_s = self.ask(StubConnection(life_s=0.1), 1.0)
+        answer, took_s = self.request(StubConnection(heartbeat_s=0.1), 1.0)
         self.assertIsNone(answer)
         self.assertAlmostEqual(took_s, 1.0)
         self.assertFalse(self.is_silent())
 
     def test_silent_agent_is_given_up_early(self):
-        for timeout_s in (0.15, _links.ASK_TIMEOUT_S, 1.0):
+        for timeout_s in (0.15, _links.REPLY_TIMEOUT_S, 1.0):
             with self.subTest(timeout_s):
                 connection = StubConnection()
-                answer, took_s = self.ask(connection, timeout_s)
+                answer, took_s = self.request(connection, timeout_s)
                 self.assertIsNone(answer)
                 self.assertEqual(connection.probes, 1)
-                self.assertLess(took_s, _links.ASK_TIMEOUT_S + 0.01)
+                self.assertLess(took_s, _links.REPLY_TIMEOUT_S + 0.01)
                 self.assertTrue(self.is_silent())
--- a/tests/ranks/test_map_changes.py
+++ b/tests/ranks/test_map_changes.py
@@ -12,13 +12,13 @@
 class MapChangesTest(unittest.TestCase):
     def setUp(self):
         self.sender = _map_changes.MapSender()
-        self.receiver = _map_changes.KnownMaps()
+        self.receiver = _map_changes.MapCache()
 
     def send(self, layers):
-        base, changes, name = self.sender.encode(1, layers)
-        built = self.receiver.build(base, changes, name)
+        base, changes, map_digest = self.sender.encode(1, layers)
+        built = self.receiver.build(base, changes, map_digest)
         if built is not None:
-            self.sender.note_taken(1, layers)
+            self.sender.record_received(1, layers)
         return built, len(changes)
 
     def test_maps_arrive_as_they_were(self):
@@ -35,7 +35,7 @@
 
     def test_a_receiver_that_started_anew_says_that_it_lacks_the_base(self):
         self.send(FIRST)
-        self.receiver = _map_changes.KnownMaps()
+        self.receiver = _map_changes.MapCache()
         self.assertIsNone(self.send(SECOND)[0])
         self.sender.forget(1)
         self.assertEqual(self.send(SECOND)[0], SECOND)
@@ -43,7 +43,7 @@
     def test_the_same_experts_in_another_order_are_the_same_map(self):
         turned = tuple(tuple(tuple(reversed(r)) for r in layer) for layer in FIRST)
         self.send(FIRST)
-        self.assertTrue(self.sender.knows(1, turned))
+        self.assertTrue(self.sender.has_map(1, turned))
 
     def test_a_map_that_is_not_the_one_named_is_not_taken(self):
         base, changes, _ = self.sender.encode(1, FIRST)
@@ -51,6 +51,6 @@
         self.assertIsNone(self.receiver.build(base, changes, other))
 
     def test_few_maps_are_kept(self):
-        for number in range(3 * _map_changes.KEPT_MAPS):
+        for number in range(3 * _map_changes.MAX_MAPS):
             self.receiver.add((((number,),),))
         self.assertIsNone(self.receiver.get(_map_changes.digest((((0,),),))))
--- a/tests/ranks/test_pass_time.py
+++ b/tests/ranks/test_pass_time.py
@@ -16,10 +16,10 @@
         """Take readings of two passes each."""
         for reading in range(readings):
             step = 2 * reading
-            self.timer.take(step, step * pass_s, True, skew)
+            self.timer.record(step, step * pass_s, True, skew)
 
     def skew(self):
-        return self.timer.tolerable_skew(PAUSE_S, least=1.08)
+        return self.timer.tolerable_skew(PAUSE_S, min_skew=1.08)
 
     def test_short_passes_need_no_even_ranks(self):
         self.passes(0.03)
@@ -35,12 +35,12 @@
         self.assertGreater(self.skew(), 1.5)
 
     def test_idle_stalled_and_restarted_groups_teach_nothing(self):
-        self.timer.take(10, 0.0, True, 1.0)
-        self.timer.take(11, 5.0, True, 1.0)
-        self.timer.take(11, 6.0, True, 1.0)
-        self.timer.take(2, 6.1, True, 1.0)
-        self.timer.take(4, 6.2, False, 1.0)
-        self.timer.take(6, 6.3, True, 1.0)
+        self.timer.record(10, 0.0, True, 1.0)
+        self.timer.record(11, 5.0, True, 1.0)
+        self.timer.record(11, 6.0, True, 1.0)
+        self.timer.record(2, 6.1, True, 1.0)
+        self.timer.record(4, 6.2, False, 1.0)
+        self.timer.record(6, 6.3, True, 1.0)
         self.assertEqual(self.timer.even_pass_s_, 0.0)
         self.assertEqual(self.timer.passes_ahead(0.08, 3), 3)
 
--- a/tests/ranks/test_reporter.py
+++ b/tests/ranks/test_reporter.py
@@ -53,7 +53,7 @@
         while time.monotonic() < began + SECONDS:
             step += 1
             report = dataclasses.replace(REPORT, step=step)
-            self.reporter.show(report, 6, time.monotonic())
+            self.reporter.publish(report, 6, time.monotonic())
             await asyncio.sleep(READING_S)
         found = await self.received()
         self.assertLessEqual(len(found), REPORTS_PER_S * SECONDS)
@@ -62,12 +62,14 @@
         changes = {"running": 5, "waiting": 1, "is_open": False, "epoch": 2}
         for number, (name, value) in enumerate(changes.items(), start=2):
             with self.subTest(name):
-                self.reporter.show(REPORT, 6, 0.0)
+                self.reporter.publish(REPORT, 6, 0.0)
                 await self.received()
-                self.reporter.show(dataclasses.replace(REPORT, **{name: value}), 6, 0.0)
-                (told,) = await self.received()
-                self.assertEqual(getattr(told, name), value)
-                self.assertGreaterEqual(told.sequence, number)
+                self.reporter.publish(
+                    dataclasses.replace(REPORT, **{name: value}), 6, 0.0
+                )
+                (message,) = await self.received()
+                self.assertEqual(getattr(message, name), value)
+                self.assertGreaterEqual(message.sequence, number)
 
 
 class ReadingIntervalTest(unittest.TestCase):
@@ -92,5 +94,5 @@
         for size in (1, 12, 63, 72, 300):
             with self.subTest(size):
                 interval_s = self.interval(size=size)
-                readings = math.ceil(_reporter.QUIET_REPORT_S / interval_s)
+                readings = math.ceil(_reporter.UNCHANGED_REPORT_INTERVAL_S / interval_s)
                 self.assertLess(readings * interval_s, _loads.SILENT_S)
--- a/tests/ranks/test_succession.py
+++ b/tests/ranks/test_succession.py
@@ -21,43 +21,43 @@
 class SuccessionTest(unittest.TestCase):
     def test_first_deputy_leads_well_before_a_hold_is_felt(self):
         succession = _succession.Succession(0.0)
-        succession.note_leader(0, 0.0, deputy=0)
+        succession.record_leader(0, 0.0, deputy=0)
         self.assertLess(first_lead(succession, 1, 2.0), LONGEST_HOLD_S)
 
     def test_deputies_follow_each_other(self):
         times = []
-        for deputy in range(_succession.DEPUTIES):
+        for deputy in range(_succession.MAX_DEPUTIES):
             succession = _succession.Succession(0.0)
-            succession.note_leader(0, 0.0, deputy=deputy)
+            succession.record_leader(0, 0.0, deputy=deputy)
             times.append(first_lead(succession, deputy + 1, 2.0))
         self.assertEqual(times, sorted(set(times)))
         self.assertLess(times[-1], 2 * LONGEST_HOLD_S)
 
     def test_without_a_change_nobody_hurries(self):
         succession = _succession.Succession(0.0)
-        succession.note_leader(0, 0.0, deputy=0)
-        succession.note_leader(0, 0.1, deputy=_succession.NO_DEPUTY)
-        self.assertGreater(first_lead(succession, 1, 5.0), _succession.LEAD_AFTER_S)
+        succession.record_leader(0, 0.0, deputy=0)
+        succession.record_leader(0, 0.1, deputy=_succession.NO_DEPUTY)
+        self.assertGreater(first_lead(succession, 1, 5.0), _succession.LEADER_TIMEOUT_S)
 
     def test_an_order_of_the_leader_keeps_a_deputy_what_it_is(self):
         succession = _succession.Succession(0.0)
-        succession.note_leader(0, 0.0, deputy=1)
-        succession.note_leader(0, 0.1)
+        succession.record_leader(0, 0.0, deputy=1)
+        succession.record_leader(0, 0.1)
         self.assertTrue(succession.is_deputy)
 
     def test_another_leader_settles_what_the_last_one_has_left(self):
         succession = _succession.Succession(0.0)
-        succession.note_leader(0, 0.0, deputy=1)
-        succession.note_leader(1, 0.3)
+        succession.record_leader(0, 0.0, deputy=1)
+        succession.record_leader(1, 0.3)
         self.assertFalse(succession.is_deputy)
 
     def test_own_delay_is_nobodys_silence(self):
         succession = _succession.Succession(0.0)
-        succession.note_leader(0, 0.0, deputy=0)
+        succession.record_leader(0, 0.0, deputy=0)
         self.assertFalse(succession.should_lead(1, CHECK_S, CHECK_S))
         self.assertFalse(succession.should_lead(1, 4.0, CHECK_S))
         led_at = first_lead(succession, 1, 6.0, began=4.0)
-        self.assertGreater(led_at, 4.0 + _succession.DEPUTY_PATIENCE_S / 2)
+        self.assertGreater(led_at, 4.0 + _succession.DEPUTY_TIMEOUT_S / 2)
 
     def test_rank_0_always_leads(self):
         self.assertTrue(_succession.Succession(0.0).should_lead(0, 0.0, CHECK_S))
--- a/tests/ranks/test_thin_link.py
+++ b/tests/ranks/test_thin_link.py
@@ -111,7 +111,7 @@
     def test_no_agent_takes_a_leader_behind_a_thin_link_for_lost(self):
         for name, group in self.group_by_name.items():
             with self.subTest(name):
-                self.assertLess(group.longest_silence(), _succession.LEAD_AFTER_S)
+                self.assertLess(group.longest_silence(), _succession.LEADER_TIMEOUT_S)
 
     def test_leading_leaves_most_of_a_thin_link_to_the_engine_beside_it(self):
         for name, group in self.group_by_name.items():
--- a/tests/ranks/thin_link.py
+++ b/tests/ranks/thin_link.py
@@ -49,28 +49,30 @@
         self.is_congested_ = False
         self.bytes_sent_ = self.bytes_received_ = 0
         self.leader_heard_at_ = []
-        self.take = None
+        self.on_message = None
         self.tasks = base.TaskSet()
 
-    async def send(self, item):
+    async def send(self, message):
         """Send a message; the answer comes once both have crossed the link."""
-        delay_s = self.host_link.delay("out", len(wire.encode(item)))
+        delay_s = self.host_link.delay("out", len(wire.encode(message)))
         loop = asyncio.get_running_loop()
-        loop.call_later(delay_s, self._arrive, wire.decode(wire.encode(item)))
+        loop.call_later(delay_s, self._arrive, wire.decode(wire.encode(message)))
 
-    def _arrive(self, item):
+    def _arrive(self, message):
         self.leader_heard_at_.append(time.monotonic())
-        self.tasks.start(self._answer(item), "answer")
-
-    async def _answer(self, item):
-        if isinstance(item, _messages.RankPoll):
-            answer = await self.own.answer_poll(item)
-        elif isinstance(item, _messages.RankOrderMessage):
-            answer = await self.own.answer_order(item)
-        elif isinstance(item, _messages.MapNotice):
-            answer = _messages.KeeperAnswer(item.number, self.own.take_map(item))
-        elif isinstance(item, _messages.KeeperQuestion | _messages.ChangeNotice):
-            answer = _messages.KeeperAnswer(item.number, True)
+        self.tasks.start(self._answer(message), "answer")
+
+    async def _answer(self, message):
+        if isinstance(message, _messages.RankPoll):
+            answer = await self.own.answer_poll(message)
+        elif isinstance(message, _messages.RankOrderMessage):
+            answer = await self.own.answer_order(message)
+        elif isinstance(message, _messages.MapNotice):
+            answer = _messages.KeeperAnswer(
+                message.number, self.own.receive_map(message)
+            )
+        elif isinstance(message, _messages.KeeperRequest | _messages.ChangeNotice):
+            answer = _messages.KeeperAnswer(message.number, True)
         else:
             return
         delay_s = self.host_link.delay("in", len(wire.encode(answer)))
@@ -78,7 +80,7 @@
 
     def _hear(self, answer):
         self.heard_at_ = time.monotonic()
-        self.tasks.start(self.take(answer), "take")
+        self.tasks.start(self.on_message(answer), "take")
 
 
 def link_ranks(group, host_link, own_rank=0):
@@ -97,7 +99,7 @@
         node = gateway.Node(f"n{rank}", "ranks", "127.0.0.1", 1, "a", str(rank))
         link = _links.RankLink(node, None)
         connection = AgentConnection(host_link, _own_rank.OwnRank(group, str(rank)))
-        connection.take = link._take
+        connection.on_message = link._on_message
         link._connection = connection
         link_by_rank[rank], connection_by_rank[rank] = link, connection
     own = _own_rank.OwnRank(group, str(own_rank))
