--- a/libs/ranks/src/sequoiagap/ranks/__init__.py
+++ b/libs/ranks/src/sequoiagap/ranks/__init__.py
@@ -3,9 +3,9 @@
 from sequoiagap.ranks._agent import RankAgent, run
 from sequoiagap.ranks._change import (
     STEP_GUARD,
-    Ask,
     ChangePlan,
     ChangeResult,
+    KeeperQuery,
     MapChange,
     RankReply,
     Step,
@@ -29,7 +29,7 @@
 
 __all__ = [
     "STEP_GUARD",
-    "Ask",
+    "KeeperQuery",
     "ChangePlan",
     "ChangeResult",
     "EngineReport",
--- a/libs/ranks/src/sequoiagap/ranks/_access.py
+++ b/libs/ranks/src/sequoiagap/ranks/_access.py
@@ -179,7 +179,7 @@
     async def query_keeper(self, query):
         """Ask a keeper.
 
-        :param Ask query: the question.
+        :param KeeperQuery query: the question.
         :returns: whether it agrees; not so if it does not answer.
         :rtype: bool
         """
--- a/libs/ranks/src/sequoiagap/ranks/_change.py
+++ b/libs/ranks/src/sequoiagap/ranks/_change.py
@@ -59,7 +59,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Ask:
+class KeeperQuery:
     """A question to the keeper; its answer is whether it agrees.
 
     :param int keeper: its rank.
@@ -148,8 +148,8 @@
         """Make the change.
 
         :returns: a generator of :class:`Step`, sent a dict of :class:`RankReply` by
-            rank, and of :class:`Ask`, sent whether the keeper agrees, that returns a
-            :class:`ChangeResult`.
+            rank, and of :class:`KeeperQuery`, sent whether the keeper agrees, that
+            returns a :class:`ChangeResult`.
         :rtype: collections.abc.Generator
         """
         reports = yield from self._prepare()
@@ -185,7 +185,7 @@
     def _query_keeper(self, wants_arming):
         plan = self.plan
         change = _keeper.HeldChange(plan.epoch, plan.version, self.step_)
-        return (yield Ask(plan.held_rank, change, wants_arming))
+        return (yield KeeperQuery(plan.held_rank, change, wants_arming))
 
     def _release(self):
         return release([self.plan.held_rank], self.step_, self.plan.epoch)
--- a/libs/ranks/src/sequoiagap/ranks/_driver.py
+++ b/libs/ranks/src/sequoiagap/ranks/_driver.py
@@ -55,7 +55,7 @@
                 if armed_at is not None:
                     self.arming_duration_s_ = time.monotonic() - armed_at
                 return stop.value
-            if isinstance(step, _change.Ask):
+            if isinstance(step, _change.KeeperQuery):
                 if step.wants_arming:
                     armed_at = time.monotonic()
                 replies = await self.access.query_keeper(step)
--- a/libs/ranks/src/sequoiagap/ranks/_keeper.py
+++ b/libs/ranks/src/sequoiagap/ranks/_keeper.py
@@ -79,7 +79,7 @@
         self._allowed, self.agreed_ = change, None
         return True
 
-    def take_over(self):
+    def revoke_agreement(self):
         """Return the change that this agent may release by itself, and allow it never.
 
         :rtype: HeldChange | None
--- a/libs/ranks/src/sequoiagap/ranks/_keeper_service.py
+++ b/libs/ranks/src/sequoiagap/ranks/_keeper_service.py
@@ -83,7 +83,7 @@
 
     async def release(self):
         """Release the hold that was left behind; no rank is armed for it."""
-        change = self.keeper.take_over()
+        change = self.keeper.revoke_agreement()
         if change is None:
             return
         began = time.monotonic()
--- a/simulations/rank_world.py
+++ b/simulations/rank_world.py
@@ -99,7 +99,7 @@
             self._send(None)
 
     def _resolve(self, rank, step, plan):
-        unarmed = self.keeper.take_over() if rank == self.rank else None
+        unarmed = self.keeper.revoke_agreement() if rank == self.rank else None
         if unarmed is None or (unarmed.epoch, unarmed.step) != (self.epoch, step):
             return ranks.resolve_hold(rank, step, plan)
         self.world.released_alone += 1
@@ -133,7 +133,7 @@
             return
         if self.change is not None:
             self.last_step = max(self.last_step, self.change.step_)
-        if isinstance(step, ranks.Ask):
+        if isinstance(step, ranks.KeeperQuery):
             self.question = step
             return
         self.waiting = dict(step.order_by_rank)
--- a/tests/ranks/test_change_guards.py
+++ b/tests/ranks/test_change_guards.py
@@ -111,10 +111,10 @@
             self.assertIsNotNone(change_search.find_two_maps(change_search.RARE_SEEDS))
 
     def test_a_keeper_that_allowed_arming_may_not_release_alone(self):
-        def take_over(keeper):
+        def revoke_agreement(keeper):
             return keeper.agreed_ or keeper._allowed
 
-        with mock.patch.object(ranks.Keeper, "take_over", take_over):
+        with mock.patch.object(ranks.Keeper, "revoke_agreement", revoke_agreement):
             self.assertIsNotNone(change_search.find_two_maps())
 
 
--- a/tests/ranks/test_keeper.py
+++ b/tests/ranks/test_keeper.py
@@ -25,13 +25,13 @@
 
     def test_taken_over_before_arming_it_may_be_released_and_never_armed(self):
         self.keeper.agree_to_hold(CHANGE)
-        self.assertEqual(self.keeper.take_over(), CHANGE)
+        self.assertEqual(self.keeper.revoke_agreement(), CHANGE)
         self.assertFalse(self.keeper.allow_arming(CHANGE))
 
     def test_once_arming_is_allowed_nobody_releases_alone(self):
         self.keeper.agree_to_hold(CHANGE)
         self.keeper.allow_arming(CHANGE)
-        self.assertIsNone(self.keeper.take_over())
+        self.assertIsNone(self.keeper.revoke_agreement())
 
     def test_a_pass_is_held_for_one_change_only(self):
         self.keeper.agree_to_hold(CHANGE)
