--- a/libs/ranks/src/sequoiagap/ranks/_access.py
+++ b/libs/ranks/src/sequoiagap/ranks/_access.py
@@ -1,4 +1,4 @@
-"""Ways to the ranks of a group: by their agents, or straight to their engines."""
+"""Access to the ranks of a group, through their agents or directly to their engines."""
 
 import asyncio
 import dataclasses
@@ -15,27 +15,28 @@
     _succession,
 )
 
-HELD_REQUEST_TIMEOUT_S = 0.15  # while a pass may be held; then the engine is asked
+HELD_REQUEST_TIMEOUT_S = 0.15  # while a pass may be held; then the engine is called
 HEARTBEAT_INTERVAL_S = 0.2
-MAX_DIRECT_CALLS = 16  # at once to engines of other hosts, each on a connection
-SLOW_AGENT_TIMEOUT_S = 1.0  # of an agent that is heard, but is slow or far behind
+MAX_DIRECT_CALLS = 16  # concurrent calls to engines of other hosts, one connection each
+SLOW_AGENT_TIMEOUT_S = 1.0  # for an agent that is alive, but slow or backlogged
 
 
 class GroupAccess:
-    """Reaches every rank of a group.
+    """Sends polls, orders and notices to every rank of a group.
 
-    An agent that does not answer is passed over after a while: its engine is asked
-    from here, which costs more. Orders are then the same, so nothing else changes.
+    An agent that does not answer is bypassed for a while: its engine is called directly
+    from here, which costs more. The orders are the same, so nothing else changes.
 
     :param OwnRank own: the own rank.
-    :param int own_rank: its number.
-    :param dict address_by_rank: where each rank's engine listens, as far as known.
-    :param list_addresses: function that returns where engines may listen besides.
-    :param dict link_by_rank: :class:`RankLink` of each other rank's agent, as it gets
-        known; none if not given.
-    :param Keeper keeper: decides about holds at the own rank; a fresh one if not given.
-    :param float map_bytes_s: rate at which maps are sent at most, in bytes a second; 0
-        for no bound.
+    :param int own_rank: number of the own rank.
+    :param dict address_by_rank: address of each rank's engine, as far as known.
+    :param list_addresses: function that returns further addresses that engines may
+        listen on.
+    :param dict link_by_rank: :class:`RankLink` of each other rank's agent, filled as
+        agents are identified; empty if not given.
+    :param Keeper keeper: decides on holds at the own rank; a new one if not given.
+    :param float map_bytes_s: maximum rate at which maps are sent, in bytes per second;
+        0 for no limit.
     """
 
     def __init__(
@@ -60,7 +61,7 @@
         self._discovery = None
 
     async def execute(self, step):
-        """Carry out a step of a change.
+        """Execute a step of a change.
 
         :param Step step: the step.
         :returns: the replies by rank.
@@ -77,13 +78,13 @@
     async def poll(
         self, rank, wants_counts=False, wants_experts=False, may_be_recent=False
     ):
-        """Return what a rank's agent says, or ``None``.
+        """Return the state that a rank's agent reports, or ``None``.
 
         :param int rank: the rank.
-        :param bool wants_counts: whether to ask for the counts of experts.
-        :param bool wants_experts: whether to ask for the experts that it holds.
-        :param bool may_be_recent: whether a report of a moment ago will do; the steps
-            of a change need what their orders have brought about.
+        :param bool wants_counts: whether to request the expert counts.
+        :param bool wants_experts: whether to request the experts that the rank holds.
+        :param bool may_be_recent: whether a recently read report is accepted; the steps
+            of a change need the effect of their orders.
         :rtype: RankState | None
         """
         poll = _messages.RankPoll(
@@ -97,14 +98,14 @@
         return await link.request(poll, SLOW_AGENT_TIMEOUT_S)
 
     async def send_heartbeats(self):
-        """Let the agents that were told nothing of late know that this one leads."""
+        """Send a heartbeat to each agent that was sent nothing recently."""
         oldest = time.monotonic() - HEARTBEAT_INTERVAL_S / 2
         for link in list(self.link_by_rank.values()):
             if link.last_sent_at_ < oldest:
                 await link.send(_messages.LeaderHeartbeat(self.own_rank))
 
     def lacks_map(self, rank, layers):
-        """Return whether a rank's agent could be told a map that it does not have.
+        """Return whether a rank's agent can be reached and does not have a map.
 
         :param int rank: the rank.
         :param tuple layers: the map.
@@ -115,7 +116,7 @@
         return is_reached and not self._maps.has_map(rank, layers)
 
     async def send_map(self, rank, layers):
-        """Tell a rank's agent the map in use, to which later ones can differ.
+        """Send a rank's agent the map in use, as a base for later differences.
 
         :param int rank: the rank.
         :param tuple layers: the map.
@@ -132,7 +133,7 @@
             self._maps.forget(rank)
 
     def bypass_agent(self, rank):
-        """Ask a rank's engine rather than its agent for a while.
+        """Call a rank's engine directly instead of its agent for a while.
 
         :param int rank: the rank.
         """
@@ -141,7 +142,7 @@
             link.mark_silent()
 
     def choose_deputies(self):
-        """Return the ranks whose agents are to settle a change that is left behind.
+        """Return the ranks whose agents settle a change that its leader abandons.
 
         :rtype: list[int]
         """
@@ -153,11 +154,11 @@
         return list(linked)[: _succession.MAX_DEPUTIES]
 
     async def notify_deputies(self, deputies, is_changing=True):
-        """Tell deputies that a change is under way, or that it has ended.
+        """Notify deputies that a change is in progress, or that it has ended.
 
-        :param list deputies: their ranks, the first to act first.
-        :param bool is_changing: whether the change is still under way.
-        :returns: those that have heard it.
+        :param list deputies: ranks of the deputies, in the order in which they act.
+        :param bool is_changing: whether the change is still in progress.
+        :returns: the deputies that acknowledged the notice.
         :rtype: list[int]
         """
         responses = await asyncio.gather(
@@ -177,10 +178,10 @@
         return [rank for rank, answer in answers if answer is not None]
 
     async def query_keeper(self, query):
-        """Ask a keeper.
+        """Request the keeper's agreement.
 
-        :param KeeperQuery query: the question.
-        :returns: whether it agrees; not so if it does not answer.
+        :param KeeperQuery query: the request.
+        :returns: whether the keeper agrees; false if it does not answer.
         :rtype: bool
         """
         change = query.change
@@ -201,12 +202,13 @@
         return answer is not None and answer.is_agreed
 
     async def poll_engine(self, rank, wants_experts=False):
-        """Return what a rank's engine says to a question from here, or ``None``.
+        """Return the state of a rank as read directly from its engine, or ``None``.
 
-        For ranks whose agent does not answer. It costs more, and counts are left out.
+        For ranks whose agent does not answer. A direct call costs more, and expert
+        counts are left out.
 
         :param int rank: the rank.
-        :param bool wants_experts: whether to ask for the experts that it holds.
+        :param bool wants_experts: whether to request the experts that the rank holds.
         :rtype: RankState | None
         """
         if rank not in self.address_by_rank:
@@ -222,7 +224,7 @@
         return state if is_rank else None
 
     async def _discover_engines(self):
-        """Ask engines whose rank is not known for it, once for all that want one."""
+        """Read the ranks of unidentified engines, once for all concurrent callers."""
         if self._discovery is None or self._discovery.done():
             self._discovery = asyncio.ensure_future(self._query_engine_ranks())
         await asyncio.shield(self._discovery)
@@ -246,7 +248,7 @@
 
     async def _send_order(self, rank, order):
         if order is not None and order.kind == _ports.OrderKind.HOLD:
-            # Without the agent between; but only its reports are fresh.
+            # The order bypasses the agent, but only the agent's reports are fresh.
             reply = await self._send_direct(rank, order)
             state = await self.poll(rank)
             report = None if state is None else _own_rank.read_report(state)
@@ -305,7 +307,7 @@
 
 
 def _make_order_message(order, leader):
-    """Return an order without its map."""
+    """Return the message of an order, without its map."""
     return _messages.RankOrderMessage(
         0, leader, str(order.kind), order.epoch, order.version, order.step
     )
--- a/libs/ranks/src/sequoiagap/ranks/_change.py
+++ b/libs/ranks/src/sequoiagap/ranks/_change.py
@@ -1,21 +1,22 @@
-"""Change of a group's expert map, so that no pass begins with two maps.
-
-Engines don't compare maps: each switches by itself at the pass that it is armed for.
-Orders may be lost, or carried out seconds later. The procedure rests on this:
-
-- The group is held at a pass by one rank before any rank is armed for it. That rank's
-  agent, the keeper, is asked before the hold and again before the first rank is armed;
-  until then it may release the pass by itself. Afterwards the pass is released only
-  once every rank is known to be armed alike, or to be safe: a rank is safe from a
-  version once a later version is prepared there, as it can't be armed for the old one
-  any more, however late the order comes.
-- Versions are never used for two maps, and a leader never holds a pass twice.
-- Whoever finds a hold that nobody answers for holds the same pass on another rank
-  first. Then a release by the old leader, late or sent as it wakes, releases nothing.
-- A group that forms anew forgets everything; orders of an older epoch are refused.
-
-The procedures are generators: they yield steps to carry out and are sent what came of
-them, so that a model check can drive them through every loss and delay.
+"""Procedures that change a group's expert map so that no pass uses two maps.
+
+Engines don't compare maps: each switches on its own at the pass that it is armed for.
+Orders may be lost, or executed seconds late. The procedure relies on these rules:
+
+- The group is held at a pass by one rank before any rank is armed for it. The agent of
+  that rank, the keeper, has to agree before the hold and again before the first rank is
+  armed; until then it may release the pass on its own. Afterwards the pass is released
+  only once every rank is known to be armed for the same change or to be safe. A rank is
+  safe from a version once a later version is prepared there: it can no longer be armed
+  for the old one, however late the order arrives.
+- A version is never used for two maps, and a leader never holds the same pass twice.
+- An agent that finds an abandoned hold first holds the same pass on another rank. A
+  release by the old leader, delayed or sent when it resumes, then has no effect.
+- A group that re-forms discards all of this state; orders of an older epoch are
+  refused.
+
+The procedures are generators: they yield steps to execute and are sent the results, so
+that a model checker can run them through every loss and delay.
 """
 
 import dataclasses
@@ -24,19 +25,19 @@
 from sequoiagap.ranks import _keeper, _ports
 
 LEAD_PASSES = 3
-LOSSY_LEAD_PASSES = 8  # time to give lost orders again before the pass is due
+LOSSY_LEAD_PASSES = 8  # leaves time to resend lost orders before the pass
 COPY_POLL_INTERVAL_S = 0.04
 PREPARE_TIMEOUT_S = 4.0
 ARM_ATTEMPTS = 3
 LOSSY_ARM_ATTEMPTS = 8
 HOLD_ATTEMPTS = 2
-VERSIONS_PER_CHANGE = 2  # its own and, to give it up, the next
+VERSIONS_PER_CHANGE = 2  # the change's own and the next, used to abort it
 VERSION_SPREAD = 4096
-STEP_GUARD = 16  # passes that begin before a fresh leader's first change
+STEP_GUARD = 16  # passes that start before a new leader's first change
 
 
 class ChangeResult(enum.StrEnum):
-    """How a change ended."""
+    """Outcome of a change."""
 
     DONE = "done"
     NOT_PREPARED = "not_prepared"
@@ -48,10 +49,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class Step:
-    """Orders to give at once, one a rank at most, and reports to take afterwards.
+    """Orders to send concurrently, at most one per rank, and reports to read.
 
-    :param dict order_by_rank: a :class:`RankOrder`, or ``None`` for a report only.
-    :param float wait_s: how long to wait before, in seconds.
+    :param dict order_by_rank: a :class:`RankOrder`, or ``None`` to read a report only.
+    :param float wait_s: delay before sending, in seconds.
     """
 
     order_by_rank: dict
@@ -60,11 +61,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class KeeperQuery:
-    """A question to the keeper; its answer is whether it agrees.
+    """Request to the keeper; it is answered by whether the keeper agrees.
 
-    :param int keeper: its rank.
-    :param HeldChange change: the change that it is about.
-    :param bool wants_arming: whether ranks are to be armed, rather than a pass held.
+    :param int keeper: rank of the keeper.
+    :param HeldChange change: the change that the request is about.
+    :param bool wants_arming: whether to arm ranks; otherwise the request is to hold a
+        pass.
     """
 
     keeper: int
@@ -74,10 +76,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class RankReply:
-    """What came of a step at a rank.
+    """Result of a step at one rank.
 
-    :param OrderResult result: what the engine answered to the order.
-    :param EngineReport report: what it said afterwards, or ``None``.
+    :param OrderResult result: the engine's response to the order.
+    :param EngineReport report: the engine's report afterwards, or ``None``.
     """
 
     result: _ports.OrderResult = _ports.OrderResult.UNKNOWN
@@ -86,20 +88,21 @@
 
 @dataclasses.dataclass(frozen=True)
 class ChangePlan:
-    """What a change is about.
+    """Parameters of a change.
 
     :param int version: version of the new map; never used before.
-    :param tuple layers: the new map, as :attr:`experts.Holdings.layers`.
+    :param tuple layers: the new map, in the form of :attr:`experts.Holdings.layers`.
     :param tuple old_layers: the map in use.
-    :param int size: ranks of the group.
+    :param int size: number of ranks in the group.
     :param int own_rank: rank of the leader.
     :param int epoch: epoch of the group.
-    :param int after_step: pass after which alone the change may take place.
-    :param bool is_lossy: whether orders have gone without an answer of late.
-    :param int lead_passes: passes ahead at which the ranks switch.
-    :param int lossy_lead_passes: the same where orders go without an answer.
-    :param int keeper: rank at which the pass is held; that of the leader if not given.
-    :param float poll_s: time between questions to ranks that copy, in seconds.
+    :param int after_step: pass after which the change may take place at the earliest.
+    :param bool is_lossy: whether orders have recently been lost.
+    :param int lead_passes: number of passes ahead at which the ranks switch.
+    :param int lossy_lead_passes: the same while orders are being lost.
+    :param int keeper: rank at which the pass is held; the leader's if not given.
+    :param float poll_s: interval between polls of ranks that are copying weights, in
+        seconds.
     """
 
     version: int
@@ -122,14 +125,14 @@
 
 
 class MapChange:
-    """A change of map, led by the agent of one rank.
+    """Change of the expert map, led by the agent of one rank.
 
-    :param ChangePlan plan: what to change.
+    :param ChangePlan plan: parameters of the change.
 
     :ivar int step_: pass at which the ranks switch; 0 before it is chosen.
-    :ivar int lost_orders_: orders that got no answer.
-    :ivar str detail_: what kept the change from being made.
-    :ivar bool is_abandoned_: whether to make nothing of it, if no pass is held yet.
+    :ivar int lost_orders_: number of orders without a response.
+    :ivar str detail_: reason why the change was not made.
+    :ivar bool is_abandoned_: whether to end the change early if no pass is held yet.
     """
 
     def __init__(self, plan):
@@ -141,15 +144,15 @@
 
     @property
     def is_lossy_(self):
-        """Whether orders go without an answer, in this change or shortly before."""
+        """Whether orders were lost, in this change or shortly before it."""
         return self.plan.is_lossy or self.lost_orders_ > 0
 
     def run(self):
         """Make the change.
 
-        :returns: a generator of :class:`Step`, sent a dict of :class:`RankReply` by
-            rank, and of :class:`KeeperQuery`, sent whether the keeper agrees, that
-            returns a :class:`ChangeResult`.
+        :returns: a generator that yields :class:`Step`, is sent a dict of
+            :class:`RankReply` by rank, yields :class:`KeeperQuery`, is sent whether the
+            keeper agrees, and returns a :class:`ChangeResult`.
         :rtype: collections.abc.Generator
         """
         reports = yield from self._prepare()
@@ -160,12 +163,12 @@
         lead = plan.lossy_lead_passes if self.is_lossy_ else plan.lead_passes
         self.step_ = max(newest + lead, self.plan.after_step + 1)
         if self.step_ >= newest + STEP_GUARD:
-            # A successor would take it for safe before this pass has begun.
+            # A successor would assume that this pass has started before it has.
             self.detail_ = f"pass {self.step_} is too far ahead"
             return ChangeResult.NOT_HELD
         is_agreed = yield from self._query_keeper(wants_arming=False)
         if not is_agreed:
-            self.detail_ = "the keeper did not agree to a hold"
+            self.detail_ = "the keeper did not agree to the hold"
             return ChangeResult.NOT_ALLOWED
         is_held = yield from self._hold()
         if not is_held:
@@ -173,7 +176,7 @@
             return ChangeResult.NOT_HELD
         is_allowed = yield from self._query_keeper(wants_arming=True)
         if not is_allowed:
-            self.detail_ = "the keeper did not allow to arm"
+            self.detail_ = "the keeper did not allow arming"
             yield from self._release()
             return ChangeResult.NOT_ALLOWED
         is_armed = yield from self._arm()
@@ -194,7 +197,7 @@
         return _ports.RankOrder(kind, self.plan.epoch, **fields)
 
     def _send_orders(self, order_by_rank, wait_s=0.0):
-        """Give orders and count those that get no answer; return the replies."""
+        """Send orders, count those that get no response and return the replies."""
         replies = yield Step(dict(order_by_rank), wait_s)
         self.lost_orders_ += sum(
             order is not None and replies[rank].result == _ports.OrderResult.UNKNOWN
@@ -203,7 +206,7 @@
         return replies
 
     def _prepare(self):
-        """Have every rank copy the weights; return all reports once they are there."""
+        """Have every rank copy the weights and return all reports once that is done."""
         order = self._order(
             _ports.OrderKind.PREPARE,
             version=self.plan.version,
@@ -227,7 +230,7 @@
         return reports
 
     def _record_prepared(self, rank, reply, missing, reports):
-        """Take one rank's reply; return whether the change may still be made."""
+        """Record one rank's reply and return whether the change may still be made."""
         report = reply.report
         if report is None:
             return True
@@ -243,7 +246,9 @@
             self.detail_ = f"rank {rank} refused to prepare"
             return False
         if reply.result != _ports.OrderResult.UNKNOWN:
-            missing[rank] = None  # it copies; only its report is wanted from now on
+            missing[rank] = (
+                None  # the rank is copying; from now on only its report is read
+            )
         return True
 
     def _hold(self):
@@ -299,14 +304,15 @@
 
 
 def make_version(report_by_rank, own_rank, size, random_state):
-    """Return a version that nobody else uses and that is later than all known ones.
+    """Return a version that no other leader uses and that is later than all known ones.
 
-    Each rank has versions of its own; the random part keeps a leader from using one
-    again that its predecessor at the same rank has used unseen.
+    Each rank has a range of versions of its own. The random part keeps a leader from
+    reusing a version that an earlier leader at the same rank used without its being
+    seen.
 
     :param dict report_by_rank: newest reports.
     :param int own_rank: rank of the leader.
-    :param int size: ranks of the group.
+    :param int size: number of ranks in the group.
     :param random.Random random_state: source of randomness.
     :rtype: int
     """
@@ -323,12 +329,12 @@
     """Return whether a leader may begin a change.
 
     :param dict report_by_rank: newest reports.
-    :param int size: ranks of the group.
+    :param int size: number of ranks in the group.
     :param int own_rank: rank of the leader.
-    :param int first_step: pass at which it first saw the group in this epoch. Holds
-        and releases of a predecessor may still be on their way; they name passes that
-        have begun by the time that this one may hold one. ``None`` where there was
-        no predecessor at this rank in this epoch.
+    :param int first_step: pass at which the leader first saw the group in this epoch.
+        Holds and releases of a predecessor may still be in flight; the passes they name
+        have started by the time this leader may hold one. ``None`` if there was no
+        predecessor at this rank in this epoch.
     :rtype: bool
     """
     reports = list(report_by_rank.values())
@@ -344,12 +350,12 @@
 
 
 def resolve_hold(found_rank, step, plan):
-    """Release a hold that nobody answers for.
+    """Release an abandoned hold.
 
-    :param int found_rank: rank at which it was found.
-    :param int step: the pass that is held.
-    :param ChangePlan plan: with a fresh version, and the map in use as its maps.
-    :returns: a generator as that of :meth:`MapChange.run`.
+    :param int found_rank: rank at which the hold was found.
+    :param int step: number of the held pass.
+    :param ChangePlan plan: plan with a new version whose maps are both the map in use.
+    :returns: a generator like that of :meth:`MapChange.run`.
     :rtype: collections.abc.Generator
     """
     is_held = yield from _hold_elsewhere(found_rank, step, plan)
@@ -363,11 +369,11 @@
 
 
 def _hold_elsewhere(found_rank, step, plan):
-    """Hold a pass at one more rank, the own one if it may be.
+    """Hold a pass at a second rank, preferably the own one.
 
-    A release by the leader that began the change may still be on its way to the rank
-    where the hold was found, also if that is the own rank: the leader may have been
-    this agent before it was started again.
+    A release by the leader that began the change may still be in flight to the rank
+    where the hold was found. This also applies to the own rank: that leader may have
+    been this agent before it restarted.
     """
     order = _ports.RankOrder(_ports.OrderKind.HOLD, plan.epoch, step=step)
     for offset in range(plan.size):
@@ -385,18 +391,18 @@
 
 
 def make_safe(plan, step, own_version=0):
-    """See that no rank is armed for a change, or can be armed for it any more.
-
-    A rank that is armed by another change is safe: the weights that the old order
-    needs are no longer prepared there. Only what belongs to this change is disarmed,
-    since a later one may be under way when a paused leader wakes here.
-
-    :param ChangePlan plan: with a fresh version, to be prepared everywhere with the
-        map in use, which copies nothing.
-    :param int step: pass of the change; once it has begun there is nothing to do.
-    :param int own_version: version of the change; 0 where it is not known, for all
-        that are armed for that pass.
-    :returns: a generator that returns false if the group has formed anew.
+    """Ensure that no rank is armed, or can still be armed, for a change.
+
+    A rank that is armed for another change is safe: the weights that the old order
+    needs are no longer prepared there. Only ranks armed for this change are disarmed,
+    since a later change may be in progress when a paused leader resumes here.
+
+    :param ChangePlan plan: plan with a new version, which is prepared at every rank
+        with the map in use and so copies nothing.
+    :param int step: pass of the change; nothing is left to do once it has started.
+    :param int own_version: version of the change; 0 if it is unknown, which selects all
+        ranks that are armed for that pass.
+    :returns: a generator that returns false if the group has re-formed.
     :rtype: collections.abc.Generator
     """
     prepare = _ports.RankOrder(
@@ -432,17 +438,17 @@
 
 
 def _is_armed_by_change(report, step, own_version):
-    """Return whether a rank is armed by the change in question."""
+    """Return whether a rank is armed for the change in question."""
     if own_version:
         return report.armed == own_version
     return report.armed_step == step
 
 
 def release(ranks, step, epoch):
-    """Release a held pass at some ranks, until they say that it is not held.
+    """Release a held pass at some ranks until each reports that it is not held.
 
     :param list ranks: the ranks.
-    :param int step: the pass.
+    :param int step: number of the pass.
     :param int epoch: epoch of the group.
     :returns: a generator of :class:`Step`.
     :rtype: collections.abc.Generator
@@ -462,6 +468,6 @@
 
 
 def _may_have_accepted(report, version):
-    """Return whether a refusal may mean that the order was taken before."""
+    """Return whether a refusal may mean that the order was accepted before."""
     newest = max(report.prepared, report.map_version)
     return not report.armed and newest < version
--- a/libs/ranks/src/sequoiagap/ranks/_poller.py
+++ b/libs/ranks/src/sequoiagap/ranks/_follower.py
@@ -1,30 +1,30 @@
-"""What a leader knows of the ranks of its group, and what it asks for.
+"""Polling of the ranks of a group by their leader, within a share of its link.
 
-The load that it answers: a group of many ranks behind a link that is thin for all that
-they could say at once. A question that has not been answered yet is not asked again;
-answers that come late count with their age; counts of experts are asked of as many
-ranks in a turn as fit into a share of the link, in the order of their age.
+Guards against a group whose ranks could send more at once than a slow link carries. A
+rank with a pending poll is not polled again; late answers count with their age; in each
+cycle, expert counts are requested from as many ranks as fit into a share of the link,
+oldest counts first.
 """
 
 import asyncio
 import dataclasses
 import time
 
-CYCLE_TIMEOUT_S = 0.12  # for the answers of a turn; later ones count in the next
-MAX_FRESH_AGE_S = 0.35  # an answer no older than this tells what stands now
-POLL_BYTES = 150  # a question and its answer without counts, with all headers
-COUNT_BYTES = 0.8  # of a count, before any has been received
-SILENT_CYCLES = 2  # without an answer of its agent a rank's engine is asked
-SILENT_REPEAT_CYCLES = 3  # and again after so many
-SIZE_WEIGHT = 0.2  # of a new answer in the mean size
+CYCLE_TIMEOUT_S = 0.12  # later answers count in the next cycle
+MAX_FRESH_AGE_S = 0.35  # maximum age of an answer that shows the current state
+POLL_BYTES = 150  # a poll and its answer without counts, with all headers
+COUNT_BYTES = 0.8  # initial estimate per count
+SILENT_CYCLES = 2  # unanswered by the agent before the engine is polled
+SILENT_REPEAT_CYCLES = 3  # cycles between further polls of the engine
+SIZE_WEIGHT = 0.2  # weight of a new answer in the mean size
 
 
 @dataclasses.dataclass(frozen=True)
 class PollAnswer:
-    """An answer of a rank.
+    """Answer of a rank to a poll.
 
     :param RankState state: the answer.
-    :param float requested_at: when the question was sent, monotonic seconds.
+    :param float requested_at: when the poll was sent, in monotonic seconds.
     """
 
     state: object
@@ -32,11 +32,11 @@
 
 
 class ReadingBudget:
-    """How many ranks may be asked for their counts in a turn.
+    """Limits how many ranks are polled for their expert counts per cycle.
 
-    :param float bytes_s: bytes a second that a leader may have sent to it; 0 for no
-        bound.
-    :param int counts_per_rank: counts of one rank.
+    :param float bytes_s: maximum rate of data sent to the leader, in bytes per second;
+        0 for no limit.
+    :param int counts_per_rank: number of counts of one rank.
     """
 
     def __init__(self, bytes_s, counts_per_rank):
@@ -44,19 +44,19 @@
         self._mean_bytes = counts_per_rank * COUNT_BYTES
 
     def record_size(self, size):
-        """Take the size of an answer's counts, in bytes."""
+        """Record the size of an answer's counts, in bytes."""
         self._mean_bytes += SIZE_WEIGHT * (size - self._mean_bytes)
 
     def max_ranks(self, size, interval_s):
-        """Return how many ranks to ask for their counts.
+        """Return how many ranks to poll for their counts.
 
-        :param int size: ranks of the group.
-        :param float interval_s: time since the turn before, in seconds.
+        :param int size: number of ranks in the group.
+        :param float interval_s: time since the previous cycle, in seconds.
         :rtype: int
 
-        >>> ReadingBudget(100_000, 100).ranks(12, 0.2)
+        >>> ReadingBudget(100_000, 100).max_ranks(12, 0.2)
         12
-        >>> ReadingBudget(100_000, 2000).ranks(60, 0.2)
+        >>> ReadingBudget(100_000, 2000).max_ranks(60, 0.2)
         6
         """
         if not self.bytes_s:
@@ -67,10 +67,10 @@
 
 
 class RankPoller:
-    """Asks the ranks of a group and keeps what each has said last.
+    """Polls the ranks of a group and keeps the newest answer of each.
 
-    :param GroupAccess access: ways to the ranks.
-    :param int size: ranks of the group.
+    :param GroupAccess access: access to the ranks.
+    :param int size: number of ranks in the group.
     :param int own_rank: rank of the leader.
     """
 
@@ -83,12 +83,12 @@
         self._silent_cycles_by_rank = {}
 
     async def poll(self, counts_of, experts_of):
-        """Ask all ranks that have no question left to answer.
+        """Poll all ranks that have no pending poll.
 
-        :param set counts_of: ranks to ask for the counts of experts.
-        :param set experts_of: ranks to ask for the experts that they hold.
-        :returns: the newest answers since the last call, :class:`Heard` by rank.
-        :rtype: dict[int, Heard]
+        :param set counts_of: ranks to poll for expert counts.
+        :param set experts_of: ranks to poll for the experts that they hold.
+        :returns: the answers received since the last call, :class:`PollAnswer` by rank.
+        :rtype: dict[int, PollAnswer]
         """
         for rank in range(self.size):
             if rank in self._pending_by_rank:
@@ -99,7 +99,7 @@
         return self._collect()
 
     def silent_ranks(self):
-        """Return the ranks that left the last question unanswered.
+        """Return the ranks that left the last poll unanswered.
 
         :rtype: list[int]
         """
@@ -107,9 +107,9 @@
         return [rank for rank in range(self.size) if rank not in answering]
 
     def select_silent(self, is_urgent):
-        """Return the silent ranks whose engines are to be asked in this turn.
+        """Return the silent ranks whose engines are to be polled in this cycle.
 
-        :param bool is_urgent: whether all of them are.
+        :param bool is_urgent: whether to select all of them.
         :rtype: list[int]
         """
         cycles_by_rank = self._silent_cycles_by_rank
@@ -125,18 +125,18 @@
         ]
 
     def record_direct(self, rank, state):
-        """Take what a rank's engine said to a question from here.
+        """Record a state that was read directly from a rank's engine.
 
         :param int rank: the rank.
-        :param RankState state: what it said.
+        :param RankState state: the state.
         """
         self._answer_by_rank[rank] = PollAnswer(state, time.monotonic())
 
     def newest(self, since, max_age_s):
-        """Return the answers to questions sent after a moment.
+        """Return the newest answers to polls sent after a given time.
 
         :param float since: monotonic time in seconds.
-        :param float max_age_s: oldest question that counts, in seconds.
+        :param float max_age_s: maximum age of a poll that counts, in seconds.
         :rtype: dict[int, RankState]
         """
         oldest = max(since, time.monotonic() - max_age_s)
@@ -148,7 +148,7 @@
         }
 
     def close(self):
-        """Leave the questions that are not answered yet."""
+        """Cancel the pending polls."""
         for task in self._pending_by_rank.values():
             task.cancel()
         self._pending_by_rank = {}
--- a/libs/ranks/src/sequoiagap/ranks/_keeper.py
+++ b/libs/ranks/src/sequoiagap/ranks/_keeper.py
@@ -1,10 +1,11 @@
-"""What the agent beside a held rank answers for.
-
-The load that it answers: a leader whose host stands still just after it has had a pass
-held. The hold lies at the rank of another agent, its keeper, which the leader asks
-before any rank is armed. As long as the keeper has not allowed that, no rank is armed
-for the change or ever will be, so the keeper may release the pass by itself, without
-hearing from the leader's rank. Afterwards every rank has to be made safe first.
+"""Agreement of the agent beside a held rank (the keeper) to holds and arming.
+
+Guards against a leader whose host stalls just after a pass was held. The hold is placed
+at the rank of another agent, the keeper, whose agreement the leader requests before it
+arms any rank. Until the keeper has allowed arming, no rank is or ever will be armed for
+the change, so the keeper may release the pass on its own without hearing from the
+leader's rank. Once arming is allowed, every rank has to be made safe before the
+release.
 """
 
 import dataclasses
@@ -12,11 +13,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class HeldChange:
-    """A change for which a pass is held.
+    """Change for which a pass is held.
 
     :param int epoch: epoch of the group.
     :param int version: version of the new map.
-    :param int step: the pass.
+    :param int step: number of the held pass.
     """
 
     epoch: int
@@ -25,17 +26,17 @@
 
 
 class Keeper:
-    """Decides for one agent about holds at the rank beside it.
+    """Decides which holds an agent agrees to at its own rank.
 
-    Each pass is held there for one change at most: a release that is still on its way
-    for one change would end the hold of another.
+    Each pass is held there for at most one change: a delayed release for one change
+    would otherwise end the hold of another.
 
-    :param int epoch: epoch of the group as the agent started.
-    :param int first_step: first pass of that epoch that a predecessor of this agent
-        has agreed to nothing for.
+    :param int epoch: epoch of the group when the agent started.
+    :param int first_step: first pass of that epoch that no earlier process of this
+        agent can have agreed to hold.
 
-    :ivar HeldChange agreed_: change for which the pass may be held here and that no
-        rank may yet be armed for, or ``None``.
+    :ivar HeldChange agreed_: change for which the pass may be held here and no rank may
+        be armed yet, or ``None``.
     """
 
     def __init__(self, epoch=0, first_step=0):
@@ -44,10 +45,11 @@
         self._newest = (epoch, first_step - 1)
 
     def decide(self, change, wants_arming):
-        """Answer a leader's question.
+        """Return whether this agent agrees to a leader's request.
 
-        :param HeldChange change: the change that it is about.
-        :param bool wants_arming: whether ranks are to be armed, or else a pass held.
+        :param HeldChange change: the change to decide on.
+        :param bool wants_arming: whether the request is to arm ranks; otherwise it is
+            to hold a pass.
         :rtype: bool
         """
         if wants_arming:
@@ -57,7 +59,7 @@
     def agree_to_hold(self, change):
         """Return whether a pass may be held at the rank beside this agent.
 
-        :param HeldChange change: the change.
+        :param HeldChange change: the change to decide on.
         :rtype: bool
         """
         if (change.epoch, change.step) <= self._newest:
@@ -69,7 +71,7 @@
     def allow_arming(self, change):
         """Return whether ranks may be armed for a change.
 
-        :param HeldChange change: the change.
+        :param HeldChange change: the change to decide on.
         :rtype: bool
         """
         if change == self._allowed:
@@ -80,7 +82,9 @@
         return True
 
     def revoke_agreement(self):
-        """Return the change that this agent may release by itself, and allow it never.
+        """Return the change that this agent may release on its own.
+
+        Arming is never allowed for it afterwards.
 
         :rtype: HeldChange | None
         """
--- a/libs/ranks/src/sequoiagap/ranks/_keeper_service.py
+++ b/libs/ranks/src/sequoiagap/ranks/_keeper_service.py
@@ -1,4 +1,4 @@
-"""The keeper's duty beside one engine: answer leaders, release what is left."""
+"""Keeper of one rank: answers leaders and releases the holds that they abandon."""
 
 import asyncio
 import time
@@ -7,7 +7,7 @@
 from sequoiagap.ranks import _change, _keeper, _messages, _ports, _succession
 
 RELEASE_RETRY_S = 0.02
-HOLD_ARRIVAL_TIMEOUT_S = 0.5  # by then a hold that was agreed is there, or was lost
+HOLD_ARRIVAL_TIMEOUT_S = 0.5  # by then an agreed hold is in place, or was lost
 
 _log = base.get_logger("keeper")
 
@@ -17,7 +17,7 @@
 
     :param OwnRank own: the own rank.
 
-    :ivar Keeper keeper: decides what is agreed to.
+    :ivar Keeper keeper: decides which requests are agreed to.
     """
 
     def __init__(self, own):
@@ -27,7 +27,7 @@
         self._heard_at = 0.0
 
     def start(self, report):
-        """Begin with the first report of the engine.
+        """Create the keeper from the first report of the engine.
 
         :param EngineReport report: the report.
         """
@@ -35,13 +35,13 @@
         self.keeper = _keeper.Keeper(report.epoch, first_step)
 
     def answer(self, request, is_leading):
-        """Agree to a hold or to arming, unless this agent leads by itself.
+        """Agree to a hold or to arming, unless this agent is itself the leader.
 
-        Before the engine's first report it agrees to nothing, as it can't know what its
-        predecessor has agreed to.
+        Before the engine's first report it agrees to nothing, as it can't know what an
+        earlier process of this agent agreed to.
 
-        :param KeeperRequest request: the question.
-        :param bool is_leading: whether this agent leads.
+        :param KeeperRequest request: the request.
+        :param bool is_leading: whether this agent is the leader.
         :rtype: KeeperAnswer
         """
         change = _keeper.HeldChange(request.epoch, request.version, request.step)
@@ -61,18 +61,18 @@
         return _messages.KeeperAnswer(request.number, is_agreed)
 
     def record_leader(self, leader, now):
-        """Take a word of a leader.
+        """Record that a leader was heard from.
 
-        :param int leader: its rank.
+        :param int leader: rank of the leader.
         :param float now: monotonic time in seconds.
         """
         if leader == self._leader:
             self._heard_at = now
 
     def has_abandoned_hold(self, leader, now):
-        """Return whether a hold without arming has been left behind here.
+        """Return whether a hold without arming has been abandoned here.
 
-        :param int leader: rank that leads, as far as this agent has heard.
+        :param int leader: rank of the leader that this agent heard from last.
         :param float now: monotonic time in seconds.
         :rtype: bool
         """
@@ -82,7 +82,7 @@
         return is_silent or leader != self._leader
 
     async def release(self):
-        """Release the hold that was left behind; no rank is armed for it."""
+        """Release the abandoned hold; no rank is armed for it."""
         change = self.keeper.revoke_agreement()
         if change is None:
             return
--- a/libs/ranks/src/sequoiagap/ranks/_leader.py
+++ b/libs/ranks/src/sequoiagap/ranks/_leader.py
@@ -1,4 +1,4 @@
-"""Leads a rank group: follows demand, plans maps and has them changed."""
+"""Leader of a rank group: tracks demand, plans expert maps and has them changed."""
 
 import asyncio
 import dataclasses
@@ -12,28 +12,28 @@
     _counts,
     _demand,
     _driver,
+    _follower,
     _holds,
     _map_registry,
     _messages,
     _own_rank,
     _pacing,
     _planning,
-    _poller,
 )
 
 POLL_INTERVAL_S = 0.2
-URGENT_INTERVAL_S = 0.03  # until what a predecessor has left is settled
+URGENT_INTERVAL_S = 0.03  # until an abandoned change is settled
 CHANGE_COOLDOWN_S = 0.05  # after a change
-PEER_DISCOVERY_S = 3.0  # by then the agents of other ranks are linked, if there are any
+PEER_DISCOVERY_S = 3.0  # by then any agents of other ranks are linked
 MIN_READINGS = 2
-STATE_MAX_AGE_S = 1.0  # of what a rank said, for a change to begin
-SENIOR_MARGIN_S = 0.1  # a senior leader heard this long after the lead was taken
-POLLS_PER_S = 400  # questions to ranks that copy weights
-MIN_LEAD_S = 0.08  # for holding, arming and releasing, before any of it was timed
-ARMING_MARGIN = 1.5  # times the last change's time for that
-LOSSY_LEAD_S = 0.35  # with time to give lost orders again
-LOSSY_PERIOD_S = 4.0  # after an order without an answer more of them are expected
-POLL_LOG_INTERVAL_S = 2.0  # between two lines on what is known of the ranks
+STATE_MAX_AGE_S = 1.0  # of a rank's state, for a change to begin
+SENIOR_MARGIN_S = 0.1  # time after taking the lead until a senior counts
+POLLS_PER_S = 400  # to ranks that are copying weights, all together
+MIN_LEAD_S = 0.08  # to hold, arm and release, until a change was timed
+ARMING_MARGIN = 1.5  # factor on the time that the last change took for this
+LOSSY_LEAD_S = 0.35  # leaves time to resend lost orders
+LOSSY_PERIOD_S = 4.0  # after a lost order, during which more are expected
+POLL_LOG_INTERVAL_S = 2.0
 MILLISECONDS = 1000
 
 _log = base.get_logger("leader")
@@ -42,21 +42,21 @@
 class GroupLeader:
     """Leads the group of the rank beside this process.
 
-    :param GroupAccess access: ways to the ranks.
-    :param EngineReport report: report of the own rank, as leading begins.
+    :param GroupAccess access: access to the ranks.
+    :param EngineReport report: report of the own rank when leading starts.
     :param routes.EngineTerms terms: terms of the group's engines.
     :param base.Metrics metrics: metrics of the process.
-    :param float longest_pause_s: longest pause between two events that callers bear,
-        in seconds; 0 for none.
+    :param float longest_pause_s: longest pause between two events that callers
+        tolerate, in seconds; 0 for no limit.
     :param int guarded_epoch: last epoch in which orders of a predecessor at this rank
-        may still be on their way; that of the report if not given.
-    :param random.Random random_state: makes versions that nobody else uses.
-    :param int left_by: rank whose agent fell silent during a change, which is to be
-        settled first; ``None`` where there is no such.
-    :param float link_bytes_s: rate of the own link; 0 where it is not known.
-
-    :ivar tuple senior_: a leader of lower rank that others have heard since, and when,
-        monotonic seconds; ``None`` without one.
+        may still be in flight; that of the report if not given.
+    :param random.Random random_state: source of randomness for unique versions.
+    :param int left_by: rank whose agent fell silent during a change, which is settled
+        first; ``None`` if there is none.
+    :param float link_bytes_s: rate of the own link, in bytes per second; 0 if unknown.
+
+    :ivar tuple senior_: rank of a lower-ranked leader that others have heard from
+        since, and when, in monotonic seconds; ``None`` if there is none.
     """
 
     def __init__(
@@ -89,8 +89,8 @@
         self.changes_in_epoch_ = 0
         self.copies_ = 0
         self._demand = _demand.GroupDemand(terms.layers, terms.experts, report.size)
-        self._poller = _poller.RankPoller(access, report.size, report.rank)
-        self._budget = _poller.ReadingBudget(
+        self._poller = _follower.RankPoller(access, report.size, report.rank)
+        self._budget = _follower.ReadingBudget(
             _pacing.READING_SHARE * link_bytes_s, terms.layers * terms.experts
         )
         self._driver = _driver.ProcedureDriver(access)
@@ -113,7 +113,7 @@
         self._reset(report.epoch)
 
     def stop(self):
-        """End leading after the turn under way, which leaves nothing half done."""
+        """Stop leading after the current cycle, so that no change is left half made."""
         self._is_stopping = True
         if self._active_change is not None:
             self._active_change.is_abandoned_ = True
@@ -133,13 +133,13 @@
             self._poller.close()
 
     async def _send_heartbeats_forever(self):
-        """Let the other agents know that this one leads, whatever a turn waits for."""
+        """Send heartbeats to the other agents, whatever a cycle waits for."""
         while True:
             await self.access.send_heartbeats()
             await asyncio.sleep(_access.HEARTBEAT_INTERVAL_S)
 
     async def run_cycle(self):
-        """Ask the ranks once and do what is to be done."""
+        """Poll the ranks once and act on their state."""
         state_by_rank = await self._poll_ranks()
         report_by_rank = self._read_reports(state_by_rank)
         own = report_by_rank.get(self.own_rank)
@@ -182,7 +182,7 @@
         )
 
     def _readings(self, state_by_rank):
-        """Return what the ranks have chosen, of those that were asked for it."""
+        """Return the count samples of the ranks that were polled for them."""
         found = {}
         for rank, state in state_by_rank.items():
             if state.levels:
@@ -193,7 +193,7 @@
         return found
 
     def _defers_to_senior(self, state_by_rank):
-        """Stop leading where ranks have heard a leader of lower rank since."""
+        """Stop leading if ranks have since heard from a leader of lower rank."""
         now = time.monotonic()
         for state in state_by_rank.values():
             heard_at = now - state.leader_age_ms / MILLISECONDS
@@ -205,7 +205,7 @@
         return False
 
     async def _send_map(self):
-        """Tell ranks the map in use, so that the next one takes few bytes."""
+        """Send ranks the map in use, so that the next one takes few bytes."""
         if self.holdings_ is None:
             return
         layers = self.holdings_.layers
@@ -217,7 +217,7 @@
         await asyncio.gather(*(self.access.send_map(rank, layers) for rank in lacking))
 
     def _log_obstacle(self, obstacle):
-        """Log why no change begins, once for each reason in a row."""
+        """Log why no change can begin, once per reason in a row."""
         if obstacle and obstacle != self._obstacle:
             _log.emit(
                 base.Event.MAP_CHANGE_WAITS,
@@ -229,7 +229,7 @@
         self._obstacle = obstacle
 
     def _log_polling(self, state_by_rank):
-        """Log from time to time how many ranks answer, and what that costs."""
+        """Log periodically how many ranks answer, and the cost of polling them."""
         now = time.monotonic()
         if now - self._logged_at < POLL_LOG_INTERVAL_S:
             return
@@ -247,10 +247,10 @@
         )
 
     def _reset(self, epoch):
-        """Forget what was true of the group before it formed anew.
+        """Discard the state of the group from before it re-formed.
 
-        What its requests ask for is remembered: a group that forms anew has the
-        first map again, and needs a better one before its next passes.
+        The demand is kept: a group that re-forms starts with the first map again, and
+        needs a better one before its next passes.
         """
         _log.emit(
             base.Event.GROUP_SEEN,
@@ -269,12 +269,14 @@
         self._holds.clear()
 
     async def _poll_ranks(self):
-        """Ask the ranks; return the answers that tell what stands now, by rank."""
+        """Poll the ranks and return the answers that show the current state."""
         fitting = self._budget.max_ranks(self.size, POLL_INTERVAL_S)
         counts_of = set(self._demand.ranks_by_age_[:fitting])
         answer_by_rank = await self._poller.poll(counts_of, self._maps.missing_ranks_)
-        # An answer from before the last change may still show its hold.
-        fresh_since = max(time.monotonic() - _poller.MAX_FRESH_AGE_S, self._settled_at)
+        # An answer sent before the end of the last change may still show its hold.
+        fresh_since = max(
+            time.monotonic() - _follower.MAX_FRESH_AGE_S, self._settled_at
+        )
         state_by_rank = {
             r: answer.state
             for r, answer in answer_by_rank.items()
@@ -288,9 +290,9 @@
         return state_by_rank
 
     async def _poll_silent_engines(self, state_by_rank):
-        """Ask the engines of ranks whose agents have been silent for a few turns.
+        """Poll the engines of ranks whose agents have been silent for a few cycles.
 
-        One of those agents may have been the leader, and have left a hold.
+        One of those agents may have been the leader, and may have abandoned a hold.
         """
         silent_ranks = self._poller.select_silent(self._is_urgent)
         wants_experts = bool(self._maps.missing_ranks_)
@@ -303,7 +305,7 @@
                 self._poller.record_direct(rank, state)
 
     def _update_holdings(self, report_by_rank):
-        """Take the map in use, once all ranks are known to use the same."""
+        """Adopt the map in use once all ranks are known to use the same one."""
         versions = {report.map_version for report in report_by_rank.values()}
         epochs = {report.epoch for report in report_by_rank.values()}
         if (
@@ -328,18 +330,18 @@
         if self._is_stopping:
             return "another agent leads"
         if len(report_by_rank) < self.size:
-            return "some ranks have not said of late what they do"
+            return "some ranks have not reported their state recently"
         if self.holdings_ is None:
-            return "the experts that the ranks hold are not known"
+            return "the experts that the ranks hold are unknown"
         if self._demand.readings_ < MIN_READINGS:
-            return "the demand is not known"
+            return "the demand is unknown"
         if time.monotonic() < self._cooldown_until:
             return "a change has just ended"
         has_predecessor = self.epoch_ <= self.guarded_epoch
         first_step = self._first_step if has_predecessor else None
         if _change.may_begin(report_by_rank, self.size, self.own_rank, first_step):
             return ""
-        return "the ranks are not known to be at rest with one map"
+        return "the ranks are not known to be idle and on the same map"
 
     async def _plan_change(self, report_by_rank):
         found = await self.planner.plan(
@@ -395,7 +397,7 @@
             self._active_change = change
             result = await self._driver.run(change.run(), deputies)
             self._active_change = None
-        # A keeper that refuses has just begun, or leads itself; another may agree.
+        # A keeper that refuses has just started, or leads itself; another may agree.
         self._refusals += result == _change.ChangeResult.NOT_ALLOWED
         now = time.monotonic()
         self._settled_at = now
@@ -405,7 +407,7 @@
         if change.lost_orders_:
             self._lossy_until = now + LOSSY_PERIOD_S
         if result is None:
-            change.detail_ = "no other agent would settle it"
+            change.detail_ = "no other agent could settle the change"
         elif result == _change.ChangeResult.DONE:
             self.holdings_ = found.holdings
             self.changes_ += 1
@@ -428,7 +430,7 @@
         )
 
     async def _resolve_orphans(self, report_by_rank):
-        """Release a hold that has stood too long; return whether there is one."""
+        """Release a hold that has lasted too long; return whether there is any hold."""
         now = time.monotonic()
         self._holds.record(report_by_rank, now)
         orphan = self._holds.find_orphan(now, self._is_urgent)
@@ -441,7 +443,7 @@
 
     async def _resolve(self, rank, step, report_by_rank):
         if self.holdings_ is None:
-            return  # the map in use is learnt first, with the next polls
+            return  # the next polls determine the map in use first
         plan = self._make_plan(report_by_rank, self.holdings_.layers)
         began = time.monotonic()
         _log.emit(
@@ -470,7 +472,7 @@
         )
 
     def _choose_keeper(self, deputies):
-        """Return the rank to be held; another one after each refusal."""
+        """Return the rank at which to hold the pass; another one after each refusal."""
         candidates = deputies or [self.own_rank]
         return candidates[self._refusals % len(candidates)]
 
--- a/libs/ranks/src/sequoiagap/ranks/_messages.py
+++ b/libs/ranks/src/sequoiagap/ranks/_messages.py
@@ -1,6 +1,6 @@
 """Messages between the agents of a rank group.
 
-Numbers 700 to 799 belong to this library.
+Message numbers 700 to 799 are reserved for this library.
 """
 
 from sequoiagap import wire
@@ -10,13 +10,14 @@
 
 @wire.message(700)
 class RankPoll:
-    """Ask a rank's agent for what it knows.
-
-    :param int number: number of the question on this connection.
-    :param int leader: rank of the asker; ``NOT_LEADING`` where it doesn't lead.
-    :param bool wants_counts: whether to send the counts of experts.
-    :param bool wants_experts: whether to send the experts that the rank holds.
-    :param bool may_be_recent: whether a report of a moment ago will do.
+    """Request the state of a rank from its agent.
+
+    :param int number: number of the request on this connection.
+    :param int leader: rank of the sender; ``NOT_LEADING`` if it is not the leader.
+    :param bool wants_counts: whether to include the expert counts.
+    :param bool wants_experts: whether to include the experts that the rank holds.
+    :param bool may_be_recent: whether a recently read report is accepted instead of a
+        new reading.
     """
 
     number: int
@@ -28,21 +29,22 @@
 
 @wire.message(701)
 class RankState:
-    """What a rank's agent knows; answer to a poll and to an order.
+    """State of a rank; the response of its agent to a poll or an order.
 
-    :param int number: number of the question.
-    :param bool is_known: whether the engine answered.
+    :param int number: number of the request.
+    :param bool is_known: whether the engine answered the agent.
     :param list report: values of the engine's report.
-    :param bytes levels: how often experts were chosen, as
-        :class:`_counts.CountsReading`; empty where not asked.
-    :param float scale: choices that a level stands for.
-    :param float span_s: the span that they were counted in, in seconds.
+    :param bytes levels: how often experts were chosen, as in
+        :class:`_counts.CountsReading`; empty if not requested.
+    :param float scale: number of choices that one level stands for.
+    :param float span_s: time over which the choices were counted, in seconds.
     :param int map_version: version of the map that ``experts`` belongs to.
     :param list experts: experts that the rank holds, by layer.
-    :param str result: an :class:`OrderResult`; empty for a poll.
-    :param bool lacks_base: whether the map that an order changes is not known there.
-    :param int leader: rank of the leader that this agent has heard last.
-    :param int leader_age_ms: how long ago, in milliseconds.
+    :param str result: an :class:`OrderResult`; empty in response to a poll.
+    :param bool lacks_base: whether the agent does not have the map that an order's
+        changes apply to.
+    :param int leader: rank of the leader that this agent heard from last.
+    :param int leader_age_ms: time since then, in milliseconds.
     """
 
     number: int
@@ -61,16 +63,17 @@
 
 @wire.message(702)
 class RankOrderMessage:
-    """An order to a rank's engine, to be handed on by its agent.
+    """Order to a rank's engine, which its agent forwards.
 
-    :param int number: number of the question on this connection.
-    :param int leader: rank of the asker.
+    :param int number: number of the request on this connection.
+    :param int leader: rank of the sender.
     :param str kind: an :class:`OrderKind`.
-    :param int epoch: epoch in which alone it holds.
+    :param int epoch: the only epoch in which the order is valid.
     :param int version: version of the map.
-    :param int step: the pass.
-    :param bytes base: digest of the map that the one to prepare changes.
-    :param bytes changes: what it changes, as :func:`_map_changes.pack_changes`.
+    :param int step: number of the pass.
+    :param bytes base: digest of the map that ``changes`` applies to.
+    :param bytes changes: changes to that map, as returned by
+        :func:`_map_changes.pack_changes`.
     :param bytes name: digest of the map to prepare.
     """
 
@@ -87,14 +90,15 @@
 
 @wire.message(703)
 class KeeperRequest:
-    """Ask the agent of a rank to keep a hold for a change, or to allow arming.
+    """Request the keeper's agreement to hold a pass or to arm ranks for a change.
 
-    :param int number: number of the question on this connection.
-    :param int leader: rank of the asker.
+    :param int number: number of the request on this connection.
+    :param int leader: rank of the sender.
     :param int epoch: epoch of the group.
     :param int version: version of the new map.
-    :param int step: the pass to be held.
-    :param bool wants_arming: whether ranks are to be armed, rather than a pass held.
+    :param int step: number of the pass to hold.
+    :param bool wants_arming: whether to arm ranks; otherwise the request is to hold a
+        pass.
     """
 
     number: int
@@ -107,9 +111,9 @@
 
 @wire.message(704)
 class KeeperAnswer:
-    """Answer to a question to the keeper, or to a notice.
+    """Response to a request to the keeper, or acknowledgement of a notice.
 
-    :param int number: number of the question.
+    :param int number: number of the request.
     :param bool is_agreed: whether the agent agrees.
     """
 
@@ -119,12 +123,14 @@
 
 @wire.message(705)
 class ChangeNotice:
-    """Tell an agent that a change is under way, or has ended; answered by its number.
+    """Notify an agent that a change is in progress or has ended.
+
+    Acknowledged by a :class:`KeeperAnswer`.
 
-    :param int number: number of the question on this connection.
+    :param int number: number of the request on this connection.
     :param int leader: rank of the leader.
-    :param int deputy: place of the agent among those that would settle the change, 0
-        first; -1 where it has ended.
+    :param int deputy: position of the agent among the deputies that would settle the
+        change, starting at 0; -1 if the change has ended.
     """
 
     number: int
@@ -134,7 +140,7 @@
 
 @wire.message(706)
 class LeaderHeartbeat:
-    """Tell an agent that a leader is alive; it is not answered.
+    """Heartbeat of a leader; it has no response.
 
     :param int leader: rank of the leader.
     """
@@ -144,15 +150,15 @@
 
 @wire.message(707)
 class MapNotice:
-    """Tell an agent the map in use, so that later ones can be sent as differences.
+    """Send an agent the map in use, so that later maps can be sent as differences.
 
-    Answered by a :class:`KeeperAnswer`.
+    Acknowledged by a :class:`KeeperAnswer`.
 
-    :param int number: number of the question on this connection.
+    :param int number: number of the request on this connection.
     :param int leader: rank of the leader.
-    :param bytes base: digest of the map that this one changes.
-    :param bytes changes: what it changes.
-    :param bytes name: digest of this map.
+    :param bytes base: digest of the map that ``changes`` applies to.
+    :param bytes changes: changes to that map.
+    :param bytes name: digest of the map in use.
     """
 
     number: int
--- a/libs/ranks/src/sequoiagap/ranks/_own_rank.py
+++ b/libs/ranks/src/sequoiagap/ranks/_own_rank.py
@@ -1,4 +1,4 @@
-"""The rank beside a process: what it is asked for, and orders to it."""
+"""Polls and orders of the rank beside this process."""
 
 import time
 
@@ -9,10 +9,10 @@
 
 
 class OwnRank:
-    """The rank beside this process.
+    """Answers polls and executes orders for the rank beside this process.
 
-    :param RankEngine engine: calls of engines.
-    :param str address: where the rank's engine listens.
+    :param RankEngine engine: calls to engines.
+    :param str address: address that the rank's engine listens on.
     """
 
     def __init__(self, engine, address):
@@ -22,10 +22,10 @@
         self._maps = _map_changes.MapCache()
 
     async def answer_poll(self, poll, report=None):
-        """Return the answer to a poll.
+        """Return the response to a poll.
 
         :param RankPoll poll: the poll.
-        :param EngineReport report: a report of a moment ago; read now if not given.
+        :param EngineReport report: a recent report; read from the engine if not given.
         :rtype: RankState
         """
         if report is None:
@@ -51,16 +51,16 @@
             state.span_s = reading.span_s
 
     def receive_map(self, message):
-        """Keep a map that later ones may be sent as differences to.
+        """Store a map that later maps may be sent as differences to.
 
         :param MapNotice message: the map.
-        :returns: whether it is known now.
+        :returns: whether the map is now known here.
         :rtype: bool
         """
         return self._maps.build(message.base, message.changes, message.name) is not None
 
     async def answer_order(self, message):
-        """Give another agent's order to the engine and return what came of it.
+        """Forward another agent's order to the engine and return its result.
 
         :param RankOrderMessage message: the order.
         :rtype: RankState
@@ -82,9 +82,9 @@
         return await self.execute_order(message, order)
 
     async def execute_order(self, message, order):
-        """Give an order to the engine and return what came of it.
+        """Send an order to the engine and return its result.
 
-        :param RankOrderMessage message: the message that the order is known by.
+        :param RankOrderMessage message: message that carried the order.
         :param RankOrder order: the order.
         :rtype: RankState
         """
@@ -104,7 +104,7 @@
 
 
 def read_report(state):
-    """Return the engine's report of a state, or ``None`` where it did not answer.
+    """Return the engine's report in a state, or ``None`` if the engine did not answer.
 
     :param RankState state: the state.
     :rtype: EngineReport | None
--- a/libs/ranks/src/sequoiagap/ranks/_ports.py
+++ b/libs/ranks/src/sequoiagap/ranks/_ports.py
@@ -1,4 +1,4 @@
-"""What the agent needs of a rank's engine: reports, counts and orders."""
+"""Interface to a rank's engine: reports, expert counts and orders."""
 
 import dataclasses
 import enum
@@ -7,25 +7,26 @@
 
 @dataclasses.dataclass(frozen=True)
 class EngineReport:
-    """What an engine says of itself and of its rank.
+    """State of an engine and its rank at one moment.
 
-    Agents send the values in the order of the fields: new ones come last.
+    Agents send the values in the order of the fields; new fields are appended.
 
-    :param str group: name of the rank group; empty for none.
-    :param int epoch: how often the group has formed.
-    :param int rank: the rank.
-    :param int size: ranks of the group.
-    :param bool is_open: whether the group serves.
-    :param int step: the last pass that was begun.
+    :param str group: name of the rank group; empty if the engine has none.
+    :param int epoch: how many times the group has formed.
+    :param int rank: the engine's rank in the group.
+    :param int size: number of ranks in the group.
+    :param bool is_open: whether the group accepts requests.
+    :param int step: number of the last pass that was started.
     :param int map_version: version of the expert map in use.
-    :param int prepared: version whose weights are ready; 0 for none.
-    :param int armed: version that will be switched to; 0 for none.
-    :param int armed_step: pass at which it will be.
-    :param int held_step: pass that will not begin before it is released; 0 for none.
-    :param int running: requests that run.
-    :param int waiting: requests that wait.
-    :param int started_ms: when the engine started, Unix milliseconds.
-    :param float slowness: time that it takes over the usual time; 1 for a usual one.
+    :param int prepared: version whose weights are loaded; 0 for none.
+    :param int armed: version that the engine will switch to; 0 for none.
+    :param int armed_step: pass at which the engine switches to it.
+    :param int held_step: pass that does not start until it is released; 0 for none.
+    :param int running: number of running requests.
+    :param int waiting: number of queued requests.
+    :param int started_ms: start time of the engine, in Unix milliseconds.
+    :param float slowness: ratio of the engine's execution time to the usual time; 1 for
+        an engine of usual speed.
     """
 
     group: str = ""
@@ -46,7 +47,7 @@
 
 
 def write_report(report):
-    """Return a report's values in the order of its fields, for another agent.
+    """Return the values of a report in field order, to send to another agent.
 
     :param EngineReport report: the report.
     :rtype: list
@@ -55,9 +56,11 @@
 
 
 def read_report(values):
-    """Return the report that another agent sent; values not known here are left out.
+    """Return the report received from another agent.
 
-    :param list values: what :func:`write_report` returned there.
+    Values of fields that this version does not know are ignored.
+
+    :param list values: the values that :func:`write_report` returned there.
     :rtype: EngineReport
     """
     return EngineReport(*values[: len(dataclasses.fields(EngineReport))])
@@ -65,10 +68,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class ExpertCounts:
-    """How often a rank's requests chose each expert since its engine started.
+    """Counts of each expert's choice by a rank's requests since its engine started.
 
     :param int epoch: epoch of the group.
-    :param list counts: layer after layer, one number for each expert.
+    :param list counts: one number per expert, layer after layer.
     """
 
     epoch: int
@@ -76,7 +79,7 @@
 
 
 class OrderKind(enum.StrEnum):
-    """Orders about a rank's expert map."""
+    """Kinds of orders that concern a rank's expert map."""
 
     PREPARE = "prepare"
     ARM = "arm"
@@ -87,13 +90,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class RankOrder:
-    """An order to a rank's engine.
+    """Order to a rank's engine.
 
-    :param OrderKind kind: what to do.
-    :param int epoch: epoch in which alone it holds.
-    :param int version: version of the map, where one is meant.
-    :param int step: the pass, where one is meant.
-    :param tuple layers: the map to prepare, as :attr:`experts.Holdings.layers`.
+    :param OrderKind kind: the operation to perform.
+    :param int epoch: the only epoch in which the order is valid.
+    :param int version: version of the map, for kinds that need one.
+    :param int step: number of the pass, for kinds that need one.
+    :param tuple layers: map to prepare, in the form of :attr:`experts.Holdings.layers`.
     """
 
     kind: OrderKind
@@ -104,7 +107,7 @@
 
 
 class OrderResult(enum.StrEnum):
-    """What an engine answered to an order."""
+    """Result of an order, as reported by the engine."""
 
     DONE = "done"
     CONFLICT = "conflict"
@@ -112,16 +115,16 @@
 
 
 class RankEngine(typing.Protocol):
-    """Calls of an engine, by the address that it listens on."""
+    """Calls to engines, each addressed by the address that the engine listens on."""
 
     async def report(self, address):
-        """Return the :class:`EngineReport`, or ``None`` if it does not answer."""
+        """Return the :class:`EngineReport`, or ``None`` without an answer."""
 
     async def counts(self, address):
-        """Return the :class:`ExpertCounts`, or ``None`` if it does not answer."""
+        """Return the :class:`ExpertCounts`, or ``None`` without an answer."""
 
     async def held_experts(self, address):
-        """Return map version and each layer's experts of the rank, or ``None``."""
+        """Return the map version and the rank's experts per layer, or ``None``."""
 
     async def order(self, address, rank_order):
-        """Give an order; return an :class:`OrderResult`."""
+        """Send an order and return its :class:`OrderResult`."""
