--- a/libs/ranks/src/sequoiagap/ranks/_agent.py
+++ b/libs/ranks/src/sequoiagap/ranks/_agent.py
@@ -1,4 +1,4 @@
-"""The process beside a rank's engine: reports, orders and leading."""
+"""Process beside a rank's engine: load reports, orders and leadership of the group."""
 
 import asyncio
 import random
@@ -19,13 +19,13 @@
     _succession,
 )
 
-RECENT_REPORT_MAX_AGE_S = 0.06  # a leader that asks gets a report of this age at most
+RECENT_REPORT_MAX_AGE_S = 0.06  # of a report sent in answer to a poll
 DISCOVERY_INTERVAL_S = 3.0
 FIRST_RETRY_S = 0.4
 MAX_RETRY_S = 3.0
 CONFIG_INTERVAL_S = 20.0
 LEAD_CHECK_S = 0.1
-LOW_PRIORITY_CHECK_S = 0.5  # where several others would lead before
+LOW_PRIORITY_CHECK_S = 0.5  # if several other agents would take over first
 DEPUTY_CHECK_S = 0.03
 STOP_TIMEOUT_S = 3.0
 MILLISECONDS = 1000
@@ -37,9 +37,9 @@
 class RankAgent:
     """Agent beside a rank's engine.
 
-    :param settings.RankSettings settings: checked settings.
-    :param gateway.Store store: registers processes and names the engine's terms.
-    :param RankEngine engine: calls of engines.
+    :param settings.RankSettings settings: validated settings.
+    :param gateway.Store store: store for registration and the engine's terms.
+    :param RankEngine engine: calls to engines.
 
     :ivar EngineReport report_: newest report of the engine, or ``None``.
     """
@@ -73,7 +73,7 @@
         self._runner = None
 
     async def start(self):
-        """Listen and begin to report."""
+        """Listen for connections and start reporting."""
         host, port = str(self.settings.address), self.settings.port
         self._server = await wire.listen(self._serve, host, port)
         await self._reporter.open(host)
@@ -84,7 +84,7 @@
         self._tasks.start(self._lead_forever(), "lead")
 
     async def stop(self):
-        """End a change under way, within a bound, and leave."""
+        """End a change in progress, within a timeout, and shut down."""
         _log.emit(base.Event.PROCESS_STOPPING, leads=self._leader is not None)
         await self._finish_change()
         await self._tasks.close()
@@ -95,10 +95,10 @@
         _log.emit(base.Event.PROCESS_STOPPED)
 
     def reload(self):
-        """Nothing is read again: the store is followed all the time."""
+        """Do nothing, as the agent reads the store continuously."""
 
     def dump_state(self):
-        """Return everything that the process knows, as plain data.
+        """Return the state of the process as plain data.
 
         :rtype: dict
         """
@@ -112,7 +112,7 @@
         }
 
     async def _finish_change(self):
-        """Let a change under way end, so that nobody has to settle it."""
+        """Let a change in progress end, so that no other agent has to settle it."""
         if self._leader_task is None:
             return
         if self._leader is not None:
@@ -162,7 +162,7 @@
                 await registration.keep()
                 node_by_id = await self.store.list_nodes()
                 registration.check(node_by_id)
-                # A list that is read late may lack some; those known stay known.
+                # A stale list may lack some nodes, so known nodes are kept.
                 self._node_by_id |= node_by_id
             except base.PlatformError:
                 await asyncio.sleep(backoff.next_wait())
@@ -175,7 +175,7 @@
             await asyncio.sleep(DISCOVERY_INTERVAL_S)
 
     def _has_unknown_ranks(self):
-        """Return whether this agent may lead and does not know all others yet."""
+        """Return whether this agent may lead and does not know all other agents yet."""
         report = self.report_
         if report is None or self._is_low_priority():
             return False
@@ -221,9 +221,9 @@
                 self._lead(report)
 
     async def _wait_to_check(self, is_deputy):
-        """Wait until the lead is to be looked at again, at once for a new deputy.
+        """Wait until leadership is to be checked again, at once for a new deputy.
 
-        :returns: how long the wait was to last, in seconds.
+        :returns: intended duration of the wait, in seconds.
         :rtype: float
         """
         if is_deputy:
@@ -240,7 +240,7 @@
         return min(time.monotonic() - began, interval_s)
 
     def _is_low_priority(self):
-        """Return whether several others would lead before this agent."""
+        """Return whether several other agents would take over before this one."""
         report = self.report_
         return report is not None and report.rank > _succession.MAX_DEPUTIES
 
@@ -278,7 +278,7 @@
         self._leader_task = self._tasks.start(self._run_leader(), "leader")
 
     def _list_endpoints(self):
-        """Return where the engines beside the registered agents listen."""
+        """Return the addresses of the engines beside the other registered agents."""
         own = self.settings.endpoint
         nodes = self._node_by_id.values()
         return [n.endpoint for n in nodes if n.endpoint and n.endpoint != own]
@@ -347,7 +347,7 @@
         return state
 
     def _record_leader(self, leader, deputy=None):
-        """Take a word of a leader, and leave the lead to a lower rank."""
+        """Record a message from a leader, and stop leading if its rank is lower."""
         report = self.report_
         if report is None or leader == _messages.NOT_LEADING or leader == report.rank:
             return
@@ -372,7 +372,7 @@
         await site.start()
 
     async def _metrics(self, http_request):
-        # Loaded when it is first asked for, as most processes never are.
+        # Imported on the first request, as most processes are never scraped.
         from sequoiagap.base import exposition
 
         document = base.collect_process_metrics(self.metrics, 0, 0)
@@ -408,11 +408,11 @@
 
 
 async def run(rank_settings, store, engine):
-    """Run the agent until it is told to stop.
+    """Run the agent until it is stopped.
 
-    :param settings.RankSettings rank_settings: checked settings.
-    :param gateway.Store store: registers processes and names the engine's terms.
-    :param RankEngine engine: calls of engines.
+    :param settings.RankSettings rank_settings: validated settings.
+    :param gateway.Store store: store for registration and the engine's terms.
+    :param RankEngine engine: calls to engines.
     """
     agent = RankAgent(rank_settings, store, engine)
     await base.run_program(agent, lambda: {"ready": rank_settings.node_id})
--- a/libs/ranks/src/sequoiagap/ranks/_counts.py
+++ b/libs/ranks/src/sequoiagap/ranks/_counts.py
@@ -1,25 +1,26 @@
-"""Counts of experts on their way to a leader.
+"""Compact samples of expert counts, as sent to a leader.
 
 An engine counts from its start, in large numbers. A leader needs how often each expert
-was chosen of late, and no more precisely than demand can be predicted from it, so an
-agent sends the difference to its last reading, in a byte an expert, compressed.
+was chosen recently, and with no more precision than demand can be predicted with. An
+agent therefore sends the difference to its previous reading, compressed, with one byte
+per expert.
 """
 
 import dataclasses
 import zlib
 
-LEVELS = 63  # of the largest count; half a level is within the noise of demand
+LEVELS = 63  # level of the largest count; half a level is within the noise of demand
 COMPRESSION = 1
 MIN_SPAN_S = 0.001
 
 
 @dataclasses.dataclass(frozen=True)
 class CountsReading:
-    """How often a rank's requests chose each expert in a span of time.
+    """Number of times that a rank's requests chose each expert in a time span.
 
-    :param bytes levels: compressed, one byte an expert, layer after layer.
-    :param float scale: choices that a level stands for.
-    :param float span_s: the span, in seconds.
+    :param bytes levels: compressed, one byte per expert, layer after layer.
+    :param float scale: number of choices that one level stands for.
+    :param float span_s: length of the span, in seconds.
     """
 
     levels: bytes = b""
@@ -27,7 +28,7 @@
     span_s: float = 0.0
 
     def rates(self):
-        """Return the choices a second, layer after layer.
+        """Return the choices per second, layer after layer.
 
         :rtype: list[float]
         """
@@ -36,24 +37,24 @@
 
 
 class CountsSampler:
-    """Turns an engine's counts since its start into readings of spans."""
+    """Converts an engine's counts since its start into readings of time spans."""
 
     def __init__(self):
         self._last = None
 
     def sample(self, counts, now):
-        """Take the engine's counts and return the reading since the last ones.
+        """Return the reading since the previous counts.
 
         :param list counts: counts since the engine's start, layer after layer.
         :param float now: monotonic time in seconds.
-        :returns: the reading; ``None`` where the engine started anew or there were no
-            counts before.
+        :returns: the reading; ``None`` if the engine restarted or there were no
+            previous counts.
         :rtype: CountsReading | None
 
         >>> sampler = CountsSampler()
-        >>> sampler.take([4, 0], now=1.0) is None
+        >>> sampler.sample([4, 0], now=1.0) is None
         True
-        >>> sampler.take([10, 2], now=1.5).rates()
+        >>> sampler.sample([10, 2], now=1.5).rates()
         [12.0, 4.0]
         """
         last, self._last = self._last, (counts, now)
--- a/libs/ranks/src/sequoiagap/ranks/_demand.py
+++ b/libs/ranks/src/sequoiagap/ranks/_demand.py
@@ -1,27 +1,27 @@
-"""Demand for experts, from the counts of all ranks."""
+"""Demand for experts, aggregated from the counts of all ranks."""
 
 import operator
 
 from sequoiagap import experts
 
 HALF_LIVES = (0.7, 2.0, 6.0)  # in readings
-MAX_AGE_S = 2.0  # of a rank's counts; a rank that says nothing for longer is left out
-COVERAGE = 0.5  # share of the ranks whose counts make a reading of the group
+MAX_AGE_S = 2.0  # of a rank's counts; a rank with older ones is left out
+COVERAGE = 0.5  # minimum share of the ranks with counts for a reading
 
 
 class GroupDemand:
-    """Follows which experts the requests of a group choose.
+    """Tracks which experts the requests of a group choose.
 
-    The load that it answers: more ranks than can say in one turn what their requests
-    have chosen. Each rank counts with what it said last, so that every reading is one
-    of all ranks, those of the turn before among them.
+    Handles groups in which not all ranks can report their counts in one cycle. Each
+    rank contributes its last counts, so that every reading covers all ranks, including
+    those polled in earlier cycles.
 
-    :param int layers: layers with a map of their own.
-    :param int experts: experts of a layer.
-    :param int ranks: ranks of the group.
+    :param int layers: number of layers with a map of their own.
+    :param int experts_per_layer: number of experts in a layer.
+    :param int ranks: number of ranks in the group.
 
-    :ivar int readings_: readings that showed work.
-    :ivar list newest_rates_: choices a second of all ranks, layer by layer, in the
+    :ivar int readings_: number of readings that showed work.
+    :ivar list newest_rates_: choices per second of all ranks, layer by layer, in the
         newest such reading.
     """
 
@@ -36,16 +36,16 @@
 
     @property
     def ranks_by_age_(self):
-        """Ranks, those first whose counts are the oldest."""
+        """Ranks by the age of their counts, oldest first."""
         return sorted(range(self.ranks), key=self._last_reading_at)
 
     @property
     def has_coverage_(self):
-        """Whether enough ranks have said what they chose."""
+        """Whether enough ranks have reported their counts."""
         return len(self._rates_by_rank) >= COVERAGE * self.ranks
 
     def update(self, reading_by_rank, now):
-        """Take what ranks have chosen of late.
+        """Add the count samples of some ranks.
 
         :param dict reading_by_rank: a :class:`CountsReading` of some ranks.
         :param float now: monotonic time in seconds.
--- a/libs/ranks/src/sequoiagap/ranks/_driver.py
+++ b/libs/ranks/src/sequoiagap/ranks/_driver.py
@@ -1,4 +1,4 @@
-"""Carries out the procedures of a change of map while deputies watch its leader."""
+"""Execution of the change procedures, with notices to the leader's deputies."""
 
 import asyncio
 import time
@@ -8,12 +8,12 @@
 
 
 class ProcedureDriver:
-    """Carries out procedures of :mod:`_change` over the ways to the ranks.
+    """Executes the procedures of :mod:`_change` through the access to the ranks.
 
-    :param GroupAccess access: ways to the ranks.
+    :param GroupAccess access: access to the ranks.
 
-    :ivar float arming_duration_s_: how long the newest change took from the
-        request to arm ranks to its end, in seconds; 0 before the first.
+    :ivar float arming_duration_s_: time that the newest change took from the request to
+        arm ranks to its end, in seconds; 0 before the first.
     """
 
     def __init__(self, access):
@@ -21,16 +21,16 @@
         self.arming_duration_s_ = 0.0
 
     async def appoint_deputies(self):
-        """Tell deputies that a change begins; return those that have heard it."""
+        """Notify deputies that a change begins; return those that acknowledged it."""
         return await self.access.notify_deputies(self.access.choose_deputies())
 
     async def run(self, procedure, deputies):
-        """Carry out a procedure while deputies hear that its leader is alive.
+        """Execute a procedure while notifying deputies that its leader is alive.
 
-        Where it is cut short they are not told that it has ended: they settle it.
+        If it is cancelled, the deputies are not notified of its end, so they settle it.
 
         :param procedure: a procedure of :mod:`_change`.
-        :param list deputies: their ranks.
+        :param list deputies: ranks of the deputies.
         :rtype: ChangeResult
         """
         notifier = asyncio.ensure_future(self._notify_forever(deputies))
--- a/libs/ranks/src/sequoiagap/ranks/_holds.py
+++ b/libs/ranks/src/sequoiagap/ranks/_holds.py
@@ -1,12 +1,12 @@
-"""Holds that a leader finds at the ranks of its group."""
+"""Detection of abandoned holds at the ranks of a group."""
 
-ORPHAN_TIMEOUT_S = 0.35  # a hold this long without a change here is nobody's
+ORPHAN_TIMEOUT_S = 0.35  # a hold older than this, without a change here, is abandoned
 
 
 class HoldTracker:
-    """Remembers since when a pass has been held at a rank.
+    """Tracks since when a pass has been held at each rank.
 
-    :param int own_rank: rank of the leader; a hold found there is nobody's at once.
+    :param int own_rank: rank of the leader; a hold found there is abandoned at once.
     """
 
     def __init__(self, own_rank):
@@ -19,7 +19,7 @@
         return bool(self._since_by_rank)
 
     def record(self, report_by_rank, now):
-        """Take what ranks say; one that says nothing counts as it did before.
+        """Record the ranks' reports; a rank without one keeps its previous state.
 
         :param dict report_by_rank: fresh reports.
         :param float now: monotonic time in seconds.
@@ -32,10 +32,10 @@
                 self._since_by_rank[rank] = (report.held_step, now)
 
     def find_orphan(self, now, is_urgent):
-        """Return a hold that nobody answers for.
+        """Return an abandoned hold.
 
         :param float now: monotonic time in seconds.
-        :param bool is_urgent: whether a predecessor is known to have left one.
+        :param bool is_urgent: whether a predecessor is known to have abandoned one.
         :returns: the rank and the pass, or ``None``.
         :rtype: tuple[int, int] | None
         """
@@ -46,5 +46,5 @@
         return None
 
     def clear(self):
-        """Forget all holds, as they are settled or the group has formed anew."""
+        """Discard all holds, as they are settled or the group has re-formed."""
         self._since_by_rank = {}
--- a/libs/ranks/src/sequoiagap/ranks/_links.py
+++ b/libs/ranks/src/sequoiagap/ranks/_links.py
@@ -6,25 +6,26 @@
 from sequoiagap import base, wire
 from sequoiagap.ranks import _messages, _ports
 
-REPLY_TIMEOUT_S = 0.3  # without a sign of life
-SILENT_BACKOFF_S = 1.0  # an agent is passed over that did not answer this long ago
+REPLY_TIMEOUT_S = 0.3  # if nothing at all is heard from the agent meanwhile
+SILENT_BACKOFF_S = 1.0  # time for which an agent that timed out is bypassed
 RECONNECT_S = 0.3
-LINK_PING_S = 3.0  # a link that a question goes unanswered on is probed at once
-IDENTIFY_RETRY_S = 0.05  # until an agent has said which rank it serves
+LINK_PING_S = 3.0  # a link on which a request times out is probed at once
+IDENTIFY_RETRY_S = 0.05  # until an agent has reported which rank it serves
 IDENTIFIED_CHECK_S = 1.0
-IDLE_CHECK_S = 5.0  # the same while this agent doesn't lead
+IDLE_CHECK_S = 5.0  # the same while this agent is not the leader
 
 _log = base.get_logger("ranks")
 
 
 class RankLink:
-    """A connection to the agent of another rank.
+    """Connection to the agent of another rank.
 
     :param gateway.Node node: the agent.
     :param make_hello: function that returns the :class:`wire.Hello` of this process.
 
-    :ivar float last_sent_at_: when something was sent last, monotonic seconds.
-    :ivar int late_answers_: answers that came after nobody waited for them any more.
+    :ivar float last_sent_at_: when the last message was sent, in monotonic seconds.
+    :ivar int late_answers_: number of answers that arrived after their request had
+        timed out.
     """
 
     def __init__(self, node, make_hello):
@@ -43,12 +44,12 @@
 
     @property
     def is_silent(self):
-        """Whether nothing was heard of the agent since a question a moment ago."""
+        """Whether a recent request timed out without anything heard from the agent."""
         return time.monotonic() < self._silent_until
 
     @property
     def bytes_(self):
-        """Payload bytes of the connection that is open, both ways."""
+        """Payload bytes of the open connection, sent and received."""
         connection = self._connection
         if connection is None:
             return 0
@@ -74,10 +75,10 @@
             await asyncio.sleep(RECONNECT_S)
 
     async def request(self, message, timeout_s=REPLY_TIMEOUT_S):
-        """Send a question and return its answer.
+        """Send a request and return its response, or ``None`` without one.
 
         :param message: a message with a ``number``, which is set here.
-        :param float timeout_s: longest wait, in seconds.
+        :param float timeout_s: maximum wait, in seconds.
         :rtype: RankState | KeeperAnswer | None
         """
         connection = self._connection
@@ -107,7 +108,7 @@
         return answer
 
     async def send(self, message):
-        """Send a message that is not answered, unless earlier ones wait to be sent.
+        """Send a message without a response, unless the connection is congested.
 
         :param message: the message.
         """
@@ -117,7 +118,7 @@
             await wire.try_send(connection, message)
 
     def mark_silent(self):
-        """Take it that nothing is heard from the agent, for a while."""
+        """Treat the agent as silent for a while."""
         now = time.monotonic()
         if not self.is_silent:
             _log.emit(base.Event.RANK_SILENT, peer=self.node.node_id)
@@ -129,22 +130,23 @@
 
 
 def _expire_if_silent(timer, connection, began):
-    """End a wait early where nothing at all was heard since it began."""
+    """End a wait early if nothing at all was heard since it started."""
     if connection.heard_at_ < began and not timer.expired():
         timer.reschedule(asyncio.get_running_loop().time())
 
 
 class RankLinks:
-    """Links to the agents of the own group, found by the rank that each serves.
+    """Links to the agents of the own group, by the rank that each serves.
 
-    :param base.TaskSet tasks: keeps the links' tasks.
-    :param str node_id: own id.
+    :param base.TaskSet tasks: runs the links' tasks.
+    :param str node_id: own node id.
     :param make_hello: function that returns the :class:`wire.Hello` of this process.
     :param own_report: function that returns the newest report of the own engine, or
         ``None``.
 
-    :ivar dict by_rank: :class:`RankLink` of each rank's agent that has said so.
-    :ivar dict address_by_rank: where the engines of these ranks listen.
+    :ivar dict by_rank: :class:`RankLink` to the agent of each rank identified so far.
+    :ivar dict address_by_rank: address that the engine of each of these ranks listens
+        on.
     """
 
     def __init__(self, tasks, node_id, make_hello, own_report):
@@ -158,10 +160,11 @@
         self._link_by_node_id = {}
 
     def update(self, nodes, is_leading):
-        """Link the agents among the registered processes.
+        """Open links to the agents among the registered processes.
 
-        :param nodes: the :class:`gateway.Node` of each.
-        :param bool is_leading: whether this agent leads, and not only may have to.
+        :param nodes: the registered :class:`gateway.Node` objects.
+        :param bool is_leading: whether this agent is the leader; otherwise it may have
+            to take over.
         """
         self._is_leading = is_leading
         for node in list(nodes):
@@ -189,9 +192,9 @@
         return IDENTIFIED_CHECK_S if self._is_leading else IDLE_CHECK_S
 
     async def _identify(self, link):
-        """Ask an agent which rank it serves, and use the link for that rank.
+        """Poll an agent for the rank that it serves, and use the link for that rank.
 
-        :returns: whether the agent said so.
+        :returns: whether the agent reported its rank.
         """
         own = self.own_report()
         if own is None or not link.is_open or link.is_silent:
--- a/libs/ranks/src/sequoiagap/ranks/_map_changes.py
+++ b/libs/ranks/src/sequoiagap/ranks/_map_changes.py
@@ -1,9 +1,9 @@
-"""Expert maps on their way to other agents, as what has changed in them.
+"""Encoding of expert maps as differences to maps that the receiver already has.
 
 A map of a large group takes kilobytes, and a leader sends each new one to every rank
-over its own link. Most of it stays as it is, so only the changes are sent, against a
-map that the receiver is known to have. Maps are known by a digest of their content:
-versions are used again for other maps once a group has formed anew.
+over its own link. Most of a map stays the same, so only the changes are sent, relative
+to a map that the receiver is known to have. Maps are identified by a digest of their
+content: versions are reused for other maps once a group has re-formed.
 """
 
 import collections
@@ -20,7 +20,7 @@
 def digest(layers):
     """Return the digest of a map.
 
-    :param layers: for each layer each rank's expert ids.
+    :param layers: expert ids of each rank, for each layer.
     :rtype: bytes
     """
     rows = [[sorted(row) for row in layer] for layer in layers]
@@ -28,13 +28,14 @@
 
 
 def pack_changes(base, layers):
-    """Return what a map changes in another one.
+    """Return the changes from one map to another.
 
-    Numbers in a row: layers, ranks, and for each changed row its distance to the last
-    one, the experts added with their count before, and the experts dropped likewise.
+    Encoded as a sequence of numbers: layers, ranks, and for each changed row its
+    distance to the previous one, the added experts preceded by their count, and the
+    dropped experts likewise.
 
-    :param base: the other map; ``None`` for one without experts.
-    :param layers: the map.
+    :param base: map that the changes apply to; ``None`` for one without experts.
+    :param layers: resulting map.
     :rtype: bytes
     """
     size = len(layers[0])
@@ -56,11 +57,11 @@
 
 
 def apply_changes(base, changes):
-    """Return the map that changes lead to.
+    """Return the map that results from applying changes.
 
-    :param base: the map that they were packed against; ``None`` for one without
+    :param base: map that the changes were packed against; ``None`` for one without
         experts.
-    :param bytes changes: as :func:`pack_changes` returns them.
+    :param bytes changes: the value returned by :func:`pack_changes`.
     :rtype: tuple
 
     >>> old, new = (((0, 1), (2,)),), (((0, 1), (2, 3)),)
@@ -86,13 +87,13 @@
 
 
 class MapCache:
-    """The newest maps that a process has met, by digest."""
+    """Most recent maps known to a process, by digest."""
 
     def __init__(self):
         self._layers_by_digest = collections.OrderedDict()
 
     def add(self, layers):
-        """Keep a map and return its digest.
+        """Store a map and return its digest.
 
         :param tuple layers: the map.
         :rtype: bytes
@@ -105,17 +106,18 @@
         return map_digest
 
     def get(self, map_digest):
-        """Return the map of a digest, or ``None``."""
+        """Return the map with a digest, or ``None``."""
         return self._layers_by_digest.get(map_digest)
 
     def build(self, base, changes, map_digest):
-        """Return a map from what it changes and keep it.
-
-        :param bytes base: digest of the map that it changes; empty for one without
-            experts.
-        :param bytes changes: as :func:`pack_changes` returns them.
-        :param bytes map_digest: digest of the map.
-        :returns: the map, or ``None`` where the base is not known here.
+        """Return a map built from its changes, and store it.
+
+        :param bytes base: digest of the map that the changes apply to; empty for one
+            without experts.
+        :param bytes changes: the value returned by :func:`pack_changes`.
+        :param bytes map_digest: digest of the resulting map.
+        :returns: the map; ``None`` if the base is not known here or the result does not
+            match its digest.
         :rtype: tuple | None
         """
         base_layers = self._layers_by_digest.get(base)
@@ -126,7 +128,7 @@
 
 
 class MapSender:
-    """Chooses in which form each rank gets a map."""
+    """Encodes each map for a rank against the best base that the rank has."""
 
     def __init__(self):
         self._maps = MapCache()
@@ -146,7 +148,7 @@
         return self._target_digest in self._digests_by_rank[rank]
 
     def encode(self, rank, layers):
-        """Return the digest of the best base for a rank and what changes in it.
+        """Return the best base for a rank and the changes relative to it.
 
         :param int rank: the rank.
         :param tuple layers: the map to send.
@@ -160,7 +162,7 @@
         return best, found[best], self._target_digest
 
     def record_received(self, rank, layers):
-        """Take it that a rank's agent has a map.
+        """Record that a rank's agent has a map.
 
         :param int rank: the rank.
         :param tuple layers: the map.
@@ -173,14 +175,14 @@
         del base_layers[:-MAX_MAPS]
 
     def forget(self, rank):
-        """Take it that a rank's agent has no map, as it has started anew.
+        """Record that a rank's agent has no map, as it has restarted.
 
         :param int rank: the rank.
         """
         self._digests_by_rank.pop(rank, None)
 
     def _select_target(self, layers):
-        """Prepare for a map that is about to go to many ranks."""
+        """Select the map to encode, which usually goes to many ranks in a row."""
         if layers is self._target:
             return
         self._target = layers
--- a/libs/ranks/src/sequoiagap/ranks/_map_registry.py
+++ b/libs/ranks/src/sequoiagap/ranks/_map_registry.py
@@ -1,4 +1,4 @@
-"""Maps of a group that its leader knows, by version."""
+"""Registry of a group's expert maps, by version, kept by its leader."""
 
 import collections
 
@@ -6,13 +6,13 @@
 
 
 class MapRegistry:
-    """Learns the map in use from what each rank holds, and keeps those given since.
+    """Assembles the map in use from the ranks' experts, and keeps maps sent since.
 
-    Versions are never used for two maps in an epoch, so a rank need say only once
+    A version is never used for two maps in an epoch, so a rank has to report only once
     what it holds.
 
     :param routes.EngineTerms terms: terms of the group's engines.
-    :param int size: ranks of the group.
+    :param int size: number of ranks in the group.
     """
 
     def __init__(self, terms, size):
@@ -25,7 +25,7 @@
 
     @property
     def missing_ranks_(self):
-        """Ranks that have yet to say what they hold."""
+        """Ranks that have not yet reported what they hold."""
         if self._is_complete:
             return set()
         versions = {r: version for r, (version, _) in self._held_by_rank.items()}
@@ -48,9 +48,9 @@
         return layers
 
     def add(self, version, layers):
-        """Keep a map that the ranks were given.
+        """Keep a map that was sent to the ranks.
 
-        :param int version: its version.
+        :param int version: version of the map.
         :param tuple layers: the map.
         """
         self._layers_by_version[version] = layers
@@ -58,16 +58,16 @@
             self._layers_by_version.popitem(last=False)
 
     def record_experts(self, rank, version, experts):
-        """Take what a rank says that it holds.
+        """Record the experts that a rank reports to hold.
 
         :param int rank: the rank.
-        :param int version: version of the map that this belongs to.
-        :param list experts: ids by layer.
+        :param int version: version of the map that the experts belong to.
+        :param list experts: expert ids by layer.
         """
         self._held_by_rank[rank] = (version, experts)
 
     def clear(self):
-        """Forget everything, as the group has formed anew."""
+        """Discard all maps, as the group has re-formed."""
         self._layers_by_version.clear()
         self._held_by_rank = {}
         self._requested_version = None
--- a/libs/ranks/src/sequoiagap/ranks/_pacing.py
+++ b/libs/ranks/src/sequoiagap/ranks/_pacing.py
@@ -1,16 +1,16 @@
-"""Bounds of what a leader takes of its host's link, which an engine shares."""
+"""Limits on the share of its host's link that a leader uses beside an engine."""
 
 import asyncio
 import time
 
-MAP_SHARE = 0.5  # of the link, for maps on their way to the ranks
-READING_SHARE = 0.25  # of the link, for what the ranks say in answer
+MAP_SHARE = 0.5  # of the link, for maps sent to the ranks
+READING_SHARE = 0.25  # of the link, for the ranks' answers to polls
 
 
 class LinkPacer:
-    """Spreads bytes over time, so that others wait little behind them.
+    """Spreads bytes over time, so that other traffic is not delayed by bursts.
 
-    :param float bytes_s: bytes a second at most; 0 for no bound.
+    :param float bytes_s: maximum rate, in bytes per second; 0 for no limit.
     """
 
     def __init__(self, bytes_s):
@@ -18,9 +18,9 @@
         self._free_at = 0.0
 
     async def acquire(self, size):
-        """Wait until bytes may be sent.
+        """Wait until a number of bytes may be sent.
 
-        :param int size: how many.
+        :param int size: number of bytes.
         """
         if not self.bytes_s:
             return
--- a/libs/ranks/src/sequoiagap/ranks/_pass_time.py
+++ b/libs/ranks/src/sequoiagap/ranks/_pass_time.py
@@ -1,27 +1,26 @@
-"""How long the passes of a group take, and how uneven its ranks may be.
+"""Duration of a group's passes, and the skew between ranks that it allows.
 
-The load that it answers: a group whose passes are well within the longest pause that
-callers bear gains nothing from ranks that are more even, while each copy of an expert
-costs bandwidth and slows every pass. The nearer passes come to that pause, the more
-even the ranks have to be.
+A group whose passes are well below the longest pause that callers tolerate gains
+nothing from more even ranks, while each copy of an expert costs bandwidth and slows
+every pass. The closer passes come to that pause, the more even the ranks have to be.
 """
 
 import math
 
-TARGET_PAUSE_SHARE = 0.45  # of the longest pause; prompts that are read take the rest
-MAX_SKEW = 1.8  # however short the passes, as a shift of demand adds to it
+TARGET_PAUSE_SHARE = 0.45  # of the longest pause; prefill takes the rest
+MAX_SKEW = 1.8  # even for short passes, as a shift of demand adds to the skew
 SAMPLE_WEIGHT = 0.25
 MAX_PASSES_AHEAD = 12  # passes
-MAX_PASS_S = 1.0  # longer ones were held or stalled
+MAX_PASS_S = 1.0  # longer passes were held or stalled
 
 
 class PassTimer:
-    """Follows the time of a pass with even ranks.
+    """Measures the duration of a pass with even ranks.
 
-    :param float expert_share: share of such a pass that goes to experts, 0 to 1.
+    :param float expert_share: share of such a pass that is spent on experts, 0 to 1.
 
-    :ivar float even_pass_s_: mean time with even ranks, in seconds; 0 if unknown.
-    :ivar float pass_s_: time of the newest passes, in seconds; 0 if unknown.
+    :ivar float even_pass_s_: mean duration with even ranks, in seconds; 0 if unknown.
+    :ivar float pass_s_: duration of the newest passes, in seconds; 0 if unknown.
     """
 
     def __init__(self, expert_share):
@@ -31,12 +30,12 @@
         self._last = None
 
     def record(self, step, now, is_busy, skew):
-        """Take a reading of the last pass that was begun.
+        """Record a reading of the last pass that was started.
 
-        :param int step: the pass.
+        :param int step: number of the pass.
         :param float now: monotonic time in seconds.
         :param bool is_busy: whether the group has requests.
-        :param float skew: longest over mean rank time since the reading before.
+        :param float skew: longest over mean rank time since the previous reading.
         """
         last, self._last = self._last, (step, now) if is_busy else None
         if last is None or not is_busy or step <= last[0]:
@@ -51,18 +50,19 @@
         self.even_pass_s_ += SAMPLE_WEIGHT * (even_s - self.even_pass_s_)
 
     def tolerable_skew(self, longest_pause_s, min_skew):
-        """Return up to which skew passes stay well within a pause.
+        """Return the skew up to which passes stay well below the longest pause.
 
-        :param float longest_pause_s: longest pause that callers bear; 0 for none.
-        :param float min_skew: skew that is good enough in any case.
+        :param float longest_pause_s: longest pause that callers tolerate, in seconds; 0
+            for no limit.
+        :param float min_skew: skew that is acceptable in any case.
         :rtype: float
 
         >>> timer = PassTimer(expert_share=1.0)
-        >>> timer.tolerable_skew(0.12, least=1.1)
+        >>> timer.tolerable_skew(0.12, min_skew=1.1)
         1.1
-        >>> timer.take(10, 0.0, True, 1.0)
-        >>> timer.take(11, 0.04, True, 1.0)
-        >>> round(timer.tolerable_skew(0.12, least=1.1), 2)
+        >>> timer.record(10, 0.0, True, 1.0)
+        >>> timer.record(11, 0.04, True, 1.0)
+        >>> round(timer.tolerable_skew(0.12, min_skew=1.1), 2)
         1.35
         """
         if not self.even_pass_s_ or not longest_pause_s:
@@ -72,15 +72,15 @@
         return min(max(skew, min_skew), MAX_SKEW)
 
     def passes_ahead(self, lead_s, default):
-        """Return how many passes ahead one begins after a time, but not much later.
+        """Return how many passes ahead a pass starts just after a lead time.
 
-        :param float lead_s: the time, in seconds.
-        :param int default: the number where the time of a pass is not known.
+        :param float lead_s: the lead time, in seconds.
+        :param int default: number to return if the duration of a pass is unknown.
         :rtype: int
 
         >>> timer = PassTimer(expert_share=1.0)
-        >>> timer.take(10, 0.0, True, 1.0)
-        >>> timer.take(11, 0.1, True, 1.0)
+        >>> timer.record(10, 0.0, True, 1.0)
+        >>> timer.record(11, 0.1, True, 1.0)
         >>> timer.passes_ahead(0.08, 3), timer.passes_ahead(0.35, 8)
         (2, 5)
         """
--- a/libs/ranks/src/sequoiagap/ranks/_planning.py
+++ b/libs/ranks/src/sequoiagap/ranks/_planning.py
@@ -1,7 +1,7 @@
-"""Which map a group should have next, and whether it is worth its copies.
+"""Planning of a group's next expert map, and whether it is worth its copies.
 
-The load that it answers: demand that shifts every few seconds, ranks that turn slow,
-and passes that may be the longer the further they are from the pause that callers bear.
+Handles demand that shifts every few seconds, ranks that become slow, and passes that
+may take longer the further they are below the longest pause that callers tolerate.
 """
 
 import dataclasses
@@ -10,25 +10,25 @@
 from sequoiagap import experts
 from sequoiagap.ranks import _pass_time
 
-MIN_SAVING = 0.05  # share of a pass that a change has to save
-COPY_COST_RANK_S = 0.48  # time of one rank that a copy has to save
-HORIZON_S = 4.0  # demand is expected to stay alike for this long
+MIN_SAVING = 0.05  # minimum share of a pass that a change has to save
+COPY_COST_RANK_S = 0.48  # time of one rank that each copy has to save
+HORIZON_S = 4.0  # time for which demand is expected to stay similar
 TARGET_SKEW = 1.08
-COPIES_PER_RANK = 3  # of one change; each delays the switch by a copy's time
-SLOW_RANK_FACTOR = 1.15  # a rank that takes longer than this is planned as a slow one
+COPIES_PER_RANK = 3  # in one change; each delays the switch by the time of a copy
+SLOW_RANK_FACTOR = 1.15  # slowness above which a rank is planned as slow
 
 
 @dataclasses.dataclass(frozen=True)
 class Improvement:
-    """A map that is better than the one in use.
+    """Map that is better than the one in use.
 
     :param experts.Holdings holdings: the map.
-    :param int copies: experts that have to be copied for it.
-    :param float skew: longest over even time of the ranks with the map in use.
-    :param float planned_skew: the same with the new one.
-    :param float target_skew: skew that would have been good enough.
-    :param int slow_ranks: ranks that were planned as slow ones.
-    :param float took_s: how long planning took, in seconds.
+    :param int copies: number of experts that have to be copied for it.
+    :param float skew: longest over mean time of the ranks with the map in use.
+    :param float planned_skew: the same with the new map.
+    :param float target_skew: skew that planning aimed at.
+    :param int slow_ranks: number of ranks that were planned as slow.
+    :param float took_s: duration of the planning, in seconds.
     """
 
     holdings: experts.Holdings
@@ -44,12 +44,12 @@
     """Plans the next map of a group.
 
     :param routes.EngineTerms terms: terms of the group's engines.
-    :param int size: ranks of the group.
-    :param float longest_pause_s: longest pause between two events that callers bear,
-        in seconds; 0 for none.
+    :param int size: number of ranks in the group.
+    :param float longest_pause_s: longest pause between two events that callers
+        tolerate, in seconds; 0 for no limit.
     :param base.Metrics metrics: metrics of the process.
 
-    :ivar PassTimer timer: times the group's passes.
+    :ivar PassTimer timer: measures the duration of the group's passes.
     """
 
     def __init__(self, terms, size, longest_pause_s, metrics):
@@ -61,12 +61,12 @@
         self.timer = _pass_time.PassTimer(self.pace.expert_share)
 
     def time_passes(self, holdings, loads, report_by_rank, step):
-        """Take a reading of the last pass that was begun.
+        """Record a reading of the last pass that was started.
 
         :param experts.Holdings holdings: the map in use.
-        :param list loads: choices of each expert since the reading before.
+        :param list loads: number of choices of each expert since the previous reading.
         :param dict report_by_rank: newest reports.
-        :param int step: the pass.
+        :param int step: number of the pass.
         """
         skew = experts.holdings_skew(holdings, loads, self._rank_costs(report_by_rank))
         is_busy = any(report.running for report in report_by_rank.values())
@@ -74,7 +74,7 @@
         self.metrics.set_gauge("group_pass_seconds", self.timer.even_pass_s_)
 
     async def plan(self, holdings, loads, report_by_rank):
-        """Return a better map, if there is one that is worth its copies.
+        """Return a better map, or ``None`` if none is worth its copies.
 
         :param experts.Holdings holdings: the map in use.
         :param list loads: predicted share of each expert, layer by layer.
@@ -104,7 +104,7 @@
         return found if self._is_worthwhile(found) else None
 
     def _rank_costs(self, report_by_rank):
-        """Return the time of each rank for the same work, 1 for a usual one."""
+        """Return each rank's relative time for the same work; 1 for usual speed."""
         slowness = [
             report_by_rank[rank].slowness if rank in report_by_rank else 1.0
             for rank in range(self.size)
@@ -121,13 +121,13 @@
 
 
 def make_pace(terms, size):
-    """Return what plans for a group have to bring.
+    """Return the costs and limits that a plan for a group has to respect.
 
-    A copy takes bandwidth of one rank; shorter passes save the time of all of them, so
-    the larger the group, the less of a pass a copy has to save.
+    A copy takes bandwidth of one rank, while shorter passes save time of all ranks; so
+    the larger the group, the smaller the share of a pass that a copy has to save.
 
     :param routes.EngineTerms terms: terms of the group's engines.
-    :param int size: ranks of the group.
+    :param int size: number of ranks in the group.
     :rtype: sequoiagap.experts.Pace
     """
     return experts.Pace(
--- a/libs/ranks/src/sequoiagap/ranks/_reporter.py
+++ b/libs/ranks/src/sequoiagap/ranks/_reporter.py
@@ -1,8 +1,8 @@
-"""Reports of the own endpoint's load to all gateways, by datagram.
+"""Load reports of the own endpoint to all gateways, sent as datagrams.
 
-The load that it answers: each report goes to every gateway, so what an agent sends
-grows with them. Only what a gateway decides by is told, and only when it changes;
-otherwise a report tells from time to time that the endpoint lives.
+Each report goes to every gateway, so the traffic of an agent grows with their number. A
+report is therefore sent only when a value that gateways use for routing changes;
+otherwise reports are repeated at a long interval to show that the endpoint is alive.
 """
 
 import asyncio
@@ -11,18 +11,18 @@
 from sequoiagap import gateway, wire
 
 READING_INTERVAL_S = 0.1
-BUSY_INTERVAL_S = 0.05  # where each request more or less matters to a choice
-BUSY_SHARE = 0.5  # of the requests that the engine runs at once
-GROUP_READINGS_PER_S = 400  # among many endpoints one matters less to a choice
-MAX_INTERVAL_S = 0.16  # so that an endpoint is heard of before it counts as silent
-UNCHANGED_REPORT_INTERVAL_S = 0.25  # an unchanged report is sent again after this long
+BUSY_INTERVAL_S = 0.05  # each request then matters to the choice of an endpoint
+BUSY_SHARE = 0.5  # of the requests that the engine runs concurrently
+GROUP_READINGS_PER_S = 400  # in a large group, one endpoint matters less to the choice
+MAX_INTERVAL_S = 0.16  # short enough that gateways do not consider the endpoint silent
+UNCHANGED_REPORT_INTERVAL_S = 0.25
 
 
 def reading_interval(report, slots):
-    """Return when to read an engine's load again.
+    """Return the time until an engine's load is read again.
 
-    :param EngineReport report: the newest one, or ``None`` without an answer.
-    :param int slots: requests that the engine runs at once.
+    :param EngineReport report: newest report, or ``None`` if the engine did not answer.
+    :param int slots: number of requests that the engine runs concurrently.
     :returns: time in seconds.
     :rtype: float
     """
@@ -36,12 +36,12 @@
 
 
 class LoadReporter:
-    """Tells gateways what the own endpoint's engine reports.
+    """Sends the load of the own endpoint's engine to the gateways.
 
     :param str endpoint: ``address:port`` of the endpoint.
-    :param str incarnation: fresh id of this run of the agent.
-    :param list_gateways: function that returns the registered gateways'
-        :class:`gateway.Node`.
+    :param str incarnation: unique id of this run of the agent.
+    :param list_gateways: function that returns the :class:`gateway.Node` of each
+        registered gateway.
     """
 
     def __init__(self, endpoint, incarnation, list_gateways):
@@ -54,9 +54,9 @@
         self._transport = None
 
     async def open(self, host):
-        """Open the socket to send from.
+        """Open the socket that reports are sent from.
 
-        :param str host: IP address.
+        :param str host: IP address to bind to.
         """
         loop = asyncio.get_running_loop()
         self._transport, _ = await loop.create_datagram_endpoint(
@@ -64,15 +64,15 @@
         )
 
     def close(self):
-        """Send no more."""
+        """Close the socket."""
         if self._transport is not None:
             self._transport.close()
 
     def publish(self, report, slots, now):
-        """Tell the gateways, if they don't know it or have not heard for a while.
+        """Send a report to the gateways if its values changed or the last one is old.
 
-        :param EngineReport report: what the engine says.
-        :param int slots: requests that it runs at once.
+        :param EngineReport report: report of the engine.
+        :param int slots: number of requests that the engine runs concurrently.
         :param float now: monotonic time in seconds.
         """
         values = (
