--- a/libs/ranks/src/sequoiagap/ranks/__init__.py
+++ b/libs/ranks/src/sequoiagap/ranks/__init__.py
@@ -1,4 +1,4 @@
-"""Agent beside a rank's engine: load reports and changes of expert map."""
+"""Agent beside a rank's engine: load reports and changes of the expert map."""
 
 from sequoiagap.ranks._agent import RankAgent, run
 from sequoiagap.ranks._change import (
--- a/libs/ranks/src/sequoiagap/ranks/_agent.py
+++ b/libs/ranks/src/sequoiagap/ranks/_agent.py
@@ -9,7 +9,7 @@
 from sequoiagap import base, gateway, wire
 from sequoiagap.ranks import (
     _access,
-    _keeper_service,
+    _keeping,
     _leader,
     _links,
     _messages,
@@ -57,7 +57,7 @@
         self._terms = None
         self._longest_pause_s = 0.0
         self._succession = _succession.Succession(time.monotonic())
-        self._keeper_service = _keeper_service.KeeperService(self.own)
+        self._keeper_service = _keeping.KeeperService(self.own)
         self._became_deputy = asyncio.Event()
         self._guarded_epoch = None
         self._leader = None
@@ -134,16 +134,18 @@
         return [node for node in self._node_by_id.values() if node.role == "gateway"]
 
     def _record_report(self, report):
-        before = self.report_
+        previous = self.report_
         if report is None:
-            if before is not None:
+            if previous is not None:
                 _log.emit(base.Event.RANK_UNREACHABLE, endpoint=self.settings.endpoint)
             return
         if self._guarded_epoch is None:
             self._guarded_epoch = report.epoch
             self._keeper_service.start(report)
-        seen = None if before is None else (before.epoch, before.is_open)
-        if seen != (report.epoch, report.is_open):
+        previous_state = (
+            None if previous is None else (previous.epoch, previous.is_open)
+        )
+        if previous_state != (report.epoch, report.is_open):
             _log.emit(
                 base.Event.GROUP_SEEN,
                 group=report.group,
@@ -218,7 +220,7 @@
             if self._keeper_service.has_abandoned_hold(self._succession.leader_, now):
                 self._tasks.start(self._keeper_service.release(), "release")
             if self._leader is None and should_lead:
-                self._lead(report)
+                self._start_leading(report)
 
     async def _wait_to_check(self, is_deputy):
         """Wait until leadership is to be checked again, at once for a new deputy.
@@ -244,7 +246,7 @@
         report = self.report_
         return report is not None and report.rank > _succession.MAX_DEPUTIES
 
-    def _lead(self, report):
+    def _start_leading(self, report):
         link_bytes_s = self.settings.link_mbit_s * BYTES_PER_MBIT
         access = _access.GroupAccess(
             self.own,
@@ -255,7 +257,7 @@
             self._keeper_service.keeper,
             _pacing.MAP_SHARE * link_bytes_s,
         )
-        left_by = self._succession.leader_ if self._succession.is_deputy else None
+        failed_leader = self._succession.leader_ if self._succession.is_deputy else None
         self._leader = _leader.GroupLeader(
             access,
             report,
@@ -263,7 +265,7 @@
             self.metrics,
             self._longest_pause_s,
             self._guarded_epoch,
-            left_by=left_by,
+            failed_leader=failed_leader,
             link_bytes_s=link_bytes_s,
         )
         _log.emit(
@@ -271,7 +273,7 @@
             group=report.group,
             rank=report.rank,
             leads=True,
-            left_by=left_by,
+            left_by=failed_leader,
         )
         self._succession.end_change()
         self._links.update(self._node_by_id.values(), is_leading=True)
--- a/libs/ranks/src/sequoiagap/ranks/_change.py
+++ b/libs/ranks/src/sequoiagap/ranks/_change.py
@@ -296,8 +296,8 @@
 
     def _abort(self):
         abort_plan = dataclasses.replace(self.plan, version=self.plan.version + 1)
-        made_safe = yield from make_safe(abort_plan, self.step_, self.plan.version)
-        if not made_safe:
+        is_safe = yield from make_safe(abort_plan, self.step_, self.plan.version)
+        if not is_safe:
             return ChangeResult.FORMED_ANEW
         yield from self._release()
         return ChangeResult.GIVEN_UP
@@ -361,8 +361,8 @@
     is_held = yield from _hold_elsewhere(found_rank, step, plan)
     if not is_held:
         return ChangeResult.NOT_HELD
-    made_safe = yield from make_safe(plan, step)
-    if not made_safe:
+    is_safe = yield from make_safe(plan, step)
+    if not is_safe:
         return ChangeResult.FORMED_ANEW
     yield from release(range(plan.size), step, plan.epoch)
     return ChangeResult.GIVEN_UP
--- a/libs/ranks/src/sequoiagap/ranks/_leader.py
+++ b/libs/ranks/src/sequoiagap/ranks/_leader.py
@@ -14,7 +14,7 @@
     _driver,
     _follower,
     _holds,
-    _map_registry,
+    _map_book,
     _messages,
     _own_rank,
     _pacing,
@@ -51,8 +51,8 @@
     :param int guarded_epoch: last epoch in which orders of a predecessor at this rank
         may still be in flight; that of the report if not given.
     :param random.Random random_state: source of randomness for unique versions.
-    :param int left_by: rank whose agent fell silent during a change, which is settled
-        first; ``None`` if there is none.
+    :param int failed_leader: rank whose agent fell silent during a change, which is
+        settled first; ``None`` if there is none.
     :param float link_bytes_s: rate of the own link, in bytes per second; 0 if unknown.
 
     :ivar tuple senior_: rank of a lower-ranked leader that others have heard from
@@ -68,7 +68,7 @@
         longest_pause_s=0.0,
         guarded_epoch=None,
         random_state=None,
-        left_by=None,
+        failed_leader=None,
         link_bytes_s=0.0,
     ):
         self.access = access
@@ -94,7 +94,7 @@
             _pacing.READING_SHARE * link_bytes_s, terms.layers * terms.experts
         )
         self._driver = _driver.ProcedureDriver(access)
-        self._maps = _map_registry.MapRegistry(terms, report.size)
+        self._maps = _map_book.MapRegistry(terms, report.size)
         self._settled_at = 0.0
         self._first_step = None
         self._last_step = 0
@@ -107,9 +107,9 @@
         self._refusals = 0
         self._obstacle = ""
         self._logged_at = 0.0
-        self._is_urgent = left_by is not None
+        self._is_urgent = failed_leader is not None
         if self._is_urgent:
-            access.bypass_agent(left_by)
+            access.bypass_agent(failed_leader)
         self._reset(report.epoch)
 
     def stop(self):
--- a/tests/ranks/change_search.py
+++ b/tests/ranks/change_search.py
@@ -1,4 +1,4 @@
-"""Search for a world in which a pass begins with two maps."""
+"""Search for a simulated world in which a pass starts with two maps."""
 
 import functools
 from unittest import mock
@@ -14,20 +14,20 @@
 
 
 def short_lead():
-    """Return a patch that lets a lossy change take place as soon as any other.
+    """Return a patch that gives lossy changes the same lead as any other change.
 
-    Orders on their way then meet the successor's more often, so that fewer seeds
-    show that a guard matters.
+    Orders in flight then meet those of the successor more often, so that fewer seeds
+    are needed to show that a guard matters.
     """
     plan = functools.partial(ranks.ChangePlan, lossy_lead_passes=_change.LEAD_PASSES)
     return mock.patch.object(ranks, "ChangePlan", plan)
 
 
 def forgetful_keepers():
-    """Return a patch that lets keepers agree to any pass, also to one held before.
+    """Return a patch that lets keepers agree to any pass, even one held before.
 
-    They refuse what a leader's own memory of passes keeps it from, so that a guard of
-    one kind only shows once the other is out too.
+    Keepers also refuse what a leader's own record of passes prevents, so that a guard
+    of one kind only shows its effect once the other is disabled too.
     """
 
     def agree(keeper, change):
@@ -38,7 +38,7 @@
 
 
 def find_two_maps(seeds=SEEDS_WITHOUT_GUARD):
-    """Return the first seed whose world shows two maps in a pass, or ``None``."""
+    """Return the first seed whose world starts a pass with two maps, or ``None``."""
     for seed in range(seeds):
         try:
             rank_world.World(seed).run(TURNS)
--- a/tests/ranks/group_stand_in.py
+++ b/tests/ranks/group_stand_in.py
@@ -1,4 +1,4 @@
-"""A rank group in memory, as the calls of its engines show it."""
+"""In-memory rank group with the interface of its engines."""
 
 from simulations import rank_world
 
@@ -17,12 +17,12 @@
 
 
 class GroupStandIn:
-    """A rank group as the calls of its engines show it.
+    """Simulated rank group with the interface of its engines.
 
-    :param tuple layers: the map that it begins with.
-    :param int experts: experts of a layer.
+    :param tuple layers: the initial map.
+    :param int experts: number of experts in a layer.
 
-    :ivar dict lost_by_kind: how many orders of a kind go without an answer.
+    :ivar dict lost_by_kind: number of orders of each kind that will be lost.
     """
 
     def __init__(self, layers=LAYERS, experts=6):
@@ -58,7 +58,7 @@
         return self.world._execute(self.engine(address), order)
 
     def work(self, counts, passes=8):
-        """Let requests choose experts while passes go by."""
+        """Count the experts that requests choose, and start a number of passes."""
         for rank in range(self.world.size):
             before = self.counts_by_rank[rank]
             self.counts_by_rank[rank] = [
--- a/tests/ranks/test_access.py
+++ b/tests/ranks/test_access.py
@@ -1,4 +1,4 @@
-"""A leader that no agent answers asks the engines themselves, a few at a time."""
+"""Direct calls to engines by a leader that no agent answers, a few at a time."""
 
 import asyncio
 import unittest
@@ -11,10 +11,10 @@
 
 
 class CountingEngine:
-    """Engines that answer after a moment.
+    """Engines that answer after a short delay.
 
-    :ivar int calls: calls so far.
-    :ivar int most_at_once: most calls that were under way together.
+    :ivar int calls: number of calls so far.
+    :ivar int most_at_once: largest number of concurrent calls.
     """
 
     def __init__(self):
@@ -40,7 +40,7 @@
         )
 
     async def poll_all(self):
-        """Ask the engines of all other ranks at once, as a fresh leader does."""
+        """Poll the engines of all other ranks concurrently, as a new leader does."""
         polls = (self.access.poll_engine(rank) for rank in range(1, SIZE))
         return await asyncio.gather(*polls)
 
--- a/tests/ranks/test_change_guards.py
+++ b/tests/ranks/test_change_guards.py
@@ -1,4 +1,4 @@
-"""Each guard of a change of map matters: without it the model finds two maps."""
+"""Each guard of a map change is needed: without it the model finds two maps."""
 
 import unittest
 from unittest import mock
@@ -101,7 +101,7 @@
         with change_search.forgetful_keepers(), patch:
             self.assertIsNotNone(change_search.find_two_maps())
 
-    def test_arming_needs_the_keepers_leave(self):
+    def test_arming_needs_the_keepers_agreement(self):
         ask = _change.MapChange._query_keeper
 
         def arm_unasked(change, wants_arming):
@@ -119,7 +119,7 @@
 
 
 def _disarm_only(plan, step, own_version=0):
-    """Disarm all ranks, and prepare nothing against late orders."""
+    """Disarm all ranks without preparing a later version against delayed orders."""
     unsure = dict.fromkeys(range(plan.size))
     while unsure:
         replies = yield _change.Step(dict(unsure))
--- a/tests/ranks/test_change_model.py
+++ b/tests/ranks/test_change_model.py
@@ -1,6 +1,6 @@
-"""No pass begins with two maps, whatever is lost, late, paused or killed.
+"""No pass starts with two maps, whatever is lost, delayed, paused or killed.
 
-Each guard is taken out once in :mod:`tests.ranks.test_change_guards`.
+:mod:`tests.ranks.test_change_guards` disables each guard once.
 """
 
 import unittest
@@ -43,7 +43,7 @@
             procedure.send({0: ranks.RankReply(ranks.OrderResult.DONE, report)})
         self.assertEqual(ended.exception.value, ranks.ChangeResult.NOT_HELD)
 
-    def test_group_goes_on_once_the_trouble_is_over(self):
+    def test_group_resumes_once_the_faults_have_ended(self):
         for seed in range(SEEDS // 3):
             world = rank_world.World(seed)
             world.run(change_search.TURNS)
@@ -54,8 +54,8 @@
             self.assertGreater(world.passes, before, f"seed {seed} stands still")
 
     def test_only_what_belongs_to_the_change_is_disarmed(self):
-        # A leader that was paused while it made a change safe, with the group idle
-        # ever since: another leader has resolved that change and armed a later one.
+        # A leader is paused while it makes a change safe, and the group stays idle.
+        # Meanwhile another leader resolves that change and arms a later one.
         plan = ranks.ChangePlan(900, (), (), size=1, own_rank=0, epoch=1)
         later = ranks.EngineReport(
             epoch=1, step=10, prepared=700, armed=700, armed_step=15
--- a/tests/ranks/test_counts.py
+++ b/tests/ranks/test_counts.py
@@ -1,4 +1,4 @@
-"""Counts of experts keep their proportions on the way to a leader."""
+"""Expert counts keep their proportions when they are sent to a leader."""
 
 import unittest
 
@@ -22,7 +22,7 @@
         for count, rate in zip(counts, rates, strict=True):
             self.assertAlmostEqual(rate / rates[-1], count / counts[-1], delta=0.01)
 
-    def test_an_engine_that_started_anew_is_no_reading(self):
+    def test_a_restarted_engine_gives_no_reading(self):
         self.assertIsNone(sample([9, 9], [1, 1]))
 
     def test_counts_of_a_large_group_take_less_than_a_byte_each(self):
@@ -38,7 +38,7 @@
         readings = {int(k[1:]): sample([0, 0], v, 1.0) for k, v in counts.items()}
         return self.demand.update(readings, now)
 
-    def test_ranks_that_say_nothing_in_a_turn_count_as_before(self):
+    def test_ranks_without_counts_in_a_cycle_count_as_before(self):
         self.update(0.0, r0=[10, 0], r1=[10, 0], r2=[10, 0])
         self.update(0.2, r1=[0, 10])
         self.assertEqual(self.demand.newest_rates_, [[20.0, 10.0]])
@@ -49,11 +49,11 @@
         self.update(later, r0=[0, 10], r1=[0, 10])
         self.assertEqual(self.demand.newest_rates_, [[0.0, 20.0]])
 
-    def test_a_few_ranks_are_no_reading_of_the_group(self):
+    def test_a_few_ranks_give_no_reading_of_the_group(self):
         self.update(0.0, r0=[10, 0])
         self.assertEqual(self.demand.readings_, 0)
 
-    def test_the_oldest_counts_are_asked_for_first(self):
+    def test_the_oldest_counts_are_requested_first(self):
         self.update(1.0, r0=[1, 0], r1=[1, 0])
         self.update(1.2, r0=[1, 0])
         self.assertEqual(self.demand.ranks_by_age_, [2, 1, 0])
--- a/tests/ranks/test_driver.py
+++ b/tests/ranks/test_driver.py
@@ -1,4 +1,4 @@
-"""Deputies hear the end of a change only where it has ended."""
+"""Deputies are notified of the end of a change only if it has ended."""
 
 import asyncio
 import unittest
@@ -9,9 +9,9 @@
 
 
 class RecordingAccess:
-    """Ways to ranks that carry out nothing until told.
+    """Access to ranks that executes nothing until it may proceed.
 
-    :ivar list notices: whether a change was under way, for each notice to deputies.
+    :ivar list notices: whether a change was in progress, for each notice to deputies.
     """
 
     def __init__(self):
@@ -28,7 +28,7 @@
 
 
 def procedure():
-    """Give one step and end."""
+    """Yield one step and end."""
     yield _change.Step({})
     return _change.ChangeResult.DONE
 
@@ -41,12 +41,12 @@
         self.running = asyncio.ensure_future(running)
         await asyncio.sleep(0)
 
-    async def test_deputies_hear_that_a_change_has_ended(self):
+    async def test_deputies_are_notified_of_the_end_of_a_change(self):
         self.access.may_proceed.set()
         self.assertEqual(await self.running, _change.ChangeResult.DONE)
         self.assertEqual(self.access.notices[-1], False)
 
-    async def test_deputies_of_a_change_that_is_cut_short_are_left_to_settle_it(self):
+    async def test_deputies_of_a_cancelled_change_are_left_to_settle_it(self):
         self.running.cancel()
         await asyncio.gather(self.running, return_exceptions=True)
         self.assertNotIn(False, self.access.notices)
--- a/tests/ranks/test_follower.py
+++ b/tests/ranks/test_follower.py
@@ -1,4 +1,4 @@
-"""A leader asks no rank twice at once, and takes late answers for what they are."""
+"""A leader never polls a rank twice at once, and counts late answers by their age."""
 
 import asyncio
 import time
@@ -10,9 +10,9 @@
 
 
 class SlowAccess:
-    """Ways to ranks of which some take their time.
+    """Access to ranks of which some answer late.
 
-    :ivar dict delay_by_rank: seconds until an answer; ``None`` for none at all.
+    :ivar dict delay_by_rank: seconds until an answer; ``None`` for no answer.
     """
 
     def __init__(self):
@@ -36,7 +36,7 @@
     async def poll(self, counts_of=()):
         return await self.poller.poll(set(counts_of), set())
 
-    async def test_a_late_rank_holds_up_a_turn_for_a_moment_only(self):
+    async def test_a_late_rank_delays_a_cycle_by_its_timeout_only(self):
         self.access.delay_by_rank[2] = 5.0
         began = time.monotonic()
         answers = await self.poll()
@@ -45,7 +45,7 @@
         self.assertEqual(self.poller.silent_ranks(), [])
         self.poller.close()
 
-    async def test_a_rank_that_has_yet_to_answer_is_not_asked_again(self):
+    async def test_a_rank_with_a_pending_poll_is_not_polled_again(self):
         self.access.delay_by_rank[2] = 5.0
         await self.poll()
         await self.poll()
@@ -67,17 +67,17 @@
         await self.poll()
         self.assertEqual(self.poller.silent_ranks(), [1])
 
-    async def test_counts_are_asked_of_the_ranks_named(self):
+    async def test_counts_are_requested_from_the_named_ranks(self):
         await self.poll(counts_of=[1])
         self.assertEqual([r for r, counts, _ in self.access.requests if counts], [1])
 
 
 class BudgetTest(unittest.TestCase):
-    def test_a_small_group_is_read_whole_in_each_turn(self):
+    def test_a_small_group_is_read_completely_in_each_cycle(self):
         budget = _follower.ReadingBudget(312_500, 4 * 72)
         self.assertEqual(budget.max_ranks(16, 0.2), 16)
 
-    def test_no_group_is_so_large_that_nobody_is_read(self):
+    def test_at_least_one_rank_is_read_however_large_the_group(self):
         budget = _follower.ReadingBudget(125_000, 8 * 252)
         self.assertEqual(budget.max_ranks(1000, 0.2), 1)
 
--- a/tests/ranks/test_fresh_reports.py
+++ b/tests/ranks/test_fresh_reports.py
@@ -1,4 +1,4 @@
-"""Steps of a change rest on what engines say now, not a moment ago."""
+"""Steps of a change use the current reports of engines, not recent ones."""
 
 import time
 
@@ -10,7 +10,7 @@
 
 
 class HoldingEngine:
-    """An engine that is held as soon as it is told to."""
+    """Engine that is held as soon as it is ordered to be."""
 
     def __init__(self):
         self.held_step = 0
@@ -24,7 +24,7 @@
 
 
 class AgentLink:
-    """A link to an agent in this process."""
+    """Link to an agent in this process."""
 
     is_silent = False
 
@@ -55,7 +55,7 @@
         replies = await self.access.execute(ranks.Step({1: order}))
         self.assertEqual(replies[1].report.held_step, HELD_STEP)
 
-    async def test_report_of_a_moment_ago_is_told_only_where_it_will_do(self):
+    async def test_recent_report_is_sent_only_if_it_is_accepted(self):
         self.engine.held_step = HELD_STEP
         for may_be_recent, held_step in ((True, 0), (False, HELD_STEP)):
             with self.subTest(may_be_recent):
--- a/tests/ranks/test_holds.py
+++ b/tests/ranks/test_holds.py
@@ -1,4 +1,4 @@
-"""A hold that nobody answers for is found at once or after a while."""
+"""An abandoned hold is found at once or after a timeout."""
 
 import unittest
 
@@ -17,7 +17,7 @@
     def setUp(self):
         self.tracker = _holds.HoldTracker(OWN_RANK)
 
-    def test_hold_of_another_rank_is_left_to_its_leader_for_a_while(self):
+    def test_hold_of_another_rank_is_abandoned_only_after_a_timeout(self):
         self.tracker.record({1: report(7)}, 0.0)
         self.assertIsNone(self.tracker.find_orphan(_holds.ORPHAN_TIMEOUT_S / 2, False))
         self.assertEqual(
@@ -37,7 +37,7 @@
         self.tracker.record({1: report(9)}, _holds.ORPHAN_TIMEOUT_S)
         self.assertIsNone(self.tracker.find_orphan(_holds.ORPHAN_TIMEOUT_S, False))
 
-    def test_rank_that_says_nothing_is_held_as_before(self):
+    def test_rank_without_a_report_keeps_its_hold(self):
         self.tracker.record({1: report(7)}, 0.0)
         self.tracker.record({}, 1.0)
         self.assertTrue(self.tracker.has_holds_)
--- a/tests/ranks/test_keeper.py
+++ b/tests/ranks/test_keeper.py
@@ -1,4 +1,4 @@
-"""What the agent beside a held rank agrees to."""
+"""Requests that the keeper of a held rank agrees to."""
 
 import unittest
 
@@ -23,12 +23,12 @@
         self.keeper.allow_arming(CHANGE)
         self.assertTrue(self.keeper.allow_arming(CHANGE))
 
-    def test_taken_over_before_arming_it_may_be_released_and_never_armed(self):
+    def test_revoked_before_arming_a_hold_may_be_released_and_never_armed(self):
         self.keeper.agree_to_hold(CHANGE)
         self.assertEqual(self.keeper.revoke_agreement(), CHANGE)
         self.assertFalse(self.keeper.allow_arming(CHANGE))
 
-    def test_once_arming_is_allowed_nobody_releases_alone(self):
+    def test_agreement_is_not_revoked_once_arming_is_allowed(self):
         self.keeper.agree_to_hold(CHANGE)
         self.keeper.allow_arming(CHANGE)
         self.assertIsNone(self.keeper.revoke_agreement())
@@ -39,11 +39,11 @@
         self.assertTrue(self.keeper.agree_to_hold(LATER))
         self.assertFalse(self.keeper.allow_arming(CHANGE))
 
-    def test_a_fresh_agent_keeps_no_pass_of_its_predecessor(self):
+    def test_a_restarted_agent_agrees_to_no_pass_of_its_predecessor(self):
         fresh = ranks.Keeper(epoch=2, first_step=51)
         self.assertFalse(fresh.agree_to_hold(CHANGE))
         self.assertTrue(fresh.agree_to_hold(LATER))
 
-    def test_a_group_that_formed_anew_has_no_passes_behind(self):
+    def test_a_re_formed_group_starts_without_agreed_passes(self):
         fresh = ranks.Keeper(epoch=2, first_step=500)
         self.assertTrue(fresh.agree_to_hold(ranks.HeldChange(3, 50, 4)))
--- a/tests/ranks/test_keeper_service.py
+++ b/tests/ranks/test_keeping.py
@@ -1,12 +1,12 @@
-"""A keeper answers leaders, and releases what they leave behind."""
+"""A keeper answers leaders and releases the holds that they abandon."""
 
 import unittest
 
-from sequoiagap.ranks import _keeper_service, _messages, _own_rank, _succession
+from sequoiagap.ranks import _keeping, _messages, _own_rank, _succession
 from tests import support
 from tests.ranks import group_stand_in
 
-AHEAD = 30  # passes; a fresh keeper agrees to none that its predecessor may have kept
+AHEAD = 30  # passes; a new keeper refuses those that its predecessor may have agreed to
 OTHER_LEADER = 2
 
 
@@ -18,7 +18,7 @@
     async def asyncSetUp(self):
         self.group = group_stand_in.GroupStandIn()
         self.world = self.group.world
-        self.service = _keeper_service.KeeperService(_own_rank.OwnRank(self.group, "1"))
+        self.service = _keeping.KeeperService(_own_rank.OwnRank(self.group, "1"))
         self.engine = self.world.engines[1]
         self.step = self.world.step + AHEAD
 
@@ -38,11 +38,11 @@
         self.start()
         self.assertTrue(self.request())
 
-    async def test_an_agent_that_leads_keeps_for_nobody(self):
+    async def test_an_agent_that_leads_agrees_to_nothing(self):
         self.start()
         self.assertFalse(self.request(is_leading=True))
 
-    async def test_hold_is_left_once_its_leader_is_silent_or_another_leads(self):
+    async def test_hold_is_abandoned_once_its_leader_is_silent_or_another_leads(self):
         self.start()
         self.request()
         heard_at = self.service._heard_at
@@ -53,7 +53,7 @@
         self.service.record_leader(0, later)
         self.assertFalse(self.service.has_abandoned_hold(0, later))
 
-    async def test_hold_is_not_left_once_arming_was_allowed(self):
+    async def test_hold_is_not_abandoned_once_arming_was_allowed(self):
         self.start()
         self.request()
         self.request(wants_arming=True)
@@ -67,7 +67,7 @@
         self.assertEqual(self.engine.held, 0)
         self.assertFalse(self.request(wants_arming=True))
 
-    async def test_hold_that_comes_a_little_later_is_released_too(self):
+    async def test_hold_that_arrives_a_little_later_is_released_too(self):
         self.start()
         self.request()
         report = self.group.report
@@ -83,7 +83,7 @@
         await self.service.release()
         self.assertEqual(self.engine.held, 0)
 
-    async def test_hold_of_another_change_stands(self):
+    async def test_hold_of_another_change_is_not_released(self):
         self.start()
         self.request()
         self.engine.held = self.step + 1
--- a/tests/ranks/test_leader.py
+++ b/tests/ranks/test_leader.py
@@ -1,4 +1,4 @@
-"""A leader follows demand and settles what others have left, over lossy orders."""
+"""A leader follows demand and settles abandoned changes, even if orders are lost."""
 
 import asyncio
 import dataclasses
@@ -28,7 +28,7 @@
         self.leader = await self.lead(0)
 
     async def lead(self, rank):
-        """Return a leader beside a rank that reaches the others' engines directly."""
+        """Return a leader beside a rank that calls other ranks' engines directly."""
         own = _own_rank.OwnRank(self.group, str(rank))
         addresses = {r: str(r) for r in range(rank_world.SIZE) if r != rank}
         access = _access.GroupAccess(own, rank, addresses)
@@ -47,7 +47,9 @@
         access.poll = poll
         report = self.group.world.report(self.group.world.engines[rank])
         leader = ranks.GroupLeader(access, report, TERMS, base.Metrics())
-        leader._led_since -= 2 * _leader.PEER_DISCOVERY_S  # no other agent came up
+        leader._led_since -= (
+            2 * _leader.PEER_DISCOVERY_S
+        )  # no other agent was discovered
         return leader
 
     async def run_cycles(self, leader, counts=HEAVY, number=6):
@@ -76,13 +78,13 @@
         self.assertEqual(self.leader.changes_, 0)
         self.assertFalse([engine for engine in self.group.world.engines if engine.held])
 
-    async def test_a_leader_that_another_one_relieves_begins_no_change(self):
+    async def test_a_stopped_leader_begins_no_change(self):
         await self.run_cycles(self.leader, number=1)
         self.leader.stop()
         await self.run_cycles(self.leader)
         self.assertEqual(self.leader.changes_, 0)
 
-    async def test_a_leader_gives_way_to_a_senior_that_ranks_have_heard_since(self):
+    async def test_a_leader_defers_to_a_senior_that_ranks_have_heard_since(self):
         leader = await self.lead(1)
         poll = leader.access.poll
 
@@ -98,7 +100,7 @@
         self.assertEqual(leader.changes_, 0)
         self.assertEqual(leader.senior_[0], 0)
 
-    async def test_a_leader_does_not_give_way_to_one_heard_before_it_led(self):
+    async def test_a_leader_does_not_defer_to_one_heard_before_it_led(self):
         leader = await self.lead(1)
         poll = leader.access.poll
 
@@ -116,7 +118,7 @@
         await self.run_cycles(self.leader, counts=[0] * 6)
         self.assertEqual(self.leader.changes_, 0)
 
-    async def test_lost_orders_are_given_again(self):
+    async def test_lost_orders_are_sent_again(self):
         for kind in ranks.OrderKind:
             with self.subTest(kind):
                 await self.asyncSetUp()
@@ -158,7 +160,7 @@
         await self.wait_for_orphan()
         self.assertFalse([engine for engine in world.engines if engine.held])
 
-    async def test_group_that_forms_anew_is_learnt_again(self):
+    async def test_map_of_a_re_formed_group_is_determined_again(self):
         await self.run_cycles(self.leader)
         world = self.group.world
         world._form_anew()
@@ -171,7 +173,7 @@
         self.assertGreater(self.leader.changes_, before)
         self.assertEqual(len(self.contents()), 1)
 
-    async def test_group_that_forms_anew_has_a_good_map_before_its_next_passes(self):
+    async def test_re_formed_group_has_a_good_map_before_its_next_passes(self):
         await self.run_cycles(self.leader)
         world = self.group.world
         world._form_anew()
@@ -186,7 +188,7 @@
         (content,) = self.contents()
         self.assertNotEqual(content, repr(LAYERS))
 
-    async def test_slow_rank_is_relieved(self):
+    async def test_slow_rank_gets_fewer_experts(self):
         report = self.group.report
 
         async def report_slow(address):
@@ -209,7 +211,7 @@
         self.assertTrue(self.leader._make_plan(reports, LAYERS).is_lossy)
 
     async def wait_for_orphan(self):
-        """Take turns until nothing is held any more."""
+        """Run cycles until nothing is held any more."""
         engines = self.group.world.engines
         for _ in range(60):
             await self.leader.run_cycle()
--- a/tests/ranks/test_links.py
+++ b/tests/ranks/test_links.py
@@ -1,4 +1,4 @@
-"""A link takes silence for silence and lateness for lateness."""
+"""A link distinguishes a silent agent from one that answers late."""
 
 import asyncio
 import time
@@ -13,10 +13,10 @@
 
 
 class StubConnection:
-    """A connection whose agent shows life, or answers, after a while.
+    """Connection whose agent sends a heartbeat, or an answer, after a delay.
 
     :param float answer_s: time until the answer; ``None`` for none.
-    :param float heartbeat_s: time until another sign of life; ``None`` for none.
+    :param float heartbeat_s: time until another message; ``None`` for none.
     """
 
     is_congested_ = False
@@ -52,7 +52,7 @@
         support.silence_logs()
 
     def request(self, connection, timeout_s):
-        """Ask over a connection; return the answer and the time until it came."""
+        """Send a request; return the answer and the time until it arrived."""
         return virtual.run(self._request(connection, timeout_s))
 
     async def _request(self, connection, timeout_s):
--- a/tests/ranks/test_map_changes.py
+++ b/tests/ranks/test_map_changes.py
@@ -1,4 +1,4 @@
-"""Maps reach other agents as changes to maps that they have."""
+"""Maps are sent to other agents as changes to maps that they have."""
 
 import unittest
 
@@ -33,7 +33,7 @@
         self.assertGreater(self.send(large)[1], 300)
         self.assertLess(self.send(changed)[1], 50)
 
-    def test_a_receiver_that_started_anew_says_that_it_lacks_the_base(self):
+    def test_a_restarted_receiver_reports_that_it_lacks_the_base(self):
         self.send(FIRST)
         self.receiver = _map_changes.MapCache()
         self.assertIsNone(self.send(SECOND)[0])
@@ -45,7 +45,7 @@
         self.send(FIRST)
         self.assertTrue(self.sender.has_map(1, turned))
 
-    def test_a_map_that_is_not_the_one_named_is_not_taken(self):
+    def test_a_map_that_does_not_match_its_digest_is_rejected(self):
         base, changes, _ = self.sender.encode(1, FIRST)
         other = _map_changes.digest(SECOND)
         self.assertIsNone(self.receiver.build(base, changes, other))
--- a/tests/ranks/test_pass_time.py
+++ b/tests/ranks/test_pass_time.py
@@ -1,4 +1,4 @@
-"""Passes are timed, and ranks need be only as even as callers feel."""
+"""Passes are timed, and ranks have to be only as even as callers can notice."""
 
 import doctest
 import unittest
@@ -13,7 +13,7 @@
         self.timer = _pass_time.PassTimer(expert_share=0.85)
 
     def passes(self, pass_s, skew=1.0, readings=20):
-        """Take readings of two passes each."""
+        """Record readings that are two passes apart."""
         for reading in range(readings):
             step = 2 * reading
             self.timer.record(step, step * pass_s, True, skew)
@@ -34,7 +34,7 @@
         self.passes(0.03 * (0.15 + 0.85 * 3.0), skew=3.0)
         self.assertGreater(self.skew(), 1.5)
 
-    def test_idle_stalled_and_restarted_groups_teach_nothing(self):
+    def test_idle_stalled_and_restarted_groups_are_not_measured(self):
         self.timer.record(10, 0.0, True, 1.0)
         self.timer.record(11, 5.0, True, 1.0)
         self.timer.record(11, 6.0, True, 1.0)
--- a/tests/ranks/test_planning.py
+++ b/tests/ranks/test_planning.py
@@ -1,4 +1,4 @@
-"""A change pays by what it saves all ranks, and a copy costs one of them."""
+"""A change is made if the time saved at all ranks exceeds the cost of its copies."""
 
 import dataclasses
 import unittest
@@ -27,7 +27,7 @@
     async def test_even_demand_brings_none(self):
         self.assertIsNone(await self.plan([[1 / 6] * 6]))
 
-    async def test_slow_ranks_are_counted_and_relieved(self):
+    async def test_slow_ranks_are_counted_and_hold_fewer_experts(self):
         self.reports[1] = dataclasses.replace(self.reports[1], slowness=6.0)
         found = await self.plan([[1 / 6] * 6])
         self.assertEqual(found.slow_ranks, 1)
--- a/tests/ranks/test_reporter.py
+++ b/tests/ranks/test_reporter.py
@@ -1,4 +1,4 @@
-"""What an agent tells the gateways, and how often."""
+"""Content and frequency of an agent's reports to the gateways."""
 
 import asyncio
 import dataclasses
@@ -16,7 +16,7 @@
 READING_S = 0.05  # between two readings of a busy engine
 SECONDS = 1.0
 READINGS_PER_S = 500  # of all engines of a group
-REPORTS_PER_S = 5  # of an endpoint whose load stays as it is
+REPORTS_PER_S = 5  # of an endpoint with constant load
 REPORT = ranks.EngineReport(group="g", size=2, is_open=True, running=4)
 
 
@@ -34,7 +34,7 @@
         self.addCleanup(self.reporter.close)
 
     async def received(self, count=1):
-        """Return what has come once it is at least so much."""
+        """Return the received messages once there are at least ``count``."""
         found = []
 
         def is_there():
@@ -47,7 +47,7 @@
         await support.eventually(is_there)
         return found
 
-    async def test_passes_alone_are_no_news(self):
+    async def test_new_passes_alone_cause_no_reports(self):
         began = time.monotonic()
         step = 0
         while time.monotonic() < began + SECONDS:
@@ -58,7 +58,7 @@
         found = await self.received()
         self.assertLessEqual(len(found), REPORTS_PER_S * SECONDS)
 
-    async def test_a_change_of_load_is_told_at_once(self):
+    async def test_a_change_of_load_is_reported_at_once(self):
         changes = {"running": 5, "waiting": 1, "is_open": False, "epoch": 2}
         for number, (name, value) in enumerate(changes.items(), start=2):
             with self.subTest(name):
@@ -73,7 +73,7 @@
 
 
 class ReadingIntervalTest(unittest.TestCase):
-    """Readings of engines by their agents, in groups of any size."""
+    """Interval between an agent's readings of its engine, in groups of any size."""
 
     def interval(self, **fields):
         report = dataclasses.replace(REPORT, running=0, **fields)
--- a/tests/ranks/test_succession.py
+++ b/tests/ranks/test_succession.py
@@ -1,4 +1,4 @@
-"""Who leads next, by what an agent has heard and by its own delays."""
+"""Choice of the next leader from the messages an agent received and its own delays."""
 
 import unittest
 
@@ -9,7 +9,7 @@
 
 
 def first_lead(succession, rank, until, began=0.0):
-    """Return when the agent of a rank would lead, checking on time."""
+    """Return when the agent of a rank would lead if it checks on time."""
     now = began
     while now < until:
         if succession.should_lead(rank, now, CHECK_S):
@@ -33,25 +33,25 @@
         self.assertEqual(times, sorted(set(times)))
         self.assertLess(times[-1], 2 * LONGEST_HOLD_S)
 
-    def test_without_a_change_nobody_hurries(self):
+    def test_without_a_change_the_longer_timeout_applies(self):
         succession = _succession.Succession(0.0)
         succession.record_leader(0, 0.0, deputy=0)
         succession.record_leader(0, 0.1, deputy=_succession.NO_DEPUTY)
         self.assertGreater(first_lead(succession, 1, 5.0), _succession.LEADER_TIMEOUT_S)
 
-    def test_an_order_of_the_leader_keeps_a_deputy_what_it_is(self):
+    def test_other_messages_of_the_leader_do_not_end_the_role_of_deputy(self):
         succession = _succession.Succession(0.0)
         succession.record_leader(0, 0.0, deputy=1)
         succession.record_leader(0, 0.1)
         self.assertTrue(succession.is_deputy)
 
-    def test_another_leader_settles_what_the_last_one_has_left(self):
+    def test_a_new_leader_ends_the_role_of_deputy(self):
         succession = _succession.Succession(0.0)
         succession.record_leader(0, 0.0, deputy=1)
         succession.record_leader(1, 0.3)
         self.assertFalse(succession.is_deputy)
 
-    def test_own_delay_is_nobodys_silence(self):
+    def test_own_delay_does_not_count_as_silence(self):
         succession = _succession.Succession(0.0)
         succession.record_leader(0, 0.0, deputy=0)
         self.assertFalse(succession.should_lead(1, CHECK_S, CHECK_S))
--- a/tests/ranks/test_takeover.py
+++ b/tests/ranks/test_takeover.py
@@ -1,4 +1,4 @@
-"""Agents of a group settle at once what a frozen leader has left."""
+"""Agents of a group settle at once what a frozen leader abandons."""
 
 import asyncio
 import dataclasses
@@ -13,19 +13,19 @@
 from tests import support
 from tests.ranks import group_stand_in
 
-LONGEST_HOLD_S = 0.5  # that callers may bear beyond the leader's last order
+LONGEST_HOLD_S = 0.5  # that callers tolerate after the leader's last order
 TICK_S = 0.01
-LATE_S = 0.03  # of a tick; all hosts that this process plays stood still meanwhile
+LATE_S = 0.03  # delay of a tick above which all simulated hosts were stalled
 WAIT_S = 20.0
 CALL_TIMEOUT_S = 0.1
-HEARTBEATS_S = 0.05  # between two of a process that does nothing else any more
+HEARTBEATS_S = 0.05  # interval of a process that sends nothing else any more
 
 
 class Freeze:
-    """When the leader stands still, and whether its rank's engine can be reached.
+    """When the leader freezes, and whether the engine of its rank stays reachable.
 
-    :param OrderKind kind: it stands still once an order of this kind was carried out.
-    :param bool with_host: whether nobody reaches its rank's engine from then on.
+    :param OrderKind kind: the leader freezes once an order of this kind was executed.
+    :param bool with_host: whether its rank's engine is unreachable from then on.
     """
 
     def __init__(self, kind, with_host):
@@ -35,11 +35,11 @@
 
 
 class AgentEngine:
-    """Calls of engines by the agent of one rank.
+    """Calls to engines by the agent of one rank.
 
     :param GroupStandIn group: the group.
     :param int rank: the rank.
-    :param Freeze freeze: what happens to the agent of rank 0.
+    :param Freeze freeze: fault that affects the agent of rank 0.
     """
 
     def __init__(self, group, rank, freeze):
@@ -63,18 +63,18 @@
         result = await self._call(unknown, self.group.order, address, order)
         if order.kind == self.freeze.kind:
             self.freeze.began.set()
-        await self._stand_still()
+        await self._wait_if_frozen()
         return result
 
     async def _call(self, nothing, call, address, *args):
-        await self._stand_still()
+        await self._wait_if_frozen()
         freeze = self.freeze
         if address == "0" and freeze.with_host and freeze.began.is_set():
             await asyncio.sleep(CALL_TIMEOUT_S)
             return nothing
         return await call(address, *args)
 
-    async def _stand_still(self):
+    async def _wait_if_frozen(self):
         if self.rank == 0 and self.freeze.began.is_set():
             await asyncio.Event().wait()
 
@@ -97,7 +97,7 @@
             agent = ranks.RankAgent(self.settings(rank), self.store, engine)
             await agent.start()
             self.agents.append(agent)
-        self.freezing = asyncio.ensure_future(self.stand_still(self.agents[0]))
+        self.freezing = asyncio.ensure_future(self.freeze_leader(self.agents[0]))
 
     def settings(self, rank):
         with socket.socket() as probe:
@@ -116,7 +116,7 @@
             service="desk",
         )
 
-    async def stand_still(self, agent):
+    async def freeze_leader(self, agent):
         await self.freeze.began.wait()
         for task in list(agent._tasks.tasks_):
             if task.get_name() != "reply":
@@ -130,9 +130,9 @@
             agent._reporter.close()
 
     async def longest_hold(self):
-        """Let the group work; return how long it was held once the leader froze.
+        """Run the group and return the longest hold after the leader froze.
 
-        Time counts as far as this process, which plays all hosts, ran on time.
+        Time counts only while this process, which simulates all hosts, runs on time.
         """
         world = self.group.world
         longest_s = held_s = waited_s = 0.0
@@ -144,7 +144,7 @@
             if time.monotonic() - began > LATE_S:
                 continue
             if waited_s > WAIT_S:
-                self.fail("the leader never gave the order")
+                self.fail("the leader never sent the order")
             before = world.step
             self.group.work(group_stand_in.HEAVY, passes=1)
             held_s = 0.0 if world.step > before else held_s + TICK_S
--- a/tests/ranks/test_thin_link.py
+++ b/tests/ranks/test_thin_link.py
@@ -1,4 +1,4 @@
-"""A large group behind a thin link is led, and leads nobody astray."""
+"""Leadership of a large group behind a slow link."""
 
 import asyncio
 import random
@@ -14,11 +14,11 @@
 from tests.ranks import group_stand_in, thin_link
 
 LINK_BYTES_S = 500_000  # 4 Mbit/s
-LINK_SHARE = 0.5  # that leading may take
-LONGEST_WAIT_S = 0.2  # behind its bytes, of 0.4 s in which a first event is due
+LINK_SHARE = 0.5  # maximum share of the link used for leading
+LONGEST_WAIT_S = 0.2  # behind the leader's traffic; a first event is due within 0.4 s
 RUN_S = 6.0
 PASS_S = 0.1
-CHOICES = 400  # of an expert and rank in a pass, at most
+CHOICES = 400  # maximum per expert, rank and pass
 SHAPES = {  # ranks, layers, experts, slots of a rank and layer
     "63 ranks": (63, 8, 252, 5),
     "72 ranks": (72, 12, 144, 3),
@@ -26,14 +26,14 @@
 
 
 class LargeGroup:
-    """A large group that was led for a while, in virtual time.
+    """Large group that is led for a while, in virtual time.
 
-    :param int size: ranks.
-    :param int layers: layers with a map of their own.
-    :param int experts: experts of a layer.
-    :param int slots: experts that a rank holds of a layer at most.
+    :param int size: number of ranks.
+    :param int layers: number of layers with a map of their own.
+    :param int experts: number of experts in a layer.
+    :param int slots: maximum number of experts that a rank holds of a layer.
 
-    :ivar GroupLeader leader: its leader, behind a thin link.
+    :ivar GroupLeader leader: its leader, behind a slow link.
     :ivar HostLink link: the link.
     """
 
@@ -56,7 +56,7 @@
         self._connection_by_rank = {}
 
     async def run(self):
-        """Lead the group under an uneven load for a while."""
+        """Lead the group under an uneven load for ``RUN_S``."""
         now = asyncio.get_running_loop().time
         with mock.patch.object(time, "monotonic", now):
             access, self._connection_by_rank = thin_link.link_ranks(
@@ -77,7 +77,7 @@
             await leading
 
     async def _work(self, number):
-        """Let passes go by while requests choose some experts far more than others."""
+        """Run passes while requests choose some experts far more often than others."""
         source = random.Random(7)
         wanted = [CHOICES * source.random() ** 4 for _ in range(number)]
         until = time.monotonic() + RUN_S
@@ -87,7 +87,7 @@
             await asyncio.sleep(PASS_S)
 
     def longest_silence(self):
-        """Return for how long an agent heard nothing of the leader, at most."""
+        """Return the longest time without a message from the leader at an agent."""
         gaps = []
         for connection in self._connection_by_rank.values():
             heard_at = connection.leader_heard_at_
--- a/tests/ranks/thin_link.py
+++ b/tests/ranks/thin_link.py
@@ -1,4 +1,4 @@
-"""A leader's host link that is thin for what the ranks of a large group could say."""
+"""Simulated host link that is slow for the answers of a large group's ranks."""
 
 import asyncio
 import time
@@ -6,16 +6,16 @@
 from sequoiagap import base, gateway, wire
 from sequoiagap.ranks import _access, _links, _messages, _own_rank, _pacing
 
-HEADER_BYTES = 90  # of a message, for framing and the layers below
+HEADER_BYTES = 90  # per message, for framing and lower layers
 LATENCY_S = 0.0015
 
 
 class HostLink:
-    """The link of one host: bytes wait for those before them, in each direction.
+    """Link of one host, on which bytes queue behind earlier ones in each direction.
 
-    :param float bytes_s: rate in each direction.
+    :param float bytes_s: rate in each direction, in bytes per second.
 
-    :ivar float longest_wait_s_: longest time that a byte waited to cross, in seconds.
+    :ivar float longest_wait_s_: longest time until a byte has crossed, in seconds.
     """
 
     def __init__(self, bytes_s):
@@ -25,7 +25,7 @@
         self._free_at_by_direction = {}
 
     def delay(self, direction, size):
-        """Take bytes onto the link; return when they are across, in seconds."""
+        """Queue bytes on the link and return the time until they arrive, in seconds."""
         now = time.monotonic()
         free_at = max(self._free_at_by_direction.get(direction, now), now)
         free_at += (size + HEADER_BYTES) / self.bytes_s
@@ -36,7 +36,7 @@
 
 
 class AgentConnection:
-    """A connection to the agent beside a rank, over the leader's link.
+    """Connection to the agent beside a rank, over the leader's link.
 
     :param HostLink host_link: the link.
     :param OwnRank own: the agent's side.
@@ -53,7 +53,7 @@
         self.tasks = base.TaskSet()
 
     async def send(self, message):
-        """Send a message; the answer comes once both have crossed the link."""
+        """Send a message; its answer arrives once both have crossed the link."""
         delay_s = self.host_link.delay("out", len(wire.encode(message)))
         loop = asyncio.get_running_loop()
         loop.call_later(delay_s, self._arrive, wire.decode(wire.encode(message)))
@@ -84,12 +84,12 @@
 
 
 def link_ranks(group, host_link, own_rank=0):
-    """Return the leader's ways to the ranks of a group over one link.
+    """Return the leader's access to the ranks of a group over one link.
 
     :param GroupStandIn group: the group.
     :param HostLink host_link: the leader's link.
     :param int own_rank: rank of the leader.
-    :returns: the ways, and the connections by rank.
+    :returns: the access, and the connections by rank.
     :rtype: tuple[GroupAccess, dict[int, AgentConnection]]
     """
     link_by_rank, connection_by_rank = {}, {}
