--- a/libs/ranks/src/sequoiagap/ranks/_leader.py
+++ b/libs/ranks/src/sequoiagap/ranks/_leader.py
@@ -341,7 +341,7 @@
         first_step = self._first_step if has_predecessor else None
         if _change.may_begin(report_by_rank, self.size, self.own_rank, first_step):
             return ""
-        return "the ranks are not known to be idle and on the same map"
+        return "the ranks are not known to share one map without a change in progress"
 
     async def _plan_change(self, report_by_rank):
         found = await self.planner.plan(
--- a/tests/ranks/test_change_model.py
+++ b/tests/ranks/test_change_model.py
@@ -51,7 +51,7 @@
             world.settle(SETTLE_TURNS)
             before = world.passes
             world.settle(SETTLE_TURNS)
-            self.assertGreater(world.passes, before, f"seed {seed} stands still")
+            self.assertGreater(world.passes, before, f"seed {seed} makes no progress")
 
     def test_only_what_belongs_to_the_change_is_disarmed(self):
         # A leader is paused while it makes a change safe, and the group stays idle.
