--- a/libs/ranks/src/sequoiagap/ranks/_agent.py
+++ b/libs/ranks/src/sequoiagap/ranks/_agent.py
@@ -38,7 +38,7 @@
     """Agent beside a rank's engine.
 
     :param settings.RankSettings settings: validated settings.
-    :param gateway.Store store: store for registration and the engine's terms.
+    :param gateway.Store store: store for registration and the engine's profile.
     :param RankEngine engine: calls to engines.
 
     :ivar EngineReport report_: newest report of the engine, or ``None``.
@@ -54,7 +54,7 @@
         self._reported_at = 0.0
         self.own = _own_rank.OwnRank(engine, settings.endpoint)
         self._node_by_id = {}
-        self._terms = None
+        self._profile = None
         self._longest_pause_s = 0.0
         self._succession = _succession.Succession(time.monotonic())
         self._keeper_service = _keeping.KeeperService(self.own)
@@ -80,7 +80,7 @@
         await self._listen_for_metrics()
         self._tasks.start(self._report_forever(), "report")
         self._tasks.start(self._discover_nodes_forever(), "nodes")
-        self._tasks.start(self._read_terms_forever(), "terms")
+        self._tasks.start(self._read_profile_forever(), "terms")
         self._tasks.start(self._lead_forever(), "lead")
 
     async def stop(self):
@@ -125,7 +125,7 @@
             report = await self.engine.report(self.settings.endpoint)
             self._record_report(report)
             self.report_, self._reported_at = report, requested_at
-            slots = self._terms.slots if self._terms else 1
+            slots = self._profile.slots if self._profile else 1
             if report is not None:
                 self._reporter.publish(report, slots, time.monotonic())
             await asyncio.sleep(_reporter.reading_interval(report, slots))
@@ -184,7 +184,7 @@
         known_ranks = sum(node.role == "ranks" for node in self._node_by_id.values())
         return known_ranks < report.size
 
-    async def _read_terms_forever(self):
+    async def _read_profile_forever(self):
         backoff = base.Backoff(FIRST_RETRY_S, MAX_RETRY_S, random.Random())
         while True:
             try:
@@ -197,9 +197,9 @@
             table = snapshot.value
             service = table and table.service_by_name.get(self.settings.service)
             if service is not None and service.engine is not None:
-                self._terms = service.engine
+                self._profile = service.engine
                 self._longest_pause_s = table.longest_pause(service.name)
-            wait_s = CONFIG_INTERVAL_S if self._terms else FIRST_RETRY_S
+            wait_s = CONFIG_INTERVAL_S if self._profile else FIRST_RETRY_S
             await asyncio.sleep(wait_s)
 
     async def _lead_forever(self):
@@ -207,9 +207,9 @@
             is_deputy = self._leader is None and self._succession.is_deputy
             interval_s = await self._wait_to_check(is_deputy)
             report = self.report_
-            if report is None or not report.size or self._terms is None:
+            if report is None or not report.size or self._profile is None:
                 continue
-            if not self._terms.experts:
+            if not self._profile.experts:
                 continue
             is_high_priority = not self._is_low_priority()
             if self._leader is not None or is_deputy or is_high_priority:
@@ -261,7 +261,7 @@
         self._leader = _leader.GroupLeader(
             access,
             report,
-            self._terms,
+            self._profile,
             self.metrics,
             self._longest_pause_s,
             self._guarded_epoch,
@@ -413,7 +413,7 @@
     """Run the agent until it is stopped.
 
     :param settings.RankSettings rank_settings: validated settings.
-    :param gateway.Store store: store for registration and the engine's terms.
+    :param gateway.Store store: store for registration and the engine's profile.
     :param RankEngine engine: calls to engines.
     """
     agent = RankAgent(rank_settings, store, engine)
--- a/libs/ranks/src/sequoiagap/ranks/_leader.py
+++ b/libs/ranks/src/sequoiagap/ranks/_leader.py
@@ -44,7 +44,7 @@
 
     :param GroupAccess access: access to the ranks.
     :param EngineReport report: report of the own rank when leading starts.
-    :param routes.EngineTerms terms: terms of the group's engines.
+    :param routes.EngineTerms profile: profile of the group's engines.
     :param base.Metrics metrics: metrics of the process.
     :param float longest_pause_s: longest pause between two events that callers
         tolerate, in seconds; 0 for no limit.
@@ -63,7 +63,7 @@
         self,
         access,
         report,
-        terms,
+        profile,
         metrics,
         longest_pause_s=0.0,
         guarded_epoch=None,
@@ -76,11 +76,11 @@
         self.group = report.group
         self.size = report.size
         self.own_rank = report.rank
-        self.terms = terms
+        self.profile = profile
         self.metrics = metrics
         self.random_state = random_state or random.Random()
         self.planner = _planning.MapPlanner(
-            terms, report.size, longest_pause_s, metrics
+            profile, report.size, longest_pause_s, metrics
         )
         self.senior_ = None
         self.holdings_ = None
@@ -88,13 +88,13 @@
         self.changes_ = 0
         self.changes_in_epoch_ = 0
         self.copies_ = 0
-        self._demand = _demand.GroupDemand(terms.layers, terms.experts, report.size)
+        self._demand = _demand.GroupDemand(profile.layers, profile.experts, report.size)
         self._poller = _follower.RankPoller(access, report.size, report.rank)
         self._budget = _follower.ReadingBudget(
-            _pacing.READING_SHARE * link_bytes_s, terms.layers * terms.experts
+            _pacing.READING_SHARE * link_bytes_s, profile.layers * profile.experts
         )
         self._driver = _driver.ProcedureDriver(access)
-        self._maps = _map_book.MapRegistry(terms, report.size)
+        self._maps = _map_book.MapRegistry(profile, report.size)
         self._settled_at = 0.0
         self._first_step = None
         self._last_step = 0
@@ -319,7 +319,7 @@
             self.holdings_ = None
         elif self.holdings_ is None or self.holdings_.layers is not layers:
             self.holdings_ = experts.Holdings(
-                self.terms.experts, self.terms.slots_per_rank, layers
+                self.profile.experts, self.profile.slots_per_rank, layers
             )
 
     def _find_obstacle(self, report_by_rank):
--- a/libs/ranks/src/sequoiagap/ranks/_map_book.py
+++ b/libs/ranks/src/sequoiagap/ranks/_map_book.py
@@ -11,12 +11,12 @@
     A version is never used for two maps in an epoch, so a rank has to report only once
     what it holds.
 
-    :param routes.EngineTerms terms: terms of the group's engines.
+    :param routes.EngineTerms profile: profile of the group's engines.
     :param int size: number of ranks in the group.
     """
 
-    def __init__(self, terms, size):
-        self.terms = terms
+    def __init__(self, profile, size):
+        self.profile = profile
         self.size = size
         self._layers_by_version = collections.OrderedDict()
         self._held_by_rank = {}
@@ -79,7 +79,7 @@
             return None
         layers = tuple(
             tuple(tuple(experts[layer]) for _, experts in held)
-            for layer in range(self.terms.layers)
+            for layer in range(self.profile.layers)
         )
         self.add(version, layers)
         return layers
--- a/libs/ranks/src/sequoiagap/ranks/_planning.py
+++ b/libs/ranks/src/sequoiagap/ranks/_planning.py
@@ -43,7 +43,7 @@
 class MapPlanner:
     """Plans the next map of a group.
 
-    :param routes.EngineTerms terms: terms of the group's engines.
+    :param routes.EngineTerms profile: profile of the group's engines.
     :param int size: number of ranks in the group.
     :param float longest_pause_s: longest pause between two events that callers
         tolerate, in seconds; 0 for no limit.
@@ -52,12 +52,12 @@
     :ivar PassTimer timer: measures the duration of the group's passes.
     """
 
-    def __init__(self, terms, size, longest_pause_s, metrics):
-        self.terms = terms
+    def __init__(self, profile, size, longest_pause_s, metrics):
+        self.profile = profile
         self.size = size
         self.longest_pause_s = longest_pause_s
         self.metrics = metrics
-        self.pace = make_pace(terms, size)
+        self.pace = make_pace(profile, size)
         self.timer = _pass_time.PassTimer(self.pace.expert_share)
 
     def time_passes(self, holdings, loads, report_by_rank, step):
@@ -120,21 +120,21 @@
         return saving >= MIN_SAVING and saving > cost
 
 
-def make_pace(terms, size):
+def make_pace(profile, size):
     """Return the costs and limits that a plan for a group has to respect.
 
     A copy takes bandwidth of one rank, while shorter passes save time of all ranks; so
     the larger the group, the smaller the share of a pass that a copy has to save.
 
-    :param routes.EngineTerms terms: terms of the group's engines.
+    :param routes.EngineTerms profile: profile of the group's engines.
     :param int size: number of ranks in the group.
     :rtype: sequoiagap.experts.Pace
     """
     return experts.Pace(
-        new_per_rank=terms.new_per_change,
+        new_per_rank=profile.new_per_change,
         copies_per_rank=COPIES_PER_RANK,
         copy_s=COPY_COST_RANK_S / size,
         horizon_s=HORIZON_S,
-        expert_share=terms.expert_share or 1.0,
+        expert_share=profile.expert_share or 1.0,
         target_skew=TARGET_SKEW,
     )
--- a/tests/ranks/test_leader.py
+++ b/tests/ranks/test_leader.py
@@ -11,8 +11,8 @@
 from tests import support
 from tests.ranks import group_stand_in
 
-TERMS, LAYERS, HEAVY = (
-    group_stand_in.TERMS,
+PROFILE, LAYERS, HEAVY = (
+    group_stand_in.PROFILE,
     group_stand_in.LAYERS,
     group_stand_in.HEAVY,
 )
@@ -35,21 +35,20 @@
         agents = [_own_rank.OwnRank(self.group, str(r)) for r in range(rank_world.SIZE)]
 
         async def poll(
-            asked, wants_counts=False, wants_experts=False, may_be_recent=False
+            target, wants_counts=False, wants_experts=False, may_be_recent=False
         ):
-            if asked != rank and str(asked) in self.group.silent:
+            if target != rank and str(target) in self.group.silent:
                 return None
-            item = _messages.RankPoll(
+            message = _messages.RankPoll(
                 0, rank, wants_counts, wants_experts, may_be_recent
             )
-            return await agents[asked].answer_poll(item)
+            return await agents[target].answer_poll(message)
 
         access.poll = poll
         report = self.group.world.report(self.group.world.engines[rank])
-        leader = ranks.GroupLeader(access, report, TERMS, base.Metrics())
-        leader._led_since -= (
-            2 * _leader.PEER_DISCOVERY_S
-        )  # no other agent was discovered
+        leader = ranks.GroupLeader(access, report, PROFILE, base.Metrics())
+        # No other agent was discovered.
+        leader._led_since -= 2 * _leader.PEER_DISCOVERY_S
         return leader
 
     async def run_cycles(self, leader, counts=HEAVY, number=6):
@@ -88,9 +87,9 @@
         leader = await self.lead(1)
         poll = leader.access.poll
 
-        async def poll_follower(asked, *wants):
-            state = await poll(asked, *wants)
-            if asked == 2:
+        async def poll_follower(target, *wants):
+            state = await poll(target, *wants)
+            if target == 2:
                 state.leader, state.leader_age_ms = 0, 0
             return state
 
@@ -104,8 +103,8 @@
         leader = await self.lead(1)
         poll = leader.access.poll
 
-        async def poll_follower(asked, *wants):
-            state = await poll(asked, *wants)
+        async def poll_follower(target, *wants):
+            state = await poll(target, *wants)
             state.leader, state.leader_age_ms = 0, 60_000
             return state
 
@@ -153,8 +152,8 @@
         world.engines[2].held = world.step + 1
         poll = self.leader.access.poll
 
-        async def poll_without_last(asked, *wants):
-            return None if asked == 2 else await poll(asked, *wants)
+        async def poll_without_last(target, *wants):
+            return None if target == 2 else await poll(target, *wants)
 
         self.leader.access.poll = poll_without_last
         await self.wait_for_orphan()
--- a/tests/ranks/test_planning.py
+++ b/tests/ranks/test_planning.py
@@ -12,8 +12,8 @@
 
 class PlanningTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
-        terms = group_stand_in.TERMS
-        self.planner = _planning.MapPlanner(terms, 3, 0.0, base.Metrics())
+        profile = group_stand_in.PROFILE
+        self.planner = _planning.MapPlanner(profile, 3, 0.0, base.Metrics())
         self.holdings = experts.Holdings(6, 3, group_stand_in.LAYERS)
         self.reports = {rank: ranks.EngineReport(rank=rank) for rank in range(3)}
 
@@ -39,6 +39,6 @@
         self.assertIsNone(await self.plan())
 
     def test_a_copy_has_to_save_less_in_a_larger_group(self):
-        terms = group_stand_in.TERMS
-        small, large = (_planning.make_pace(terms, size) for size in (12, 72))
+        profile = group_stand_in.PROFILE
+        small, large = (_planning.make_pace(profile, size) for size in (12, 72))
         self.assertAlmostEqual(small.copy_s, 6 * large.copy_s)
--- a/tests/ranks/test_takeover.py
+++ b/tests/ranks/test_takeover.py
@@ -88,7 +88,7 @@
         self.freeze = freeze
         self.group = group_stand_in.GroupStandIn()
         self.store = standins.DirectStore()
-        service = routes.Service("desk", engine=group_stand_in.TERMS)
+        service = routes.Service("desk", engine=group_stand_in.PROFILE)
         table = routes.RouteTable(version=1, service_by_name={"desk": service})
         self.store.put("config", table)
         self.agents = []
--- a/tests/ranks/test_thin_link.py
+++ b/tests/ranks/test_thin_link.py
@@ -43,7 +43,7 @@
             for _ in range(layers)
         )
         self.group = group_stand_in.GroupStandIn(first, experts)
-        self.terms = routes.EngineTerms(
+        self.profile = routes.EngineTerms(
             slots=5,
             layers=layers,
             experts=experts,
@@ -66,13 +66,13 @@
             self.leader = ranks.GroupLeader(
                 access,
                 world.report(world.engines[0]),
-                self.terms,
+                self.profile,
                 base.Metrics(),
                 random_state=random.Random(1),
                 link_bytes_s=LINK_BYTES_S,
             )
             leading = asyncio.ensure_future(self.leader.run())
-            await self._work(self.terms.layers * self.terms.experts)
+            await self._work(self.profile.layers * self.profile.experts)
             self.leader.stop()
             await leading
 
