--- a/libs/ranks/src/sequoiagap/ranks/_access.py
+++ b/libs/ranks/src/sequoiagap/ranks/_access.py
@@ -163,7 +163,7 @@
         """
         responses = await asyncio.gather(
             *(
-                self.link_by_rank[rank].ask(
+                self.link_by_rank[rank].request(
                     _messages.ChangeNotice(
                         0,
                         self.own_rank,
