--- a/libs/ranks/src/sequoiagap/ranks/_agent.py
+++ b/libs/ranks/src/sequoiagap/ranks/_agent.py
@@ -9,7 +9,7 @@
 from sequoiagap import base, gateway, wire
 from sequoiagap.ranks import (
     _access,
-    _keeping,
+    _keeper_service,
     _leader,
     _links,
     _messages,
@@ -57,7 +57,7 @@
         self._profile = None
         self._longest_pause_s = 0.0
         self._succession = _succession.Succession(time.monotonic())
-        self._keeper_service = _keeping.KeeperService(self.own)
+        self._keeper_service = _keeper_service.KeeperService(self.own)
         self._became_deputy = asyncio.Event()
         self._guarded_epoch = None
         self._leader = None
--- a/libs/ranks/src/sequoiagap/ranks/_leader.py
+++ b/libs/ranks/src/sequoiagap/ranks/_leader.py
@@ -12,13 +12,13 @@
     _counts,
     _demand,
     _driver,
-    _follower,
     _holds,
-    _map_book,
+    _map_registry,
     _messages,
     _own_rank,
     _pacing,
     _planning,
+    _poller,
 )
 
 POLL_INTERVAL_S = 0.2
@@ -89,12 +89,12 @@
         self.changes_in_epoch_ = 0
         self.copies_ = 0
         self._demand = _demand.GroupDemand(profile.layers, profile.experts, report.size)
-        self._poller = _follower.RankPoller(access, report.size, report.rank)
-        self._budget = _follower.ReadingBudget(
+        self._poller = _poller.RankPoller(access, report.size, report.rank)
+        self._budget = _poller.ReadingBudget(
             _pacing.READING_SHARE * link_bytes_s, profile.layers * profile.experts
         )
         self._driver = _driver.ProcedureDriver(access)
-        self._maps = _map_book.MapRegistry(profile, report.size)
+        self._maps = _map_registry.MapRegistry(profile, report.size)
         self._settled_at = 0.0
         self._first_step = None
         self._last_step = 0
@@ -274,9 +274,7 @@
         counts_of = set(self._demand.ranks_by_age_[:fitting])
         answer_by_rank = await self._poller.poll(counts_of, self._maps.missing_ranks_)
         # An answer sent before the end of the last change may still show its hold.
-        fresh_since = max(
-            time.monotonic() - _follower.MAX_FRESH_AGE_S, self._settled_at
-        )
+        fresh_since = max(time.monotonic() - _poller.MAX_FRESH_AGE_S, self._settled_at)
         state_by_rank = {
             r: answer.state
             for r, answer in answer_by_rank.items()
--- a/tests/ranks/test_keeping.py
+++ b/tests/ranks/test_keeper_service.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from sequoiagap.ranks import _keeping, _messages, _own_rank, _succession
+from sequoiagap.ranks import _keeper_service, _messages, _own_rank, _succession
 from tests import support
 from tests.ranks import group_stand_in
 
@@ -18,7 +18,7 @@
     async def asyncSetUp(self):
         self.group = group_stand_in.GroupStandIn()
         self.world = self.group.world
-        self.service = _keeping.KeeperService(_own_rank.OwnRank(self.group, "1"))
+        self.service = _keeper_service.KeeperService(_own_rank.OwnRank(self.group, "1"))
         self.engine = self.world.engines[1]
         self.step = self.world.step + AHEAD
 
--- a/tests/ranks/test_map_book.py
+++ b/tests/ranks/test_map_registry.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from sequoiagap.ranks import _map_book
+from sequoiagap.ranks import _map_registry
 from tests.ranks import group_stand_in
 
 HELD = [[[0, 1]], [[2, 3]], [[4, 5]]]
@@ -10,7 +10,7 @@
 
 class MapRegistryTest(unittest.TestCase):
     def setUp(self):
-        self.registry = _map_book.MapRegistry(group_stand_in.PROFILE, size=3)
+        self.registry = _map_registry.MapRegistry(group_stand_in.PROFILE, size=3)
 
     def record(self, ranks, version=7):
         for rank in ranks:
--- a/tests/ranks/test_follower.py
+++ b/tests/ranks/test_poller.py
@@ -4,7 +4,7 @@
 import time
 import unittest
 
-from sequoiagap.ranks import _follower, _messages
+from sequoiagap.ranks import _messages, _poller
 
 SIZE = 3
 
@@ -31,7 +31,7 @@
 class RankPollerTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.access = SlowAccess()
-        self.poller = _follower.RankPoller(self.access, SIZE, 0)
+        self.poller = _poller.RankPoller(self.access, SIZE, 0)
 
     async def poll(self, counts_of=()):
         return await self.poller.poll(set(counts_of), set())
@@ -40,7 +40,7 @@
         self.access.delay_by_rank[2] = 5.0
         began = time.monotonic()
         answers = await self.poll()
-        self.assertLess(time.monotonic() - began, 2 * _follower.CYCLE_TIMEOUT_S)
+        self.assertLess(time.monotonic() - began, 2 * _poller.CYCLE_TIMEOUT_S)
         self.assertEqual(set(answers), {0, 1})
         self.assertEqual(self.poller.silent_ranks(), [])
         self.poller.close()
@@ -53,12 +53,12 @@
         self.poller.close()
 
     async def test_a_late_answer_counts_with_its_age(self):
-        self.access.delay_by_rank[2] = _follower.CYCLE_TIMEOUT_S + 0.05
+        self.access.delay_by_rank[2] = _poller.CYCLE_TIMEOUT_S + 0.05
         began = time.monotonic()
         await self.poll()
         answers = await self.poll()
         self.assertIn(2, answers)
-        self.assertLess(answers[2].requested_at, began + _follower.CYCLE_TIMEOUT_S)
+        self.assertLess(answers[2].requested_at, began + _poller.CYCLE_TIMEOUT_S)
         self.assertNotIn(2, self.poller.newest(time.monotonic(), 1.0))
         self.assertIn(2, self.poller.newest(began, 1.0))
 
@@ -74,15 +74,15 @@
 
 class BudgetTest(unittest.TestCase):
     def test_a_small_group_is_read_completely_in_each_cycle(self):
-        budget = _follower.ReadingBudget(312_500, 4 * 72)
+        budget = _poller.ReadingBudget(312_500, 4 * 72)
         self.assertEqual(budget.max_ranks(16, 0.2), 16)
 
     def test_at_least_one_rank_is_read_however_large_the_group(self):
-        budget = _follower.ReadingBudget(125_000, 8 * 252)
+        budget = _poller.ReadingBudget(125_000, 8 * 252)
         self.assertEqual(budget.max_ranks(1000, 0.2), 1)
 
     def test_small_answers_let_more_ranks_be_read(self):
-        budget = _follower.ReadingBudget(125_000, 8 * 252)
+        budget = _poller.ReadingBudget(125_000, 8 * 252)
         before = budget.max_ranks(63, 0.2)
         for _ in range(20):
             budget.record_size(200)
