--- a/tests/ranks/test_change_guards.py
+++ b/tests/ranks/test_change_guards.py
@@ -1,4 +1,4 @@
-"""Each guard of a change of map matters: without it the model finds two maps."""
+"""Each guard of a map change is needed: without it the model finds two maps."""
 
 import unittest
 from unittest import mock
@@ -101,25 +101,25 @@
         with change_search.forgetful_keepers(), patch:
             self.assertIsNotNone(change_search.find_two_maps())
 
-    def test_arming_needs_the_keepers_leave(self):
-        ask = _change.MapChange._ask_keeper
+    def test_arming_needs_the_keepers_agreement(self):
+        ask = _change.MapChange._query_keeper
 
         def arm_unasked(change, wants_arming):
             return True if wants_arming else (yield from ask(change, wants_arming))
 
-        with mock.patch.object(_change.MapChange, "_ask_keeper", arm_unasked):
+        with mock.patch.object(_change.MapChange, "_query_keeper", arm_unasked):
             self.assertIsNotNone(change_search.find_two_maps(change_search.RARE_SEEDS))
 
     def test_a_keeper_that_allowed_arming_may_not_release_alone(self):
-        def take_over(keeper):
+        def revoke_agreement(keeper):
             return keeper.agreed_ or keeper._allowed
 
-        with mock.patch.object(ranks.Keeper, "take_over", take_over):
+        with mock.patch.object(ranks.Keeper, "revoke_agreement", revoke_agreement):
             self.assertIsNotNone(change_search.find_two_maps())
 
 
 def _disarm_only(plan, step, own_version=0):
-    """Disarm all ranks, and prepare nothing against late orders."""
+    """Disarm all ranks without preparing a later version against delayed orders."""
     unsure = dict.fromkeys(range(plan.size))
     while unsure:
         replies = yield _change.Step(dict(unsure))
