experts: use terms of the field for names

Renames over the whole tree: experts.Pace -> experts.PlanLimits experts.plan_paced -> experts.plan_bounded RankState.fail -> RankState.revert_order Send.item -> Send.message Round.highest_ -> Round.highest_epoch_ LoadEstimator.weights -> LoadEstimator.effective_tokens PlanInput.weights -> PlanInput.effective_tokens MapShape.spare -> MapShape.spare_slots sequoiagap.experts._change -> sequoiagap.experts._rank_state sequoiagap.experts._paced -> sequoiagap.experts._bounded_plan tests.experts.test_paced -> tests.experts.test_bounded_plan

The renamed fields are fields of in-memory dataclasses that are never sent or stored.

--- a/benchmarks/expert_maps.py
+++ b/benchmarks/expert_maps.py
@@ -102,7 +102,7 @@
             self.loads.predict(),
             self.last,
             self.speeds.speeds_,
-            self.loads.weights(),
+            self.loads.effective_tokens(),
         )
         return experts.finish(self.policy.plan(given))
 
--- a/benchmarks/map_change.py
+++ b/benchmarks/map_change.py
@@ -141,16 +141,16 @@
         for send in sends:
             delay_s = LOCAL_CALL_S
             if send.rank:
-                self._count(send.item)
+                self._count(send.message)
                 delay_s += self._delay_s()
             self._at(delay_s, lambda s=send: self._receive(s))
 
     def _receive(self, send):
         state, engine = self.states[send.rank], self.engines[send.rank]
-        if self.mode == "switch_now" and isinstance(send.item, experts.Prepare):
-            engine.take(experts.Order(experts.OrderKind.HOLD, send.item.epoch))
+        if self.mode == "switch_now" and isinstance(send.message, experts.Prepare):
+            engine.take(experts.Order(experts.OrderKind.HOLD, send.message.epoch))
         state.view = engine.view()
-        effects = getattr(state, group_world.HANDLERS[type(send.item)])(send.item)
+        effects = getattr(state, group_world.HANDLERS[type(send.message)])(send.message)
         for order in effects.orders:
             engine.take(order)
         delay_s = LOCAL_CALL_S * len(effects.orders)
--- a/libs/agent/src/sequoiagap/agent/_group.py
+++ b/libs/agent/src/sequoiagap/agent/_group.py
@@ -249,7 +249,7 @@
     def _take_back(self, order):
         """Forget an order that the engine refused; start over if it was decided."""
         if order.kind == experts.OrderKind.ARM:
-            self.state_.fail(order)
+            self.state_.revert_order(order)
         else:
             self._start_id = None
 
--- a/libs/agent/src/sequoiagap/agent/_group_loads.py
+++ b/libs/agent/src/sequoiagap/agent/_group_loads.py
@@ -63,7 +63,7 @@
             self.loads_.predict(),
             self.last_,
             self.speeds_.speeds_,
-            self.loads_.weights(),
+            self.loads_.effective_tokens(),
         )
 
     def _update(self, placement, pairs):
--- a/libs/agent/src/sequoiagap/agent/_rounds.py
+++ b/libs/agent/src/sequoiagap/agent/_rounds.py
@@ -75,7 +75,7 @@
         )
         self.rounds_ += 1
         await self._drive(self._round)
-        self._highest = max(self._highest, self._round.highest_)
+        self._highest = max(self._highest, self._round.highest_epoch_)
         self._log_end(self._round)
         return self._round
 
@@ -96,9 +96,9 @@
 
     async def _deliver(self, send):
         if send.rank != self.member.settings.rank:
-            await self.links.send(send.rank, send.item)
+            await self.links.send(send.rank, send.message)
             return
-        reply = await self.member.handle(send.item)
+        reply = await self.member.handle(send.message)
         if reply is not None:
             self._take(reply)
 
--- a/libs/experts/src/sequoiagap/experts/__init__.py
+++ b/libs/experts/src/sequoiagap/experts/__init__.py
@@ -1,7 +1,7 @@
 """Expert maps of rank groups: planning, bounds and the change of map."""
 
 from sequoiagap.experts._bound import layer_bound, rank_times, step_skew
-from sequoiagap.experts._change import (
+from sequoiagap.experts._rank_state import (
     Effects,
     EngineView,
     Order,
@@ -27,7 +27,7 @@
     Stage,
     Staged,
 )
-from sequoiagap.experts._paced import Holdings, Pace, holdings_skew, plan_paced
+from sequoiagap.experts._bounded_plan import Holdings, PlanLimits, holdings_skew, plan_bounded
 from sequoiagap.experts._placement import (
     ExpertMap,
     ExpertMapError,
--- a/libs/experts/src/sequoiagap/experts/_paced.py
+++ b/libs/experts/src/sequoiagap/experts/_bounded_plan.py
@@ -10,9 +10,9 @@
 import dataclasses
 
 MAX_EDITS = 64  # of one layer and plan
-MAX_TAKERS = 5  # least loaded ranks that an expert may be given to
-LEAST_GAIN = 1e-4  # share of the longest time below which an edit is none
-NO_COPY_PRICE = 0.25  # of a copy: an edit that copies nothing is nearly free
+MAX_RECEIVERS = 5  # least loaded ranks that an expert may be given to
+MIN_GAIN_RATIO = 1e-4  # share of the longest time below which an edit is none
+FREE_EDIT_COST_COPIES = 0.25  # of a copy: an edit that copies nothing is nearly free
 
 
 @dataclasses.dataclass(frozen=True)
@@ -35,7 +35,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Pace:
+class PlanLimits:
     """What a plan may do and what it has to bring.
 
     :param int new_per_rank: experts new to a rank and layer at most; 0 for no bound.
@@ -82,13 +82,13 @@
     copies: int
 
 
-class _Layer:
+class _LayerPlan:
     """One layer under way."""
 
-    def __init__(self, held, loads, costs, pace, slots, new_by_rank):
+    def __init__(self, held, loads, costs, limits, slots, new_by_rank):
         self.loads = loads
         self.costs = costs
-        self.pace = pace
+        self.limits = limits
         self.slots = slots
         self.new_by_rank = new_by_rank  # shared by all layers
         self.old = [frozenset(experts) for experts in held]
@@ -98,7 +98,7 @@
             for expert in experts:
                 self.holders[expert].add(rank)
         self.times = [self._time(rank) for rank in range(len(held))]
-        self.floor = pace.target_skew * _even_time(loads, costs)
+        self.target_time = limits.target_skew * _even_time(loads, costs)
 
     def share(self, expert):
         return self.loads[expert] / len(self.holders[expert])
@@ -110,22 +110,22 @@
         """
         slowest = max(range(len(self.times)), key=self.times.__getitem__)
         longest = self.times[slowest]
-        if longest <= self.floor:
+        if longest <= self.target_time:
             return None
         best, best_value = None, 0.0
         for edit in self._edits(slowest):
-            gain = longest - self._worst_after(edit, slowest)
-            if gain <= longest * LEAST_GAIN:
+            gain = longest - self._longest_time_after(edit, slowest)
+            if gain <= longest * MIN_GAIN_RATIO:
                 continue
             copies = sum(e not in self.old[r] for r, e in edit.adds)
-            value = gain / (copies or NO_COPY_PRICE)
+            value = gain / (copies or FREE_EDIT_COST_COPIES)
             if value > best_value:
                 best, best_value = Proposal(edit, gain, copies), value
         return best
 
     def is_allowed(self, edit):
         """Return whether the ranks may still take the copies of an edit."""
-        return all(self._may_add(rank, expert) for rank, expert in edit.adds)
+        return all(self._can_add(rank, expert) for rank, expert in edit.adds)
 
     def apply(self, edit):
         touched = set()
@@ -155,14 +155,14 @@
         for expert in experts:
             if len(self.holders[expert]) > 1:
                 yield Edit(drops=((slowest, expert),))
-            takers = 0
+            receivers = 0
             for rank in ranks:
                 if rank == slowest or expert in self.held[rank]:
                     continue
-                if self._may_add(rank, expert):
+                if self._can_add(rank, expert):
                     yield from self._additions(slowest, rank, expert)
-                    takers += 1
-                if takers >= MAX_TAKERS:
+                    receivers += 1
+                if receivers >= MAX_RECEIVERS:
                     break
 
     def _additions(self, slowest, rank, expert):
@@ -175,29 +175,29 @@
                 drop = ((rank, other),)
                 yield Edit(adds=((rank, expert),), drops=drop)
                 yield Edit(adds=((rank, expert),), drops=(*drop, (slowest, expert)))
-            if self._may_swap(slowest, expert, other):
+            if self._can_swap(slowest, expert, other):
                 yield Edit(
                     adds=((rank, expert), (slowest, other)),
                     drops=((slowest, expert), (rank, other)),
                 )
 
-    def _may_swap(self, slowest, expert, other):
+    def _can_swap(self, slowest, expert, other):
         """Return whether the slowest rank may take a lighter expert for one it has."""
         is_lighter = self.share(other) < self.share(expert)
         is_new = other not in self.held[slowest]
-        return is_lighter and is_new and self._may_add(slowest, other)
+        return is_lighter and is_new and self._can_add(slowest, other)
 
-    def _may_add(self, rank, expert):
+    def _can_add(self, rank, expert):
         if expert in self.old[rank]:
             return True
-        pace = self.pace
-        if pace.copies_per_rank and self.new_by_rank[rank] >= pace.copies_per_rank:
+        limits = self.limits
+        if limits.copies_per_rank and self.new_by_rank[rank] >= limits.copies_per_rank:
             return False
-        if not pace.new_per_rank:
+        if not limits.new_per_rank:
             return True
-        return len(self.held[rank] - self.old[rank]) < pace.new_per_rank
+        return len(self.held[rank] - self.old[rank]) < limits.new_per_rank
 
-    def _worst_after(self, edit, slowest):
+    def _longest_time_after(self, edit, slowest):
         """Return the longest time of the ranks that an edit touches."""
         count_by_expert = {}
         for _, expert in edit.adds:
@@ -228,12 +228,12 @@
         )
 
 
-def plan_paced(current, loads, pace, costs=None):
+def plan_bounded(current, loads, limits, costs=None):
     """Plan the next placement.
 
     :param Holdings current: the placement in use.
     :param list loads: predicted share of each expert, layer by layer.
-    :param Pace pace: what the plan may do and has to bring.
+    :param Pace limits: what the plan may do and has to bring.
     :param tuple costs: time of each rank for the same work, 1 for a usual one; all
         alike if not given.
     :returns: a generator that yields between short pieces of work and returns the
@@ -242,15 +242,15 @@
 
     >>> from sequoiagap.experts import _policies
     >>> current = Holdings(3, 2, (((0, 1), (2,)),))
-    >>> planned, copies = _policies.finish(plan_paced(current, [[4, 1, 1]], Pace()))
+    >>> planned, copies = _policies.finish(plan_bounded(current, [[4, 1, 1]], PlanLimits()))
     >>> planned.layers, copies
     ((((0, 1), (0, 2)),), 1)
     """
     new_by_rank = [0] * current.ranks
-    costs = costs or _usual_costs(current)
+    costs = costs or _uniform_costs(current)
     layers = []
     for held, shares in zip(current.layers, loads, strict=True):
-        layers.append(_Layer(held, shares, costs, pace, current.slots, new_by_rank))
+        layers.append(_LayerPlan(held, shares, costs, limits, current.slots, new_by_rank))
         yield
     longest = sum(max(layer.times) for layer in layers)
     proposals = {}
@@ -259,12 +259,12 @@
         yield
     copies = 0
     for _ in range(MAX_EDITS * len(layers)):
-        number = _best_layer(proposals)
+        number = _find_best_layer(proposals)
         if number is None:
             break
         layer, proposal = layers[number], proposals[number]
-        saved_s = proposal.gain / longest * pace.expert_share * pace.horizon_s
-        if saved_s < proposal.copies * pace.copy_s:
+        saved_s = proposal.gain / longest * limits.expert_share * limits.horizon_s
+        if saved_s < proposal.copies * limits.copy_s:
             proposals[number] = None
             continue
         if layer.is_allowed(proposal.edit):
@@ -276,14 +276,14 @@
     return Holdings(current.experts, current.slots, rows), copies
 
 
-def _best_layer(proposals):
+def _find_best_layer(proposals):
     """Return the layer whose proposal gains most for its copies, or ``None``."""
-    worths = {
-        number: proposal.gain / (proposal.copies or NO_COPY_PRICE)
+    value_by_layer = {
+        number: proposal.gain / (proposal.copies or FREE_EDIT_COST_COPIES)
         for number, proposal in proposals.items()
         if proposal is not None
     }
-    return max(worths, key=worths.__getitem__, default=None)
+    return max(value_by_layer, key=value_by_layer.__getitem__, default=None)
 
 
 def holdings_skew(holdings, loads, costs=None):
@@ -298,14 +298,14 @@
     1.5
     """
     longest, even = 0.0, 0.0
-    costs = costs or _usual_costs(holdings)
+    costs = costs or _uniform_costs(holdings)
     for held, shares in zip(holdings.layers, loads, strict=True):
         longest += max(_times(held, shares, costs))
         even += _even_time(shares, costs)
     return longest / even if even else 1.0
 
 
-def _usual_costs(holdings):
+def _uniform_costs(holdings):
     return (1.0,) * holdings.ranks
 
 
--- a/libs/experts/src/sequoiagap/experts/_load.py
+++ b/libs/experts/src/sequoiagap/experts/_load.py
@@ -3,7 +3,7 @@
 from sequoiagap import base
 
 DEFAULT_HALF_LIVES = (0.2, 1.0, 8.0)  # in reports
-ERROR_MEMORY = 0.8  # share of the old error that is kept at each report
+ERROR_DECAY = 0.8  # share of the old error that is kept at each report
 TIE_RATIO = 1.1  # errors this close are equal: the shortest half-life is taken
 SPEED_WEIGHT = 0.3
 SPEED_DEAD_BAND = 0.05  # speeds this close to the median count as equal
@@ -36,7 +36,7 @@
         even = [1.0 / experts] * experts
         self._averages = [[list(even) for _ in range(layers)] for _ in half_lives]
         self._errors = [[0.0] * layers for _ in half_lives]
-        self._seen = [False] * layers
+        self._has_counts = [False] * layers
         self._totals = [0.0] * layers
 
     def update(self, counts_by_layer):
@@ -51,7 +51,7 @@
                 self._update_layer(layer, [count / total for count in counts])
         self.reports_ += 1
 
-    def weights(self):
+    def effective_tokens(self):
         """Return how many counted tokens each prediction is worth, layer by layer.
 
         An average over reports is worth the tokens of more than one of them, so
@@ -59,38 +59,38 @@
 
         :rtype: list[float]
         """
-        found = []
+        token_counts = []
         for layer in range(self.layers):
-            weight = _weight(self.half_lives[self._best(layer)])
-            found.append(self._totals[layer] * (2.0 - weight) / weight)
-        return found
+            weight = _smoothing_factor(self.half_lives[self._best_average(layer)])
+            token_counts.append(self._totals[layer] * (2.0 - weight) / weight)
+        return token_counts
 
     def predict(self):
         """Return the predicted share of each expert, layer by layer.
 
         :rtype: list[list[float]]
         """
-        return [self._averages[self._best(x)][x] for x in range(self.layers)]
+        return [self._averages[self._best_average(x)][x] for x in range(self.layers)]
 
     def _update_layer(self, layer, shares):
         for index, half_life in enumerate(self.half_lives):
             average = self._averages[index][layer]
             error = sum(abs(a - s) for a, s in zip(average, shares, strict=True))
-            kept = ERROR_MEMORY * self._errors[index][layer]
-            self._errors[index][layer] = kept + error if self._seen[layer] else 0.0
-            weight = _weight(half_life) if self._seen[layer] else 1.0
+            decayed = ERROR_DECAY * self._errors[index][layer]
+            self._errors[index][layer] = decayed + error if self._has_counts[layer] else 0.0
+            weight = _smoothing_factor(half_life) if self._has_counts[layer] else 1.0
             self._averages[index][layer] = [
                 a + weight * (s - a) for a, s in zip(average, shares, strict=True)
             ]
-        self._seen[layer] = True
+        self._has_counts[layer] = True
 
-    def _best(self, layer):
+    def _best_average(self, layer):
         errors = [self._errors[index][layer] for index in range(len(self.half_lives))]
-        good = min(errors) * TIE_RATIO
-        return next(index for index, error in enumerate(errors) if error <= good)
+        threshold = min(errors) * TIE_RATIO
+        return next(index for index, error in enumerate(errors) if error <= threshold)
 
 
-def _weight(half_life):
+def _smoothing_factor(half_life):
     return 1.0 - 0.5 ** (1.0 / half_life)
 
 
@@ -125,8 +125,8 @@
         for rank, speed in enumerate(raw):
             step = speed / median - self._averages[rank]
             self._averages[rank] += SPEED_WEIGHT * step
-        self.speeds_ = [_snapped(speed) for speed in self._averages]
+        self.speeds_ = [_apply_dead_band(speed) for speed in self._averages]
 
 
-def _snapped(speed):
+def _apply_dead_band(speed):
     return 1.0 if abs(speed - 1.0) <= SPEED_DEAD_BAND else speed
--- a/libs/experts/src/sequoiagap/experts/_placement.py
+++ b/libs/experts/src/sequoiagap/experts/_placement.py
@@ -39,7 +39,7 @@
             raise ValueError(f"{self} has more slots in a rank than experts")
 
     @property
-    def spare(self):
+    def spare_slots(self):
         """Slots of a layer beyond one for each expert."""
         return self.ranks * self.slots - self.experts
 
@@ -65,7 +65,7 @@
 
     def __post_init__(self):
         if len(self.rows) != self.shape.layers:
-            raise _bad(f"map has {len(self.rows)} layers, not {self.shape.layers}")
+            raise _map_error(f"map has {len(self.rows)} layers, not {self.shape.layers}")
         for layer, row in enumerate(self.rows):
             _check_row(self.shape, layer, row)
 
@@ -104,7 +104,7 @@
         """
         width = shape.ranks * shape.slots
         if len(content) != 2 * width * shape.layers:
-            raise _bad(f"map content has {len(content)} bytes")
+            raise _map_error(f"map content has {len(content)} bytes")
         ids = array.array("H")
         ids.frombytes(content)
         starts = range(0, len(ids), width)
@@ -138,7 +138,7 @@
     for rank in range(shape.ranks):
         for slot in range(shape.slots):
             row.append((slot * shape.ranks + rank) % shape.experts)
-    repaired = _without_doubles(shape, row)
+    repaired = _remove_duplicates(shape, row)
     return ExpertMap(shape, (tuple(repaired),) * shape.layers)
 
 
@@ -154,13 +154,13 @@
         if old_row == new_row:
             continue
         for rank in range(new.shape.ranks):
-            had = set(old.rank_experts(layer, rank))
-            wanted = new.rank_experts(layer, rank)
-            moves += [Move(layer, rank, e) for e in wanted if e not in had]
+            old_experts = set(old.rank_experts(layer, rank))
+            new_experts = new.rank_experts(layer, rank)
+            moves += [Move(layer, rank, e) for e in new_experts if e not in old_experts]
     return moves
 
 
-def _without_doubles(shape, row):
+def _remove_duplicates(shape, row):
     """Replace an expert that stands twice on a rank by one that does not."""
     for rank in range(shape.ranks):
         start = rank * shape.slots
@@ -174,18 +174,18 @@
 
 def _check_row(shape, layer, row):
     if len(row) != shape.ranks * shape.slots:
-        raise _bad(f"layer {layer} has {len(row)} slots")
+        raise _map_error(f"layer {layer} has {len(row)} slots")
     missing = set(range(shape.experts)) - set(row)
     if missing:
-        raise _bad(f"layer {layer} lacks expert {min(missing)}")
+        raise _map_error(f"layer {layer} lacks expert {min(missing)}")
     if max(row) >= shape.experts:
-        raise _bad(f"layer {layer} names expert {max(row)}, which does not exist")
+        raise _map_error(f"layer {layer} names expert {max(row)}, which does not exist")
     for start in range(0, len(row), shape.slots):
         held = row[start : start + shape.slots]
         if len(set(held)) != shape.slots:
             rank = start // shape.slots
-            raise _bad(f"layer {layer} puts an expert twice on rank {rank}")
+            raise _map_error(f"layer {layer} puts an expert twice on rank {rank}")
 
 
-def _bad(message):
+def _map_error(message):
     return ExpertMapError(message, "Plan the map again from the group's own shape")
--- a/libs/experts/src/sequoiagap/experts/_policies.py
+++ b/libs/experts/src/sequoiagap/experts/_policies.py
@@ -14,12 +14,12 @@
 from sequoiagap.experts import _bound, _placement, _replan, _search
 
 POLICIES = base.Registry("expert map policy")
-SLICE_S = 0.004
+MAX_SLICE_S = 0.004
 CONFIDENCE_WEIGHT = 0.3
-LOWEST_CONFIDENCE = 0.05
-STUCK_RATIO = 1.05  # a search that ends this far above the bound starts anew
-NOISE_USUAL = 0.5  # probability that even ranks stay below, by noise alone
-NOISE_RARE = 0.95
+MIN_CONFIDENCE = 0.05
+RESTART_RATIO = 1.05  # a search that ends this far above the bound starts anew
+MEDIAN_NOISE_PROBABILITY = 0.5  # probability that even ranks stay below, by noise alone
+HIGH_NOISE_PROBABILITY = 0.95
 
 
 @dataclasses.dataclass(frozen=True)
@@ -62,7 +62,7 @@
     :param list predicted: predicted share of each expert, layer by layer.
     :param list last: shares of the last reported interval, layer by layer.
     :param list speeds: speed of each rank.
-    :param list weights: counted tokens behind the prediction of each layer; empty
+    :param list effective_tokens: counted tokens behind the prediction of each layer; empty
         where the loads are known without noise.
     """
 
@@ -70,7 +70,7 @@
     predicted: list
     last: list
     speeds: list
-    weights: list = dataclasses.field(default_factory=list)
+    effective_tokens: list = dataclasses.field(default_factory=list)
 
 
 def finish(plan):
@@ -86,22 +86,22 @@
             return stop.value
 
 
-async def finish_in_slices(plan, slice_s=SLICE_S):
+async def finish_in_slices(plan, slice_s=MAX_SLICE_S):
     """Run a plan in short slices and let the event loop run in between.
 
     :param collections.abc.Generator plan: what a policy's ``plan`` returned.
     :param float slice_s: longest work between two breaks, in seconds.
     :rtype: ExpertMap
     """
-    began = time.monotonic()
+    started_at = time.monotonic()
     while True:
         try:
             next(plan)
         except StopIteration as stop:
             return stop.value
-        if time.monotonic() - began > slice_s:
+        if time.monotonic() - started_at > slice_s:
             await asyncio.sleep(0)
-            began = time.monotonic()
+            started_at = time.monotonic()
 
 
 @POLICIES.register("static")
@@ -172,8 +172,8 @@
     def __init__(self, costs):
         self.costs = costs
         self.confidence_ = 1.0
-        self._before = None
-        self._proposed = None
+        self._previous_map = None
+        self._proposed_map = None
         self._predicted_gain = 0.0
 
     def plan(self, plan_input):
@@ -182,38 +182,38 @@
         :param PlanInput plan_input: what is known.
         :rtype: collections.abc.Generator
         """
-        self._learn(plan_input)
+        self._update_confidence(plan_input)
         longest = _total_longest(plan_input.current, plan_input, plan_input.predicted)
         options = []
         for layer, row in enumerate(plan_input.current.rows):
             options.append((yield from self._improve(plan_input, layer, row, longest)))
         proposed = self._choose(plan_input, options)
-        self._remember(plan_input, proposed)
-        return proposed if self._pays(plan_input, proposed) else plan_input.current
+        self._record_proposal(plan_input, proposed)
+        return proposed if self._is_worthwhile(plan_input, proposed) else plan_input.current
 
     def _improve(self, plan_input, layer, row, longest):
         """Search one layer; return its best row and the gain, in seconds."""
         slots = plan_input.current.shape.slots
         loads = plan_input.predicted[layer]
         before = max(_bound.rank_times(row, loads, plan_input.speeds, slots))
-        least = _bound.layer_bound(loads, plan_input.speeds, slots)
-        floor = least + _noise(plan_input, layer, least, NOISE_USUAL)
-        suspect = least + _noise(plan_input, layer, least, NOISE_RARE)
-        to_s = self.costs.horizon_s / longest
+        lower_bound = _bound.layer_bound(loads, plan_input.speeds, slots)
+        floor = lower_bound + _noise_margin(plan_input, layer, lower_bound, MEDIAN_NOISE_PROBABILITY)
+        noise_limit = lower_bound + _noise_margin(plan_input, layer, lower_bound, HIGH_NOISE_PROBABILITY)
+        seconds_per_unit = self.costs.horizon_s / longest
         yield
         # With less to gain than one move costs there is no need to search.
-        gain = (before - floor) * to_s
-        if before <= suspect or gain <= self.costs.move_s:
+        gain = (before - floor) * seconds_per_unit
+        if before <= noise_limit or gain <= self.costs.move_s:
             return row, 0.0
         search = _search.LayerSearch(
-            self.costs.move_s * self.costs.hysteresis, row, before, to_s, floor
+            self.costs.move_s * self.costs.hysteresis, row, before, seconds_per_unit, floor
         )
         yield from search.run(row, loads, plan_input.speeds, slots)
-        if search.longest_ > max(least * STUCK_RATIO, floor):
+        if search.longest_ > max(lower_bound * RESTART_RATIO, floor):
             shape = plan_input.current.shape
-            anew = _replan.place_layer(shape, loads, plan_input.speeds)
+            replanned = _replan.place_layer(shape, loads, plan_input.speeds)
             yield
-            aligned = _replan.align(shape, anew, row, plan_input.speeds)
+            aligned = _replan.align(shape, replanned, row, plan_input.speeds)
             yield
             yield from search.run(aligned, loads, plan_input.speeds, slots)
         return search.row_, search.gain_
@@ -222,17 +222,17 @@
         """Take layers by gain until the weight store's interval is full."""
         rows = list(plan_input.current.rows)
         slots = plan_input.current.shape.slots
-        left = self.costs.moves_per_interval
+        remaining_moves = self.costs.moves_per_interval
         by_gain = sorted(range(len(rows)), key=lambda x: options[x][1], reverse=True)
         for layer in by_gain:
             row, gain = options[layer]
             moves = _search.count_moves(slots, rows[layer], row)
-            if gain > 0 and moves <= left:
+            if gain > 0 and moves <= remaining_moves:
                 rows[layer] = row
-                left -= moves
+                remaining_moves -= moves
         return _placement.ExpertMap(plan_input.current.shape, tuple(rows))
 
-    def _pays(self, plan_input, proposed):
+    def _is_worthwhile(self, plan_input, proposed):
         moves = len(_placement.moves_between(plan_input.current, proposed))
         if not moves:
             self._predicted_gain = 0.0
@@ -245,42 +245,42 @@
             return False
         return gain * self.confidence_ > cost * self.costs.hysteresis
 
-    def _remember(self, plan_input, proposed):
-        self._before = plan_input.current
-        self._proposed = proposed
+    def _record_proposal(self, plan_input, proposed):
+        self._previous_map = plan_input.current
+        self._proposed_map = proposed
         self._predicted_gain = self._gain(plan_input, plan_input.predicted)
 
-    def _learn(self, plan_input):
+    def _update_confidence(self, plan_input):
         """Compare the last plan's predicted gain with the loads that came."""
         if self._predicted_gain <= 0:
             return
-        came_true = self._gain(plan_input, plan_input.last) / self._predicted_gain
-        share = min(max(came_true, 0.0), 1.0)
+        realized_ratio = self._gain(plan_input, plan_input.last) / self._predicted_gain
+        share = min(max(realized_ratio, 0.0), 1.0)
         self.confidence_ += CONFIDENCE_WEIGHT * (share - self.confidence_)
-        self.confidence_ = max(self.confidence_, LOWEST_CONFIDENCE)
+        self.confidence_ = max(self.confidence_, MIN_CONFIDENCE)
 
     def _gain(self, plan_input, loads):
         """Return the share of step time that the last proposal saves."""
-        before = _total_longest(self._before, plan_input, loads)
-        after = _total_longest(self._proposed, plan_input, loads)
+        before = _total_longest(self._previous_map, plan_input, loads)
+        after = _total_longest(self._proposed_map, plan_input, loads)
         return (before - after) / before
 
 
-def _noise(plan_input, layer, least, probability):
+def _noise_margin(plan_input, layer, lower_bound, probability):
     """Return how far noise alone takes the longest of even ranks above the rest.
 
     Counts of a batch are close to multinomial, so the variance of a share is the
     share over the tokens counted; an expert's replicas share its noise, and each
     rank has only a part of it.
     """
-    if not plan_input.weights or plan_input.weights[layer] <= 0:
+    if not plan_input.effective_tokens or plan_input.effective_tokens[layer] <= 0:
         return 0.0
     shape = plan_input.current.shape
     copies = shape.ranks * shape.slots / shape.experts
-    deviation = math.sqrt(least / copies / plan_input.weights[layer])
+    deviation = math.sqrt(lower_bound / copies / plan_input.effective_tokens[layer])
     # All ranks stay below what each stays below with the root of the probability.
-    of_one = probability ** (1 / shape.ranks)
-    return deviation * max(statistics.NormalDist().inv_cdf(of_one), 0.0)
+    rank_probability = probability ** (1 / shape.ranks)
+    return deviation * max(statistics.NormalDist().inv_cdf(rank_probability), 0.0)
 
 
 def _total_longest(placement, plan_input, loads):
--- a/libs/experts/src/sequoiagap/experts/_change.py
+++ b/libs/experts/src/sequoiagap/experts/_rank_state.py
@@ -130,66 +130,66 @@
         """
         if not self.joined_:
             return ""
-        names = [self.incarnation_by_rank[rank] for rank in range(self.ranks)]
-        hashed = hashlib.sha256(repr(names).encode())
+        incarnations = [self.incarnation_by_rank[rank] for rank in range(self.ranks)]
+        hashed = hashlib.sha256(repr(incarnations).encode())
         return hashed.hexdigest()[:MEMBERSHIP_CHARACTERS]
 
-    def on_join(self, item):
+    def on_join(self, message):
         """Acknowledge a peer's fresh incarnation.
 
-        :param Join item: the message.
+        :param Join message: the message.
         :rtype: Effects
         """
-        if item.incarnation in self.retired_ or item.rank == self.rank:
+        if message.incarnation in self.retired_ or message.rank == self.rank:
             return Effects()
-        known = self.incarnation_by_rank.get(item.rank)
-        if known is not None and known != item.incarnation:
-            self.retired_.add(known)
-        self.incarnation_by_rank[item.rank] = item.incarnation
+        recorded = self.incarnation_by_rank.get(message.rank)
+        if recorded is not None and recorded != message.incarnation:
+            self.retired_.add(recorded)
+        self.incarnation_by_rank[message.rank] = message.incarnation
         return Effects(
             reply=_messages.Joined(
                 self.group,
                 self.rank,
                 self.incarnation,
-                item.incarnation,
+                message.incarnation,
                 self.promised_,
                 self.previous_.to_wire(),
                 self.committed_.to_wire(),
             )
         )
 
-    def on_joined(self, item):
+    def on_joined(self, message):
         """Take a peer's answer; the last one makes this rank take part.
 
-        :param Joined item: the message.
+        :param Joined message: the message.
         :rtype: Effects
         """
-        known = self.incarnation_by_rank.setdefault(item.rank, item.incarnation)
-        if item.joiner != self.incarnation or known != item.incarnation:
+        recorded = self.incarnation_by_rank.setdefault(message.rank, message.incarnation)
+        if message.joiner != self.incarnation or recorded != message.incarnation:
             return Effects()
-        self.promised_ = max(self.promised_, item.promised)
-        self.acknowledged_.add(item.rank)
+        self.promised_ = max(self.promised_, message.promised)
+        self.acknowledged_.add(message.rank)
         orders = self._catch_up(
-            _messages.MapRef.from_wire(item.committed),
-            _messages.MapRef.from_wire(item.previous),
+            _messages.MapRef.from_wire(message.committed),
+            _messages.MapRef.from_wire(message.previous),
         )
         self.joined_ = len(self.acknowledged_) == self.ranks
         return Effects(orders)
 
-    def on_prepare(self, item):
+    def on_prepare(self, message):
         """Promise a round, or refuse it.
 
-        :param Prepare item: the message.
+        :param Prepare message: the message.
         :rtype: Effects
         """
-        accepted = self._is_current(item) and item.epoch >= self.promised_
+        accepted = self._is_current(message) and message.epoch >= self.promised_
         if accepted:
-            self.promised_ = item.epoch
+            self.promised_ = message.epoch
         return Effects(
             reply=_messages.Promise(
                 self.group,
                 self.rank,
-                item.epoch,
+                message.epoch,
                 accepted,
                 self.promised_,
                 self.armed_epoch_,
@@ -201,37 +201,37 @@
             )
         )
 
-    def on_arm(self, item):
+    def on_arm(self, message):
         """Arm a map, or refuse it.
 
-        :param Arm item: the message.
+        :param Arm message: the message.
         :rtype: Effects
         """
-        target = _messages.MapRef.from_wire(item.target)
-        if self.armed_epoch_ == item.epoch and self._is_promised(item):
-            return Effects(reply=self._armed(item, True))
-        if not self._can_arm(item, target):
-            return Effects(reply=self._armed(item, False))
-        self.armed_epoch_ = item.epoch
+        target = _messages.MapRef.from_wire(message.target)
+        if self.armed_epoch_ == message.epoch and self._is_promised(message):
+            return Effects(reply=self._armed(message, True))
+        if not self._can_arm(message, target):
+            return Effects(reply=self._armed(message, False))
+        self.armed_epoch_ = message.epoch
         self.armed_ = target
-        order = Order(OrderKind.ARM, item.epoch, target)
-        return Effects((order,), self._armed(item, True))
+        order = Order(OrderKind.ARM, message.epoch, target)
+        return Effects((order,), self._armed(message, True))
 
-    def on_settle(self, item):
+    def on_settle(self, message):
         """End a round as its proposer decided.
 
-        :param Settle item: the message.
+        :param Settle message: the message.
         :rtype: Effects
         """
-        if not self._is_promised(item):
-            return Effects(reply=self._settled(item, False))
+        if not self._is_promised(message):
+            return Effects(reply=self._settled(message, False))
         orders = ()
-        if self.settled_ < item.epoch:
-            self.settled_ = item.epoch
-            orders = self._settle(item)
-        return Effects(orders, self._settled(item, True))
+        if self.settled_ < message.epoch:
+            self.settled_ = message.epoch
+            orders = self._settle(message)
+        return Effects(orders, self._settled(message, True))
 
-    def fail(self, order):
+    def revert_order(self, order):
         """Take back what rests on an order that the engine refused.
 
         :param Order order: the order.
@@ -240,31 +240,31 @@
             self.armed_epoch_ = 0
             self.armed_ = _messages.NO_MAP
 
-    def _can_arm(self, item, target):
+    def _can_arm(self, message, target):
         return (
-            self._is_promised(item)
-            and self.settled_ < item.epoch
+            self._is_promised(message)
+            and self.settled_ < message.epoch
             and target.version == self.committed_.version + 1
             and self.committed_.at_step <= self.view.step <= target.at_step
             and self.view.staged == target.digest
         )
 
-    def _is_current(self, item):
+    def _is_current(self, message):
         """Tell whether a round counts on the incarnations known here."""
-        return self.joined_ and item.membership == self.membership()
+        return self.joined_ and message.membership == self.membership()
 
-    def _is_promised(self, item):
-        return self._is_current(item) and item.epoch == self.promised_
+    def _is_promised(self, message):
+        return self._is_current(message) and message.epoch == self.promised_
 
-    def _settle(self, item):
-        if item.commit:
+    def _settle(self, message):
+        if message.commit:
             return self._catch_up(
-                _messages.MapRef.from_wire(item.target),
-                _messages.MapRef.from_wire(item.previous),
+                _messages.MapRef.from_wire(message.target),
+                _messages.MapRef.from_wire(message.previous),
             )
         self.armed_epoch_ = 0
         self.armed_ = _messages.NO_MAP
-        return (Order(OrderKind.DISARM, item.epoch),)
+        return (Order(OrderKind.DISARM, message.epoch),)
 
     def _catch_up(self, target, previous):
         """Adopt a map that is committed elsewhere."""
@@ -278,8 +278,8 @@
         kind = OrderKind.COMMIT if was_armed else OrderKind.LOAD
         return (Order(kind, self.promised_, target, previous),)
 
-    def _armed(self, item, accepted):
-        return _messages.Armed(self.group, self.rank, item.epoch, accepted)
+    def _armed(self, message, accepted):
+        return _messages.Armed(self.group, self.rank, message.epoch, accepted)
 
-    def _settled(self, item, accepted):
-        return _messages.Settled(self.group, self.rank, item.epoch, accepted)
+    def _settled(self, message, accepted):
+        return _messages.Settled(self.group, self.rank, message.epoch, accepted)
--- a/libs/experts/src/sequoiagap/experts/_replan.py
+++ b/libs/experts/src/sequoiagap/experts/_replan.py
@@ -16,9 +16,9 @@
     times = [0.0] * shape.ranks
     for expert in items:
         share = loads[expert] / copies[expert]
-        rank = _first_done(shape, held, times, speeds, expert, share)
+        rank = _find_earliest_rank(shape, held, times, speeds, expert, share)
         if rank is None:
-            rank = _make_room(shape, held, expert)
+            rank = _free_slot(shape, held, expert)
         held[rank].append(expert)
         times[rank] += share / speeds[rank]
     return tuple(expert for experts in held for expert in experts)
@@ -26,34 +26,34 @@
 
 def _copy_counts(shape, loads):
     copies = [1] * shape.experts
-    for _ in range(shape.spare):
+    for _ in range(shape.spare_slots):
         open_experts = (e for e in range(shape.experts) if copies[e] < shape.ranks)
         heaviest = max(open_experts, key=lambda e: loads[e] / copies[e])
         copies[heaviest] += 1
     return copies
 
 
-def _first_done(shape, held, times, speeds, expert, share):
+def _find_earliest_rank(shape, held, times, speeds, expert, share):
     best, best_time = None, 0.0
     for rank in range(shape.ranks):
         if len(held[rank]) >= shape.slots or expert in held[rank]:
             continue
-        done = times[rank] + share / speeds[rank]
-        if best is None or done < best_time:
-            best, best_time = rank, done
+        finish_time = times[rank] + share / speeds[rank]
+        if best is None or finish_time < best_time:
+            best, best_time = rank, finish_time
     return best
 
 
-def _make_room(shape, held, expert):
+def _free_slot(shape, held, expert):
     """Free a slot for an expert that every rank with room holds already."""
-    roomy = next(r for r in range(shape.ranks) if len(held[r]) < shape.slots)
+    open_rank = next(r for r in range(shape.ranks) if len(held[r]) < shape.slots)
     for rank in range(shape.ranks):
         if expert in held[rank]:
             continue
         for other in held[rank]:
-            if other not in held[roomy]:
+            if other not in held[open_rank]:
                 held[rank].remove(other)
-                held[roomy].append(other)
+                held[open_rank].append(other)
                 return rank
     raise ValueError(f"{shape} can't hold expert {expert} on distinct ranks")
 
--- a/libs/experts/src/sequoiagap/experts/_round.py
+++ b/libs/experts/src/sequoiagap/experts/_round.py
@@ -26,11 +26,11 @@
     """A message for a rank.
 
     :param int rank: the receiver.
-    :param item: the message.
+    :param message: the message.
     """
 
     rank: int
-    item: object
+    message: object
 
 
 class Round:
@@ -49,7 +49,7 @@
 
     :ivar Phase phase_: where the round stands.
     :ivar bool committed_: whether it committed a map.
-    :ivar int highest_: highest epoch met, for the next round.
+    :ivar int highest_epoch_: highest epoch met, for the next round.
     :ivar MapRef target_: the map that it arms or commits.
     """
 
@@ -74,7 +74,7 @@
         self.always_settles = always_settles
         self.phase_ = Phase.PREPARING
         self.committed_ = False
-        self.highest_ = epoch
+        self.highest_epoch_ = epoch
         self.target_ = _messages.NO_MAP
         self.previous_ = _messages.NO_MAP
         self.promise_by_rank = {}
@@ -92,56 +92,56 @@
         """
         if self.is_over:
             return []
-        item = self._item()
-        return [Send(r, item) for r in range(self.ranks) if r not in self.answered_]
+        message = self._make_message()
+        return [Send(r, message) for r in range(self.ranks) if r not in self.answered_]
 
-    def on_promise(self, item):
+    def on_promise(self, message):
         """Take an answer to ``Prepare``.
 
-        :param Promise item: the message.
+        :param Promise message: the message.
         :returns: what to send now.
         :rtype: list[Send]
         :raises MapConflictError: if two ranks committed different maps.
         """
-        self.highest_ = max(self.highest_, item.promised)
-        if item.epoch != self.epoch or self.phase_ != Phase.PREPARING:
+        self.highest_epoch_ = max(self.highest_epoch_, message.promised)
+        if message.epoch != self.epoch or self.phase_ != Phase.PREPARING:
             return []
-        if not item.accepted:
-            return self._enter(Phase.FAILED)
-        self.promise_by_rank[item.rank] = item
-        return self._count(item.rank, self._decide)
+        if not message.accepted:
+            return self._enter_phase(Phase.FAILED)
+        self.promise_by_rank[message.rank] = message
+        return self._record_answer(message.rank, self._decide)
 
-    def on_armed(self, item):
+    def on_armed(self, message):
         """Take an answer to ``Arm``.
 
-        :param Armed item: the message.
+        :param Armed message: the message.
         :returns: what to send now.
         :rtype: list[Send]
         """
-        if item.epoch != self.epoch or self.phase_ != Phase.ARMING:
+        if message.epoch != self.epoch or self.phase_ != Phase.ARMING:
             return []
-        if not item.accepted:
-            return self._enter(Phase.SETTLING)
-        return self._count(item.rank, self._commit)
+        if not message.accepted:
+            return self._enter_phase(Phase.SETTLING)
+        return self._record_answer(message.rank, self._commit)
 
-    def on_settled(self, item):
+    def on_settled(self, message):
         """Take an answer to ``Settle``.
 
-        :param Settled item: the message.
+        :param Settled message: the message.
         :returns: what to send now.
         :rtype: list[Send]
         """
-        if item.epoch != self.epoch or self.phase_ != Phase.SETTLING:
+        if message.epoch != self.epoch or self.phase_ != Phase.SETTLING:
             return []
-        if not item.accepted:
-            return self._enter(Phase.FAILED)
-        return self._count(item.rank, lambda: self._enter(Phase.DONE))
+        if not message.accepted:
+            return self._enter_phase(Phase.FAILED)
+        return self._record_answer(message.rank, lambda: self._enter_phase(Phase.DONE))
 
-    def _count(self, rank, complete):
+    def _record_answer(self, rank, complete):
         self.answered_.add(rank)
         return complete() if len(self.answered_) == self.ranks else []
 
-    def _enter(self, phase):
+    def _enter_phase(self, phase):
         self.phase_ = phase
         self.answered_ = set()
         return self.outstanding()
@@ -159,17 +159,17 @@
         if self._is_armed_everywhere(promises):
             self.target_ = _messages.MapRef.from_wire(promises[0].armed)
             return self._commit()
-        if self._may_arm(promises, committed):
+        if self._can_arm(promises, committed):
             at_step = max(p.step for p in promises)
             # A group without a map can't step, so it takes its first at once.
             at_step += self.lead_steps if committed.version else 0
             self.target_ = _messages.MapRef(committed.version + 1, self.wanted, at_step)
-            return self._enter(Phase.ARMING)
+            return self._enter_phase(Phase.ARMING)
         if self.always_settles or any(p.armed_epoch for p in promises):
-            return self._enter(Phase.SETTLING)
-        return self._enter(Phase.DONE)
+            return self._enter_phase(Phase.SETTLING)
+        return self._enter_phase(Phase.DONE)
 
-    def _may_arm(self, promises, committed):
+    def _can_arm(self, promises, committed):
         return bool(self.wanted) and all(
             p.staged == self.wanted and p.step >= committed.at_step for p in promises
         )
@@ -181,7 +181,7 @@
 
     def _commit(self):
         self.committed_ = True
-        return self._enter(Phase.SETTLING)
+        return self._enter_phase(Phase.SETTLING)
 
     def _check_conflict(self, promises, committed):
         same = [p for p in promises if p.committed[0] == committed.version]
@@ -191,7 +191,7 @@
                 "Stop rebalancing of the group and restart its engines",
             )
 
-    def _item(self):
+    def _make_message(self):
         if self.phase_ == Phase.PREPARING:
             return _messages.Prepare(self.group, self.rank, self.epoch, self.membership)
         if self.phase_ == Phase.ARMING:
--- a/libs/experts/src/sequoiagap/experts/_search.py
+++ b/libs/experts/src/sequoiagap/experts/_search.py
@@ -12,11 +12,11 @@
     """One change of a placement and what it comes to.
 
     :param tuple changes: pairs of slot index and the expert to put there.
-    :param float worst: longest time among the ranks that it touches.
+    :param float longest_time: longest time among the ranks that it touches.
     """
 
     changes: tuple
-    worst: float
+    longest_time: float
 
 
 class LayerState:
@@ -48,7 +48,7 @@
         best = None
         best_value = longest * 1e-6
         for edit in self._edits(rank):
-            value = (longest - edit.worst) / len(edit.changes)
+            value = (longest - edit.longest_time) / len(edit.changes)
             if value > best_value:
                 best, best_value = edit, value
         return best
@@ -114,8 +114,8 @@
                 continue
             if other_rank in holders:
                 continue
-            worst = self._worst_after(rank, other_slot, expert)
-            yield Edit(((other_slot, expert),), worst)
+            longest_time = self._longest_time_after(rank, other_slot, expert)
+            yield Edit(((other_slot, expert),), longest_time)
 
     def _drops(self, rank, slot):
         """Put a lighter expert in place of a spare replica on the slow rank."""
@@ -127,16 +127,16 @@
         for other, load in enumerate(self.loads):
             if other in own or load / (len(self._holders[other]) + 1) >= share:
                 continue
-            yield Edit(((slot, other),), self._worst_after(rank, slot, other))
+            yield Edit(((slot, other),), self._longest_time_after(rank, slot, other))
 
-    def _worst_after(self, slow_rank, slot, expert):
+    def _longest_time_after(self, slow_rank, slot, expert):
         """Return the longest time of the touched ranks once a slot changes."""
         rank = slot // self.slots
         removed = self.row[slot]
         new_share = self.loads[expert] / (len(self._holders[expert]) + 1)
         gained = new_share - self._shares[expert]
-        left = len(self._holders[removed]) - 1
-        lost = self.loads[removed] / left - self._shares[removed]
+        remaining_copies = len(self._holders[removed]) - 1
+        lost = self.loads[removed] / remaining_copies - self._shares[removed]
         change_by_rank = {slow_rank: 0.0}
         for holder in self._holders[expert]:
             change_by_rank[holder] = change_by_rank.get(holder, 0.0) + gained
@@ -155,24 +155,24 @@
 
     :param float move_s: what a move must bring, in seconds.
     :param tuple old_row: the row in use.
-    :param float before: longest rank time of the row in use.
-    :param float to_s: seconds that a unit of rank time is worth.
-    :param float floor: rank time below which nothing is gained.
+    :param float initial_time: longest rank time of the row in use.
+    :param float seconds_per_unit: seconds that a unit of rank time is worth.
+    :param float min_time: rank time below which nothing is gained.
 
     :ivar tuple row_: the best row so far.
     :ivar float gain_: what it saves, in seconds.
     :ivar float longest_: its longest rank time.
     """
 
-    def __init__(self, move_s, old_row, before, to_s, floor=0.0):
+    def __init__(self, move_s, old_row, initial_time, seconds_per_unit, min_time=0.0):
         self.move_s = move_s
         self.old_row = old_row
-        self.before = before
-        self.to_s = to_s
-        self.floor = floor
+        self.initial_time = initial_time
+        self.seconds_per_unit = seconds_per_unit
+        self.min_time = min_time
         self.row_ = old_row
         self.gain_ = 0.0
-        self.longest_ = before
+        self.longest_ = initial_time
         self._value = 0.0
 
     def run(self, row, loads, speeds, slots):
@@ -187,19 +187,19 @@
         """
         state = LayerState(row, loads, speeds, slots)
         for _ in range(MAX_EDITS_PER_LAYER):
-            self._take_if_better(state, slots)
-            if max(state.times_) <= self.floor:
+            self._record_if_better(state, slots)
+            if max(state.times_) <= self.min_time:
                 return
             edit = state.find_edit()
             if edit is None:
                 return
             state.apply(edit)
             yield
-        self._take_if_better(state, slots)
+        self._record_if_better(state, slots)
 
-    def _take_if_better(self, state, slots):
-        longest = max(*state.times_, self.floor)
-        gain = (self.before - longest) * self.to_s
+    def _record_if_better(self, state, slots):
+        longest = max(*state.times_, self.min_time)
+        gain = (self.initial_time - longest) * self.seconds_per_unit
         moves = count_moves(slots, self.old_row, state.row)
         value = gain - moves * self.move_s
         if value > self._value:
--- a/libs/ranks/src/sequoiagap/ranks/_planning.py
+++ b/libs/ranks/src/sequoiagap/ranks/_planning.py
@@ -88,7 +88,7 @@
         target = self.timer.tolerable_skew(self.longest_pause_s, TARGET_SKEW)
         pace = dataclasses.replace(self.pace, target_skew=target)
         planned, copies = await experts.finish_in_slices(
-            experts.plan_paced(holdings, loads, pace, costs)
+            experts.plan_bounded(holdings, loads, pace, costs)
         )
         if planned == holdings:
             return None
@@ -128,9 +128,9 @@
 
     :param routes.EngineTerms terms: terms of the group's engines.
     :param int size: ranks of the group.
-    :rtype: sequoiagap.experts.Pace
+    :rtype: sequoiagap.experts.PlanLimits
     """
-    return experts.Pace(
+    return experts.PlanLimits(
         new_per_rank=terms.new_per_change,
         copies_per_rank=COPIES_PER_RANK,
         copy_s=COPY_RANK_S / size,
--- a/simulations/group_world.py
+++ b/simulations/group_world.py
@@ -209,7 +209,7 @@
     def send_all(self, sender, sends):
         """Send messages; those to the sender itself are delivered at once."""
         for send in sends:
-            self.send(sender, send.rank, send.item)
+            self.send(sender, send.rank, send.message)
 
     def send(self, sender, receiver, item):
         """Put one message in flight."""
--- a/tests/experts/test_paced.py
+++ b/tests/experts/test_bounded_plan.py
@@ -28,8 +28,8 @@
 
 def plan(holdings, loads, costs=None, **fields):
     """Return the planned placement and its copies."""
-    pace = experts.Pace(**({"copy_s": 0.004, "expert_share": 0.85} | fields))
-    return experts.finish(experts.plan_paced(holdings, loads, pace, costs))
+    limits = experts.PlanLimits(**({"copy_s": 0.004, "expert_share": 0.85} | fields))
+    return experts.finish(experts.plan_bounded(holdings, loads, limits, costs))
 
 
 def new_by_rank(old, planned):
@@ -43,7 +43,7 @@
     ]
 
 
-class PacedTest(unittest.TestCase):
+class BoundedPlanTest(unittest.TestCase):
     def check_is_placement(self, holdings):
         for row in holdings.layers:
             self.assertEqual({e for held in row for e in held}, set(range(EXPERTS)))
--- a/tests/experts/test_change_model.py
+++ b/tests/experts/test_change_model.py
@@ -29,7 +29,7 @@
 class MajorityRound(experts.Round):
     """Broken: commits when a majority has armed."""
 
-    def _count(self, rank, complete):
+    def _record_answer(self, rank, complete):
         self.answered_.add(rank)
         needed = self.ranks
         if self.phase_ == experts.Phase.ARMING:
@@ -40,14 +40,14 @@
 class ForgetfulRank(experts.RankState):
     """Broken: takes late arms and commits of rounds below its promise."""
 
-    def _is_promised(self, item):
-        return self._is_current(item)
+    def _is_promised(self, message):
+        return self._is_current(message)
 
 
 class HastyRank(experts.RankState):
     """Broken: takes part without knowing what its predecessor promised."""
 
-    def _is_current(self, item):
+    def _is_current(self, message):
         return True
 
 
--- a/tests/experts/test_policies.py
+++ b/tests/experts/test_policies.py
@@ -88,7 +88,7 @@
                 counts = [max(m + source.gauss(0, m**0.5), 0) for m in means]
                 estimator.update({layer: counts})
             predicted = estimator.predict()
-            weights = estimator.weights() if known else []
+            weights = estimator.effective_tokens() if known else []
             given = experts.PlanInput(current, predicted, predicted, SPEEDS, weights)
             planned = experts.finish(policy.plan(given))
             moves += len(experts.moves_between(current, planned))
