--- a/benchmarks/usage.py
+++ b/benchmarks/usage.py
@@ -60,9 +60,9 @@
         self._seen_at_by_id[node_id] = kept
         sheet = self.fleet.by_id[node_id].sheet
         sheet.clear()
-        sheet.update(dict.fromkeys(kept, admission.Count()))
+        sheet.update(dict.fromkeys(kept, admission.RequestCount()))
         for account in self._running_by_id[node_id]:
-            sheet[account] += admission.Count(1, 1)
+            sheet[account] += admission.RequestCount(1, 1)
 
 
 def measure_neighbours(accounts):
--- a/libs/admission/src/sequoiagap/admission/__init__.py
+++ b/libs/admission/src/sequoiagap/admission/__init__.py
@@ -1,22 +1,22 @@
 """Admission of requests: fair shares, queues, budgets and endpoint limits."""
 
-from sequoiagap.admission._budget import RetryBudget
-from sequoiagap.admission._collected import CollectedUsage
-from sequoiagap.admission._collectors import COLLECTORS, UsageCollector
-from sequoiagap.admission._fair import FairQueue, Shed, effective_weight
+from sequoiagap.admission._collected_usage import CollectedUsage
+from sequoiagap.admission._collectors import COLLECTORS_PER_DOMAIN, UsageCollector
+from sequoiagap.admission._fair_queue import FairQueue, Shed, effective_weight
 from sequoiagap.admission._gate import EndpointGate
 from sequoiagap.admission._health import EndpointHealth
-from sequoiagap.admission._roles import EndpointRole, serves_whole
-from sequoiagap.admission._sheets import Count
+from sequoiagap.admission._retry_budget import RetryBudget
+from sequoiagap.admission._roles import EndpointRole, serves_full_requests
 from sequoiagap.admission._states import EndpointState
-from sequoiagap.admission._usage import AccountUsage, UsageTable
+from sequoiagap.admission._usage_counts import RequestCount
 from sequoiagap.admission._usage_messages import DomainUsage, EntryUsage, OtherUsage
+from sequoiagap.admission._usage_table import AccountUsage, UsageTable
 
 __all__ = [
-    "COLLECTORS",
+    "COLLECTORS_PER_DOMAIN",
     "AccountUsage",
     "CollectedUsage",
-    "Count",
+    "RequestCount",
     "DomainUsage",
     "EndpointGate",
     "EndpointHealth",
@@ -30,5 +30,5 @@
     "UsageCollector",
     "UsageTable",
     "effective_weight",
-    "serves_whole",
+    "serves_full_requests",
 ]
--- a/libs/admission/src/sequoiagap/admission/_collected.py
+++ b/libs/admission/src/sequoiagap/admission/_collected_usage.py
@@ -1,8 +1,8 @@
 """An entry's side of usage that collectors sum."""
 
-from sequoiagap.admission import _heard, _sheets, _usage_messages
+from sequoiagap.admission import _last_reports, _usage_counts, _usage_messages
 
-PATIENCE_S = 1.5
+COLLECTOR_TIMEOUT_S = 1.5
 
 
 class CollectedUsage:
@@ -10,32 +10,32 @@
 
     :param str node_id: id of this entry.
 
-    :ivar int entries_: other entries that are counted.
+    :ivar int counted_entries_: other entries that are counted.
     """
 
     def __init__(self, node_id):
         self.node_id = node_id
-        self.entries_ = 0
-        self._collectors = _heard.HeardTable()
+        self.counted_entries_ = 0
+        self._collectors = _last_reports.LastReportTable()
         self._primary = ""
         self._primary_since = 0.0
-        self._sender = _sheets.SheetSender()
+        self._encoder = _usage_counts.DeltaEncoder()
 
-    def take(self, message, now):
+    def record(self, message, now):
         """Take what a collector hands back.
 
         :param OtherUsage message: the counts.
         :param float now: monotonic time in seconds.
         """
-        heard = self._collectors.take(message.collector_id, message, now)
-        if heard is not None:
-            heard.entries = message.entries
+        report = self._collectors.record(message.collector_id, message, now)
+        if report is not None:
+            report.entries = message.entries
 
-    def make_messages(self, now, sheet, collectors, find_connection):
+    def make_messages(self, now, count_by_account, collectors, find_connection):
         """Return the report of this round for each collector.
 
         :param float now: monotonic time in seconds.
-        :param dict sheet: own :class:`Count` by account.
+        :param dict count_by_account: own :class:`Count` by account.
         :param list[str] collectors: of the own domain, first choice first.
         :param find_connection: function of an entry's id that returns the
             connection to it, or ``None``.
@@ -43,13 +43,15 @@
         :rtype: list[tuple[str, EntryUsage]]
         """
         self._choose_primary(now, collectors)
-        self._sender.keep_only(collectors)
+        self._encoder.retain_receivers(collectors)
         messages = []
         for collector_id in collectors:
             connection = find_connection(collector_id)
             if connection is None:
                 continue
-            is_full, *columns = self._sender.columns(collector_id, connection, sheet)
+            is_full, *columns = self._encoder.encode_delta(
+                collector_id, connection, count_by_account
+            )
             wants_total = collector_id == self._primary
             message = _usage_messages.EntryUsage(
                 self.node_id, is_full, wants_total, *columns
@@ -57,7 +59,7 @@
             messages.append((collector_id, message))
         return messages
 
-    def others(self, now):
+    def remote_counts(self, now):
         """Return what accounts have at other entries.
 
         The collector that was heard last counts; where none has been heard of
@@ -66,18 +68,20 @@
         :param float now: monotonic time in seconds.
         :rtype: dict[str, Count]
         """
-        by_collector = self._collectors.counted(now)
+        by_collector = self._collectors.current(now)
         if not by_collector:
-            self.entries_ = 0
+            self.counted_entries_ = 0
             return {}
-        latest = max(by_collector.values(), key=lambda heard: heard.at)
-        self.entries_ = latest.entries
-        return latest.sheet
+        latest = max(by_collector.values(), key=lambda report: report.heard_at)
+        self.counted_entries_ = latest.entries
+        return latest.count_by_account
 
     def _choose_primary(self, now, collectors):
         """Ask the next collector once the one in use has been silent."""
-        heard_at = max(self._primary_since, self._collectors.last_at(self._primary))
-        is_silent = now - heard_at > PATIENCE_S
+        heard_at = max(
+            self._primary_since, self._collectors.last_heard_at(self._primary)
+        )
+        is_silent = now - heard_at > COLLECTOR_TIMEOUT_S
         if self._primary in collectors and not is_silent:
             return
         others = [c for c in collectors if c != self._primary] or collectors
--- a/libs/admission/src/sequoiagap/admission/_collectors.py
+++ b/libs/admission/src/sequoiagap/admission/_collectors.py
@@ -6,10 +6,10 @@
 accounts have at all others.
 """
 
-from sequoiagap.admission import _heard, _sheets, _usage_messages
+from sequoiagap.admission import _last_reports, _usage_counts, _usage_messages
 
-COLLECTORS = 2
-PATIENCE_S = 1.5
+COLLECTORS_PER_DOMAIN = 2
+COLLECTOR_TIMEOUT_S = 1.5
 
 
 class UsageCollector:
@@ -20,36 +20,36 @@
     :param float tolerance: share by which sums may be off, to save messages.
     """
 
-    def __init__(self, node_id, failure_domain, tolerance=_sheets.TOLERANCE):
+    def __init__(self, node_id, failure_domain, tolerance=_usage_counts.TOLERANCE):
         self.node_id = node_id
         self.failure_domain = failure_domain
-        self._entries = _heard.HeardTable()
+        self._entries = _last_reports.LastReportTable()
         self._collectors_by_domain = {}
-        self._to_domains = _sheets.SheetSender(tolerance)
-        self._to_entries = _sheets.SheetSender(tolerance)
+        self._to_domains = _usage_counts.DeltaEncoder(tolerance)
+        self._to_entries = _usage_counts.DeltaEncoder(tolerance)
 
-    def take_entry(self, message, now):
+    def record_entry_usage(self, message, now):
         """Take the report of an entry of the own failure domain.
 
         :param EntryUsage message: the report.
         :param float now: monotonic time in seconds.
         """
-        heard = self._entries.take(message.entry_id, message, now)
-        if heard is not None:
-            heard.wants_total = message.wants_total
+        report = self._entries.record(message.entry_id, message, now)
+        if report is not None:
+            report.wants_total = message.wants_total
 
-    def take_domain(self, message, now):
+    def record_domain_usage(self, message, now):
         """Take the sums of another failure domain.
 
         :param DomainUsage message: the sums.
         :param float now: monotonic time in seconds.
         """
         table = self._collectors_by_domain.setdefault(
-            message.failure_domain, _heard.HeardTable()
+            message.failure_domain, _last_reports.LastReportTable()
         )
-        heard = table.take(message.collector_id, message, now)
-        if heard is not None:
-            heard.entries = message.entries
+        report = table.record(message.collector_id, message, now)
+        if report is not None:
+            report.entries = message.entries
 
     def make_messages(self, now, collectors_by_domain, find_connection):
         """Return the messages of this round.
@@ -61,25 +61,30 @@
         :returns: pairs of receiver and message.
         :rtype: list[tuple[str, object]]
         """
-        own = self._entries.counted(now)
+        own = self._entries.current(now)
         if not own:
             return []
-        own_sum = _heard.Heard(
-            entries=len(own), sheet=_sheets.add_up(h.sheet for h in own.values())
+        own_sum = _last_reports.LastReport(
+            entries=len(own),
+            count_by_account=_usage_counts.sum_counts(
+                h.count_by_account for h in own.values()
+            ),
         )
         messages = []
-        if self._speaks_for_domain(now, collectors_by_domain):
-            messages = self._tell_domains(
+        if self._is_active_collector(now, collectors_by_domain):
+            messages = self._make_domain_messages(
                 own_sum, collectors_by_domain, find_connection
             )
-        heard = [own_sum, *self._choose_domains(now, collectors_by_domain)]
-        total = _heard.Heard(
-            entries=sum(h.entries for h in heard),
-            sheet=_sheets.add_up(h.sheet for h in heard),
+        report = [own_sum, *self._choose_domains(now, collectors_by_domain)]
+        total = _last_reports.LastReport(
+            entries=sum(h.entries for h in report),
+            count_by_account=_usage_counts.sum_counts(
+                h.count_by_account for h in report
+            ),
         )
-        return messages + self._tell_entries(own, total, find_connection)
+        return messages + self._make_entry_messages(own, total, find_connection)
 
-    def _tell_domains(self, own_sum, collectors_by_domain, find_connection):
+    def _make_domain_messages(self, own_sum, collectors_by_domain, find_connection):
         messages = []
         receivers = [
             receiver
@@ -87,45 +92,51 @@
             if domain != self.failure_domain
             for receiver in ids
         ]
-        self._to_domains.keep_only(receivers)
+        self._to_domains.retain_receivers(receivers)
         for receiver in receivers:
             connection = find_connection(receiver)
             if connection is not None:
-                columns = self._to_domains.columns(receiver, connection, own_sum.sheet)
+                columns = self._to_domains.encode_delta(
+                    receiver, connection, own_sum.count_by_account
+                )
                 message = _usage_messages.DomainUsage(
                     self.failure_domain, self.node_id, own_sum.entries, *columns
                 )
                 messages.append((receiver, message))
         return messages
 
-    def _tell_entries(self, own, total, find_connection):
+    def _make_entry_messages(self, own, total, find_connection):
         messages = []
-        self._to_entries.keep_only(own)
-        for entry_id, heard in own.items():
+        self._to_entries.retain_receivers(own)
+        for entry_id, report in own.items():
             connection = find_connection(entry_id)
-            if connection is None or not heard.wants_total:
+            if connection is None or not report.wants_total:
                 continue
-            rest = _sheets.rest_of(total.sheet, heard.sheet)
-            columns = self._to_entries.columns(entry_id, connection, rest)
+            remote = _usage_counts.subtract_counts(
+                total.count_by_account, report.count_by_account
+            )
+            columns = self._to_entries.encode_delta(entry_id, connection, remote)
             message = _usage_messages.OtherUsage(
                 self.node_id, total.entries - 1, *columns
             )
             messages.append((entry_id, message))
         return messages
 
-    def _speaks_for_domain(self, now, collectors_by_domain):
+    def _is_active_collector(self, now, collectors_by_domain):
         """Return whether no collector that goes before this one is heard."""
         ids = collectors_by_domain.get(self.failure_domain, [])
         if self.node_id not in ids:
             return False
         before = ids[: ids.index(self.node_id)]
-        return all(now - self._entries.last_at(i) > PATIENCE_S for i in before)
+        return all(
+            now - self._entries.last_heard_at(i) > COLLECTOR_TIMEOUT_S for i in before
+        )
 
     def _choose_domains(self, now, collectors_by_domain):
         """Return what counts for each other failure domain, from one collector."""
         chosen = []
         for domain, table in self._collectors_by_domain.items():
-            by_collector = table.counted(now)
+            by_collector = table.current(now)
             ranked = collectors_by_domain.get(domain, [])
             if by_collector:
                 chosen.append(by_collector[_find_first(ranked, by_collector)])
--- a/libs/admission/src/sequoiagap/admission/_fair.py
+++ b/libs/admission/src/sequoiagap/admission/_fair_queue.py
@@ -7,7 +7,7 @@
 
 DEFAULT_BURST_S = 2.0
 DEFAULT_MAX_LEAD_S = 2.0
-MIN_SPREAD_S = 2.0
+MIN_RETRY_SPREAD_S = 2.0
 MAX_PRIORITY = 8
 
 
@@ -28,7 +28,7 @@
 
     def __init__(self):
         self.waiting = collections.deque()
-        self.tag = 0.0
+        self.virtual_time = 0.0
         self.weight = 1.0
 
 
@@ -98,7 +98,7 @@
         :rtype: float
         """
         slots = max(slots, 1)
-        if self._goes_next(name):
+        if self._would_be_next(name):
             return self.service_time_s_ / slots
         account = self._account_by_name.get(name)
         own = len(account.waiting) if account else 0
@@ -124,19 +124,19 @@
         wait_s = self.predict_wait_s(name, weight, slots)
         if wait_s > self.max_wait_s:
             return Shed(wait_s, self.retry_after_s(wait_s))
-        account = self._touch(name, weight)
+        account = self._activate_account(name, weight)
         account.waiting.append(item)
         self.size_ += 1
         return None
 
-    def put_back(self, name, item, weight):
+    def requeue(self, name, item, weight):
         """Queue a request again that had its turn and found no slot.
 
         :param str name: client account.
         :param item: the request.
         :param float weight: effective weight of the account.
         """
-        self._touch(name, weight).waiting.appendleft(item)
+        self._activate_account(name, weight).waiting.appendleft(item)
         self.size_ += 1
 
     def retry_after_s(self, wait_s):
@@ -145,8 +145,10 @@
         :param float wait_s: predicted wait, in seconds.
         :rtype: float
         """
-        until_short = max(wait_s - self.max_wait_s / 2, 0.0)
-        return until_short + self.random_state.uniform(0.0, max(wait_s, MIN_SPREAD_S))
+        time_to_half_s = max(wait_s - self.max_wait_s / 2, 0.0)
+        return time_to_half_s + self.random_state.uniform(
+            0.0, max(wait_s, MIN_RETRY_SPREAD_S)
+        )
 
     def pop(self):
         """Take the request that goes next; charges its account.
@@ -154,7 +156,9 @@
         :returns: account and item, or ``None`` if none waits.
         :rtype: tuple | None
         """
-        ready = [(a.tag, n) for n, a in self._account_by_name.items() if a.waiting]
+        ready = [
+            (a.virtual_time, n) for n, a in self._account_by_name.items() if a.waiting
+        ]
         if not ready:
             return None
         _, name = min(ready)
@@ -181,9 +185,9 @@
         :param str name: client account.
         :param float weight: effective weight of the account.
         """
-        self._charge(self._touch(name, weight), self.service_time_s_)
+        self._charge(self._activate_account(name, weight), self.service_time_s_)
 
-    def settle(self, name, charged_s, used_s):
+    def correct_charge(self, name, charged_s, used_s):
         """Correct the charge of a request by the slot time that it used.
 
         :param str name: client account.
@@ -192,7 +196,7 @@
         """
         account = self._account_by_name.get(name)
         if account is not None:
-            account.tag += (used_s - charged_s) / account.weight
+            account.virtual_time += (used_s - charged_s) / account.weight
         self.service_time_s_ += 0.05 * (used_s - self.service_time_s_)
 
     def refund(self, name, charged_s):
@@ -203,9 +207,9 @@
         """
         account = self._account_by_name.get(name)
         if account is not None:
-            account.tag -= charged_s / account.weight
+            account.virtual_time -= charged_s / account.weight
 
-    def record_remote(self, name, used_s, weight, slots):
+    def record_remote_usage(self, name, used_s, weight, slots):
         """Charge slot time that an account used at other entries.
 
         :param str name: client account.
@@ -213,17 +217,19 @@
         :param float weight: effective weight of the account.
         :param int slots: slots that this entry counts on.
         """
-        account = self._touch(name, weight)
+        account = self._activate_account(name, weight)
         active = sum(a.weight for a in self._account_by_name.values() if a.waiting)
         lead = self.max_lead_s * max(slots, 1) / max(active, account.weight)
-        bound = max(self._virtual_now + lead, account.tag)
-        account.tag = min(account.tag + used_s / account.weight, bound)
+        limit = max(self._virtual_now + lead, account.virtual_time)
+        account.virtual_time = min(
+            account.virtual_time + used_s / account.weight, limit
+        )
 
     def forget_idle(self):
         """Drop accounts that neither wait nor are ahead of the others."""
         for name, account in list(self._account_by_name.items()):
-            behind = account.tag <= self._virtual_now - self.burst_s
-            if not account.waiting and behind:
+            is_behind = account.virtual_time <= self._virtual_now - self.burst_s
+            if not account.waiting and is_behind:
                 del self._account_by_name[name]
 
     def waiting_by_account(self):
@@ -235,25 +241,35 @@
             n: len(a.waiting) for n, a in self._account_by_name.items() if a.waiting
         }
 
-    def _goes_next(self, name):
+    def _would_be_next(self, name):
         """Tell whether a new request of an account would be the next to start."""
         account = self._account_by_name.get(name)
         if account is not None and account.waiting:
             return False
-        idle_tag = self._virtual_now - self.burst_s
-        tag = self._virtual_now if account is None else max(account.tag, idle_tag)
-        return all(tag <= a.tag for a in self._account_by_name.values() if a.waiting)
+        min_virtual_time = self._virtual_now - self.burst_s
+        virtual_time = (
+            self._virtual_now
+            if account is None
+            else max(account.virtual_time, min_virtual_time)
+        )
+        return all(
+            virtual_time <= a.virtual_time
+            for a in self._account_by_name.values()
+            if a.waiting
+        )
 
-    def _touch(self, name, weight):
+    def _activate_account(self, name, weight):
         account = self._account_by_name.get(name)
         if account is None:
             account = self._account_by_name[name] = _Account()
-            account.tag = self._virtual_now
+            account.virtual_time = self._virtual_now
         account.weight = weight
         if not account.waiting:
-            account.tag = max(account.tag, self._virtual_now - self.burst_s)
+            account.virtual_time = max(
+                account.virtual_time, self._virtual_now - self.burst_s
+            )
         return account
 
     def _charge(self, account, seconds):
-        self._virtual_now = max(self._virtual_now, account.tag)
-        account.tag += seconds / account.weight
+        self._virtual_now = max(self._virtual_now, account.virtual_time)
+        account.virtual_time += seconds / account.weight
--- a/libs/admission/src/sequoiagap/admission/_gate.py
+++ b/libs/admission/src/sequoiagap/admission/_gate.py
@@ -7,7 +7,7 @@
 
 DEFAULT_SETTLE_S = 0.5
 MAX_RAMP_DOUBLINGS = 3
-CALM_S = 60.0
+RELAPSE_RESET_S = 60.0
 
 _log = base.get_logger("gate")
 
@@ -30,19 +30,19 @@
     :ivar bool stalled_: whether nothing may enter, because the endpoint's rank
         group can't step; set by the agent.
     :ivar int in_flight_: attempts of this agent that run now.
-    :ivar int foreign_: attempts from before this agent that may still run.
-    :ivar int proven_: good answers since the ramp began.
+    :ivar int inherited_: attempts from before this agent that may still run.
+    :ivar int successes_: good answers since the ramp began.
     :ivar int relapses_: how often it turned cold again of late.
     :ivar bool trusted_: whether the start id was confirmed since the last doubt.
     :ivar str role_: role of the endpoint, see :class:`EndpointRole`.
     :ivar bool reports_role_: whether the endpoint says which role it has.
 
     >>> gate = EndpointGate(warm_limit=8, cold_limit=1, warm_up_s=4.0)
-    >>> gate.report_start("start-1", now=0.0, cold=True)
-    >>> gate.try_enter(now=0.0)
+    >>> gate.record_report("start-1", now=0.0, cold=True)
+    >>> gate.try_acquire_slot(now=0.0)
     False
-    >>> gate.report_start("start-1", now=0.5, cold=True)
-    >>> gate.try_enter(now=0.5), gate.try_enter(now=0.5)
+    >>> gate.record_report("start-1", now=0.5, cold=True)
+    >>> gate.try_acquire_slot(now=0.5), gate.try_acquire_slot(now=0.5)
     (True, False)
     """
 
@@ -54,21 +54,21 @@
         self.health_ = _health.EndpointHealth()
         self.in_flight_ = 0
         self.stalled_ = False
-        self.foreign_ = 0
-        self.proven_ = 0
+        self.inherited_ = 0
+        self.successes_ = 0
         self.relapses_ = 0
         self.trusted_ = False
         self.role_ = str(_roles.EndpointRole.BOTH)
         self.reports_role_ = False
         self.start_id_ = ""
         self.ramp_began_at_ = 0.0
-        self._calls_itself_cold = False
+        self._reports_cold = False
         self._was_starting = False
         self._first_report_at = None
-        self._doubted_at = 0.0
+        self._trust_revoked_at = 0.0
         self._warm_since = 0.0
-        self._low = 0
-        self._previous_low = 0
+        self._min_in_flight = 0
+        self._previous_min_in_flight = 0
         self.machine_ = transitions.Machine(
             model=self,
             states=[str(state) for state in _states.EndpointState],
@@ -78,17 +78,17 @@
             after_state_change="_log_state",
         )
 
-    def report_start(self, start_id, now, cold, in_flight=0, asked_at=None):
+    def record_report(self, start_id, now, cold, in_flight=0, requested_at=None):
         """Take what the endpoint reports.
 
         :param str start_id: changes whenever the endpoint starts anew.
         :param float now: monotonic time in seconds.
         :param bool cold: whether the endpoint calls itself cold.
         :param int in_flight: requests that it says run there; it may lag.
-        :param float asked_at: when it was asked; ``now`` by default.
+        :param float requested_at: when it was asked; ``now`` by default.
         """
-        asked_at = now if asked_at is None else asked_at
-        if asked_at >= self._doubted_at:
+        requested_at = now if requested_at is None else requested_at
+        if requested_at >= self._trust_revoked_at:
             self.trusted_ = True
         if self.state == _states.EndpointState.GONE:
             return
@@ -98,10 +98,10 @@
             self.start_id_ = start_id
             self._turn_cold(now, "new_start_id")
         else:
-            self._correct_foreign(in_flight)
-        self._follow_coldness(cold, now)
+            self._lower_inherited(in_flight)
+        self._update_reported_cold(cold, now)
 
-    def confirm_start(self, start_id, now):
+    def check_start_id(self, start_id, now):
         """Take the start id that stands on an answer, if any.
 
         :param str start_id: the start id, or empty.
@@ -109,21 +109,21 @@
         """
         if start_id and self.start_id_ and start_id != self.start_id_:
             self.start_id_ = start_id
-            self._calls_itself_cold = True
+            self._reports_cold = True
             self._turn_cold(now, "new_start_id")
 
-    def set_out(self, is_out, now):
+    def set_drained(self, is_drained, now):
         """Follow the operators' order to leave or to take work again.
 
         An endpoint that comes back begins at its cold limit and ramps in.
 
-        :param bool is_out: whether the endpoint is to take no new work.
+        :param bool is_drained: whether the endpoint is to take no new work.
         :param float now: monotonic time in seconds.
         """
-        if is_out and self.state not in _states.NOT_SERVING:
+        if is_drained and self.state not in _states.NOT_SERVING:
             self._was_starting = self.state == _states.EndpointState.STARTING
             self.drain()
-        elif not is_out and self.state == _states.EndpointState.DRAINING:
+        elif not is_drained and self.state == _states.EndpointState.DRAINING:
             self._begin_ramp(now)
             if self._was_starting:
                 self._first_report_at = None
@@ -140,17 +140,17 @@
         self.reports_role_ = True
 
     @property
-    def serves_whole(self):
+    def serves_full_requests(self):
         """Whether the role serves whole requests."""
-        return _roles.serves_whole(self.role_)
+        return _roles.serves_full_requests(self.role_)
 
-    def doubt(self, now):
+    def revoke_trust(self, now):
         """Trust no more than the cold limit until the endpoint reports again.
 
         :param float now: monotonic time in seconds.
         """
         self.trusted_ = False
-        self._doubted_at = now
+        self._trust_revoked_at = now
 
     def record_answer(self, first_byte_s, now):
         """Take an answer that was given whole.
@@ -161,12 +161,12 @@
         """
         is_past_cold = self.state in _states.PAST_COLD
         suspected = bool(first_byte_s) and self.health_.record_answer(
-            first_byte_s, learn=is_past_cold
+            first_byte_s, updates_baseline=is_past_cold
         )
         if suspected and is_past_cold:
             self._turn_cold(now, "slow_first_byte")
         elif not self.health_.is_slow(first_byte_s):
-            self.proven_ += 1
+            self.successes_ += 1
 
     def record_error(self, now):
         """Take an attempt that the endpoint failed.
@@ -188,7 +188,7 @@
         :rtype: int
         """
         self._advance(now)
-        if self.stalled_ or not self.serves_whole:
+        if self.stalled_ or not self.serves_full_requests:
             return 0
         if self.state in _states.RAMPING:
             bound = self._ramp_limit(now)
@@ -196,21 +196,21 @@
             bound = self.warm_limit if self.state == _states.EndpointState.WARM else 0
         return bound if self.trusted_ else min(bound, self.cold_limit)
 
-    def try_enter(self, now):
+    def try_acquire_slot(self, now):
         """Take a slot if there is one.
 
         :param float now: monotonic time in seconds.
         :rtype: bool
         """
-        if self.in_flight_ + self.foreign_ >= self.limit(now):
+        if self.in_flight_ + self.inherited_ >= self.limit(now):
             return False
         self.in_flight_ += 1
         return True
 
-    def leave_slot(self):
+    def release_slot(self):
         """Give a slot back."""
         self.in_flight_ -= 1
-        self._low = min(self._low, self.in_flight_)
+        self._min_in_flight = min(self._min_in_flight, self.in_flight_)
 
     def describe(self):
         """Return what the limit rests on, for the state dump.
@@ -221,8 +221,8 @@
             "start_id": self.start_id_,
             "trusted": self.trusted_,
             "role": self.role_,
-            "foreign": self.foreign_,
-            "proven": self.proven_,
+            "foreign": self.inherited_,
+            "proven": self.successes_,
             "relapses": self.relapses_,
             "usual_first_byte_s": self.health_.baseline_s_,
         }
@@ -232,58 +232,64 @@
         if self._first_report_at is None or start_id != self.start_id_:
             self.start_id_ = start_id
             self._first_report_at = now
-            self.foreign_ = in_flight
-        self.foreign_ = max(self.foreign_, in_flight)
+            self.inherited_ = in_flight
+        self.inherited_ = max(self.inherited_, in_flight)
         if now - self._first_report_at < self.settle_s:
             return
-        self._previous_low = self._low = 0
+        self._previous_min_in_flight = self._min_in_flight = 0
         if cold:
             self._turn_cold(now, "start")
         else:
             self._warm_since = now
             self.found_warm()
 
-    def _follow_coldness(self, cold, now):
+    def _update_reported_cold(self, cold, now):
         """Keep the ramp from beginning while the endpoint calls itself cold."""
         if cold and self.state in _states.PAST_COLD:
             self._turn_cold(now, "reported_cold")
-        if cold or self._calls_itself_cold:
+        if cold or self._reports_cold:
             self._begin_ramp(now)
-        self._calls_itself_cold = cold
+        self._reports_cold = cold
 
     def _begin_ramp(self, now):
         self.ramp_began_at_ = now
-        self.proven_ = 0
+        self.successes_ = 0
 
     def _turn_cold(self, now, reason):
         if self.state in _states.NOT_SERVING:
             return
         if self.state != _states.EndpointState.STARTING:
             self.relapses_ += 1
-        self.health_.suspect(now)
+        self.health_.reset_after_suspicion(now)
         self._begin_ramp(now)
         if self.state != _states.EndpointState.COLD:
             _log.emit(base.Event.ENDPOINT_TURNED_COLD, reason=reason)
             self.found_cold()
 
-    def _correct_foreign(self, in_flight):
+    def _lower_inherited(self, in_flight):
         """Lower the count of attempts from before this agent, never raise it."""
-        lowest = min(self._low, self._previous_low)
-        self.foreign_ = min(self.foreign_, max(in_flight - lowest, 0))
-        self._previous_low, self._low = self._low, self.in_flight_
+        lowest = min(self._min_in_flight, self._previous_min_in_flight)
+        self.inherited_ = min(self.inherited_, max(in_flight - lowest, 0))
+        self._previous_min_in_flight, self._min_in_flight = (
+            self._min_in_flight,
+            self.in_flight_,
+        )
 
     def _advance(self, now):
         self.health_.advance(now)
-        can_warm = not self._calls_itself_cold and now > self.ramp_began_at_
+        can_warm = not self._reports_cold and now > self.ramp_began_at_
         if self.state == _states.EndpointState.COLD and can_warm:
             self.begin_warming()
-        if self.state == _states.EndpointState.WARMING and self._is_proven(now):
+        if self.state == _states.EndpointState.WARMING and self._is_warmed_up(now):
             self._warm_since = now
             self.found_warm()
-        if self.state == _states.EndpointState.WARM and now - self._warm_since > CALM_S:
+        if (
+            self.state == _states.EndpointState.WARM
+            and now - self._warm_since > RELAPSE_RESET_S
+        ):
             self.relapses_ = 0
 
-    def _is_proven(self, now):
+    def _is_warmed_up(self, now):
         return self._ramp_limit(now) >= self.warm_limit
 
     def _ramp_s(self):
@@ -292,7 +298,7 @@
     def _ramp_limit(self, now):
         share = min(max((now - self.ramp_began_at_) / self._ramp_s(), 0.0), 1.0)
         by_time = int(share * max(self.warm_limit - self.cold_limit, 0))
-        return min(self.cold_limit + min(by_time, self.proven_), self.warm_limit)
+        return min(self.cold_limit + min(by_time, self.successes_), self.warm_limit)
 
     def _log_state(self):
         _log.emit(base.Event.ENDPOINT_STATE, state=self.state)
--- a/libs/admission/src/sequoiagap/admission/_health.py
+++ b/libs/admission/src/sequoiagap/admission/_health.py
@@ -8,10 +8,10 @@
 BASELINE_SAMPLES = 64
 MIN_BASELINE_SAMPLES = 8
 SLOW_FACTOR = 3.0
-SLOW_FLOOR_S = 0.02
+MIN_SLOW_S = 0.02
 CONFIRMING_ANSWERS = 5
 CONFIRMING_ERRORS = 2
-FORGET_S = 60.0
+BASELINE_RESET_S = 60.0
 
 
 class EndpointHealth:
@@ -47,24 +47,24 @@
         )
         self.baseline_s_ = 0.0
         self.errors_in_row_ = 0
-        self._usual = collections.deque(maxlen=BASELINE_SAMPLES)
-        self._latest = collections.deque(maxlen=confirming_answers)
+        self._baseline_samples = collections.deque(maxlen=BASELINE_SAMPLES)
+        self._recent = collections.deque(maxlen=confirming_answers)
         self._suspected_at = None
 
-    def record_answer(self, first_byte_s, learn=True):
+    def record_answer(self, first_byte_s, updates_baseline=True):
         """Take the first-byte time of an answer.
 
         :param float first_byte_s: time to the first byte in seconds.
-        :param bool learn: whether the usual time may be learnt from it.
+        :param bool updates_baseline: whether the usual time may be learnt from it.
         :returns: whether the endpoint is to be suspected.
         :rtype: bool
         """
         self.errors_in_row_ = 0
-        self._latest.append(first_byte_s)
-        if not self.is_slow(first_byte_s) and learn:
-            self._learn(first_byte_s)
-        enough = len(self._latest) == self.confirming_answers
-        return enough and self.is_slow(min(self._latest))
+        self._recent.append(first_byte_s)
+        if not self.is_slow(first_byte_s) and updates_baseline:
+            self._update_baseline(first_byte_s)
+        is_full = len(self._recent) == self.confirming_answers
+        return is_full and self.is_slow(min(self._recent))
 
     def record_error(self):
         """Take an attempt that the endpoint failed.
@@ -83,15 +83,15 @@
         """
         if not self.baseline_s_:
             return False
-        bound = max(self.baseline_s_ * self.slow_factor, SLOW_FLOOR_S)
-        return first_byte_s > bound
+        threshold_s = max(self.baseline_s_ * self.slow_factor, MIN_SLOW_S)
+        return first_byte_s > threshold_s
 
-    def suspect(self, now):
+    def reset_after_suspicion(self, now):
         """Forget the latest answers after the endpoint was turned cold.
 
         :param float now: monotonic time in seconds.
         """
-        self._latest.clear()
+        self._recent.clear()
         self.errors_in_row_ = 0
         if self._suspected_at is None:
             self._suspected_at = now
@@ -104,14 +104,14 @@
 
         :param float now: monotonic time in seconds.
         """
-        if self._suspected_at is None or now - self._suspected_at < FORGET_S:
+        if self._suspected_at is None or now - self._suspected_at < BASELINE_RESET_S:
             return
         self._suspected_at = None
         self.baseline_s_ = 0.0
-        self._usual.clear()
-        self._latest.clear()
+        self._baseline_samples.clear()
+        self._recent.clear()
 
-    def _learn(self, first_byte_s):
-        self._usual.append(first_byte_s)
-        if len(self._usual) >= MIN_BASELINE_SAMPLES:
-            self.baseline_s_ = statistics.median(self._usual)
+    def _update_baseline(self, first_byte_s):
+        self._baseline_samples.append(first_byte_s)
+        if len(self._baseline_samples) >= MIN_BASELINE_SAMPLES:
+            self.baseline_s_ = statistics.median(self._baseline_samples)
--- a/libs/admission/src/sequoiagap/admission/_heard.py
+++ b/libs/admission/src/sequoiagap/admission/_last_reports.py
@@ -2,29 +2,29 @@
 
 import dataclasses
 
-from sequoiagap.admission import _sheets
+from sequoiagap.admission import _usage_counts
 
-HEARD_S = 2.0
-KEPT_S = 60.0
+REPORT_EXPIRY_S = 2.0
+RETENTION_S = 60.0
 
 
 @dataclasses.dataclass
-class Heard:
+class LastReport:
     """What one entry or collector reported last.
 
-    :param float at: when, monotonic time in seconds.
+    :param float heard_at: when, monotonic time in seconds.
     :param int entries: how many entries it stands for.
     :param bool wants_total: whether it wants the counts of the others.
-    :param dict sheet: :class:`Count` by account.
+    :param dict count_by_account: :class:`Count` by account.
     """
 
-    at: float = 0.0
+    heard_at: float = 0.0
     entries: int = 1
     wants_total: bool = False
-    sheet: dict = dataclasses.field(default_factory=dict)
+    count_by_account: dict = dataclasses.field(default_factory=dict)
 
 
-class HeardTable:
+class LastReportTable:
     """What was heard, by id of the sender.
 
     A sender that falls silent counts no more. Its sheet is kept for a while, as
@@ -32,9 +32,9 @@
     """
 
     def __init__(self):
-        self._heard_by_id = {}
+        self._report_by_id = {}
 
-    def take(self, sender_id, message, now):
+    def record(self, sender_id, message, now):
         """Take a message.
 
         :param str sender_id: the sender.
@@ -44,32 +44,36 @@
             they change; the sender's next connection brings everything.
         :rtype: Heard | None
         """
-        heard = self._heard_by_id.get(sender_id)
-        if heard is None:
+        report = self._report_by_id.get(sender_id)
+        if report is None:
             if not message.is_full:
                 return None
-            heard = self._heard_by_id[sender_id] = Heard()
-        heard.at = now
-        _sheets.apply(heard.sheet, message)
-        return heard
+            report = self._report_by_id[sender_id] = LastReport()
+        report.heard_at = now
+        _usage_counts.apply_delta(report.count_by_account, message)
+        return report
 
-    def last_at(self, sender_id):
+    def last_heard_at(self, sender_id):
         """Return when a sender was heard last; 0 for never.
 
         :param str sender_id: the sender.
         :rtype: float
         """
-        heard = self._heard_by_id.get(sender_id)
-        return heard.at if heard else 0.0
+        report = self._report_by_id.get(sender_id)
+        return report.heard_at if report else 0.0
 
-    def counted(self, now):
+    def current(self, now):
         """Return what counts now.
 
         :param float now: monotonic time in seconds.
         :rtype: dict[str, Heard]
         """
         for sender_id in [
-            i for i, h in self._heard_by_id.items() if now - h.at > KEPT_S
+            i for i, h in self._report_by_id.items() if now - h.heard_at > RETENTION_S
         ]:
-            del self._heard_by_id[sender_id]
-        return {i: h for i, h in self._heard_by_id.items() if now - h.at <= HEARD_S}
+            del self._report_by_id[sender_id]
+        return {
+            i: h
+            for i, h in self._report_by_id.items()
+            if now - h.heard_at <= REPORT_EXPIRY_S
+        }
--- a/libs/admission/src/sequoiagap/admission/_roles.py
+++ b/libs/admission/src/sequoiagap/admission/_roles.py
@@ -16,7 +16,7 @@
     CHANGING = "changing"
 
 
-def serves_whole(role):
+def serves_full_requests(role):
     """Return whether an endpoint of a role can serve a whole request alone.
 
     A role that is not known here can't.
@@ -24,7 +24,7 @@
     :param str role: an :class:`EndpointRole`, or what an endpoint calls its own.
     :rtype: bool
 
-    >>> serves_whole("both"), serves_whole("prefill"), serves_whole("draft")
+    >>> serves_full_requests("both"), serves_full_requests("prefill"), serves_full_requests("draft")
     (True, False, False)
     """
     return role == EndpointRole.BOTH
--- a/libs/admission/src/sequoiagap/admission/_sheets.py
+++ b/libs/admission/src/sequoiagap/admission/_usage_counts.py
@@ -3,11 +3,11 @@
 import dataclasses
 
 TOLERANCE = 1 / 32
-GONE = -1
+ACCOUNT_REMOVED = -1
 
 
 @dataclasses.dataclass(frozen=True)
-class Count:
+class RequestCount:
     """Requests of one client account.
 
     :param int running: those that hold a slot.
@@ -19,11 +19,13 @@
 
     def __add__(self, other):
         """Return the sum of two counts."""
-        return Count(self.running + other.running, self.in_flight + other.in_flight)
+        return RequestCount(
+            self.running + other.running, self.in_flight + other.in_flight
+        )
 
     def __sub__(self, other):
         """Return the difference, nowhere below zero."""
-        return Count(
+        return RequestCount(
             max(self.running - other.running, 0),
             max(self.in_flight - other.in_flight, 0),
         )
@@ -35,71 +37,71 @@
         :param float tolerance: the share.
         :rtype: bool
 
-        >>> Count(100, 100).is_near(Count(104, 96), 1 / 16)
+        >>> RequestCount(100, 100).is_near(RequestCount(104, 96), 1 / 16)
         True
-        >>> Count(1, 1).is_near(Count(2, 1), 1 / 16)
+        >>> RequestCount(1, 1).is_near(RequestCount(2, 1), 1 / 16)
         False
         """
         pairs = ((self.running, other.running), (self.in_flight, other.in_flight))
         return all(abs(a - b) <= tolerance * max(a, b) for a, b in pairs)
 
 
-ZERO = Count()
-_GONE_COUNT = Count(0, GONE)
+ZERO = RequestCount()
+_REMOVED_COUNT = RequestCount(0, ACCOUNT_REMOVED)
 
 
-def add_up(sheets):
+def sum_counts(tables):
     """Return the sum of several sheets.
 
-    :param sheets: dicts of :class:`Count` by account.
+    :param tables: dicts of :class:`RequestCount` by account.
     :rtype: dict[str, Count]
     """
     total = {}
-    for sheet in sheets:
-        for account, count in sheet.items():
+    for count_by_account in tables:
+        for account, count in count_by_account.items():
             if count != ZERO:
                 total[account] = total.get(account, ZERO) + count
     return total
 
 
-def rest_of(total, own):
+def subtract_counts(total, own):
     """Return what the accounts of a sheet have besides it.
 
-    :param dict total: :class:`Count` by account.
+    :param dict total: :class:`RequestCount` by account.
     :param dict own: the sheet, counted in the total.
     :rtype: dict[str, Count]
 
-    >>> rest_of({"a": Count(3, 4), "b": Count(1, 1)}, {"a": Count(1, 2)})
+    >>> subtract_counts({"a": RequestCount(3, 4), "b": RequestCount(1, 1)}, {"a": RequestCount(1, 2)})
     {'a': Count(running=2, in_flight=2)}
     """
     rest = {a: total.get(a, ZERO) - count for a, count in own.items()}
     return {account: count for account, count in rest.items() if count != ZERO}
 
 
-def apply(sheet, message):
+def apply_delta(count_by_account, message):
     """Take what a message says into a sheet.
 
-    :param dict sheet: :class:`Count` by account; changed in place.
+    :param dict count_by_account: :class:`RequestCount` by account; changed in place.
     :param message: message with ``is_full``, ``accounts``, ``running`` and
-        ``in_flight``, which is :data:`GONE` for an account that left the sheet.
+        ``in_flight``, which is :data:`ACCOUNT_REMOVED` for an account that left the sheet.
     """
     if message.is_full:
-        sheet.clear()
+        count_by_account.clear()
     columns = (message.accounts, message.running, message.in_flight)
     for account, running, in_flight in zip(*columns, strict=True):
-        if in_flight == GONE:
-            sheet.pop(account, None)
+        if in_flight == ACCOUNT_REMOVED:
+            count_by_account.pop(account, None)
         else:
-            sheet[account] = Count(running, in_flight)
+            count_by_account[account] = RequestCount(running, in_flight)
 
 
 @dataclasses.dataclass
-class _Sent:
+class _SentState:
     connection: object
-    sheet: dict
+    count_by_account: dict
 
 
-class SheetSender:
+class DeltaEncoder:
     """Remembers what each receiver was sent, to send it changes only.
 
     A connection delivers in order or ends. A receiver with a new connection may
@@ -112,30 +114,34 @@
         self.tolerance = tolerance
         self._sent_by_receiver = {}
 
-    def columns(self, receiver, connection, sheet):
+    def encode_delta(self, receiver, connection, count_by_account):
         """Return what to send: fullness, accounts, running and in flight.
 
         :param str receiver: id of the entry.
         :param connection: identity of the connection that will carry it.
-        :param dict sheet: :class:`Count` by account, as it is now.
+        :param dict count_by_account: :class:`RequestCount` by account, as it is now.
         :rtype: tuple[bool, list, list, list]
         """
         sent = self._sent_by_receiver.get(receiver)
         is_full = sent is None or sent.connection is not connection
         if is_full:
-            sent = self._sent_by_receiver[receiver] = _Sent(connection, {})
+            sent = self._sent_by_receiver[receiver] = _SentState(connection, {})
         changed = [
             account
-            for account in sent.sheet.keys() | sheet.keys()
-            if self._has_changed(sheet.get(account), sent.sheet.get(account))
+            for account in sent.count_by_account.keys() | count_by_account.keys()
+            if self._has_changed(
+                count_by_account.get(account), sent.count_by_account.get(account)
+            )
         ]
-        counts = [sheet.get(account, _GONE_COUNT) for account in changed]
-        sent.sheet.update(zip(changed, counts, strict=True))
-        sent.sheet = {a: c for a, c in sent.sheet.items() if c is not _GONE_COUNT}
+        counts = [count_by_account.get(account, _REMOVED_COUNT) for account in changed]
+        sent.count_by_account.update(zip(changed, counts, strict=True))
+        sent.count_by_account = {
+            a: c for a, c in sent.count_by_account.items() if c is not _REMOVED_COUNT
+        }
         running = [count.running for count in counts]
         return is_full, changed, running, [count.in_flight for count in counts]
 
-    def keep_only(self, receivers):
+    def retain_receivers(self, receivers):
         """Forget receivers that are sent nothing any more.
 
         :param set receivers: ids of those that are kept.
--- a/libs/admission/src/sequoiagap/admission/_usage.py
+++ b/libs/admission/src/sequoiagap/admission/_usage_table.py
@@ -3,10 +3,10 @@
 import dataclasses
 
 from sequoiagap import base, wire
-from sequoiagap.admission import _sheets
+from sequoiagap.admission import _usage_counts
 
 USAGE_EXPIRY_S = 3.0
-INTEREST_S = 4.0
+ACCOUNT_RETENTION_S = 4.0
 
 
 @wire.message(500)
@@ -26,7 +26,7 @@
 
 
 @dataclasses.dataclass
-class _Entry:
+class _EntryReport:
     heard_at: float = 0.0
     in_flight: dict = dataclasses.field(default_factory=dict)
 
@@ -40,7 +40,7 @@
 
     >>> table = UsageTable("entry-0", "inc-0")
     >>> report = AccountUsage("entry-1", "inc-1", {"guild": 1.0}, {"guild": 2})
-    >>> table.take(report, now=1.0), table.remote_in_flight("guild")
+    >>> table.record_report(report, now=1.0), table.remote_in_flight("guild")
     ({'guild': 1.0}, 2)
     """
 
@@ -54,40 +54,40 @@
         self._used_s = {}
         self._entry_by_id = {}
 
-    def enter(self, account):
+    def record_arrival(self, account):
         """Count a request that begins to wait or run here.
 
         :param str account: client account.
         """
         self.in_flight_[account] = self.in_flight_.get(account, 0) + 1
 
-    def leave(self, account, used_s):
+    def record_end(self, account, used_s):
         """Count the end of a request and the slot time that it used.
 
         :param str account: client account.
         :param float used_s: slot time in seconds.
         """
-        _lower(self.in_flight_, account)
+        _decrement(self.in_flight_, account)
         self._used_s[account] = self._used_s.get(account, 0.0) + used_s
 
-    def start(self, account):
+    def record_start(self, account):
         """Count a request that takes a slot.
 
         :param str account: client account.
         """
         self.running_[account] = self.running_.get(account, 0) + 1
 
-    def stop(self, account):
+    def record_stop(self, account):
         """Count a request that gives its slot back.
 
         :param str account: client account.
         """
-        _lower(self.running_, account)
+        _decrement(self.running_, account)
 
-    def sheet(self, now):
+    def count_by_account(self, now):
         """Return what accounts have here now.
 
-        An account stays for :data:`INTEREST_S` after its last request, so that
+        An account stays for :data:`ACCOUNT_RETENTION_S` after its last request, so that
         this entry goes on hearing what it has elsewhere.
 
         :param float now: monotonic time in seconds.
@@ -96,10 +96,12 @@
         seen_at = self._seen_at_by_account
         seen_at.update(dict.fromkeys(self._used_s, now))
         seen_at.update(dict.fromkeys(self.in_flight_, now))
-        for account in [a for a, at in seen_at.items() if now - at > INTEREST_S]:
+        for account in [
+            a for a, at in seen_at.items() if now - at > ACCOUNT_RETENTION_S
+        ]:
             del seen_at[account]
         return {
-            account: _sheets.Count(
+            account: _usage_counts.RequestCount(
                 self.running_.get(account, 0), self.in_flight_.get(account, 0)
             )
             for account in seen_at
@@ -115,7 +117,7 @@
             self.entry_id, self.incarnation, used_s, dict(self.in_flight_)
         )
 
-    def take(self, report, now):
+    def record_report(self, report, now):
         """Take the report of another entry.
 
         :param AccountUsage report: the report.
@@ -125,7 +127,7 @@
         """
         if report.entry_id == self.entry_id:
             return {}
-        self._entry_by_id[report.entry_id] = _Entry(now, dict(report.in_flight))
+        self._entry_by_id[report.entry_id] = _EntryReport(now, dict(report.in_flight))
         return report.used_s
 
     def expire(self, now):
@@ -152,7 +154,7 @@
         """
         return sum(e.in_flight.get(account, 0) for e in self._entry_by_id.values())
 
-    def entries_heard(self):
+    def reporting_entries(self):
         """Return the ids of the entries whose usage counts now.
 
         :rtype: list[str]
@@ -160,10 +162,10 @@
         return sorted(self._entry_by_id)
 
 
-def _lower(count_by_account, account):
+def _decrement(count_by_account, account):
     """Count one less, and forget an account that has none left."""
-    left = count_by_account.get(account, 0) - 1
-    if left > 0:
-        count_by_account[account] = left
+    remaining = count_by_account.get(account, 0) - 1
+    if remaining > 0:
+        count_by_account[account] = remaining
     else:
         count_by_account.pop(account, None)
--- a/libs/agent/src/sequoiagap/agent/_executor.py
+++ b/libs/agent/src/sequoiagap/agent/_executor.py
@@ -95,7 +95,7 @@
         limit = self.gate.limit(_now())
         return wire.Load(
             state=self.gate.state,
-            in_flight=self.gate.in_flight_ + self.gate.foreign_,
+            in_flight=self.gate.in_flight_ + self.gate.inherited_,
             limit=limit,
             queued=self.slots_.size_,
             service_time_s=self.service_time_s_,
--- a/libs/agent/src/sequoiagap/agent/_gatekeeper.py
+++ b/libs/agent/src/sequoiagap/agent/_gatekeeper.py
@@ -60,7 +60,7 @@
         now = time.monotonic()
         if report is not None:
             self.take_role(report.role, asked_at)
-            self.gate.report_start(
+            self.gate.record_report(
                 report.start_id, now, report.cold, report.in_flight, asked_at
             )
         await self.follow_orders()
@@ -68,7 +68,7 @@
     async def follow_orders(self):
         """Apply the operators' orders and announce a change of state or limit."""
         now = time.monotonic()
-        self.gate.set_out(self.is_out(), now)
+        self.gate.set_drained(self.is_out(), now)
         self.gate.stalled_ = self.is_stalled()
         self.pump(now)
         seen = (self.gate.limit(now), self.gate.state, self.gate.role_)
@@ -86,7 +86,7 @@
                         parts.hostname, parts.port or 80
                     )
             except (OSError, TimeoutError):
-                self.gate.doubt(time.monotonic())
+                self.gate.revoke_trust(time.monotonic())
                 await asyncio.sleep(RECONNECT_DELAY_S)
                 continue
             await self._wait_for_end(reader, writer)
@@ -99,7 +99,7 @@
             pass
         finally:
             writer.transport.abort()
-        self.gate.doubt(time.monotonic())
+        self.gate.revoke_trust(time.monotonic())
         self._wake.set()
         _log.emit(base.Event.ENDPOINT_DOUBTED)
         await self.announce()
--- a/libs/agent/src/sequoiagap/agent/_observer.py
+++ b/libs/agent/src/sequoiagap/agent/_observer.py
@@ -27,7 +27,7 @@
         :param headers: HTTP headers, with the start id where the endpoint
             gives one.
         """
-        self.gate.confirm_start(headers.get(START_ID_HEADER, ""), time.monotonic())
+        self.gate.check_start_id(headers.get(START_ID_HEADER, ""), time.monotonic())
         self._is_stream = headers.get("Content-Type", "").startswith(EVENT_STREAM)
         self._failed = status >= FIRST_SERVER_ERROR
 
--- a/libs/agent/src/sequoiagap/agent/_roles.py
+++ b/libs/agent/src/sequoiagap/agent/_roles.py
@@ -72,10 +72,10 @@
         await self.announce()
         try:
             async with asyncio.timeout(self.drain_bound_s):
-                while gate.in_flight_ + gate.foreign_:  # noqa: ASYNC110 - counted
+                while gate.in_flight_ + gate.inherited_:  # noqa: ASYNC110 - counted
                     await asyncio.sleep(POLL_S)
         except TimeoutError as error:
-            running = gate.in_flight_ + gate.foreign_
+            running = gate.in_flight_ + gate.inherited_
             self.finish()
             raise RoleError(
                 f"{running} attempts still run after {self.drain_bound_s} s",
--- a/libs/agent/src/sequoiagap/agent/_slots.py
+++ b/libs/agent/src/sequoiagap/agent/_slots.py
@@ -61,9 +61,9 @@
         :rtype: bool
         """
         limit = self.gate.limit(now)
-        if self.gate.in_flight_ + self.gate.foreign_ < limit and not self._waiting:
+        if self.gate.in_flight_ + self.gate.inherited_ < limit and not self._waiting:
             return True
-        if self.gate.state not in _OPEN_STATES or not self.gate.serves_whole:
+        if self.gate.state not in _OPEN_STATES or not self.gate.serves_full_requests:
             return False
         return len(self._waiting) < max(int(limit * WAITING_PER_SLOT), 1)
 
@@ -86,7 +86,7 @@
         :param float now: monotonic time in seconds.
         """
         if place.given_:
-            self.gate.leave_slot()
+            self.gate.release_slot()
         elif place in self._waiting:
             self._waiting.remove(place)
         self.pump(now)
@@ -97,7 +97,7 @@
 
         :param float now: monotonic time in seconds.
         """
-        while self._waiting and self.gate.try_enter(now):
+        while self._waiting and self.gate.try_acquire_slot(now):
             place = self._waiting.popleft()
             place.given_ = True
             place.turn_.set()
--- a/libs/entry/src/sequoiagap/entry/_admission.py
+++ b/libs/entry/src/sequoiagap/entry/_admission.py
@@ -60,7 +60,7 @@
         if over is not None:
             return expression.Error(over)
         began = time.monotonic()
-        self.usage_.enter(request.account)
+        self.usage_.record_arrival(request.account)
         used_s = 0.0
         try:
             again = False
@@ -74,7 +74,7 @@
                     return result
                 again = True
         finally:
-            self.usage_.leave(request.account, used_s)
+            self.usage_.record_end(request.account, used_s)
 
     def give_up_all(self):
         """End every request that waits or runs, at once, with a refusal."""
@@ -126,17 +126,17 @@
         turns = self._turns(request.target)
         charged_s = turns.queue.service_time_s_
         began = time.monotonic()
-        self.usage_.start(request.account)
+        self.usage_.record_start(request.account)
         try:
             result = await self.dispatcher.dispatch(request, sink)
         finally:
-            self.usage_.stop(request.account)
+            self.usage_.record_stop(request.account)
             turns.leave()
         if result.is_error():
             turns.queue.refund(request.account, charged_s)
             return result, 0.0
         used_s = time.monotonic() - began
-        turns.queue.settle(request.account, charged_s, used_s)
+        turns.queue.correct_charge(request.account, charged_s, used_s)
         return result, used_s
 
     async def _wait_turn(self, request, began, again):
@@ -153,7 +153,7 @@
             return None
         turn = asyncio.get_running_loop().create_future()
         if again:
-            turns.queue.put_back(account, turn, weight)
+            turns.queue.requeue(account, turn, weight)
         else:
             slots = turns.slots(candidates)
             shed = turns.queue.offer(account, turn, weight, slots)
@@ -245,4 +245,4 @@
             slots = turns.slots(turns.candidates())
             for account, used_s in used_by_account.items():
                 weight = self._weight(account)
-                turns.queue.record_remote(account, used_s, weight, slots)
+                turns.queue.record_remote_usage(account, used_s, weight, slots)
--- a/libs/entry/src/sequoiagap/entry/_link.py
+++ b/libs/entry/src/sequoiagap/entry/_link.py
@@ -285,7 +285,7 @@
         self.reachability_.note_opened()
 
     async def _on_load(self, connection, item):
-        self.view.take_report(item, time.monotonic())
+        self.view.record_report(item, time.monotonic())
         if item.state == "gone":
             if not self.member.leaving:
                 _log.emit(base.Event.ENDPOINT_LEAVING, endpoint=self.view.endpoint_id)
--- a/libs/entry/src/sequoiagap/entry/_usage_exchange.py
+++ b/libs/entry/src/sequoiagap/entry/_usage_exchange.py
@@ -68,7 +68,9 @@
 
         :rtype: int
         """
-        return max(len(self.table.entries_heard()), self.collected_.entries_)
+        return max(
+            len(self.table.reporting_entries()), self.collected_.counted_entries_
+        )
 
     def describe(self):
         """Return what the exchange rests on, for the state dump.
@@ -76,12 +78,12 @@
         :rtype: dict
         """
         return {
-            "entries_heard": self.table.entries_heard(),
-            "entries_collected": self.collected_.entries_,
+            "entries_heard": self.table.reporting_entries(),
+            "entries_collected": self.collected_.counted_entries_,
         }
 
     async def _tell_all(self, now):
-        self._others = self.collected_.others(now)
+        self._others = self.collected_.remote_counts(now)
         self._charged_at = None
         await self.mesh.broadcast(self.table.make_report())
         self._expire(now)
@@ -91,7 +93,7 @@
         by_domain = _choose_collectors(ids_by_domain)
         own = by_domain.get(self.settings.failure_domain, [])
         messages = self.collected_.make_messages(
-            now, self.table.sheet(now), own, self._find_connection
+            now, self.table.count_by_account(now), own, self._find_connection
         )
         self.table.make_report()
         messages += self.collector_.make_messages(now, by_domain, self._find_connection)
@@ -107,13 +109,13 @@
     def _take_own(self, message):
         now = _now()
         if isinstance(message, admission.EntryUsage):
-            self.collector_.take_entry(message, now)
+            self.collector_.record_entry_usage(message, now)
         else:
-            self.collected_.take(message, now)
+            self.collected_.record(message, now)
 
     def _charge_collected(self, now):
         """Charge the slots that accounts held elsewhere since the last round."""
-        self._others = self.collected_.others(now)
+        self._others = self.collected_.remote_counts(now)
         began, self._charged_at = self._charged_at, now
         if began is not None:
             seconds = min(now - began, 2 * COLLECTED_INTERVAL_S)
@@ -140,22 +142,22 @@
         return own
 
     async def _on_direct(self, connection, report):
-        self.charge(self.table.take(report, _now()))
+        self.charge(self.table.record_report(report, _now()))
 
     async def _on_entry(self, connection, message):
-        self.collector_.take_entry(message, _now())
+        self.collector_.record_entry_usage(message, _now())
 
     async def _on_domain(self, connection, message):
-        self.collector_.take_domain(message, _now())
+        self.collector_.record_domain_usage(message, _now())
 
     async def _on_others(self, connection, message):
-        self.collected_.take(message, _now())
+        self.collected_.record(message, _now())
 
 
 def _choose_collectors(ids_by_domain):
     """Return the collectors of each failure domain; every entry finds the same."""
     return {
-        domain: members.choose(domain, ids, admission.COLLECTORS)
+        domain: members.choose(domain, ids, admission.COLLECTORS_PER_DOMAIN)
         for domain, ids in ids_by_domain.items()
     }
 
--- a/libs/experts/src/sequoiagap/experts/__init__.py
+++ b/libs/experts/src/sequoiagap/experts/__init__.py
@@ -1,12 +1,11 @@
 """Expert maps of rank groups: planning, bounds and the change of map."""
 
 from sequoiagap.experts._bound import layer_bound, rank_times, step_skew
-from sequoiagap.experts._rank_state import (
-    Effects,
-    EngineView,
-    Order,
-    OrderKind,
-    RankState,
+from sequoiagap.experts._bounded_plan import (
+    Holdings,
+    PlanLimits,
+    holdings_skew,
+    plan_bounded,
 )
 from sequoiagap.experts._load import LoadEstimator, SpeedEstimator
 from sequoiagap.experts._messages import (
@@ -27,7 +26,6 @@
     Stage,
     Staged,
 )
-from sequoiagap.experts._bounded_plan import Holdings, PlanLimits, holdings_skew, plan_bounded
 from sequoiagap.experts._placement import (
     ExpertMap,
     ExpertMapError,
@@ -43,6 +41,13 @@
     finish,
     finish_in_slices,
 )
+from sequoiagap.experts._rank_state import (
+    Effects,
+    EngineView,
+    Order,
+    OrderKind,
+    RankState,
+)
 from sequoiagap.experts._round import MapConflictError, Phase, Round, Send, next_epoch
 
 __all__ = [
@@ -66,7 +71,7 @@
     "Move",
     "Order",
     "OrderKind",
-    "Pace",
+    "PlanLimits",
     "Phase",
     "PlanCosts",
     "PlanInput",
@@ -89,7 +94,7 @@
     "layer_bound",
     "moves_between",
     "next_epoch",
-    "plan_paced",
+    "plan_bounded",
     "rank_times",
     "step_skew",
 ]
--- a/libs/experts/src/sequoiagap/experts/_bounded_plan.py
+++ b/libs/experts/src/sequoiagap/experts/_bounded_plan.py
@@ -250,7 +250,9 @@
     costs = costs or _uniform_costs(current)
     layers = []
     for held, shares in zip(current.layers, loads, strict=True):
-        layers.append(_LayerPlan(held, shares, costs, limits, current.slots, new_by_rank))
+        layers.append(
+            _LayerPlan(held, shares, costs, limits, current.slots, new_by_rank)
+        )
         yield
     longest = sum(max(layer.times) for layer in layers)
     proposals = {}
--- a/libs/experts/src/sequoiagap/experts/_load.py
+++ b/libs/experts/src/sequoiagap/experts/_load.py
@@ -77,7 +77,9 @@
             average = self._averages[index][layer]
             error = sum(abs(a - s) for a, s in zip(average, shares, strict=True))
             decayed = ERROR_DECAY * self._errors[index][layer]
-            self._errors[index][layer] = decayed + error if self._has_counts[layer] else 0.0
+            self._errors[index][layer] = (
+                decayed + error if self._has_counts[layer] else 0.0
+            )
             weight = _smoothing_factor(half_life) if self._has_counts[layer] else 1.0
             self._averages[index][layer] = [
                 a + weight * (s - a) for a, s in zip(average, shares, strict=True)
--- a/libs/experts/src/sequoiagap/experts/_placement.py
+++ b/libs/experts/src/sequoiagap/experts/_placement.py
@@ -65,7 +65,9 @@
 
     def __post_init__(self):
         if len(self.rows) != self.shape.layers:
-            raise _map_error(f"map has {len(self.rows)} layers, not {self.shape.layers}")
+            raise _map_error(
+                f"map has {len(self.rows)} layers, not {self.shape.layers}"
+            )
         for layer, row in enumerate(self.rows):
             _check_row(self.shape, layer, row)
 
--- a/libs/experts/src/sequoiagap/experts/_policies.py
+++ b/libs/experts/src/sequoiagap/experts/_policies.py
@@ -189,7 +189,11 @@
             options.append((yield from self._improve(plan_input, layer, row, longest)))
         proposed = self._choose(plan_input, options)
         self._record_proposal(plan_input, proposed)
-        return proposed if self._is_worthwhile(plan_input, proposed) else plan_input.current
+        return (
+            proposed
+            if self._is_worthwhile(plan_input, proposed)
+            else plan_input.current
+        )
 
     def _improve(self, plan_input, layer, row, longest):
         """Search one layer; return its best row and the gain, in seconds."""
@@ -197,8 +201,12 @@
         loads = plan_input.predicted[layer]
         before = max(_bound.rank_times(row, loads, plan_input.speeds, slots))
         lower_bound = _bound.layer_bound(loads, plan_input.speeds, slots)
-        floor = lower_bound + _noise_margin(plan_input, layer, lower_bound, MEDIAN_NOISE_PROBABILITY)
-        noise_limit = lower_bound + _noise_margin(plan_input, layer, lower_bound, HIGH_NOISE_PROBABILITY)
+        floor = lower_bound + _noise_margin(
+            plan_input, layer, lower_bound, MEDIAN_NOISE_PROBABILITY
+        )
+        noise_limit = lower_bound + _noise_margin(
+            plan_input, layer, lower_bound, HIGH_NOISE_PROBABILITY
+        )
         seconds_per_unit = self.costs.horizon_s / longest
         yield
         # With less to gain than one move costs there is no need to search.
@@ -206,7 +214,11 @@
         if before <= noise_limit or gain <= self.costs.move_s:
             return row, 0.0
         search = _search.LayerSearch(
-            self.costs.move_s * self.costs.hysteresis, row, before, seconds_per_unit, floor
+            self.costs.move_s * self.costs.hysteresis,
+            row,
+            before,
+            seconds_per_unit,
+            floor,
         )
         yield from search.run(row, loads, plan_input.speeds, slots)
         if search.longest_ > max(lower_bound * RESTART_RATIO, floor):
--- a/libs/experts/src/sequoiagap/experts/_rank_state.py
+++ b/libs/experts/src/sequoiagap/experts/_rank_state.py
@@ -164,7 +164,9 @@
         :param Joined message: the message.
         :rtype: Effects
         """
-        recorded = self.incarnation_by_rank.setdefault(message.rank, message.incarnation)
+        recorded = self.incarnation_by_rank.setdefault(
+            message.rank, message.incarnation
+        )
         if message.joiner != self.incarnation or recorded != message.incarnation:
             return Effects()
         self.promised_ = max(self.promised_, message.promised)
--- a/libs/gateway/src/sequoiagap/gateway/_gateway.py
+++ b/libs/gateway/src/sequoiagap/gateway/_gateway.py
@@ -226,7 +226,7 @@
                 base.Event.PLATFORM_BEHIND, held=version, in_force=self.table.version
             )
         elif is_settled:
-            self.freshness.note(asked_at)
+            self.freshness.record_reading(asked_at)
 
     def _take_endpoints(self, endpoint_by_id, asked_at, is_settled):
         if endpoint_by_id is not None:
--- a/libs/ranks/src/sequoiagap/ranks/_agent.py
+++ b/libs/ranks/src/sequoiagap/ranks/_agent.py
@@ -196,7 +196,7 @@
             service = table and table.service_by_name.get(self.settings.service)
             if service is not None and service.engine is not None:
                 self._terms = service.engine
-                self._longest_pause_s = table.longest_pause(service.name)
+                self._longest_pause_s = table.min_target_gap_s(service.name)
             wait_s = CONFIG_INTERVAL_S if self._terms else FIRST_NODES_S
             await asyncio.sleep(wait_s)
 
--- a/libs/ranks/src/sequoiagap/ranks/_leader.py
+++ b/libs/ranks/src/sequoiagap/ranks/_leader.py
@@ -44,7 +44,7 @@
 
     :param GroupAccess access: ways to the ranks.
     :param EngineReport report: report of the own rank, as leading begins.
-    :param routes.EngineTerms terms: terms of the group's engines.
+    :param routes.EngineProfile terms: terms of the group's engines.
     :param base.Metrics metrics: metrics of the process.
     :param float longest_pause_s: longest pause between two events that callers bear,
         in seconds; 0 for none.
--- a/libs/ranks/src/sequoiagap/ranks/_map_book.py
+++ b/libs/ranks/src/sequoiagap/ranks/_map_book.py
@@ -11,7 +11,7 @@
     Versions are never used for two maps in an epoch, so a rank need say only once
     what it holds.
 
-    :param routes.EngineTerms terms: terms of the group's engines.
+    :param routes.EngineProfile terms: terms of the group's engines.
     :param int size: ranks of the group.
     """
 
--- a/libs/ranks/src/sequoiagap/ranks/_planning.py
+++ b/libs/ranks/src/sequoiagap/ranks/_planning.py
@@ -43,7 +43,7 @@
 class MapPlanner:
     """Plans the next map of a group.
 
-    :param routes.EngineTerms terms: terms of the group's engines.
+    :param routes.EngineProfile terms: terms of the group's engines.
     :param int size: ranks of the group.
     :param float longest_pause_s: longest pause between two events that callers bear,
         in seconds; 0 for none.
@@ -126,7 +126,7 @@
     A copy takes bandwidth of one rank; shorter passes save the time of all of them, so
     the larger the group, the less of a pass a copy has to save.
 
-    :param routes.EngineTerms terms: terms of the group's engines.
+    :param routes.EngineProfile terms: terms of the group's engines.
     :param int size: ranks of the group.
     :rtype: sequoiagap.experts.PlanLimits
     """
--- a/libs/routes/src/sequoiagap/routes/__init__.py
+++ b/libs/routes/src/sequoiagap/routes/__init__.py
@@ -5,20 +5,20 @@
     ClientAccount,
     Endpoint,
     EndpointState,
-    EngineTerms,
+    EngineProfile,
     RequestKind,
     RequestLimits,
     Route,
     Service,
     WeightedTarget,
 )
-from sequoiagap.routes._table import RouteTable
+from sequoiagap.routes._route_table import RouteTable
 
 __all__ = [
     "ClientAccount",
     "Endpoint",
     "EndpointState",
-    "EngineTerms",
+    "EngineProfile",
     "Freshness",
     "RequestKind",
     "RequestLimits",
--- a/libs/routes/src/sequoiagap/routes/_freshness.py
+++ b/libs/routes/src/sequoiagap/routes/_freshness.py
@@ -23,27 +23,27 @@
 
     :param float max_age_s: how old a proof may be, in seconds.
 
-    :ivar float proved_at_: when the newest reading was asked for, or ``None``.
+    :ivar float confirmed_at_: when the newest reading was asked for, or ``None``.
 
     >>> freshness = Freshness(max_age_s=4.0)
     >>> freshness.is_fresh(now=10.0)
     False
-    >>> freshness.note(asked_at=9.0)
+    >>> freshness.record_reading(requested_at=9.0)
     >>> freshness.is_fresh(now=13.0), freshness.is_fresh(now=13.1)
     (True, False)
     """
 
     def __init__(self, max_age_s):
         self.max_age_s = base.check_positive("max_age_s", max_age_s)
-        self.proved_at_ = None
+        self.confirmed_at_ = None
 
-    def note(self, asked_at):
+    def record_reading(self, requested_at):
         """Take a reading of the newest version.
 
-        :param float asked_at: when it was asked for.
+        :param float requested_at: when it was asked for.
         """
-        if self.proved_at_ is None or asked_at > self.proved_at_:
-            self.proved_at_ = asked_at
+        if self.confirmed_at_ is None or requested_at > self.confirmed_at_:
+            self.confirmed_at_ = requested_at
 
     def age(self, now):
         """Return the age of the newest proof in seconds; infinite for none.
@@ -51,7 +51,7 @@
         :param float now: the time now.
         :rtype: float
         """
-        return float("inf") if self.proved_at_ is None else now - self.proved_at_
+        return float("inf") if self.confirmed_at_ is None else now - self.confirmed_at_
 
     def is_fresh(self, now):
         """Return whether the newest proof still holds.
--- a/libs/routes/src/sequoiagap/routes/_model.py
+++ b/libs/routes/src/sequoiagap/routes/_model.py
@@ -77,7 +77,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class EngineTerms:
+class EngineProfile:
     """How the model engines of a service spend time and memory.
 
     :param int slots: requests that an engine decodes at once.
@@ -135,7 +135,7 @@
     name: str
     max_connections: int = 0
     cold_requests_s: float = 0.0
-    engine: EngineTerms | None = None
+    engine: EngineProfile | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/libs/routes/src/sequoiagap/routes/_table.py
+++ b/libs/routes/src/sequoiagap/routes/_route_table.py
@@ -60,19 +60,19 @@
                 return route
         return None
 
-    def longest_pause(self, service):
+    def min_target_gap_s(self, service):
         """Return the longest pause between events that all routes to a service bear.
 
         :param str service: its name.
         :returns: seconds; 0 where no route names one.
         :rtype: float
         """
-        pauses = [
+        gaps = [
             route.target_gap_s
             for route in self.routes
             if route.target_gap_s and any(t.service == service for t in route.targets)
         ]
-        return min(pauses, default=0.0)
+        return min(gaps, default=0.0)
 
     def find_account(self, key):
         """Return the client account that holds a key.
--- a/libs/routing/src/sequoiagap/routing/__init__.py
+++ b/libs/routing/src/sequoiagap/routing/__init__.py
@@ -1,8 +1,8 @@
 """Choice of an endpoint for an attempt."""
 
 from sequoiagap.routing._context import RouteContext, make_context
-from sequoiagap.routing._endpoint import EndpointView
-from sequoiagap.routing._policies import POLICIES, filter_by_role, prefer
+from sequoiagap.routing._endpoint_view import EndpointView
+from sequoiagap.routing._policies import POLICIES, choose_by_prefix, filter_by_role
 
 __all__ = [
     "POLICIES",
@@ -10,5 +10,5 @@
     "RouteContext",
     "filter_by_role",
     "make_context",
-    "prefer",
+    "choose_by_prefix",
 ]
--- a/libs/routing/src/sequoiagap/routing/_endpoint.py
+++ b/libs/routing/src/sequoiagap/routing/_endpoint_view.py
@@ -2,12 +2,12 @@
 
 import dataclasses
 
-SILENT_S = 0.15
+SILENCE_THRESHOLD_S = 0.15
 SILENT_PENALTY_S = 10.0
-FULL_WAIT_SHARE = 1.0
+FULL_WAIT_FACTOR = 1.0
 REPORT_HALF_LIFE_S = 2.0
 DEFAULT_SERVICE_TIME_S = 0.2
-WHOLE_ROLE = "both"
+FULL_REQUEST_ROLE = "both"
 
 
 @dataclasses.dataclass
@@ -44,14 +44,14 @@
     own_at_report: int = 0
     reported_at: float = 0.0
     unanswered_s: float = 0.0
-    role: str = WHOLE_ROLE
+    role: str = FULL_REQUEST_ROLE
 
     @property
     def is_silent(self):
         """Whether its agent has left a heartbeat unanswered for too long."""
-        return self.unanswered_s > SILENT_S
+        return self.unanswered_s > SILENCE_THRESHOLD_S
 
-    def take_report(self, load, now):
+    def record_report(self, load, now):
         """Take what the agent says.
 
         :param load: message with the fields of the same names.
@@ -109,7 +109,7 @@
         0.1
         """
         service_time_s = self.service_time_s or DEFAULT_SERVICE_TIME_S
-        used = self.expected_in_flight(now) / max(self.limit, 1)
-        full = FULL_WAIT_SHARE if used >= 1.0 else 0.0
-        silent_s = SILENT_PENALTY_S if self.is_silent else 0.0
-        return service_time_s * (used + full) + silent_s
+        utilization = self.expected_in_flight(now) / max(self.limit, 1)
+        full_factor = FULL_WAIT_FACTOR if utilization >= 1.0 else 0.0
+        penalty_s = SILENT_PENALTY_S if self.is_silent else 0.0
+        return service_time_s * (utilization + full_factor) + penalty_s
--- a/libs/routing/src/sequoiagap/routing/_policies.py
+++ b/libs/routing/src/sequoiagap/routing/_policies.py
@@ -3,12 +3,14 @@
 import xxhash
 
 from sequoiagap import base
-from sequoiagap.routing import _endpoint
+from sequoiagap.routing import _endpoint_view
 
 POLICIES = base.Registry("policy")
 NEAR_CHOICES = 2
 FAR_CHOICES = 1
-USUAL_WEIGHT = 0.02  # the usual service time is that of the last fifty draws
+MEAN_SERVICE_TIME_WEIGHT = (
+    0.02  # the usual service time is that of the last fifty draws
+)
 FAR_PENALTY_S = 0.005
 COLD_PENALTY_S = 0.002
 PREFILL_S_PER_BYTE = 25e-6
@@ -63,7 +65,7 @@
     :param float prefill_s_per_byte: time that a remembered prefix saves.
     :param float far_penalty_s: what another failure domain costs.
 
-    :ivar float usual_s_: mean service time of the endpoints drawn lately, in seconds.
+    :ivar float mean_service_time_s_: mean service time of the endpoints drawn lately, in seconds.
     """
 
     def __init__(
@@ -71,7 +73,7 @@
     ):
         self.prefill_s_per_byte = prefill_s_per_byte
         self.far_penalty_s = far_penalty_s
-        self.usual_s_ = 0.0
+        self.mean_service_time_s_ = 0.0
 
     def choose(self, candidates, random_state, context):
         """Return the candidate with the least cost among the few.
@@ -81,45 +83,47 @@
         :param RouteContext context: where the request came in, and its prefix.
         :rtype: EndpointView
         """
-        few = self._draw(candidates, random_state, context)
-        if not any(view.free_slots(context.now) for view in few):
-            few += self._draw_free(candidates, random_state, context)
-        elif self._are_slow(few, context):
-            few += self._draw(candidates, random_state, context)
+        sampled = self._sample(candidates, random_state, context)
+        if not any(view.free_slots(context.now) for view in sampled):
+            sampled += self._sample_free(candidates, random_state, context)
+        elif self._are_slower_than_mean(sampled, context):
+            sampled += self._sample(candidates, random_state, context)
         saving_s = 0.0
         preferred = None
         if context.prefix:
-            preferred = prefer(candidates, context.prefix)
+            preferred = choose_by_prefix(candidates, context.prefix)
             saving_s = context.prompt_bytes * self.prefill_s_per_byte
-            few.append(preferred)
+            sampled.append(preferred)
         costs = [
             (self._cost_s(view, context) - saving_s * (view is preferred), i)
-            for i, view in enumerate(few)
+            for i, view in enumerate(sampled)
         ]
-        return few[min(costs)[1]]
+        return sampled[min(costs)[1]]
 
-    def _draw(self, candidates, random_state, context):
+    def _sample(self, candidates, random_state, context):
         near = [e for e in candidates if e.failure_domain == context.failure_domain]
         far = [e for e in candidates if e.failure_domain != context.failure_domain]
-        few = random_state.sample(near, min(NEAR_CHOICES, len(near)))
-        wanted = FAR_CHOICES if near else NEAR_CHOICES
-        return few + random_state.sample(far, min(wanted, len(far)))
+        sampled = random_state.sample(near, min(NEAR_CHOICES, len(near)))
+        far_count = FAR_CHOICES if near else NEAR_CHOICES
+        return sampled + random_state.sample(far, min(far_count, len(far)))
 
-    def _draw_free(self, candidates, random_state, context):
+    def _sample_free(self, candidates, random_state, context):
         """Look further once the first few are full; near saturation few are not."""
         free = [view for view in candidates if view.free_slots(context.now)]
         return random_state.sample(free, min(NEAR_CHOICES, len(free)))
 
-    def _are_slow(self, few, context):
+    def _are_slower_than_mean(self, sampled, context):
         """Learn the usual service time; tell whether all of these are slower."""
-        mean_s = sum(view.service_time_s for view in few) / len(few)
-        if not self.usual_s_:
-            self.usual_s_ = mean_s
-        self.usual_s_ += USUAL_WEIGHT * (mean_s - self.usual_s_)
+        mean_s = sum(view.service_time_s for view in sampled) / len(sampled)
+        if not self.mean_service_time_s_:
+            self.mean_service_time_s_ = mean_s
+        self.mean_service_time_s_ += MEAN_SERVICE_TIME_WEIGHT * (
+            mean_s - self.mean_service_time_s_
+        )
         return all(
-            view.service_time_s > self.usual_s_
+            view.service_time_s > self.mean_service_time_s_
             and round(view.expected_in_flight(context.now)) > 0
-            for view in few
+            for view in sampled
         )
 
     def _cost_s(self, view, context):
@@ -140,10 +144,12 @@
     :param list[EndpointView] candidates: endpoints of any role.
     :rtype: list[EndpointView]
     """
-    return [view for view in candidates if view.role == _endpoint.WHOLE_ROLE]
+    return [
+        view for view in candidates if view.role == _endpoint_view.FULL_REQUEST_ROLE
+    ]
 
 
-def prefer(candidates, prefix):
+def choose_by_prefix(candidates, prefix):
     """Return the candidate that a prefix prefers, by rendezvous hashing.
 
     Each entry finds the same one without a word, and when an endpoint leaves,
--- a/simulations/requests_fakes.py
+++ b/simulations/requests_fakes.py
@@ -135,20 +135,20 @@
 
     state = "warm"
     role_ = "both"
-    serves_whole = True
+    serves_full_requests = True
     in_flight_ = 0
-    foreign_ = 0
+    inherited_ = 0
 
     def limit(self, now):
         """Return the limit."""
         return 1000
 
-    def try_enter(self, now):
+    def try_acquire_slot(self, now):
         """Take a slot."""
         self.in_flight_ += 1
         return True
 
-    def leave_slot(self):
+    def release_slot(self):
         """Give a slot back."""
         self.in_flight_ -= 1
 
--- a/simulations/usage_fleet.py
+++ b/simulations/usage_fleet.py
@@ -28,11 +28,11 @@
     def take(self, message, now):
         """Take a message of the exchange."""
         if isinstance(message, admission.EntryUsage):
-            self.collector.take_entry(message, now)
+            self.collector.record_entry_usage(message, now)
         elif isinstance(message, admission.DomainUsage):
-            self.collector.take_domain(message, now)
+            self.collector.record_domain_usage(message, now)
         else:
-            self.collected.take(message, now)
+            self.collected.record(message, now)
 
 
 class UsageFleet:
@@ -66,7 +66,7 @@
         for node_id, entry in self.by_id.items():
             ids_by_domain[entry.failure_domain].append(node_id)
         return {
-            domain: members.choose(domain, ids, admission.COLLECTORS)
+            domain: members.choose(domain, ids, admission.COLLECTORS_PER_DOMAIN)
             for domain, ids in ids_by_domain.items()
         }
 
@@ -99,9 +99,9 @@
 
     def errors(self, entry):
         """Return by which share of the truth an entry's belief is off."""
-        others = entry.collected.others(self.now)
+        others = entry.collected.remote_counts(self.now)
         return [
-            abs(others.get(account, admission.Count()).in_flight - value) / value
+            abs(others.get(account, admission.RequestCount()).in_flight - value) / value
             for account, value in self.truth(entry).items()
             if value
         ]
--- a/tests/admission/test_collectors.py
+++ b/tests/admission/test_collectors.py
@@ -23,7 +23,7 @@
         for number in random_state.sample(range(ACCOUNTS), ACCOUNTS // 2):
             running = random_state.randint(1, MAX_COUNT)
             waiting = random_state.randint(0, MAX_COUNT)
-            entry.sheet[f"account-{number}"] = admission.Count(
+            entry.sheet[f"account-{number}"] = admission.RequestCount(
                 running, running + waiting
             )
 
@@ -43,7 +43,7 @@
             if entry.node_id not in fleet.dead:
                 self.assertLess(max(fleet.errors(entry)), TOLERATED, entry.node_id)
                 self.assertEqual(
-                    entry.collected.entries_, ENTRIES - len(fleet.dead) - 1
+                    entry.collected.counted_entries_, ENTRIES - len(fleet.dead) - 1
                 )
 
     def test_every_entry_knows_what_its_accounts_have_at_all_others(self):
@@ -91,7 +91,7 @@
             fleet.run(usage_fleet.TICK_S)
             for entry in rest:
                 self.assertLess(max(fleet.errors(entry)), TOLERATED, entry.node_id)
-        self.assertEqual(fleet.by_id[first].collected.others(fleet.now), {})
+        self.assertEqual(fleet.by_id[first].collected.remote_counts(fleet.now), {})
         fleet.cut([])
         fleet.by_id[first].sheet.update(kept)
         fleet.run(support.FEW_SECONDS_S)
--- a/tests/admission/test_fair.py
+++ b/tests/admission/test_fair_queue.py
@@ -64,8 +64,8 @@
             if popped is None:
                 return
             self.served[entry][popped[0]] += 1
-            self.tables[entry].enter(popped[0])
-            self.tables[entry].leave(popped[0], SERVICE_S)
+            self.tables[entry].record_arrival(popped[0])
+            self.tables[entry].record_end(popped[0], SERVICE_S)
 
     def _exchange(self, now, cut_off):
         reports = [table.make_report() for table in self.tables]
@@ -73,8 +73,8 @@
             for sender, report in enumerate(reports):
                 if sender == entry or {sender, entry} & set(cut_off):
                     continue
-                for account, used_s in table.take(report, now).items():
-                    self.queues[entry].record_remote(
+                for account, used_s in table.record_report(report, now).items():
+                    self.queues[entry].record_remote_usage(
                         account, used_s, self.weights[account], SLOTS
                     )
             table.expire(now)
@@ -165,7 +165,7 @@
     def test_silent_entry_expires(self):
         table = admission.UsageTable("entry-0", "inc", expiry_s=3.0)
         report = admission.AccountUsage("entry-1", "inc-1", {"a": 1.0}, {"a": 7})
-        table.take(report, now=0.0)
+        table.record_report(report, now=0.0)
         self.assertEqual(table.expire(2.9), [])
         self.assertEqual(table.remote_in_flight("a"), 7)
         self.assertEqual(table.expire(3.1), ["entry-1"])
--- a/tests/admission/test_gate.py
+++ b/tests/admission/test_gate.py
@@ -16,15 +16,15 @@
 def make_gate(cold=False, in_flight=0):
     """Return a gate that has settled on ``start-1`` at time 1."""
     gate = admission.EndpointGate(WARM, COLD, RAMP_S, SETTLE_S)
-    gate.report_start("start-1", 0.0, cold, in_flight)
-    gate.report_start("start-1", 1.0, cold, in_flight)
+    gate.record_report("start-1", 0.0, cold, in_flight)
+    gate.record_report("start-1", 1.0, cold, in_flight)
     return gate
 
 
 def fill(gate, now):
     """Take every slot that the gate gives; return how many."""
     taken = 0
-    while gate.try_enter(now):
+    while gate.try_acquire_slot(now):
         taken += 1
     return taken
 
@@ -32,9 +32,9 @@
 def serve(gate, now, first_byte_s=USUAL_S, count=1):
     """Run attempts one after the other that end well."""
     for _ in range(count):
-        if gate.try_enter(now):
+        if gate.try_acquire_slot(now):
             gate.record_answer(first_byte_s, now)
-            gate.leave_slot()
+            gate.release_slot()
 
 
 class GateTest(unittest.TestCase):
@@ -44,28 +44,30 @@
     def test_fresh_gate_is_shut_until_the_endpoint_has_spoken(self):
         gate = admission.EndpointGate(WARM, COLD, RAMP_S, SETTLE_S)
         self.assertEqual(fill(gate, 0.0), 0)
-        gate.report_start("start-1", 0.0, False, in_flight=9)
+        gate.record_report("start-1", 0.0, False, in_flight=9)
         self.assertEqual(fill(gate, 0.1), 0)
-        gate.report_start("start-1", SETTLE_S, False, in_flight=7)
+        gate.record_report("start-1", SETTLE_S, False, in_flight=7)
         self.assertEqual(fill(gate, SETTLE_S), WARM - 9)
 
     def test_attempts_from_before_are_counted_until_they_end(self):
         gate = make_gate(in_flight=WARM)
         self.assertEqual(fill(gate, 1.0), 0)
         for now, left in ((1.3, 10), (1.6, 4), (1.9, 12), (2.2, 0)):
-            gate.report_start("start-1", now, False, left)
-        self.assertEqual(gate.foreign_, 0)
+            gate.record_report("start-1", now, False, left)
+        self.assertEqual(gate.inherited_, 0)
         self.assertEqual(fill(gate, 2.3), WARM)
 
     def test_every_sign_of_a_cold_endpoint_brings_it_down_at_once(self):
         signs = {
-            "new start id in a report": lambda g: g.report_start("start-2", 50.0, True),
-            "report without cold flag": lambda g: g.report_start(
+            "new start id in a report": lambda g: g.record_report(
+                "start-2", 50.0, True
+            ),
+            "report without cold flag": lambda g: g.record_report(
                 "start-2", 50.0, False
             ),
-            "start id on an answer": lambda g: g.confirm_start("start-2", 50.0),
-            "cold again, same start": lambda g: g.report_start("start-1", 50.0, True),
-            "connection ended": lambda g: g.doubt(50.0),
+            "start id on an answer": lambda g: g.check_start_id("start-2", 50.0),
+            "cold again, same start": lambda g: g.record_report("start-1", 50.0, True),
+            "connection ended": lambda g: g.revoke_trust(50.0),
             "errors in a row": lambda g: [g.record_error(50.0) for _ in range(2)],
             "slow first bytes": lambda g: [
                 g.record_answer(USUAL_S * 4, 50.0) for _ in range(5)
@@ -81,16 +83,16 @@
 
     def test_doubt_ends_only_with_a_report_asked_for_afterwards(self):
         gate = make_gate()
-        gate.doubt(10.0)
-        gate.report_start("start-1", 10.1, False, asked_at=9.9)
+        gate.revoke_trust(10.0)
+        gate.record_report("start-1", 10.1, False, requested_at=9.9)
         self.assertEqual(gate.limit(10.1), COLD)
-        gate.report_start("start-1", 10.2, False, asked_at=10.1)
+        gate.record_report("start-1", 10.2, False, requested_at=10.1)
         self.assertEqual(gate.limit(10.2), WARM)
 
     def test_ramp_waits_for_time_and_for_good_answers(self):
         gate = make_gate(cold=True)
         self.assertEqual(gate.limit(100.0), COLD)
-        gate.report_start("start-1", 100.0, False)
+        gate.record_report("start-1", 100.0, False)
         self.assertEqual(gate.limit(100.0 + RAMP_S), COLD)
         serve(gate, 100.0 + RAMP_S / 2, count=WARM)
         self.assertEqual(gate.limit(100.0 + RAMP_S / 2), COLD + (WARM - COLD) // 2)
@@ -101,8 +103,8 @@
         times = []
         now = 10.0
         for number in range(2, 6):
-            gate.report_start(f"start-{number}", now, False)
-            gate.report_start(f"start-{number}", now + 0.1, False)
+            gate.record_report(f"start-{number}", now, False)
+            gate.record_report(f"start-{number}", now + 0.1, False)
             began = now
             while gate.limit(now) < WARM:
                 now += 0.1
@@ -117,20 +119,20 @@
             with self.subTest(role):
                 gate.set_role(role)
                 self.assertEqual(gate.limit(10.0), expected)
-        gate.doubt(20.0)
+        gate.revoke_trust(20.0)
         self.assertEqual(gate.limit(20.0), COLD)
         gate.set_role("prefill")
         self.assertEqual(gate.limit(20.0), 0)
 
     def test_return_from_out_begins_at_the_cold_limit(self):
         gate = make_gate()
-        gate.set_out(True, 5.0)
+        gate.set_drained(True, 5.0)
         self.assertEqual(gate.limit(5.0), 0)
-        gate.set_out(False, 9.0)
+        gate.set_drained(False, 9.0)
         self.assertEqual(gate.limit(9.0), COLD)
         fresh = admission.EndpointGate(WARM, COLD, RAMP_S, SETTLE_S)
-        fresh.set_out(True, 0.0)
-        fresh.set_out(False, 1.0)
+        fresh.set_drained(True, 0.0)
+        fresh.set_drained(False, 1.0)
         self.assertEqual(fresh.limit(1.0), 0)
 
 
@@ -153,7 +155,7 @@
         for _ in range(20):
             health.record_answer(0.05)
         self.assertTrue([health.record_answer(0.5) for _ in range(5)][-1])
-        health.suspect(0.0)
+        health.reset_after_suspicion(0.0)
         health.advance(59.0)
         self.assertTrue(health.is_slow(0.5))
         health.advance(61.0)
--- a/tests/agent/test_load_news.py
+++ b/tests/agent/test_load_news.py
@@ -53,7 +53,7 @@
     def __init__(self):
         self.gate = admission.EndpointGate(LIMIT, 2, 1.0, 0.0)
         for now in (0.0, 1.0):
-            self.gate.report_start("start-1", now, False, 0)
+            self.gate.record_report("start-1", now, False, 0)
         self.news = _load_news.LoadNews(
             self._load, lambda entry: len(entry.places), MAX_REPORTS_PER_S
         )
--- a/tests/entry/test_usage_exchange.py
+++ b/tests/entry/test_usage_exchange.py
@@ -112,9 +112,9 @@
         network = Network(count)
         network.start()
         for exchange in network.by_id.values():
-            exchange.table.enter("guild")
-            exchange.table.start("guild")
-            exchange.table.enter("guild")
+            exchange.table.record_arrival("guild")
+            exchange.table.record_start("guild")
+            exchange.table.record_arrival("guild")
         try:
             await case(network)
         finally:
@@ -163,12 +163,12 @@
     def test_an_account_that_comes_and_goes_is_known_between_its_requests(self):
         async def case(network):
             own = network.by_id["entry-1"].table
-            own.leave("guild", 0.0)
-            own.leave("guild", 0.0)
-            own.stop("guild")
+            own.record_end("guild", 0.0)
+            own.record_end("guild", 0.0)
+            own.record_stop("guild")
             for _ in range(10):
-                own.enter("guild")
-                own.leave("guild", 0.01)
+                own.record_arrival("guild")
+                own.record_end("guild", 0.01)
                 await asyncio.sleep(1.0)
             others = network.by_id["entry-1"].others_in_flight("guild")
             self.assertEqual(others, 2 * (LARGE - 1))
--- a/tests/gateway/test_store_copies.py
+++ b/tests/gateway/test_store_copies.py
@@ -73,9 +73,9 @@
     async def test_proof_waits_until_what_the_copy_lacked_may_be_written_again(self):
         copy = self.store.make_copy()
         await self.come_back(copy)
-        proved_at = self.gateway.freshness.proved_at_
+        proved_at = self.gateway.freshness.confirmed_at_
         await asyncio.sleep(_feed.SETTLE_S / 2)
-        self.assertEqual(self.gateway.freshness.proved_at_, proved_at)
+        self.assertEqual(self.gateway.freshness.confirmed_at_, proved_at)
 
     async def test_domain_taken_out_stays_out_until_it_may_be_written_again(self):
         copy = self.store.make_copy()
--- a/tests/ranks/group_stand_in.py
+++ b/tests/ranks/group_stand_in.py
@@ -4,7 +4,7 @@
 
 from sequoiagap import ranks, routes
 
-TERMS = routes.EngineTerms(
+TERMS = routes.EngineProfile(
     slots=6,
     layers=1,
     experts=6,
--- a/tests/ranks/test_thin_link.py
+++ b/tests/ranks/test_thin_link.py
@@ -43,7 +43,7 @@
             for _ in range(layers)
         )
         self.group = group_stand_in.GroupStandIn(first, experts)
-        self.terms = routes.EngineTerms(
+        self.terms = routes.EngineProfile(
             slots=5,
             layers=layers,
             experts=experts,
--- a/tests/routing/test_policies.py
+++ b/tests/routing/test_policies.py
@@ -63,7 +63,7 @@
                 self.assertEqual(
                     set(count_choices(able, context, policy)), {"endpoint-0"}
                 )
-        views[1].take_report(wire.Load("warm", 0, 16, role="both"), NOW)
+        views[1].record_report(wire.Load("warm", 0, 16, role="both"), NOW)
         self.assertEqual(len(routing.filter_by_role(views)), 2)
 
     def test_entries_agree_on_a_prefix_until_its_endpoint_is_loaded(self):
@@ -75,17 +75,17 @@
         chosen = [set(count_choices(views, context)) for context in contexts]
         self.assertEqual(chosen[0], chosen[1])
         self.assertEqual(len(chosen[0]), 1)
-        preferred = routing.prefer(views, contexts[0].prefix)
+        preferred = routing.choose_by_prefix(views, contexts[0].prefix)
         preferred.own_in_flight = 16
         self.assertNotIn(preferred.endpoint_id, count_choices(views, contexts[0]))
 
     def test_only_the_prefixes_of_a_lost_endpoint_move(self):
         views = [make_view(i) for i in range(12)]
-        before = {p: routing.prefer(views, p) for p in range(1, 500)}
+        before = {p: routing.choose_by_prefix(views, p) for p in range(1, 500)}
         left = views[1:]
         for prefix, view in before.items():
             if view is not views[0]:
-                self.assertIs(routing.prefer(left, prefix), view)
+                self.assertIs(routing.choose_by_prefix(left, prefix), view)
 
     def test_entries_do_not_rush_one_idle_endpoint(self):
         """Twenty entries see the same idle endpoint among busy ones."""
@@ -109,7 +109,7 @@
     def test_old_reports_of_others_count_less_and_own_attempts_always(self):
         view = make_view(0, own_in_flight=4)
         load = wire.Load("warm", in_flight=16, limit=16, service_time_s=0.2)
-        view.take_report(load, NOW)
+        view.record_report(load, NOW)
         self.assertEqual(view.free_slots(NOW), 0)
         self.assertEqual(view.free_slots(NOW + 60.0), 12)
         self.assertGreater(view.expected_wait_s(NOW), view.expected_wait_s(NOW + 1.0))
