--- a/libs/experts/src/sequoiagap/experts/__init__.py
+++ b/libs/experts/src/sequoiagap/experts/__init__.py
@@ -1,4 +1,4 @@
-"""Expert maps of rank groups: planning, bounds and the change of map."""
+"""Expert maps of rank groups: planning, lower bounds and the map change protocol."""
 
 from sequoiagap.experts._bound import layer_bound, rank_times, step_skew
 from sequoiagap.experts._bounded_plan import (
--- a/libs/experts/src/sequoiagap/experts/_bound.py
+++ b/libs/experts/src/sequoiagap/experts/_bound.py
@@ -1,4 +1,4 @@
-"""Times of the ranks under a map, and the least that any map could reach."""
+"""Rank times under an expert map, and a lower bound over all maps."""
 
 import math
 
@@ -10,10 +10,11 @@
 
     The load of an expert is split evenly among its replicas.
 
-    :param tuple row: expert ids of the layer, rank after rank.
+    :param tuple row: expert ids of the layer, rank by rank.
     :param list loads: load of each expert.
-    :param list speeds: speed of each rank.
-    :param int slots: slots of a rank.
+    :param list speeds: relative speed of each rank.
+    :param int slots: slots per rank.
+    :returns: load divided by speed for each rank.
     :rtype: list[float]
 
     >>> rank_times((0, 1, 2, 0), [2.0, 1.0, 3.0], [1.0, 0.5], 2)
@@ -33,12 +34,12 @@
 def layer_bound(loads, speeds, slots):
     """Return a lower bound of the longest rank time over all placements.
 
-    It is the larger of the time of an even spread by speed and the least time
-    for which the replicas that it needs fit into the slots.
+    The bound is the larger of two times: that of a load split in proportion to the
+    speeds, and the shortest one for which the required replicas fit into the slots.
 
     :param list loads: load of each expert.
-    :param list speeds: speed of each rank.
-    :param int slots: slots of a rank.
+    :param list speeds: relative speed of each rank.
+    :param int slots: slots per rank.
     :rtype: float
 
     >>> round(layer_bound([9.0, 1.0, 1.0, 1.0], [1.0, 1.0], 2), 6)
@@ -60,9 +61,9 @@
 
 
 def step_skew(times_by_layer):
-    """Return the skew of a step: longest over mean rank time, summed over layers.
+    """Return the ratio of longest to mean rank time, both summed over the layers.
 
-    :param list times_by_layer: times of the ranks, layer by layer.
+    :param list times_by_layer: time of each rank, layer by layer.
     :rtype: float
 
     >>> step_skew([[1.0, 3.0]])
--- a/libs/experts/src/sequoiagap/experts/_bounded_plan.py
+++ b/libs/experts/src/sequoiagap/experts/_bounded_plan.py
@@ -1,27 +1,28 @@
-"""Small, frequent improvements of a placement, priced by copy.
-
-Engines that take a new map while they run, but only a few new experts a rank at a
-time, are best led to a good placement in steps. The load that it answers: demand that
-shifts every few seconds, where a copy costs memory bandwidth and a slow rank every
-pass. Places may be empty; replicas share an expert's load evenly. A rank that is slow
-takes longer for the same work, so it is given less.
+"""Incremental planning of expert placements with a bounded number of copies.
+
+Some engines accept a new map while they run, but only a few new experts per rank in
+each change, so a good placement has to be reached in small steps. The planner is
+meant for demand that shifts every few seconds, where a copy costs memory bandwidth
+once and an overloaded rank slows every pass. Slots may be empty, and replicas share
+an expert's load evenly. A slow rank takes longer for the same work and therefore gets
+less of it.
 """
 
 import dataclasses
 
-MAX_EDITS = 64  # of one layer and plan
-MAX_RECEIVERS = 5  # least loaded ranks that an expert may be given to
-MIN_GAIN_RATIO = 1e-4  # share of the longest time below which an edit is none
-FREE_EDIT_COST_COPIES = 0.25  # of a copy: an edit that copies nothing is nearly free
+MAX_EDITS = 64  # per layer and plan
+MAX_RECEIVERS = 5  # least loaded ranks that are considered for an expert
+MIN_GAIN_RATIO = 1e-4  # smallest useful gain, as a share of the longest rank time
+FREE_EDIT_COST_COPIES = 0.25  # cost in copies of an edit that copies nothing
 
 
 @dataclasses.dataclass(frozen=True)
 class Holdings:
-    """Which experts each rank holds.
+    """Placement in which ranks may have empty slots.
 
-    :param int experts: experts in a layer.
-    :param int slots: experts that a rank holds of a layer at most.
-    :param tuple layers: for each layer a tuple of each rank's tuple of expert ids.
+    :param int experts: number of experts in a layer.
+    :param int slots: maximum number of experts that a rank holds in a layer.
+    :param tuple layers: tuple of expert ids per rank, for each layer.
     """
 
     experts: int
@@ -36,16 +37,19 @@
 
 @dataclasses.dataclass(frozen=True)
 class PlanLimits:
-    """What a plan may do and what it has to bring.
+    """Limits of a plan and the cost model by which edits are accepted.
 
-    :param int new_per_rank: experts new to a rank and layer at most; 0 for no bound.
-    :param int copies_per_rank: experts new to a rank over all layers at most; 0 for no
-        bound. Ranks copy one expert after the other, so this bounds the time until a
-        plan is of use.
+    :param int new_per_rank: maximum number of experts new to a rank in one layer; 0 for
+        no limit.
+    :param int copies_per_rank: maximum number of experts new to a rank over all layers;
+        0 for no limit. Ranks copy experts one after the other, so this bounds the time
+        until a plan takes effect.
     :param float copy_s: time that a copy has to save, in seconds.
-    :param float horizon_s: how long the placement is expected to be of use.
-    :param float expert_share: share of a pass that goes to experts.
-    :param float target_skew: skew of a layer that is good enough.
+    :param float horizon_s: time for which the placement is expected to be used, in
+        seconds.
+    :param float expert_share: share of a pass that is spent in experts, 0 to 1.
+    :param float target_skew: ratio of longest to even rank time at which a layer is not
+        improved further.
     """
 
     new_per_rank: int = 0
@@ -58,10 +62,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class Edit:
-    """One change of a layer.
+    """One change of a layer's placement.
 
-    :param tuple adds: pairs of rank and expert to hold from now on.
-    :param tuple drops: pairs of rank and expert to hold no longer.
+    :param tuple adds: pairs of rank and expert that the rank adds.
+    :param tuple drops: pairs of rank and expert that the rank drops.
     """
 
     adds: tuple = ()
@@ -70,11 +74,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Proposal:
-    """An edit with what it brings.
+    """An edit with its gain and its cost.
 
     :param Edit edit: the change.
-    :param float gain: by how much the longest rank time falls.
-    :param int copies: experts that have to be copied for it.
+    :param float gain: decrease of the longest rank time, in units of load.
+    :param int copies: number of experts that have to be copied.
     """
 
     edit: Edit
@@ -83,7 +87,7 @@
 
 
 class _LayerPlan:
-    """One layer under way."""
+    """Placement of one layer while it is being edited."""
 
     def __init__(self, held, loads, costs, limits, slots, new_by_rank):
         self.loads = loads
@@ -104,7 +108,7 @@
         return self.loads[expert] / len(self.holders[expert])
 
     def find_edit(self):
-        """Return the edit for the slowest rank that gains most for its copies.
+        """Return the edit for the slowest rank with the largest gain per copy.
 
         :rtype: Proposal | None
         """
@@ -124,7 +128,7 @@
         return best
 
     def is_allowed(self, edit):
-        """Return whether the ranks may still take the copies of an edit."""
+        """Return whether the limits still permit the copies of an edit."""
         return all(self._can_add(rank, expert) for rank, expert in edit.adds)
 
     def apply(self, edit):
@@ -143,7 +147,7 @@
             self.times[rank] = self._time(rank)
 
     def rows(self):
-        """Return each rank's experts, those that it kept first in their old order."""
+        """Return the experts of each rank, sorted by id."""
         return tuple(tuple(sorted(experts)) for experts in self.held)
 
     def _time(self, rank):
@@ -166,7 +170,7 @@
                     break
 
     def _additions(self, slowest, rank, expert):
-        """Yield edits that give an expert of the slowest rank to another rank."""
+        """Yield edits that place an expert of the slowest rank on another rank."""
         if len(self.held[rank]) < self.slots:
             yield Edit(adds=((rank, expert),))
             yield Edit(adds=((rank, expert),), drops=((slowest, expert),))
@@ -182,7 +186,7 @@
                 )
 
     def _can_swap(self, slowest, expert, other):
-        """Return whether the slowest rank may take a lighter expert for one it has."""
+        """Return whether the slowest rank may exchange an expert for a lighter one."""
         is_lighter = self.share(other) < self.share(expert)
         is_new = other not in self.held[slowest]
         return is_lighter and is_new and self._can_add(slowest, other)
@@ -198,7 +202,7 @@
         return len(self.held[rank] - self.old[rank]) < limits.new_per_rank
 
     def _longest_time_after(self, edit, slowest):
-        """Return the longest time of the ranks that an edit touches."""
+        """Return the longest time, after an edit, of the ranks that it affects."""
         count_by_expert = {}
         for _, expert in edit.adds:
             count_by_expert[expert] = count_by_expert.get(expert, 0) + 1
@@ -229,20 +233,21 @@
 
 
 def plan_bounded(current, loads, limits, costs=None):
-    """Plan the next placement.
+    """Plan the next placement within the limits of one change.
 
-    :param Holdings current: the placement in use.
+    :param Holdings current: placement in use.
     :param list loads: predicted share of each expert, layer by layer.
-    :param Pace limits: what the plan may do and has to bring.
-    :param tuple costs: time of each rank for the same work, 1 for a usual one; all
-        alike if not given.
-    :returns: a generator that yields between short pieces of work and returns the
-        new :class:`Holdings` and the number of copies.
+    :param PlanLimits limits: limits and cost model of the plan.
+    :param tuple costs: relative time of each rank for the same work, 1 for a typical
+        rank; 1 for all ranks by default.
+    :returns: generator that yields between short pieces of work and returns the new
+        :class:`Holdings` and the number of copies.
     :rtype: collections.abc.Generator
 
     >>> from sequoiagap.experts import _policies
     >>> current = Holdings(3, 2, (((0, 1), (2,)),))
-    >>> planned, copies = _policies.finish(plan_bounded(current, [[4, 1, 1]], PlanLimits()))
+    >>> plan = plan_bounded(current, [[4, 1, 1]], PlanLimits())
+    >>> planned, copies = _policies.finish(plan)
     >>> planned.layers, copies
     ((((0, 1), (0, 2)),), 1)
     """
@@ -279,7 +284,7 @@
 
 
 def _find_best_layer(proposals):
-    """Return the layer whose proposal gains most for its copies, or ``None``."""
+    """Return the layer whose proposal has the largest gain per copy, or ``None``."""
     value_by_layer = {
         number: proposal.gain / (proposal.copies or FREE_EDIT_COST_COPIES)
         for number, proposal in proposals.items()
@@ -289,11 +294,12 @@
 
 
 def holdings_skew(holdings, loads, costs=None):
-    """Return longest over even rank time, summed over the layers.
+    """Return the ratio of longest to even rank time, both summed over the layers.
 
     :param Holdings holdings: the placement.
     :param list loads: load of each expert, layer by layer.
-    :param tuple costs: time of each rank for the same work; all alike if not given.
+    :param tuple costs: relative time of each rank for the same work; 1 for all ranks by
+        default.
     :rtype: float
 
     >>> holdings_skew(Holdings(2, 1, (((0,), (1,)),)), [[3, 1]])
@@ -312,7 +318,7 @@
 
 
 def _even_time(loads, costs):
-    """Return the time that each rank would take if all took the same."""
+    """Return the rank time of a perfectly balanced layer."""
     return sum(loads) / sum(1.0 / cost for cost in costs)
 
 
--- a/libs/experts/src/sequoiagap/experts/_load.py
+++ b/libs/experts/src/sequoiagap/experts/_load.py
@@ -1,26 +1,26 @@
-"""Expert loads and rank speeds, learnt from reports that lag and have gaps."""
+"""Estimators of expert loads and rank speeds from late and incomplete reports."""
 
 from sequoiagap import base
 
 DEFAULT_HALF_LIVES = (0.2, 1.0, 8.0)  # in reports
-ERROR_DECAY = 0.8  # share of the old error that is kept at each report
-TIE_RATIO = 1.1  # errors this close are equal: the shortest half-life is taken
-SPEED_WEIGHT = 0.3
-SPEED_DEAD_BAND = 0.05  # speeds this close to the median count as equal
+ERROR_DECAY = 0.8  # factor applied to the accumulated error at each report
+TIE_RATIO = 1.1  # ratio of errors that counts as a tie; the shortest half-life wins
+SPEED_WEIGHT = 0.3  # weight of a new sample in the moving average
+SPEED_DEAD_BAND = 0.05  # deviation from the median below which speeds count as equal
 
 
 class LoadEstimator:
     """Predicts the load of each expert from counts of past intervals.
 
-    It keeps one moving average for each half-life and predicts, layer by layer,
-    with the one whose recent predictions were nearest to what came: a short one
-    follows a sudden shift, a long one is not led astray by an oscillation.
+    Keeps one exponential moving average for each half-life and predicts, layer by
+    layer, with the average whose recent predictions had the smallest error. A short
+    half-life follows a sudden shift; a long one averages out an oscillation.
 
-    :param int layers: layers with experts.
-    :param int experts: experts in a layer.
+    :param int layers: number of layers with experts.
+    :param int experts: number of experts in a layer.
     :param tuple half_lives: half-lives of the averages, in reports.
 
-    :ivar int reports_: reports taken so far.
+    :ivar int reports_: number of reports so far.
 
     >>> estimator = LoadEstimator(layers=1, experts=2)
     >>> estimator.update({0: [30, 10]})
@@ -40,9 +40,9 @@
         self._totals = [0.0] * layers
 
     def update(self, counts_by_layer):
-        """Take the counts of an interval; a missing layer keeps its estimate.
+        """Record the counts of an interval; a missing layer keeps its estimate.
 
-        :param dict counts_by_layer: for each layer the tokens of each expert.
+        :param dict counts_by_layer: tokens of each expert by layer.
         """
         for layer, counts in counts_by_layer.items():
             total = sum(counts)
@@ -52,10 +52,10 @@
         self.reports_ += 1
 
     def effective_tokens(self):
-        """Return how many counted tokens each prediction is worth, layer by layer.
+        """Return the effective sample size of each layer's prediction, in tokens.
 
-        An average over reports is worth the tokens of more than one of them, so
-        that its sampling noise is smaller.
+        An average over several reports has less sampling noise than one report, so
+        its effective sample size exceeds the tokens of one report.
 
         :rtype: list[float]
         """
@@ -97,11 +97,11 @@
 
 
 class SpeedEstimator:
-    """Learns how fast each rank is from its load and its time.
+    """Estimates the relative speed of each rank from its load and its busy time.
 
-    :param int ranks: ranks of the group.
+    :param int ranks: number of ranks in the group.
 
-    :ivar list speeds_: speed of each rank; the median rank has 1.
+    :ivar list speeds_: speed of each rank relative to the median rank.
 
     >>> estimator = SpeedEstimator(ranks=3)
     >>> estimator.update([1.0, 1.0, 1.0], [1.0, 1.0, 2.0])
@@ -115,10 +115,10 @@
         self._averages = [1.0] * ranks
 
     def update(self, loads, times_s):
-        """Take the load and the busy time of each rank in an interval.
+        """Record the load and the busy time of each rank in an interval.
 
         :param list loads: load of each rank.
-        :param list times_s: time that each rank computed, in seconds.
+        :param list times_s: busy time of each rank, in seconds.
         """
         if any(t <= 0 or load <= 0 for t, load in zip(times_s, loads, strict=True)):
             return
--- a/libs/experts/src/sequoiagap/experts/_messages.py
+++ b/libs/experts/src/sequoiagap/experts/_messages.py
@@ -1,4 +1,4 @@
-"""Messages between the agents of a group."""
+"""Wire messages of the map change protocol between the agents of a group."""
 
 import dataclasses
 
@@ -7,11 +7,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class MapRef:
-    """Names an expert map and the step from which it holds.
+    """Reference to an expert map and the step at which it takes effect.
 
-    :param int version: number of the map within its group; 0 is no map.
-    :param str digest: digest of its content.
-    :param int at_step: first step that uses it.
+    :param int version: version of the map within its group; 0 means no map.
+    :param str digest: digest of the map's content.
+    :param int at_step: first step that uses the map.
 
     >>> MapRef.from_wire(MapRef(2, "d", 40).to_wire()).version
     2
@@ -22,7 +22,7 @@
     at_step: int = 0
 
     def to_wire(self):
-        """Return the fields as a list for a message.
+        """Return the fields as a list, as they are sent in a message.
 
         :rtype: list
         """
@@ -30,9 +30,9 @@
 
     @classmethod
     def from_wire(cls, values):
-        """Return the reference of a message's list.
+        """Return the reference that a message carries.
 
-        :param list values: what :meth:`to_wire` made.
+        :param list values: list made by :meth:`to_wire`.
         :rtype: MapRef
         """
         return cls(int(values[0]), str(values[1]), int(values[2]))
@@ -43,11 +43,11 @@
 
 @wire.message(400)
 class Join:
-    """A fresh incarnation of a rank asks a peer what it knows.
+    """Request of a new incarnation of a rank for a peer's protocol state.
 
     :param str group: the group.
     :param int rank: rank of the sender.
-    :param str incarnation: its fresh incarnation.
+    :param str incarnation: new incarnation of the sender.
     """
 
     group: str
@@ -57,14 +57,14 @@
 
 @wire.message(401)
 class Joined:
-    """Answer to :class:`Join`: rounds with the old incarnation end here.
+    """Reply to :class:`Join`; the sender refuses rounds with the old incarnation.
 
     :param str group: the group.
     :param int rank: rank of the sender.
     :param str incarnation: incarnation of the sender.
-    :param str joiner: incarnation that asked.
+    :param str joiner: incarnation that sent the request.
     :param int promised: highest epoch that the sender has promised.
-    :param list previous: map before the committed one, see :class:`MapRef`.
+    :param list previous: map before the committed one, see :meth:`MapRef.to_wire`.
     :param list committed: the committed map.
     """
 
@@ -79,13 +79,13 @@
 
 @wire.message(402)
 class Prepare:
-    """A proposer opens a round.
+    """Request of a proposer to promise a round; phase 1 of the protocol.
 
     :param str group: the group.
     :param int rank: rank of the proposer.
     :param int epoch: number of the round.
-    :param str membership: digest of the ranks' incarnations that the proposer counts
-        on, see :meth:`RankState.membership`.
+    :param str membership: digest of the ranks' incarnations on which the round is
+        based, see :meth:`RankState.membership`.
     """
 
     group: str
@@ -96,14 +96,14 @@
 
 @wire.message(403)
 class Promise:
-    """Answer to :class:`Prepare`.
+    """Reply to :class:`Prepare`.
 
     :param str group: the group.
     :param int rank: rank of the sender.
-    :param int epoch: the round that is answered.
-    :param bool accepted: whether the round may go on here.
+    :param int epoch: round that this replies to.
+    :param bool accepted: whether the sender promises the round.
     :param int promised: highest epoch that the sender has promised.
-    :param int armed_epoch: round that armed a map here; 0 for none.
+    :param int armed_epoch: round that armed a map at the sender; 0 for none.
     :param list armed: the armed map.
     :param list previous: map before the committed one.
     :param list committed: the committed map.
@@ -126,11 +126,11 @@
 
 @wire.message(404)
 class Arm:
-    """The proposer asks each rank to hold at a step until it is told.
+    """Request of the proposer to hold at the target's step until the round ends.
 
     :param str group: the group.
     :param int rank: rank of the proposer.
-    :param int epoch: the round.
+    :param int epoch: number of the round.
     :param str membership: as in :class:`Prepare`.
     :param list target: the map to arm.
     """
@@ -144,11 +144,11 @@
 
 @wire.message(405)
 class Armed:
-    """Answer to :class:`Arm`.
+    """Reply to :class:`Arm`.
 
     :param str group: the group.
     :param int rank: rank of the sender.
-    :param int epoch: the round that is answered.
+    :param int epoch: round that this replies to.
     :param bool accepted: whether the map is armed.
     """
 
@@ -160,13 +160,14 @@
 
 @wire.message(406)
 class Settle:
-    """The proposer ends a round.
+    """Decision of the proposer that ends a round.
 
     :param str group: the group.
     :param int rank: rank of the proposer.
-    :param int epoch: the round.
+    :param int epoch: number of the round.
     :param str membership: as in :class:`Prepare`.
-    :param bool commit: whether the target is committed, or what is armed dropped.
+    :param bool commit: whether the target is committed; otherwise the armed map is
+        dropped.
     :param list target: the committed map.
     :param list previous: the map before it.
     """
@@ -182,12 +183,12 @@
 
 @wire.message(407)
 class Settled:
-    """Answer to :class:`Settle`.
+    """Reply to :class:`Settle`.
 
     :param str group: the group.
     :param int rank: rank of the sender.
-    :param int epoch: the round that is answered.
-    :param bool accepted: whether it was carried out.
+    :param int epoch: round that this replies to.
+    :param bool accepted: whether the sender applied the decision.
     """
 
     group: str
@@ -198,12 +199,12 @@
 
 @wire.message(410)
 class Stage:
-    """Ask a rank to load the weights of a map in the background.
+    """Request to load the weights of a map in the background.
 
     :param str group: the group.
     :param str digest: digest of the map.
-    :param list shape: layers, ranks, experts and slots.
-    :param bytes content: the map.
+    :param list shape: numbers of layers, ranks, experts and slots.
+    :param bytes content: the map, see :meth:`ExpertMap.to_bytes`.
     """
 
     group: str
@@ -214,13 +215,13 @@
 
 @wire.message(411)
 class Staged:
-    """Answer to :class:`Stage`.
+    """Reply to :class:`Stage`.
 
     :param str group: the group.
     :param int rank: rank of the sender.
     :param str digest: digest of the map.
     :param bool ready: whether the weights are staged.
-    :param str error: why they are not.
+    :param str error: reason why they are not; empty if they are.
     """
 
     group: str
@@ -232,7 +233,7 @@
 
 @wire.message(412)
 class MapRequest:
-    """Ask a peer for the content of a map.
+    """Request for the content of a map.
 
     :param str group: the group.
     :param int rank: rank of the sender.
@@ -246,12 +247,12 @@
 
 @wire.message(413)
 class MapBody:
-    """Answer to :class:`MapRequest`; not sent where the map is unknown.
+    """Reply to :class:`MapRequest`; not sent if the peer does not have the map.
 
     :param str group: the group.
     :param str digest: digest of the map.
-    :param list shape: layers, ranks, experts and slots.
-    :param bytes content: the map.
+    :param list shape: numbers of layers, ranks, experts and slots.
+    :param bytes content: the map, see :meth:`ExpertMap.to_bytes`.
     """
 
     group: str
@@ -262,16 +263,16 @@
 
 @wire.message(414)
 class RankReport:
-    """What a rank did so far.
+    """Cumulative load counters of a rank.
 
     :param str group: the group.
     :param int rank: rank of the sender.
-    :param str start_id: start of the engine that counts.
+    :param str start_id: id of the engine start since which the counters run.
     :param int step: next step of the engine.
-    :param int map_version: map that the counts belong to.
-    :param float busy_s: time that the rank has computed.
-    :param list counts: tokens of each of its slots, layer after layer, since the
-        engine uses this map.
+    :param int map_version: version of the map that the counts belong to.
+    :param float busy_s: total computing time of the rank, in seconds.
+    :param list counts: tokens routed to each slot of the rank, layer by layer, since
+        the engine began to use this map.
     """
 
     group: str
@@ -285,7 +286,7 @@
 
 @wire.message(415)
 class ReportRequest:
-    """The leading rank asks a peer for its report, and so shows that it leads.
+    """Request of the leading rank for a report; doubles as the leader's heartbeat.
 
     :param str group: the group.
     :param int rank: rank of the sender.
--- a/libs/experts/src/sequoiagap/experts/_placement.py
+++ b/libs/experts/src/sequoiagap/experts/_placement.py
@@ -1,4 +1,4 @@
-"""Expert maps: which expert each slot of each rank holds, layer by layer."""
+"""Expert maps: the expert in each slot of each rank, layer by layer."""
 
 import array
 import dataclasses
@@ -10,19 +10,19 @@
 
 
 class ExpertMapError(base.SequoiagapError):
-    """A placement that no group could run."""
+    """An expert map is invalid for the shape of its group."""
 
 
 @dataclasses.dataclass(frozen=True)
 class MapShape:
     """Dimensions of the expert maps of a group.
 
-    :param int layers: layers with experts.
-    :param int ranks: ranks of the group.
-    :param int experts: experts in a layer.
-    :param int slots: experts that a rank holds in a layer, replicas included.
-    :raises ValueError: if the slots can't hold every expert once, or if a rank
-        would have to hold an expert twice.
+    :param int layers: number of layers with experts.
+    :param int ranks: number of ranks in the group.
+    :param int experts: number of experts in a layer.
+    :param int slots: experts that a rank holds in a layer, including replicas.
+    :raises ValueError: if the slots cannot hold every expert once, or if a rank would
+        have to hold an expert twice.
     """
 
     layers: int
@@ -40,18 +40,18 @@
 
     @property
     def spare_slots(self):
-        """Slots of a layer beyond one for each expert."""
+        """Number of slots of a layer beyond one per expert."""
         return self.ranks * self.slots - self.experts
 
 
 @dataclasses.dataclass(frozen=True)
 class ExpertMap:
-    """A placement of experts.
+    """Placement of experts in the slots of a group's ranks.
 
-    :param MapShape shape: its dimensions.
-    :param tuple rows: for each layer a tuple of expert ids, rank after rank,
-        ``slots`` ids for each rank.
-    :raises ExpertMapError: if an expert is missing, stands twice on a rank, or
+    :param MapShape shape: dimensions of the map.
+    :param tuple rows: tuple of expert ids for each layer, rank by rank, with ``slots``
+        ids per rank.
+    :raises ExpertMapError: if an expert is missing, a rank holds an expert twice, or
         the dimensions are wrong.
 
     >>> shape = MapShape(layers=1, ranks=2, experts=3, slots=2)
@@ -73,7 +73,7 @@
 
     @property
     def digest(self):
-        """Short hash of the content."""
+        """Truncated SHA-256 digest of the shape and the content."""
         hashed = hashlib.sha256(repr(self.shape).encode() + self.to_bytes())
         return hashed.hexdigest()[:DIGEST_CHARACTERS]
 
@@ -97,12 +97,12 @@
 
     @classmethod
     def from_bytes(cls, shape, content):
-        """Return the map of a content.
+        """Return the map that a byte string encodes.
 
-        :param MapShape shape: its dimensions.
-        :param bytes content: what :meth:`to_bytes` made.
+        :param MapShape shape: dimensions of the map.
+        :param bytes content: result of :meth:`to_bytes`.
         :rtype: ExpertMap
-        :raises ExpertMapError: if it is no map of that shape.
+        :raises ExpertMapError: if the content is not a valid map of that shape.
         """
         width = shape.ranks * shape.slots
         if len(content) != 2 * width * shape.layers:
@@ -115,11 +115,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Move:
-    """An expert that a rank has to load.
+    """The load of one expert by a rank.
 
-    :param int layer: the layer.
-    :param int rank: the rank that loads it.
-    :param int expert: the expert.
+    :param int layer: layer of the expert.
+    :param int rank: rank that loads the expert.
+    :param int expert: id of the expert.
     """
 
     layer: int
@@ -128,9 +128,11 @@
 
 
 def initial_map(shape):
-    """Return the placement that spreads experts in order; spare slots in turn.
+    """Return a map that assigns experts to the ranks in round-robin order.
 
-    :param MapShape shape: dimensions.
+    Spare slots are filled by starting over with the first expert.
+
+    :param MapShape shape: dimensions of the map.
     :rtype: ExpertMap
 
     >>> initial_map(MapShape(1, 2, 3, 2)).rows
@@ -145,10 +147,10 @@
 
 
 def moves_between(old, new):
-    """Return what each rank has to load to go from one map to another.
+    """Return the experts that the ranks have to load to change the map.
 
     :param ExpertMap old: map in use.
-    :param ExpertMap new: map wanted.
+    :param ExpertMap new: map to change to.
     :rtype: list[Move]
     """
     moves = []
@@ -163,7 +165,7 @@
 
 
 def _remove_duplicates(shape, row):
-    """Replace an expert that stands twice on a rank by one that does not."""
+    """Replace duplicate experts on a rank by experts that it does not hold."""
     for rank in range(shape.ranks):
         start = rank * shape.slots
         held = set()
@@ -190,4 +192,4 @@
 
 
 def _map_error(message):
-    return ExpertMapError(message, "Plan the map again from the group's own shape")
+    return ExpertMapError(message, "Plan the map again with the shape of the group")
--- a/libs/experts/src/sequoiagap/experts/_policies.py
+++ b/libs/experts/src/sequoiagap/experts/_policies.py
@@ -1,7 +1,7 @@
-"""Registered policies that plan the next expert map.
+"""Policies that plan the next expert map, registered by name.
 
-A policy's ``plan`` is a generator: it yields between short pieces of work, so
-that an event loop can run in between, and returns the map.
+The ``plan`` method of a policy is a generator. It yields between short pieces of
+work, so that an event loop can run in between, and returns the map.
 """
 
 import asyncio
@@ -17,22 +17,24 @@
 MAX_SLICE_S = 0.004
 CONFIDENCE_WEIGHT = 0.3
 MIN_CONFIDENCE = 0.05
-RESTART_RATIO = 1.05  # a search that ends this far above the bound starts anew
-MEDIAN_NOISE_PROBABILITY = 0.5  # probability that even ranks stay below, by noise alone
+RESTART_RATIO = 1.05  # ratio to the lower bound above which a search starts over
+# Probability that sampling noise alone keeps balanced ranks below the noise limit.
+MEDIAN_NOISE_PROBABILITY = 0.5
 HIGH_NOISE_PROBABILITY = 0.95
 
 
 @dataclasses.dataclass(frozen=True)
 class PlanCosts:
-    """What moving experts costs and how long a plan has to pay it back.
+    """Cost of moving experts and the time over which a plan has to amortize it.
 
-    :param int expert_bytes: weights of one expert of one layer.
-    :param float store_bytes_s: rate of the weight store for the group.
+    :param int expert_bytes: size of one expert's weights in one layer, in bytes.
+    :param float store_bytes_s: rate at which the weight store serves the group, in
+        bytes per second.
     :param float staging_slowdown: share of step time lost while weights load.
-    :param float pause_s: time that a change of map costs the group.
-    :param float horizon_s: how long a plan is expected to hold.
-    :param float interval_s: time between plans.
-    :param float hysteresis: gain must be this many times the cost.
+    :param float pause_s: pause of the group for a change of map, in seconds.
+    :param float horizon_s: time for which a plan is expected to be used, in seconds.
+    :param float interval_s: time between plans, in seconds.
+    :param float hysteresis: minimum ratio of gain to cost.
     """
 
     expert_bytes: int = 44_000_000
@@ -45,25 +47,25 @@
 
     @property
     def move_s(self):
-        """Step time that one move costs, in seconds."""
+        """Step time lost by one move, in seconds."""
         return self.expert_bytes / self.store_bytes_s * self.staging_slowdown
 
     @property
     def moves_per_interval(self):
-        """Moves that the weight store can serve between two plans."""
+        """Number of moves that the weight store can serve between two plans."""
         return int(self.store_bytes_s * self.interval_s / self.expert_bytes)
 
 
 @dataclasses.dataclass(frozen=True)
 class PlanInput:
-    """What a plan rests on.
+    """Input of a planning policy.
 
     :param ExpertMap current: map in use.
     :param list predicted: predicted share of each expert, layer by layer.
     :param list last: shares of the last reported interval, layer by layer.
-    :param list speeds: speed of each rank.
-    :param list effective_tokens: counted tokens behind the prediction of each layer; empty
-        where the loads are known without noise.
+    :param list speeds: relative speed of each rank.
+    :param list effective_tokens: effective sample size of each layer's prediction, in
+        tokens; empty if the loads are free of noise.
     """
 
     current: _placement.ExpertMap
@@ -74,9 +76,9 @@
 
 
 def finish(plan):
-    """Run a plan to its end without a break.
+    """Run a plan to completion without yielding.
 
-    :param collections.abc.Generator plan: what a policy's ``plan`` returned.
+    :param collections.abc.Generator plan: result of a policy's ``plan``.
     :rtype: ExpertMap
     """
     while True:
@@ -89,8 +91,9 @@
 async def finish_in_slices(plan, slice_s=MAX_SLICE_S):
     """Run a plan in short slices and let the event loop run in between.
 
-    :param collections.abc.Generator plan: what a policy's ``plan`` returned.
-    :param float slice_s: longest work between two breaks, in seconds.
+    :param collections.abc.Generator plan: result of a policy's ``plan``.
+    :param float slice_s: time of uninterrupted work after which control returns to the
+        event loop, in seconds.
     :rtype: ExpertMap
     """
     started_at = time.monotonic()
@@ -106,7 +109,7 @@
 
 @POLICIES.register("static")
 class Static:
-    """Keeps the map; a baseline.
+    """Baseline that keeps the current map.
 
     :param PlanCosts costs: not used.
     """
@@ -117,7 +120,7 @@
     def plan(self, plan_input):
         """Return the current map.
 
-        :param PlanInput plan_input: what is known.
+        :param PlanInput plan_input: current map, loads and speeds.
         :rtype: collections.abc.Generator
         """
         yield
@@ -126,10 +129,10 @@
 
 @POLICIES.register("full_replan")
 class FullReplan:
-    """Places all experts anew at each interval, heaviest first; a baseline.
+    """Baseline that places all experts from scratch in each interval.
 
-    Spare slots go to the experts with the heaviest replicas; then each replica
-    goes to the rank that would be done first.
+    Spare slots go to the experts with the heaviest replicas. Each replica, heaviest
+    first, goes to the rank that would finish first.
 
     :param PlanCosts costs: not used.
     """
@@ -140,7 +143,7 @@
     def plan(self, plan_input):
         """Return the map for the loads of the last interval.
 
-        :param PlanInput plan_input: what is known.
+        :param PlanInput plan_input: current map, loads and speeds.
         :rtype: collections.abc.Generator
         """
         shape = plan_input.current.shape
@@ -153,20 +156,20 @@
 
 @POLICIES.register("incremental")
 class Incremental:
-    """Moves as few experts as bring the predicted gain, and only if it pays.
+    """Moves the fewest experts for the predicted gain, if it exceeds the cost.
 
-    Gain is the step time saved over the horizon; it is discounted by how much
-    of the gain of earlier plans came true, whether they were carried out or
-    not. Where loads swing too fast to follow, plans don't come true and the
-    map stays.
+    The gain is the step time saved over the horizon. It is discounted by the share of
+    predicted gain that earlier plans would have realized, whether or not they were
+    carried out. If loads change too fast to follow, the predictions fail and the map
+    stays.
 
-    Counts are samples. So a layer is left alone while noise could make its longest
-    rank of even ones, and no rank is relieved further than to what noise usually
-    makes of even ones: a gain below that is no gain.
+    Counts are samples of the load. A layer is therefore not changed while sampling
+    noise alone could explain the longest time among balanced ranks, and a rank time
+    below the median of that noise counts as no gain.
 
-    :param PlanCosts costs: what moving costs.
+    :param PlanCosts costs: cost of moving experts.
 
-    :ivar float confidence_: share of predicted gain that came true lately.
+    :ivar float confidence_: recent share of predicted gain that was realized, 0 to 1.
     """
 
     def __init__(self, costs):
@@ -177,9 +180,9 @@
         self._predicted_gain = 0.0
 
     def plan(self, plan_input):
-        """Return the map that pays best, the current one if none does.
+        """Return the map with the best net gain, or the current one if none has any.
 
-        :param PlanInput plan_input: what is known.
+        :param PlanInput plan_input: current map, loads and speeds.
         :rtype: collections.abc.Generator
         """
         self._update_confidence(plan_input)
@@ -196,7 +199,7 @@
         )
 
     def _improve(self, plan_input, layer, row, longest):
-        """Search one layer; return its best row and the gain, in seconds."""
+        """Search one layer and return its best row and the gain in seconds."""
         slots = plan_input.current.shape.slots
         loads = plan_input.predicted[layer]
         before = max(_bound.rank_times(row, loads, plan_input.speeds, slots))
@@ -209,7 +212,7 @@
         )
         seconds_per_unit = self.costs.horizon_s / longest
         yield
-        # With less to gain than one move costs there is no need to search.
+        # A gain below the cost of one move is not worth a search.
         gain = (before - floor) * seconds_per_unit
         if before <= noise_limit or gain <= self.costs.move_s:
             return row, 0.0
@@ -231,7 +234,7 @@
         return search.row_, search.gain_
 
     def _choose(self, plan_input, options):
-        """Take layers by gain until the weight store's interval is full."""
+        """Select layers by gain up to the moves that the weight store can serve."""
         rows = list(plan_input.current.rows)
         slots = plan_input.current.shape.slots
         remaining_moves = self.costs.moves_per_interval
@@ -252,7 +255,7 @@
         cost = moves * self.costs.move_s + self.costs.pause_s
         gain = self._predicted_gain * self.costs.horizon_s
         if gain <= cost * self.costs.hysteresis:
-            # Too small to tell from noise: it says nothing of the loads.
+            # Indistinguishable from noise, so it must not affect the confidence.
             self._predicted_gain = 0.0
             return False
         return gain * self.confidence_ > cost * self.costs.hysteresis
@@ -263,7 +266,7 @@
         self._predicted_gain = self._gain(plan_input, plan_input.predicted)
 
     def _update_confidence(self, plan_input):
-        """Compare the last plan's predicted gain with the loads that came."""
+        """Update the confidence by the last plan's gain under the actual loads."""
         if self._predicted_gain <= 0:
             return
         realized_ratio = self._gain(plan_input, plan_input.last) / self._predicted_gain
@@ -272,25 +275,26 @@
         self.confidence_ = max(self.confidence_, MIN_CONFIDENCE)
 
     def _gain(self, plan_input, loads):
-        """Return the share of step time that the last proposal saves."""
+        """Return the share of step time that the last proposed map saves."""
         before = _total_longest(self._previous_map, plan_input, loads)
         after = _total_longest(self._proposed_map, plan_input, loads)
         return (before - after) / before
 
 
 def _noise_margin(plan_input, layer, lower_bound, probability):
-    """Return how far noise alone takes the longest of even ranks above the rest.
+    """Return how far sampling noise alone raises the longest of balanced ranks.
 
-    Counts of a batch are close to multinomial, so the variance of a share is the
-    share over the tokens counted; an expert's replicas share its noise, and each
-    rank has only a part of it.
+    Counts of a batch are close to multinomial, so the variance of a share is the share
+    divided by the number of tokens counted. The replicas of an expert split its noise
+    among their ranks.
     """
     if not plan_input.effective_tokens or plan_input.effective_tokens[layer] <= 0:
         return 0.0
     shape = plan_input.current.shape
     copies = shape.ranks * shape.slots / shape.experts
     deviation = math.sqrt(lower_bound / copies / plan_input.effective_tokens[layer])
-    # All ranks stay below what each stays below with the root of the probability.
+    # All ranks stay below a limit with ``probability`` if each of them does with its
+    # root of degree ``ranks``.
     rank_probability = probability ** (1 / shape.ranks)
     return deviation * max(statistics.NormalDist().inv_cdf(rank_probability), 0.0)
 
--- a/libs/experts/src/sequoiagap/experts/_rank_state.py
+++ b/libs/experts/src/sequoiagap/experts/_rank_state.py
@@ -1,12 +1,13 @@
-"""Decisions of one rank in a change of map.
+"""Acceptor side of the map change protocol: the state machine of one rank.
 
-A map is committed only when all ranks of the group have armed it, and a rank
-that armed holds at the step until it is told: so no step can use two maps. It
-works like Paxos whose quorum is every rank, which costs no availability that
-lock-step has not cost already.
+A map is committed only after all ranks of the group have armed it. A rank that
+has armed a map holds at the target step until it receives the decision, so no
+step can use two maps. The protocol is Paxos with a quorum of all ranks; since
+the ranks run in lock-step, a missing rank stops the group anyway and the full
+quorum costs no further availability.
 
-The code does no I/O. It takes messages and returns the orders for the engine
-and the answer, which may be sent only once the orders are carried out.
+The code does no I/O. It consumes messages and returns the orders for the engine
+and the reply, which may be sent only after the orders have been carried out.
 """
 
 import dataclasses
@@ -19,7 +20,7 @@
 
 
 class OrderKind(enum.StrEnum):
-    """Orders to an engine."""
+    """Kinds of orders to an engine."""
 
     ARM = "arm"
     COMMIT = "commit"
@@ -30,12 +31,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class Order:
-    """An order to the engine beside the agent.
+    """An order of an agent to its engine.
 
-    :param OrderKind kind: what to do.
-    :param int epoch: fencing number; an engine that checks refuses lower ones.
-    :param MapRef target: the map.
-    :param MapRef previous: the map before it, for ``load``.
+    :param OrderKind kind: what the engine has to do.
+    :param int epoch: fencing number; an engine that checks fencing refuses orders
+        with a number below the highest one that it has seen.
+    :param MapRef target: map that the order refers to.
+    :param MapRef previous: map before the target, for ``load``.
     """
 
     kind: OrderKind
@@ -46,15 +48,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class EngineView:
-    """What an engine says of itself.
+    """State of an engine as the engine reports it.
 
-    :param int step: its next step.
+    :param int step: next step of the engine.
     :param MapRef previous: map before the committed one.
-    :param MapRef committed: committed map; version 0 if it has none.
+    :param MapRef committed: committed map; version 0 if there is none.
     :param int armed_epoch: round that armed a map; 0 for none.
     :param MapRef armed: the armed map.
     :param str staged: digest of the map whose weights are staged.
-    :param int fence: highest fencing number that it has seen.
+    :param int fence: highest fencing number that the engine has seen.
     """
 
     step: int = 0
@@ -68,9 +70,9 @@
 
 @dataclasses.dataclass(frozen=True)
 class Effects:
-    """What follows from a message.
+    """Orders and reply that result from handling a message.
 
-    :param tuple orders: orders for the engine, to be carried out first.
+    :param tuple orders: orders for the engine, to be carried out before the reply.
     :param reply: message to send back, or ``None``.
     """
 
@@ -79,21 +81,21 @@
 
 
 class RankState:
-    """What one incarnation of a rank has promised, armed and committed.
+    """Promised epoch, armed map and committed map of one incarnation of a rank.
 
-    A fresh incarnation, after a start of the agent or of its engine, does not
-    know what its predecessor promised. It takes part only once every peer has
-    answered its ``Join``: from then on a peer refuses each round that counts on
-    the predecessor, and a round that was carried out before that is known to
-    the peer and so bounds what the fresh incarnation may promise.
+    A new incarnation, after a start of the agent or of its engine, does not know
+    what its predecessor promised. It takes part only after every peer has replied
+    to its ``Join``. A peer that has replied refuses each round that includes the
+    predecessor, and it reports the rounds carried out before, which sets the
+    lowest epoch that the new incarnation may promise.
 
     :param str group: name of the group.
     :param int rank: own rank.
-    :param int ranks: ranks of the group.
-    :param str incarnation: own fresh incarnation.
+    :param int ranks: number of ranks in the group.
+    :param str incarnation: own new incarnation.
     :param EngineView view: state of the engine.
 
-    :ivar bool joined_: whether every peer has answered.
+    :ivar bool joined_: whether every peer has replied to ``Join``.
     :ivar int promised_: highest epoch promised.
     :ivar MapRef committed_: the committed map.
     """
@@ -116,7 +118,7 @@
         self.joined_ = ranks == 1
 
     def join(self, rank):
-        """Return the message that asks a peer; sent until it answers.
+        """Return the ``Join`` request for a peer, to be repeated until it replies.
 
         :param int rank: the peer.
         :rtype: Join
@@ -124,7 +126,7 @@
         return _messages.Join(self.group, self.rank, self.incarnation)
 
     def membership(self):
-        """Return a digest of the ranks' incarnations; empty while not joined.
+        """Return a digest of all ranks' incarnations; empty before joining.
 
         :rtype: str
         """
@@ -135,7 +137,7 @@
         return hashed.hexdigest()[:MEMBERSHIP_CHARACTERS]
 
     def on_join(self, message):
-        """Acknowledge a peer's fresh incarnation.
+        """Record a peer's new incarnation and reply with the own protocol state.
 
         :param Join message: the message.
         :rtype: Effects
@@ -159,7 +161,7 @@
         )
 
     def on_joined(self, message):
-        """Take a peer's answer; the last one makes this rank take part.
+        """Record a peer's reply to ``Join``; the last reply completes joining.
 
         :param Joined message: the message.
         :rtype: Effects
@@ -179,7 +181,7 @@
         return Effects(orders)
 
     def on_prepare(self, message):
-        """Promise a round, or refuse it.
+        """Promise a round, or refuse it if its epoch or membership is outdated.
 
         :param Prepare message: the message.
         :rtype: Effects
@@ -204,7 +206,7 @@
         )
 
     def on_arm(self, message):
-        """Arm a map, or refuse it.
+        """Arm a map, or refuse it if its preconditions do not hold.
 
         :param Arm message: the message.
         :rtype: Effects
@@ -220,7 +222,7 @@
         return Effects((order,), self._armed(message, True))
 
     def on_settle(self, message):
-        """End a round as its proposer decided.
+        """Apply the proposer's decision that ends a round.
 
         :param Settle message: the message.
         :rtype: Effects
@@ -234,9 +236,9 @@
         return Effects(orders, self._settled(message, True))
 
     def revert_order(self, order):
-        """Take back what rests on an order that the engine refused.
+        """Undo the state change of an order that the engine refused.
 
-        :param Order order: the order.
+        :param Order order: the refused order.
         """
         if order.kind == OrderKind.ARM and self.armed_epoch_ == order.epoch:
             self.armed_epoch_ = 0
@@ -252,7 +254,7 @@
         )
 
     def _is_current(self, message):
-        """Tell whether a round counts on the incarnations known here."""
+        """Return whether a round is based on the incarnations recorded here."""
         return self.joined_ and message.membership == self.membership()
 
     def _is_promised(self, message):
@@ -269,7 +271,7 @@
         return (Order(OrderKind.DISARM, message.epoch),)
 
     def _catch_up(self, target, previous):
-        """Adopt a map that is committed elsewhere."""
+        """Adopt a map that other ranks have committed."""
         if target.version <= self.committed_.version:
             return ()
         was_armed = self.armed_epoch_ and self.armed_ == target
--- a/libs/experts/src/sequoiagap/experts/_replan.py
+++ b/libs/experts/src/sequoiagap/experts/_replan.py
@@ -1,12 +1,12 @@
-"""Placement of one layer from nothing, heaviest replicas first."""
+"""Greedy placement of one layer from scratch, heaviest replicas first."""
 
 
 def place_layer(shape, loads, speeds):
-    """Return the row of a layer placed anew, heaviest replicas first.
+    """Return a new row of a layer, placing the heaviest replicas first.
 
-    :param MapShape shape: dimensions.
+    :param MapShape shape: dimensions of the map.
     :param list loads: load of each expert.
-    :param list speeds: speed of each rank.
+    :param list speeds: relative speed of each rank.
     :rtype: tuple[int, ...]
     """
     copies = _copy_counts(shape, loads)
@@ -45,7 +45,7 @@
 
 
 def _free_slot(shape, held, expert):
-    """Free a slot for an expert that every rank with room holds already."""
+    """Free a slot for an expert that every rank with an open slot already holds."""
     open_rank = next(r for r in range(shape.ranks) if len(held[r]) < shape.slots)
     for rank in range(shape.ranks):
         if expert in held[rank]:
@@ -55,19 +55,19 @@
                 held[rank].remove(other)
                 held[open_rank].append(other)
                 return rank
-    raise ValueError(f"{shape} can't hold expert {expert} on distinct ranks")
+    raise ValueError(f"{shape} cannot hold expert {expert} on distinct ranks")
 
 
 def align(shape, row, old_row, speeds):
-    """Renumber the ranks of a new row so that little has to move.
+    """Permute the ranks of a new row so that few experts have to move.
 
-    Only ranks of equal speed change places; those with most experts in common
-    are paired first.
+    Only ranks of equal speed are exchanged; ranks with the most experts in common are
+    paired first.
 
-    :param MapShape shape: dimensions.
-    :param tuple row: the new row.
-    :param tuple old_row: the row in use.
-    :param list speeds: speed of each rank.
+    :param MapShape shape: dimensions of the map.
+    :param tuple row: new row.
+    :param tuple old_row: row in use.
+    :param list speeds: relative speed of each rank.
     :rtype: tuple[int, ...]
     """
     new_sets = _rank_sets(shape, row)
--- a/libs/experts/src/sequoiagap/experts/_round.py
+++ b/libs/experts/src/sequoiagap/experts/_round.py
@@ -1,4 +1,4 @@
-"""Decisions of a proposer: one round of a change of map."""
+"""Proposer side of the map change protocol: one round."""
 
 import dataclasses
 import enum
@@ -8,7 +8,7 @@
 
 
 class Phase(enum.StrEnum):
-    """Phases of a round."""
+    """Phases of a round, in their order."""
 
     PREPARING = "preparing"
     ARMING = "arming"
@@ -18,15 +18,15 @@
 
 
 class MapConflictError(base.SequoiagapError):
-    """Two ranks report different maps under one version."""
+    """Two ranks have committed different maps under one version."""
 
 
 @dataclasses.dataclass(frozen=True)
 class Send:
-    """A message for a rank.
+    """A message and the rank to send it to.
 
-    :param int rank: the receiver.
-    :param message: the message.
+    :param int rank: rank of the receiver.
+    :param message: message to send.
     """
 
     rank: int
@@ -34,23 +34,23 @@
 
 
 class Round:
-    """One round: finish what an earlier one left, else change the map.
+    """Completes an unfinished earlier round or else changes the map.
 
     :param str group: name of the group.
     :param int rank: rank of the proposer.
-    :param int ranks: ranks of the group.
+    :param int ranks: number of ranks in the group.
     :param int epoch: number of the round, see :func:`next_epoch`.
-    :param str membership: digest of the incarnations that the round counts on.
-    :param str wanted: digest of the map to change to; empty to only settle what
-        is open.
+    :param str membership: digest of the incarnations on which the round is based.
+    :param str wanted: digest of the map to change to; empty to only complete
+        earlier rounds.
     :param int lead_steps: steps between arming and the change.
-    :param bool always_settles: whether engines hold since the round began, so
-        that they must be told even where nothing changes.
+    :param bool always_settles: whether engines hold from the start of the round
+        and so need a decision even if nothing changes.
 
-    :ivar Phase phase_: where the round stands.
-    :ivar bool committed_: whether it committed a map.
-    :ivar int highest_epoch_: highest epoch met, for the next round.
-    :ivar MapRef target_: the map that it arms or commits.
+    :ivar Phase phase_: current phase of the round.
+    :ivar bool committed_: whether the round committed a map.
+    :ivar int highest_epoch_: highest epoch in any reply, for the next round.
+    :ivar MapRef target_: map that the round arms or commits.
     """
 
     def __init__(
@@ -82,11 +82,11 @@
 
     @property
     def is_over(self):
-        """Whether nothing is left to do."""
+        """Whether the round has succeeded or failed."""
         return self.phase_ in (Phase.DONE, Phase.FAILED)
 
     def outstanding(self):
-        """Return the messages of this phase that are not answered yet.
+        """Return the messages of the current phase that have no reply yet.
 
         :rtype: list[Send]
         """
@@ -96,12 +96,13 @@
         return [Send(r, message) for r in range(self.ranks) if r not in self.answered_]
 
     def on_promise(self, message):
-        """Take an answer to ``Prepare``.
+        """Record a reply to ``Prepare``.
 
-        :param Promise message: the message.
-        :returns: what to send now.
+        :param Promise message: the reply.
+        :returns: messages to send next.
         :rtype: list[Send]
-        :raises MapConflictError: if two ranks committed different maps.
+        :raises MapConflictError: if two ranks committed different maps under one
+            version.
         """
         self.highest_epoch_ = max(self.highest_epoch_, message.promised)
         if message.epoch != self.epoch or self.phase_ != Phase.PREPARING:
@@ -112,10 +113,10 @@
         return self._record_answer(message.rank, self._decide)
 
     def on_armed(self, message):
-        """Take an answer to ``Arm``.
+        """Record a reply to ``Arm``.
 
-        :param Armed message: the message.
-        :returns: what to send now.
+        :param Armed message: the reply.
+        :returns: messages to send next.
         :rtype: list[Send]
         """
         if message.epoch != self.epoch or self.phase_ != Phase.ARMING:
@@ -125,10 +126,10 @@
         return self._record_answer(message.rank, self._commit)
 
     def on_settled(self, message):
-        """Take an answer to ``Settle``.
+        """Record a reply to ``Settle``.
 
-        :param Settled message: the message.
-        :returns: what to send now.
+        :param Settled message: the reply.
+        :returns: messages to send next.
         :rtype: list[Send]
         """
         if message.epoch != self.epoch or self.phase_ != Phase.SETTLING:
@@ -161,7 +162,7 @@
             return self._commit()
         if self._can_arm(promises, committed):
             at_step = max(p.step for p in promises)
-            # A group without a map can't step, so it takes its first at once.
+            # A group without a map cannot step, so its first map takes effect at once.
             at_step += self.lead_steps if committed.version else 0
             self.target_ = _messages.MapRef(committed.version + 1, self.wanted, at_step)
             return self._enter_phase(Phase.ARMING)
@@ -175,7 +176,7 @@
         )
 
     def _is_armed_everywhere(self, promises):
-        """Tell whether the map armed last may have been committed."""
+        """Return whether an earlier round may have committed the armed map."""
         epochs = {p.armed_epoch for p in promises}
         return len(epochs) == 1 and 0 not in epochs
 
@@ -188,7 +189,7 @@
         if any(p.committed != committed.to_wire() for p in same):
             raise MapConflictError(
                 f"ranks of {self.group} report different maps {committed.version}",
-                "Stop rebalancing of the group and restart its engines",
+                "Stop rebalancing the group and restart its engines",
             )
 
     def _make_message(self):
@@ -214,11 +215,14 @@
 
 
 def next_epoch(highest, rank, ranks):
-    """Return the lowest epoch above another that belongs to a rank.
+    """Return the lowest epoch above ``highest`` that a rank may propose.
 
-    :param int highest: highest epoch met.
+    Epochs are split among the ranks modulo their number, so that no two proposers
+    use the same epoch.
+
+    :param int highest: highest epoch seen so far.
     :param int rank: rank of the proposer.
-    :param int ranks: ranks of the group.
+    :param int ranks: number of ranks in the group.
     :rtype: int
 
     >>> next_epoch(7, rank=1, ranks=3)
--- a/libs/experts/src/sequoiagap/experts/_search.py
+++ b/libs/experts/src/sequoiagap/experts/_search.py
@@ -1,4 +1,4 @@
-"""Local search for better placements of one layer."""
+"""Local search for a better placement of one layer."""
 
 import dataclasses
 
@@ -9,10 +9,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class Edit:
-    """One change of a placement and what it comes to.
+    """One change of a placement and its effect.
 
-    :param tuple changes: pairs of slot index and the expert to put there.
-    :param float longest_time: longest time among the ranks that it touches.
+    :param tuple changes: pairs of slot index and the expert to place there.
+    :param float longest_time: longest time among the affected ranks afterwards.
     """
 
     changes: tuple
@@ -20,12 +20,12 @@
 
 
 class LayerState:
-    """A layer's placement with the times that follow from it.
+    """Placement of one layer with the resulting rank times.
 
-    :param tuple row: expert ids of the layer, rank after rank.
+    :param tuple row: expert ids of the layer, rank by rank.
     :param list loads: load of each expert.
-    :param list speeds: speed of each rank.
-    :param int slots: slots of a rank.
+    :param list speeds: relative speed of each rank.
+    :param int slots: slots per rank.
 
     :ivar list times_: time of each rank.
     """
@@ -38,9 +38,9 @@
         self._refresh()
 
     def find_edit(self):
-        """Return the edit that relieves the slowest rank most for each move.
+        """Return the edit that shortens the longest rank time most per move.
 
-        :returns: the edit, or ``None`` if none relieves it.
+        :returns: the edit, or ``None`` if no edit shortens it.
         :rtype: Edit | None
         """
         longest = max(self.times_)
@@ -54,9 +54,9 @@
         return best
 
     def apply(self, edit):
-        """Carry out an edit.
+        """Apply an edit.
 
-        :param Edit edit: what to change.
+        :param Edit edit: the edit.
         """
         for slot, expert in edit.changes:
             self.row[slot] = expert
@@ -80,7 +80,7 @@
             yield from self._drops(rank, slot)
 
     def _swaps(self, rank, slot):
-        """Exchange the expert of a slot with a lighter one elsewhere."""
+        """Yield edits that swap a slot's expert for a lighter one of another rank."""
         expert = self.row[slot]
         share = self._shares[expert]
         longest = self.times_[rank]
@@ -100,7 +100,7 @@
             yield Edit(changes, max(here, there))
 
     def _copies(self, rank, slot):
-        """Put one more replica of the slot's expert in place of a spare one."""
+        """Yield edits that replace a redundant replica by the slot's expert."""
         expert = self.row[slot]
         holders = self._holders[expert]
         new_share = self.loads[expert] / (len(holders) + 1)
@@ -118,7 +118,7 @@
             yield Edit(((other_slot, expert),), longest_time)
 
     def _drops(self, rank, slot):
-        """Put a lighter expert in place of a spare replica on the slow rank."""
+        """Yield edits that replace the slot's redundant replica by a lighter expert."""
         expert = self.row[slot]
         if len(self._holders[expert]) < 2:
             return
@@ -130,7 +130,7 @@
             yield Edit(((slot, other),), self._longest_time_after(rank, slot, other))
 
     def _longest_time_after(self, slow_rank, slot, expert):
-        """Return the longest time of the touched ranks once a slot changes."""
+        """Return the longest time of the affected ranks after a slot changes."""
         rank = slot // self.slots
         removed = self.row[slot]
         new_share = self.loads[expert] / (len(self._holders[expert]) + 1)
@@ -142,7 +142,7 @@
             change_by_rank[holder] = change_by_rank.get(holder, 0.0) + gained
         for holder in self._holders[removed]:
             change_by_rank[holder] = change_by_rank.get(holder, 0.0) + lost
-        # The changed rank itself holds no longer the one but the other.
+        # The rank of the slot drops the removed expert and adds the new one.
         change_by_rank[rank] += new_share - self._shares[removed] - lost
         return max(
             self.times_[r] + change / self.speeds[r]
@@ -151,17 +151,17 @@
 
 
 class LayerSearch:
-    """Keeps the row of one layer that is worth most after its moves.
+    """Finds the row of one layer with the largest gain net of the cost of moves.
 
-    :param float move_s: what a move must bring, in seconds.
-    :param tuple old_row: the row in use.
+    :param float move_s: minimum gain per move, in seconds.
+    :param tuple old_row: row in use.
     :param float initial_time: longest rank time of the row in use.
-    :param float seconds_per_unit: seconds that a unit of rank time is worth.
-    :param float min_time: rank time below which nothing is gained.
+    :param float seconds_per_unit: seconds saved per unit of rank time.
+    :param float min_time: rank time below which a decrease counts as no gain.
 
-    :ivar tuple row_: the best row so far.
-    :ivar float gain_: what it saves, in seconds.
-    :ivar float longest_: its longest rank time.
+    :ivar tuple row_: best row so far.
+    :ivar float gain_: time that the best row saves, in seconds.
+    :ivar float longest_: longest rank time of the best row.
     """
 
     def __init__(self, move_s, old_row, initial_time, seconds_per_unit, min_time=0.0):
@@ -176,13 +176,13 @@
         self._value = 0.0
 
     def run(self, row, loads, speeds, slots):
-        """Search from a row.
+        """Search for better rows, starting from a given one.
 
-        :param tuple row: where to start.
+        :param tuple row: row to start from.
         :param list loads: load of each expert.
-        :param list speeds: speed of each rank.
-        :param int slots: slots of a rank.
-        :returns: a generator that yields between edits.
+        :param list speeds: relative speed of each rank.
+        :param int slots: slots per rank.
+        :returns: generator that yields between edits.
         :rtype: collections.abc.Generator
         """
         state = LayerState(row, loads, speeds, slots)
@@ -208,11 +208,11 @@
 
 
 def count_moves(slots, old_row, new_row):
-    """Return how many experts ranks have to load to change a row.
+    """Return how many experts the ranks have to load to change a row.
 
-    :param int slots: slots of a rank.
-    :param tuple old_row: the row in use.
-    :param tuple new_row: the row wanted.
+    :param int slots: slots per rank.
+    :param tuple old_row: row in use.
+    :param tuple new_row: row to change to.
     :rtype: int
 
     >>> count_moves(2, (0, 1, 2, 3), (1, 0, 2, 4))
--- a/tests/experts/test_bounded_plan.py
+++ b/tests/experts/test_bounded_plan.py
@@ -1,4 +1,4 @@
-"""Placements are improved in small steps, within what a change may do."""
+"""Placements improve in small steps within the limits of one change."""
 
 import random
 import unittest
@@ -17,7 +17,7 @@
 
 
 def draw_loads(seed):
-    """Return loads in which a few experts get most of the tokens."""
+    """Return random loads in which a few experts get most of the tokens."""
     source = random.Random(seed)
     loads = []
     for _ in range(LAYERS):
@@ -27,7 +27,7 @@
 
 
 def plan(holdings, loads, costs=None, **fields):
-    """Return the planned placement and its copies."""
+    """Return the planned placement and its number of copies."""
     limits = experts.PlanLimits(**({"copy_s": 0.004, "expert_share": 0.85} | fields))
     return experts.finish(experts.plan_bounded(holdings, loads, limits, costs))
 
@@ -71,7 +71,7 @@
             skews.append(experts.holdings_skew(holdings, loads))
         self.assertLess(sorted(skews)[len(skews) // 2], 1.3)
 
-    def test_bounds_of_a_change_hold(self):
+    def test_limits_of_a_change_hold(self):
         for seed in range(10):
             loads = draw_loads(seed)
             planned, copies = plan(FIRST, loads, new_per_rank=2, copies_per_rank=3)
@@ -85,7 +85,7 @@
         self.assertEqual(plan(FIRST, even), (FIRST, 0))
         self.assertEqual(plan(FIRST, draw_loads(1), copy_s=1e6)[1], 0)
 
-    def test_a_slow_rank_gives_its_experts_away_and_gets_them_back(self):
+    def test_a_slow_rank_loses_experts_and_regains_them(self):
         slow = (6.0,) + (1.0,) * (FIRST.ranks - 1)
         for seed in range(10):
             holdings, loads = FIRST, draw_loads(seed)
@@ -100,8 +100,8 @@
                 holdings, _ = plan(holdings, loads, new_per_rank=3, copies_per_rank=6)
             self.assertLess(experts.holdings_skew(holdings, loads), 1.5)
 
-    def test_dearer_copies_mean_fewer(self):
+    def test_more_expensive_copies_mean_fewer_copies(self):
         loads = draw_loads(3)
-        _, cheap = plan(FIRST, loads, copy_s=0.002)
-        _, dear = plan(FIRST, loads, copy_s=0.1)
-        self.assertLess(dear, cheap)
+        _, many = plan(FIRST, loads, copy_s=0.002)
+        _, few = plan(FIRST, loads, copy_s=0.1)
+        self.assertLess(few, many)
--- a/tests/experts/test_change_model.py
+++ b/tests/experts/test_change_model.py
@@ -1,4 +1,7 @@
-"""Every order of messages, with a crash and a restart: one map in each step."""
+"""Model check of the map change protocol: no step ever uses two maps.
+
+Explores every order of messages, also with a crash and a restart.
+"""
 
 import unittest
 
@@ -13,21 +16,22 @@
     "two proposers that want different maps": group_scenarios.Scenario(
         (1, 1, 0), wanted=("b", "c", "")
     ),
-    "an agent dies and starts again": group_scenarios.Scenario(
+    "an agent crashes and restarts": group_scenarios.Scenario(
         (1, 0, 0), crashes=("agent",)
     ),
-    "an engine dies, alone or with its agent": group_scenarios.Scenario(
+    "an engine crashes, alone or with its agent": group_scenarios.Scenario(
         (1, 0, 0), crashes=("engine", "both")
     ),
-    "two proposers, and one dies, its engine, or both": group_scenarios.Scenario(
+    "two proposers, one agent, engine or both crash": group_scenarios.Scenario(
         (1, 1, 0), crashes=("agent", "engine", "both"), crash_ranks=(0,)
     ),
 }
-PLAIN = "an agent dies and starts again"  # small enough to visit without reduction
+# Small enough to explore without partial-order reduction.
+SMALL_SCENARIO = "an agent crashes and restarts"
 
 
 class MajorityRound(experts.Round):
-    """Broken: commits when a majority has armed."""
+    """Faulty proposer that commits as soon as a majority has armed."""
 
     def _record_answer(self, rank, complete):
         self.answered_.add(rank)
@@ -37,30 +41,33 @@
         return complete() if len(self.answered_) >= needed else []
 
 
-class ForgetfulRank(experts.RankState):
-    """Broken: takes late arms and commits of rounds below its promise."""
+class StalePromiseRank(experts.RankState):
+    """Faulty rank that accepts ``Arm`` and ``Settle`` of rounds below its promise."""
 
     def _is_promised(self, message):
         return self._is_current(message)
 
 
-class HastyRank(experts.RankState):
-    """Broken: takes part without knowing what its predecessor promised."""
+class UnjoinedRank(experts.RankState):
+    """Faulty rank that takes part without the promises of its predecessor."""
 
     def _is_current(self, message):
         return True
 
 
-BROKEN = {
+FAULTY = {
     "majority": (
         {"round_type": MajorityRound},
         "a change and a second proposer that settles",
     ),
     "late messages": (
-        {"rank_type": ForgetfulRank},
+        {"rank_type": StalePromiseRank},
         "two proposers that want different maps",
     ),
-    "no join": ({"rank_type": HastyRank}, "an engine dies, alone or with its agent"),
+    "no join": (
+        {"rank_type": UnjoinedRank},
+        "an engine crashes, alone or with its agent",
+    ),
 }
 
 
@@ -80,7 +87,7 @@
         met = []
         for reduces in (True, False):
             states = set()
-            world = group_scenarios.make_world(SCENARIOS[PLAIN])
+            world = group_scenarios.make_world(SCENARIOS[SMALL_SCENARIO])
             _, complete = group_exploration.explore(
                 world, MAX_WORLDS, engine_states=states, reduces=reduces
             )
@@ -88,8 +95,8 @@
             met.append(states)
         self.assertEqual(met[0], met[1])
 
-    def test_broken_variants_are_caught(self):
-        for name, (types, scenario) in BROKEN.items():
+    def test_faulty_variants_are_detected(self):
+        for name, (types, scenario) in FAULTY.items():
             with self.subTest(name), self.assertRaises(group_world.TwoMapsError):
                 world = group_scenarios.make_world(SCENARIOS[scenario], **types)
                 group_exploration.explore(world, MAX_WORLDS)
--- a/tests/experts/test_placement.py
+++ b/tests/experts/test_placement.py
@@ -1,4 +1,4 @@
-"""Expert maps, their bounds and the estimators."""
+"""Expert maps, the lower bound of rank times, and the load and speed estimators."""
 
 import random
 import unittest
@@ -9,7 +9,7 @@
 
 
 class ExpertMapTest(unittest.TestCase):
-    def test_bad_maps_are_refused(self):
+    def test_invalid_maps_are_refused(self):
         good = experts.initial_map(SHAPE).rows
         cases = {
             "lacks expert": ((0, 1, 2, 3, 4, 0, 1, 2), good[1]),
@@ -25,7 +25,7 @@
             ):
                 experts.ExpertMap(SHAPE, rows)
 
-    def test_bytes_keep_the_map(self):
+    def test_map_survives_conversion_to_bytes(self):
         placement = experts.initial_map(SHAPE)
         content = placement.to_bytes()
         again = experts.ExpertMap.from_bytes(SHAPE, content)
@@ -85,7 +85,7 @@
         loads.update({0: [90, 10]})
         self.assertGreater(loads.predict()[0][0], 0.8)
 
-    def test_slow_rank_is_learnt(self):
+    def test_slow_rank_is_detected(self):
         speeds = experts.SpeedEstimator(4)
         for _ in range(20):
             speeds.update([2.0, 1.0, 1.0, 1.0], [2.0, 1.0, 1.0, 2.0])
--- a/tests/experts/test_policies.py
+++ b/tests/experts/test_policies.py
@@ -1,4 +1,4 @@
-"""Planning policies: valid maps, few moves, hysteresis, short slices."""
+"""Planning policies: valid maps, few moves, hysteresis and noise."""
 
 import random
 import unittest
@@ -19,13 +19,13 @@
 
 
 def plan(policy, current, loads, speeds=SPEEDS):
-    """Return the map that a policy plans when loads are well known."""
+    """Return the map that a policy plans for loads without noise."""
     given = experts.PlanInput(current, loads, loads, speeds)
     return experts.finish(policy.plan(given))
 
 
 def longest(placement, loads, speeds=SPEEDS):
-    """Return the step time, in units of the even load."""
+    """Return the step time in units of load."""
     slots = placement.shape.slots
     pairs = zip(placement.rows, loads, strict=True)
     return sum(max(experts.rank_times(r, x, speeds, slots)) for r, x in pairs)
@@ -48,7 +48,7 @@
         moves = len(experts.moves_between(self.start, ours))
         self.assertLess(moves, len(experts.moves_between(self.start, full)))
 
-    def test_incremental_stays_where_nothing_pays(self):
+    def test_incremental_keeps_the_map_if_no_move_is_worth_its_cost(self):
         loads = draw(self.source)
         policy = experts.POLICIES.get("incremental")(experts.PlanCosts())
         settled = self.start
@@ -67,7 +67,7 @@
                 self.assertIs(plan(policy, self.start, loads), self.start)
 
     def test_sampling_noise_is_not_taken_for_drift(self):
-        """Popularity stays the same; an expert's count is a sample of some 300."""
+        """Loads are constant; an expert's count is a sample of about 300 tokens."""
         loads = draw(self.source)
         policy = experts.POLICIES.get("incremental")(experts.PlanCosts())
         settled = plan(policy, plan(policy, self.start, loads), loads)
@@ -77,7 +77,7 @@
         self.assertLess(longest(current, loads), longest(settled, loads) * 1.02)
 
     def follow_samples(self, current, loads, known):
-        """Plan 20 times from samples; return the last map and the moves."""
+        """Plan 20 times from sampled counts; return the last map and the moves."""
         policy = experts.POLICIES.get("incremental")(experts.PlanCosts())
         estimator = experts.LoadEstimator(SHAPE.layers, SHAPE.experts)
         source = random.Random(4)
@@ -101,7 +101,7 @@
         current = self.start
         for turn in range(16):
             loads = (first, second)[turn % 2]
-            # What is predicted is always over by the next plan.
+            # The loads change before each plan could take effect.
             current = plan(policy, current, loads)
         self.assertLess(policy.confidence_, 0.3)
 
