--- a/libs/routes/src/sequoiagap/routes/__init__.py
+++ b/libs/routes/src/sequoiagap/routes/__init__.py
@@ -1,4 +1,4 @@
-"""Routes, keys and endpoints as operators publish them."""
+"""Data model of routes, services, client accounts and endpoints."""
 
 from sequoiagap.routes._freshness import Freshness, suspend_aware_time
 from sequoiagap.routes._model import (
--- a/libs/routes/src/sequoiagap/routes/_freshness.py
+++ b/libs/routes/src/sequoiagap/routes/_freshness.py
@@ -1,8 +1,9 @@
-"""Proof that the configuration was current a bounded time ago.
+"""Bound on the age of the configuration by which keys are accepted.
 
-A key that operators took away may be honoured for a bounded time only. So it is
-honoured on proof: a reading of the newest version, counted from the moment at which
-the reading was asked for, on a clock that also counts while the host is suspended.
+A key that operators have revoked may be accepted for a bounded time only. Keys are
+therefore accepted only if a recent reading has confirmed the configuration as the
+newest version. The age counts from the time at which the reading was requested, on a
+clock that also advances while the host is suspended.
 """
 
 import time
@@ -11,7 +12,7 @@
 
 
 def suspend_aware_time():
-    """Return seconds of a monotonic clock that counts suspended time.
+    """Return monotonic time that includes suspended time, in seconds.
 
     :rtype: float
     """
@@ -19,11 +20,12 @@
 
 
 class Freshness:
-    """Remembers since when the configuration in force is known to be current.
+    """Tracks when the configuration in force was last confirmed as current.
 
-    :param float max_age_s: how old a proof may be, in seconds.
+    :param float max_age_s: maximum age of a confirmation, in seconds.
 
-    :ivar float confirmed_at_: when the newest reading was asked for, or ``None``.
+    :ivar float confirmed_at_: request time of the latest confirming reading, or
+        ``None``.
 
     >>> freshness = Freshness(max_age_s=4.0)
     >>> freshness.is_fresh(now=10.0)
@@ -38,25 +40,25 @@
         self.confirmed_at_ = None
 
     def record_reading(self, requested_at):
-        """Take a reading of the newest version.
+        """Record a reading that confirmed the configuration as the newest version.
 
-        :param float requested_at: when it was asked for.
+        :param float requested_at: time of its request, see :func:`suspend_aware_time`.
         """
         if self.confirmed_at_ is None or requested_at > self.confirmed_at_:
             self.confirmed_at_ = requested_at
 
     def age(self, now):
-        """Return the age of the newest proof in seconds; infinite for none.
+        """Return the age of the latest confirmation in seconds; infinite for none.
 
-        :param float now: the time now.
+        :param float now: current time, see :func:`suspend_aware_time`.
         :rtype: float
         """
         return float("inf") if self.confirmed_at_ is None else now - self.confirmed_at_
 
     def is_fresh(self, now):
-        """Return whether the newest proof still holds.
+        """Return whether the latest confirmation is not too old.
 
-        :param float now: the time now.
+        :param float now: current time, see :func:`suspend_aware_time`.
         :rtype: bool
         """
         return self.age(now) <= self.max_age_s
--- a/libs/routes/src/sequoiagap/routes/_model.py
+++ b/libs/routes/src/sequoiagap/routes/_model.py
@@ -1,11 +1,11 @@
-"""What operators publish: routes, services, client accounts and endpoints."""
+"""Records of routes, services, client accounts and endpoints."""
 
 import dataclasses
 import enum
 
 
 class RequestKind(enum.StrEnum):
-    """What may be done with a request a second time."""
+    """Whether and how a request may be repeated."""
 
     SAFE = "safe"
     UNSAFE = "unsafe"
@@ -13,7 +13,7 @@
 
 
 class EndpointState(enum.StrEnum):
-    """What an endpoint says of itself where it is registered."""
+    """State of an endpoint in its registration record."""
 
     READY = "ready"
     DRAINING = "draining"
@@ -21,10 +21,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class WeightedTarget:
-    """A service that gets a share of a route's requests.
+    """A service that receives a share of a route's requests.
 
     :param str service: name of the service.
-    :param float weight: its share, relative to the route's other targets.
+    :param float weight: share of the requests, relative to the route's other targets.
     """
 
     service: str
@@ -33,24 +33,25 @@
 
 @dataclasses.dataclass(frozen=True)
 class Route:
-    """How requests of one host and path prefix are served.
+    """Targets, limits and access of requests with one host and path prefix.
 
-    :param str name: its name.
+    :param str name: name of the route.
     :param str host: value of the ``Host`` header, without port.
-    :param str path_prefix: beginning of the path; begins and ends with a slash.
-    :param RequestKind kind: what may be done a second time.
+    :param str path_prefix: prefix of the path; begins and ends with a slash.
+    :param RequestKind kind: whether and how a request may be repeated.
     :param tuple targets: :class:`WeightedTarget` of each service.
-    :param float timeout_s: longest time until the final answer, in seconds.
-    :param float target_latency_s: time in which an answer, or the first event of
-        a stream, is on time; 0 for none.
-    :param float target_gap_s: longest pause of a stream on time; 0 for none.
-    :param float patience_s: how long callers of a stream wait for its next event
-        before they leave; 0 if that is not known.
-    :param int priority: rank of its requests; 0 is the most urgent.
-    :param int max_attempts: endpoints that one request may be sent to.
+    :param float timeout_s: maximum time until the end of the response, in seconds.
+    :param float target_latency_s: target time until the response, or until the first
+        event of a stream, in seconds; 0 for none.
+    :param float target_gap_s: target for the longest pause between events of a stream,
+        in seconds; 0 for none.
+    :param float patience_s: time that callers of a stream wait for the next event
+        before they disconnect, in seconds; 0 if unknown.
+    :param int priority: priority of the requests; 0 is the most urgent.
+    :param int max_attempts: maximum number of endpoints that one request is sent to.
     :param bool is_public: whether requests need no key.
-    :param bool is_resumable: whether a stream may go on at another endpoint.
-    :param tuple allowed_regions: regions that may run it; empty for all.
+    :param bool is_resumable: whether a stream may continue at another endpoint.
+    :param tuple allowed_regions: regions that may run the requests; empty for all.
     """
 
     name: str
@@ -78,26 +79,29 @@
 
 @dataclasses.dataclass(frozen=True)
 class EngineProfile:
-    """How the model engines of a service spend time and memory.
-
-    :param int slots: requests that an engine decodes at once.
-    :param int kv_tokens: tokens that its memory holds.
-    :param int stride: decoding steps of a pass.
-    :param float step_s: time of a decoding step, in seconds.
-    :param float per_sequence_s: more for each request that decodes, in seconds.
-    :param float per_context_token_s: more for each token of context, in seconds.
-    :param float prompt_tokens_s: prompt tokens read in a second.
-    :param float per_token_pair_s: more for a pair of a token and an earlier one.
-    :param int chunk_tokens: prompt tokens read in a step at most.
-    :param int usual_prompt_tokens: mean prompt of a request.
-    :param int usual_answer_tokens: mean answer of a request.
-    :param int layers: sets of layers with an expert map of their own.
-    :param int experts: experts of a layer; 0 for an engine without groups.
-    :param int slots_per_rank: experts that a rank holds of a layer at most.
-    :param int new_per_change: experts new to a rank and layer in a change at most.
-    :param float expert_bytes: weights of one expert of a layer.
-    :param float link_bytes_s: rate at which a rank copies weights.
-    :param float expert_share: share of a pass that goes to experts, 0 to 1.
+    """Timing and memory parameters of a service's model engines.
+
+    :param int slots: number of requests that an engine decodes at once.
+    :param int kv_tokens: capacity of the KV cache, in tokens.
+    :param int stride: number of decoding steps in a pass.
+    :param float step_s: base time of a decoding step, in seconds.
+    :param float per_sequence_s: additional step time per decoding request, in seconds.
+    :param float per_context_token_s: additional step time per token of context, in
+        seconds.
+    :param float prompt_tokens_s: prefill rate, in prompt tokens per second.
+    :param float per_token_pair_s: additional prefill time per pair of a token and an
+        earlier token, in seconds.
+    :param int chunk_tokens: maximum number of prompt tokens in a prefill step.
+    :param int usual_prompt_tokens: mean prompt length of a request, in tokens.
+    :param int usual_answer_tokens: mean length of an answer, in tokens.
+    :param int layers: number of sets of layers that have their own expert map.
+    :param int experts: number of experts in a layer; 0 for engines without groups.
+    :param int slots_per_rank: maximum number of experts that a rank holds in a layer.
+    :param int new_per_change: maximum number of experts new to a rank in one layer in
+        one change of map.
+    :param float expert_bytes: size of one expert's weights in a layer, in bytes.
+    :param float link_bytes_s: rate at which a rank copies weights, in bytes per second.
+    :param float expert_share: share of a pass that is spent in experts, 0 to 1.
     """
 
     slots: int
@@ -122,14 +126,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Service:
-    """A service behind the routes.
-
-    :param str name: its name.
-    :param int max_connections: connections that an endpoint takes from everybody.
-    :param float cold_requests_s: requests a second that a cold endpoint bears; 0
-        where cold endpoints bear what others do.
-    :param EngineTerms engine: terms of its model engines, or ``None`` for a plain
-        service.
+    """A service that routes can target.
+
+    :param str name: name of the service.
+    :param int max_connections: maximum number of connections to an endpoint from all
+        clients together.
+    :param float cold_requests_s: capacity of a cold endpoint, in requests per second;
+        0 if cold endpoints have the same capacity as warm ones.
+    :param EngineProfile engine: parameters of the service's model engines, or ``None``
+        for a service without them.
     """
 
     name: str
@@ -140,12 +145,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class ClientAccount:
-    """A client account and the keys that name it.
+    """A client account and its keys.
 
-    :param str name: its name.
-    :param tuple keys: its keys, as callers send them.
-    :param int priority: rank of its requests, before that of their route; ``None``
-        where the route's rank holds.
+    :param str name: name of the account.
+    :param tuple keys: keys of the account, as callers send them.
+    :param int priority: priority of the account's requests, which overrides that of
+        their route; ``None`` to use the route's priority.
     """
 
     name: str
@@ -155,10 +160,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class RequestLimits:
-    """What a caller may send.
+    """Limits of a caller's requests and connections.
 
-    :param int max_body_bytes: longest body.
-    :param float idle_timeout_s: how long a caller's connection may stay idle.
+    :param int max_body_bytes: maximum length of a request body, in bytes.
+    :param float idle_timeout_s: time after which an idle connection of a caller is
+        closed, in seconds.
     """
 
     max_body_bytes: int = 4 * 1024 * 1024
@@ -167,18 +173,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class Endpoint:
-    """A server that has registered itself.
+    """A registered server of a service.
 
-    :param str endpoint_id: its id; new for most starts.
-    :param str service: service that it belongs to.
+    :param str endpoint_id: id of the endpoint; usually changes when it restarts.
+    :param str service: name of its service.
     :param str address: IP address.
     :param int port: TCP port.
-    :param str failure_domain: where it stands.
-    :param EndpointState state: whether it takes new requests.
-    :param int slots: requests that it runs at once.
-    :param float cold_remaining_s: how much longer it bears only a little, as it last
-        wrote, in seconds.
-    :param int started_ms: when it started, Unix milliseconds; 0 if not known.
+    :param str failure_domain: failure domain of the endpoint.
+    :param EndpointState state: whether it accepts new requests.
+    :param int slots: number of requests that it runs at once.
+    :param float cold_remaining_s: remaining time with the reduced capacity of a cold
+        endpoint, as last registered, in seconds.
+    :param int started_ms: start time in Unix milliseconds; 0 if unknown.
     """
 
     endpoint_id: str
--- a/libs/routes/src/sequoiagap/routes/_route_table.py
+++ b/libs/routes/src/sequoiagap/routes/_route_table.py
@@ -1,4 +1,4 @@
-"""Routes, services and client accounts of one configuration version."""
+"""Lookup of routes, services and client accounts of one configuration version."""
 
 import dataclasses
 
@@ -7,13 +7,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class RouteTable:
-    """One version of what operators configured, with its look-ups.
+    """Routes, services and client accounts of one configuration version.
 
-    :param int version: number of the version; 0 for none.
+    :param int version: version of the configuration; 0 for none.
     :param tuple routes: the routes.
-    :param dict service_by_name: the services.
-    :param tuple accounts: the client accounts; ``None`` where nobody needs a key.
-    :param RequestLimits limits: what callers may send.
+    :param dict service_by_name: the services by name.
+    :param tuple accounts: the client accounts; ``None`` if no request needs a key.
+    :param RequestLimits limits: limits of callers' requests.
 
     >>> route = _model.Route("r", "h.example", "/a/", "safe", (), 1.0)
     >>> table = RouteTable(1, (route,))
@@ -39,15 +39,15 @@
 
     @property
     def needs_keys(self):
-        """Whether requests of routes that are not public need a key."""
+        """Whether requests to routes that are not public need a key."""
         return self.accounts is not None
 
     def find_route(self, host, path):
-        """Return the route with the longest prefix of a path.
+        """Return the route with the longest matching path prefix.
 
-        :param str host: value of the ``Host`` header; a port is left out.
-        :param str path: path of the request, without query.
-        :returns: the route, or ``None`` if none matches.
+        :param str host: value of the ``Host`` header; a port is ignored.
+        :param str path: path of the request, without the query.
+        :returns: the route, or ``None`` if no route matches.
         :rtype: Route | None
         """
         by_prefix = self._by_host.get(host.partition(":")[0].lower())
@@ -61,10 +61,11 @@
         return None
 
     def min_target_gap_s(self, service):
-        """Return the longest pause between events that all routes to a service bear.
+        """Return the smallest target gap of the routes to a service.
 
-        :param str service: its name.
-        :returns: seconds; 0 where no route names one.
+        :param str service: name of the service.
+        :returns: longest pause between events that meets the targets of all routes, in
+            seconds; 0 if no route has a target.
         :rtype: float
         """
         gaps = [
@@ -75,9 +76,10 @@
         return min(gaps, default=0.0)
 
     def find_account(self, key):
-        """Return the client account that holds a key.
+        """Return the client account of a key.
 
-        :param str key: the key as the caller sent it.
+        :param str key: key as the caller sent it.
+        :returns: the account, or ``None`` if the key is unknown.
         :rtype: ClientAccount | None
         """
         return self._account_by_key.get(key)
--- a/libs/routing/src/sequoiagap/routing/__init__.py
+++ b/libs/routing/src/sequoiagap/routing/__init__.py
@@ -1,4 +1,4 @@
-"""Choice of an endpoint for an attempt."""
+"""Policies that choose an endpoint for an attempt."""
 
 from sequoiagap.routing._context import RouteContext, make_context
 from sequoiagap.routing._endpoint_view import EndpointView
--- a/libs/routing/src/sequoiagap/routing/_context.py
+++ b/libs/routing/src/sequoiagap/routing/_context.py
@@ -1,4 +1,4 @@
-"""What a choice may depend on besides the candidates."""
+"""Properties of a request that routing policies use."""
 
 import dataclasses
 
@@ -11,11 +11,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class RouteContext:
-    """Where a request came in and what its prompt begins with.
+    """Time, origin and prompt prefix of a request.
 
     :param float now: monotonic time in seconds.
-    :param str failure_domain: failure domain of the entry.
-    :param int prefix: digest of the start of the prompt; 0 for none.
+    :param str failure_domain: failure domain of the entry that received the request.
+    :param int prefix: hash of the start of the prompt; 0 for none.
     :param int prompt_bytes: length of the prompt in bytes.
     """
 
@@ -26,11 +26,11 @@
 
 
 def make_context(now, failure_domain, target, body):
-    """Return the context of a request.
+    """Return the routing context of a request.
 
     :param float now: monotonic time in seconds.
-    :param str failure_domain: failure domain of the entry.
-    :param str target: model or service; another model is another prefix.
+    :param str failure_domain: failure domain of the entry that received the request.
+    :param str target: model or service; part of the prefix, as caches are per model.
     :param bytes body: HTTP body of the request.
     :rtype: RouteContext
 
@@ -48,7 +48,7 @@
 
 
 def _find_prompt(body):
-    """Return the body from its prompt on; no JSON is parsed."""
+    """Return the rest of the body from the prompt field on, without parsing JSON."""
     for field in _PROMPT_FIELDS:
         begin = body.find(field)
         if begin >= 0:
--- a/libs/routing/src/sequoiagap/routing/_endpoint_view.py
+++ b/libs/routing/src/sequoiagap/routing/_endpoint_view.py
@@ -1,4 +1,4 @@
-"""What an entry believes of an endpoint."""
+"""State of an endpoint as an entry estimates it from reports."""
 
 import dataclasses
 
@@ -12,23 +12,23 @@
 
 @dataclasses.dataclass
 class EndpointView:
-    """An endpoint as one entry sees it; the agent holds the truth.
+    """State of an endpoint as one entry knows it; its agent is authoritative.
 
     :param str endpoint_id: id of the endpoint and of its agent.
-    :param str failure_domain: where it stands.
+    :param str failure_domain: failure domain of the endpoint.
     :param frozenset serves: models or services that it serves.
-    :param str state: last state that the agent reported.
-    :param int limit: attempts that it may run at once, as reported.
-    :param int reported_in_flight: attempts of all entries, as reported.
-    :param int own_in_flight: attempts that this entry has there now.
-    :param int queued: attempts that wait at the agent, as reported.
-    :param float service_time_s: recent mean time of an attempt in seconds.
-    :param bool connected: whether its agent can be reached.
-    :param int own_at_report: own attempts when the report came.
-    :param float reported_at: when the report came, monotonic time in seconds.
-    :param str role: what it does of a request, as reported.
-    :param float unanswered_s: for how long its agent has left a heartbeat
-        unanswered, in seconds.
+    :param str state: state that the agent reported last.
+    :param int limit: reported maximum number of concurrent attempts.
+    :param int reported_in_flight: reported number of attempts of all entries.
+    :param int own_in_flight: number of attempts of this entry that run there now.
+    :param int queued: reported number of attempts queued at the agent.
+    :param float service_time_s: recent mean time of an attempt, in seconds.
+    :param bool connected: whether the agent is reachable.
+    :param int own_at_report: number of own attempts when the last report arrived.
+    :param float reported_at: arrival of the last report, monotonic time in seconds.
+    :param str role: reported role, see :class:`sequoiagap.admission.EndpointRole`.
+    :param float unanswered_s: time since the oldest heartbeat that the agent has not
+        answered, in seconds.
     """
 
     endpoint_id: str
@@ -48,13 +48,13 @@
 
     @property
     def is_silent(self):
-        """Whether its agent has left a heartbeat unanswered for too long."""
+        """Whether the agent has not answered a heartbeat in time."""
         return self.unanswered_s > SILENCE_THRESHOLD_S
 
     def record_report(self, load, now):
-        """Take what the agent says.
+        """Record a load report of the agent.
 
-        :param load: message with the fields of the same names.
+        :param sequoiagap.wire.Load load: the report.
         :param float now: monotonic time in seconds.
         """
         self.state = load.state
@@ -67,10 +67,10 @@
         self.reported_at = now
 
     def expected_in_flight(self, now):
-        """Return how many attempts are expected to run and wait there.
+        """Return the estimated number of attempts that run or wait at the endpoint.
 
-        Own attempts are known; those of other entries are as reported, and the
-        older the report, the less it counts.
+        Own attempts are counted exactly. Those of other entries are taken from the
+        last report and decay exponentially with its age.
 
         :param float now: monotonic time in seconds.
         :rtype: float
@@ -84,9 +84,9 @@
         return self.own_in_flight + others * 0.5 ** (age / REPORT_HALF_LIFE_S)
 
     def free_slots(self, now):
-        """Return how many more attempts it is expected to take at once.
+        """Return the estimated number of free slots.
 
-        A silent endpoint is expected to take none; it may be lost.
+        A silent endpoint may be lost and counts as having none.
 
         :param float now: monotonic time in seconds.
         :rtype: int
@@ -96,10 +96,10 @@
         return max(self.limit - round(self.expected_in_flight(now)), 0)
 
     def expected_wait_s(self, now):
-        """Return the delay that an attempt would meet, in seconds.
+        """Return the expected delay of a new attempt, in seconds.
 
-        It grows with the share of the slots in use; an endpoint without a free
-        slot costs the time until one is free on top.
+        The delay grows with the share of slots in use. An endpoint without a free slot
+        adds the time until one becomes free.
 
         :param float now: monotonic time in seconds.
         :rtype: float
--- a/libs/routing/src/sequoiagap/routing/_policies.py
+++ b/libs/routing/src/sequoiagap/routing/_policies.py
@@ -1,4 +1,4 @@
-"""Registered policies; each takes candidates, a random generator and a context."""
+"""Routing policies that choose an endpoint among candidates, registered by name."""
 
 import xxhash
 
@@ -8,9 +8,7 @@
 POLICIES = base.Registry("policy")
 NEAR_CHOICES = 2
 FAR_CHOICES = 1
-MEAN_SERVICE_TIME_WEIGHT = (
-    0.02  # the usual service time is that of the last fifty draws
-)
+MEAN_SERVICE_TIME_WEIGHT = 0.02  # averages over about the last fifty samples
 FAR_PENALTY_S = 0.005
 COLD_PENALTY_S = 0.002
 PREFILL_S_PER_BYTE = 25e-6
@@ -19,7 +17,7 @@
 
 @POLICIES.register("round_robin")
 class RoundRobin:
-    """Takes endpoints in turn; a baseline."""
+    """Baseline that chooses endpoints in turn."""
 
     def __init__(self):
         self._next = 0
@@ -38,7 +36,7 @@
 
 @POLICIES.register("least_in_flight")
 class LeastInFlight:
-    """Takes the endpoint with the fewest attempts of this entry; a baseline."""
+    """Baseline that chooses the endpoint with the fewest attempts of this entry."""
 
     def choose(self, candidates, random_state, context):
         """Return a candidate with the fewest own attempts.
@@ -53,19 +51,22 @@
 
 @POLICIES.register("expected_wait")
 class ExpectedWait:
-    """Takes the least expected wait of a few endpoints.
-
-    Two random endpoints of the entry's own failure domain, one of the others,
-    and the one that prefers the prompt's prefix by rendezvous hashing. Few
-    random choices instead of all keep entries that see the same idle endpoint
-    from rushing it together. Where all of them are busy and slower than usual, as
-    many again are drawn: the ranks of a slow group are many endpoints, and would
-    else keep the share of the draws that meet nothing but them.
-
-    :param float prefill_s_per_byte: time that a remembered prefix saves.
-    :param float far_penalty_s: what another failure domain costs.
-
-    :ivar float mean_service_time_s_: mean service time of the endpoints drawn lately, in seconds.
+    """Chooses the endpoint with the lowest expected wait among a few samples.
+
+    Samples two random endpoints of the entry's own failure domain and one of the other
+    domains, and adds the endpoint that rendezvous hashing assigns to the prompt prefix.
+    Comparing a few samples instead of all endpoints prevents entries that see the same
+    idle endpoint from overloading it together. If all sampled endpoints are busy and
+    slower than the mean, a second sample of the same size is added: the ranks of a slow
+    group are many endpoints, which would otherwise keep all requests whose sample
+    contains nothing else.
+
+    :param float prefill_s_per_byte: prefill time saved by a cached prefix, in seconds
+        per byte of the prompt.
+    :param float far_penalty_s: cost of another failure domain, in seconds.
+
+    :ivar float mean_service_time_s_: moving average of the service time of sampled
+        endpoints, in seconds.
     """
 
     def __init__(
@@ -76,11 +77,11 @@
         self.mean_service_time_s_ = 0.0
 
     def choose(self, candidates, random_state, context):
-        """Return the candidate with the least cost among the few.
+        """Return the candidate with the lowest cost among the samples.
 
         :param list[EndpointView] candidates: at least one.
-        :param random.Random random_state: draws the few.
-        :param RouteContext context: where the request came in, and its prefix.
+        :param random.Random random_state: generator for the samples.
+        :param RouteContext context: failure domain and prefix of the request.
         :rtype: EndpointView
         """
         sampled = self._sample(candidates, random_state, context)
@@ -108,12 +109,15 @@
         return sampled + random_state.sample(far, min(far_count, len(far)))
 
     def _sample_free(self, candidates, random_state, context):
-        """Look further once the first few are full; near saturation few are not."""
+        """Sample among endpoints with a free slot, which are rare near saturation."""
         free = [view for view in candidates if view.free_slots(context.now)]
         return random_state.sample(free, min(NEAR_CHOICES, len(free)))
 
     def _are_slower_than_mean(self, sampled, context):
-        """Learn the usual service time; tell whether all of these are slower."""
+        """Update the mean service time and return whether all samples exceed it.
+
+        Only endpoints with attempts in flight count as slower.
+        """
         mean_s = sum(view.service_time_s for view in sampled) / len(sampled)
         if not self.mean_service_time_s_:
             self.mean_service_time_s_ = mean_s
@@ -136,10 +140,10 @@
 
 
 def filter_by_role(candidates):
-    """Return the candidates whose role serves a whole request.
+    """Return the candidates whose role serves full requests.
 
-    Every policy chooses among these only. An endpoint that only reads prompts or
-    only decodes can't give an answer alone, however little there is to wait.
+    Policies choose among these only: an endpoint for prefill only or for decoding only
+    cannot serve a request alone, however short its wait.
 
     :param list[EndpointView] candidates: endpoints of any role.
     :rtype: list[EndpointView]
@@ -150,13 +154,13 @@
 
 
 def choose_by_prefix(candidates, prefix):
-    """Return the candidate that a prefix prefers, by rendezvous hashing.
+    """Return the candidate that rendezvous hashing assigns to a prefix.
 
-    Each entry finds the same one without a word, and when an endpoint leaves,
-    only its own prefixes move.
+    All entries find the same endpoint without coordination, and when an endpoint
+    leaves, only its own prefixes move.
 
     :param list[EndpointView] candidates: at least one.
-    :param int prefix: digest of the start of the prompt.
+    :param int prefix: hash of the start of the prompt.
     :rtype: EndpointView
     """
     return max(
--- a/tests/routing/test_policies.py
+++ b/tests/routing/test_policies.py
@@ -1,4 +1,4 @@
-"""Choice among endpoints by wait, prefix, warmth and failure domain."""
+"""Routing policies: choice by wait, prefix, warm state and failure domain."""
 
 import collections
 import random
@@ -38,7 +38,7 @@
                 make_view(0, unanswered_s=0.3),
                 make_view(1, "south", **full),
             ),
-            "warmth": (make_view(0, state="warming"), make_view(1)),
+            "warm state": (make_view(0, state="warming"), make_view(1)),
             "own failure domain": (make_view(0, "south"), make_view(1)),
             "own failure domain before a little wait": (
                 make_view(0, "south", limit=64),
@@ -87,8 +87,8 @@
             if view is not views[0]:
                 self.assertIs(routing.choose_by_prefix(left, prefix), view)
 
-    def test_entries_do_not_rush_one_idle_endpoint(self):
-        """Twenty entries see the same idle endpoint among busy ones."""
+    def test_entries_do_not_overload_one_idle_endpoint(self):
+        """Twenty entries choose among busy endpoints and the same idle one."""
         arrived = collections.Counter()
         for entry in range(20):
             views = [make_view(i, reported_in_flight=8) for i in range(11)]
@@ -99,14 +99,14 @@
             arrived[view.endpoint_id] += 1
         self.assertLessEqual(arrived["endpoint-11"], 20 / 2)
 
-    def test_slow_endpoints_do_not_keep_the_draws_that_meet_only_them(self):
-        """Two ranks of a slow group and one endpoint that is fast."""
+    def test_samples_of_slow_endpoints_only_are_extended(self):
+        """The candidates are two ranks of a slow group and one fast endpoint."""
         slow = [make_view(i, service_time_s=1.6, own_in_flight=1) for i in range(2)]
         fast = make_view(2, own_in_flight=2)
         chosen = count_choices([*slow, fast], routing.RouteContext(NOW, "north"))
         self.assertGreater(chosen[fast.endpoint_id], 600 * 0.8)
 
-    def test_old_reports_of_others_count_less_and_own_attempts_always(self):
+    def test_reported_attempts_decay_with_age_but_own_attempts_do_not(self):
         view = make_view(0, own_in_flight=4)
         load = wire.Load("warm", in_flight=16, limit=16, service_time_s=0.2)
         view.record_report(load, NOW)
