--- a/libs/admission/src/sequoiagap/admission/__init__.py
+++ b/libs/admission/src/sequoiagap/admission/__init__.py
@@ -1,14 +1,14 @@
-"""Admission of requests: fair shares, queues, budgets and endpoint limits."""
+"""Admission control: fair queues, retry budgets and endpoint limits."""
 
-from sequoiagap.admission._collected_usage import CollectedUsage
+from sequoiagap.admission._collected import CollectedUsage
 from sequoiagap.admission._collectors import COLLECTORS_PER_DOMAIN, UsageCollector
 from sequoiagap.admission._fair_queue import FairQueue, Shed, effective_weight
 from sequoiagap.admission._gate import EndpointGate
 from sequoiagap.admission._health import EndpointHealth
 from sequoiagap.admission._retry_budget import RetryBudget
 from sequoiagap.admission._roles import EndpointRole, serves_full_requests
+from sequoiagap.admission._sheets import RequestCount
 from sequoiagap.admission._states import EndpointState
-from sequoiagap.admission._usage_counts import RequestCount
 from sequoiagap.admission._usage_messages import DomainUsage, EntryUsage, OtherUsage
 from sequoiagap.admission._usage_table import AccountUsage, UsageTable
 
--- a/libs/admission/src/sequoiagap/admission/_collected_usage.py
+++ b/libs/admission/src/sequoiagap/admission/_collected.py
@@ -1,28 +1,28 @@
-"""An entry's side of usage that collectors sum."""
+"""Usage at other entries as an entry receives it from collectors."""
 
-from sequoiagap.admission import _last_reports, _usage_counts, _usage_messages
+from sequoiagap.admission import _heard, _sheets, _usage_messages
 
 COLLECTOR_TIMEOUT_S = 1.5
 
 
 class CollectedUsage:
-    """What accounts have at other entries, as collectors hand it back.
+    """Exchanges own counts for the collectors' counts at all other entries.
 
     :param str node_id: id of this entry.
 
-    :ivar int counted_entries_: other entries that are counted.
+    :ivar int counted_entries_: number of other entries in the latest counts.
     """
 
     def __init__(self, node_id):
         self.node_id = node_id
         self.counted_entries_ = 0
-        self._collectors = _last_reports.LastReportTable()
+        self._collectors = _heard.LastReportTable()
         self._primary = ""
         self._primary_since = 0.0
-        self._encoder = _usage_counts.DeltaEncoder()
+        self._encoder = _sheets.DeltaEncoder()
 
     def record(self, message, now):
-        """Take what a collector hands back.
+        """Record the counts that a collector returns.
 
         :param OtherUsage message: the counts.
         :param float now: monotonic time in seconds.
@@ -32,14 +32,15 @@
             report.entries = message.entries
 
     def make_messages(self, now, count_by_account, collectors, find_connection):
-        """Return the report of this round for each collector.
+        """Return the report of this round for each connected collector.
 
         :param float now: monotonic time in seconds.
-        :param dict count_by_account: own :class:`Count` by account.
-        :param list[str] collectors: of the own domain, first choice first.
-        :param find_connection: function of an entry's id that returns the
-            connection to it, or ``None``.
-        :returns: pairs of receiver and message.
+        :param dict count_by_account: own :class:`RequestCount` by account.
+        :param list[str] collectors: ids of the own domain's collectors in order of
+            preference.
+        :param find_connection: function that returns the connection to an entry by its
+            id, or ``None``.
+        :returns: pairs of receiver id and message.
         :rtype: list[tuple[str, EntryUsage]]
         """
         self._choose_primary(now, collectors)
@@ -60,13 +61,14 @@
         return messages
 
     def remote_counts(self, now):
-        """Return what accounts have at other entries.
+        """Return the counts of the accounts at other entries.
 
-        The collector that was heard last counts; where none has been heard of
-        late, there is nothing to count.
+        Uses the collector with the latest report. Without a recent report the counts
+        are empty.
 
         :param float now: monotonic time in seconds.
-        :rtype: dict[str, Count]
+        :returns: counts by account.
+        :rtype: dict[str, RequestCount]
         """
         by_collector = self._collectors.current(now)
         if not by_collector:
@@ -77,7 +79,7 @@
         return latest.count_by_account
 
     def _choose_primary(self, now, collectors):
-        """Ask the next collector once the one in use has been silent."""
+        """Switch to the next collector after the one in use has been silent."""
         heard_at = max(
             self._primary_since, self._collectors.last_heard_at(self._primary)
         )
--- a/libs/admission/src/sequoiagap/admission/_collectors.py
+++ b/libs/admission/src/sequoiagap/admission/_collectors.py
@@ -1,35 +1,36 @@
-"""Usage of client accounts in a large deployment, summed by a few collectors.
+"""Aggregation of client accounts' usage by a few collectors per failure domain.
 
 Each entry reports its counts to two collectors of its failure domain, chosen by
-rendezvous among the entries there. The collectors of the failure domains tell
-each other the sums of their domains, and hand back to each entry what its own
-accounts have at all others.
+rendezvous hashing among the entries there. The collectors exchange the sums of their
+failure domains and return to each entry the counts of its own accounts at all other
+entries.
 """
 
-from sequoiagap.admission import _last_reports, _usage_counts, _usage_messages
+from sequoiagap.admission import _heard, _sheets, _usage_messages
 
 COLLECTORS_PER_DOMAIN = 2
 COLLECTOR_TIMEOUT_S = 1.5
 
 
 class UsageCollector:
-    """Sums what entries report; each entry can be one.
+    """Sums the usage that entries report; every entry can act as a collector.
 
     :param str node_id: id of this entry.
-    :param str failure_domain: its failure domain.
-    :param float tolerance: share by which sums may be off, to save messages.
+    :param str failure_domain: failure domain of this entry.
+    :param float tolerance: relative deviation of a sum that is not sent, which saves
+        messages.
     """
 
-    def __init__(self, node_id, failure_domain, tolerance=_usage_counts.TOLERANCE):
+    def __init__(self, node_id, failure_domain, tolerance=_sheets.TOLERANCE):
         self.node_id = node_id
         self.failure_domain = failure_domain
-        self._entries = _last_reports.LastReportTable()
+        self._entries = _heard.LastReportTable()
         self._collectors_by_domain = {}
-        self._to_domains = _usage_counts.DeltaEncoder(tolerance)
-        self._to_entries = _usage_counts.DeltaEncoder(tolerance)
+        self._to_domains = _sheets.DeltaEncoder(tolerance)
+        self._to_entries = _sheets.DeltaEncoder(tolerance)
 
     def record_entry_usage(self, message, now):
-        """Take the report of an entry of the own failure domain.
+        """Record the report of an entry of the own failure domain.
 
         :param EntryUsage message: the report.
         :param float now: monotonic time in seconds.
@@ -39,34 +40,35 @@
             report.wants_total = message.wants_total
 
     def record_domain_usage(self, message, now):
-        """Take the sums of another failure domain.
+        """Record the sums of another failure domain.
 
         :param DomainUsage message: the sums.
         :param float now: monotonic time in seconds.
         """
         table = self._collectors_by_domain.setdefault(
-            message.failure_domain, _last_reports.LastReportTable()
+            message.failure_domain, _heard.LastReportTable()
         )
         report = table.record(message.collector_id, message, now)
         if report is not None:
             report.entries = message.entries
 
     def make_messages(self, now, collectors_by_domain, find_connection):
-        """Return the messages of this round.
+        """Return the messages of this round to collectors and entries.
 
         :param float now: monotonic time in seconds.
-        :param dict collectors_by_domain: ids of collectors, first choice first.
-        :param find_connection: function of an entry's id that returns the
-            connection to it, or ``None``.
-        :returns: pairs of receiver and message.
+        :param dict collectors_by_domain: ids of the collectors of each failure domain
+            in order of preference.
+        :param find_connection: function that returns the connection to an entry by its
+            id, or ``None``.
+        :returns: pairs of receiver id and message.
         :rtype: list[tuple[str, object]]
         """
         own = self._entries.current(now)
         if not own:
             return []
-        own_sum = _last_reports.LastReport(
+        own_sum = _heard.LastReport(
             entries=len(own),
-            count_by_account=_usage_counts.sum_counts(
+            count_by_account=_sheets.sum_counts(
                 h.count_by_account for h in own.values()
             ),
         )
@@ -75,12 +77,10 @@
             messages = self._make_domain_messages(
                 own_sum, collectors_by_domain, find_connection
             )
-        report = [own_sum, *self._choose_domains(now, collectors_by_domain)]
-        total = _last_reports.LastReport(
-            entries=sum(h.entries for h in report),
-            count_by_account=_usage_counts.sum_counts(
-                h.count_by_account for h in report
-            ),
+        reports = [own_sum, *self._choose_domains(now, collectors_by_domain)]
+        total = _heard.LastReport(
+            entries=sum(h.entries for h in reports),
+            count_by_account=_sheets.sum_counts(h.count_by_account for h in reports),
         )
         return messages + self._make_entry_messages(own, total, find_connection)
 
@@ -112,7 +112,7 @@
             connection = find_connection(entry_id)
             if connection is None or not report.wants_total:
                 continue
-            remote = _usage_counts.subtract_counts(
+            remote = _sheets.subtract_counts(
                 total.count_by_account, report.count_by_account
             )
             columns = self._to_entries.encode_delta(entry_id, connection, remote)
@@ -123,7 +123,7 @@
         return messages
 
     def _is_active_collector(self, now, collectors_by_domain):
-        """Return whether no collector that goes before this one is heard."""
+        """Return whether this entry is the first active collector of its domain."""
         ids = collectors_by_domain.get(self.failure_domain, [])
         if self.node_id not in ids:
             return False
@@ -133,7 +133,7 @@
         )
 
     def _choose_domains(self, now, collectors_by_domain):
-        """Return what counts for each other failure domain, from one collector."""
+        """Return the report of one collector for each other failure domain."""
         chosen = []
         for domain, table in self._collectors_by_domain.items():
             by_collector = table.current(now)
@@ -144,5 +144,5 @@
 
 
 def _find_first(ranked, by_id):
-    """Return the id that stands first; one that is not ranked goes last."""
+    """Return the id with the best rank; ids without a rank come last."""
     return min(by_id, key=lambda i: ranked.index(i) if i in ranked else len(ranked))
--- a/libs/admission/src/sequoiagap/admission/_fair_queue.py
+++ b/libs/admission/src/sequoiagap/admission/_fair_queue.py
@@ -1,4 +1,4 @@
-"""Weighted fair queueing of client accounts, with burst and bounded wait."""
+"""Weighted fair queueing of client accounts with bursts and a bounded wait."""
 
 import collections
 import dataclasses
@@ -13,10 +13,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class Shed:
-    """A request that is not worth queueing.
+    """Result for a request that is rejected because its wait would be too long.
 
-    :param float predicted_wait_s: how long it would have waited.
-    :param float retry_after_s: when to come back; different for each caller.
+    :param float predicted_wait_s: predicted wait of the request, in seconds.
+    :param float retry_after_s: delay before a retry, in seconds; randomized.
     """
 
     predicted_wait_s: float
@@ -33,13 +33,13 @@
 
 
 def effective_weight(weight, priority):
-    """Return the weight of an account with a priority.
+    """Return the weight of an account adjusted by its priority.
 
-    Each level of priority doubles the share. Strict priority would let a high
-    account starve the others, so that a small one would keep nothing.
+    Each priority level doubles the weight. Strict priority would let an account of
+    high priority starve all others.
 
-    :param float weight: weight of the account.
-    :param int priority: its priority; 0 is usual.
+    :param float weight: configured weight of the account.
+    :param int priority: priority of the account; 0 is the default level.
     :rtype: float
 
     >>> effective_weight(3, 1)
@@ -49,22 +49,24 @@
 
 
 class FairQueue:
-    """Requests that wait for a slot, served in shares of slot time.
+    """Queues requests for slots and shares slot time among client accounts.
 
-    Start-time fair queueing: each account has a virtual time that grows with
-    the slot time it used, here and at other entries, over its weight; the
-    account with the least one goes first. An account that was idle may be
-    behind by its burst, and none gets ahead by more than a bounded lead.
+    Start-time fair queueing: the virtual time of an account grows by the slot time
+    that it uses, here and at other entries, divided by its weight. The account with
+    the lowest virtual time is served next. The virtual time of an idle account may lag
+    by its burst, and usage at other entries can raise it above the others by a bounded
+    lead only.
 
-    :param float max_wait_s: longest wait worth queueing for, in seconds.
-    :param random.Random random_state: spreads the times to come back.
-    :param float burst_s: slot time for each unit of weight that an idle account
-        saves up, in seconds.
-    :param float max_lead_s: how long usage at other entries can hold an account
-        back, in seconds.
+    :param float max_wait_s: longest predicted wait at which a request is queued, in
+        seconds.
+    :param random.Random random_state: generator that spreads the retry delays.
+    :param float burst_s: slot time per unit of weight that an idle account can
+        accumulate, in seconds.
+    :param float max_lead_s: time for which usage at other entries can delay an
+        account, in seconds.
 
-    :ivar int size_: requests that wait.
-    :ivar float service_time_s_: recent mean slot time of a request, in seconds.
+    :ivar int size_: number of queued requests.
+    :ivar float service_time_s_: moving average of a request's slot time, in seconds.
 
     >>> import random
     >>> queue = FairQueue(1.0, random.Random(0))
@@ -90,11 +92,11 @@
         self._account_by_name = {}
 
     def predict_wait_s(self, name, weight, slots):
-        """Return how long a new request of an account would wait, in seconds.
+        """Return the predicted wait of a new request of an account, in seconds.
 
         :param str name: client account.
-        :param float weight: its effective weight.
-        :param int slots: slots that this entry counts on.
+        :param float weight: effective weight of the account.
+        :param int slots: number of slots available to this entry.
         :rtype: float
         """
         slots = max(slots, 1)
@@ -113,12 +115,13 @@
         return min(by_share, by_queue)
 
     def offer(self, name, item, weight, slots):
-        """Queue a request, or shed it if it would wait too long.
+        """Queue a request, or reject it if its predicted wait is too long.
 
         :param str name: client account.
-        :param item: the request; given back by :meth:`pop`.
+        :param item: the request, as returned by :meth:`pop`.
         :param float weight: effective weight of the account.
-        :param int slots: slots that this entry counts on.
+        :param int slots: number of slots available to this entry.
+        :returns: ``None`` if the request is queued.
         :rtype: Shed | None
         """
         wait_s = self.predict_wait_s(name, weight, slots)
@@ -130,7 +133,7 @@
         return None
 
     def requeue(self, name, item, weight):
-        """Queue a request again that had its turn and found no slot.
+        """Return a dequeued request that found no free slot to the head of its queue.
 
         :param str name: client account.
         :param item: the request.
@@ -140,7 +143,7 @@
         self.size_ += 1
 
     def retry_after_s(self, wait_s):
-        """Return when to come back; drawn anew for each caller.
+        """Return a randomized retry delay in seconds.
 
         :param float wait_s: predicted wait, in seconds.
         :rtype: float
@@ -151,9 +154,9 @@
         )
 
     def pop(self):
-        """Take the request that goes next; charges its account.
+        """Dequeue the next request and charge its account the mean slot time.
 
-        :returns: account and item, or ``None`` if none waits.
+        :returns: account and request, or ``None`` if the queue is empty.
         :rtype: tuple | None
         """
         ready = [
@@ -169,7 +172,7 @@
         return name, item
 
     def remove(self, name, item):
-        """Take a request out that no longer waits.
+        """Remove a queued request that no longer needs a slot.
 
         :param str name: client account.
         :param item: the request.
@@ -180,7 +183,7 @@
             self.size_ -= 1
 
     def charge_start(self, name, weight):
-        """Charge a request that starts without waiting.
+        """Charge the mean slot time of a request that starts without queueing.
 
         :param str name: client account.
         :param float weight: effective weight of the account.
@@ -188,11 +191,11 @@
         self._charge(self._activate_account(name, weight), self.service_time_s_)
 
     def correct_charge(self, name, charged_s, used_s):
-        """Correct the charge of a request by the slot time that it used.
+        """Replace the charge of a request by the slot time that it used.
 
         :param str name: client account.
-        :param float charged_s: slot time charged at its start.
-        :param float used_s: slot time used.
+        :param float charged_s: slot time charged at its start, in seconds.
+        :param float used_s: slot time that it used, in seconds.
         """
         account = self._account_by_name.get(name)
         if account is not None:
@@ -200,10 +203,10 @@
         self.service_time_s_ += 0.05 * (used_s - self.service_time_s_)
 
     def refund(self, name, charged_s):
-        """Take back the charge of a request that did not run.
+        """Refund the charge of a request that did not run.
 
         :param str name: client account.
-        :param float charged_s: slot time charged at its start.
+        :param float charged_s: slot time charged at its start, in seconds.
         """
         account = self._account_by_name.get(name)
         if account is not None:
@@ -213,9 +216,9 @@
         """Charge slot time that an account used at other entries.
 
         :param str name: client account.
-        :param float used_s: slot time in seconds.
+        :param float used_s: slot time used there, in seconds.
         :param float weight: effective weight of the account.
-        :param int slots: slots that this entry counts on.
+        :param int slots: number of slots available to this entry.
         """
         account = self._activate_account(name, weight)
         active = sum(a.weight for a in self._account_by_name.values() if a.waiting)
@@ -226,14 +229,14 @@
         )
 
     def forget_idle(self):
-        """Drop accounts that neither wait nor are ahead of the others."""
+        """Drop accounts without queued requests whose burst has fully accumulated."""
         for name, account in list(self._account_by_name.items()):
             is_behind = account.virtual_time <= self._virtual_now - self.burst_s
             if not account.waiting and is_behind:
                 del self._account_by_name[name]
 
     def waiting_by_account(self):
-        """Return how many requests of each account wait.
+        """Return the number of queued requests of each account.
 
         :rtype: dict[str, int]
         """
@@ -242,7 +245,7 @@
         }
 
     def _would_be_next(self, name):
-        """Tell whether a new request of an account would be the next to start."""
+        """Return whether a new request of an account would be served next."""
         account = self._account_by_name.get(name)
         if account is not None and account.waiting:
             return False
--- a/libs/admission/src/sequoiagap/admission/_gate.py
+++ b/libs/admission/src/sequoiagap/admission/_gate.py
@@ -1,4 +1,4 @@
-"""What an endpoint can bear, kept by its agent."""
+"""Concurrency limit of an endpoint, enforced by its agent."""
 
 import transitions
 
@@ -13,29 +13,31 @@
 
 
 class EndpointGate:
-    """Bounds the attempts that run at an endpoint at once.
+    """Limits the number of attempts that run at an endpoint at once.
 
-    The gate is shut until the endpoint has said for ``settle_s`` what still runs
-    there from before. It then opens to the cold limit while the endpoint calls
-    itself cold, and above it one slot for each good answer, no faster than
-    ``warm_up_s`` allows. A new start id, a jump of first-byte time or errors in
-    a row bring it down to the cold limit at once.
+    The limit is 0 until the endpoint has reported for ``settle_s`` the attempts that
+    still run there from before the agent started. It is the cold limit while the
+    endpoint reports that it is cold. From there it rises by one slot for each
+    successful answer, no faster than a ramp of ``warm_up_s`` allows. A new start id, a
+    jump of the first-byte time or consecutive errors reset it to the cold limit at
+    once.
 
-    :param int warm_limit: attempts that a warm endpoint bears.
-    :param int cold_limit: attempts that a cold endpoint bears.
-    :param float warm_up_s: shortest ramp from cold to warm, in seconds.
-    :param float settle_s: how far the endpoint's reports may lag, in seconds.
+    :param int warm_limit: maximum number of attempts at a warm endpoint.
+    :param int cold_limit: maximum number of attempts at a cold endpoint.
+    :param float warm_up_s: shortest ramp from the cold to the warm limit, in seconds.
+    :param float settle_s: maximum lag of the endpoint's reports, in seconds.
 
     :ivar str state: state of the endpoint, see :class:`EndpointState`.
-    :ivar bool stalled_: whether nothing may enter, because the endpoint's rank
-        group can't step; set by the agent.
-    :ivar int in_flight_: attempts of this agent that run now.
-    :ivar int inherited_: attempts from before this agent that may still run.
-    :ivar int successes_: good answers since the ramp began.
-    :ivar int relapses_: how often it turned cold again of late.
-    :ivar bool trusted_: whether the start id was confirmed since the last doubt.
+    :ivar bool stalled_: whether the limit is 0 because the endpoint's rank group cannot
+        step; set by the agent.
+    :ivar int in_flight_: number of this agent's attempts that run now.
+    :ivar int inherited_: number of attempts from before the agent started that may
+        still run.
+    :ivar int successes_: number of successful answers since the ramp began.
+    :ivar int relapses_: number of recent returns to the cold state.
+    :ivar bool trusted_: whether the endpoint has reported since trust was last revoked.
     :ivar str role_: role of the endpoint, see :class:`EndpointRole`.
-    :ivar bool reports_role_: whether the endpoint says which role it has.
+    :ivar bool reports_role_: whether the endpoint reports its role.
 
     >>> gate = EndpointGate(warm_limit=8, cold_limit=1, warm_up_s=4.0)
     >>> gate.record_report("start-1", now=0.0, cold=True)
@@ -79,13 +81,14 @@
         )
 
     def record_report(self, start_id, now, cold, in_flight=0, requested_at=None):
-        """Take what the endpoint reports.
+        """Record a report of the endpoint.
 
-        :param str start_id: changes whenever the endpoint starts anew.
+        :param str start_id: id of the endpoint's start; changes with each restart.
         :param float now: monotonic time in seconds.
-        :param bool cold: whether the endpoint calls itself cold.
-        :param int in_flight: requests that it says run there; it may lag.
-        :param float requested_at: when it was asked; ``now`` by default.
+        :param bool cold: whether the endpoint reports that it is cold.
+        :param int in_flight: reported number of requests that run there; may lag.
+        :param float requested_at: request time of the report, monotonic time in
+            seconds; ``now`` by default.
         """
         requested_at = now if requested_at is None else requested_at
         if requested_at >= self._trust_revoked_at:
@@ -102,9 +105,9 @@
         self._update_reported_cold(cold, now)
 
     def check_start_id(self, start_id, now):
-        """Take the start id that stands on an answer, if any.
+        """Detect a restart of the endpoint by the start id of an answer.
 
-        :param str start_id: the start id, or empty.
+        :param str start_id: start id in the answer, or empty if it has none.
         :param float now: monotonic time in seconds.
         """
         if start_id and self.start_id_ and start_id != self.start_id_:
@@ -113,11 +116,11 @@
             self._turn_cold(now, "new_start_id")
 
     def set_drained(self, is_drained, now):
-        """Follow the operators' order to leave or to take work again.
+        """Drain the endpoint or return it to service, as operators ordered.
 
-        An endpoint that comes back begins at its cold limit and ramps in.
+        An endpoint that returns to service ramps up from its cold limit.
 
-        :param bool is_drained: whether the endpoint is to take no new work.
+        :param bool is_drained: whether the endpoint accepts no new attempts.
         :param float now: monotonic time in seconds.
         """
         if is_drained and self.state not in _states.NOT_SERVING:
@@ -132,20 +135,20 @@
                 self.undrain()
 
     def set_role(self, role):
-        """Take the role of an endpoint that reports it.
+        """Record the role that the endpoint reports.
 
-        :param str role: the role.
+        :param str role: the role, see :class:`EndpointRole`.
         """
         self.role_ = str(role)
         self.reports_role_ = True
 
     @property
     def serves_full_requests(self):
-        """Whether the role serves whole requests."""
+        """Whether the role of the endpoint serves full requests."""
         return _roles.serves_full_requests(self.role_)
 
     def revoke_trust(self, now):
-        """Trust no more than the cold limit until the endpoint reports again.
+        """Apply the cold limit until the endpoint replies to a new report request.
 
         :param float now: monotonic time in seconds.
         """
@@ -153,10 +156,10 @@
         self._trust_revoked_at = now
 
     def record_answer(self, first_byte_s, now):
-        """Take an answer that was given whole.
+        """Record a complete answer.
 
-        :param float first_byte_s: time to its first byte in seconds; 0 where
-            it says nothing, as for answers that come in one piece.
+        :param float first_byte_s: time to its first byte in seconds; 0 if that is not
+            meaningful, as for answers that arrive in one piece.
         :param float now: monotonic time in seconds.
         """
         is_past_cold = self.state in _states.PAST_COLD
@@ -169,10 +172,10 @@
             self.successes_ += 1
 
     def record_error(self, now):
-        """Take an attempt that the endpoint failed.
+        """Record an attempt that failed at the endpoint.
 
-        One error in the ramp is enough to begin it again; a warm endpoint is
-        suspected when errors follow each other.
+        During the ramp one error restarts it; a warm endpoint turns cold only after
+        consecutive errors.
 
         :param float now: monotonic time in seconds.
         """
@@ -182,7 +185,7 @@
             self._turn_cold(now, "errors")
 
     def limit(self, now):
-        """Return how many attempts may run at once.
+        """Return the maximum number of attempts that may run at once.
 
         :param float now: monotonic time in seconds.
         :rtype: int
@@ -197,9 +200,10 @@
         return bound if self.trusted_ else min(bound, self.cold_limit)
 
     def try_acquire_slot(self, now):
-        """Take a slot if there is one.
+        """Acquire a slot if one is free.
 
         :param float now: monotonic time in seconds.
+        :returns: whether a slot was acquired.
         :rtype: bool
         """
         if self.in_flight_ + self.inherited_ >= self.limit(now):
@@ -208,12 +212,12 @@
         return True
 
     def release_slot(self):
-        """Give a slot back."""
+        """Release a slot."""
         self.in_flight_ -= 1
         self._min_in_flight = min(self._min_in_flight, self.in_flight_)
 
     def describe(self):
-        """Return what the limit rests on, for the state dump.
+        """Return the values that determine the limit, for the state dump.
 
         :rtype: dict
         """
@@ -228,7 +232,7 @@
         }
 
     def _settle(self, start_id, now, cold, in_flight):
-        """Open once one and the same start was reported for ``settle_s``."""
+        """Leave the starting state after ``settle_s`` of reports of the same start."""
         if self._first_report_at is None or start_id != self.start_id_:
             self.start_id_ = start_id
             self._first_report_at = now
@@ -244,7 +248,7 @@
             self.found_warm()
 
     def _update_reported_cold(self, cold, now):
-        """Keep the ramp from beginning while the endpoint calls itself cold."""
+        """Delay the ramp while the endpoint reports that it is cold."""
         if cold and self.state in _states.PAST_COLD:
             self._turn_cold(now, "reported_cold")
         if cold or self._reports_cold:
@@ -267,7 +271,7 @@
             self.found_cold()
 
     def _lower_inherited(self, in_flight):
-        """Lower the count of attempts from before this agent, never raise it."""
+        """Lower the count of inherited attempts by a report; it never rises."""
         lowest = min(self._min_in_flight, self._previous_min_in_flight)
         self.inherited_ = min(self.inherited_, max(in_flight - lowest, 0))
         self._previous_min_in_flight, self._min_in_flight = (
--- a/libs/admission/src/sequoiagap/admission/_health.py
+++ b/libs/admission/src/sequoiagap/admission/_health.py
@@ -1,4 +1,4 @@
-"""Judgement of an endpoint by its own answers."""
+"""Detection of slow or failing endpoints by their answers."""
 
 import collections
 import statistics
@@ -15,17 +15,19 @@
 
 
 class EndpointHealth:
-    """Tells a jump of first-byte time or of errors from ordinary variation.
+    """Distinguishes a degraded endpoint from ordinary variation of its answers.
 
-    One slow answer or one error proves nothing: a long prompt is slow too. An
-    endpoint is suspected when the *fastest* of the last few answers is slower
-    than a multiple of its usual time, or when errors follow each other.
+    One slow answer or one error is no evidence: a long prompt is slow as well. An
+    endpoint is suspected if the *fastest* of the last few answers exceeds a multiple of
+    its baseline, or after consecutive errors.
 
-    :param float slow_factor: multiple of the usual first-byte time.
-    :param int confirming_answers: answers in a row that must all be slow.
-    :param int confirming_errors: errors in a row that count.
+    :param float slow_factor: multiple of the baseline above which an answer is slow.
+    :param int confirming_answers: number of consecutive slow answers that raise a
+        suspicion.
+    :param int confirming_errors: number of consecutive errors that raise a suspicion.
 
-    :ivar float baseline_s_: usual first-byte time in seconds; 0 while unknown.
+    :ivar float baseline_s_: median first-byte time in seconds; 0 while unknown.
+    :ivar int errors_in_row_: number of consecutive errors.
 
     >>> health = EndpointHealth(confirming_errors=2)
     >>> health.record_error(), health.record_error()
@@ -52,11 +54,11 @@
         self._suspected_at = None
 
     def record_answer(self, first_byte_s, updates_baseline=True):
-        """Take the first-byte time of an answer.
+        """Record the first-byte time of an answer.
 
         :param float first_byte_s: time to the first byte in seconds.
-        :param bool updates_baseline: whether the usual time may be learnt from it.
-        :returns: whether the endpoint is to be suspected.
+        :param bool updates_baseline: whether the baseline may include the answer.
+        :returns: whether the endpoint is suspected of being slow.
         :rtype: bool
         """
         self.errors_in_row_ = 0
@@ -67,16 +69,16 @@
         return is_full and self.is_slow(min(self._recent))
 
     def record_error(self):
-        """Take an attempt that the endpoint failed.
+        """Record an attempt that failed at the endpoint.
 
-        :returns: whether the endpoint is to be suspected.
+        :returns: whether the endpoint is suspected of failing.
         :rtype: bool
         """
         self.errors_in_row_ += 1
         return self.errors_in_row_ >= self.confirming_errors
 
     def is_slow(self, first_byte_s):
-        """Tell whether a first-byte time is far above the usual one.
+        """Return whether a first-byte time is far above the baseline.
 
         :param float first_byte_s: time to the first byte in seconds.
         :rtype: bool
@@ -87,7 +89,7 @@
         return first_byte_s > threshold_s
 
     def reset_after_suspicion(self, now):
-        """Forget the latest answers after the endpoint was turned cold.
+        """Discard the recent answers after the endpoint turned cold.
 
         :param float now: monotonic time in seconds.
         """
@@ -97,10 +99,10 @@
             self._suspected_at = now
 
     def advance(self, now):
-        """Learn the usual time anew when the endpoint stays slow for long.
+        """Reset the baseline if a suspicion is older than ``BASELINE_RESET_S``.
 
-        A lasting change, such as a larger model, must not hold an endpoint at
-        its cold limit for ever.
+        A lasting change, such as a larger model, must not keep an endpoint at its cold
+        limit forever.
 
         :param float now: monotonic time in seconds.
         """
--- a/libs/admission/src/sequoiagap/admission/_retry_budget.py
+++ b/libs/admission/src/sequoiagap/admission/_retry_budget.py
@@ -1,16 +1,17 @@
-"""Retry budget: retries are a bounded share of live traffic."""
+"""Retry budget that limits retries to a share of the first attempts."""
 
 from sequoiagap import base
 
 
 class RetryBudget:
-    """Grants retries as a share of first attempts.
+    """Limits retries to a share of first attempts by a token bucket.
 
-    :param float share: retries for each first attempt.
-    :param float burst: most retries that can be saved up.
+    :param float share: number of retries granted per first attempt, 0 to 1.
+    :param float burst: maximum number of retries that can accumulate.
 
-    :ivar int first_attempts_: first attempts so far.
-    :ivar int retries_: retries granted so far.
+    :ivar float saved_: number of retries available now.
+    :ivar int first_attempts_: number of first attempts so far.
+    :ivar int retries_: number of retries granted so far.
 
     >>> budget = RetryBudget(share=0.5, burst=1)
     >>> budget.try_spend()
@@ -27,13 +28,14 @@
         self.retries_ = 0
 
     def record_first_attempt(self):
-        """Save up the share of one first attempt."""
+        """Record a first attempt, which adds its share to the budget."""
         self.first_attempts_ += 1
         self.saved_ = min(self.saved_ + self.share, self.burst)
 
     def try_spend(self):
-        """Spend one retry if there is one.
+        """Take one retry from the budget if it has one.
 
+        :returns: whether the retry is granted.
         :rtype: bool
         """
         if self.saved_ < 1.0:
--- a/libs/admission/src/sequoiagap/admission/_roles.py
+++ b/libs/admission/src/sequoiagap/admission/_roles.py
@@ -1,13 +1,14 @@
-"""Roles of model endpoints, and what each can serve."""
+"""Roles of model endpoints and the requests that they can serve."""
 
 import enum
 
 
 class EndpointRole(enum.StrEnum):
-    """What an endpoint does of a model request.
+    """Phases of a model request that an endpoint runs.
 
-    A whole request has its prompt read and its tokens decoded. An endpoint for
-    one of the two needs another one to hand the KV cache to, or to take it from.
+    A full request consists of the prefill of its prompt and the decoding of its tokens.
+    An endpoint for only one of these phases sends the KV cache to another endpoint or
+    receives it from there.
     """
 
     BOTH = "both"
@@ -17,14 +18,15 @@
 
 
 def serves_full_requests(role):
-    """Return whether an endpoint of a role can serve a whole request alone.
+    """Return whether an endpoint of a role can serve a full request alone.
 
-    A role that is not known here can't.
+    Unknown roles cannot.
 
-    :param str role: an :class:`EndpointRole`, or what an endpoint calls its own.
+    :param str role: an :class:`EndpointRole` or any other role that an endpoint
+        reports.
     :rtype: bool
 
-    >>> serves_full_requests("both"), serves_full_requests("prefill"), serves_full_requests("draft")
-    (True, False, False)
+    >>> [serves_full_requests(role) for role in ("both", "prefill", "draft")]
+    [True, False, False]
     """
     return role == EndpointRole.BOTH
--- a/libs/admission/src/sequoiagap/admission/_usage_counts.py
+++ b/libs/admission/src/sequoiagap/admission/_sheets.py
@@ -1,4 +1,4 @@
-"""Counts by client account on their way between entries: changes only."""
+"""Request counts by client account and their delta encoding between entries."""
 
 import dataclasses
 
@@ -8,10 +8,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class RequestCount:
-    """Requests of one client account.
+    """Number of requests of one client account.
 
-    :param int running: those that hold a slot.
-    :param int in_flight: those that run or wait.
+    :param int running: number of requests that hold a slot.
+    :param int in_flight: number of requests that run or wait.
     """
 
     running: int = 0
@@ -24,17 +24,17 @@
         )
 
     def __sub__(self, other):
-        """Return the difference, nowhere below zero."""
+        """Return the difference, with negative values set to zero."""
         return RequestCount(
             max(self.running - other.running, 0),
             max(self.in_flight - other.in_flight, 0),
         )
 
     def is_near(self, other, tolerance):
-        """Return whether two counts differ by no more than a share of them.
+        """Return whether two counts differ by at most a relative tolerance.
 
-        :param Count other: the other count.
-        :param float tolerance: the share.
+        :param RequestCount other: the other count.
+        :param float tolerance: maximum difference as a share of the larger value.
         :rtype: bool
 
         >>> RequestCount(100, 100).is_near(RequestCount(104, 96), 1 / 16)
@@ -51,10 +51,10 @@
 
 
 def sum_counts(tables):
-    """Return the sum of several sheets.
+    """Return the sum of several tables of counts, without accounts of zero requests.
 
     :param tables: dicts of :class:`RequestCount` by account.
-    :rtype: dict[str, Count]
+    :rtype: dict[str, RequestCount]
     """
     total = {}
     for count_by_account in tables:
@@ -65,25 +65,27 @@
 
 
 def subtract_counts(total, own):
-    """Return what the accounts of a sheet have besides it.
+    """Return the total without the own counts, for the accounts of the latter.
 
     :param dict total: :class:`RequestCount` by account.
-    :param dict own: the sheet, counted in the total.
-    :rtype: dict[str, Count]
+    :param dict own: :class:`RequestCount` by account; included in the total.
+    :rtype: dict[str, RequestCount]
 
-    >>> subtract_counts({"a": RequestCount(3, 4), "b": RequestCount(1, 1)}, {"a": RequestCount(1, 2)})
-    {'a': Count(running=2, in_flight=2)}
+    >>> total = {"a": RequestCount(3, 4), "b": RequestCount(1, 1)}
+    >>> subtract_counts(total, {"a": RequestCount(1, 2)})
+    {'a': RequestCount(running=2, in_flight=2)}
     """
     rest = {a: total.get(a, ZERO) - count for a, count in own.items()}
     return {account: count for account, count in rest.items() if count != ZERO}
 
 
 def apply_delta(count_by_account, message):
-    """Take what a message says into a sheet.
+    """Apply the changes in a message to a table of counts.
 
     :param dict count_by_account: :class:`RequestCount` by account; changed in place.
     :param message: message with ``is_full``, ``accounts``, ``running`` and
-        ``in_flight``, which is :data:`ACCOUNT_REMOVED` for an account that left the sheet.
+        ``in_flight``; the latter is :data:`ACCOUNT_REMOVED` for an account that was
+        removed.
     """
     if message.is_full:
         count_by_account.clear()
@@ -102,12 +104,12 @@
 
 
 class DeltaEncoder:
-    """Remembers what each receiver was sent, to send it changes only.
+    """Encodes tables of counts as changes since the last message to each receiver.
 
-    A connection delivers in order or ends. A receiver with a new connection may
-    have missed what was sent last, so it gets everything again.
+    A connection delivers messages in order or ends. A receiver with a new connection
+    may have missed the last messages, so it is sent the full table again.
 
-    :param float tolerance: share by which a count may differ from what was sent.
+    :param float tolerance: relative deviation from the sent count that is not sent.
     """
 
     def __init__(self, tolerance=0.0):
@@ -115,11 +117,12 @@
         self._sent_by_receiver = {}
 
     def encode_delta(self, receiver, connection, count_by_account):
-        """Return what to send: fullness, accounts, running and in flight.
+        """Return the fields of the next message to a receiver.
 
-        :param str receiver: id of the entry.
-        :param connection: identity of the connection that will carry it.
-        :param dict count_by_account: :class:`RequestCount` by account, as it is now.
+        :param str receiver: id of the receiver.
+        :param connection: connection that will carry the message; compared by identity.
+        :param dict count_by_account: current :class:`RequestCount` by account.
+        :returns: values of ``is_full``, ``accounts``, ``running`` and ``in_flight``.
         :rtype: tuple[bool, list, list, list]
         """
         sent = self._sent_by_receiver.get(receiver)
@@ -142,9 +145,9 @@
         return is_full, changed, running, [count.in_flight for count in counts]
 
     def retain_receivers(self, receivers):
-        """Forget receivers that are sent nothing any more.
+        """Drop the state of all other receivers.
 
-        :param set receivers: ids of those that are kept.
+        :param set receivers: ids of the receivers to retain.
         """
         for receiver in set(self._sent_by_receiver) - set(receivers):
             del self._sent_by_receiver[receiver]
--- a/libs/admission/src/sequoiagap/admission/_states.py
+++ b/libs/admission/src/sequoiagap/admission/_states.py
@@ -1,10 +1,10 @@
-"""States of an endpoint, and how they follow each other."""
+"""States of an endpoint and the transitions between them."""
 
 import enum
 
 
 class EndpointState(enum.StrEnum):
-    """States of an endpoint."""
+    """State of an endpoint as its agent reports it."""
 
     STARTING = "starting"
     COLD = "cold"
--- a/libs/admission/src/sequoiagap/admission/_usage_messages.py
+++ b/libs/admission/src/sequoiagap/admission/_usage_messages.py
@@ -1,18 +1,20 @@
-"""Messages of the usage of client accounts, by way of collectors."""
+"""Wire messages that exchange usage of client accounts through collectors."""
 
 from sequoiagap import wire
 
 
 @wire.message(501)
 class EntryUsage:
-    """What client accounts have at one entry; changes only, unless full.
+    """Request counts of client accounts at one entry, for a collector.
 
-    :param str entry_id: the entry.
-    :param bool is_full: whether accounts not named have nothing.
-    :param bool wants_total: whether the collector is to hand the rest back.
+    :param str entry_id: id of the entry.
+    :param bool is_full: whether the message is a full table and not a set of changes;
+        in a full table, accounts that are not listed have no requests.
+    :param bool wants_total: whether the collector shall reply with the counts at other
+        entries.
     :param list accounts: client accounts.
-    :param list running: requests of each that hold a slot.
-    :param list in_flight: requests of each that run or wait.
+    :param list running: number of requests of each account that hold a slot.
+    :param list in_flight: number of requests of each account that run or wait.
     """
 
     entry_id: str
@@ -25,15 +27,15 @@
 
 @wire.message(502)
 class DomainUsage:
-    """What client accounts have in one failure domain, from a collector there.
+    """Request counts of client accounts in one failure domain, from its collector.
 
     :param str failure_domain: the failure domain.
-    :param str collector_id: the collector.
-    :param int entries: how many entries are counted.
-    :param bool is_full: whether accounts not named have nothing.
+    :param str collector_id: id of the collector.
+    :param int entries: number of entries included.
+    :param bool is_full: as in :class:`EntryUsage`.
     :param list accounts: client accounts.
-    :param list running: requests of each that hold a slot.
-    :param list in_flight: requests of each that run or wait.
+    :param list running: number of requests of each account that hold a slot.
+    :param list in_flight: number of requests of each account that run or wait.
     """
 
     failure_domain: str
@@ -47,14 +49,14 @@
 
 @wire.message(503)
 class OtherUsage:
-    """What the accounts of an entry have at all other entries.
+    """Request counts of an entry's client accounts at all other entries.
 
-    :param str collector_id: the collector that hands it back.
-    :param int entries: how many other entries are counted.
-    :param bool is_full: whether accounts not named have nothing.
+    :param str collector_id: id of the collector that sends the counts.
+    :param int entries: number of other entries included.
+    :param bool is_full: as in :class:`EntryUsage`.
     :param list accounts: client accounts.
-    :param list running: requests of each that hold a slot.
-    :param list in_flight: requests of each that run or wait.
+    :param list running: number of requests of each account that hold a slot.
+    :param list in_flight: number of requests of each account that run or wait.
     """
 
     collector_id: str
--- a/libs/admission/src/sequoiagap/admission/_usage_table.py
+++ b/libs/admission/src/sequoiagap/admission/_usage_table.py
@@ -1,9 +1,9 @@
-"""Usage of client accounts, exchanged among the entries of a deployment."""
+"""Usage of client accounts at this entry and, by direct reports, at others."""
 
 import dataclasses
 
 from sequoiagap import base, wire
-from sequoiagap.admission import _usage_counts
+from sequoiagap.admission import _sheets
 
 USAGE_EXPIRY_S = 3.0
 ACCOUNT_RETENTION_S = 4.0
@@ -11,12 +11,12 @@
 
 @wire.message(500)
 class AccountUsage:
-    """What client accounts used at one entry since its last report.
+    """Usage of client accounts at one entry since its last report.
 
-    :param str entry_id: the entry.
-    :param str incarnation: its incarnation.
+    :param str entry_id: id of the entry.
+    :param str incarnation: incarnation of the entry.
     :param dict used_s: slot time since the last report, in seconds, by account.
-    :param dict in_flight: requests that run or wait there now, by account.
+    :param dict in_flight: number of requests that run or wait there now, by account.
     """
 
     entry_id: str
@@ -32,11 +32,14 @@
 
 
 class UsageTable:
-    """Own usage, and that of other entries until it expires.
+    """Usage of client accounts at this entry and, until expiry, at other entries.
 
     :param str entry_id: id of this entry.
-    :param str incarnation: its incarnation.
-    :param float expiry_s: how long a report counts, in seconds.
+    :param str incarnation: incarnation of this entry.
+    :param float expiry_s: time after which another entry's report expires, in seconds.
+
+    :ivar dict in_flight_: own requests that run or wait, by account.
+    :ivar dict running_: own requests that hold a slot, by account.
 
     >>> table = UsageTable("entry-0", "inc-0")
     >>> report = AccountUsage("entry-1", "inc-1", {"guild": 1.0}, {"guild": 2})
@@ -55,43 +58,43 @@
         self._entry_by_id = {}
 
     def record_arrival(self, account):
-        """Count a request that begins to wait or run here.
+        """Record a request that begins to wait or run here.
 
         :param str account: client account.
         """
         self.in_flight_[account] = self.in_flight_.get(account, 0) + 1
 
     def record_end(self, account, used_s):
-        """Count the end of a request and the slot time that it used.
+        """Record the end of a request and its slot time.
 
         :param str account: client account.
-        :param float used_s: slot time in seconds.
+        :param float used_s: slot time that the request used, in seconds.
         """
         _decrement(self.in_flight_, account)
         self._used_s[account] = self._used_s.get(account, 0.0) + used_s
 
     def record_start(self, account):
-        """Count a request that takes a slot.
+        """Record a request that acquires a slot.
 
         :param str account: client account.
         """
         self.running_[account] = self.running_.get(account, 0) + 1
 
     def record_stop(self, account):
-        """Count a request that gives its slot back.
+        """Record a request that releases its slot.
 
         :param str account: client account.
         """
         _decrement(self.running_, account)
 
     def count_by_account(self, now):
-        """Return what accounts have here now.
+        """Return the request counts of the accounts at this entry.
 
-        An account stays for :data:`ACCOUNT_RETENTION_S` after its last request, so that
-        this entry goes on hearing what it has elsewhere.
+        An account is retained for :data:`ACCOUNT_RETENTION_S` after its last request,
+        so that this entry continues to receive its counts at other entries.
 
         :param float now: monotonic time in seconds.
-        :rtype: dict[str, Count]
+        :rtype: dict[str, RequestCount]
         """
         seen_at = self._seen_at_by_account
         seen_at.update(dict.fromkeys(self._used_s, now))
@@ -101,14 +104,14 @@
         ]:
             del seen_at[account]
         return {
-            account: _usage_counts.RequestCount(
+            account: _sheets.RequestCount(
                 self.running_.get(account, 0), self.in_flight_.get(account, 0)
             )
             for account in seen_at
         }
 
     def make_report(self):
-        """Return the message for the other entries, and begin the next one.
+        """Return the report for the other entries and reset the used slot time.
 
         :rtype: AccountUsage
         """
@@ -118,11 +121,11 @@
         )
 
     def record_report(self, report, now):
-        """Take the report of another entry.
+        """Record the report of another entry.
 
         :param AccountUsage report: the report.
         :param float now: monotonic time in seconds.
-        :returns: slot time that accounts used there, in seconds.
+        :returns: slot time used there, in seconds, by account.
         :rtype: dict[str, float]
         """
         if report.entry_id == self.entry_id:
@@ -131,10 +134,10 @@
         return report.used_s
 
     def expire(self, now):
-        """Forget entries that have not reported of late.
+        """Drop the entries whose last report has expired.
 
         :param float now: monotonic time in seconds.
-        :returns: ids of the entries forgotten.
+        :returns: ids of the dropped entries.
         :rtype: list[str]
         """
         silent = [
@@ -147,7 +150,7 @@
         return silent
 
     def remote_in_flight(self, account):
-        """Return how many requests of an account run or wait at other entries.
+        """Return the number of an account's requests that run or wait elsewhere.
 
         :param str account: client account.
         :rtype: int
@@ -155,7 +158,7 @@
         return sum(e.in_flight.get(account, 0) for e in self._entry_by_id.values())
 
     def reporting_entries(self):
-        """Return the ids of the entries whose usage counts now.
+        """Return the ids of the entries whose report has not expired, sorted.
 
         :rtype: list[str]
         """
@@ -163,7 +166,7 @@
 
 
 def _decrement(count_by_account, account):
-    """Count one less, and forget an account that has none left."""
+    """Decrement the count of an account and drop the account at zero."""
     remaining = count_by_account.get(account, 0) - 1
     if remaining > 0:
         count_by_account[account] = remaining
--- a/libs/routing/src/sequoiagap/routing/_endpoint_view.py
+++ b/libs/routing/src/sequoiagap/routing/_endpoint_view.py
@@ -27,8 +27,8 @@
     :param int own_at_report: number of own attempts when the last report arrived.
     :param float reported_at: arrival of the last report, monotonic time in seconds.
     :param str role: reported role, see :class:`sequoiagap.admission.EndpointRole`.
-    :param float unanswered_s: time since the oldest heartbeat that the agent has not
-        answered, in seconds.
+    :param float unanswered_s: time for which the agent has left a heartbeat
+        unanswered, in seconds; 0 if none is pending.
     """
 
     endpoint_id: str
