--- a/libs/admission/src/sequoiagap/admission/_health.py
+++ b/libs/admission/src/sequoiagap/admission/_health.py
@@ -8,7 +8,7 @@
 BASELINE_SAMPLES = 64
 MIN_BASELINE_SAMPLES = 8
 SLOW_FACTOR = 3.0
-MIN_SLOW_S = 0.02
+MIN_SLOW_S = 0.02  # faster answers never count as slow
 CONFIRMING_ANSWERS = 5
 CONFIRMING_ERRORS = 2
 BASELINE_RESET_S = 60.0
--- a/libs/admission/src/sequoiagap/admission/_sheets.py
+++ b/libs/admission/src/sequoiagap/admission/_sheets.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
-TOLERANCE = 1 / 32
-ACCOUNT_REMOVED = -1
+TOLERANCE = 1 / 32  # relative deviation of a count that is not sent
+ACCOUNT_REMOVED = -1  # value of in_flight for an account that was removed
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/admission/test_collectors.py
+++ b/tests/admission/test_collectors.py
@@ -1,4 +1,4 @@
-"""Sums of usage over a fleet whose entries do not all know each other."""
+"""Aggregation of usage by collectors in a fleet that is not fully connected."""
 
 import random
 import unittest
@@ -12,12 +12,12 @@
 ACCOUNTS = 50
 MAX_COUNT = 8
 SETTLE_S = 4.0
-TOLERATED = 0.1
+MAX_RELATIVE_ERROR = 0.1
 MAX_IDLE_BYTES_S = 500
 
 
 def fill(fleet, seed=2):
-    """Give each entry some requests of half the accounts."""
+    """Give each entry random request counts for half the accounts."""
     random_state = random.Random(seed)
     for entry in fleet.by_id.values():
         for number in random_state.sample(range(ACCOUNTS), ACCOUNTS // 2):
@@ -37,28 +37,30 @@
         fill(fleet)
         return fleet
 
-    def assert_known(self, fleet, entries=None):
-        """Assert that entries know what their accounts have at the others."""
+    def assert_counts_known(self, fleet, entries=None):
+        """Assert that entries know the counts of their accounts at all others."""
         for entry in entries or fleet.by_id.values():
             if entry.node_id not in fleet.dead:
-                self.assertLess(max(fleet.errors(entry)), TOLERATED, entry.node_id)
+                self.assertLess(
+                    max(fleet.errors(entry)), MAX_RELATIVE_ERROR, entry.node_id
+                )
                 self.assertEqual(
                     entry.collected.counted_entries_, ENTRIES - len(fleet.dead) - 1
                 )
 
-    def test_every_entry_knows_what_its_accounts_have_at_all_others(self):
+    def test_every_entry_learns_the_counts_at_all_others(self):
         for loss in (0.0, 0.02):
             with self.subTest(loss=loss):
                 fleet = self.make_fleet(loss)
                 fleet.run(SETTLE_S)
                 fleet.loss = 0.0
                 fleet.run(SETTLE_S)
-                self.assert_known(fleet)
+                self.assert_counts_known(fleet)
                 fill(fleet, seed=3)
                 fleet.run(SETTLE_S)
-                self.assert_known(fleet)
+                self.assert_counts_known(fleet)
 
-    def test_lost_collectors_change_what_is_known_for_a_few_seconds_at_most(self):
+    def test_counts_recover_within_seconds_after_collectors_are_lost(self):
         everywhere = ("north", "middle", "south")
         cases = {
             "first": (("north",), 0),
@@ -75,9 +77,9 @@
                 fleet.run(support.FEW_SECONDS_S)
                 for _ in range(20):
                     fleet.run(usage_fleet.TICK_S)
-                    self.assert_known(fleet)
+                    self.assert_counts_known(fleet)
 
-    def test_a_cut_off_collector_leaves_the_others_what_they_know(self):
+    def test_a_partitioned_collector_does_not_affect_other_entries(self):
         fleet = self.make_fleet()
         fleet.run(2 * SETTLE_S)
         first = fleet.collectors_by_domain()["north"][0]
@@ -90,14 +92,16 @@
         for _ in range(20):
             fleet.run(usage_fleet.TICK_S)
             for entry in rest:
-                self.assertLess(max(fleet.errors(entry)), TOLERATED, entry.node_id)
+                self.assertLess(
+                    max(fleet.errors(entry)), MAX_RELATIVE_ERROR, entry.node_id
+                )
         self.assertEqual(fleet.by_id[first].collected.remote_counts(fleet.now), {})
         fleet.cut([])
         fleet.by_id[first].sheet.update(kept)
         fleet.run(support.FEW_SECONDS_S)
-        self.assert_known(fleet)
+        self.assert_counts_known(fleet)
 
-    def test_an_account_that_is_idle_costs_nothing(self):
+    def test_unchanged_counts_cost_almost_no_traffic(self):
         fleet = self.make_fleet()
         fleet.run(3 * SETTLE_S)
         before = sum(fleet.bytes_sent.values())
--- a/tests/admission/test_fair_queue.py
+++ b/tests/admission/test_fair_queue.py
@@ -1,4 +1,4 @@
-"""Shares of client accounts, bounded waits and times to come back."""
+"""Fair shares of client accounts, bounded waits and randomized retry delays."""
 
 import random
 import unittest
@@ -10,9 +10,9 @@
 
 
 class Entries:
-    """Entries that share slots evenly and exchange usage, in virtual time.
+    """Entries with equal slots that exchange usage, in virtual time.
 
-    :param int count: entries.
+    :param int count: number of entries.
     :param dict weight_by_account: weight of each client account.
     """
 
@@ -26,11 +26,11 @@
         self.shed = []
 
     def run(self, seconds, demand, cut_off=()):
-        """Serve ``SLOTS`` requests a step at each entry.
+        """Serve ``SLOTS`` requests per step at each entry.
 
-        :param float seconds: how long.
-        :param dict demand: requests a step by ``(entry, account)``.
-        :param tuple cut_off: entries that exchange nothing.
+        :param float seconds: virtual time to run, in seconds.
+        :param dict demand: requests per step by ``(entry, account)``.
+        :param tuple cut_off: entries that exchange no usage.
         """
         for step in range(round(seconds / SERVICE_S)):
             for (entry, account), count in demand.items():
@@ -42,13 +42,13 @@
                 self._exchange(step * SERVICE_S, cut_off)
 
     def share(self, account, entries=None):
-        """Return the share of an account in what was served."""
+        """Return the share of an account in the served requests."""
         served = [self.served[i] for i in entries or range(len(self.queues))]
         total = sum(sum(counts.values()) for counts in served)
         return sum(counts[account] for counts in served) / total
 
     def reset(self):
-        """Begin to count anew."""
+        """Reset the counts of served requests."""
         for counts in self.served:
             counts.update(dict.fromkeys(counts, 0))
 
@@ -87,14 +87,14 @@
         self.assertAlmostEqual(entries.share("small"), 0.25, delta=0.02)
         self.assertAlmostEqual(entries.share("double"), 0.5, delta=0.02)
 
-    def test_small_account_is_served_whole_below_its_share(self):
+    def test_account_below_its_share_is_served_in_full(self):
         entries = Entries(1, {"large": 1, "small": 1})
         entries.run(20, {(0, "large"): 100, (0, "small"): 2})
         self.assertAlmostEqual(entries.share("small"), 0.2, delta=0.01)
         self.assertEqual([name for name, _ in entries.shed if name == "small"], [])
 
     def test_usage_at_other_entries_counts(self):
-        """``wide`` floods both entries, ``narrow`` only the first."""
+        """Account ``wide`` floods both entries, ``narrow`` only the first."""
         entries = Entries(2, {"wide": 1, "narrow": 1})
         demand = {(0, "wide"): 50, (1, "wide"): 50, (0, "narrow"): 50}
         entries.run(20, demand)
@@ -115,8 +115,8 @@
                     entries.share("a", entries=(0, 1)), wanted, delta=0.06
                 )
 
-    def test_usage_at_lost_entries_is_forgiven_after_seconds(self):
-        """``a`` floods three entries alone and meets ``b`` at the fourth."""
+    def test_usage_at_lost_entries_expires_after_seconds(self):
+        """Account ``a`` floods four entries and competes with ``b`` at the first."""
         entries = Entries(4, {"a": 1, "b": 1})
         demand = {(i, "a"): 50 for i in range(4)} | {(0, "b"): 50}
         entries.run(30, demand)
@@ -139,7 +139,7 @@
         self.assertLessEqual(burst, 1.0 / SERVICE_S + 1)
         self.assertGreaterEqual(first.count("idle"), 20)
 
-    def test_wait_is_bounded_and_callers_come_back_apart(self):
+    def test_wait_is_bounded_and_retry_delays_are_spread(self):
         queue = admission.FairQueue(1.0, random.Random(0))
         queue.service_time_s_ = SERVICE_S
         results = [queue.offer("large", i, 1.0, SLOTS) for i in range(300)]
@@ -173,7 +173,7 @@
 
 
 class NextInTurnTest(unittest.TestCase):
-    def test_account_behind_its_share_is_not_shed_for_the_others_queue(self):
+    def test_account_below_its_share_is_not_shed_because_of_others(self):
         queue = admission.FairQueue(1.0, random.Random(0))
         queue.service_time_s_ = 0.6
         for _ in range(3):
@@ -182,7 +182,7 @@
         self.assertIsNone(queue.offer("small", "own", 1.0, slots=1))
         self.assertEqual(queue.pop(), ("small", "own"))
 
-    def test_account_that_used_its_share_is_still_shed(self):
+    def test_account_above_its_share_is_shed(self):
         queue = admission.FairQueue(1.0, random.Random(0))
         queue.service_time_s_ = 0.6
         for _ in range(9):
