--- a/tests/experts/test_policies.py
+++ b/tests/experts/test_policies.py
@@ -20,8 +20,8 @@
 
 def plan(policy, current, loads, speeds=SPEEDS):
     """Return the map that a policy plans for loads without noise."""
-    given = experts.PlanInput(current, loads, loads, speeds)
-    return experts.finish(policy.plan(given))
+    plan_input = experts.PlanInput(current, loads, loads, speeds)
+    return experts.finish(policy.plan(plan_input))
 
 
 def longest(placement, loads, speeds=SPEEDS):
@@ -71,12 +71,12 @@
         loads = draw(self.source)
         policy = experts.POLICIES.get("incremental")(experts.PlanCosts())
         settled = plan(policy, plan(policy, self.start, loads), loads)
-        current, moves = self.follow_samples(settled, loads, known=True)
-        _, moves_unknown = self.follow_samples(settled, loads, known=False)
-        self.assertLess(moves, moves_unknown / 3)
+        current, moves = self.follow_samples(settled, loads, has_sample_sizes=True)
+        _, moves_without = self.follow_samples(settled, loads, has_sample_sizes=False)
+        self.assertLess(moves, moves_without / 3)
         self.assertLess(longest(current, loads), longest(settled, loads) * 1.02)
 
-    def follow_samples(self, current, loads, known):
+    def follow_samples(self, current, loads, has_sample_sizes):
         """Plan 20 times from sampled counts; return the last map and the moves."""
         policy = experts.POLICIES.get("incremental")(experts.PlanCosts())
         estimator = experts.LoadEstimator(SHAPE.layers, SHAPE.experts)
@@ -88,9 +88,11 @@
                 counts = [max(m + source.gauss(0, m**0.5), 0) for m in means]
                 estimator.update({layer: counts})
             predicted = estimator.predict()
-            weights = estimator.effective_tokens() if known else []
-            given = experts.PlanInput(current, predicted, predicted, SPEEDS, weights)
-            planned = experts.finish(policy.plan(given))
+            effective_tokens = estimator.effective_tokens() if has_sample_sizes else []
+            plan_input = experts.PlanInput(
+                current, predicted, predicted, SPEEDS, effective_tokens
+            )
+            planned = experts.finish(policy.plan(plan_input))
             moves += len(experts.moves_between(current, planned))
             current = planned
         return current, moves
