--- a/libs/entry/src/sequoiagap/entry/_admission.py
+++ b/libs/entry/src/sequoiagap/entry/_admission.py
@@ -61,7 +61,7 @@
         if limit_refusal is not None:
             return expression.Error(limit_refusal)
         started_at = time.monotonic()
-        self.usage_.enter(request.account)
+        self.usage_.record_arrival(request.account)
         used_s = 0.0
         try:
             is_requeued = False
@@ -75,7 +75,7 @@
                     return result
                 is_requeued = True
         finally:
-            self.usage_.leave(request.account, used_s)
+            self.usage_.record_end(request.account, used_s)
 
     def abort_all(self):
         """Abort all queued and running requests immediately with a refusal."""
@@ -129,17 +129,17 @@
         scheduler = self._scheduler(request.target)
         charged_s = scheduler.queue.service_time_s_
         started_at = time.monotonic()
-        self.usage_.start(request.account)
+        self.usage_.record_start(request.account)
         try:
             result = await self.dispatcher.dispatch(request, sink)
         finally:
-            self.usage_.stop(request.account)
+            self.usage_.record_stop(request.account)
             scheduler.finish()
         if result.is_error():
             scheduler.queue.refund(request.account, charged_s)
             return result, 0.0
         used_s = time.monotonic() - started_at
-        scheduler.queue.settle(request.account, charged_s, used_s)
+        scheduler.queue.correct_charge(request.account, charged_s, used_s)
         return result, used_s
 
     async def _wait_for_slot(self, request, started_at, is_requeued):
@@ -156,7 +156,7 @@
             return None
         waiter = asyncio.get_running_loop().create_future()
         if is_requeued:
-            scheduler.queue.put_back(account, waiter, weight)
+            scheduler.queue.requeue(account, waiter, weight)
         else:
             slots = scheduler.slots(candidates)
             shed = scheduler.queue.offer(account, waiter, weight, slots)
@@ -252,4 +252,4 @@
             slots = scheduler.slots(scheduler.candidates())
             for account, used_s in used_by_account.items():
                 weight = self._account_weight(account)
-                scheduler.queue.record_remote(account, used_s, weight, slots)
+                scheduler.queue.record_remote_usage(account, used_s, weight, slots)
--- a/libs/gateway/src/sequoiagap/gateway/_gateway.py
+++ b/libs/gateway/src/sequoiagap/gateway/_gateway.py
@@ -226,7 +226,7 @@
                 base.Event.PLATFORM_BEHIND, held=version, in_force=self.table.version
             )
         elif is_settled:
-            self.freshness.note(requested_at)
+            self.freshness.record_reading(requested_at)
 
     def _apply_endpoints(self, endpoint_by_id, requested_at, is_settled):
         if endpoint_by_id is not None:
--- a/libs/ranks/src/sequoiagap/ranks/_leader.py
+++ b/libs/ranks/src/sequoiagap/ranks/_leader.py
@@ -44,7 +44,7 @@
 
     :param GroupAccess access: access to the ranks.
     :param EngineReport report: report of the own rank when leading starts.
-    :param routes.EngineTerms profile: profile of the group's engines.
+    :param routes.EngineProfile profile: profile of the group's engines.
     :param base.Metrics metrics: metrics of the process.
     :param float longest_pause_s: longest pause between two events that callers
         tolerate, in seconds; 0 for no limit.
--- a/libs/ranks/src/sequoiagap/ranks/_map_registry.py
+++ b/libs/ranks/src/sequoiagap/ranks/_map_registry.py
@@ -11,7 +11,7 @@
     A version is never used for two maps in an epoch, so a rank has to report only once
     what it holds.
 
-    :param routes.EngineTerms profile: profile of the group's engines.
+    :param routes.EngineProfile profile: profile of the group's engines.
     :param int size: number of ranks in the group.
     """
 
--- a/libs/ranks/src/sequoiagap/ranks/_planning.py
+++ b/libs/ranks/src/sequoiagap/ranks/_planning.py
@@ -43,7 +43,7 @@
 class MapPlanner:
     """Plans the next map of a group.
 
-    :param routes.EngineTerms profile: profile of the group's engines.
+    :param routes.EngineProfile profile: profile of the group's engines.
     :param int size: number of ranks in the group.
     :param float longest_pause_s: longest pause between two events that callers
         tolerate, in seconds; 0 for no limit.
@@ -88,7 +88,7 @@
         target = self.timer.tolerable_skew(self.longest_pause_s, TARGET_SKEW)
         pace = dataclasses.replace(self.pace, target_skew=target)
         planned, copies = await experts.finish_in_slices(
-            experts.plan_paced(holdings, loads, pace, costs)
+            experts.plan_bounded(holdings, loads, pace, costs)
         )
         if planned == holdings:
             return None
@@ -126,11 +126,11 @@
     A copy takes bandwidth of one rank, while shorter passes save time of all ranks; so
     the larger the group, the smaller the share of a pass that a copy has to save.
 
-    :param routes.EngineTerms profile: profile of the group's engines.
+    :param routes.EngineProfile profile: profile of the group's engines.
     :param int size: number of ranks in the group.
-    :rtype: sequoiagap.experts.Pace
+    :rtype: sequoiagap.experts.PlanLimits
     """
-    return experts.Pace(
+    return experts.PlanLimits(
         new_per_rank=profile.new_per_change,
         copies_per_rank=COPIES_PER_RANK,
         copy_s=COPY_COST_RANK_S / size,
