--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -69,7 +69,7 @@
         value = dataclasses.asdict(wish)
         stored = await self.client.put(f"claim-{wish.identity}", value, 0)
         self.tasks_.start(self._expire(stored), "expire")
-        return outcome.ClaimAnswer(outcome.ClaimVerdict.HELD, wish)
+        return outcome.ClaimResult(outcome.ClaimDecision.HELD, wish)
 
     async def close(self):
         """Wait for the deletions."""
@@ -84,7 +84,7 @@
     began = time.monotonic()
     answer = await store.claim(wish, TIMEOUT_S)
     tally.latencies_s.append(time.monotonic() - began)
-    tally.held += answer.verdict == outcome.ClaimVerdict.HELD
+    tally.held += answer.decision == outcome.ClaimDecision.HELD
 
 
 async def run_way(url, make_store, rate, seconds, random_state):
--- a/benchmarks/claims_sustained.py
+++ b/benchmarks/claims_sustained.py
@@ -53,7 +53,7 @@
             break
     nonce = f"att-{random_state.getrandbits(80):020x}"
     digest = f"{random_state.getrandbits(128):032x}"
-    return store.stamp(outcome.Claim(identity, "a", "inc", nonce, digest, 0.0))
+    return store.with_expiry(outcome.Claim(identity, "a", "inc", nonce, digest, 0.0))
 
 
 async def run(rate, seconds):
@@ -64,7 +64,7 @@
 
     async def claim(store):
         answer = await store.claim(make_wish(store, random_state), TIMEOUT_S)
-        verdicts[answer.verdict] = verdicts.get(answer.verdict, 0) + 1
+        verdicts[answer.decision] = verdicts.get(answer.decision, 0) + 1
 
     store = outcome.ClaimStore(fake, "orders", wall_clock=loop.time)
     async with asyncio.TaskGroup() as group:
--- a/benchmarks/watch_bytes.py
+++ b/benchmarks/watch_bytes.py
@@ -62,7 +62,7 @@
     first = config.Patch("first", 0, sizes.make_document(), "ann")
     await store.submit(first)
     holder = config.ConfigHolder()
-    duty = config.WatchDuty(time.monotonic())
+    duty = config.WatchSchedule(time.monotonic())
     replica = config.ConfigReplica(holder)
     watch = _watch.ConfigWatch(watched, holder, replica, duty, lambda: 0)
     task = asyncio.create_task(watch.run())
--- a/libs/agent/src/sequoiagap/agent/_claim_desk.py
+++ b/libs/agent/src/sequoiagap/agent/_claim_desk.py
@@ -55,12 +55,12 @@
         """Claim the key of a run within the time that its caller grants.
 
         :param Run run: the run; its wish is stamped with its expiry.
-        :rtype: sequoiagap.outcome.ClaimAnswer
+        :rtype: sequoiagap.outcome.ClaimResult
         """
         store = self._store(run.order.target)
         now = asyncio.get_running_loop().time()
         left_s = run.order.expires_at_ms / MILLISECONDS - now - CLAIM_MARGIN_S
-        run.wish = store.stamp(run.wish)
+        run.wish = store.with_expiry(run.wish)
         return await store.claim(run.wish, max(left_s, 0.0))
 
     def finish(self, run):
--- a/libs/agent/src/sequoiagap/agent/_executor.py
+++ b/libs/agent/src/sequoiagap/agent/_executor.py
@@ -153,10 +153,10 @@
         self._start(connection, order, wish)
 
     async def _answer_not_accepted(self, connection, order, expires_at):
-        standing = self.ledger.standing(order.attempt_id, expires_at, _now())
-        if standing == outcome.Standing.NEVER_STARTED:
+        standing = self.ledger.state(order.attempt_id, expires_at, _now())
+        if standing == outcome.AttemptState.NEVER_STARTED:
             refusal = self.refusals_.too_late(order.attempt_id)
-        elif standing == outcome.Standing.UNKNOWN:
+        elif standing == outcome.AttemptState.UNKNOWN:
             refusal = self.refusals_.forgotten(order.attempt_id)
         else:
             # The first order runs or ran, and its answer goes to its own entry.
@@ -219,7 +219,7 @@
         return bool(self._out_setting())
 
     def _out_setting(self):
-        return self.holder.forbidding_setting(self.failure_domain, self.node_id)
+        return self.holder.blocking_setting(self.failure_domain, self.node_id)
 
     async def _run(self, run):
         """Wait for a slot, claim, start and run."""
@@ -243,7 +243,7 @@
         order = run.order
         if run.is_keyed:
             answer = await self.claims_.claim(run)
-            if answer.verdict != outcome.ClaimVerdict.HELD:
+            if answer.decision != outcome.ClaimDecision.HELD:
                 return self.refusals_.no_claim(
                     answer, self.node_id, self.ledger.incarnation
                 )
--- a/libs/agent/src/sequoiagap/agent/_follow_ups.py
+++ b/libs/agent/src/sequoiagap/agent/_follow_ups.py
@@ -72,7 +72,7 @@
         listener = run.listener_by_attempt_id.get(order.attempt_id)
         if listener is not None:
             run.leave(listener)
-        never_starts = standing == outcome.Standing.NEVER_STARTED
+        never_starts = standing == outcome.AttemptState.NEVER_STARTED
         is_wasted = run.order.repeatable and not run.listener_by_attempt_id
         if is_wasted or (never_starts and not run.started_):
             self.stop_run(run)
@@ -87,7 +87,7 @@
             next_sequence=order.next_sequence,
         )
         is_held = run is not None and run.can_give_from(order.next_sequence)
-        if standing == outcome.Standing.UNKNOWN or not is_held:
+        if standing == outcome.AttemptState.UNKNOWN or not is_held:
             await connection.send(wire.Revoked(order.attempt_id, str(standing)))
             return
         old = run.listener_by_attempt_id.get(order.attempt_id)
@@ -101,7 +101,7 @@
             return self.ledger.revoke(
                 order.attempt_id, order.incarnation, expires_at, _now()
             )
-        return self.ledger.standing(order.attempt_id, expires_at, _now())
+        return self.ledger.state(order.attempt_id, expires_at, _now())
 
     def _abandon(self, run):
         is_wanted = run.listener_by_attempt_id or not run.order.repeatable
--- a/libs/agent/src/sequoiagap/agent/_orders.py
+++ b/libs/agent/src/sequoiagap/agent/_orders.py
@@ -100,7 +100,7 @@
             await self._wait_until_idle()
         except (base.PlatformError, base.ConfigError) as error:
             return _Result(members.OrderOutcome.REFUSED, error.message)
-        objection = self.fence_.find_objection(order.fencing, order.order_id)
+        objection = self.fence_.find_rejection_reason(order.fencing, order.order_id)
         if objection:
             return _Result(members.OrderOutcome.REFUSED, objection)
         result = await self._pass_on(order)
@@ -111,14 +111,14 @@
     async def _pass_on(self, order):
         """Send an order that may pass; a change of role waits for the attempts."""
         if order.kind != members.OrderKind.CHANGE_ROLE or self.roles is None:
-            self.fence_.pass_order(order.fencing, order.order_id)
+            self.fence_.record_order(order.fencing, order.order_id)
             return await self._send(order)
         try:
             await self.roles.prepare()
         except _roles.RoleError as error:
             return _Result(members.OrderOutcome.REFUSED, str(error))
         try:
-            self.fence_.pass_order(order.fencing, order.order_id)
+            self.fence_.record_order(order.fencing, order.order_id)
             return await self._send(order)
         finally:
             self.roles.finish()
@@ -126,7 +126,7 @@
     async def _learn(self):
         """Learn once, in a fresh process, which number was issued last."""
         if not self._learnt:
-            self.fence_.learn(await self.store.read(self.endpoint_id))
+            self.fence_.restore_highest(await self.store.read(self.endpoint_id))
             self._learnt = True
 
     async def _wait_until_idle(self):
--- a/libs/agent/src/sequoiagap/agent/_refusals.py
+++ b/libs/agent/src/sequoiagap/agent/_refusals.py
@@ -123,23 +123,23 @@
     def no_claim(self, answer, agent, incarnation):
         """Return the refusal of a run whose claim was not given.
 
-        :param sequoiagap.outcome.ClaimAnswer answer: what became of the claim.
+        :param sequoiagap.outcome.ClaimResult answer: what became of the claim.
         :param str agent: this agent.
         :param str incarnation: its incarnation.
         """
-        match answer.verdict:
-            case outcome.ClaimVerdict.TAKEN:
+        match answer.decision:
+            case outcome.ClaimDecision.TAKEN:
                 return self._taken(answer.claim, agent, incarnation)
-            case outcome.ClaimVerdict.MISMATCH:
+            case outcome.ClaimDecision.MISMATCH:
                 return self.mismatch("")
-            case outcome.ClaimVerdict.FULL:
+            case outcome.ClaimDecision.FULL:
                 return self._refused(
                     base.RefusalKind.OVERLOADED,
                     "too many keys are claimed at once",
                     _ASK_AGAIN,
                     retry_after_ms=FULL_RETRY_AFTER_MS,
                 )
-            case outcome.ClaimVerdict.TOO_LATE:
+            case outcome.ClaimDecision.TOO_LATE:
                 return self._refused(
                     base.RefusalKind.DEADLINE,
                     "the key could not be claimed before the deadline",
--- a/libs/agent/src/sequoiagap/agent/_spread.py
+++ b/libs/agent/src/sequoiagap/agent/_spread.py
@@ -52,7 +52,7 @@
 
         :param sequoiagap.wire.Connection connection: the entry.
         """
-        await self.channel_.greet(connection)
+        await self.channel_.send_offer(connection)
 
     async def catch_up(self, connection, number):
         """Pull a version that an entry has decided under.
@@ -90,7 +90,7 @@
         """Take work from the first version on; wait for it until the next reading."""
         try:
             async with asyncio.timeout(LEARN_RETRY_S):
-                await self.holder.known_.wait()
+                await self.holder.has_version_.wait()
         except TimeoutError:
             return
         self.holder.ready_.set()
--- a/libs/config/src/sequoiagap/config/__init__.py
+++ b/libs/config/src/sequoiagap/config/__init__.py
@@ -12,7 +12,7 @@
     merge_patch,
     unknown_keys,
 )
-from sequoiagap.config._duty import FEW_WATCHERS, WatchDuty
+from sequoiagap.config._duty import PERMANENT_WATCHERS, WatchSchedule
 from sequoiagap.config._harm import (
     HARM_CHECKS,
     EndpointFact,
@@ -35,23 +35,23 @@
     NEWEST_OBJECT,
     NewestPatches,
     NewestWriter,
-    newest_of,
+    newest_patches,
     parse_newest,
 )
 from sequoiagap.config._patch import Patch, patch_from_json
 from sequoiagap.config._replica import ConfigReplica, local_message
-from sequoiagap.config._store import SUBMIT_BOUND_S, ConfigStore
+from sequoiagap.config._store import SUBMIT_TIMEOUT_S, ConfigStore
 from sequoiagap.config._version import ConfigVersion, Step
 from sequoiagap.config._writer import Accepted
 
 __all__ = [
     "CONFIG_OBJECT",
-    "FEW_WATCHERS",
     "HARM_CHECKS",
     "KEPT_SEGMENTS",
     "NEWEST_OBJECT",
+    "PERMANENT_WATCHERS",
     "SEGMENT_ENTRIES",
-    "SUBMIT_BOUND_S",
+    "SUBMIT_TIMEOUT_S",
     "Accepted",
     "AccountConfig",
     "ConfigBody",
@@ -80,11 +80,11 @@
     "RoutingConfig",
     "ServiceConfig",
     "Step",
-    "WatchDuty",
+    "WatchSchedule",
     "find_harm",
     "local_message",
     "merge_patch",
-    "newest_of",
+    "newest_patches",
     "parse_head",
     "parse_newest",
     "patch_from_json",
--- a/libs/config/src/sequoiagap/config/_channel.py
+++ b/libs/config/src/sequoiagap/config/_channel.py
@@ -26,7 +26,7 @@
         handlers.add(_messages.ConfigBody, self._on_body)
         handlers.add(_messages.LocalDomainOut, self._on_local)
 
-    async def greet(self, connection):
+    async def send_offer(self, connection):
         """Offer what this process has on a new connection.
 
         Local orders stay within the failure domain that they were given in.
--- a/libs/config/src/sequoiagap/config/_duty.py
+++ b/libs/config/src/sequoiagap/config/_duty.py
@@ -1,6 +1,6 @@
 """Which entries of a failure domain watch the platform; decided alone."""
 
-FEW_WATCHERS = 2
+PERMANENT_WATCHERS = 2
 TAKEOVER_S = 2.0
 TAKEOVER_STEP_S = 0.1
 MAX_TAKEOVER_STEPS = 8
@@ -8,7 +8,7 @@
 MAX_RETRY_S = 30.0
 
 
-class WatchDuty:
+class WatchSchedule:
     """Decides when an entry calls the platform.
 
     The entries of a failure domain are ranked by rendezvous. The first two watch
@@ -18,8 +18,8 @@
     :ivar float confirmed_at_: when the platform last had its word, here or at
         another entry of the failure domain, monotonic seconds.
 
-    >>> duty = WatchDuty(now=0.0)
-    >>> duty.wait_s(rank=0, now=1.0), duty.wait_s(rank=5, now=1.0)
+    >>> duty = WatchSchedule(now=0.0)
+    >>> duty.delay_s(rank=0, now=1.0), duty.delay_s(rank=5, now=1.0)
     (0.0, 1.5)
     """
 
@@ -28,7 +28,7 @@
         self._failures = 0
         self._failed_at = now
 
-    def hear(self, age_s, now):
+    def record_peer_age(self, age_s, now):
         """Take the age that an offer of an entry of the failure domain names.
 
         :param float age_s: age of the platform's last word, in seconds.
@@ -36,7 +36,7 @@
         """
         self.confirmed_at_ = max(self.confirmed_at_, now - age_s)
 
-    def confirm(self, now):
+    def record_answer(self, now):
         """Note that the platform has answered here.
 
         :param float now: monotonic time in seconds.
@@ -44,7 +44,7 @@
         self.confirmed_at_ = now
         self._failures = 0
 
-    def fail(self, now):
+    def record_failure(self, now):
         """Note that the platform has not answered here.
 
         :param float now: monotonic time in seconds.
@@ -60,7 +60,7 @@
         """
         return int((now - self.confirmed_at_) * 1000)
 
-    def wait_s(self, rank, now):
+    def delay_s(self, rank, now):
         """Return how long to wait before the next call; 0 to call now.
 
         After failures the wait grows with the rank, so that an outage does not
@@ -71,12 +71,12 @@
         :rtype: float
         """
         step_in_at = now
-        if rank >= FEW_WATCHERS:
+        if rank >= PERMANENT_WATCHERS:
             steps = min(rank, MAX_TAKEOVER_STEPS)
             step_in_at = self.confirmed_at_ + TAKEOVER_S + TAKEOVER_STEP_S * steps
         if self._failures:
             pause = RETRY_S
-            if rank >= FEW_WATCHERS:
+            if rank >= PERMANENT_WATCHERS:
                 pause = min(RETRY_S * (rank + 1), MAX_RETRY_S)
             step_in_at = max(step_in_at, self._failed_at + pause)
         return max(round(step_in_at - now, 6), 0.0)
--- a/libs/config/src/sequoiagap/config/_holder.py
+++ b/libs/config/src/sequoiagap/config/_holder.py
@@ -15,7 +15,7 @@
     """Holds the highest configuration version that the process has met.
 
     :ivar ConfigVersion current_: the version in force.
-    :ivar asyncio.Event known_: set once a version above 0 is in force.
+    :ivar asyncio.Event has_version_: set once a version above 0 is in force.
     :ivar asyncio.Event ready_: set once the process may take work: it has met
         the highest version that it could reach.
     :ivar dict local_by_domain: local orders that hold, by failure domain.
@@ -29,7 +29,7 @@
 
     def __init__(self):
         self.current_ = _version.ConfigVersion()
-        self.known_ = asyncio.Event()
+        self.has_version_ = asyncio.Event()
         self.ready_ = asyncio.Event()
         self.local_by_domain = {}
         self._patch_by_number = {}
@@ -64,7 +64,7 @@
             return False
         self.current_ = version
         self._keep(steps)
-        self.known_.set()
+        self.has_version_.set()
         self._end_overtaken()
         _log.emit(
             base.Event.CONFIG_ADOPTED, config_version=version.number, source=source
@@ -84,7 +84,7 @@
         texts = [self._patch_by_number.get(item) for item in wanted]
         return None if None in texts else texts
 
-    def take_local(self, order, source):
+    def apply_local_order(self, order, source):
         """Put a local order in force unless a version has overtaken it.
 
         :param LocalOrder order: the order.
@@ -109,7 +109,7 @@
             listener(order)
         return True
 
-    def forbidding_setting(self, failure_domain, endpoint_id):
+    def blocking_setting(self, failure_domain, endpoint_id):
         """Return the setting that forbids new work at an endpoint.
 
         :param str failure_domain: where the endpoint stands.
--- a/libs/config/src/sequoiagap/config/_newest.py
+++ b/libs/config/src/sequoiagap/config/_newest.py
@@ -39,7 +39,7 @@
         return self.delta.above + len(self.delta.patches)
 
 
-def newest_of(head_version, version, steps):
+def newest_patches(head_version, version, steps):
     """Return the newest patches of a version, within their bounds.
 
     :param int head_version: version of the configuration object.
--- a/libs/config/src/sequoiagap/config/_replica.py
+++ b/libs/config/src/sequoiagap/config/_replica.py
@@ -117,7 +117,7 @@
         order = _local.LocalOrder(
             item.failure_domain, item.against, item.order_id, item.operator, item.at
         )
-        self.holder.take_local(order, source)
+        self.holder.apply_local_order(order, source)
 
     def local_orders(self):
         """Return the messages of the local orders that hold.
--- a/libs/config/src/sequoiagap/config/_store.py
+++ b/libs/config/src/sequoiagap/config/_store.py
@@ -8,7 +8,7 @@
 from sequoiagap import base
 from sequoiagap.config import _harm, _head, _history, _newest, _refusals, _writer
 
-SUBMIT_BOUND_S = 5.0
+SUBMIT_TIMEOUT_S = 5.0
 NEWEST_BOUND_S = 0.5
 
 
@@ -18,13 +18,13 @@
     :param sequoiagap.platform.PlatformClient client: the platform.
     :param validators: functions of a document that return the path of a bad key
         and what is wrong with it, or ``None``.
-    :param float bound_s: longest time that a submission may take, in seconds.
+    :param float timeout_s: longest time that a submission may take, in seconds.
     """
 
-    def __init__(self, client, validators=(), bound_s=SUBMIT_BOUND_S):
+    def __init__(self, client, validators=(), timeout_s=SUBMIT_TIMEOUT_S):
         self.client = client
         self.validators = validators
-        self.bound_s = bound_s
+        self.timeout_s = timeout_s
         self._segments = _history.HistorySegments(client)
         self._newest = _newest.NewestWriter(client)
 
@@ -50,7 +50,7 @@
             return (await self.read()).history
         return await self._segments.read(_history.segment_of(before - 1))
 
-    async def submit(self, patch, facts=None, floor=0):
+    async def submit(self, patch, facts=None, min_number=0):
         """Submit a patch; takes at most ``bound_s``.
 
         :param Patch patch: what to change.
@@ -61,7 +61,7 @@
         """
         facts = facts or _harm.HarmFacts()
         prepare = _writer.Preparation(
-            self._segments, self.validators, patch, facts, floor
+            self._segments, self.validators, patch, facts, min_number
         )
         return await self._write(patch, prepare)
 
@@ -76,16 +76,16 @@
         return await self._write(patch, _writer.Restoration(version, patch))
 
     async def _write(self, patch, prepare):
-        end = time.monotonic() + self.bound_s
+        end = time.monotonic() + self.timeout_s
         writer = _writer.Writer(self.client, self._segments, prepare, end)
         try:
-            async with asyncio.timeout(self.bound_s):
+            async with asyncio.timeout(self.timeout_s):
                 result = await writer.run()
             if result.is_ok():
                 await self._write_newest(result.ok, writer.head_version_, end)
             return result
         except TimeoutError:
-            message = f"the platform gave no answer within {self.bound_s} s"
+            message = f"the platform gave no answer within {self.timeout_s} s"
         except base.PlatformError as error:
             message = error.message
         except base.ConfigError as error:
@@ -96,7 +96,7 @@
         """Tell watchers; whatever becomes of it, the patch stays accepted."""
         if accepted.version is None:
             return
-        newest = _newest.newest_of(head_version, accepted.version, accepted.steps)
+        newest = _newest.newest_patches(head_version, accepted.version, accepted.steps)
         bound_s = min(NEWEST_BOUND_S, end - time.monotonic())
         try:
             async with asyncio.timeout(max(bound_s, 0.0)):
--- a/libs/config/src/sequoiagap/config/_writer.py
+++ b/libs/config/src/sequoiagap/config/_writer.py
@@ -112,12 +112,12 @@
 class Preparation:
     """Decides what a patch makes of the current version."""
 
-    def __init__(self, segments, validators, patch, facts, floor):
+    def __init__(self, segments, validators, patch, facts, min_number):
         self.segments = segments
         self.validators = validators
         self.patch = patch
         self.facts = facts
-        self.floor = floor
+        self.min_number = min_number
 
     async def __call__(self, head):
         """Return a version to write with its entry, the outcome, or a refusal."""
@@ -145,8 +145,8 @@
             known = await self._find_sealed(head)
         if known is not None:
             return self._already_applied(head, known)
-        if current.number < self.floor:
-            return expression.Error(_refusals.behind(current.number, self.floor))
+        if current.number < self.min_number:
+            return expression.Error(_refusals.behind(current.number, self.min_number))
         if patch.against != current.number:
             return expression.Error(_refusals.stale(patch, head))
         return None
--- a/libs/entry/src/sequoiagap/entry/_attempt.py
+++ b/libs/entry/src/sequoiagap/entry/_attempt.py
@@ -181,7 +181,7 @@
 
 
 def _from_standing(standing):
-    if standing == outcome.Standing.NEVER_STARTED:
+    if standing == outcome.AttemptState.NEVER_STARTED:
         return not_sent("the order did not reach the agent, which now refuses it")
     return _lost(f"the agent no longer has the answer; the attempt is {standing}")
 
--- a/libs/entry/src/sequoiagap/entry/_config_api.py
+++ b/libs/entry/src/sequoiagap/entry/_config_api.py
@@ -119,7 +119,7 @@
         number = self.holder.current_.number
         order_id = base.new_id("local")
         order = config.LocalOrder(domain, number, order_id, operator, time.time())
-        self.holder.take_local(order, "operator")
+        self.holder.apply_local_order(order, "operator")
         held = self.holder.local_by_domain[domain]
         return web.json_response(dataclasses.asdict(held))
 
--- a/libs/entry/src/sequoiagap/entry/_entry.py
+++ b/libs/entry/src/sequoiagap/entry/_entry.py
@@ -69,7 +69,7 @@
         self._build_spread()
 
     def _build_spread(self):
-        self.duty_ = config.WatchDuty(time.monotonic())
+        self.duty_ = config.WatchSchedule(time.monotonic())
         replica = config.ConfigReplica(self.holder_)
         channel = config.ConfigChannel(replica, self._hear_age)
         self.reports_ = _reports.ReportDesk(
@@ -246,7 +246,7 @@
         return self.replica_.offer(self.duty_.age_ms(time.monotonic()))
 
     def _hear_age(self, age_s):
-        self.duty_.hear(age_s, time.monotonic())
+        self.duty_.record_peer_age(age_s, time.monotonic())
 
     def _on_adopted(self, version):
         self._tasks.start(self.mesh_.broadcast(self._offer()), "offer-to-peers")
--- a/libs/entry/src/sequoiagap/entry/_host_list.py
+++ b/libs/entry/src/sequoiagap/entry/_host_list.py
@@ -25,7 +25,7 @@
     :param takers_by_role: functions that take the hosts of a role.
     :type takers_by_role: dict[str, collections.abc.Callable]
     :param sequoiagap.members.HostView view: holds the list.
-    :param sequoiagap.config.WatchDuty duty: decides when to poll.
+    :param sequoiagap.config.WatchSchedule duty: decides when to poll.
     :param find_rank: function that returns the place of this entry in its
         failure domain.
     :param tell: coroutine function that sends a message to the peers of the
@@ -65,9 +65,9 @@
             return
         now = time.monotonic()
         is_change = item.base != item.digest and self.view.apply(item)
-        if not self.view.known_ or item.digest != self.view.digest:
+        if not self.view.has_list_ or item.digest != self.view.digest:
             return
-        self.duty.hear(max(item.age_ms, 0) / 1000, now)
+        self.duty.record_peer_age(max(item.age_ms, 0) / 1000, now)
         if is_change or self.duty.confirmed_at_ - self._told_at > NEWS_STEP_S:
             self._hand_on()
             await self._tell(item)
@@ -80,18 +80,18 @@
         return self.duty.age_ms(time.monotonic())
 
     def _wait_s(self):
-        if not self.view.known_ and self._is_reachable:
+        if not self.view.has_list_ and self._is_reachable:
             return 0.0
-        return self.duty.wait_s(self.find_rank(), time.monotonic())
+        return self.duty.delay_s(self.find_rank(), time.monotonic())
 
     async def _poll(self):
         try:
             hosts = await self.client.list_hosts()
         except base.PlatformError as error:
-            self.duty.fail(time.monotonic())
+            self.duty.record_failure(time.monotonic())
             self._note_reachable(False, error.message)
             return
-        self.duty.confirm(time.monotonic())
+        self.duty.record_answer(time.monotonic())
         self._note_reachable(True)
         changes = self.view.replace(hosts)
         self._hand_on()
@@ -133,7 +133,7 @@
         client,
         {"agent": links.apply_list, "entry": mesh.apply_list},
         members.HostView(),
-        config.WatchDuty(time.monotonic()),
+        config.WatchSchedule(time.monotonic()),
         find_rank,
         lambda item: mesh.broadcast(item, within_domain=True),
     )
--- a/libs/entry/src/sequoiagap/entry/_link.py
+++ b/libs/entry/src/sequoiagap/entry/_link.py
@@ -244,7 +244,7 @@
         self.reachability_.note_opened()
         self.view.connected = True
         _log.emit(base.Event.LINK_OPENED, peer=connection.peer.node_id)
-        await self.channel.greet(connection)
+        await self.channel.send_offer(connection)
         reason = await connection.run(
             lambda item: self._handlers.handle(connection, item)
         )
--- a/libs/entry/src/sequoiagap/entry/_links.py
+++ b/libs/entry/src/sequoiagap/entry/_links.py
@@ -64,12 +64,12 @@
         :param list[sequoiagap.platform.HostEntry] hosts: the agents.
         """
         now = time.monotonic()
-        self._renew(self.directory_.propose(hosts, now))
+        self._renew(self.directory_.add_reported(hosts, now))
         self.follow(now)
 
     def drop_gone(self):
         """Close the links of agents that are neither listed nor alive."""
-        for endpoint_id in self.directory_.drop_gone(time.monotonic()):
+        for endpoint_id in self.directory_.remove_stale(time.monotonic()):
             self.selection_.note_agents_changed()
             self.close_link(endpoint_id)
             _log.emit(base.Event.ENDPOINT_GONE, endpoint=endpoint_id)
@@ -201,7 +201,7 @@
         :rtype: bool
         """
         view = link.view
-        if self.holder.forbidding_setting(view.failure_domain, view.endpoint_id):
+        if self.holder.blocking_setting(view.failure_domain, view.endpoint_id):
             return False
         if link.member.leaving or link.is_suspect(now) or not view.connected:
             return False
--- a/libs/entry/src/sequoiagap/entry/_peers.py
+++ b/libs/entry/src/sequoiagap/entry/_peers.py
@@ -82,7 +82,7 @@
         """
         now = time.monotonic()
         self.directory_.apply_list(hosts, now)
-        self.directory_.drop_gone(now)
+        self.directory_.remove_stale(now)
 
     def domain_ids(self):
         """Return the ids of the known entries of the own failure domain.
@@ -223,7 +223,7 @@
         try:
             if peer.role == "entry":
                 self.connections_.add(connection)
-                await self.channel.greet(connection)
+                await self.channel.send_offer(connection)
                 await connection.send(members.MemberHosts(self._known_hosts()))
             reason = await connection.run(
                 lambda item: self.handlers_.handle(connection, item)
@@ -276,7 +276,7 @@
         known = [host for host in hosts if host is not None]
         self.links.propose([host for host in known if host.role == "agent"])
         entries = [host for host in known if host.role == "entry"]
-        self.directory_.propose(entries, time.monotonic())
+        self.directory_.add_reported(entries, time.monotonic())
 
 
 _SEED_PREFIX = "seed "
--- a/libs/entry/src/sequoiagap/entry/_reports.py
+++ b/libs/entry/src/sequoiagap/entry/_reports.py
@@ -56,9 +56,9 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
             now = time.monotonic()
             if now - expected_at > PAUSE_S:
-                self._tracker.shift(now - expected_at)
+                self._tracker.extend_deadlines(now - expected_at)
             expected_at = now + CHECK_INTERVAL_S
-            for node_id in self._tracker.take_overdue(now):
+            for node_id in self._tracker.pop_overdue(now):
                 incarnation = self._incarnation_by_id[node_id]
                 await self.suspect(members.MemberSuspect(node_id, incarnation), spread)
 
@@ -98,7 +98,7 @@
         node_id = connection.peer.node_id
         self._incarnation_by_id[node_id] = connection.peer.incarnation
         interval_s = item.interval_ms / MILLISECONDS
-        self._tracker.heard(node_id, interval_s, time.monotonic())
+        self._tracker.record_report(node_id, interval_s, time.monotonic())
         reply = self.replica.on_offer(config.ConfigOffer(item.config_version))
         if reply is not None:
             await connection.send(reply)
--- a/libs/entry/src/sequoiagap/entry/_selection.py
+++ b/libs/entry/src/sequoiagap/entry/_selection.py
@@ -94,7 +94,7 @@
             if endpoint_id in self._avoid_until_by_id:
                 continue
             domain = member.host.failure_domain
-            if not self.holder.forbidding_setting(domain, endpoint_id):
+            if not self.holder.blocking_setting(domain, endpoint_id):
                 yield endpoint_id
 
     def avoid(self, endpoint_id, now):
@@ -134,7 +134,7 @@
             *self.holder.current_.document.failure_domains,
             *self.holder.local_by_domain,
         }
-        out = {d for d in domains if self.holder.forbidding_setting(d, "")}
+        out = {d for d in domains if self.holder.blocking_setting(d, "")}
         drained = {
             endpoint_id
             for endpoint_id, order in self.holder.current_.document.endpoints.items()
--- a/libs/entry/src/sequoiagap/entry/_watch.py
+++ b/libs/entry/src/sequoiagap/entry/_watch.py
@@ -29,7 +29,7 @@
     :param sequoiagap.config.ConfigHolder holder: configuration in force.
     :param sequoiagap.config.ConfigReplica replica: takes patches, reports malformed
         versions and forks.
-    :param sequoiagap.config.WatchDuty duty: decides when to call.
+    :param sequoiagap.config.WatchSchedule duty: decides when to call.
     :param find_rank: function that returns the place of this entry in its
         failure domain.
 
@@ -73,7 +73,7 @@
         now = time.monotonic()
         wait_s = 0.0
         if self.holder.ready_.is_set() or not self.reachable_:
-            wait_s = self.duty.wait_s(self.find_rank(), now)
+            wait_s = self.duty.delay_s(self.find_rank(), now)
         self._set_watching(wait_s == 0.0)
         return wait_s
 
@@ -168,7 +168,7 @@
         """Write newest patches that whoever accepted them has not written."""
         if head.version.number > self._newest_number:
             version, steps = head.version, head.steps()
-            newest = config.newest_of(head.object_version, version, steps)
+            newest = config.newest_patches(head.object_version, version, steps)
             await self._writer.write(newest)
 
     def _note_number(self, number):
@@ -186,24 +186,24 @@
             )
 
     def _note_failure(self, error):
-        self.duty.fail(time.monotonic())
+        self.duty.record_failure(time.monotonic())
         if self.reachable_:
             _log.emit(base.Event.PLATFORM_UNREACHABLE, error=error.message)
         self.reachable_ = False
         self._become_ready_alone()
 
     def _note_answer(self):
-        self.duty.confirm(time.monotonic())
+        self.duty.record_answer(time.monotonic())
         if not self.reachable_:
             _log.emit(base.Event.PLATFORM_REACHABLE)
         self.reachable_ = True
-        if self.holder.known_.is_set():
+        if self.holder.has_version_.is_set():
             self.holder.ready_.set()
 
     def _become_ready_alone(self):
         """Without the platform, take work once peers had time to offer."""
         waited_s = time.monotonic() - self._began
-        if self.holder.known_.is_set() and waited_s > BOUND_S:
+        if self.holder.has_version_.is_set() and waited_s > BOUND_S:
             self.holder.ready_.set()
 
     def _set_watching(self, watching):
--- a/libs/members/src/sequoiagap/members/__init__.py
+++ b/libs/members/src/sequoiagap/members/__init__.py
@@ -1,7 +1,7 @@
 """Membership of endpoints and entries: lists, heartbeats and incarnations."""
 
 from sequoiagap.members._directory import (
-    LIST_TRUST_S,
+    MAX_LIST_LAG_S,
     UNLISTED_GRACE_S,
     Directory,
     Member,
@@ -28,7 +28,7 @@
 from sequoiagap.members._rendezvous import choose, rank
 
 __all__ = [
-    "LIST_TRUST_S",
+    "MAX_LIST_LAG_S",
     "UNLISTED_GRACE_S",
     "Directory",
     "DomainSuspect",
--- a/libs/members/src/sequoiagap/members/_directory.py
+++ b/libs/members/src/sequoiagap/members/_directory.py
@@ -4,7 +4,7 @@
 
 from sequoiagap import platform
 
-LIST_TRUST_S = 10.0
+MAX_LIST_LAG_S = 10.0
 UNLISTED_GRACE_S = 10.0
 ANNOUNCED_GRACE_S = 2.0
 UNSEEN = ""
@@ -79,7 +79,7 @@
         self.listed = True
         if host.state != "leaving":
             self.listed_leaving = None
-        elif self.listed_leaving is None or now - self.seen_at > LIST_TRUST_S:
+        elif self.listed_leaving is None or now - self.seen_at > MAX_LIST_LAG_S:
             self.listed_leaving = self.incarnation
 
 
@@ -118,7 +118,7 @@
             member.listed = member_id in listed_ids
         return fresh
 
-    def propose(self, hosts, now):
+    def add_reported(self, hosts, now):
         """Take hosts that other processes know; the list need not show them.
 
         :param list[sequoiagap.platform.HostEntry] hosts: the hosts.
@@ -137,7 +137,7 @@
             fresh.append(member)
         return fresh
 
-    def drop_gone(self, now):
+    def remove_stale(self, now):
         """Forget members that are neither listed nor alive for a while.
 
         :param float now: monotonic time in seconds.
--- a/libs/members/src/sequoiagap/members/_fence.py
+++ b/libs/members/src/sequoiagap/members/_fence.py
@@ -85,9 +85,9 @@
         platform before it lets an order pass.
 
     >>> fence = OrderFence()
-    >>> fence.find_objection(2, "b"), fence.pass_order(2, "b")
+    >>> fence.find_rejection_reason(2, "b"), fence.record_order(2, "b")
     ('', None)
-    >>> fence.find_objection(1, "a")
+    >>> fence.find_rejection_reason(1, "a")
     'fencing number 1 is not above 2'
     """
 
@@ -95,7 +95,7 @@
         self.highest_ = 0
         self.order_id_ = ""
 
-    def learn(self, issued):
+    def restore_highest(self, issued):
         """Take what the platform holds.
 
         :param IssuedOrder issued: the last order that got a number.
@@ -104,7 +104,7 @@
             self.highest_ = issued.number - 1
             self.order_id_ = ""
 
-    def find_objection(self, number, order_id):
+    def find_rejection_reason(self, number, order_id):
         """Return why an order may not pass; empty if it may.
 
         :param int number: its fencing number.
@@ -115,7 +115,7 @@
             return ""
         return f"fencing number {number} is not above {self.highest_}"
 
-    def pass_order(self, number, order_id):
+    def record_order(self, number, order_id):
         """Note that an order is about to be sent to the endpoint.
 
         :param int number: its fencing number.
@@ -129,12 +129,12 @@
     """Fencing numbers in the platform, one object for each endpoint.
 
     :param sequoiagap.platform.PlatformClient client: the platform.
-    :param float bound_s: longest time to settle a number, in seconds.
+    :param float timeout_s: longest time to settle a number, in seconds.
     """
 
-    def __init__(self, client, bound_s=ISSUE_BOUND_S):
+    def __init__(self, client, timeout_s=ISSUE_BOUND_S):
         self.client = client
-        self.bound_s = bound_s
+        self.timeout_s = timeout_s
 
     async def read(self, endpoint_id):
         """Return the last order that got a number.
@@ -160,11 +160,11 @@
         """
         value = {"order_id": order_id, "kind": str(kind), "operator": operator}
         try:
-            async with asyncio.timeout(self.bound_s):
+            async with asyncio.timeout(self.timeout_s):
                 return await self._issue(FENCE_PREFIX + endpoint_id, value)
         except TimeoutError as error:
             raise base.PlatformError(
-                f"no fencing number was settled within {self.bound_s} s",
+                f"no fencing number was settled within {self.timeout_s} s",
                 "Send the order again with the same order id",
             ) from error
 
--- a/libs/members/src/sequoiagap/members/_host_view.py
+++ b/libs/members/src/sequoiagap/members/_host_view.py
@@ -36,7 +36,7 @@
     """A host list with a digest that a change costs only what it changes.
 
     :ivar dict by_id: hosts by id.
-    :ivar bool known_: whether a list was ever taken.
+    :ivar bool has_list_: whether a list was ever taken.
 
     >>> from sequoiagap import platform
     >>> view = HostView()
@@ -47,7 +47,7 @@
 
     def __init__(self):
         self.by_id = {}
-        self.known_ = False
+        self.has_list_ = False
         self._checksum = 0
 
     @property
@@ -63,7 +63,7 @@
             age is 0.
         :rtype: list[MemberListChange]
         """
-        self.known_ = True
+        self.has_list_ = True
         listed = {host.host_id: host for host in hosts}
         gone = [host_id for host_id in self.by_id if host_id not in listed]
         fresh = [h for h in listed.values() if self.by_id.get(h.host_id) != h]
@@ -84,7 +84,7 @@
         :returns: whether they were taken.
         :rtype: bool
         """
-        if not self.known_ or change.base != self.digest:
+        if not self.has_list_ or change.base != self.digest:
             return False
         hosts = [_messages.host_from_document(item) for item in change.hosts]
         if None in hosts or not all(isinstance(item, str) for item in change.gone):
--- a/libs/members/src/sequoiagap/members/_liveness.py
+++ b/libs/members/src/sequoiagap/members/_liveness.py
@@ -8,14 +8,14 @@
 
     >>> tracker = ReportTracker()
     >>> tracker.heard("agent-1", 1.0, now=0.0)
-    >>> tracker.take_overdue(now=2.4), tracker.take_overdue(now=2.6)
+    >>> tracker.pop_overdue(now=2.4), tracker.pop_overdue(now=2.6)
     ([], ['agent-1'])
     """
 
     def __init__(self):
         self._due_by_id = {}
 
-    def heard(self, node_id, interval_s, now):
+    def record_report(self, node_id, interval_s, now):
         """Note a report.
 
         :param str node_id: the agent.
@@ -34,7 +34,7 @@
         """
         self._due_by_id.pop(node_id, None)
 
-    def shift(self, seconds):
+    def extend_deadlines(self, seconds):
         """Put every report off, after a pause of this process itself.
 
         :param float seconds: how long this process was paused.
@@ -42,7 +42,7 @@
         for node_id in self._due_by_id:
             self._due_by_id[node_id] += seconds
 
-    def take_overdue(self, now):
+    def pop_overdue(self, now):
         """Return the agents whose report is overdue; each is told once.
 
         :param float now: monotonic time in seconds.
--- a/libs/outcome/src/sequoiagap/outcome/__init__.py
+++ b/libs/outcome/src/sequoiagap/outcome/__init__.py
@@ -14,13 +14,13 @@
     CLAIM_WINDOW_S,
     MAX_CLAIMS_PER_SHARD,
     Claim,
+    ClaimDecision,
     ClaimShard,
     ClaimState,
-    ClaimVerdict,
 )
 from sequoiagap.outcome._journal import Journal
-from sequoiagap.outcome._ledger import MAX_DEADLINE_S, Ledger, Standing
-from sequoiagap.outcome._shard_writer import ClaimAnswer
+from sequoiagap.outcome._ledger import MAX_DEADLINE_S, AttemptState, Ledger
+from sequoiagap.outcome._shard_writer import ClaimResult
 
 __all__ = [
     "CLAIM_WINDOW_S",
@@ -29,15 +29,15 @@
     "SHARDS_PER_SERVICE",
     "AnswerAssembly",
     "AnswerBuffer",
+    "AttemptState",
     "Claim",
-    "ClaimAnswer",
+    "ClaimDecision",
+    "ClaimResult",
     "ClaimShard",
     "ClaimState",
     "ClaimStore",
-    "ClaimVerdict",
     "Journal",
     "Ledger",
-    "Standing",
     "body_digest",
     "claim_id",
     "rank_by_affinity",
--- a/libs/outcome/src/sequoiagap/outcome/_claim_store.py
+++ b/libs/outcome/src/sequoiagap/outcome/_claim_store.py
@@ -36,33 +36,33 @@
         self.reads_ = 0
         self._writer_by_shard = {}
 
-    def stamp(self, wish):
+    def with_expiry(self, proposal):
         """Return a wish that expires after the claim window from now.
 
         :param Claim wish: the claim that is wished for.
         :rtype: Claim
         """
         expires_at = self.wall_clock() + _claims.CLAIM_WINDOW_S
-        return dataclasses.replace(wish, expires_at=expires_at)
+        return dataclasses.replace(proposal, expires_at=expires_at)
 
-    async def claim(self, wish, timeout_s):
+    async def claim(self, proposal, timeout_s):
         """Claim a key.
 
         :param Claim wish: the claim that is wished for.
         :param float timeout_s: longest wait; after it the wish is withdrawn, and
             a write of it that is still under way is undone.
-        :rtype: ClaimAnswer
+        :rtype: ClaimResult
         """
-        writer = self._writer(wish.identity)
-        answer = writer.add(wish)
+        writer = self._writer(proposal.identity)
+        answer = writer.add(proposal)
         try:
             async with asyncio.timeout(timeout_s):
                 return await asyncio.shield(answer)
         except TimeoutError:
-            writer.withdraw(wish)
-            return _shard_writer.ClaimAnswer(_claims.ClaimVerdict.TOO_LATE)
+            writer.withdraw(proposal)
+            return _shard_writer.ClaimResult(_claims.ClaimDecision.TOO_LATE)
         except asyncio.CancelledError:
-            writer.withdraw(wish)
+            writer.withdraw(proposal)
             raise
 
     def release(self, claim):
--- a/libs/outcome/src/sequoiagap/outcome/_claims.py
+++ b/libs/outcome/src/sequoiagap/outcome/_claims.py
@@ -10,7 +10,7 @@
 CLAIM_WINDOW_S = 900.0
 
 
-class ClaimVerdict(enum.StrEnum):
+class ClaimDecision(enum.StrEnum):
     """What became of the wish to claim a key."""
 
     HELD = "held"
@@ -77,10 +77,10 @@
     >>> shard = ClaimShard()
     >>> claim = Claim("k", "a1", "inc-1", "n1", "d", expires_at=60.0)
     >>> shard.judge(claim, now=0.0)
-    <ClaimVerdict.HELD: 'held'>
+    <ClaimDecision.HELD: 'held'>
     >>> shard.add(claim)
     >>> shard.judge(dataclasses.replace(claim, nonce="n2"), now=1.0)
-    <ClaimVerdict.TAKEN: 'taken'>
+    <ClaimDecision.TAKEN: 'taken'>
     """
 
     def __init__(self, by_identity=None, segments=(), sealed=None):
@@ -102,23 +102,23 @@
         known = self.by_identity.get(identity)
         return known or self.sealed.get(identity)
 
-    def judge(self, wish, now):
+    def decide(self, proposal, now):
         """Tell what would become of a wish.
 
         :param Claim wish: the claim that is wished for.
         :param float now: wall-clock time in seconds.
-        :rtype: ClaimVerdict
+        :rtype: ClaimDecision
         """
-        known = self.find(wish.identity)
+        known = self.find(proposal.identity)
         if not _is_in_force(known, now):
             count = len(self.by_identity) + len(self.sealed)
             is_full = count >= MAX_CLAIMS_PER_SHARD
-            return ClaimVerdict.FULL if is_full else ClaimVerdict.HELD
-        if known.digest != wish.digest:
-            return ClaimVerdict.MISMATCH
-        if known.nonce == wish.nonce:
-            return ClaimVerdict.HELD
-        return ClaimVerdict.TAKEN
+            return ClaimDecision.FULL if is_full else ClaimDecision.HELD
+        if known.digest != proposal.digest:
+            return ClaimDecision.MISMATCH
+        if known.nonce == proposal.nonce:
+            return ClaimDecision.HELD
+        return ClaimDecision.TAKEN
 
     def add(self, claim):
         """Record a claim.
--- a/libs/outcome/src/sequoiagap/outcome/_ledger.py
+++ b/libs/outcome/src/sequoiagap/outcome/_ledger.py
@@ -10,7 +10,7 @@
 FORGET_MARGIN_S = 60.0
 
 
-class Standing(enum.StrEnum):
+class AttemptState(enum.StrEnum):
     """What an agent knows of an attempt."""
 
     NEVER_STARTED = "never_started"
@@ -22,7 +22,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Entry:
-    standing: Standing
+    state: AttemptState
     expires_at: float
 
 
@@ -43,7 +43,7 @@
 
     >>> ledger = Ledger("inc-1")
     >>> ledger.revoke("att-1", "inc-1", expires_at=9.0, now=1.0)
-    <Standing.NEVER_STARTED: 'never_started'>
+    <AttemptState.NEVER_STARTED: 'never_started'>
     >>> ledger.accept("att-1", expires_at=9.0, now=2.0)
     False
     """
@@ -60,21 +60,21 @@
         self.entry_by_id = {}
         self._ended_by_minute = collections.OrderedDict()
 
-    def standing(self, attempt_id, expires_at, now):
+    def state(self, attempt_id, expires_at, now):
         """Return what is known of an attempt.
 
         :param str attempt_id: the attempt.
         :param float expires_at: its deadline.
         :param float now: the agent's clock in seconds.
         :returns: ``NEVER_STARTED`` only where that is proved.
-        :rtype: Standing
+        :rtype: AttemptState
         """
         known = self.entry_by_id.get(attempt_id)
         if known is not None:
-            return known.standing
+            return known.state
         if self._may_be_forgotten(expires_at, now):
-            return Standing.UNKNOWN
-        return Standing.NEVER_STARTED
+            return AttemptState.UNKNOWN
+        return AttemptState.NEVER_STARTED
 
     def accept(self, attempt_id, expires_at, now):
         """Record an order that has come and may start later.
@@ -90,7 +90,7 @@
             return False
         if expires_at > now + self.max_deadline_s:
             return False
-        self.entry_by_id[attempt_id] = _Entry(Standing.ACCEPTED, expires_at)
+        self.entry_by_id[attempt_id] = _Entry(AttemptState.ACCEPTED, expires_at)
         return True
 
     def start(self, attempt_id, now):
@@ -102,11 +102,11 @@
         :rtype: bool
         """
         entry = self.entry_by_id.get(attempt_id)
-        if entry is None or entry.standing != Standing.ACCEPTED:
+        if entry is None or entry.state != AttemptState.ACCEPTED:
             return False
         if now >= entry.expires_at:
             return False
-        entry.standing = Standing.RUNNING
+        entry.state = AttemptState.RUNNING
         return True
 
     def finish(self, attempt_id, now):
@@ -120,10 +120,10 @@
         entry = self.entry_by_id.get(attempt_id)
         if entry is None:
             return
-        if entry.standing == Standing.ACCEPTED:
-            entry.standing = Standing.NEVER_STARTED
-        elif entry.standing == Standing.RUNNING:
-            entry.standing = Standing.FINISHED
+        if entry.state == AttemptState.ACCEPTED:
+            entry.state = AttemptState.NEVER_STARTED
+        elif entry.state == AttemptState.RUNNING:
+            entry.state = AttemptState.FINISHED
         self._remember_until(attempt_id, max(entry.expires_at, now))
 
     def revoke(self, attempt_id, incarnation, expires_at, now):
@@ -133,23 +133,23 @@
         :param str incarnation: incarnation that the attempt was sent to.
         :param float expires_at: its deadline.
         :param float now: the agent's clock in seconds.
-        :rtype: Standing
+        :rtype: AttemptState
         """
         self.forget(now)
         if incarnation != self.incarnation:
-            return Standing.UNKNOWN
+            return AttemptState.UNKNOWN
         known = self.entry_by_id.get(attempt_id)
         if known is not None:
-            if known.standing == Standing.ACCEPTED:
-                known.standing = Standing.NEVER_STARTED
+            if known.state == AttemptState.ACCEPTED:
+                known.state = AttemptState.NEVER_STARTED
                 self._remember_until(attempt_id, known.expires_at)
-            return known.standing
+            return known.state
         if self._may_be_forgotten(expires_at, now):
-            return Standing.UNKNOWN
-        tombstone = _Entry(Standing.NEVER_STARTED, expires_at)
+            return AttemptState.UNKNOWN
+        tombstone = _Entry(AttemptState.NEVER_STARTED, expires_at)
         self.entry_by_id[attempt_id] = tombstone
         self._remember_until(attempt_id, expires_at)
-        return Standing.NEVER_STARTED
+        return AttemptState.NEVER_STARTED
 
     def forget(self, now):
         """Drop ended ids whose deadline is past by the margin.
--- a/libs/outcome/src/sequoiagap/outcome/_shard_writer.py
+++ b/libs/outcome/src/sequoiagap/outcome/_shard_writer.py
@@ -10,20 +10,22 @@
 RETRY_DELAY_S = 0.5
 CLOSE_BOUND_S = 1.0
 MAX_TRIES = 4
-_STALE_VERDICTS = frozenset({_claims.ClaimVerdict.TAKEN, _claims.ClaimVerdict.MISMATCH})
+_STALE_VERDICTS = frozenset(
+    {_claims.ClaimDecision.TAKEN, _claims.ClaimDecision.MISMATCH}
+)
 
 _log = base.get_logger("claims")
 
 
 @dataclasses.dataclass(frozen=True)
-class ClaimAnswer:
+class ClaimResult:
     """What became of a wish.
 
-    :param ClaimVerdict verdict: the verdict.
+    :param ClaimDecision verdict: the verdict.
     :param Claim claim: the claim that stands, if one does.
     """
 
-    verdict: _claims.ClaimVerdict
+    decision: _claims.ClaimDecision
     claim: _claims.Claim | None = None
 
 
@@ -50,29 +52,29 @@
         self._closing = False
         self._task = None
 
-    def add(self, wish):
+    def add(self, proposal):
         """Queue a wish and return the future of its answer.
 
         :param Claim wish: the wish.
         :rtype: asyncio.Future
         """
         answer = asyncio.get_running_loop().create_future()
-        self._wish_by_nonce[wish.nonce] = wish
-        self._answer_by_nonce[wish.nonce] = answer
+        self._wish_by_nonce[proposal.nonce] = proposal
+        self._answer_by_nonce[proposal.nonce] = answer
         self._wake()
         return answer
 
-    def withdraw(self, wish):
+    def withdraw(self, proposal):
         """See to it that a wish is not and never will be in force.
 
         :param Claim wish: the wish or claim.
         """
-        queued = self._wish_by_nonce.pop(wish.nonce, None)
-        self._answer_by_nonce.pop(wish.nonce, None)
-        if queued is not None and wish.nonce not in self._sent_nonces:
+        queued = self._wish_by_nonce.pop(proposal.nonce, None)
+        self._answer_by_nonce.pop(proposal.nonce, None)
+        if queued is not None and proposal.nonce not in self._sent_nonces:
             return
-        self._sent_nonces.discard(wish.nonce)
-        self._withdrawn_by_nonce[wish.nonce] = wish
+        self._sent_nonces.discard(proposal.nonce)
+        self._withdrawn_by_nonce[proposal.nonce] = proposal
         self._wake()
 
     async def close(self):
@@ -101,7 +103,7 @@
                 await self._flush()
             except base.PlatformError as error:
                 _log.emit(base.Event.CLAIM_WRITE_FAILED, error=error.message)
-                self._answer_all(_claims.ClaimVerdict.PLATFORM_DOWN)
+                self._answer_all(_claims.ClaimDecision.PLATFORM_DOWN)
                 await asyncio.sleep(RETRY_DELAY_S)
             spent = asyncio.get_running_loop().time() - began
             await asyncio.sleep(max(self.store.flush_pace_s - spent, 0.0))
@@ -171,23 +173,23 @@
 
     def _is_any_taken(self, shard, batch):
         now = self.store.wall_clock()
-        verdicts = {shard.judge(wish, now) for wish in batch.values()}
+        verdicts = {shard.decide(proposal, now) for proposal in batch.values()}
         return bool(verdicts & _STALE_VERDICTS)
 
     def _apply(self, shard, batch, withdrawn):
         """Change the shard as wished; tell whether it has to be written."""
         now = self.store.wall_clock()
         changed = self._uncertain
-        for wish in withdrawn.values():
-            changed |= shard.release(wish.identity, wish.nonce)
+        for proposal in withdrawn.values():
+            changed |= shard.release(proposal.identity, proposal.nonce)
         shard.prune(now, self._segments.deleted_)
-        for wish in batch.values():
-            if shard.judge(wish, now) != _claims.ClaimVerdict.HELD:
+        for proposal in batch.values():
+            if shard.decide(proposal, now) != _claims.ClaimDecision.HELD:
                 continue
-            known = shard.find(wish.identity)
-            if known is None or known.nonce != wish.nonce:
-                shard.add(wish)
-                self._sent_nonces.add(wish.nonce)
+            known = shard.find(proposal.identity)
+            if known is None or known.nonce != proposal.nonce:
+                shard.add(proposal)
+                self._sent_nonces.add(proposal.nonce)
                 changed = True
         for claim in self.done:
             is_marked = shard.mark_done(claim.identity, claim.nonce, self._closing)
@@ -226,16 +228,16 @@
 
     def _answer(self, batch):
         now = self.store.wall_clock()
-        for wish in batch.values():
-            verdict = self._shard.judge(wish, now)
-            standing = self._shard.find(wish.identity)
-            self._answer_one(wish.nonce, ClaimAnswer(verdict, standing))
+        for proposal in batch.values():
+            decision = self._shard.decide(proposal, now)
+            standing = self._shard.find(proposal.identity)
+            self._answer_one(proposal.nonce, ClaimResult(decision, standing))
 
-    def _answer_all(self, verdict):
-        for nonce, wish in list(self._wish_by_nonce.items()):
+    def _answer_all(self, decision):
+        for nonce, proposal in list(self._wish_by_nonce.items()):
             if nonce in self._sent_nonces:
-                self._withdrawn_by_nonce[nonce] = wish
-            self._answer_one(nonce, ClaimAnswer(verdict))
+                self._withdrawn_by_nonce[nonce] = proposal
+            self._answer_one(nonce, ClaimResult(decision))
 
     def _answer_one(self, nonce, answer):
         self._wish_by_nonce.pop(nonce, None)
--- a/libs/wire/src/sequoiagap/wire/_messages.py
+++ b/libs/wire/src/sequoiagap/wire/_messages.py
@@ -196,7 +196,7 @@
     """Answer to :class:`Attach` where there is no answer to go on with.
 
     :param str attempt_id: the attempt.
-    :param str standing: a :class:`sequoiagap.outcome.Standing`.
+    :param str standing: a :class:`sequoiagap.outcome.AttemptState`.
     """
 
     attempt_id: str
--- a/tests/agent/test_guard.py
+++ b/tests/agent/test_guard.py
@@ -72,7 +72,7 @@
             holder.ready_.set()
 
         async def look_at(connection, order):
-            seen.append(holder.forbidding_setting("north", "e1"))
+            seen.append(holder.blocking_setting("north", "e1"))
 
         handlers = wire.HandlerTable()
         handlers.add(wire.Execute, look_at)
--- a/tests/agent/test_orders.py
+++ b/tests/agent/test_orders.py
@@ -17,7 +17,7 @@
     def __init__(self, engine, platform_stand_in, client, endpoint):
         self.engine = engine
         self.platform = platform_stand_in
-        self.store = members.FenceStore(client, bound_s=1.0)
+        self.store = members.FenceStore(client, timeout_s=1.0)
         self.endpoint = endpoint
         self.desk = None
         self.replace_agent()
--- a/tests/config/test_newest.py
+++ b/tests/config/test_newest.py
@@ -59,7 +59,7 @@
         for name, writers in cases:
             with self.subTest(name):
                 writes = [
-                    writer.write(config.newest_of(1, version, ()))
+                    writer.write(config.newest_patches(1, version, ()))
                     for writer, version in zip(writers, reversed(made), strict=True)
                 ]
                 await asyncio.gather(*writes[:4])
@@ -72,7 +72,7 @@
         cases = [(39, steps, 23), (40, [*steps, long], 40), (38, steps[:30], 38)]
         for number, known, above in cases:
             with self.subTest(number):
-                newest = config.newest_of(1, config.ConfigVersion(number), known)
+                newest = config.newest_patches(1, config.ConfigVersion(number), known)
                 self.assertEqual((newest.number, newest.delta.above), (number, above))
 
     def test_malformed_values_count_as_none(self):
--- a/tests/config/test_replica.py
+++ b/tests/config/test_replica.py
@@ -81,11 +81,11 @@
                 replica = replica_at(4)
                 order = config.LocalOrder("north", against, "o", "ann", 0.0)
                 replica.on_local(config.local_message(order), "peer")
-                found = replica.holder.forbidding_setting("north", "e1")
+                found = replica.holder.blocking_setting("north", "e1")
                 self.assertEqual(found, setting)
-                self.assertEqual(replica.holder.forbidding_setting("south", "e"), "")
+                self.assertEqual(replica.holder.blocking_setting("south", "e"), "")
                 replica.holder.adopt(config.ConfigVersion(against + 1), "test")
-                self.assertEqual(replica.holder.forbidding_setting("north", "e1"), "")
+                self.assertEqual(replica.holder.blocking_setting("north", "e1"), "")
 
 
 class VersionTest(unittest.TestCase):
@@ -148,22 +148,22 @@
     def test_few_watch_and_others_step_in(self):
         for rank in range(9):
             with self.subTest(rank=rank):
-                duty = config.WatchDuty(now=0.0)
-                is_watcher = rank < config.FEW_WATCHERS
-                self.assertEqual(duty.wait_s(rank, 1.0) == 0.0, is_watcher)
-                self.assertEqual(duty.wait_s(rank, 3.0), 0.0)
-                duty.hear(age_s=0.5, now=3.0)
-                self.assertEqual(duty.wait_s(rank, 3.0) == 0.0, is_watcher)
+                duty = config.WatchSchedule(now=0.0)
+                is_watcher = rank < config.PERMANENT_WATCHERS
+                self.assertEqual(duty.delay_s(rank, 1.0) == 0.0, is_watcher)
+                self.assertEqual(duty.delay_s(rank, 3.0), 0.0)
+                duty.record_peer_age(age_s=0.5, now=3.0)
+                self.assertEqual(duty.delay_s(rank, 3.0) == 0.0, is_watcher)
 
     def test_an_outage_brings_few_calls(self):
         calls = 0
         for rank in range(73):
-            duty = config.WatchDuty(now=0.0)
+            duty = config.WatchSchedule(now=0.0)
             now = 10.0
             while now < 70.0:
-                wait_s = duty.wait_s(rank, now)
+                wait_s = duty.delay_s(rank, now)
                 if wait_s == 0.0:
                     calls += 1
-                    duty.fail(now)
+                    duty.record_failure(now)
                 now += max(wait_s, 0.1)
         self.assertLess(calls / 60.0, 12.0)
--- a/tests/config/test_store.py
+++ b/tests/config/test_store.py
@@ -24,7 +24,7 @@
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
-        self.store = config.ConfigStore(self.client, bound_s=BOUND_S)
+        self.store = config.ConfigStore(self.client, timeout_s=BOUND_S)
 
     async def accept(self, patch_id, against, changes=None):
         result = await self.store.submit(make_patch(patch_id, against, changes))
@@ -116,7 +116,7 @@
 
     async def test_old_platform_is_not_written(self):
         await self.accept("a", 0)
-        result = await self.store.submit(make_patch("b", 1), floor=7)
+        result = await self.store.submit(make_patch("b", 1), min_number=7)
         self.assertEqual(result.error.kind, base.RefusalKind.CONFLICT)
         in_force = config.ConfigVersion(7, config.ConfigDocument())
         patch = make_patch("r", 7, {})
@@ -152,7 +152,7 @@
         self.assertEqual((await self.store.read()).version.number, total)
 
     async def test_long_patches_stay_within_the_megabyte(self):
-        self.client.timeout_s = self.store.bound_s = LONG_BOUND_S
+        self.client.timeout_s = self.store.timeout_s = LONG_BOUND_S
         changes = {"models": {f"model-{i}": None for i in range(120)}}
         entry = {"patch_id": "p", "operator": "ann", "at": 0.0, "patch": changes}
         history = [entry | {"number": number} for number in range(65, 193)]
--- a/tests/entry/test_config_watch.py
+++ b/tests/entry/test_config_watch.py
@@ -37,7 +37,7 @@
             self.client,
             self.holder,
             config.ConfigReplica(self.holder),
-            config.WatchDuty(time.monotonic()),
+            config.WatchSchedule(time.monotonic()),
             lambda: 0,
         )
         await self.accept()
--- a/tests/entry/test_host_list.py
+++ b/tests/entry/test_host_list.py
@@ -36,8 +36,8 @@
             self.client,
             {"agent": self.taken.append},
             members.HostView(),
-            config.WatchDuty(time.monotonic()),
-            lambda: config.FEW_WATCHERS,
+            config.WatchSchedule(time.monotonic()),
+            lambda: config.PERMANENT_WATCHERS,
             self._tell,
         )
         self.poller = members.HostView()
@@ -111,8 +111,8 @@
         await asyncio.sleep(WATCHED_S)
         _, after = await self.fleet.call("platform", "GET", "/calls")
         calls = after["hosts"] - before["hosts"]
-        self.assertLessEqual(calls, config.FEW_WATCHERS * (WATCHED_S + 1))
-        self.assertEqual(len(await self._pollers()), config.FEW_WATCHERS)
+        self.assertLessEqual(calls, config.PERMANENT_WATCHERS * (WATCHED_S + 1))
+        self.assertEqual(len(await self._pollers()), config.PERMANENT_WATCHERS)
 
     async def _states(self):
         """Return the state of each entry that is to answer."""
@@ -131,7 +131,7 @@
         return [n for n, s in states.items() if s["platform"]["polling_list"]]
 
     async def _has_pollers(self):
-        return len(await self._pollers()) == config.FEW_WATCHERS
+        return len(await self._pollers()) == config.PERMANENT_WATCHERS
 
     async def _list_host(self, name):
         host = {
--- a/tests/members/test_directory.py
+++ b/tests/members/test_directory.py
@@ -12,7 +12,7 @@
 
 class DirectoryTest(unittest.TestCase):
     def test_steps(self):
-        late = members.LIST_TRUST_S + 1.0
+        late = members.MAX_LIST_LAG_S + 1.0
         gone = members.UNLISTED_GRACE_S + 1.0
         alive_1 = ("alive", "inc-1")
         alive_2 = ("alive", "inc-2")
@@ -71,7 +71,7 @@
         for now, step in steps:
             if isinstance(step, list):
                 directory.apply_list(step, now)
-                directory.drop_gone(now)
+                directory.remove_stale(now)
                 continue
             member = directory.by_id["e1"]
             if step == "lost":
@@ -102,11 +102,11 @@
     def test_an_old_line_does_not_move_what_announced_itself(self):
         directory = members.Directory()
         directory.apply_list([LIVE], 0.0)
-        self.assertEqual(len(directory.propose([MOVED], 1.0)), 1)
+        self.assertEqual(len(directory.add_reported([MOVED], 1.0)), 1)
         self.assertEqual(directory.apply_list([LIVE], 1.5), [])
         directory.by_id["e1"].mark_alive("inc-2", 1.0)
         self.assertEqual(directory.apply_list([LIVE], 2.0), [])
-        self.assertEqual(directory.propose([LIVE], 2.0), [])
+        self.assertEqual(directory.add_reported([LIVE], 2.0), [])
         directory.by_id["e1"].mark_lost(3.0)
         self.assertEqual(directory.apply_list([LIVE], 4.0), [])
         self.assertEqual(len(directory.apply_list([LIVE], 6.0)), 1)
--- a/tests/outcome/test_claims.py
+++ b/tests/outcome/test_claims.py
@@ -23,11 +23,11 @@
             self.platform, "orders", pace_s, wall_clock=lambda: self.now
         )
 
-    def wish(self, store, key="k", digest="d", agent="a"):
+    def make_claim(self, store, key="k", digest="d", agent="a"):
         self.count += 1
         nonce = f"n{self.count}"
         claim = outcome.Claim(key, agent, f"inc-{agent}", nonce, digest, 0.0)
-        return store.stamp(claim)
+        return store.with_expiry(claim)
 
     def run_on(self, scenario):
         virtual.run(scenario())
@@ -35,26 +35,26 @@
     def test_verdicts_between_two_agents(self):
         async def scenario():
             one, two = self.store(), self.store()
-            await two.claim(self.wish(two, "other"), 1.0)
-            first = await one.claim(self.wish(one), 1.0)
-            second = await two.claim(self.wish(two, agent="b"), 1.0)
-            mismatch = await two.claim(self.wish(two, digest="e"), 1.0)
-            self.assertEqual(first.verdict, "held")
-            self.assertEqual((second.verdict, second.claim.agent), ("taken", "a"))
-            self.assertEqual(mismatch.verdict, "mismatch")
+            await two.claim(self.make_claim(two, "other"), 1.0)
+            first = await one.claim(self.make_claim(one), 1.0)
+            second = await two.claim(self.make_claim(two, agent="b"), 1.0)
+            mismatch = await two.claim(self.make_claim(two, digest="e"), 1.0)
+            self.assertEqual(first.decision, "held")
+            self.assertEqual((second.decision, second.claim.agent), ("taken", "a"))
+            self.assertEqual(mismatch.decision, "mismatch")
 
         self.run_on(scenario)
 
     def test_released_claim_is_free_for_an_agent_that_saw_it(self):
         async def scenario():
             one, two = self.store(), self.store()
-            wish = self.wish(one)
-            await one.claim(wish, 1.0)
-            seen = await two.claim(self.wish(two, agent="b"), 1.0)
-            one.release(wish)
+            proposal = self.make_claim(one)
+            await one.claim(proposal, 1.0)
+            seen = await two.claim(self.make_claim(two, agent="b"), 1.0)
+            one.release(proposal)
             await asyncio.sleep(1.0)
-            again = await two.claim(self.wish(two, agent="b"), 1.0)
-            self.assertEqual((seen.verdict, again.verdict), ("taken", "held"))
+            again = await two.claim(self.make_claim(two, agent="b"), 1.0)
+            self.assertEqual((seen.decision, again.decision), ("taken", "held"))
 
         self.run_on(scenario)
 
@@ -63,11 +63,11 @@
             stores = [self.store() for _ in range(4)]
             answers = await asyncio.gather(
                 *(
-                    s.claim(self.wish(s, agent=str(i)), 2.0)
+                    s.claim(self.make_claim(s, agent=str(i)), 2.0)
                     for i, s in enumerate(stores)
                 )
             )
-            verdicts = sorted(a.verdict for a in answers)
+            verdicts = sorted(a.decision for a in answers)
             self.assertEqual(verdicts, ["held", "taken", "taken", "taken"])
             self.assertEqual(len({a.claim.nonce for a in answers}), 1)
 
@@ -81,11 +81,15 @@
                 async def scenario(fault=fault):
                     store = self.store()
                     self.platform.faults = [fault]
-                    wish = self.wish(store)
-                    self.assertEqual((await store.claim(wish, 1.0)).verdict, "held")
+                    proposal = self.make_claim(store)
+                    self.assertEqual(
+                        (await store.claim(proposal, 1.0)).decision, "held"
+                    )
                     await asyncio.sleep(5.0)  # the late write must not land
-                    again = await self.store().claim(self.wish(store, agent="b"), 1.0)
-                    self.assertEqual(again.claim.nonce, wish.nonce)
+                    again = await self.store().claim(
+                        self.make_claim(store, agent="b"), 1.0
+                    )
+                    self.assertEqual(again.claim.nonce, proposal.nonce)
 
                 self.run_on(scenario)
 
@@ -99,23 +103,23 @@
                     self.platform.faults = list(faults)
                     # It runs out while the write is under way.
                     answer = await store.claim(
-                        self.wish(store), 1.5 * claims_platform.DELAY_S
+                        self.make_claim(store), 1.5 * claims_platform.DELAY_S
                     )
-                    self.assertEqual(answer.verdict, "too_late")
+                    self.assertEqual(answer.decision, "too_late")
                     await asyncio.sleep(5.0)
                     other = self.store()
-                    again = await other.claim(self.wish(other, agent="b"), 1.0)
-                    self.assertEqual(again.verdict, "held")
+                    again = await other.claim(self.make_claim(other, agent="b"), 1.0)
+                    self.assertEqual(again.decision, "held")
 
                 self.run_on(scenario)
 
     def test_stopped_agent_leaves_the_ends_of_its_runs(self):
         async def scenario():
             store = self.store()
-            wishes = [self.wish(store, key) for key in map(str, range(64))]
-            await asyncio.gather(*(store.claim(wish, 1.0) for wish in wishes))
-            for wish in wishes:
-                store.mark_done(wish)
+            wishes = [self.make_claim(store, key) for key in map(str, range(64))]
+            await asyncio.gather(*(store.claim(proposal, 1.0) for proposal in wishes))
+            for proposal in wishes:
+                store.mark_done(proposal)
             await asyncio.sleep(1.0)
             before = self.platform.writes
             await store.close()
@@ -123,10 +127,10 @@
             self.assertLessEqual(written, _affinity.SHARDS_PER_SERVICE)
             other = self.store()
             for key in ("0", "63"):
-                again = await other.claim(self.wish(other, key, agent="b"), 1.0)
-                self.assertEqual((again.verdict, again.claim.state), ("taken", "done"))
-            for wish in wishes:
-                other.mark_done(wish)  # as they stand
+                again = await other.claim(self.make_claim(other, key, agent="b"), 1.0)
+                self.assertEqual((again.decision, again.claim.state), ("taken", "done"))
+            for proposal in wishes:
+                other.mark_done(proposal)  # as they stand
             self.platform.down = True
             async with asyncio.timeout(support.FEW_SECONDS_S):
                 await other.close()
@@ -137,21 +141,21 @@
         async def scenario():
             store = self.store()
             self.platform.down = True
-            answer = await store.claim(self.wish(store), 2.0)
-            self.assertEqual(answer.verdict, "platform_down")
+            answer = await store.claim(self.make_claim(store), 2.0)
+            self.assertEqual(answer.decision, "platform_down")
             self.platform.down = False
             await asyncio.sleep(1.0)
-            again = await store.claim(self.wish(store), 2.0)
-            self.assertEqual(again.verdict, "held")
+            again = await store.claim(self.make_claim(store), 2.0)
+            self.assertEqual(again.decision, "held")
 
         self.run_on(scenario)
 
     def test_many_claims_share_a_write(self):
         async def scenario():
             store = self.store(pace_s=0.2)
-            wishes = [self.wish(store, f"k{i}") for i in range(200)]
+            wishes = [self.make_claim(store, f"k{i}") for i in range(200)]
             answers = await asyncio.gather(*(store.claim(w, 2.0) for w in wishes))
-            self.assertEqual({a.verdict for a in answers}, {"held"})
+            self.assertEqual({a.decision for a in answers}, {"held"})
             self.assertLessEqual(self.platform.writes, 2 * _affinity.SHARDS_PER_SERVICE)
 
         self.run_on(scenario)
@@ -162,17 +166,17 @@
             keys = [k for k in map(str, range(20_000)) if _affinity.shard_of(k) == 0]
             keys = keys[: 3 * _claims.MAX_HEAD_CLAIMS]
             for start in range(0, len(keys), 64):
-                wishes = [self.wish(store, k) for k in keys[start : start + 64]]
+                wishes = [self.make_claim(store, k) for k in keys[start : start + 64]]
                 await asyncio.gather(*(store.claim(w, 2.0) for w in wishes))
             head = self.platform.object_by_name["claims-orders-0"].value
             self.assertLessEqual(len(head["claims"]), _claims.MAX_HEAD_CLAIMS)
             fresh = self.store()
             for key in (keys[0], keys[300], keys[-1]):
-                again = await fresh.claim(self.wish(fresh, key, agent="b"), 2.0)
-                self.assertEqual(again.verdict, "taken", key)
+                again = await fresh.claim(self.make_claim(fresh, key, agent="b"), 2.0)
+                self.assertEqual(again.decision, "taken", key)
             self.now += outcome.CLAIM_WINDOW_S + 1
-            again = await fresh.claim(self.wish(fresh, keys[0], agent="b"), 2.0)
-            self.assertEqual(again.verdict, "held")
+            again = await fresh.claim(self.make_claim(fresh, keys[0], agent="b"), 2.0)
+            self.assertEqual(again.decision, "held")
             await asyncio.sleep(1.0)
             self.assertEqual(list(self.platform.object_by_name), ["claims-orders-0"])
 
@@ -193,27 +197,27 @@
     async def _seal_in_outage(self, denied, other_does):
         keys = [k for k in map(str, range(20_000)) if _affinity.shard_of(k) == 0]
         one, two = self.store(pace_s=0.0), self.store(pace_s=0.0)
-        wishes = [self.wish(two, key) for key in keys[: _claims.MAX_HEAD_CLAIMS]]
-        await asyncio.gather(*(two.claim(wish, 2.0) for wish in wishes))
-        await one.claim(self.wish(one, keys[0], agent="b"), 1.0)
+        wishes = [self.make_claim(two, key) for key in keys[: _claims.MAX_HEAD_CLAIMS]]
+        await asyncio.gather(*(two.claim(proposal, 2.0) for proposal in wishes))
+        await one.claim(self.make_claim(one, keys[0], agent="b"), 1.0)
         self.platform.denied = denied
-        answer = await one.claim(self.wish(one, keys[300], agent="b"), 1.0)
+        answer = await one.claim(self.make_claim(one, keys[300], agent="b"), 1.0)
         self.platform.denied = {"delete"}
         if other_does == "claim":
-            await two.claim(self.wish(two, keys[301]), 1.0)
+            await two.claim(self.make_claim(two, keys[301]), 1.0)
         elif other_does == "release":
             two.release(wishes[0])
         await asyncio.sleep(1.0)
-        self.assertEqual(answer.verdict == "held", denied == {"delete"})
+        self.assertEqual(answer.decision == "held", denied == {"delete"})
         self.now += outcome.CLAIM_WINDOW_S + 1
         for key in ("400", "401"):  # while deletions fail still
-            await two.claim(self.wish(two, keys[int(key)]), 1.0)
+            await two.claim(self.make_claim(two, keys[int(key)]), 1.0)
             await asyncio.sleep(1.0)
         self.assertEqual(len(self.platform.object_by_name), 2)
         self.platform.denied = set()
         fresh = self.store(pace_s=0.0)  # the other agents are gone
         for key in keys[500:502]:
-            await fresh.claim(self.wish(fresh, key), 1.0)
+            await fresh.claim(self.make_claim(fresh, key), 1.0)
             await asyncio.sleep(1.0)
         self.assertEqual(list(self.platform.object_by_name), ["claims-orders-0"])
         head = self.platform.object_by_name["claims-orders-0"].value
@@ -223,30 +227,30 @@
         async def scenario():
             store = self.store(pace_s=0.0)
             keys = [k for k in map(str, range(20_000)) if _affinity.shard_of(k) == 0]
-            wishes = [self.wish(store, k) for k in keys[:400]]
-            for wish in wishes[:300]:
-                store._writer(wish.identity).add(wish)
+            wishes = [self.make_claim(store, k) for k in keys[:400]]
+            for proposal in wishes[:300]:
+                store._writer(proposal.identity).add(proposal)
             await asyncio.sleep(1.0)
             await store.claim(wishes[350], 1.0)
             store.release(wishes[0])
             await asyncio.sleep(1.0)
             fresh = self.store()
-            again = await fresh.claim(self.wish(fresh, keys[0], agent="b"), 1.0)
-            other = await fresh.claim(self.wish(fresh, keys[1], agent="b"), 1.0)
-            self.assertEqual((again.verdict, other.verdict), ("held", "taken"))
+            again = await fresh.claim(self.make_claim(fresh, keys[0], agent="b"), 1.0)
+            other = await fresh.claim(self.make_claim(fresh, keys[1], agent="b"), 1.0)
+            self.assertEqual((again.decision, other.decision), ("held", "taken"))
 
         self.run_on(scenario)
 
     def test_full_shard_refuses_until_claims_expire(self):
-        wish = outcome.Claim("k", "a", "i", "n", "d", 10.0)
+        proposal = outcome.Claim("k", "a", "i", "n", "d", 10.0)
         many = range(_claims.MAX_CLAIMS_PER_SHARD)
-        claims = [dataclasses.replace(wish, identity=str(i)) for i in many]
+        claims = [dataclasses.replace(proposal, identity=str(i)) for i in many]
         sealed = outcome.ClaimShard().sealed.joined(claims, 0.0)
         segment = _claims.Segment(1, 10.0)
         shard = outcome.ClaimShard({}, (segment,), sealed)
-        self.assertEqual(shard.judge(wish, 5.0), "full")
+        self.assertEqual(shard.decide(proposal, 5.0), "full")
         shard.prune(11.0)
-        self.assertEqual(shard.judge(wish, 11.0), "held")
+        self.assertEqual(shard.decide(proposal, 11.0), "held")
 
     def test_claims_set_aside_are_as_they_were(self):
         digest = outcome.body_digest("POST", "/file", b"body")
--- a/tests/outcome/test_ledger.py
+++ b/tests/outcome/test_ledger.py
@@ -46,7 +46,7 @@
                     ledger = outcome.Ledger("inc-1")
                     prepare(ledger)
                     ledger.forget(now)
-                    self.assertEqual(ledger.standing("a", DEADLINE, now), expected)
+                    self.assertEqual(ledger.state("a", DEADLINE, now), expected)
                     asked = ledger.revoke("a", "inc-1", DEADLINE, now)
                     self.assertEqual(asked, expected)
 
@@ -56,7 +56,7 @@
         self.ledger.finish("a", 2.0)
         for now in (DEADLINE - 1, DEADLINE + 1, KEPT_UNTIL - 1):
             self.ledger.forget(now)
-            self.assertEqual(self.ledger.standing("a", DEADLINE, now), "finished")
+            self.assertEqual(self.ledger.state("a", DEADLINE, now), "finished")
 
     def test_orders_that_may_not_start(self):
         self.ledger.revoke("revoked", "inc-1", DEADLINE, 1.0)
