--- a/libs/members/src/sequoiagap/members/__init__.py
+++ b/libs/members/src/sequoiagap/members/__init__.py
@@ -1,4 +1,4 @@
-"""Membership of endpoints and entries: lists, heartbeats and incarnations."""
+"""Membership of agents and entries: host lists, heartbeats and fencing numbers."""
 
 from sequoiagap.members._directory import (
     MAX_LIST_LAG_S,
--- a/libs/members/src/sequoiagap/members/_directory.py
+++ b/libs/members/src/sequoiagap/members/_directory.py
@@ -1,4 +1,8 @@
-"""Members proposed by the platform's list and confirmed by heartbeats."""
+"""Membership directory: listed by the platform, confirmed by connections.
+
+The platform's host list is eventually consistent. It proposes members; whether a
+member is alive, and which incarnation of it runs, is learned from its connection.
+"""
 
 import dataclasses
 
@@ -6,30 +10,33 @@
 
 MAX_LIST_LAG_S = 10.0
 UNLISTED_GRACE_S = 10.0
-ANNOUNCED_GRACE_S = 2.0
-UNSEEN = ""
+ANNOUNCED_GRACE_S = 2.0  # before a listed address replaces a dead announced one
+NO_INCARNATION = ""  # incarnation of a member that has not connected yet
 
 
 @dataclasses.dataclass
 class Member:
-    """A process of the deployment.
+    """A process of the deployment, and what is known of its incarnation.
 
-    :param sequoiagap.platform.HostEntry host: where it is.
-    :param bool listed: whether the last list still shows it.
+    :param sequoiagap.platform.HostEntry host: its address, role and failure domain.
+    :param bool listed: whether the latest list of the platform contains it.
     :param bool alive: whether its connection is open.
-    :param str incarnation: incarnation of its last connection.
-    :param float seen_at: when that incarnation was first met, monotonic seconds.
-    :param float alive_at: when it was last known to be alive, monotonic seconds.
-    :param str left_incarnation: incarnation that said itself that it leaves.
-    :param str listed_leaving: incarnation that the list shows as leaving, or
+    :param str incarnation: incarnation of its latest connection.
+    :param float seen_at: time of the first connection of that incarnation,
+        monotonic seconds.
+    :param float alive_at: time when it was last known to be alive, monotonic
+        seconds.
+    :param str left_incarnation: incarnation that announced its own shutdown, or
+        ``None``.
+    :param str listed_leaving: incarnation that the list marks as leaving, or
         ``None``.
-    :param tuple listed_address: address and port that the list showed last.
+    :param tuple listed_address: latest address and port in the list.
     """
 
     host: platform.HostEntry
     listed: bool = True
     alive: bool = False
-    incarnation: str = UNSEEN
+    incarnation: str = NO_INCARNATION
     seen_at: float = 0.0
     alive_at: float = 0.0
     left_incarnation: str | None = None
@@ -38,17 +45,20 @@
 
     @property
     def leaving(self):
-        """Whether the incarnation in question gets no new work."""
+        """Whether the current incarnation receives no new work."""
         return self.incarnation in (self.left_incarnation, self.listed_leaving)
 
     def mark_alive(self, incarnation, now):
-        """Note an open connection.
+        """Record an open connection.
 
-        :param str incarnation: incarnation that the process named.
+        :param str incarnation: incarnation that the process sent in its handshake.
         :param float now: monotonic time in seconds.
         """
         if incarnation != self.incarnation:
-            if self.incarnation == UNSEEN and self.listed_leaving == UNSEEN:
+            if (
+                self.incarnation == NO_INCARNATION
+                and self.listed_leaving == NO_INCARNATION
+            ):
                 self.listed_leaving = incarnation
             self.incarnation = incarnation
             self.seen_at = now
@@ -56,7 +66,7 @@
         self.alive_at = now
 
     def mark_lost(self, now):
-        """Note that the connection is lost.
+        """Record the loss of the connection.
 
         :param float now: monotonic time in seconds.
         """
@@ -64,16 +74,17 @@
         self.alive_at = now
 
     def mark_leaving(self):
-        """Note that the process itself said that it leaves."""
+        """Record that the process announced its own shutdown."""
         self.left_incarnation = self.incarnation
 
-    def follow_list(self, host, now):
-        """Take what the list shows of the process.
+    def update_from_list(self, host, now):
+        """Apply the entry of the platform's list for this process.
 
-        The list lags: "leaving" counts for the incarnation that it was first
-        shown for, and for a later one only when the list keeps to it.
+        The list lags behind restarts. "leaving" applies to the incarnation that
+        was current when it first appeared; it applies to a later incarnation
+        only if the list still shows it after ``MAX_LIST_LAG_S``.
 
-        :param sequoiagap.platform.HostEntry host: its line in the list.
+        :param sequoiagap.platform.HostEntry host: entry of the list.
         :param float now: monotonic time in seconds.
         """
         self.listed = True
@@ -84,9 +95,9 @@
 
 
 class Directory:
-    """Members by id.
+    """Holds members by node id.
 
-    :ivar dict by_id: member by node id.
+    :ivar dict by_id: :class:`Member` by node id.
 
     >>> directory = Directory()
     >>> host = platform.HostEntry("e1", "agent", "127.0.0.1", 1, "pnw-a")
@@ -98,62 +109,66 @@
         self.by_id = {}
 
     def apply_list(self, hosts, now):
-        """Take a list of the platform; members that it lacks stay while alive.
+        """Apply a list of the platform; unlisted members stay while they are alive.
 
-        :param list[sequoiagap.platform.HostEntry] hosts: the list.
+        :param list[sequoiagap.platform.HostEntry] hosts: the complete list.
         :param float now: monotonic time in seconds.
         :returns: members that are new or have moved to another address.
         :rtype: list[Member]
         """
-        fresh = []
+        added = []
         for host in hosts:
             member = self.by_id.get(host.host_id)
             if member is None or self._has_moved(member, host, now):
                 member = self._add(host, now)
-                fresh.append(member)
+                added.append(member)
             member.listed_address = (host.address, host.port)
-            member.follow_list(host, now)
+            member.update_from_list(host, now)
         listed_ids = {host.host_id for host in hosts}
         for member_id, member in self.by_id.items():
             member.listed = member_id in listed_ids
-        return fresh
+        return added
 
     def add_reported(self, hosts, now):
-        """Take hosts that other processes know; the list need not show them.
+        """Add hosts reported by other processes, whether the list contains them or not.
 
-        :param list[sequoiagap.platform.HostEntry] hosts: the hosts.
+        :param list[sequoiagap.platform.HostEntry] hosts: the reported hosts.
         :param float now: monotonic time in seconds.
         :returns: members that are new or have moved to another address.
         :rtype: list[Member]
         """
-        fresh = []
+        added = []
         for host in hosts:
             known = self.by_id.get(host.host_id)
-            if known is not None and (known.alive or _address(known) == _at(host)):
+            if known is not None and (
+                known.alive or _member_address(known) == _host_address(host)
+            ):
                 continue
             member = self._add(host, now)
             member.listed = known is not None and known.listed
             member.listed_address = () if known is None else known.listed_address
-            fresh.append(member)
-        return fresh
+            added.append(member)
+        return added
 
     def remove_stale(self, now):
-        """Forget members that are neither listed nor alive for a while.
+        """Remove members that are unlisted and were last alive too long ago.
+
+        The limit is ``UNLISTED_GRACE_S``.
 
         :param float now: monotonic time in seconds.
-        :returns: ids of the members dropped.
+        :returns: ids of the removed members.
         :rtype: list[str]
         """
-        gone = [
+        stale = [
             member_id
             for member_id, member in self.by_id.items()
             if not member.listed
             and not member.alive
             and now - member.alive_at > UNLISTED_GRACE_S
         ]
-        for member_id in gone:
+        for member_id in stale:
             del self.by_id[member_id]
-        return gone
+        return stale
 
     def _add(self, host, now):
         member = Member(host, alive_at=now)
@@ -161,21 +176,22 @@
         return member
 
     def _has_moved(self, member, host, now):
-        """Return whether the list shows a new address, not merely an old one.
+        """Return whether the list shows a new address rather than an outdated one.
 
-        An address that a process announced itself counts for more than an
-        unchanged line of the list, unless nobody answers there.
+        An address that the process announced itself takes precedence over an
+        unchanged entry of the list, unless the process has not been alive at it
+        for ``ANNOUNCED_GRACE_S``.
         """
-        if _address(member) == _at(host):
+        if _member_address(member) == _host_address(host):
             return False
-        if member.listed_address != _at(host):
+        if member.listed_address != _host_address(host):
             return True
         return not member.alive and now - member.alive_at > ANNOUNCED_GRACE_S
 
 
-def _at(host):
+def _host_address(host):
     return (host.address, host.port)
 
 
-def _address(member):
-    return _at(member.host)
+def _member_address(member):
+    return _host_address(member.host)
--- a/libs/members/src/sequoiagap/members/_fence.py
+++ b/libs/members/src/sequoiagap/members/_fence.py
@@ -1,9 +1,9 @@
 """Fencing numbers of orders to endpoints.
 
-Whoever orders an endpoint first takes a number from the platform by conditional
-update. The agent beside the endpoint lets an order pass only if its number is
-above every number that it has met, so that an order which comes late, after a
-pause of its sender or of the network, can't undo a later one.
+The sender of an order first obtains a fencing number from the platform by a
+conditional update. The agent of the endpoint forwards an order only if its number is
+higher than every number seen before, so that an order delayed by a pause of its
+sender or of the network can't undo a later one.
 """
 
 import asyncio
@@ -14,12 +14,12 @@
 from sequoiagap import base, platform, wire
 
 FENCE_PREFIX = "sequoiagap-fence-"
-ISSUE_BOUND_S = 3.0
+ISSUE_TIMEOUT_S = 3.0
 RETRY_DELAY_S = 0.1
 
 
 class OrderKind(enum.StrEnum):
-    """What an endpoint can be ordered to do."""
+    """Kinds of orders that an endpoint accepts."""
 
     LOAD_MODEL = "load_model"
     LOAD_ADAPTER = "load_adapter"
@@ -29,7 +29,7 @@
 
 
 class OrderOutcome(enum.StrEnum):
-    """What became of an order."""
+    """Result of an order."""
 
     DONE = "done"
     REFUSED = "refused"
@@ -40,10 +40,10 @@
 class EndpointOrder:
     """Order to an endpoint.
 
-    :param str order_id: unique id; the same order sent twice runs once.
-    :param int fencing: its fencing number.
+    :param str order_id: unique id; an order that is sent twice runs once.
+    :param int fencing: fencing number of the order.
     :param str kind: an :class:`OrderKind`.
-    :param dict arguments: what the engine is told besides.
+    :param dict arguments: further arguments for the engine.
     """
 
     order_id: str
@@ -54,11 +54,11 @@
 
 @wire.message(201)
 class EndpointOrderReply:
-    """What became of an order.
+    """Reply to an :class:`EndpointOrder` with its result.
 
-    :param str order_id: the order.
+    :param str order_id: id of the order.
     :param str outcome: an :class:`OrderOutcome`.
-    :param str text: why, where it was not done.
+    :param str text: reason if the order was not carried out.
     """
 
     order_id: str
@@ -68,10 +68,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class IssuedOrder:
-    """The last order to an endpoint that got a number.
+    """The latest order to an endpoint that obtained a fencing number.
 
-    :param int number: its fencing number; 0 if there was none.
-    :param str order_id: its id.
+    :param int number: its fencing number; 0 if no order has obtained one.
+    :param str order_id: id of the order.
     """
 
     number: int = 0
@@ -79,10 +79,11 @@
 
 
 class OrderFence:
-    """Compares the fencing numbers of the orders to one endpoint.
+    """Rejects orders to one endpoint whose fencing number is outdated.
 
-    :ivar int highest_: highest number met; a fresh process learns it from the
-        platform before it lets an order pass.
+    :ivar int highest_: highest number seen so far; a restarted process reads it
+        from the platform before it forwards the first order.
+    :ivar str order_id_: id of the order with that number; empty if unknown.
 
     >>> fence = OrderFence()
     >>> fence.find_rejection_reason(2, "b"), fence.record_order(2, "b")
@@ -96,19 +97,21 @@
         self.order_id_ = ""
 
     def restore_highest(self, issued):
-        """Take what the platform holds.
+        """Raise the threshold to the latest number in the platform.
 
-        :param IssuedOrder issued: the last order that got a number.
+        The order with that number itself is still accepted.
+
+        :param IssuedOrder issued: latest order that obtained a number.
         """
         if issued.number > self.highest_:
             self.highest_ = issued.number - 1
             self.order_id_ = ""
 
     def find_rejection_reason(self, number, order_id):
-        """Return why an order may not pass; empty if it may.
+        """Return why an order is rejected; empty if it is accepted.
 
-        :param int number: its fencing number.
-        :param str order_id: its id.
+        :param int number: fencing number of the order.
+        :param str order_id: id of the order.
         :rtype: str
         """
         if number > self.highest_:
@@ -116,47 +119,48 @@
         return f"fencing number {number} is not above {self.highest_}"
 
     def record_order(self, number, order_id):
-        """Note that an order is about to be sent to the endpoint.
+        """Record an order that is about to be sent to the endpoint.
 
-        :param int number: its fencing number.
-        :param str order_id: its id.
+        :param int number: fencing number of the order.
+        :param str order_id: id of the order.
         """
         self.highest_ = number
         self.order_id_ = order_id
 
 
 class FenceStore:
-    """Fencing numbers in the platform, one object for each endpoint.
+    """Issues fencing numbers from the platform, one object for each endpoint.
 
-    :param sequoiagap.platform.PlatformClient client: the platform.
-    :param float timeout_s: longest time to settle a number, in seconds.
+    :param sequoiagap.platform.PlatformClient client: client of the platform.
+    :param float timeout_s: time limit for obtaining a number, in seconds.
     """
 
-    def __init__(self, client, timeout_s=ISSUE_BOUND_S):
+    def __init__(self, client, timeout_s=ISSUE_TIMEOUT_S):
         self.client = client
         self.timeout_s = timeout_s
 
     async def read(self, endpoint_id):
-        """Return the last order that got a number.
+        """Return the latest order that obtained a fencing number.
 
-        :param str endpoint_id: the endpoint.
+        :param str endpoint_id: id of the endpoint.
         :rtype: IssuedOrder
         :raises sequoiagap.base.PlatformError: if the platform does not answer.
         """
         return _parse(await self.client.get(FENCE_PREFIX + endpoint_id))
 
     async def issue(self, endpoint_id, order_id, kind, operator):
-        """Take the next fencing number for an order.
+        """Return the next fencing number for an order.
 
-        An order id that already holds the last number gets the same one again.
+        Issuing is idempotent: an order id that already holds the latest number
+        receives the same number again.
 
-        :param str endpoint_id: the endpoint.
+        :param str endpoint_id: id of the endpoint.
         :param str order_id: unique id of the order.
-        :param OrderKind kind: what is ordered.
-        :param str operator: who orders it.
+        :param OrderKind kind: kind of the order.
+        :param str operator: operator who submitted the order.
         :rtype: int
-        :raises sequoiagap.base.PlatformError: if no number is settled in time;
-            no order may then be sent.
+        :raises sequoiagap.base.PlatformError: if no number was issued in time; the
+            order must then not be sent.
         """
         value = {"order_id": order_id, "kind": str(kind), "operator": operator}
         try:
@@ -164,7 +168,7 @@
                 return await self._issue(FENCE_PREFIX + endpoint_id, value)
         except TimeoutError as error:
             raise base.PlatformError(
-                f"no fencing number was settled within {self.timeout_s} s",
+                f"no fencing number was obtained within {self.timeout_s} s",
                 "Send the order again with the same order id",
             ) from error
 
@@ -179,7 +183,7 @@
             try:
                 await self.client.put(name, written, stored.version if stored else 0)
             except platform.ObjectConflict:
-                continue  # another order got the number; its writer needs no rest
+                continue  # another order took the number; retry without a delay
             except base.PlatformError as error:
                 if not error.effect_unknown:
                     raise
@@ -195,5 +199,6 @@
         return IssuedOrder(int(stored.value["number"]), str(stored.value["order_id"]))
     except (KeyError, TypeError, ValueError) as error:
         raise base.PlatformError(
-            f"object {stored.name!r} is malformed ({error})", "Mend it by hand"
+            f"object {stored.name!r} in the platform is malformed ({error})",
+            "Correct the object by hand",
         ) from error
--- a/libs/members/src/sequoiagap/members/_host_view.py
+++ b/libs/members/src/sequoiagap/members/_host_view.py
@@ -1,4 +1,4 @@
-"""The platform's host list as a process holds it, and changes between two lists."""
+"""Local copy of the platform's host list, updated by complete lists or changes."""
 
 import dataclasses
 import hashlib
@@ -14,15 +14,16 @@
 
 @wire.message(255)
 class MemberListChange:
-    """The sender has a host list that the platform confirmed a while ago.
+    """Changes between two host lists, with the age of the newer one.
 
-    :param str base: digest of the list that the changes start from.
-    :param str digest: digest of the list that they lead to; equal to ``base``
-        where nothing changed.
-    :param int age_ms: how long ago the platform confirmed the list.
+    :param str base: digest of the list that the changes apply to.
+    :param str digest: digest of the resulting list; equal to ``base`` if nothing
+        changed.
+    :param int age_ms: time since the platform confirmed the list, in
+        milliseconds.
     :param list hosts: fields of each :class:`sequoiagap.platform.HostEntry` that
-        is new or has changed.
-    :param list gone: ids of the hosts that the list no longer shows.
+        was added or changed.
+    :param list gone: ids of the hosts that were removed from the list.
     """
 
     base: str
@@ -33,10 +34,13 @@
 
 
 class HostView:
-    """A host list with a digest that a change costs only what it changes.
+    """Holds a host list and its digest.
 
-    :ivar dict by_id: hosts by id.
-    :ivar bool has_list_: whether a list was ever taken.
+    The digest is a sum of checksums of the hosts, so that the cost of an update is
+    proportional to the change and not to the length of the list.
+
+    :ivar dict by_id: :class:`sequoiagap.platform.HostEntry` by host id.
+    :ivar bool has_list_: whether a complete list was received.
 
     >>> from sequoiagap import platform
     >>> view = HostView()
@@ -52,36 +56,39 @@
 
     @property
     def digest(self):
-        """Digest of the list, equal wherever the lists are equal."""
+        """Digest of the list; equal lists have equal digests."""
         return f"{self._checksum:016x}"
 
     def replace(self, hosts):
-        """Take a whole list of the platform.
+        """Replace the list by a complete list of the platform.
 
-        :param list[sequoiagap.platform.HostEntry] hosts: the list.
-        :returns: changes that lead there from the list before, in order; their
-            age is 0.
+        :param list[sequoiagap.platform.HostEntry] hosts: the new list.
+        :returns: changes from the previous list to the new one, in order, each with
+            at most ``MAX_CHANGED_HOSTS`` added and removed hosts; their age is 0.
         :rtype: list[MemberListChange]
         """
         self.has_list_ = True
         listed = {host.host_id: host for host in hosts}
         gone = [host_id for host_id in self.by_id if host_id not in listed]
-        fresh = [h for h in listed.values() if self.by_id.get(h.host_id) != h]
+        changed = [h for h in listed.values() if self.by_id.get(h.host_id) != h]
         changes = []
-        while gone or fresh:
-            gone_now, gone = _split(gone)
-            fresh_now, fresh = _split(fresh)
+        while gone or changed:
+            gone_now, gone = _split_batch(gone)
+            changed_now, changed = _split_batch(changed)
             base = self.digest
-            self._update(fresh_now, gone_now)
-            documents = [dataclasses.asdict(host) for host in fresh_now]
+            self._update(changed_now, gone_now)
+            documents = [dataclasses.asdict(host) for host in changed_now]
             changes.append(MemberListChange(base, self.digest, 0, documents, gone_now))
         return changes
 
     def apply(self, change):
-        """Take changes of another process if they fit the list held here.
+        """Apply changes received from another process if they match the local list.
+
+        The list stays as it is if the base differs, if a host is malformed or if
+        the result doesn't have the digest of the message.
 
-        :param MemberListChange change: the changes.
-        :returns: whether they were taken.
+        :param MemberListChange change: received changes.
+        :returns: whether the changes were applied.
         :rtype: bool
         """
         if not self.has_list_ or change.base != self.digest:
@@ -107,7 +114,7 @@
         self._checksum = checksum % _MODULUS
 
 
-def _split(items):
+def _split_batch(items):
     return items[:MAX_CHANGED_HOSTS], items[MAX_CHANGED_HOSTS:]
 
 
--- a/libs/members/src/sequoiagap/members/_liveness.py
+++ b/libs/members/src/sequoiagap/members/_liveness.py
@@ -1,10 +1,10 @@
-"""Heartbeats that agents owe to an entry."""
+"""Deadlines of the heartbeats that an entry expects from agents."""
 
-SILENT_INTERVALS = 2.5
+SILENT_INTERVALS = 2.5  # a report is overdue after so many report intervals
 
 
 class ReportTracker:
-    """Tells which agents have stopped to report.
+    """Detects agents whose reports have stopped.
 
     >>> tracker = ReportTracker()
     >>> tracker.heard("agent-1", 1.0, now=0.0)
@@ -16,10 +16,11 @@
         self._due_by_id = {}
 
     def record_report(self, node_id, interval_s, now):
-        """Note a report.
+        """Record a report and set the deadline of the next one.
 
-        :param str node_id: the agent.
-        :param float interval_s: when its next one follows, in seconds; 0 if none.
+        :param str node_id: id of the agent.
+        :param float interval_s: time until the next report, in seconds; 0 if the
+            agent sends no further reports here.
         :param float now: monotonic time in seconds.
         """
         if interval_s <= 0:
@@ -28,22 +29,22 @@
         self._due_by_id[node_id] = now + SILENT_INTERVALS * interval_s
 
     def forget(self, node_id):
-        """Expect no more reports of an agent.
+        """Stop expecting reports of an agent.
 
-        :param str node_id: the agent.
+        :param str node_id: id of the agent.
         """
         self._due_by_id.pop(node_id, None)
 
     def extend_deadlines(self, seconds):
-        """Put every report off, after a pause of this process itself.
+        """Extend all deadlines after this process itself was paused.
 
-        :param float seconds: how long this process was paused.
+        :param float seconds: length of the pause.
         """
         for node_id in self._due_by_id:
             self._due_by_id[node_id] += seconds
 
     def pop_overdue(self, now):
-        """Return the agents whose report is overdue; each is told once.
+        """Return the agents whose report is overdue, and stop expecting their reports.
 
         :param float now: monotonic time in seconds.
         :rtype: list[str]
--- a/libs/members/src/sequoiagap/members/_messages.py
+++ b/libs/members/src/sequoiagap/members/_messages.py
@@ -1,4 +1,4 @@
-"""Messages of membership."""
+"""Wire messages of membership: heartbeats, suspicions and known hosts."""
 
 import dataclasses
 
@@ -9,9 +9,9 @@
 class MemberReport:
     """Heartbeat of an agent to one of the few entries that it reports to.
 
-    :param int interval_ms: when the next one follows, in milliseconds; 0 if none
-        follows because the agent has chosen another entry.
-    :param int config_version: version in force at the agent.
+    :param int interval_ms: time until the next report, in milliseconds; 0 if none
+        follows because the agent reports to another entry.
+    :param int config_version: configuration version in force at the agent.
     """
 
     interval_ms: int
@@ -20,10 +20,10 @@
 
 @wire.message(251)
 class MemberSuspect:
-    """An entry no longer hears the reports of an agent.
+    """Suspicion of an agent whose reports to an entry have stopped.
 
-    :param str node_id: the agent.
-    :param str incarnation: the incarnation that went silent.
+    :param str node_id: id of the agent.
+    :param str incarnation: incarnation whose reports have stopped.
     """
 
     node_id: str
@@ -32,9 +32,9 @@
 
 @wire.message(254)
 class DomainSuspect:
-    """An entry's connection to an entry of another failure domain went silent.
+    """Suspicion of a failure domain to which an entry's connection went silent.
 
-    :param str failure_domain: the other failure domain.
+    :param str failure_domain: the suspected failure domain.
     """
 
     failure_domain: str
@@ -42,9 +42,9 @@
 
 @wire.message(252)
 class MemberHosts:
-    """Hosts that the sender knows, for receivers whose list is down.
+    """Hosts known to the sender, for receivers that can't read the platform's list.
 
-    :param list hosts: fields of :class:`sequoiagap.platform.HostEntry`.
+    :param list hosts: fields of each :class:`sequoiagap.platform.HostEntry`.
     """
 
     hosts: list
@@ -52,7 +52,7 @@
 
 @wire.message(253)
 class MemberAnnounce:
-    """A process that no entry has found says where it is.
+    """Announcement of the address of a process that no entry has connected to.
 
     :param dict host: fields of :class:`sequoiagap.platform.HostEntry`.
     """
@@ -66,9 +66,9 @@
 
 
 def host_from_document(document):
-    """Return the host of plain data, or ``None`` where it is malformed.
+    """Return the host described by plain data, or ``None`` if it is malformed.
 
-    :param dict document: fields of a host; unknown ones are dropped.
+    :param dict document: fields of a host; unknown fields are ignored.
     :rtype: sequoiagap.platform.HostEntry | None
 
     >>> host_from_document({"host_id": 3}) is None
@@ -81,5 +81,7 @@
         host = platform.HostEntry(**known)
     except TypeError:
         return None
-    are_right = all(type(value) is _FIELD_TYPES[key] for key, value in known.items())
-    return host if are_right else None
+    has_valid_types = all(
+        type(value) is _FIELD_TYPES[key] for key, value in known.items()
+    )
+    return host if has_valid_types else None
--- a/libs/members/src/sequoiagap/members/_rendezvous.py
+++ b/libs/members/src/sequoiagap/members/_rendezvous.py
@@ -1,15 +1,17 @@
-"""Rendezvous hashing: a stable choice of few among many, without agreement."""
+"""Rendezvous hashing: a stable selection without coordination between processes."""
 
 import hashlib
 
 
 def choose(key, ids, count):
-    """Return the few ids that a key prefers; stable while they exist.
+    """Return the ids with the highest weights for a key, in descending order.
 
-    :param str key: who chooses.
-    :param ids: what to choose among.
+    An id that is added or removed changes the selection of few keys only.
+
+    :param str key: id of the process that chooses.
+    :param ids: candidates.
     :type ids: collections.abc.Iterable[str]
-    :param int count: how many to choose at most.
+    :param int count: maximum number of ids to return.
     :rtype: list[str]
 
     >>> choose("agent-1", ["entry-1", "entry-2"], 5) == sorted(
@@ -22,16 +24,16 @@
 
 
 def rank(key, own_id, ids):
-    """Return the place of an id in the order that a key prefers, from 0.
+    """Return the position of an id in the order of weights for a key, from 0.
 
-    :param str key: who chooses.
-    :param str own_id: the id; it counts whether it is among the ids or not.
-    :param ids: what to choose among.
+    :param str key: key that the ids are weighted for.
+    :param str own_id: id to find; it need not be among ``ids``.
+    :param ids: candidates.
     :type ids: collections.abc.Iterable[str]
     :rtype: int
     """
-    everyone = {*ids, own_id}
-    return choose(key, everyone, len(everyone)).index(own_id)
+    candidates = {*ids, own_id}
+    return choose(key, candidates, len(candidates)).index(own_id)
 
 
 def _weight(key, item):
