--- a/libs/outcome/src/sequoiagap/outcome/__init__.py
+++ b/libs/outcome/src/sequoiagap/outcome/__init__.py
@@ -1,4 +1,4 @@
-"""What became of a request: ledgers, claims and revocation."""
+"""State of requests and attempts: ledgers, claims, answers and decision journal."""
 
 from sequoiagap.outcome._affinity import (
     SHARDS_PER_SERVICE,
--- a/libs/outcome/src/sequoiagap/outcome/_affinity.py
+++ b/libs/outcome/src/sequoiagap/outcome/_affinity.py
@@ -1,4 +1,4 @@
-"""Which shard a key belongs to, and which agent is asked first for it."""
+"""Sharding of idempotency keys and endpoint affinity of each shard."""
 
 import hashlib
 
@@ -9,11 +9,11 @@
 
 
 def claim_id(account, target, key):
-    """Return the id that scopes a key to its client account and service.
+    """Return the id that scopes an idempotency key to its client account and service.
 
     :param str account: client account.
     :param str target: service.
-    :param str key: idempotency key that the caller chose.
+    :param str key: idempotency key chosen by the caller.
     :rtype: str
 
     >>> claim_id("guild", "orders", "k1") == claim_id("guild", "orders", "k2")
@@ -23,7 +23,7 @@
 
 
 def body_digest(method, path, body):
-    """Return the digest that tells one request from another under the same key.
+    """Return the digest that distinguishes different requests with the same key.
 
     :param str method: HTTP method.
     :param str path: HTTP path and query.
@@ -36,22 +36,22 @@
 def shard_of(identity):
     """Return the shard of a claim.
 
-    The number of shards is part of the format: agents that disagree on it would
-    not see each other's claims.
+    The number of shards is part of the storage format: agents with different
+    numbers would not see each other's claims.
 
-    :param str identity: what :func:`claim_id` returned.
+    :param str identity: id of the claim, see :func:`claim_id`.
     :rtype: int
     """
     return _hash(identity) % SHARDS_PER_SERVICE
 
 
 def rank_by_affinity(identity, endpoint_ids):
-    """Return endpoints in the order in which a key asks them.
+    """Return endpoints in the order in which requests with a key prefer them.
 
-    All keys of a shard rank alike (rendezvous hashing), so that a shard has one
-    writer as long as entries see the same endpoints.
+    All keys of a shard have the same order (rendezvous hashing), so that a shard
+    has one writer as long as entries know the same endpoints.
 
-    :param str identity: what :func:`claim_id` returned.
+    :param str identity: id of the claim, see :func:`claim_id`.
     :param list[str] endpoint_ids: endpoints that serve the request.
     :rtype: list[str]
 
--- a/libs/outcome/src/sequoiagap/outcome/_assembly.py
+++ b/libs/outcome/src/sequoiagap/outcome/_assembly.py
@@ -1,12 +1,12 @@
-"""Checks that an answer is whole and belongs to its attempt."""
+"""Completeness check of the answer of an attempt."""
 
 from sequoiagap import base
 
 
 class AnswerAssembly:
-    """Follows the chunks of one attempt's answer.
+    """Checks that the chunks of an answer arrive in order and completely.
 
-    :param str attempt_id: the attempt whose answer this is.
+    :param str attempt_id: id of the attempt.
 
     :ivar int chunks_: chunks accepted so far.
     :ivar int size_: bytes accepted so far.
@@ -26,13 +26,13 @@
         self.size_ = 0
 
     def accept(self, sequence, data):
-        """Take a chunk if it is the next one.
+        """Accept a chunk if it is the next one.
 
         :param int sequence: number of the chunk, from 0.
         :param bytes data: its bytes.
-        :returns: whether it is next; a repeated chunk is dropped.
+        :returns: whether the chunk was accepted; a repeated chunk is ignored.
         :rtype: bool
-        :raises sequoiagap.base.WireError: if a chunk before it is missing.
+        :raises sequoiagap.base.WireError: if an earlier chunk is missing.
         """
         if sequence < self.chunks_:
             return False
@@ -45,10 +45,10 @@
         return True
 
     def is_whole(self, chunks, size):
-        """Tell whether the final marker agrees with what was accepted.
+        """Return whether all chunks that the final message announces were accepted.
 
-        :param int chunks: chunks that the answer has.
-        :param int size: bytes that the answer has.
+        :param int chunks: number of chunks of the answer.
+        :param int size: size of the answer in bytes.
         :rtype: bool
         """
         return chunks == self.chunks_ and size == self.size_
--- a/libs/outcome/src/sequoiagap/outcome/_buffer.py
+++ b/libs/outcome/src/sequoiagap/outcome/_buffer.py
@@ -1,18 +1,20 @@
-"""The part of an answer that the agent holds."""
+"""Bounded buffer of an answer at the agent, for retransmission."""
 
 import collections
 
 
 class AnswerBuffer:
-    """Numbered chunks of one answer, as far as somebody may still ask for them.
+    """Buffers the numbered chunks of one answer that may still be requested.
 
-    :param int capacity_bytes: bytes held before the reader has to wait.
-    :param int capacity_chunks: chunks held before the reader has to wait.
+    The reader of the engine's answer stops while the buffer is full.
 
-    :ivar int first_: number of the first chunk that is still held.
-    :ivar int next_: number of the next chunk to come.
-    :ivar int size_: bytes of the answer so far.
-    :ivar int held_bytes_: bytes held now.
+    :param int capacity_bytes: limit of buffered bytes.
+    :param int capacity_chunks: limit of buffered chunks.
+
+    :ivar int first_: number of the first buffered chunk.
+    :ivar int next_: number of the next chunk to append.
+    :ivar int size_: size of the answer so far, in bytes.
+    :ivar int held_bytes_: buffered bytes.
 
     >>> buffer = AnswerBuffer(capacity_bytes=4)
     >>> buffer.append(b"abcd")
@@ -34,14 +36,14 @@
 
     @property
     def is_full(self):
-        """Whether the reader has to wait."""
+        """Whether a limit is reached and the reader has to wait."""
         return (
             self.held_bytes_ >= self.capacity_bytes
             or len(self._chunks) >= self.capacity_chunks
         )
 
     def append(self, data):
-        """Take the next chunk.
+        """Append the next chunk.
 
         :param bytes data: its bytes.
         """
@@ -51,20 +53,20 @@
         self.held_bytes_ += len(data)
 
     def get(self, sequence):
-        """Return a held chunk.
+        """Return a buffered chunk.
 
-        :param int sequence: its number.
+        :param int sequence: number of the chunk.
         :rtype: bytes
-        :raises IndexError: if it is not held.
+        :raises IndexError: if the chunk is not buffered.
         """
         if not self.first_ <= sequence < self.next_:
-            raise IndexError(f"chunk {sequence} is not held")
+            raise IndexError(f"chunk {sequence} is not buffered")
         return self._chunks[sequence - self.first_]
 
     def drop_before(self, sequence):
-        """Forget the chunks before a number.
+        """Drop acknowledged chunks.
 
-        :param int sequence: first chunk to keep.
+        :param int sequence: number of the first chunk to keep.
         """
         while self.first_ < min(sequence, self.next_):
             self.held_bytes_ -= len(self._chunks.popleft())
--- a/libs/outcome/src/sequoiagap/outcome/_claim_store.py
+++ b/libs/outcome/src/sequoiagap/outcome/_claim_store.py
@@ -1,4 +1,4 @@
-"""Claims kept in the platform, many in one conditional write."""
+"""Claims of idempotency keys, stored in the platform in batched writes."""
 
 import asyncio
 import dataclasses
@@ -6,40 +6,46 @@
 
 from sequoiagap.outcome import _affinity, _claims, _shard_writer
 
-FLUSH_PACE_S = 0.2
+MIN_FLUSH_INTERVAL_S = 0.2
 
 
 class ClaimStore:
-    """Claims keys for one agent.
+    """Claims idempotency keys for one agent.
 
-    Keys fall into shards, one platform object each. While a write of a shard is
-    under way further wishes gather and go with the next one; a shard writes at
-    most once in ``flush_pace_s``. The conditional write decides between agents.
+    Keys are divided into shards, one platform object each. Proposals that arrive
+    during a write of their shard are batched into its next write; a shard is
+    written at most once in ``min_flush_interval_s``. Conditional writes resolve races
+    between agents.
 
-    :param sequoiagap.platform.PlatformClient client: the platform.
+    :param sequoiagap.platform.PlatformClient client: client of the platform.
     :param str service: service whose keys are claimed.
-    :param float flush_pace_s: least time between two writes of a shard, in seconds.
-    :param wall_clock: function that returns seconds since the epoch.
+    :param float min_flush_interval_s: minimum interval between writes of a shard, in
+        seconds.
+    :param wall_clock: function that returns the time in seconds since the epoch.
 
-    :ivar int writes_: conditional writes made.
-    :ivar int reads_: reads made.
+    :ivar int writes_: number of conditional writes.
+    :ivar int reads_: number of reads.
     """
 
     def __init__(
-        self, client, service, flush_pace_s=FLUSH_PACE_S, wall_clock=time.time
+        self,
+        client,
+        service,
+        min_flush_interval_s=MIN_FLUSH_INTERVAL_S,
+        wall_clock=time.time,
     ):
         self.client = client
         self.service = service
-        self.flush_pace_s = flush_pace_s
+        self.min_flush_interval_s = min_flush_interval_s
         self.wall_clock = wall_clock
         self.writes_ = 0
         self.reads_ = 0
         self._writer_by_shard = {}
 
     def with_expiry(self, proposal):
-        """Return a wish that expires after the claim window from now.
+        """Return a copy of a proposal that expires ``CLAIM_WINDOW_S`` from now.
 
-        :param Claim wish: the claim that is wished for.
+        :param Claim proposal: proposed claim.
         :rtype: Claim
         """
         expires_at = self.wall_clock() + _claims.CLAIM_WINDOW_S
@@ -48,16 +54,16 @@
     async def claim(self, proposal, timeout_s):
         """Claim a key.
 
-        :param Claim wish: the claim that is wished for.
-        :param float timeout_s: longest wait; after it the wish is withdrawn, and
-            a write of it that is still under way is undone.
+        :param Claim proposal: proposed claim.
+        :param float timeout_s: time limit in seconds; after it the proposal is
+            withdrawn, and undone if a write of it is still in progress.
         :rtype: ClaimResult
         """
         writer = self._writer(proposal.identity)
-        answer = writer.add(proposal)
+        result = writer.add(proposal)
         try:
             async with asyncio.timeout(timeout_s):
-                return await asyncio.shield(answer)
+                return await asyncio.shield(result)
         except TimeoutError:
             writer.withdraw(proposal)
             return _shard_writer.ClaimResult(_claims.ClaimDecision.TOO_LATE)
@@ -66,21 +72,21 @@
             raise
 
     def release(self, claim):
-        """Give up a claim whose run has not started and never will.
+        """Release a claim whose run has not started and never will.
 
-        :param Claim claim: the claim.
+        :param Claim claim: claim to release.
         """
         self._writer(claim.identity).withdraw(claim)
 
     def mark_done(self, claim):
-        """Note that a run has ended; written with the shard's next write.
+        """Record the end of a run; stored with the next write of the shard.
 
-        :param Claim claim: the claim.
+        :param Claim claim: claim of the run.
         """
         self._writer(claim.identity).done.append(claim)
 
     async def close(self):
-        """Let writes under way end within a bound, and stop writing."""
+        """Wait for writes in progress for a limited time, and stop writing."""
         writers = self._writer_by_shard.values()
         await asyncio.gather(*(writer.close() for writer in writers))
 
--- a/libs/outcome/src/sequoiagap/outcome/_claims.py
+++ b/libs/outcome/src/sequoiagap/outcome/_claims.py
@@ -1,4 +1,4 @@
-"""Claims: what makes a request with a key run at most once."""
+"""Claims of idempotency keys: a request with a key runs at most once."""
 
 import dataclasses
 import enum
@@ -11,7 +11,7 @@
 
 
 class ClaimDecision(enum.StrEnum):
-    """What became of the wish to claim a key."""
+    """Decision on a proposal to claim a key."""
 
     HELD = "held"
     TAKEN = "taken"
@@ -22,7 +22,7 @@
 
 
 class ClaimState(enum.StrEnum):
-    """What is known of a claim."""
+    """State of a claim, as far as it is known."""
 
     HELD = "held"
     DONE = "done"
@@ -31,14 +31,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Claim:
-    """A claim of one key by one run.
+    """Claim of one idempotency key by one run of a request.
 
-    :param str identity: see :func:`sequoiagap.outcome.claim_id`.
+    :param str identity: id of the scoped key, see
+        :func:`sequoiagap.outcome.claim_id`.
     :param str agent: agent that runs the request.
     :param str incarnation: incarnation of that agent.
-    :param str nonce: unique to this run.
-    :param str digest: digest of the request, to tell another body.
-    :param float expires_at: wall-clock time, seconds since the epoch.
+    :param str nonce: unique id of the run.
+    :param str digest: digest of the request, to detect a different request with the
+        same key.
+    :param float expires_at: time of expiry, seconds since the epoch.
     :param str state: a :class:`ClaimState`; ``done`` once the run is known to have
         ended, ``released`` if it never started.
     """
@@ -54,10 +56,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Segment:
-    """A full head that was set aside; it never changes.
+    """Reference to an immutable segment, which was once a full head.
 
-    :param int version: version of the head that it was.
-    :param float expires_at: when its last claim expires.
+    :param int version: version of the head that was sealed.
+    :param float expires_at: time of expiry of its last claim, seconds since the
+        epoch.
     """
 
     version: int
@@ -65,14 +68,14 @@
 
 
 class ClaimShard:
-    """The claims of one shard: a small head, and segments set aside.
+    """Holds the claims of one shard in a mutable head and sealed segments.
 
-    Only the head is written again and again. A claim in the head overrides one
-    of the same key in a segment.
+    Writes replace the head only, so that their size stays small. A claim in the
+    head overrides a claim of the same key in a segment.
 
-    :param dict by_identity: claim of the head by identity.
-    :param tuple segments: segments that the head names.
-    :param PackedClaims sealed: claims of the segments.
+    :param dict by_identity: claims of the head by identity.
+    :param tuple segments: each :class:`Segment` that the head refers to.
+    :param PackedClaims sealed: claims of these segments.
 
     >>> shard = ClaimShard()
     >>> claim = Claim("k", "a1", "inc-1", "n1", "d", expires_at=60.0)
@@ -90,85 +93,90 @@
 
     @property
     def is_head_full(self):
-        """Whether the head is to be set aside before it grows further."""
+        """Whether the head must be sealed before claims are added."""
         return len(self.by_identity) >= MAX_HEAD_CLAIMS
 
     def find(self, identity):
-        """Return the claim of a key, or ``None``.
+        """Return the claim of a key, or ``None`` if there is none.
 
-        :param str identity: the key's identity.
+        :param str identity: id of the scoped key.
         :rtype: Claim | None
         """
-        known = self.by_identity.get(identity)
-        return known or self.sealed.get(identity)
+        existing = self.by_identity.get(identity)
+        return existing or self.sealed.get(identity)
 
     def decide(self, proposal, now):
-        """Tell what would become of a wish.
+        """Return the decision on a proposal; the shard stays as it is.
 
-        :param Claim wish: the claim that is wished for.
+        :param Claim proposal: proposed claim.
         :param float now: wall-clock time in seconds.
         :rtype: ClaimDecision
         """
-        known = self.find(proposal.identity)
-        if not _is_in_force(known, now):
+        existing = self.find(proposal.identity)
+        if not _is_in_force(existing, now):
             count = len(self.by_identity) + len(self.sealed)
             is_full = count >= MAX_CLAIMS_PER_SHARD
             return ClaimDecision.FULL if is_full else ClaimDecision.HELD
-        if known.digest != proposal.digest:
+        if existing.digest != proposal.digest:
             return ClaimDecision.MISMATCH
-        if known.nonce == proposal.nonce:
+        if existing.nonce == proposal.nonce:
             return ClaimDecision.HELD
         return ClaimDecision.TAKEN
 
     def add(self, claim):
-        """Record a claim.
+        """Add a claim to the head.
 
-        :param Claim claim: the claim.
+        :param Claim claim: claim to add.
         """
         self.by_identity[claim.identity] = claim
 
     def release(self, identity, nonce):
-        """Take back a claim whose run never started.
+        """Release a claim whose run never started.
 
-        :param str identity: the key's identity.
-        :param str nonce: the run's nonce; another's claim stays.
-        :returns: whether there was such a claim in force.
+        :param str identity: id of the scoped key.
+        :param str nonce: nonce of the run; claims of other runs are kept.
+        :returns: whether such a claim was found and not yet released.
         :rtype: bool
         """
-        known = self.find(identity)
-        if known is None or known.nonce != nonce:
+        existing = self.find(identity)
+        if existing is None or existing.nonce != nonce:
             return False
-        if known.state == ClaimState.RELEASED:
+        if existing.state == ClaimState.RELEASED:
             return False
         if identity in self.sealed:
-            self.add(dataclasses.replace(known, state=str(ClaimState.RELEASED)))
+            self.add(dataclasses.replace(existing, state=str(ClaimState.RELEASED)))
         else:
             del self.by_identity[identity]
         return True
 
     def mark_done(self, identity, nonce, overrides=False):
-        """Record that a run has ended, if its claim is in the head.
+        """Record the end of a run if its claim is in the head.
 
-        :param str identity: the key's identity.
-        :param str nonce: the run's nonce.
-        :param bool overrides: whether to override a claim that was set aside too,
-            if the head has room.
-        :returns: whether that changed the shard.
+        :param str identity: id of the scoped key.
+        :param str nonce: nonce of the run.
+        :param bool overrides: whether to override a sealed claim too, unless the
+            head is full.
+        :returns: whether the shard was changed.
         :rtype: bool
         """
-        known = self.find(identity)
-        if known is None or known.nonce != nonce or known.state == ClaimState.DONE:
+        existing = self.find(identity)
+        if (
+            existing is None
+            or existing.nonce != nonce
+            or existing.state == ClaimState.DONE
+        ):
             return False
         may_add = overrides and not self.is_head_full
         if identity not in self.by_identity and not may_add:
             return False
-        self.add(dataclasses.replace(known, state=str(ClaimState.DONE)))
+        self.add(dataclasses.replace(existing, state=str(ClaimState.DONE)))
         return True
 
     def prune(self, now, deleted=()):
-        """Drop expired claims and deleted segments; costs no write of its own.
+        """Remove expired claims and references to deleted segments.
 
-        A segment is named until it is deleted, so that none is forgotten.
+        The removal needs no write of its own. The head refers to a segment until it
+        is deleted, so that no segment is left behind in the platform.
 
         :param float now: wall-clock time in seconds.
         :param deleted: versions of the segments that are known to be deleted.
@@ -180,11 +188,11 @@
             self.sealed = self.sealed.unexpired(now)
         self.segments = tuple(s for s in self.segments if s.version not in deleted)
 
-    def set_aside(self, version, sealed):
-        """Return the shard with its head set aside as a segment.
+    def with_sealed_head(self, version, sealed):
+        """Return the shard with an empty head, after the head was sealed as a segment.
 
-        :param int version: version of the head.
-        :param PackedClaims sealed: claims of all segments, that one included.
+        :param int version: version of the sealed head.
+        :param PackedClaims sealed: claims of all segments, including the new one.
         :rtype: ClaimShard
         """
         last = max(claim.expires_at for claim in self.by_identity.values())
@@ -192,7 +200,7 @@
         return ClaimShard({}, segments, sealed)
 
     def copy(self):
-        """Return a copy whose head is independent.
+        """Return a copy with an independent head.
 
         :rtype: ClaimShard
         """
@@ -200,7 +208,7 @@
         return ClaimShard(head, self.segments, self.sealed)
 
     def to_value(self):
-        """Return the head as the platform holds it.
+        """Return the head as the value of a platform object.
 
         :rtype: dict
         """
@@ -211,9 +219,9 @@
 
     @classmethod
     def from_value(cls, value):
-        """Return the head of a platform object's value, without its segments.
+        """Return the head stored in a platform object, without its segments.
 
-        :param dict value: what :meth:`to_value` returned.
+        :param dict value: value of the object, see :meth:`to_value`.
         :rtype: ClaimShard
         """
         agents = value["agents"]
@@ -229,7 +237,7 @@
 
 
 def _to_row(claim, agents):
-    """Return a claim as a list; agents are named once, in a list of their own."""
+    """Return a claim as a list; its agent is an index, so each is stored once."""
     number = agents.setdefault((claim.agent, claim.incarnation), len(agents))
     expires_at = round(claim.expires_at, 3)
     return [
--- a/libs/outcome/src/sequoiagap/outcome/_journal.py
+++ b/libs/outcome/src/sequoiagap/outcome/_journal.py
@@ -1,4 +1,4 @@
-"""Bounded memory of decisions, for ``explain``."""
+"""Bounded in-memory journal of routing decisions, for ``explain``."""
 
 import collections
 import dataclasses
@@ -11,9 +11,9 @@
 class Decision:
     """One decision about a request.
 
-    :param float at: wall-clock time, seconds since the epoch.
-    :param str step: what was decided, such as ``attempt_sent``.
-    :param int config_version: configuration version that it rests on.
+    :param float at: time of the decision, seconds since the epoch.
+    :param str step: name of the decision, such as ``attempt_sent``.
+    :param int config_version: configuration version that it was based on.
     :param dict details: further values; never prompts, answers or keys.
     """
 
@@ -30,14 +30,15 @@
 
 
 class Journal:
-    """Remembers the decisions of the latest requests.
+    """Records the decisions about the latest requests.
 
-    :param int capacity: how many requests to remember.
-    :param int max_decisions: how many decisions to keep for each.
-    :param int max_total: how many decisions to keep over all requests; the oldest
-        requests go first.
+    :param int capacity: maximum number of requests.
+    :param int max_decisions: maximum number of decisions of a request; later ones
+        are not recorded.
+    :param int max_total: maximum number of decisions of all requests; the oldest
+        requests are dropped first.
 
-    :ivar int total_: decisions kept now.
+    :ivar int total_: number of decisions held.
 
     >>> journal = Journal(capacity=2)
     >>> journal.open("req-1", "guild")
@@ -56,18 +57,18 @@
     def open(self, request_id, account):
         """Start the record of a request.
 
-        :param str request_id: the request.
-        :param str account: client account that may read it.
+        :param str request_id: id of the request.
+        :param str account: client account that may read the record.
         """
         self._record_by_id[request_id] = _Record(account)
         self._drop_oldest()
 
     def record(self, request_id, step, config_version, **details):
-        """Add a decision.
+        """Record a decision about a request.
 
-        :param str request_id: the request.
-        :param str step: what was decided.
-        :param int config_version: version that it rests on.
+        :param str request_id: id of the request.
+        :param str step: name of the decision.
+        :param int config_version: configuration version that it was based on.
         :param details: further values.
         """
         record = self._record_by_id.get(request_id)
@@ -80,9 +81,10 @@
     def explain(self, request_id, account=None):
         """Return the decisions about a request.
 
-        :param str request_id: the request.
-        :param str account: who asks; ``None`` for an operator.
-        :returns: account and decisions, or ``None`` if unknown or not theirs.
+        :param str request_id: id of the request.
+        :param str account: client account that reads them; ``None`` for an operator.
+        :returns: id, account and decisions of the request, or ``None`` if it is
+            unknown or belongs to another account.
         :rtype: dict | None
         """
         record = self._record_by_id.get(request_id)
--- a/libs/outcome/src/sequoiagap/outcome/_ledger.py
+++ b/libs/outcome/src/sequoiagap/outcome/_ledger.py
@@ -1,4 +1,4 @@
-"""The agent's ledger of attempts: what came, what started, what is revoked."""
+"""Ledger of the attempts that an agent accepted, started, finished or revoked."""
 
 import collections
 import dataclasses
@@ -11,7 +11,7 @@
 
 
 class AttemptState(enum.StrEnum):
-    """What an agent knows of an attempt."""
+    """State of an attempt, as far as an agent knows it."""
 
     NEVER_STARTED = "never_started"
     ACCEPTED = "accepted"
@@ -27,19 +27,20 @@
 
 
 class Ledger:
-    """Remembers attempts of one incarnation of an agent.
+    """Records the attempts of one incarnation of an agent.
 
-    An attempt that was revoked before it came leaves a tombstone, so that the
-    message is refused when it arrives late. An id is forgotten only when its
-    deadline is past by ``forget_margin_s``: a message that names it later is
-    void by its own deadline, so a forgotten id can neither run again nor be
-    taken for one that never started.
+    An attempt that is revoked before its order arrives leaves a tombstone, so that
+    the late order is rejected. An id is kept until ``forget_margin_s`` after its
+    deadline. A message that arrives after that is invalid by its own deadline, so a
+    forgotten attempt can neither run again nor be reported as never started.
 
     :param str incarnation: incarnation of the agent.
-    :param float max_deadline_s: longest deadline that an order may name.
-    :param float forget_margin_s: how long past its deadline an id is kept.
+    :param float max_deadline_s: longest time until the deadline of an order, in
+        seconds.
+    :param float forget_margin_s: time that an id is kept after its deadline, in
+        seconds.
 
-    :ivar dict entry_by_id: what is known, by attempt id.
+    :ivar dict entry_by_id: state and deadline by attempt id.
 
     >>> ledger = Ledger("inc-1")
     >>> ledger.revoke("att-1", "inc-1", expires_at=9.0, now=1.0)
@@ -61,12 +62,13 @@
         self._ended_by_minute = collections.OrderedDict()
 
     def state(self, attempt_id, expires_at, now):
-        """Return what is known of an attempt.
+        """Return the state of an attempt.
 
-        :param str attempt_id: the attempt.
-        :param float expires_at: its deadline.
-        :param float now: the agent's clock in seconds.
-        :returns: ``NEVER_STARTED`` only where that is proved.
+        :param str attempt_id: id of the attempt.
+        :param float expires_at: deadline of the attempt, in seconds of the agent's
+            clock.
+        :param float now: time of the agent's clock, in seconds.
+        :returns: the state; ``NEVER_STARTED`` only if that is certain.
         :rtype: AttemptState
         """
         known = self.entry_by_id.get(attempt_id)
@@ -77,12 +79,13 @@
         return AttemptState.NEVER_STARTED
 
     def accept(self, attempt_id, expires_at, now):
-        """Record an order that has come and may start later.
+        """Record an attempt whose order has arrived.
 
-        :param str attempt_id: the attempt.
-        :param float expires_at: its deadline.
-        :param float now: the agent's clock in seconds.
-        :returns: whether it may start; not if it is known or its deadline past.
+        :param str attempt_id: id of the attempt.
+        :param float expires_at: deadline of the attempt.
+        :param float now: time of the agent's clock, in seconds.
+        :returns: whether the attempt may start later; false if its id is known, or
+            if its deadline is past or further away than ``max_deadline_s``.
         :rtype: bool
         """
         self.forget(now)
@@ -94,11 +97,12 @@
         return True
 
     def start(self, attempt_id, now):
-        """Record that an accepted attempt starts.
+        """Record the start of an accepted attempt.
 
-        :param str attempt_id: the attempt.
-        :param float now: the agent's clock in seconds.
-        :returns: whether it may; not if revoked meanwhile or past its deadline.
+        :param str attempt_id: id of the attempt.
+        :param float now: time of the agent's clock, in seconds.
+        :returns: whether the attempt may start; false if it was revoked in the
+            meantime or if its deadline is past.
         :rtype: bool
         """
         entry = self.entry_by_id.get(attempt_id)
@@ -110,12 +114,12 @@
         return True
 
     def finish(self, attempt_id, now):
-        """Record that an attempt has ended.
+        """Record the end of an attempt.
 
-        One that never started leaves a tombstone.
+        An attempt that never started leaves a tombstone.
 
-        :param str attempt_id: the attempt.
-        :param float now: the agent's clock in seconds.
+        :param str attempt_id: id of the attempt.
+        :param float now: time of the agent's clock, in seconds.
         """
         entry = self.entry_by_id.get(attempt_id)
         if entry is None:
@@ -127,12 +131,12 @@
         self._remember_until(attempt_id, max(entry.expires_at, now))
 
     def revoke(self, attempt_id, incarnation, expires_at, now):
-        """Forbid an attempt that has not started and say what is known of it.
+        """Revoke an attempt unless it has started, and return its state.
 
-        :param str attempt_id: the attempt.
+        :param str attempt_id: id of the attempt.
         :param str incarnation: incarnation that the attempt was sent to.
-        :param float expires_at: its deadline.
-        :param float now: the agent's clock in seconds.
+        :param float expires_at: deadline of the attempt.
+        :param float now: time of the agent's clock, in seconds.
         :rtype: AttemptState
         """
         self.forget(now)
@@ -152,9 +156,9 @@
         return AttemptState.NEVER_STARTED
 
     def forget(self, now):
-        """Drop ended ids whose deadline is past by the margin.
+        """Remove ended attempts whose deadline passed ``forget_margin_s`` ago.
 
-        :param float now: the agent's clock in seconds.
+        :param float now: time of the agent's clock, in seconds.
         """
         minute = int((now - self.forget_margin_s) // self.forget_margin_s)
         for ended in [m for m in self._ended_by_minute if m < minute]:
--- a/libs/outcome/src/sequoiagap/outcome/_packed.py
+++ b/libs/outcome/src/sequoiagap/outcome/_packed.py
@@ -1,21 +1,22 @@
-"""Claims that were set aside, held in little memory."""
+"""Compact in-memory representation of sealed claims."""
 
 import struct
 
-_HEAD = struct.Struct(">HdBB")
+_HEADER = struct.Struct(">HdBB")
 _HEX_DIGITS = 32
 _STATES = ("held", "done", "released")
 
 
 class PackedClaims:
-    """Claims by identity, a few bytes each; never changed once made.
+    """Immutable mapping from identity to claim, packed into bytes.
 
-    An agent holds those of each shard that it writes, and its memory is what
-    bounds them.
+    An agent holds the sealed claims of each shard that it writes; packing bounds the
+    memory that they take.
 
-    :param dict rows: packed claims by packed identity.
-    :param list agents: agent and incarnation by number; grows only.
     :param make_claim: class of the claims.
+    :param dict rows: packed claims by packed identity.
+    :param list agents: pairs of agent and incarnation, which rows refer to by index;
+        entries are only appended.
     """
 
     def __init__(self, make_claim, rows=None, agents=None):
@@ -30,18 +31,19 @@
         return _pack_text(identity) in self._rows
 
     def get(self, identity):
-        """Return the claim of a key, or ``None``.
+        """Return the claim of a key, or ``None`` if there is none.
 
-        :param str identity: the key's identity.
+        :param str identity: id of the scoped key.
         :rtype: Claim | None
         """
         row = self._rows.get(_pack_text(identity))
         return None if row is None else self._unpack(identity, row)
 
-    def joined(self, claims, now):
-        """Return these claims, without expired ones, and others.
+    def merged_with(self, claims, now):
+        """Return the unexpired claims together with further claims.
 
-        :param claims: claims to add; the later of one key counts.
+        :param claims: claims to add; a later claim of the same key replaces an
+            earlier one.
         :param float now: wall-clock time in seconds.
         :rtype: PackedClaims
         """
@@ -57,7 +59,7 @@
         :rtype: PackedClaims
         """
         rows = {
-            k: row for k, row in self._rows.items() if _HEAD.unpack_from(row)[1] > now
+            k: row for k, row in self._rows.items() if _HEADER.unpack_from(row)[1] > now
         }
         return PackedClaims(self.make_claim, rows, self._agents)
 
@@ -66,23 +68,23 @@
         if agent not in self._agents:
             self._agents.append(agent)
         nonce = claim.nonce.encode()
-        head = _HEAD.pack(
+        header = _HEADER.pack(
             self._agents.index(agent),
             claim.expires_at,
             _STATES.index(claim.state),
             len(nonce),
         )
-        return head + nonce + _pack_text(claim.digest)
+        return header + nonce + _pack_text(claim.digest)
 
     def _unpack(self, identity, row):
-        number, expires_at, state, size = _HEAD.unpack_from(row)
+        number, expires_at, state, size = _HEADER.unpack_from(row)
         agent, incarnation = self._agents[number]
-        end = _HEAD.size + size
+        end = _HEADER.size + size
         return self.make_claim(
             identity=identity,
             agent=agent,
             incarnation=incarnation,
-            nonce=row[_HEAD.size : end].decode(),
+            nonce=row[_HEADER.size : end].decode(),
             digest=_unpack_text(row[end:]),
             expires_at=expires_at,
             state=_STATES[state],
@@ -90,7 +92,7 @@
 
 
 def _pack_text(text):
-    """Return a digest as half its length, any other text as it is."""
+    """Return a hexadecimal digest as bytes of half its length, other text as UTF-8."""
     try:
         data = bytes.fromhex(text)
     except ValueError:
--- a/libs/outcome/src/sequoiagap/outcome/_segments.py
+++ b/libs/outcome/src/sequoiagap/outcome/_segments.py
@@ -1,4 +1,4 @@
-"""Segments of a shard of claims: full heads that were set aside."""
+"""Sealed segments of a claim shard in the platform."""
 
 from sequoiagap import base, platform
 from sequoiagap.outcome import _claims, _packed
@@ -9,16 +9,18 @@
 class Segments:
     """Reads, writes and deletes the segments of one shard.
 
-    A segment is named by the version that the head had. Whoever writes over a full
-    head sets it aside first, and the head names a segment until it is deleted: so
-    none stays behind, whoever loses a race, dies or can't reach the platform.
+    A segment is a copy of a full head, named by the version of that head. A writer
+    seals a full head before it overwrites it, and the head refers to a segment until
+    the segment is deleted. So no segment is left behind when a writer loses a race,
+    stops or can't reach the platform.
 
-    :param ClaimStore store: owner, which counts the calls.
-    :param str name: name of the head's object.
+    :param ClaimStore store: store that counts reads and writes.
+    :param str name: object name of the head.
     :param read: coroutine function that reads an object by name.
 
-    :ivar PackedClaims sealed_: claims of the segments seen so far.
-    :ivar set deleted_: versions of named segments that are known to be deleted.
+    :ivar PackedClaims sealed_: claims of the segments read or written so far.
+    :ivar set deleted_: versions of the segments that are known to be deleted and
+        that the head still refers to.
     """
 
     def __init__(self, store, name, read):
@@ -29,14 +31,14 @@
         self.deleted_ = set()
         self._object_version_by_version = {}
 
-    async def load(self, named):
-        """Read the segments not seen yet, which never change.
+    async def load(self, referenced):
+        """Read the segments that were not read yet; segments never change.
 
-        :param tuple named: segments that the head names, in order.
-        :returns: claims of all of them.
+        :param tuple named: each :class:`Segment` that the head refers to, in order.
+        :returns: claims of all segments.
         :rtype: PackedClaims
         """
-        for segment in named:
+        for segment in referenced:
             if segment.version not in self._object_version_by_version:
                 await self._read_segment(segment.version)
         return self.sealed_
@@ -46,15 +48,15 @@
         if stored is not None:
             claims = _claims.ClaimShard.from_value(stored.value).by_identity
             now = self.store.wall_clock()
-            self.sealed_ = self.sealed_.joined(claims.values(), now)
+            self.sealed_ = self.sealed_.merged_with(claims.values(), now)
         object_version = 0 if stored is None else stored.version
         self._object_version_by_version[version] = object_version
 
-    async def set_aside(self, version, shard):
-        """Write a full head as a segment; who does it again writes the same.
+    async def write(self, version, shard):
+        """Write a full head as a segment; a repeated write has the same content.
 
         :param int version: version of the head.
-        :param ClaimShard shard: the shard with that head.
+        :param ClaimShard shard: shard with that head.
         """
         self.store.writes_ += 1
         try:
@@ -63,23 +65,25 @@
             )
             object_version = stored.version
         except platform.ObjectConflict as conflict:
-            object_version = conflict.version  # set aside before, the same claims
+            object_version = conflict.version  # sealed earlier, with the same claims
         self._object_version_by_version[version] = object_version
         now = self.store.wall_clock()
-        self.sealed_ = self.sealed_.joined(shard.by_identity.values(), now)
+        self.sealed_ = self.sealed_.merged_with(shard.by_identity.values(), now)
 
-    async def delete_expired(self, named):
-        """Delete a few expired segments; the next write of the head unnames them.
+    async def delete_expired(self, referenced):
+        """Delete up to ``MAX_DELETIONS`` expired segments.
 
-        :param tuple named: segments that the head names.
+        The next write of the head drops the references to them.
+
+        :param tuple named: each :class:`Segment` that the head refers to.
         """
-        versions = {segment.version for segment in named}
+        versions = {segment.version for segment in referenced}
         known = self._object_version_by_version
         for version in [v for v in known if v not in versions]:
             del known[version]
         self.deleted_ &= versions
         now = self.store.wall_clock()
-        expired = [s.version for s in named if s.expires_at <= now]
+        expired = [s.version for s in referenced if s.expires_at <= now]
         left = [version for version in expired if version not in self.deleted_]
         for version in left[:MAX_DELETIONS]:
             await self._delete(version)
@@ -95,7 +99,7 @@
             except platform.ObjectConflict:
                 pass  # deleted by another agent
             except base.PlatformError:
-                return  # still named, so it is tried again
+                return  # the head still refers to it, so a later call retries
         self.deleted_.add(version)
 
     def _object_name(self, version):
--- a/libs/outcome/src/sequoiagap/outcome/_shard_writer.py
+++ b/libs/outcome/src/sequoiagap/outcome/_shard_writer.py
@@ -1,4 +1,4 @@
-"""The writer of one shard of claims: batches and lost answers."""
+"""Batched conditional writes of one claim shard, safe against lost answers."""
 
 import asyncio
 import collections
@@ -8,9 +8,9 @@
 from sequoiagap.outcome import _claims, _segments
 
 RETRY_DELAY_S = 0.5
-CLOSE_BOUND_S = 1.0
-MAX_TRIES = 4
-_STALE_VERDICTS = frozenset(
+CLOSE_TIMEOUT_S = 1.0
+MAX_FLUSH_ATTEMPTS = 4
+_CONFLICTING_DECISIONS = frozenset(
     {_claims.ClaimDecision.TAKEN, _claims.ClaimDecision.MISMATCH}
 )
 
@@ -19,10 +19,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class ClaimResult:
-    """What became of a wish.
+    """Result of a proposal.
 
-    :param ClaimDecision verdict: the verdict.
-    :param Claim claim: the claim that stands, if one does.
+    :param ClaimDecision decision: decision on the proposal.
+    :param Claim claim: claim that the shard holds for the key, or ``None``.
     """
 
     decision: _claims.ClaimDecision
@@ -30,10 +30,12 @@
 
 
 class ShardWriter:
-    """Writes one shard, one write at a time.
+    """Writes the proposals and releases of one shard, one write at a time.
 
-    :param ClaimStore store: owner, which counts the calls.
-    :param str name: name of the platform's object.
+    :param ClaimStore store: store that counts reads and writes.
+    :param str name: object name of the shard.
+
+    :ivar collections.deque done: claims of ended runs, stored with the next write.
     """
 
     def __init__(self, store, name):
@@ -45,32 +47,32 @@
         self._uncertain = False
         self._sent_nonces = set()
         self._segments = _segments.Segments(store, name, self._read)
-        self._wish_by_nonce = {}
-        self._answer_by_nonce = {}
+        self._proposal_by_nonce = {}
+        self._result_by_nonce = {}
         self._withdrawn_by_nonce = {}
-        self._work = asyncio.Event()
+        self._work_event = asyncio.Event()
         self._closing = False
         self._task = None
 
     def add(self, proposal):
-        """Queue a wish and return the future of its answer.
+        """Queue a proposal and return the future of its :class:`ClaimResult`.
 
-        :param Claim wish: the wish.
+        :param Claim proposal: proposed claim.
         :rtype: asyncio.Future
         """
-        answer = asyncio.get_running_loop().create_future()
-        self._wish_by_nonce[proposal.nonce] = proposal
-        self._answer_by_nonce[proposal.nonce] = answer
+        result = asyncio.get_running_loop().create_future()
+        self._proposal_by_nonce[proposal.nonce] = proposal
+        self._result_by_nonce[proposal.nonce] = result
         self._wake()
-        return answer
+        return result
 
     def withdraw(self, proposal):
-        """See to it that a wish is not and never will be in force.
+        """Remove a proposal from the queue, or release it if it may have been written.
 
-        :param Claim wish: the wish or claim.
+        :param Claim proposal: proposal or claim to withdraw.
         """
-        queued = self._wish_by_nonce.pop(proposal.nonce, None)
-        self._answer_by_nonce.pop(proposal.nonce, None)
+        queued = self._proposal_by_nonce.pop(proposal.nonce, None)
+        self._result_by_nonce.pop(proposal.nonce, None)
         if queued is not None and proposal.nonce not in self._sent_nonces:
             return
         self._sent_nonces.discard(proposal.nonce)
@@ -78,69 +80,74 @@
         self._wake()
 
     async def close(self):
-        """Let writes under way end within a bound, and stop writing.
+        """Wait for writes in progress for a limited time, and stop writing.
 
-        Ends of runs that wait for a next write are written now, as their answers
-        go with this process: others then say "already ran" and not "may have run".
+        Ends of runs that wait for a next write are written now, because the answers
+        are lost with this process: other agents then report "already ran" and not
+        "may have run".
         """
         self._closing = True
         if self.done:
             self._wake()
         if self._task is None:
             return
-        await asyncio.wait([self._task], timeout=CLOSE_BOUND_S)
+        await asyncio.wait([self._task], timeout=CLOSE_TIMEOUT_S)
         await base.cancel_and_wait(self._task)
 
     def _wake(self):
-        self._work.set()
+        self._work_event.set()
         if self._task is None or self._task.done():
             self._task = asyncio.create_task(self._run(), name=f"claims-{self.name}")
 
     async def _run(self):
         while self._has_work():
-            began = asyncio.get_running_loop().time()
+            started_at = asyncio.get_running_loop().time()
             try:
                 await self._flush()
             except base.PlatformError as error:
                 _log.emit(base.Event.CLAIM_WRITE_FAILED, error=error.message)
-                self._answer_all(_claims.ClaimDecision.PLATFORM_DOWN)
+                self._resolve_all(_claims.ClaimDecision.PLATFORM_DOWN)
                 await asyncio.sleep(RETRY_DELAY_S)
-            spent = asyncio.get_running_loop().time() - began
-            await asyncio.sleep(max(self.store.flush_pace_s - spent, 0.0))
+            elapsed_s = asyncio.get_running_loop().time() - started_at
+            await asyncio.sleep(max(self.store.min_flush_interval_s - elapsed_s, 0.0))
 
     def _has_work(self):
         is_last = self._closing and self.done
-        return bool(self._wish_by_nonce or self._withdrawn_by_nonce or is_last)
+        return bool(self._proposal_by_nonce or self._withdrawn_by_nonce or is_last)
 
     async def _flush(self):
-        """Bring every wish and withdrawal of now to an end, or raise."""
-        for _ in range(MAX_TRIES):
-            is_fresh = await self._settle_version()
+        """Write all queued proposals and withdrawals, or raise.
+
+        :raises sequoiagap.base.PlatformError: if the platform does not answer.
+        """
+        for _ in range(MAX_FLUSH_ATTEMPTS):
+            was_read = await self._resolve_version()
             if self._shard.is_head_full:
-                await self._seal()
-            batch = dict(self._wish_by_nonce)
+                await self._seal_head()
+            batch = dict(self._proposal_by_nonce)
             withdrawn = dict(self._withdrawn_by_nonce)
             shard = self._shard.copy()
             changed = self._apply(shard, batch, withdrawn)
-            if not is_fresh and self._is_any_taken(shard, batch):
+            if not was_read and self._is_any_conflicting(shard, batch):
                 self._shard = None
                 continue
             if not changed and self._closing:
-                self.done.clear()  # nothing of them is left to be marked
+                self.done.clear()  # no claim is left to be marked as done
             if not changed or await self._write(shard):
                 self._forget_withdrawn(withdrawn)
-                self._answer(batch)
+                self._resolve(batch)
                 await self._segments.delete_expired(self._shard.segments)
                 return
 
-    async def _settle_version(self):
-        """Read the shard unless it is known; fence a write of unknown effect.
+    async def _resolve_version(self):
+        """Read the shard if its content is unknown, and fence an uncertain write.
 
-        After a write whose answer was lost the object is read back. If it does
-        not show the write, the write may still land later; the next write of
-        ours takes the version that it needs, so it can only fail then.
+        After a write whose answer was lost, the object is read again. If it doesn't
+        contain the write, the write may still arrive later. The next write then
+        uses up the object version that the late write expects, so that the late
+        write fails.
 
-        :returns: whether the shard was read now.
+        :returns: whether the shard was read by this call.
         :rtype: bool
         """
         if self._shard is not None and not self._uncertain:
@@ -158,7 +165,7 @@
         return True
 
     async def _read(self, name):
-        """Read an object; a second time, as a kept connection may be dead."""
+        """Read an object; retry once, because a pooled connection may be dead."""
         self.store.reads_ += 1
         try:
             return await self.store.client.get(name)
@@ -166,18 +173,24 @@
             self.store.reads_ += 1
             return await self.store.client.get(name)
 
-    async def _seal(self):
-        """Set the full head aside as a segment, which the next write names."""
-        await self._segments.set_aside(self._version, self._shard)
-        self._shard = self._shard.set_aside(self._version, self._segments.sealed_)
+    async def _seal_head(self):
+        """Seal the full head as a segment; the next write adds the reference to it."""
+        await self._segments.write(self._version, self._shard)
+        self._shard = self._shard.with_sealed_head(
+            self._version, self._segments.sealed_
+        )
 
-    def _is_any_taken(self, shard, batch):
+    def _is_any_conflicting(self, shard, batch):
         now = self.store.wall_clock()
-        verdicts = {shard.decide(proposal, now) for proposal in batch.values()}
-        return bool(verdicts & _STALE_VERDICTS)
+        decisions = {shard.decide(proposal, now) for proposal in batch.values()}
+        return bool(decisions & _CONFLICTING_DECISIONS)
 
     def _apply(self, shard, batch, withdrawn):
-        """Change the shard as wished; tell whether it has to be written."""
+        """Apply proposals, withdrawals and ends of runs to the shard.
+
+        :returns: whether the shard has to be written.
+        :rtype: bool
+        """
         now = self.store.wall_clock()
         changed = self._uncertain
         for proposal in withdrawn.values():
@@ -186,8 +199,8 @@
         for proposal in batch.values():
             if shard.decide(proposal, now) != _claims.ClaimDecision.HELD:
                 continue
-            known = shard.find(proposal.identity)
-            if known is None or known.nonce != proposal.nonce:
+            existing = shard.find(proposal.identity)
+            if existing is None or existing.nonce != proposal.nonce:
                 shard.add(proposal)
                 self._sent_nonces.add(proposal.nonce)
                 changed = True
@@ -197,7 +210,11 @@
         return changed
 
     async def _write(self, shard):
-        """Write the shard; tell whether that took effect."""
+        """Write the shard.
+
+        :returns: whether the write took effect; false as well if that is unknown.
+        :rtype: bool
+        """
         done = len(self.done)
         was_uncertain = self._uncertain
         self.store.writes_ += 1
@@ -226,22 +243,22 @@
         for nonce in withdrawn:
             self._withdrawn_by_nonce.pop(nonce, None)
 
-    def _answer(self, batch):
+    def _resolve(self, batch):
         now = self.store.wall_clock()
         for proposal in batch.values():
             decision = self._shard.decide(proposal, now)
-            standing = self._shard.find(proposal.identity)
-            self._answer_one(proposal.nonce, ClaimResult(decision, standing))
+            claim = self._shard.find(proposal.identity)
+            self._resolve_one(proposal.nonce, ClaimResult(decision, claim))
 
-    def _answer_all(self, decision):
-        for nonce, proposal in list(self._wish_by_nonce.items()):
+    def _resolve_all(self, decision):
+        for nonce, proposal in list(self._proposal_by_nonce.items()):
             if nonce in self._sent_nonces:
                 self._withdrawn_by_nonce[nonce] = proposal
-            self._answer_one(nonce, ClaimResult(decision))
+            self._resolve_one(nonce, ClaimResult(decision))
 
-    def _answer_one(self, nonce, answer):
-        self._wish_by_nonce.pop(nonce, None)
+    def _resolve_one(self, nonce, result):
+        self._proposal_by_nonce.pop(nonce, None)
         self._sent_nonces.discard(nonce)
-        future = self._answer_by_nonce.pop(nonce, None)
+        future = self._result_by_nonce.pop(nonce, None)
         if future is not None and not future.done():
-            future.set_result(answer)
+            future.set_result(result)
--- a/tests/outcome/test_claims.py
+++ b/tests/outcome/test_claims.py
@@ -1,4 +1,4 @@
-"""Claims against a platform that loses answers, lands writes late and is down."""
+"""Claims against a platform that loses answers, applies writes late or is down."""
 
 import asyncio
 import dataclasses
@@ -18,9 +18,9 @@
         self.now = 1000.0
         self.count = 0
 
-    def store(self, pace_s=0.05):
+    def store(self, min_flush_interval_s=0.05):
         return outcome.ClaimStore(
-            self.platform, "orders", pace_s, wall_clock=lambda: self.now
+            self.platform, "orders", min_flush_interval_s, wall_clock=lambda: self.now
         )
 
     def make_claim(self, store, key="k", digest="d", agent="a"):
@@ -29,10 +29,10 @@
         claim = outcome.Claim(key, agent, f"inc-{agent}", nonce, digest, 0.0)
         return store.with_expiry(claim)
 
-    def run_on(self, scenario):
+    def run_scenario(self, scenario):
         virtual.run(scenario())
 
-    def test_verdicts_between_two_agents(self):
+    def test_decisions_between_two_agents(self):
         async def scenario():
             one, two = self.store(), self.store()
             await two.claim(self.make_claim(two, "other"), 1.0)
@@ -43,9 +43,9 @@
             self.assertEqual((second.decision, second.claim.agent), ("taken", "a"))
             self.assertEqual(mismatch.decision, "mismatch")
 
-        self.run_on(scenario)
+        self.run_scenario(scenario)
 
-    def test_released_claim_is_free_for_an_agent_that_saw_it(self):
+    def test_agent_that_saw_a_claim_gets_it_after_the_release(self):
         async def scenario():
             one, two = self.store(), self.store()
             proposal = self.make_claim(one)
@@ -56,7 +56,7 @@
             again = await two.claim(self.make_claim(two, agent="b"), 1.0)
             self.assertEqual((seen.decision, again.decision), ("taken", "held"))
 
-        self.run_on(scenario)
+        self.run_scenario(scenario)
 
     def test_race_has_one_winner(self):
         async def scenario():
@@ -67,11 +67,11 @@
                     for i, s in enumerate(stores)
                 )
             )
-            verdicts = sorted(a.decision for a in answers)
-            self.assertEqual(verdicts, ["held", "taken", "taken", "taken"])
+            decisions = sorted(a.decision for a in answers)
+            self.assertEqual(decisions, ["held", "taken", "taken", "taken"])
             self.assertEqual(len({a.claim.nonce for a in answers}), 1)
 
-        self.run_on(scenario)
+        self.run_scenario(scenario)
 
     def test_write_of_unknown_effect(self):
         for fault in ("lost", "late"):
@@ -85,15 +85,15 @@
                     self.assertEqual(
                         (await store.claim(proposal, 1.0)).decision, "held"
                     )
-                    await asyncio.sleep(5.0)  # the late write must not land
+                    await asyncio.sleep(5.0)  # the late write must not take effect
                     again = await self.store().claim(
                         self.make_claim(store, agent="b"), 1.0
                     )
                     self.assertEqual(again.claim.nonce, proposal.nonce)
 
-                self.run_on(scenario)
+                self.run_scenario(scenario)
 
-    def test_withdrawn_wish_leaves_no_claim(self):
+    def test_withdrawn_proposal_leaves_no_claim(self):
         for faults in (["late"], ["lost"], []):
             with self.subTest(faults=faults):
                 self.platform = claims_platform.ClaimsPlatform()
@@ -101,7 +101,7 @@
                 async def scenario(faults=faults):
                     store = self.store()
                     self.platform.faults = list(faults)
-                    # It runs out while the write is under way.
+                    # The timeout ends while the write is in progress.
                     answer = await store.claim(
                         self.make_claim(store), 1.5 * claims_platform.DELAY_S
                     )
@@ -111,14 +111,16 @@
                     again = await other.claim(self.make_claim(other, agent="b"), 1.0)
                     self.assertEqual(again.decision, "held")
 
-                self.run_on(scenario)
+                self.run_scenario(scenario)
 
-    def test_stopped_agent_leaves_the_ends_of_its_runs(self):
+    def test_close_stores_the_ends_of_runs(self):
         async def scenario():
             store = self.store()
-            wishes = [self.make_claim(store, key) for key in map(str, range(64))]
-            await asyncio.gather(*(store.claim(proposal, 1.0) for proposal in wishes))
-            for proposal in wishes:
+            proposals = [self.make_claim(store, key) for key in map(str, range(64))]
+            await asyncio.gather(
+                *(store.claim(proposal, 1.0) for proposal in proposals)
+            )
+            for proposal in proposals:
                 store.mark_done(proposal)
             await asyncio.sleep(1.0)
             before = self.platform.writes
@@ -129,15 +131,15 @@
             for key in ("0", "63"):
                 again = await other.claim(self.make_claim(other, key, agent="b"), 1.0)
                 self.assertEqual((again.decision, again.claim.state), ("taken", "done"))
-            for proposal in wishes:
-                other.mark_done(proposal)  # as they stand
+            for proposal in proposals:
+                other.mark_done(proposal)  # already stored as done
             self.platform.down = True
             async with asyncio.timeout(support.FEW_SECONDS_S):
                 await other.close()
 
-        self.run_on(scenario)
+        self.run_scenario(scenario)
 
-    def test_platform_down_is_told_and_leaves_no_claim(self):
+    def test_platform_down_is_reported_and_leaves_no_claim(self):
         async def scenario():
             store = self.store()
             self.platform.down = True
@@ -148,26 +150,28 @@
             again = await store.claim(self.make_claim(store), 2.0)
             self.assertEqual(again.decision, "held")
 
-        self.run_on(scenario)
+        self.run_scenario(scenario)
 
     def test_many_claims_share_a_write(self):
         async def scenario():
-            store = self.store(pace_s=0.2)
-            wishes = [self.make_claim(store, f"k{i}") for i in range(200)]
-            answers = await asyncio.gather(*(store.claim(w, 2.0) for w in wishes))
+            store = self.store(min_flush_interval_s=0.2)
+            proposals = [self.make_claim(store, f"k{i}") for i in range(200)]
+            answers = await asyncio.gather(*(store.claim(w, 2.0) for w in proposals))
             self.assertEqual({a.decision for a in answers}, {"held"})
             self.assertLessEqual(self.platform.writes, 2 * _affinity.SHARDS_PER_SERVICE)
 
-        self.run_on(scenario)
+        self.run_scenario(scenario)
 
     def test_segments_keep_claims_until_they_expire(self):
         async def scenario():
-            store = self.store(pace_s=0.0)
+            store = self.store(min_flush_interval_s=0.0)
             keys = [k for k in map(str, range(20_000)) if _affinity.shard_of(k) == 0]
             keys = keys[: 3 * _claims.MAX_HEAD_CLAIMS]
             for start in range(0, len(keys), 64):
-                wishes = [self.make_claim(store, k) for k in keys[start : start + 64]]
-                await asyncio.gather(*(store.claim(w, 2.0) for w in wishes))
+                proposals = [
+                    self.make_claim(store, k) for k in keys[start : start + 64]
+                ]
+                await asyncio.gather(*(store.claim(w, 2.0) for w in proposals))
             head = self.platform.object_by_name["claims-orders-0"].value
             self.assertLessEqual(len(head["claims"]), _claims.MAX_HEAD_CLAIMS)
             fresh = self.store()
@@ -180,42 +184,51 @@
             await asyncio.sleep(1.0)
             self.assertEqual(list(self.platform.object_by_name), ["claims-orders-0"])
 
-        self.run_on(scenario)
+        self.run_scenario(scenario)
 
-    def test_no_segment_stays_behind(self):
+    def test_no_segment_is_left_behind(self):
         table = {
             "deletions fail": ({"delete"}, None),
-            "the head's write fails and another agent goes on": ({"put_head"}, "claim"),
-            "another agent only takes a claim back": ({"put_head"}, "release"),
+            "head write fails, another agent claims": ({"put_head"}, "claim"),
+            "head write fails, another agent releases": ({"put_head"}, "release"),
         }
-        for name, (denied, other_does) in table.items():
+        for name, (denied, other_action) in table.items():
             with self.subTest(name):
                 self.platform = claims_platform.ClaimsPlatform()
                 self.now = 1000.0
-                self.run_on(lambda d=denied, o=other_does: self._seal_in_outage(d, o))
+                self.run_scenario(
+                    lambda d=denied, o=other_action: self._seal_during_outage(d, o)
+                )
 
-    async def _seal_in_outage(self, denied, other_does):
+    async def _seal_during_outage(self, denied, other_action):
         keys = [k for k in map(str, range(20_000)) if _affinity.shard_of(k) == 0]
-        one, two = self.store(pace_s=0.0), self.store(pace_s=0.0)
-        wishes = [self.make_claim(two, key) for key in keys[: _claims.MAX_HEAD_CLAIMS]]
-        await asyncio.gather(*(two.claim(proposal, 2.0) for proposal in wishes))
+        one, two = (
+            self.store(min_flush_interval_s=0.0),
+            self.store(min_flush_interval_s=0.0),
+        )
+        proposals = [
+            self.make_claim(two, key) for key in keys[: _claims.MAX_HEAD_CLAIMS]
+        ]
+        await asyncio.gather(*(two.claim(proposal, 2.0) for proposal in proposals))
         await one.claim(self.make_claim(one, keys[0], agent="b"), 1.0)
         self.platform.denied = denied
         answer = await one.claim(self.make_claim(one, keys[300], agent="b"), 1.0)
         self.platform.denied = {"delete"}
-        if other_does == "claim":
+        if other_action == "claim":
             await two.claim(self.make_claim(two, keys[301]), 1.0)
-        elif other_does == "release":
-            two.release(wishes[0])
+        elif other_action == "release":
+            two.release(proposals[0])
         await asyncio.sleep(1.0)
         self.assertEqual(answer.decision == "held", denied == {"delete"})
         self.now += outcome.CLAIM_WINDOW_S + 1
-        for key in ("400", "401"):  # while deletions fail still
+        for key in ("400", "401"):  # while deletions still fail
             await two.claim(self.make_claim(two, keys[int(key)]), 1.0)
             await asyncio.sleep(1.0)
         self.assertEqual(len(self.platform.object_by_name), 2)
         self.platform.denied = set()
-        fresh = self.store(pace_s=0.0)  # the other agents are gone
+        fresh = self.store(
+            min_flush_interval_s=0.0
+        )  # an agent that starts after the others have stopped
         for key in keys[500:502]:
             await fresh.claim(self.make_claim(fresh, key), 1.0)
             await asyncio.sleep(1.0)
@@ -223,36 +236,36 @@
         head = self.platform.object_by_name["claims-orders-0"].value
         self.assertEqual(head["segments"], [])
 
-    def test_release_of_a_claim_set_aside(self):
+    def test_release_of_a_sealed_claim(self):
         async def scenario():
-            store = self.store(pace_s=0.0)
+            store = self.store(min_flush_interval_s=0.0)
             keys = [k for k in map(str, range(20_000)) if _affinity.shard_of(k) == 0]
-            wishes = [self.make_claim(store, k) for k in keys[:400]]
-            for proposal in wishes[:300]:
+            proposals = [self.make_claim(store, k) for k in keys[:400]]
+            for proposal in proposals[:300]:
                 store._writer(proposal.identity).add(proposal)
             await asyncio.sleep(1.0)
-            await store.claim(wishes[350], 1.0)
-            store.release(wishes[0])
+            await store.claim(proposals[350], 1.0)
+            store.release(proposals[0])
             await asyncio.sleep(1.0)
             fresh = self.store()
             again = await fresh.claim(self.make_claim(fresh, keys[0], agent="b"), 1.0)
             other = await fresh.claim(self.make_claim(fresh, keys[1], agent="b"), 1.0)
             self.assertEqual((again.decision, other.decision), ("held", "taken"))
 
-        self.run_on(scenario)
+        self.run_scenario(scenario)
 
     def test_full_shard_refuses_until_claims_expire(self):
         proposal = outcome.Claim("k", "a", "i", "n", "d", 10.0)
         many = range(_claims.MAX_CLAIMS_PER_SHARD)
         claims = [dataclasses.replace(proposal, identity=str(i)) for i in many]
-        sealed = outcome.ClaimShard().sealed.joined(claims, 0.0)
+        sealed = outcome.ClaimShard().sealed.merged_with(claims, 0.0)
         segment = _claims.Segment(1, 10.0)
         shard = outcome.ClaimShard({}, (segment,), sealed)
         self.assertEqual(shard.decide(proposal, 5.0), "full")
         shard.prune(11.0)
         self.assertEqual(shard.decide(proposal, 11.0), "held")
 
-    def test_claims_set_aside_are_as_they_were(self):
+    def test_packed_claims_keep_their_content(self):
         digest = outcome.body_digest("POST", "/file", b"body")
         claims = [
             outcome.Claim(identity, agent, "inc", nonce, digest, 1.5, state)
@@ -263,6 +276,6 @@
                 ("AB" * 16, "a", "n", "held"),
             )
         ]
-        sealed = outcome.ClaimShard().sealed.joined(claims, 0.0)
+        sealed = outcome.ClaimShard().sealed.merged_with(claims, 0.0)
         self.assertEqual([sealed.get(claim.identity) for claim in claims], claims)
         self.assertEqual((len(sealed), sealed.get("other")), (4, None))
--- a/tests/outcome/test_journal.py
+++ b/tests/outcome/test_journal.py
@@ -1,4 +1,4 @@
-"""The journal's memory is bounded, and accounts see only their own requests."""
+"""Bounds of the decision journal, and access of accounts to their own requests."""
 
 import unittest
 
@@ -21,7 +21,7 @@
         self.assertIsNone(many.explain("req-44"))
         self.assertIsNotNone(many.explain("req-45"))
 
-    def test_who_may_read(self):
+    def test_accounts_read_only_their_own_requests(self):
         journal = outcome.Journal()
         journal.open("req-1", "guild")
         self.assertIsNotNone(journal.explain("req-1", "guild"))
--- a/tests/outcome/test_ledger.py
+++ b/tests/outcome/test_ledger.py
@@ -1,4 +1,4 @@
-"""The ledger never takes a run or forgotten attempt for one that never started."""
+"""Attempt ledger: no started or forgotten attempt is reported as never started."""
 
 import unittest
 
@@ -13,7 +13,7 @@
     def setUp(self):
         self.ledger = outcome.Ledger("inc-1")
 
-    def test_standing_over_time(self):
+    def test_state_over_time(self):
         def revoked(ledger):
             ledger.revoke("a", "inc-1", DEADLINE, 1.0)
 
@@ -47,8 +47,8 @@
                     prepare(ledger)
                     ledger.forget(now)
                     self.assertEqual(ledger.state("a", DEADLINE, now), expected)
-                    asked = ledger.revoke("a", "inc-1", DEADLINE, now)
-                    self.assertEqual(asked, expected)
+                    revoked_state = ledger.revoke("a", "inc-1", DEADLINE, now)
+                    self.assertEqual(revoked_state, expected)
 
     def test_an_id_is_kept_past_its_deadline(self):
         self.ledger.accept("a", DEADLINE, 1.0)
@@ -58,7 +58,7 @@
             self.ledger.forget(now)
             self.assertEqual(self.ledger.state("a", DEADLINE, now), "finished")
 
-    def test_orders_that_may_not_start(self):
+    def test_rejected_orders(self):
         self.ledger.revoke("revoked", "inc-1", DEADLINE, 1.0)
         self.ledger.accept("twice", DEADLINE, 1.0)
         table = {
@@ -71,7 +71,7 @@
             with self.subTest(attempt_id):
                 self.assertFalse(self.ledger.accept(attempt_id, expires_at, now))
 
-    def test_accepted_order_does_not_start(self):
+    def test_accepted_order_is_not_started_if_revoked_or_late(self):
         for name, now in (("revoked meanwhile", 2.0), ("past deadline", DEADLINE)):
             with self.subTest(name):
                 ledger = outcome.Ledger("inc-1")
@@ -80,9 +80,9 @@
                     ledger.revoke("a", "inc-1", DEADLINE, now)
                 self.assertFalse(ledger.start("a", now))
 
-    def test_another_incarnation_knows_nothing(self):
-        asked = self.ledger.revoke("a", "inc-0", DEADLINE, 1.0)
-        self.assertEqual(asked, "unknown")
+    def test_state_of_another_incarnation_is_unknown(self):
+        revoked_state = self.ledger.revoke("a", "inc-0", DEADLINE, 1.0)
+        self.assertEqual(revoked_state, "unknown")
 
     def test_memory_is_bounded_by_time(self):
         for second in range(2000):
