--- a/libs/config/src/sequoiagap/config/__init__.py
+++ b/libs/config/src/sequoiagap/config/__init__.py
@@ -1,4 +1,4 @@
-"""Numbered configuration versions: documents, patches, storage and spread."""
+"""Versioned configuration: documents, patches, storage and propagation."""
 
 from sequoiagap.config._channel import ConfigChannel
 from sequoiagap.config._document import (
@@ -12,7 +12,6 @@
     merge_patch,
     unknown_keys,
 )
-from sequoiagap.config._duty import PERMANENT_WATCHERS, WatchSchedule
 from sequoiagap.config._harm import (
     HARM_CHECKS,
     EndpointFact,
@@ -42,6 +41,7 @@
 from sequoiagap.config._replica import ConfigReplica, local_message
 from sequoiagap.config._store import SUBMIT_TIMEOUT_S, ConfigStore
 from sequoiagap.config._version import ConfigVersion, Step
+from sequoiagap.config._watch_schedule import PERMANENT_WATCHERS, WatchSchedule
 from sequoiagap.config._writer import Accepted
 
 __all__ = [
--- a/libs/config/src/sequoiagap/config/_channel.py
+++ b/libs/config/src/sequoiagap/config/_channel.py
@@ -1,22 +1,22 @@
-"""The configuration side of a connection between two processes."""
+"""Configuration messages on a connection between two processes."""
 
 from sequoiagap.config import _messages
 
 
 class ConfigChannel:
-    """Passes messages of configuration between connections and a replica.
+    """Passes configuration messages between connections and a replica.
 
-    :param ConfigReplica replica: decides what to answer.
-    :param on_age: function of the age in seconds that an offer names for the
-        platform's last word; none by default.
+    :param ConfigReplica replica: handles the messages and makes the replies.
+    :param on_confirmation_age: function called with the age of each received offer,
+        the time in seconds since the platform confirmed it; none by default.
     """
 
-    def __init__(self, replica, on_age=None):
+    def __init__(self, replica, on_confirmation_age=None):
         self.replica = replica
-        self.on_age = on_age
+        self.on_confirmation_age = on_confirmation_age
 
     def attach(self, handlers):
-        """Register the message handlers of configuration.
+        """Register the handlers of configuration messages.
 
         :param sequoiagap.wire.HandlerTable handlers: table to fill.
         """
@@ -27,11 +27,11 @@
         handlers.add(_messages.LocalDomainOut, self._on_local)
 
     async def send_offer(self, connection):
-        """Offer what this process has on a new connection.
+        """Send the offer of the version in force, and the local orders.
 
-        Local orders stay within the failure domain that they were given in.
+        Local orders are sent only within the failure domain that they were given in.
 
-        :param sequoiagap.wire.Connection connection: the connection.
+        :param sequoiagap.wire.Connection connection: new connection.
         :raises sequoiagap.base.WireError: if the connection is closed.
         """
         await connection.send(self.replica.offer())
@@ -41,8 +41,8 @@
             await connection.send(item)
 
     async def _on_offer(self, connection, item):
-        if self.on_age is not None and item.age_ms >= 0:
-            self.on_age(item.age_ms / 1000)
+        if self.on_confirmation_age is not None and item.age_ms >= 0:
+            self.on_confirmation_age(item.age_ms / 1000)
         await _reply(connection, self.replica.on_offer(item))
 
     async def _on_pull(self, connection, item):
--- a/libs/config/src/sequoiagap/config/_document.py
+++ b/libs/config/src/sequoiagap/config/_document.py
@@ -1,7 +1,7 @@
-"""The operators' configuration: its model and merge patches.
+"""Models of the configuration document, and JSON merge patches.
 
-Keys that this program does not know are kept and passed on, so that processes of
-two releases can run side by side; a patch may not bring new ones in.
+Keys that are unknown to this release are kept and propagated, so that processes of
+two releases can run side by side; a patch can't add unknown keys.
 """
 
 from typing import Annotated, Literal
@@ -19,25 +19,25 @@
 
 
 class DomainConfig(_Section):
-    """A failure domain; ``out`` receives no new work."""
+    """Configuration of a failure domain; one that is ``out`` receives no new work."""
 
     state: Literal["in", "out"] = "in"
 
 
 class ModelConfig(_Section):
-    """A model that callers may ask for."""
+    """Configuration of a model that callers may request."""
 
     repeatable: bool = True
 
 
 class ServiceConfig(_Section):
-    """A plain service that callers may ask for."""
+    """Configuration of a service that callers may request."""
 
     repeatable: bool = False
 
 
 class AccountConfig(_Section):
-    """A client account's share."""
+    """Fair share, limit and priority of a client account."""
 
     weight: PositiveInt = 1
     max_in_flight: PositiveInt = 256
@@ -45,15 +45,16 @@
 
 
 class EndpointConfig(_Section):
-    """Operators' orders for one endpoint."""
+    """Configuration of an endpoint; one with ``drain`` receives no new work."""
 
     drain: bool = False
 
 
 class GroupConfig(_Section):
-    """Operators' orders for a rank group.
+    """Configuration of a rank group.
 
-    ``pinned_map`` is the digest of the expert map to change to and to keep.
+    ``pinned_map`` is the digest of the expert map that the group switches to and
+    keeps; ``None`` pins none.
     """
 
     rebalance: bool = True
@@ -61,13 +62,13 @@
 
 
 class RoutingConfig(_Section):
-    """How entries choose among endpoints."""
+    """Policy by which entries select an endpoint."""
 
     policy: str = "expected_wait"
 
 
 class ConfigDocument(_Section):
-    """Everything that operators configure."""
+    """The complete configuration document."""
 
     failure_domains: dict[Name, DomainConfig] = {}
     models: dict[Name, ModelConfig] = {}
@@ -78,24 +79,26 @@
     routing: RoutingConfig = RoutingConfig()
 
     @pydantic.model_validator(mode="after")
-    def _share_equal_items(self):
+    def _intern_equal_items(self):
         for name in type(self).model_fields:
             section = getattr(self, name)
             if isinstance(section, dict):
-                section.update((key, _share(item)) for key, item in section.items())
+                section.update(
+                    (key, _intern_item(item)) for key, item in section.items()
+                )
         return self
 
 
-def _share(item):
+def _intern_item(item):
     if item.model_extra:
         return item
-    return _sharing.share(type(item), item, item.__dict__)
+    return _sharing.intern(type(item), item, item.__dict__)
 
 
 def merge_patch(document, patch):
     """Return a document with a JSON merge patch (RFC 7396) applied.
 
-    :param dict document: what to patch; it is not changed.
+    :param dict document: document to patch; it is not modified.
     :param dict patch: new values by key; ``None`` removes a key.
     :rtype: dict
 
@@ -114,10 +117,10 @@
 
 
 def unknown_keys(section, prefix=""):
-    """Return the dotted paths of the keys that the model does not know.
+    """Return the dotted paths of the keys that are unknown to the models.
 
-    :param section: a section of the document, or the document.
-    :param str prefix: path of the section, ending in a dot; empty at the top.
+    :param section: the document or one of its sections.
+    :param str prefix: path of the section with a final dot; empty for the document.
     :rtype: set[str]
 
     >>> unknown_keys(ConfigDocument.model_validate({"modles": {}}))
--- a/libs/config/src/sequoiagap/config/_harm.py
+++ b/libs/config/src/sequoiagap/config/_harm.py
@@ -1,4 +1,4 @@
-"""Checks that refuse a harmful change unless the operator overrides them."""
+"""Safety checks that reject a harmful patch unless the operator overrides them."""
 
 import dataclasses
 
@@ -9,10 +9,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class EndpointFact:
-    """What an entry knows of an endpoint when a patch is checked.
+    """State of an endpoint, as input of the checks.
 
-    :param str endpoint_id: the endpoint.
-    :param str failure_domain: where it stands.
+    :param str endpoint_id: id of the endpoint.
+    :param str failure_domain: failure domain of the endpoint.
     :param frozenset serves: models or services that it serves.
     """
 
@@ -23,11 +23,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class HarmFacts:
-    """What the checks rest on.
+    """State of the system, as input of the checks.
 
     :param tuple endpoints: live endpoints, each an :class:`EndpointFact`.
-    :param dict peak_by_account: most requests at once of each client account
-        in the last day.
+    :param dict peak_by_account: maximum number of concurrent requests in the last
+        day, by client account.
     """
 
     endpoints: tuple = ()
@@ -36,11 +36,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Harm:
-    """Why a change is harmful.
+    """Finding of a check about a patch.
 
     :param str check: name of the check.
-    :param str setting: path of the setting that does the harm.
-    :param str message: what would happen, one sentence.
+    :param str setting: path of the harmful setting.
+    :param str message: effect of the patch, in one sentence.
     """
 
     check: str
@@ -49,11 +49,11 @@
 
 
 def find_harm(old, new, facts):
-    """Return what every check has against a change.
+    """Return the findings of all checks about a change of the document.
 
-    :param ConfigDocument old: the document in force.
-    :param ConfigDocument new: the document to be.
-    :param HarmFacts facts: what the checks rest on.
+    :param ConfigDocument old: document in force.
+    :param ConfigDocument new: document with the patch applied.
+    :param HarmFacts facts: state of the system.
     :rtype: list[Harm]
     """
     found = []
@@ -66,18 +66,18 @@
 @HARM_CHECKS.register("no_endpoint_left")
 def check_endpoints(old, new, facts):
     """Yield models and services that would lose their last endpoint."""
-    before = _served(old, facts)
-    after = _served(new, facts)
+    before = _served_targets(old, facts)
+    after = _served_targets(new, facts)
     for section in ("models", "services"):
         for target in getattr(new, section):
             if target in before and target not in after:
-                setting = _forbidding(old, new, facts, target)
+                setting = _blocking_setting(old, new, facts, target)
                 yield setting, f"no endpoint would be left for {target}"
 
 
 @HARM_CHECKS.register("last_failure_domain")
 def check_domains(old, new, facts):
-    """Yield the change that would take the last failure domain out."""
+    """Yield the setting that would take the last failure domain out of service."""
     known = set(old.failure_domains) | set(new.failure_domains)
     known |= {fact.failure_domain for fact in facts.endpoints}
     before = {name for name in known if not is_out(old, name)}
@@ -89,7 +89,7 @@
 
 @HARM_CHECKS.register("cap_under_use")
 def check_caps(old, new, facts):
-    """Yield caps that would be lowered under the last day's use."""
+    """Yield account limits that would be lowered below the peak of the last day."""
     for name, account in new.client_accounts.items():
         peak = facts.peak_by_account.get(name, 0)
         earlier = old.client_accounts.get(name)
@@ -99,15 +99,15 @@
             setting = f"client_accounts.{name}.max_in_flight"
             yield (
                 setting,
-                f"{account.max_in_flight} is under the use of the last day, {peak}",
+                f"{account.max_in_flight} is below the peak of the last day, {peak}",
             )
 
 
 def is_out(document, failure_domain):
-    """Return whether a document takes a failure domain out.
+    """Return whether a failure domain is out of service in a document.
 
-    :param ConfigDocument document: the document.
-    :param str failure_domain: the failure domain.
+    :param ConfigDocument document: configuration document.
+    :param str failure_domain: name of the failure domain.
     :rtype: bool
     """
     domain = document.failure_domains.get(failure_domain)
@@ -120,13 +120,13 @@
     return not is_drained and not is_out(document, fact.failure_domain)
 
 
-def _served(document, facts):
+def _served_targets(document, facts):
     usable = [fact for fact in facts.endpoints if _is_usable(document, fact)]
     return {target for fact in usable for target in fact.serves}
 
 
-def _forbidding(old, new, facts, target):
-    """Return the changed setting that takes an endpoint of a target away."""
+def _blocking_setting(old, new, facts, target):
+    """Return the changed setting that removes an endpoint of a model or service."""
     for fact in facts.endpoints:
         if target not in fact.serves or not _is_usable(old, fact):
             continue
--- a/libs/config/src/sequoiagap/config/_head.py
+++ b/libs/config/src/sequoiagap/config/_head.py
@@ -1,4 +1,4 @@
-"""The configuration object in the platform: its content and its next content."""
+"""Configuration object in the platform: parsing and serialization."""
 
 import dataclasses
 
@@ -11,11 +11,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class Head:
-    """What the configuration object holds.
+    """Content of the configuration object.
 
-    :param int object_version: version of the object in the platform; 0 if none.
-    :param ConfigVersion version: the configuration.
-    :param list history: the last patches, oldest first.
+    :param int object_version: version of the platform object; 0 if there is none.
+    :param ConfigVersion version: current configuration.
+    :param list history: each :class:`HistoryEntry` of the latest patches, oldest
+        first.
     """
 
     object_version: int = 0
@@ -23,7 +24,7 @@
     history: list = dataclasses.field(default_factory=list)
 
     def steps(self):
-        """Return the steps of the history whose patches are kept whole.
+        """Return the steps of the history whose patches are stored.
 
         :rtype: list[Step]
         """
@@ -34,7 +35,7 @@
         ]
 
     def find_patch(self, patch_id):
-        """Return the history entry of a patch, or ``None``.
+        """Return the history entry of a patch, or ``None`` if there is none.
 
         :param str patch_id: id of the patch.
         :rtype: HistoryEntry | None
@@ -46,7 +47,7 @@
 def parse_head(stored):
     """Return the content of the configuration object.
 
-    :param sequoiagap.platform.StoredObject stored: the object, or ``None``.
+    :param sequoiagap.platform.StoredObject stored: platform object, or ``None``.
     :rtype: Head
     :raises sequoiagap.base.ConfigError: if the object is malformed.
     """
@@ -55,7 +56,7 @@
     try:
         number = stored.value["number"]
         if type(number) is not int or number < 1:
-            raise ValueError(f"number: {number!r} is no version number")
+            raise ValueError(f"number: {number!r} is not a version number")
         document = _document.ConfigDocument.model_validate(stored.value["document"])
         history = _history.parse_entries(stored.value.get("history", []))
     except (ValueError, TypeError, AttributeError) as error:
@@ -69,8 +70,8 @@
 def head_value(version, history):
     """Return the value of the configuration object.
 
-    :param ConfigVersion version: the configuration.
-    :param list[HistoryEntry] history: the last patches, oldest first.
+    :param ConfigVersion version: configuration to store.
+    :param list[HistoryEntry] history: latest patches, oldest first.
     :rtype: dict
     """
     return {
@@ -83,6 +84,6 @@
 def _malformed(problem):
     return base.ConfigError(
         f"object {CONFIG_OBJECT!r} in the platform is malformed: {problem}",
-        "Mend the object, or write the version in force back with "
+        "Correct the object, or write the version in force back with "
         "'sequoiagap config restore'",
     )
--- a/libs/config/src/sequoiagap/config/_history.py
+++ b/libs/config/src/sequoiagap/config/_history.py
@@ -1,8 +1,9 @@
-"""The history of accepted patches: recent ones in the head, old ones sealed.
+"""History of accepted patches: recent ones in the head, older ones in segments.
 
-The head is the configuration object. It holds the last 65 to 128 patches. Older
-ones are sealed in objects of 64 that are written once, so that neither the size
-of the head nor the rate of writes grows with the age of the deployment.
+The head is the configuration object; it holds the latest 65 to 128 patches. Older
+patches are moved to segments, objects of 64 patches that are written once, so that
+neither the size of the head nor the rate of writes grows with the age of the
+deployment.
 """
 
 import dataclasses
@@ -18,18 +19,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class HistoryEntry:
-    """One accepted patch.
+    """History entry of an accepted patch.
 
-    :param int number: the version that the patch made.
+    :param int number: version that the patch resulted in.
     :param str patch_id: unique id of the patch.
-    :param str operator: who submitted it.
-    :param float at: wall-clock time of acceptance, seconds since the epoch.
-    :param dict patch: the merge patch; ``None`` where it is too long to keep.
-    :param bool override: whether harm checks were overridden.
-    :param list overridden: what the harm checks said that were overridden.
-    :param str kind: ``patch``, or ``restore`` where a version in force was
-        written back to the platform.
-    :param int patch_bytes: length of the patch as JSON.
+    :param str operator: operator who submitted it.
+    :param float at: time of acceptance, seconds since the epoch.
+    :param dict patch: the merge patch; ``None`` if it is too long to store.
+    :param bool override: whether the operator overrides the harm checks.
+    :param list overridden: findings of the harm checks that were overridden.
+    :param str kind: ``patch``, or ``restore`` if a version in force was written
+        back to the platform.
+    :param int patch_bytes: length of the patch as JSON text, in bytes.
     """
 
     number: int
@@ -47,14 +48,16 @@
 
 
 def make_entry(number, patch, operator, at, overridden=(), kind="patch"):
-    """Return the history entry of a patch; a long patch is left out of it.
-
-    :param int number: the version that the patch makes.
-    :param Patch patch: the patch.
-    :param str operator: who submitted it.
-    :param float at: wall-clock time, seconds since the epoch.
-    :param overridden: what the overridden harm checks said.
-    :param str kind: kind of the entry.
+    """Return the history entry of a patch.
+
+    A patch longer than ``MAX_INLINE_PATCH_BYTES`` is not stored in the entry.
+
+    :param int number: version that the patch results in.
+    :param Patch patch: accepted patch.
+    :param str operator: operator who submitted it.
+    :param float at: time of acceptance, seconds since the epoch.
+    :param overridden: findings of the harm checks that were overridden.
+    :param str kind: ``patch`` or ``restore``.
     :rtype: HistoryEntry
     """
     size = len(json.dumps(patch.changes))
@@ -72,9 +75,9 @@
 
 
 def parse_entries(documents):
-    """Return history entries of plain data; keys of newer releases are dropped.
+    """Return history entries from plain data, without the keys of newer releases.
 
-    :param list[dict] documents: the entries.
+    :param list[dict] documents: fields of each entry.
     :rtype: list[HistoryEntry]
     :raises ValueError: if an entry is malformed.
     """
@@ -88,7 +91,7 @@
 
 
 def segment_of(number):
-    """Return the index of the segment that a version belongs to.
+    """Return the index of the segment of a version.
 
     :param int number: version number, from 1.
     :rtype: int
@@ -100,11 +103,11 @@
 
 
 def split_sealed(entries, newest):
-    """Split entries into full old segments and what stays in the head.
+    """Split entries into full segments to seal and entries that stay in the head.
 
     :param list[HistoryEntry] entries: entries, oldest first.
     :param int newest: highest version number.
-    :returns: entries by index of their segment, and the entries that stay.
+    :returns: entries to seal by index of their segment, and the entries that stay.
     :rtype: tuple[dict[int, list[HistoryEntry]], list[HistoryEntry]]
     """
     keep_from = segment_of(newest) - 1
@@ -120,16 +123,16 @@
 
 
 class HistorySegments:
-    """Sealed segments of the history in the platform.
+    """Reads and writes the sealed segments of the history in the platform.
 
-    :param sequoiagap.platform.PlatformClient client: the platform.
+    :param sequoiagap.platform.PlatformClient client: client of the platform.
     """
 
     def __init__(self, client):
         self.client = client
 
     async def read(self, index):
-        """Return the entries of a sealed segment; empty where there is none.
+        """Return the entries of a sealed segment; empty if there is none.
 
         :param int index: index of the segment.
         :rtype: list[HistoryEntry]
@@ -141,9 +144,9 @@
         return [] if stored is None else parse_entries(stored.value["entries"])
 
     async def find(self, number):
-        """Return the sealed history entry of a version, or ``None``.
+        """Return the sealed history entry of a version, or ``None`` if there is none.
 
-        :param int number: the version.
+        :param int number: version number.
         :rtype: HistoryEntry | None
         :raises sequoiagap.base.PlatformError: if the platform does not answer.
         """
@@ -154,10 +157,12 @@
         return matches[0] if matches else None
 
     async def seal(self, index, entries):
-        """Write a segment, whoever may have written it before; drop an old one.
+        """Write a segment, and delete the one that exceeds ``KEPT_SEGMENTS``.
+
+        Writing is idempotent; another process may have written the segment already.
 
         :param int index: index of the segment.
-        :param list[HistoryEntry] entries: its entries.
+        :param list[HistoryEntry] entries: entries of the segment.
         :raises sequoiagap.base.PlatformError: if the platform does not answer.
         """
         name = f"{SEGMENT_PREFIX}{index}"
@@ -165,16 +170,16 @@
         try:
             await self.client.put(name, value, 0)
         except platform.ObjectConflict as conflict:
-            await self._replace_if_other(name, value, conflict.version)
-        await self._drop(index - KEPT_SEGMENTS)
+            await self._replace_if_different(name, value, conflict.version)
+        await self._delete(index - KEPT_SEGMENTS)
 
-    async def _replace_if_other(self, name, value, version):
-        """Overwrite what a line of versions before a restore has left."""
+    async def _replace_if_different(self, name, value, version):
+        """Overwrite a segment that was left by versions lost in a restore."""
         stored = await self.client.get(name)
         if stored is None or stored.value != value:
             await self.client.put(name, value, version)
 
-    async def _drop(self, index):
+    async def _delete(self, index):
         if index < 0:
             return
         stored = await self.client.get(f"{SEGMENT_PREFIX}{index}")
--- a/libs/config/src/sequoiagap/config/_holder.py
+++ b/libs/config/src/sequoiagap/config/_holder.py
@@ -1,4 +1,4 @@
-"""The version that a process acts on; it only ever goes up."""
+"""Configuration version and local orders in force in a process."""
 
 import asyncio
 import json
@@ -12,13 +12,15 @@
 
 
 class ConfigHolder:
-    """Holds the highest configuration version that the process has met.
+    """Holds the highest configuration version that the process has received.
 
-    :ivar ConfigVersion current_: the version in force.
+    The version in force never decreases.
+
+    :ivar ConfigVersion current_: version in force.
     :ivar asyncio.Event has_version_: set once a version above 0 is in force.
-    :ivar asyncio.Event ready_: set once the process may take work: it has met
+    :ivar asyncio.Event ready_: set once the process may accept work, because it has
         the highest version that it could reach.
-    :ivar dict local_by_domain: local orders that hold, by failure domain.
+    :ivar dict local_by_domain: each :class:`LocalOrder` in force, by failure domain.
 
     >>> holder = ConfigHolder()
     >>> holder.adopt(_version.ConfigVersion(2), "platform")
@@ -37,14 +39,14 @@
         self._local_listeners = []
 
     def add_listener(self, listener):
-        """Call a function with each version that is adopted from now on.
+        """Register a function that is called with each adopted version.
 
         :param listener: function that takes a :class:`ConfigVersion`.
         """
         self._listeners.append(listener)
 
     def add_local_listener(self, listener):
-        """Call a function with each local order that is taken from now on.
+        """Register a function that is called with each new local order.
 
         :param listener: function that takes a :class:`LocalOrder`.
         """
@@ -53,9 +55,9 @@
     def adopt(self, version, source, steps=()):
         """Put a version in force if it is higher than the current one.
 
-        :param ConfigVersion version: the version offered.
-        :param str source: where it came from, for the log.
-        :param steps: steps that led there, as far as the source knows them.
+        :param ConfigVersion version: received version.
+        :param str source: source of the version, for the log.
+        :param steps: latest steps to the version, as far as the source knows them.
         :type steps: collections.abc.Iterable[Step]
         :returns: whether it was adopted.
         :rtype: bool
@@ -63,9 +65,9 @@
         if version.number <= self.current_.number:
             return False
         self.current_ = version
-        self._keep(steps)
+        self._store_patches(steps)
         self.has_version_.set()
-        self._end_overtaken()
+        self._remove_superseded_orders()
         _log.emit(
             base.Event.CONFIG_ADOPTED, config_version=version.number, source=source
         )
@@ -73,11 +75,11 @@
             listener(version)
         return True
 
-    def steps_above(self, number):
+    def patches_above(self, number):
         """Return the patches from a version to the current one.
 
-        :param int number: the version to start from.
-        :returns: JSON texts, or ``None`` if one of them is not kept.
+        :param int number: version that the patches start from.
+        :returns: JSON texts of the patches, or ``None`` if one of them is not held.
         :rtype: list[str] | None
         """
         wanted = range(number + 1, self.current_.number + 1)
@@ -85,17 +87,17 @@
         return None if None in texts else texts
 
     def apply_local_order(self, order, source):
-        """Put a local order in force unless a version has overtaken it.
+        """Put a local order in force unless the current version supersedes it.
 
-        :param LocalOrder order: the order.
-        :param str source: where it came from, for the log.
-        :returns: whether it is new here.
+        :param LocalOrder order: received order.
+        :param str source: source of the order, for the log.
+        :returns: whether the order was put in force by this call.
         :rtype: bool
         """
-        known = self.local_by_domain.get(order.failure_domain)
-        if order.is_overtaken(self.current_.number):
+        existing = self.local_by_domain.get(order.failure_domain)
+        if order.is_superseded(self.current_.number):
             return False
-        if known is not None and known.against >= order.against:
+        if existing is not None and existing.against >= order.against:
             return False
         self.local_by_domain[order.failure_domain] = order
         _log.emit(
@@ -110,11 +112,11 @@
         return True
 
     def blocking_setting(self, failure_domain, endpoint_id):
-        """Return the setting that forbids new work at an endpoint.
+        """Return the setting that blocks new work at an endpoint.
 
-        :param str failure_domain: where the endpoint stands.
-        :param str endpoint_id: the endpoint.
-        :returns: path of the setting; empty where work is allowed.
+        :param str failure_domain: failure domain of the endpoint.
+        :param str endpoint_id: id of the endpoint.
+        :returns: path of the setting; empty if work is allowed.
         :rtype: str
         """
         document = self.current_.document
@@ -128,17 +130,17 @@
             return f"endpoints.{endpoint_id}.drain"
         return ""
 
-    def _keep(self, steps):
+    def _store_patches(self, steps):
         for step in steps:
             self._patch_by_number[step.number] = json.dumps(step.patch)
         oldest = self.current_.number - MAX_STEPS
         for number in [item for item in self._patch_by_number if item <= oldest]:
             del self._patch_by_number[number]
 
-    def _end_overtaken(self):
+    def _remove_superseded_orders(self):
         number = self.current_.number
         for domain, order in list(self.local_by_domain.items()):
-            if order.is_overtaken(number):
+            if order.is_superseded(number):
                 del self.local_by_domain[domain]
                 _log.emit(
                     base.Event.LOCAL_ORDER_ENDED,
--- a/libs/config/src/sequoiagap/config/_messages.py
+++ b/libs/config/src/sequoiagap/config/_messages.py
@@ -1,16 +1,16 @@
-"""Messages that spread configuration versions and local orders."""
+"""Wire messages that propagate configuration versions and local orders."""
 
 from sequoiagap import wire
 
 
 @wire.message(100)
 class ConfigOffer:
-    """The sender has a version in force.
+    """Offer of the version that is in force at the sender.
 
-    :param int number: the version.
-    :param str digest: digest of its content; empty if the sender gives none.
-    :param int age_ms: how long ago the platform confirmed to the sender, or to
-        whom it heard from, that there is none newer; -1 if unknown.
+    :param int number: version number.
+    :param str digest: digest of its content; empty if the sender does not send one.
+    :param int age_ms: time since the platform confirmed, to the sender or to a peer
+        of it, that there is no newer version, in milliseconds; -1 if unknown.
     """
 
     number: int
@@ -20,10 +20,10 @@
 
 @wire.message(101)
 class ConfigPull:
-    """The sender wants a version above the one it has.
+    """Request for a version above the one that is in force at the sender.
 
-    :param int above: the version that it has.
-    :param bool whole: whether it wants the document and no patches.
+    :param int above: version number at the sender.
+    :param bool whole: whether to send the complete document and no patches.
     """
 
     above: int
@@ -32,7 +32,7 @@
 
 @wire.message(102)
 class ConfigBody:
-    """A configuration version, its document as JSON text."""
+    """Configuration version with its complete document as JSON text."""
 
     number: int
     document: str
@@ -40,11 +40,11 @@
 
 @wire.message(103)
 class ConfigDelta:
-    """The patches from one version to a later one.
+    """Patches from one version to a later one.
 
-    :param int above: the version that they start from.
-    :param list patches: JSON texts of merge patches, one for each number above.
-    :param str digest: digest of the content that they lead to.
+    :param int above: version number that the patches apply to.
+    :param list patches: JSON texts of merge patches, one for each later version.
+    :param str digest: digest of the resulting content.
     """
 
     above: int
@@ -54,7 +54,7 @@
 
 @wire.message(104)
 class LocalDomainOut:
-    """An operator's local order, see :class:`LocalOrder`."""
+    """Local order of an operator, see :class:`LocalOrder`."""
 
     failure_domain: str
     against: int
--- a/libs/config/src/sequoiagap/config/_newest.py
+++ b/libs/config/src/sequoiagap/config/_newest.py
@@ -1,9 +1,10 @@
-"""The newest patches in a small object beside the configuration object.
+"""Newest patches in a small object next to the configuration object.
 
-Watchers read it in place of the whole configuration. It is written only after the
-configuration object has accepted a version, and only with what was accepted; so it
-may lag, and never tells of a version that was not accepted. A reader that meets a
-gap, or whose document doesn't come to the digest, reads the configuration object.
+Watchers read it instead of the complete configuration. It is written only after a
+version was accepted by a write of the configuration object, and only with accepted
+patches. So it may lag, but never contains a version that was not accepted. A reader
+that finds a gap, or whose document does not match the digest, reads the
+configuration object.
 """
 
 import dataclasses
@@ -20,11 +21,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class NewestPatches:
-    """What the object holds.
+    """Content of the object with the newest patches.
 
-    :param int head_version: version of the configuration object in the platform
-        that held the newest patch.
-    :param ConfigDelta delta: the newest patches, as they spread.
+    :param int head_version: object version of the configuration object that contains
+        the newest patch.
+    :param ConfigDelta delta: newest patches, as a wire message.
 
     >>> NewestPatches(3, _messages.ConfigDelta(4, ["{}"], "")).number
     5
@@ -35,16 +36,16 @@
 
     @property
     def number(self):
-        """The version that the patches lead to."""
+        """Number of the version that the patches result in."""
         return self.delta.above + len(self.delta.patches)
 
 
 def newest_patches(head_version, version, steps):
-    """Return the newest patches of a version, within their bounds.
+    """Return the newest patches of a version, limited in number and bytes.
 
-    :param int head_version: version of the configuration object.
-    :param ConfigVersion version: the version that it holds.
-    :param steps: steps known to have led there, oldest first.
+    :param int head_version: object version of the configuration object.
+    :param ConfigVersion version: configuration version that it contains.
+    :param steps: known steps to that version, oldest first.
     :type steps: collections.abc.Iterable[Step]
     :rtype: NewestPatches
     """
@@ -63,10 +64,10 @@
 
 
 def parse_newest(stored):
-    """Return what the object holds.
+    """Return the content of the object with the newest patches.
 
-    :param sequoiagap.platform.StoredObject stored: the object, or ``None``.
-    :returns: its content; ``None`` where there is none or it is malformed.
+    :param sequoiagap.platform.StoredObject stored: platform object, or ``None``.
+    :returns: the content; ``None`` if there is no object or it is malformed.
     :rtype: NewestPatches | None
     """
     value = None if stored is None else stored.value
@@ -85,12 +86,13 @@
 
 
 class NewestWriter:
-    """Writes the newest patches of versions that were accepted.
+    """Writes the newest patches of accepted versions.
 
-    Whoever accepted a version writes them, and a watcher that finds them behind
-    the configuration object. A lower number never replaces a higher one.
+    They are written by the process that got a version accepted, and by a watcher that
+    finds them behind the configuration object. A lower version never replaces a
+    higher one.
 
-    :param sequoiagap.platform.PlatformClient client: the platform.
+    :param sequoiagap.platform.PlatformClient client: client of the platform.
     """
 
     def __init__(self, client):
@@ -99,10 +101,10 @@
         self._number = 0
 
     async def write(self, newest):
-        """Write newest patches, unless as new ones are there.
+        """Write the newest patches unless the object has the same or a higher version.
 
-        :param NewestPatches newest: of a version that was accepted.
-        :returns: whether the object tells of this version or a higher one.
+        :param NewestPatches newest: patches of an accepted version.
+        :returns: whether the object contains this version or a higher one.
         :rtype: bool
         """
         value = {
@@ -115,20 +117,20 @@
             for _ in range(WRITE_ATTEMPTS):
                 if self._number >= newest.number:
                     return True
-                await self._try(value, newest.number)
+                await self._put_or_refresh(value, newest.number)
         except base.PlatformError:
-            return False  # a watcher writes it when it finds it behind
+            return False  # a watcher that finds the object behind writes it
         return self._number >= newest.number
 
-    async def _try(self, value, number):
+    async def _put_or_refresh(self, value, number):
         name = NEWEST_OBJECT
         try:
             stored = await self.client.put(name, value, self._object_version)
         except platform.ObjectConflict:
             stored = await self.client.get(name)
             self._object_version = 0 if stored is None else stored.version
-            held = parse_newest(stored)
-            self._number = 0 if held is None else held.number
+            stored_newest = parse_newest(stored)
+            self._number = 0 if stored_newest is None else stored_newest.number
             return
         self._object_version = stored.version
         self._number = number
--- a/libs/config/src/sequoiagap/config/_patch.py
+++ b/libs/config/src/sequoiagap/config/_patch.py
@@ -1,4 +1,4 @@
-"""Operators' patches and their border check."""
+"""Configuration patches of operators, and validation of submitted ones."""
 
 import dataclasses
 import json
@@ -8,13 +8,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class Patch:
-    """An operator's patch.
+    """Patch of the configuration.
 
-    :param str patch_id: unique id; submitting it twice applies it once.
-    :param int against: version number that it was written against.
+    :param str patch_id: unique id; a patch that is submitted twice is applied once.
+    :param int against: number of the version that the patch is based on.
     :param dict changes: JSON merge patch.
-    :param str operator: who submits it.
-    :param bool override: whether to accept a change that harm checks refuse.
+    :param str operator: operator who submits the patch.
+    :param bool override: whether to accept a change that harm checks reject.
     """
 
     patch_id: str
@@ -25,13 +25,14 @@
 
 
 def patch_from_json(document, operator, patch_id):
-    """Return the patch of an operator's request.
+    """Return the patch in the body of an operator's request.
 
-    :param dict document: the body of the request.
-    :param str operator: who submits it.
-    :param str patch_id: id to use where the body names none.
+    :param dict document: body of the request.
+    :param str operator: operator who submits the patch.
+    :param str patch_id: id to use if the body contains none.
     :rtype: Patch
-    :raises ValueError: naming the key that is wrong.
+    :raises ValueError: if a key is unknown, missing or has an invalid value; the
+        message starts with the key.
     """
     if not isinstance(document, dict):
         raise ValueError("body: must be a JSON object")
@@ -47,9 +48,9 @@
     override = document.get("override") or False
     if not isinstance(override, bool):
         raise ValueError(f"override: {json.dumps(override)} must be true or false")
-    given = document.get("patch_id") or patch_id
-    if not isinstance(given, str) or len(given) > MAX_PATCH_ID_CHARACTERS:
+    chosen_id = document.get("patch_id") or patch_id
+    if not isinstance(chosen_id, str) or len(chosen_id) > MAX_PATCH_ID_CHARACTERS:
         raise ValueError(
             f"patch_id: must be text of at most {MAX_PATCH_ID_CHARACTERS} characters"
         )
-    return Patch(given, against, changes, operator, override)
+    return Patch(chosen_id, against, changes, operator, override)
--- a/libs/config/src/sequoiagap/config/_refusals.py
+++ b/libs/config/src/sequoiagap/config/_refusals.py
@@ -1,4 +1,4 @@
-"""Refusals of patches, worded in one place, and the checks of their content."""
+"""Validation of patched documents, and refusals of patches."""
 
 import json
 
@@ -13,10 +13,10 @@
 
 
 def validate(changed, current, validators):
-    """Return the document of changed data, or the refusal that names the bad key.
+    """Return the validated document, or a refusal that names the invalid key.
 
-    :param dict changed: the data to be.
-    :param ConfigVersion current: the version in force.
+    :param dict changed: plain data of the document with the patch applied.
+    :param ConfigVersion current: version in force.
     :param validators: further checks, see :class:`ConfigStore`.
     :rtype: expression.Result[ConfigDocument, sequoiagap.base.Refusal]
     """
@@ -41,26 +41,26 @@
 
 
 def bad_key(key, problem, number):
-    """Return the refusal of a value that can't be used.
+    """Return the refusal of a patch with an invalid key or value.
 
     :param str key: path of the key.
-    :param str problem: what is wrong with it.
+    :param str problem: reason why it is invalid.
     :param int number: version in force.
     :rtype: sequoiagap.base.Refusal
     """
     return base.Refusal(
         base.RefusalKind.BAD_REQUEST,
         f"{key}: {problem}",
-        "Mend the named key",
+        "Correct the named key",
         config_version=number,
         setting=key,
     )
 
 
 def harmful(harm, number):
-    """Return the refusal of a harmful change.
+    """Return the refusal of a harmful patch.
 
-    :param Harm harm: what a check has against it.
+    :param Harm harm: finding of a check.
     :param int number: version in force.
     :rtype: sequoiagap.base.Refusal
     """
@@ -74,10 +74,10 @@
 
 
 def stale(patch, head):
-    """Return the refusal of a patch written against another version.
+    """Return the refusal of a patch that is based on another version.
 
-    :param Patch patch: the patch.
-    :param Head head: the configuration object.
+    :param Patch patch: submitted patch.
+    :param Head head: content of the configuration object.
     :rtype: sequoiagap.base.Refusal
     """
     number = head.version.number
@@ -88,19 +88,19 @@
         shown += f" and earlier ones, see 'config history --before {oldest}'"
     return base.Refusal(
         base.RefusalKind.STALE_VERSION,
-        f"the patch was written against version {patch.against}, "
+        f"the patch is based on version {patch.against}, "
         f"the current one is {number}; changed since: {shown}",
-        "Read the current version and write the patch against it, with a new id",
+        "Read the current version and submit a patch based on it, with a new id",
         config_version=number,
         setting="against",
     )
 
 
-def behind(stored_number, number):
+def platform_behind(stored_number, number):
     """Return the refusal to write to a platform that has lost versions.
 
-    :param int stored_number: version in the platform.
-    :param int number: version in force here.
+    :param int stored_number: version number in the platform.
+    :param int number: version in force in this process.
     :rtype: sequoiagap.base.Refusal
     """
     return base.Refusal(
@@ -113,15 +113,15 @@
 
 
 def id_taken(known, number):
-    """Return the refusal of a patch id that made another version.
+    """Return the refusal of a patch id that was used for another version.
 
-    :param HistoryEntry known: the patch that has the id.
+    :param HistoryEntry known: history entry with the id.
     :param int number: version in force.
     :rtype: sequoiagap.base.Refusal
     """
     return base.Refusal(
         base.RefusalKind.CONFLICT,
-        f"patch id {known.patch_id!r} has made version {known.number} already",
+        f"patch id {known.patch_id!r} was used for version {known.number} already",
         "Use a new id for another patch",
         config_version=number,
         setting="patch_id",
@@ -129,43 +129,43 @@
 
 
 def nothing_to_restore(head, version):
-    """Return the refusal to restore over a platform that is not behind.
+    """Return the refusal to restore a platform that is not behind.
 
-    :param Head head: the configuration object.
-    :param ConfigVersion version: the version in force here.
+    :param Head head: content of the configuration object.
+    :param ConfigVersion version: version in force in this process.
     :rtype: sequoiagap.base.Refusal
     """
     return base.Refusal(
         base.RefusalKind.CONFLICT,
         f"the platform holds version {head.version.number}, not below "
         f"{version.number} in force here",
-        "Nothing is to be restored",
+        "No restore is needed",
         config_version=version.number,
     )
 
 
 def malformed(error):
-    """Return the refusal to build on a malformed object.
+    """Return the refusal to write over a malformed configuration object.
 
-    :param sequoiagap.base.ConfigError error: what is wrong with it.
+    :param sequoiagap.base.ConfigError error: reason why it is malformed.
     :rtype: sequoiagap.base.Refusal
     """
     return base.Refusal(base.RefusalKind.CONFLICT, error.message, error.remedy)
 
 
 def platform_down(message, was_sent, patch):
-    """Return the refusal where the platform settled nothing in time.
+    """Return the refusal of a patch whose result the platform did not confirm.
 
-    :param str message: what happened.
+    :param str message: description of the failure.
     :param bool was_sent: whether a write may have taken effect.
-    :param Patch patch: the patch.
+    :param Patch patch: submitted patch.
     :rtype: sequoiagap.base.Refusal
     """
-    again = f"Submit it again with patch id {patch.patch_id!r} and the same version"
+    advice = f"Submit it again with patch id {patch.patch_id!r} and the same version"
     return base.Refusal(
         base.RefusalKind.PLATFORM_DOWN,
         message,
-        f"{again}; it is applied at most once",
+        f"{advice}; it is applied at most once",
         outcome=base.Outcome.UNKNOWN if was_sent else base.Outcome.NOT_RUN,
         retry_after_s=RETRY_AFTER_S,
     )
@@ -175,6 +175,6 @@
     return base.Refusal(
         base.RefusalKind.TOO_LARGE,
         f"the document would have {size} bytes, over {_head.MAX_DOCUMENT_BYTES}",
-        "Remove what is no longer used",
+        "Remove settings that are no longer used",
         config_version=number,
     )
--- a/libs/config/src/sequoiagap/config/_replica.py
+++ b/libs/config/src/sequoiagap/config/_replica.py
@@ -1,8 +1,8 @@
-"""What a process does with offers, pulls, patches and documents; no I/O.
+"""Configuration replica: handles offers, pulls, patches and documents without I/O.
 
-Processes offer the number and digest of what they have, and pull what is higher.
-The answer is the line of patches where the sender still knows it, else the whole
-document. A process adopts only a higher version.
+Processes offer the number and digest of their version, and pull higher versions from
+peers. The reply to a pull contains patches if the sender still holds them, else the
+complete document. A process adopts only a higher version.
 """
 
 import json
@@ -17,11 +17,11 @@
 
 
 class ConfigReplica:
-    """Answers the messages of configuration for one process.
+    """Handles the configuration messages of one process.
 
-    Each ``on_`` method returns the message to send back, or ``None``.
+    Each ``on_`` method returns the reply, or ``None`` if there is none.
 
-    :param ConfigHolder holder: the version in force.
+    :param ConfigHolder holder: holder of the version in force.
 
     >>> from sequoiagap.config import _holder
     >>> replica = ConfigReplica(_holder.ConfigHolder())
@@ -36,16 +36,17 @@
     def offer(self, age_ms=UNKNOWN_AGE_MS):
         """Return the offer of the version in force.
 
-        :param int age_ms: age of the platform's last word, in milliseconds.
+        :param int age_ms: time since the platform confirmed the version, in
+            milliseconds.
         :rtype: ConfigOffer
         """
         current = self.holder.current_
         return _messages.ConfigOffer(current.number, current.digest, age_ms)
 
     def on_offer(self, item):
-        """Take an offer; pull what is higher, answer a lower one with an offer.
+        """Handle an offer: pull a higher version, reply to a lower one with an offer.
 
-        :param ConfigOffer item: the offer.
+        :param ConfigOffer item: received offer.
         :rtype: ConfigPull | ConfigOffer | None
         """
         current = self.holder.current_
@@ -58,24 +59,27 @@
         return None
 
     def on_pull(self, item):
-        """Take a pull; answer with patches or with the document.
+        """Handle a pull: reply with patches or with the document.
 
-        :param ConfigPull item: the pull.
+        :param ConfigPull item: received pull.
         :rtype: ConfigDelta | ConfigBody | None
         """
         current = self.holder.current_
         if current.number <= item.above:
             return None
-        steps = None if item.whole else self.holder.steps_above(item.above)
+        steps = None if item.whole else self.holder.patches_above(item.above)
         if steps is None or sum(map(len, steps)) > MAX_DELTA_BYTES:
             return _messages.ConfigBody(current.number, current.to_json())
         return _messages.ConfigDelta(item.above, steps, current.digest)
 
     def on_delta(self, item, source):
-        """Take patches; pull the document where they don't fit.
+        """Handle patches: adopt the result, or pull again if they don't apply.
 
-        :param ConfigDelta item: the patches.
-        :param str source: who sent them, for the log.
+        A gap is closed by a pull from the current version, a wrong digest by a pull
+        of the complete document.
+
+        :param ConfigDelta item: received patches.
+        :param str source: sender, for the log.
         :rtype: ConfigPull | None
         """
         current = self.holder.current_
@@ -96,10 +100,10 @@
         return None
 
     def on_body(self, item, source):
-        """Take a document.
+        """Handle a complete document.
 
-        :param ConfigBody item: the document.
-        :param str source: who sent it, for the log.
+        :param ConfigBody item: received document.
+        :param str source: sender, for the log.
         """
         try:
             version = _version.ConfigVersion.from_json(item.number, item.document)
@@ -109,10 +113,10 @@
         self.holder.adopt(version, source)
 
     def on_local(self, item, source):
-        """Take a local order.
+        """Handle a local order.
 
-        :param LocalDomainOut item: the order.
-        :param str source: who sent it, for the log.
+        :param LocalDomainOut item: received order.
+        :param str source: sender, for the log.
         """
         order = _local.LocalOrder(
             item.failure_domain, item.against, item.order_id, item.operator, item.at
@@ -120,18 +124,18 @@
         self.holder.apply_local_order(order, source)
 
     def local_orders(self):
-        """Return the messages of the local orders that hold.
+        """Return the messages of the local orders in force.
 
         :rtype: list[LocalDomainOut]
         """
         return [local_message(o) for o in self.holder.local_by_domain.values()]
 
     def report_malformed(self, number, source, error):
-        """Log, once for each number and source, a version that can't be used.
+        """Log a malformed version, once for each number and source.
 
-        :param int number: the version.
-        :param str source: where it came from.
-        :param Exception error: what is wrong with it.
+        :param int number: version number.
+        :param str source: source of the version.
+        :param Exception error: reason why it is malformed.
         """
         if (number, source) in self._reported:
             return
@@ -152,9 +156,9 @@
 
 
 def local_message(order):
-    """Return the message of a local order.
+    """Return the wire message of a local order.
 
-    :param LocalOrder order: the order.
+    :param LocalOrder order: local order.
     :rtype: LocalDomainOut
     """
     return _messages.LocalDomainOut(
@@ -163,10 +167,10 @@
 
 
 def steps_of(above, patches):
-    """Return the steps of a line of patches.
+    """Return the steps of successive patches.
 
-    :param int above: the version that they start from.
-    :param list[dict] patches: one for each number above.
+    :param int above: number of the version that the patches apply to.
+    :param list[dict] patches: merge patches, one for each later version.
     :rtype: list[Step]
     """
     return [
--- a/libs/config/src/sequoiagap/config/_sharing.py
+++ b/libs/config/src/sequoiagap/config/_sharing.py
@@ -1,33 +1,33 @@
-"""One object for the equal values of many items, to keep a large document small.
+"""Interning of equal values, to reduce the memory of large documents.
 
-Most client accounts have one of few settings. What is shared is never changed in
-place: sections are frozen, and patches make new plain data.
+Most client accounts have one of few combinations of settings. Interned values are
+never modified: sections are frozen, and patches create new plain data.
 """
 
-MAX_SHARED = 1024
+MAX_INTERNED = 1024
 
-_shared_by_key = {}
+_interned_by_key = {}
 
 
-def share(kind, value, fields):
-    """Return an equal object met before in place of a value, or the value.
+def intern(kind, value, fields):
+    """Return an equal value that was interned before, or else the value itself.
 
-    :param kind: what keeps values of different kinds apart.
-    :param value: the value.
-    :param dict fields: all that it consists of.
+    :param kind: separates equal fields of different kinds of values.
+    :param value: value to intern.
+    :param dict fields: all fields of the value, which determine equality.
 
-    >>> first = share("doc", {"a": 1}, {"a": 1})
-    >>> share("doc", {"a": 1}, {"a": 1}) is first
+    >>> first = intern("doc", {"a": 1}, {"a": 1})
+    >>> intern("doc", {"a": 1}, {"a": 1}) is first
     True
     """
     key = (kind, *((name, type(item), item) for name, item in fields.items()))
     try:
-        found = _shared_by_key.get(key)
+        found = _interned_by_key.get(key)
     except TypeError:
-        return value  # a field that is a list or a mapping
+        return value  # a field that is a list or mapping can't be a key
     if found is not None:
         return found
-    if len(_shared_by_key) >= MAX_SHARED:
-        _shared_by_key.clear()
-    _shared_by_key[key] = value
+    if len(_interned_by_key) >= MAX_INTERNED:
+        _interned_by_key.clear()
+    _interned_by_key[key] = value
     return value
--- a/libs/config/src/sequoiagap/config/_version.py
+++ b/libs/config/src/sequoiagap/config/_version.py
@@ -1,4 +1,4 @@
-"""Numbered versions of the configuration and the steps between them."""
+"""Numbered configuration versions and the steps between them."""
 
 import dataclasses
 import functools
@@ -19,10 +19,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class ConfigVersion:
-    """A numbered configuration.
+    """Configuration document with its version number.
 
     :param int number: version number, from 1; 0 is the empty configuration.
-    :param ConfigDocument document: its content.
+    :param ConfigDocument document: content of the version.
 
     >>> ConfigVersion(1).to_json()
     '{}'
@@ -35,11 +35,11 @@
 
     @functools.cached_property
     def raw(self):
-        """The document as plain data, without values that are defaults."""
+        """The document as plain data, without default values."""
         raw = self.document.model_dump(mode="json", exclude_defaults=True)
         for section in _ITEM_SECTIONS & raw.keys():
             raw[section] = {
-                key: _sharing.share(dict, item, item)
+                key: _sharing.intern(dict, item, item)
                 for key, item in raw[section].items()
             }
         return raw
@@ -48,14 +48,14 @@
     def checksum(self):
         """Sum of the checksums of the document's items, modulo 2 to the 64.
 
-        A sum, so that a patch costs as much as it changes and not as much as
-        the document holds.
+        A sum can be updated at a cost that is proportional to the patch and not to
+        the document.
         """
         return sum(_checksum(*item) for item in _items(self.raw)) % _MODULUS
 
     @property
     def digest(self):
-        """Digest of the content, equal wherever the content is equal."""
+        """Digest of the content; equal content has equal digests."""
         return f"{self.checksum:016x}"
 
     @functools.cached_property
@@ -71,21 +71,21 @@
 
     @classmethod
     def from_json(cls, number, text):
-        """Return the version of a JSON text.
+        """Return the version with a document in JSON.
 
         :param int number: version number.
-        :param str text: the document.
+        :param str text: JSON text of the document.
         :rtype: ConfigVersion
         :raises ValueError: if the document is not valid.
         """
         return cls(number, _document.ConfigDocument.model_validate(json.loads(text)))
 
     def apply(self, patches):
-        """Return the version that a line of patches leads to.
+        """Return the version that results from successive patches.
 
-        :param list[dict] patches: merge patches, one for each number above.
+        :param list[dict] patches: merge patches, one for each later version.
         :rtype: ConfigVersion
-        :raises ValueError: if the result is not valid.
+        :raises ValueError: if the resulting document is not valid.
         """
         version = self
         for patch in patches:
@@ -107,21 +107,24 @@
         return self._replace_items(patch, changed)
 
     def _replace_items(self, patch, changed):
-        """Return the next version; only the changed items are looked at.
+        """Return the next version, at a cost proportional to the changed items.
 
-        :param dict patch: names the items by section.
-        :param dict changed: their new content; what is removed is left out.
+        :param dict patch: patch whose keys are the changed items, by section.
+        :param dict changed: new content of these items without the removed ones, by
+            section.
         """
-        part = ConfigVersion(0, _document.ConfigDocument.model_validate(changed))
+        changed_part = ConfigVersion(
+            0, _document.ConfigDocument.model_validate(changed)
+        )
         raw = dict(self.raw)
         sections = {}
         checksum = self.checksum
         for section, items in patch.items():
             kept = getattr(self.document, section)
             kept = {key: value for key, value in kept.items() if key not in items}
-            sections[section] = kept | getattr(part.document, section)
+            sections[section] = kept | getattr(changed_part.document, section)
             old = self.raw.get(section, {})
-            new = part.raw.get(section, {})
+            new = changed_part.raw.get(section, {})
             raw[section] = {k: v for k, v in old.items() if k not in items} | new
             checksum -= sum(_checksum(section, k, old[k]) for k in items if k in old)
             checksum += sum(_checksum(section, k, v) for k, v in new.items())
@@ -135,10 +138,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class Step:
-    """The patch that led from one version to the next.
+    """Step from one version to the next.
 
-    :param int number: the version that it led to.
-    :param dict patch: the merge patch.
+    :param int number: number of the resulting version.
+    :param dict patch: merge patch of the step.
     """
 
     number: int
@@ -146,7 +149,7 @@
 
 
 def _changes_items_only(patch):
-    """Return whether a patch changes items of sections and nothing else."""
+    """Return whether a patch changes only items of sections."""
     return isinstance(patch, dict) and all(
         section in _ITEM_SECTIONS and isinstance(items, dict)
         for section, items in patch.items()
--- a/libs/config/src/sequoiagap/config/_duty.py
+++ b/libs/config/src/sequoiagap/config/_watch_schedule.py
@@ -1,8 +1,8 @@
-"""Which entries of a failure domain watch the platform; decided alone."""
+"""Selection of the entries that poll the platform, without coordination."""
 
-PERMANENT_WATCHERS = 2
+PERMANENT_WATCHERS = 2  # entries of a failure domain that poll all the time
 TAKEOVER_S = 2.0
-TAKEOVER_STEP_S = 0.1
+TAKEOVER_STEP_S = 0.1  # per rank, so that entries do not take over all at once
 MAX_TAKEOVER_STEPS = 8
 RETRY_S = 0.5
 MAX_RETRY_S = 30.0
@@ -11,15 +11,18 @@
 class WatchSchedule:
     """Decides when an entry calls the platform.
 
-    The entries of a failure domain are ranked by rendezvous. The first two watch
-    all the time. The others hear from them, in the offers that spread, how long
-    ago the platform had its last word, and step in when that gets old.
+    The entries of a failure domain are ranked by rendezvous hashing. The first two
+    poll the platform all the time. The others learn from the messages of their peers
+    how long ago the platform answered, and take over when that is longer ago than
+    ``TAKEOVER_S`` and a delay that grows with their rank.
 
-    :ivar float confirmed_at_: when the platform last had its word, here or at
+    :param float now: monotonic time in seconds.
+
+    :ivar float confirmed_at_: time of the latest answer of the platform, to this or
         another entry of the failure domain, monotonic seconds.
 
-    >>> duty = WatchSchedule(now=0.0)
-    >>> duty.delay_s(rank=0, now=1.0), duty.delay_s(rank=5, now=1.0)
+    >>> schedule = WatchSchedule(now=0.0)
+    >>> schedule.delay_s(rank=0, now=1.0), schedule.delay_s(rank=5, now=1.0)
     (0.0, 1.5)
     """
 
@@ -29,15 +32,15 @@
         self._failed_at = now
 
     def record_peer_age(self, age_s, now):
-        """Take the age that an offer of an entry of the failure domain names.
+        """Record the age that a peer of the failure domain reports.
 
-        :param float age_s: age of the platform's last word, in seconds.
+        :param float age_s: time since the latest answer of the platform, in seconds.
         :param float now: monotonic time in seconds.
         """
         self.confirmed_at_ = max(self.confirmed_at_, now - age_s)
 
     def record_answer(self, now):
-        """Note that the platform has answered here.
+        """Record an answer of the platform to this entry.
 
         :param float now: monotonic time in seconds.
         """
@@ -45,7 +48,7 @@
         self._failures = 0
 
     def record_failure(self, now):
-        """Note that the platform has not answered here.
+        """Record a failed call of the platform by this entry.
 
         :param float now: monotonic time in seconds.
         """
@@ -53,7 +56,7 @@
         self._failed_at = now
 
     def age_ms(self, now):
-        """Return the age of the platform's last word, in milliseconds.
+        """Return the time since the latest answer of the platform, in milliseconds.
 
         :param float now: monotonic time in seconds.
         :rtype: int
@@ -61,10 +64,10 @@
         return int((now - self.confirmed_at_) * 1000)
 
     def delay_s(self, rank, now):
-        """Return how long to wait before the next call; 0 to call now.
+        """Return the delay before the next call in seconds; 0 to call now.
 
-        After failures the wait grows with the rank, so that an outage does not
-        bring every entry of a failure domain down on the platform.
+        After failures the delay grows with the rank, so that the platform isn't
+        called by every entry of a failure domain during an outage.
 
         :param int rank: place of this entry in its failure domain, from 0.
         :param float now: monotonic time in seconds.
--- a/libs/config/src/sequoiagap/config/_writer.py
+++ b/libs/config/src/sequoiagap/config/_writer.py
@@ -1,4 +1,4 @@
-"""The conditional update that accepts a patch, repeated until it is settled."""
+"""Conditional update of the configuration object, retried until resolved."""
 
 import asyncio
 import dataclasses
@@ -15,12 +15,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class Accepted:
-    """A patch that has become a version.
+    """Result of an accepted patch.
 
-    :param int number: the version that it made.
-    :param ConfigVersion version: that version, or ``None`` where the patch was
-        accepted earlier and its version is no longer the newest.
-    :param tuple steps: steps that led to the version.
+    :param int number: number of the resulting version.
+    :param ConfigVersion version: that version; ``None`` if the patch was accepted
+        earlier and its version is no longer the newest.
+    :param tuple steps: known steps to the version.
     """
 
     number: int
@@ -29,29 +29,36 @@
 
 
 class Writer:
-    """Repeats read, preparation and conditional update until one is settled.
+    """Repeats read, preparation and conditional update until the result is certain.
 
-    :ivar bool sent_: whether a write may have taken effect.
-    :ivar int head_version_: version of the configuration object that holds the
-        settled version.
+    :param sequoiagap.platform.PlatformClient client: client of the platform.
+    :param HistorySegments segments: sealed segments of the history.
+    :param prepare: coroutine function of a :class:`Head`, such as
+        :class:`Preparation`.
+    :param float deadline: end of the time limit, monotonic seconds.
+
+    :ivar bool may_have_written_: whether a write may have taken effect.
+    :ivar int head_version_: object version of the configuration object that contains
+        the resulting version.
     """
 
-    def __init__(self, client, segments, prepare, end):
+    def __init__(self, client, segments, prepare, deadline):
         self.client = client
         self.segments = segments
         self.prepare = prepare
-        self.end = end
-        self.sent_ = False
+        self.deadline = deadline
+        self.may_have_written_ = False
         self.head_version_ = 0
 
     async def run(self):
-        """Return the settled result; the caller bounds the time.
+        """Return the result; the caller cancels this coroutine at the deadline.
 
-        :raises TimeoutError: if the bound has passed and its cancellation was lost
+        :rtype: expression.Result[Accepted, sequoiagap.base.Refusal]
+        :raises TimeoutError: if the deadline is past and the cancellation was lost,
             because a call timed out at the same moment.
         """
         while True:
-            self._check_time()
+            self._check_deadline()
             head = await self._read()
             prepared = await self.prepare(head)
             self.head_version_ = head.object_version
@@ -64,23 +71,25 @@
                 return expression.Ok(Accepted(version.number, version, steps))
             await asyncio.sleep(RETRY_DELAY_S)
 
-    def _check_time(self):
-        if time.monotonic() >= self.end:
+    def _check_deadline(self):
+        if time.monotonic() >= self.deadline:
             raise TimeoutError
 
     async def _read(self):
-        """Read the head; once a write was sent, keep on until the time is up.
+        """Read the configuration object.
 
-        Before that a second try is enough: it takes a fresh connection.
+        Once a write was sent, reads are repeated until the deadline, because the
+        result of the write is uncertain. Before that, one retry is enough: it opens a
+        new connection.
         """
         failures = 0
         while True:
-            self._check_time()
+            self._check_deadline()
             try:
                 return _head.parse_head(await self.client.get(_head.CONFIG_OBJECT))
             except base.PlatformError:
                 failures += 1
-                if not self.sent_ and failures == READ_ATTEMPTS:
+                if not self.may_have_written_ and failures == READ_ATTEMPTS:
                     raise
             await asyncio.sleep(RETRY_DELAY_S)
 
@@ -90,11 +99,11 @@
             [*head.history, entry], version.number
         )
         value = _head.head_value(version, kept)
-        was_sent = self.sent_
+        was_sent = self.may_have_written_
         try:
             for index, entries in sealed_by_index.items():
                 await self.segments.seal(index, entries)
-            self.sent_ = True
+            self.may_have_written_ = True
             name = _head.CONFIG_OBJECT
             stored = await self.client.put(name, value, head.object_version)
             self.head_version_ = stored.version
@@ -102,15 +111,23 @@
             return False
         except base.PlatformError as error:
             if not error.effect_unknown:
-                self.sent_ = was_sent
-            if not self.sent_:
+                self.may_have_written_ = was_sent
+            if not self.may_have_written_:
                 raise
             return False
         return True
 
 
 class Preparation:
-    """Decides what a patch makes of the current version."""
+    """Prepares the write of a patch, or refuses the patch.
+
+    :param HistorySegments segments: sealed segments of the history.
+    :param validators: further checks, see :class:`ConfigStore`.
+    :param Patch patch: submitted patch.
+    :param HarmFacts facts: input of the harm checks.
+    :param int min_number: version in force in this process; a platform with a lower
+        version is not written.
+    """
 
     def __init__(self, segments, validators, patch, facts, min_number):
         self.segments = segments
@@ -120,10 +137,14 @@
         self.min_number = min_number
 
     async def __call__(self, head):
-        """Return a version to write with its entry, the outcome, or a refusal."""
-        settled = await self._find_settled(head)
-        if settled is not None:
-            return settled
+        """Return a version to write with its history entry, a result, or a refusal.
+
+        :param Head head: content of the configuration object.
+        :rtype: expression.Result
+        """
+        earlier = await self._find_earlier_result(head)
+        if earlier is not None:
+            return earlier
         changed = _document.merge_patch(head.version.raw, self.patch.changes)
         document = _refusals.validate(changed, head.version, self.validators)
         if document.is_error():
@@ -138,7 +159,7 @@
         )
         return expression.Ok((version, entry))
 
-    async def _find_settled(self, head):
+    async def _find_earlier_result(self, head):
         patch, current = self.patch, head.version
         known = head.find_patch(patch.patch_id)
         if known is None and patch.against < current.number:
@@ -146,13 +167,15 @@
         if known is not None:
             return self._already_applied(head, known)
         if current.number < self.min_number:
-            return expression.Error(_refusals.behind(current.number, self.min_number))
+            return expression.Error(
+                _refusals.platform_behind(current.number, self.min_number)
+            )
         if patch.against != current.number:
             return expression.Error(_refusals.stale(patch, head))
         return None
 
     async def _find_sealed(self, head):
-        """Find the patch where it must be if it was ever applied."""
+        """Return the sealed entry of the patch, or ``None`` if it was never applied."""
         number = self.patch.against + 1
         if any(entry.number == number for entry in head.history):
             return None
@@ -170,14 +193,22 @@
 
 
 class Restoration:
-    """Decides whether a version in force may be written back."""
+    """Prepares the write of a version that the platform has lost, or refuses it.
+
+    :param ConfigVersion version: version in force.
+    :param Patch patch: id and operator of the restore.
+    """
 
     def __init__(self, version, patch):
         self.version = version
         self.patch = patch
 
     async def __call__(self, head):
-        """Return a version to write with its entry, the outcome, or a refusal."""
+        """Return a version to write with its history entry, a result, or a refusal.
+
+        :param Head head: content of the configuration object.
+        :rtype: expression.Result
+        """
         known = head.find_patch(self.patch.patch_id)
         if known is not None:
             return expression.Ok(Accepted(known.number, head.version))
