--- a/tests/config/test_newest.py
+++ b/tests/config/test_newest.py
@@ -1,4 +1,4 @@
-"""The newest patches beside the configuration object never run ahead of it."""
+"""Newest patches object: it never contains a version that was not accepted."""
 
 import asyncio
 
@@ -13,7 +13,7 @@
         """Return the newest patches in the platform, or ``None``."""
         return config.parse_newest(await self.client.get(config.NEWEST_OBJECT))
 
-    async def test_accepted_patches_are_told_with_the_object_that_has_them(self):
+    async def test_accepted_patches_are_written_with_the_object_version(self):
         for number in range(20):
             await self.accept(f"p{number}", number)
         newest = await self.newest()
@@ -22,27 +22,27 @@
         self.assertEqual(newest.delta.digest, head.version.digest)
         self.assertEqual(newest.head_version, head.object_version)
 
-    async def test_faults_never_let_it_run_ahead(self):
+    async def test_newest_patches_never_run_ahead_under_faults(self):
         cases = [
-            # switches, version of the configuration, version told
+            # faults, version of the configuration, version of the newest patches
             ({"refuse_next": 2}, 0, 0),
             ({"down": True}, 0, 0),
             ({"late_writes_s": 2.5}, 0, 0),
             ({"lose_answers": 1}, 1, 1),
             ({"lose_answers": 2}, 2, 2),
         ]
-        for switches, number, told in cases:
-            with self.subTest(switches):
+        for faults, number, newest_number in cases:
+            with self.subTest(faults):
                 against = (await self.store.read()).version.number
-                self.stand_in.faults_.set(switches)
-                patch = test_store.make_patch(f"p{switches}", against, {"models": {}})
+                self.stand_in.faults_.set(faults)
+                patch = test_store.make_patch(f"p{faults}", against, {"models": {}})
                 await self.store.submit(patch)
                 self.stand_in.faults_.__init__()
                 self.assertEqual((await self.store.read()).version.number, number)
                 newest = await self.newest()
-                self.assertEqual(0 if newest is None else newest.number, told)
+                self.assertEqual(0 if newest is None else newest.number, newest_number)
 
-    async def test_patches_that_lost_a_race_or_are_stale_are_not_told(self):
+    async def test_refused_patches_are_not_written(self):
         patches = [test_store.make_patch(f"p{i}", 0) for i in range(6)]
         await asyncio.gather(*(self.store.submit(patch) for patch in patches))
         await self.store.submit(test_store.make_patch("stale", 0))
@@ -51,22 +51,25 @@
         self.assertEqual(newest.delta.digest, head.version.digest)
 
     async def test_a_lower_number_never_replaces_a_higher_one(self):
-        made = [config.ConfigVersion(number) for number in range(8)]
+        versions = [config.ConfigVersion(number) for number in range(8)]
         cases = [
             ("one writer", [config.NewestWriter(self.client)] * 8),
-            ("a writer each", [config.NewestWriter(self.client) for _ in range(8)]),
+            (
+                "one writer for each version",
+                [config.NewestWriter(self.client) for _ in range(8)],
+            ),
         ]
         for name, writers in cases:
             with self.subTest(name):
                 writes = [
                     writer.write(config.newest_patches(1, version, ()))
-                    for writer, version in zip(writers, reversed(made), strict=True)
+                    for writer, version in zip(writers, reversed(versions), strict=True)
                 ]
                 await asyncio.gather(*writes[:4])
                 await asyncio.gather(*writes[4:])
                 self.assertEqual((await self.newest()).number, 7)
 
-    def test_long_patches_leave_a_gap(self):
+    def test_long_patches_are_left_out(self):
         steps = [config.Step(n, {"models": {f"m{n}": {}}}) for n in range(1, 40)]
         long = config.Step(40, {"models": {LONG_TEXT: {}}})
         cases = [(39, steps, 23), (40, [*steps, long], 40), (38, steps[:30], 38)]
--- a/tests/config/test_replica.py
+++ b/tests/config/test_replica.py
@@ -1,4 +1,4 @@
-"""Offers, pulls, patches, documents and local orders; no I/O."""
+"""Replica, versions, interning and watch schedule of the configuration, without I/O."""
 
 import json
 import unittest
@@ -8,7 +8,7 @@
 
 
 def replica_at(number, models=("a",)):
-    """Return a replica whose holder has a version."""
+    """Return a replica with a version in force; 0 for none."""
     replica = config.ConfigReplica(config.ConfigHolder())
     document = config.ConfigDocument(models={name: {} for name in models})
     if number:
@@ -34,7 +34,7 @@
                 self.assertEqual(replica_at(4).on_offer(offer), answer)
         self.assertEqual(self.log.getvalue().count('"config_forked"'), 1)
 
-    def test_patches_go_out_where_they_are_known(self):
+    def test_pulls_are_answered_with_held_patches(self):
         replica = replica_at(4, [f"model-{i}" for i in range(50)])
         patch = {"models": {"b": {}}}
         version = replica.holder.current_.apply([patch])
@@ -45,11 +45,11 @@
             self.assertIsInstance(replica.on_pull(pull), config.ConfigBody)
         self.assertIsNone(replica.on_pull(config.ConfigPull(5)))
 
-    def test_patches_that_do_not_fit_are_not_adopted(self):
+    def test_patches_that_do_not_apply_are_not_adopted(self):
         good = json.dumps({"models": {"b": {}}})
         digest = replica_at(4).holder.current_.apply([json.loads(good)]).digest
         cases = [
-            # delta, version afterwards, answer
+            # delta, version afterwards, reply
             (config.ConfigDelta(4, [good], digest), 5, None),
             (config.ConfigDelta(3, [good, good], digest), 5, None),
             (config.ConfigDelta(4, [good], "x"), 4, config.ConfigPull(4, True)),
@@ -65,7 +65,7 @@
                 self.assertEqual(replica.on_delta(delta, "peer"), answer)
                 self.assertEqual(replica.holder.current_.number, number)
 
-    def test_malformed_documents_are_told_and_kept_out(self):
+    def test_malformed_documents_are_logged_and_rejected(self):
         for text in ("{", "3", '{"models": 3}', "[]"):
             with self.subTest(text):
                 replica = replica_at(4)
@@ -74,7 +74,7 @@
                 self.assertEqual(replica.holder.current_.number, 4)
         self.assertEqual(self.log.getvalue().count('"config_malformed"'), 4)
 
-    def test_local_orders_hold_until_a_version_overtakes_them(self):
+    def test_local_orders_are_superseded_by_higher_versions(self):
         cases = [(3, ""), (4, "local.north"), (5, "local.north")]
         for against, setting in cases:
             with self.subTest(against):
@@ -89,7 +89,7 @@
 
 
 class VersionTest(unittest.TestCase):
-    def test_patches_of_items_lead_where_whole_documents_lead(self):
+    def test_incremental_patches_equal_complete_documents(self):
         first = config.ConfigVersion.from_json(
             1, '{"models": {"a": {}, "b": {"repeatable": false}}, "newer": {"x": 1}}'
         )
@@ -119,8 +119,8 @@
                 first.apply([patch])
 
 
-class SharingTest(unittest.TestCase):
-    def test_equal_items_are_held_once_and_changed_apart(self):
+class InterningTest(unittest.TestCase):
+    def test_equal_items_are_interned_and_patched_independently(self):
         accounts = {f"a{i}": {"weight": 2 + i % 3} for i in range(30)}
         accounts["newer"] = {"weight": 2, "extra": 1}
         text = json.dumps({"client_accounts": accounts})
@@ -136,7 +136,7 @@
         self.assertEqual(held["a3"].weight, 2)
         self.assertEqual(held["newer"].model_extra, {"extra": 1})
 
-    def test_values_of_other_types_stay_apart(self):
+    def test_values_of_different_types_are_distinct(self):
         newer = {"a": {"future": 1}, "b": {"future": True}, "c": {"future": [1]}}
         text = json.dumps({"models": newer})
         version = config.ConfigVersion.from_json(1, text)
@@ -144,8 +144,8 @@
         self.assertIs(version.raw["models"]["b"]["future"], True)
 
 
-class DutyTest(unittest.TestCase):
-    def test_few_watch_and_others_step_in(self):
+class WatchScheduleTest(unittest.TestCase):
+    def test_other_entries_take_over_from_permanent_watchers(self):
         for rank in range(9):
             with self.subTest(rank=rank):
                 duty = config.WatchSchedule(now=0.0)
@@ -155,7 +155,7 @@
                 duty.record_peer_age(age_s=0.5, now=3.0)
                 self.assertEqual(duty.delay_s(rank, 3.0) == 0.0, is_watcher)
 
-    def test_an_outage_brings_few_calls(self):
+    def test_calls_are_limited_during_an_outage(self):
         calls = 0
         for rank in range(73):
             duty = config.WatchSchedule(now=0.0)
--- a/tests/config/test_store.py
+++ b/tests/config/test_store.py
@@ -1,4 +1,4 @@
-"""Patches through the platform: races, lost answers, outages and harm."""
+"""Configuration store: races, lost answers, outages, refusals and harm checks."""
 
 import asyncio
 import json
@@ -13,7 +13,7 @@
 
 
 def make_patch(patch_id, against, changes=None, override=False):
-    """Return a patch that adds a model of the patch's name."""
+    """Return a patch that by default adds a model named like the patch."""
     if changes is None:
         changes = {"models": {patch_id: {}}}
     return config.Patch(patch_id, against, changes, "ann", override)
@@ -36,17 +36,17 @@
     async def test_race_has_one_winner(self):
         patches = [make_patch(f"p{i}", 0) for i in range(8)]
         results = await asyncio.gather(*(self.store.submit(p) for p in patches))
-        won = [r.ok for r in results if r.is_ok()]
-        self.assertEqual([item.number for item in won], [1])
+        accepted = [r.ok for r in results if r.is_ok()]
+        self.assertEqual([item.number for item in accepted], [1])
         for result in results:
             if result.is_error():
                 self.assertEqual(result.error.kind, base.RefusalKind.STALE_VERSION)
                 self.assertEqual(result.error.config_version, 1)
                 self.assertIn('"models"', result.error.message)
 
-    async def test_faults_are_settled_truthfully(self):
-        faults = [
-            # switches, whether settled, outcome, version afterwards
+    async def test_reported_outcome_matches_the_version_under_faults(self):
+        cases = [
+            # faults, whether accepted, outcome, increase of the version
             ({"lose_answers": 1}, True, None, 1),
             ({"lose_answers": 2}, True, None, 1),
             ({"late_writes_s": 0.4}, True, None, 1),
@@ -57,25 +57,25 @@
             ({"late_writes_s": 2.5}, False, base.Outcome.UNKNOWN, 0),
         ]
         base_number = 0
-        for switches, settled, outcome, made in faults:
-            with self.subTest(switches):
-                self.stand_in.faults_.set(switches)
+        for faults, is_accepted, outcome, increase in cases:
+            with self.subTest(faults):
+                self.stand_in.faults_.set(faults)
                 changes = {"models": {f"m{base_number}": {}}}
-                patch = make_patch(f"patch {switches}", base_number, changes)
-                began = time.monotonic()
+                patch = make_patch(f"patch {faults}", base_number, changes)
+                started_at = time.monotonic()
                 result = await self.store.submit(patch)
-                took = time.monotonic() - began
+                elapsed_s = time.monotonic() - started_at
                 self.stand_in.faults_.__init__()
-                self.assertLess(took, BOUND_S + 0.5)
-                self.assertEqual(result.is_ok(), settled, result)
-                if not settled:
+                self.assertLess(elapsed_s, BOUND_S + 0.5)
+                self.assertEqual(result.is_ok(), is_accepted, result)
+                if not is_accepted:
                     self.assertEqual(result.error.outcome, outcome)
                     self.assertGreater(result.error.retry_after_s, 0)
                 head = await self.store.read()
-                self.assertEqual(head.version.number, base_number + made)
+                self.assertEqual(head.version.number, base_number + increase)
                 base_number = head.version.number
 
-    async def test_unknown_outcome_is_settled_by_the_same_patch(self):
+    async def test_resubmission_resolves_an_unknown_outcome(self):
         self.stand_in.faults_.set({"late_writes_s": BOUND_S + 0.5})
         patch = make_patch("late", 0)
         first = await self.store.submit(patch)
@@ -86,7 +86,7 @@
         self.assertEqual(again.ok.number, 1)
         self.assertEqual(len(await self.store.history()), 1)
 
-    async def test_a_cancellation_that_a_call_swallows_does_not_end_the_bound(self):
+    async def test_swallowed_cancellation_does_not_extend_the_timeout(self):
         put = self.client.put
 
         async def swallow(*arguments):
@@ -114,7 +114,7 @@
         self.stand_in.faults_.__init__()
         self.assertEqual((await self.store.submit(make_patch("p", 0))).ok.number, 1)
 
-    async def test_old_platform_is_not_written(self):
+    async def test_platform_with_an_older_version_is_not_written(self):
         await self.accept("a", 0)
         result = await self.store.submit(make_patch("b", 1), min_number=7)
         self.assertEqual(result.error.kind, base.RefusalKind.CONFLICT)
@@ -128,7 +128,7 @@
 
 
 class HistoryTest(StoreCase):
-    async def test_history_is_a_line_in_bounded_objects(self):
+    async def test_history_is_complete_in_bounded_objects(self):
         total = 2 * config.SEGMENT_ENTRIES + 10
         for number in range(total):
             await self.accept(f"p{number}", number, {"models": {"m": {}}})
@@ -142,7 +142,7 @@
         await self._check_resubmissions(total)
 
     async def _check_resubmissions(self, total):
-        """Submit patches far older than the head; none is applied again."""
+        """Submit patches that are older than the head; none is applied again."""
         sealed = await self.store.submit(make_patch("p3", 3))
         self.assertEqual(sealed.ok.number, 4)
         other = await self.store.submit(make_patch("other", 3))
@@ -151,7 +151,7 @@
         self.assertEqual(moved.error.kind, base.RefusalKind.CONFLICT)
         self.assertEqual((await self.store.read()).version.number, total)
 
-    async def test_long_patches_stay_within_the_megabyte(self):
+    async def test_long_patches_stay_within_the_object_limit(self):
         self.client.timeout_s = self.store.timeout_s = LONG_BOUND_S
         changes = {"models": {f"model-{i}": None for i in range(120)}}
         entry = {"patch_id": "p", "operator": "ann", "at": 0.0, "patch": changes}
@@ -172,7 +172,7 @@
 
 
 class RefusalTest(StoreCase):
-    async def test_bad_values_name_their_key(self):
+    async def test_refusals_name_the_invalid_key(self):
         cases = [
             ({"modles": {}}, "modles"),
             ({"models": {"m": {"repeatible": True}}}, "models.m.repeatible"),
@@ -191,7 +191,7 @@
         result = await self.store.submit(make_patch("p", 0, {"client_accounts": many}))
         self.assertEqual(result.error.kind, base.RefusalKind.TOO_LARGE)
 
-    async def test_bad_bodies_name_their_key(self):
+    async def test_errors_of_bodies_name_the_invalid_key(self):
         good = {"against": 1, "changes": {}}
         cases = [
             ([], "body"),
@@ -213,7 +213,7 @@
         accepted = await self.accept("p", 4)
         self.assertEqual(accepted.version.raw["future"], {"x": 1})
 
-    async def test_malformed_object_is_no_ground_to_build_on(self):
+    async def test_malformed_object_is_not_written(self):
         bad = [
             {"number": 4, "document": {"models": 7}, "history": []},
             {"number": "4", "document": {}, "history": []},
@@ -290,7 +290,7 @@
             "client_accounts": account,
         }
 
-    async def test_harmless_changes_pass(self):
+    async def test_harmless_changes_are_accepted(self):
         cases = [
             {"failure_domains": {"north": {"state": "out"}}},
             {"endpoints": {"e1": {"drain": True}}},
--- a/tests/members/test_directory.py
+++ b/tests/members/test_directory.py
@@ -1,4 +1,4 @@
-"""The list proposes; heartbeats and incarnations decide."""
+"""Membership directory: outdated lists don't override connections and incarnations."""
 
 import dataclasses
 import unittest
@@ -11,23 +11,35 @@
 
 
 class DirectoryTest(unittest.TestCase):
-    def test_steps(self):
-        late = members.MAX_LIST_LAG_S + 1.0
-        gone = members.UNLISTED_GRACE_S + 1.0
+    def test_lists_and_connections(self):
+        after_lag_s = members.MAX_LIST_LAG_S + 1.0
+        after_grace_s = members.UNLISTED_GRACE_S + 1.0
         alive_1 = ("alive", "inc-1")
         alive_2 = ("alive", "inc-2")
         cases = [
-            # name, steps at their times, whether it may get work afterwards
+            # name, (time, step) pairs, whether the member may receive work afterwards
             ("listed", [(0, [LIVE]), (0, alive_1)], True),
             ("not connected", [(0, [LIVE])], False),
             ("lost", [(0, [LIVE]), (0, alive_1), (1, "lost")], False),
-            ("gone but alive", [(0, [LIVE]), (0, alive_1), (gone, [])], True),
-            ("gone and lost", [(0, [LIVE]), (0, alive_1), (1, "lost"), (2, [])], False),
-            ("gone, lost and back", [(0, [LIVE]), (1, []), (2, alive_1)], True),
-            ("dropped", [(0, [LIVE]), (gone, [])], None),
-            ("says it leaves", [(0, [LIVE]), (0, alive_1), (1, "leave")], False),
             (
-                "leaves, lagging list",
+                "unlisted but alive",
+                [(0, [LIVE]), (0, alive_1), (after_grace_s, [])],
+                True,
+            ),
+            (
+                "unlisted and lost",
+                [(0, [LIVE]), (0, alive_1), (1, "lost"), (2, [])],
+                False,
+            ),
+            ("unlisted, then connected", [(0, [LIVE]), (1, []), (2, alive_1)], True),
+            ("removed", [(0, [LIVE]), (after_grace_s, [])], None),
+            (
+                "announces that it leaves",
+                [(0, [LIVE]), (0, alive_1), (1, "leave")],
+                False,
+            ),
+            (
+                "leaves, then reconnects while the list lags",
                 [(0, [LIVE]), (0, alive_1), (1, "leave"), (1, "lost")]
                 + [(2, [LIVE]), (3, alive_1)],
                 False,
@@ -45,26 +57,26 @@
                 True,
             ),
             (
-                "the list keeps to it",
+                "the list shows it longer than the lag",
                 [(0, [LIVE]), (0, alive_1), (1, [LEAVING]), (2, alive_2)]
-                + [(2 + late, [LEAVING])],
+                + [(2 + after_lag_s, [LEAVING])],
                 False,
             ),
             (
-                "leaving before it was met",
+                "listed as leaving before it connects",
                 [(0, [LEAVING]), (1, alive_1)],
                 False,
             ),
             (
-                "called back on the list",
+                "no longer listed as leaving",
                 [(0, [LIVE]), (0, alive_1), (1, [LEAVING]), (2, [LIVE])],
                 True,
             ),
             ("moved", [(0, [LIVE]), (0, alive_1), (1, [MOVED]), (2, alive_2)], True),
         ]
-        for name, steps, usable in cases:
+        for name, steps, is_usable in cases:
             with self.subTest(name):
-                self.assertEqual(self._run(steps), usable)
+                self.assertEqual(self._run(steps), is_usable)
 
     def _run(self, steps):
         directory = members.Directory()
@@ -83,23 +95,23 @@
         member = directory.by_id.get("e1")
         return None if member is None else member.alive and not member.leaving
 
-    def test_moves(self):
+    def test_moved_members(self):
         cases = [
-            # second list, alive, whether the link is opened anew
+            # second list, whether alive, whether the member is returned as moved
             ([LIVE], True, False),
             ([MOVED], True, True),
             ([MOVED], False, True),
         ]
-        for hosts, alive, opened in cases:
+        for hosts, alive, is_returned in cases:
             with self.subTest(hosts=hosts, alive=alive):
                 directory = members.Directory()
                 directory.apply_list([LIVE], 0.0)
                 if alive:
                     directory.by_id["e1"].mark_alive("inc-1", 0.0)
-                fresh = directory.apply_list(hosts, 1.0)
-                self.assertEqual(bool(fresh), opened)
+                added = directory.apply_list(hosts, 1.0)
+                self.assertEqual(bool(added), is_returned)
 
-    def test_an_old_line_does_not_move_what_announced_itself(self):
+    def test_outdated_list_does_not_replace_an_announced_address(self):
         directory = members.Directory()
         directory.apply_list([LIVE], 0.0)
         self.assertEqual(len(directory.add_reported([MOVED], 1.0)), 1)
@@ -113,16 +125,16 @@
 
 
 class RendezvousTest(unittest.TestCase):
-    def test_choice_is_stable_and_spread(self):
+    def test_choice_is_stable_and_balanced(self):
         ids = [f"entry-{i}" for i in range(73)]
         load = dict.fromkeys(ids, 0)
         for number in range(833):
             chosen = members.choose(f"agent-{number}", ids, 3)
             self.assertEqual(len(set(chosen)), 3)
             self.assertEqual(chosen, members.choose(f"agent-{number}", ids[::-1], 3))
-            without = [item for item in ids if item != chosen[0]]
-            left = members.choose(f"agent-{number}", without, 3)
-            self.assertEqual(left[:2], chosen[1:])
+            others = [item for item in ids if item != chosen[0]]
+            remaining = members.choose(f"agent-{number}", others, 3)
+            self.assertEqual(remaining[:2], chosen[1:])
             for item in chosen:
                 load[item] += 1
         self.assertLess(max(load.values()), 3 * 833 * 3 / 73)
@@ -134,7 +146,7 @@
 
 
 class HostTest(unittest.TestCase):
-    def test_malformed_hosts_are_dropped(self):
+    def test_malformed_hosts_are_rejected(self):
         good = dataclasses.asdict(LIVE)
         self.assertEqual(members.host_from_document(good | {"newer": 1}), LIVE)
         for bad in (None, {}, good | {"port": "x"}, good | {"serves": "x"}):
--- a/tests/members/test_host_view.py
+++ b/tests/members/test_host_view.py
@@ -1,4 +1,4 @@
-"""Host lists and the changes that lead from one to the next."""
+"""Host lists, and the changes from one list to the next."""
 
 import dataclasses
 import random
@@ -12,12 +12,12 @@
 
 
 def make_host(number, port=1):
-    """Return a host of a number."""
+    """Return a host with a numbered id."""
     return platform.HostEntry(f"h{number}", "agent", "10.0.0.1", port, "north")
 
 
 class HostViewTest(unittest.TestCase):
-    def test_changes_lead_to_the_list_or_are_refused(self):
+    def test_changes_result_in_the_list_or_are_rejected(self):
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 random_state = random.Random(seed)
@@ -41,13 +41,13 @@
             hosts[f"h{number}"] = make_host(number, random_state.randrange(1, 4))
 
     def _deliver(self, view, change, random_state):
-        """Deliver a change; what missed one takes no other but a fitting one."""
+        """Deliver a change; it is applied only to a list with the base digest."""
         before = view.digest
-        taken = view.apply(change)
-        self.assertEqual(taken, before == change.base)
-        self.assertEqual(view.digest, change.digest if taken else before)
+        applied = view.apply(change)
+        self.assertEqual(applied, before == change.base)
+        self.assertEqual(view.digest, change.digest if applied else before)
 
-    def test_changes_that_do_not_fit_leave_the_list_as_it_was(self):
+    def test_rejected_changes_leave_the_list_unchanged(self):
         hosts = [make_host(1), make_host(2)]
         poller = members.HostView()
         poller.replace(hosts)
@@ -57,9 +57,9 @@
             ("other base", {"base": "x"}),
             ("other digest", {"digest": "x"}),
             ("malformed host", {"hosts": [{"host_id": 3}]}),
-            ("no host", {"hosts": ["h3"]}),
+            ("host without fields", {"hosts": ["h3"]}),
             ("malformed id", {"gone": [3]}),
-            ("more gone", {"gone": ["h1"]}),
+            ("additional removed host", {"gone": ["h1"]}),
         ]
         view = members.HostView()
         self.assertFalse(view.apply(good))
@@ -71,7 +71,7 @@
                 self.assertEqual(sorted(view.by_id), ["h1", "h2"])
         self.assertTrue(view.apply(good))
 
-    def test_large_changes_come_in_parts(self):
+    def test_large_changes_are_split(self):
         poller, follower = members.HostView(), members.HostView()
         follower.replace([])
         changes = poller.replace([make_host(number) for number in range(MANY_HOSTS)])
--- a/tests/settings/test_adapted_roles.py
+++ b/tests/settings/test_adapted_roles.py
@@ -1,4 +1,4 @@
-"""Settings of the roles that a platform's adapter starts."""
+"""Settings of the roles that the platform's adapter starts."""
 
 import json
 import pathlib
@@ -33,13 +33,13 @@
             path.write_text("// comment\n" + json.dumps(document))
             return settings.load(str(path))
 
-    def test_good_settings(self):
+    def test_valid_settings(self):
         self.assertEqual(self.load(GATEWAY).key_proof_ms, 5000)
         loaded = self.load(RANKS)
         self.assertEqual(loaded.endpoint, "10.0.0.1:8000")
         settings.check_files(loaded)
 
-    def test_each_missing_field_is_named_with_an_example(self):
+    def test_errors_name_missing_fields(self):
         for document in (GATEWAY, RANKS):
             for name in document.keys() - {"role"}:
                 with self.subTest(document["role"], name=name):
@@ -47,7 +47,7 @@
                     with self.assertRaisesRegex(base.ConfigError, f"{name}: missing"):
                         self.load(less)
 
-    def test_bad_values_are_named(self):
+    def test_errors_name_invalid_values(self):
         bad = {
             "front_address": "8080",
             "key_proof_ms": 0,
@@ -60,7 +60,7 @@
             with self.subTest(name), self.assertRaisesRegex(base.ConfigError, name):
                 self.load(GATEWAY | {name: value})
 
-    def test_templates_fill_fields_of_the_settings(self):
+    def test_templates_match_the_fields_of_the_settings(self):
         models = {"gateway": settings.GatewaySettings, "ranks": settings.RankSettings}
         for role, model in models.items():
             text = (support.ROOT / f"platform/{role}.json").read_text()
--- a/tests/settings/test_examples.py
+++ b/tests/settings/test_examples.py
@@ -1,4 +1,4 @@
-"""The worked files of each deployment load and fit together."""
+"""Example files of each deployment: they load and are consistent."""
 
 import unittest
 
@@ -10,13 +10,13 @@
 
 
 def role_files(deployment):
-    """Return the settings files of the roles of a deployment."""
+    """Return the paths of the entry and agent settings of a deployment."""
     folder = EXAMPLES / deployment
     return sorted([folder / "entry.json", *folder.glob("agent-*.json")])
 
 
 class ExamplesTest(unittest.TestCase):
-    def test_settings_fit_the_configuration(self):
+    def test_settings_match_the_configuration(self):
         for deployment in DEPLOYMENTS:
             path = EXAMPLES / deployment / "config.json"
             document = settings.read_document(path)
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -1,4 +1,4 @@
-"""Settings files: comments, and errors that name file, key, value and remedy."""
+"""Loading of settings and keys: errors name the file, key, value and remedy."""
 
 import json
 import pathlib
@@ -41,8 +41,8 @@
     def test_errors_name_file_key_and_value(self):
         cases = {
             "unknown key": ({"colour": 1}, "colour: unknown key; remove it"),
-            "near key": ({"portt": 1}, "portt: unknown key; did you mean 'port'?"),
-            "near key within": (
+            "similar key": ({"portt": 1}, "portt: unknown key; did you mean 'port'?"),
+            "similar nested key": (
                 {"platform": {"url": "http://a", "timeout": 1}},
                 "platform.timeout: unknown key; did you mean 'timeout_s'?",
             ),
@@ -64,7 +64,7 @@
                 self.assertIn(str(self.path), str(caught.exception))
                 self.assertIn(expected, str(caught.exception))
 
-    def test_broken_text_and_missing_file(self):
+    def test_invalid_text_and_missing_file(self):
         with self.assertRaises(base.ConfigError):
             self.load("{ not json")
         with self.assertRaises(base.ConfigError):
@@ -82,12 +82,12 @@
         self.path.write_text(json.dumps(document))
         return settings.load_keys(str(self.path))
 
-    def test_account_has_several_keys(self):
+    def test_account_with_several_keys(self):
         accounts, operators = self.load({"guild": [A, B]}, {"ann": [C]})
         self.assertEqual(accounts, {A: "guild", B: "guild"})
         self.assertEqual(operators, {C: "ann"})
 
-    def test_bad_files_are_refused_and_show_no_value(self):
+    def test_errors_of_invalid_files_show_no_value(self):
         cases = {
             "key in place of digest": ({"guild": ["my-plain-key"]}, {}, "pattern"),
             "no key": ({"guild": []}, {}, "at least 1"),
@@ -101,7 +101,7 @@
                 self.assertIn(expected, str(caught.exception))
                 self.assertNotIn("my-plain-key", str(caught.exception))
 
-    def test_short_secret_is_refused(self):
+    def test_short_secret_is_rejected(self):
         self.path.write_text("short\n")
         with self.assertRaisesRegex(base.ConfigError, "sequoiagap key"):
             settings.load_secret(str(self.path))
