--- a/libs/config/src/sequoiagap/config/_history.py
+++ b/libs/config/src/sequoiagap/config/_history.py
@@ -12,7 +12,7 @@
 from sequoiagap import platform
 
 SEGMENT_ENTRIES = 64
-KEPT_SEGMENTS = 4096
+KEPT_SEGMENTS = 4096  # older segments are deleted
 MAX_INLINE_PATCH_BYTES = 2048
 SEGMENT_PREFIX = "sequoiagap-config-history-"
 
--- a/libs/members/src/sequoiagap/members/_directory.py
+++ b/libs/members/src/sequoiagap/members/_directory.py
@@ -8,15 +8,15 @@
 
 from sequoiagap import platform
 
-MAX_LIST_LAG_S = 10.0
-UNLISTED_GRACE_S = 10.0
+MAX_LIST_LAG_S = 10.0  # until the list shows the current incarnation
+UNLISTED_GRACE_S = 10.0  # before an unlisted, lost member is removed
 ANNOUNCED_GRACE_S = 2.0  # before a listed address replaces a dead announced one
 NO_INCARNATION = ""  # incarnation of a member that has not connected yet
 
 
 @dataclasses.dataclass
 class Member:
-    """A process of the deployment, and what is known of its incarnation.
+    """State of a process of the deployment and of its current incarnation.
 
     :param sequoiagap.platform.HostEntry host: its address, role and failure domain.
     :param bool listed: whether the latest list of the platform contains it.
--- a/libs/members/src/sequoiagap/members/_liveness.py
+++ b/libs/members/src/sequoiagap/members/_liveness.py
@@ -7,7 +7,7 @@
     """Detects agents whose reports have stopped.
 
     >>> tracker = ReportTracker()
-    >>> tracker.heard("agent-1", 1.0, now=0.0)
+    >>> tracker.record_report("agent-1", 1.0, now=0.0)
     >>> tracker.pop_overdue(now=2.4), tracker.pop_overdue(now=2.6)
     ([], ['agent-1'])
     """
--- a/libs/outcome/src/sequoiagap/outcome/_claims.py
+++ b/libs/outcome/src/sequoiagap/outcome/_claims.py
@@ -6,12 +6,18 @@
 from sequoiagap.outcome import _packed
 
 MAX_CLAIMS_PER_SHARD = 16_000
-MAX_HEAD_CLAIMS = 256
+MAX_HEAD_CLAIMS = 256  # a head with this many claims is sealed
 CLAIM_WINDOW_S = 900.0
 
 
 class ClaimDecision(enum.StrEnum):
-    """Decision on a proposal to claim a key."""
+    """Decision on a proposal to claim a key.
+
+    ``HELD`` grants the claim. It is denied if another run claimed the key
+    (``TAKEN``), if the key was claimed for a different request (``MISMATCH``) or if
+    the shard is full. ``PLATFORM_DOWN`` and ``TOO_LATE`` say that the platform
+    failed or did not answer in time; the proposal is then withdrawn.
+    """
 
     HELD = "held"
     TAKEN = "taken"
@@ -79,10 +85,10 @@
 
     >>> shard = ClaimShard()
     >>> claim = Claim("k", "a1", "inc-1", "n1", "d", expires_at=60.0)
-    >>> shard.judge(claim, now=0.0)
+    >>> shard.decide(claim, now=0.0)
     <ClaimDecision.HELD: 'held'>
     >>> shard.add(claim)
-    >>> shard.judge(dataclasses.replace(claim, nonce="n2"), now=1.0)
+    >>> shard.decide(dataclasses.replace(claim, nonce="n2"), now=1.0)
     <ClaimDecision.TAKEN: 'taken'>
     """
 
--- a/libs/outcome/src/sequoiagap/outcome/_segments.py
+++ b/libs/outcome/src/sequoiagap/outcome/_segments.py
@@ -34,7 +34,7 @@
     async def load(self, referenced):
         """Read the segments that were not read yet; segments never change.
 
-        :param tuple named: each :class:`Segment` that the head refers to, in order.
+        :param tuple referenced: each :class:`Segment` that the head refers to, in order.
         :returns: claims of all segments.
         :rtype: PackedClaims
         """
@@ -75,7 +75,7 @@
 
         The next write of the head drops the references to them.
 
-        :param tuple named: each :class:`Segment` that the head refers to.
+        :param tuple referenced: each :class:`Segment` that the head refers to.
         """
         versions = {segment.version for segment in referenced}
         known = self._object_version_by_version
@@ -84,8 +84,8 @@
         self.deleted_ &= versions
         now = self.store.wall_clock()
         expired = [s.version for s in referenced if s.expires_at <= now]
-        left = [version for version in expired if version not in self.deleted_]
-        for version in left[:MAX_DELETIONS]:
+        remaining = [version for version in expired if version not in self.deleted_]
+        for version in remaining[:MAX_DELETIONS]:
             await self._delete(version)
 
     async def _delete(self, version):
--- a/libs/outcome/src/sequoiagap/outcome/_shard_writer.py
+++ b/libs/outcome/src/sequoiagap/outcome/_shard_writer.py
@@ -121,7 +121,7 @@
         :raises sequoiagap.base.PlatformError: if the platform does not answer.
         """
         for _ in range(MAX_FLUSH_ATTEMPTS):
-            was_read = await self._resolve_version()
+            was_read = await self._read_shard()
             if self._shard.is_head_full:
                 await self._seal_head()
             batch = dict(self._proposal_by_nonce)
@@ -135,11 +135,11 @@
                 self.done.clear()  # no claim is left to be marked as done
             if not changed or await self._write(shard):
                 self._forget_withdrawn(withdrawn)
-                self._resolve(batch)
+                self._resolve_batch(batch)
                 await self._segments.delete_expired(self._shard.segments)
                 return
 
-    async def _resolve_version(self):
+    async def _read_shard(self):
         """Read the shard if its content is unknown, and fence an uncertain write.
 
         After a write whose answer was lost, the object is read again. If it doesn't
@@ -243,7 +243,7 @@
         for nonce in withdrawn:
             self._withdrawn_by_nonce.pop(nonce, None)
 
-    def _resolve(self, batch):
+    def _resolve_batch(self, batch):
         now = self.store.wall_clock()
         for proposal in batch.values():
             decision = self._shard.decide(proposal, now)
