--- a/libs/outcome/src/sequoiagap/outcome/_ledger.py
+++ b/libs/outcome/src/sequoiagap/outcome/_ledger.py
@@ -59,7 +59,7 @@
         self.max_deadline_s = base.check_positive("max_deadline_s", max_deadline_s)
         self.forget_margin_s = base.check_positive("forget_margin_s", forget_margin_s)
         self.entry_by_id = {}
-        self._ended_by_minute = collections.OrderedDict()
+        self._ended_by_bucket = collections.OrderedDict()
 
     def state(self, attempt_id, expires_at, now):
         """Return the state of an attempt.
@@ -71,9 +71,9 @@
         :returns: the state; ``NEVER_STARTED`` only if that is certain.
         :rtype: AttemptState
         """
-        known = self.entry_by_id.get(attempt_id)
-        if known is not None:
-            return known.state
+        entry = self.entry_by_id.get(attempt_id)
+        if entry is not None:
+            return entry.state
         if self._may_be_forgotten(expires_at, now):
             return AttemptState.UNKNOWN
         return AttemptState.NEVER_STARTED
@@ -128,7 +128,7 @@
             entry.state = AttemptState.NEVER_STARTED
         elif entry.state == AttemptState.RUNNING:
             entry.state = AttemptState.FINISHED
-        self._remember_until(attempt_id, max(entry.expires_at, now))
+        self._forget_after(attempt_id, max(entry.expires_at, now))
 
     def revoke(self, attempt_id, incarnation, expires_at, now):
         """Revoke an attempt unless it has started, and return its state.
@@ -142,17 +142,17 @@
         self.forget(now)
         if incarnation != self.incarnation:
             return AttemptState.UNKNOWN
-        known = self.entry_by_id.get(attempt_id)
-        if known is not None:
-            if known.state == AttemptState.ACCEPTED:
-                known.state = AttemptState.NEVER_STARTED
-                self._remember_until(attempt_id, known.expires_at)
-            return known.state
+        entry = self.entry_by_id.get(attempt_id)
+        if entry is not None:
+            if entry.state == AttemptState.ACCEPTED:
+                entry.state = AttemptState.NEVER_STARTED
+                self._forget_after(attempt_id, entry.expires_at)
+            return entry.state
         if self._may_be_forgotten(expires_at, now):
             return AttemptState.UNKNOWN
         tombstone = _Entry(AttemptState.NEVER_STARTED, expires_at)
         self.entry_by_id[attempt_id] = tombstone
-        self._remember_until(attempt_id, expires_at)
+        self._forget_after(attempt_id, expires_at)
         return AttemptState.NEVER_STARTED
 
     def forget(self, now):
@@ -160,14 +160,14 @@
 
         :param float now: time of the agent's clock, in seconds.
         """
-        minute = int((now - self.forget_margin_s) // self.forget_margin_s)
-        for ended in [m for m in self._ended_by_minute if m < minute]:
-            for attempt_id in self._ended_by_minute.pop(ended):
+        first_kept = int((now - self.forget_margin_s) // self.forget_margin_s)
+        for bucket in [m for m in self._ended_by_bucket if m < first_kept]:
+            for attempt_id in self._ended_by_bucket.pop(bucket):
                 self.entry_by_id.pop(attempt_id, None)
 
     def _may_be_forgotten(self, expires_at, now):
         return now >= expires_at + self.forget_margin_s
 
-    def _remember_until(self, attempt_id, expires_at):
+    def _forget_after(self, attempt_id, expires_at):
         bucket = int(expires_at // self.forget_margin_s)
-        self._ended_by_minute.setdefault(bucket, []).append(attempt_id)
+        self._ended_by_bucket.setdefault(bucket, []).append(attempt_id)
--- a/libs/outcome/src/sequoiagap/outcome/_segments.py
+++ b/libs/outcome/src/sequoiagap/outcome/_segments.py
@@ -34,7 +34,8 @@
     async def load(self, referenced):
         """Read the segments that were not read yet; segments never change.
 
-        :param tuple referenced: each :class:`Segment` that the head refers to, in order.
+        :param tuple referenced: each :class:`Segment` that the head refers to, in
+            order.
         :returns: claims of all segments.
         :rtype: PackedClaims
         """
