--- a/libs/config/src/sequoiagap/config/_document.py
+++ b/libs/config/src/sequoiagap/config/_document.py
@@ -25,13 +25,19 @@
 
 
 class ModelConfig(_Section):
-    """Configuration of a model that callers may request."""
+    """Configuration of a model that callers may request.
+
+    A ``repeatable`` request may run twice without harm.
+    """
 
     repeatable: bool = True
 
 
 class ServiceConfig(_Section):
-    """Configuration of a service that callers may request."""
+    """Configuration of a service that callers may request.
+
+    A ``repeatable`` request may run twice without harm.
+    """
 
     repeatable: bool = False
 
