--- a/libs/entry/src/sequoiagap/entry/_attempt.py
+++ b/libs/entry/src/sequoiagap/entry/_attempt.py
@@ -185,7 +185,7 @@
 
 
 def _attempt_state_refusal(standing):
-    if standing == outcome.Standing.NEVER_STARTED:
+    if standing == outcome.AttemptState.NEVER_STARTED:
         return not_sent_refusal(
             "the attempt did not reach the agent, which now rejects it"
         )
--- a/libs/entry/src/sequoiagap/entry/_config_watch.py
+++ b/libs/entry/src/sequoiagap/entry/_config_watch.py
@@ -29,7 +29,7 @@
     :param sequoiagap.config.ConfigHolder holder: configuration in force.
     :param sequoiagap.config.ConfigReplica replica: applies patches, reports malformed
         versions and forks.
-    :param sequoiagap.config.WatchDuty schedule: schedule of the calls.
+    :param sequoiagap.config.WatchSchedule schedule: schedule of the calls.
     :param find_rank: function that returns the rank of this entry in its failure
         domain, from 0.
 
@@ -73,7 +73,7 @@
         now = time.monotonic()
         wait_s = 0.0
         if self.holder.ready_.is_set() or not self.reachable_:
-            wait_s = self.schedule.wait_s(self.find_rank(), now)
+            wait_s = self.schedule.delay_s(self.find_rank(), now)
         self._set_watching(wait_s == 0.0)
         return wait_s
 
@@ -170,7 +170,7 @@
         """Write the newest patches if the entry that accepted them did not."""
         if head.version.number > self._newest_number:
             version, steps = head.version, head.steps()
-            newest = config.newest_of(head.object_version, version, steps)
+            newest = config.newest_patches(head.object_version, version, steps)
             await self._writer.write(newest)
 
     def _record_stored_number(self, number):
@@ -188,24 +188,24 @@
             )
 
     def _record_failure(self, error):
-        self.schedule.fail(time.monotonic())
+        self.schedule.record_failure(time.monotonic())
         if self.reachable_:
             _log.emit(base.Event.PLATFORM_UNREACHABLE, error=error.message)
         self.reachable_ = False
         self._become_ready_without_platform()
 
     def _record_success(self):
-        self.schedule.confirm(time.monotonic())
+        self.schedule.record_answer(time.monotonic())
         if not self.reachable_:
             _log.emit(base.Event.PLATFORM_REACHABLE)
         self.reachable_ = True
-        if self.holder.known_.is_set():
+        if self.holder.has_version_.is_set():
             self.holder.ready_.set()
 
     def _become_ready_without_platform(self):
         """Become ready without the platform, once peers had time to send offers."""
         waited_s = time.monotonic() - self._started_at
-        if self.holder.known_.is_set() and waited_s > PEER_OFFER_WAIT_S:
+        if self.holder.has_version_.is_set() and waited_s > PEER_OFFER_WAIT_S:
             self.holder.ready_.set()
 
     def _set_watching(self, watching):
--- a/libs/entry/src/sequoiagap/entry/_entry.py
+++ b/libs/entry/src/sequoiagap/entry/_entry.py
@@ -69,7 +69,7 @@
         self._build_replication()
 
     def _build_replication(self):
-        self.watch_schedule_ = config.WatchDuty(time.monotonic())
+        self.watch_schedule_ = config.WatchSchedule(time.monotonic())
         replica = config.ConfigReplica(self.holder_)
         channel = config.ConfigChannel(replica, self._record_config_age)
         self.reports_ = _report_monitor.ReportMonitor(
@@ -254,7 +254,7 @@
         return self.replica_.offer(self.watch_schedule_.age_ms(time.monotonic()))
 
     def _record_config_age(self, age_s):
-        self.watch_schedule_.hear(age_s, time.monotonic())
+        self.watch_schedule_.record_peer_age(age_s, time.monotonic())
 
     def _on_adopted(self, version):
         self._tasks.start(self.mesh_.broadcast(self._make_offer()), "offer-to-peers")
--- a/libs/entry/src/sequoiagap/entry/_host_list.py
+++ b/libs/entry/src/sequoiagap/entry/_host_list.py
@@ -26,7 +26,7 @@
     :param handlers_by_role: functions that receive the hosts of a role.
     :type handlers_by_role: dict[str, collections.abc.Callable]
     :param sequoiagap.members.HostView view: holds the list.
-    :param sequoiagap.config.WatchDuty schedule: schedule of the polls.
+    :param sequoiagap.config.WatchSchedule schedule: schedule of the polls.
     :param find_rank: function that returns the rank of this entry in its failure
         domain, from 0.
     :param broadcast: coroutine function that sends a message to the peers of the
@@ -69,9 +69,9 @@
             return
         now = time.monotonic()
         is_change = item.base != item.digest and self.view.apply(item)
-        if not self.view.known_ or item.digest != self.view.digest:
+        if not self.view.has_list_ or item.digest != self.view.digest:
             return
-        self.schedule.hear(max(item.age_ms, 0) / 1000, now)
+        self.schedule.record_peer_age(max(item.age_ms, 0) / 1000, now)
         if (
             is_change
             or self.schedule.confirmed_at_ - self._announced_at > MIN_FORWARD_INTERVAL_S
@@ -87,18 +87,18 @@
         return self.schedule.age_ms(time.monotonic())
 
     def _wait_s(self):
-        if not self.view.known_ and self._is_reachable:
+        if not self.view.has_list_ and self._is_reachable:
             return 0.0
-        return self.schedule.wait_s(self.find_rank(), time.monotonic())
+        return self.schedule.delay_s(self.find_rank(), time.monotonic())
 
     async def _poll(self):
         try:
             hosts = await self.client.list_hosts()
         except base.PlatformError as error:
-            self.schedule.fail(time.monotonic())
+            self.schedule.record_failure(time.monotonic())
             self._record_reachable(False, error.message)
             return
-        self.schedule.confirm(time.monotonic())
+        self.schedule.record_answer(time.monotonic())
         self._record_reachable(True)
         changes = self.view.replace(hosts)
         self._apply()
@@ -140,7 +140,7 @@
         client,
         {"agent": links.apply_list, "entry": mesh.apply_list},
         members.HostView(),
-        config.WatchDuty(time.monotonic()),
+        config.WatchSchedule(time.monotonic()),
         find_rank,
         lambda item: mesh.broadcast(item, within_domain=True),
     )
