--- a/tests/agent/test_load_news.py
+++ b/tests/agent/test_load_news.py
@@ -29,7 +29,7 @@
         if self.loses:
             raise base.WireError("connection lost", "Open a new one")
         self.reports += 1
-        self.view.take_report(load, time.monotonic())
+        self.view.record_report(load, time.monotonic())
 
     def enter(self):
         """Send one attempt that runs until :meth:`leave`."""
