--- a/benchmarks/suspicions.py
+++ b/benchmarks/suspicions.py
@@ -69,7 +69,7 @@
             suspected = health.record_answer(draw_first_byte_s(random_state))
         if suspected:
             suspicions += 1
-            health.suspect(0.0)
+            health.reset_after_suspicion(0.0)
     return suspicions / ANSWERS * 10_000
 
 
