--- a/libs/config/src/sequoiagap/config/_refusals.py
+++ b/libs/config/src/sequoiagap/config/_refusals.py
@@ -88,7 +88,7 @@
         shown += f" and earlier ones, see 'config history --before {oldest}'"
     return base.Refusal(
         base.RefusalKind.STALE_VERSION,
-        f"the patch is based on version {patch.against}, "
+        f"the patch was written against version {patch.against}, "
         f"the current one is {number}; changed since: {shown}",
         "Read the current version and submit a patch based on it, with a new id",
         config_version=number,
