--- a/libs/agent/src/sequoiagap/agent/_agent.py
+++ b/libs/agent/src/sequoiagap/agent/_agent.py
@@ -212,7 +212,7 @@
         self.connections_.add(connection)
         _log.emit(base.Event.LINK_OPENED, peer=connection.peer.node_id)
         try:
-            await self.executor_.greet(connection)
+            await self.executor_.send_clock_and_load(connection)
             await self.spread_.greet(connection)
             await self.reporter_.greet(connection)
             reason = await connection.run(
--- a/libs/agent/src/sequoiagap/agent/_executor.py
+++ b/libs/agent/src/sequoiagap/agent/_executor.py
@@ -71,7 +71,7 @@
         handlers.add(wire.Execute, self._on_execute)
         self._follow_ups.attach(handlers)
 
-    async def greet(self, connection):
+    async def send_clock_and_load(self, connection):
         """Tell a newly connected entry the agent's clock and load.
 
         :param sequoiagap.wire.Connection connection: the entry.
--- a/simulations/requests_world.py
+++ b/simulations/requests_world.py
@@ -78,7 +78,7 @@
                 await handlers.handle(pipe, item)
 
         try:
-            await executor.greet(pipe)
+            await executor.send_clock_and_load(pipe)
             await pipe.run(handle)
         except base.WireError:
             pass
