--- a/libs/agent/src/sequoiagap/agent/_agent.py
+++ b/libs/agent/src/sequoiagap/agent/_agent.py
@@ -1,4 +1,4 @@
-"""Assembly of the agent process."""
+"""Assembly and lifecycle of the agent process."""
 
 import json
 
@@ -13,27 +13,27 @@
     wire,
 )
 from sequoiagap.agent import (
+    _config_sync,
     _endpoint,
+    _endpoint_monitor,
     _executor,
-    _gatekeeper,
-    _group_member,
     _guard,
+    _heartbeats,
     _orders,
-    _reports,
+    _rank_group,
     _roles,
-    _spread,
 )
 
 _log = base.get_logger("agent")
 
 
 class Agent:
-    """The process beside one endpoint, and the only sender to it.
+    """Runs beside one endpoint and is the only process that sends requests to it.
 
-    :param sequoiagap.settings.AgentSettings settings: checked settings.
+    :param sequoiagap.settings.AgentSettings settings: validated settings.
 
-    :ivar int port_: TCP port in use, once started.
-    :ivar str incarnation_: fresh id of this run.
+    :ivar int port_: TCP port the agent listens on, once started.
+    :ivar str incarnation_: id of this run of the process, new at every start.
     """
 
     def __init__(self, settings):
@@ -68,53 +68,53 @@
             self.platform_,
         )
         self.metrics_ = self.executor_.metrics_
-        self.roles_ = _roles.RoleKeeper(
-            self.gate_, self._has_order_at_work, self._follow_orders
+        self.roles_ = _roles.RoleManager(
+            self.gate_, self._has_running_order, self._update_gate
         )
-        self.gatekeeper_ = _gatekeeper.GateKeeper(
+        self.endpoint_monitor_ = _endpoint_monitor.EndpointMonitor(
             self.client_,
             self.gate_,
-            self._is_stalled,
-            self.executor_.is_out,
+            self._is_group_stalled,
+            self.executor_.is_drained,
             self._announce_load,
-            self.executor_.slots_.pump,
-            self.roles_.take_report,
+            self.executor_.slots_.grant_free_slots,
+            self.roles_.record_report,
         )
-        self.spread_ = _spread.ConfigSpread(self.holder_, self.platform_)
+        self.config_sync_ = _config_sync.ConfigSync(self.holder_, self.platform_)
         self.handlers_ = wire.HandlerTable()
         self.executor_.attach(self.handlers_)
-        self.spread_.attach(self.handlers_)
+        self.config_sync_.attach(self.handlers_)
         self._build_membership()
         self._build_group()
         self.handlers_.add(wire.StateRequest, self._on_state_request)
 
     def _build_membership(self):
         node_id = self.settings.node_id
-        self.guard_ = _guard.ConfigGuard(self.holder_, self.spread_)
+        self.guard_ = _guard.ConfigGuard(self.holder_, self.config_sync_)
         self.guard_.attach(self.handlers_)
-        self.orders_ = _orders.OrderDesk(
+        self.orders_ = _orders.OrderForwarder(
             self.settings.endpoint,
             node_id,
             members.FenceStore(self.platform_),
             roles=self.roles_,
         )
         self.orders_.attach(self.handlers_)
-        self.reporter_ = _reports.Reporter(
-            self.settings, self.holder_, self.connections_, self._hello
+        self.heartbeats_ = _heartbeats.HeartbeatSender(
+            self.settings, self.holder_, self.connections_, self._make_hello
         )
 
     def _build_group(self):
         self.group_ = None
         if self.settings.group is not None:
-            self.group_ = _group_member.RankGroup(
-                self.settings, self._hello, self.holder_, self.incarnation_
+            self.group_ = _rank_group.RankGroup(
+                self.settings, self._make_hello, self.holder_, self.incarnation_
             )
 
-    def _is_stalled(self):
+    def _is_group_stalled(self):
         return self.group_ is not None and self.group_.is_stalled
 
     async def start(self):
-        """Listen for entries and begin to probe the endpoint."""
+        """Listen for connections of entries and start to probe the endpoint."""
         self._secret = settings.load_secret(self.settings.secret_file)
         self.tls_ = settings.load_tls(self.settings.tls)
         await self.client_.open()
@@ -122,17 +122,20 @@
             self._serve, str(self.settings.address), self.settings.port, self.tls_
         )
         self.port_ = self._server.sockets[0].getsockname()[1]
-        self.holder_.add_listener(self._on_adopted)
-        self._tasks.start(self.gatekeeper_.probe_forever(), "probe")
-        self._tasks.start(self.gatekeeper_.watch_connection(), "watch-endpoint")
-        self._tasks.start(self.spread_.learn(), "learn-config")
-        self._tasks.start(self.reporter_.run(self.port_), "report")
+        self.holder_.add_listener(self._on_config_adopted)
+        self._tasks.start(self.endpoint_monitor_.probe_forever(), "probe")
+        self._tasks.start(self.endpoint_monitor_.watch_connection(), "watch-endpoint")
+        self._tasks.start(self.config_sync_.load_initial_version(), "learn-config")
+        self._tasks.start(self.heartbeats_.run(self.port_), "report")
         if self.group_ is not None:
             self._tasks.start(self.group_.run(), "group")
         _log.emit(base.Event.PROCESS_READY, role="agent", port=self.port_)
 
     async def stop(self):
-        """Refuse new work, let what runs finish within the bound, and close."""
+        """Refuse new attempts, wait for the running ones, and close.
+
+        The wait is bounded by the setting ``drain_bound_s``.
+        """
         _log.emit(base.Event.PROCESS_STOPPING, role="agent")
         self.executor_.stopping_ = True
         self.gate_.leave()
@@ -140,7 +143,7 @@
         await self.executor_.wait_idle(self.settings.drain_bound_s)
         self._server.close()
         for connection in list(self.connections_):
-            await connection.close_politely("agent stops")
+            await connection.close_politely("the agent is shutting down")
         await self._tasks.close()
         if self.group_ is not None:
             await self.group_.close()
@@ -153,7 +156,7 @@
         _log.emit(base.Event.PROCESS_STOPPED, role="agent")
 
     def reload(self):
-        """Read the certificate files again.
+        """Reload the TLS certificate files.
 
         :raises sequoiagap.base.ConfigError: if a file can't be used.
         """
@@ -200,9 +203,9 @@
         )
 
     async def _serve(self, reader, writer):
-        """Serve one connection until it ends."""
+        """Serve one connection until it closes."""
         try:
-            connection = await wire.accept(reader, writer, self._hello())
+            connection = await wire.accept(reader, writer, self._make_hello())
         except base.WireError as error:
             _log.emit(base.Event.FRAME_REJECTED, error=error.message)
             return
@@ -213,8 +216,8 @@
         _log.emit(base.Event.LINK_OPENED, peer=connection.peer.node_id)
         try:
             await self.executor_.send_clock_and_load(connection)
-            await self.spread_.greet(connection)
-            await self.reporter_.greet(connection)
+            await self.config_sync_.send_offer(connection)
+            await self.heartbeats_.send_first_report(connection)
             reason = await connection.run(
                 lambda item: self.handlers_.handle(connection, item)
             )
@@ -228,7 +231,7 @@
             self.connections_.discard(connection)
             self.executor_.forget_connection(connection)
 
-    def _hello(self):
+    def _make_hello(self):
         return wire.Hello(
             node_id=self.settings.node_id,
             role="agent",
@@ -239,14 +242,14 @@
             tls=self.tls_,
         )
 
-    async def _has_order_at_work(self):
-        return await self.orders_.is_at_work()
+    async def _has_running_order(self):
+        return await self.orders_.has_running_order()
 
-    async def _follow_orders(self):
-        await self.gatekeeper_.follow_orders()
+    async def _update_gate(self):
+        await self.endpoint_monitor_.update_gate()
 
-    def _on_adopted(self, version):
-        self._tasks.start(self.gatekeeper_.follow_orders(), "follow-orders")
+    def _on_config_adopted(self, version):
+        self._tasks.start(self.endpoint_monitor_.update_gate(), "follow-orders")
 
     async def _announce_load(self):
         for connection in list(self.connections_):
@@ -258,9 +261,9 @@
 
 
 async def run(agent_settings):
-    """Run an agent until it is told to stop.
+    """Run an agent until the process is asked to stop.
 
-    :param sequoiagap.settings.AgentSettings agent_settings: checked settings.
+    :param sequoiagap.settings.AgentSettings agent_settings: validated settings.
     """
     agent = Agent(agent_settings)
     node_id = agent_settings.node_id
--- a/libs/agent/src/sequoiagap/agent/_answers.py
+++ b/libs/agent/src/sequoiagap/agent/_answers.py
@@ -1,11 +1,11 @@
-"""Senders of answers, one task for each entry that waits for a run."""
+"""Tasks that send the answers of runs, one for each waiting attempt."""
 
 import asyncio
 
 from sequoiagap import base, wire
-from sequoiagap.agent import _load_news
+from sequoiagap.agent import _load_updates
 
-END_SENDING_BOUND_S = 2.0
+FLUSH_TIMEOUT_S = 2.0
 
 
 class AnswerSenders:
@@ -13,67 +13,70 @@
 
     :param make_load: function that returns the load report.
 
-    :ivar LoadNews news_: sends the load report that follows each answer, and
-        those in between.
+    :ivar LoadUpdates load_updates_: sends the load report that follows each answer,
+        and reports between answers.
     """
 
     def __init__(self, make_load):
-        self.news_ = _load_news.LoadNews(make_load, self.count_waiting)
+        self.load_updates_ = _load_updates.LoadUpdates(make_load, self.count_waiting)
         self.tasks_ = base.TaskSet()
         self._waiting_by_connection = {}
 
     def start(self, run, connection, attempt_id, next_sequence=0):
-        """Send the answer of a run, from a chunk on.
+        """Start to send the answer of a run.
 
         :param Run run: the run.
         :param sequoiagap.wire.Connection connection: the entry.
-        :param str attempt_id: the attempt that the entry waits for.
-        :param int next_sequence: first chunk to send.
+        :param str attempt_id: attempt that the entry waits for.
+        :param int next_sequence: number of the first chunk to send.
         """
-        listener = run.listen(connection, attempt_id, next_sequence)
-        self.tasks_.start(self._send_answer(run, listener), f"send-{attempt_id}")
+        stream = run.open_stream(connection, attempt_id, next_sequence)
+        self.tasks_.start(self._send_answer(run, stream), f"send-{attempt_id}")
 
     def send(self, connection, item):
-        """Send one message; a lost connection is settled by the entry.
+        """Send one message; after a lost connection the entry recovers.
 
         :param sequoiagap.wire.Connection connection: the entry.
         :param item: the message.
         """
         self.tasks_.start(wire.try_send(connection, item), "send")
 
-    async def wait_sent(self):
-        """Wait until everything is sent, within :data:`END_SENDING_BOUND_S`."""
+    async def flush(self):
+        """Wait until all answers are sent, for at most :data:`FLUSH_TIMEOUT_S`."""
         if self.tasks_.tasks_:
-            await asyncio.wait(list(self.tasks_.tasks_), timeout=END_SENDING_BOUND_S)
+            await asyncio.wait(list(self.tasks_.tasks_), timeout=FLUSH_TIMEOUT_S)
 
     async def close(self):
-        """Cancel what is still being sent."""
+        """Cancel all sending."""
         await self.tasks_.close()
-        await self.news_.close()
+        await self.load_updates_.close()
 
     def count_waiting(self, connection):
-        """Return how many answers an entry waits for.
+        """Return the number of answers that an entry waits for.
 
         :param sequoiagap.wire.Connection connection: the entry.
         :rtype: int
         """
         return self._waiting_by_connection.get(connection, 0)
 
-    async def _send_answer(self, run, listener):
-        connection = listener.connection
-        self._mark_waiting(connection, 1)
-        self.news_.follow(connection)
+    async def _send_answer(self, run, stream):
+        connection = stream.connection
+        self._change_waiting_count(connection, 1)
+        self.load_updates_.subscribe(connection)
         try:
-            await listener.send_all()
-            run.leave(listener)
+            await stream.send_all()
+            run.close_stream(stream)
         except base.WireError:
-            return  # the entry asks for the rest over a new connection
+            return  # the entry requests the rest over a new connection
         finally:
-            self._mark_waiting(connection, -1)
-        await self.news_.tell(connection)
+            self._change_waiting_count(connection, -1)
+        await self.load_updates_.send_report(connection)
 
-    def _mark_waiting(self, connection, change):
-        """Have a connection probed often while an entry waits on it."""
+    def _change_waiting_count(self, connection, change):
+        """Update the count of answers that an entry waits for.
+
+        The connection is probed at short intervals while the count is not 0.
+        """
         count = self._waiting_by_connection.get(connection, 0) + change
         if count:
             self._waiting_by_connection[connection] = count
--- a/libs/agent/src/sequoiagap/agent/_follow_ups.py
+++ b/libs/agent/src/sequoiagap/agent/_attempt_control.py
@@ -1,22 +1,22 @@
-"""What entries do about attempts that they have sent: credit, cancel, attach."""
+"""Messages of entries about attempts already sent: credit, cancel, attach."""
 
 import asyncio
 
 from sequoiagap import base, outcome, wire
 
-GRACE_S = 3.0
+REATTACH_GRACE_S = 3.0
 MILLISECONDS = 1000
 
 _log = base.get_logger("executor")
 
 
-class FollowUps:
-    """Follows who waits for runs, and stops those that nobody wants.
+class AttemptControl:
+    """Handles messages about running attempts and stops runs that no entry needs.
 
     :param sequoiagap.outcome.Ledger ledger: attempts of this incarnation.
     :param RunTable table: runs by attempt.
-    :param AnswerSenders answers: sends answers.
-    :param stop_run: function of a run that stops it.
+    :param AnswerSenders answers: sends the answers.
+    :param stop_run: function that stops a run.
     """
 
     def __init__(self, ledger, table, answers, stop_run):
@@ -35,67 +35,69 @@
         handlers.add(wire.Credit, self._on_credit)
 
     def forget_connection(self, connection):
-        """Note that a connection is lost.
+        """Close the streams of a lost connection.
 
-        Repeatable runs that nobody takes up again within :data:`GRACE_S` are
-        stopped; the others run to their end and hold their answer.
+        Repeatable runs to which no entry reattaches within :data:`REATTACH_GRACE_S` are
+        stopped; other runs complete and their answers are kept.
 
         :param sequoiagap.wire.Connection connection: the entry.
         """
         for run in self.table.running():
-            listeners = list(run.listener_by_attempt_id.values())
-            for listener in listeners:
-                if listener.connection is connection:
-                    run.leave(listener)
-            if listeners and not run.listener_by_attempt_id:
+            streams = list(run.stream_by_attempt_id.values())
+            for stream in streams:
+                if stream.connection is connection:
+                    run.close_stream(stream)
+            if streams and not run.stream_by_attempt_id:
                 loop = asyncio.get_running_loop()
-                loop.call_later(GRACE_S, self._abandon, run)
+                loop.call_later(REATTACH_GRACE_S, self._stop_if_unattended, run)
 
     async def _on_credit(self, connection, item):
         run = self.table.by_attempt_id.get(item.attempt_id)
-        listener = run and run.listener_by_attempt_id.get(item.attempt_id)
-        if listener is not None:
-            listener.take_credit(item.next_sequence)
+        stream = run and run.stream_by_attempt_id.get(item.attempt_id)
+        if stream is not None:
+            stream.record_credit(item.next_sequence)
 
     async def _on_cancel(self, connection, order):
         expires_at = order.expires_at_ms / MILLISECONDS
         incarnation = self.ledger.incarnation
-        standing = self.ledger.revoke(order.attempt_id, incarnation, expires_at, _now())
+        attempt_state = self.ledger.revoke(
+            order.attempt_id, incarnation, expires_at, _now()
+        )
         _log.emit(
             base.Event.ATTEMPT_REVOKED,
             attempt_id=order.attempt_id,
-            standing=str(standing),
+            standing=str(attempt_state),
         )
         run = self.table.by_attempt_id.get(order.attempt_id)
         if run is None:
             return
-        listener = run.listener_by_attempt_id.get(order.attempt_id)
-        if listener is not None:
-            run.leave(listener)
-        never_starts = standing == outcome.Standing.NEVER_STARTED
-        is_wasted = run.order.repeatable and not run.listener_by_attempt_id
-        if is_wasted or (never_starts and not run.started_):
+        stream = run.stream_by_attempt_id.get(order.attempt_id)
+        if stream is not None:
+            run.close_stream(stream)
+        never_starts = attempt_state == outcome.Standing.NEVER_STARTED
+        is_unneeded = run.order.repeatable and not run.stream_by_attempt_id
+        if is_unneeded or (never_starts and not run.started_):
             self.stop_run(run)
 
     async def _on_attach(self, connection, order):
         run = self.table.by_attempt_id.get(order.attempt_id)
-        standing = self._standing_for_attach(order, run)
+        attempt_state = self._state_for_attach(order, run)
         _log.emit(
             base.Event.ATTEMPT_REATTACHED,
             attempt_id=order.attempt_id,
-            standing=str(standing),
+            standing=str(attempt_state),
             next_sequence=order.next_sequence,
         )
-        is_held = run is not None and run.can_give_from(order.next_sequence)
-        if standing == outcome.Standing.UNKNOWN or not is_held:
-            await connection.send(wire.Revoked(order.attempt_id, str(standing)))
+        is_held = run is not None and run.holds_from(order.next_sequence)
+        if attempt_state == outcome.Standing.UNKNOWN or not is_held:
+            await connection.send(wire.Revoked(order.attempt_id, str(attempt_state)))
             return
-        old = run.listener_by_attempt_id.get(order.attempt_id)
-        if old is not None:
-            run.leave(old)
+        previous = run.stream_by_attempt_id.get(order.attempt_id)
+        if previous is not None:
+            run.close_stream(previous)
         self.answers.start(run, connection, order.attempt_id, order.next_sequence)
 
-    def _standing_for_attach(self, order, run):
+    def _state_for_attach(self, order, run):
         expires_at = order.expires_at_ms / MILLISECONDS
         if run is None or order.incarnation != self.ledger.incarnation:
             return self.ledger.revoke(
@@ -103,8 +105,8 @@
             )
         return self.ledger.standing(order.attempt_id, expires_at, _now())
 
-    def _abandon(self, run):
-        is_wanted = run.listener_by_attempt_id or not run.order.repeatable
+    def _stop_if_unattended(self, run):
+        is_wanted = run.stream_by_attempt_id or not run.order.repeatable
         if run.end_ is None and not is_wanted:
             _log.emit(
                 base.Event.RUN_ABANDONED,
--- a/libs/agent/src/sequoiagap/agent/_spread.py
+++ b/libs/agent/src/sequoiagap/agent/_config_sync.py
@@ -1,23 +1,23 @@
-"""Configuration versions at the agent: learnt at start, then from entries."""
+"""Configuration of the agent: loaded at start, then updated by entries."""
 
 import asyncio
 import time
 
 from sequoiagap import base, config
 
-LEARN_RETRY_S = 0.5
-LEARN_BOUND_S = 2.0
-CATCH_UP_BOUND_S = 1.0
-POLL_S = 0.01
+LOAD_RETRY_DELAY_S = 0.5
+LOAD_TIMEOUT_S = 2.0
+PULL_TIMEOUT_S = 1.0
+PULL_POLL_INTERVAL_S = 0.01
 
 _log = base.get_logger("spread")
 
 
-class ConfigSpread:
-    """Takes versions from the platform at start and from entries later.
+class ConfigSync:
+    """Gets configuration versions from the platform at start and from entries later.
 
     :param sequoiagap.config.ConfigHolder holder: configuration in force.
-    :param sequoiagap.platform.PlatformClient client: the platform.
+    :param sequoiagap.platform.PlatformClient client: client of the platform.
     """
 
     def __init__(self, holder, client):
@@ -27,54 +27,58 @@
         self.channel_ = config.ConfigChannel(self.replica_)
 
     def attach(self, handlers):
-        """Register the message handlers of configuration.
+        """Register the handlers of configuration messages.
 
         :param sequoiagap.wire.HandlerTable handlers: table to fill.
         """
         self.channel_.attach(handlers)
 
-    async def learn(self):
-        """Learn the highest reachable version; work is refused until then.
+    async def load_initial_version(self):
+        """Load the highest available version; attempts are refused until then.
 
-        The platform's word is enough. Without it the process waits for a while,
-        so that every entry that has found it can offer what it has.
+        The version of the platform is sufficient. If the platform does not answer, the
+        agent waits for :data:`LOAD_TIMEOUT_S`, so that every entry that has connected
+        can offer its version.
         """
         store = config.ConfigStore(self.client)
         began = time.monotonic()
         while not self.holder.ready_.is_set():
-            if await self._read(store) or time.monotonic() - began > LEARN_BOUND_S:
+            if (
+                await self._adopt_platform_version(store)
+                or time.monotonic() - began > LOAD_TIMEOUT_S
+            ):
                 await self._become_ready()
             else:
-                await asyncio.sleep(LEARN_RETRY_S)
+                await asyncio.sleep(LOAD_RETRY_DELAY_S)
 
-    async def greet(self, connection):
-        """Offer an entry on a new connection what this process has.
+    async def send_offer(self, connection):
+        """Offer this agent's version to a newly connected entry.
 
         :param sequoiagap.wire.Connection connection: the entry.
         """
         await self.channel_.greet(connection)
 
-    async def catch_up(self, connection, number):
-        """Pull a version that an entry has decided under.
+    async def pull(self, connection, number):
+        """Pull a version under which an entry decided on an attempt.
 
         :param sequoiagap.wire.Connection connection: the entry.
         :param int number: the version.
-        :returns: whether it is in force now.
+        :returns: whether the version, or a newer one, is in force.
         :rtype: bool
         """
         own = self.holder.current_.number
         if own < number:
             await connection.send(config.ConfigPull(own))
         try:
-            async with asyncio.timeout(CATCH_UP_BOUND_S):
+            async with asyncio.timeout(PULL_TIMEOUT_S):
                 while self.holder.current_.number < number:  # noqa: ASYNC110
-                    await asyncio.sleep(POLL_S)
+                    await asyncio.sleep(PULL_POLL_INTERVAL_S)
         except TimeoutError:
             return False
         return True
 
-    async def _read(self, store):
-        """Adopt the platform's version; tell whether the platform answered."""
+    async def _adopt_platform_version(self, store):
+        """Adopt the platform's version; return whether the platform answered."""
         try:
             head = await store.read()
         except base.PlatformError as error:
@@ -87,9 +91,12 @@
         return True
 
     async def _become_ready(self):
-        """Take work from the first version on; wait for it until the next reading."""
+        """Accept attempts once a version is in force.
+
+        Wait for a version until the platform is due to be read again.
+        """
         try:
-            async with asyncio.timeout(LEARN_RETRY_S):
+            async with asyncio.timeout(LOAD_RETRY_DELAY_S):
                 await self.holder.known_.wait()
         except TimeoutError:
             return
--- a/libs/agent/src/sequoiagap/agent/_endpoint.py
+++ b/libs/agent/src/sequoiagap/agent/_endpoint.py
@@ -1,4 +1,4 @@
-"""HTTP calls from the agent to the endpoint beside it."""
+"""HTTP client of the endpoint that the agent serves."""
 
 import asyncio
 
@@ -11,7 +11,7 @@
 PROBE_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 1.0
 CANCEL_TIMEOUT_S = 1.0
-MAX_RESUMES = 5
+MAX_CALLS_PER_ATTEMPT = 5
 ERROR_STATUS = 400
 FORWARDED_HEADERS = (
     "cache-control",
@@ -35,30 +35,32 @@
 
 
 class EndpointError(base.SequoiagapError):
-    """The endpoint failed an attempt.
+    """An attempt ended without a complete answer of the endpoint.
 
     :param str message: what happened.
-    :param bool sent: whether the endpoint may have begun to run it.
-    :param bool resumable: whether a new connection may go on with the answer.
+    :param bool sent: whether the endpoint may have started to run the attempt.
+    :param bool resumable: whether the rest of the answer may be requested over a
+        new connection.
     """
 
     def __init__(self, message, sent, resumable=True):
-        super().__init__(message, "Look at the endpoint's own log")
+        super().__init__(message, "Check the endpoint's own log")
         self.sent = sent
         self.resumable = resumable
 
 
 class EndpointClient:
-    """Calls one endpoint.
+    """Sends attempts and load probes to one endpoint.
 
-    Repeatable attempts share kept-alive connections; after a failure none of
-    them is used again. Any other attempt has a connection of its own, as a
-    kept-alive one may be dead unseen and the HTTP library sends some methods
-    twice over such a connection.
+    Repeatable attempts share a pool of kept-alive connections; after a failure the
+    whole pool is replaced. Every other attempt uses a new connection: a kept-alive
+    one may be broken without notice, and the HTTP library resends requests of some
+    methods when it meets such a connection.
 
-    :param sequoiagap.settings.EndpointSettings settings: where it is and how
-        long to wait for it.
-    :param sequoiagap.admission.EndpointGate gate: is told how attempts end.
+    :param sequoiagap.settings.EndpointSettings settings: URL and timeouts of the
+        endpoint.
+    :param sequoiagap.admission.EndpointGate gate: records the result of each
+        attempt.
     """
 
     def __init__(self, settings, gate):
@@ -68,7 +70,7 @@
             _SESSION_OPTIONS, _first_bytes.open_probed_socket
         )
         self._single_use_session = None
-        self._first_bytes = _first_bytes.FirstBytes()
+        self._watchdog = _first_bytes.FirstByteWatchdog()
 
     async def open(self):
         """Open the client sessions."""
@@ -86,13 +88,13 @@
         await self._sessions.close()
         await self._single_use_session.close()
 
-    async def report(self):
-        """Return the endpoint's load report, or ``None`` if it gives none.
+    async def fetch_report(self):
+        """Return the endpoint's load report, or ``None`` if it gives no usable one.
 
         :rtype: LoadReport | None
         """
         url = f"{self.settings.url}/load"
-        asked_at = asyncio.get_running_loop().time()
+        requested_at = asyncio.get_running_loop().time()
         with self._sessions.borrow() as session:
             try:
                 async with (
@@ -101,26 +103,26 @@
                 ):
                     report = _load_report.from_document(await response.json())
             except (aiohttp.ClientError, TimeoutError) as error:
-                self._suspect(session, error)
-                self._first_bytes.take_silence()
+                self._discard_connections(session, error)
+                self._watchdog.record_probe_failure()
                 return None
             except (ValueError, KeyError):
                 return None
-        self._first_bytes.take_report(report, asked_at)
+        self._watchdog.record_report(report, requested_at)
         return report
 
     async def call(self, order, on_head, on_data):
-        """Run one attempt and pass its answer on as it comes.
+        """Run one attempt and forward its answer as it arrives.
 
-        Where the engine can resume, a cut or silent stream goes on at its offset
-        over a new connection.
+        If the engine can resume streams, an answer whose connection breaks or stalls
+        continues over a new connection, from the number of bytes received.
 
         :param sequoiagap.wire.Execute order: the attempt.
         :param on_head: coroutine function of status and headers.
         :param on_data: coroutine function of bytes.
-        :raises EndpointError: if the answer is not whole.
+        :raises EndpointError: if the answer is incomplete.
         """
-        answer = _Answer(on_head, on_data)
+        answer = _AnswerRelay(on_head, on_data)
         try:
             await self._call_resuming(order, answer)
         except asyncio.CancelledError:
@@ -128,7 +130,7 @@
             raise
 
     async def _call_resuming(self, order, answer):
-        for _ in range(MAX_RESUMES):
+        for _ in range(MAX_CALLS_PER_ATTEMPT):
             try:
                 await self._call_once(order, answer)
                 return
@@ -143,7 +145,7 @@
                     offset=answer.size,
                     error=error.message,
                 )
-        raise EndpointError("the stream broke off too often", True)
+        raise EndpointError("the stream was interrupted too often", True)
 
     async def _call_once(self, order, answer):
         if not order.repeatable:
@@ -156,15 +158,17 @@
         observer = _observer.AttemptObserver(self.gate)
         try:
             await self._exchange(session, order, answer, observer)
-            observer.done()
+            observer.record_complete()
         except aiohttp.ClientConnectorError as error:
-            observer.failed()
+            observer.record_failure()
             raise EndpointError(
                 f"endpoint can't be reached: {error}", answer.resuming
             ) from error
         except (aiohttp.ClientError, TimeoutError) as error:
-            observer.failed()
-            self._suspect(session, error, order.request_id, order.attempt_id)
+            observer.record_failure()
+            self._discard_connections(
+                session, error, order.request_id, order.attempt_id
+            )
             raise EndpointError(f"endpoint failed: {error!r}", True) from error
 
     async def _exchange(self, session, order, answer, observer):
@@ -172,40 +176,46 @@
             order.method,
             self.settings.url + order.path,
             data=order.body,
-            headers=_headers(order, answer),
+            headers=_make_headers(order, answer),
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
             allow_redirects=False,
             skip_auto_headers=SKIPPED_HEADERS,
         )
-        bound_s = self._first_byte_timeout_s()
-        wait = self._first_bytes.begin(order)
+        timeout_s = self._first_byte_timeout_s()
+        wait = self._watchdog.begin(order)
         try:
-            async with asyncio.timeout(bound_s) as wait.timer:
+            async with asyncio.timeout(timeout_s) as wait.timer:
                 response = await call
-                self._first_bytes.end(wait)
+                self._watchdog.end(wait)
                 await self._read_answer(response, order, answer, wait.timer, observer)
         except TimeoutError as error:
-            raise TimeoutError(wait.vain_ or "no answer in time") from error
+            raise TimeoutError(
+                wait.end_reason_ or "no answer within the timeout"
+            ) from error
         finally:
-            self._first_bytes.end(wait)
+            self._watchdog.end(wait)
 
     async def _read_answer(self, response, order, answer, timer, observer):
-        """Pass an answer on; the timer runs only while the endpoint is awaited."""
+        """Forward the answer of the endpoint.
+
+        The timer runs only while the client waits for the endpoint, not while the
+        receiver of the answer is slow.
+        """
         loop = asyncio.get_running_loop()
-        between_s = self.settings.between_bytes_timeout_s
+        between_bytes_s = self.settings.between_bytes_timeout_s
         try:
-            observer.head(response.status, response.headers)
-            _check_echo(order, response)
-            await answer.take_head(response)
+            observer.record_head(response.status, response.headers)
+            _check_echoed_id(order, response)
+            await answer.relay_head(response)
             data = await response.content.readany()
             while data:
                 timer.reschedule(None)
-                observer.data()
-                await answer.take_data(data)
-                timer.reschedule(loop.time() + between_s)
+                observer.record_data()
+                await answer.relay_data(data)
+                timer.reschedule(loop.time() + between_bytes_s)
                 data = await response.content.readany()
         finally:
-            # A connection whose answer was not read to its end is not used again.
+            # A connection is reused only if its answer was read to the end.
             if response.content.at_eof():
                 response.release()
             else:
@@ -216,8 +226,11 @@
             return self.settings.between_bytes_timeout_s
         return self.settings.first_byte_timeout_s
 
-    def _suspect(self, session, error, request_id="", attempt_id=""):
-        """Use no kept-alive connection again: what lost one may have lost all."""
+    def _discard_connections(self, session, error, request_id="", attempt_id=""):
+        """Replace all kept-alive connections after a failure.
+
+        The cause of one broken connection may have broken the others too.
+        """
         _log.emit(
             base.Event.CONNECTION_SUSPECT,
             request_id=request_id,
@@ -227,7 +240,7 @@
         self._sessions.renew(session)
 
     async def _cancel_at_engine(self, order):
-        """Tell an engine that holds cut streams that this one is not wanted."""
+        """Cancel a stream that a resuming engine would otherwise keep."""
         if not self.settings.resumes:
             return
         url = f"{self.settings.url}/streams/{order.attempt_id}"
@@ -239,8 +252,8 @@
             return
 
 
-class _Answer:
-    """Where the answer of an attempt goes, over one or several connections."""
+class _AnswerRelay:
+    """Forwards the answer of an attempt, over one or several connections."""
 
     def __init__(self, on_head, on_data):
         self.on_head = on_head
@@ -249,7 +262,7 @@
         self.size = 0
         self._has_head = False
 
-    async def take_head(self, response):
+    async def relay_head(self, response):
         if self.resuming and response.status >= ERROR_STATUS:
             raise EndpointError(
                 f"the engine can't resume: status {response.status}",
@@ -258,16 +271,18 @@
             )
         if not self._has_head:
             self._has_head = True
-            await self.on_head(response.status, _forwarded(response.headers))
+            await self.on_head(
+                response.status, _select_forwarded_headers(response.headers)
+            )
 
-    async def take_data(self, data):
+    async def relay_data(self, data):
         for start in range(0, len(data), CHUNK_BYTES):
             piece = data[start : start + CHUNK_BYTES]
             self.size += len(piece)
             await self.on_data(piece)
 
 
-def _headers(order, answer):
+def _make_headers(order, answer):
     headers = order.headers | {
         ATTEMPT_HEADER: order.attempt_id,
         KEY_HEADER: order.idempotency_key or order.request_id,
@@ -277,11 +292,13 @@
     return headers
 
 
-def _check_echo(order, response):
+def _check_echoed_id(order, response):
     echoed = response.headers.get(ATTEMPT_HEADER, order.attempt_id)
     if echoed != order.attempt_id:
-        raise EndpointError(f"endpoint answered {echoed} instead", True, False)
+        raise EndpointError(
+            f"endpoint returned the answer of attempt {echoed}", True, False
+        )
 
 
-def _forwarded(headers):
+def _select_forwarded_headers(headers):
     return {name: headers[name] for name in FORWARDED_HEADERS if name in headers}
--- a/libs/agent/src/sequoiagap/agent/_executor.py
+++ b/libs/agent/src/sequoiagap/agent/_executor.py
@@ -1,14 +1,14 @@
-"""Takes the attempts that entries send, runs them and reports their answers."""
+"""Runs the attempts that entries send and returns their answers."""
 
 import asyncio
 
 from sequoiagap import base, outcome, wire
 from sequoiagap.agent import (
     _answers,
-    _claim_desk,
+    _attempt_control,
     _endpoint,
-    _follow_ups,
     _refusals,
+    _run_claims,
     _run_table,
     _runs,
     _slots,
@@ -22,19 +22,20 @@
 
 
 class Executor:
-    """Runs the attempts that entries send.
+    """Runs attempts at the endpoint, within its limit and after claiming their keys.
 
-    :param EndpointClient client: the endpoint.
-    :param sequoiagap.admission.EndpointGate gate: what the endpoint bears.
+    :param EndpointClient client: client of the endpoint.
+    :param sequoiagap.admission.EndpointGate gate: limit on concurrent attempts.
     :param sequoiagap.outcome.Ledger ledger: attempts of this incarnation.
     :param sequoiagap.config.ConfigHolder holder: configuration in force.
     :param str node_id: id of the endpoint.
-    :param str failure_domain: where the endpoint stands.
-    :param sequoiagap.platform.PlatformClient platform_client: keeps claims.
+    :param str failure_domain: failure domain of the endpoint.
+    :param sequoiagap.platform.PlatformClient platform_client: stores claims.
 
-    :ivar sequoiagap.base.Metrics metrics_: counts and times of attempts.
-    :ivar float service_time_s_: recent mean time of an attempt in seconds.
-    :ivar bool stopping_: whether new work is refused.
+    :ivar sequoiagap.base.Metrics metrics_: counts and durations of attempts.
+    :ivar float service_time_s_: moving average of the time of an attempt, in
+        seconds.
+    :ivar bool stopping_: whether new attempts are refused because of a shutdown.
     """
 
     def __init__(
@@ -53,13 +54,13 @@
         self.table_ = _run_table.RunTable()
         self.refusals_ = _refusals.Refusals(holder)
         self._tasks = base.TaskSet()
-        self.claims_ = _claim_desk.ClaimDesk(
+        self.claims_ = _run_claims.RunClaims(
             platform_client, node_id, ledger.incarnation
         )
         self.answers_ = _answers.AnswerSenders(self.load)
-        self.slots_ = _slots.SlotQueue(gate, self.answers_.news_.note_change)
+        self.slots_ = _slots.SlotQueue(gate, self.answers_.load_updates_.record_change)
         self._task_by_run = {}
-        self._follow_ups = _follow_ups.FollowUps(
+        self._attempt_control = _attempt_control.AttemptControl(
             ledger, self.table_, self.answers_, self._stop_run
         )
 
@@ -69,10 +70,10 @@
         :param sequoiagap.wire.HandlerTable handlers: table to fill.
         """
         handlers.add(wire.Execute, self._on_execute)
-        self._follow_ups.attach(handlers)
+        self._attempt_control.attach(handlers)
 
     async def send_clock_and_load(self, connection):
-        """Tell a newly connected entry the agent's clock and load.
+        """Send the agent's clock and load to a newly connected entry.
 
         :param sequoiagap.wire.Connection connection: the entry.
         """
@@ -80,15 +81,15 @@
         await connection.send(self.load())
 
     def forget_connection(self, connection):
-        """Note that a connection is lost, see :class:`FollowUps`.
+        """Release what belongs to a lost connection, see :class:`AttemptControl`.
 
         :param sequoiagap.wire.Connection connection: the entry.
         """
-        self.answers_.news_.forget(connection)
-        self._follow_ups.forget_connection(connection)
+        self.answers_.load_updates_.unsubscribe(connection)
+        self._attempt_control.forget_connection(connection)
 
     def load(self):
-        """Return what entries may know of the endpoint.
+        """Return the load of the endpoint as reported to entries.
 
         :rtype: sequoiagap.wire.Load
         """
@@ -103,7 +104,7 @@
         )
 
     def dump_state(self):
-        """Return what is known of attempts and claims as plain data.
+        """Return the state of attempts and claims as plain data.
 
         :rtype: dict
         """
@@ -117,19 +118,21 @@
             "claim_reads": self.claims_.reads_,
         }
 
-    async def wait_idle(self, bound_s):
-        """Wait until no attempt runs; after the bound tell those who wait so.
+    async def wait_idle(self, timeout_s):
+        """Wait until no attempt runs.
 
-        :param float bound_s: longest wait, in seconds.
+        After the timeout, the entries that still wait for an answer get a refusal.
+
+        :param float timeout_s: longest wait, in seconds.
         """
         if self._task_by_run:
-            await asyncio.wait(list(self._task_by_run.values()), timeout=bound_s)
+            await asyncio.wait(list(self._task_by_run.values()), timeout=timeout_s)
         for run in self.table_.running():
             run.refuse(self.refusals_.stopped(run.started_))
-        await self.answers_.wait_sent()
+        await self.answers_.flush()
 
     async def close(self):
-        """Cancel what still runs."""
+        """Cancel the attempts that still run."""
         await self._tasks.close()
         await self.answers_.close()
         await self.claims_.close()
@@ -139,10 +142,12 @@
         if not self.ledger.accept(order.attempt_id, expires_at, _now()):
             await self._answer_not_accepted(connection, order, expires_at)
             return
-        wish = self.claims_.wish(order)
-        known = None if wish is None else self.table_.by_identity.get(wish.identity)
-        if known is not None:
-            self._join(connection, order, known, wish)
+        proposal = self.claims_.make_proposal(order)
+        existing_run = (
+            None if proposal is None else self.table_.by_identity.get(proposal.identity)
+        )
+        if existing_run is not None:
+            self._join(connection, order, existing_run, proposal)
             return
         refusal = self._find_refusal(order)
         if refusal is not None:
@@ -150,16 +155,16 @@
             await connection.send(refusal)
             await connection.send(self.load())
             return
-        self._start(connection, order, wish)
+        self._start(connection, order, proposal)
 
     async def _answer_not_accepted(self, connection, order, expires_at):
-        standing = self.ledger.standing(order.attempt_id, expires_at, _now())
-        if standing == outcome.Standing.NEVER_STARTED:
+        attempt_state = self.ledger.standing(order.attempt_id, expires_at, _now())
+        if attempt_state == outcome.Standing.NEVER_STARTED:
             refusal = self.refusals_.too_late(order.attempt_id)
-        elif standing == outcome.Standing.UNKNOWN:
+        elif attempt_state == outcome.Standing.UNKNOWN:
             refusal = self.refusals_.forgotten(order.attempt_id)
         else:
-            # The first order runs or ran, and its answer goes to its own entry.
+            # A duplicate: the entry that sent the first copy gets the answer.
             _log.emit(
                 base.Event.ATTEMPT_DUPLICATE,
                 request_id=order.request_id,
@@ -169,13 +174,13 @@
             return
         await connection.send(refusal)
 
-    def _join(self, connection, order, run, wish):
-        """Let a second request with a key wait for the run of the first."""
+    def _join(self, connection, order, run, proposal):
+        """Let a second request with the same key share the run of the first."""
         attempt_id = order.attempt_id
         self.ledger.start(attempt_id, _now())
-        if wish.digest != run.wish.digest:
+        if proposal.digest != run.proposal.digest:
             refusal = self.refusals_.mismatch(attempt_id)
-        elif not run.can_give_from(0):
+        elif not run.holds_from(0):
             refusal = self.refusals_.answer_gone(attempt_id)
         else:
             self.table_.add(run, attempt_id)
@@ -184,16 +189,16 @@
         self.ledger.finish(attempt_id, _now())
         self.answers_.send(connection, refusal)
 
-    def _start(self, connection, order, wish):
-        run = _runs.Run(order, wish)
-        run.place_ = self.slots_.enter(_now())
+    def _start(self, connection, order, proposal):
+        run = _runs.Run(order, proposal)
+        run.slot_request_ = self.slots_.request_slot(_now())
         self.table_.add(run, order.attempt_id)
         self.answers_.start(run, connection, order.attempt_id)
         task = self._tasks.start(self._run(run), order.attempt_id)
         self._task_by_run[run] = task
-        task.add_done_callback(lambda _: self._finish_unbegun(run))
+        task.add_done_callback(lambda _: self._finish_unstarted(run))
 
-    def _finish_unbegun(self, run):
+    def _finish_unstarted(self, run):
         """Finish a run whose task was cancelled before its first step."""
         if run in self._task_by_run:
             run.refuse(self.refusals_.stopped(run.started_))
@@ -205,28 +210,30 @@
             task.cancel()
 
     def _find_refusal(self, order):
-        if self.stopping_ or self.is_out():
-            return self.refusals_.draining(order.attempt_id, self._out_setting())
-        if not self.slots_.has_room(_now()):
+        if self.stopping_ or self.is_drained():
+            return self.refusals_.draining(order.attempt_id, self._blocking_setting())
+        if not self.slots_.can_accept(_now()):
             return self.refusals_.no_slot(order.attempt_id)
         return None
 
-    def is_out(self):
-        """Return whether operators took the endpoint or its domain out.
+    def is_drained(self):
+        """Return whether operators drained the endpoint or its failure domain.
 
         :rtype: bool
         """
-        return bool(self._out_setting())
+        return bool(self._blocking_setting())
 
-    def _out_setting(self):
+    def _blocking_setting(self):
         return self.holder.forbidding_setting(self.failure_domain, self.node_id)
 
     async def _run(self, run):
-        """Wait for a slot, claim, start and run."""
-        place = run.place_
+        """Wait for a slot, claim the key, and execute the run."""
+        slot_request = run.slot_request_
         try:
-            refusal = await self._begin(run) if await place.wait() else None
-            if not place.given_:
+            refusal = (
+                await self._claim_and_start(run) if await slot_request.wait() else None
+            )
+            if not slot_request.is_granted_:
                 refusal = self.refusals_.no_slot(run.order.attempt_id)
             if refusal is None:
                 await self._execute(run)
@@ -238,8 +245,11 @@
         finally:
             self._finish(run)
 
-    async def _begin(self, run):
-        """Make the claim and start; return a refusal if either can't be done."""
+    async def _claim_and_start(self, run):
+        """Claim the key and mark the attempt as started.
+
+        Return a refusal if either is not possible.
+        """
         order = run.order
         if run.is_keyed:
             answer = await self.claims_.claim(run)
@@ -255,10 +265,10 @@
     async def _execute(self, run):
         began = _now()
         try:
-            async with asyncio.timeout(self._run_bound_s(run.order)):
-                await self.client.call(run.order, run.take_head, run.take_data)
+            async with asyncio.timeout(self._run_timeout_s(run.order)):
+                await self.client.call(run.order, run.receive_head, run.receive_data)
             run.finish()
-            self._learn_service_time(_now() - began)
+            self._update_service_time(_now() - began)
             self.metrics_.observe("attempt_seconds", _now() - began)
         except _endpoint.EndpointError as error:
             run.started_ = error.sent
@@ -266,28 +276,28 @@
         except TimeoutError:
             run.refuse(self.refusals_.past_deadline())
 
-    def _run_bound_s(self, order):
+    def _run_timeout_s(self, order):
         """Return how long a run may take, in seconds.
 
-        One that may not be repeated outlives its caller, but not its claim.
+        A run that is not repeatable may outlive its caller, but not its claim.
         """
         if not order.repeatable:
             return outcome.CLAIM_WINDOW_S - CLAIM_END_MARGIN_S
         return max(order.expires_at_ms / MILLISECONDS - _now(), 0.0)
 
     def _finish(self, run):
-        self.metrics_.count("attempts_total", result=_result(run))
-        self.slots_.leave(run.place_, _now())
+        self.metrics_.count("attempts_total", result=_result_label(run))
+        self.slots_.release(run.slot_request_, _now())
         self._task_by_run.pop(run, None)
         for attempt_id in run.attempt_ids_:
             self.ledger.finish(attempt_id, _now())
         if run.is_keyed:
             self.claims_.finish(run)
             if not run.started_:
-                self.table_.unkey(run)
-        self.table_.hold(run, _now())
+                self.table_.release_key(run)
+        self.table_.record_end(run, _now())
 
-    def _learn_service_time(self, seconds):
+    def _update_service_time(self, seconds):
         if self.service_time_s_ == 0.0:
             self.service_time_s_ = seconds
         self.service_time_s_ += SERVICE_TIME_WEIGHT * (seconds - self.service_time_s_)
@@ -297,5 +307,5 @@
     return asyncio.get_running_loop().time()
 
 
-def _result(run):
+def _result_label(run):
     return str(run.end_.kind) if isinstance(run.end_, wire.Refused) else "answered"
--- a/libs/agent/src/sequoiagap/agent/_first_bytes.py
+++ b/libs/agent/src/sequoiagap/agent/_first_bytes.py
@@ -1,23 +1,23 @@
-"""Attempts that wait for a first byte which may never come."""
+"""Detects attempts whose first byte will never arrive."""
 
 import asyncio
 import socket
 
 REPORT_LAG_S = 1.0
-MISSING_S = 1.0
-SILENT_S = 2.0
+MISSING_TIMEOUT_S = 1.0
+SILENCE_TIMEOUT_S = 2.0
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 1
 
 
 def open_probed_socket(address_info):
-    """Return a socket that the system probes while it is idle.
+    """Return a socket with TCP keepalive probes.
 
-    A dead host, or a connection that something between has forgotten, is so found
+    A dead host, or a connection dropped by a device in between, is thereby detected
     within two seconds.
 
-    :param tuple address_info: what :func:`socket.getaddrinfo` returned.
+    :param tuple address_info: result of :func:`socket.getaddrinfo`.
     :rtype: socket.socket
     """
     family, kind, protocol, *_ = address_info
@@ -29,13 +29,14 @@
     return sock
 
 
-class FirstBytes:
-    """Ends waits for a first byte that the endpoint's reports show to be vain.
+class FirstByteWatchdog:
+    """Ends waits for a first byte that load reports show to be futile.
 
-    A report that lacks an attempt says that its answer, if there was one, is lost
-    on a silent connection. Reports lag, so it has to be lacking for a while. Where
-    the endpoint answers no probe at all, attempts that may be repeated end, as
-    another endpoint can be asked; the others wait, as nothing else could be had.
+    If a report does not contain an attempt, the endpoint does not run it, and its
+    answer, if there was one, was lost on a broken connection. Reports lag, so the
+    attempt has to be missing for some time. If the endpoint answers no probes at all,
+    waits of repeatable attempts end, because another endpoint can run the request;
+    other attempts keep waiting, because they have no alternative.
 
     .. code-block:: python
 
@@ -47,63 +48,69 @@
 
     def __init__(self):
         self._waits = set()
-        self._heard_at = None
-        self._has_counted = False
+        self._last_report_at = None
+        self._reports_requests = False
 
     def begin(self, order):
-        """Let reports end the wait of an attempt.
+        """Start to watch the wait of an attempt.
 
         :param sequoiagap.wire.Execute order: the attempt.
-        :returns: the wait; its timer is to be set.
-        :rtype: Wait
+        :returns: the wait; the caller sets its timer.
+        :rtype: FirstByteWait
         """
-        wait = Wait(order, _now())
+        wait = FirstByteWait(order, _now())
         self._waits.add(wait)
         return wait
 
     def end(self, wait):
-        """Note that a wait is over.
+        """Stop watching a wait.
 
-        :param Wait wait: the wait; may be over already.
+        :param FirstByteWait wait: the wait; may have ended already.
         """
         self._waits.discard(wait)
 
-    def take_report(self, report, asked_at):
-        """Compare a report with the attempts that wait.
+    def record_report(self, report, requested_at):
+        """Compare a load report with the waiting attempts.
 
-        :param LoadReport report: what the endpoint says that it runs.
-        :param float asked_at: when it was asked, on the clock of the event loop.
+        :param LoadReport report: the endpoint's report.
+        :param float requested_at: when the report was requested, on the event loop's
+            clock, in seconds.
         """
-        self._heard_at = _now()
-        # One that never counted a request can't say that it runs none.
-        self._has_counted |= report.in_flight > 0
+        self._last_report_at = _now()
+        # A report of 0 requests proves nothing if the endpoint has never counted any.
+        self._reports_requests |= report.in_flight > 0
         for wait in list(self._waits):
-            is_lacking = self._has_counted and not report.may_run(wait.attempt_id)
-            if not is_lacking or asked_at - wait.began < REPORT_LAG_S:
+            is_missing = self._reports_requests and not report.may_run(wait.attempt_id)
+            if not is_missing or requested_at - wait.began < REPORT_LAG_S:
                 wait.missing_since = None
             elif wait.missing_since is None:
-                wait.missing_since = asked_at
-            elif asked_at - wait.missing_since >= MISSING_S:
-                wait.give_up("the endpoint does not run it and has sent no answer")
-
-    def take_silence(self):
-        """Note that the endpoint did not answer a probe."""
-        if self._heard_at is None or _now() - self._heard_at < SILENT_S:
+                wait.missing_since = requested_at
+            elif requested_at - wait.missing_since >= MISSING_TIMEOUT_S:
+                wait.expire(
+                    "the endpoint does not run the attempt and has sent no answer"
+                )
+
+    def record_probe_failure(self):
+        """Record that the endpoint did not answer a probe."""
+        if (
+            self._last_report_at is None
+            or _now() - self._last_report_at < SILENCE_TIMEOUT_S
+        ):
             return
         for wait in list(self._waits):
-            if wait.repeatable and _now() - wait.began >= SILENT_S:
-                wait.give_up(f"the endpoint answered no probe for {SILENT_S} s")
+            if wait.repeatable and _now() - wait.began >= SILENCE_TIMEOUT_S:
+                wait.expire(f"the endpoint answered no probe for {SILENCE_TIMEOUT_S} s")
 
 
-class Wait:
-    """One attempt's wait for its first byte.
+class FirstByteWait:
+    """Wait of one attempt for its first byte.
 
     :param sequoiagap.wire.Execute order: the attempt.
-    :param float began: when it began, on the clock of the event loop.
+    :param float began: start of the wait, on the event loop's clock, in seconds.
 
-    :ivar asyncio.Timeout timer: is made to expire if the wait is vain.
-    :ivar missing_since: since when reports lack the attempt, or ``None``.
-    :ivar str vain_: why the wait was ended, or empty.
+    :ivar asyncio.Timeout timer: timer that is expired if the wait is futile.
+    :ivar missing_since: time since which reports lack the attempt, or ``None``.
+    :ivar str end_reason_: why the wait was ended early; empty otherwise.
     """
 
     def __init__(self, order, began):
@@ -112,14 +119,14 @@
         self.timer = None
         self.began = began
         self.missing_since = None
-        self.vain_ = ""
+        self.end_reason_ = ""
 
-    def give_up(self, reason):
-        """End the wait.
+    def expire(self, reason):
+        """End the wait early.
 
-        :param str reason: why it is vain.
+        :param str reason: why it is futile.
         """
-        self.vain_ = reason
+        self.end_reason_ = reason
         self.timer.reschedule(_now())
 
 
--- a/libs/agent/src/sequoiagap/agent/_group_links.py
+++ b/libs/agent/src/sequoiagap/agent/_group_links.py
@@ -10,10 +10,10 @@
 
 
 class GroupLinks:
-    """Opens a connection to a peer when there is something to send.
+    """Sends messages to the other ranks and connects to them on demand.
 
-    :param list peers: settings of the ranks' agents, by rank.
-    :param int rank: own rank.
+    :param list peers: settings of the ranks' agents, indexed by rank.
+    :param int rank: rank of this agent.
     :param make_hello: function that returns this agent's hello.
 
     :ivar int messages_sent_: messages sent so far.
@@ -33,9 +33,9 @@
         self._tasks = base.TaskSet()
 
     async def send(self, rank, item):
-        """Send a message to a rank; tell whether it left.
+        """Send a message to a rank; return whether it was sent.
 
-        :param int rank: the receiver.
+        :param int rank: receiver of the message.
         :param item: the message.
         :rtype: bool
         """
@@ -50,26 +50,26 @@
         return True
 
     def start(self, coroutine, name):
-        """Run a task that ends with the links.
+        """Start a task that is cancelled when the links are closed.
 
-        :param collections.abc.Coroutine coroutine: what to run.
+        :param collections.abc.Coroutine coroutine: coroutine to run.
         :param str name: name of the task, for logs.
         :rtype: asyncio.Task
         """
         return self._tasks.start(coroutine, name)
 
     def mark_busy(self, busy):
-        """Say whether a decision waits for the peers.
+        """Set whether a decision waits for the peers.
 
-        :param bool busy: busy connections are probed at short intervals, so that
-            one that has gone silent is found and opened anew.
+        :param bool busy: busy connections are probed at short intervals, so that a
+            silent one is detected and replaced soon.
         """
         self._busy = busy
         for connection in self._connection_by_rank.values():
             connection.mark_busy(busy)
 
     async def close(self):
-        """Close every connection."""
+        """Close all connections."""
         await self._tasks.close()
         for connection in self._connection_by_rank.values():
             connection.close()
--- a/libs/agent/src/sequoiagap/agent/_group_loads.py
+++ b/libs/agent/src/sequoiagap/agent/_group_loads.py
@@ -1,14 +1,16 @@
-"""Loads and speeds of a group, gathered from the reports of its ranks."""
+"""Expert loads and rank speeds of a group, computed from rank reports."""
 
 from sequoiagap import experts
 
 
 class GroupLoads:
-    """Turns the ranks' running counts into the input of a plan.
+    """Estimates expert loads and rank speeds from the counters of the ranks.
 
     :param sequoiagap.experts.MapShape shape: dimensions of the maps.
 
-    :ivar float skew_: step-time skew of the last interval; 0 if not known.
+    :ivar float skew_: step-time skew of the last interval; 0 if unknown.
+    :ivar list last_shares_: share of each expert in the tokens of the last
+        interval, by layer.
     """
 
     def __init__(self, shape):
@@ -16,12 +18,12 @@
         self.skew_ = 0.0
         self.loads_ = experts.LoadEstimator(shape.layers, shape.experts)
         self.speeds_ = experts.SpeedEstimator(shape.ranks)
-        self.last_ = self.loads_.predict()
+        self.last_shares_ = self.loads_.predict()
         self._first_by_rank = {}
         self._last_by_rank = {}
 
-    def add(self, report):
-        """Keep a report until the next plan.
+    def record_report(self, report):
+        """Record a report for the next plan.
 
         :param sequoiagap.experts.RankReport report: the report.
         """
@@ -31,14 +33,14 @@
             self._first_by_rank[report.rank] = report
 
     def close_interval(self, version, placement):
-        """Take the reports since the last call.
+        """Update the estimates with the reports since the last call.
 
-        A rank that has not reported twice under the current map leaves a gap:
-        then the estimates stay.
+        If a rank has not reported twice under the current map, the interval is
+        incomplete and the estimates stay as they are.
 
         :param int version: version of the map in use.
         :param sequoiagap.experts.ExpertMap placement: the map in use.
-        :returns: whether there is no gap.
+        :returns: whether the interval was complete.
         :rtype: bool
         """
         pairs = []
@@ -53,7 +55,7 @@
         return True
 
     def plan_input(self, placement):
-        """Return the input of a plan.
+        """Return the input of the placement policy.
 
         :param sequoiagap.experts.ExpertMap placement: the map in use.
         :rtype: sequoiagap.experts.PlanInput
@@ -61,13 +63,13 @@
         return experts.PlanInput(
             placement,
             self.loads_.predict(),
-            self.last_,
+            self.last_shares_,
             self.speeds_.speeds_,
             self.loads_.weights(),
         )
 
     def _update(self, placement, pairs):
-        # Ranks report at different moments, so only rates can be compared.
+        # Ranks report at different times, so only rates are comparable.
         rates = [_rate(first, last) for first, last in pairs]
         steps = min(last.step - first.step for first, last in pairs)
         shape = self.shape
@@ -79,22 +81,23 @@
                 start = layer * shape.slots
                 for index, expert in enumerate(held):
                     row[expert] += per_slot[start + index]
-            # The estimator needs counts: they tell how far to trust the shares.
+            # The estimator weights shares by their number of tokens, so it needs
+            # counts.
             by_layer[layer] = [rate * steps for rate in row]
             if sum(row) > 0:
-                self.last_[layer] = [rate / sum(row) for rate in row]
+                self.last_shares_[layer] = [rate / sum(row) for rate in row]
         self.loads_.update(by_layer)
         self.speeds_.update([sum(r[0]) for r in rates], [r[1] for r in rates])
         self.skew_ = experts.step_skew(
             [
                 experts.rank_times(row, loads, self.speeds_.speeds_, shape.slots)
-                for row, loads in zip(placement.rows, self.last_, strict=True)
+                for row, loads in zip(placement.rows, self.last_shares_, strict=True)
             ]
         )
 
 
 def _rate(first, last):
-    """Return tokens of each slot and busy time, both for one step."""
+    """Return the tokens of each slot and the busy time in seconds, per step."""
     steps = last.step - first.step
     counts = zip(first.counts, last.counts, strict=True)
     per_slot = [max(now - then, 0) / steps for then, now in counts]
@@ -102,7 +105,7 @@
 
 
 def _continues(first, last):
-    """Tell whether a report counts on from an earlier one."""
+    """Return whether a report continues the counters of an earlier one."""
     if first is None or last is None or last.step <= first.step:
         return False
     return _is_same_run(first, last)
--- a/libs/agent/src/sequoiagap/agent/_group_maps.py
+++ b/libs/agent/src/sequoiagap/agent/_group_maps.py
@@ -1,4 +1,4 @@
-"""The maps that an agent knows, and the loading of their weights."""
+"""Expert maps known to the agent, and staging of their weights."""
 
 import asyncio
 
@@ -9,15 +9,17 @@
 _log = base.get_logger("group")
 
 
-class MapLibrary:
-    """Keeps maps by digest, passes them between agents and stages their weights.
+class MapStore:
+    """Stores maps by digest, exchanges them with peers and stages their weights.
 
     :param sequoiagap.settings.GroupSettings settings: the group and the rank.
-    :param RankEngineClient engine: the engine of the rank.
+    :param RankEngineClient engine: client of the rank's engine.
     :param GroupLinks links: connections to the other ranks.
 
     :ivar sequoiagap.experts.MapShape shape: dimensions of the group's maps.
-    :ivar dict by_digest: maps that are known here.
+    :ivar sequoiagap.experts.ExpertMap initial_map: map that every agent can
+        construct.
+    :ivar dict by_digest: stored maps by digest.
     """
 
     def __init__(self, settings, engine, links):
@@ -32,7 +34,7 @@
         self._staging_by_digest = {}
 
     def attach(self, handlers):
-        """Register the handlers of what peers ask and answer.
+        """Register the handlers of the peers' requests and answers.
 
         :param sequoiagap.wire.HandlerTable handlers: table of the peers' connections.
         """
@@ -41,7 +43,7 @@
         self.links.handlers_.add(experts.MapBody, self._on_map_body)
 
     def to_body(self, placement):
-        """Return the message that carries a map.
+        """Return the message that contains a map.
 
         :param sequoiagap.experts.ExpertMap placement: the map.
         :rtype: sequoiagap.experts.MapBody
@@ -52,22 +54,23 @@
             self.settings.name, placement.digest, numbers, placement.to_bytes()
         )
 
-    def remember(self, body):
-        """Keep a map.
+    def add(self, body):
+        """Store a map.
 
         :param body: a message with shape and content.
         :returns: the map.
         :rtype: sequoiagap.experts.ExpertMap
-        :raises sequoiagap.experts.ExpertMapError: if it is not one of this group.
+        :raises sequoiagap.experts.ExpertMapError: if the map does not fit the group.
         """
         placement = experts.ExpertMap.from_bytes(self.shape, body.content)
         self.by_digest[placement.digest] = placement
         return placement
 
-    def forget_except(self, needed):
-        """Drop the maps that nobody needs any more.
+    def retain(self, needed):
+        """Drop all maps that are no longer needed.
 
-        :param set needed: digests to keep; the initial map always stays.
+        :param set needed: digests to keep; the initial map and a map being staged are
+            always kept.
         """
         needed = needed | {self.initial_map.digest} | set(self._staging_by_digest)
         self.by_digest = {d: m for d, m in self.by_digest.items() if d in needed}
@@ -76,9 +79,9 @@
         """Have the engine load the weights of a map.
 
         :param sequoiagap.experts.MapBody body: the map.
-        :raises sequoiagap.base.SequoiagapError: if it can't.
+        :raises sequoiagap.base.SequoiagapError: if the engine fails to load them.
         """
-        self.remember(body)
+        self.add(body)
         task = self._staging_by_digest.get(body.digest)
         if task is None or task.done():
             call = self.engine.stage(body, STAGE_TIMEOUT_S)
@@ -86,8 +89,8 @@
             self._staging_by_digest = {body.digest: task}
         await asyncio.shield(task)
 
-    def fetch(self, digests):
-        """Load weights that the engine lacks; ask peers for maps not known here.
+    def load_missing(self, digests):
+        """Load weights that the engine lacks; request unknown maps from the peers.
 
         :param collections.abc.Iterable digests: digests of the maps.
         """
@@ -97,14 +100,14 @@
                 continue
             placement = self.by_digest.get(digest)
             if placement is None:
-                self.ask_for(digest)
+                self.request_map(digest)
                 continue
             body = self.to_body(placement)
-            self.links.start(self._stage_quietly(body), f"stage-{digest}")
+            self.links.start(self._stage_and_log(body), f"stage-{digest}")
             return
 
-    def ask_for(self, digest):
-        """Ask every peer for a map.
+    def request_map(self, digest):
+        """Request a map from all peers.
 
         :param str digest: digest of the map.
         """
@@ -113,7 +116,7 @@
             if rank != self.settings.rank:
                 self.links.start(self.links.send(rank, request), "map-request")
 
-    async def _stage_quietly(self, body):
+    async def _stage_and_log(self, body):
         try:
             await self.stage(body)
         except base.SequoiagapError as error:
@@ -141,6 +144,6 @@
 
     async def _on_map_body(self, connection, item):
         try:
-            self.remember(item)
+            self.add(item)
         except experts.ExpertMapError as error:
             _log.emit(base.Event.MAP_UNKNOWN, error=error.message)
--- a/libs/agent/src/sequoiagap/agent/_guard.py
+++ b/libs/agent/src/sequoiagap/agent/_guard.py
@@ -1,4 +1,4 @@
-"""Holds attempts back until their configuration version is known here."""
+"""Delays attempts until the configuration version they were decided under is known."""
 
 import asyncio
 
@@ -8,29 +8,28 @@
 
 
 class ConfigGuard:
-    """Stands before the handler of :class:`sequoiagap.wire.Execute`.
+    """Wraps the handler of :class:`sequoiagap.wire.Execute` with a version check.
 
-    No attempt passes before this process has learnt the configuration. One that
-    an entry has decided under a version that this process does not have waits
-    until that version is pulled; so whatever the version forbids is in force
-    when the attempt is looked at.
+    Attempts are refused until this process has a configuration. An attempt that an
+    entry decided under a newer version waits until that version has been pulled, so
+    that everything the version forbids is in force before the attempt is handled.
 
     :param sequoiagap.config.ConfigHolder holder: configuration in force.
-    :param ConfigSpread spread: pulls versions.
+    :param ConfigSync config_sync: pulls versions.
     """
 
-    def __init__(self, holder, spread):
+    def __init__(self, holder, config_sync):
         self.holder = holder
-        self.spread = spread
+        self.config_sync = config_sync
         self._tasks = base.TaskSet()
-        self._handle = None
+        self._next_handler = None
 
     def attach(self, handlers):
-        """Wrap the handler of attempts that a table has.
+        """Wrap the handler of attempts in a handler table.
 
         :param sequoiagap.wire.HandlerTable handlers: the table.
         """
-        self._handle = handlers.by_type[wire.Execute]
+        self._next_handler = handlers.by_type[wire.Execute]
         handlers.by_type[wire.Execute] = self._on_execute
 
     async def wait_idle(self):
@@ -39,46 +38,46 @@
             await asyncio.wait(list(self._tasks.tasks_))
 
     async def close(self):
-        """Drop attempts that wait for a version."""
+        """Cancel attempts that wait for a version."""
         await self._tasks.close()
 
     def find_refusal(self, order):
-        """Return why an attempt is refused, or ``None``.
+        """Return the refusal of an attempt, or ``None`` if it may run.
 
         :param sequoiagap.wire.Execute order: the attempt.
         :rtype: sequoiagap.wire.Refused | None
         """
         if not self.holder.ready_.is_set():
             return self._refused(
-                order, base.RefusalKind.NOT_READY, "no configuration is known here yet"
+                order, base.RefusalKind.NOT_READY, "this agent has no configuration yet"
             )
         if order.config_version > self.holder.current_.number:
             return self._refused(
                 order,
                 base.RefusalKind.NOT_READY,
-                f"version {order.config_version} is not known here yet",
+                f"this agent does not have version {order.config_version} yet",
             )
         return None
 
     async def _on_execute(self, connection, order):
         if order.config_version > self.holder.current_.number:
-            self._tasks.start(self._execute_later(connection, order), "catch-up")
+            self._tasks.start(self._execute_after_pull(connection, order), "catch-up")
             return
         await self._execute(connection, order)
 
-    async def _execute_later(self, connection, order):
+    async def _execute_after_pull(self, connection, order):
         try:
-            await self.spread.catch_up(connection, order.config_version)
+            await self.config_sync.pull(connection, order.config_version)
             await self._execute(connection, order)
         except base.WireError:
-            return  # the entry settles the attempt over a new connection
+            return  # the entry resolves the attempt over a new connection
 
     async def _execute(self, connection, order):
         refusal = self.find_refusal(order)
         if refusal is not None:
             await connection.send(refusal)
             return
-        await self._handle(connection, order)
+        await self._next_handler(connection, order)
 
     def _refused(self, order, kind, text):
         return wire.Refused(
--- a/libs/agent/src/sequoiagap/agent/_reports.py
+++ b/libs/agent/src/sequoiagap/agent/_heartbeats.py
@@ -1,4 +1,4 @@
-"""Heartbeats of the agent to a few entries, and how it is found at first."""
+"""Heartbeats to some of the entries, and announcement to the seed entries."""
 
 import asyncio
 import dataclasses
@@ -6,18 +6,18 @@
 
 from sequoiagap import base, members, platform, wire
 
-FEW_ENTRIES = 3
-REPORT_INTERVAL_S = 1.0
-ANNOUNCE_AFTER_S = 1.0
+MAX_RECEIVERS = 3
+HEARTBEAT_INTERVAL_S = 1.0
+ANNOUNCE_DELAY_S = 1.0
 SEND_TIMEOUT_S = 0.5
 
 
-class Reporter:
-    """Reports to a few of the entries that are connected.
+class HeartbeatSender:
+    """Sends heartbeats to some of the connected entries.
 
-    :param sequoiagap.settings.AgentSettings settings: checked settings.
+    :param sequoiagap.settings.AgentSettings settings: validated settings.
     :param sequoiagap.config.ConfigHolder holder: configuration in force.
-    :param set connections: open connections of entries; shared, not copied.
+    :param set connections: open connections of entries; shared with the agent.
     :param make_hello: function that returns this agent's hello.
     """
 
@@ -26,58 +26,64 @@
         self.holder = holder
         self.connections = connections
         self.make_hello = make_hello
-        self._chosen = set()
+        self._receivers = set()
         self._connected_at = time.monotonic()
 
     async def run(self, port):
-        """Report until cancelled; announce this process while nobody connects.
+        """Send heartbeats until cancelled.
 
-        :param int port: port that entries reach this process at.
+        While no entry is connected, the agent announces itself to the seed entries.
+
+        :param int port: port on which entries reach this agent.
         """
         while True:
-            await self._report()
+            await self._send_reports()
             await self._announce_if_alone(port)
-            await asyncio.sleep(REPORT_INTERVAL_S)
+            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
-    async def greet(self, connection):
-        """Report on a new connection at once if it is one of the few.
+    async def send_first_report(self, connection):
+        """Send a heartbeat over a new connection if its entry is a receiver.
 
         :param sequoiagap.wire.Connection connection: the entry.
         """
-        if connection in self.choose():
-            self._chosen.add(connection)
+        if connection in self.choose_receivers():
+            self._receivers.add(connection)
             await _send(connection, self._make_report())
 
-    def choose(self):
-        """Return the connections to report on: few, of the own domain first.
+    def choose_receivers(self):
+        """Return the connections that receive heartbeats.
+
+        Entries of the agent's own failure domain are preferred.
 
         :rtype: list[sequoiagap.wire.Connection]
         """
         by_id = {c.peer.node_id: c for c in self.connections if not c.closed_}
         own = self.settings.failure_domain
-        near = [i for i, c in by_id.items() if c.peer.failure_domain == own]
-        chosen = members.choose(self.settings.node_id, near or by_id, FEW_ENTRIES)
+        local_ids = [i for i, c in by_id.items() if c.peer.failure_domain == own]
+        chosen = members.choose(
+            self.settings.node_id, local_ids or by_id, MAX_RECEIVERS
+        )
         return [by_id[node_id] for node_id in chosen]
 
-    async def _report(self):
-        chosen = self.choose()
-        left = self._chosen.difference(chosen) & self.connections
-        self._chosen = set(chosen)
-        last = members.MemberReport(0, self.holder.current_.number)
+    async def _send_reports(self):
+        chosen = self.choose_receivers()
+        dropped = self._receivers.difference(chosen) & self.connections
+        self._receivers = set(chosen)
+        final_report = members.MemberReport(0, self.holder.current_.number)
         await asyncio.gather(
             *(_send(connection, self._make_report()) for connection in chosen),
-            *(_send(connection, last) for connection in left),
+            *(_send(connection, final_report) for connection in dropped),
         )
 
     def _make_report(self):
-        interval_ms = int(REPORT_INTERVAL_S * 1000)
+        interval_ms = int(HEARTBEAT_INTERVAL_S * 1000)
         return members.MemberReport(interval_ms, self.holder.current_.number)
 
     async def _announce_if_alone(self, port):
         now = time.monotonic()
         if self.connections:
             self._connected_at = now
-        if now - self._connected_at < ANNOUNCE_AFTER_S:
+        if now - self._connected_at < ANNOUNCE_DELAY_S:
             return
         for seed in self.settings.seeds:
             await self._announce(seed, port)
--- a/libs/agent/src/sequoiagap/agent/_load_report.py
+++ b/libs/agent/src/sequoiagap/agent/_load_report.py
@@ -1,17 +1,17 @@
-"""What an endpoint says of itself."""
+"""Load report of an endpoint."""
 
 import dataclasses
 
 
 @dataclasses.dataclass(frozen=True)
 class LoadReport:
-    """What an endpoint says of itself; it lags.
+    """State and load that an endpoint reports; the report may lag.
 
-    :param str start_id: changes whenever the endpoint starts anew.
-    :param bool cold: whether it calls itself cold.
-    :param int in_flight: requests that run there.
-    :param running: ids of those requests, or ``None`` if it does not tell.
-    :param str role: its role, or empty if it names none.
+    :param str start_id: changes whenever the endpoint restarts.
+    :param bool cold: whether the endpoint reports that it is cold.
+    :param int in_flight: number of requests that run at the endpoint.
+    :param running: ids of those requests, or ``None`` if not reported.
+    :param str role: role of the endpoint; empty if not reported.
     """
 
     start_id: str
@@ -21,7 +21,7 @@
     role: str = ""
 
     def may_run(self, attempt_id):
-        """Return whether an attempt may run there.
+        """Return whether an attempt may be running at the endpoint.
 
         :param str attempt_id: the attempt.
         :rtype: bool
@@ -32,11 +32,11 @@
 
 
 def from_document(document):
-    """Return the report of an endpoint's JSON document.
+    """Return the load report in a JSON document of an endpoint.
 
-    :param dict document: what ``GET /load`` answered.
+    :param dict document: body of the response to ``GET /load``.
     :rtype: LoadReport
-    :raises KeyError: if it lacks a value.
+    :raises KeyError: if a required value is missing.
     """
     return LoadReport(
         document["start_id"],
--- a/libs/agent/src/sequoiagap/agent/_group.py
+++ b/libs/agent/src/sequoiagap/agent/_member.py
@@ -1,4 +1,4 @@
-"""One rank's part in its group: joining, answering rounds, driving the engine."""
+"""Member of a rank group: joins, answers rounds and orders its engine."""
 
 import asyncio
 import dataclasses
@@ -7,11 +7,11 @@
 from sequoiagap import base, experts
 from sequoiagap.agent import _rank_engine
 
-CALM_POLL_S = 0.5
-BUSY_POLL_S = 0.1
-CALM_BLOCKED_S = 0.2  # a step that waits longer than this is no longer calm
-STALLED_S = 1.0
-HANDLERS = {
+IDLE_POLL_INTERVAL_S = 0.5
+BUSY_POLL_INTERVAL_S = 0.1
+IDLE_MAX_BLOCKED_S = 0.2  # a step that waits longer is polled at the busy interval
+STALLED_AFTER_S = 1.0
+METHOD_BY_REQUEST = {
     experts.Join: "on_join",
     experts.Prepare: "on_prepare",
     experts.Arm: "on_arm",
@@ -22,22 +22,24 @@
 
 
 class GroupMember:
-    """The agent's side of the change protocol.
+    """Participant of the map change protocol for one rank.
 
-    Messages are handled one at a time: each reads the engine's state, decides,
-    carries out the orders and only then answers.
+    Messages are handled one at a time: the member reads the engine's state, decides,
+    executes the orders that follow, and only then answers.
 
     :param sequoiagap.settings.GroupSettings settings: the group and the rank.
-    :param RankEngineClient engine: the engine of the rank.
+    :param RankEngineClient engine: client of the rank's engine.
     :param GroupLinks links: connections to the other ranks.
-    :param MapLibrary maps: the maps that are known here.
+    :param MapStore maps: maps known to this agent.
     :param str incarnation: incarnation of the agent.
 
-    :ivar sequoiagap.experts.RankState state_: decisions, once the engine is seen.
-    :ivar EngineReport report_: last state of the engine.
-    :ivar float heard_at_: when a lower rank last led, monotonic seconds.
-    :ivar float prepared_at_: when a peer last opened a round, monotonic seconds.
-    :ivar bool engine_answers_: whether the engine answered last.
+    :ivar sequoiagap.experts.RankState state_: protocol state; ``None`` until the
+        engine has answered once.
+    :ivar EngineReport report_: last report of the engine.
+    :ivar float leader_heard_at_: when a lower rank last acted as leader, monotonic
+        seconds.
+    :ivar float round_opened_at_: when a peer last opened a round, monotonic seconds.
+    :ivar bool is_engine_reachable_: whether the engine answered the last call.
     """
 
     def __init__(self, settings, engine, links, maps, incarnation):
@@ -48,53 +50,55 @@
         self.incarnation = incarnation
         self.state_ = None
         self.report_ = None
-        self.heard_at_ = time.monotonic()
-        self.prepared_at_ = 0.0
-        self.engine_answers_ = False
+        self.leader_heard_at_ = time.monotonic()
+        self.round_opened_at_ = 0.0
+        self.is_engine_reachable_ = False
         self._start_id = None
-        self._begun = 0
+        self._start_count = 0
         self._was_stalled = False
         self._was_joining = False
         self._lock = asyncio.Lock()
 
     @property
     def ranks(self):
-        """Number of ranks."""
+        """Number of ranks in the group."""
         return len(self.settings.peers)
 
     @property
     def is_stalled(self):
         """Whether the group can't step, so that requests would only wait."""
-        if self.report_ is None or not self.engine_answers_:
+        if self.report_ is None or not self.is_engine_reachable_:
             return True
-        return self.report_.blocked_s > STALLED_S
+        return self.report_.blocked_s > STALLED_AFTER_S
 
     def attach(self, handlers):
-        """Register the handlers of what peers ask.
+        """Register the handlers of the peers' requests.
 
         :param sequoiagap.wire.HandlerTable handlers: table of the peers' connections.
         """
-        for kind in HANDLERS:
+        for kind in METHOD_BY_REQUEST:
             handlers.add(kind, self._on_request)
         handlers.add(experts.ReportRequest, self._on_report_request)
         self.links.handlers_.add(experts.Joined, self._on_joined)
 
     async def run(self):
-        """Follow the engine until cancelled."""
+        """Poll the engine until cancelled."""
         while True:
             try:
-                await self._follow()
+                await self._poll_engine()
             except base.SequoiagapError as error:
-                self.engine_answers_ = False
+                self.is_engine_reachable_ = False
                 if self._start_id is not None:
                     _log.emit(base.Event.RANK_UNREACHABLE, error=error.message)
-            self._note_stall()
-            await asyncio.sleep(CALM_POLL_S if self._is_calm() else BUSY_POLL_S)
+            self._log_stall_change()
+            await asyncio.sleep(
+                IDLE_POLL_INTERVAL_S if self._is_idle() else BUSY_POLL_INTERVAL_S
+            )
 
     async def handle(self, item):
-        """Decide on a message and carry out what follows.
+        """Decide on a message and execute the resulting orders.
 
-        :param item: a message of the change protocol.
+        :param item: a message of the map change protocol.
         :returns: the answer, or ``None``.
         """
         async with self._lock:
@@ -107,12 +111,12 @@
                 return None
 
     async def make_report(self):
-        """Return what the rank did, or ``None`` if its engine does not answer.
+        """Return the counters of the rank, or ``None`` if its engine does not answer.
 
         :rtype: sequoiagap.experts.RankReport | None
         """
         try:
-            report = await self.engine.report(with_counts=True)
+            report = await self.engine.fetch_report(with_counts=True)
         except base.SequoiagapError:
             return None
         return experts.RankReport(
@@ -126,7 +130,7 @@
         )
 
     def dump_state(self):
-        """Return the part of the state dump about the group.
+        """Return the member's part of the state dump.
 
         :rtype: dict
         """
@@ -152,42 +156,42 @@
             "bytes_sent": self.links.bytes_sent_,
         }
 
-    async def _follow(self):
+    async def _poll_engine(self):
         async with self._lock:
-            report = await self.engine.report()
+            report = await self.engine.fetch_report()
             self.report_ = report
-            self.engine_answers_ = True
+            self.is_engine_reachable_ = True
             if report.start_id != self._start_id:
-                self._begin(report)
+                self._start_incarnation(report)
             self.state_.view = report.view
         if not self.state_.joined_:
             self.links.mark_busy(True)
-            self._ask_to_join()
+            self._send_joins()
         elif self._was_joining:
             self.links.mark_busy(False)
         self._was_joining = not self.state_.joined_
         if report.missing:
-            self.maps.fetch(report.missing)
+            self.maps.load_missing(report.missing)
 
-    def _is_calm(self):
-        """Tell whether nothing waits for this rank."""
-        if self.state_ is None or not self.engine_answers_:
+    def _is_idle(self):
+        """Return whether no decision or weights are pending at this rank."""
+        if self.state_ is None or not self.is_engine_reachable_:
             return False
         report = self.report_
-        is_open = report.missing or report.blocked_s > CALM_BLOCKED_S
-        return self.state_.joined_ and not is_open
+        is_pending = report.missing or report.blocked_s > IDLE_MAX_BLOCKED_S
+        return self.state_.joined_ and not is_pending
 
-    def _begin(self, report):
-        """Start a fresh incarnation of the rank."""
+    def _start_incarnation(self, report):
+        """Start a new incarnation of the rank after a restart of its engine."""
         self._start_id = report.start_id
-        self._begun += 1
+        self._start_count += 1
         fence = max(self.engine.fence_, report.view.fence)
         self.engine.fence_ = fence
         self.state_ = experts.RankState(
             self.settings.name,
             self.settings.rank,
             self.ranks,
-            f"{self.incarnation}/{self._begun}",
+            f"{self.incarnation}/{self._start_count}",
             dataclasses.replace(report.view, fence=fence),
         )
         _log.emit(
@@ -197,16 +201,16 @@
             map_version=report.view.committed.version,
         )
 
-    def _ask_to_join(self):
+    def _send_joins(self):
         for rank in range(self.ranks):
             if rank not in self.state_.acknowledged_:
                 item = self.state_.join(rank)
                 self.links.start(self.links.send(rank, item), f"join-{rank}")
 
     async def _handle(self, item):
-        report = await self.engine.report()
+        report = await self.engine.fetch_report()
         if report.start_id != self._start_id:
-            self._begin(report)
+            self._start_incarnation(report)
         self.report_ = report
         self.state_.view = report.view
         if isinstance(item, experts.Joined):
@@ -214,23 +218,24 @@
             if effects.orders or self.state_.joined_:
                 self._log_joined()
         else:
-            effects = getattr(self.state_, HANDLERS[type(item)])(item)
+            effects = getattr(self.state_, METHOD_BY_REQUEST[type(item)])(item)
         if self._must_hold(effects.reply):
             hold = experts.Order(experts.OrderKind.HOLD, item.epoch)
-            await self.engine.order(hold)
-            effects.reply.step = (await self.engine.report()).view.step
-        return await self._carry_out(effects)
+            await self.engine.send_order(hold)
+            effects.reply.step = (await self.engine.fetch_report()).view.step
+        return await self._execute(effects)
 
-    async def _carry_out(self, effects):
+    async def _execute(self, effects):
         for order in effects.orders:
             try:
-                await self.engine.order(order)
+                await self.engine.send_order(order)
             except _rank_engine.EngineOrderError as error:
                 _log.emit(base.Event.RANK_ORDER_FAILED, error=error.message)
-                self._take_back(order)
-                return _refusal(effects.reply)
+                self._undo(order)
+                return _mark_rejected(effects.reply)
             except _rank_engine.EngineUnavailableError:
-                # Whether it took effect is unknown: start over from its state.
+                # It is unknown whether the order took effect: start over from the
+                # engine's state.
                 self._start_id = None
                 raise
             _log.emit(
@@ -241,13 +246,13 @@
                 map_version=order.target.version,
                 at_step=order.target.at_step,
             )
-            self.maps.forget_except(
+            self.maps.retain(
                 {self.state_.previous_.digest, self.state_.committed_.digest}
             )
         return effects.reply
 
-    def _take_back(self, order):
-        """Forget an order that the engine refused; start over if it was decided."""
+    def _undo(self, order):
+        """Revert an order that the engine rejected; start over if it was decided."""
         if order.kind == experts.OrderKind.ARM:
             self.state_.fail(order)
         else:
@@ -261,7 +266,7 @@
         if item.group != self.settings.name:
             return
         if isinstance(item, experts.Prepare):
-            self.prepared_at_ = time.monotonic()
+            self.round_opened_at_ = time.monotonic()
         reply = await self.handle(item)
         if reply is not None:
             await connection.send(reply)
@@ -271,7 +276,7 @@
 
     async def _on_report_request(self, connection, item):
         if item.rank < self.settings.rank:
-            self.heard_at_ = time.monotonic()
+            self.leader_heard_at_ = time.monotonic()
         report = await self.make_report()
         if report is not None:
             await connection.send(report)
@@ -285,7 +290,7 @@
             map_version=self.state_.committed_.version,
         )
 
-    def _note_stall(self):
+    def _log_stall_change(self):
         if self.is_stalled == self._was_stalled:
             return
         self._was_stalled = self.is_stalled
@@ -293,7 +298,7 @@
         _log.emit(event, group=self.settings.name, rank=self.settings.rank)
 
 
-def _refusal(reply):
+def _mark_rejected(reply):
     if reply is not None:
         reply.accepted = False
     return reply
--- a/libs/agent/src/sequoiagap/agent/_observer.py
+++ b/libs/agent/src/sequoiagap/agent/_observer.py
@@ -1,4 +1,4 @@
-"""Shows the gate what becomes of each attempt at the endpoint."""
+"""Records the result of each attempt at the gate of the endpoint."""
 
 import time
 
@@ -8,9 +8,9 @@
 
 
 class AttemptObserver:
-    """Follows one attempt at the endpoint.
+    """Records the course of one attempt at the endpoint.
 
-    :param sequoiagap.admission.EndpointGate gate: what is told.
+    :param sequoiagap.admission.EndpointGate gate: gate of the endpoint.
     """
 
     def __init__(self, gate):
@@ -18,36 +18,36 @@
         self._began = time.monotonic()
         self._first_byte_s = None
         self._is_stream = False
-        self._failed = False
+        self._is_server_error = False
 
-    def head(self, status, headers):
-        """Take status and headers of the endpoint's answer.
+    def record_head(self, status, headers):
+        """Record status and headers of the endpoint's answer.
 
         :param int status: HTTP status.
-        :param headers: HTTP headers, with the start id where the endpoint
-            gives one.
+        :param headers: HTTP headers; they contain the start id if the endpoint sends
+            one.
         """
         self.gate.confirm_start(headers.get(START_ID_HEADER, ""), time.monotonic())
         self._is_stream = headers.get("Content-Type", "").startswith(EVENT_STREAM)
-        self._failed = status >= FIRST_SERVER_ERROR
+        self._is_server_error = status >= FIRST_SERVER_ERROR
 
-    def data(self):
-        """Note that bytes of the answer came."""
+    def record_data(self):
+        """Record that bytes of the answer arrived."""
         if self._first_byte_s is None:
             self._first_byte_s = time.monotonic() - self._began
 
-    def done(self):
-        """Note the end of a whole answer."""
+    def record_complete(self):
+        """Record the end of a complete answer."""
         now = time.monotonic()
-        if self._failed:
+        if self._is_server_error:
             self.gate.record_error(now)
         else:
             self.gate.record_answer(self._first_byte_s if self._is_stream else 0.0, now)
 
-    def failed(self):
-        """Note that the endpoint gave no whole answer.
+    def record_failure(self):
+        """Record that the endpoint gave no complete answer.
 
-        The end of the caller's own time comes as a cancellation and is not noted:
-        it says nothing about the endpoint.
+        An attempt that ends because the caller's deadline passes is cancelled and not
+        recorded: it says nothing about the endpoint.
         """
         self.gate.record_error(time.monotonic())
--- a/libs/agent/src/sequoiagap/agent/_orders.py
+++ b/libs/agent/src/sequoiagap/agent/_orders.py
@@ -1,4 +1,4 @@
-"""Orders to the endpoint: fenced, one at a time."""
+"""Orders to the endpoint, forwarded one at a time with fencing numbers."""
 
 import asyncio
 import dataclasses
@@ -9,8 +9,8 @@
 from sequoiagap.agent import _roles
 
 ORDER_TIMEOUT_S = 30.0
-IDLE_BOUND_S = 5.0
-IDLE_POLL_S = 0.1
+IDLE_TIMEOUT_S = 5.0
+IDLE_POLL_INTERVAL_S = 0.1
 STATUS_TIMEOUT_S = 1.0
 NOT_FOUND_STATUS = 404
 
@@ -23,20 +23,22 @@
     text: str = ""
 
 
-class OrderDesk:
-    """Passes orders on to the endpoint beside the agent.
+class OrderForwarder:
+    """Forwards orders to the endpoint beside the agent.
 
-    An order passes only if its fencing number is above every number met, and
-    only once the endpoint has no earlier order at work. That protects an engine
-    that does not check numbers itself.
+    An order is forwarded only if its fencing number is above every number seen so
+    far, and once the endpoint runs no earlier order. This protects engines that do
+    not check fencing numbers themselves.
 
     :param sequoiagap.settings.EndpointSettings endpoint: the endpoint.
     :param str endpoint_id: id of the endpoint.
-    :param sequoiagap.members.FenceStore store: numbers in the platform.
+    :param sequoiagap.members.FenceStore store: fencing numbers stored in the
+        platform.
     :param float timeout_s: longest time that an order may take, in seconds.
-    :param RoleKeeper roles: keeps work away while the role changes.
+    :param RoleManager roles: closes the gate while the role changes; ``None`` to
+        change roles without draining.
 
-    :ivar asyncio.Lock lock_: held while an order is at work.
+    :ivar asyncio.Lock lock_: held while an order runs.
     """
 
     def __init__(
@@ -48,20 +50,20 @@
         self.timeout_s = timeout_s
         self.roles = roles
         self.fence_ = members.OrderFence()
-        self._learnt = False
-        self._last = None
+        self._has_highest_number = False
+        self._last_finished = None
         self.lock_ = asyncio.Lock()
         self._tasks = base.TaskSet()
 
     def attach(self, handlers):
-        """Register the message handler of orders.
+        """Register the handler of orders.
 
         :param sequoiagap.wire.HandlerTable handlers: table to fill.
         """
         handlers.add(members.EndpointOrder, self._on_order)
 
     async def close(self):
-        """Stop waiting for orders that are at work."""
+        """Stop waiting for running orders."""
         await self._tasks.close()
 
     async def _on_order(self, connection, order):
@@ -81,70 +83,70 @@
         reply = members.EndpointOrderReply(
             order.order_id, str(result.outcome), result.text
         )
-        # Where this fails, the orderer asks again with the same order id.
+        # If sending fails, the sender of the order retries with the same order id.
         await wire.try_send(connection, reply)
 
     async def run(self, order):
-        """Run one order; the caller sees to it that there is one at a time.
+        """Run one order; the caller holds :attr:`lock_`.
 
         :param sequoiagap.members.EndpointOrder order: the order.
         :returns: outcome and reason.
         """
         if self.endpoint.kind == "service":
-            text = "a plain service takes no orders"
+            text = "a plain service does not support orders"
             return _Result(members.OrderOutcome.REFUSED, text)
-        if self._last is not None and self._last[0] == order.order_id:
-            return self._last[1]
+        if self._last_finished is not None and self._last_finished[0] == order.order_id:
+            return self._last_finished[1]
         try:
-            await self._learn()
+            await self._load_highest_number()
             await self._wait_until_idle()
         except (base.PlatformError, base.ConfigError) as error:
             return _Result(members.OrderOutcome.REFUSED, error.message)
-        objection = self.fence_.find_objection(order.fencing, order.order_id)
-        if objection:
-            return _Result(members.OrderOutcome.REFUSED, objection)
-        result = await self._pass_on(order)
+        rejection_reason = self.fence_.find_objection(order.fencing, order.order_id)
+        if rejection_reason:
+            return _Result(members.OrderOutcome.REFUSED, rejection_reason)
+        result = await self._forward(order)
         if result.outcome != members.OrderOutcome.UNKNOWN:
-            self._last = (order.order_id, result)
+            self._last_finished = (order.order_id, result)
         return result
 
-    async def _pass_on(self, order):
-        """Send an order that may pass; a change of role waits for the attempts."""
+    async def _forward(self, order):
+        """Send an accepted order; a role change first drains the endpoint."""
         if order.kind != members.OrderKind.CHANGE_ROLE or self.roles is None:
             self.fence_.pass_order(order.fencing, order.order_id)
             return await self._send(order)
         try:
-            await self.roles.prepare()
+            await self.roles.begin_change()
         except _roles.RoleError as error:
             return _Result(members.OrderOutcome.REFUSED, str(error))
         try:
             self.fence_.pass_order(order.fencing, order.order_id)
             return await self._send(order)
         finally:
-            self.roles.finish()
+            self.roles.end_change()
 
-    async def _learn(self):
-        """Learn once, in a fresh process, which number was issued last."""
-        if not self._learnt:
+    async def _load_highest_number(self):
+        """Read the last issued number once after a start of the agent."""
+        if not self._has_highest_number:
             self.fence_.learn(await self.store.read(self.endpoint_id))
-            self._learnt = True
+            self._has_highest_number = True
 
     async def _wait_until_idle(self):
-        """Wait until the endpoint has no order at work, of whatever sender."""
+        """Wait until the endpoint runs no order, whoever sent it."""
         try:
-            async with asyncio.timeout(IDLE_BOUND_S):
-                while await self.is_at_work():  # noqa: ASYNC110 - asked over HTTP
-                    await asyncio.sleep(IDLE_POLL_S)
+            async with asyncio.timeout(IDLE_TIMEOUT_S):
+                while await self.has_running_order():  # noqa: ASYNC110 - polled over HTTP
+                    await asyncio.sleep(IDLE_POLL_INTERVAL_S)
         except (TimeoutError, aiohttp.ClientError, ValueError) as error:
             raise base.ConfigError(
-                f"endpoint does not say that it is free of orders ({error!r})",
-                "Look at the endpoint, then send the order again",
+                f"endpoint did not confirm that it runs no order ({error!r})",
+                "Check the endpoint, then send the order again",
             ) from error
 
-    async def is_at_work(self):
-        """Return whether the endpoint has an order at work, of whatever sender.
+    async def has_running_order(self):
+        """Return whether the endpoint runs an order, whoever sent it.
 
-        One that takes no orders has none.
+        An endpoint without an order API runs none.
 
         :rtype: bool
         """
--- a/libs/agent/src/sequoiagap/agent/_rank_engine.py
+++ b/libs/agent/src/sequoiagap/agent/_rank_engine.py
@@ -1,4 +1,4 @@
-"""HTTP calls to the rank's engine about its expert map."""
+"""HTTP client for the expert map of the rank's engine."""
 
 import asyncio
 import base64
@@ -15,11 +15,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class EngineKind:
-    """What engines of a kind can do.
+    """Capabilities of a kind of engine.
 
     :param int lead_steps: steps between the proposal of a map and its first use.
-    :param bool holds_on_prepare: whether the engine must stop before a round
-        begins, because it can't wait for a step that is still to come.
+    :param bool holds_on_prepare: whether the engine must stop before a round begins,
+        because it can't wait for a future step.
     """
 
     lead_steps: int
@@ -28,7 +28,7 @@
 
 @ENGINE_KINDS.register("hold_at_step")
 def _hold_at_step():
-    """Engines that run on and hold only at the armed step."""
+    """Engines that keep running when armed and hold at the armed step."""
     return EngineKind(lead_steps=8)
 
 
@@ -40,48 +40,48 @@
 
 @ENGINE_KINDS.register("switch_now")
 def _switch_now():
-    """Engines that stop on order and switch at once."""
+    """Engines that stop on order and switch immediately."""
     return EngineKind(lead_steps=0, holds_on_prepare=True)
 
 
 class UnstoppableEngineError(base.ConfigError):
-    """The engine can't be stopped at a step, so no group can rely on it."""
+    """The engine can't be stopped at a step, so it can't be part of a group."""
 
 
 @ENGINE_KINDS.register("never_holds")
 def _never_holds():
-    """Engines that switch at a step by themselves and can't be stopped.
+    """Engines that switch at a step on their own and can't be stopped.
 
-    Armed for a step they would switch there whether or not the other ranks have
-    armed too. A message that is late then gives two maps in one step, and nothing
-    that the agents do can prevent it.
+    Once armed for a step, such an engine switches there whether or not the other
+    ranks are armed. A delayed message then leads to two maps in one step, and the
+    agents have no means to prevent it.
     """
     raise UnstoppableEngineError(
-        "endpoint.engine: engines of kind never_holds can't be kept to one map",
-        "Leave out the section group, which keeps the map that the engines have, "
-        "or let the engines hold at a step until they are told to go on",
+        "endpoint.engine: engines of kind never_holds can't guarantee one map per step",
+        "Leave out the section group, so that the engines keep their present map, "
+        "or use engines that hold at a step until they are ordered to continue",
     )
 
 
 class EngineUnavailableError(base.SequoiagapError):
-    """The engine gave no usable answer."""
+    """The engine did not answer, or its answer is invalid."""
 
 
 class EngineOrderError(base.SequoiagapError):
-    """The engine refused an order."""
+    """The engine rejected an order."""
 
 
 @dataclasses.dataclass(frozen=True)
 class EngineReport:
     """State of the rank's engine.
 
-    :param str start_id: changes whenever the engine starts anew.
-    :param sequoiagap.experts.EngineView view: maps and step.
-    :param tuple missing: digests of maps whose weights it needs and lacks.
-    :param float blocked_s: how long the next step has been waiting.
-    :param float busy_s: time that the rank has computed.
-    :param int map_used: version that the last step used.
-    :param list counts: tokens of each slot since the map changed.
+    :param str start_id: changes whenever the engine restarts.
+    :param sequoiagap.experts.EngineView view: maps and current step.
+    :param tuple missing: digests of maps whose weights the engine needs and lacks.
+    :param float blocked_s: how long the next step has been waiting, in seconds.
+    :param float busy_s: time that the rank has spent computing, in seconds.
+    :param int map_used: version of the map that the last step used.
+    :param list counts: tokens of each slot since the last map change.
     """
 
     start_id: str
@@ -94,13 +94,13 @@
 
 
 class RankEngineClient:
-    """The only sender of map orders to the engine.
+    """Client of the rank's engine, and the only sender of map orders to it.
 
-    It compares fencing numbers itself, because some engines ignore them.
+    Fencing numbers are also checked here, because some engines ignore them.
 
-    :param sequoiagap.settings.EndpointSettings settings: where the engine is.
+    :param sequoiagap.settings.EndpointSettings settings: URL and kind of the engine.
 
-    :ivar int fence_: highest fencing number sent or met.
+    :ivar int fence_: highest fencing number sent or observed.
     """
 
     def __init__(self, settings):
@@ -118,31 +118,32 @@
         if self._session is not None:
             await self._session.close()
 
-    async def report(self, with_counts=False):
+    async def fetch_report(self, with_counts=False):
         """Return the state of the engine.
 
-        :param bool with_counts: whether to ask for the tokens of each slot.
+        :param bool with_counts: whether to request the tokens of each slot.
         :rtype: EngineReport
-        :raises EngineUnavailableError: if it does not answer in time.
+        :raises EngineUnavailableError: if the engine does not answer in time.
         """
         document = await self._call(
             "GET", "/group?counts=1" if with_counts else "/group"
         )
         try:
-            return _parse(document)
+            return _parse_report(document)
         except (KeyError, TypeError, ValueError) as error:
             raise _unavailable(error) from error
 
-    async def order(self, order):
-        """Give the engine an order.
+    async def send_order(self, order):
+        """Send an order to the engine.
 
         :param sequoiagap.experts.Order order: the order.
-        :raises EngineOrderError: if its number is old, or the engine refuses.
+        :raises EngineOrderError: if its fencing number is outdated, or if the engine
+            rejects it.
         :raises EngineUnavailableError: if the engine does not answer in time.
         """
         if order.epoch < self.fence_:
             raise EngineOrderError(
-                f"order {order.epoch} is older than {self.fence_}", "Ask for a new one"
+                f"order {order.epoch} is older than {self.fence_}", "Request a new one"
             )
         self.fence_ = order.epoch
         body = {
@@ -154,12 +155,12 @@
         await self._call("POST", "/group/order", body)
 
     async def stage(self, item, timeout_s):
-        """Load the weights of a map; returns once they are there.
+        """Load the weights of a map into the engine; return once they are loaded.
 
         :param sequoiagap.experts.MapBody item: the map.
         :param float timeout_s: longest wait, in seconds.
-        :raises EngineOrderError: if the engine can't get them.
-        :raises EngineUnavailableError: if it does not answer in time.
+        :raises EngineOrderError: if the engine can't load them.
+        :raises EngineUnavailableError: if the engine does not answer in time.
         """
         content = base64.b64encode(item.content).decode()
         body = {"digest": item.digest, "shape": item.shape, "content": content}
@@ -175,12 +176,12 @@
             raise _unavailable(error) from error
         if response.status != 200:
             raise EngineOrderError(
-                f"the engine refused {path}: {document}", "Look at the engine's log"
+                f"the engine rejected {path}: {document}", "Check the engine's log"
             )
         return document
 
 
-def _parse(document):
+def _parse_report(document):
     view = experts.EngineView(
         document["step"],
         experts.MapRef.from_wire(document["previous"]),
@@ -203,5 +204,5 @@
 
 def _unavailable(error):
     return EngineUnavailableError(
-        f"the engine does not answer: {error!r}", "Check that the engine runs"
+        f"the engine does not answer: {error!r}", "Check that the engine is running"
     )
--- a/libs/agent/src/sequoiagap/agent/_group_member.py
+++ b/libs/agent/src/sequoiagap/agent/_rank_group.py
@@ -1,12 +1,12 @@
-"""Everything of an agent whose endpoint is a rank of a group."""
+"""Group components of an agent whose endpoint is a rank of a group."""
 
 import asyncio
 
 from sequoiagap import wire
 from sequoiagap.agent import (
-    _group,
     _group_links,
     _group_maps,
+    _member,
     _rank_engine,
     _rebalance,
     _rounds,
@@ -14,7 +14,7 @@
 
 
 class RankGroup:
-    """Wires the parts together.
+    """Builds and runs the group components of an agent.
 
     :param sequoiagap.settings.AgentSettings settings: settings with a group.
     :param make_hello: function that returns this agent's hello.
@@ -26,8 +26,8 @@
         group = settings.group
         self.engine_ = _rank_engine.RankEngineClient(settings.endpoint)
         self.links_ = _group_links.GroupLinks(group.peers, group.rank, make_hello)
-        maps = _group_maps.MapLibrary(group, self.engine_, self.links_)
-        self.member_ = _group.GroupMember(
+        maps = _group_maps.MapStore(group, self.engine_, self.links_)
+        self.member_ = _member.GroupMember(
             group, self.engine_, self.links_, maps, incarnation
         )
         rounds = _rounds.RoundRunner(self.member_, self.links_)
@@ -44,7 +44,7 @@
         return self.member_.is_stalled
 
     async def serve(self, connection):
-        """Serve the connection of a peer's agent until it ends.
+        """Serve the connection of a peer's agent until it closes.
 
         :param sequoiagap.wire.Connection connection: the peer.
         """
@@ -56,26 +56,26 @@
         await asyncio.gather(self.member_.run(), self.rebalancer_.run())
 
     async def close(self):
-        """Close every connection."""
+        """Close all connections."""
         await self.links_.close()
         await self.engine_.close()
 
     def set_gauges(self, metrics):
-        """Bring the group's gauges up to date.
+        """Update the gauges of the group.
 
         :param sequoiagap.base.Metrics metrics: metrics of the agent.
         """
-        lead = self.rebalancer_
+        rebalancer = self.rebalancer_
         state = self.member_.state_
         version = state.committed_.version if state is not None else 0
-        metrics.set_gauge("group_step_skew", lead.loads_.skew_)
+        metrics.set_gauge("group_step_skew", rebalancer.loads_.skew_)
         metrics.set_gauge("group_map_version", version)
         metrics.set_gauge("group_stalled", int(self.is_stalled))
-        metrics.set_gauge("group_map_changes", lead.changes_)
-        metrics.set_gauge("group_bytes_moved", lead.bytes_moved_)
+        metrics.set_gauge("group_map_changes", rebalancer.changes_)
+        metrics.set_gauge("group_bytes_moved", rebalancer.bytes_moved_)
 
     def dump_state(self):
-        """Return the group's part of the state dump.
+        """Return the group part of the state dump.
 
         :rtype: dict
         """
--- a/libs/agent/src/sequoiagap/agent/_refusals.py
+++ b/libs/agent/src/sequoiagap/agent/_refusals.py
@@ -1,17 +1,17 @@
-"""Why an agent ends an attempt without a whole answer."""
+"""Refusals: the messages that end an attempt without a complete answer."""
 
 from sequoiagap import base, outcome, wire
 
 RETRY_AFTER_MS = 500
 PLATFORM_RETRY_AFTER_MS = 2000
-FULL_RETRY_AFTER_MS = 5000
-_ELSEWHERE = "Try another endpoint"
-_ASK_AGAIN = "Nothing was run for this call; send it again with the same key"
-_CHECK_FIRST = "The request may have run; check before sending it again"
+CLAIMS_FULL_RETRY_AFTER_MS = 5000
+_TRY_OTHER_ENDPOINT = "Try another endpoint"
+_RESEND_SAME_KEY = "The request was not run; send it again with the same key"
+_CHECK_BEFORE_RESENDING = "The request may have run; check before sending it again"
 
 
 class Refusals:
-    """Makes refusals that name the configuration version in force.
+    """Creates refusals, which carry the configuration version in force.
 
     :param sequoiagap.config.ConfigHolder holder: configuration in force.
     """
@@ -20,39 +20,42 @@
         self.holder = holder
 
     def draining(self, attempt_id, setting):
-        """Return the refusal of an endpoint that takes no new work."""
+        """Return the refusal of an endpoint that accepts no new attempts."""
         return self._refused(
             base.RefusalKind.DRAINING,
-            "endpoint drains",
-            _ELSEWHERE,
+            "the endpoint is draining",
+            _TRY_OTHER_ENDPOINT,
             attempt_id=attempt_id,
             setting=setting,
         )
 
     def no_slot(self, attempt_id):
-        """Return the refusal of an endpoint that bears no more."""
+        """Return the refusal of an endpoint whose slots and queue are full."""
         return self._refused(
             base.RefusalKind.OVERLOADED,
-            "no free slot",
-            _ELSEWHERE,
+            "the endpoint has no free slot",
+            _TRY_OTHER_ENDPOINT,
             attempt_id=attempt_id,
         )
 
     def too_late(self, attempt_id):
-        """Return the refusal of an order that came after its deadline."""
+        """Return the refusal of an order that arrived after its deadline."""
         return self._refused(
             base.RefusalKind.DEADLINE,
-            "the order came after its deadline",
+            "the attempt arrived after its deadline",
             "Send the request again with a longer deadline",
             attempt_id=attempt_id,
         )
 
     def forgotten(self, attempt_id):
-        """Return the refusal of an order so old that its id may be forgotten."""
+        """Return the refusal of an order that arrived long after its deadline.
+
+        Its attempt id may have been dropped, so it is unknown whether it has run.
+        """
         return self._refused(
             base.RefusalKind.DEADLINE,
-            "the order came long after its deadline",
-            _CHECK_FIRST,
+            "the attempt arrived long after its deadline",
+            _CHECK_BEFORE_RESENDING,
             result=base.Outcome.UNKNOWN,
             attempt_id=attempt_id,
         )
@@ -62,21 +65,21 @@
         return self._refused(
             base.RefusalKind.REVOKED,
             "the attempt was revoked or its deadline passed before it started",
-            _ELSEWHERE,
+            _TRY_OTHER_ENDPOINT,
             attempt_id=attempt_id,
         )
 
     def mismatch(self, attempt_id):
-        """Return the refusal of a key that stands for another request."""
+        """Return the refusal of a key that belongs to a different request."""
         return self._refused(
             base.RefusalKind.IDEMPOTENCY_MISMATCH,
-            "the idempotency key stands for another method, path or body",
+            "the idempotency key was used with another method, path or body",
             "Use a fresh key for a different request",
             attempt_id=attempt_id,
         )
 
     def answer_gone(self, attempt_id):
-        """Return the refusal of a key that ran and whose answer is not held."""
+        """Return the refusal of a key that was used, whose answer is no longer held."""
         return self._refused(
             base.RefusalKind.ALREADY_RAN,
             "a request with this key already ran; its answer is no longer held",
@@ -88,44 +91,44 @@
     def stopped(self, started):
         """Return the refusal of a run that this agent stopped.
 
-        :param bool started: whether the endpoint may have begun to run it.
+        :param bool started: whether the endpoint may have started to run it.
         """
         result = base.Outcome.UNKNOWN if started else base.Outcome.NOT_RUN
         return self._refused(
             base.RefusalKind.DRAINING,
             "the agent stopped the run",
-            _CHECK_FIRST if started else _ELSEWHERE,
+            _CHECK_BEFORE_RESENDING if started else _TRY_OTHER_ENDPOINT,
             result=result,
         )
 
     def endpoint_failed(self, error):
-        """Return the refusal of an endpoint that gave no whole answer.
+        """Return the refusal after an incomplete answer of the endpoint.
 
-        :param EndpointError error: what happened.
+        :param EndpointError error: failure of the endpoint.
         """
         result = base.Outcome.UNKNOWN if error.sent else base.Outcome.NOT_RUN
         return self._refused(
             base.RefusalKind.ENDPOINT_ERROR,
             error.message,
-            _CHECK_FIRST if error.sent else _ELSEWHERE,
+            _CHECK_BEFORE_RESENDING if error.sent else _TRY_OTHER_ENDPOINT,
             result=result,
         )
 
     def past_deadline(self):
-        """Return the refusal of a run that its deadline cut short."""
+        """Return the refusal of a run that its deadline ended."""
         return self._refused(
             base.RefusalKind.DEADLINE,
-            "no whole answer came before the deadline",
-            _CHECK_FIRST,
+            "no complete answer arrived before the deadline",
+            _CHECK_BEFORE_RESENDING,
             result=base.Outcome.UNKNOWN,
         )
 
     def no_claim(self, answer, agent, incarnation):
-        """Return the refusal of a run whose claim was not given.
+        """Return the refusal of a run whose key could not be claimed.
 
-        :param sequoiagap.outcome.ClaimAnswer answer: what became of the claim.
-        :param str agent: this agent.
-        :param str incarnation: its incarnation.
+        :param sequoiagap.outcome.ClaimAnswer answer: result of the claim.
+        :param str agent: node id of this agent.
+        :param str incarnation: incarnation of this agent.
         """
         match answer.verdict:
             case outcome.ClaimVerdict.TAKEN:
@@ -136,21 +139,21 @@
                 return self._refused(
                     base.RefusalKind.OVERLOADED,
                     "too many keys are claimed at once",
-                    _ASK_AGAIN,
-                    retry_after_ms=FULL_RETRY_AFTER_MS,
+                    _RESEND_SAME_KEY,
+                    retry_after_ms=CLAIMS_FULL_RETRY_AFTER_MS,
                 )
             case outcome.ClaimVerdict.TOO_LATE:
                 return self._refused(
                     base.RefusalKind.DEADLINE,
                     "the key could not be claimed before the deadline",
-                    _ASK_AGAIN,
+                    _RESEND_SAME_KEY,
                     retry_after_ms=PLATFORM_RETRY_AFTER_MS,
                 )
             case _:
                 return self._refused(
                     base.RefusalKind.PLATFORM_DOWN,
-                    "the platform, which keeps claimed keys, does not answer",
-                    _ASK_AGAIN,
+                    "the platform, which stores claimed keys, does not answer",
+                    _RESEND_SAME_KEY,
                     retry_after_ms=PLATFORM_RETRY_AFTER_MS,
                 )
 
@@ -164,7 +167,7 @@
             refusal = self._refused(
                 base.RefusalKind.ENDPOINT_LOST,
                 f"the key was claimed by {claim.agent}, which may have run it",
-                _CHECK_FIRST,
+                _CHECK_BEFORE_RESENDING,
                 result=base.Outcome.UNKNOWN,
             )
         if claim.agent != agent:
--- a/libs/agent/src/sequoiagap/agent/_rounds.py
+++ b/libs/agent/src/sequoiagap/agent/_rounds.py
@@ -1,13 +1,13 @@
-"""Runs rounds of a change of map: sends, takes answers, sends again."""
+"""Rounds of the map change protocol: sends messages, collects answers, resends."""
 
 import asyncio
 import time
 
 from sequoiagap import base, experts
 
-RESEND_S = 0.3
+RESEND_INTERVAL_S = 0.3
 ROUND_TIMEOUT_S = 3.0
-ANSWERS = {
+METHOD_BY_ANSWER = {
     experts.Promise: "on_promise",
     experts.Armed: "on_armed",
     experts.Settled: "on_settled",
@@ -17,12 +17,12 @@
 
 
 class RoundRunner:
-    """Runs one round at a time as its proposer.
+    """Runs rounds of the map change protocol as their proposer, one at a time.
 
-    :param GroupMember member: the own rank.
+    :param GroupMember member: the rank of this agent.
     :param GroupLinks links: connections to the other ranks.
 
-    :ivar int rounds_: rounds run so far.
+    :ivar int rounds_: number of rounds started.
     """
 
     def __init__(self, member, links):
@@ -31,31 +31,32 @@
         self.rounds_ = 0
         self._highest = 0
         self._round = None
-        self._over = asyncio.Event()
+        self._finished = asyncio.Event()
         self._lock = asyncio.Lock()
-        for kind in ANSWERS:
+        for kind in METHOD_BY_ANSWER:
             links.handlers_.add(kind, self._on_answer)
 
     @property
     def is_running(self):
-        """Whether a round runs now."""
+        """Whether a round is running."""
         return self._lock.locked()
 
-    async def run(self, wanted=""):
-        """Run a round to its end or to a timeout; one at a time.
+    async def run(self, target_digest=""):
+        """Run one round until it ends or times out.
 
-        :param str wanted: digest of the map to change to; empty to settle only.
-        :returns: the round, or ``None`` if the rank does not take part yet.
+        :param str target_digest: digest of the map to change to; empty to only settle
+            a pending decision.
+        :returns: the round, or ``None`` if the rank has not joined the group yet.
         :rtype: sequoiagap.experts.Round | None
         """
         async with self._lock:
             self.links.mark_busy(True)
             try:
-                return await self._run(wanted)
+                return await self._run(target_digest)
             finally:
                 self.links.mark_busy(False)
 
-    async def _run(self, wanted):
+    async def _run(self, target_digest):
         state = self.member.state_
         membership = state.membership() if state is not None else ""
         if not membership:
@@ -69,7 +70,7 @@
             self.member.ranks,
             experts.next_epoch(highest, settings.rank, self.member.ranks),
             membership,
-            wanted,
+            target_digest,
             kind.lead_steps,
             kind.holds_on_prepare,
         )
@@ -80,13 +81,13 @@
         return self._round
 
     async def _drive(self, current):
-        self._over.clear()
+        self._finished.clear()
         deadline = time.monotonic() + ROUND_TIMEOUT_S
         while not current.is_over and time.monotonic() < deadline:
             self._send_all(current.outstanding())
             try:
-                async with asyncio.timeout(RESEND_S):
-                    await self._over.wait()
+                async with asyncio.timeout(RESEND_INTERVAL_S):
+                    await self._finished.wait()
             except TimeoutError:
                 continue
 
@@ -100,22 +101,22 @@
             return
         reply = await self.member.handle(send.item)
         if reply is not None:
-            self._take(reply)
+            self._record_answer(reply)
 
     async def _on_answer(self, connection, item):
-        self._take(item)
+        self._record_answer(item)
 
-    def _take(self, item):
+    def _record_answer(self, item):
         if self._round is None or item.group != self.member.settings.name:
             return
         try:
-            sends = getattr(self._round, ANSWERS[type(item)])(item)
+            sends = getattr(self._round, METHOD_BY_ANSWER[type(item)])(item)
         except experts.MapConflictError as error:
             _log.emit(base.Event.RANK_ORDER_FAILED, error=str(error))
             return
         self._send_all(sends)
         if self._round.is_over:
-            self._over.set()
+            self._finished.set()
 
     def _log_end(self, current):
         _log.emit(
--- a/libs/agent/src/sequoiagap/agent/_claim_desk.py
+++ b/libs/agent/src/sequoiagap/agent/_run_claims.py
@@ -1,4 +1,4 @@
-"""Claims that runs need before they may start."""
+"""Claims of idempotency keys, made before a run starts."""
 
 import asyncio
 
@@ -8,10 +8,10 @@
 MILLISECONDS = 1000
 
 
-class ClaimDesk:
-    """Claims the keys of runs, in one store for each service.
+class RunClaims:
+    """Claims the idempotency keys of runs, with one store per service.
 
-    :param sequoiagap.platform.PlatformClient platform_client: keeps claims.
+    :param sequoiagap.platform.PlatformClient platform_client: stores claims.
     :param str node_id: id of the endpoint.
     :param str incarnation: incarnation of the agent.
     """
@@ -24,16 +24,16 @@
 
     @property
     def writes_(self):
-        """Conditional writes made."""
+        """Number of conditional writes made."""
         return sum(store.writes_ for store in self._store_by_service.values())
 
     @property
     def reads_(self):
-        """Reads made."""
+        """Number of reads made."""
         return sum(store.reads_ for store in self._store_by_service.values())
 
-    def wish(self, order):
-        """Return the claim that an order needs before it may run, or ``None``.
+    def make_proposal(self, order):
+        """Return the claim that an order needs before it runs, or ``None``.
 
         :param sequoiagap.wire.Execute order: the order.
         :rtype: sequoiagap.outcome.Claim | None
@@ -52,30 +52,30 @@
         )
 
     async def claim(self, run):
-        """Claim the key of a run within the time that its caller grants.
+        """Claim the key of a run before the deadline of its request.
 
-        :param Run run: the run; its wish is stamped with its expiry.
+        :param Run run: the run; the expiry time of its proposal is set.
         :rtype: sequoiagap.outcome.ClaimAnswer
         """
         store = self._store(run.order.target)
         now = asyncio.get_running_loop().time()
-        left_s = run.order.expires_at_ms / MILLISECONDS - now - CLAIM_MARGIN_S
-        run.wish = store.stamp(run.wish)
-        return await store.claim(run.wish, max(left_s, 0.0))
+        remaining_s = run.order.expires_at_ms / MILLISECONDS - now - CLAIM_MARGIN_S
+        run.proposal = store.stamp(run.proposal)
+        return await store.claim(run.proposal, max(remaining_s, 0.0))
 
     def finish(self, run):
-        """Mark the claim of a run that started, give up that of another.
+        """Mark the claim of a run that started as done; release the claim otherwise.
 
         :param Run run: the run, which has ended.
         """
         store = self._store(run.order.target)
         if run.started_:
-            store.mark_done(run.wish)
+            store.mark_done(run.proposal)
         else:
-            store.release(run.wish)
+            store.release(run.proposal)
 
     async def close(self):
-        """Let writes under way end within a bound, and stop writing."""
+        """Wait for pending writes within a timeout, then stop writing."""
         for store in self._store_by_service.values():
             await store.close()
 
--- a/libs/agent/src/sequoiagap/agent/_run_table.py
+++ b/libs/agent/src/sequoiagap/agent/_run_table.py
@@ -1,26 +1,26 @@
-"""Runs at the endpoint by attempt and by key, with their held answers."""
+"""Index of runs by attempt and by key, including buffered answers."""
 
 import collections
 import dataclasses
 
 from sequoiagap import base
 
-HOLD_S = 10.0
-KEYED_HOLD_S = 600.0
-HELD_BYTES = 8 * 1024 * 1024
+RETENTION_S = 10.0
+KEYED_RETENTION_S = 600.0
+MAX_HELD_BYTES = 8 * 1024 * 1024
 
 
 class RunTable:
-    """Runs under way, and ended ones that are held for a while.
+    """Holds active runs, and ended runs for a retention time.
 
-    :param int held_bytes: most bytes of ended answers to hold.
+    :param int held_bytes: limit on the bytes of answers of ended runs.
 
-    :ivar dict by_attempt_id: run by the id of each attempt that joined it.
-    :ivar dict by_identity: run by the identity of its key.
-    :ivar int held_bytes_: bytes of ended answers, as of their ends.
+    :ivar dict by_attempt_id: run of each attempt.
+    :ivar dict by_identity: run of each key, by the identity of the key.
+    :ivar int held_bytes_: bytes of ended answers, measured when each run ended.
     """
 
-    def __init__(self, held_bytes=HELD_BYTES):
+    def __init__(self, held_bytes=MAX_HELD_BYTES):
         self.held_bytes = base.check_positive("held_bytes", held_bytes)
         self.by_attempt_id = {}
         self.by_identity = {}
@@ -29,7 +29,7 @@
         self._ended_keyed = collections.deque()
 
     def add(self, run, attempt_id):
-        """Add an attempt's run.
+        """Add an attempt to a run.
 
         :param Run run: the run.
         :param str attempt_id: the attempt.
@@ -37,10 +37,10 @@
         self.by_attempt_id[attempt_id] = run
         run.attempt_ids_.append(attempt_id)
         if run.is_keyed:
-            self.by_identity[run.wish.identity] = run
+            self.by_identity[run.proposal.identity] = run
 
-    def hold(self, run, now):
-        """Note that a run has ended, and drop ended ones that are held too long.
+    def record_end(self, run, now):
+        """Record the end of a run and drop ended runs past their retention.
 
         :param Run run: the run.
         :param float now: the agent's clock in seconds.
@@ -53,24 +53,24 @@
         self.drop_old(now)
 
     def drop_old(self, now):
-        """Drop ended runs that are held too long or need too much memory.
+        """Drop ended runs past their retention time or over the memory limit.
 
         :param float now: the agent's clock in seconds.
         """
-        for ended, hold_s in (
-            (self._ended, HOLD_S),
-            (self._ended_keyed, KEYED_HOLD_S),
+        for ended, retention_s in (
+            (self._ended, RETENTION_S),
+            (self._ended_keyed, KEYED_RETENTION_S),
         ):
-            while ended and self._is_to_drop(ended[0], now - hold_s):
+            while ended and self._should_drop(ended[0], now - retention_s):
                 self._drop(ended.popleft())
 
-    def unkey(self, run):
-        """Let the key of a run that never started be tried again.
+    def release_key(self, run):
+        """Remove the key of a run, so that a later request may use it again.
 
         :param Run run: the run.
         """
-        if run.is_keyed and self.by_identity.get(run.wish.identity) is run:
-            del self.by_identity[run.wish.identity]
+        if run.is_keyed and self.by_identity.get(run.proposal.identity) is run:
+            del self.by_identity[run.proposal.identity]
 
     def running(self):
         """Return the runs that have not ended.
@@ -80,11 +80,11 @@
         runs = dict.fromkeys(self.by_attempt_id.values())
         return [run for run in runs if run.end_ is None]
 
-    def _is_to_drop(self, run, ended_before):
+    def _should_drop(self, run, ended_before):
         return run.ended_at_ < ended_before or self.held_bytes_ > self.held_bytes
 
     def _drop(self, run):
         self.held_bytes_ -= run.held_bytes_
         for attempt_id in run.attempt_ids_:
             self.by_attempt_id.pop(attempt_id, None)
-        self.unkey(run)
+        self.release_key(run)
--- a/libs/agent/src/sequoiagap/agent/_runs.py
+++ b/libs/agent/src/sequoiagap/agent/_runs.py
@@ -1,4 +1,4 @@
-"""Runs at the endpoint, their held answers and those who wait for them."""
+"""Runs at the endpoint, their buffered answers and the streams to entries."""
 
 import asyncio
 import dataclasses
@@ -10,49 +10,53 @@
 KEYED_BUFFER_BYTES = 1024 * 1024
 
 
-class Listener:
-    """Sends the answer of a run to one attempt of one entry.
+class AnswerStream:
+    """Sends the answer of a run to one attempt of an entry.
 
-    It sends at most :data:`WINDOW_CHUNKS` chunks ahead of the entry's credit, so
-    that a slow caller holds up nobody else on the connection.
+    At most :data:`WINDOW_CHUNKS` chunks are sent ahead of the entry's credit, so a
+    slow caller does not block other attempts on the same connection.
 
     :param Run run: the run.
     :param sequoiagap.wire.Connection connection: the entry.
-    :param str attempt_id: id under which the entry waits.
-    :param int next_sequence: first chunk to send.
+    :param str attempt_id: attempt that the entry waits for.
+    :param int next_sequence: number of the first chunk to send.
+
+    :ivar int acknowledged_: number of the first chunk that the entry has not
+        acknowledged.
     """
 
     def __init__(self, run, connection, attempt_id, next_sequence=0):
         self.run = run
         self.connection = connection
         self.attempt_id = attempt_id
-        self.taken_ = next_sequence
+        self.acknowledged_ = next_sequence
         self._sent = next_sequence
-        self._left = False
+        self._is_closed = False
         self._changed = asyncio.Event()
 
     def wake(self):
-        """Look again for something to send."""
+        """Wake the sender to check for data to send."""
         self._changed.set()
 
-    def leave(self):
+    def close(self):
         """Stop sending."""
-        self._left = True
+        self._is_closed = True
         self._changed.set()
 
-    def take_credit(self, next_sequence):
-        """Note that the entry has taken the chunks before a number.
+    def record_credit(self, next_sequence):
+        """Record that the entry has consumed all chunks before a number.
 
-        :param int next_sequence: first chunk that it has not taken.
+        :param int next_sequence: number of the first chunk not yet consumed.
         """
-        self.taken_ = max(self.taken_, min(next_sequence, self._sent))
-        self.run.drop_taken()
+        self.acknowledged_ = max(self.acknowledged_, min(next_sequence, self._sent))
+        self.run.drop_acknowledged()
         self._changed.set()
 
     async def send_all(self):
-        """Send the answer until its end.
+        """Send the complete answer.
 
-        :raises sequoiagap.base.WireError: if the connection is lost.
+        :raises sequoiagap.base.WireError: if the connection is lost or the stream is
+            closed.
         """
         run = self.run
         await self._wait_for(lambda: run.head_ is not None or run.end_ is not None)
@@ -68,9 +72,9 @@
         await self._send(run.end_)
 
     def _has_chunk(self):
-        is_in_window = self._sent - self.taken_ < WINDOW_CHUNKS
+        is_in_window = self._sent - self.acknowledged_ < WINDOW_CHUNKS
         has_chunk = self._sent < self.run.buffer.next_
-        return is_in_window and has_chunk and not self._left
+        return is_in_window and has_chunk and not self._is_closed
 
     def _may_send(self):
         run = self.run
@@ -81,8 +85,10 @@
         while not condition():
             self._changed.clear()
             await self._changed.wait()
-            if self._left:
-                raise base.WireError(f"nobody waits as {self.attempt_id}", "")
+            if self._is_closed:
+                raise base.WireError(
+                    f"the stream of attempt {self.attempt_id} is closed", ""
+                )
 
     async def _send(self, item):
         await self.connection.send(
@@ -91,73 +97,75 @@
 
 
 class Run:
-    """One execution at the endpoint.
-
-    :param sequoiagap.wire.Execute order: the order that it began with.
-    :param sequoiagap.outcome.Claim wish: claim to make first, or ``None``.
-
-    :ivar dict listener_by_attempt_id: who waits for the answer.
-    :ivar sequoiagap.wire.Head head_: status and headers, once there.
-    :ivar end_: final marker or refusal, once there.
-    :ivar bool started_: whether the endpoint may have begun to run it.
-    :ivar float ended_at_: when it ended, on the agent's clock.
-    :ivar int held_bytes_: bytes that were held at its end.
-    :ivar list attempt_ids_: attempts that joined it.
-    :ivar Place place_: its slot, or its place in the queue for one.
+    """One execution of a request at the endpoint, shared by its attempts.
+
+    :param sequoiagap.wire.Execute order: the order that started the run.
+    :param sequoiagap.outcome.Claim proposal: claim to make before the run starts, or
+        ``None``.
+
+    :ivar dict stream_by_attempt_id: open streams of the answer.
+    :ivar sequoiagap.wire.Head head_: status and headers, once received.
+    :ivar end_: final marker or refusal, once the run has ended.
+    :ivar bool started_: whether the endpoint may have started to run it.
+    :ivar float ended_at_: when the run ended, on the agent's clock, in seconds.
+    :ivar int held_bytes_: bytes in the buffer when the run ended.
+    :ivar list attempt_ids_: ids of the attempts that share the run.
+    :ivar SlotRequest slot_request_: its slot, or its position in the queue for one.
     """
 
-    def __init__(self, order, wish=None):
+    def __init__(self, order, proposal=None):
         self.order = order
-        self.wish = wish
-        size = BUFFER_BYTES if wish is None else KEYED_BUFFER_BYTES
+        self.proposal = proposal
+        size = BUFFER_BYTES if proposal is None else KEYED_BUFFER_BYTES
         self.buffer = outcome.AnswerBuffer(size)
-        self.listener_by_attempt_id = {}
+        self.stream_by_attempt_id = {}
         self.head_ = None
         self.end_ = None
         self.started_ = False
         self.ended_at_ = 0.0
         self.held_bytes_ = 0
         self.attempt_ids_ = []
-        self.place_ = None
-        self._room = asyncio.Event()
+        self.slot_request_ = None
+        self._has_space = asyncio.Event()
 
     @property
     def is_keyed(self):
-        """Whether others may ask for the answer with the key."""
-        return self.wish is not None
+        """Whether other attempts may request the answer with the key."""
+        return self.proposal is not None
 
-    def can_give_from(self, sequence):
-        """Return whether the answer is held from a chunk on.
+    def holds_from(self, sequence):
+        """Return whether the answer is buffered from a chunk onwards.
 
         :param int sequence: number of the chunk.
         :rtype: bool
         """
         return self.buffer.first_ <= sequence <= self.buffer.next_
 
-    def listen(self, connection, attempt_id, next_sequence=0):
-        """Add who waits for the answer.
+    def open_stream(self, connection, attempt_id, next_sequence=0):
+        """Add a stream of the answer to an entry.
 
         :param sequoiagap.wire.Connection connection: the entry.
-        :param str attempt_id: id under which it waits.
-        :param int next_sequence: first chunk to send.
-        :rtype: Listener
+        :param str attempt_id: attempt that the entry waits for.
+        :param int next_sequence: number of the first chunk to send.
+        :rtype: AnswerStream
         """
-        listener = Listener(self, connection, attempt_id, next_sequence)
-        self.listener_by_attempt_id[attempt_id] = listener
-        return listener
+        stream = AnswerStream(self, connection, attempt_id, next_sequence)
+        self.stream_by_attempt_id[attempt_id] = stream
+        return stream
 
-    def leave(self, listener):
-        """Remove who waited.
+    def close_stream(self, stream):
+        """Close a stream and remove it.
 
-        :param Listener listener: who; another one under its id stays.
+        :param AnswerStream stream: the stream; a newer stream of the same attempt
+            stays.
         """
-        if self.listener_by_attempt_id.get(listener.attempt_id) is listener:
-            del self.listener_by_attempt_id[listener.attempt_id]
-        listener.leave()
-        self._room.set()
+        if self.stream_by_attempt_id.get(stream.attempt_id) is stream:
+            del self.stream_by_attempt_id[stream.attempt_id]
+        stream.close()
+        self._has_space.set()
 
-    async def take_head(self, status, headers):
-        """Take status and headers of the answer.
+    async def receive_head(self, status, headers):
+        """Receive status and headers of the answer.
 
         :param int status: HTTP status.
         :param dict headers: HTTP headers.
@@ -165,46 +173,48 @@
         self.head_ = wire.Head("", status, headers)
         self._wake()
 
-    async def take_data(self, data):
-        """Take a piece of the answer; waits while those who wait are slow.
+    async def receive_data(self, data):
+        """Receive a part of the answer; waits while the buffer is full.
 
-        :param bytes data: the piece.
+        :param bytes data: the part.
         """
-        while self.buffer.is_full and not self._make_room():
-            self._room.clear()
-            await self._room.wait()
+        while self.buffer.is_full and not self._free_space():
+            self._has_space.clear()
+            await self._has_space.wait()
         self.buffer.append(data)
         self._wake()
 
     def finish(self):
-        """End the run with the whole answer."""
+        """End the run with a complete answer."""
         self._end(wire.Final("", self.buffer.next_, self.buffer.size_))
 
     def refuse(self, refusal):
-        """End the run without a whole answer.
+        """End the run without a complete answer, unless it has ended.
 
-        :param sequoiagap.wire.Refused refusal: why.
+        :param sequoiagap.wire.Refused refusal: the reason.
         """
         if self.end_ is None:
             self._end(refusal)
 
-    def drop_taken(self):
-        """Forget chunks that nobody may ask for again."""
+    def drop_acknowledged(self):
+        """Drop chunks that no attempt can request again."""
         if not self.is_keyed:
-            self._drop_taken()
-        self._room.set()
-
-    def _drop_taken(self):
-        taken = [item.taken_ for item in self.listener_by_attempt_id.values()]
-        if taken:
-            self.buffer.drop_before(min(taken))
-
-    def _make_room(self):
-        """Forget what need not be held; tell whether there is room now."""
-        if self.listener_by_attempt_id:
-            self._drop_taken()
+            self._drop_acknowledged()
+        self._has_space.set()
+
+    def _drop_acknowledged(self):
+        acknowledged = [
+            item.acknowledged_ for item in self.stream_by_attempt_id.values()
+        ]
+        if acknowledged:
+            self.buffer.drop_before(min(acknowledged))
+
+    def _free_space(self):
+        """Drop chunks that need not be kept; return whether there is space."""
+        if self.stream_by_attempt_id:
+            self._drop_acknowledged()
         elif not self.order.repeatable:
-            # Nobody waits, and the run must come to its end.
+            # No entry waits, but a run that is not repeatable must complete.
             self.buffer.drop_before(self.buffer.next_)
         return not self.buffer.is_full
 
@@ -213,5 +223,5 @@
         self._wake()
 
     def _wake(self):
-        for listener in self.listener_by_attempt_id.values():
-            listener.wake()
+        for stream in self.stream_by_attempt_id.values():
+            stream.wake()
--- a/libs/agent/src/sequoiagap/agent/_slots.py
+++ b/libs/agent/src/sequoiagap/agent/_slots.py
@@ -1,47 +1,49 @@
-"""Slots of the endpoint, and a short queue for them.
+"""Slots of the endpoint and a short queue for them.
 
-Entries only predict which endpoint has a free slot. Where two of them predict
-the same one, the later attempt waits here for the moment that a slot takes to
-become free, instead of being refused and sent around.
+Entries only estimate which endpoint has a free slot. When two of them choose the
+same slot, the later attempt waits here briefly until another slot becomes free,
+instead of being refused and retried at another endpoint.
 """
 
 import asyncio
 import collections
 
 MAX_WAIT_S = 0.3
-WAITING_PER_SLOT = 0.25
+MAX_WAITING_PER_SLOT = 0.25
 _OPEN_STATES = frozenset({"cold", "warming", "warm"})
 
 
-class Place:
-    """A slot, or a place in the queue for one.
+class SlotRequest:
+    """A slot, or a position in the queue for one.
 
-    :ivar bool given_: whether a slot was given.
+    :ivar bool is_granted_: whether a slot was granted.
+    :ivar asyncio.Event granted_event_: set when the slot is granted.
     """
 
     def __init__(self):
-        self.given_ = False
-        self.turn_ = asyncio.Event()
+        self.is_granted_ = False
+        self.granted_event_ = asyncio.Event()
 
     async def wait(self):
-        """Wait for the slot within :data:`MAX_WAIT_S`; tell whether it came.
+        """Wait for the slot for at most :data:`MAX_WAIT_S`.
 
+        :returns: whether the slot was granted.
         :rtype: bool
         """
-        if not self.given_:
+        if not self.is_granted_:
             try:
                 async with asyncio.timeout(MAX_WAIT_S):
-                    await self.turn_.wait()
+                    await self.granted_event_.wait()
             except TimeoutError:
-                return self.given_
-        return self.given_
+                return self.is_granted_
+        return self.is_granted_
 
 
 class SlotQueue:
-    """Gives the slots of a gate in order of arrival.
+    """Grants the slots of a gate in order of arrival.
 
-    :param sequoiagap.admission.EndpointGate gate: what the endpoint bears.
-    :param on_change: function that is called when an attempt came or went.
+    :param sequoiagap.admission.EndpointGate gate: limit on concurrent attempts.
+    :param on_change: function called whenever an attempt arrives or leaves.
     """
 
     def __init__(self, gate, on_change):
@@ -51,11 +53,11 @@
 
     @property
     def size_(self):
-        """Attempts that wait."""
+        """Number of waiting attempts."""
         return len(self._waiting)
 
-    def has_room(self, now):
-        """Tell whether an attempt gets a slot now or may wait for one.
+    def can_accept(self, now):
+        """Return whether an attempt gets a slot now or may wait for one.
 
         :param float now: monotonic time in seconds.
         :rtype: bool
@@ -65,39 +67,39 @@
             return True
         if self.gate.state not in _OPEN_STATES or not self.gate.serves_whole:
             return False
-        return len(self._waiting) < max(int(limit * WAITING_PER_SLOT), 1)
+        return len(self._waiting) < max(int(limit * MAX_WAITING_PER_SLOT), 1)
 
-    def enter(self, now):
-        """Take a slot, or a place in the queue.
+    def request_slot(self, now):
+        """Take a slot, or join the queue for one.
 
         :param float now: monotonic time in seconds.
-        :rtype: Place
+        :rtype: SlotRequest
         """
-        place = Place()
-        self._waiting.append(place)
-        self.pump(now)
+        slot_request = SlotRequest()
+        self._waiting.append(slot_request)
+        self.grant_free_slots(now)
         self.on_change()
-        return place
+        return slot_request
 
-    def leave(self, place, now):
-        """Give back a slot or a place.
+    def release(self, slot_request, now):
+        """Release a slot or leave the queue.
 
-        :param Place place: what :meth:`enter` returned.
+        :param SlotRequest slot_request: result of :meth:`request_slot`.
         :param float now: monotonic time in seconds.
         """
-        if place.given_:
+        if slot_request.is_granted_:
             self.gate.leave_slot()
-        elif place in self._waiting:
-            self._waiting.remove(place)
-        self.pump(now)
+        elif slot_request in self._waiting:
+            self._waiting.remove(slot_request)
+        self.grant_free_slots(now)
         self.on_change()
 
-    def pump(self, now):
-        """Give free slots to those who wait; to be called when the limit grows.
+    def grant_free_slots(self, now):
+        """Grant free slots to waiting attempts; call it whenever the limit may grow.
 
         :param float now: monotonic time in seconds.
         """
         while self._waiting and self.gate.try_enter(now):
-            place = self._waiting.popleft()
-            place.given_ = True
-            place.turn_.set()
+            slot_request = self._waiting.popleft()
+            slot_request.is_granted_ = True
+            slot_request.granted_event_.set()
--- a/tests/agent/group_case.py
+++ b/tests/agent/group_case.py
@@ -1,17 +1,17 @@
-"""Shared case of tests against one rank group."""
+"""Base class of tests with one rank group."""
 
 import tempfile
 
 from sequoiagap import standins
 from tests import support
 
-RECOVERS_WITHIN_S = 3 * support.FEW_SECONDS_S
+RECOVERY_TIMEOUT_S = 3 * support.FEW_SECONDS_S
 SETTINGS = {"policy": "full_replan"}
 ENGINE = {"trace": "oscillation", "checks_fencing": False}
 
 
 class GroupCase(support.AsyncCase):
-    """Runs tests against one group of agents and its engines."""
+    """Starts one group of agents with its engines."""
 
     plan = standins.RankFleetPlan(group=SETTINGS, engine=ENGINE)
 
@@ -24,7 +24,7 @@
         )
 
     async def wait_for_change(self):
-        """Wait until the group has changed its map once more and steps on."""
+        """Wait until the group has changed its map and continues to step."""
         before = await self.fleet.group()
 
         def has_changed(state):
@@ -33,9 +33,9 @@
                 and state["step"] > before["step"]
             )
 
-        return await self.fleet.wait_until(has_changed, RECOVERS_WITHIN_S)
+        return await self.fleet.wait_until(has_changed, RECOVERY_TIMEOUT_S)
 
     async def check(self):
-        """Check that the group recovers and never used two maps in a step."""
+        """Check that the group recovers and used one map in each step."""
         state = await self.wait_for_change()
         self.assertEqual(state["violations"], 0)
--- a/tests/agent/test_cold_endpoints.py
+++ b/tests/agent/test_cold_endpoints.py
@@ -1,4 +1,8 @@
-"""Endpoints that fall over when cold are never pushed over by the fleet."""
+"""Cold endpoints, which fail for a while when overloaded, under restarts.
+
+Guards against agents or entries that, after a restart, send a cold endpoint more
+requests than its cold capacity.
+"""
 
 import asyncio
 import signal
@@ -15,7 +19,7 @@
 
 
 class ColdEndpointsTest(support.FleetCase):
-    """Closed-loop callers keep every slot busy while processes come and go."""
+    """Closed-loop callers keep all slots busy while processes restart."""
 
     plan = standins.FleetPlan(
         entries=3,
@@ -36,27 +40,27 @@
         self.addAsyncCleanup(self._stop_callers)
         await self._wait_warm()
 
-    async def test_no_restart_pushes_an_endpoint_over(self):
+    async def test_no_restart_overloads_a_cold_endpoint(self):
         faults = {
             "engine killed and started again": self._restart_engine,
-            "agent killed while its endpoint works": self._restart_agent,
-            "engine and agent together": self._restart_both,
-            "every entry healed from a pause": self._pause_entries,
+            "agent killed while its endpoint is running": self._restart_agent,
+            "engine and agent killed together": self._restart_both,
+            "all entries resume after a pause": self._pause_entries,
             "entries killed and started again": self._restart_entries,
         }
-        for name, cause in faults.items():
+        for name, inject_fault in faults.items():
             with self.subTest(name):
-                await cause("north-model-0")
+                await inject_fault("north-model-0")
                 await asyncio.sleep(COLD_S + RECOVERY_S)
-                self.assertEqual(await self._count_falls(), 0)
+                self.assertEqual(await self._count_overloads(), 0)
                 await self._wait_warm()
 
-    async def test_silent_cold_is_found_by_its_errors(self):
-        """Nobody can know before the first fall; there must be no second."""
+    async def test_unreported_cold_state_is_detected_by_errors(self):
+        """The first overload can't be foreseen; there must be no second one."""
         await asyncio.sleep(1.0)
         await self._post("north-model-0-target", "/chill", {"seconds": 3.0})
         await asyncio.sleep(3.0)
-        self.assertLessEqual(await self._count_falls(), 1)
+        self.assertLessEqual(await self._count_overloads(), 1)
 
     async def _restart_engine(self, name):
         target = self.fleet.process_by_name[f"{name}-target"]
@@ -115,12 +119,12 @@
         endpoints = state["endpoints"].values()
         return all(view["state"] == "warm" for view in endpoints)
 
-    async def _count_falls(self):
-        falls = 0
+    async def _count_overloads(self):
+        overloads = 0
         for name in self.fleet.endpoint_names():
             _, stats = await self.fleet.call(f"{name}-target", "GET", "/stats")
-            falls += stats["fell_over"]
-        return falls
+            overloads += stats["fell_over"]
+        return overloads
 
     async def _post(self, name, path, body):
         status, _ = await self.fleet.call(name, "POST", path, body)
--- a/tests/agent/test_first_bytes.py
+++ b/tests/agent/test_first_bytes.py
@@ -1,4 +1,8 @@
-"""Which waits for a first byte reports show to be vain."""
+"""Load reports that end the wait for a first byte.
+
+Guards against attempts that wait for an answer lost on a broken connection, and
+against ending waits that may still succeed.
+"""
 
 import asyncio
 import dataclasses
@@ -9,24 +13,24 @@
 
 from sequoiagap.agent import _first_bytes, _load_report
 
-PROBE_S = 0.25
-BOUND_S = 20.0
+PROBE_INTERVAL_S = 0.25
+TIMEOUT_S = 20.0
 
 
 @dataclasses.dataclass
 class Order:
-    """What a wait knows of an order."""
+    """Fields of an order that the watchdog reads."""
 
     attempt_id: str = "a1"
     repeatable: bool = False
 
 
 def report(in_flight, running=None):
-    """Return a report of the endpoint."""
+    """Return a load report of the endpoint."""
     return _load_report.LoadReport("start-1", False, in_flight, running)
 
 
-class FirstBytesTest(unittest.TestCase):
+class FirstByteWatchdogTest(unittest.TestCase):
     def test_when_waits_end(self):
         counted, none, other = report(1), report(0), report(1, ["a2"])
         table = {
@@ -45,31 +49,31 @@
             with self.subTest(name):
                 ended = virtual.run(self.wait(repeatable, first, then))
                 if expected is None:
-                    self.assertGreaterEqual(ended, BOUND_S)
+                    self.assertGreaterEqual(ended, TIMEOUT_S)
                 else:
-                    self.assertAlmostEqual(ended, expected, delta=2 * PROBE_S)
+                    self.assertAlmostEqual(ended, expected, delta=2 * PROBE_INTERVAL_S)
 
     async def wait(self, repeatable, first, then):
-        """Wait while reports come; return how long it lasted, in seconds."""
+        """Wait while reports arrive; return the duration in seconds."""
         loop = asyncio.get_running_loop()
-        first_bytes = _first_bytes.FirstBytes()
+        first_bytes = _first_bytes.FirstByteWatchdog()
         reports = itertools.chain(first, itertools.cycle(then))
         probes = asyncio.create_task(self.probe(first_bytes, reports))
         wait = first_bytes.begin(Order(repeatable=repeatable))
         try:
-            async with asyncio.timeout(BOUND_S) as wait.timer:
-                await asyncio.sleep(2 * BOUND_S)
+            async with asyncio.timeout(TIMEOUT_S) as wait.timer:
+                await asyncio.sleep(2 * TIMEOUT_S)
         except TimeoutError:
             return loop.time()
         finally:
             probes.cancel()
 
     async def probe(self, first_bytes, reports):
-        """Give a report each interval; ``None`` is a probe without an answer."""
+        """Record a report each interval; ``None`` is a failed probe."""
         for item in reports:
-            await asyncio.sleep(PROBE_S)
+            await asyncio.sleep(PROBE_INTERVAL_S)
             if item is None:
-                first_bytes.take_silence()
+                first_bytes.record_probe_failure()
             else:
                 now = asyncio.get_running_loop().time()
-                first_bytes.take_report(item, now)
+                first_bytes.record_report(item, now)
--- a/tests/agent/test_footprint.py
+++ b/tests/agent/test_footprint.py
@@ -1,4 +1,4 @@
-"""The agent's process: what it imports, and its memory."""
+"""Memory of the agent process and modules it imports."""
 
 import re
 import sys
@@ -21,7 +21,7 @@
 class FootprintTest(support.FleetCase):
     plan = standins.FleetPlan(domains=("north",), entries=1, services_per_domain=0)
 
-    async def test_agent_stays_small(self):
+    async def test_agent_memory_is_bounded(self):
         for _ in range(REQUESTS):
             status, _ = await self.post_model(max_tokens=1)
             self.assertEqual(status, 200)
@@ -29,7 +29,7 @@
         resident = state["metrics"]["gauges"]["process_resident_bytes"]
         self.assertLess(resident, MAX_RESIDENT_BYTES)
 
-    async def test_agent_imports_no_server(self):
+    async def test_agent_imports_no_server_modules(self):
         path = self.fleet.folder / "north-model-0.json"
         process = standins.Process(
             "agent",
--- a/tests/agent/test_group_kinds.py
+++ b/tests/agent/test_group_kinds.py
@@ -1,4 +1,4 @@
-"""Rank groups whose engines change their map in different ways."""
+"""Rank groups with engines of different kinds."""
 
 import asyncio
 import types
@@ -15,7 +15,7 @@
         group=group_case.SETTINGS, engine=group_case.ENGINE, mode="switch_at_step"
     )
 
-    async def test_proposer_dies(self):
+    async def test_proposer_is_killed(self):
         for _ in range(3):
             await self.wait_for_change()
             await self.fleet.process_by_name["rank-0"].kill()
@@ -30,14 +30,14 @@
 
 
 class UnstoppableEngineTest(unittest.TestCase):
-    def test_engine_that_never_holds_is_refused_with_a_remedy(self):
+    def test_engine_that_never_holds_is_rejected_with_a_remedy(self):
         endpoint = types.SimpleNamespace(engine="never_holds")
         with self.assertRaisesRegex(base.ConfigError, "Leave out the section group"):
             _rank_engine.RankEngineClient(endpoint)
 
 
 class StuckChangeTest(group_case.GroupCase):
-    """No plan follows the broken one: the ranks themselves must settle it."""
+    """No further plan follows, so the ranks have to settle the change themselves."""
 
     plan = standins.RankFleetPlan(
         group=group_case.SETTINGS | {"interval_s": 600.0},
@@ -45,7 +45,7 @@
         mode="switch_now",
     )
 
-    async def test_ranks_settle_what_a_dead_proposer_left(self):
+    async def test_ranks_settle_a_round_of_a_dead_proposer(self):
         for after_s in (0.2, 0.4, 0.6):
             await self.fleet.process_by_name["rank-0"].kill()
             await self.fleet.start_agent(0, interval_s=1.0)
@@ -54,7 +54,7 @@
             planned = self.fleet.log(0).count("map_planned")
             await self.fleet.wait_until(
                 lambda _, n=planned: self.fleet.log(0).count("map_planned") > n,
-                group_case.RECOVERS_WITHIN_S,
+                group_case.RECOVERY_TIMEOUT_S,
             )
             await asyncio.sleep(after_s)
             await self.fleet.process_by_name["rank-0"].kill()
--- a/tests/agent/test_groups.py
+++ b/tests/agent/test_groups.py
@@ -1,4 +1,7 @@
-"""Rank groups of real agents under faults: one map in each step, recovery."""
+"""Rank groups of real agents under faults.
+
+Every fault must leave one map per step, and the group must recover.
+"""
 
 import asyncio
 import collections
@@ -9,8 +12,8 @@
 from tests import support
 from tests.agent import group_case
 
-CROSSED_S = 0.02  # shorter than the steps between arming and the change
-LATE_S = 0.4  # longer than a proposer waits before it sends again
+REORDER_DELAY_S = 0.02  # shorter than the steps between arming and the change
+LATE_DELAY_S = 0.4  # longer than the resend interval of a proposer
 ROUND_MESSAGES = (
     experts.Prepare,
     experts.Promise,
@@ -29,7 +32,7 @@
                 await getattr(self, name)()
                 await self.check()
 
-    async def fault_agent_of_a_rank_dies(self):
+    async def fault_agent_of_a_rank_is_killed(self):
         await self.fleet.process_by_name["rank-1"].kill()
         await asyncio.sleep(0.5)
         await self.fleet.start_agent(1)
@@ -62,7 +65,7 @@
         await asyncio.sleep(2.0)
         await self.fleet.set_rank_faults(1, frozen=False)
 
-    async def fault_rank_is_cut_off(self):
+    async def fault_rank_is_disconnected(self):
         for mode in (_relay.LinkMode.CUT, _relay.LinkMode.SILENT):
             self.fleet.relays_[1].set_mode(mode)
             await asyncio.sleep(1.0)
@@ -74,25 +77,25 @@
                 await self.fleet.set_rank_faults(rank, lose_staged=True)
             await asyncio.sleep(0.05)
 
-    async def fault_messages_are_doubled(self):
+    async def fault_messages_are_duplicated(self):
         await self.disturb(self.wait_for_change, copies=2)
 
-    async def fault_messages_are_doubled_and_crossed(self):
-        await self.disturb(self.wait_for_change, copies=2, spread_s=CROSSED_S)
+    async def fault_messages_are_duplicated_and_reordered(self):
+        await self.disturb(self.wait_for_change, copies=2, spread_s=REORDER_DELAY_S)
 
-    async def fault_messages_are_late_doubled_and_crossed(self):
-        await self.disturb(self.wait_for_steps, copies=2, spread_s=LATE_S)
+    async def fault_messages_are_late_duplicated_and_reordered(self):
+        await self.disturb(self.wait_for_steps, copies=2, spread_s=LATE_DELAY_S)
 
     async def wait_for_steps(self):
-        """Wait until the group has gone on, with whatever map."""
-        await asyncio.sleep(2 * LATE_S)
+        """Wait until the group has run further steps, under any map."""
+        await asyncio.sleep(2 * LATE_DELAY_S)
         steps = (await self.fleet.group())["step"]
         await self.fleet.wait_until(
             lambda state: state["step"] > steps, support.FEW_SECONDS_S
         )
 
     async def disturb(self, wait, copies, spread_s=0.0):
-        """Disturb frames between ranks until the group got on three times."""
+        """Duplicate and reorder frames between ranks until three waits are over."""
         for relay in self.fleet.relays_:
             relay.passed_by_number.clear()
             relay.crossed_ = 0
@@ -108,14 +111,14 @@
         if spread_s:
             self.assertGreater(sum(r.crossed_ for r in self.fleet.relays_), 0)
 
-    async def fault_proposer_dies_at_each_point(self):
+    async def fault_proposer_is_killed_at_each_point(self):
         for relay in self.fleet.relays_:
             relay.delay_s = 0.08
         for after_s in (0.05, 0.15, 0.25, 0.35, 0.45):
             planned = self.fleet.log(0).count("map_planned")
             await self.fleet.wait_until(
                 lambda _, n=planned: self.fleet.log(0).count("map_planned") > n,
-                group_case.RECOVERS_WITHIN_S,
+                group_case.RECOVERY_TIMEOUT_S,
             )
             await asyncio.sleep(after_s)
             await self.fleet.process_by_name["rank-0"].kill()
@@ -147,6 +150,6 @@
 
     async def test_group_without_maps_or_platform_starts(self):
         await self.fleet.wait_until(
-            lambda s: s["step"] > 10, group_case.RECOVERS_WITHIN_S
+            lambda s: s["step"] > 10, group_case.RECOVERY_TIMEOUT_S
         )
         await self.check()
--- a/tests/agent/test_guard.py
+++ b/tests/agent/test_guard.py
@@ -1,4 +1,8 @@
-"""Attempts that the configuration forbids never reach the endpoint."""
+"""Attempts that the configuration blocks never reach the endpoint.
+
+Guards against an attempt that starts under an older version than the one its entry
+decided with.
+"""
 
 import asyncio
 import unittest
@@ -12,7 +16,7 @@
 
 
 class FakeConnection:
-    """Keeps what is sent; answers a pull with a document, if it has one."""
+    """Records what is sent; answers a pull with a document, if it has one."""
 
     def __init__(self, holder, answer=None):
         self.sent = []
@@ -20,7 +24,7 @@
         self.answer = answer
 
     async def send(self, item):
-        """Take a message."""
+        """Receive a message."""
         self.sent.append(item)
         if isinstance(item, config.ConfigPull) and self.answer is not None:
             self.holder.adopt(self.answer, "entry")
@@ -45,7 +49,7 @@
         support.silence_logs()
         north = "failure_domains.north.state"
         cases = [
-            # own document, decided under, pulled, ready, refusal, forbidden by
+            # own document, decided version, pulled, ready, refusal, blocking setting
             (FREE, 4, None, True, None, ""),
             (FREE, 3, None, True, None, ""),
             (FREE, 4, None, False, "not_ready", None),
@@ -64,19 +68,19 @@
                     self.assertEqual(refusal.outcome, base.Outcome.NOT_RUN)
 
     async def _execute(self, own, decided, pulled, ready):
-        """Run an attempt; return what forbade it when it passed, and its refusal."""
+        """Return the blocking setting seen by the handler, and the refusal."""
         seen = []
         holder = config.ConfigHolder()
         holder.adopt(config.ConfigVersion(4, own), "test")
         if ready:
             holder.ready_.set()
 
-        async def look_at(connection, order):
+        async def record_setting(connection, order):
             seen.append(holder.forbidding_setting("north", "e1"))
 
         handlers = wire.HandlerTable()
-        handlers.add(wire.Execute, look_at)
-        guard = agent.ConfigGuard(holder, agent.ConfigSpread(holder, None))
+        handlers.add(wire.Execute, record_setting)
+        guard = agent.ConfigGuard(holder, agent.ConfigSync(holder, None))
         guard.attach(handlers)
         newer = None if pulled is None else config.ConfigVersion(5, pulled)
         connection = FakeConnection(holder, newer)
@@ -88,7 +92,7 @@
 
 
 class EmptyPlatform:
-    """Answers that there is no configuration; counts how often it was asked."""
+    """Has no configuration; counts its reads."""
 
     def __init__(self):
         self.reads = 0
@@ -100,17 +104,19 @@
         self.was_read.set()
 
 
-class LearnTest(unittest.IsolatedAsyncioTestCase):
-    async def test_first_version_is_worked_under_before_the_platform_is_read_again(
+class InitialVersionTest(unittest.IsolatedAsyncioTestCase):
+    async def test_first_version_is_used_before_the_platform_is_read_again(
         self,
     ):
         support.silence_logs()
         platform = EmptyPlatform()
         holder = config.ConfigHolder()
-        learning = asyncio.create_task(agent.ConfigSpread(holder, platform).learn())
+        loading = asyncio.create_task(
+            agent.ConfigSync(holder, platform).load_initial_version()
+        )
         await platform.was_read.wait()
         holder.adopt(config.ConfigVersion(1, FREE), "entry")
         async with asyncio.timeout(support.FEW_SECONDS_S):
-            await learning
+            await loading
         self.assertTrue(holder.ready_.is_set())
         self.assertEqual(platform.reads, 1)
--- a/tests/agent/test_orders.py
+++ b/tests/agent/test_orders.py
@@ -1,4 +1,7 @@
-"""Orders that come late, twice, or from orderers that race."""
+"""Orders to an endpoint that arrive late, twice or from concurrent senders.
+
+Guards against an older order that overrides a newer one at the engine.
+"""
 
 import asyncio
 import pathlib
@@ -11,40 +14,42 @@
 LATE_S = 0.15
 
 
-class Bench:
-    """An engine with an agent's order desk before it, and a platform."""
+class OrderBench:
+    """An engine behind an agent's order forwarder, and a platform."""
 
     def __init__(self, engine, platform_stand_in, client, endpoint):
         self.engine = engine
         self.platform = platform_stand_in
         self.store = members.FenceStore(client, bound_s=1.0)
         self.endpoint = endpoint
-        self.desk = None
+        self.forwarder = None
         self.replace_agent()
 
     def replace_agent(self):
-        """Put a fresh process in the agent's place."""
-        self.desk = agent.OrderDesk(self.endpoint, ENDPOINT, self.store, timeout_s=1.0)
+        """Replace the agent by a newly started one."""
+        self.forwarder = agent.OrderForwarder(
+            self.endpoint, ENDPOINT, self.store, timeout_s=1.0
+        )
 
-    async def take_number(self, order_id):
-        """Take the fencing number of an order."""
+    async def issue_number(self, order_id):
+        """Issue the fencing number of an order."""
         kind = members.OrderKind.LOAD_VERSION
         return await self.store.issue(ENDPOINT, order_id, kind, "ann")
 
     def order(self, order_id, number):
-        """Return the order that makes the engine load a version of its id."""
+        """Return an order to load the version that is named like the order."""
         return members.EndpointOrder(
             order_id, number, "load_version", {"version": order_id}
         )
 
     async def deliver(self, order_id, number):
-        """Deliver an order to the agent; return what became of it."""
+        """Deliver an order to the agent; return its outcome."""
         order = self.order(order_id, number)
-        async with self.desk.lock_:
-            return (await self.desk.run(order)).outcome
+        async with self.forwarder.lock_:
+            return (await self.forwarder.run(order)).outcome
 
-    def loaded(self):
-        """Return the version that the engine has."""
+    def loaded_version(self):
+        """Return the version that the engine has loaded."""
         return self.engine.state_by_kind.get("load_version", {}).get("version")
 
 
@@ -63,15 +68,15 @@
         endpoint = settings.EndpointSettings(
             kind="model", url=f"http://127.0.0.1:{port}", serves=["desk"]
         )
-        return Bench(engine, stand_in, client, endpoint)
+        return OrderBench(engine, stand_in, client, endpoint)
 
-    async def test_the_later_order_stays(self):
+    async def test_the_later_order_prevails(self):
         cases = [
             self.late_delivery,
-            self.paused_orderer,
-            self.racing_orderers,
+            self.paused_sender,
+            self.concurrent_senders,
             self.replaced_agent,
-            self.agent_killed_with_an_order_at_work,
+            self.agent_killed_while_an_order_runs,
             self.the_same_order_twice,
         ]
         for checks_fencing in (True, False):
@@ -79,36 +84,36 @@
                 with self.subTest(case.__name__, checks=checks_fencing):
                     bench = await self.make_bench(checks_fencing)
                     await case(bench)
-                    self.assertEqual(bench.loaded(), "second")
+                    self.assertEqual(bench.loaded_version(), "second")
                     self.assertEqual(bench.engine.applied_[-1], 2)
 
     async def late_delivery(self, bench):
-        first = await bench.take_number("first")
-        second = await bench.take_number("second")
+        first = await bench.issue_number("first")
+        second = await bench.issue_number("second")
         self.assertEqual(await bench.deliver("second", second), "done")
         self.assertEqual(await bench.deliver("first", first), "refused")
 
-    async def paused_orderer(self, bench):
-        """Pause an orderer between its number and its order, past any lease."""
-        first = await bench.take_number("first")
+    async def paused_sender(self, bench):
+        """Pause a sender between its number and its order, longer than any lease."""
+        first = await bench.issue_number("first")
         paused = asyncio.create_task(self._deliver_late(bench, "first", first))
-        second = await bench.take_number("second")
+        second = await bench.issue_number("second")
         self.assertEqual(await bench.deliver("second", second), "done")
         self.assertEqual(await paused, "refused")
 
-    async def racing_orderers(self, bench):
+    async def concurrent_senders(self, bench):
         names = ["first", "second"]
-        numbers = [await bench.take_number(name) for name in names]
+        numbers = [await bench.issue_number(name) for name in names]
         delivered = [bench.deliver(*item) for item in zip(names, numbers, strict=True)]
         outcomes = await asyncio.gather(*delivered)
         self.assertEqual(outcomes[1], "done")
-        taken = await asyncio.gather(*(bench.take_number(f"o{i}") for i in range(6)))
+        taken = await asyncio.gather(*(bench.issue_number(f"o{i}") for i in range(6)))
         self.assertEqual(sorted(taken), list(range(3, 9)))
 
     async def replaced_agent(self, bench):
-        """Replace the agent; the fresh one learns the last number first."""
-        first = await bench.take_number("first")
-        second = await bench.take_number("second")
+        """Replace the agent; the new one reads the last number first."""
+        first = await bench.issue_number("first")
+        second = await bench.issue_number("second")
         self.assertEqual(await bench.deliver("second", second), "done")
         bench.replace_agent()
         self.assertEqual(await bench.deliver("first", first), "refused")
@@ -116,24 +121,24 @@
         bench.platform.faults_.set({"down": True})
         self.assertEqual(await bench.deliver("first", first), "refused")
 
-    async def agent_killed_with_an_order_at_work(self, bench):
-        """Lose the agent while the engine goes on with its order."""
+    async def agent_killed_while_an_order_runs(self, bench):
+        """Kill the agent while the engine continues its order."""
         bench.engine.order_s = 0.4
-        first = await bench.take_number("first")
+        first = await bench.issue_number("first")
         lost = asyncio.create_task(bench.deliver("first", first))
         await asyncio.sleep(LATE_S)
         lost.cancel()
         bench.replace_agent()
         bench.engine.order_s = 0.0
-        second = await bench.take_number("second")
+        second = await bench.issue_number("second")
         self.assertEqual(await bench.deliver("second", second), "done")
         await asyncio.sleep(0.5)
 
     async def the_same_order_twice(self, bench):
-        first = await bench.take_number("first")
+        first = await bench.issue_number("first")
         self.assertEqual(await bench.deliver("first", first), "done")
-        second = await bench.take_number("second")
-        self.assertEqual(await bench.take_number("second"), second)
+        second = await bench.issue_number("second")
+        self.assertEqual(await bench.issue_number("second"), second)
         for _ in range(2):
             self.assertEqual(await bench.deliver("second", second), "done")
         self.assertEqual(bench.engine.applied_, [1, 2])
@@ -142,18 +147,18 @@
         await asyncio.sleep(LATE_S)
         return await bench.deliver(order_id, number)
 
-    async def test_without_the_agent_a_late_order_undoes_a_later_one(self):
-        """Show what the fence is for, on an engine that checks no numbers."""
-        for checks_fencing, loaded in ((False, "first"), (True, "second")):
+    async def test_without_the_agent_a_late_order_overrides_a_newer_one(self):
+        """An engine that checks no fencing numbers depends on the agent's check."""
+        for checks_fencing, loaded_version in ((False, "first"), (True, "second")):
             with self.subTest(checks=checks_fencing):
                 bench = await self.make_bench(checks_fencing)
                 for order_id, number in (("second", 2), ("first", 1)):
-                    await bench.desk._send(bench.order(order_id, number))
-                self.assertEqual(bench.loaded(), loaded)
+                    await bench.forwarder._send(bench.order(order_id, number))
+                self.assertEqual(bench.loaded_version(), loaded_version)
 
-    async def test_an_order_on_the_wire_of_a_killed_agent(self):
-        """An engine that checks refuses it; another may carry it out late."""
-        for checks_fencing, loaded in ((False, "first"), (True, "second")):
+    async def test_order_in_transit_from_a_killed_agent(self):
+        """Engines that check numbers reject the order; others may execute it late."""
+        for checks_fencing, loaded_version in ((False, "first"), (True, "second")):
             with self.subTest(checks=checks_fencing):
                 bench = await self.make_bench(checks_fencing)
                 port = int(bench.endpoint.url.rpartition(":")[2])
@@ -165,39 +170,39 @@
                 bench.endpoint = direct.model_copy(update={"url": url})
                 bench.replace_agent()
                 relay.set_mode(standins.LinkMode.SILENT)
-                first = await bench.take_number("first")
+                first = await bench.issue_number("first")
                 on_wire = asyncio.create_task(
-                    bench.desk._send(bench.order("first", first))
+                    bench.forwarder._send(bench.order("first", first))
                 )
                 await asyncio.sleep(LATE_S)
                 on_wire.cancel()
                 bench.endpoint = direct
                 bench.replace_agent()
-                second = await bench.take_number("second")
+                second = await bench.issue_number("second")
                 self.assertEqual(await bench.deliver("second", second), "done")
                 relay.heal()
                 await asyncio.sleep(2 * LATE_S)
-                self.assertEqual(bench.loaded(), loaded)
+                self.assertEqual(bench.loaded_version(), loaded_version)
 
-    async def test_numbers_are_settled_truthfully(self):
+    async def test_issued_numbers_survive_platform_faults(self):
         bench = await self.make_bench(False)
         bench.platform.faults_.set({"lose_answers": 1})
-        self.assertEqual(await bench.take_number("a"), 1)
-        self.assertEqual(await bench.take_number("b"), 2)
+        self.assertEqual(await bench.issue_number("a"), 1)
+        self.assertEqual(await bench.issue_number("b"), 2)
         for switches in ({"down": True}, {"silent": True}):
             with self.subTest(switches):
                 bench.platform.faults_.set(switches)
                 with self.assertRaises(base.PlatformError):
-                    await bench.take_number("c")
+                    await bench.issue_number("c")
                 bench.platform.faults_.__init__()
-        self.assertEqual(await bench.take_number("d"), 3)
+        self.assertEqual(await bench.issue_number("d"), 3)
 
     async def test_an_engine_that_does_not_answer_leaves_the_outcome_unknown(self):
         bench = await self.make_bench(False)
         bench.engine.order_s = 1.5
-        number = await bench.take_number("first")
+        number = await bench.issue_number("first")
         self.assertEqual(await bench.deliver("first", number), "unknown")
-        second = await bench.take_number("second")
+        second = await bench.issue_number("second")
         bench.engine.order_s = 0.0
         self.assertEqual(await bench.deliver("second", second), "done")
         self.assertEqual(bench.engine.applied_, [1, 2])
@@ -221,12 +226,12 @@
             ("/endpoints/nobody/orders", body, 404, "not_found"),
             ("/endpoints/north-desk-0/orders", body | {"order_id": "x"}, 409, None),
         ]
-        for where, order, status, kind in cases:
-            with self.subTest(where=where, order=order):
-                found = await self.fleet.call("entry-0", "POST", where, order)
-                self.assertEqual(found[0], status, found)
+        for order_path, order, status, kind in cases:
+            with self.subTest(order_path=order_path, order=order):
+                response = await self.fleet.call("entry-0", "POST", order_path, order)
+                self.assertEqual(response[0], status, response)
                 if kind:
-                    self.assertEqual(found[1]["error"]["type"], kind)
+                    self.assertEqual(response[1]["error"]["type"], kind)
         await self.fleet.set_faults("platform", down=True)
         status, reply = await self.fleet.call(
             "entry-0", "POST", path, {"kind": "drain", "order_id": "o2"}
