--- a/libs/agent/src/sequoiagap/agent/_heartbeats.py
+++ b/libs/agent/src/sequoiagap/agent/_heartbeats.py
@@ -27,7 +27,7 @@
         self.connections = connections
         self.make_hello = make_hello
         self._receivers = set()
-        self._connected_at = time.monotonic()
+        self._last_connected_at = time.monotonic()
 
     async def run(self, port):
         """Send heartbeats until cancelled.
@@ -38,7 +38,7 @@
         """
         while True:
             await self._send_reports()
-            await self._announce_if_alone(port)
+            await self._announce_if_unconnected(port)
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
     async def send_first_report(self, connection):
@@ -79,11 +79,11 @@
         interval_ms = int(HEARTBEAT_INTERVAL_S * 1000)
         return members.MemberReport(interval_ms, self.holder.current_.number)
 
-    async def _announce_if_alone(self, port):
+    async def _announce_if_unconnected(self, port):
         now = time.monotonic()
         if self.connections:
-            self._connected_at = now
-        if now - self._connected_at < ANNOUNCE_DELAY_S:
+            self._last_connected_at = now
+        if now - self._last_connected_at < ANNOUNCE_DELAY_S:
             return
         for seed in self.settings.seeds:
             await self._announce(seed, port)
--- a/libs/agent/src/sequoiagap/agent/_load_updates.py
+++ b/libs/agent/src/sequoiagap/agent/_load_updates.py
@@ -15,7 +15,7 @@
     """Last load report that was sent to an entry.
 
     :param int remote_count: attempts of other entries; ``None`` before a report.
-    :param float used_at: when it last sent an attempt or got an answer.
+    :param float used_at: when the entry last sent an attempt or got an answer.
     """
 
     remote_count: int | None = None
