Reword the request tests of entry in the terms of the field

tests/entry/callers.py and tests/entry/test_requests_*.py: docstrings, comments and names; bounds, seeds, faults and assertions are unchanged. FIELD: callers.Answer.is_whole is renamed to is_complete; it is a field of the tests only and is not written out.

--- a/tests/entry/callers.py
+++ b/tests/entry/callers.py
@@ -1,4 +1,4 @@
-"""What the tests of requests share: callers, and relays before agents."""
+"""Shared helpers of the request tests: HTTP callers and fault injection."""
 
 import ctypes
 import dataclasses
@@ -11,43 +11,45 @@
 
 from sequoiagap import standins
 
-MODEL = "middle-model-0"
-DESK = "middle-desk-0"
+ENGINE = "middle-model-0"
+SERVICE = "middle-desk-0"
 SO_ATTACH_FILTER = 26
-_DROP_ALL = ctypes.create_string_buffer(struct.pack("HBBI", 6, 0, 0, 0))
-ONE_DOMAIN = standins.FleetPlan(domains=("middle",), entries=2)
+_DROP_FILTER = ctypes.create_string_buffer(struct.pack("HBBI", 6, 0, 0, 0))
+ONE_DOMAIN_PLAN = standins.FleetPlan(domains=("middle",), entries=2)
 
 
 @dataclasses.dataclass
 class Answer:
-    """What a caller saw.
+    """The response that a caller received.
 
     :param int status: HTTP status.
-    :param str text: body, as far as it came.
-    :param headers: HTTP headers; names match in any case.
-    :param float seconds: how long it took.
-    :param bool is_whole: whether the HTTP body ended cleanly.
+    :param str text: body, as far as it was received.
+    :param headers: HTTP headers with case-insensitive names.
+    :param float seconds: duration of the request in seconds.
+    :param bool is_complete: whether the HTTP body ended without a transport error.
     """
 
     status: int
     text: str
     headers: object
     seconds: float
-    is_whole: bool
+    is_complete: bool
 
     @property
     def error(self):
-        """The typed refusal, or an empty map."""
+        """The error object of the body, or an empty dictionary."""
         try:
             return json.loads(self.text).get("error", {})
         except ValueError:
             return {}
 
     @property
-    def words(self):
-        """Words of a stream, in order."""
-        lines = [x[6:] for x in self.text.splitlines() if x.startswith("data: {")]
-        deltas = [json.loads(x) for x in lines]
+    def tokens(self):
+        """Tokens of a streamed completion, in order."""
+        events = [
+            line[6:] for line in self.text.splitlines() if line.startswith("data: {")
+        ]
+        deltas = [json.loads(line) for line in events]
         return [
             d["choices"][0]["delta"]["content"].strip()
             for d in deltas
@@ -55,12 +57,12 @@
         ]
 
 
-async def call(fleet, path, body, entry="entry-0", headers=None, on_data=None):
-    """Send one request and return what the caller saw."""
+async def post(fleet, path, body, entry="entry-0", headers=None, on_data=None):
+    """Send one POST request and return its response."""
     began = time.monotonic()
     headers = {"Authorization": "Bearer caller-key"} | (headers or {})
     url = fleet.url(entry) + path
-    text, is_whole = b"", True
+    text, is_complete = b"", True
     timeout = aiohttp.ClientTimeout(total=30)
     async with fleet.session_.post(
         url, json=body, headers=headers, timeout=timeout
@@ -71,29 +73,29 @@
                 if on_data is not None:
                     await on_data(text)
         except aiohttp.ClientError:
-            is_whole = False
+            is_complete = False
         return Answer(
             response.status,
             text.decode(),
             response.headers,
             time.monotonic() - began,
-            is_whole,
+            is_complete,
         )
 
 
-async def order(fleet, number, key=None, entry="entry-0", timeout_ms=None):
-    """File one order, which may not be repeated."""
+async def post_order(fleet, number, key=None, entry="entry-0", timeout_ms=None):
+    """Send one request to the service, which must not be repeated."""
     headers = {}
     if key is not None:
         headers["Idempotency-Key"] = key
     if timeout_ms is not None:
         headers["X-Request-Timeout-Ms"] = str(timeout_ms)
     path = "/services/orders/file"
-    return await call(fleet, path, {"n": number}, entry, headers)
+    return await post(fleet, path, {"n": number}, entry, headers)
 
 
-async def stream(fleet, tokens, entry="entry-0", on_data=None, timeout_ms=None):
-    """Ask the model for a stream."""
+async def post_stream(fleet, tokens, entry="entry-0", on_data=None, timeout_ms=None):
+    """Request a streamed chat completion."""
     headers = {}
     if timeout_ms is not None:
         headers["X-Request-Timeout-Ms"] = str(timeout_ms)
@@ -103,39 +105,39 @@
         "stream": True,
         "max_tokens": tokens,
     }
-    return await call(fleet, "/v1/chat/completions", body, entry, headers, on_data)
+    return await post(fleet, "/v1/chat/completions", body, entry, headers, on_data)
 
 
-def once_at_event(number, action):
-    """Return a reader that acts once, when an event of a stream has come.
+def run_at_event(number, action):
+    """Return a data callback that runs an action once, after a number of events.
 
-    Comments that keep a stream alive come after it, so a count alone is met twice.
+    Keep-alive comments may follow the event, so the same count is seen again.
     """
-    left = [action]
+    pending_actions = [action]
 
     async def on_data(text):
-        if text.count(b"data: ") >= number and left:
-            left.pop()()
+        if text.count(b"data: ") >= number and pending_actions:
+            pending_actions.pop()()
 
     return on_data
 
 
 async def executions(fleet, name):
-    """Return how often an endpoint ran each key."""
+    """Return the number of executions of each key at an endpoint."""
     _, counts = await fleet.call(f"{name}-target", "GET", "/executions")
     return counts
 
 
 async def in_flight(fleet, name):
-    """Return how many requests an agent has at its endpoint."""
+    """Return the number of requests that an agent has in flight at its endpoint."""
     _, state = await fleet.call("entry-0", "GET", f"/state/{name}")
     return state["endpoint"]["in_flight"]
 
 
-def drop_all(sock):
-    """Let the system drop what comes to a socket unacknowledged.
+def drop_packets(sock):
+    """Drop all incoming packets of a socket before they are acknowledged.
 
-    To its peer that is a host that has died.
+    To the peer, this looks like a host failure.
     """
-    program = struct.pack("HxxxxxxP", 1, ctypes.addressof(_DROP_ALL))
+    program = struct.pack("HxxxxxxP", 1, ctypes.addressof(_DROP_FILTER))
     sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
--- a/tests/entry/test_links_limited.py
+++ b/tests/entry/test_links_limited.py
@@ -93,11 +93,11 @@
             key = f"key-{number}"
             answers = await asyncio.gather(
                 *(
-                    callers.order(self.fleet, number, key, f"entry-{i % 2}")
+                    callers.post_order(self.fleet, number, key, f"entry-{i % 2}")
                     for i in range(4)
                 )
             )
-            answers.append(await callers.order(self.fleet, number, key, "entry-1"))
+            answers.append(await callers.post_order(self.fleet, number, key, "entry-1"))
             self.assertEqual([a.status for a in answers], [200] * 5, answers)
             self.assertEqual(len({a.text for a in answers}), 1)
         counts = await self.fleet.executions()
--- a/tests/entry/test_requests_streams.py
+++ b/tests/entry/test_requests_streams.py
@@ -1,4 +1,4 @@
-"""Whole answers: streams, slow and leaving callers, failing endpoints."""
+"""Answers with streams, slow or disconnecting callers and failing endpoints."""
 
 import asyncio
 import dataclasses
@@ -9,24 +9,24 @@
 from tests.entry import callers
 
 STEP_S = 0.02
-BETWEEN_BYTES_S = 0.6
+BETWEEN_BYTES_TIMEOUT_S = 0.6
 SLACK_S = 1.5
-MODELS = ("middle-model-0", "middle-model-1")
+ENGINES = ("middle-model-0", "middle-model-1")
 
 
 class StreamsTest(support.FleetCase):
-    """One fleet for a table of cases."""
+    """Runs a table of cases on one fleet, whose engines do not resume streams."""
 
     resumes = False
 
     @property
     def plan(self):
         return dataclasses.replace(
-            callers.ONE_DOMAIN,
+            callers.ONE_DOMAIN_PLAN,
             engines_per_domain=2,
             engine={"step_s": STEP_S, "cold_s": 0.0, "holds_streams": self.resumes},
             endpoint={
-                "between_bytes_timeout_s": BETWEEN_BYTES_S,
+                "between_bytes_timeout_s": BETWEEN_BYTES_TIMEOUT_S,
                 "first_byte_timeout_s": 4.0,
                 "resumes": self.resumes,
             },
@@ -41,17 +41,17 @@
 
     def _cases(self):
         return (
-            self._slow_caller_holds_up_nobody,
-            self._caller_who_leaves_gives_the_slot_back,
-            self._answer_of_another_is_not_passed_on,
+            self._slow_callers_do_not_delay_others,
+            self._slot_of_disconnected_caller_is_released,
+            self._answer_to_another_request_is_not_forwarded,
             self._server_error_of_an_engine_is_retried,
-            self._server_error_of_a_service_is_an_answer,
-            self._stream_that_broke_off_has_no_clean_end,
-            self._stream_that_went_silent_has_no_clean_end,
-            self._deadline_of_the_caller_is_kept,
-            self._slow_body_is_refused,
-            self._malformed_requests_are_refused,
-            self._refused_requests_are_explained,
+            self._server_error_of_a_service_is_forwarded,
+            self._interrupted_stream_has_no_clean_end,
+            self._silent_stream_has_no_clean_end,
+            self._deadline_of_the_caller_is_enforced,
+            self._slow_body_is_rejected,
+            self._malformed_requests_are_rejected,
+            self._rejected_requests_are_explained,
         )
 
     async def _is_free(self):
@@ -62,112 +62,113 @@
         return True
 
     async def _in_flight(self):
-        return sum([await callers.in_flight(self.fleet, name) for name in MODELS])
+        return sum([await callers.in_flight(self.fleet, name) for name in ENGINES])
 
-    async def _set_engine_faults(self, **switches):
-        for name in MODELS:
-            await self.fleet.set_faults(f"{name}-target", **switches)
+    async def _set_engine_faults(self, **faults):
+        for name in ENGINES:
+            await self.fleet.set_faults(f"{name}-target", **faults)
 
-    async def _slow_caller_holds_up_nobody(self):
-        stopped = asyncio.Event()
+    async def _slow_callers_do_not_delay_others(self):
+        released = asyncio.Event()
 
-        async def stall(text):
-            await stopped.wait()
+        async def stop_reading(text):
+            await released.wait()
 
-        # Far more than socket buffers and windows hold.
+        # Exceeds the socket buffers and flow control windows by far.
         body = {"model": "desk-model", "stream": True, "pad": 65536, "max_tokens": 400}
         path = "/v1/chat/completions"
         slow = [
             asyncio.create_task(
-                callers.call(self.fleet, path, body, "entry-0", None, stall)
+                callers.post(self.fleet, path, body, "entry-0", None, stop_reading)
             )
             for _ in range(4)
         ]
         try:
             await asyncio.sleep(2.0)
             for _ in range(5):
-                answer = await callers.stream(self.fleet, 8)
-                self.assertEqual(len(answer.words), 8, answer.text)
+                answer = await callers.post_stream(self.fleet, 8)
+                self.assertEqual(len(answer.tokens), 8, answer.text)
                 self.assertLess(answer.seconds, 8 * STEP_S + SLACK_S)
             self.assertFalse(any(task.done() for task in slow))
         finally:
-            stopped.set()
+            released.set()
             for task in slow:
                 task.cancel()
             await asyncio.gather(*slow, return_exceptions=True)
 
-    async def _caller_who_leaves_gives_the_slot_back(self):
+    async def _slot_of_disconnected_caller_is_released(self):
         seen = asyncio.Event()
 
-        async def note(text):
+        async def record_first_data(text):
             seen.set()
 
+        # 40 s of tokens
         task = asyncio.create_task(
-            callers.stream(self.fleet, 2000, on_data=note)  # 40 s of tokens
+            callers.post_stream(self.fleet, 2000, on_data=record_first_data)
         )
         await asyncio.wait_for(seen.wait(), SLACK_S)
         self.assertEqual(await self._in_flight(), 1)
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
         await self._is_free()
-        for name in MODELS:
+        for name in ENGINES:
             _, load = await self.fleet.call(f"{name}-target", "GET", "/stats")
             self.assertEqual(load["in_flight"], 0)
 
-    async def _answer_of_another_is_not_passed_on(self):
+    async def _answer_to_another_request_is_not_forwarded(self):
         await self._set_engine_faults(crossed=True)
-        answer = await callers.stream(self.fleet, 8)
+        answer = await callers.post_stream(self.fleet, 8)
         await self._set_engine_faults(crossed=False)
         self.assertEqual(answer.status, 502, answer.text)
         self.assertEqual(answer.error["outcome"], "outcome_unknown")
 
     async def _server_error_of_an_engine_is_retried(self):
-        await self.fleet.set_faults(f"{MODELS[0]}-target", refuse_next=1000)
+        await self.fleet.set_faults(f"{ENGINES[0]}-target", refuse_next=1000)
         for _ in range(6):
-            answer = await callers.stream(self.fleet, 8)
-            self.assertEqual(len(answer.words), 8, answer.text)
+            answer = await callers.post_stream(self.fleet, 8)
+            self.assertEqual(len(answer.tokens), 8, answer.text)
         await self._set_engine_faults(refuse_next=1000)
-        answer = await callers.stream(self.fleet, 8)
+        answer = await callers.post_stream(self.fleet, 8)
         await self._set_engine_faults(refuse_next=0)
         self.assertEqual(answer.error["type"], "endpoint_error", answer.text)
         self.assertEqual(answer.error["outcome"], "outcome_unknown")
 
-    async def _server_error_of_a_service_is_an_answer(self):
-        await self.fleet.set_faults(f"{callers.DESK}-target", refuse_next=1000)
-        answer = await callers.order(self.fleet, 1)
-        await self.fleet.set_faults(f"{callers.DESK}-target", refuse_next=0)
+    async def _server_error_of_a_service_is_forwarded(self):
+        await self.fleet.set_faults(f"{callers.SERVICE}-target", refuse_next=1000)
+        answer = await callers.post_order(self.fleet, 1)
+        await self.fleet.set_faults(f"{callers.SERVICE}-target", refuse_next=0)
         self.assertEqual((answer.status, answer.text), (500, "refused"))
 
-    async def _stream_that_broke_off_has_no_clean_end(self):
+    async def _interrupted_stream_has_no_clean_end(self):
         await self._set_engine_faults(cut_answers=1)
-        await self._check_broken_stream()
+        await self._check_interrupted_stream()
         await self._set_engine_faults(cut_answers=0)
 
-    async def _stream_that_went_silent_has_no_clean_end(self):
+    async def _silent_stream_has_no_clean_end(self):
         await self._set_engine_faults(stall_s=10.0)
-        answer = await self._check_broken_stream()
+        answer = await self._check_interrupted_stream()
         await self._set_engine_faults(stall_s=0.0)
-        self.assertLess(answer.seconds, 20 * STEP_S + BETWEEN_BYTES_S + SLACK_S)
+        self.assertLess(answer.seconds, 20 * STEP_S + BETWEEN_BYTES_TIMEOUT_S + SLACK_S)
 
-    async def _check_broken_stream(self):
-        answer = await callers.stream(self.fleet, 20)
+    async def _check_interrupted_stream(self):
+        answer = await callers.post_stream(self.fleet, 20)
         if self.resumes:
-            self.assertEqual(answer.words, [f"token{i}" for i in range(20)])
-            self.assertTrue(answer.is_whole)
+            self.assertEqual(answer.tokens, [f"token{i}" for i in range(20)])
+            self.assertTrue(answer.is_complete)
             return answer
-        self.assertFalse(answer.is_whole, answer.text)
+        self.assertFalse(answer.is_complete, answer.text)
         self.assertNotIn("[DONE]", answer.text)
         self.assertIn("event: error", answer.text)
         self.assertIn("outcome_unknown", answer.text)
         return answer
 
-    async def _deadline_of_the_caller_is_kept(self):
-        answer = await callers.stream(self.fleet, 500, timeout_ms=600)
+    async def _deadline_of_the_caller_is_enforced(self):
+        answer = await callers.post_stream(self.fleet, 500, timeout_ms=600)
         self.assertLess(answer.seconds, 0.6 + SLACK_S)
         self.assertIn("event: error", answer.text)
         self.assertIn('"deadline"', answer.text)
 
-    async def _slow_body_is_refused(self):
+    async def _slow_body_is_rejected(self):
         async def trickle():
             yield b'{"model": "desk-model",'
             await asyncio.sleep(10)
@@ -182,12 +183,12 @@
                 self.assertEqual(response.status, 408)
                 response.close()
             except aiohttp.ClientError:
-                pass  # the entry closed before the sender read the refusal
+                pass  # the entry closed the connection before the response was read
 
-    async def _malformed_requests_are_refused(self):
+    async def _malformed_requests_are_rejected(self):
         chat = "/v1/chat/completions"
         model = {"model": "desk-model"}
-        table = [
+        cases = [
             (chat, {"model": 7}, {}),
             (chat, ["model"], {}),
             (chat, model, {"X-Request-Timeout-Ms": "soon"}),
@@ -195,44 +196,46 @@
             ("/services/orders/file", {}, {"Idempotency-Key": "k" * 256}),
             ("/services/orders/file", {}, {"Idempotency-Key": "a b"}),
         ]
-        for path, body, headers in table:
+        for path, body, headers in cases:
             with self.subTest(path=path, body=body, headers=headers):
-                answer = await callers.call(self.fleet, path, body, headers=headers)
+                answer = await callers.post(self.fleet, path, body, headers=headers)
                 self.assertEqual(answer.status, 400)
                 self.assertEqual(answer.error["type"], "bad_request")
                 self.assertEqual(answer.error["outcome"], "not_run")
                 self.assertGreater(answer.error["config_version"], 0)
 
-    async def _refused_requests_are_explained(self):
+    async def _rejected_requests_are_explained(self):
         chat = "/v1/chat/completions"
-        answer = await callers.call(self.fleet, chat, {"model": "no-such-model"})
+        answer = await callers.post(self.fleet, chat, {"model": "no-such-model"})
         request_id = answer.error["request_id"]
-        _, found = await self.fleet.call(
+        _, explanation = await self.fleet.call(
             "entry-0", "GET", f"/v1/explain/{request_id}", key="caller-key"
         )
-        self.assertEqual(found["decisions"][-1]["step"], "refused")
-        answer = await callers.order(self.fleet, 3, "explained")
+        self.assertEqual(explanation["decisions"][-1]["step"], "refused")
+        answer = await callers.post_order(self.fleet, 3, "explained")
         self.assertEqual(answer.status, 200, answer.text)
         request_id = answer.headers["X-Request-Id"]
-        _, found = await self.fleet.call("entry-0", "GET", f"/v1/explain/{request_id}")
-        steps = [item["step"] for item in found["decisions"]]
+        _, explanation = await self.fleet.call(
+            "entry-0", "GET", f"/v1/explain/{request_id}"
+        )
+        steps = [item["step"] for item in explanation["decisions"]]
         self.assertEqual(
             steps, ["admitted", "attempt_sent", "attempt_ended", "answered"]
         )
-        first = found["decisions"][0]
+        first = explanation["decisions"][0]
         self.assertEqual(first["details"]["setting"], "services.orders.repeatable")
         self.assertEqual(first["config_version"], 1)
 
 
 class ResumingStreamsTest(StreamsTest):
-    """The cases that differ where the engine resumes streams."""
+    """Runs the cases that differ with engines that resume streams."""
 
     resumes = True
 
     def _cases(self):
         return (
-            self._caller_who_leaves_gives_the_slot_back,
-            self._stream_that_broke_off_has_no_clean_end,
-            self._stream_that_went_silent_has_no_clean_end,
-            self._deadline_of_the_caller_is_kept,
+            self._slot_of_disconnected_caller_is_released,
+            self._interrupted_stream_has_no_clean_end,
+            self._silent_stream_has_no_clean_end,
+            self._deadline_of_the_caller_is_enforced,
         )
