--- a/tests/entry/test_domain_moves.py
+++ b/tests/entry/test_domain_changes.py
@@ -1,4 +1,4 @@
-"""Service while a failure domain leaves and returns, and under a flood."""
+"""Requests are served while a failure domain leaves and returns, and under overload."""
 
 import asyncio
 import random
@@ -9,18 +9,18 @@
 
 DOMAIN = "south"
 RATE = 15.0
-FLOOD_RATE = 100.0
+OVERLOAD_RATE = 100.0
 SMALL_RATE = 4.0
 PHASE_S = 1.5
-CUT_S = support.FEW_SECONDS_S + PHASE_S
-PATIENT_S = 30.0
-MAX_OFFERED = 1.1
+PARTITION_S = support.FEW_SECONDS_S + PHASE_S
+CALLER_TIMEOUT_S = 30.0
+MAX_ATTEMPT_RATIO = 1.1
 SEED = 5
 LONG_TOKENS = 1000
 
 
-class DomainMovesTest(support.FleetCase):
-    """Six servers of two slots each: 60 requests a second, 40 without a domain."""
+class DomainChangesTest(support.FleetCase):
+    """Runs six engines of two slots: 60 requests per second, 40 without a domain."""
 
     plan = standins.FleetPlan(
         entries=3,
@@ -38,51 +38,57 @@
         endpoint={"warm_limit": 2, "cold_limit": 1, "warm_up_s": 0.5},
     )
 
-    async def test_moves_lose_and_refuse_no_repeatable_request(self):
-        moves = {
+    async def test_no_repeatable_request_fails_when_a_domain_leaves_and_returns(self):
+        cases = {
             "ordered out and in": (self._order_out, self._order_in),
-            "ordered, platform down": (self._order_out_then_outage, self._end_and_in),
-            "silent, platform down": (self._silence_in_outage, self._wake),
-            "cut off from the others": (self._cut_off, self._heal),
-            "cut off in silence": (self._cut_off_in_silence, self._heal),
-            "killed and started again": (self._kill, self._start_again),
+            "ordered, platform down": (
+                self._order_out_then_outage,
+                self._end_outage_and_order_in,
+            ),
+            "suspended, platform down": (self._suspend_in_outage, self._resume),
+            "partitioned from the others": (self._partition, self._heal),
+            "partitioned without connection errors": (
+                self._partition_silently,
+                self._heal,
+            ),
+            "killed and restarted": (self._kill, self._restart),
         }
-        for name, (leave, come_back) in moves.items():
+        for name, (remove, restore) in cases.items():
             with self.subTest(name):
-                # Nobody inside or outside of a cut may wait for its end.
-                away_s = CUT_S if come_back == self._heal else PHASE_S
+                # Requests on both sides of a partition must complete before it ends.
+                outage_s = PARTITION_S if restore == self._heal else PHASE_S
                 load = standins.AccountLoad("large", RATE, stream=False)
                 generator = self._generator([load], support.FEW_SECONDS_S)
-                sending = asyncio.create_task(generator.run(PHASE_S * 2 + away_s))
+                sending = asyncio.create_task(generator.run(PHASE_S * 2 + outage_s))
                 await asyncio.sleep(PHASE_S / 2)
-                await leave()
-                await asyncio.sleep(away_s)
-                await come_back()
-                book = await sending
-                total = book.total()
+                await remove()
+                await asyncio.sleep(outage_s)
+                await restore()
+                results = await sending
+                total = results.total()
                 self.assertEqual(total.count_by_result, {"answered": total.sent})
                 await self.fleet.wait_until(self._all_usable, 15.0)
 
-    async def test_flood_in_an_outage_leaves_a_small_account_whole(self):
+    async def test_overload_in_an_outage_does_not_affect_a_small_account(self):
         await self._kill()
         await asyncio.sleep(support.FEW_SECONDS_S)
         before = await self._count_attempts()
         loads = [
-            standins.AccountLoad("large", FLOOD_RATE, stream=False),
+            standins.AccountLoad("large", OVERLOAD_RATE, stream=False),
             standins.AccountLoad("small", SMALL_RATE, stream=False),
         ]
-        book = await self._generator(loads).run(support.FEW_SECONDS_S)
-        large, small = (book.total(account=load.name) for load in loads)
+        results = await self._generator(loads).run(support.FEW_SECONDS_S)
+        large, small = (results.total(account=load.name) for load in loads)
         self.assertEqual(small.count_by_result, {"answered": small.sent})
         self.assertEqual(set(large.refusals()), {"overloaded"})
         self.assertEqual(large.unknown, 0)
-        told = [round(seconds, 3) for seconds in large.retry_after_s]
-        self.assertEqual(len(told), large.refused)
-        self.assertGreater(len(set(told)), len(told) * 0.8)
-        offered = await self._count_attempts() - before
-        self.assertLessEqual(offered, MAX_OFFERED * book.total().sent)
+        delays_s = [round(seconds, 3) for seconds in large.retry_after_s]
+        self.assertEqual(len(delays_s), large.refused)
+        self.assertGreater(len(set(delays_s)), len(delays_s) * 0.8)
+        attempts = await self._count_attempts() - before
+        self.assertLessEqual(attempts, MAX_ATTEMPT_RATIO * results.total().sent)
 
-    async def test_usage_at_one_entry_counts_at_the_other_until_it_is_lost(self):
+    async def test_usage_at_one_entry_counts_at_others_until_it_fails(self):
         changes = {"client_accounts": {"small": {"max_in_flight": 1}}}
         status, document = await self.fleet.patch_config(changes)
         self.assertEqual(status, 200, document)
@@ -102,44 +108,44 @@
         status, _ = await self.post_model("entry-1", key="small-key", max_tokens=1)
         return status == 200
 
-    def _generator(self, loads, timeout_s=PATIENT_S):
+    def _generator(self, loads, timeout_s=CALLER_TIMEOUT_S):
         urls = [self.fleet.url(name) for name in self.fleet.entry_names()]
         return standins.LoadGenerator(urls, loads, random.Random(SEED), timeout_s)
 
-    async def _order(self, state):
+    async def _set_domain_state(self, state):
         changes = {"failure_domains": {DOMAIN: {"state": state}}}
         status, document = await self.fleet.patch_config(changes)
         self.assertEqual(status, 200, document)
 
     async def _order_out(self):
-        await self._order("out")
+        await self._set_domain_state("out")
 
     async def _order_in(self):
-        await self._order("in")
+        await self._set_domain_state("in")
 
     async def _order_out_then_outage(self):
-        await self._order("out")
+        await self._set_domain_state("out")
         await self.fleet.set_faults("platform", down=True)
 
-    async def _end_and_in(self):
+    async def _end_outage_and_order_in(self):
         await self.fleet.set_faults("platform", down=False)
-        await self._order("in")
+        await self._set_domain_state("in")
 
-    async def _silence_in_outage(self):
+    async def _suspend_in_outage(self):
         await self.fleet.set_faults("platform", down=True)
-        self._signal(signal.SIGSTOP)
+        self._signal_domain(signal.SIGSTOP)
 
-    async def _wake(self):
-        self._signal(signal.SIGCONT)
+    async def _resume(self):
+        self._signal_domain(signal.SIGCONT)
         await self.fleet.set_faults("platform", down=False)
 
-    async def _cut_off_in_silence(self):
-        await self._cut_off(standins.LinkMode.SILENT)
+    async def _partition_silently(self):
+        await self._partition(standins.LinkMode.SILENT)
 
-    async def _cut_off(self, mode=standins.LinkMode.CUT):
-        inside = ["entry-2", *self._names()]
-        known = [*self.fleet.entry_names(), *self.fleet.endpoint_names()]
-        outside = [name for name in known if name not in inside]
+    async def _partition(self, mode=standins.LinkMode.CUT):
+        inside = ["entry-2", *self._domain_endpoints()]
+        all_names = [*self.fleet.entry_names(), *self.fleet.endpoint_names()]
+        outside = [name for name in all_names if name not in inside]
         self.fleet.relays_.cut_between(inside, outside, mode)
         self.fleet.relays_.cut_platform(inside)
 
@@ -150,17 +156,17 @@
         names = [n for n in self.fleet.process_by_name if n.startswith(DOMAIN)]
         await asyncio.gather(*(self.fleet.process_by_name[n].kill() for n in names))
 
-    async def _start_again(self):
-        for name in self._names():
+    async def _restart(self):
+        for name in self._domain_endpoints():
             await self.fleet.start_stand_in(
                 f"{name}-target", "engine", self.plan.engine
             )
             await self.fleet.start_agent(name)
 
-    def _names(self):
+    def _domain_endpoints(self):
         return [n for n in self.fleet.endpoint_names() if n.startswith(DOMAIN)]
 
-    def _signal(self, number):
+    def _signal_domain(self, number):
         for name, process in self.fleet.process_by_name.items():
             if name.startswith(DOMAIN):
                 process.send_signal(number)
--- a/tests/entry/test_thin_path.py
+++ b/tests/entry/test_end_to_end.py
@@ -1,12 +1,12 @@
-"""A caller's request is served end to end through real processes."""
+"""Requests of callers are served end to end by real processes."""
 
 import json
 
 from tests import support
 
 
-class ThinPathTest(support.FleetCase):
-    async def test_stream_and_service_are_served_whole(self):
+class EndToEndTest(support.FleetCase):
+    async def test_stream_and_service_answers_are_complete(self):
         status, text = await self.post_model(stream=True)
         self.assertEqual(status, 200)
         events = [line for line in text.splitlines() if line.startswith("data: ")]
@@ -18,7 +18,7 @@
         self.assertEqual((status, document["path"]), (200, "/file"))
         self.assertEqual(json.loads(document["received"]), {"n": 1})
 
-    async def test_strangers_are_refused(self):
+    async def test_unknown_keys_are_rejected(self):
         cases = [("/v1/models", "GET"), ("/config", "GET"), ("/state", "GET")]
         for path, method in cases:
             with self.subTest(path):
@@ -30,7 +30,7 @@
         status, _ = await self.post_model(key="unknown")
         self.assertEqual(status, 401)
 
-    async def test_domain_out_receives_no_new_work(self):
+    async def test_domain_out_of_service_gets_no_requests(self):
         status, _ = await self.fleet.patch_config(
             {"failure_domains": {"north": {"state": "out"}}}
         )
--- a/tests/entry/test_errors.py
+++ b/tests/entry/test_errors.py
@@ -1,4 +1,4 @@
-"""A handler that fails in the middle of a stream never ends it cleanly."""
+"""A stream whose handler fails has no clean end."""
 
 import unittest
 
@@ -9,20 +9,20 @@
 from tests import support
 
 
-async def fail_midway(request):
-    """Begin a stream and fail."""
+async def fail_during_stream(request):
+    """Send the start of a stream, then raise an error."""
     response = web.StreamResponse()
     await response.prepare(request)
     await response.write(b"first")
     raise ValueError("marked-value")
 
 
-class MidwayTest(unittest.IsolatedAsyncioTestCase):
-    async def test_failed_stream_is_cut(self):
+class StreamErrorTest(unittest.IsolatedAsyncioTestCase):
+    async def test_failed_stream_is_aborted(self):
         logs = support.silence_logs()
         app = web.Application(middlewares=[_errors.handle_errors])
         app.on_response_prepare.append(_errors.mark_started)
-        app.router.add_get("/stream", fail_midway)
+        app.router.add_get("/stream", fail_during_stream)
         runner = web.AppRunner(app)
         await runner.setup()
         self.addAsyncCleanup(runner.cleanup)
--- a/tests/entry/test_host_list.py
+++ b/tests/entry/test_host_list.py
@@ -1,4 +1,4 @@
-"""Two entries of a failure domain poll the host list; the others are told."""
+"""Two entries of a failure domain poll the host list and send it to the others."""
 
 import asyncio
 import signal
@@ -10,35 +10,35 @@
 from sequoiagap.entry import _host_list
 from tests import support
 
-ENTRIES = 6
-WATCHED_S = 4.0
-SETTLE_S = 10.0
+ENTRY_COUNT = 6
+OBSERVATION_S = 4.0
+POLLER_CHANGE_TIMEOUT_S = 10.0
 FIRST_POLL_S = 0.1
 
 
 class FakePlatform:
-    """Counts the polls of its list."""
+    """Platform client that counts the polls of the host list."""
 
     def __init__(self):
         self.hosts = [platform.HostEntry("h1", "agent", "10.0.0.1", 1, "north")]
         self.polls = 0
 
     async def list_hosts(self):
-        """Return the list."""
+        """Count a poll and return the hosts."""
         self.polls += 1
         return list(self.hosts)
 
 
-class TellingTest(unittest.IsolatedAsyncioTestCase):
+class ListAnnouncementsTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        self.client, self.told, self.taken = FakePlatform(), [], []
+        self.client, self.broadcast_items, self.applied_lists = FakePlatform(), [], []
         self.list = _host_list.HostList(
             self.client,
-            {"agent": self.taken.append},
+            {"agent": self.applied_lists.append},
             members.HostView(),
             config.WatchDuty(time.monotonic()),
             lambda: config.FEW_WATCHERS,
-            self._tell,
+            self._broadcast,
         )
         self.poller = members.HostView()
         self.poller.replace(self.client.hosts)
@@ -46,85 +46,91 @@
         self.addCleanup(task.cancel)
         await asyncio.sleep(FIRST_POLL_S)
 
-    async def _tell(self, item):
-        self.told.append(item)
+    async def _broadcast(self, item):
+        self.broadcast_items.append(item)
 
-    async def _be_told(self, domain="north", seconds=support.FEW_SECONDS_S):
-        """Be told every quarter of a second that the poller's list holds."""
+    async def _receive_announcements(
+        self, domain="north", seconds=support.FEW_SECONDS_S
+    ):
+        """Receive the poller's announcement of its current list every 0.25 s."""
         north = types.SimpleNamespace(failure_domain="north")
         peer = types.SimpleNamespace(failure_domain=domain)
         connection = types.SimpleNamespace(peer=peer, own=north)
-        end = time.monotonic() + seconds
-        while time.monotonic() < end:
+        deadline = time.monotonic() + seconds
+        while time.monotonic() < deadline:
             digest = self.poller.digest
             item = members.MemberListChange(digest, digest, 100)
             await self.list.on_change(connection, item)
             await asyncio.sleep(0.25)
 
-    async def test_whoever_is_told_that_its_list_holds_does_not_poll(self):
-        await self._be_told()
+    async def test_entry_whose_list_is_confirmed_does_not_poll(self):
+        await self._receive_announcements()
         self.assertEqual(self.client.polls, 1)
-        self.assertGreater(len(self.told), 2)
-        self.assertGreater(len(self.taken), 2)
+        self.assertGreater(len(self.broadcast_items), 2)
+        self.assertGreater(len(self.applied_lists), 2)
 
-    async def test_whoever_is_told_of_another_list_polls(self):
+    async def test_entry_with_different_list_polls(self):
         self.poller.replace([])
         self.client.hosts = []
         self.list.view.replace([platform.HostEntry("h2", "agent", "::1", 1, "north")])
-        await self._be_told()
+        await self._receive_announcements()
         self.assertEqual(self.client.polls, 2)
         self.assertEqual(self.list.view.by_id, {})
 
-    async def test_other_failure_domains_are_not_heard(self):
-        await self._be_told("south")
+    async def test_announcements_of_other_failure_domains_are_ignored(self):
+        await self._receive_announcements("south")
         self.assertGreater(self.client.polls, 1)
 
 
-class HostListTest(support.FleetCase):
+class HostListFleetTest(support.FleetCase):
     plan = standins.FleetPlan(
-        domains=("north",), entries=ENTRIES, services_per_domain=0, relays=True
+        domains=("north",), entries=ENTRY_COUNT, services_per_domain=0, relays=True
     )
 
-    async def test_few_poll_and_all_follow_through_faults(self):
+    async def test_few_entries_poll_and_all_follow_despite_faults(self):
         await self._check_calls()
         cases = [
-            # name, fault, its end, entries that must follow
-            ("no fault", self._nothing, self._nothing),
-            ("one poller killed", self._kill_one, self._nothing),
-            ("pollers frozen", self._freeze, self._thaw),
-            ("pollers cut off from the platform", self._cut, self._heal),
-            ("pollers cut off from the entries", self._isolate, self._heal),
-            ("list down, then back", self._down, self._nothing),
+            # name, fault (returns the entries that must follow), end of the fault
+            ("no fault", self._inject_nothing, self._inject_nothing),
+            ("one poller killed", self._kill_poller, self._inject_nothing),
+            ("pollers suspended", self._suspend, self._resume),
+            ("pollers partitioned from the platform", self._cut_platform, self._heal),
+            ("pollers partitioned from the entries", self._cut_entries, self._heal),
+            (
+                "platform down, then available",
+                self._take_platform_down,
+                self._inject_nothing,
+            ),
         ]
-        for number, (name, break_it, mend) in enumerate(cases):
+        for number, (name, inject_fault, end_fault) in enumerate(cases):
             with self.subTest(name):
-                await self.fleet.wait_until(self._has_pollers, SETTLE_S)
-                entries = await break_it(await self._pollers())
-                await self._list_host(f"fresh-{number}")
+                await self.fleet.wait_until(self._has_pollers, POLLER_CHANGE_TIMEOUT_S)
+                entries = await inject_fault(await self._pollers())
+                await self._add_host(f"fresh-{number}")
                 await self._wait_listed(f"fresh-{number}", entries)
-                await mend(await self._alive())
+                await end_fault(await self._running_entries())
 
     async def _check_calls(self):
-        """Check that the platform is not asked by more than the few."""
-        await self.fleet.wait_until(self._has_pollers, SETTLE_S)
+        """Check that no more than the permanent pollers call the platform."""
+        await self.fleet.wait_until(self._has_pollers, POLLER_CHANGE_TIMEOUT_S)
         _, before = await self.fleet.call("platform", "GET", "/calls")
-        await asyncio.sleep(WATCHED_S)
+        await asyncio.sleep(OBSERVATION_S)
         _, after = await self.fleet.call("platform", "GET", "/calls")
         calls = after["hosts"] - before["hosts"]
-        self.assertLessEqual(calls, config.FEW_WATCHERS * (WATCHED_S + 1))
+        self.assertLessEqual(calls, config.FEW_WATCHERS * (OBSERVATION_S + 1))
         self.assertEqual(len(await self._pollers()), config.FEW_WATCHERS)
 
     async def _states(self):
-        """Return the state of each entry that is to answer."""
-        found = {}
-        for name in await self._alive():
-            found[name] = (await self.fleet.call(name, "GET", "/state"))[1]
-        return found
+        """Return the state of each running entry, by name."""
+        state_by_name = {}
+        for name in await self._running_entries():
+            state_by_name[name] = (await self.fleet.call(name, "GET", "/state"))[1]
+        return state_by_name
 
-    async def _alive(self):
+    async def _running_entries(self):
         names = self.fleet.entry_names()
-        children = {n: self.fleet.process_by_name[n].child_ for n in names}
-        return [name for name in names if children[name].returncode is None]
+        child_by_name = {n: self.fleet.process_by_name[n].child_ for n in names}
+        return [name for name in names if child_by_name[name].returncode is None]
 
     async def _pollers(self):
         states = await self._states()
@@ -133,7 +139,7 @@
     async def _has_pollers(self):
         return len(await self._pollers()) == config.FEW_WATCHERS
 
-    async def _list_host(self, name):
+    async def _add_host(self, name):
         host = {
             "host_id": name,
             "role": "agent",
@@ -155,44 +161,44 @@
 
         await self.fleet.wait_until(is_listed, support.FEW_SECONDS_S)
 
-    async def _others(self, names):
-        return [name for name in await self._alive() if name not in names]
+    async def _other_entries(self, names):
+        return [name for name in await self._running_entries() if name not in names]
 
-    async def _nothing(self, names):
-        return await self._alive()
+    async def _inject_nothing(self, names):
+        return await self._running_entries()
 
-    async def _kill_one(self, pollers):
+    async def _kill_poller(self, pollers):
         await self.fleet.process_by_name[pollers[0]].kill()
         await self.fleet.call("platform", "DELETE", f"/hosts/{pollers[0]}")
-        return await self._alive()
+        return await self._running_entries()
 
-    async def _freeze(self, pollers):
-        self.frozen = pollers
-        others = await self._others(pollers)
+    async def _suspend(self, pollers):
+        self.suspended = pollers
+        others = await self._other_entries(pollers)
         for name in pollers:
             self.fleet.process_by_name[name].send_signal(signal.SIGSTOP)
         return others
 
-    async def _thaw(self, names):
-        for name in self.frozen:
+    async def _resume(self, names):
+        for name in self.suspended:
             self.fleet.process_by_name[name].send_signal(signal.SIGCONT)
 
-    async def _cut(self, pollers):
+    async def _cut_platform(self, pollers):
         self.fleet.relays_.cut_platform(pollers, standins.LinkMode.SILENT)
-        return await self._alive()
+        return await self._running_entries()
 
-    async def _isolate(self, pollers):
-        others = await self._others(pollers)
+    async def _cut_entries(self, pollers):
+        others = await self._other_entries(pollers)
         self.fleet.relays_.cut_between(pollers, others, standins.LinkMode.SILENT)
-        return await self._alive()
+        return await self._running_entries()
 
     async def _heal(self, names):
         self.fleet.relays_.heal()
 
-    async def _down(self, pollers):
+    async def _take_platform_down(self, pollers):
         await self.fleet.set_faults("platform", down=True)
         await asyncio.sleep(support.FEW_SECONDS_S)
-        status, _ = await self.post_model((await self._alive())[0])
+        status, _ = await self.post_model((await self._running_entries())[0])
         self.assertEqual(status, 200)
         await self.fleet.set_faults("platform", down=False)
-        return await self._alive()
+        return await self._running_entries()
--- a/tests/entry/test_links_limited.py
+++ b/tests/entry/test_link_limit.py
@@ -1,4 +1,4 @@
-"""Entries that may link only a few of the agents."""
+"""Entries whose link limit is lower than the number of agents."""
 
 import asyncio
 import signal
@@ -9,12 +9,12 @@
 from tests.entry import callers
 
 MAX_LINKS = 4
-MAX_EXTRA = 1
-IDLE_S = 5.0  # after which a link that was not chosen is closed
-SETTLE_S = 1.5  # the list is polled each second
+MAX_ON_DEMAND = 1
+IDLE_TIMEOUT_S = 5.0  # idle time after which an on-demand link is closed
+LIST_UPDATE_S = 1.5  # exceeds the poll interval of the host list, 1 s
 
 
-class LimitedLinksTest(support.FleetCase):
+class LinkLimitTest(support.FleetCase):
     plan = standins.FleetPlan(
         domains=("north", "south"),
         entries=2,
@@ -27,10 +27,11 @@
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
-        await asyncio.sleep(SETTLE_S)  # until the entries know each other
+        # Until the entries have discovered each other.
+        await asyncio.sleep(LIST_UPDATE_S)
 
-    async def linked(self, entry, target):
-        """Return the endpoints that an entry has chosen and reaches."""
+    async def selected_links(self, entry, target):
+        """Return the endpoints of a target that an entry has selected and connected."""
         _, state = await self.fleet.call(entry, "GET", "/state")
         return {
             name
@@ -41,53 +42,53 @@
         }
 
     async def count_links(self, entry):
-        """Return how many links of an entry are open."""
+        """Return the number of open links of an entry."""
         _, state = await self.fleet.call(entry, "GET", "/state")
         return sum(e["connected"] for e in state["endpoints"].values())
 
-    async def are_extras_closed(self):
-        """Return whether only chosen agents are linked at the first entry."""
+    async def are_on_demand_links_closed(self):
+        """Return whether the first entry has links to selected agents only."""
         _, state = await self.fleet.call("entry-0", "GET", "/state")
         return all(e["chosen"] for e in state["endpoints"].values())
 
     async def test_cases(self):
         for case in (
-            self._operators_reach_an_agent_that_is_not_linked,
+            self._operators_reach_agents_without_links,
             self._keys_run_once_at_entries_with_different_links,
-            self._all_chosen_agents_of_a_model_killed_at_once,
-            self._a_frozen_agent_is_replaced_until_it_is_back,
+            self._all_selected_agents_of_a_model_are_killed,
+            self._suspended_agent_is_replaced_until_it_resumes,
         ):
             with self.subTest(case.__name__.strip("_")):
                 await case()
 
-    async def _all_chosen_agents_of_a_model_killed_at_once(self):
-        """Send requests on to agents that were not linked; links are replaced."""
-        await self.fleet.wait_until(self.are_extras_closed, 2 * IDLE_S)
-        killed = await self.linked("entry-0", "desk-model")
+    async def _all_selected_agents_of_a_model_are_killed(self):
+        """Check that requests use on-demand links until failed links are replaced."""
+        await self.fleet.wait_until(self.are_on_demand_links_closed, 2 * IDLE_TIMEOUT_S)
+        killed = await self.selected_links("entry-0", "desk-model")
         self.assertLess(len(killed), len(self.fleet.endpoint_names()) / 2)
         await asyncio.gather(
             *(self.fleet.process_by_name[name].kill() for name in killed)
         )
-        until = time.monotonic() + support.FEW_SECONDS_S
-        while time.monotonic() < until:
+        deadline = time.monotonic() + support.FEW_SECONDS_S
+        while time.monotonic() < deadline:
             began = time.monotonic()
             status, text = await self.post_model(max_tokens=2)
             self.assertEqual(status, 200, text)
             self.assertLess(time.monotonic() - began, support.FEW_SECONDS_S)
             self.assertLessEqual(
-                await self.count_links("entry-0"), MAX_LINKS + MAX_EXTRA
+                await self.count_links("entry-0"), MAX_LINKS + MAX_ON_DEMAND
             )
-        self.assertTrue(await self.linked("entry-0", "desk-model") - killed)
+        self.assertTrue(await self.selected_links("entry-0", "desk-model") - killed)
         await asyncio.gather(*(self.fleet.start_agent(name) for name in killed))
 
-        async def are_back():
-            return await self.linked("entry-0", "desk-model") == killed
+        async def are_linked_again():
+            return await self.selected_links("entry-0", "desk-model") == killed
 
-        await self.fleet.wait_until(are_back, support.FEW_SECONDS_S)
+        await self.fleet.wait_until(are_linked_again, support.FEW_SECONDS_S)
 
     async def _keys_run_once_at_entries_with_different_links(self):
-        """Find the run by its claim; the other entry links its agent on demand."""
-        links = [await self.linked(f"entry-{i}", "orders") for i in range(2)]
+        """Check that a claim names its agent, which the other entry links on demand."""
+        links = [await self.selected_links(f"entry-{i}", "orders") for i in range(2)]
         self.assertFalse(links[0] & links[1], links)
         for number in range(8):
             key = f"key-{number}"
@@ -103,28 +104,30 @@
         counts = await self.fleet.executions()
         self.assertEqual({counts[f"key-{n}"] for n in range(8)}, {1})
 
-    async def _operators_reach_an_agent_that_is_not_linked(self):
+    async def _operators_reach_agents_without_links(self):
         for name in self.fleet.endpoint_names():
             status, state = await self.fleet.call("entry-0", "GET", f"/state/{name}")
             self.assertEqual((status, state["node_id"]), (200, name))
 
-    async def _a_frozen_agent_is_replaced_until_it_is_back(self):
-        chosen = await self.linked("entry-0", "desk-model")
-        frozen = min(chosen)
-        self.fleet.process_by_name[frozen].send_signal(signal.SIGSTOP)
+    async def _suspended_agent_is_replaced_until_it_resumes(self):
+        selected = await self.selected_links("entry-0", "desk-model")
+        suspended = min(selected)
+        self.fleet.process_by_name[suspended].send_signal(signal.SIGSTOP)
 
         async def is_replaced():
-            linked = await self.linked("entry-0", "desk-model")
-            return frozen not in linked and len(linked) == len(chosen)
+            links = await self.selected_links("entry-0", "desk-model")
+            return suspended not in links and len(links) == len(selected)
 
         await self.fleet.wait_until(is_replaced, support.FEW_SECONDS_S)
-        until = time.monotonic() + IDLE_S + SETTLE_S
-        while time.monotonic() < until:
-            self.assertTrue(await is_replaced(), "it was chosen while it was frozen")
+        deadline = time.monotonic() + IDLE_TIMEOUT_S + LIST_UPDATE_S
+        while time.monotonic() < deadline:
+            self.assertTrue(
+                await is_replaced(), "the agent was selected while it was suspended"
+            )
             await asyncio.sleep(0.1)
-        self.fleet.process_by_name[frozen].send_signal(signal.SIGCONT)
+        self.fleet.process_by_name[suspended].send_signal(signal.SIGCONT)
 
-        async def is_back():
-            return await self.linked("entry-0", "desk-model") == chosen
+        async def is_linked_again():
+            return await self.selected_links("entry-0", "desk-model") == selected
 
-        await self.fleet.wait_until(is_back, support.FEW_SECONDS_S)
+        await self.fleet.wait_until(is_linked_again, support.FEW_SECONDS_S)
--- a/tests/entry/test_listener.py
+++ b/tests/entry/test_listener.py
@@ -1,4 +1,4 @@
-"""The entry's HTTP listener: TLS and slow senders."""
+"""The entry's HTTP listener: TLS, typed errors, API keys and slow senders."""
 
 import asyncio
 import hashlib
@@ -37,7 +37,7 @@
         (self.folder / "keys.json").write_text(json.dumps(keys))
 
     async def start(self, **changes):
-        """Start an entry whose platform is down."""
+        """Start an entry without a reachable platform and return its HTTP port."""
         document = {
             "role": "entry",
             "node_id": "e1",
@@ -71,9 +71,9 @@
         context.check_hostname = False
         async with (
             aiohttp.ClientSession() as session,
-            session.get(f"https://127.0.0.1:{port}/healthz", ssl=context) as answer,
+            session.get(f"https://127.0.0.1:{port}/healthz", ssl=context) as response,
         ):
-            self.assertEqual(answer.status, 200)
+            self.assertEqual(response.status, 200)
         with self.assertRaises((aiohttp.ClientError, OSError)):
             async with (
                 aiohttp.ClientSession() as session,
@@ -81,7 +81,7 @@
             ):
                 pass
 
-    async def test_bad_calls_get_typed_errors(self):
+    async def test_bad_requests_get_typed_errors(self):
         port = await self.start(max_body_bytes=1000)
         long_body = json.dumps({"against": 0, "changes": {"x": "y" * 2000}})
         cases = {
@@ -100,17 +100,17 @@
             for name, (method, path, body, status, kind) in cases.items():
                 url = f"http://127.0.0.1:{port}{path}"
                 headers = {"Authorization": "Bearer operator-key"}
-                call = session.request(method, url, data=body, headers=headers)
+                request = session.request(method, url, data=body, headers=headers)
                 with self.subTest(name):
-                    async with call as answer:
-                        document = await answer.json()
-                        self.assertEqual(answer.status, status)
+                    async with request as response:
+                        document = await response.json()
+                        self.assertEqual(response.status, status)
                         self.assertEqual(document["error"]["type"], kind)
         log = self.logs.getvalue()
         self.assertIn('"number": 1010', log)
         self.assertNotIn("marked-value", log)
 
-    async def test_each_path_serves_only_its_kind_of_key(self):
+    async def test_each_path_requires_its_kind_of_key(self):
         port = await self.start()
         routes = list(self.process._runner.app.router.routes())
         self.assertGreater(len(routes), 15)
@@ -120,16 +120,16 @@
                 method = "GET" if route.method == "*" else route.method
                 for key, prefixes in PATHS_BY_KEY.items():
                     with self.subTest(path, method=method, key=key):
-                        call = session.request(
+                        request = session.request(
                             method,
                             f"http://127.0.0.1:{port}{path}",
                             headers={"Authorization": f"Bearer {key}"},
                         )
-                        async with call as answer:
+                        async with request as response:
                             is_open = path.startswith(prefixes)
-                            self.assertEqual(answer.status != 401, is_open)
+                            self.assertEqual(response.status != 401, is_open)
 
-    async def test_slow_senders_are_cut_off(self):
+    async def test_slow_senders_are_disconnected(self):
         port = await self.start()
         cases = {"nothing": b"", "half a header": b"GET /healthz HTTP/1.1\r\nHost: "}
         for name, data in cases.items():
--- a/tests/entry/test_secrecy.py
+++ b/tests/entry/test_secrecy.py
@@ -1,4 +1,4 @@
-"""No prompt, answer, key or secret stands in logs, dumps, explain or metrics."""
+"""Logs, dumps, explanations and metrics contain no prompt, answer, key or secret."""
 
 import contextlib
 import json
@@ -18,33 +18,42 @@
         domains=("north", "south"), entries=1, accounts=("caller", "other")
     )
 
-    async def test_fleet_shows_no_marked_value(self):
+    async def test_outputs_contain_no_confidential_value(self):
         request_ids = await self._send_requests()
         texts = await self._collect_texts(request_ids)
         secret = (self.fleet.folder / "secret").read_text()
-        marked = (PROMPT, QUERY, "caller-key", "operator-key", "wrong-key", secret)
+        confidential = (
+            PROMPT,
+            QUERY,
+            "caller-key",
+            "operator-key",
+            "wrong-key",
+            secret,
+        )
         for name, text in texts.items():
             with self.subTest(name):
-                for value in marked:
+                for value in confidential:
                     self.assertNotIn(value, text)
         self._check_metrics(texts)
         logs = "".join(t for name, t in texts.items() if name.endswith(".log"))
         for request_id in request_ids:
             self.assertIn(request_id, logs)
 
-    async def test_only_its_account_and_operators_read_a_request(self):
-        path = f"/v1/explain/{await self._complete({'model': 'desk-model'}, False)}"
+    async def test_only_its_account_and_operators_can_read_a_request(self):
+        path = (
+            f"/v1/explain/{await self._send_completion({'model': 'desk-model'}, False)}"
+        )
         cases = {"caller-key": 200, "other-key": 404, "operator-key": 200, "x": 401}
         for key, expected in cases.items():
             with self.subTest(key):
                 status, _ = await self.fleet.call("entry-0", "GET", path, key=key)
                 self.assertEqual(status, expected)
-        _, found = await self.fleet.call("entry-0", "GET", path)
-        steps = [decision["step"] for decision in found["decisions"]]
+        _, explanation = await self.fleet.call("entry-0", "GET", path)
+        steps = [decision["step"] for decision in explanation["decisions"]]
         self.assertNotIn("refused", steps)
 
     def _check_metrics(self, texts):
-        """Check that the metrics of entry and agents tell what happened."""
+        """Check that the metrics of the entry and agents count the requests."""
         self.assertIn('admitted_total{account="caller"', texts["/metrics"])
         self.assertIn(
             'request_seconds_count{node="entry-0",target="orders"}', texts["/metrics"]
@@ -53,7 +62,7 @@
         self.assertIn('result="answered"', agents)
         self.assertIn('result="endpoint_error"', agents)
 
-    async def test_processes_dump_their_state_on_a_signal(self):
+    async def test_processes_dump_their_state_on_sigusr1(self):
         for name in ("entry-0", "north-model-0"):
             with self.subTest(name):
                 self.fleet.process_by_name[name].send_signal(signal.SIGUSR1)
@@ -69,9 +78,9 @@
         return False
 
     async def _send_requests(self):
-        """Send marked requests down every path that can fail; return their ids."""
+        """Send confidential values under each fault and return the request ids."""
         ids = []
-        for switches in (
+        for faults in (
             {},
             {"refuse_next": 9},
             {"refuse_next": 0, "crossed": True},
@@ -79,16 +88,16 @@
             {"cut_answers": 0, "lose_answers": 9},
         ):
             for name in self.fleet.endpoint_names():
-                await self.fleet.set_faults(f"{name}-target", **switches)
+                await self.fleet.set_faults(f"{name}-target", **faults)
             for stream in (True, False):
-                ids.append(await self._complete({"model": "desk-model"}, stream))
+                ids.append(await self._send_completion({"model": "desk-model"}, stream))
             ids.append(await self._send(f"/services/orders/file?q={QUERY}", PROMPT))
-        await self._complete({"model": PROMPT}, False)
+        await self._send_completion({"model": PROMPT}, False)
         await self._send("/v1/chat/completions", f'{{"{PROMPT}')
         await self._send("/v1/completions", PROMPT, key="wrong-key")
         return ids
 
-    async def _complete(self, body, stream):
+    async def _send_completion(self, body, stream):
         messages = [{"role": "user", "content": PROMPT}]
         body = body | {"messages": messages, "stream": stream}
         return await self._send("/v1/chat/completions", json.dumps(body))
@@ -102,7 +111,7 @@
             return answer.headers["X-Request-Id"]
 
     async def _collect_texts(self, request_ids):
-        """Return everything that the processes show, by where it came from."""
+        """Return the outputs and logs of all processes, by source."""
         paths = ["/state", "/metrics", "/config", "/config/history"]
         paths += [f"/v1/explain/{request_id}" for request_id in request_ids]
         for name in self.fleet.endpoint_names():
--- a/tests/entry/test_target_scheduler.py
+++ b/tests/entry/test_target_scheduler.py
@@ -1,4 +1,4 @@
-"""How many slots an entry counts on while it predicts a wait."""
+"""Number of slots with which an entry predicts the wait of a queued request."""
 
 import unittest
 
@@ -9,8 +9,8 @@
 ENDPOINTS = 3
 
 
-def make_turns(entries):
-    """Return turns before endpoints that all entries share."""
+def make_scheduler(entries):
+    """Return a scheduler for endpoints that a number of entries share."""
     views = [
         routing.EndpointView(f"e{i}", "north", frozenset(["m"]), limit=LIMIT)
         for i in range(ENDPOINTS)
@@ -24,10 +24,10 @@
     def test_entry_counts_on_its_part_of_the_slots(self):
         for entries, expected in ((1, 12), (3, 4), (24, 1)):
             with self.subTest(entries=entries):
-                turns = make_turns(entries)
-                self.assertEqual(turns.slots(turns.candidates()), expected)
+                scheduler = make_scheduler(entries)
+                self.assertEqual(scheduler.slots(scheduler.candidates()), expected)
 
     def test_slots_in_use_count_where_they_are_more(self):
-        turns = make_turns(entries=3)
-        turns.running_ = 9
-        self.assertEqual(turns.slots(turns.candidates()), 9)
+        scheduler = make_scheduler(entries=3)
+        scheduler.running_ = 9
+        self.assertEqual(scheduler.slots(scheduler.candidates()), 9)
--- a/tests/entry/test_wire_tls.py
+++ b/tests/entry/test_wire_tls.py
@@ -1,4 +1,4 @@
-"""A fleet whose processes show each other certificates serves requests."""
+"""A fleet whose processes authenticate by TLS certificates serves requests."""
 
 import tempfile
 import unittest
@@ -21,6 +21,6 @@
         self.assertEqual(status, 200)
         port = fleet.process_by_name["north-model-0"].ready_["port"]
         secret = (fleet.folder / "secret").read_text()
-        plain = wire.Hello("entry-9", "entry", "inc", secret=secret)
+        hello = wire.Hello("entry-9", "entry", "inc", secret=secret)
         with self.assertRaises(base.WireError):
-            await wire.connect("127.0.0.1", port, plain)
+            await wire.connect("127.0.0.1", port, hello)
