--- a/libs/base/src/sequoiagap/base/__init__.py
+++ b/libs/base/src/sequoiagap/base/__init__.py
@@ -31,12 +31,12 @@
 from sequoiagap.base._program import run_program
 from sequoiagap.base._rates import LineLimiter
 from sequoiagap.base._registry import Registry
-from sequoiagap.base._tasks import OWN_LAG_S, TaskSet, cancel_and_wait
+from sequoiagap.base._tasks import MAX_LOOP_LAG_S, TaskSet, cancel_and_wait
 from sequoiagap.base._tls import TlsContexts
 from sequoiagap.base._usage import Usage, collect_process_metrics, read_usage
 
 __all__ = [
-    "OWN_LAG_S",
+    "MAX_LOOP_LAG_S",
     "Backoff",
     "BoundedStream",
     "CATALOGUE",
--- a/libs/base/src/sequoiagap/base/_backoff.py
+++ b/libs/base/src/sequoiagap/base/_backoff.py
@@ -24,7 +24,7 @@
         self.random_state = random_state
         self._wait_s = first_s
 
-    def next_wait(self):
+    def next_delay(self):
         """Return the wait after one more failure, in seconds.
 
         :rtype: float
--- a/libs/base/src/sequoiagap/base/_tasks.py
+++ b/libs/base/src/sequoiagap/base/_tasks.py
@@ -4,7 +4,7 @@
 
 from sequoiagap.base import _events
 
-OWN_LAG_S = 0.1  # a process this late itself has not shown that others are silent
+MAX_LOOP_LAG_S = 0.1  # a process this late itself has not shown that others are silent
 
 _log = _events.get_logger("tasks")
 
--- a/libs/gateway/src/sequoiagap/gateway/_feed.py
+++ b/libs/gateway/src/sequoiagap/gateway/_feed.py
@@ -141,7 +141,7 @@
                 backoff.reset()
                 interval_s = self._interval(topic)
             else:
-                interval_s = backoff.next_wait()
+                interval_s = backoff.next_delay()
             await asyncio.sleep(MIN_INTERVAL_S)
             try:
                 async with asyncio.timeout(max(interval_s - MIN_INTERVAL_S, 0.0)):
--- a/libs/gateway/src/sequoiagap/gateway/_peers.py
+++ b/libs/gateway/src/sequoiagap/gateway/_peers.py
@@ -56,7 +56,7 @@
                 self._registration.check(node_by_id)
                 self._merge_nodes(node_by_id)
             except base.PlatformError:
-                await asyncio.sleep(backoff.next_wait())
+                await asyncio.sleep(backoff.next_delay())
                 continue
             backoff.reset()
             has_others = len(self.node_by_id) > 1
--- a/libs/ranks/src/sequoiagap/ranks/_agent.py
+++ b/libs/ranks/src/sequoiagap/ranks/_agent.py
@@ -167,11 +167,11 @@
                 # A stale list may lack some nodes, so known nodes are kept.
                 self._node_by_id |= node_by_id
             except base.PlatformError:
-                await asyncio.sleep(backoff.next_wait())
+                await asyncio.sleep(backoff.next_delay())
                 continue
             backoff.reset()
             if len(self._node_by_id) < 2 or self._has_unknown_ranks():
-                await asyncio.sleep(discovery.next_wait())
+                await asyncio.sleep(discovery.next_delay())
                 continue
             discovery.reset()
             await asyncio.sleep(DISCOVERY_INTERVAL_S)
@@ -191,7 +191,7 @@
                 reading = await self.store.read("config", may_be_old=True)
                 snapshot = self.store.decode("config", reading.content)
             except (base.PlatformError, ValueError):
-                await asyncio.sleep(backoff.next_wait())
+                await asyncio.sleep(backoff.next_delay())
                 continue
             backoff.reset()
             table = snapshot.value
--- a/libs/ranks/src/sequoiagap/ranks/_links.py
+++ b/libs/ranks/src/sequoiagap/ranks/_links.py
@@ -97,7 +97,9 @@
                     check.cancel()
         except TimeoutError:
             waited_s = time.monotonic() - began
-            is_on_time = waited_s < max(timeout_s, REPLY_TIMEOUT_S) + base.OWN_LAG_S
+            is_on_time = (
+                waited_s < max(timeout_s, REPLY_TIMEOUT_S) + base.MAX_LOOP_LAG_S
+            )
             if is_on_time and connection.heard_at_ < began:
                 self.mark_silent()
                 connection.probe()
--- a/libs/ranks/src/sequoiagap/ranks/_succession.py
+++ b/libs/ranks/src/sequoiagap/ranks/_succession.py
@@ -80,7 +80,7 @@
         """
         lag_s = now - self._checked_at - interval_s
         self._checked_at = now
-        if lag_s > base.OWN_LAG_S:
+        if lag_s > base.MAX_LOOP_LAG_S:
             self._heard_at += lag_s
         return rank == 0 or now - self._heard_at > self._timeout_s(rank)
 
--- a/libs/wire/src/sequoiagap/wire/_connection.py
+++ b/libs/wire/src/sequoiagap/wire/_connection.py
@@ -171,7 +171,7 @@
     async def _ping_forever(self):
         while not self.closed_:
             lag_s = await self._wait_interval()
-            if lag_s > base.OWN_LAG_S and self._oldest_ping_at is not None:
+            if lag_s > base.MAX_LOOP_LAG_S and self._oldest_ping_at is not None:
                 self._oldest_ping_at += lag_s
             now = time.monotonic()
             waiting_since = self._oldest_ping_at
