Reword base in the terms of the field

FIELD at -> updated_at is a private token bucket that leaves no process. take -> acquire (LineLimiter)

--- a/libs/base/src/sequoiagap/base/__init__.py
+++ b/libs/base/src/sequoiagap/base/__init__.py
@@ -1,4 +1,4 @@
-"""Errors, events, metrics, registries and parameter checks shared by every library."""
+"""Errors, log events, metrics, registries and parameter checks of all libraries."""
 
 from sequoiagap.base._backoff import Backoff
 from sequoiagap.base._check import (
--- a/libs/base/src/sequoiagap/base/_backoff.py
+++ b/libs/base/src/sequoiagap/base/_backoff.py
@@ -1,20 +1,20 @@
-"""Growing, spread waits between tries of something that fails."""
+"""Exponential backoff with jitter."""
 
-GROWTH = 2.0
-SPREAD = 0.5  # of a wait, so that many processes don't try at one moment
+GROWTH_FACTOR = 2.0
+JITTER = 0.5  # fraction of a delay; keeps processes from retrying at the same moment
 
 
 class Backoff:
-    """Waits that grow with each failure in a row.
+    """Computes retry delays that grow with each consecutive failure.
 
-    :param float first_s: first wait, in seconds.
-    :param float longest_s: longest wait, in seconds.
-    :param random.Random random_state: spreads the waits.
+    :param float first_s: delay after the first failure, in seconds.
+    :param float longest_s: maximum delay, in seconds.
+    :param random.Random random_state: source of the jitter.
 
     >>> import random
     >>> backoff = Backoff(0.1, 0.4, random.Random(1))
-    >>> waits = [backoff.next_wait() for _ in range(4)]
-    >>> all(0.5 * s <= w <= s for s, w in zip((0.1, 0.2, 0.4, 0.4), waits))
+    >>> delays = [backoff.next_delay() for _ in range(4)]
+    >>> all(0.5 * s <= d <= s for s, d in zip((0.1, 0.2, 0.4, 0.4), delays))
     True
     """
 
@@ -22,17 +22,17 @@
         self.first_s = first_s
         self.longest_s = longest_s
         self.random_state = random_state
-        self._wait_s = first_s
+        self._delay_s = first_s
 
     def next_delay(self):
-        """Return the wait after one more failure, in seconds.
+        """Return the delay after one more failure, in seconds.
 
         :rtype: float
         """
-        wait_s = self._wait_s
-        self._wait_s = min(wait_s * GROWTH, self.longest_s)
-        return wait_s * (1.0 - SPREAD * self.random_state.random())
+        delay_s = self._delay_s
+        self._delay_s = min(delay_s * GROWTH_FACTOR, self.longest_s)
+        return delay_s * (1.0 - JITTER * self.random_state.random())
 
     def reset(self):
-        """Take it that a try has succeeded."""
-        self._wait_s = self.first_s
+        """Restart with the first delay, after a success."""
+        self._delay_s = self.first_s
--- a/libs/base/src/sequoiagap/base/_check.py
+++ b/libs/base/src/sequoiagap/base/_check.py
@@ -1,4 +1,4 @@
-"""Checks of parameters, the one place where their messages are worded."""
+"""Validation of parameters with uniform error messages."""
 
 import re
 
@@ -6,7 +6,7 @@
 
 
 def check_positive(name, value):
-    """Return a number that must be above zero.
+    """Return the value if it is a number above zero.
 
     :param str name: name of the parameter, for the message.
     :param float value: value to check.
@@ -22,7 +22,7 @@
 
 
 def check_non_negative(name, value):
-    """Return a number that must be zero or above.
+    """Return the value if it is a number of at least zero.
 
     :param str name: name of the parameter, for the message.
     :param float value: value to check.
@@ -38,7 +38,7 @@
 
 
 def check_fraction(name, value):
-    """Return a number that must lie between 0 and 1, both included.
+    """Return the value if it is a number from 0 to 1, both included.
 
     :param str name: name of the parameter, for the message.
     :param float value: value to check.
@@ -54,11 +54,11 @@
 
 
 def check_choice(name, value, choices):
-    """Return a value that must be one of the choices.
+    """Return the value if it is one of the choices.
 
     :param str name: name of the parameter, for the message.
     :param str value: value to check.
-    :param collections.abc.Iterable[str] choices: what is allowed.
+    :param collections.abc.Iterable[str] choices: allowed values.
     :rtype: str
     :raises ValueError: if the value is none of the choices.
 
@@ -73,12 +73,15 @@
 
 
 def check_name(name, value):
-    """Return an identifier of letters, digits, dots, dashes and underscores.
+    """Return the value if it is an identifier.
+
+    Identifiers consist of letters, digits, dots, dashes and underscores, and start
+    with a letter or digit.
 
     :param str name: name of the parameter, for the message.
     :param str value: identifier of at most 128 characters.
     :rtype: str
-    :raises ValueError: if the value is no such identifier.
+    :raises ValueError: if the value is not an identifier.
 
     >>> check_name("model", "basalt-7b")
     'basalt-7b'
--- a/libs/base/src/sequoiagap/base/_errors.py
+++ b/libs/base/src/sequoiagap/base/_errors.py
@@ -1,11 +1,15 @@
-"""Typed errors whose messages name the remedy."""
+"""Exceptions and rejections of requests, each with a message and a remedy."""
 
 import dataclasses
 import enum
 
 
 class Outcome(enum.StrEnum):
-    """What became of an attempt, as far as the system can prove."""
+    """Proven outcome of an attempt.
+
+    ``NOT_RUN`` means that the endpoint provably did not run it. ``UNKNOWN`` means
+    that it may have run.
+    """
 
     ANSWERED = "answered"
     NOT_RUN = "not_run"
@@ -13,7 +17,7 @@
 
 
 class RefusalKind(enum.StrEnum):
-    """Kinds of refusal that a caller or an operator can meet."""
+    """Kinds of rejection reported to callers and operators."""
 
     ACCOUNT_LIMIT = "account_limit"
     BAD_REQUEST = "bad_request"
@@ -64,15 +68,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Refusal:
-    """A truthful refusal: what was refused, why, and what to do about it.
+    """Rejection of a request or of an operator's change, with cause and remedy.
 
-    :param RefusalKind kind: what kind of refusal this is.
-    :param str message: what happened, one sentence.
-    :param str remedy: what the reader can do, one sentence.
-    :param Outcome outcome: ``NOT_RUN`` only where that is proved.
-    :param float retry_after_s: when to come back, in seconds; 0 for no advice.
-    :param int config_version: configuration version that the decision rests on.
-    :param str setting: path of the setting that the decision rests on, if any.
+    :param RefusalKind kind: kind of the rejection.
+    :param str message: what happened, in one sentence.
+    :param str remedy: what the reader can do, in one sentence.
+    :param Outcome outcome: outcome of the request; ``NOT_RUN`` only if proven.
+    :param float retry_after_s: retry delay in seconds; 0 if none is advised.
+    :param int config_version: configuration version used for the decision.
+    :param str setting: path of the setting that caused the decision, if any.
 
     >>> Refusal(RefusalKind.NO_ENDPOINT, "no endpoint", "retry").http_status
     503
@@ -92,9 +96,9 @@
         return HTTP_STATUS_BY_KIND.get(self.kind, DEFAULT_HTTP_STATUS)
 
     def to_document(self, request_id=""):
-        """Return the JSON body of the refusal.
+        """Return the JSON body of the rejection.
 
-        :param str request_id: id of the refused request.
+        :param str request_id: id of the rejected request.
         :rtype: dict
         """
         return {
@@ -112,7 +116,7 @@
 
 
 class SequoiagapError(Exception):
-    """Base of every error that the system raises on purpose.
+    """Base class of all errors that the system raises itself.
 
     :param str message: what happened.
     :param str remedy: what to do about it.
@@ -125,15 +129,15 @@
 
 
 class ConfigError(SequoiagapError):
-    """A settings file or configuration that can't be used."""
+    """A settings file or configuration is missing or invalid."""
 
 
 class WireError(SequoiagapError):
-    """A frame or message that does not follow the protocol, or a lost peer."""
+    """A peer violated the protocol or its connection was lost."""
 
 
 class PlatformError(SequoiagapError):
-    """The platform did not answer, or answered with an error.
+    """A call to the platform failed or timed out.
 
     :param str message: what happened.
     :param str remedy: what to do about it.
--- a/libs/base/src/sequoiagap/base/_events.py
+++ b/libs/base/src/sequoiagap/base/_events.py
@@ -1,6 +1,6 @@
-"""Numbered log events.
+"""Structured log events: their numbers, catalogue and output as JSON lines.
 
-Each event has a number that never changes meaning. ``docs/EVENTS.md`` is the
+The number of an event never changes its meaning. ``docs/EVENTS.md`` is the
 catalogue for operators; a test compares it with :data:`CATALOGUE`.
 """
 
@@ -17,7 +17,7 @@
 
 
 class Event(enum.IntEnum):
-    """Numbers of the log events."""
+    """Log events and their numbers, grouped by the hundred."""
 
     PROCESS_STARTED = 1001
     PROCESS_READY = 1002
@@ -109,93 +109,93 @@
 
 
 CATALOGUE = {
-    Event.PROCESS_STARTED: "A process started, with its role and addresses.",
-    Event.PROCESS_READY: "A process takes work.",
-    Event.PROCESS_STOPPING: "A process was told to stop and refuses new work.",
+    Event.PROCESS_STARTED: "A process has started; the fields give role and addresses.",
+    Event.PROCESS_READY: "A process is ready and accepts work.",
+    Event.PROCESS_STOPPING: "A process is shutting down and rejects new work.",
     Event.PROCESS_STOPPED: "A process has stopped.",
     Event.TASK_FAILED: "A background task ended with an error.",
-    Event.PROCESS_RELOADED: "Keys and certificates were read again.",
-    Event.RELOAD_FAILED: "Bad keys or certificates; the old ones stay in use.",
-    Event.STATE_DUMPED: "The state dump that SIGUSR1 asked for.",
-    Event.LIBRARY_WARNING: "A library warned; its values are left out.",
-    Event.HANDLER_FAILED: "The entry failed on an HTTP call; a fault to report.",
+    Event.PROCESS_RELOADED: "Keys and certificates were reloaded.",
+    Event.RELOAD_FAILED: "Keys or certificates are invalid; the old ones stay in use.",
+    Event.STATE_DUMPED: "State dump of a process, requested by SIGUSR1.",
+    Event.LIBRARY_WARNING: "A library logged a warning; the values in it are omitted.",
+    Event.HANDLER_FAILED: "An HTTP handler of the entry raised an error; report it.",
     Event.LINK_OPENED: "A connection to another process is open.",
     Event.LINK_CLOSED: "A connection to another process has closed.",
-    Event.LINK_SILENT: "A connection gave no sign of life and was abandoned.",
+    Event.LINK_SILENT: "A peer missed its heartbeats; the connection was closed.",
     Event.FRAME_REJECTED: "A frame or handshake did not follow the protocol.",
-    Event.LINK_UNREACHABLE: "An agent can't be connected; tried again until it can.",
+    Event.LINK_UNREACHABLE: "No connection to an agent; the entry keeps retrying.",
     Event.REQUEST_ADMITTED: "A caller's request was admitted.",
-    Event.REQUEST_REFUSED: "A caller's request was refused, with kind and setting.",
-    Event.REQUEST_ANSWERED: "A caller got the whole answer.",
+    Event.REQUEST_REFUSED: "A caller's request was rejected, with kind and setting.",
+    Event.REQUEST_ANSWERED: "A caller received the complete answer.",
     Event.ATTEMPT_SENT: "An attempt was sent to an endpoint's agent.",
     Event.ATTEMPT_ENDED: "An attempt ended, with its outcome.",
-    Event.ATTEMPT_REVOKED: "An attempt was revoked; the agent said what it knows.",
-    Event.REQUEST_CUT: "An answer was cut short; the caller was told.",
-    Event.ATTEMPT_REATTACHED: "An entry takes up an answer again by its attempt id.",
-    Event.ATTEMPT_DUPLICATE: "An order came twice; the second was dropped.",
-    Event.CLAIM_WRITE_FAILED: "Claims of keys could not be written or read back.",
-    Event.RUN_ABANDONED: "A run was stopped, as nobody waits for its answer.",
-    Event.CONNECTION_SUSPECT: "Connections to the endpoint failed; none is used again.",
-    Event.STREAM_RESUMED: "A cut stream goes on at its offset, at the same engine.",
-    Event.ATTEMPT_LINGERS: "A connection is still open after its attempt was given up.",
-    Event.CALLER_LEFT: "A caller left or was cut off before its whole answer.",
-    Event.REQUEST_WAITED: "A request waited for its endpoints' group to serve again.",
+    Event.ATTEMPT_REVOKED: "An attempt was revoked; the agent reported its state.",
+    Event.REQUEST_CUT: "An answer was cut short; the caller was notified.",
+    Event.ATTEMPT_REATTACHED: "An entry resumes an answer by its attempt id.",
+    Event.ATTEMPT_DUPLICATE: "An attempt was received twice; the second was dropped.",
+    Event.CLAIM_WRITE_FAILED: "Claims of idempotency keys could not be stored or read.",
+    Event.RUN_ABANDONED: "A run was stopped because no caller waits for its answer.",
+    Event.CONNECTION_SUSPECT: "Connections to an endpoint failed; none is reused.",
+    Event.STREAM_RESUMED: "A cut stream continues at its offset on the same engine.",
+    Event.ATTEMPT_LINGERS: "A connection outlives its abandoned attempt.",
+    Event.CALLER_LEFT: "A caller disconnected before it had the complete answer.",
+    Event.REQUEST_WAITED: "A request waited until its rank group served again.",
     Event.CONFIG_ADOPTED: "A process adopted a configuration version.",
-    Event.CONFIG_ACCEPTED: "An operator's patch became a version.",
-    Event.CONFIG_REFUSED: "An operator's patch was refused.",
+    Event.CONFIG_ACCEPTED: "An operator's patch was accepted as a version.",
+    Event.CONFIG_REFUSED: "An operator's patch was rejected.",
     Event.PLATFORM_UNREACHABLE: "The platform does not answer.",
     Event.PLATFORM_REACHABLE: "The platform answers again.",
-    Event.CONFIG_MALFORMED: "A version can't be used; the process keeps its own.",
-    Event.STORE_RETURNED: "The store came back from a copy; names both eras.",
-    Event.READING_OVERTAKEN: "A reading of an earlier state of the store was dropped.",
-    Event.REGISTERED_AGAIN: "A process's entry in the store was written again.",
-    Event.PLATFORM_BEHIND: "The platform holds an older version than is in force.",
-    Event.CONFIG_FORKED: "Another process has other content under the same version.",
-    Event.LOCAL_ORDER_TAKEN: "A local order that a failure domain be out holds.",
-    Event.LOCAL_ORDER_ENDED: "A version has overtaken a local order.",
+    Event.CONFIG_MALFORMED: "A version is invalid; the process keeps the one in use.",
+    Event.STORE_RETURNED: "The store was restored from a copy, with both eras.",
+    Event.READING_OVERTAKEN: "A reading older than the known store state was dropped.",
+    Event.REGISTERED_AGAIN: "A process's record in the store was rewritten.",
+    Event.PLATFORM_BEHIND: "The platform has an older version than the one in force.",
+    Event.CONFIG_FORKED: "A peer has different content under the same version.",
+    Event.LOCAL_ORDER_TAKEN: "A local order that takes a failure domain out is active.",
+    Event.LOCAL_ORDER_ENDED: "A configuration version superseded a local order.",
     Event.WATCH_STARTED: "This entry watches the configuration on the platform.",
-    Event.WATCH_STOPPED: "This entry leaves the watch to others of its domain.",
+    Event.WATCH_STOPPED: "Other entries of the domain watch the configuration now.",
     Event.ORDER_ISSUED: "An order to an endpoint got its fencing number.",
-    Event.ORDER_REFUSED: "An agent refused an order to its endpoint.",
-    Event.ORDER_DONE: "An endpoint has carried out an order.",
+    Event.ORDER_REFUSED: "An agent rejected an order to its endpoint.",
+    Event.ORDER_DONE: "An endpoint has executed an order.",
     Event.ENDPOINT_STATE: "An endpoint changed its state.",
-    Event.ENDPOINT_SEEN: "An endpoint became known.",
+    Event.ENDPOINT_SEEN: "An endpoint was discovered.",
     Event.ENDPOINT_GONE: "An endpoint is no longer used.",
-    Event.ENDPOINT_TURNED_COLD: "An endpoint is held to its cold limit, with reason.",
-    Event.ENDPOINT_DOUBTED: "An endpoint's connection ended; it is asked again.",
-    Event.ENDPOINT_RECORD_BAD: "A registered entry is unreadable and left out.",
-    Event.DOMAINS_OUT: "Operators took failure domains out or back.",
-    Event.ENDPOINT_RESTARTED: "An endpoint started anew and is not registered so yet.",
-    Event.MAP_CHANGE_BEGAN: "A change of expert map was begun, with its reason.",
+    Event.ENDPOINT_TURNED_COLD: "An endpoint is restricted to its cold limit, with reason.",
+    Event.ENDPOINT_DOUBTED: "An endpoint's connection closed; its state is queried.",
+    Event.ENDPOINT_RECORD_BAD: "A record of the store is invalid and is ignored.",
+    Event.DOMAINS_OUT: "Operators took failure domains out of service or back in.",
+    Event.ENDPOINT_RESTARTED: "An endpoint restarted; the store has its earlier start.",
+    Event.MAP_CHANGE_BEGAN: "A change of expert map began, with its reason.",
     Event.MAP_CHANGE_ENDED: "A change of expert map ended, with its result.",
-    Event.RANK_ORDER_SENT: "An order was given to a rank's engine, with its result.",
-    Event.HOLD_RESOLVED: "A hold that nobody answered for was released.",
-    Event.GROUP_SEEN: "A rank group formed anew or changed its state.",
-    Event.RANK_SILENT: "The agent of a rank left a question without an answer.",
-    Event.HOLD_FOUND: "A hold that nobody answers for is about to be released.",
-    Event.MAP_CHANGE_WAITS: "A leader begins no change of expert map, with the reason.",
-    Event.GROUP_FOLLOWED: "What a leader has of its ranks: ages, silence, bytes.",
-    Event.KEEPER_ASKED: "A leader asked this agent to keep a hold, or to allow arming.",
-    Event.GROUP_LED: "This agent began or ceased to lead its rank group.",
-    Event.USAGE_EXPIRED: "An entry's usage of client accounts is no longer counted.",
-    Event.ADMISSION_OVERLOADED: "Requests wait or are shed for lack of capacity.",
-    Event.ADMISSION_CALM: "No request waits for capacity any more.",
+    Event.RANK_ORDER_SENT: "An order was sent to a rank's engine, with its result.",
+    Event.HOLD_RESOLVED: "An abandoned hold was released.",
+    Event.GROUP_SEEN: "A rank group re-formed or changed its state.",
+    Event.RANK_SILENT: "The agent of a rank did not answer a request.",
+    Event.HOLD_FOUND: "An abandoned hold was found and will be released.",
+    Event.MAP_CHANGE_WAITS: "A leader postpones a change of expert map, with reason.",
+    Event.GROUP_FOLLOWED: "A leader's view of its ranks: report ages, silence, bytes.",
+    Event.KEEPER_ASKED: "A leader requested to keep a hold, or to allow arming.",
+    Event.GROUP_LED: "This agent gained or lost the lead of its rank group.",
+    Event.USAGE_EXPIRED: "An entry's usage report is too old and no longer counted.",
+    Event.ADMISSION_OVERLOADED: "Requests are queued or shed for lack of capacity.",
+    Event.ADMISSION_CALM: "No request is queued for capacity any longer.",
     Event.ENDPOINT_SUSPECT: "An agent's reports stopped; it gets no new work.",
-    Event.ENDPOINT_LEAVING: "An endpoint's agent says that it leaves.",
+    Event.ENDPOINT_LEAVING: "An endpoint's agent announced that it is leaving.",
     Event.PEER_OPENED: "A connection to another entry is open.",
     Event.PEER_CLOSED: "A connection to another entry has closed.",
-    Event.LINK_ON_DEMAND: "A further agent is linked, as a request needs it.",
-    Event.RANK_STARTED: "A rank's engine or agent is fresh and asks its peers.",
-    Event.RANK_JOINED: "A rank got a peer's answer; joined says whether it takes part.",
+    Event.LINK_ON_DEMAND: "A link to a further agent was opened for a request.",
+    Event.RANK_STARTED: "A rank's engine or agent has started and queries its peers.",
+    Event.RANK_JOINED: "A peer answered a rank; joined says if it is a member.",
     Event.RANK_UNREACHABLE: "The engine of a rank does not answer its agent.",
     Event.RANK_ORDER_FAILED: "An order about the expert map failed at the engine.",
-    Event.MAP_ORDERED: "The engine carried out an order about its expert map.",
-    Event.GROUP_STALLED: "A rank group can't step; it is offered no requests.",
+    Event.MAP_ORDERED: "The engine executed an order about its expert map.",
+    Event.GROUP_STALLED: "A rank group can't step; it receives no requests.",
     Event.GROUP_STEPS: "A rank group steps again.",
     Event.WEIGHTS_FAILED: "Weights of an expert map could not be loaded.",
-    Event.MAP_PLANNED: "A new expert map was planned, with moves and predicted skew.",
-    Event.ROUND_ENDED: "A round of the change of map ended, with its phase.",
-    Event.MAP_UNKNOWN: "A wanted expert map is not known to any rank asked.",
+    Event.MAP_PLANNED: "A new expert map was planned, with moves and expected skew.",
+    Event.ROUND_ENDED: "A round of a change of expert map ended, with its phase.",
+    Event.MAP_UNKNOWN: "No queried rank has the expert map that is needed.",
 }
 
 _WARNINGS = frozenset(
@@ -230,10 +230,10 @@
 
 
 class Logger:
-    """Emits numbered events of one component.
+    """Writes the numbered log events of one component.
 
-    Lines of one event are bounded in their rate over the whole process; a line
-    that follows others that were left out names their count as ``suppressed``.
+    The process limits the rate of lines of each event. The first line after
+    suppressed ones carries their number in the field ``suppressed``.
 
     :param str component: name of the component.
     """
@@ -243,12 +243,12 @@
         self._log = structlog.get_logger(component=component)
 
     def emit(self, event, **fields):
-        """Write one event.
+        """Write one event, unless the rate limit suppresses it.
 
-        :param Event event: which event.
-        :param fields: values of the event; never prompts, answers or keys.
+        :param Event event: event to write.
+        :param fields: fields of the event; never prompts, answers or keys.
         """
-        suppressed = _limiter.take(int(event), time.monotonic())
+        suppressed = _limiter.acquire(int(event), time.monotonic())
         if suppressed is None:
             return
         if suppressed:
@@ -267,7 +267,7 @@
 
 
 def suppressed_lines():
-    """Return how many log lines were left out so far, by name of the event.
+    """Return how many log lines were suppressed so far, by name of the event.
 
     :rtype: dict[str, int]
     """
@@ -276,11 +276,11 @@
 
 
 def configure_logs(level="info", stream=None, **fields):
-    """Set up logs as JSON lines, with fresh bounds on their rate.
+    """Configure logging as JSON lines and reset the rate limits.
 
-    :param str level: lowest level to write: ``debug``, ``info`` or ``warning``.
+    :param str level: minimum level: ``debug``, ``info`` or ``warning``.
     :param stream: text stream to write to; standard error by default.
-    :param fields: values that stand on each line, such as the node id.
+    :param fields: fields added to each line, such as the node id.
     """
     global _limiter
     _limiter = _rates.LineLimiter()
@@ -297,16 +297,19 @@
         logger_factory=structlog.PrintLoggerFactory(stream or sys.stderr),
         cache_logger_on_first_use=True,
     )
-    _take_library_logs()
+    _redirect_library_logs()
     structlog.contextvars.clear_contextvars()
     structlog.contextvars.bind_contextvars(**fields)
 
 
 class _LibraryHandler(logging.Handler):
-    """Turns warnings of libraries into events, without the values in them."""
+    """Converts warnings of third-party libraries to events.
+
+    Only the message template is logged: its values may contain caller data.
+    """
 
     def emit(self, record):
-        """Write one record as an event."""
+        """Write a log record as an event."""
         error = record.exc_info[0] if record.exc_info else None
         get_logger("library").emit(
             Event.LIBRARY_WARNING,
@@ -316,7 +319,8 @@
         )
 
 
-def _take_library_logs():
+def _redirect_library_logs():
+    """Replace the handlers of the root logger by :class:`_LibraryHandler`."""
     root = logging.getLogger()
     for handler in list(root.handlers):
         root.removeHandler(handler)
--- a/libs/base/src/sequoiagap/base/_ids.py
+++ b/libs/base/src/sequoiagap/base/_ids.py
@@ -1,4 +1,4 @@
-"""Unique ids."""
+"""Random unique ids of requests, attempts and other objects."""
 
 import secrets
 
@@ -6,9 +6,9 @@
 
 
 def new_id(prefix):
-    """Return a fresh unique id.
+    """Return a new random id.
 
-    :param str prefix: what the id names, such as ``req``.
+    :param str prefix: kind of the identified object, such as ``req``.
     :rtype: str
 
     >>> new_id("req").startswith("req-")
--- a/libs/base/src/sequoiagap/base/_metrics.py
+++ b/libs/base/src/sequoiagap/base/_metrics.py
@@ -1,4 +1,4 @@
-"""Counters, gauges and latency histograms of one process."""
+"""Counters, gauges and latency histograms of one process, kept in memory."""
 
 import hdrh.histogram
 
@@ -7,21 +7,21 @@
 SIGNIFICANT_DIGITS = 2
 MICROSECONDS = 1_000_000
 MAX_SERIES = 64
-OTHER = "other"
+OVERFLOW_LABEL = "other"
 QUANTILES = (0.5, 0.95, 0.99)
 
 
 class Metrics:
-    """Metrics of one process, kept in memory.
+    """Records the metrics of one process.
 
-    A metric may have labels. Each set of label values makes a series, whose key
-    is ``name{label="value"}``; a metric without labels has its name as the key.
+    A metric may have labels. Each combination of label values is one series with
+    the key ``name{label="value"}``; without labels the key is the metric's name.
 
-    :param int max_series: series of one metric; what comes after them is added
-        to a series whose label values are ``other``.
+    :param int max_series: maximum number of series of one metric. Further label
+        values are counted in one series whose label values are ``other``.
 
     :ivar dict counters_by_name: key to count.
-    :ivar dict gauges_by_name: key to last value.
+    :ivar dict gauges_by_name: key to latest value.
     :ivar dict histograms_by_name: key to histogram, in microseconds.
 
     >>> metrics = Metrics()
@@ -39,21 +39,21 @@
         self._series_by_name = {}
 
     def count(self, name, amount=1, **labels):
-        """Add to a counter.
+        """Increment a counter.
 
         :param str name: name of the counter, ending in ``_total``.
-        :param int amount: how much to add.
-        :param labels: values by label.
+        :param int amount: increment.
+        :param labels: label values by label name.
         """
         key = self._key(name, labels)
         self.counters_by_name[key] = self.counters_by_name.get(key, 0) + amount
 
     def set_counter(self, name, value, **labels):
-        """Set a counter that is kept elsewhere.
+        """Set a counter to a total that is counted elsewhere.
 
         :param str name: name of the counter, ending in ``_total``.
-        :param float value: its value now.
-        :param labels: values by label.
+        :param float value: current value.
+        :param labels: label values by label name.
         """
         self.counters_by_name[self._key(name, labels)] = value
 
@@ -61,17 +61,17 @@
         """Set a gauge.
 
         :param str name: name of the gauge.
-        :param float value: its value now.
-        :param labels: values by label.
+        :param float value: current value.
+        :param labels: label values by label name.
         """
         self.gauges_by_name[self._key(name, labels)] = value
 
     def observe(self, name, seconds, **labels):
-        """Record a duration.
+        """Record a duration in a histogram.
 
         :param str name: name of the histogram, ending in ``_seconds``.
         :param float seconds: the duration in seconds.
-        :param labels: values by label.
+        :param labels: label values by label name.
         """
         key = self._key(name, labels)
         histogram = self.histograms_by_name.get(key)
@@ -88,14 +88,14 @@
 
         :param str name: name of the histogram.
         :param float fraction: from 0 to 1.
-        :param labels: values by label.
+        :param labels: label values by label name.
         :rtype: float
         """
         histogram = self.histograms_by_name.get(_join(name, labels))
         return 0.0 if histogram is None else _quantile(histogram, fraction)
 
     def to_document(self):
-        """Return every metric as plain data, for the state dump and exposition.
+        """Return all metrics as plain data, for the state dump and exposition.
 
         :rtype: dict
         """
@@ -118,10 +118,10 @@
         return key
 
     def _add_series(self, name, labels, identity):
-        """Return the key of a new series; the map of keys stays bounded."""
+        """Return the key of a new series, or of the overflow series at the limit."""
         count = self._series_by_name.get(name, 0)
         if count >= self.max_series:
-            return _join(name, dict.fromkeys(labels, OTHER))
+            return _join(name, dict.fromkeys(labels, OVERFLOW_LABEL))
         self._series_by_name[name] = count + 1
         key = _join(name, labels)
         self._key_by_labels[identity] = key
--- a/libs/base/src/sequoiagap/base/_program.py
+++ b/libs/base/src/sequoiagap/base/_program.py
@@ -1,4 +1,4 @@
-"""Running of a role's process under signals."""
+"""Main loop of a process: start, readiness line and signal handling."""
 
 import asyncio
 import json
@@ -12,12 +12,12 @@
 async def run_program(process, describe_ready):
     """Run a process until SIGTERM or SIGINT.
 
-    SIGHUP makes it read its keys and certificates again; SIGUSR1 writes its state
-    dump to the log. When it is ready, one line of JSON goes to standard output.
+    SIGHUP reloads keys and certificates; SIGUSR1 writes the state dump to the log.
+    When the process is ready, one line of JSON is printed to standard output.
 
-    :param process: object with coroutines ``start()`` and ``stop()``, and with
+    :param process: object with the coroutines ``start()`` and ``stop()``, and with
         ``reload()`` and ``dump_state()``.
-    :param describe_ready: function that returns the line's content, a dict.
+    :param describe_ready: function that returns the content of the line as a dict.
     """
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -32,7 +32,7 @@
 
 
 def _reload(process):
-    """Read keys and certificates again; keep the old ones where they are bad."""
+    """Reload keys and certificates; keep those in use if the new ones are invalid."""
     try:
         process.reload()
     except _errors.ConfigError as error:
--- a/libs/base/src/sequoiagap/base/_rates.py
+++ b/libs/base/src/sequoiagap/base/_rates.py
@@ -1,4 +1,4 @@
-"""Bound on how many log lines of one event a process writes."""
+"""Rate limit of log lines, separate for each event number."""
 
 import dataclasses
 
@@ -11,20 +11,20 @@
 @dataclasses.dataclass
 class _Bucket:
     tokens: float
-    at: float
+    updated_at: float
     suppressed: int = 0
 
 
 class LineLimiter:
-    """A token bucket for each event number.
+    """Limits the rate of log lines with a token bucket for each event number.
 
-    :param float lines_per_s: lines of one event that are written in the long run.
-    :param int burst_lines: lines of one event that are written at once.
+    :param float lines_per_s: sustained rate of one event, in lines per second.
+    :param int burst_lines: lines of one event that may be written in a burst.
 
-    :ivar dict suppressed_by_number: lines left out so far, by event number.
+    :ivar dict suppressed_by_number: suppressed lines so far, by event number.
 
     >>> limiter = LineLimiter(lines_per_s=1, burst_lines=1)
-    >>> [limiter.take(1001, now) for now in (0.0, 0.1, 0.2, 1.5)]
+    >>> [limiter.acquire(1001, now) for now in (0.0, 0.1, 0.2, 1.5)]
     [0, None, None, 2]
     """
 
@@ -34,22 +34,22 @@
         self.suppressed_by_number = {}
         self._bucket_by_number = {}
 
-    def take(self, number, now):
-        """Ask to write a line of an event.
+    def acquire(self, number, now):
+        """Request a token for one line of an event.
 
         :param int number: number of the event.
         :param float now: monotonic time in seconds.
-        :returns: how many lines were left out since the last one that was
-            written, or ``None`` if this one is to be left out.
+        :returns: how many lines were suppressed since the last written one, or
+            ``None`` if this line must be suppressed.
         :rtype: int | None
         """
         bucket = self._bucket_by_number.get(number)
         if bucket is None:
             bucket = _Bucket(self.burst_lines, now)
             self._bucket_by_number[number] = bucket
-        earned = max(now - bucket.at, 0.0) * self.lines_per_s
-        bucket.tokens = min(bucket.tokens + earned, self.burst_lines)
-        bucket.at = now
+        refill = max(now - bucket.updated_at, 0.0) * self.lines_per_s
+        bucket.tokens = min(bucket.tokens + refill, self.burst_lines)
+        bucket.updated_at = now
         if bucket.tokens < 1:
             bucket.suppressed += 1
             total = self.suppressed_by_number.get(number, 0) + 1
--- a/libs/base/src/sequoiagap/base/_registry.py
+++ b/libs/base/src/sequoiagap/base/_registry.py
@@ -1,12 +1,12 @@
-"""Registries that decorators fill."""
+"""Registries of implementations, populated by decorators."""
 
 from sequoiagap.base import _check
 
 
 class Registry:
-    """Named implementations of one behaviour.
+    """Maps names to the implementations of one interface.
 
-    :param str kind: what is registered, for messages.
+    :param str kind: kind of the registered objects, used in error messages.
 
     >>> policies = Registry("policy")
     >>> @policies.register("first")
@@ -21,10 +21,10 @@
         self.by_name = {}
 
     def register(self, name):
-        """Return a decorator that registers its target under a name.
+        """Return a decorator that registers a function or class under a name.
 
         :param str name: name of the implementation.
-        :raises ValueError: if the name is taken.
+        :raises ValueError: if the name is registered already.
         """
 
         def decorate(target):
@@ -36,10 +36,10 @@
         return decorate
 
     def get(self, name):
-        """Return the implementation of a name.
+        """Return the implementation registered under a name.
 
         :param str name: name of the implementation.
-        :raises ValueError: if there is none; the message lists the names.
+        :raises ValueError: if the name is unknown; the message lists the valid names.
         """
         _check.check_choice(self.kind, name, self.by_name)
         return self.by_name[name]
--- a/libs/base/src/sequoiagap/base/_tls.py
+++ b/libs/base/src/sequoiagap/base/_tls.py
@@ -1,4 +1,4 @@
-"""TLS contexts from certificate files."""
+"""TLS contexts loaded from certificate files, reloadable at run time."""
 
 import ssl
 
@@ -6,19 +6,19 @@
 
 
 class TlsContexts:
-    """Contexts of one certificate, for both ends of a connection.
+    """Holds the server and client contexts of one certificate.
 
-    Peers are checked against the CA file alone, not by host name: hosts are
-    addressed by IP and replaced at any time, so the CA must be the deployment's
-    own.
+    Peers are verified against the CA file only, not by host name: hosts are
+    addressed by IP and may be replaced at any time. The CA must therefore belong
+    to the deployment alone.
 
     :param str certificate_file: certificate chain in PEM.
     :param str key_file: private key in PEM.
-    :param str ca_file: certificates of the CA in PEM; empty where peers need
-        no certificate.
+    :param str ca_file: CA certificates in PEM; empty if peers need no
+        certificate.
 
-    :ivar ssl.SSLContext server_: context of the accepting side.
-    :ivar ssl.SSLContext client_: context of the opening side.
+    :ivar ssl.SSLContext server_: context for accepted connections.
+    :ivar ssl.SSLContext client_: context for opened connections.
     """
 
     def __init__(self, certificate_file, key_file, ca_file=""):
@@ -33,12 +33,12 @@
         self.load()
 
     def load(self):
-        """Read the files, now and again after they were renewed.
+        """Load the files; call it again after they were renewed.
 
-        Open connections keep what they were opened with. A CA that left the file
-        stays trusted until the process starts anew.
+        Open connections keep the certificates they were opened with. A CA that was
+        removed from the file stays trusted until the process restarts.
 
-        :raises sequoiagap.base.ConfigError: if a file can't be used.
+        :raises sequoiagap.base.ConfigError: if a file is missing or invalid.
         """
         for context in (self.server_, self.client_):
             try:
--- a/libs/base/src/sequoiagap/base/_usage.py
+++ b/libs/base/src/sequoiagap/base/_usage.py
@@ -1,4 +1,4 @@
-"""What the process uses of its host."""
+"""Memory, processor time and file descriptors used by the process."""
 
 import dataclasses
 import os
@@ -14,10 +14,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class Usage:
-    """Use of memory and processor.
+    """Resource usage of a process.
 
-    :param int resident_bytes: resident memory now.
-    :param float cpu_seconds: processor time since the start, user and system.
+    :param int resident_bytes: resident memory in bytes.
+    :param float cpu_seconds: user and system time since the start, in seconds.
     :param int open_files: open file descriptors, sockets included.
     """
 
@@ -27,7 +27,7 @@
 
 
 def read_usage():
-    """Return what this process uses.
+    """Return the resource usage of this process.
 
     :rtype: Usage
 
@@ -44,11 +44,11 @@
 
 
 def collect_process_metrics(metrics, config_version, platform_calls):
-    """Set the gauges that every process has, and return all its metrics.
+    """Update the metrics that every process has and return all its metrics.
 
     :param Metrics metrics: metrics of the process.
     :param int config_version: configuration version in force.
-    :param int platform_calls: calls of the platform so far.
+    :param int platform_calls: calls to the platform so far.
     :rtype: dict
     """
     usage = read_usage()
--- a/libs/base/src/sequoiagap/base/exposition.py
+++ b/libs/base/src/sequoiagap/base/exposition.py
@@ -1,4 +1,4 @@
-"""Metrics in the Prometheus text format."""
+"""Exposition of metrics in the Prometheus text format."""
 
 import prometheus_client
 import prometheus_client.parser
@@ -12,30 +12,34 @@
 
 
 class _Collector:
+    """Converts a metrics document to Prometheus metric families."""
+
     def __init__(self, document, node_id):
         self.document = document
         self.node_id = node_id
 
     def collect(self):
-        """Yield one metric family for each metric."""
+        """Yield one metric family per metric."""
         for section, kind in _TYPES_BY_SECTION.items():
-            for name, series in _by_name(self.document[section]):
+            for name, series in _group_by_name(self.document[section]):
                 family = _family(name, kind)
                 for labels, value in series:
                     family.add_sample(PREFIX + name, self._labels(labels), value)
                 yield family
-        for name, series in _by_name(self.document["seconds"]):
+        for name, series in _group_by_name(self.document["seconds"]):
             yield self._summary(name, series)
 
     def _summary(self, name, series):
         family = _family(name, "summary")
         for labels, values in series:
-            own = self._labels(labels)
+            labels_of_series = self._labels(labels)
             for quantile, fraction in _FRACTION_BY_QUANTILE.items():
-                sample = own | {"quantile": fraction}
+                sample = labels_of_series | {"quantile": fraction}
                 family.add_sample(PREFIX + name, sample, values[quantile])
-            family.add_sample(f"{PREFIX}{name}_count", own, values["count"])
-            family.add_sample(f"{PREFIX}{name}_sum", own, values["sum"])
+            family.add_sample(
+                f"{PREFIX}{name}_count", labels_of_series, values["count"]
+            )
+            family.add_sample(f"{PREFIX}{name}_sum", labels_of_series, values["sum"])
         return family
 
     def _labels(self, labels):
@@ -43,10 +47,10 @@
 
 
 def render(document, node_id):
-    """Return all metrics as text.
+    """Return all metrics in the Prometheus text format.
 
-    :param dict document: what :meth:`sequoiagap.base.Metrics.to_document` made.
-    :param str node_id: label of each sample.
+    :param dict document: result of :meth:`sequoiagap.base.Metrics.to_document`.
+    :param str node_id: value of the label ``node`` of each sample.
     :rtype: str
     """
     registry = prometheus_client.CollectorRegistry(auto_describe=False)
@@ -55,12 +59,12 @@
 
 
 def _family(name, kind):
-    meaning = _metric_catalogue.METRIC_CATALOGUE.get(name, name)
-    return core.Metric(PREFIX + name, meaning, kind)
+    description = _metric_catalogue.METRIC_CATALOGUE.get(name, name)
+    return core.Metric(PREFIX + name, description, kind)
 
 
-def _by_name(values_by_key):
-    """Return the series of each metric name as labels and value, sorted."""
+def _group_by_name(values_by_key):
+    """Return labels and value of each series, grouped and sorted by metric name."""
     series_by_name = {}
     for key, value in sorted(values_by_key.items()):
         name, labels = _parse_key(key)
@@ -69,7 +73,7 @@
 
 
 def _parse_key(key):
-    """Return name and labels of a key such as ``name{label="value"}``."""
+    """Return name and labels of a series key such as ``name{label="value"}``."""
     (family,) = prometheus_client.parser.text_string_to_metric_families(f"{key} 0\n")
     (sample,) = family.samples
     return sample.name, sample.labels
--- a/tests/base/test_events.py
+++ b/tests/base/test_events.py
@@ -1,4 +1,4 @@
-"""The catalogue of events in the docs is that of the code."""
+"""Event catalogue, its documentation page, and the rate limit of log lines."""
 
 import ast
 import json
@@ -25,7 +25,7 @@
 
 
 def modules():
-    """Return the syntax trees of all modules but the catalogue's own."""
+    """Yield the syntax trees of all modules except the event catalogue."""
     folders = (support.ROOT / "libs", support.ROOT / "platform")
     for path in sorted(p for folder in folders for p in folder.rglob("*.py")):
         if path.name != "_events.py":
@@ -33,7 +33,7 @@
 
 
 def emitted_fields():
-    """Yield the name of each event that is emitted, with its fields."""
+    """Yield name and field names of each emitted event."""
     for tree in modules():
         for node in ast.walk(tree):
             if _is_emit(node):
@@ -56,7 +56,7 @@
             for node in ast.walk(tree)
             if isinstance(node, ast.Attribute) and node.attr in base.Event.__members__
         }
-        used.add("LIBRARY_WARNING")  # emitted beside the catalogue
+        used.add("LIBRARY_WARNING")  # emitted in _events.py, which modules() skips
         self.assertEqual(set(base.Event.__members__) - used, set())
 
     def test_lines_of_decisions_name_their_ids(self):
@@ -83,7 +83,7 @@
         line = json.loads(stream.getvalue())
         self.assertEqual((line["number"], line["config_version"]), (1301, 3))
 
-    def test_flood_is_bounded_and_its_size_is_told(self):
+    def test_flood_is_rate_limited_and_its_lines_are_counted(self):
         stream = support.silence_logs()
         log = base.get_logger("test")
         for _ in range(10_000):
@@ -92,15 +92,15 @@
         lines = [json.loads(line) for line in stream.getvalue().splitlines()]
         self.assertLess(len(lines), 1000)
         self.assertEqual(lines[-1]["config_version"], 4)
-        left_out = base.suppressed_lines()["frame_rejected"]
-        self.assertEqual(len(lines) - 1 + left_out, 10_000)
+        suppressed = base.suppressed_lines()["frame_rejected"]
+        self.assertEqual(len(lines) - 1 + suppressed, 10_000)
 
-    def test_line_after_a_flood_names_what_was_left_out(self):
+    def test_line_after_a_flood_reports_suppressed_lines(self):
         limiter = base.LineLimiter(lines_per_s=10, burst_lines=2)
-        taken = [limiter.take(1104, now=0.0) for _ in range(5)]
-        self.assertEqual(taken, [0, 0, None, None, None])
-        self.assertEqual(limiter.take(1104, now=1.0), 3)
-        self.assertEqual(limiter.take(1104, now=1.0), 0)
+        acquired = [limiter.acquire(1104, now=0.0) for _ in range(5)]
+        self.assertEqual(acquired, [0, 0, None, None, None])
+        self.assertEqual(limiter.acquire(1104, now=1.0), 3)
+        self.assertEqual(limiter.acquire(1104, now=1.0), 0)
 
     def test_library_warnings_are_events_without_values(self):
         stream = support.silence_logs()
--- a/tests/base/test_exposition.py
+++ b/tests/base/test_exposition.py
@@ -1,4 +1,4 @@
-"""Metrics in the usual text format can be read back by its parser."""
+"""Metrics in the Prometheus text format, read back by the reference parser."""
 
 import unittest
 
--- a/tests/base/test_log_stream.py
+++ b/tests/base/test_log_stream.py
@@ -1,4 +1,4 @@
-"""Logging never waits, whoever reads."""
+"""Log output never blocks the process, even if the reader stops or goes away."""
 
 import os
 import time
@@ -7,42 +7,42 @@
 from sequoiagap import base
 
 LINE = "x" * 99
-BOUND_BYTES = 20_000
+LIMIT_BYTES = 20_000
 
 
 class BoundedStreamTest(unittest.TestCase):
     def setUp(self):
         self.reader, self.writer = os.pipe()
-        self.stream = base.BoundedStream(self.writer, BOUND_BYTES)
+        self.stream = base.BoundedStream(self.writer, LIMIT_BYTES)
         self.addCleanup(os.close, self.reader)
         self.addCleanup(os.close, self.writer)
 
     def flood(self, lines=20_000):
-        began = time.monotonic()
+        started_at = time.monotonic()
         for _ in range(lines):
             self.stream.write(LINE + "\n")
-        return time.monotonic() - began
+        return time.monotonic() - started_at
 
     def read_all(self):
         os.set_blocking(self.reader, False)
-        found = b""
+        data = b""
         while True:
             try:
-                found += os.read(self.reader, 65536)
+                data += os.read(self.reader, 65536)
             except BlockingIOError:
-                return found.decode()
+                return data.decode()
 
-    def test_whole_lines_come_out(self):
+    def test_complete_lines_are_written(self):
         self.stream.write("one\ntw")
         self.stream.write("o\n")
         self.assertEqual(self.read_all(), "one\ntwo\n")
 
-    def test_reader_that_does_not_read_costs_no_time_and_bounded_memory(self):
+    def test_stopped_reader_costs_no_time_and_bounded_memory(self):
         self.assertLess(self.flood(), 2.0)
         self.assertGreater(self.stream.dropped_lines_, 18_000)
-        self.assertLessEqual(self.stream._waiting_bytes, BOUND_BYTES)
+        self.assertLessEqual(self.stream._waiting_bytes, LIMIT_BYTES)
 
-    def test_gap_is_told_once_the_reader_is_back(self):
+    def test_gap_is_reported_once_the_reader_resumes(self):
         self.flood()
         dropped = self.stream.dropped_lines_
         text = self.read_all()
@@ -51,10 +51,10 @@
         self.stream.write("after\n")
         text += self.read_all()
         self.assertIn(f'"lines": {dropped}}}\nafter\n', text)
-        kept = text.count(LINE)
-        self.assertEqual(kept + dropped, 20_000)
+        written = text.count(LINE)
+        self.assertEqual(written + dropped, 20_000)
 
-    def test_reader_that_has_gone_is_no_error(self):
+    def test_closed_reader_is_no_error(self):
         reader, writer = os.pipe()
         os.close(reader)
         stream = base.BoundedStream(writer)
--- a/tests/base/test_metrics.py
+++ b/tests/base/test_metrics.py
@@ -1,4 +1,4 @@
-"""Metrics: labels are bounded, and each metric stands in the catalogue."""
+"""Limit of series per metric, and completeness of the metric catalogue."""
 
 import ast
 import unittest
@@ -10,7 +10,7 @@
 
 
 def used_names():
-    """Return the metric names that the code uses, with their files."""
+    """Yield each metric name used in the code, with the path of the file."""
     for path in sorted((support.ROOT / "libs").rglob("*.py")):
         if "standins" in path.parts:
             continue
@@ -38,8 +38,8 @@
         text = (support.ROOT / "docs/METRICS.md").read_text()
         rows = [line for line in text.splitlines() if line.startswith("| `")]
         expected = [
-            f"| `{name}` | {meaning} |"
-            for name, meaning in sorted(base.METRIC_CATALOGUE.items())
+            f"| `{name}` | {description} |"
+            for name, description in sorted(base.METRIC_CATALOGUE.items())
         ]
         self.assertEqual(rows, expected)
 
