Rename public names of wire to the terms of the field

Questions -> PendingRequests ask -> request (PendingRequests) take -> resolve (PendingRequests) drop -> cancel_all (PendingRequests) close_politely -> close_gracefully

--- a/libs/agent/src/sequoiagap/agent/_agent.py
+++ b/libs/agent/src/sequoiagap/agent/_agent.py
@@ -140,7 +140,7 @@
         await self.executor_.wait_idle(self.settings.drain_bound_s)
         self._server.close()
         for connection in list(self.connections_):
-            await connection.close_politely("agent stops")
+            await connection.close_gracefully("agent stops")
         await self._tasks.close()
         if self.group_ is not None:
             await self.group_.close()
--- a/libs/agent/src/sequoiagap/agent/_reports.py
+++ b/libs/agent/src/sequoiagap/agent/_reports.py
@@ -98,7 +98,7 @@
             serves=list(self.settings.endpoint.serves),
         )
         await _send(connection, members.MemberAnnounce(dataclasses.asdict(host)))
-        await connection.close_politely("announced")
+        await connection.close_gracefully("announced")
 
 
 async def _send(connection, item):
--- a/libs/base/src/sequoiagap/base/_events.py
+++ b/libs/base/src/sequoiagap/base/_events.py
@@ -161,7 +161,7 @@
     Event.ENDPOINT_STATE: "An endpoint changed its state.",
     Event.ENDPOINT_SEEN: "An endpoint was discovered.",
     Event.ENDPOINT_GONE: "An endpoint is no longer used.",
-    Event.ENDPOINT_TURNED_COLD: "An endpoint is restricted to its cold limit, with reason.",
+    Event.ENDPOINT_TURNED_COLD: "An endpoint is held to its cold limit, with reason.",
     Event.ENDPOINT_DOUBTED: "An endpoint's connection closed; its state is queried.",
     Event.ENDPOINT_RECORD_BAD: "A record of the store is invalid and is ignored.",
     Event.DOMAINS_OUT: "Operators took failure domains out of service or back in.",
--- a/libs/entry/src/sequoiagap/entry/_peers.py
+++ b/libs/entry/src/sequoiagap/entry/_peers.py
@@ -75,7 +75,7 @@
         for task in list(self._task_by_key.values()):
             await base.cancel_and_wait(task)
         for connection in list(self.connections_):
-            await connection.close_politely("entry is shutting down")
+            await connection.close_gracefully("entry is shutting down")
 
     def apply_list(self, hosts):
         """Update the known entries from the platform's list.
--- a/libs/gateway/src/sequoiagap/gateway/_peers.py
+++ b/libs/gateway/src/sequoiagap/gateway/_peers.py
@@ -39,7 +39,7 @@
         self.answer_peer = answer_peer
         self.node_by_id = {}
         self._connection_by_id = {}
-        self._pending_requests = wire.Questions()
+        self._pending_requests = wire.PendingRequests()
         self._tasks = base.TaskSet()
         self._linked = set()
         self._registration = _registration.Registration(own, store)
@@ -127,7 +127,7 @@
     async def _request_reading(self, connection, topic, known_digest):
         request = _messages.ReadRequest(0, topic, known_digest)
         try:
-            reply = await self._pending_requests.ask(connection, request)
+            reply = await self._pending_requests.request(connection, request)
         except base.WireError:
             return None
         if reply is None or not reply.found:
@@ -183,7 +183,7 @@
             if isinstance(item, _messages.ReadRequest):
                 self._tasks.start(self._reply(connection, item), "read-for-peer")
             elif isinstance(item, _messages.ReadReply):
-                self._pending_requests.take(item)
+                self._pending_requests.resolve(item)
 
         return await connection.run(handle)
 
--- a/libs/ranks/src/sequoiagap/ranks/_links.py
+++ b/libs/ranks/src/sequoiagap/ranks/_links.py
@@ -35,7 +35,7 @@
         self._silent_until = 0.0
         self.late_answers_ = 0
         self.last_sent_at_ = 0.0
-        self._requests = wire.Questions()
+        self._requests = wire.PendingRequests()
 
     @property
     def is_open(self):
@@ -71,7 +71,7 @@
                 await connection.run(self._on_message)
             finally:
                 self._connection = None
-                self._requests.drop()
+                self._requests.cancel_all()
             await asyncio.sleep(RECONNECT_S)
 
     async def request(self, message, timeout_s=REPLY_TIMEOUT_S):
@@ -92,7 +92,7 @@
                     REPLY_TIMEOUT_S, _expire_if_silent, timer, connection, began
                 )
                 try:
-                    answer = await self._requests.ask(connection, message)
+                    answer = await self._requests.request(connection, message)
                 finally:
                     check.cancel()
         except TimeoutError:
@@ -128,7 +128,7 @@
 
     async def _on_message(self, message):
         if isinstance(message, _messages.RankState | _messages.KeeperAnswer):
-            self.late_answers_ += not self._requests.take(message)
+            self.late_answers_ += not self._requests.resolve(message)
 
 
 def _expire_if_silent(timer, connection, began):
--- a/libs/wire/src/sequoiagap/wire/__init__.py
+++ b/libs/wire/src/sequoiagap/wire/__init__.py
@@ -31,7 +31,7 @@
     StateReply,
     StateRequest,
 )
-from sequoiagap.wire._questions import Questions
+from sequoiagap.wire._questions import PendingRequests
 
 __all__ = [
     "MAX_FRAME_BYTES",
@@ -53,7 +53,7 @@
     "Ping",
     "Pong",
     "Proof",
-    "Questions",
+    "PendingRequests",
     "Refused",
     "Revoked",
     "StateReply",
--- a/libs/wire/src/sequoiagap/wire/_connection.py
+++ b/libs/wire/src/sequoiagap/wire/_connection.py
@@ -115,7 +115,7 @@
             self.closed_ = True
             self.writer.transport.abort()
 
-    async def close_politely(self, reason):
+    async def close_gracefully(self, reason):
         """Tell the peer why, flush and close.
 
         :param str reason: why the connection is closed.
--- a/libs/wire/src/sequoiagap/wire/_questions.py
+++ b/libs/wire/src/sequoiagap/wire/_questions.py
@@ -4,7 +4,7 @@
 import itertools
 
 
-class Questions:
+class PendingRequests:
     """Questions that wait for their answers.
 
     A question is a message with a field ``number``; its answer bears the same.
@@ -14,7 +14,7 @@
         self._numbers = itertools.count(1)
         self._future_by_number = {}
 
-    async def ask(self, connection, question):
+    async def request(self, connection, question):
         """Send a question and return its answer.
 
         :param Connection connection: where to send it.
@@ -31,7 +31,7 @@
         finally:
             self._future_by_number.pop(question.number, None)
 
-    def take(self, answer):
+    def resolve(self, answer):
         """Take an answer; one that nobody waits for any more is left out.
 
         :param answer: the message.
@@ -44,7 +44,7 @@
         future.set_result(answer)
         return True
 
-    def drop(self):
+    def cancel_all(self):
         """Answer all questions with ``None``, as their connection is lost."""
         for future in self._future_by_number.values():
             if not future.done():
--- a/tests/ranks/test_links.py
+++ b/tests/ranks/test_links.py
@@ -43,7 +43,7 @@
 
     def _answer(self, number):
         self._receive_heartbeat()
-        self.link._requests.take(_messages.KeeperAnswer(number, True))
+        self.link._requests.resolve(_messages.KeeperAnswer(number, True))
 
 
 class LinkTest(unittest.TestCase):
--- a/tests/wire/test_connection.py
+++ b/tests/wire/test_connection.py
@@ -43,7 +43,7 @@
         task = asyncio.create_task(server.run(got.put))
         await client.send(wire.Cancel("att-1", 5))
         self.assertEqual(await got.get(), wire.Cancel("att-1", 5))
-        await client.close_politely("test ends")
+        await client.close_gracefully("test ends")
         self.assertEqual(await task, "peer said goodbye: test ends")
 
     async def test_silent_peer_is_found_in_two_seconds(self):
--- a/tests/wire/test_questions.py
+++ b/tests/wire/test_questions.py
@@ -27,13 +27,13 @@
 
 class QuestionsTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
-        self.questions = wire.Questions()
+        self.questions = wire.PendingRequests()
         self.connection = Connection()
 
     async def ask(self, number):
         """Ask questions, wait until they are sent, and return their tasks."""
         tasks = [
-            asyncio.create_task(self.questions.ask(self.connection, Numbered()))
+            asyncio.create_task(self.questions.request(self.connection, Numbered()))
             for _ in range(number)
         ]
         await asyncio.sleep(0)
@@ -42,7 +42,7 @@
     async def test_answers_in_another_order_reach_their_questions(self):
         tasks = await self.ask(3)
         for item in reversed(self.connection.sent):
-            self.questions.take(Numbered(item.number))
+            self.questions.resolve(Numbered(item.number))
         answers = await asyncio.gather(*tasks)
         sent = [item.number for item in self.connection.sent]
         self.assertEqual([answer.number for answer in answers], sent)
@@ -52,18 +52,18 @@
         (task,) = await self.ask(1)
         task.cancel()
         await asyncio.wait([task])
-        self.questions.take(Numbered(1))
+        self.questions.resolve(Numbered(1))
         (following,) = await self.ask(1)
-        self.questions.take(Numbered(1))
+        self.questions.resolve(Numbered(1))
         self.assertFalse(following.done())
-        self.questions.take(Numbered(2))
-        self.questions.take(Numbered(2))
+        self.questions.resolve(Numbered(2))
+        self.questions.resolve(Numbered(2))
         self.assertEqual((await following).number, 2)
 
     async def test_lost_connection_ends_the_questions(self):
         tasks = await self.ask(2)
-        self.questions.drop()
+        self.questions.cancel_all()
         self.assertEqual(await asyncio.gather(*tasks), [None, None])
         self.connection.is_closed = True
         with self.assertRaises(base.WireError):
-            await self.questions.ask(self.connection, Numbered())
+            await self.questions.request(self.connection, Numbered())
