--- a/libs/wire/src/sequoiagap/wire/__init__.py
+++ b/libs/wire/src/sequoiagap/wire/__init__.py
@@ -1,4 +1,4 @@
-"""Typed messages and connections between the processes of the system."""
+"""Wire protocol between processes: messages, framing, handshake, connections."""
 
 from sequoiagap.wire._codec import MESSAGE_TYPES_BY_NUMBER, decode, encode, message
 from sequoiagap.wire._connection import (
--- a/libs/wire/src/sequoiagap/wire/_codec.py
+++ b/libs/wire/src/sequoiagap/wire/_codec.py
@@ -1,7 +1,8 @@
-"""Messages as data classes, encoded by msgpack as ``[number, field, ...]``.
+"""Message classes and their encoding as msgpack lists ``[number, field, ...]``.
 
-A newer sender may append fields, which an older receiver ignores; a field that
-an older sender lacks takes its default. Numbers are never used again.
+The encoding allows processes of different versions: an older receiver ignores
+fields that a newer sender appends, and fields that an older sender lacks take
+their defaults. Message numbers are never reused.
 """
 
 import dataclasses
@@ -16,16 +17,16 @@
 _LOCAL = "local"
 
 
-def local(default):
-    """Return a field of a message that stays in the process, unsent and unshown.
+def local_field(default):
+    """Return a message field that is neither sent nor shown by ``repr``.
 
-    :param default: value where none is given.
+    :param default: default value.
     :rtype: dataclasses.Field
 
     >>> @message(65002)
     ... class Probe:
     ...     name: str = ""
-    ...     secret: str = local("")
+    ...     secret: str = local_field("")
     >>> decode(encode(Probe("a", secret="hidden")))
     Probe(name='a')
     """
@@ -33,13 +34,13 @@
 
 
 def message(number):
-    """Return a decorator that makes a class a message.
+    """Return a decorator that turns a class into a message class.
 
     Fields may be ``str``, ``int``, ``float``, ``bool``, ``bytes``, ``list`` or
     ``dict``.
 
     :param int number: number of the message on the wire.
-    :raises ValueError: if the number is taken.
+    :raises ValueError: if the number is registered already.
 
     >>> @message(65001)
     ... class Probe:
@@ -61,7 +62,7 @@
 
 
 def encode(item):
-    """Return the payload of a message.
+    """Return the encoded payload of a message.
 
     :param item: an instance of a message class.
     :rtype: bytes
@@ -72,40 +73,40 @@
 
 
 def decode(payload):
-    """Return the message of a payload.
+    """Return the decoded message of a payload.
 
-    :param bytes payload: what :func:`encode` made.
-    :raises sequoiagap.base.WireError: if the payload is no known message.
+    :param bytes payload: result of :func:`encode`.
+    :raises sequoiagap.base.WireError: if the payload is not a known message.
     """
     try:
         parts = msgpack.unpackb(payload, raw=False, strict_map_key=False)
     except (ValueError, msgpack.UnpackException) as error:
-        raise _bad(f"payload is not msgpack: {error}") from error
+        raise _protocol_error(f"payload is not msgpack: {error}") from error
     if not isinstance(parts, list) or not parts or not isinstance(parts[0], int):
-        raise _bad("payload is not a list that starts with a message number")
+        raise _protocol_error("payload is not a list that starts with a message number")
     cls = MESSAGE_TYPES_BY_NUMBER.get(parts[0])
     if cls is None:
-        raise _bad(f"message number {parts[0]} is unknown")
-    return _build(cls, parts[1:])
+        raise _protocol_error(f"message number {parts[0]} is unknown")
+    return _build_message(cls, parts[1:])
 
 
-def _build(cls, values):
+def _build_message(cls, values):
     types_by_name = _FIELD_TYPES_BY_CLASS[cls]
     arguments = {}
     for (name, expected), value in zip(types_by_name.items(), values, strict=False):
-        arguments[name] = _checked(cls, name, expected, value)
+        arguments[name] = _convert_value(cls, name, expected, value)
     try:
         return cls(**arguments)
     except TypeError as error:
-        raise _bad(f"{cls.__name__} lacks a field: {error}") from error
+        raise _protocol_error(f"{cls.__name__} lacks a field: {error}") from error
 
 
-def _checked(cls, name, expected, value):
+def _convert_value(cls, name, expected, value):
     if expected is float and type(value) is int:
         return float(value)
     if type(value) is expected:
         return value
-    raise _bad(
+    raise _protocol_error(
         f"{cls.__name__}.{name} is {type(value).__name__}, not {expected.__name__}"
     )
 
@@ -117,7 +118,7 @@
     return {name: typing.get_origin(hints[name]) or hints[name] for name in names}
 
 
-def _bad(message_text):
+def _protocol_error(message_text):
     return base.WireError(
         message_text, "Check that both processes run compatible versions"
     )
--- a/libs/wire/src/sequoiagap/wire/_connection.py
+++ b/libs/wire/src/sequoiagap/wire/_connection.py
@@ -1,8 +1,8 @@
-"""One connection between two processes, with heartbeats in both directions.
+"""Framed connection between two processes, with heartbeats in both directions.
 
-A connection that carries work is probed often, an idle one seldom: the peer is
-taken for lost when a heartbeat stays unanswered for ``silence_timeout_s``. Time in
-which this process stood still itself doesn't count.
+Heartbeats are frequent on a connection that carries work and rare on an idle one.
+The peer is considered lost when a heartbeat stays unanswered for
+``silence_timeout_s``. Time in which this process itself hung does not count.
 """
 
 import asyncio
@@ -20,20 +20,20 @@
 
 
 class Connection:
-    """A framed, probed connection after its handshake.
+    """Sends and receives messages after the handshake and monitors the peer.
 
     :param asyncio.StreamReader reader: incoming stream.
     :param asyncio.StreamWriter writer: outgoing stream.
-    :param Hello own: what this side said.
-    :param Hello peer: what the other side said.
-    :param float silence_timeout_s: longest wait for the answer to a heartbeat.
-
-    :ivar float idle_interval_s: time between heartbeats while idle; its user may
-        shorten it.
-    :ivar float heard_at_: when the peer was last heard, monotonic seconds.
-    :ivar bool busy_: whether work depends on the connection; set by its user.
+    :param Hello own: hello of this side.
+    :param Hello peer: hello of the other side.
+    :param float silence_timeout_s: timeout of a heartbeat's answer in seconds.
+
+    :ivar float idle_interval_s: time between heartbeats while idle, in seconds; the
+        owner may change it.
+    :ivar float heard_at_: time of the last frame of the peer, monotonic seconds.
+    :ivar bool busy_: whether work depends on the connection; set by the owner.
     :ivar bool closed_: whether the connection has ended.
-    :ivar bool silent_: whether it was given up because the peer went silent.
+    :ivar bool silent_: whether it was closed because a heartbeat was unanswered.
     :ivar int bytes_sent_: payload bytes sent so far.
     :ivar int bytes_received_: payload bytes received so far.
     :ivar int messages_sent_: messages sent so far.
@@ -55,23 +55,23 @@
         self.silent_ = False
         self._sequence = 0
         self._oldest_ping_at = None
-        self._pinged_at = time.monotonic()
-        self._probe_wanted = False
-        self._wake = asyncio.Event()
+        self._last_ping_at = time.monotonic()
+        self._probe_requested = False
+        self._wake_up = asyncio.Event()
 
     @property
     def is_congested_(self):
-        """Whether earlier bytes still wait to be sent."""
+        """Whether the send buffer holds unsent bytes."""
         return self.writer.transport.get_write_buffer_size() > 0
 
     async def send(self, item):
-        """Send one message; waits while the peer reads slowly.
+        """Send one message; wait while the send buffer is full.
 
         :param item: an instance of a message class.
         :raises sequoiagap.base.WireError: if the connection is closed.
         """
         if self.closed_:
-            raise _lost(self.peer)
+            raise _connection_lost_error(self.peer)
         payload = _codec.encode(item)
         _framing.write_frame(self.writer, payload)
         self.bytes_sent_ += len(payload)
@@ -79,27 +79,27 @@
         try:
             await self.writer.drain()
         except OSError as error:
-            raise _lost(self.peer) from error
+            raise _connection_lost_error(self.peer) from error
 
     def mark_busy(self, busy):
-        """Say whether work depends on this connection.
+        """Set whether work depends on this connection.
 
-        :param bool busy: busy connections are probed at short intervals.
+        :param bool busy: whether to send heartbeats at the short interval.
         """
         self.busy_ = busy
         if busy:
-            self._wake.set()
+            self._wake_up.set()
 
     def probe(self):
-        """Ask for a sign of life now, as on a busy connection."""
-        self._probe_wanted = True
-        self._wake.set()
+        """Send a heartbeat now, as on a busy connection."""
+        self._probe_requested = True
+        self._wake_up.set()
 
     async def run(self, handle):
         """Receive messages until the connection ends.
 
-        :param handle: coroutine function that takes each message.
-        :returns: why the connection ended.
+        :param handle: coroutine function that takes a message.
+        :returns: reason why the connection ended.
         :rtype: str
         """
         pinger = asyncio.create_task(self._ping_forever(), name="ping")
@@ -110,15 +110,15 @@
             self.close()
 
     def close(self):
-        """Close the connection at once; unsent bytes are dropped."""
+        """Abort the connection; unsent bytes are dropped."""
         if not self.closed_:
             self.closed_ = True
             self.writer.transport.abort()
 
     async def close_gracefully(self, reason):
-        """Tell the peer why, flush and close.
+        """Send a goodbye with the reason, flush and close.
 
-        :param str reason: why the connection is closed.
+        :param str reason: reason sent to the peer.
         """
         try:
             async with asyncio.timeout(self.silence_timeout_s):
@@ -150,7 +150,7 @@
 
     async def _handle_heartbeat(self, item):
         if isinstance(item, _messages.Ping):
-            await self._send_quietly(_messages.Pong(item.sequence))
+            await self._send_or_close(_messages.Pong(item.sequence))
             return True
         if isinstance(item, _messages.Pong):
             self._oldest_ping_at = None
@@ -158,10 +158,11 @@
         return False
 
     def unanswered_s(self, now):
-        """Return for how long a heartbeat has been without an answer.
+        """Return for how long a heartbeat has been unanswered.
 
         :param float now: monotonic time in seconds.
-        :returns: time in seconds; 0 if none is under way or the peer was heard.
+        :returns: time in seconds; 0 if no heartbeat is pending or the peer has sent
+            a frame since.
         :rtype: float
         """
         if self._oldest_ping_at is None:
@@ -170,49 +171,49 @@
 
     async def _ping_forever(self):
         while not self.closed_:
-            lag_s = await self._wait_interval()
+            lag_s = await self._wait_until_next_check()
             if lag_s > base.MAX_LOOP_LAG_S and self._oldest_ping_at is not None:
                 self._oldest_ping_at += lag_s
             now = time.monotonic()
-            waiting_since = self._oldest_ping_at
-            if waiting_since is None:
+            pinged_at = self._oldest_ping_at
+            if pinged_at is None:
                 await self._ping_if_due(now)
-            elif now - waiting_since > self.silence_timeout_s:
+            elif now - pinged_at > self.silence_timeout_s:
                 _log.emit(base.Event.LINK_SILENT, peer=self.peer.node_id)
                 self.silent_ = True
                 self.close()
 
     async def _ping_if_due(self, now):
-        is_idle_due = now - self._pinged_at >= self.idle_interval_s
-        if not (self.busy_ or self._probe_wanted or is_idle_due):
+        is_idle_due = now - self._last_ping_at >= self.idle_interval_s
+        if not (self.busy_ or self._probe_requested or is_idle_due):
             return
-        self._probe_wanted = False
-        self._pinged_at = now
+        self._probe_requested = False
+        self._last_ping_at = now
         self._oldest_ping_at = now
         self._sequence += 1
-        await self._send_quietly(_messages.Ping(self._sequence))
+        await self._send_or_close(_messages.Ping(self._sequence))
 
     def _end_reason(self):
         if self.silent_:
             return f"no heartbeat answer within {self.silence_timeout_s} s"
         return "closed here" if self.closed_ else "closed by peer"
 
-    async def _wait_interval(self):
-        """Wait until the next check; return by how much it is late, in seconds."""
+    async def _wait_until_next_check(self):
+        """Wait until the next heartbeat check; return its lag in seconds."""
         interval = BUSY_PING_INTERVAL_S
         if not self.busy_ and self._oldest_ping_at is None:
-            idle_s = time.monotonic() - self._pinged_at
+            idle_s = time.monotonic() - self._last_ping_at
             interval = max(self.idle_interval_s - idle_s, 0.0)
         due_at = time.monotonic() + interval
         try:
             async with asyncio.timeout(interval):
-                await self._wake.wait()
+                await self._wake_up.wait()
         except TimeoutError:
             return time.monotonic() - due_at
-        self._wake.clear()
+        self._wake_up.clear()
         return 0.0
 
-    async def _send_quietly(self, item):
+    async def _send_or_close(self, item):
         try:
             async with asyncio.timeout(self.silence_timeout_s):
                 await self.send(item)
@@ -230,10 +231,10 @@
 
     :param str address: IP address.
     :param int port: TCP port.
-    :param Hello own: what this side says of itself, with secret and contexts.
+    :param Hello own: hello of this side, with secret and TLS contexts.
     :rtype: Connection
     :raises sequoiagap.base.WireError: if the peer can't be reached in time or
-        does not prove that it belongs to the deployment.
+        does not authenticate.
     """
     context = own.tls.client_ if own.tls else None
     try:
@@ -244,30 +245,29 @@
             f"{address}:{port} can't be reached ({error!r})",
             "Check that the process runs, its address and its certificate",
         ) from error
-    peer = await _handshake.authenticate(reader, writer, own, opened_here=True)
+    peer = await _handshake.authenticate(reader, writer, own, is_initiator=True)
     return Connection(reader, writer, own, peer)
 
 
 async def accept(reader, writer, own):
-    """Take a connection that another process has opened.
+    """Authenticate a connection that another process has opened.
 
     :param asyncio.StreamReader reader: incoming stream.
     :param asyncio.StreamWriter writer: outgoing stream.
-    :param Hello own: what this side says of itself, with the secret.
+    :param Hello own: hello of this side, with the secret.
     :rtype: Connection
-    :raises sequoiagap.base.WireError: if the peer does not prove in time that
-        it belongs to the deployment.
+    :raises sequoiagap.base.WireError: if the peer does not authenticate in time.
     """
-    peer = await _handshake.authenticate(reader, writer, own, opened_here=False)
+    peer = await _handshake.authenticate(reader, writer, own, is_initiator=False)
     return Connection(reader, writer, own, peer)
 
 
 async def try_send(connection, item):
-    """Send a message unless the connection is lost, which is settled elsewhere.
+    """Send a message; ignore a lost connection, which its receive loop handles.
 
-    :param Connection connection: where to send it.
+    :param Connection connection: connection to send it on.
     :param item: an instance of a message class.
-    :returns: whether it was handed over to the connection.
+    :returns: whether the connection accepted the message.
     :rtype: bool
     """
     try:
@@ -278,12 +278,12 @@
 
 
 async def listen(serve, address, port, tls=None):
-    """Listen for other processes.
+    """Start a server for connections of other processes.
 
-    :param serve: coroutine function of reader and writer of each connection.
-    :param str address: IP address.
+    :param serve: coroutine function that takes reader and writer of a connection.
+    :param str address: IP address to listen on.
     :param int port: TCP port; 0 lets the system choose.
-    :param TlsContexts tls: contexts of the connections, or ``None``.
+    :param TlsContexts tls: TLS contexts, or ``None`` for plain TCP.
     :rtype: asyncio.Server
     """
     if tls is None:
@@ -297,5 +297,5 @@
     )
 
 
-def _lost(peer):
+def _connection_lost_error(peer):
     return base.WireError(f"connection to {peer.node_id} is closed", "Reconnect")
--- a/libs/wire/src/sequoiagap/wire/_framing.py
+++ b/libs/wire/src/sequoiagap/wire/_framing.py
@@ -1,6 +1,6 @@
-"""Length-framed payloads on a stream.
+"""Length-prefixed frames on a byte stream.
 
-A frame is a big-endian unsigned 32-bit length, then that many bytes.
+A frame is a big-endian unsigned 32-bit length, followed by that many bytes.
 """
 
 import asyncio
@@ -16,10 +16,10 @@
     """Read one frame.
 
     :param asyncio.StreamReader reader: stream to read from.
-    :param int max_bytes: longest payload to accept.
+    :param int max_bytes: maximum payload size in bytes.
     :returns: the payload, or ``None`` at a clean end of the stream.
     :rtype: bytes | None
-    :raises sequoiagap.base.WireError: if the frame is too long or cut off.
+    :raises sequoiagap.base.WireError: if the frame is too long or incomplete.
     """
     try:
         prefix = await reader.readexactly(_LENGTH.size)
@@ -43,8 +43,8 @@
     """Queue one frame for sending.
 
     :param asyncio.StreamWriter writer: stream to write to.
-    :param bytes payload: what to send.
-    :param int max_bytes: longest payload to send.
+    :param bytes payload: payload to send.
+    :param int max_bytes: maximum payload size in bytes.
     :raises sequoiagap.base.WireError: if the payload is too long.
     """
     if len(payload) > max_bytes:
--- a/libs/wire/src/sequoiagap/wire/_handlers.py
+++ b/libs/wire/src/sequoiagap/wire/_handlers.py
@@ -1,4 +1,4 @@
-"""Tables of message handlers, filled by the components of a process."""
+"""Dispatch of received messages to the handlers of a process's components."""
 
 from sequoiagap import base
 
@@ -6,9 +6,11 @@
 
 
 class HandlerTable:
-    """Handlers by message class.
+    """Dispatches messages to handlers by message class.
 
-    A handler is a coroutine function of the connection and the message.
+    A handler is a coroutine function that takes the connection and the message.
+
+    :ivar dict by_type: message class to handler.
     """
 
     def __init__(self):
@@ -18,7 +20,7 @@
         """Register the handler of a message class.
 
         :param type message_type: the message class.
-        :param handler: coroutine function of connection and message.
+        :param handler: coroutine function that takes connection and message.
         :raises ValueError: if the class has a handler already.
         """
         if message_type in self.by_type:
@@ -26,10 +28,10 @@
         self.by_type[message_type] = handler
 
     async def handle(self, connection, item):
-        """Pass a message to its handler; unknown kinds are logged and dropped.
+        """Pass a message to its handler; a message without one is logged and dropped.
 
-        :param Connection connection: where the message came from.
-        :param item: the message.
+        :param Connection connection: connection that received the message.
+        :param item: received message.
         """
         handler = self.by_type.get(type(item))
         if handler is None:
--- a/libs/wire/src/sequoiagap/wire/_handshake.py
+++ b/libs/wire/src/sequoiagap/wire/_handshake.py
@@ -1,6 +1,6 @@
 """Mutual authentication of two processes of one deployment.
 
-The side that opened the connection sends first::
+The initiator, which opened the connection, sends first::
 
     initiator                     acceptor
         | Hello with a nonce          |
@@ -12,10 +12,10 @@
         |                       Proof |
         |<----------------------------|
 
-A proof is an HMAC, keyed by the deployment's secret, over the side that proves
-and both hellos as they were sent: nonces, roles and node ids included. The
-secret itself never leaves the process. A recorded proof fails against a fresh
-nonce, and a reflected one names the wrong side.
+A proof is an HMAC, keyed by the deployment's secret, over the proving side and
+the payloads of both hellos, which include nonces, roles and node ids. The secret
+itself is never sent. A replayed proof fails because nonces are fresh; a reflected
+proof fails because it names the wrong side.
 """
 
 import asyncio
@@ -36,31 +36,31 @@
 _ACCEPTOR = b"sequoiagap acceptor"
 
 
-async def authenticate(reader, writer, own, opened_here):
-    """Prove to the peer who this side is, and check the peer's proof.
+async def authenticate(reader, writer, own, is_initiator):
+    """Authenticate to the peer and verify the peer's proof.
 
     :param asyncio.StreamReader reader: incoming stream.
     :param asyncio.StreamWriter writer: outgoing stream.
-    :param Hello own: what this side says of itself, with the secret.
-    :param bool opened_here: whether this side opened the connection.
-    :returns: what the peer said of itself, now proved.
+    :param Hello own: hello of this side, with the secret.
+    :param bool is_initiator: whether this side opened the connection.
+    :returns: authenticated hello of the peer.
     :rtype: Hello
-    :raises sequoiagap.base.WireError: if the peer gives no proof in time.
+    :raises sequoiagap.base.WireError: if the peer gives no valid proof in time.
     """
     try:
         async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
-            if opened_here:
+            if is_initiator:
                 return await _initiate(reader, writer, own)
-            return await _answer(reader, writer, own)
+            return await _accept(reader, writer, own)
     except (OSError, TimeoutError) as error:
         message = "did not finish the handshake in time"
-        raise _refuse(writer, message, "Reconnect") from error
+        raise _abort(writer, message, "Reconnect") from error
     except base.WireError as error:
-        raise _refuse(writer, error.message, error.remedy) from error
+        raise _abort(writer, error.message, error.remedy) from error
 
 
-def _refuse(writer, message, remedy):
-    """Drop a connection; return the error, which names the peer's address."""
+def _abort(writer, message, remedy):
+    """Abort a connection; return the error to raise, with the peer's address."""
     address = writer.get_extra_info("peername") or ("unknown", 0)
     writer.transport.abort()
     return base.WireError(f"{address[0]}:{address[1]}: {message}", remedy)
@@ -69,10 +69,10 @@
 def make_proof(secret, side, first_hello, second_hello):
     """Return the proof of one side.
 
-    :param str secret: the deployment's shared secret.
-    :param bytes side: which side proves.
-    :param bytes first_hello: payload that the initiator sent.
-    :param bytes second_hello: payload that the acceptor sent.
+    :param str secret: shared secret of the deployment.
+    :param bytes side: label of the proving side.
+    :param bytes first_hello: hello payload of the initiator.
+    :param bytes second_hello: hello payload of the acceptor.
     :rtype: bytes
     """
     parts = (side, first_hello, second_hello)
@@ -83,20 +83,24 @@
 async def _initiate(reader, writer, own):
     sent = _send_hello(writer, own)
     received, peer = await _read_hello(reader, own)
-    await _send(writer, _messages.Proof(_prove(own, _INITIATOR, sent, received)))
-    await _check_proof(reader, peer, _prove(own, _ACCEPTOR, sent, received))
+    await _send(
+        writer, _messages.Proof(_make_own_proof(own, _INITIATOR, sent, received))
+    )
+    await _check_proof(reader, peer, _make_own_proof(own, _ACCEPTOR, sent, received))
     return peer
 
 
-async def _answer(reader, writer, own):
+async def _accept(reader, writer, own):
     received, peer = await _read_hello(reader, own)
     sent = _send_hello(writer, own)
-    await _check_proof(reader, peer, _prove(own, _INITIATOR, received, sent))
-    await _send(writer, _messages.Proof(_prove(own, _ACCEPTOR, received, sent)))
+    await _check_proof(reader, peer, _make_own_proof(own, _INITIATOR, received, sent))
+    await _send(
+        writer, _messages.Proof(_make_own_proof(own, _ACCEPTOR, received, sent))
+    )
     return peer
 
 
-def _prove(own, side, first_hello, second_hello):
+def _make_own_proof(own, side, first_hello, second_hello):
     return make_proof(own.secret, side, first_hello, second_hello)
 
 
--- a/libs/wire/src/sequoiagap/wire/_messages.py
+++ b/libs/wire/src/sequoiagap/wire/_messages.py
@@ -1,6 +1,6 @@
 """Messages of connections, attempts and state dumps.
 
-Numbers 1 to 99 belong to this library. Other libraries register their own:
+Numbers 1 to 99 belong to this library. Other libraries register their messages in:
 100 to 199 configuration, 200 to 299 membership, 300 to 399 outcomes, 400 to
 499 expert maps, 500 to 599 admission.
 """
@@ -12,17 +12,17 @@
 
 @_codec.message(1)
 class Hello:
-    """First message in both directions of a connection.
+    """First message of each side of a connection; identifies the sender.
 
     :param str node_id: id of the sender.
     :param str role: ``entry``, ``agent`` or ``operator``.
-    :param str incarnation: fresh id of this run of the sender.
+    :param str incarnation: id of this run of the sender, new at each start.
     :param int protocol: protocol version of the sender.
     :param str failure_domain: failure domain of the sender.
-    :param int config_version: highest configuration version it has adopted.
-    :param bytes nonce: fresh random bytes; the handshake fills them in.
+    :param int config_version: configuration version that the sender has adopted.
+    :param bytes nonce: random bytes, set by the handshake.
     :param str secret: the deployment's shared secret; never sent.
-    :param TlsContexts tls: contexts of the connection, or ``None``; never sent.
+    :param TlsContexts tls: TLS contexts, or ``None`` for plain TCP; never sent.
     """
 
     node_id: str
@@ -32,8 +32,8 @@
     failure_domain: str = ""
     config_version: int = 0
     nonce: bytes = b""
-    secret: str = _codec.local("")
-    tls: object = _codec.local(None)
+    secret: str = _codec.local_field("")
+    tls: object = _codec.local_field(None)
 
 
 @_codec.message(2)
@@ -54,16 +54,16 @@
 
 @_codec.message(4)
 class Goodbye:
-    """The sender closes the connection on purpose and says why."""
+    """Announces that the sender closes the connection, with the reason."""
 
     reason: str = ""
 
 
 @_codec.message(5)
 class Proof:
-    """Proof that the sender holds the deployment's secret.
+    """Proves that the sender has the deployment's secret.
 
-    :param bytes digest: HMAC over the handshake.
+    :param bytes digest: HMAC over the hellos of the handshake.
     """
 
     digest: bytes
@@ -71,22 +71,22 @@
 
 @_codec.message(10)
 class Execute:
-    """Order to run one attempt of a request.
+    """Orders an agent to run one attempt of a request.
 
     :param str request_id: id of the caller's request.
-    :param str attempt_id: id of this attempt; unique.
+    :param str attempt_id: unique id of this attempt.
     :param str account: client account of the caller.
     :param str target: name of the model or service.
     :param str method: HTTP method.
     :param str path: HTTP path and query on the endpoint.
     :param dict headers: HTTP headers for the endpoint.
     :param bytes body: HTTP body.
-    :param int expires_at_ms: when the caller gives up, on the agent's own clock as
-        :class:`AgentClock` gave it, in milliseconds; later the order is void.
-    :param bool repeatable: whether running twice does no harm.
-    :param str idempotency_key: key that scopes at-most-once execution.
-    :param int priority: higher goes first.
-    :param int config_version: version that the decision rests on.
+    :param int expires_at_ms: deadline of the caller on the agent's clock, see
+        :class:`AgentClock`, in milliseconds; the order is void after it.
+    :param bool repeatable: whether the request may safely run more than once.
+    :param str idempotency_key: key within which the request runs at most once.
+    :param int priority: priority; higher values are served first.
+    :param int config_version: configuration version used for the decision.
     """
 
     request_id: str
@@ -115,7 +115,7 @@
 
 @_codec.message(12)
 class Chunk:
-    """One piece of the answer's body, numbered from 0."""
+    """One chunk of the answer's body; chunks are numbered from 0."""
 
     attempt_id: str
     sequence: int
@@ -124,7 +124,7 @@
 
 @_codec.message(13)
 class Final:
-    """End of the whole answer; names how many chunks and bytes it has."""
+    """Ends a complete answer, with its number of chunks and size in bytes."""
 
     attempt_id: str
     chunks: int
@@ -133,17 +133,18 @@
 
 @_codec.message(14)
 class Refused:
-    """The agent ends an attempt without a whole answer.
+    """Ends an attempt that has no complete answer.
 
-    :param str attempt_id: the attempt.
+    :param str attempt_id: id of the attempt.
     :param str kind: a :class:`sequoiagap.base.RefusalKind`.
     :param str text: what happened.
     :param str remedy: what to do about it.
     :param str outcome: a :class:`sequoiagap.base.Outcome`.
-    :param int retry_after_ms: when to come back, in milliseconds.
-    :param int config_version: version that the decision rests on.
-    :param str setting: path of the setting that the decision rests on.
-    :param str owner: agent that holds the claim of the key, if that is why.
+    :param int retry_after_ms: retry delay in milliseconds.
+    :param int config_version: configuration version used for the decision.
+    :param str setting: path of the setting that caused the decision.
+    :param str owner: agent that holds the claim of the idempotency key, if that
+        caused the rejection.
     """
 
     attempt_id: str
@@ -159,12 +160,12 @@
 
 @_codec.message(15)
 class Cancel:
-    """Nobody waits for the attempt any more.
+    """Cancels an attempt whose answer is no longer needed.
 
-    An attempt that has not started never will; a repeatable one is stopped; any
-    other runs to its end.
+    An attempt that has not started will not start. A running attempt is stopped if
+    it is repeatable and runs to its end otherwise.
 
-    :param str attempt_id: the attempt.
+    :param str attempt_id: id of the attempt.
     :param int expires_at_ms: as in :class:`Execute`.
     """
 
@@ -174,15 +175,15 @@
 
 @_codec.message(16)
 class Attach:
-    """Ask for the rest of an attempt's answer, and forbid it if it never came.
+    """Requests the rest of an attempt's answer, or revokes an unknown attempt.
 
-    The agent goes on with the answer where it still holds it, and otherwise says
-    in :class:`Revoked` what it knows.
+    The agent resumes the answer if it still has it. Otherwise it replies with
+    :class:`Revoked`; an attempt that it never received will not run.
 
-    :param str attempt_id: the attempt.
-    :param str incarnation: incarnation of the agent that it was sent to.
+    :param str attempt_id: id of the attempt.
+    :param str incarnation: incarnation of the agent that the attempt was sent to.
     :param int expires_at_ms: as in :class:`Execute`.
-    :param int next_sequence: first chunk that the asker lacks.
+    :param int next_sequence: number of the first chunk that the sender lacks.
     """
 
     attempt_id: str
@@ -193,10 +194,11 @@
 
 @_codec.message(17)
 class Revoked:
-    """Answer to :class:`Attach` where there is no answer to go on with.
+    """Reply to :class:`Attach` if there is no answer to resume.
 
-    :param str attempt_id: the attempt.
-    :param str standing: a :class:`sequoiagap.outcome.Standing`.
+    :param str attempt_id: id of the attempt.
+    :param str standing: state of the attempt at the agent, a
+        :class:`sequoiagap.outcome.Standing`.
     """
 
     attempt_id: str
@@ -205,7 +207,7 @@
 
 @_codec.message(18)
 class Credit:
-    """Chunks before this number were taken; the agent may send more."""
+    """Acknowledges all chunks before a number, so that the agent may send more."""
 
     attempt_id: str
     next_sequence: int
@@ -213,14 +215,14 @@
 
 @_codec.message(20)
 class Load:
-    """What an agent says about its endpoint.
+    """Reports state and load of an agent's endpoint.
 
     :param str state: state of the endpoint.
-    :param int in_flight: attempts that run now.
-    :param int limit: attempts that may run at once.
-    :param int queued: attempts that wait at the agent.
-    :param float service_time_s: recent mean time of one attempt in seconds.
-    :param str role: what the endpoint does of a request.
+    :param int in_flight: number of running attempts.
+    :param int limit: maximum number of concurrent attempts.
+    :param int queued: number of attempts queued at the agent.
+    :param float service_time_s: recent mean duration of one attempt in seconds.
+    :param str role: which parts of a request the endpoint serves.
     """
 
     state: str
@@ -233,14 +235,14 @@
 
 @_codec.message(30)
 class StateRequest:
-    """Ask for a state dump."""
+    """Requests a state dump."""
 
     sequence: int
 
 
 @_codec.message(31)
 class StateReply:
-    """State dump of a process, as JSON text."""
+    """Reply to :class:`StateRequest`: the state dump as JSON text."""
 
     sequence: int
     document: str
@@ -248,10 +250,10 @@
 
 @_codec.message(310)
 class AgentClock:
-    """The agent's own clock, sent on each new connection.
+    """Reports the agent's clock, on each new connection.
 
-    Entries state deadlines on this clock, so that an order which arrives late is
-    void whatever its path, and an agent may forget ids whose deadline is past.
+    Entries express deadlines on this clock. An order that arrives late is therefore
+    void whichever way it took, and an agent may forget ids with a past deadline.
 
     :param int now_ms: milliseconds since an arbitrary moment.
     """
--- a/libs/wire/src/sequoiagap/wire/_questions.py
+++ b/libs/wire/src/sequoiagap/wire/_questions.py
@@ -1,51 +1,51 @@
-"""Questions over connections, matched with their answers by number."""
+"""Requests over connections, matched with their replies by number."""
 
 import asyncio
 import itertools
 
 
 class PendingRequests:
-    """Questions that wait for their answers.
+    """Matches replies with the requests that wait for them.
 
-    A question is a message with a field ``number``; its answer bears the same.
+    A request is a message with a field ``number``; its reply has the same number.
     """
 
     def __init__(self):
         self._numbers = itertools.count(1)
         self._future_by_number = {}
 
-    async def request(self, connection, question):
-        """Send a question and return its answer.
+    async def request(self, connection, message):
+        """Send a request and return its reply.
 
-        :param Connection connection: where to send it.
-        :param question: the message; its number is set here.
-        :returns: the answer, or ``None`` if the questions were dropped.
+        :param Connection connection: connection to send it on.
+        :param message: request to send; its number is set by this method.
+        :returns: the reply, or ``None`` if all requests were cancelled.
         :raises sequoiagap.base.WireError: if the connection is closed.
         """
-        question.number = next(self._numbers)
+        message.number = next(self._numbers)
         future = asyncio.get_running_loop().create_future()
-        self._future_by_number[question.number] = future
+        self._future_by_number[message.number] = future
         try:
-            await connection.send(question)
+            await connection.send(message)
             return await future
         finally:
-            self._future_by_number.pop(question.number, None)
+            self._future_by_number.pop(message.number, None)
 
-    def resolve(self, answer):
-        """Take an answer; one that nobody waits for any more is left out.
+    def resolve(self, reply):
+        """Pass a reply to its request; a late or duplicate reply is ignored.
 
-        :param answer: the message.
-        :returns: whether somebody waited for it.
+        :param reply: received reply.
+        :returns: whether a request was waiting for it.
         :rtype: bool
         """
-        future = self._future_by_number.get(answer.number)
+        future = self._future_by_number.get(reply.number)
         if future is None or future.done():
             return False
-        future.set_result(answer)
+        future.set_result(reply)
         return True
 
     def cancel_all(self):
-        """Answer all questions with ``None``, as their connection is lost."""
+        """Complete all requests with ``None`` because their connection is lost."""
         for future in self._future_by_number.values():
             if not future.done():
                 future.set_result(None)
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -1,4 +1,4 @@
-"""Messages survive the wire; malformed ones are refused."""
+"""Encoding of messages: round trip, version compatibility, malformed payloads."""
 
 import unittest
 
--- a/tests/wire/test_connection.py
+++ b/tests/wire/test_connection.py
@@ -1,4 +1,4 @@
-"""Connections: heartbeats and rejected frames."""
+"""Heartbeats of connections, detection of silent peers, and rejected frames."""
 
 import asyncio
 import time
@@ -7,9 +7,9 @@
 from sequoiagap import base, wire
 from tests import support
 
-FOUND_WITHIN_S = 2.0
+DETECTION_S = 2.0
 IDLE_INTERVAL_S = 0.8
-PAUSE_S = 1.8  # longer than a heartbeat may stay unanswered
+PAUSE_S = 1.8  # above the timeout of a heartbeat
 
 
 def hello(node_id):
@@ -36,26 +36,26 @@
             return
         await self.accepted.put(connection)
 
-    async def test_messages_pass(self):
+    async def test_messages_are_delivered(self):
         client = await wire.connect("127.0.0.1", self.port, hello("client"))
         server = await self.accepted.get()
-        got = asyncio.Queue()
-        task = asyncio.create_task(server.run(got.put))
+        received = asyncio.Queue()
+        task = asyncio.create_task(server.run(received.put))
         await client.send(wire.Cancel("att-1", 5))
-        self.assertEqual(await got.get(), wire.Cancel("att-1", 5))
+        self.assertEqual(await received.get(), wire.Cancel("att-1", 5))
         await client.close_gracefully("test ends")
         self.assertEqual(await task, "peer said goodbye: test ends")
 
-    async def test_silent_peer_is_found_in_two_seconds(self):
+    async def test_silent_peer_is_detected_within_two_seconds(self):
         client = await wire.connect("127.0.0.1", self.port, hello("client"))
         await self.accepted.get()  # the server never reads: the peer is silent
         client.mark_busy(True)
-        began = time.monotonic()
+        started_at = time.monotonic()
         reason = await client.run(_ignore)
         self.assertIn("heartbeat", reason)
-        self.assertLess(time.monotonic() - began, FOUND_WITHIN_S + 0.3)
+        self.assertLess(time.monotonic() - started_at, DETECTION_S + 0.3)
 
-    async def test_idle_connections_are_probed_seldom_and_on_request(self):
+    async def test_idle_connections_send_few_heartbeats_and_on_request(self):
         client = await wire.connect("127.0.0.1", self.port, hello("client"))
         server = await self.accepted.get()
         client.idle_interval_s = IDLE_INTERVAL_S
@@ -70,43 +70,43 @@
         client.close()
         await asyncio.gather(*tasks)
 
-    async def test_idle_connection_is_probed_seldom(self):
+    async def test_idle_connection_sends_few_heartbeats(self):
         client = await wire.connect("127.0.0.1", self.port, hello("client"))
         server = await self.accepted.get()
-        client.idle_interval_s = 0.1  # the first probe comes soon, then none
+        client.idle_interval_s = 0.1  # the first heartbeat is sent soon, then none
         answering = asyncio.create_task(server.run(_ignore))
         probing = asyncio.create_task(client.run(_ignore))
         await asyncio.sleep(0.25)
         client.idle_interval_s = 5.0
         before = client.messages_sent_
-        await asyncio.sleep(FOUND_WITHIN_S)
+        await asyncio.sleep(DETECTION_S)
         self.assertLessEqual(client.messages_sent_ - before, 1)
         client.close()
         await asyncio.gather(probing, answering)
 
-    async def test_own_pause_is_not_the_peers_silence(self):
+    async def test_pause_of_this_process_does_not_make_the_peer_silent(self):
         client = await wire.connect("127.0.0.1", self.port, hello("client"))
         server = await self.accepted.get()
         client.mark_busy(True)
         probing = asyncio.create_task(client.run(_ignore))
         await support.eventually(lambda: client.unanswered_s(time.monotonic()) > 0)
-        time.sleep(PAUSE_S)  # noqa: ASYNC251 - this process stands still
+        time.sleep(PAUSE_S)  # noqa: ASYNC251 - this process hangs
         answering = asyncio.create_task(server.run(_ignore))
         await asyncio.sleep(0.5)
         self.assertFalse(client.silent_)
         client.close()
         await asyncio.gather(probing, answering)
 
-    async def test_peer_that_stays_silent_is_found_after_an_own_pause(self):
+    async def test_silent_peer_is_detected_after_a_pause_of_this_process(self):
         client = await wire.connect("127.0.0.1", self.port, hello("client"))
         await self.accepted.get()
         client.mark_busy(True)
         probing = asyncio.create_task(client.run(_ignore))
         await support.eventually(lambda: client.unanswered_s(time.monotonic()) > 0)
-        time.sleep(PAUSE_S)  # noqa: ASYNC251 - this process stands still
-        began = time.monotonic()
+        time.sleep(PAUSE_S)  # noqa: ASYNC251 - this process hangs
+        started_at = time.monotonic()
         self.assertIn("heartbeat", await probing)
-        self.assertLess(time.monotonic() - began, FOUND_WITHIN_S + 0.3)
+        self.assertLess(time.monotonic() - started_at, DETECTION_S + 0.3)
 
     async def test_long_frame_ends_the_connection(self):
         client = await wire.connect("127.0.0.1", self.port, hello("client"))
--- a/tests/wire/test_handshake.py
+++ b/tests/wire/test_handshake.py
@@ -1,4 +1,8 @@
-"""The handshake: who may connect, and what a stranger can learn or hold."""
+"""Handshake: authentication, and protection against unauthenticated peers.
+
+An unauthenticated peer must neither learn the secret, replay or reflect a proof,
+nor keep a connection open.
+"""
 
 import asyncio
 import time
@@ -9,8 +13,8 @@
 from tests import support
 
 SECRET = "the-deployment-secret"
-FOUND_WITHIN_S = 2.0
-STRANGERS_FRAME_BYTES = 65536
+DETECTION_S = 2.0
+LONG_FRAME_BYTES = 65536
 
 
 def hello(node_id, secret=SECRET, **fields):
@@ -35,20 +39,20 @@
         await self.accepted.put(connection)
 
     async def open(self):
-        """Open a bare connection."""
+        """Open a TCP connection without a handshake."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         self.addCleanup(writer.close)
         return reader, writer
 
-    async def refused(self):
-        """Return why the server refused the next connection."""
-        async with asyncio.timeout(FOUND_WITHIN_S):
-            found = await self.accepted.get()
-        self.assertIsInstance(found, base.WireError)
-        self.assertRegex(str(found), r"^127\.0\.0\.1:\d+: ")
-        return str(found)
+    async def rejection(self):
+        """Return the error with which the server rejects the next connection."""
+        async with asyncio.timeout(DETECTION_S):
+            error = await self.accepted.get()
+        self.assertIsInstance(error, base.WireError)
+        self.assertRegex(str(error), r"^127\.0\.0\.1:\d+: ")
+        return str(error)
 
-    async def test_both_sides_learn_who_the_peer_is(self):
+    async def test_both_sides_identify_the_peer(self):
         client = await wire.connect("127.0.0.1", self.port, hello("client"))
         self.addCleanup(client.close)
         server = await self.accepted.get()
@@ -59,11 +63,11 @@
     async def test_secret_never_leaves_the_process(self):
         sent = bytearray()
 
-        async def listen_in(reader, writer):
+        async def record_bytes(reader, writer):
             while data := await reader.read(4096):
                 sent.extend(data)
 
-        server = await asyncio.start_server(listen_in, "127.0.0.1", 0)
+        server = await asyncio.start_server(record_bytes, "127.0.0.1", 0)
         self.addCleanup(server.close)
         port = server.sockets[0].getsockname()[1]
         with self.assertRaises(base.WireError):
@@ -72,7 +76,7 @@
         self.assertNotIn(SECRET.encode(), bytes(sent))
         self.assertNotIn(SECRET, repr(hello("client")))
 
-    async def test_first_frames_are_refused(self):
+    async def test_invalid_first_frames_are_rejected(self):
         fresh = b"n" * _handshake.NONCE_BYTES
         cases = {
             "no hello": (wire.Ping(1), "Ping came before Hello"),
@@ -84,15 +88,15 @@
             with self.subTest(name):
                 _, writer = await self.open()
                 wire.write_frame(writer, wire.encode(first))
-                self.assertIn(expected, await self.refused())
+                self.assertIn(expected, await self.rejection())
 
-    async def test_wrong_secret_is_refused_on_both_sides(self):
+    async def test_wrong_secret_is_rejected_on_both_sides(self):
         with self.assertRaises(base.WireError):
             await wire.connect("127.0.0.1", self.port, hello("client", "another"))
-        self.assertIn("wrong proof", await self.refused())
+        self.assertIn("wrong proof", await self.rejection())
 
-    async def test_server_without_the_secret_is_found_out(self):
-        async def pretend(reader, writer):
+    async def test_server_without_the_secret_is_rejected(self):
+        async def impersonate(reader, writer):
             first = await wire.read_frame(reader)
             answer = hello("server", nonce=b"s" * _handshake.NONCE_BYTES)
             wire.write_frame(writer, wire.encode(answer))
@@ -100,17 +104,17 @@
             await wire.read_frame(reader)
             wire.write_frame(writer, wire.encode(wire.Proof(proof)))
 
-        server = await asyncio.start_server(pretend, "127.0.0.1", 0)
+        server = await asyncio.start_server(impersonate, "127.0.0.1", 0)
         self.addCleanup(server.close)
         port = server.sockets[0].getsockname()[1]
         with self.assertRaisesRegex(base.WireError, "wrong proof"):
             await wire.connect("127.0.0.1", port, hello("client"))
 
-    async def test_recorded_handshake_is_refused(self):
+    async def test_replayed_handshake_is_rejected(self):
         recorded = await self._record_handshake()
         _, writer = await self.open()
         writer.write(recorded)
-        self.assertIn("wrong proof", await self.refused())
+        self.assertIn("wrong proof", await self.rejection())
 
     async def _record_handshake(self):
         recorded = bytearray()
@@ -130,8 +134,8 @@
         await _copy(reader, upstream, recorded)
         back.cancel()
 
-    async def test_reflections_are_refused(self):
-        """A stranger sends back what the process itself has sent."""
+    async def test_reflected_messages_are_rejected(self):
+        """An unauthenticated peer returns messages that the process itself sent."""
         cases = {
             "hello and proof": (None, "came back to its sender"),
             "proof alone": (hello("server", nonce=b"s" * 32), "wrong proof"),
@@ -152,18 +156,18 @@
         with self.assertRaisesRegex(base.WireError, expected):
             await wire.connect("127.0.0.1", port, hello("client"))
 
-    async def test_long_frame_of_a_stranger_is_refused(self):
+    async def test_long_frame_before_authentication_is_rejected(self):
         _, writer = await self.open()
-        writer.write(STRANGERS_FRAME_BYTES.to_bytes(4, "big"))
-        self.assertIn("over the limit", await self.refused())
+        writer.write(LONG_FRAME_BYTES.to_bytes(4, "big"))
+        self.assertIn("over the limit", await self.rejection())
 
-    async def test_slow_stranger_is_cut_off_in_two_seconds(self):
-        began = time.monotonic()
+    async def test_slow_handshake_is_aborted_within_two_seconds(self):
+        started_at = time.monotonic()
         _, writer = await self.open()
         task = asyncio.create_task(_trickle(writer))
         self.addCleanup(task.cancel)
-        self.assertIn("in time", await self.refused())
-        self.assertLess(time.monotonic() - began, FOUND_WITHIN_S)
+        self.assertIn("in time", await self.rejection())
+        self.assertLess(time.monotonic() - started_at, DETECTION_S)
 
 
 async def _copy(reader, writer, recorded):
@@ -174,7 +178,7 @@
 
 
 async def _trickle(writer):
-    """Send a byte of a frame now and then, for longer than the bound."""
+    """Send a frame byte by byte, for longer than the handshake timeout."""
     writer.write((100).to_bytes(4, "big"))
     for _ in range(20):
         writer.write(b"x")
--- a/tests/wire/test_questions.py
+++ b/tests/wire/test_questions.py
@@ -1,4 +1,4 @@
-"""Each question gets its own answer, however late or often answers come."""
+"""Replies reach their own requests, also if they are late, reordered or repeated."""
 
 import asyncio
 import dataclasses
@@ -13,7 +13,7 @@
 
 
 class Connection:
-    """Keeps what is sent, or is closed."""
+    """Records sent messages; raises an error once it is closed."""
 
     def __init__(self):
         self.sent = []
@@ -25,45 +25,45 @@
         self.sent.append(item)
 
 
-class QuestionsTest(unittest.IsolatedAsyncioTestCase):
+class PendingRequestsTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
-        self.questions = wire.PendingRequests()
+        self.requests = wire.PendingRequests()
         self.connection = Connection()
 
-    async def ask(self, number):
-        """Ask questions, wait until they are sent, and return their tasks."""
+    async def send_requests(self, number):
+        """Send requests and return their tasks once all are sent."""
         tasks = [
-            asyncio.create_task(self.questions.request(self.connection, Numbered()))
+            asyncio.create_task(self.requests.request(self.connection, Numbered()))
             for _ in range(number)
         ]
         await asyncio.sleep(0)
         return tasks
 
-    async def test_answers_in_another_order_reach_their_questions(self):
-        tasks = await self.ask(3)
+    async def test_reordered_replies_reach_their_requests(self):
+        tasks = await self.send_requests(3)
         for item in reversed(self.connection.sent):
-            self.questions.resolve(Numbered(item.number))
-        answers = await asyncio.gather(*tasks)
+            self.requests.resolve(Numbered(item.number))
+        replies = await asyncio.gather(*tasks)
         sent = [item.number for item in self.connection.sent]
-        self.assertEqual([answer.number for answer in answers], sent)
+        self.assertEqual([reply.number for reply in replies], sent)
         self.assertEqual(len(set(sent)), 3)
 
-    async def test_late_and_doubled_answers_reach_nobody(self):
-        (task,) = await self.ask(1)
+    async def test_late_and_duplicate_replies_are_ignored(self):
+        (task,) = await self.send_requests(1)
         task.cancel()
         await asyncio.wait([task])
-        self.questions.resolve(Numbered(1))
-        (following,) = await self.ask(1)
-        self.questions.resolve(Numbered(1))
-        self.assertFalse(following.done())
-        self.questions.resolve(Numbered(2))
-        self.questions.resolve(Numbered(2))
-        self.assertEqual((await following).number, 2)
+        self.requests.resolve(Numbered(1))
+        (next_task,) = await self.send_requests(1)
+        self.requests.resolve(Numbered(1))
+        self.assertFalse(next_task.done())
+        self.requests.resolve(Numbered(2))
+        self.requests.resolve(Numbered(2))
+        self.assertEqual((await next_task).number, 2)
 
-    async def test_lost_connection_ends_the_questions(self):
-        tasks = await self.ask(2)
-        self.questions.cancel_all()
+    async def test_lost_connection_completes_the_requests(self):
+        tasks = await self.send_requests(2)
+        self.requests.cancel_all()
         self.assertEqual(await asyncio.gather(*tasks), [None, None])
         self.connection.is_closed = True
         with self.assertRaises(base.WireError):
-            await self.questions.request(self.connection, Numbered())
+            await self.requests.request(self.connection, Numbered())
--- a/tests/wire/test_tls.py
+++ b/tests/wire/test_tls.py
@@ -1,4 +1,4 @@
-"""TLS between processes: both sides show a certificate of the deployment's CA."""
+"""TLS between processes: both sides need a certificate of the deployment's CA."""
 
 import asyncio
 import tempfile
@@ -33,7 +33,7 @@
             return
 
     async def connect(self, tls):
-        """Connect, pass one message to and fro, and return the certificate."""
+        """Connect, exchange one message, and return the peer's certificate."""
         connection = await wire.connect("127.0.0.1", self.port, hello("client", tls))
         try:
             await connection.send(wire.Cancel("att-1", 0))
@@ -48,7 +48,7 @@
         tls = base.TlsContexts(**self.authority.issue("client"))
         self.assertTrue(await self.connect(tls))
 
-    async def test_others_are_refused(self):
+    async def test_untrusted_peers_are_rejected(self):
         known = self.authority.issue("client")
         unknown = self.stranger.issue("stranger")
         cases = {
@@ -60,7 +60,7 @@
             with self.subTest(name), self.assertRaises(base.WireError):
                 await self.connect(base.TlsContexts(**files) if files else None)
 
-    async def test_renewed_files_serve_new_connections(self):
+    async def test_renewed_files_apply_to_new_connections(self):
         tls = base.TlsContexts(**self.authority.issue("client"))
         before = await self.connect(tls)
         self.authority.issue("server")
@@ -68,7 +68,7 @@
         self.own.load()
         self.assertNotEqual(await self.connect(tls), before)
 
-    async def test_key_of_another_certificate_is_a_clear_error(self):
+    async def test_key_of_another_certificate_raises_config_error(self):
         files = self.authority.issue("a")
         files["key_file"] = self.authority.issue("b")["key_file"]
         with self.assertRaisesRegex(base.ConfigError, "its own key"):
