Reword platform client and cli in the terms of the field

All renamed names are private. Help texts and messages change only where nothing matches them; commands, options and exit codes stay. UNTIMED and the JSON keys of 'outcomes' stay.

--- a/libs/cli/src/sequoiagap/cli/__init__.py
+++ b/libs/cli/src/sequoiagap/cli/__init__.py
@@ -1,4 +1,4 @@
-"""The command line: every role of the one binary."""
+"""Command line of the load balancer: roles and operators' commands."""
 
 from sequoiagap.cli._main import main
 
--- a/libs/cli/src/sequoiagap/cli/_client.py
+++ b/libs/cli/src/sequoiagap/cli/_client.py
@@ -1,4 +1,4 @@
-"""HTTP calls from operators' commands to an entry."""
+"""HTTP client of the operators' commands, which call an entry."""
 
 import asyncio
 import dataclasses
@@ -17,15 +17,15 @@
 
 
 class UsageError(base.SequoiagapError):
-    """The command was not given what it needs."""
+    """An argument, option or environment variable is missing or invalid."""
 
 
 class EntryUnreachableError(base.SequoiagapError):
-    """No entry answered, and nothing was changed."""
+    """The entry did not answer, and nothing was changed."""
 
 
 class EffectUnknownError(base.SequoiagapError):
-    """The answer to a change was lost; the change may be in force."""
+    """The answer to a change was lost, so the change may be in force."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -33,7 +33,7 @@
     """Answer of an entry.
 
     :param int status: HTTP status.
-    :param dict document: JSON body.
+    :param dict document: decoded JSON body.
     """
 
     status: int
@@ -41,19 +41,19 @@
 
     @property
     def refused(self):
-        """Whether the entry refused the call."""
+        """Whether the entry rejected the call."""
         return self.status >= REFUSED_STATUS
 
 
 def call(url, method, path, body=None):
-    """Call an entry with the operator key of the environment.
+    """Call an entry, with the operator key from the environment.
 
-    :param str url: where the entry listens.
+    :param str url: base URL of the entry.
     :param str method: HTTP method.
     :param str path: HTTP path.
     :param dict body: JSON body, or ``None``.
     :rtype: Reply
-    :raises UsageError: if the environment has no key or a bad CA file.
+    :raises UsageError: if the environment has no key or an invalid CA file.
     :raises EntryUnreachableError: if the entry does not answer.
     :raises EffectUnknownError: if the answer to a change was lost.
     """
@@ -104,7 +104,7 @@
 
 
 def _check_reply(url, reply):
-    """Tell an entry's answer from that of another program."""
+    """Raise an error if the answer does not come from an entry."""
     error = reply.document.get("error") if isinstance(reply.document, dict) else None
     if not isinstance(reply.document, dict):
         raise _unreachable(url, "the answer is no JSON object")
--- a/libs/cli/src/sequoiagap/cli/_config_commands.py
+++ b/libs/cli/src/sequoiagap/cli/_config_commands.py
@@ -1,4 +1,4 @@
-"""Commands about configuration versions."""
+"""Commands that show and change the configuration."""
 
 import json
 import pathlib
@@ -19,7 +19,7 @@
     description = "Show the configuration in force."
 
     def act(self):
-        """Show version and document."""
+        """Print version and document."""
         return self.show(self.call("GET", "/config"), self.print_json)
 
 
@@ -31,7 +31,7 @@
     arguments = [helpers.argument("document", "file in JSON with comments, or -")]
 
     def act(self):
-        """Submit the document against version 0, the empty configuration."""
+        """Submit the document as a patch against version 0, the empty configuration."""
         return self.submit_against(0, _read_changes(self.argument("document")))
 
 
@@ -47,7 +47,7 @@
         *_operator.OperatorCommand.options,
         helpers.option("against", None, "version it was written against", flag=False),
         helpers.option("id", None, "patch id, to submit again safely", flag=False),
-        helpers.option("override", None, "accept a change that harm checks refuse"),
+        helpers.option("override", None, "accept a change that harm checks reject"),
     ]
 
     def act(self):
@@ -76,7 +76,7 @@
     ]
 
     def act(self):
-        """Show one row for each patch."""
+        """Print one row per patch."""
         before = self.option("before") or "0"
         path = f"/config/history?before={before}"
         return self.show(self.call("GET", path), self._print)
@@ -96,12 +96,12 @@
     description = "Write the version in force back to a platform that lost it."
 
     def act(self):
-        """Write it back as the next version."""
+        """Request the entry to write its version back as the next one."""
         return self.show(self.call("POST", "/config/restore", {}), self.print_accepted)
 
 
 def _read_changes(argument):
-    """Return the object of an argument: JSON text, a file name or ``-``."""
+    """Return the JSON object given as text, as a file name or as ``-``."""
     if argument == STANDARD_INPUT:
         return settings.parse_document("standard input", sys.stdin.read())
     if argument.lstrip().startswith("{"):
--- a/libs/cli/src/sequoiagap/cli/_exit_codes.py
+++ b/libs/cli/src/sequoiagap/cli/_exit_codes.py
@@ -4,7 +4,7 @@
 
 
 class ExitCode(enum.IntEnum):
-    """What a command ended with."""
+    """Exit code of a command."""
 
     DONE = 0
     FAILED = 1
--- a/libs/cli/src/sequoiagap/cli/_local_commands.py
+++ b/libs/cli/src/sequoiagap/cli/_local_commands.py
@@ -1,4 +1,4 @@
-"""Commands that need no entry: settings files, keys and logs."""
+"""Commands that run without an entry: settings files, keys and logs."""
 
 import dataclasses
 import hashlib
@@ -28,7 +28,7 @@
     ]
 
     def handle(self):
-        """Check the file; print its role, or what is wrong with it."""
+        """Check the file and print its role or the error."""
         try:
             return self._act()
         except (base.ConfigError, ValueError) as error:
@@ -60,11 +60,11 @@
     """``sequoiagap key``."""
 
     name = "key"
-    description = "Make a new random key and print it with its digest."
+    description = "Generate a random key and print it with its digest."
     options = [helpers.option("json", None, "print JSON for scripts")]
 
     def handle(self):
-        """Print a fresh key, and its digest for the keys file."""
+        """Print a new key and its digest for the keys file."""
         key = secrets.token_urlsafe(KEY_BYTES)
         digest = hashlib.sha256(key.encode()).hexdigest()
         if self.option("json"):
@@ -82,12 +82,12 @@
     description = "Count how the requests in a log ended, and why, for each second."
     options = [
         helpers.option("log", None, "log of gateways and agents", flag=False),
-        helpers.option("plot", None, "also write an SVG picture here", flag=False),
+        helpers.option("plot", None, "also write an SVG plot to this file", flag=False),
         helpers.option("json", None, "print JSON for scripts"),
     ]
 
     def handle(self):
-        """Print the table."""
+        """Print the outcomes as a table or as JSON, and write the plot if requested."""
         if not self.option("log"):
             self.line_error("name the log with --log FILE")
             return _exit_codes.ExitCode.BAD_USAGE
--- a/libs/cli/src/sequoiagap/cli/_log_file.py
+++ b/libs/cli/src/sequoiagap/cli/_log_file.py
@@ -1,23 +1,23 @@
-"""Decisions about a request, read from a log file."""
+"""Reader of log files, and the decisions about a request that they contain."""
 
 import dataclasses
 import json
 
 from sequoiagap import base
 
-_LEFT_OUT = frozenset(
+_STANDARD_FIELDS = frozenset(
     {"component", "event", "level", "node", "number", "request_id", "timestamp"}
 )
 
 
 @dataclasses.dataclass(frozen=True)
 class LoggedDecision:
-    """A line of a log about a request.
+    """A log line about a request.
 
-    :param str at: when it was written.
-    :param str node: process that wrote it.
+    :param str at: timestamp of the line.
+    :param str node: node id of the process that wrote it.
     :param str step: name of the event.
-    :param dict details: what it says.
+    :param dict details: remaining fields of the line.
     """
 
     at: str
@@ -27,13 +27,13 @@
 
 
 def find_decisions(path, request_id):
-    """Return the lines of a log file about a request, in order of time.
+    """Return the lines of a log file about a request, ordered by time.
 
-    Lines that are no JSON are left out; text before the JSON, as some collectors
-    put there, is skipped.
+    Lines without JSON are ignored, and so is text before the JSON, which some log
+    collectors insert.
 
-    :param str path: the log file.
-    :param str request_id: the request.
+    :param str path: path of the log file.
+    :param str request_id: id of the request.
     :rtype: list[LoggedDecision]
     :raises sequoiagap.base.ConfigError: if the file can't be read.
     """
@@ -47,9 +47,9 @@
 
 
 def read_lines(path):
-    """Yield what each line of a log file says; lines that are no JSON are left out.
+    """Yield the JSON object of each line of a log file; ignore lines without one.
 
-    :param str path: the log file.
+    :param str path: path of the log file.
     :rtype: collections.abc.Iterator[dict]
     :raises sequoiagap.base.ConfigError: if the file can't be read.
     """
@@ -79,5 +79,5 @@
         at=str(document.get("timestamp", "")),
         node=str(document.get("node", "")),
         step=str(document.get("event", "")),
-        details={k: v for k, v in document.items() if k not in _LEFT_OUT},
+        details={k: v for k, v in document.items() if k not in _STANDARD_FIELDS},
     )
--- a/libs/cli/src/sequoiagap/cli/_main.py
+++ b/libs/cli/src/sequoiagap/cli/_main.py
@@ -1,4 +1,4 @@
-"""Assembly of the command line."""
+"""Entry point of the command line: registers the commands and runs one."""
 
 import sys
 
@@ -26,7 +26,8 @@
 def main(arguments=None):
     """Run the command line.
 
-    :param list[str] arguments: arguments; those of the process by default.
+    :param list[str] arguments: command-line arguments; those of the process by
+        default.
     :returns: exit code, see ``docs/OPERATORS.md``.
     :rtype: int
     """
--- a/libs/cli/src/sequoiagap/cli/_operator.py
+++ b/libs/cli/src/sequoiagap/cli/_operator.py
@@ -1,4 +1,4 @@
-"""What all operators' commands share."""
+"""Base class of the commands that call an entry."""
 
 import json
 
@@ -18,7 +18,7 @@
 
 
 class OperatorCommand(command.Command):
-    """A command against an entry; subclasses define ``act()``."""
+    """Calls an entry and prints its answer; subclasses define ``act()``."""
 
     options = [
         helpers.option(
@@ -36,7 +36,7 @@
             return _EXIT_BY_ERROR[type(error)]
 
     def call(self, method, path, body=None):
-        """Call the entry named by the options.
+        """Call the entry given by ``--entry``.
 
         :rtype: Reply
         """
@@ -46,7 +46,7 @@
         """Print a reply and return the exit code.
 
         :param Reply reply: answer of the entry.
-        :param print_table: function of the document that prints it for people.
+        :param print_table: function that prints the document as text.
         :rtype: ExitCode
         """
         if self.option("json"):
@@ -58,7 +58,7 @@
         return self.show_refusal(reply)
 
     def show_refusal(self, reply):
-        """Print a refusal and return the exit code.
+        """Print a rejection and return the exit code.
 
         :param Reply reply: answer of the entry.
         :rtype: ExitCode
@@ -94,8 +94,8 @@
 
         :param int version: version that the patch was written against.
         :param dict changes: merge patch.
-        :param str patch_id: id of the patch; fresh by default.
-        :param bool override: accept a change that harm checks refuse.
+        :param str patch_id: id of the patch; a new one by default.
+        :param bool override: accept a change that harm checks reject.
         :rtype: ExitCode
         """
         body = {
@@ -107,19 +107,19 @@
         try:
             reply = self.call("POST", "/config", body)
         except _client.EffectUnknownError:
-            self._advise_same_id(body)
+            self._print_resubmit_hint(body)
             raise
         exit_code = self.show(reply, self.print_accepted)
         if exit_code == _exit_codes.ExitCode.UNKNOWN:
-            self._advise_same_id(body)
+            self._print_resubmit_hint(body)
         return exit_code
 
-    def _advise_same_id(self, body):
+    def _print_resubmit_hint(self, body):
         self.line_error(
             f"'config patch --id {body['patch_id']} --against {body['against']}' "
             "with the same changes submits this patch again without a second effect"
         )
 
     def print_accepted(self, document):
-        """Print which version a patch made."""
+        """Print the version that a patch created."""
         self.line(f"accepted as version {document['version']}")
--- a/libs/cli/src/sequoiagap/cli/_operator_commands.py
+++ b/libs/cli/src/sequoiagap/cli/_operator_commands.py
@@ -1,4 +1,4 @@
-"""Commands of operators about domains, endpoints, states and requests."""
+"""Commands that control failure domains and endpoints or show state and requests."""
 
 import dataclasses
 import json
@@ -10,6 +10,8 @@
 
 
 class _DomainCommand(_operator.OperatorCommand):
+    """Sets the state of a failure domain."""
+
     arguments = [helpers.argument("domain", "failure domain")]
     state = ""
 
@@ -23,7 +25,7 @@
     """``sequoiagap domain out``."""
 
     name = "domain out"
-    description = "Take a failure domain out: it receives no new work."
+    description = "Take a failure domain out of service: it gets no new work."
     options = [
         *_operator.OperatorCommand.options,
         helpers.option(
@@ -33,7 +35,7 @@
     state = "out"
 
     def act(self):
-        """Submit the patch, or give the local order."""
+        """Submit the patch, or a local order with ``--local``."""
         if not self.option("local"):
             return super().act()
         body = {"failure_domain": self.argument("domain")}
@@ -41,14 +43,14 @@
 
     def _print(self, document):
         domain, number = document["failure_domain"], document["against"]
-        self.line(f"{domain} is out here until a version above {number}")
+        self.line(f"{domain} is out of service here until a version above {number}")
 
 
 class DomainInCommand(_DomainCommand):
     """``sequoiagap domain in``."""
 
     name = "domain in"
-    description = "Bring a failure domain back."
+    description = "Bring a failure domain back into service."
     state = "in"
 
 
@@ -56,15 +58,15 @@
     """``sequoiagap endpoint drain``."""
 
     name = "endpoint drain"
-    description = "Drain an endpoint, or take the order back with --undo."
+    description = "Drain an endpoint, or undo a drain with --undo."
     arguments = [helpers.argument("endpoint", "endpoint id")]
     options = [
         *_operator.OperatorCommand.options,
-        helpers.option("undo", None, "take it back"),
+        helpers.option("undo", None, "undo the drain"),
     ]
 
     def act(self):
-        """Submit the order."""
+        """Submit the drain order, or its undoing."""
         order = {"drain": not self.option("undo")}
         return self.submit({"endpoints": {self.argument("endpoint"): order}})
 
@@ -77,7 +79,7 @@
     arguments = [helpers.argument("endpoint", "endpoint id", optional=True)]
 
     def act(self):
-        """Show the dump."""
+        """Print the state dump."""
         endpoint = self.argument("endpoint")
         if endpoint:
             return self.show(self.call("GET", f"/state/{endpoint}"), self.print_json)
@@ -99,28 +101,30 @@
     """``sequoiagap explain``."""
 
     name = "explain"
-    description = "Show what was decided about a request, and on which version."
+    description = "Show the decisions about a request and their versions."
     arguments = [helpers.argument("request_id", "id of the request")]
     options = [
         *_operator.OperatorCommand.options,
-        helpers.option("log", None, "read this log file, not an entry", flag=False),
+        helpers.option(
+            "log", None, "read this log file instead of calling an entry", flag=False
+        ),
     ]
 
     def act(self):
-        """Show one row for each decision."""
+        """Print one row per decision."""
         if self.option("log"):
             return self._explain_log(self.option("log"))
         path = f"/v1/explain/{self.argument('request_id')}"
         return self.show(self.call("GET", path), self._print)
 
     def _explain_log(self, path):
-        """Show the decisions that a log file has about the request."""
+        """Print the decisions about the request that a log file contains."""
         request_id = self.argument("request_id")
         found = _log_file.find_decisions(path, request_id)
         if not found:
             raise base.ConfigError(
-                f"{path}: has no line about request {request_id}",
-                "Read the logs of the process that took it; a retry has its own id",
+                f"{path}: no line about request {request_id}",
+                "Read the logs of the process that received it; a retry has its own id",
             )
         if self.option("json"):
             self.line(json.dumps([dataclasses.asdict(d) for d in found]))
--- a/libs/cli/src/sequoiagap/cli/_role_commands.py
+++ b/libs/cli/src/sequoiagap/cli/_role_commands.py
@@ -1,4 +1,4 @@
-"""Commands that run a role."""
+"""Commands that run the process of a role."""
 
 import asyncio
 
@@ -10,11 +10,13 @@
 
 
 class _RoleCommand(command.Command):
+    """Runs the process of one role; subclasses define ``run_role()``."""
+
     arguments = [helpers.argument("settings", "settings file")]
     role = ""
 
     def handle(self):
-        """Load the settings and run the role until it is told to stop."""
+        """Load the settings and run the role until a signal stops it."""
         try:
             loaded = settings.load(self.argument("settings"))
         except base.ConfigError as error:
@@ -64,7 +66,7 @@
     role = "agent"
 
     async def run_role(self, loaded):
-        """Run the agent; its imports leave out the HTTP server."""
+        """Run the agent; its imports exclude the HTTP server."""
         from sequoiagap import agent
 
         await agent.run(loaded)
--- a/libs/platform/src/sequoiagap/platform/__init__.py
+++ b/libs/platform/src/sequoiagap/platform/__init__.py
@@ -1,4 +1,4 @@
-"""Client of the platform's object API, host list and watches."""
+"""HTTP client of the platform: versioned objects, watches and host list."""
 
 from sequoiagap.platform._client import (
     MAX_VALUE_BYTES,
--- a/libs/platform/src/sequoiagap/platform/_client.py
+++ b/libs/platform/src/sequoiagap/platform/_client.py
@@ -1,4 +1,4 @@
-"""Client of the platform: objects with versions, watches and the host list."""
+"""Client of the platform's HTTP API: versioned objects, watches and host list."""
 
 import asyncio
 import dataclasses
@@ -10,16 +10,16 @@
 
 WATCH_TIMEOUT_S = 20.0
 MAX_VALUE_BYTES = 1_000_000
-_CALL_LIMIT_REMEDY = "Check the platform and the network to it"
+_PLATFORM_REMEDY = "Check the platform and the network to it"
 
 
 @dataclasses.dataclass(frozen=True)
 class StoredObject:
-    """An object of the platform.
+    """A versioned object stored by the platform.
 
-    :param str name: its name.
-    :param int version: its version in the platform, from 1.
-    :param dict value: what it holds.
+    :param str name: name of the object.
+    :param int version: version of the object, from 1.
+    :param dict value: content of the object.
     """
 
     name: str
@@ -29,15 +29,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class HostEntry:
-    """A host of the platform's lagging list.
+    """A host in the platform's host list.
 
     :param str host_id: id of the host, equal to the node id of its process.
     :param str role: ``entry`` or ``agent``.
     :param str address: IP address.
     :param int port: port of the process for its peers.
-    :param str failure_domain: where it stands.
+    :param str failure_domain: failure domain of the host.
     :param str state: ``live`` or ``leaving``.
-    :param list serves: names of the models or services of an endpoint.
+    :param list serves: names of the models or services that an endpoint serves.
     """
 
     host_id: str
@@ -50,9 +50,10 @@
 
 
 class ObjectConflict(base.SequoiagapError):
-    """A conditional update met another version.
+    """A conditional write failed because the object has another version.
 
-    :param int version: version of the object now; 0 if it does not exist.
+    :param str name: name of the object.
+    :param int version: current version of the object; 0 if it does not exist.
     """
 
     def __init__(self, name, version):
@@ -63,12 +64,12 @@
 
 
 class PlatformClient:
-    """Calls of the platform's object API.
+    """Reads, writes and watches objects of the platform.
 
-    :param str url: where the platform listens.
-    :param float timeout_s: longest wait for an answer, in seconds.
+    :param str url: base URL of the platform.
+    :param float timeout_s: timeout of a call in seconds.
 
-    :ivar int calls_: calls made so far, waiting watches included.
+    :ivar int calls_: calls made so far, pending watches included.
 
     .. code-block:: python
 
@@ -83,29 +84,29 @@
         self._sessions = _sessions.HttpSessions()
 
     async def close(self):
-        """Close the connections to the platform."""
+        """Close all connections to the platform."""
         await self._sessions.close()
 
     async def get(self, name):
-        """Return an object, or ``None`` where there is none.
+        """Return an object, or ``None`` if it does not exist.
 
         :param str name: name of the object.
         :rtype: StoredObject | None
         :raises sequoiagap.base.PlatformError: if the platform does not answer.
         """
         status, document = await self._call("GET", f"/objects/{name}")
-        return _stored(name, document) if status == 200 else None
+        return _decode_object(name, document) if status == 200 else None
 
     async def put(self, name, value, expected_version):
         """Write an object if it still has the expected version.
 
         :param str name: name of the object.
-        :param dict value: what it shall hold.
-        :param int expected_version: its version now; 0 creates it.
+        :param dict value: new content.
+        :param int expected_version: current version; 0 creates the object.
         :rtype: StoredObject
         :raises ObjectConflict: if it has another version.
         :raises sequoiagap.base.PlatformError: if the platform does not answer;
-            ``effect_unknown`` tells whether the write may have taken effect.
+            its ``effect_unknown`` is true if the write may have taken effect.
         """
         body = {"expected_version": expected_version, "value": value}
         status, document = await self._call("PUT", f"/objects/{name}", body)
@@ -117,7 +118,7 @@
         """Delete an object if it still has the expected version.
 
         :param str name: name of the object.
-        :param int expected_version: its version now.
+        :param int expected_version: current version.
         :raises ObjectConflict: if it has another version.
         :raises sequoiagap.base.PlatformError: if the platform does not answer.
         """
@@ -127,11 +128,12 @@
             raise ObjectConflict(name, document["version"])
 
     async def watch(self, name, after_version, timeout_s=WATCH_TIMEOUT_S):
-        """Wait until an object passes a version.
+        """Wait until an object has a version above a known one.
 
         :param str name: name of the object.
-        :param int after_version: version that is known already.
-        :param float timeout_s: how long the platform may hold the call.
+        :param int after_version: version known to the caller.
+        :param float timeout_s: how long the platform may delay its answer, in
+            seconds.
         :returns: the newer object, or ``None`` if there was none in time.
         :rtype: StoredObject | None
         :raises sequoiagap.base.PlatformError: if the platform does not answer.
@@ -140,10 +142,10 @@
         status, document = await self._call(
             "GET", path, timeout_s=timeout_s + self.timeout_s
         )
-        return _stored(name, document) if status == 200 else None
+        return _decode_object(name, document) if status == 200 else None
 
     async def list_hosts(self):
-        """Return the lagging list of live and leaving hosts.
+        """Return the live and leaving hosts; the list lags behind the actual state.
 
         :rtype: list[HostEntry]
         :raises sequoiagap.base.PlatformError: if the platform does not answer.
@@ -153,7 +155,7 @@
             return [HostEntry(**host) for host in document["hosts"]]
         except (TypeError, KeyError) as error:
             raise base.PlatformError(
-                f"host list is malformed ({error})", _CALL_LIMIT_REMEDY
+                f"host list is malformed ({error})", _PLATFORM_REMEDY
             ) from error
 
     async def _call(self, method, path, body=None, timeout_s=None):
@@ -167,28 +169,28 @@
         try:
             async with timer, request as response:
                 if response.status >= 500:
-                    raise _unanswered(method, f"status {response.status}")
+                    raise _no_answer_error(method, f"status {response.status}")
                 if response.status == 204:
                     return 204, {}
                 return response.status, await response.json()
         except aiohttp.ClientConnectorError as error:
             raise base.PlatformError(
-                f"platform can't be reached ({error})", _CALL_LIMIT_REMEDY
+                f"platform can't be reached ({error})", _PLATFORM_REMEDY
             ) from error
         except (TimeoutError, aiohttp.ClientError) as error:
             self._sessions.renew(session)
-            raise _unanswered(method, repr(error)) from error
+            raise _no_answer_error(method, repr(error)) from error
         except ValueError as error:
-            raise _unanswered(method, repr(error)) from error
+            raise _no_answer_error(method, repr(error)) from error
 
 
-def _stored(name, document):
+def _decode_object(name, document):
     return StoredObject(name, document["version"], document["value"])
 
 
-def _unanswered(method, reason):
+def _no_answer_error(method, reason):
     return base.PlatformError(
         f"platform gave no proper answer ({reason})",
-        _CALL_LIMIT_REMEDY,
+        _PLATFORM_REMEDY,
         effect_unknown=method != "GET",
     )
--- a/libs/platform/src/sequoiagap/platform/_sessions.py
+++ b/libs/platform/src/sequoiagap/platform/_sessions.py
@@ -1,26 +1,26 @@
-"""Kept-alive HTTP connections that are given up together."""
+"""HTTP sessions whose kept-alive connections are replaced together on failure."""
 
 import aiohttp
 
 from sequoiagap import base
 
-# Calls are bounded by asyncio.timeout: a timer of aiohttp that ends a request in
-# the same turn of the event loop as a cancellation from outside swallows the latter.
+# Callers limit the time with asyncio.timeout instead: a timeout of aiohttp that fires
+# in the same iteration of the event loop as a cancellation swallows the cancellation.
 UNTIMED = aiohttp.ClientTimeout(total=None)
 
 
 class HttpSessions:
-    """Lends a client session; after a failure a fresh one takes its place.
+    """Lends a shared client session and replaces it after a failure.
 
-    What lost one kept-alive connection may have lost them all unseen, so none
-    of them is used again. Calls under way over the old session go on.
+    The cause that broke one kept-alive connection may have broken all of them
+    without notice, so none is reused. Calls in progress on the old session continue.
 
-    The sessions bound no call: whoever borrows one does, by ``asyncio.timeout``.
+    Sessions have no timeout; callers limit their calls with ``asyncio.timeout``.
 
-    :param dict options: arguments of each :class:`aiohttp.ClientSession` but its
+    :param dict options: arguments of each :class:`aiohttp.ClientSession`, except
         connector and timeout.
-    :param socket_factory: function of an address information that opens sockets;
-        the library's own by default.
+    :param socket_factory: function that opens a socket for an address info; that
+        of aiohttp by default.
 
     .. code-block:: python
 
@@ -48,19 +48,19 @@
             self._current = aiohttp.ClientSession(
                 connector=connector, timeout=UNTIMED, **self.options
             )
-        return _Loan(self, self._current)
+        return _BorrowedSession(self, self._current)
 
     def renew(self, failed):
-        """Use no open connection of a session again.
+        """Replace a session, so that none of its open connections is reused.
 
-        :param aiohttp.ClientSession failed: the borrowed session that failed; it
-            may have been replaced already.
+        :param aiohttp.ClientSession failed: borrowed session that failed; it may
+            have been replaced already.
         """
         if failed is self._current:
             self._current = None
 
     async def close(self):
-        """Close every connection."""
+        """Close all connections of all sessions."""
         open_sessions = set(self._count_by_session)
         if self._current is not None:
             open_sessions.add(self._current)
@@ -68,10 +68,10 @@
             await session.close()
         await self._closing.close()
 
-    def _enter(self, session):
+    def _acquire(self, session):
         self._count_by_session[session] = self._count_by_session.get(session, 0) + 1
 
-    def _leave(self, session):
+    def _release(self, session):
         self._count_by_session[session] -= 1
         if self._count_by_session[session]:
             return
@@ -80,14 +80,16 @@
             self._closing.start(session.close(), "close-session")
 
 
-class _Loan:
+class _BorrowedSession:
+    """Context manager that counts the users of a session."""
+
     def __init__(self, sessions, session):
         self.sessions = sessions
         self.session = session
 
     def __enter__(self):
-        self.sessions._enter(self.session)
+        self.sessions._acquire(self.session)
         return self.session
 
     def __exit__(self, *exc_info):
-        self.sessions._leave(self.session)
+        self.sessions._release(self.session)
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -1,4 +1,4 @@
-"""Each command against a real entry, and each exit code caused."""
+"""Commands of the CLI against a running entry, and all exit codes."""
 
 import asyncio
 import contextlib
@@ -64,7 +64,7 @@
                 self.assertEqual(found, code, err)
                 self.assertIn(text, out + err)
 
-    def test_key_fits_its_digest(self):
+    def test_key_matches_its_digest(self):
         code, out, _ = run("key", "--json")
         made = json.loads(out)
         self.assertEqual(code, 0)
@@ -84,7 +84,7 @@
                 "deployment": "d",
                 "region": "r",
                 "failure_domain": "f",
-                # An address that this host does not have.
+                # an address that this host does not have
                 "address": "192.0.2.1",
                 "port": 0,
                 "http_port": 0,
@@ -121,12 +121,16 @@
         (self.folder / "first.json").write_text(CONFIG)
 
     async def run_command(self, *words, entry=None, **arguments):
-        """Run a command against the entry in a thread of its own."""
+        """Run a command against the entry in a separate thread."""
         url = entry or self.fleet.url("entry-0")
         return await asyncio.to_thread(run, *words, "--entry", url, **arguments)
 
     async def check(self, cases):
-        """Run a table of commands: words, input, exit code and text."""
+        """Run commands and check exit code and output of each.
+
+        :param dict cases: arguments, standard input, exit code and expected text, by
+            name of the case.
+        """
         for name, (words, stdin, code, text) in cases.items():
             with self.subTest(name):
                 found, out, err = await self.run_command(*words, stdin=stdin)
--- a/tests/cli/test_log_file.py
+++ b/tests/cli/test_log_file.py
@@ -1,4 +1,4 @@
-"""``explain --log`` reads what the processes wrote."""
+"""Commands that read log files: ``explain --log`` and ``outcomes``."""
 
 import json
 import pathlib
@@ -15,7 +15,7 @@
 )
 
 
-DAY = (
+OUTCOME_EVENTS = (
     ("group_seen", "", {"is_open": True}),
     ("request_admitted", "r1", {}),
     ("request_answered", "r1", {}),
@@ -39,7 +39,7 @@
                 | ({"request_id": request_id} if request_id else {})
                 | more
             )
-            for at, (event, request_id, more) in enumerate(DAY)
+            for at, (event, request_id, more) in enumerate(OUTCOME_EVENTS)
         ]
         (self.folder / "log").write_text("\n".join(rows))
 
@@ -48,13 +48,13 @@
         done = subprocess.run(command, capture_output=True, text=True)
         return done.returncode, done.stdout, done.stderr
 
-    def test_each_request_counts_once_by_how_it_ended(self):
+    def test_each_request_counts_once_by_its_outcome(self):
         log = str(self.folder / "log")
         code, out, _ = self.run_command("--log", log, "--json")
         found = json.loads(out)
         counts = {}
-        for of_second in found["count_by_end_by_second"].values():
-            for end, count in of_second.items():
+        for counts_of_second in found["count_by_end_by_second"].values():
+            for end, count in counts_of_second.items():
                 counts[end] = counts.get(end, 0) + count
         self.assertEqual(code, 0)
         self.assertEqual(
@@ -75,7 +75,7 @@
         self.assertRegex(out, r"2  refused: all endpoints are full for #.## s +r2")
         self.assertIn("down", out)
 
-    def test_plot_is_a_picture(self):
+    def test_plot_is_an_svg_file(self):
         path = self.folder / "day.svg"
         log = str(self.folder / "log")
         code, _, _ = self.run_command("--log", log, "--plot", str(path))
@@ -83,7 +83,7 @@
         root = xml.etree.ElementTree.parse(path).getroot()
         self.assertTrue(root.tag.endswith("svg"))
 
-    def test_log_that_is_not_there_is_a_clear_error(self):
+    def test_missing_log_is_a_usage_error(self):
         code, _, err = self.run_command("--log", str(self.folder / "none"))
         self.assertEqual((code, "can't be read" in err), (2, True))
 
@@ -111,7 +111,7 @@
         self.assertIn('"endpoint": "e"', out)
         self.assertNotIn("r2", out)
 
-    def test_unknown_id_and_missing_file_are_clear_errors(self):
+    def test_unknown_id_and_missing_file_are_usage_errors(self):
         code, _, err = self.run_command("r9", "--log", str(self.path))
         self.assertEqual((code, "r9" in err), (2, True))
         code, _, err = self.run_command("r1", "--log", str(self.path) + "x")
