--- a/tests/platform_site/test_headers.py
+++ b/tests/platform_site/test_headers.py
@@ -1,4 +1,4 @@
-"""Headers are read and written in one place."""
+"""Reading and writing of the platform's HTTP headers."""
 
 import sys
 import unittest
@@ -35,18 +35,18 @@
         self.assertEqual((head.prompt_tokens, head.answer_tokens), (1460, 80))
         self.assertEqual(head.last_event_id, 12)
 
-    def test_bad_deadline_is_named(self):
+    def test_error_names_the_invalid_deadline(self):
         for value in ("soon", "-5", "inf", ""):
             with self.subTest(value), self.assertRaisesRegex(ValueError, "Deadline-Ms"):
                 self.dialect.read_request({"Deadline-Ms": value})
 
-    def test_other_schemes_are_no_key(self):
+    def test_other_schemes_yield_no_key(self):
         for value in ("Bearer k", "k", "Token", ""):
             self.assertEqual(
                 self.dialect.read_request({"Authorization": value}).key, ""
             )
 
-    def test_what_the_system_sets_is_never_the_callers(self):
+    def test_headers_set_by_the_system_are_not_taken_from_the_caller(self):
         sent = multidict.CIMultiDict(
             [
                 ("Tenant", "other"),
@@ -68,7 +68,7 @@
         self.assertNotIn("Request-Priority", written)
         self.assertEqual(written["X-Kept"], "yes")
 
-    def test_without_account_none_is_named(self):
+    def test_account_header_is_removed_without_an_account(self):
         written = self.dialect.write_request(
             multidict.CIMultiDict({"Tenant": "x"}), gateway.ForwardHead("i1", 1.0)
         )
--- a/tests/platform_site/test_names.py
+++ b/tests/platform_site/test_names.py
@@ -1,11 +1,11 @@
-"""The platform's names stand in its adapter only."""
+"""Names that the platform defines are used in its adapter only."""
 
 import re
 import unittest
 
 from tests import support
 
-# Headers, fields and calls of the platform that are no usual words of the field.
+# headers, fields and paths of the platform that are not common terms
 NAMES = (
     "Server-Seal",
     "Not-Executed",
@@ -24,7 +24,7 @@
 
 
 class NamesTest(unittest.TestCase):
-    def test_nothing_else_knows_them(self):
+    def test_other_folders_do_not_use_them(self):
         pattern = re.compile("|".join(re.escape(name) for name in NAMES))
         folders = ("libs", "simulations", "benchmarks", "tools")
         for folder in folders:
--- a/tests/platform_site/test_records.py
+++ b/tests/platform_site/test_records.py
@@ -1,4 +1,4 @@
-"""The store's objects are decoded once; what is broken costs the others nothing."""
+"""Decoding of stored objects; invalid objects do not affect valid ones."""
 
 import json
 import sys
@@ -52,12 +52,12 @@
 
 
 def item(name, **fields):
-    """Return the entry of a server, with fields changed."""
+    """Return the record of a server, with changed fields."""
     return {"Metadata": {"Name": name}, "Spec": SERVER | fields}
 
 
 def setUpModule():
-    """Keep the log; loggers stay with the first stream that they meet."""
+    """Capture the log once; loggers cache the first stream that they use."""
     global LOG
     LOG = support.silence_logs()
 
@@ -73,37 +73,37 @@
         self.assertEqual([t.service for t in route.targets], ["s1", "s2"])
         self.assertTrue(route.is_idempotent)
 
-    def test_nobody_needs_a_key_where_there_are_no_accounts(self):
+    def test_no_key_is_needed_without_accounts(self):
         self.assertFalse(records.decode_config(config()).value.needs_keys)
         table = records.decode_config(config(Tenants=[])).value
         self.assertTrue(table.needs_keys)
 
     def test_account(self):
-        tenant = {"Name": "t", "ApiKeys": ["k1", "k2"], "Priority": 0}
-        table = records.decode_config(config(Tenants=[tenant])).value
+        account = {"Name": "t", "ApiKeys": ["k1", "k2"], "Priority": 0}
+        table = records.decode_config(config(Tenants=[account])).value
         self.assertEqual(table.find_account("k2").name, "t")
         self.assertIsNone(table.find_account("k3"))
 
-    def test_broken_routes_cost_the_others_nothing(self):
-        broken = [
+    def test_invalid_routes_do_not_affect_valid_ones(self):
+        invalid = [
             ROUTE | {"Kind": "often"},
             ROUTE | {"Host": 5},
             ROUTE | {"TrafficSplit": None, "Service": None},
             ROUTE | {"PathPrefix": "b"},
             "no object",
         ]
-        for each in broken:
+        for each in invalid:
             with self.subTest(each):
                 table = records.decode_config(config(Routes=[each, ROUTE])).value
                 self.assertEqual(len(table.routes), 1)
         self.assertIn("config_malformed", LOG.getvalue())
 
-    def test_object_that_is_no_configuration_is_an_error(self):
+    def test_object_without_a_configuration_is_an_error(self):
         for content in (b"[]", b"{}", b"nonsense", config(Version="7")):
             with self.subTest(content), self.assertRaises(ValueError):
                 records.decode_config(content)
 
-    def test_none_yet(self):
+    def test_missing_object_has_no_configuration(self):
         self.assertIsNone(records.decode_config(b"").value)
 
 
@@ -115,8 +115,8 @@
         self.assertEqual((endpoint.address, endpoint.port), ("10.0.0.9", 8080))
         self.assertEqual(endpoint.cold_remaining_s, 1.5)
 
-    def test_broken_entries_name_no_server(self):
-        broken = [
+    def test_invalid_records_are_ignored(self):
+        invalid = [
             item("x", State="asleep"),
             item("x", Address="nowhere"),
             item("x", Service=None),
@@ -127,11 +127,11 @@
             "text",
             None,
         ]
-        found = records.decode_endpoints([page(*broken, item("i1"))]).value
+        found = records.decode_endpoints([page(*invalid, item("i1"))]).value
         self.assertEqual(set(found), {"i1"})
         self.assertIn("endpoint_record_bad", LOG.getvalue())
 
-    def test_domains_taken_out(self):
+    def test_domains_out_of_service(self):
         items = [{"Metadata": {"Name": "z1"}, "Spec": {}}, "text"]
         self.assertEqual(records.decode_domains([page(*items)]).value, {"z1"})
 
--- a/tests/platform_site/test_store.py
+++ b/tests/platform_site/test_store.py
@@ -1,4 +1,4 @@
-"""The client of the store, against a stand-in that answers as the store does."""
+"""Client of the store, against a stand-in for the store's HTTP API."""
 
 import asyncio
 import json
@@ -16,7 +16,7 @@
 
 
 class StoreStandIn:
-    """Lists objects in pages of two; may fail."""
+    """Stores objects and lists them in pages of two; fails or delays on demand."""
 
     def __init__(self):
         self.by_kind = {"servers": {}, "sequoiagap-nodes": {}}
@@ -24,12 +24,12 @@
         self.delay_s = 0.0
         self.calls = []
         self.headers = {}
-        self.eras_to_come = []
+        self.next_eras = []
 
     async def answer(self, request):
-        """Answer one call, with the headers set."""
-        if self.eras_to_come:
-            self.headers["Store-Era"] = self.eras_to_come.pop(0)
+        """Answer one call and add the configured headers."""
+        if self.next_eras:
+            self.headers["Store-Era"] = self.next_eras.pop(0)
         response = await self._answer(request)
         response.headers.update(self.headers)
         return response
@@ -90,7 +90,7 @@
         found = self.store.decode("endpoints", reading.content).value
         self.assertEqual(sorted(found), ["i0", "i1", "i2", "i3", "i4"])
 
-    async def test_no_configuration_yet(self):
+    async def test_missing_configuration(self):
         reading = await self.store.read("config")
         self.assertIsNone(self.store.decode("config", reading.content).value)
 
@@ -100,41 +100,41 @@
         self.assertEqual((await self.store.read("config")).era, 3)
         self.assertEqual((await self.store.read("endpoints")).era, 3)
 
-    async def test_era_that_is_no_number_is_no_proper_answer(self):
+    async def test_era_that_is_not_a_number_is_an_error(self):
         for text in ("-1", "", "two", "1.5"):
             with self.subTest(text):
                 self.stand_in.headers["Store-Era"] = text
                 with self.assertRaises(base.PlatformError):
                     await self.store.read("config")
 
-    async def test_list_across_two_eras_is_no_list(self):
+    async def test_list_with_pages_of_two_eras_is_an_error(self):
         for number in range(5):
             entry = {"Metadata": {"Name": f"i{number}"}, "Spec": {}}
             self.stand_in.by_kind["servers"][f"i{number}"] = entry
-        self.stand_in.eras_to_come = ["1", "2", "2"]
+        self.stand_in.next_eras = ["1", "2", "2"]
         with self.assertRaises(base.PlatformError):
             await self.store.read("endpoints")
 
-    async def test_failures_are_typed(self):
+    async def test_error_statuses_raise_platform_error(self):
         for status in (429, 500, 503):
             self.stand_in.status = status
             with self.assertRaises(base.PlatformError):
                 await self.store.read("config")
 
-    async def test_slow_store_is_given_up(self):
+    async def test_call_to_a_slow_store_times_out(self):
         self.stand_in.delay_s = 5.0
         with self.assertRaises(base.PlatformError):
             async with asyncio.timeout(2.0):
                 await self.store.read("config")
 
-    async def test_processes_find_each_other_and_start_again(self):
+    async def test_registration_is_listed_and_replaced_after_a_restart(self):
         first = gateway.Node("n1", "gateway", "10.0.0.1", 7000, "z")
         await self.store.announce(first)
         moved = gateway.Node("n1", "gateway", "10.0.0.2", 7000, "z")
         await self.store.announce(moved)
         self.assertEqual(await self.store.list_nodes(), {"n1": moved})
 
-    async def test_only_lists_that_may_be_old_are_asked_for_as_such(self):
+    async def test_only_lists_that_may_be_old_allow_stale_content(self):
         await self.store.read("endpoints")
         await self.store.list_nodes()
         (fresh, old) = self.stand_in.calls
