--- a/libs/base/src/sequoiagap/base/__init__.py
+++ b/libs/base/src/sequoiagap/base/__init__.py
@@ -25,11 +25,11 @@
     suppressed_lines,
 )
 from sequoiagap.base._ids import new_id
+from sequoiagap.base._line_limiter import LineLimiter
 from sequoiagap.base._log_stream import BoundedStream
 from sequoiagap.base._metric_catalogue import METRIC_CATALOGUE
 from sequoiagap.base._metrics import QUANTILES, Metrics
 from sequoiagap.base._program import run_program
-from sequoiagap.base._rates import LineLimiter
 from sequoiagap.base._registry import Registry
 from sequoiagap.base._tasks import MAX_LOOP_LAG_S, TaskSet, cancel_and_wait
 from sequoiagap.base._tls import TlsContexts
--- a/libs/base/src/sequoiagap/base/_events.py
+++ b/libs/base/src/sequoiagap/base/_events.py
@@ -11,7 +11,7 @@
 
 import structlog
 
-from sequoiagap.base import _rates
+from sequoiagap.base import _line_limiter
 
 MAX_TEMPLATE_CHARACTERS = 120
 
@@ -226,7 +226,7 @@
 )
 
 
-_limiter = _rates.LineLimiter()
+_limiter = _line_limiter.LineLimiter()
 
 
 class Logger:
@@ -283,7 +283,7 @@
     :param fields: fields added to each line, such as the node id.
     """
     global _limiter
-    _limiter = _rates.LineLimiter()
+    _limiter = _line_limiter.LineLimiter()
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
--- a/libs/wire/src/sequoiagap/wire/__init__.py
+++ b/libs/wire/src/sequoiagap/wire/__init__.py
@@ -31,7 +31,7 @@
     StateReply,
     StateRequest,
 )
-from sequoiagap.wire._questions import PendingRequests
+from sequoiagap.wire._pending_requests import PendingRequests
 
 __all__ = [
     "MAX_FRAME_BYTES",
