--- a/libs/cli/src/sequoiagap/cli/_client.py
+++ b/libs/cli/src/sequoiagap/cli/_client.py
@@ -98,7 +98,7 @@
         if method == "GET":
             raise _unreachable(url, repr(error)) from error
         raise EffectUnknownError(
-            f"{url} gave no proper answer ({error!r})",
+            f"{url} gave no valid answer ({error!r})",
             "The change may be in force: look at 'config history'",
         ) from error
 
@@ -107,7 +107,7 @@
     """Raise an error if the answer does not come from an entry."""
     error = reply.document.get("error") if isinstance(reply.document, dict) else None
     if not isinstance(reply.document, dict):
-        raise _unreachable(url, "the answer is no JSON object")
+        raise _unreachable(url, "the answer is not a JSON object")
     if reply.refused and not _is_refusal(error):
         raise _unreachable(url, f"status {reply.status} without a refusal")
 
--- a/libs/platform/src/sequoiagap/platform/_client.py
+++ b/libs/platform/src/sequoiagap/platform/_client.py
@@ -190,7 +190,7 @@
 
 def _no_answer_error(method, reason):
     return base.PlatformError(
-        f"platform gave no proper answer ({reason})",
+        f"platform gave no valid answer ({reason})",
         _PLATFORM_REMEDY,
         effect_unknown=method != "GET",
     )
