--- a/libs/agent/src/sequoiagap/agent/_agent.py
+++ b/libs/agent/src/sequoiagap/agent/_agent.py
@@ -143,7 +143,7 @@
         await self.executor_.wait_idle(self.settings.drain_bound_s)
         self._server.close()
         for connection in list(self.connections_):
-            await connection.close_politely("the agent is shutting down")
+            await connection.close_gracefully("the agent is shutting down")
         await self._tasks.close()
         if self.group_ is not None:
             await self.group_.close()
--- a/libs/agent/src/sequoiagap/agent/_heartbeats.py
+++ b/libs/agent/src/sequoiagap/agent/_heartbeats.py
@@ -104,7 +104,7 @@
             serves=list(self.settings.endpoint.serves),
         )
         await _send(connection, members.MemberAnnounce(dataclasses.asdict(host)))
-        await connection.close_politely("announced")
+        await connection.close_gracefully("announced")
 
 
 async def _send(connection, item):
--- a/libs/base/src/sequoiagap/base/__init__.py
+++ b/libs/base/src/sequoiagap/base/__init__.py
@@ -1,4 +1,4 @@
-"""Errors, events, metrics, registries and parameter checks shared by every library."""
+"""Errors, log events, metrics, registries and parameter checks of all libraries."""
 
 from sequoiagap.base._backoff import Backoff
 from sequoiagap.base._check import (
@@ -25,18 +25,18 @@
     suppressed_lines,
 )
 from sequoiagap.base._ids import new_id
+from sequoiagap.base._line_limiter import LineLimiter
 from sequoiagap.base._log_stream import BoundedStream
 from sequoiagap.base._metric_catalogue import METRIC_CATALOGUE
 from sequoiagap.base._metrics import QUANTILES, Metrics
 from sequoiagap.base._program import run_program
-from sequoiagap.base._rates import LineLimiter
 from sequoiagap.base._registry import Registry
-from sequoiagap.base._tasks import OWN_LAG_S, TaskSet, cancel_and_wait
+from sequoiagap.base._tasks import MAX_LOOP_LAG_S, TaskSet, cancel_and_wait
 from sequoiagap.base._tls import TlsContexts
 from sequoiagap.base._usage import Usage, collect_process_metrics, read_usage
 
 __all__ = [
-    "OWN_LAG_S",
+    "MAX_LOOP_LAG_S",
     "Backoff",
     "BoundedStream",
     "CATALOGUE",
--- a/libs/wire/src/sequoiagap/wire/__init__.py
+++ b/libs/wire/src/sequoiagap/wire/__init__.py
@@ -1,4 +1,4 @@
-"""Typed messages and connections between the processes of the system."""
+"""Wire protocol between processes: messages, framing, handshake, connections."""
 
 from sequoiagap.wire._codec import MESSAGE_TYPES_BY_NUMBER, decode, encode, message
 from sequoiagap.wire._connection import (
@@ -31,7 +31,7 @@
     StateReply,
     StateRequest,
 )
-from sequoiagap.wire._questions import Questions
+from sequoiagap.wire._pending_requests import PendingRequests
 
 __all__ = [
     "MAX_FRAME_BYTES",
@@ -53,7 +53,7 @@
     "Ping",
     "Pong",
     "Proof",
-    "Questions",
+    "PendingRequests",
     "Refused",
     "Revoked",
     "StateReply",
