--- a/libs/experts/src/sequoiagap/experts/_paced.py
+++ b/libs/experts/src/sequoiagap/experts/_bounded_plan.py
@@ -1,27 +1,28 @@
-"""Small, frequent improvements of a placement, priced by copy.
-
-Engines that take a new map while they run, but only a few new experts a rank at a
-time, are best led to a good placement in steps. The load that it answers: demand that
-shifts every few seconds, where a copy costs memory bandwidth and a slow rank every
-pass. Places may be empty; replicas share an expert's load evenly. A rank that is slow
-takes longer for the same work, so it is given less.
+"""Incremental planning of expert placements with a bounded number of copies.
+
+Some engines accept a new map while they run, but only a few new experts per rank in
+each change, so a good placement has to be reached in small steps. The planner is
+meant for demand that shifts every few seconds, where a copy costs memory bandwidth
+once and an overloaded rank slows every pass. Slots may be empty, and replicas share
+an expert's load evenly. A slow rank takes longer for the same work and therefore gets
+less of it.
 """
 
 import dataclasses
 
-MAX_EDITS = 64  # of one layer and plan
-MAX_TAKERS = 5  # least loaded ranks that an expert may be given to
-LEAST_GAIN = 1e-4  # share of the longest time below which an edit is none
-NO_COPY_PRICE = 0.25  # of a copy: an edit that copies nothing is nearly free
+MAX_EDITS = 64  # per layer and plan
+MAX_RECEIVERS = 5  # least loaded ranks that are considered for an expert
+MIN_GAIN_RATIO = 1e-4  # smallest useful gain, as a share of the longest rank time
+FREE_EDIT_COST_COPIES = 0.25  # cost in copies of an edit that copies nothing
 
 
 @dataclasses.dataclass(frozen=True)
 class Holdings:
-    """Which experts each rank holds.
+    """Placement in which ranks may have empty slots.
 
-    :param int experts: experts in a layer.
-    :param int slots: experts that a rank holds of a layer at most.
-    :param tuple layers: for each layer a tuple of each rank's tuple of expert ids.
+    :param int experts: number of experts in a layer.
+    :param int slots: maximum number of experts that a rank holds in a layer.
+    :param tuple layers: tuple of expert ids per rank, for each layer.
     """
 
     experts: int
@@ -35,17 +36,20 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Pace:
-    """What a plan may do and what it has to bring.
-
-    :param int new_per_rank: experts new to a rank and layer at most; 0 for no bound.
-    :param int copies_per_rank: experts new to a rank over all layers at most; 0 for no
-        bound. Ranks copy one expert after the other, so this bounds the time until a
-        plan is of use.
+class PlanLimits:
+    """Limits of a plan and the cost model by which edits are accepted.
+
+    :param int new_per_rank: maximum number of experts new to a rank in one layer; 0 for
+        no limit.
+    :param int copies_per_rank: maximum number of experts new to a rank over all layers;
+        0 for no limit. Ranks copy experts one after the other, so this bounds the time
+        until a plan takes effect.
     :param float copy_s: time that a copy has to save, in seconds.
-    :param float horizon_s: how long the placement is expected to be of use.
-    :param float expert_share: share of a pass that goes to experts.
-    :param float target_skew: skew of a layer that is good enough.
+    :param float horizon_s: time for which the placement is expected to be used, in
+        seconds.
+    :param float expert_share: share of a pass that is spent in experts, 0 to 1.
+    :param float target_skew: ratio of longest to even rank time at which a layer is not
+        improved further.
     """
 
     new_per_rank: int = 0
@@ -58,10 +62,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class Edit:
-    """One change of a layer.
+    """One change of a layer's placement.
 
-    :param tuple adds: pairs of rank and expert to hold from now on.
-    :param tuple drops: pairs of rank and expert to hold no longer.
+    :param tuple adds: pairs of rank and expert that the rank adds.
+    :param tuple drops: pairs of rank and expert that the rank drops.
     """
 
     adds: tuple = ()
@@ -70,11 +74,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Proposal:
-    """An edit with what it brings.
+    """An edit with its gain and its cost.
 
     :param Edit edit: the change.
-    :param float gain: by how much the longest rank time falls.
-    :param int copies: experts that have to be copied for it.
+    :param float gain: decrease of the longest rank time, in units of load.
+    :param int copies: number of experts that have to be copied.
     """
 
     edit: Edit
@@ -82,13 +86,13 @@
     copies: int
 
 
-class _Layer:
-    """One layer under way."""
+class _LayerPlan:
+    """Placement of one layer while it is being edited."""
 
-    def __init__(self, held, loads, costs, pace, slots, new_by_rank):
+    def __init__(self, held, loads, costs, limits, slots, new_by_rank):
         self.loads = loads
         self.costs = costs
-        self.pace = pace
+        self.limits = limits
         self.slots = slots
         self.new_by_rank = new_by_rank  # shared by all layers
         self.old = [frozenset(experts) for experts in held]
@@ -98,34 +102,34 @@
             for expert in experts:
                 self.holders[expert].add(rank)
         self.times = [self._time(rank) for rank in range(len(held))]
-        self.floor = pace.target_skew * _even_time(loads, costs)
+        self.target_time = limits.target_skew * _even_time(loads, costs)
 
     def share(self, expert):
         return self.loads[expert] / len(self.holders[expert])
 
     def find_edit(self):
-        """Return the edit for the slowest rank that gains most for its copies.
+        """Return the edit for the slowest rank with the largest gain per copy.
 
         :rtype: Proposal | None
         """
         slowest = max(range(len(self.times)), key=self.times.__getitem__)
         longest = self.times[slowest]
-        if longest <= self.floor:
+        if longest <= self.target_time:
             return None
         best, best_value = None, 0.0
         for edit in self._edits(slowest):
-            gain = longest - self._worst_after(edit, slowest)
-            if gain <= longest * LEAST_GAIN:
+            gain = longest - self._longest_time_after(edit, slowest)
+            if gain <= longest * MIN_GAIN_RATIO:
                 continue
             copies = sum(e not in self.old[r] for r, e in edit.adds)
-            value = gain / (copies or NO_COPY_PRICE)
+            value = gain / (copies or FREE_EDIT_COST_COPIES)
             if value > best_value:
                 best, best_value = Proposal(edit, gain, copies), value
         return best
 
     def is_allowed(self, edit):
-        """Return whether the ranks may still take the copies of an edit."""
-        return all(self._may_add(rank, expert) for rank, expert in edit.adds)
+        """Return whether the limits still permit the copies of an edit."""
+        return all(self._can_add(rank, expert) for rank, expert in edit.adds)
 
     def apply(self, edit):
         touched = set()
@@ -143,7 +147,7 @@
             self.times[rank] = self._time(rank)
 
     def rows(self):
-        """Return each rank's experts, those that it kept first in their old order."""
+        """Return the experts of each rank, sorted by id."""
         return tuple(tuple(sorted(experts)) for experts in self.held)
 
     def _time(self, rank):
@@ -155,18 +159,18 @@
         for expert in experts:
             if len(self.holders[expert]) > 1:
                 yield Edit(drops=((slowest, expert),))
-            takers = 0
+            receivers = 0
             for rank in ranks:
                 if rank == slowest or expert in self.held[rank]:
                     continue
-                if self._may_add(rank, expert):
+                if self._can_add(rank, expert):
                     yield from self._additions(slowest, rank, expert)
-                    takers += 1
-                if takers >= MAX_TAKERS:
+                    receivers += 1
+                if receivers >= MAX_RECEIVERS:
                     break
 
     def _additions(self, slowest, rank, expert):
-        """Yield edits that give an expert of the slowest rank to another rank."""
+        """Yield edits that place an expert of the slowest rank on another rank."""
         if len(self.held[rank]) < self.slots:
             yield Edit(adds=((rank, expert),))
             yield Edit(adds=((rank, expert),), drops=((slowest, expert),))
@@ -175,30 +179,30 @@
                 drop = ((rank, other),)
                 yield Edit(adds=((rank, expert),), drops=drop)
                 yield Edit(adds=((rank, expert),), drops=(*drop, (slowest, expert)))
-            if self._may_swap(slowest, expert, other):
+            if self._can_swap(slowest, expert, other):
                 yield Edit(
                     adds=((rank, expert), (slowest, other)),
                     drops=((slowest, expert), (rank, other)),
                 )
 
-    def _may_swap(self, slowest, expert, other):
-        """Return whether the slowest rank may take a lighter expert for one it has."""
+    def _can_swap(self, slowest, expert, other):
+        """Return whether the slowest rank may exchange an expert for a lighter one."""
         is_lighter = self.share(other) < self.share(expert)
         is_new = other not in self.held[slowest]
-        return is_lighter and is_new and self._may_add(slowest, other)
+        return is_lighter and is_new and self._can_add(slowest, other)
 
-    def _may_add(self, rank, expert):
+    def _can_add(self, rank, expert):
         if expert in self.old[rank]:
             return True
-        pace = self.pace
-        if pace.copies_per_rank and self.new_by_rank[rank] >= pace.copies_per_rank:
+        limits = self.limits
+        if limits.copies_per_rank and self.new_by_rank[rank] >= limits.copies_per_rank:
             return False
-        if not pace.new_per_rank:
+        if not limits.new_per_rank:
             return True
-        return len(self.held[rank] - self.old[rank]) < pace.new_per_rank
+        return len(self.held[rank] - self.old[rank]) < limits.new_per_rank
 
-    def _worst_after(self, edit, slowest):
-        """Return the longest time of the ranks that an edit touches."""
+    def _longest_time_after(self, edit, slowest):
+        """Return the longest time, after an edit, of the ranks that it affects."""
         count_by_expert = {}
         for _, expert in edit.adds:
             count_by_expert[expert] = count_by_expert.get(expert, 0) + 1
@@ -228,29 +232,32 @@
         )
 
 
-def plan_paced(current, loads, pace, costs=None):
-    """Plan the next placement.
+def plan_bounded(current, loads, limits, costs=None):
+    """Plan the next placement within the limits of one change.
 
-    :param Holdings current: the placement in use.
+    :param Holdings current: placement in use.
     :param list loads: predicted share of each expert, layer by layer.
-    :param Pace pace: what the plan may do and has to bring.
-    :param tuple costs: time of each rank for the same work, 1 for a usual one; all
-        alike if not given.
-    :returns: a generator that yields between short pieces of work and returns the
-        new :class:`Holdings` and the number of copies.
+    :param PlanLimits limits: limits and cost model of the plan.
+    :param tuple costs: relative time of each rank for the same work, 1 for a typical
+        rank; 1 for all ranks by default.
+    :returns: generator that yields between short pieces of work and returns the new
+        :class:`Holdings` and the number of copies.
     :rtype: collections.abc.Generator
 
     >>> from sequoiagap.experts import _policies
     >>> current = Holdings(3, 2, (((0, 1), (2,)),))
-    >>> planned, copies = _policies.finish(plan_paced(current, [[4, 1, 1]], Pace()))
+    >>> plan = plan_bounded(current, [[4, 1, 1]], PlanLimits())
+    >>> planned, copies = _policies.finish(plan)
     >>> planned.layers, copies
     ((((0, 1), (0, 2)),), 1)
     """
     new_by_rank = [0] * current.ranks
-    costs = costs or _usual_costs(current)
+    costs = costs or _uniform_costs(current)
     layers = []
     for held, shares in zip(current.layers, loads, strict=True):
-        layers.append(_Layer(held, shares, costs, pace, current.slots, new_by_rank))
+        layers.append(
+            _LayerPlan(held, shares, costs, limits, current.slots, new_by_rank)
+        )
         yield
     longest = sum(max(layer.times) for layer in layers)
     proposals = {}
@@ -259,12 +266,12 @@
         yield
     copies = 0
     for _ in range(MAX_EDITS * len(layers)):
-        number = _best_layer(proposals)
+        number = _find_best_layer(proposals)
         if number is None:
             break
         layer, proposal = layers[number], proposals[number]
-        saved_s = proposal.gain / longest * pace.expert_share * pace.horizon_s
-        if saved_s < proposal.copies * pace.copy_s:
+        saved_s = proposal.gain / longest * limits.expert_share * limits.horizon_s
+        if saved_s < proposal.copies * limits.copy_s:
             proposals[number] = None
             continue
         if layer.is_allowed(proposal.edit):
@@ -276,41 +283,42 @@
     return Holdings(current.experts, current.slots, rows), copies
 
 
-def _best_layer(proposals):
-    """Return the layer whose proposal gains most for its copies, or ``None``."""
-    worths = {
-        number: proposal.gain / (proposal.copies or NO_COPY_PRICE)
+def _find_best_layer(proposals):
+    """Return the layer whose proposal has the largest gain per copy, or ``None``."""
+    value_by_layer = {
+        number: proposal.gain / (proposal.copies or FREE_EDIT_COST_COPIES)
         for number, proposal in proposals.items()
         if proposal is not None
     }
-    return max(worths, key=worths.__getitem__, default=None)
+    return max(value_by_layer, key=value_by_layer.__getitem__, default=None)
 
 
 def holdings_skew(holdings, loads, costs=None):
-    """Return longest over even rank time, summed over the layers.
+    """Return the ratio of longest to even rank time, both summed over the layers.
 
     :param Holdings holdings: the placement.
     :param list loads: load of each expert, layer by layer.
-    :param tuple costs: time of each rank for the same work; all alike if not given.
+    :param tuple costs: relative time of each rank for the same work; 1 for all ranks by
+        default.
     :rtype: float
 
     >>> holdings_skew(Holdings(2, 1, (((0,), (1,)),)), [[3, 1]])
     1.5
     """
     longest, even = 0.0, 0.0
-    costs = costs or _usual_costs(holdings)
+    costs = costs or _uniform_costs(holdings)
     for held, shares in zip(holdings.layers, loads, strict=True):
         longest += max(_times(held, shares, costs))
         even += _even_time(shares, costs)
     return longest / even if even else 1.0
 
 
-def _usual_costs(holdings):
+def _uniform_costs(holdings):
     return (1.0,) * holdings.ranks
 
 
 def _even_time(loads, costs):
-    """Return the time that each rank would take if all took the same."""
+    """Return the rank time of a perfectly balanced layer."""
     return sum(loads) / sum(1.0 / cost for cost in costs)
 
 
--- a/libs/ranks/src/sequoiagap/ranks/_demand.py
+++ b/libs/ranks/src/sequoiagap/ranks/_demand.py
@@ -1,28 +1,28 @@
-"""Demand for experts, from the counts of all ranks."""
+"""Demand for experts, aggregated from the counts of all ranks."""
 
 import operator
 
 from sequoiagap import experts
 
 HALF_LIVES = (0.7, 2.0, 6.0)  # in readings
-MAX_AGE_S = 2.0  # of a rank's counts; a rank that says nothing for longer is left out
-COVERAGE = 0.5  # share of the ranks whose counts make a reading of the group
+MAX_AGE_S = 2.0  # of a rank's counts; a rank with older ones is left out
+COVERAGE = 0.5  # minimum share of the ranks with counts for a reading
 
 
 class GroupDemand:
-    """Follows which experts the requests of a group choose.
+    """Tracks which experts the requests of a group choose.
 
-    The load that it answers: more ranks than can say in one turn what their requests
-    have chosen. Each rank counts with what it said last, so that every reading is one
-    of all ranks, those of the turn before among them.
+    Handles groups in which not all ranks can report their counts in one cycle. Each
+    rank contributes its last counts, so that every reading covers all ranks, including
+    those polled in earlier cycles.
 
-    :param int layers: layers with a map of their own.
-    :param int experts: experts of a layer.
-    :param int ranks: ranks of the group.
+    :param int layers: number of layers with a map of their own.
+    :param int experts_per_layer: number of experts in a layer.
+    :param int ranks: number of ranks in the group.
 
-    :ivar int readings_: readings that showed work.
-    :ivar list newest_: choices a second of all ranks, layer by layer, in the newest
-        such reading.
+    :ivar int readings_: number of readings that showed work.
+    :ivar list newest_rates_: choices per second of all ranks, layer by layer, in the
+        newest such reading.
     """
 
     def __init__(self, layers, experts_per_layer, ranks):
@@ -30,22 +30,22 @@
         self.experts_per_layer = experts_per_layer
         self.ranks = ranks
         self.readings_ = 0
-        self.newest_ = []
+        self.newest_rates_ = []
         self._estimator = experts.LoadEstimator(layers, experts_per_layer, HALF_LIVES)
         self._rates_by_rank = {}
 
     @property
-    def asked_in_order_(self):
-        """Ranks, those first whose counts are the oldest."""
-        return sorted(range(self.ranks), key=self._read_at)
+    def ranks_by_age_(self):
+        """Ranks by the age of their counts, oldest first."""
+        return sorted(range(self.ranks), key=self._last_reading_at)
 
     @property
-    def is_covered_(self):
-        """Whether enough ranks have said what they chose."""
+    def has_coverage_(self):
+        """Whether enough ranks have reported their counts."""
         return len(self._rates_by_rank) >= COVERAGE * self.ranks
 
-    def take(self, reading_by_rank, now):
-        """Take what ranks have chosen of late.
+    def update(self, reading_by_rank, now):
+        """Add the count samples of some ranks.
 
         :param dict reading_by_rank: a :class:`CountsReading` of some ranks.
         :param float now: monotonic time in seconds.
@@ -59,8 +59,8 @@
                 self._rates_by_rank[rank] = (rates, now)
                 has_work = has_work or any(rates)
         self._drop_old(now)
-        if has_work and self.is_covered_:
-            self._update()
+        if has_work and self.has_coverage_:
+            self._update_estimate()
         return has_work
 
     def predict(self):
@@ -70,13 +70,13 @@
         """
         return self._estimator.predict()
 
-    def _update(self):
+    def _update_estimate(self):
         totals = [0.0] * (self.layers * self.experts_per_layer)
         for rates, _ in self._rates_by_rank.values():
             totals = list(map(operator.add, totals, rates))
         width = self.experts_per_layer
-        self.newest_ = [totals[x * width :][:width] for x in range(self.layers)]
-        self._estimator.update(dict(enumerate(self.newest_)))
+        self.newest_rates_ = [totals[x * width :][:width] for x in range(self.layers)]
+        self._estimator.update(dict(enumerate(self.newest_rates_)))
         self.readings_ += 1
 
     def _drop_old(self, now):
@@ -84,6 +84,6 @@
         for rank in old:
             del self._rates_by_rank[rank]
 
-    def _read_at(self, rank):
+    def _last_reading_at(self, rank):
         found = self._rates_by_rank.get(rank)
         return found[1] if found is not None else 0.0
--- a/libs/ranks/src/sequoiagap/ranks/_own_rank.py
+++ b/libs/ranks/src/sequoiagap/ranks/_own_rank.py
@@ -1,4 +1,4 @@
-"""The rank beside a process: what it is asked for, and orders to it."""
+"""Polls and orders of the rank beside this process."""
 
 import time
 
@@ -9,28 +9,28 @@
 
 
 class OwnRank:
-    """The rank beside this process.
+    """Answers polls and executes orders for the rank beside this process.
 
-    :param RankEngine engine: calls of engines.
-    :param str address: where the rank's engine listens.
+    :param RankEngine engine: calls to engines.
+    :param str address: address that the rank's engine listens on.
     """
 
     def __init__(self, engine, address):
         self.engine = engine
         self.address = address
         self._sampler = _counts.CountsSampler()
-        self._maps = _map_changes.KnownMaps()
+        self._maps = _map_changes.MapCache()
 
     async def answer_poll(self, poll, report=None):
-        """Return the answer to a poll.
+        """Return the response to a poll.
 
         :param RankPoll poll: the poll.
-        :param EngineReport report: a report of a moment ago; read now if not given.
+        :param EngineReport report: a recent report; read from the engine if not given.
         :rtype: RankState
         """
         if report is None:
             report = await self.engine.report(self.address)
-        state = _state(poll.number, report)
+        state = _make_state(poll.number, report)
         if report is None:
             return state
         if poll.wants_counts:
@@ -44,67 +44,67 @@
         return state
 
     def _add_counts(self, state, counts):
-        reading = self._sampler.take(counts, time.monotonic())
+        reading = self._sampler.sample(counts, time.monotonic())
         if reading is not None:
             state.levels = reading.levels
             state.scale = reading.scale
             state.span_s = reading.span_s
 
-    def take_map(self, item):
-        """Keep a map that later ones may be sent as differences to.
+    def receive_map(self, message):
+        """Store a map that later maps may be sent as differences to.
 
-        :param MapNotice item: the map.
-        :returns: whether it is known now.
+        :param MapNotice message: the map.
+        :returns: whether the map is now known here.
         :rtype: bool
         """
-        return self._maps.build(item.base, item.changes, item.name) is not None
+        return self._maps.build(message.base, message.changes, message.name) is not None
 
-    async def answer_order(self, item):
-        """Give another agent's order to the engine and return what came of it.
+    async def answer_order(self, message):
+        """Forward another agent's order to the engine and return its result.
 
-        :param RankOrderMessage item: the order.
+        :param RankOrderMessage message: the order.
         :rtype: RankState
         """
         layers = ()
-        if item.changes:
-            layers = self._maps.build(item.base, item.changes, item.name)
+        if message.changes:
+            layers = self._maps.build(message.base, message.changes, message.name)
         if layers is None:
-            state = _state(item.number, await self.engine.report(self.address))
+            state = _make_state(message.number, await self.engine.report(self.address))
             state.lacks_base = True
             return state
         order = _ports.RankOrder(
-            kind=_ports.OrderKind(item.kind),
-            epoch=item.epoch,
-            version=item.version,
-            step=item.step,
+            kind=_ports.OrderKind(message.kind),
+            epoch=message.epoch,
+            version=message.version,
+            step=message.step,
             layers=layers,
         )
-        return await self.give(item, order)
+        return await self.execute_order(message, order)
 
-    async def give(self, item, order):
-        """Give an order to the engine and return what came of it.
+    async def execute_order(self, message, order):
+        """Send an order to the engine and return its result.
 
-        :param RankOrderMessage item: the message that the order is known by.
+        :param RankOrderMessage message: message that carried the order.
         :param RankOrder order: the order.
         :rtype: RankState
         """
         result = await self.engine.order(self.address, order)
-        state = _state(item.number, await self.engine.report(self.address))
+        state = _make_state(message.number, await self.engine.report(self.address))
         state.result = str(result)
         _log.emit(
             base.Event.RANK_ORDER_SENT,
-            kind=item.kind,
-            leader=item.leader,
-            epoch=item.epoch,
-            version=item.version,
-            step=item.step,
+            kind=message.kind,
+            leader=message.leader,
+            epoch=message.epoch,
+            version=message.version,
+            step=message.step,
             result=str(result),
         )
         return state
 
 
 def read_report(state):
-    """Return the engine's report of a state, or ``None`` where it did not answer.
+    """Return the engine's report in a state, or ``None`` if the engine did not answer.
 
     :param RankState state: the state.
     :rtype: EngineReport | None
@@ -112,6 +112,6 @@
     return _ports.read_report(state.report) if state.is_known else None
 
 
-def _state(number, report):
+def _make_state(number, report):
     values = [] if report is None else _ports.write_report(report)
     return _messages.RankState(number, report is not None, values)
--- a/tests/routing/test_policies.py
+++ b/tests/routing/test_policies.py
@@ -1,4 +1,4 @@
-"""Choice among endpoints by wait, prefix, warmth and failure domain."""
+"""Routing policies: choice by wait, prefix, warm state and failure domain."""
 
 import collections
 import random
@@ -38,7 +38,7 @@
                 make_view(0, unanswered_s=0.3),
                 make_view(1, "south", **full),
             ),
-            "warmth": (make_view(0, state="warming"), make_view(1)),
+            "warm state": (make_view(0, state="warming"), make_view(1)),
             "own failure domain": (make_view(0, "south"), make_view(1)),
             "own failure domain before a little wait": (
                 make_view(0, "south", limit=64),
@@ -63,7 +63,7 @@
                 self.assertEqual(
                     set(count_choices(able, context, policy)), {"endpoint-0"}
                 )
-        views[1].take_report(wire.Load("warm", 0, 16, role="both"), NOW)
+        views[1].record_report(wire.Load("warm", 0, 16, role="both"), NOW)
         self.assertEqual(len(routing.filter_by_role(views)), 2)
 
     def test_entries_agree_on_a_prefix_until_its_endpoint_is_loaded(self):
@@ -75,20 +75,20 @@
         chosen = [set(count_choices(views, context)) for context in contexts]
         self.assertEqual(chosen[0], chosen[1])
         self.assertEqual(len(chosen[0]), 1)
-        preferred = routing.prefer(views, contexts[0].prefix)
+        preferred = routing.choose_by_prefix(views, contexts[0].prefix)
         preferred.own_in_flight = 16
         self.assertNotIn(preferred.endpoint_id, count_choices(views, contexts[0]))
 
     def test_only_the_prefixes_of_a_lost_endpoint_move(self):
         views = [make_view(i) for i in range(12)]
-        before = {p: routing.prefer(views, p) for p in range(1, 500)}
+        before = {p: routing.choose_by_prefix(views, p) for p in range(1, 500)}
         left = views[1:]
         for prefix, view in before.items():
             if view is not views[0]:
-                self.assertIs(routing.prefer(left, prefix), view)
+                self.assertIs(routing.choose_by_prefix(left, prefix), view)
 
-    def test_entries_do_not_rush_one_idle_endpoint(self):
-        """Twenty entries see the same idle endpoint among busy ones."""
+    def test_entries_do_not_overload_one_idle_endpoint(self):
+        """Twenty entries choose among busy endpoints and the same idle one."""
         arrived = collections.Counter()
         for entry in range(20):
             views = [make_view(i, reported_in_flight=8) for i in range(11)]
@@ -99,17 +99,17 @@
             arrived[view.endpoint_id] += 1
         self.assertLessEqual(arrived["endpoint-11"], 20 / 2)
 
-    def test_slow_endpoints_do_not_keep_the_draws_that_meet_only_them(self):
-        """Two ranks of a slow group and one endpoint that is fast."""
+    def test_samples_of_slow_endpoints_only_are_extended(self):
+        """The candidates are two ranks of a slow group and one fast endpoint."""
         slow = [make_view(i, service_time_s=1.6, own_in_flight=1) for i in range(2)]
         fast = make_view(2, own_in_flight=2)
         chosen = count_choices([*slow, fast], routing.RouteContext(NOW, "north"))
         self.assertGreater(chosen[fast.endpoint_id], 600 * 0.8)
 
-    def test_old_reports_of_others_count_less_and_own_attempts_always(self):
+    def test_reported_attempts_decay_with_age_but_own_attempts_do_not(self):
         view = make_view(0, own_in_flight=4)
         load = wire.Load("warm", in_flight=16, limit=16, service_time_s=0.2)
-        view.take_report(load, NOW)
+        view.record_report(load, NOW)
         self.assertEqual(view.free_slots(NOW), 0)
         self.assertEqual(view.free_slots(NOW + 60.0), 12)
         self.assertGreater(view.expected_wait_s(NOW), view.expected_wait_s(NOW + 1.0))
