tools: reword build, test runner and catalogue writers

LEFT_OUT -> EXCLUDED_LIBRARIES, MANIFEST -> NATIVE_MANIFEST (build.py), _Stripper.applies -> can_strip, patched -> patched_packages, run_module_here -> run_module_in_process, known -> known_red_ids

--- a/tools/build.py
+++ b/tools/build.py
@@ -1,8 +1,9 @@
-"""Build the one file that ships: ``python tools/build.py [--output FILE]``.
+"""Build the single-file distribution: ``python tools/build.py [--output FILE]``.
 
-The file is an executable archive for the hosts' Python of the same version. It
-holds the libraries of the workspace but the stand-ins, compiled, and every
-third-party package that they need. The same inputs give the same bytes.
+The file is an executable zip archive that runs on hosts with the same Python
+version. It contains the compiled libraries of the workspace, except the stand-ins,
+and every third-party package that they depend on. Builds are reproducible: the same
+inputs give the same bytes.
 """
 
 import argparse
@@ -20,14 +21,14 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BOOTSTRAP = ROOT / "tools/onefile/__main__.py"
 OUTPUT = ROOT / "dist/sequoiagap"
-LEFT_OUT = frozenset({"standins"})
-MANIFEST = "native.txt"
+EXCLUDED_LIBRARIES = frozenset({"standins"})
+NATIVE_MANIFEST = "native.txt"
 WORKSPACE_PREFIX = "sequoiagap-"
 SHEBANG = "#!/usr/bin/env python{}.{}\n"
 TIMESTAMP = (2020, 1, 1, 0, 0, 0)
 KEPT_SUFFIXES = frozenset({".py", ".so"})
 SKIPPED_PARTS = frozenset({"__pycache__", "tests", "testing"})
-# Their native modules only make them faster; as pure ones they hold less memory.
+# Shipped without native modules: these only add speed, and cost more memory.
 PURE_PACKAGES = frozenset({"rapidfuzz"})
 SKIPPED_NAMES = re.compile(r"^_testcapi|^test_|_test\.py$")
 _BUNDLED_LIBRARIES = ".libs/"
@@ -36,9 +37,9 @@
 
 
 def workspace_files():
-    """Yield archive name and path of each module of the workspace."""
+    """Yield the archive name and path of each shipped module of the workspace."""
     for library in sorted((ROOT / "libs").iterdir()):
-        if library.name in LEFT_OUT:
+        if library.name in EXCLUDED_LIBRARIES:
             continue
         source = library / "src"
         for path in sorted(source.rglob("*.py")):
@@ -46,18 +47,20 @@
 
 
 def third_party_names():
-    """Return the names of all distributions that the workspace needs.
+    """Return the names of all third-party distributions that the workspace needs.
+
+    Transitive dependencies are included.
 
     :rtype: set[str]
     """
-    waiting = set()
+    pending = set()
     for library in sorted((ROOT / "libs").iterdir()):
-        if library.name not in LEFT_OUT:
+        if library.name not in EXCLUDED_LIBRARIES:
             text = (library / "pyproject.toml").read_text()
-            waiting |= set(tomllib.loads(text)["project"]["dependencies"])
+            pending |= set(tomllib.loads(text)["project"]["dependencies"])
     found = set()
-    while waiting:
-        requirement = waiting.pop()
+    while pending:
+        requirement = pending.pop()
         name = _REQUIREMENT_NAME.match(requirement)[0]
         if name.startswith(WORKSPACE_PREFIX) or name in found:
             continue
@@ -68,12 +71,12 @@
                 raise
             continue
         found.add(name)
-        waiting |= {r for r in distribution.requires or () if "extra ==" not in r}
+        pending |= {r for r in distribution.requires or () if "extra ==" not in r}
     return found
 
 
 def third_party_files():
-    """Yield archive name and path of each file of the third-party packages."""
+    """Yield the archive name and path of each shipped third-party file."""
     seen = set()
     for name in sorted(third_party_names()):
         for item in importlib.metadata.distribution(name).files:
@@ -97,9 +100,9 @@
 def build(output, strip=True):
     """Write the archive.
 
-    :param pathlib.Path output: where to write it.
-    :param bool strip: leave out symbols of native modules, where the host has
-        ``strip``.
+    :param pathlib.Path output: path of the archive.
+    :param bool strip: whether to remove the symbols of native modules; ignored if
+        the build host lacks the ``strip`` program.
     """
     output.parent.mkdir(parents=True, exist_ok=True)
     files = {"__main__.py": BOOTSTRAP}
@@ -109,8 +112,10 @@
         stream.write(SHEBANG.format(*sys.version_info[:2]).encode())
         with zipfile.ZipFile(stream, "w", zipfile.ZIP_DEFLATED) as archive:
             native = [name for name in sorted(files) if _NATIVE.search(name)]
-            archive.writestr(zipfile.ZipInfo(MANIFEST, TIMESTAMP), "\n".join(native))
-            # A namespace package is found by the entry of its folder.
+            archive.writestr(
+                zipfile.ZipInfo(NATIVE_MANIFEST, TIMESTAMP), "\n".join(native)
+            )
+            # zipimport finds a namespace package only by an entry for its folder.
             archive.writestr(zipfile.ZipInfo("sequoiagap/", TIMESTAMP), b"")
             for name, path in sorted(files.items()):
                 _add(archive, name, path, pathlib.Path(folder), stripper)
@@ -120,60 +125,64 @@
 class _Stripper:
     """Removes symbols from native modules.
 
-    Packages that bring shared libraries along are left as they are: their files
-    were moved by a patcher, after which ``strip`` makes them unloadable.
+    Packages that bundle shared libraries are not stripped: their files have been
+    rewritten by an ELF patcher, after which ``strip`` makes them unloadable.
+
+    :param names: archive names of all files.
+    :param bool enabled: whether to strip at all.
     """
 
-    def __init__(self, names, wanted):
-        self.command = shutil.which("strip") if wanted else None
-        self.patched = {
+    def __init__(self, names, enabled):
+        self.command = shutil.which("strip") if enabled else None
+        self.patched_packages = {
             name.partition(_BUNDLED_LIBRARIES)[0]
             for name in names
             if _BUNDLED_LIBRARIES in name
         }
 
-    def applies(self, name):
-        """Return whether a file is to be stripped.
+    def can_strip(self, name):
+        """Return whether a file can be stripped.
 
         :param str name: name in the archive.
         :rtype: bool
         """
         package = name.partition("/")[0].partition(".")[0]
         native = bool(_NATIVE.search(name))
-        return bool(self.command) and native and package not in self.patched
+        return bool(self.command) and native and package not in self.patched_packages
 
-    def strip(self, path, made):
-        """Write a file without its symbols.
+    def strip(self, path, converted):
+        """Write a copy of a file without its symbols.
 
-        :param pathlib.Path path: the file.
-        :param pathlib.Path made: where to write.
+        :param pathlib.Path path: the original file.
+        :param pathlib.Path converted: path of the copy.
+        :raises subprocess.CalledProcessError: if ``strip`` fails.
         """
-        subprocess.run([self.command, "-o", str(made), str(path)], check=True)
+        subprocess.run([self.command, "-o", str(converted), str(path)], check=True)
 
 
 def _add(archive, name, path, folder, stripper):
-    """Add one file: modules compiled, native ones stripped."""
-    made = folder / "made"
+    """Add one file to the archive; compile Python modules and strip native ones."""
+    converted = folder / "made"
     if name.endswith(".py"):
         py_compile.compile(
             str(path),
-            cfile=str(made),
+            cfile=str(converted),
             dfile=name,
             doraise=True,
             invalidation_mode=py_compile.PycInvalidationMode.UNCHECKED_HASH,
         )
         name += "c"
-    elif stripper.applies(name):
-        stripper.strip(path, made)
+    elif stripper.can_strip(name):
+        stripper.strip(path, converted)
     else:
-        made = path
+        converted = path
     entry = zipfile.ZipInfo(name, TIMESTAMP)
     entry.compress_type = zipfile.ZIP_DEFLATED
-    archive.writestr(entry, made.read_bytes())
+    archive.writestr(entry, converted.read_bytes())
 
 
 def main():
-    """Build the file and print its size."""
+    """Build the archive and print its size."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--output", type=pathlib.Path, default=OUTPUT)
     parser.add_argument("--no-strip", action="store_true")
--- a/tools/onefile/__main__.py
+++ b/tools/onefile/__main__.py
@@ -1,8 +1,8 @@
-"""First module of the shipped file: runs the program from inside the archive.
+"""Entry point of the single-file distribution: runs the program from the archive.
 
-Pure modules are imported from the archive. A native module is copied into an
-anonymous memory file when it is first imported and loaded from there, so that
-nothing is unpacked to a disk and no child process is started.
+Pure Python modules are imported from the archive. A native module is copied into an
+anonymous memory file on its first import and loaded from there, so that nothing is
+unpacked to disk and no child process is started.
 """
 
 import importlib.machinery
@@ -17,9 +17,9 @@
 
 
 class NativeFinder:
-    """Finds native modules of the archive and loads them from memory.
+    """Meta path finder that loads native modules of the archive from memory.
 
-    :param zipimport.zipimporter archive: the shipped file.
+    :param zipimport.zipimporter archive: the single-file distribution.
     """
 
     def __init__(self, archive):
@@ -27,10 +27,10 @@
         self.member_by_module = {}
         self.libraries_by_package = {}
         for member in archive.get_data(_MANIFEST).decode().split():
-            self._add(member)
+            self._add_member(member)
 
     def find_spec(self, name, path=None, target=None):
-        """Return the spec of a native module, or ``None``.
+        """Return the spec of a native module, or ``None`` for any other module.
 
         :param str name: full name of the module.
         :param path: search path of the parent package; unused.
@@ -41,11 +41,11 @@
         if member is None:
             return None
         self._load_libraries(name.partition(".")[0])
-        location = self._copy(member)
+        location = self._copy_to_memory(member)
         loader = importlib.machinery.ExtensionFileLoader(name, location)
         return importlib.util.spec_from_file_location(name, location, loader=loader)
 
-    def _add(self, member):
+    def _add_member(self, member):
         package, found, _ = member.partition(_BUNDLED_LIBRARIES)
         if found:
             self.libraries_by_package.setdefault(package, []).append(member)
@@ -54,11 +54,11 @@
             parts = [*folder.split("/"), filename.partition(".")[0]]
             self.member_by_module[".".join(filter(None, parts))] = member
 
-    def _copy(self, member):
-        """Return the path of a memory file with a member's content.
+    def _copy_to_memory(self, member):
+        """Copy a member into a memory file and return its path.
 
-        The descriptor stays open: the dynamic loader knows what it has loaded by
-        path, so no path may be used for two modules.
+        The descriptor stays open: the dynamic loader identifies loaded libraries by
+        path, so a path must not be reused for another module.
         """
         descriptor = os.memfd_create(member, os.MFD_CLOEXEC)
         data = memoryview(self.archive.get_data(member))
@@ -67,20 +67,24 @@
         return f"{_DESCRIPTORS}/{descriptor}"
 
     def _load_libraries(self, package):
-        """Load the shared libraries that a package brings along.
+        """Load the shared libraries that a package bundles.
 
-        Those that need one another are tried until all are loaded.
+        Libraries that depend on one another are retried until all are loaded.
+
+        :raises ImportError: if some libraries can't be loaded in any order.
         """
-        waiting = self.libraries_by_package.pop(package, [])
-        if not waiting:
+        members = self.libraries_by_package.pop(package, [])
+        if not members:
             return
         import ctypes
 
-        paths = [self._copy(member) for member in waiting]
+        paths = [self._copy_to_memory(member) for member in members]
         while paths:
             failed = [path for path in paths if not _try_load(ctypes, path)]
             if len(failed) == len(paths):
-                raise ImportError(f"libraries of {package} can't be loaded")
+                raise ImportError(
+                    f"bundled libraries of package {package} can't be loaded"
+                )
             paths = failed
 
 
@@ -93,7 +97,10 @@
 
 
 def main():
-    """Run the command line from the archive, wherever its file moves."""
+    """Run the command line from the archive.
+
+    The archive is opened by descriptor, so that its file may be moved meanwhile.
+    """
     descriptor = os.open(sys.path[0], os.O_RDONLY | os.O_CLOEXEC)
     location = f"{_DESCRIPTORS}/{descriptor}"
     sys.path[0] = location
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,9 +1,9 @@
-"""Run every test module in its own process and honour KNOWN-RED.txt.
+"""Run each test module in its own process and tolerate the failures in KNOWN-RED.txt.
 
 Usage: ``python tools/run_tests.py [--jobs N] [PATTERN ...]``. A pattern selects
-the modules whose dotted name contains it. The exit code is 0 when the only
-failures are the ones that KNOWN-RED.txt lists; an entry there whose test passes
-or is gone is printed as stale.
+the modules whose dotted name contains it. The exit code is 0 if tests passed and
+KNOWN-RED.txt lists every failure; a listed test that passes or no longer exists is
+printed as stale.
 """
 
 import argparse
@@ -24,7 +24,7 @@
 
 @dataclasses.dataclass
 class ModuleResult:
-    """Outcome of one test module."""
+    """Result of one test module: ids of its tests by outcome, and its output."""
 
     module: str
     passed: list[str] = dataclasses.field(default_factory=list)
@@ -34,7 +34,7 @@
 
 
 class _RecordingResult(unittest.TextTestResult):
-    """Text result that also remembers which tests passed."""
+    """Text result that also records the ids of the tests that passed."""
 
     def __init__(self, *args, **kwargs):
         super().__init__(*args, **kwargs)
@@ -48,7 +48,7 @@
 def discover_modules(patterns):
     """Return the dotted names of the test modules, sorted.
 
-    :param list[str] patterns: substrings to select by; empty selects all.
+    :param list[str] patterns: substrings of module names; an empty list selects all.
     :rtype: list[str]
     """
     files = sorted((ROOT / "tests").rglob("test_*.py"))
@@ -66,13 +66,13 @@
     return {entry.split("|")[0].strip() for entry in entries}
 
 
-def run_module_here(module):
+def run_module_in_process(module):
     """Run one module in this process and print its result as a JSON line."""
     suite = unittest.defaultTestLoader.loadTestsFromName(module)
     runner = unittest.TextTestRunner(resultclass=_RecordingResult, verbosity=2)
     result = runner.run(suite)
-    bad = [*result.failures, *result.errors]
-    failed = [test.id() for test, _ in bad]
+    unsuccessful = [*result.failures, *result.errors]
+    failed = [test.id() for test, _ in unsuccessful]
     failed += [test.id() for test in result.unexpectedSuccesses]
     report = {
         "passed": result.passed_ids,
@@ -83,30 +83,34 @@
 
 
 def run_module(module):
-    """Run one module in a child interpreter.
+    """Run one module in a child process.
+
+    A module that times out or prints no result counts as one failed test.
 
     :param str module: dotted name of the module.
     :rtype: ModuleResult
     """
     command = [sys.executable, __file__, "--here", module]
     try:
-        done = subprocess.run(
+        completed = subprocess.run(
             command, cwd=ROOT, capture_output=True, text=True, timeout=MODULE_TIMEOUT_S
         )
     except subprocess.TimeoutExpired as error:
         output = (error.stderr or b"").decode(errors="replace")
-        note = f"\nmodule did not end within {MODULE_TIMEOUT_S} s"
-        return ModuleResult(module, failed=[module], output=output + note)
-    lines = done.stdout.splitlines()
+        message = f"\nmodule timed out after {MODULE_TIMEOUT_S} s"
+        return ModuleResult(module, failed=[module], output=output + message)
+    lines = completed.stdout.splitlines()
     reports = [x for x in lines if x.startswith(RESULT_MARKER)]
     if not reports:
-        return ModuleResult(module, failed=[module], output=done.stdout + done.stderr)
+        return ModuleResult(
+            module, failed=[module], output=completed.stdout + completed.stderr
+        )
     report = json.loads(reports[-1][len(RESULT_MARKER) :])
-    return ModuleResult(module, output=done.stderr, **report)
+    return ModuleResult(module, output=completed.stderr, **report)
 
 
 def main():
-    """Run the selected modules and print a summary."""
+    """Run the selected modules, print a summary and return the exit code."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("patterns", nargs="*")
     parser.add_argument("--jobs", type=int, default=DEFAULT_JOBS)
@@ -114,7 +118,7 @@
     options = parser.parse_args()
     sys.path.insert(0, str(ROOT))
     if options.here:
-        run_module_here(options.here)
+        run_module_in_process(options.here)
         return 0
     modules = discover_modules(options.patterns)
     with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
@@ -122,22 +126,22 @@
     return summarise(results, read_known_red(), not options.patterns)
 
 
-def summarise(results, known, ran_all):
+def summarise(results, known_red_ids, ran_all):
     """Print failures and counts; return the exit code.
 
-    :param list[ModuleResult] results: one for each module.
-    :param set[str] known: ids of the tests listed in KNOWN-RED.txt.
+    :param list[ModuleResult] results: results by module.
+    :param set[str] known_red_ids: ids of the tests listed in KNOWN-RED.txt.
     :param bool ran_all: whether every module was run.
     :rtype: int
     """
     failed = [test for result in results for test in result.failed]
-    unexpected = [test for test in failed if not _is_listed(test, known)]
+    unexpected = [test for test in failed if not _is_listed(test, known_red_ids)]
     for result in results:
         if set(unexpected) & set(result.failed):
             print(f"--- {result.module}\n{result.output}")
     for test in sorted(set(failed) - set(unexpected)):
         print(f"known red: {test}")
-    for test in find_stale(results, known, ran_all):
+    for test in find_stale(results, known_red_ids, ran_all):
         print(f"stale in {KNOWN_RED.name}, remove it: {test}")
     for test in unexpected:
         print(f"FAILED: {test}")
@@ -147,29 +151,29 @@
     return 1 if unexpected or not passed else 0
 
 
-def find_stale(results, known, ran_all):
-    """Return the listed tests that pass, or that a full run did not meet.
+def find_stale(results, known_red_ids, ran_all):
+    """Return the listed tests that passed or, after a full run, did not fail.
 
     :param list[ModuleResult] results: one for each module.
-    :param set[str] known: ids of the tests listed in KNOWN-RED.txt.
+    :param set[str] known_red_ids: ids of the tests listed in KNOWN-RED.txt.
     :param bool ran_all: whether every module was run.
     :rtype: list[str]
     """
     passed = {test for result in results for test in result.passed}
     failed = {test for result in results for test in result.failed}
     failed |= {_test_id(test) for test in failed}
-    passed |= {test for test in known - failed if _test_id(test) in passed}
-    stale = known - failed if ran_all else known & passed
+    passed |= {test for test in known_red_ids - failed if _test_id(test) in passed}
+    stale = known_red_ids - failed if ran_all else known_red_ids & passed
     return sorted(stale)
 
 
-def _is_listed(test, known):
-    """Return whether a test is listed, or the one subtest of it that failed."""
-    return test in known or _test_id(test) in known
+def _is_listed(test, known_red_ids):
+    """Return whether a test or, for a failed subtest, its test is listed."""
+    return test in known_red_ids or _test_id(test) in known_red_ids
 
 
 def _test_id(test):
-    """Return the id of a test without the parameters of a subtest."""
+    """Return the id of a test without the parameters of its subtest."""
     return test.partition(" ")[0]
 
 
--- a/tools/write_events.py
+++ b/tools/write_events.py
@@ -1,4 +1,4 @@
-"""Write docs/EVENTS.md from the catalogue in the code."""
+"""Generate docs/EVENTS.md from the catalogue of log events in the code."""
 
 import pathlib
 
@@ -17,7 +17,7 @@
 
 
 def main():
-    """Write the catalogue, one row for each event."""
+    """Write the page with one table row per event."""
     rows = [
         f"| {int(event)} | `{event.name.lower()}` | {base.CATALOGUE[event]} |\n"
         for event in base.Event
--- a/tools/write_metrics.py
+++ b/tools/write_metrics.py
@@ -1,4 +1,4 @@
-"""Write docs/METRICS.md from the catalogue in the code."""
+"""Generate docs/METRICS.md from the catalogue of metrics in the code."""
 
 import pathlib
 
@@ -20,7 +20,7 @@
 
 
 def main():
-    """Write the catalogue, one row for each metric."""
+    """Write the page with one table row per metric."""
     rows = [
         f"| `{name}` | {meaning} |\n"
         for name, meaning in sorted(base.METRIC_CATALOGUE.items())
