--- a/tests/support.py
+++ b/tests/support.py
@@ -1,4 +1,4 @@
-"""Shared helpers of the tests."""
+"""Helpers that the tests share: platform and fleet test cases, waiting, logs."""
 
 import asyncio
 import datetime
@@ -16,7 +16,7 @@
 
 
 def silence_logs():
-    """Send the logs of this process to memory and return the stream.
+    """Redirect the logs of this process to memory and return the stream.
 
     :rtype: io.StringIO
     """
@@ -26,11 +26,11 @@
 
 
 class AsyncCase(unittest.IsolatedAsyncioTestCase):
-    """Runs each test without asyncio's debug mode, which test cases turn on.
+    """Runs each test without asyncio's debug mode, which ``unittest`` turns on.
 
     Links, stand-ins and callers of a fleet share the test's process. Debug mode makes
-    their work several times as costly, which processes under test see as a slow
-    network.
+    their work several times as expensive, which the processes under test would
+    observe as a slow network.
     """
 
     async def asyncSetUp(self):
@@ -38,18 +38,19 @@
 
 
 class PlatformCase(AsyncCase):
-    """Runs each test against a platform stand-in in this process.
+    """Runs each test against a platform stand-in in the test's process.
 
-    :cvar float call_timeout_s: longest wait of the client for an answer.
+    :cvar float call_timeout_s: response timeout of the client, in seconds.
     :ivar sequoiagap.standins.PlatformStandIn stand_in: the platform.
-    :ivar sequoiagap.platform.PlatformClient client: a client of it.
+    :ivar str url: base URL of the platform.
+    :ivar sequoiagap.platform.PlatformClient client: client of the platform.
     """
 
     call_timeout_s = 0.2
 
     @classmethod
     def setUpClass(cls):
-        # Once for each class, since loggers keep the first stream that they met.
+        # Once per class, since loggers keep the first stream that they are given.
         cls.log = silence_logs()
 
     async def asyncSetUp(self):
@@ -61,7 +62,7 @@
         self.client = self.open_client()
 
     def open_client(self, client_type=platform.PlatformClient):
-        """Return a client that is closed after the test."""
+        """Return a platform client that is closed after the test."""
         client = client_type(self.url, self.call_timeout_s)
         self.addAsyncCleanup(client.close)
         return client
@@ -70,7 +71,8 @@
 class FleetCase(AsyncCase):
     """Runs each test against a fleet of real processes.
 
-    :cvar sequoiagap.standins.FleetPlan plan: what the fleet consists of.
+    :cvar sequoiagap.standins.FleetPlan plan: composition of the fleet.
+    :ivar sequoiagap.standins.Fleet fleet: the running fleet.
     """
 
     plan = standins.FleetPlan()
@@ -84,7 +86,7 @@
         )
 
     async def post_model(self, entry="entry-0", key="caller-key", **body):
-        """Send one model request; return status and body text.
+        """Send one model request to an entry; return HTTP status and body text.
 
         :rtype: tuple[int, str]
         """
@@ -97,7 +99,7 @@
             return response.status, await response.text()
 
     def names_in(self, domain):
-        """Return the names of the entries and of the agents of a failure domain.
+        """Return the names of the entries and of the agents in a failure domain.
 
         :rtype: tuple[list[str], list[str]]
         """
@@ -111,28 +113,33 @@
         return entries, agents
 
     async def versions(self, entries=None, agents=None):
-        """Return the version in force by process; -1 where it does not answer.
+        """Return the configuration version in force by process name.
+
+        The version of a process that can't be reached is -1.
 
         :rtype: dict[str, int]
         """
         entries = self.fleet.entry_names() if entries is None else entries
         agents = self.fleet.endpoint_names() if agents is None else agents
-        asked = [(name, name, "/state") for name in entries]
-        asked += [(name, entries[0], f"/state/{name}") for name in agents]
-        found = {}
-        for name, entry, path in asked:
+        queries = [(name, name, "/state") for name in entries]
+        queries += [(name, entries[0], f"/state/{name}") for name in agents]
+        number_by_name = {}
+        for name, entry, path in queries:
             try:
                 status, state = await self.fleet.call(entry, "GET", path)
             except OSError:
                 status = 0
-            found[name] = state["config_version"] if status == 200 else -1
-        return found
+            number_by_name[name] = state["config_version"] if status == 200 else -1
+        return number_by_name
 
     async def wait_in_force(self, number, entries=None, agents=None):
-        """Wait until a version is in force in processes; return the seconds.
+        """Wait until a configuration version is in force; return the seconds waited.
 
+        :param int number: lowest version to wait for.
+        :param entries: names of entries to check; ``None`` for all.
+        :param agents: names of agents to check; ``None`` for all.
         :rtype: float
-        :raises TimeoutError: if it takes over :data:`FEW_SECONDS_S`.
+        :raises TimeoutError: if it takes longer than :data:`FEW_SECONDS_S`.
         """
         began = time.monotonic()
 
@@ -144,7 +151,7 @@
         return time.monotonic() - began
 
     def attempts_since(self, at):
-        """Return how often each endpoint was sent an attempt since a time.
+        """Return the number of attempts sent to each endpoint since a point in time.
 
         :param float at: wall-clock time, seconds since the epoch.
         :rtype: dict[str, int]
@@ -163,13 +170,13 @@
         return counts
 
 
-async def eventually(is_true, bound_s=FEW_SECONDS_S):
+async def eventually(is_true, timeout_s=FEW_SECONDS_S):
     """Wait until a function returns true.
 
-    :param is_true: function without arguments.
-    :param float bound_s: longest wait, in seconds.
-    :raises TimeoutError: if it does not in time.
+    :param is_true: predicate without arguments.
+    :param float timeout_s: longest wait, in seconds.
+    :raises TimeoutError: if the predicate stays false that long.
     """
-    async with asyncio.timeout(bound_s):
-        while not is_true():  # noqa: ASYNC110 - any state may be waited for
+    async with asyncio.timeout(timeout_s):
+        while not is_true():  # noqa: ASYNC110 - the state has no event
             await asyncio.sleep(0.01)
--- a/tests/support_tls.py
+++ b/tests/support_tls.py
@@ -1,4 +1,4 @@
-"""Certificates for tests."""
+"""Issues TLS certificates for tests."""
 
 import datetime
 import pathlib
@@ -8,15 +8,17 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
 
-_BACKDATED = datetime.timedelta(hours=1)
-_VALID = datetime.timedelta(days=1)
+_BACKDATING = datetime.timedelta(hours=1)
+_VALIDITY = datetime.timedelta(days=1)
 
 
 class Authority:
-    """A CA that writes its certificate and others into a folder.
+    """A certificate authority that writes certificates into a folder.
 
-    :param pathlib.Path folder: where the files go.
-    :param str name: name of the CA and prefix of its file.
+    :param pathlib.Path folder: folder of the written files.
+    :param str name: common name of the CA and stem of its file name.
+
+    :ivar str ca_file: path of the CA certificate.
     """
 
     def __init__(self, folder, name="ca"):
@@ -27,8 +29,10 @@
         self.ca_file = self._write(f"{name}.pem", _pem(certificate))
 
     def issue(self, name):
-        """Write a certificate and its key; return them as settings.
+        """Write a certificate and its key; return their paths as TLS settings.
 
+        :param str name: common name and stem of the file names.
+        :returns: ``certificate_file``, ``key_file`` and ``ca_file``.
         :rtype: dict
         """
         key = ec.generate_private_key(ec.SECP256R1())
@@ -47,8 +51,8 @@
             .issuer_name(_name(self.name))
             .public_key(key.public_key())
             .serial_number(x509.random_serial_number())
-            .not_valid_before(now - _BACKDATED)
-            .not_valid_after(now + _VALID)
+            .not_valid_before(now - _BACKDATING)
+            .not_valid_after(now + _VALIDITY)
             .add_extension(x509.BasicConstraints(is_ca, None), critical=True)
         )
         return builder.sign(self._key, hashes.SHA256())
--- a/tests/test_doctests.py
+++ b/tests/test_doctests.py
@@ -1,4 +1,4 @@
-"""The examples in docstrings hold."""
+"""The examples in docstrings of the libraries give the output they show."""
 
 import doctest
 import importlib
@@ -10,7 +10,7 @@
 
 
 def module_names():
-    """Return the dotted names of all modules but programs."""
+    """Yield the dotted names of all library modules except packages and programs."""
     for path in sorted(LIBS.glob("*/src/sequoiagap/**/*.py")):
         parts = path.with_suffix("").parts
         dotted = parts[parts.index("src") + 1 :]
--- a/tests/test_arrows.py
+++ b/tests/test_library_dependencies.py
@@ -1,4 +1,4 @@
-"""Dependencies between the libraries point one way, as declared."""
+"""Libraries declare the libraries they import, without cycles or private imports."""
 
 import ast
 import pathlib
@@ -10,7 +10,7 @@
 LIBS = support.ROOT / "libs"
 
 
-def declared(library):
+def declared_libraries(library):
     """Return the libraries that a library declares to depend on."""
     text = (LIBS / library / "pyproject.toml").read_text()
     names = tomllib.loads(text)["project"]["dependencies"]
@@ -18,7 +18,7 @@
     return {n.removeprefix(prefix) for n in names if n.startswith(prefix)}
 
 
-def imported(path):
+def imported_libraries(path):
     """Return the libraries that a module imports."""
     found = set()
     for node in ast.walk(ast.parse(path.read_text())):
@@ -36,21 +36,25 @@
     return {parts[1]} if parts[0] == "sequoiagap" and len(parts) > 1 else set()
 
 
-class ArrowsTest(unittest.TestCase):
+class LibraryDependenciesTest(unittest.TestCase):
     def test_imports_are_declared(self):
         for path in sorted(LIBS.rglob("*.py")):
             library = path.relative_to(LIBS).parts[0]
             with self.subTest(path=str(path.relative_to(LIBS))):
-                self.assertLessEqual(imported(path), declared(library) | {library})
+                self.assertLessEqual(
+                    imported_libraries(path), declared_libraries(library) | {library}
+                )
 
     def test_dependencies_have_no_cycle(self):
         names = sorted(p.name for p in LIBS.iterdir() if p.is_dir())
-        left = {name: declared(name) for name in names}
-        while left:
-            free = [name for name, needs in left.items() if not needs & set(left)]
-            self.assertTrue(free, f"cycle among {sorted(left)}")
-            for name in free:
-                del left[name]
+        remaining = {name: declared_libraries(name) for name in names}
+        while remaining:
+            independent = [
+                name for name, needs in remaining.items() if not needs & set(remaining)
+            ]
+            self.assertTrue(independent, f"cycle among {sorted(remaining)}")
+            for name in independent:
+                del remaining[name]
 
     def test_private_modules_are_imported_only_inside_their_library(self):
         for path in sorted(LIBS.rglob("*.py")):
--- a/tests/test_requirements.py
+++ b/tests/test_requirements.py
@@ -1,4 +1,4 @@
-"""Third-party packages: declared where they are used, pinned, and no more."""
+"""Libraries declare exactly the third-party packages they use; all are pinned."""
 
 import ast
 import importlib.metadata
@@ -10,34 +10,34 @@
 from tests import support
 
 LIBS = support.ROOT / "libs"
-OWN_PREFIX = "sequoiagap"
-# What tests, benchmarks, the linter and the build of the workspace need.
-TOOLS = {"cryptography", "flit-core", "numpy", "ruff"}
-# Requirements of ours that importlib can't map to what they install.
+WORKSPACE_PREFIX = "sequoiagap"
+# Needed by tests, benchmarks, the linter and the build of the workspace.
+DEVELOPMENT_TOOLS = {"cryptography", "flit-core", "numpy", "ruff"}
+# Modules that importlib.metadata maps to no distribution.
 DISTRIBUTION_BY_MODULE = {"hdrh": "hdrhistogram"}
 
 
-def normal(name):
-    """Return the normal form of a distribution's name."""
+def normalise(name):
+    """Return the normalised name of a distribution (PEP 503)."""
     return re.sub(r"[-_.]+", "-", name).lower()
 
 
 def declared(library):
     """Return the third-party distributions that a library declares."""
     text = (LIBS / library / "pyproject.toml").read_text()
-    names = {normal(n) for n in tomllib.loads(text)["project"]["dependencies"]}
-    return {name for name in names if not name.startswith(OWN_PREFIX)}
+    names = {normalise(n) for n in tomllib.loads(text)["project"]["dependencies"]}
+    return {name for name in names if not name.startswith(WORKSPACE_PREFIX)}
 
 
 def imported(library):
     """Return the third-party distributions that a library imports."""
-    owners = importlib.metadata.packages_distributions()
+    distributions_by_module = importlib.metadata.packages_distributions()
     found = set()
     for path in (LIBS / library).rglob("*.py"):
         for module in _modules(ast.parse(path.read_text())):
-            if module not in sys.stdlib_module_names | {OWN_PREFIX}:
-                default = owners.get(module, [module])[0]
-                found.add(normal(DISTRIBUTION_BY_MODULE.get(module, default)))
+            if module not in sys.stdlib_module_names | {WORKSPACE_PREFIX}:
+                default = distributions_by_module.get(module, [module])[0]
+                found.add(normalise(DISTRIBUTION_BY_MODULE.get(module, default)))
     return found
 
 
@@ -50,20 +50,20 @@
 
 
 def closure(names):
-    """Return distributions with all that they need here."""
-    found, waiting = set(), set(names)
-    while waiting:
-        name = normal(waiting.pop())
+    """Return distributions with their transitive dependencies on this platform."""
+    found, pending = set(), set(names)
+    while pending:
+        name = normalise(pending.pop())
         try:
             distribution = importlib.metadata.distribution(name)
         except importlib.metadata.PackageNotFoundError:
-            continue  # needed on other platforms only
+            continue  # required on other platforms only
         if name in found:
             continue
         found.add(name)
         for requirement in distribution.requires or ():
             if "extra ==" not in requirement:
-                waiting.add(re.match(r"[A-Za-z0-9._-]+", requirement)[0])
+                pending.add(re.match(r"[A-Za-z0-9._-]+", requirement)[0])
     return found
 
 
@@ -75,9 +75,9 @@
 
     def test_pinned_are_just_those_that_are_needed(self):
         lines = (support.ROOT / "requirements.txt").read_text().splitlines()
-        pinned = {normal(line.partition("==")[0]) for line in lines if "==" in line}
+        pinned = {normalise(line.partition("==")[0]) for line in lines if "==" in line}
         used = set().union(*(declared(path.name) for path in LIBS.iterdir()))
-        self.assertEqual(pinned, closure(used | TOOLS))
+        self.assertEqual(pinned, closure(used | DEVELOPMENT_TOOLS))
 
     def test_installed_versions_are_the_pinned_ones(self):
         for line in (support.ROOT / "requirements.txt").read_text().splitlines():
--- a/tests/tools/watched.py
+++ b/tests/tools/run_audited.py
@@ -1,7 +1,7 @@
-"""Runs an archive or script and ends it when it starts a child or writes a file.
+"""Runs a program under an audit hook that denies child processes and file writes.
 
-Usage: ``python -I -S watched.py PROGRAM [ARGUMENT ...]``. The exit code is 99
-when the program was ended.
+Usage: ``python -I -S run_audited.py PROGRAM [ARGUMENT ...]``. PROGRAM is an archive
+or a script; it is ended with exit code 99 at the first denied operation.
 """
 
 import os
@@ -30,8 +30,8 @@
 )
 
 
-def deny(event, arguments):
-    """End the process at a forbidden audit event."""
+def deny_event(event, arguments):
+    """Print a denied audit event and end the process."""
     writes = event == "open" and (arguments[2] or 0) & WRITE_FLAGS
     if writes or event.startswith(DENIED_PREFIXES):
         os.write(2, f"denied: {event} {arguments}\n".encode())
@@ -39,5 +39,5 @@
 
 
 sys.argv = sys.argv[1:]
-sys.addaudithook(deny)
+sys.addaudithook(deny_event)
 runpy.run_path(sys.argv[0], run_name="__main__")
--- a/tests/tools/test_onefile.py
+++ b/tests/tools/test_onefile.py
@@ -1,4 +1,4 @@
-"""The shipped file serves the thin path in one process and writes nothing."""
+"""The single-file distribution serves requests in one process and writes no files."""
 
 import asyncio
 import contextlib
@@ -14,22 +14,25 @@
 from tests import support
 
 BUILD = support.ROOT / "tools/build.py"
-WATCHED = support.ROOT / "tests/tools/watched.py"
+AUDIT_RUNNER = support.ROOT / "tests/tools/run_audited.py"
 DENIED_EXIT_CODE = 99
-WRITABLE = os.O_WRONLY | os.O_RDWR
+WRITE_FLAGS = os.O_WRONLY | os.O_RDWR
 COMMAND_TIMEOUT_S = 30.0
 MEMORY_FILE = "/memfd:"
 KIB = 1024
 MAX_AGENT_BYTES = 64_000_000
 
 
-def watched(program, *words):
-    """Return the command that runs a program of no installed package, watched."""
-    return (sys.executable, "-I", "-S", str(WATCHED), str(program), *words)
+def audited_command(program, *arguments):
+    """Return the command that runs a program under the audit hook.
 
+    The program sees no installed packages.
+    """
+    return (sys.executable, "-I", "-S", str(AUDIT_RUNNER), str(program), *arguments)
 
-def children(pid):
-    """Return the ids of the child processes of a process."""
+
+def child_pids(pid):
+    """Return the ids of the direct child processes of a process."""
     found = []
     for path in pathlib.Path("/proc").glob("[0-9]*/stat"):
         try:
@@ -41,8 +44,8 @@
     return found
 
 
-def written_files(pid):
-    """Return the paths of the regular files that a process holds open to write."""
+def writable_files(pid):
+    """Return the paths of the regular files that a process has open for writing."""
     found = []
     for link in pathlib.Path(f"/proc/{pid}/fd").iterdir():
         try:
@@ -51,22 +54,22 @@
         except OSError:
             continue
         flags = int(info.partition("flags:")[2].split()[0], 8)
-        if flags & WRITABLE and target.startswith("/") and os.path.isfile(link):
+        if flags & WRITE_FLAGS and target.startswith("/") and os.path.isfile(link):
             found.append(target)
     return found
 
 
-def held_bytes(pid):
-    """Return the memory of a process with all of its memory files."""
+def memory_bytes(pid):
+    """Return the resident private memory of a process plus its memory files."""
     status = pathlib.Path(f"/proc/{pid}/status").read_text()
     kib_by_name = dict(re.findall(r"(VmRSS|RssShmem):\s+(\d+)", status))
-    own = int(kib_by_name["VmRSS"]) - int(kib_by_name["RssShmem"])
-    files = 0
+    private_kib = int(kib_by_name["VmRSS"]) - int(kib_by_name["RssShmem"])
+    memory_file_bytes = 0
     for link in pathlib.Path(f"/proc/{pid}/fd").iterdir():
         with contextlib.suppress(FileNotFoundError):  # closed in the meantime
             if os.readlink(link).startswith(MEMORY_FILE):
-                files += link.stat().st_size
-    return own * KIB + files
+                memory_file_bytes += link.stat().st_size
+    return private_kib * KIB + memory_file_bytes
 
 
 class OneFileTest(unittest.IsolatedAsyncioTestCase):
@@ -75,17 +78,17 @@
         folder = tempfile.TemporaryDirectory()
         cls.addClassCleanup(folder.cleanup)
         cls.folder = pathlib.Path(folder.name)
-        cls.shipped = cls.folder / "sequoiagap"
-        cls.build(cls.shipped)
+        cls.archive = cls.folder / "sequoiagap"
+        cls.build(cls.archive)
 
     @classmethod
     def build(cls, output):
-        """Build the shipped file."""
+        """Build the single-file distribution."""
         command = [sys.executable, str(BUILD), "--output", str(output)]
         subprocess.run(command, check=True, capture_output=True)
 
     def setUp(self):
-        """Let the working, home and temporary folder be one that stays empty."""
+        """Set working, home and temporary folder to one that must stay empty."""
         self.empty = self.folder / "empty"
         self.empty.mkdir(exist_ok=True)
         self.addCleanup(os.chdir, os.getcwd())
@@ -96,7 +99,7 @@
 
     async def test_thin_path(self):
         plan = standins.FleetPlan(
-            domains=("north",), entries=1, program=watched(self.shipped)
+            domains=("north",), entries=1, program=audited_command(self.archive)
         )
         folder = self.folder / "fleet"
         folder.mkdir()
@@ -109,7 +112,7 @@
                 self._check_process(fleet.process_by_name[name].child_.pid, folder)
         for name in fleet.endpoint_names():
             pid = fleet.process_by_name[name].child_.pid
-            self.assertLess(held_bytes(pid), MAX_AGENT_BYTES)
+            self.assertLess(memory_bytes(pid), MAX_AGENT_BYTES)
         self.assertEqual(list(self.empty.iterdir()), [])
 
     async def _check_answers(self, fleet):
@@ -125,27 +128,27 @@
                 self.assertEqual(status, 200, document)
 
     async def _check_command(self, fleet):
-        words = ["domain", "out", "north", "--entry", fleet.url("entry-0")]
+        arguments = ["domain", "out", "north", "--entry", fleet.url("entry-0")]
         patch = {"failure_domains": {"spare": {"state": "in"}}}
         await fleet.patch_config(patch)
         environment = os.environ | {"SEQUOIAGAP_OPERATOR_KEY": "operator-key"}
-        done = await asyncio.to_thread(
+        completed = await asyncio.to_thread(
             subprocess.run,
-            watched(self.shipped, *words),
+            audited_command(self.archive, *arguments),
             capture_output=True,
             text=True,
             env=environment,
             timeout=COMMAND_TIMEOUT_S,
         )
-        # 3 is the answer of an entry that finds the change harmful.
-        self.assertIn(done.returncode, (0, 3), done.stderr)
-        self.assertNotIn("denied", done.stderr)
+        # Exit code 3: the entry rejects the change as harmful.
+        self.assertIn(completed.returncode, (0, 3), completed.stderr)
+        self.assertNotIn("denied", completed.stderr)
 
     def _check_process(self, pid, folder):
-        self.assertEqual(children(pid), [])
+        self.assertEqual(child_pids(pid), [])
         outside = [
             path
-            for path in written_files(pid)
+            for path in writable_files(pid)
             if not path.startswith((MEMORY_FILE, str(folder)))
         ]
         self.assertEqual(outside, [])
@@ -154,20 +157,20 @@
         self.assertNotIn("site-packages", maps)
 
     def test_same_inputs_give_the_same_bytes(self):
-        again = self.folder / "again"
-        self.build(again)
-        self.assertEqual(again.read_bytes(), self.shipped.read_bytes())
+        second_build = self.folder / "again"
+        self.build(second_build)
+        self.assertEqual(second_build.read_bytes(), self.archive.read_bytes())
 
 
-class WatchTest(unittest.TestCase):
-    """The checks above find what they are for."""
+class AuditTest(unittest.TestCase):
+    """The audit hook and the process checks detect what they are meant to detect."""
 
-    def run_watched(self, text):
-        """Run a script watched in a fresh folder; return its exit code."""
+    def run_audited(self, text):
+        """Run a script under the audit hook in a new folder; return its exit code."""
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder) / "script.py"
             path.write_text(text)
-            command = watched(path)
+            command = audited_command(path)
             return subprocess.run(command, cwd=folder, capture_output=True).returncode
 
     def test_forbidden_acts_are_denied(self):
@@ -184,7 +187,7 @@
         }
         for name, (text, code) in cases.items():
             with self.subTest(name):
-                self.assertEqual(self.run_watched(text), code)
+                self.assertEqual(self.run_audited(text), code)
 
     def test_open_processes_and_files_are_found(self):
         script = (
@@ -200,6 +203,6 @@
             stdout=subprocess.PIPE,
         ) as child:
             grandchild = int(child.stdout.readline())
-            self.assertEqual(children(child.pid), [grandchild])
-            self.assertEqual(written_files(child.pid), [f"/dev/shm/{name}"])
+            self.assertEqual(child_pids(child.pid), [grandchild])
+            self.assertEqual(writable_files(child.pid), [f"/dev/shm/{name}"])
             child.stdin.close()
--- a/tests/tools/test_run_tests.py
+++ b/tests/tools/test_run_tests.py
@@ -1,4 +1,4 @@
-"""The test command honours KNOWN-RED.txt and no more than that."""
+"""The test runner tolerates the failures that KNOWN-RED.txt lists, and no others."""
 
 import pathlib
 import shutil
@@ -44,23 +44,27 @@
         shutil.copy(support.ROOT / "tools/run_tests.py", self.root / "tools")
 
     def run_tests(self, listed, *patterns):
-        """Run the command with listed tests; return exit code and output lines."""
+        """Run the test runner; return exit code and output lines.
+
+        :param listed: names of the tests that KNOWN-RED.txt lists.
+        :param str patterns: module patterns passed to the runner.
+        """
         lines = [f"{PREFIX}{name} | command | seen | issue" for name in listed]
         text = "# comment\n" + "\n".join(lines) + "\n"
         (self.root / "KNOWN-RED.txt").write_text(text)
         command = [sys.executable, str(self.root / "tools/run_tests.py"), *patterns]
-        done = subprocess.run(command, capture_output=True, text=True)
-        return done.returncode, done.stdout.splitlines()
+        completed = subprocess.run(command, capture_output=True, text=True)
+        return completed.returncode, completed.stdout.splitlines()
 
     def test_unlisted_failure_fails(self):
-        for left_out in BAD:
-            with self.subTest(left_out):
-                listed = [name for name in BAD if name != left_out]
+        for unlisted in BAD:
+            with self.subTest(unlisted):
+                listed = [name for name in BAD if name != unlisted]
                 code, lines = self.run_tests(listed)
                 self.assertEqual(code, 1)
                 self.assertEqual(lines[-1], "1 passed, 1 failed, 0 skipped")
                 failed = [x for x in lines if x.startswith("FAILED: ")]
-                self.assertTrue(failed[0].startswith(f"FAILED: {PREFIX}{left_out}"))
+                self.assertTrue(failed[0].startswith(f"FAILED: {PREFIX}{unlisted}"))
 
     def test_listed_failures_pass_and_are_printed(self):
         code, lines = self.run_tests(BAD)
