--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -1,9 +1,9 @@
-"""Ways to keep claims of keys: writes a second, bytes and latency.
+"""Write rate, bytes and latency of the ways to store claims on idempotency keys.
 
-Usage: ``python benchmarks/claims.py [--seconds S] [--seed N]``. A platform
-stand-in that needs 4 ms a call runs in a process of its own; three agents of one
-service claim keys at random moments. The baseline writes one object for each
-claim and deletes it later.
+Usage: ``python benchmarks/claims.py [--seconds S] [--seed N]``. A platform stand-in
+with a delay of 4 ms per call runs in its own process; three agents of one service
+claim keys at random times. The baseline writes one object per claim and deletes it
+later.
 """
 
 import argparse
@@ -22,57 +22,57 @@
 from sequoiagap import base, outcome, platform, standins
 from sequoiagap.outcome import _affinity
 
-CALL_S = 0.004
+PLATFORM_DELAY_S = 0.004
 AGENTS = 3
-RATES = (20, 100, 400, 1000)
+CLAIMS_PER_S = (20, 100, 400, 1000)
 TIMEOUT_S = 2.0
 
 
 @dataclasses.dataclass
-class Tally:
-    """What one run cost."""
+class RunCosts:
+    """Writes, granted claims and latencies of one run."""
 
     writes: int = 0
     written_bytes: int = 0
-    held: int = 0
+    granted: int = 0
     latencies_s: list = dataclasses.field(default_factory=list)
 
 
 class CountingClient(platform.PlatformClient):
-    """Counts writes and their bytes."""
+    """Platform client that counts writes and their bytes."""
 
-    def __init__(self, url, tally):
+    def __init__(self, url, costs):
         super().__init__(url, TIMEOUT_S)
-        self.tally = tally
+        self.costs = costs
 
     async def put(self, name, value, expected_version):
         """Write an object and count it."""
-        self.tally.writes += 1
-        self.tally.written_bytes += len(json.dumps(value))
+        self.costs.writes += 1
+        self.costs.written_bytes += len(json.dumps(value))
         return await super().put(name, value, expected_version)
 
     async def delete(self, name, expected_version):
         """Delete an object and count it."""
-        self.tally.writes += 1
+        self.costs.writes += 1
         await super().delete(name, expected_version)
 
 
-class EachStore:
-    """The baseline: one object for each claim, deleted when it expires."""
+class ObjectPerClaimStore:
+    """Baseline: stores one object per claim and deletes it on expiry."""
 
     def __init__(self, client):
         self.client = client
         self.tasks_ = base.TaskSet()
 
-    async def claim(self, wish, timeout_s):
-        """Create the claim's object."""
-        value = dataclasses.asdict(wish)
-        stored = await self.client.put(f"claim-{wish.identity}", value, 0)
+    async def claim(self, proposal, timeout_s):
+        """Create the object of a claim and return the result."""
+        value = dataclasses.asdict(proposal)
+        stored = await self.client.put(f"claim-{proposal.identity}", value, 0)
         self.tasks_.start(self._expire(stored), "expire")
-        return outcome.ClaimResult(outcome.ClaimDecision.HELD, wish)
+        return outcome.ClaimResult(outcome.ClaimDecision.HELD, proposal)
 
     async def close(self):
-        """Wait for the deletions."""
+        """Wait until all objects are deleted."""
         await asyncio.gather(*self.tasks_.tasks_)
 
     async def _expire(self, stored):
@@ -80,45 +80,47 @@
         await self.client.delete(stored.name, stored.version)
 
 
-async def claim_one(store, wish, tally):
-    began = time.monotonic()
-    answer = await store.claim(wish, TIMEOUT_S)
-    tally.latencies_s.append(time.monotonic() - began)
-    tally.held += answer.decision == outcome.ClaimDecision.HELD
+async def measure_claim(store, proposal, costs):
+    started_at = time.monotonic()
+    answer = await store.claim(proposal, TIMEOUT_S)
+    costs.latencies_s.append(time.monotonic() - started_at)
+    costs.granted += answer.decision == outcome.ClaimDecision.HELD
 
 
-async def run_way(url, make_store, rate, seconds, random_state):
-    tally = Tally()
-    clients = [CountingClient(url, tally) for _ in range(AGENTS)]
+async def run_variant(url, make_store, rate, seconds, random_state):
+    costs = RunCosts()
+    clients = [CountingClient(url, costs) for _ in range(AGENTS)]
     stores = {f"agent-{i}": make_store(client) for i, client in enumerate(clients)}
-    began = time.monotonic()
+    started_at = time.monotonic()
     async with asyncio.TaskGroup() as group:
-        while time.monotonic() - began < seconds:
+        while time.monotonic() - started_at < seconds:
             identity = f"{random_state.getrandbits(128):032x}"
             agent = outcome.rank_by_affinity(identity, list(stores))[0]
             nonce = f"{random_state.getrandbits(80):020x}"
             expires_at = time.time() + outcome.CLAIM_WINDOW_S
-            wish = outcome.Claim(identity, agent, "inc", nonce, identity, expires_at)
-            group.create_task(claim_one(stores[agent], wish, tally))
+            proposal = outcome.Claim(
+                identity, agent, "inc", nonce, identity, expires_at
+            )
+            group.create_task(measure_claim(stores[agent], proposal, costs))
             await asyncio.sleep(random_state.expovariate(rate))
-    elapsed = time.monotonic() - began
+    elapsed_s = time.monotonic() - started_at
     for store in stores.values():
         await store.close()
     for client in clients:
         await client.close()
-    return tally, elapsed
+    return costs, elapsed_s
 
 
-def report(way, rate, tally, elapsed, baseline):
-    latencies = sorted(tally.latencies_s)
-    writes = tally.writes / elapsed
+def report(variant, rate, costs, elapsed_s, baseline):
+    latencies = sorted(costs.latencies_s)
+    writes = costs.writes / elapsed_s
     ratio = writes / baseline if baseline else 1.0
     print(
-        f"| {way} | {rate} | {len(latencies) / elapsed:.0f} | {writes:.0f} "
-        f"| {ratio:.2f} | {tally.written_bytes / elapsed / 1000:.0f} "
+        f"| {variant} | {rate} | {len(latencies) / elapsed_s:.0f} | {writes:.0f} "
+        f"| {ratio:.2f} | {costs.written_bytes / elapsed_s / 1000:.0f} "
         f"| {statistics.median(latencies) * 1000:.0f} "
         f"| {latencies[int(0.99 * len(latencies))] * 1000:.0f} "
-        f"| {len(latencies) - tally.held} |",
+        f"| {len(latencies) - costs.granted} |",
         flush=True,
     )
     return writes
@@ -132,9 +134,9 @@
         "| refused |"
     )
     print("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
-    for rate in RATES:
+    for rate in CLAIMS_PER_S:
         baseline = 0.0
-        for way, shards, pace in (
+        for variant, shards, min_interval_s in (
             ("an object each", 0, 0.0),
             ("64 shards, 0.2 s", 64, 0.2),
             ("16 shards, 0.2 s", 16, 0.2),
@@ -147,19 +149,23 @@
                 await process.start()
                 url = f"http://127.0.0.1:{process.ready_['port']}"
                 async with aiohttp.ClientSession() as session:
-                    await session.post(f"{url}/faults", json={"slow_s": CALL_S})
+                    await session.post(
+                        f"{url}/faults", json={"slow_s": PLATFORM_DELAY_S}
+                    )
                 _affinity.SHARDS_PER_SERVICE = shards or 1
-                tally, elapsed = await run_way(
+                costs, elapsed_s = await run_variant(
                     url,
-                    lambda c, s=shards, p=pace: (
-                        outcome.ClaimStore(c, "orders", p) if s else EachStore(c)
+                    lambda client, shard_count=shards, interval_s=min_interval_s: (
+                        outcome.ClaimStore(client, "orders", interval_s)
+                        if shard_count
+                        else ObjectPerClaimStore(client)
                     ),
                     rate,
                     seconds,
                     random.Random(seed),
                 )
                 await process.kill()
-            writes = report(way, rate, tally, elapsed, baseline)
+            writes = report(variant, rate, costs, elapsed_s, baseline)
             baseline = baseline or writes
 
 
--- a/benchmarks/claims_sustained.py
+++ b/benchmarks/claims_sustained.py
@@ -1,9 +1,10 @@
-"""Keyed requests at a steady rate for longer than a claim lasts.
+"""Requests with idempotency keys at a steady rate, for longer than a claim lasts.
 
 Usage: ``python -m benchmarks.claims_sustained [--rate R] [--seconds S]``. One shard
-of a service on a virtual clock, before a platform in memory that needs 4 ms a call.
-Prints what was refused, the writes and bytes a second, the memory that the agent's
-claims take, and what a fresh agent needs for its first claim.
+of a service runs on a virtual clock against an in-memory platform with a delay of
+4 ms per call. Prints the number of claims by decision, the writes and bytes per
+second, the memory of the agent's claims, and the reads, time and memory that a newly
+started agent needs for its first claim.
 """
 
 import argparse
@@ -23,7 +24,7 @@
 
 
 class CountingPlatform(claims_platform.ClaimsPlatform):
-    """Counts reads and the bytes of writes."""
+    """In-memory platform that counts reads and the bytes of writes."""
 
     def __init__(self):
         super().__init__()
@@ -31,7 +32,7 @@
         self.written_bytes = 0
 
     async def get(self, name):
-        """Read an object and count it; it comes as text."""
+        """Read an object and count the read; the value is decoded from JSON text."""
         self.reads += 1
         stored = await super().get(name)
         if stored is None:
@@ -45,8 +46,8 @@
         return await super().put(name, value, expected_version)
 
 
-def make_wish(store, random_state):
-    """Return a wish of shard 0."""
+def make_proposal(store, random_state):
+    """Return the proposal of a claim that belongs to shard 0."""
     while True:
         identity = f"{random_state.getrandbits(128):032x}"
         if _affinity.shard_of(identity) == 0:
@@ -57,34 +58,40 @@
 
 
 async def run(rate, seconds):
-    """Claim keys at a steady rate and print the figures."""
-    fake, random_state = CountingPlatform(), random.Random(1)
+    """Claim keys at a steady rate and print the results.
+
+    :param float rate: claims per second.
+    :param float seconds: length of the run, in seconds of the virtual clock.
+    """
+    platform, random_state = CountingPlatform(), random.Random(1)
     loop = asyncio.get_running_loop()
-    verdicts = {}
+    count_by_decision = {}
 
     async def claim(store):
-        answer = await store.claim(make_wish(store, random_state), TIMEOUT_S)
-        verdicts[answer.decision] = verdicts.get(answer.decision, 0) + 1
+        answer = await store.claim(make_proposal(store, random_state), TIMEOUT_S)
+        count_by_decision[answer.decision] = (
+            count_by_decision.get(answer.decision, 0) + 1
+        )
 
-    store = outcome.ClaimStore(fake, "orders", wall_clock=loop.time)
+    store = outcome.ClaimStore(platform, "orders", wall_clock=loop.time)
     async with asyncio.TaskGroup() as group:
         while loop.time() < seconds:
             group.create_task(claim(store))
             await asyncio.sleep(random_state.expovariate(rate))
-    print({str(verdict): count for verdict, count in verdicts.items()})
+    print({str(decision): count for decision, count in count_by_decision.items()})
     print(f"writes/s {store.writes_ / seconds:.2f}")
-    print(f"KB/s {fake.written_bytes / seconds / 1000:.1f}")
-    segments = len(fake.object_by_name) - 1
-    largest = max(len(json.dumps(o.value)) for o in fake.object_by_name.values())
+    print(f"KB/s {platform.written_bytes / seconds / 1000:.1f}")
+    segments = len(platform.object_by_name) - 1
+    largest = max(len(json.dumps(o.value)) for o in platform.object_by_name.values())
     print(f"segments {segments}, largest object {largest / 1000:.1f} KB")
-    fresh = outcome.ClaimStore(fake, "orders", wall_clock=loop.time)
-    fake.reads, began = 0, loop.time()
+    fresh = outcome.ClaimStore(platform, "orders", wall_clock=loop.time)
+    platform.reads, started_at = 0, loop.time()
     tracemalloc.start()
-    await fresh.claim(make_wish(fresh, random_state), TIMEOUT_S)
-    held = tracemalloc.get_traced_memory()[0]
+    await fresh.claim(make_proposal(fresh, random_state), TIMEOUT_S)
+    held_bytes = tracemalloc.get_traced_memory()[0]
     print(
-        f"fresh agent: {fake.reads} reads, {loop.time() - began:.2f} s, "
-        f"{held / 1e6:.2f} MB held"
+        f"fresh agent: {platform.reads} reads, {loop.time() - started_at:.2f} s, "
+        f"{held_bytes / 1e6:.2f} MB held"
     )
 
 
--- a/benchmarks/outages.py
+++ b/benchmarks/outages.py
@@ -1,7 +1,8 @@
-"""What callers get while a group lacks a rank, for each policy of refusing.
+"""Results for callers while a group lacks a rank, by rejection policy of the gateway.
 
-Usage: ``python benchmarks/outages.py [--seeds N ...]``. Prints shares of all callers in
-percent, over the seeds, as a Markdown table; waits in vain are requests a day.
+Usage: ``python benchmarks/outages.py [--seeds N ...]``. Prints, as a Markdown table
+over all seeds, the share of callers with each result in percent, and the number of
+requests per day that wait in vain.
 """
 
 import argparse
@@ -18,13 +19,15 @@
 
 
 def measure(policy, outage_s, seeds):
-    """Return the table row of a policy and an outage."""
+    """Return the table row of a policy and an outage of some seconds."""
     worlds = [outage_load.OutageWorld(seed, policy, outage_s).run() for seed in seeds]
-    counts = sum((world.count_by_result_ for world in worlds), collections.Counter())
-    total = sum(counts.values())
-    vain = sum(world.waited_in_vain_ for world in worlds) / len(worlds)
-    shares = [f"{100 * counts[column] / total:.1f}" for column in COLUMNS]
-    return [f"{outage_s:g}", policy, *shares, f"{vain:.0f}"]
+    count_by_result = sum(
+        (world.count_by_result_ for world in worlds), collections.Counter()
+    )
+    total = sum(count_by_result.values())
+    waits_in_vain = sum(world.waited_in_vain_ for world in worlds) / len(worlds)
+    shares = [f"{100 * count_by_result[column] / total:.1f}" for column in COLUMNS]
+    return [f"{outage_s:g}", policy, *shares, f"{waits_in_vain:.0f}"]
 
 
 def main():
--- a/benchmarks/usage.py
+++ b/benchmarks/usage.py
@@ -1,10 +1,10 @@
-"""Bytes of the exchange of usage through collectors, for each node.
+"""Bytes per node of the usage exchange through collectors.
 
 Usage: ``python -m benchmarks.usage [--entries N] [--accounts N] [--seconds N]``.
 
-Entries in memory, each with 745 requests in flight of as many client accounts;
-each second 60 begin and 60 end. Beside it what a report of all accounts to each
-of ten neighbours each half second takes.
+The simulated entries each have 745 requests in flight, one per client account; 60
+requests begin and 60 end per second. The baseline is a report of all accounts that
+each entry sends to ten neighbours every half second.
 """
 
 import argparse
@@ -17,18 +17,18 @@
 
 SEED = 5
 IN_FLIGHT = 745
-CHANGES_PER_S = 60
+REQUESTS_PER_S = 60
 NEIGHBOURS = 10
 REPORT_INTERVAL_S = 0.5
 SETTLE_S = 8.0
-INTEREST_S = 4.0
+RETENTION_S = 4.0
 
 
 class Churn:
-    """Requests that begin and end at every entry.
+    """Begins and ends requests at every entry.
 
-    :param UsageFleet fleet: the entries.
-    :param list[str] accounts: client accounts.
+    :param UsageFleet fleet: simulated entries.
+    :param list[str] accounts: client accounts of the requests.
     """
 
     def __init__(self, fleet, accounts):
@@ -44,8 +44,8 @@
             self._fill(node_id)
 
     def step(self):
-        """Let a tick's requests end and others begin."""
-        count = round(CHANGES_PER_S * usage_fleet.TICK_S)
+        """End the requests of one tick and begin as many new ones."""
+        count = round(REQUESTS_PER_S * usage_fleet.TICK_S)
         for node_id, running in self._running_by_id.items():
             self.random_state.shuffle(running)
             del running[:count]
@@ -56,7 +56,7 @@
         now = self.fleet.now
         seen_at = self._seen_at_by_id[node_id]
         seen_at.update(dict.fromkeys(self._running_by_id[node_id], now))
-        kept = {a: at for a, at in seen_at.items() if now - at <= INTEREST_S}
+        kept = {a: at for a, at in seen_at.items() if now - at <= RETENTION_S}
         self._seen_at_by_id[node_id] = kept
         sheet = self.fleet.by_id[node_id].sheet
         sheet.clear()
@@ -66,20 +66,20 @@
 
 
 def measure_neighbours(accounts):
-    """Return the bytes a second of reports of all accounts to ten neighbours.
+    """Return the bytes per second of full reports to ten neighbours.
 
     :param list[str] accounts: client accounts.
     :rtype: float
     """
     report = admission.AccountUsage(
-        "entry-0", "inc", dict.fromkeys(accounts[:CHANGES_PER_S], 12.4), {}
+        "entry-0", "inc", dict.fromkeys(accounts[:REQUESTS_PER_S], 12.4), {}
     )
     report.in_flight.update(dict.fromkeys(accounts[:IN_FLIGHT], 1))
     return len(wire.encode(report)) * NEIGHBOURS / REPORT_INTERVAL_S
 
 
 def main():
-    """Run the benchmark."""
+    """Run the simulation and print bytes per second and the error of counts."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--entries", type=int, default=36)
     parser.add_argument("--accounts", type=int, default=2500)
@@ -98,13 +98,13 @@
         ("entry", set(fleet.by_id) - collectors),
         ("collector", collectors),
     ):
-        for way, counter in (
+        for direction, counter in (
             ("sent", fleet.bytes_sent),
             ("taken", fleet.bytes_taken),
         ):
             rates = [counter[i] / options.seconds / 1000 for i in ids]
             print(
-                f"{name} {way}: median {statistics.median(rates):.1f} KB/s, "
+                f"{name} {direction}: median {statistics.median(rates):.1f} KB/s, "
                 f"most {max(rates):.1f}"
             )
     errors = [e for entry in fleet.by_id.values() for e in fleet.errors(entry)]
