--- a/benchmarks/config_spread.py
+++ b/benchmarks/config_spread.py
@@ -1,9 +1,9 @@
-"""Messages, bytes and time that one configuration change costs.
+"""Messages, bytes and time of propagating one configuration change among entries.
 
-Usage: ``python benchmarks/config_spread.py [--nodes N ...] [--changes N]``. Runs
-the entries' own spread over loopback TCP, all in one process, with a document of
-the design size. Baselines in the same run: whole documents in place of patches,
-and a connection from each node to each other.
+Usage: ``python benchmarks/config_spread.py [--nodes N ...] [--changes N]``. Runs the
+entries' real propagation code over loopback TCP, all in one process, with a document
+of the design size. Baselines in the same run: full documents instead of patches, and
+a full mesh of connections.
 """
 
 import argparse
@@ -20,51 +20,51 @@
 IDLE_S = 5.0
 SETTLE_S = 3.0
 MAX_BASELINE_NODES = 24
-BOUND_S = 30.0
-CHANGES_A_DAY = 39_000
-SECONDS_A_DAY = 86_400
+PROPAGATION_TIMEOUT_S = 30.0
+CHANGES_PER_DAY = 39_000
+SECONDS_PER_DAY = 86_400
 ROW = "{:<10} {:>5} {:>5} {:>8} {:>11} {:>12} {:>8} {:>8} {:>10} {:>6}"
 
 
-class WholeReplica(config.ConfigReplica):
-    """Baseline: pulls whole documents."""
+class FullDocumentReplica(config.ConfigReplica):
+    """Baseline: pulls full documents instead of patches."""
 
     def on_offer(self, item):
-        """Take an offer; pull the whole document of a higher one."""
+        """Handle an offer; pull the full document if its version is higher."""
         reply = super().on_offer(item)
         if isinstance(reply, config.ConfigPull):
             return config.ConfigPull(reply.above, whole=True)
         return reply
 
 
-class NoLinks:
-    """Stands for the links to agents, which this benchmark leaves out."""
+class NoAgentLinks:
+    """Replaces the links to agents, which this benchmark does not run."""
 
     by_id = {}  # noqa: RUF012 - never changed
 
     def propose(self, hosts):
-        """Take no agents."""
+        """Ignore the agents that peers announce."""
 
     def suspect_domain(self, failure_domain):
-        """Have no agents to suspect."""
+        """Ignore a suspicion, since there are no agents."""
 
 
 class Node:
-    """The spread side of one entry."""
+    """The part of one entry that propagates the configuration."""
 
     def __init__(self, index, replica_type, make_settings):
         self.settings = make_settings(index)
         self.holder = config.ConfigHolder()
         self.replica = replica_type(self.holder)
         channel = config.ConfigChannel(self.replica)
-        self.mesh = entry.PeerMesh(self.settings, self._hello, channel, NoLinks())
+        self.mesh = entry.PeerMesh(self.settings, self._hello, channel, NoAgentLinks())
         self.mesh.on_silence = self._ignore
         self.tasks = base.TaskSet()
         self.adopted_at = {}
         self.holder.add_listener(self._on_adopted)
 
     async def _ignore(self, item):
-        """Tell nobody of silence."""
+        """Ignore a connection that goes silent."""
 
     def _hello(self):
         return wire.Hello(
@@ -82,22 +82,22 @@
         self.tasks.start(self.mesh.broadcast(offer), "offer")
 
     def sent(self):
-        """Return messages and payload bytes sent on the open connections."""
-        open_now = self.mesh.connections_
-        messages = sum(connection.messages_sent_ for connection in open_now)
-        return messages, sum(connection.bytes_sent_ for connection in open_now)
+        """Return the messages and payload bytes sent on the open connections."""
+        connections = self.mesh.connections_
+        messages = sum(connection.messages_sent_ for connection in connections)
+        return messages, sum(connection.bytes_sent_ for connection in connections)
 
     async def start(self):
-        """Listen."""
+        """Listen for peers."""
         await self.mesh.start()
 
     def join(self, hosts):
-        """Begin to connect to a few of the hosts."""
+        """Start connecting to the peers that the mesh selects among the hosts."""
         self.mesh.apply_list(hosts)
         self.tasks.start(self.mesh.run(lambda: self.replica.offer(0)), "mesh")
 
     async def close(self):
-        """Close every connection."""
+        """Stop all tasks and close all connections."""
         await self.tasks.close()
         await self.mesh.close()
 
@@ -159,28 +159,28 @@
 
 
 async def _measure_changes(nodes, version, changes):
-    idle = await _rates(nodes, IDLE_S)
+    idle = await _measure_rates(nodes, IDLE_S)
     times, messages, sizes, process_s = [], [], [], []
     for change in range(changes):
         patch = {"client_accounts": {f"account-{change:04}": {"weight": 9}}}
-        before = _total(nodes)
-        began, cpu = time.monotonic(), time.process_time()
+        before = _sum_sent(nodes)
+        started_at, cpu = time.monotonic(), time.process_time()
         version = version.apply([patch])
         step = config.Step(version.number, patch)
         nodes[change % len(nodes)].holder.adopt(version, "operator", [step])
-        async with asyncio.timeout(BOUND_S):
-            while any(  # noqa: ASYNC110 - many holders
+        async with asyncio.timeout(PROPAGATION_TIMEOUT_S):
+            while any(  # noqa: ASYNC110 - no event covers many holders
                 n.holder.current_.number < version.number for n in nodes
             ):
                 await asyncio.sleep(0.002)
         process_s.append((time.process_time() - cpu) / len(nodes))
         last = max(node.adopted_at[version.number] for node in nodes)
-        times.append(last - began)
+        times.append(last - started_at)
         await asyncio.sleep(0.1)
-        after = _total(nodes)
+        after = _sum_sent(nodes)
         messages.append((after[0] - before[0]) / len(nodes))
         sizes.append((after[1] - before[1]) / len(nodes))
-    rate = CHANGES_A_DAY / SECONDS_A_DAY
+    rate = CHANGES_PER_DAY / SECONDS_PER_DAY
     size = statistics.median(sizes)
     return [
         f"{statistics.median(times) * 1000:.0f}",
@@ -193,16 +193,16 @@
     ]
 
 
-async def _rates(nodes, duration_s):
-    before = _total(nodes)
+async def _measure_rates(nodes, duration_s):
+    before = _sum_sent(nodes)
     await asyncio.sleep(duration_s)
-    after = _total(nodes)
+    after = _sum_sent(nodes)
     return [
         (b - a) / duration_s / len(nodes) for a, b in zip(before, after, strict=True)
     ]
 
 
-def _total(nodes):
+def _sum_sent(nodes):
     sent = [node.sent() for node in nodes]
     return [sum(column) for column in zip(*sent, strict=True)]
 
@@ -217,12 +217,12 @@
     print(f"document {size} bytes, {DOMAINS} failure domains, per node:")
     heads = ["spread", "nodes", "links", "force ms", "msgs/change", "bytes/change"]
     print(ROW.format(*heads, "idle m/s", "idle B/s", "change B/s", "cpu ms"))
-    few = [count for count in options.nodes if count <= MAX_BASELINE_NODES]
+    baseline_counts = [count for count in options.nodes if count <= MAX_BASELINE_NODES]
     for count in options.nodes:
         await measure("patches", count, config.ConfigReplica, options.changes, False)
-    for count in few:
-        await measure("documents", count, WholeReplica, options.changes, False)
-    for count in few:
+    for count in baseline_counts:
+        await measure("documents", count, FullDocumentReplica, options.changes, False)
+    for count in baseline_counts:
         await measure("full mesh", count, config.ConfigReplica, options.changes, True)
 
 
--- a/benchmarks/domain_move.py
+++ b/benchmarks/domain_move.py
@@ -1,11 +1,11 @@
-"""Service while a failure domain leaves and returns, by policy.
+"""Service quality while a failure domain goes away and returns, by routing policy.
 
 Usage: ``python -m benchmarks.domain_move [--seconds N] [--rate N] [--runs N]
 [--policies A,B] [--moves A,B] [--seed N] [--json FILE]``.
 
-For each move and each policy a fresh fleet is loaded by a large and a small
-client account through five phases: normal, moving, away, returning, after. The
-policies take turns within each run; medians over the runs are printed.
+For each move (way in which the domain goes away) and each policy, a large and a small
+client account load a new fleet through five phases: normal, leaving, away, returning,
+after. Policies alternate within each run; medians over the runs are printed.
 """
 
 import argparse
@@ -27,7 +27,7 @@
 MOVES = ("ordered", "killed", "paused", "flapping")
 PHASES = ("normal", "leaving", "away", "returning", "after")
 LARGE_SHARE = 0.9
-FLAPS = 3
+FLAP_COUNT = 3
 WARM_UP_S = 5.0
 ROW = "{:<10}{:<17}{:<11}{:<7}" + "{:>8}" * 5 + "{:>9}" * 3 + "{:>9}"
 HEAD = ("move", "policy", "phase", "account", "sent", "answered", "refused")
@@ -36,13 +36,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class Run:
-    """One fleet under one move and one policy.
+    """Parameters of a run of one fleet under one move and one policy.
 
-    :param str move: how the failure domain leaves.
-    :param str policy: policy that chooses endpoints.
-    :param float seconds: length of each phase.
-    :param float rate: requests a second of both accounts together.
-    :param int seed: seed of the load.
+    :param str move: one of ``MOVES``.
+    :param str policy: routing policy that selects endpoints.
+    :param float seconds: length of each phase, in seconds.
+    :param float rate: requests per second of both accounts together.
+    :param int seed: random seed of the load.
     """
 
     move: str
@@ -55,7 +55,7 @@
 def make_plan(policy):
     """Return a fleet of twelve model servers in three failure domains.
 
-    :param str policy: policy that chooses endpoints.
+    :param str policy: routing policy that selects endpoints.
     :rtype: sequoiagap.standins.FleetPlan
     """
     return standins.FleetPlan(
@@ -78,16 +78,16 @@
 
 
 class DomainMover:
-    """Takes a failure domain away and brings it back.
+    """Takes a failure domain of a fleet out of service and restores it.
 
-    :param sequoiagap.standins.Fleet fleet: the fleet.
+    :param sequoiagap.standins.Fleet fleet: the running fleet.
     """
 
     def __init__(self, fleet):
         self.fleet = fleet
 
-    async def leave(self, move):
-        """Take the failure domain away.
+    async def take_away(self, move):
+        """Take the failure domain out of service.
 
         :param str move: one of ``MOVES``.
         """
@@ -98,15 +98,15 @@
         else:
             self._signal(signal.SIGSTOP)
 
-    async def come_back(self, move):
-        """Bring the failure domain back.
+    async def restore(self, move):
+        """Bring the failure domain back into service.
 
         :param str move: one of ``MOVES``.
         """
         if move == "ordered":
             await self._order("in")
         elif move == "flapping":
-            for _ in range(FLAPS):
+            for _ in range(FLAP_COUNT):
                 await self._order("in")
                 await asyncio.sleep(0.3)
                 await self._order("out")
@@ -141,13 +141,13 @@
 
 
 async def measure(run):
-    """Run one fleet through the phases.
+    """Run one fleet through all phases.
 
-    Callers use the entries of the failure domains that stay, as the platform's
-    balancer does when hosts are lost; an entry stands in each domain.
+    Each domain has an entry. Callers use only the entries of the domains that stay in
+    service, to which the platform's balancer would send them when hosts are lost.
 
-    :param Run run: what to run.
-    :returns: book of the load, and offered over sent for each phase.
+    :param Run run: parameters of the run.
+    :returns: results of the load, and attempts sent to agents by phase.
     :rtype: tuple[sequoiagap.standins.LoadBook, dict]
     """
     with tempfile.TemporaryDirectory() as folder:
@@ -172,27 +172,27 @@
     for phase in PHASES:
         generator.phase_ = phase
         before = await _count_attempts(fleet)
-        began = asyncio.get_running_loop().time()
+        started_at = asyncio.get_running_loop().time()
         if phase == "leaving":
-            await mover.leave(run.move)
+            await mover.take_away(run.move)
         if phase == "returning":
-            await mover.come_back(run.move)
-        spent = asyncio.get_running_loop().time() - began
-        await asyncio.sleep(max(run.seconds - spent, 0))
+            await mover.restore(run.move)
+        elapsed_s = asyncio.get_running_loop().time() - started_at
+        await asyncio.sleep(max(run.seconds - elapsed_s, 0))
         offered[phase] = await _count_attempts(fleet) - before
     book = await sending
     return book, offered
 
 
 async def _warm_up(fleet):
-    """Send until every endpoint has proved itself."""
+    """Send load until every endpoint is warm."""
     urls = [fleet.url(name) for name in fleet.entry_names()]
     loads = [standins.AccountLoad("large", 120.0)]
     await standins.LoadGenerator(urls, loads, random.Random(SEED)).run(WARM_UP_S)
 
 
 async def _count_attempts(fleet):
-    """Return how many attempts the entries have sent to agents."""
+    """Return how many attempts the entries in use have sent to agents."""
     total = 0
     for name in ("entry-1", "entry-2"):
         _, state = await fleet.call(name, "GET", "/state")
@@ -201,20 +201,20 @@
 
 
 def summarise(runs_by_key):
-    """Return the medians of each move, policy, phase and account.
+    """Return the medians by move, policy, phase and account.
 
-    :param dict runs_by_key: list of ``(book, offered)`` by move and policy.
+    :param dict runs_by_key: lists of results of :func:`measure` by ``(move, policy)``.
     :rtype: list[dict]
     """
     rows = []
     for (move, policy), results in runs_by_key.items():
         for phase in PHASES:
             for account in ("large", "small", None):
-                rows.append(_row(move, policy, phase, account, results))
+                rows.append(_make_row(move, policy, phase, account, results))
     return rows
 
 
-def _row(move, policy, phase, account, results):
+def _make_row(move, policy, phase, account, results):
     reports = [book.total(phase, account) for book, _ in results]
     offered = [
         counts[phase] / max(report.sent, 1)
@@ -249,7 +249,7 @@
 def print_rows(rows):
     """Print the rows as a table.
 
-    :param list[dict] rows: what :func:`summarise` returned.
+    :param list[dict] rows: rows of :func:`summarise`.
     """
     print(ROW.format(*HEAD))
     for row in rows:
@@ -258,7 +258,7 @@
 
 
 async def main():
-    """Run the benchmark."""
+    """Parse the arguments, run all combinations and print the medians."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--seconds", type=float, default=5.0, help="of each phase")
     parser.add_argument("--rate", type=float, default=100.0)
