--- a/benchmarks/expert_maps.py
+++ b/benchmarks/expert_maps.py
@@ -1,8 +1,8 @@
-"""Step-time skew and bytes moved of each planning policy over drift traces.
+"""Step-time skew and bytes moved of each placement policy on load drift traces.
 
 Usage: ``python benchmarks/expert_maps.py [--layers N] [--seeds N ...]``. Prints
-medians over the seeds as a Markdown table; the rows of a trace come from the same
-steps.
+medians over the seeds as a Markdown table; all policies run on the same steps of a
+trace.
 """
 
 import argparse
@@ -19,16 +19,16 @@
 RANKS = 32
 EXPERTS = 64
 MODEL_LAYERS = 60
-SLOTS = 3
-INTERVAL = 20  # steps between plans
-INTERVALS = 100
-TOKENS_PER_RANK = 512  # in a step
+SLOTS_PER_RANK = 3
+PLAN_INTERVAL_STEPS = 20
+PLAN_INTERVALS = 100
+TOKENS_PER_RANK = 512  # per step
 EXPERTS_PER_TOKEN = 8
-SMALL_BATCH = 64  # tokens of a rank in a step
+SMALL_TOKENS_PER_RANK = 64  # per step
 LAG_STEPS = 4
 LONG_LAG_STEPS = 60
-SETTLED_AFTER = 6  # intervals
-GAP_EVERY = 7  # every so many-th report of a layer is missing
+SETTLE_INTERVALS = 6
+MISSING_REPORT_PERIOD = 7  # one report in this many is missing, per layer
 SLOW_RANK = 5
 SLOW_SPEED = 0.6
 POLICIES = ("static", "full_replan", "incremental")
@@ -36,7 +36,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Scenario:
-    """A trace and the conditions around it."""
+    """A load trace and the conditions under which it runs.
+
+    :param str name: name in the printed table.
+    :param str trace: name of the trace.
+    :param int lag: age of the newest counts in a plan, in steps.
+    :param bool straggler: whether one rank is slow.
+    :param int tokens_per_rank: tokens of a rank per step.
+    """
 
     name: str
     trace: str
@@ -46,7 +53,7 @@
 
     @property
     def assignments(self):
-        """Tokens of a step times the experts of each token."""
+        """Token-to-expert assignments of all ranks per step."""
         return RANKS * self.tokens_per_rank * EXPERTS_PER_TOKEN
 
 
@@ -57,16 +64,24 @@
     Scenario("hot expert", "hot_expert"),
     Scenario("straggling rank", "slow_drift", straggler=True),
     Scenario("lagging counts", "slow_drift", lag=LONG_LAG_STEPS),
-    Scenario("small batches", "slow_drift", tokens_per_rank=SMALL_BATCH),
+    Scenario("small batches", "slow_drift", tokens_per_rank=SMALL_TOKENS_PER_RANK),
 )
 
 
 @dataclasses.dataclass
-class Run:
-    """Figures of one policy over one scenario."""
+class PolicyResult:
+    """Measurements of one policy in one scenario.
+
+    :ivar list skews: step-time skew of each step.
+    :ivar list bound_ratios: step time over its lower bound, by step.
+    :ivar list times: time of each step.
+    :ivar int moves: experts moved between slots.
+    :ivar int changes: plans that moved any expert.
+    :ivar list plan_s: time of each planning, in seconds.
+    """
 
     skews: list = dataclasses.field(default_factory=list)
-    to_bound: list = dataclasses.field(default_factory=list)
+    bound_ratios: list = dataclasses.field(default_factory=list)
     times: list = dataclasses.field(default_factory=list)
     moves: int = 0
     changes: int = 0
@@ -74,7 +89,7 @@
 
 
 class Planner:
-    """Feeds a policy with lagging, gapped counts, as an agent does."""
+    """Feeds a policy with delayed and incomplete counts, as an agent does."""
 
     def __init__(self, name, shape, costs):
         self.policy = experts.POLICIES.get(name)(costs)
@@ -84,10 +99,10 @@
         self.last = self.loads.predict()
 
     def plan(self, reports, now):
-        """Take the reports of an interval and return the next map."""
+        """Record the reports of one interval and return the next map."""
         counts = {}
         for layer in range(self.map.shape.layers):
-            if (now // INTERVAL + layer) % GAP_EVERY == 0:
+            if (now // PLAN_INTERVAL_STEPS + layer) % MISSING_REPORT_PERIOD == 0:
                 continue
             rows = [report[0][layer] for report in reports]
             counts[layer] = [sum(column) for column in zip(*rows, strict=True)]
@@ -97,41 +112,49 @@
         loads = [sum(x) for x in zip(*(r[1] for r in reports), strict=True)]
         times = [sum(x) for x in zip(*(r[2] for r in reports), strict=True)]
         self.speeds.update(loads, times)
-        given = experts.PlanInput(
+        plan_input = experts.PlanInput(
             self.map,
             self.loads.predict(),
             self.last,
             self.speeds.speeds_,
             self.loads.effective_tokens(),
         )
-        return experts.finish(self.policy.plan(given))
+        return experts.finish(self.policy.plan(plan_input))
 
 
-def scaled_costs(layers):
-    """Return costs under which the layers that run stand for the whole model."""
-    whole = experts.PlanCosts()
+def scale_costs(layers):
+    """Return planning costs that scale the simulated layers to the whole model."""
+    model_costs = experts.PlanCosts()
     return dataclasses.replace(
-        whole, expert_bytes=whole.expert_bytes * MODEL_LAYERS // layers
+        model_costs, expert_bytes=model_costs.expert_bytes * MODEL_LAYERS // layers
     )
 
 
 def run_policy(name, scenario, shape, costs, seed):
     trace = _traces.TRACES.get(scenario.trace)(
-        shape.layers, EXPERTS, RANKS, INTERVAL * INTERVALS, INTERVAL, seed
+        shape.layers,
+        EXPERTS,
+        RANKS,
+        PLAN_INTERVAL_STEPS * PLAN_INTERVALS,
+        PLAN_INTERVAL_STEPS,
+        seed,
     )
     speeds = [1.0] * RANKS
     if scenario.straggler:
         speeds[SLOW_RANK] = SLOW_SPEED
     planner = Planner(name, shape, costs)
-    run = Run()
-    reports = collections.deque(maxlen=INTERVAL + scenario.lag)
-    for step in range(INTERVAL * INTERVALS):
+    run = PolicyResult()
+    reports = collections.deque(maxlen=PLAN_INTERVAL_STEPS + scenario.lag)
+    for step in range(PLAN_INTERVAL_STEPS * PLAN_INTERVALS):
         counts = trace.sample(step, scenario.assignments)
         reports.append(_run_step(run, planner.map, counts, speeds))
-        if step % INTERVAL == INTERVAL - 1 and len(reports) == reports.maxlen:
-            began = time.perf_counter()
-            planned = planner.plan(list(reports)[:INTERVAL], step)
-            run.plan_s.append(time.perf_counter() - began)
+        if (
+            step % PLAN_INTERVAL_STEPS == PLAN_INTERVAL_STEPS - 1
+            and len(reports) == reports.maxlen
+        ):
+            started_at = time.perf_counter()
+            planned = planner.plan(list(reports)[:PLAN_INTERVAL_STEPS], step)
+            run.plan_s.append(time.perf_counter() - started_at)
             moves = len(experts.moves_between(planner.map, planned))
             run.moves += moves
             run.changes += 1 if moves else 0
@@ -146,7 +169,7 @@
     longest = sum(max(row) for row in times)
     bound = sum(experts.layer_bound(c, speeds, slots) for c in counts)
     run.skews.append(experts.step_skew(times))
-    run.to_bound.append(longest / bound)
+    run.bound_ratios.append(longest / bound)
     run.times.append(longest)
     rank_time = [sum(column) for column in zip(*times, strict=True)]
     rank_load = [t * speed for t, speed in zip(rank_time, speeds, strict=True)]
@@ -154,12 +177,12 @@
 
 
 def print_scenario(scenario, shape, costs, seeds):
-    """Print the median over the seeds of each figure of each policy."""
+    """Print the medians over the seeds of each policy in a scenario."""
     rows = {policy: [] for policy in POLICIES}
     for seed in seeds:
         runs = {p: run_policy(p, scenario, shape, costs, seed) for p in POLICIES}
         for name, run in runs.items():
-            rows[name].append(_figures(run, runs["full_replan"], costs))
+            rows[name].append(_summarise(run, runs["full_replan"], costs))
     for name, figures in rows.items():
         medians = [statistics.median(column) for column in zip(*figures, strict=True)]
         mean, p95, ratio, bound, settled, answers, moved, share, *rest = medians
@@ -172,14 +195,14 @@
         )
 
 
-def _figures(run, full, costs):
+def _summarise(run, full, costs):
     mean = statistics.mean(run.skews)
     return (
         mean,
         statistics.quantiles(run.skews, n=20)[-1],
         mean / statistics.mean(full.skews),
-        statistics.mean(run.to_bound),
-        statistics.median(run.to_bound[INTERVAL * SETTLED_AFTER :]),
+        statistics.mean(run.bound_ratios),
+        statistics.median(run.bound_ratios[PLAN_INTERVAL_STEPS * SETTLE_INTERVALS :]),
         sum(full.times) / sum(run.times),
         run.moves * costs.expert_bytes / 1e12,
         run.moves / full.moves if full.moves else 0.0,
@@ -190,29 +213,31 @@
 
 
 async def measure_planning(layers, seed):
-    """Plan at full size while a probe watches the event loop."""
-    shape = experts.MapShape(layers, RANKS, EXPERTS, SLOTS)
-    trace = _traces.SlowDrift(layers, EXPERTS, RANKS, 1000, INTERVAL, seed)
+    """Plan at full size and print times and the longest gap of the event loop."""
+    shape = experts.MapShape(layers, RANKS, EXPERTS, SLOTS_PER_RANK)
+    trace = _traces.SlowDrift(layers, EXPERTS, RANKS, 1000, PLAN_INTERVAL_STEPS, seed)
     loads = trace.shares(0)
-    given = experts.PlanInput(experts.initial_map(shape), loads, loads, [1.0] * RANKS)
+    plan_input = experts.PlanInput(
+        experts.initial_map(shape), loads, loads, [1.0] * RANKS
+    )
     for name in POLICIES:
         policy = experts.POLICIES.get(name)(experts.PlanCosts())
         gaps = []
-        probe = asyncio.create_task(_watch_loop(gaps))
-        began = time.perf_counter()
+        probe = asyncio.create_task(_measure_loop_gaps(gaps))
+        started_at = time.perf_counter()
         cpu = time.process_time()
-        planned = await experts.finish_in_slices(policy.plan(given))
-        took = time.perf_counter() - began
+        planned = await experts.finish_in_slices(policy.plan(plan_input))
+        elapsed_s = time.perf_counter() - started_at
         cpu = time.process_time() - cpu
         probe.cancel()
-        moves = len(experts.moves_between(given.current, planned))
+        moves = len(experts.moves_between(plan_input.current, planned))
         print(
-            f"| {name} | {took * 1000:.0f} | {cpu * 1000:.0f} | "
+            f"| {name} | {elapsed_s * 1000:.0f} | {cpu * 1000:.0f} | "
             f"{max(gaps, default=0) * 1000:.1f} | {moves} |"
         )
 
 
-async def _watch_loop(gaps):
+async def _measure_loop_gaps(gaps):
     last = time.perf_counter()
     while True:
         await asyncio.sleep(0)
@@ -228,8 +253,8 @@
     parser.add_argument("--traces", nargs="*", help="names; all by default")
     parser.add_argument("--seeds", type=int, nargs="*", default=[1, 2, 3])
     options = parser.parse_args()
-    shape = experts.MapShape(options.layers, RANKS, EXPERTS, SLOTS)
-    costs = scaled_costs(options.layers)
+    shape = experts.MapShape(options.layers, RANKS, EXPERTS, SLOTS_PER_RANK)
+    costs = scale_costs(options.layers)
     print(
         "| trace | policy | skew mean | skew p95 | skew to full | "
         "to bound, mean | to bound, settled median | answers to full | TB moved | "
--- a/benchmarks/group_cost.py
+++ b/benchmarks/group_cost.py
@@ -87,7 +87,8 @@
         print(
             f"| {ranks} | {role} | {changes} | {sent / MEASUREMENT_S:.1f} | "
             f"{size / MEASUREMENT_S / 1000:.2f} | {cpu * 100:.1f} | "
-            f"{usage_after[rank][1]:.0f} | {group['longest_wait_s'] * 1000:.0f} | {group['violations']} |",
+            f"{usage_after[rank][1]:.0f} | "
+            f"{group['longest_wait_s'] * 1000:.0f} | {group['violations']} |",
             flush=True,
         )
 
--- a/benchmarks/light.py
+++ b/benchmarks/light.py
@@ -1,50 +1,57 @@
-"""Agents and entries that speak the wire protocol alone, many to a process."""
+"""Light agents and entries: they implement only the wire protocol, many per process."""
 
 import asyncio
 import json
 
 from sequoiagap import admission, base, config, members, wire
 
-MESSAGE_LIBRARIES = (admission, config, members)  # their messages can be decoded then
+MESSAGE_LIBRARIES = (
+    admission,
+    config,
+    members,
+)  # their import registers the message types
 FRAME_HEADER_BYTES = 4
 TOKEN = b'data: {"choices": [{"delta": {"content": "token "}}]}\n\n'
 DONE = b"data: [DONE]\n\n"
-CREDIT_EVERY_CHUNKS = 8
-MILLISECONDS = 1000
-ANSWER_BOUND_MS = 10_000
-ANSWER_S = 0.05
+CREDIT_INTERVAL_CHUNKS = 8
+MS_PER_S = 1000
+ATTEMPT_TIMEOUT_MS = 10_000
+ANSWER_DURATION_S = 0.05
 
 
-def count_received(reader, note):
-    """Call a function with the size of all data that a stream receives.
+def count_received(reader, record):
+    """Call a function with the size of each piece of data that a stream receives.
 
-    :param asyncio.StreamReader reader: the stream.
-    :param note: function of a number of bytes.
+    :param asyncio.StreamReader reader: stream to observe.
+    :param record: function of a number of bytes.
     """
     feed = reader.feed_data
 
-    def counting(data):
-        note(len(data))
+    def record_and_feed(data):
+        record(len(data))
         feed(data)
 
-    reader.feed_data = counting
+    reader.feed_data = record_and_feed
 
 
-def count_sent(connection):
-    """Return the bytes that a connection has sent, frame headers included.
+def count_sent_bytes(connection):
+    """Return the number of bytes sent on a connection, including frame headers.
 
-    :param sequoiagap.wire.Connection connection: the connection.
+    :param sequoiagap.wire.Connection connection: connection to count.
     :rtype: int
     """
     return connection.bytes_sent_ + FRAME_HEADER_BYTES * connection.messages_sent_
 
 
 class LightAgent:
-    """An agent of the wire protocol alone, many to a process.
+    """Agent that answers attempts with fixed tokens, without a model server.
 
     :param str node_id: id of the endpoint.
-    :param str failure_domain: where it stands.
-    :param str secret: the deployment's secret.
+    :param str failure_domain: failure domain of the agent.
+    :param str secret: secret of the deployment.
+
+    :ivar int received_bytes_: bytes received so far.
+    :ivar int port_: TCP port, 0 before the start.
     """
 
     def __init__(self, node_id, failure_domain, secret):
@@ -52,14 +59,14 @@
         self.failure_domain = failure_domain
         self.secret = secret
         self.incarnation = base.new_id("inc")
-        self.received_ = 0
+        self.received_bytes_ = 0
         self.port_ = 0
         self._connections = []
         self._in_flight = 0
         self._tasks = base.TaskSet()
 
     async def start(self):
-        """Listen on the loopback address."""
+        """Listen on a free port of the loopback address."""
         server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.port_ = server.sockets[0].getsockname()[1]
 
@@ -73,19 +80,19 @@
         )
         connection = await wire.accept(reader, writer, hello)
         self._connections.append(connection)
-        count_received(reader, self._note_received)
-        clock_ms = int(asyncio.get_running_loop().time() * MILLISECONDS)
+        count_received(reader, self._record_received)
+        clock_ms = int(asyncio.get_running_loop().time() * MS_PER_S)
         await connection.send(wire.AgentClock(clock_ms))
-        await connection.send(self._load())
+        await connection.send(self._make_load())
         await connection.run(lambda item: self._handle(connection, item))
 
     @property
-    def sent_(self):
-        """Bytes sent so far."""
-        return sum(count_sent(connection) for connection in self._connections)
+    def sent_bytes_(self):
+        """Bytes sent so far, including frame headers."""
+        return sum(count_sent_bytes(connection) for connection in self._connections)
 
-    def _note_received(self, size):
-        self.received_ += size
+    def _record_received(self, size):
+        self.received_bytes_ += size
 
     async def _handle(self, connection, item):
         if isinstance(item, wire.Execute):
@@ -98,37 +105,40 @@
         self._in_flight += 1
         await connection.send(wire.Head(attempt_id, 200, headers))
         for number in range(tokens):
-            await asyncio.sleep(ANSWER_S / tokens)
+            await asyncio.sleep(ANSWER_DURATION_S / tokens)
             data = DONE if number == tokens - 1 else TOKEN
             await connection.send(wire.Chunk(attempt_id, number, data))
         self._in_flight -= 1
         size = len(TOKEN) * (tokens - 1) + len(DONE)
         await connection.send(wire.Final(attempt_id, tokens, size))
-        await connection.send(self._load())
+        await connection.send(self._make_load())
 
-    def _load(self):
-        return wire.Load("warm", self._in_flight, 64, 0, ANSWER_S)
+    def _make_load(self):
+        return wire.Load("warm", self._in_flight, 64, 0, ANSWER_DURATION_S)
 
 
 class LightEntry:
-    """An entry of the wire protocol alone, many to a process.
+    """Entry that sends attempts to an agent, without callers.
+
+    :param int number: number in the name of the entry.
+    :param str secret: secret of the deployment.
 
-    :param int number: its number.
-    :param str secret: the deployment's secret.
+    :ivar int received_bytes_: bytes received so far.
+    :ivar int answered_: attempts with a complete answer.
     """
 
     def __init__(self, number, secret):
         self.number = number
         self.secret = secret
-        self.received_ = 0
+        self.received_bytes_ = 0
         self.answered_ = 0
         self.connection_ = None
         self._tasks = base.TaskSet()
 
     async def start(self, port):
-        """Connect to the agent.
+        """Connect to an agent or entry on the loopback address.
 
-        :param int port: its TCP port.
+        :param int port: TCP port of the peer.
         """
         hello = wire.Hello(
             node_id=f"light-entry-{self.number}",
@@ -138,13 +148,13 @@
             secret=self.secret,
         )
         self.connection_ = await wire.connect("127.0.0.1", port, hello)
-        count_received(self.connection_.reader, self._note_received)
+        count_received(self.connection_.reader, self._record_received)
         self._tasks.start(self.connection_.run(self._on_message), "run")
 
     async def execute(self):
-        """Send one attempt."""
+        """Send one attempt with a streamed answer."""
         body = b'{"model": "desk-model", "stream": true, "messages": []}'
-        now_ms = int(asyncio.get_running_loop().time() * MILLISECONDS)
+        now_ms = int(asyncio.get_running_loop().time() * MS_PER_S)
         order = wire.Execute(
             request_id=base.new_id("req"),
             attempt_id=base.new_id("att"),
@@ -154,15 +164,15 @@
             path="/v1/chat/completions",
             headers={"Content-Type": "application/json"},
             body=body,
-            expires_at_ms=now_ms + ANSWER_BOUND_MS,
+            expires_at_ms=now_ms + ATTEMPT_TIMEOUT_MS,
         )
         await self.connection_.send(order)
 
     async def _on_message(self, item):
         self.answered_ += isinstance(item, wire.Final)
-        if isinstance(item, wire.Chunk) and item.sequence % CREDIT_EVERY_CHUNKS == 0:
+        if isinstance(item, wire.Chunk) and item.sequence % CREDIT_INTERVAL_CHUNKS == 0:
             credit = wire.Credit(item.attempt_id, item.sequence + 1)
             await self.connection_.send(credit)
 
-    def _note_received(self, size):
-        self.received_ += size
+    def _record_received(self, size):
+        self.received_bytes_ += size
