--- a/benchmarks/map_change.py
+++ b/benchmarks/map_change.py
@@ -1,13 +1,13 @@
-"""Pause, messages and processor time of a change of map, by number of ranks.
+"""Pause, messages and processor time of an expert map change, by number of ranks.
 
-Usage: ``python -m benchmarks.map_change [--changes N] [--ranks N ...]``. The
-real decision code runs over simulated links with the same delays for each way:
+Usage: ``python -m benchmarks.map_change [--changes N] [--ranks N ...]``. The real
+decision code runs over simulated links, with the same delays for each protocol:
 
-- arm-commit: ranks run on until the armed step;
-- hold-switch-release: ranks stop before the round and go on after it;
-- leased leader: one order to all ranks without a round, as a leader that trusts
-  its lease would send; counted are the steps in which ranks used two maps while
-  the leader is paused beyond its lease in the middle of every change.
+- arm-commit: ranks keep running until the armed step;
+- hold-switch-release: ranks stop before the round and resume after it;
+- leased leader: one order to all ranks without a round, as sent by a leader that
+  relies on its lease; the leader is paused beyond its lease in the middle of every
+  change, and the steps in which ranks use two maps are counted.
 
 Time is simulated; the processor time is that of this process.
 """
@@ -24,17 +24,22 @@
 from sequoiagap.standins import _rank_engine
 
 STEP_S = 0.043
-LEAD_STEPS = 8
+ARM_LEAD_STEPS = 8
 LINK_MEDIAN_S = 0.0008
-LINK_SIGMA = 0.6  # of the logarithm
-LATE_SHARE = 0.002  # messages that come late
-LATE_S = 0.2
-LOCAL_CALL_S = 0.0005  # one order to the engine on the same host
+LINK_SIGMA = 0.6  # standard deviation of the logarithm of the delay
+DELAYED_SHARE = 0.002  # of all messages
+EXTRA_DELAY_S = 0.2
+LOCAL_CALL_S = 0.0005  # delay of an order to the engine on the same host
 LEADER_PAUSE_S = 2.0
 
 
-class Group:
-    """A group in simulated time."""
+class SimulatedGroup:
+    """Rank group with real decision code and simulated engines, links and time.
+
+    :param int ranks: number of ranks.
+    :param str mode: how the engines switch maps.
+    :param random.Random random_state: source of randomness.
+    """
 
     def __init__(self, ranks, mode, random_state):
         self.mode = mode
@@ -49,7 +54,9 @@
         ]
         for state in self.states:
             for peer in self.states:
-                state.on_joined(peer.on_join(state.join(peer.rank)).reply or _none())
+                state.on_joined(
+                    peer.on_join(state.join(peer.rank)).reply or _make_empty_reply()
+                )
         self.events = []
         self.now = 0.0
         self.messages = 0
@@ -59,10 +66,15 @@
         self.round = None
         self._sequence = 0
         self._blocked_at = None
-        self._at(STEP_S, self._step)
+        self._schedule(STEP_S, self._step)
 
     def change(self, version):
-        """Change the map; return messages, bytes, pause and time taken."""
+        """Change the map by a round.
+
+        :param int version: version of the new map.
+        :returns: messages, bytes, longest pause and duration, both in seconds.
+        :rtype: tuple[int, int, float, float]
+        """
         for engine in self.engines:
             engine.stage(f"map-{version}")
         start = self.now + self.random.uniform(0, STEP_S)
@@ -71,7 +83,7 @@
         self.now = start
         self.messages = self.bytes = 0
         self.longest_pause_s = 0.0
-        began = self.now
+        started_at = self.now
         holds = self.mode == "switch_now"
         state = self.states[0]
         self.round = experts.Round(
@@ -81,17 +93,20 @@
             experts.next_epoch(state.promised_, 0, len(self.states)),
             state.membership(),
             f"map-{version}",
-            0 if holds else LEAD_STEPS,
+            0 if holds else ARM_LEAD_STEPS,
             holds,
         )
         self._send_all(self.round.outstanding())
         while not self._is_in_force(version):
             self._run_one()
-        return self.messages, self.bytes, self.longest_pause_s, self.now - began
+        return self.messages, self.bytes, self.longest_pause_s, self.now - started_at
 
     def change_by_lease(self, version):
-        """Order the switch at once; the leader is paused half-way."""
-        at_step = self.engines[0].step_ + LEAD_STEPS
+        """Order the switch without a round, while the leader is paused half-way.
+
+        :param int version: version of the new map.
+        """
+        at_step = self.engines[0].step_ + ARM_LEAD_STEPS
         target = experts.MapRef(version, f"map-{version}", at_step)
         half = len(self.engines) // 2
         for rank, engine in enumerate(self.engines):
@@ -100,7 +115,7 @@
                 experts.OrderKind.LOAD, version, target, engine.committed_
             )
             delay = self._delay_s() + (LEADER_PAUSE_S if rank >= half else 0.0)
-            self._at(delay, lambda e=engine, o=order: e.take(o))
+            self._schedule(delay, lambda e=engine, o=order: e.take(o))
         while not self._is_in_force(version):
             self._run_one()
 
@@ -114,13 +129,13 @@
         self.now, _, action = heapq.heappop(self.events)
         action()
 
-    def _at(self, delay_s, action):
+    def _schedule(self, delay_s, action):
         self._sequence += 1
         heapq.heappush(self.events, (self.now + delay_s, self._sequence, action))
 
     def _delay_s(self):
-        late_s = LATE_S if self.random.random() < LATE_SHARE else 0.0
-        return self.random.lognormvariate(0, LINK_SIGMA) * LINK_MEDIAN_S + late_s
+        extra_delay_s = EXTRA_DELAY_S if self.random.random() < DELAYED_SHARE else 0.0
+        return self.random.lognormvariate(0, LINK_SIGMA) * LINK_MEDIAN_S + extra_delay_s
 
     def _step(self):
         if all(engine.can_step() for engine in self.engines):
@@ -131,19 +146,19 @@
             self.violations += len(used) > 1
             for engine in self.engines:
                 engine.step_ += 1
-            self._at(STEP_S, self._step)
+            self._schedule(STEP_S, self._step)
             return
         if self._blocked_at is None:
             self._blocked_at = self.now
-        self._at(0.0001, self._step)
+        self._schedule(0.0001, self._step)
 
     def _send_all(self, sends):
         for send in sends:
             delay_s = LOCAL_CALL_S
             if send.rank:
-                self._count(send.message)
+                self._count_message(send.message)
                 delay_s += self._delay_s()
-            self._at(delay_s, lambda s=send: self._receive(s))
+            self._schedule(delay_s, lambda s=send: self._receive(s))
 
     def _receive(self, send):
         state, engine = self.states[send.rank], self.engines[send.rank]
@@ -155,38 +170,38 @@
             engine.take(order)
         delay_s = LOCAL_CALL_S * len(effects.orders)
         if send.rank:
-            self._count(effects.reply)
+            self._count_message(effects.reply)
             delay_s += self._delay_s()
-        self._at(delay_s, lambda: self._answer(effects.reply))
+        self._schedule(delay_s, lambda: self._handle_reply(effects.reply))
 
-    def _answer(self, reply):
+    def _handle_reply(self, reply):
         self._send_all(getattr(self.round, group_world.ANSWERS[type(reply)])(reply))
 
-    def _count(self, item):
+    def _count_message(self, item):
         self.messages += 1
         self.bytes += len(wire.encode(item)) + 4
 
 
-def _none():
+def _make_empty_reply():
     return experts.Joined("g", 0, "", "", 0, [0, "", 0], [0, "", 0])
 
 
 def measure(ranks, mode, changes, seed):
-    group = Group(ranks, mode, random.Random(seed))
+    group = SimulatedGroup(ranks, mode, random.Random(seed))
     cpu = time.process_time()
     rows = [group.change(version) for version in range(2, changes + 2)]
     cpu = (time.process_time() - cpu) / changes
-    messages, sizes, pauses, took = zip(*rows, strict=True)
+    messages, sizes, pauses, durations = zip(*rows, strict=True)
     print(
         f"| {ranks} | {mode} | {statistics.median(messages):.0f} | "
         f"{statistics.median(sizes):.0f} | {statistics.median(pauses) * 1000:.2f} | "
-        f"{max(pauses) * 1000:.2f} | {statistics.median(took) * 1000:.0f} | "
+        f"{max(pauses) * 1000:.2f} | {statistics.median(durations) * 1000:.0f} | "
         f"{cpu * 1000:.1f} | {group.violations} |"
     )
 
 
 def measure_lease(ranks, changes, seed):
-    group = Group(ranks, "hold_at_step", random.Random(seed))
+    group = SimulatedGroup(ranks, "hold_at_step", random.Random(seed))
     for version in range(2, changes + 2):
         group.change_by_lease(version)
     print(
--- a/benchmarks/path_cost.py
+++ b/benchmarks/path_cost.py
@@ -1,9 +1,9 @@
-"""What the path through entry and agent costs, over calling the endpoint.
+"""Overhead of the path through entry and agent over calling the engine directly.
 
-Usage: ``python benchmarks/path_cost.py [--requests N]``. One entry, one agent and
-one engine stand-in on one machine; nothing is random. Prints the added time to
-the first byte, and slopes of processor time, bytes and messages for each request
-and for each token, between entry and agent.
+Usage: ``python benchmarks/path_cost.py [--requests N]``. One entry, one agent and one
+engine stand-in run on one machine; nothing is random. Prints the time that the path
+adds to the first byte, and the processor time, bytes and messages per request and per
+token between entry and agent.
 """
 
 import argparse
@@ -21,41 +21,49 @@
 STEP_S = 0.005
 TOKENS = (1, 20, 100)
 CONCURRENCY = 8
-MODEL = "middle-model-0"
-PREFIX_BYTES = 4
+ENDPOINT_ID = "middle-model-0"
+LENGTH_PREFIX_BYTES = 4
 
 
 @dataclasses.dataclass
 class Traffic:
-    """Bytes and messages that passed a relay."""
+    """Bytes and messages that a relay has forwarded."""
 
     size: int = 0
     messages: int = 0
 
 
 class CountingRelay:
-    """Passes framed messages on and counts them."""
+    """TCP relay that forwards framed messages and counts them.
 
-    def __init__(self, port):
-        self.port = port
+    :param int target_port: port that connections are forwarded to.
+
+    :ivar int port_: port of the relay, 0 before the start.
+    :ivar Traffic traffic_: forwarded bytes and messages, in both directions.
+    """
+
+    def __init__(self, target_port):
+        self.target_port = target_port
         self.port_ = 0
         self.traffic_ = Traffic()
 
     async def start(self):
-        """Listen on a port of the system's choice."""
+        """Listen on a free port of the loopback address."""
         server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.port_ = server.sockets[0].getsockname()[1]
 
     async def _serve(self, reader, writer):
-        far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.port)
+        target_reader, target_writer = await asyncio.open_connection(
+            "127.0.0.1", self.target_port
+        )
         await asyncio.gather(
-            self._pass_on(reader, far_writer), self._pass_on(far_reader, writer)
+            self._forward(reader, target_writer), self._forward(target_reader, writer)
         )
 
-    async def _pass_on(self, reader, writer):
+    async def _forward(self, reader, writer):
         try:
             while True:
-                prefix = await reader.readexactly(PREFIX_BYTES)
+                prefix = await reader.readexactly(LENGTH_PREFIX_BYTES)
                 payload = await reader.readexactly(int.from_bytes(prefix, "big"))
                 self.traffic_.size += len(prefix) + len(payload)
                 self.traffic_.messages += 1
@@ -72,28 +80,28 @@
     return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
 
 
-async def first_byte_s(fleet, url, tokens):
-    """Stream one answer; return the time to its first byte."""
-    began = time.monotonic()
+async def time_first_byte(fleet, url, tokens):
+    """Stream one answer; return the seconds until its first byte."""
+    started_at = time.monotonic()
     body = {"model": "desk-model", "stream": True, "max_tokens": tokens}
     headers = {"Authorization": "Bearer caller-key"}
     path = f"{url}/v1/chat/completions"
     async with fleet.session_.post(path, json=body, headers=headers) as response:
         assert response.status == 200, await response.text()
         await response.content.readany()
-        first = time.monotonic() - began
+        first = time.monotonic() - started_at
         await response.read()
     return first
 
 
 async def run(fleet, url, tokens, requests):
-    """Stream many answers, a few at once; return first-byte times."""
-    left = iter(range(requests))
+    """Stream answers from concurrent callers; return sorted first-byte times."""
+    remaining = iter(range(requests))
     times = []
 
     async def caller():
-        for _ in left:
-            times.append(await first_byte_s(fleet, url, tokens))
+        for _ in remaining:
+            times.append(await time_first_byte(fleet, url, tokens))
 
     await asyncio.gather(*(caller() for _ in range(CONCURRENCY)))
     return sorted(times)
@@ -104,7 +112,7 @@
     print("| --- | --- | --- | --- |")
     medians = []
     for name, url in (
-        ("straight to the engine", fleet.url(f"{MODEL}-target")),
+        ("straight to the engine", fleet.url(f"{ENDPOINT_ID}-target")),
         ("through entry and agent", fleet.url("entry-0")),
     ):
         await run(fleet, url, 2, requests // 10)
@@ -116,7 +124,7 @@
 
 
 async def measure_slopes(fleet, relay, requests):
-    processes = [fleet.process_by_name[n] for n in ("entry-0", MODEL)]
+    processes = [fleet.process_by_name[n] for n in ("entry-0", ENDPOINT_ID)]
     rows = []
     print("| tokens | entry ms | agent ms | bytes | messages | for each request |")
     print("| --- | --- | --- | --- | --- | --- |")
@@ -161,7 +169,7 @@
     with tempfile.TemporaryDirectory() as folder:
         async with standins.Fleet(plan, folder) as fleet:
             await measure_first_byte(fleet, requests)
-            relay = CountingRelay(fleet.process_by_name[MODEL].ready_["port"])
+            relay = CountingRelay(fleet.process_by_name[ENDPOINT_ID].ready_["port"])
             await relay.start()
             await use_relay(fleet, relay)
             await measure_slopes(fleet, relay, requests)
@@ -169,7 +177,7 @@
 
 async def use_relay(fleet, relay):
     host = {
-        "host_id": MODEL,
+        "host_id": ENDPOINT_ID,
         "role": "agent",
         "address": "127.0.0.1",
         "port": relay.port_,
@@ -177,13 +185,13 @@
         "state": "live",
         "serves": ["desk-model"],
     }
-    await fleet.call("platform", "PUT", f"/hosts/{MODEL}", host)
+    await fleet.call("platform", "PUT", f"/hosts/{ENDPOINT_ID}", host)
 
     async def is_relayed():
         if relay.traffic_.messages == 0:
             return False
         _, state = await fleet.call("entry-0", "GET", "/state")
-        return state["endpoints"][MODEL]["connected"]
+        return state["endpoints"][ENDPOINT_ID]["connected"]
 
     await fleet.wait_until(is_relayed, 10.0)
 
--- a/benchmarks/sizes.py
+++ b/benchmarks/sizes.py
@@ -1,4 +1,4 @@
-"""Sizes and processor time of what grows with the fleet, at the design size.
+"""Sizes and processor time of data that grows with the fleet, at the design size.
 
 Usage: ``python -m benchmarks.sizes``.
 """
@@ -16,7 +16,7 @@
 HOSTS = 10_870
 ENTRY_IN_FLIGHT = 745
 REPEATS = 50
-MILLISECONDS = 1000
+MS_PER_S = 1000
 
 
 def make_document():
@@ -28,63 +28,63 @@
         "failure_domains": {f"domain-{i}": {"state": "in"} for i in range(DOMAINS)},
         "models": {f"model-{i}": {"repeatable": True} for i in range(MODELS)},
         "client_accounts": {
-            _account(i): {"weight": 1 + i % 5, "max_in_flight": 256}
+            _account_name(i): {"weight": 1 + i % 5, "max_in_flight": 256}
             for i in range(ACCOUNTS)
         },
     }
 
 
-def time_ms(call):
-    """Return the processor time of a call in milliseconds.
+def measure_cpu_ms(call):
+    """Return the mean processor time of a call, in milliseconds.
 
     :param call: function without arguments.
     :rtype: float
     """
-    began = time.process_time()
+    started_s = time.process_time()
     for _ in range(REPEATS):
         call()
-    return (time.process_time() - began) / REPEATS * MILLISECONDS
+    return (time.process_time() - started_s) / REPEATS * MS_PER_S
 
 
-def measure_held(text):
-    """Return the bytes that a configuration in force holds.
+def measure_held_bytes(text):
+    """Return the memory of a configuration in force, in bytes.
 
-    :param str text: the document.
+    :param str text: configuration document as JSON.
     :rtype: int
     """
     tracemalloc.start()
     holder = config.ConfigHolder()
     holder.adopt(config.ConfigVersion.from_json(1, text), "platform")
-    patch = {"client_accounts": {_account(1): {"weight": 9}}}
+    patch = {"client_accounts": {_account_name(1): {"weight": 9}}}
     step = config.Step(2, patch)
     holder.adopt(holder.current_.apply([patch]), "peer", [step])
     digest = holder.current_.digest
-    held, _ = tracemalloc.get_traced_memory()
+    held_bytes, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    return held if digest else 0
+    return held_bytes if digest else 0
 
 
 def make_queue():
-    """Return a fair queue in which each account in flight at an entry waits.
+    """Return a fair queue with one waiting request per account in flight at an entry.
 
     :rtype: sequoiagap.admission.FairQueue
     """
     queue = admission.FairQueue(1.0, random.Random(0))
     for i in range(ENTRY_IN_FLIGHT):
-        queue.offer(_account(i), i, 1.0, ENTRY_IN_FLIGHT)
+        queue.offer(_account_name(i), i, 1.0, ENTRY_IN_FLIGHT)
     return queue
 
 
-def _account(number):
+def _account_name(number):
     return f"client-account-{number:04d}"
 
 
 def main():
-    """Print each size."""
+    """Measure and print all sizes and times."""
     version = config.ConfigVersion.from_json(1, json.dumps(make_document()))
     text = version.to_json()
-    used_s = {_account(i): 1.0 for i in range(30)}
-    in_flight = {_account(i): 1 for i in range(ENTRY_IN_FLIGHT)}
+    used_s = {_account_name(i): 1.0 for i in range(30)}
+    in_flight = {_account_name(i): 1 for i in range(ENTRY_IN_FLIGHT)}
     usage = admission.AccountUsage("entry-000", "inc-0", used_s, in_flight)
     host = {
         "host_id": "region-0-domain-00-model-0000",
@@ -97,12 +97,12 @@
     }
     queue = make_queue()
     print(f"configuration document: {len(text)} bytes")
-    parse_ms = time_ms(lambda: config.ConfigVersion.from_json(1, text))
+    parse_ms = measure_cpu_ms(lambda: config.ConfigVersion.from_json(1, text))
     print(f"configuration parsed: {parse_ms:.2f} ms")
-    print(f"configuration held: {measure_held(text)} bytes")
+    print(f"configuration held: {measure_held_bytes(text)} bytes")
     print(f"host list: {len(json.dumps(host)) * HOSTS} bytes")
     print(f"report of usage: {len(wire.encode(usage))} bytes")
-    print(f"turn in the fair queue: {time_ms(queue.pop):.3f} ms")
+    print(f"turn in the fair queue: {measure_cpu_ms(queue.pop):.3f} ms")
 
 
 if __name__ == "__main__":
--- a/benchmarks/suspicions.py
+++ b/benchmarks/suspicions.py
@@ -1,10 +1,10 @@
-"""False and missed suspicions of endpoints, by rule of confirmation.
+"""False and delayed suspicions of endpoints, by confirmation rule.
 
 Usage: ``python -m benchmarks.suspicions``.
 
-A healthy endpoint answers with varied prompts and rare single errors; each
-suspicion of it is false. A cold one answers more slowly by a factor; counted is
-how many answers pass before it is suspected.
+A healthy endpoint answers prompts of varied length, with rare single errors; each
+suspicion of it is false. A cold endpoint answers more slowly by a factor; the number
+of its answers until it is suspected is counted.
 """
 
 import random
@@ -15,11 +15,11 @@
 ANSWERS = 20_000
 RUNS = 5
 SEED = 17
-LONG_SHARE = 0.2
-LONG_FACTOR = 10.0
+LONG_PROMPT_SHARE = 0.2
+LONG_PROMPT_FACTOR = 10.0
 ERROR_SHARE = 0.02
-COLD_FACTORS = (4.0, 8.0)
-ROW = "{:<34}{:>20}" + "{:>18}" * len(COLD_FACTORS)
+COLD_SLOWDOWNS = (4.0, 8.0)
+ROW = "{:<34}{:>20}" + "{:>18}" * len(COLD_SLOWDOWNS)
 RULES = {
     "1 slow answer, 1 error": {"confirming_answers": 1, "confirming_errors": 1},
     "2 slow answers, 2 errors": {"confirming_answers": 2, "confirming_errors": 2},
@@ -29,20 +29,20 @@
 
 
 def draw_first_byte_s(random_state):
-    """Return the first-byte time of a healthy endpoint.
+    """Return a random first-byte time of a healthy endpoint, in seconds.
 
     :param random.Random random_state: source of randomness.
     :rtype: float
     """
     seconds = random_state.lognormvariate(-3.0, 0.3)
-    is_long = random_state.random() < LONG_SHARE
-    return seconds * (LONG_FACTOR if is_long else 1.0)
+    is_long = random_state.random() < LONG_PROMPT_SHARE
+    return seconds * (LONG_PROMPT_FACTOR if is_long else 1.0)
 
 
-def learn(rule, random_state):
-    """Return a judgement that knows the usual first-byte time.
+def make_trained_health(rule, random_state):
+    """Return an endpoint health that has learned its baseline first-byte time.
 
-    :param dict rule: parameters of the judgement.
+    :param dict rule: confirmation parameters of the endpoint health.
     :param random.Random random_state: source of randomness.
     :rtype: sequoiagap.admission.EndpointHealth
     """
@@ -53,13 +53,13 @@
 
 
 def count_false(rule, random_state):
-    """Return the suspicions of a healthy endpoint for 10,000 answers.
+    """Return the number of suspicions of a healthy endpoint per 10,000 answers.
 
-    :param dict rule: parameters of the judgement.
+    :param dict rule: confirmation parameters of the endpoint health.
     :param random.Random random_state: source of randomness.
     :rtype: float
     """
-    health = learn(rule, random_state)
+    health = make_trained_health(rule, random_state)
     suspicions = 0
     for _ in range(ANSWERS):
         suspected = False
@@ -73,31 +73,31 @@
     return suspicions / ANSWERS * 10_000
 
 
-def count_missed(rule, factor, random_state):
-    """Return how many answers a cold endpoint gives before it is suspected.
+def count_missed(rule, slowdown, random_state):
+    """Return the number of answers of a cold endpoint until it is suspected.
 
-    :param dict rule: parameters of the judgement.
-    :param float factor: how much slower it is.
+    :param dict rule: confirmation parameters of the endpoint health.
+    :param float slowdown: first-byte time relative to a healthy endpoint.
     :param random.Random random_state: source of randomness.
     :rtype: int
     """
-    health = learn(rule, random_state)
+    health = make_trained_health(rule, random_state)
     for number in range(1, ANSWERS):
-        if health.record_answer(draw_first_byte_s(random_state) * factor):
+        if health.record_answer(draw_first_byte_s(random_state) * slowdown):
             return number
     return ANSWERS
 
 
 def main():
-    """Print medians over the runs."""
-    heads = [f"answers at x{factor:g}" for factor in COLD_FACTORS]
+    """Print the medians over the runs by confirmation rule."""
+    heads = [f"answers at x{slowdown:g}" for slowdown in COLD_SLOWDOWNS]
     print(ROW.format("rule", "false of 10,000", *heads))
     for name, rule in RULES.items():
         values = [[count_false(rule, random.Random(SEED + run)) for run in range(RUNS)]]
-        for factor in COLD_FACTORS:
+        for slowdown in COLD_SLOWDOWNS:
             values.append(
                 [
-                    count_missed(rule, factor, random.Random(SEED + run))
+                    count_missed(rule, slowdown, random.Random(SEED + run))
                     for run in range(RUNS)
                 ]
             )
--- a/benchmarks/watch_bytes.py
+++ b/benchmarks/watch_bytes.py
@@ -1,4 +1,4 @@
-"""Bytes that one watcher of the platform reads for a configuration change.
+"""Bytes between the platform and one watcher of the configuration per change.
 
 Usage: ``python -m benchmarks.watch_bytes [--changes N] [--interval-s S]``.
 """
@@ -14,16 +14,16 @@
 
 CHUNK_BYTES = 65_536
 IDLE_S = 12.0
-CHANGES_A_SECOND = 39_000 / 86_400
+CHANGES_PER_S = 39_000 / 86_400
 CALL_TIMEOUT_S = 2.0
 
 
 class CountingRelay:
-    """Passes connections on and counts their bytes, headers included.
+    """TCP relay that forwards connections and counts their bytes, including headers.
 
-    :param int target_port: where to.
+    :param int target_port: port that connections are forwarded to.
 
-    :ivar int bytes_: bytes passed so far, both ways.
+    :ivar int bytes_: bytes forwarded so far, in both directions.
     """
 
     def __init__(self, target_port):
@@ -31,13 +31,14 @@
         self.bytes_ = 0
 
     async def serve(self, reader, writer):
-        """Serve one connection until both ends close it."""
-        onward = await asyncio.open_connection("127.0.0.1", self.target_port)
+        """Forward one connection until both ends close it."""
+        target_streams = await asyncio.open_connection("127.0.0.1", self.target_port)
         await asyncio.gather(
-            self._pump(reader, onward[1]), self._pump(onward[0], writer)
+            self._forward(reader, target_streams[1]),
+            self._forward(target_streams[0], writer),
         )
 
-    async def _pump(self, reader, writer):
+    async def _forward(self, reader, writer):
         while data := await reader.read(CHUNK_BYTES):
             self.bytes_ += len(data)
             writer.write(data)
@@ -46,10 +47,10 @@
 
 
 async def measure(changes, interval_s):
-    """Print bytes a second of an idle watcher and bytes for each change.
+    """Print bytes per second of an idle watcher and bytes per change.
 
-    :param int changes: how many changes to accept.
-    :param float interval_s: time between two of them, in seconds.
+    :param int changes: number of configuration changes to submit.
+    :param float interval_s: time between two changes, in seconds.
     """
     runner, port = await standins.start(standins.PlatformStandIn())
     relay = CountingRelay(port)
@@ -62,22 +63,24 @@
     first = config.Patch("first", 0, sizes.make_document(), "ann")
     await store.submit(first)
     holder = config.ConfigHolder()
-    duty = config.WatchSchedule(time.monotonic())
+    schedule = config.WatchSchedule(time.monotonic())
     replica = config.ConfigReplica(holder)
-    watch = _config_watch.ConfigWatch(watched, holder, replica, duty, lambda: 0)
+    watch = _config_watch.ConfigWatch(watched, holder, replica, schedule, lambda: 0)
     task = asyncio.create_task(watch.run())
     await asyncio.sleep(2.0)
-    idle = await _count(relay, asyncio.sleep(IDLE_S))
+    idle = await _count_bytes(relay, asyncio.sleep(IDLE_S))
     print(f"idle: {idle / IDLE_S:.0f} bytes a second")
-    began = time.monotonic()
-    busy = await _count(relay, _change(store, changes, interval_s))
-    took_s = time.monotonic() - began
+    started_at = time.monotonic()
+    busy = await _count_bytes(relay, _submit_changes(store, changes, interval_s))
+    elapsed_s = time.monotonic() - started_at
     await asyncio.sleep(1.0)
-    print(f"with {changes / took_s:.2f} changes a second: {busy / took_s:.0f} bytes")
-    per_change = (busy - idle / IDLE_S * took_s) / changes
-    worked_out = idle / IDLE_S + per_change * CHANGES_A_SECOND
+    print(
+        f"with {changes / elapsed_s:.2f} changes a second: {busy / elapsed_s:.0f} bytes"
+    )
+    per_change = (busy - idle / IDLE_S * elapsed_s) / changes
+    extrapolated = idle / IDLE_S + per_change * CHANGES_PER_S
     print(f"for each change: {per_change:.0f} bytes")
-    print(f"worked out at {CHANGES_A_SECOND:.2f} changes a second: {worked_out:.0f}")
+    print(f"worked out at {CHANGES_PER_S:.2f} changes a second: {extrapolated:.0f}")
     print(f"in force: {holder.current_.number} of {changes + 1}")
     task.cancel()
     await watched.close()
@@ -86,13 +89,13 @@
     await runner.cleanup()
 
 
-async def _count(relay, awaitable):
+async def _count_bytes(relay, awaitable):
     before = relay.bytes_
     await awaitable
     return relay.bytes_ - before
 
 
-async def _change(store, changes, interval_s):
+async def _submit_changes(store, changes, interval_s):
     for number in range(1, changes + 1):
         name = f"client-account-{number:04d}"
         document = {"client_accounts": {name: {"weight": number % 9 + 1}}}
@@ -101,7 +104,7 @@
 
 
 def main():
-    """Read the arguments and measure."""
+    """Parse the arguments and run the measurement."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--changes", type=int, default=10)
     parser.add_argument("--interval-s", type=float, default=2.0)
