--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -335,37 +335,41 @@
     entry = functools.partial(measure_entry, seconds=options.seconds)
     agent = functools.partial(measure_agent, seconds=options.seconds)
     peers = functools.partial(measure_peers, seconds=options.seconds)
-    part = functools.partial
+    partial = functools.partial
     return [
-        ("entry, idle agents", "count", [part(entry, n, 0, 10) for n in counts]),
+        ("entry, idle agents", "count", [partial(entry, n, 0, 10) for n in counts]),
         (
             f"entry, idle agents, {FEW_LINKS} links",
             "count",
-            [part(entry, n, 0, 10, max_links=FEW_LINKS) for n in counts],
+            [partial(entry, n, 0, 10, max_links=FEW_LINKS) for n in counts],
+        ),
+        (
+            "entry, requests a second",
+            "rate",
+            [partial(entry, 30, r, 10) for r in rates],
         ),
-        ("entry, requests a second", "rate", [part(entry, 30, r, 10) for r in rates]),
         (
             "entry, client accounts",
             "accounts",
-            [part(entry, 30, rates[-1], n) for n in accounts],
+            [partial(entry, 30, rates[-1], n) for n in accounts],
         ),
         (
             "entry, tokens a second",
             "tokens_a_second",
-            [part(entry, 30, TOKEN_REQUESTS_PER_S, 10, tokens=n) for n in tokens],
+            [partial(entry, 30, TOKEN_REQUESTS_PER_S, 10, tokens=n) for n in tokens],
         ),
-        ("entry, idle peers", "count", [part(peers, n) for n in counts[:3]]),
-        ("agent, idle entries", "count", [part(agent, n, 0) for n in counts]),
-        ("agent, attempts a second", "rate", [part(agent, 4, r) for r in rates]),
+        ("entry, idle peers", "count", [partial(peers, n) for n in counts[:3]]),
+        ("agent, idle entries", "count", [partial(agent, n, 0) for n in counts]),
+        ("agent, attempts a second", "rate", [partial(agent, 4, r) for r in rates]),
         (
             "agent, tokens a second",
             "tokens_a_second",
-            [part(agent, 4, TOKEN_REQUESTS_PER_S, tokens=n) for n in tokens],
+            [partial(agent, 4, TOKEN_REQUESTS_PER_S, tokens=n) for n in tokens],
         ),
         (
             "entry, agents and config changes",
             "count",
-            [part(entry, n, 0, 10, changes=True) for n in counts[:3]],
+            [partial(entry, n, 0, 10, changes=True) for n in counts[:3]],
         ),
     ]
 
