--- a/libs/admission/src/sequoiagap/admission/_heard.py
+++ b/libs/admission/src/sequoiagap/admission/_heard.py
@@ -1,75 +1,80 @@
-"""What other entries reported, and whether it still counts."""
+"""Last usage reports of entries and collectors, with expiry."""
 
 import dataclasses
 
 from sequoiagap.admission import _sheets
 
-HEARD_S = 2.0
-KEPT_S = 60.0
+REPORT_EXPIRY_S = 2.0
+RETENTION_S = 60.0
 
 
 @dataclasses.dataclass
-class Heard:
-    """What one entry or collector reported last.
+class LastReport:
+    """Last report of one entry or collector.
 
-    :param float at: when, monotonic time in seconds.
-    :param int entries: how many entries it stands for.
-    :param bool wants_total: whether it wants the counts of the others.
-    :param dict sheet: :class:`Count` by account.
+    :param float heard_at: arrival of the report, monotonic time in seconds.
+    :param int entries: number of entries that the report covers.
+    :param bool wants_total: whether the sender requests the counts at other entries.
+    :param dict count_by_account: :class:`RequestCount` by account.
     """
 
-    at: float = 0.0
+    heard_at: float = 0.0
     entries: int = 1
     wants_total: bool = False
-    sheet: dict = dataclasses.field(default_factory=dict)
+    count_by_account: dict = dataclasses.field(default_factory=dict)
 
 
-class HeardTable:
-    """What was heard, by id of the sender.
+class LastReportTable:
+    """Last reports by id of the sender.
 
-    A sender that falls silent counts no more. Its sheet is kept for a while, as
-    it sends only changes if it was merely paused.
+    The report of a silent sender expires. Its counts are retained for longer, because a
+    sender that was only paused goes on to send changes only.
     """
 
     def __init__(self):
-        self._heard_by_id = {}
+        self._report_by_id = {}
 
-    def take(self, sender_id, message, now):
-        """Take a message.
+    def record(self, sender_id, message, now):
+        """Record a message of a sender.
 
-        :param str sender_id: the sender.
-        :param message: message with the columns of a sheet.
+        :param str sender_id: id of the sender.
+        :param message: message as in :func:`_sheets.apply_delta`.
         :param float now: monotonic time in seconds.
-        :returns: what is known now, or ``None`` where changes came without what
-            they change; the sender's next connection brings everything.
-        :rtype: Heard | None
+        :returns: the updated report, or ``None`` if changes arrived without a full
+            report before them; the sender's next connection begins with one.
+        :rtype: LastReport | None
         """
-        heard = self._heard_by_id.get(sender_id)
-        if heard is None:
+        report = self._report_by_id.get(sender_id)
+        if report is None:
             if not message.is_full:
                 return None
-            heard = self._heard_by_id[sender_id] = Heard()
-        heard.at = now
-        _sheets.apply(heard.sheet, message)
-        return heard
+            report = self._report_by_id[sender_id] = LastReport()
+        report.heard_at = now
+        _sheets.apply_delta(report.count_by_account, message)
+        return report
 
-    def last_at(self, sender_id):
-        """Return when a sender was heard last; 0 for never.
+    def last_heard_at(self, sender_id):
+        """Return the time of a sender's last message; 0 for none.
 
-        :param str sender_id: the sender.
+        :param str sender_id: id of the sender.
+        :returns: monotonic time in seconds.
         :rtype: float
         """
-        heard = self._heard_by_id.get(sender_id)
-        return heard.at if heard else 0.0
+        report = self._report_by_id.get(sender_id)
+        return report.heard_at if report else 0.0
 
-    def counted(self, now):
-        """Return what counts now.
+    def current(self, now):
+        """Return the reports that have not expired, by id of the sender.
 
         :param float now: monotonic time in seconds.
-        :rtype: dict[str, Heard]
+        :rtype: dict[str, LastReport]
         """
         for sender_id in [
-            i for i, h in self._heard_by_id.items() if now - h.at > KEPT_S
+            i for i, h in self._report_by_id.items() if now - h.heard_at > RETENTION_S
         ]:
-            del self._heard_by_id[sender_id]
-        return {i: h for i, h in self._heard_by_id.items() if now - h.at <= HEARD_S}
+            del self._report_by_id[sender_id]
+        return {
+            i: h
+            for i, h in self._report_by_id.items()
+            if now - h.heard_at <= REPORT_EXPIRY_S
+        }
--- a/libs/outcome/src/sequoiagap/outcome/_ledger.py
+++ b/libs/outcome/src/sequoiagap/outcome/_ledger.py
@@ -1,4 +1,4 @@
-"""The agent's ledger of attempts: what came, what started, what is revoked."""
+"""Ledger of the attempts that an agent accepted, started, finished or revoked."""
 
 import collections
 import dataclasses
@@ -10,8 +10,8 @@
 FORGET_MARGIN_S = 60.0
 
 
-class Standing(enum.StrEnum):
-    """What an agent knows of an attempt."""
+class AttemptState(enum.StrEnum):
+    """State of an attempt, as far as an agent knows it."""
 
     NEVER_STARTED = "never_started"
     ACCEPTED = "accepted"
@@ -22,28 +22,29 @@
 
 @dataclasses.dataclass(slots=True)
 class _Entry:
-    standing: Standing
+    state: AttemptState
     expires_at: float
 
 
 class Ledger:
-    """Remembers attempts of one incarnation of an agent.
+    """Records the attempts of one incarnation of an agent.
 
-    An attempt that was revoked before it came leaves a tombstone, so that the
-    message is refused when it arrives late. An id is forgotten only when its
-    deadline is past by ``forget_margin_s``: a message that names it later is
-    void by its own deadline, so a forgotten id can neither run again nor be
-    taken for one that never started.
+    An attempt that is revoked before its order arrives leaves a tombstone, so that
+    the late order is rejected. An id is kept until ``forget_margin_s`` after its
+    deadline. A message that arrives after that is invalid by its own deadline, so a
+    forgotten attempt can neither run again nor be reported as never started.
 
     :param str incarnation: incarnation of the agent.
-    :param float max_deadline_s: longest deadline that an order may name.
-    :param float forget_margin_s: how long past its deadline an id is kept.
+    :param float max_deadline_s: longest time until the deadline of an order, in
+        seconds.
+    :param float forget_margin_s: time that an id is kept after its deadline, in
+        seconds.
 
-    :ivar dict entry_by_id: what is known, by attempt id.
+    :ivar dict entry_by_id: state and deadline by attempt id.
 
     >>> ledger = Ledger("inc-1")
     >>> ledger.revoke("att-1", "inc-1", expires_at=9.0, now=1.0)
-    <Standing.NEVER_STARTED: 'never_started'>
+    <AttemptState.NEVER_STARTED: 'never_started'>
     >>> ledger.accept("att-1", expires_at=9.0, now=2.0)
     False
     """
@@ -58,31 +59,33 @@
         self.max_deadline_s = base.check_positive("max_deadline_s", max_deadline_s)
         self.forget_margin_s = base.check_positive("forget_margin_s", forget_margin_s)
         self.entry_by_id = {}
-        self._ended_by_minute = collections.OrderedDict()
+        self._ended_by_bucket = collections.OrderedDict()
 
-    def standing(self, attempt_id, expires_at, now):
-        """Return what is known of an attempt.
+    def state(self, attempt_id, expires_at, now):
+        """Return the state of an attempt.
 
-        :param str attempt_id: the attempt.
-        :param float expires_at: its deadline.
-        :param float now: the agent's clock in seconds.
-        :returns: ``NEVER_STARTED`` only where that is proved.
-        :rtype: Standing
+        :param str attempt_id: id of the attempt.
+        :param float expires_at: deadline of the attempt, in seconds of the agent's
+            clock.
+        :param float now: time of the agent's clock, in seconds.
+        :returns: the state; ``NEVER_STARTED`` only if that is certain.
+        :rtype: AttemptState
         """
-        known = self.entry_by_id.get(attempt_id)
-        if known is not None:
-            return known.standing
+        entry = self.entry_by_id.get(attempt_id)
+        if entry is not None:
+            return entry.state
         if self._may_be_forgotten(expires_at, now):
-            return Standing.UNKNOWN
-        return Standing.NEVER_STARTED
+            return AttemptState.UNKNOWN
+        return AttemptState.NEVER_STARTED
 
     def accept(self, attempt_id, expires_at, now):
-        """Record an order that has come and may start later.
+        """Record an attempt whose order has arrived.
 
-        :param str attempt_id: the attempt.
-        :param float expires_at: its deadline.
-        :param float now: the agent's clock in seconds.
-        :returns: whether it may start; not if it is known or its deadline past.
+        :param str attempt_id: id of the attempt.
+        :param float expires_at: deadline of the attempt.
+        :param float now: time of the agent's clock, in seconds.
+        :returns: whether the attempt may start later; false if its id is known, or
+            if its deadline is past or further away than ``max_deadline_s``.
         :rtype: bool
         """
         self.forget(now)
@@ -90,80 +93,81 @@
             return False
         if expires_at > now + self.max_deadline_s:
             return False
-        self.entry_by_id[attempt_id] = _Entry(Standing.ACCEPTED, expires_at)
+        self.entry_by_id[attempt_id] = _Entry(AttemptState.ACCEPTED, expires_at)
         return True
 
     def start(self, attempt_id, now):
-        """Record that an accepted attempt starts.
+        """Record the start of an accepted attempt.
 
-        :param str attempt_id: the attempt.
-        :param float now: the agent's clock in seconds.
-        :returns: whether it may; not if revoked meanwhile or past its deadline.
+        :param str attempt_id: id of the attempt.
+        :param float now: time of the agent's clock, in seconds.
+        :returns: whether the attempt may start; false if it was revoked in the
+            meantime or if its deadline is past.
         :rtype: bool
         """
         entry = self.entry_by_id.get(attempt_id)
-        if entry is None or entry.standing != Standing.ACCEPTED:
+        if entry is None or entry.state != AttemptState.ACCEPTED:
             return False
         if now >= entry.expires_at:
             return False
-        entry.standing = Standing.RUNNING
+        entry.state = AttemptState.RUNNING
         return True
 
     def finish(self, attempt_id, now):
-        """Record that an attempt has ended.
+        """Record the end of an attempt.
 
-        One that never started leaves a tombstone.
+        An attempt that never started leaves a tombstone.
 
-        :param str attempt_id: the attempt.
-        :param float now: the agent's clock in seconds.
+        :param str attempt_id: id of the attempt.
+        :param float now: time of the agent's clock, in seconds.
         """
         entry = self.entry_by_id.get(attempt_id)
         if entry is None:
             return
-        if entry.standing == Standing.ACCEPTED:
-            entry.standing = Standing.NEVER_STARTED
-        elif entry.standing == Standing.RUNNING:
-            entry.standing = Standing.FINISHED
-        self._remember_until(attempt_id, max(entry.expires_at, now))
+        if entry.state == AttemptState.ACCEPTED:
+            entry.state = AttemptState.NEVER_STARTED
+        elif entry.state == AttemptState.RUNNING:
+            entry.state = AttemptState.FINISHED
+        self._forget_after(attempt_id, max(entry.expires_at, now))
 
     def revoke(self, attempt_id, incarnation, expires_at, now):
-        """Forbid an attempt that has not started and say what is known of it.
+        """Revoke an attempt unless it has started, and return its state.
 
-        :param str attempt_id: the attempt.
+        :param str attempt_id: id of the attempt.
         :param str incarnation: incarnation that the attempt was sent to.
-        :param float expires_at: its deadline.
-        :param float now: the agent's clock in seconds.
-        :rtype: Standing
+        :param float expires_at: deadline of the attempt.
+        :param float now: time of the agent's clock, in seconds.
+        :rtype: AttemptState
         """
         self.forget(now)
         if incarnation != self.incarnation:
-            return Standing.UNKNOWN
-        known = self.entry_by_id.get(attempt_id)
-        if known is not None:
-            if known.standing == Standing.ACCEPTED:
-                known.standing = Standing.NEVER_STARTED
-                self._remember_until(attempt_id, known.expires_at)
-            return known.standing
+            return AttemptState.UNKNOWN
+        entry = self.entry_by_id.get(attempt_id)
+        if entry is not None:
+            if entry.state == AttemptState.ACCEPTED:
+                entry.state = AttemptState.NEVER_STARTED
+                self._forget_after(attempt_id, entry.expires_at)
+            return entry.state
         if self._may_be_forgotten(expires_at, now):
-            return Standing.UNKNOWN
-        tombstone = _Entry(Standing.NEVER_STARTED, expires_at)
+            return AttemptState.UNKNOWN
+        tombstone = _Entry(AttemptState.NEVER_STARTED, expires_at)
         self.entry_by_id[attempt_id] = tombstone
-        self._remember_until(attempt_id, expires_at)
-        return Standing.NEVER_STARTED
+        self._forget_after(attempt_id, expires_at)
+        return AttemptState.NEVER_STARTED
 
     def forget(self, now):
-        """Drop ended ids whose deadline is past by the margin.
+        """Remove ended attempts whose deadline passed ``forget_margin_s`` ago.
 
-        :param float now: the agent's clock in seconds.
+        :param float now: time of the agent's clock, in seconds.
         """
-        minute = int((now - self.forget_margin_s) // self.forget_margin_s)
-        for ended in [m for m in self._ended_by_minute if m < minute]:
-            for attempt_id in self._ended_by_minute.pop(ended):
+        first_kept = int((now - self.forget_margin_s) // self.forget_margin_s)
+        for bucket in [m for m in self._ended_by_bucket if m < first_kept]:
+            for attempt_id in self._ended_by_bucket.pop(bucket):
                 self.entry_by_id.pop(attempt_id, None)
 
     def _may_be_forgotten(self, expires_at, now):
         return now >= expires_at + self.forget_margin_s
 
-    def _remember_until(self, attempt_id, expires_at):
+    def _forget_after(self, attempt_id, expires_at):
         bucket = int(expires_at // self.forget_margin_s)
-        self._ended_by_minute.setdefault(bucket, []).append(attempt_id)
+        self._ended_by_bucket.setdefault(bucket, []).append(attempt_id)
--- a/libs/routes/src/sequoiagap/routes/__init__.py
+++ b/libs/routes/src/sequoiagap/routes/__init__.py
@@ -1,24 +1,24 @@
-"""Routes, keys and endpoints as operators publish them."""
+"""Data model of routes, services, client accounts and endpoints."""
 
 from sequoiagap.routes._freshness import Freshness, suspend_aware_time
 from sequoiagap.routes._model import (
     ClientAccount,
     Endpoint,
     EndpointState,
-    EngineTerms,
+    EngineProfile,
     RequestKind,
     RequestLimits,
     Route,
     Service,
     WeightedTarget,
 )
-from sequoiagap.routes._table import RouteTable
+from sequoiagap.routes._route_table import RouteTable
 
 __all__ = [
     "ClientAccount",
     "Endpoint",
     "EndpointState",
-    "EngineTerms",
+    "EngineProfile",
     "Freshness",
     "RequestKind",
     "RequestLimits",
--- a/tests/ranks/test_fresh_reports.py
+++ b/tests/ranks/test_fresh_reports.py
@@ -1,4 +1,4 @@
-"""Steps of a change rest on what engines say now, not a moment ago."""
+"""Steps of a change use the current reports of engines, not recent ones."""
 
 import time
 
@@ -10,7 +10,7 @@
 
 
 class HoldingEngine:
-    """An engine that is held as soon as it is told to."""
+    """Engine that is held as soon as it is ordered to be."""
 
     def __init__(self):
         self.held_step = 0
@@ -24,15 +24,15 @@
 
 
 class AgentLink:
-    """A link to an agent in this process."""
+    """Link to an agent in this process."""
 
     is_silent = False
 
     def __init__(self, agent):
         self.agent = agent
 
-    async def ask(self, item, timeout_s):
-        return await self.agent._answer_poll(item)
+    async def request(self, message, timeout_s):
+        return await self.agent._answer_poll(message)
 
 
 class FreshReportsTest(support.AsyncCase):
@@ -52,10 +52,10 @@
 
     async def test_hold_is_seen_right_after_it_was_ordered(self):
         order = ranks.RankOrder(ranks.OrderKind.HOLD, epoch=1, step=HELD_STEP)
-        replies = await self.access.carry_out(ranks.Step({1: order}))
+        replies = await self.access.execute(ranks.Step({1: order}))
         self.assertEqual(replies[1].report.held_step, HELD_STEP)
 
-    async def test_report_of_a_moment_ago_is_told_only_where_it_will_do(self):
+    async def test_recent_report_is_sent_only_if_it_is_accepted(self):
         self.engine.held_step = HELD_STEP
         for may_be_recent, held_step in ((True, 0), (False, HELD_STEP)):
             with self.subTest(may_be_recent):
