--- a/libs/standins/src/sequoiagap/standins/__init__.py
+++ b/libs/standins/src/sequoiagap/standins/__init__.py
@@ -1,4 +1,4 @@
-"""Stand-ins for outside systems, with fault switches, and the load tool."""
+"""Stand-ins for external systems with fault injection, and a load generator."""
 
 from sequoiagap.standins._direct import (
     DirectDialect,
--- a/libs/standins/src/sequoiagap/standins/__main__.py
+++ b/libs/standins/src/sequoiagap/standins/__main__.py
@@ -13,7 +13,7 @@
     _weights,
 )
 
-_MAKERS_BY_KIND = {
+_CLASS_BY_KIND = {
     "engine": _engine.EngineStandIn,
     "platform": _platform.PlatformStandIn,
     "ranks": _ranks.RankGroupStandIn,
@@ -23,10 +23,10 @@
 
 
 def main():
-    """Run the stand-in named by the arguments until it is told to stop."""
+    """Run the stand-in given by the arguments until SIGTERM or SIGINT."""
     kind = sys.argv[1]
     parameters = json.loads(sys.argv[2]) if len(sys.argv) > 2 else {}
-    asyncio.run(_serve.serve(_MAKERS_BY_KIND[kind](**parameters)))
+    asyncio.run(_serve.serve(_CLASS_BY_KIND[kind](**parameters)))
 
 
 main()
--- a/libs/standins/src/sequoiagap/standins/_documents.py
+++ b/libs/standins/src/sequoiagap/standins/_documents.py
@@ -1,4 +1,4 @@
-"""Files and documents that the processes of a fleet start from."""
+"""Settings, keys and initial configuration of a test fleet."""
 
 import hashlib
 import json
@@ -8,9 +8,9 @@
 
 
 def write_shared_files(folder, accounts):
-    """Write the keys file and the deployment's secret.
+    """Write the keys file and the secret of the deployment.
 
-    :param pathlib.Path folder: where to write them.
+    :param pathlib.Path folder: folder to write them to.
     :param accounts: client accounts; the key of each is ``NAME-key``.
     :type accounts: collections.abc.Iterable[str]
     """
@@ -23,9 +23,9 @@
 
 
 def first_config(plan):
-    """Return the document of version 1 of the configuration.
+    """Return the document of configuration version 1.
 
-    :param FleetPlan plan: what the fleet consists of.
+    :param FleetPlan plan: composition of the fleet.
     :rtype: dict
     """
     return {
@@ -38,13 +38,13 @@
 
 
 def node_settings(plan, folder, name, domain, url):
-    """Return the settings that every role has.
+    """Return the settings that entries and agents have in common.
 
-    :param FleetPlan plan: what the fleet consists of.
-    :param pathlib.Path folder: where the secret is.
+    :param FleetPlan plan: composition of the fleet.
+    :param pathlib.Path folder: folder of the secret file.
     :param str name: name of the process.
     :param str domain: its failure domain.
-    :param str url: where it finds the platform.
+    :param str url: URL of the platform for this process.
     :rtype: dict
     """
     return {
--- a/libs/standins/src/sequoiagap/standins/_engine.py
+++ b/libs/standins/src/sequoiagap/standins/_engine.py
@@ -1,4 +1,4 @@
-"""Stand-in for a model engine: batched lock-step decoding with a cold start."""
+"""Stand-in for a model engine with batched decoding, a cold start and overload."""
 
 import asyncio
 import json
@@ -15,30 +15,33 @@
     _streams,
 )
 
-FALLEN_STATUS = 500
+OVERLOADED_STATUS = 500
 WRONG_ROLE_STATUS = 503
-WHOLE_ROLE = "both"
+FULL_ROLE = "both"
 BYTES_PER_KB = 1024
 
 
 class EngineStandIn:
-    """OpenAI-style model engine.
-
-    :param float step_s: time of one decoding step, in seconds.
-    :param int tokens: tokens of an answer where the caller names no number.
-    :param int cold_capacity: requests that it bears at once when cold.
-    :param int capacity: requests that it bears at once when warm.
-    :param float cold_s: how long it stays cold after a start, in seconds.
-    :param float load_lag_s: how far its load report lags, in seconds.
-    :param float recover_s: how long it fails after it fell over, in seconds.
-    :param float cold_slowdown: factor on its times while it is cold.
-    :param float prefill_s_per_kb: time to read a prompt, in seconds for 1024 bytes.
-    :param int cached_prefixes: prompt prefixes that it remembers.
-    :param bool holds_streams: whether it goes on with streams whose connection
-        broke, and lets them be resumed at an offset or cancelled.
-    :param int port: TCP port; 0 lets the system choose.
-    :param bool checks_fencing: whether it refuses orders with an old number.
-    :param float order_s: how long it takes over an order, in seconds.
+    """Simulates a model engine with an OpenAI-style API.
+
+    A request above the current capacity overloads the engine: it then answers every
+    new request with status 500 until it has recovered.
+
+    :param float step_s: duration of one decoding step, in seconds.
+    :param int tokens: tokens of an answer if the request has no ``max_tokens``.
+    :param int cold_capacity: concurrent requests that it can serve while cold.
+    :param int capacity: concurrent requests that it can serve when warm.
+    :param float cold_s: time until it is warm after a start, in seconds.
+    :param float load_lag_s: maximum age of its load report, in seconds.
+    :param float recover_s: time for which it fails after an overload, in seconds.
+    :param float cold_slowdown: factor on prefill and decoding times while cold.
+    :param float prefill_s_per_kb: prefill time in seconds per 1024 bytes of prompt.
+    :param int cached_prefixes: capacity of the prefix cache, in blocks.
+    :param bool holds_streams: whether it continues streams whose connection
+        broke, so that they can be resumed at an offset or cancelled.
+    :param int port: TCP port; 0 selects a free one.
+    :param bool checks_fencing: whether it rejects orders with an old fencing number.
+    :param float order_s: execution time of an order, in seconds.
     """
 
     def __init__(
@@ -74,23 +77,23 @@
         self.faults_ = _faults.Faults()
         self.executions_ = _executions.Executions()
         self.orders_ = _engine_orders.EngineOrders(checks_fencing, order_s)
-        self.fell_over_ = 0
+        self.overload_count_ = 0
         self.peak_in_flight_ = 0
         self.peak_cold_ = 0
-        self.arrived_ = 0
-        self.misplaced_ = 0
+        self.request_count_ = 0
+        self.wrong_role_count_ = 0
         self.in_flight_ = 0
         self._starts = 0
         self._start_prefix = uuid.uuid4().hex[:8]
-        self._chilled_until = 0.0
-        self._fallen_until = 0.0
+        self._silently_cold_until = 0.0
+        self._overloaded_until = 0.0
         self._reported = (0.0, 0)
         self._start()
 
     def add_routes(self, router):
-        """Register the handlers.
+        """Register the HTTP routes.
 
-        :param aiohttp.web.UrlDispatcher router: where to register.
+        :param aiohttp.web.UrlDispatcher router: router to add them to.
         """
         router.add_post("/v1/chat/completions", self._on_complete)
         router.add_post("/v1/completions", self._on_complete)
@@ -111,19 +114,19 @@
     def _start_id(self):
         return f"start-{self._start_prefix}-{self._starts}"
 
-    def _admits_cold(self):
+    def _reports_cold(self):
         return time.monotonic() - self._started_at < self.cold_s
 
     def _is_cold(self):
-        return self._admits_cold() or time.monotonic() < self._chilled_until
+        return self._reports_cold() or time.monotonic() < self._silently_cold_until
 
     def _role(self):
-        """Return its role; a change cuts off what it can no longer serve."""
+        """Return the current role; after a change, running requests are rejected."""
         order = self.orders_.state_by_kind.get("change_role", {})
-        return order.get("role", WHOLE_ROLE)
+        return order.get("role", FULL_ROLE)
 
-    def _misplaced(self):
-        self.misplaced_ += 1
+    def _reject_wrong_role(self):
+        self.wrong_role_count_ += 1
         return web.Response(status=WRONG_ROLE_STATUS, text="wrong role")
 
     async def _on_restart(self, request):
@@ -131,9 +134,9 @@
         return web.json_response({"start_id": self._start_id()})
 
     async def _on_chill(self, request):
-        """Turn cold without a word: neither start id nor report show it."""
+        """Become cold without reporting it: neither start id nor load report change."""
         seconds = float((await request.json())["seconds"])
-        self._chilled_until = time.monotonic() + seconds
+        self._silently_cold_until = time.monotonic() + seconds
         return web.json_response({"chilled_s": seconds})
 
     async def _on_load(self, request):
@@ -144,7 +147,7 @@
         return web.json_response(
             {
                 "start_id": self._start_id(),
-                "cold": self._admits_cold(),
+                "cold": self._reports_cold(),
                 "in_flight": self._reported[1],
                 "role": self._role(),
             }
@@ -153,11 +156,11 @@
     async def _on_stats(self, request):
         return web.json_response(
             {
-                "fell_over": self.fell_over_,
+                "fell_over": self.overload_count_,
                 "peak_in_flight": self.peak_in_flight_,
                 "peak_cold": self.peak_cold_,
-                "arrived": self.arrived_,
-                "misplaced": self.misplaced_,
+                "arrived": self.request_count_,
+                "misplaced": self.wrong_role_count_,
                 "prefix_hits": self._prefixes.hits_,
                 "prefix_misses": self._prefixes.misses_,
                 "in_flight": self.in_flight_,
@@ -169,17 +172,17 @@
         if self.holds_streams and _streams.RESUME_HEADER in request.headers:
             return await self._resume(request)
         body = await request.json()
-        self.arrived_ += 1
-        if self._role() != WHOLE_ROLE:
-            return self._misplaced()
+        self.request_count_ += 1
+        if self._role() != FULL_ROLE:
+            return self._reject_wrong_role()
         start_headers = {"X-Start-Id": self._start_id()}
-        bears = self.cold_capacity if self._is_cold() else self.capacity
-        if self.in_flight_ >= bears and time.monotonic() >= self._fallen_until:
-            self.fell_over_ += 1
-            self._fallen_until = time.monotonic() + self.recover_s
-        if time.monotonic() < self._fallen_until:
+        limit = self.cold_capacity if self._is_cold() else self.capacity
+        if self.in_flight_ >= limit and time.monotonic() >= self._overloaded_until:
+            self.overload_count_ += 1
+            self._overloaded_until = time.monotonic() + self.recover_s
+        if time.monotonic() < self._overloaded_until:
             return web.Response(
-                status=FALLEN_STATUS, text="fell over", headers=start_headers
+                status=OVERLOADED_STATUS, text="fell over", headers=start_headers
             )
         self.executions_.record(request)
         self.in_flight_ += 1
@@ -204,33 +207,35 @@
 
     async def _answer(self, request, body):
         count = int(body.get("max_tokens") or self.tokens)
-        words = [f"token{i}" for i in range(count)]
+        tokens = [f"token{i}" for i in range(count)]
         headers = {
-            "X-Request-Id": self._echo(request),
+            "X-Request-Id": self._answered_request_id(request),
             "X-Start-Id": self._start_id(),
         }
         if body.get("stream"):
             pad = "x" * int(body.get("pad", 0))
-            return await self._stream(request, [w + pad for w in words], headers)
+            return await self._stream(
+                request, [token + pad for token in tokens], headers
+            )
         await asyncio.sleep(count * self.step_s * self._slowdown())
-        if self._role() != WHOLE_ROLE:
-            return self._misplaced()
-        await self._misbehave()
-        message = {"role": "assistant", "content": " ".join(words)}
+        if self._role() != FULL_ROLE:
+            return self._reject_wrong_role()
+        await self._inject_fault()
+        message = {"role": "assistant", "content": " ".join(tokens)}
         document = {"id": headers["X-Request-Id"], "choices": [{"message": message}]}
         return web.json_response(document, headers=headers)
 
-    async def _stream(self, request, words, headers):
+    async def _stream(self, request, tokens, headers):
         async def produce(add):
             self.in_flight_ += self.holds_streams
             try:
-                await self._decode(words, add)
+                await self._decode(tokens, add)
             finally:
                 self.in_flight_ -= self.holds_streams
 
         held = self.streams_.start(headers["X-Request-Id"], produce)
         try:
-            return await self._send(request, held, headers, 0, len(words) // 2)
+            return await self._send(request, held, headers, 0, len(tokens) // 2)
         finally:
             if not self.holds_streams:
                 held.task.cancel()
@@ -244,36 +249,36 @@
         headers = {"X-Request-Id": request_id}
         return await self._send(request, held, headers, offset, None)
 
-    async def _decode(self, words, add):
-        for word in words:
+    async def _decode(self, tokens, add):
+        for token in tokens:
             await asyncio.sleep(self.step_s * self._slowdown())
-            if self._role() != WHOLE_ROLE:
-                self.misplaced_ += 1
+            if self._role() != FULL_ROLE:
+                self.wrong_role_count_ += 1
                 return
-            delta = {"choices": [{"delta": {"content": word + " "}}]}
+            delta = {"choices": [{"delta": {"content": token + " "}}]}
             await add(f"data: {json.dumps(delta)}\n\n".encode())
         await add(b"data: [DONE]\n\n")
 
     async def _send(self, request, held, headers, offset, middle):
-        """Send a held stream; ``middle`` is the event before which faults strike."""
+        """Send a held stream; inject faults before the event number ``middle``."""
         headers = headers | {"Content-Type": "text/event-stream"}
         response = web.StreamResponse(headers=headers)
         await response.prepare(request)
         while data := await held.read_from(offset):
             if middle is not None and held.data.count(b"data: ") > middle:
                 middle = None
-                await self._misbehave(request)
+                await self._inject_fault(request)
             offset += len(data)
             await response.write(data)
         await response.write_eof()
         return response
 
-    async def _misbehave(self, request=None):
+    async def _inject_fault(self, request=None):
         if self.faults_.stall_s:
             await asyncio.sleep(self.faults_.stall_s)
-        if request is not None and self.faults_.take("cut_answers"):
+        if request is not None and self.faults_.consume("cut_answers"):
             request.transport.abort()
 
-    def _echo(self, request):
+    def _answered_request_id(self, request):
         own = request.headers.get("X-Request-Id", "")
         return "att-of-another" if self.faults_.crossed else own
--- a/libs/standins/src/sequoiagap/standins/_executions.py
+++ b/libs/standins/src/sequoiagap/standins/_executions.py
@@ -1,4 +1,4 @@
-"""Count of executions by request key, so that a double run can't hide."""
+"""Execution counts by request key, which reveal duplicate executions."""
 
 from aiohttp import web
 
@@ -6,9 +6,9 @@
 
 
 class Executions:
-    """Counts executions; ``GET /executions`` shows them.
+    """Counts executions by request key; ``GET /executions`` returns the counts.
 
-    :ivar dict count_by_key: how often each key was run.
+    :ivar dict count_by_key: number of executions of each key.
     """
 
     def __init__(self):
@@ -17,7 +17,7 @@
     def record(self, request):
         """Count one execution.
 
-        :param aiohttp.web.Request request: the request that runs.
+        :param aiohttp.web.Request request: the request that is executed.
         """
         key = request.headers.get(KEY_HEADER, "")
         self.count_by_key[key] = self.count_by_key.get(key, 0) + 1
@@ -25,7 +25,7 @@
     def add_routes(self, router):
         """Register ``GET /executions``.
 
-        :param aiohttp.web.UrlDispatcher router: where to register.
+        :param aiohttp.web.UrlDispatcher router: router to add it to.
         """
         router.add_get("/executions", self._on_executions)
 
--- a/libs/standins/src/sequoiagap/standins/_faults.py
+++ b/libs/standins/src/sequoiagap/standins/_faults.py
@@ -1,4 +1,4 @@
-"""Fault switches of the stand-ins."""
+"""Fault injection of the stand-ins, controlled over HTTP."""
 
 import asyncio
 import dataclasses
@@ -10,22 +10,23 @@
 
 @dataclasses.dataclass
 class Faults:
-    """What a stand-in does wrong; ``POST /faults`` changes it.
-
-    :param bool down: refuse every call with status 503.
-    :param float slow_s: wait before each call, in seconds.
-    :param int lose_answers: how many next writes take effect unanswered.
-    :param float late_s: answer writes this long after their effect, in seconds.
-    :param bool silent: take calls and never answer.
-    :param float stall_s: pause in the middle of the next answers, in seconds.
-    :param int cut_answers: how many next answers break off in the middle.
+    """Faults that a stand-in injects; ``POST /faults`` changes them.
+
+    :param bool down: reject every call with status 503.
+    :param float slow_s: delay before each call is handled, in seconds.
+    :param int lose_answers: number of next writes that take effect but get no answer.
+    :param float late_s: delay between the effect of a write and its answer, in
+        seconds.
+    :param bool silent: accept calls and never answer them.
+    :param float stall_s: pause in the middle of each answer, in seconds.
+    :param int cut_answers: number of next streams that are aborted in the middle.
     :param bool crossed: answer with the id of another request.
-    :param int refuse_next: how many next calls to answer with status 500.
-    :param bool lose_watches: hold watches and never answer them.
-    :param int gap_watches: how many next changes watches do not tell of.
-    :param bool stale_reads: answer reads and watches with the content before.
-    :param float late_writes_s: writes take effect this long after the caller
-        was cut off without an answer, in seconds.
+    :param int refuse_next: number of next calls that are answered with status 500.
+    :param bool lose_watches: keep watches open and never answer them.
+    :param int gap_watches: number of next changes that watches do not report.
+    :param bool stale_reads: answer reads and watches with the previous version.
+    :param float late_writes_s: leave writes unanswered and apply them after this
+        delay, in seconds.
     """
 
     down: bool = False
@@ -43,32 +44,33 @@
     late_writes_s: float = 0.0
 
     def set(self, values):
-        """Change some switches.
+        """Change fault switches.
 
-        :param dict values: new values by switch.
-        :raises ValueError: for an unknown switch.
+        :param dict values: new values by name of the switch.
+        :raises ValueError: if a switch does not exist.
         """
         for name, value in values.items():
             if not hasattr(self, name):
                 raise ValueError(f"there is no fault switch {name!r}")
             setattr(self, name, value)
 
-    def take(self, name):
-        """Use up one of a counted switch; tell whether there was one.
+    def consume(self, name):
+        """Decrement a counted switch and return whether it was positive.
 
         :param str name: name of the switch.
         :rtype: bool
         """
-        left = getattr(self, name)
-        if left <= 0:
+        remaining = getattr(self, name)
+        if remaining <= 0:
             return False
-        setattr(self, name, left - 1)
+        setattr(self, name, remaining - 1)
         return True
 
     async def before_call(self):
-        """Apply the switches that come before a call.
+        """Apply the faults that act before a call is handled.
 
-        :raises aiohttp.web.HTTPServiceUnavailable: if the stand-in is down.
+        :raises aiohttp.web.HTTPServiceUnavailable: if ``down`` is set.
+        :raises aiohttp.web.HTTPInternalServerError: if ``refuse_next`` is positive.
         """
         if self.silent:
             await asyncio.sleep(FOREVER_S)
@@ -76,13 +78,13 @@
             await asyncio.sleep(self.slow_s)
         if self.down:
             raise web.HTTPServiceUnavailable(text="down")
-        if self.take("refuse_next"):
+        if self.consume("refuse_next"):
             raise web.HTTPInternalServerError(text="refused")
 
     def add_routes(self, router):
         """Register ``POST /faults``.
 
-        :param aiohttp.web.UrlDispatcher router: where to register.
+        :param aiohttp.web.UrlDispatcher router: router to add it to.
         """
         router.add_post("/faults", self._on_faults)
 
--- a/libs/standins/src/sequoiagap/standins/_platform.py
+++ b/libs/standins/src/sequoiagap/standins/_platform.py
@@ -93,7 +93,7 @@
         self._last_version += 1
         self._earlier_by_name[name] = self._object_by_name.get(name)
         self._object_by_name[name] = _Object(self._last_version, body["value"])
-        if not self.faults_.take("gap_watches"):
+        if not self.faults_.consume("gap_watches"):
             await self._notify()
         return True
 
@@ -122,7 +122,7 @@
         return await self._answer_write({"version": 0})
 
     async def _answer_write(self, document):
-        if self.faults_.take("lose_answers"):
+        if self.faults_.consume("lose_answers"):
             await asyncio.sleep(FOREVER_S)
         if self.faults_.late_s:
             await asyncio.sleep(self.faults_.late_s)
--- a/libs/standins/src/sequoiagap/standins/_prefixes.py
+++ b/libs/standins/src/sequoiagap/standins/_prefixes.py
@@ -1,4 +1,4 @@
-"""Prompt-prefix cache of the engine stand-in: bounded, least recently used out."""
+"""Prompt-prefix cache of the engine stand-in, with least-recently-used eviction."""
 
 import collections
 
@@ -6,11 +6,11 @@
 
 
 class PrefixCache:
-    """Remembers which prompt prefixes were read, in blocks.
+    """Caches prompt prefixes in blocks of :data:`BLOCK_CHARACTERS`.
 
-    :param int capacity: blocks to remember.
+    :param int capacity: maximum number of cached blocks.
 
-    :ivar int hits_: prompts whose first block was remembered.
+    :ivar int hits_: prompts whose first block was cached.
     :ivar int misses_: other prompts.
 
     >>> cache = PrefixCache(capacity=4)
@@ -25,34 +25,34 @@
         self._blocks = collections.OrderedDict()
 
     def read(self, prompt):
-        """Remember a prompt and return how many characters had to be read.
+        """Add a prompt to the cache and return how many characters were not cached.
 
         :param str prompt: the prompt.
         :rtype: int
         """
-        known = self._known_characters(prompt)
-        self._remember(prompt)
-        if known:
+        cached = self._count_cached(prompt)
+        self._store(prompt)
+        if cached:
             self.hits_ += 1
         else:
             self.misses_ += 1
-        return len(prompt) - known
+        return len(prompt) - cached
 
-    def _known_characters(self, prompt):
-        known = 0
-        for end in self._ends(prompt):
+    def _count_cached(self, prompt):
+        cached = 0
+        for end in self._block_ends(prompt):
             if hash(prompt[:end]) not in self._blocks:
                 break
-            known = end
-        return known
+            cached = end
+        return cached
 
-    def _remember(self, prompt):
-        for end in self._ends(prompt):
+    def _store(self, prompt):
+        for end in self._block_ends(prompt):
             key = hash(prompt[:end])
             self._blocks[key] = True
             self._blocks.move_to_end(key)
         while len(self._blocks) > self.capacity:
             self._blocks.popitem(last=False)
 
-    def _ends(self, prompt):
+    def _block_ends(self, prompt):
         return range(BLOCK_CHARACTERS, len(prompt) + 1, BLOCK_CHARACTERS)
--- a/libs/standins/src/sequoiagap/standins/_process.py
+++ b/libs/standins/src/sequoiagap/standins/_process.py
@@ -1,4 +1,4 @@
-"""Child processes of a fleet."""
+"""Child processes of a test fleet."""
 
 import asyncio
 import json
@@ -9,13 +9,13 @@
 
 
 class Process:
-    """A child process that printed its ports.
+    """Runs a child process that reports its ports on standard output.
 
-    :param str name: its name in the fleet.
+    :param str name: name of the process in the fleet.
     :param list command: program and arguments.
-    :param pathlib.Path log_path: where its standard error goes.
+    :param pathlib.Path log_path: file that receives its standard error.
 
-    :ivar dict ready_: the JSON line that it printed when it was ready.
+    :ivar dict ready_: decoded JSON line that it printed when it was ready.
     """
 
     def __init__(self, name, command, log_path):
@@ -26,7 +26,11 @@
         self.child_ = None
 
     async def start(self):
-        """Start the process and wait until it is ready."""
+        """Start the process and wait until it is ready.
+
+        :raises RuntimeError: if the process ends before it is ready.
+        :raises TimeoutError: if it is not ready in time.
+        """
         with self.log_path.open("ab") as log:
             self.child_ = await asyncio.create_subprocess_exec(
                 *self.command, stdout=asyncio.subprocess.PIPE, stderr=log
@@ -34,27 +38,29 @@
         async with asyncio.timeout(READY_TIMEOUT_S):
             line = await self.child_.stdout.readline()
         if not line:
-            raise RuntimeError(f"{self.name} failed: {self.log_path.read_text()}")
+            raise RuntimeError(
+                f"{self.name} ended before it was ready: {self.log_path.read_text()}"
+            )
         self.ready_ = json.loads(line)
 
     def send_signal(self, number):
-        """Send a signal while the process runs.
+        """Send a signal if the process is running.
 
-        :param int number: the signal.
+        :param int number: signal number.
         """
         if self.child_ is not None and self.child_.returncode is None:
             self.child_.send_signal(number)
 
     async def wait(self, timeout_s=STOP_TIMEOUT_S):
-        """Wait for the end of the process and return its exit code.
+        """Wait until the process has ended and return its exit code.
 
-        :param float timeout_s: longest wait, in seconds.
+        :param float timeout_s: maximum wait, in seconds.
         :rtype: int
         """
         async with asyncio.timeout(timeout_s):
             return await self.child_.wait()
 
     async def kill(self):
-        """Kill the process and wait for its end."""
+        """Kill the process and wait until it has ended."""
         self.send_signal(signal.SIGKILL)
         await self.wait()
--- a/libs/standins/src/sequoiagap/standins/_serve.py
+++ b/libs/standins/src/sequoiagap/standins/_serve.py
@@ -1,4 +1,4 @@
-"""Serving of one stand-in."""
+"""HTTP server of one stand-in."""
 
 import asyncio
 import json
@@ -8,10 +8,10 @@
 
 
 async def start(stand_in, port=0):
-    """Listen on the loopback address.
+    """Serve a stand-in on the loopback address.
 
     :param stand_in: object with ``add_routes(router)``.
-    :param int port: TCP port; 0 lets the system choose.
+    :param int port: TCP port; 0 selects a free one.
     :returns: the runner, and the port in use.
     :rtype: tuple[aiohttp.web.AppRunner, int]
     """
@@ -27,7 +27,7 @@
 
 
 async def serve(stand_in):
-    """Serve until SIGTERM; print the port as one JSON line.
+    """Serve until SIGTERM or SIGINT; print the port as one JSON line.
 
     :param stand_in: object with ``add_routes(router)``.
     """
--- a/libs/standins/src/sequoiagap/standins/_streams.py
+++ b/libs/standins/src/sequoiagap/standins/_streams.py
@@ -1,4 +1,4 @@
-"""Streams that an engine holds, so that a cut one can be resumed or cancelled."""
+"""Streams that outlive their connection, so that callers can resume or cancel them."""
 
 import asyncio
 
@@ -8,7 +8,7 @@
 
 
 class HeldStream:
-    """Bytes of one stream, produced whether or not anyone reads them.
+    """Buffers one stream, which is produced whether or not anyone reads it.
 
     :param produce: coroutine function that takes a function to add bytes.
     """
@@ -33,9 +33,9 @@
             self._changed.notify_all()
 
     async def read_from(self, offset):
-        """Return the bytes from an offset, or none at the end.
+        """Wait for bytes after an offset and return them; empty at the end.
 
-        :param int offset: number of bytes that the reader has.
+        :param int offset: number of bytes that the reader already has.
         :rtype: bytes
         """
         async with self._changed:
@@ -44,9 +44,9 @@
 
 
 class HeldStreams:
-    """Streams by the id of the request that asked for them.
+    """Keeps streams by request id.
 
-    :ivar dict by_id: held streams.
+    :ivar dict by_id: streams by request id.
     """
 
     def __init__(self):
@@ -55,12 +55,12 @@
     def add_routes(self, router):
         """Register ``DELETE /streams/{id}``, which cancels a stream.
 
-        :param aiohttp.web.UrlDispatcher router: where to register.
+        :param aiohttp.web.UrlDispatcher router: router to add it to.
         """
         router.add_delete("/streams/{id}", self._on_cancel)
 
     def start(self, request_id, produce):
-        """Start a stream.
+        """Start to produce a stream.
 
         :param str request_id: id of the request.
         :param produce: coroutine function that takes a function to add bytes.
--- a/libs/standins/src/sequoiagap/standins/_weights.py
+++ b/libs/standins/src/sequoiagap/standins/_weights.py
@@ -1,4 +1,4 @@
-"""Stand-in for the weight store: a shared rate limit and fault switches."""
+"""Stand-in for the weight store, with a rate limit shared by all callers."""
 
 import asyncio
 import time
@@ -9,12 +9,12 @@
 
 
 class WeightStoreStandIn:
-    """Serves weights no faster than its rate, one caller after another.
+    """Serves weights at a limited rate, one caller after another.
 
-    :param float rate_bytes_s: bytes a second for all callers together.
-    :param int port: TCP port; 0 lets the system choose.
+    :param float rate_bytes_s: total rate over all callers, in bytes per second.
+    :param int port: TCP port; 0 selects a free one.
 
-    :ivar int bytes_served_: bytes served so far.
+    :ivar int bytes_served_: total number of bytes served.
     """
 
     def __init__(self, rate_bytes_s=1e9, port=0):
@@ -22,12 +22,12 @@
         self.port = port
         self.bytes_served_ = 0
         self.faults_ = _faults.Faults()
-        self._free_at = 0.0
+        self._idle_at = 0.0
 
     def add_routes(self, router):
-        """Register the handlers.
+        """Register the HTTP routes.
 
-        :param aiohttp.web.UrlDispatcher router: where to register.
+        :param aiohttp.web.UrlDispatcher router: router to add them to.
         """
         router.add_get("/weights/{size}", self._on_weights)
         router.add_get("/served", self._on_served)
@@ -37,8 +37,8 @@
         await self.faults_.before_call()
         size = int(request.match_info["size"])
         now = time.monotonic()
-        self._free_at = max(self._free_at, now) + size / self.rate_bytes_s
-        await asyncio.sleep(self._free_at - now)
+        self._idle_at = max(self._idle_at, now) + size / self.rate_bytes_s
+        await asyncio.sleep(self._idle_at - now)
         self.bytes_served_ += size
         return web.json_response({"bytes": size})
 
--- a/tests/standins/test_load.py
+++ b/tests/standins/test_load.py
@@ -60,7 +60,7 @@
                         *(self._complete(session, url) for _ in range(4))
                     )
                 self.assertEqual(sorted(statuses), [200, 200, 500, 500])
-                self.assertEqual(engine.fell_over_, 1)
+                self.assertEqual(engine.overload_count_, 1)
 
     async def _complete(self, session, url):
         path = f"{url}/v1/chat/completions"
