--- a/benchmarks/domain_move.py
+++ b/benchmarks/domain_move.py
@@ -148,7 +148,7 @@
 
     :param Run run: what to run.
     :returns: book of the load, and offered over sent for each phase.
-    :rtype: tuple[sequoiagap.standins.LoadBook, dict]
+    :rtype: tuple[sequoiagap.standins.LoadReports, dict]
     """
     with tempfile.TemporaryDirectory() as folder:
         plan = make_plan(run.policy)
--- a/benchmarks/map_change.py
+++ b/benchmarks/map_change.py
@@ -100,7 +100,7 @@
                 experts.OrderKind.LOAD, version, target, engine.committed_
             )
             delay = self._delay_s() + (LEADER_PAUSE_S if rank >= half else 0.0)
-            self._at(delay, lambda e=engine, o=order: e.take(o))
+            self._at(delay, lambda e=engine, o=order: e.apply_order(o))
         while not self._is_in_force(version):
             self._run_one()
 
@@ -148,11 +148,11 @@
     def _receive(self, send):
         state, engine = self.states[send.rank], self.engines[send.rank]
         if self.mode == "switch_now" and isinstance(send.message, experts.Prepare):
-            engine.take(experts.Order(experts.OrderKind.HOLD, send.message.epoch))
+            engine.apply_order(experts.Order(experts.OrderKind.HOLD, send.message.epoch))
         state.view = engine.view()
         effects = getattr(state, group_world.HANDLERS[type(send.message)])(send.message)
         for order in effects.orders:
-            engine.take(order)
+            engine.apply_order(order)
         delay_s = LOCAL_CALL_S * len(effects.orders)
         if send.rank:
             self._count(effects.reply)
--- a/libs/standins/src/sequoiagap/standins/__init__.py
+++ b/libs/standins/src/sequoiagap/standins/__init__.py
@@ -16,7 +16,7 @@
 from sequoiagap.standins._rank_fleet import RankFleet, RankFleetPlan
 from sequoiagap.standins._relay import LinkMode, Relay
 from sequoiagap.standins._relays import Relays
-from sequoiagap.standins._report import LoadBook, LoadReport
+from sequoiagap.standins._report import LoadReport, LoadReports
 from sequoiagap.standins._serve import start
 
 __all__ = [
@@ -30,7 +30,7 @@
     "FleetPlan",
     "FrameRelay",
     "LinkMode",
-    "LoadBook",
+    "LoadReports",
     "LoadGenerator",
     "LoadReport",
     "PlatformStandIn",
--- a/libs/standins/src/sequoiagap/standins/_direct.py
+++ b/libs/standins/src/sequoiagap/standins/_direct.py
@@ -1,4 +1,4 @@
-"""Stand-ins for what a gateway meets: headers, a store and endpoints."""
+"""In-process stand-ins for the surroundings of a gateway: store and endpoints."""
 
 import asyncio
 import dataclasses
@@ -16,21 +16,21 @@
 
 
 class DirectDialect:
-    """Headers as the stand-ins spell them."""
+    """Translates between HTTP headers of the stand-ins and heads of the gateway."""
 
     def read_request(self, headers):
-        """Return what a caller's headers say."""
-        remaining = headers.get("X-Remaining-Ms")
-        last = headers.get("Last-Event-Id")
+        """Return the request head that a caller's headers carry."""
+        remaining_ms = headers.get("X-Remaining-Ms")
+        last_id = headers.get("Last-Event-Id")
         return gateway.RequestHead(
             request_id=headers.get("X-Request-Id", ""),
-            deadline_s=None if remaining is None else int(remaining) / 1000,
+            deadline_s=None if remaining_ms is None else int(remaining_ms) / 1000,
             key=headers.get("X-Key", ""),
-            last_event_id=None if last is None else int(last),
+            last_event_id=None if last_id is None else int(last_id),
         )
 
     def write_request(self, headers, forward_head):
-        """Return the headers for an endpoint."""
+        """Return the headers of a request to an endpoint."""
         written = multidict.CIMultiDict(headers)
         for name in _OWN_HEADERS:
             written.popall(name, None)
@@ -43,7 +43,7 @@
         return written
 
     def read_answer(self, status, headers):
-        """Return what status and headers of an endpoint's answer say."""
+        """Return the answer head that an endpoint's status and headers carry."""
         return gateway.AnswerHead(
             request_id=headers.get("X-Request-Id", ""),
             is_sealed=SIGNATURE in headers,
@@ -53,7 +53,7 @@
         )
 
     def write_refusal(self, request_id, refusal):
-        """Return the headers of a refusal."""
+        """Return the headers of a rejection."""
         written = {"X-Request-Id": request_id}
         if refusal.retry_after_s:
             written["Retry-After"] = f"{refusal.retry_after_s:.3f}"
@@ -61,16 +61,16 @@
 
 
 class DirectStore:
-    """A store in memory that may be away.
+    """Keeps topics and registrations in memory; it can be made unreachable.
 
-    :ivar dict snapshot_by_topic: what each topic holds now.
-    :ivar bool is_away: whether it answers nobody.
-    :ivar dict node_by_id: the registered processes.
-    :ivar int era: how often it has come back from a copy.
+    :ivar dict snapshot_by_topic: current snapshot of each topic.
+    :ivar bool is_unreachable: whether every call fails.
+    :ivar dict node_by_id: registered processes.
+    :ivar int era: number of times that it was restored from a copy.
     """
 
     def __init__(self):
-        self.is_away = False
+        self.is_unreachable = False
         self.era = 0
         self.revision = 1
         self.node_by_id = {}
@@ -82,16 +82,16 @@
         }
 
     def put(self, topic, value):
-        """Set what a topic holds."""
+        """Set the value of a topic."""
         self.revision += 1
         self.snapshot_by_topic[topic] = gateway.Snapshot(self.revision, value)
 
     def make_copy(self):
-        """Return a copy of what is held now, for :meth:`come_back`."""
+        """Return a copy of the current content for :meth:`restore`."""
         return self.revision, dict(self.snapshot_by_topic), dict(self.node_by_id)
 
-    def come_back(self, copy):
-        """Come back from a copy: what was written since is gone, revisions too.
+    def restore(self, copy):
+        """Restore a copy; all later writes and revisions are lost.
 
         :param copy: what :meth:`make_copy` returned.
         """
@@ -100,50 +100,55 @@
         self.snapshot_by_topic, self.node_by_id = dict(snapshots), dict(nodes)
 
     async def read(self, topic, may_be_old=False):
-        """Return the content of a topic."""
-        self._check()
+        """Return a reading of a topic.
+
+        :raises sequoiagap.base.PlatformError: if the store is unreachable.
+        """
+        self._check_reachable()
         snapshot = self.snapshot_by_topic[topic]
         content = f"{topic} {snapshot.revision} {id(snapshot)}".encode()
         self._snapshot_by_content[content] = snapshot
         return gateway.Reading(content, self.era)
 
     def decode(self, topic, content):
-        """Return the snapshot of a content."""
+        """Return the snapshot that a content stands for."""
         return self._snapshot_by_content[content]
 
     async def announce(self, node):
         """Register a process."""
-        self._check()
+        self._check_reachable()
         self.node_by_id[node.node_id] = node
 
     async def list_nodes(self):
-        """Return the registered processes by id."""
-        self._check()
+        """Return registered processes by id."""
+        self._check_reachable()
         return dict(self.node_by_id)
 
-    def _check(self):
-        if self.is_away:
-            raise base.PlatformError("the store is away", "Switch it on")
+    def _check_reachable(self):
+        if self.is_unreachable:
+            raise base.PlatformError(
+                "the store is unreachable", "Make it reachable again"
+            )
 
 
 @dataclasses.dataclass
 class EndpointFaults:
-    """What an endpoint does wrong.
-
-    :param str mode: empty for nothing, ``refuse`` (not run), ``blame`` (not run, as
-        another rank is lost), ``fail`` (status 500),
-        ``reset`` (runs, then resets), ``mute`` (runs, never answers), ``short``
-        (a body that is cut off), ``unframed_reset`` (a body without length, then a
-        reset), ``extra`` (a second answer after the first), ``crossed`` (the answer
-        to another request), ``cut`` (a stream cut in the middle of an event).
-    :param int times: how many requests it does this to.
+    """Faults that an endpoint injects.
+
+    :param str mode: empty for none, ``refuse`` (rejects without running), ``blame``
+        (rejects without running, as another rank is lost), ``fail`` (status 500),
+        ``reset`` (runs, then resets the connection), ``mute`` (runs, never answers),
+        ``short`` (truncated body), ``unframed_reset`` (body without a length, then a
+        reset), ``extra`` (second answer after the first), ``crossed`` (answer
+        to another request), ``cut`` (stream cut in the middle of an event).
+    :param int times: number of requests that it affects.
     """
 
     mode: str = ""
     times: int = 1_000_000
 
-    def take(self):
-        """Return the mode for the next request."""
+    def consume(self):
+        """Count one request and return its fault mode; empty for none."""
         if not self.mode or self.times <= 0:
             return ""
         self.times -= 1
@@ -151,14 +156,15 @@
 
 
 class DirectEndpoint:
-    """A server that answers requests as bytes, so that it can answer wrongly.
+    """HTTP server that writes raw bytes, so that it can send malformed answers.
 
-    :param str endpoint_id: its id.
-    :param int events: events of a stream.
+    :param str endpoint_id: id of the endpoint.
+    :param int events: number of events of a stream.
     :param float event_s: time between two events, in seconds.
 
-    :ivar list seen: method, path, headers and body of each request that ran.
-    :ivar EndpointFaults faults: what it does wrong.
+    :ivar list seen: method, path, headers and body of each executed request.
+    :ivar EndpointFaults faults: faults that it injects.
+    :ivar int arrivals: number of requests received.
     """
 
     def __init__(self, endpoint_id, events=5, event_s=0.005):
@@ -167,7 +173,7 @@
         self.event_s = event_s
         self.seen = []
         self.arrivals = 0
-        self.left = 0
+        self.disconnect_count = 0
         self.work_s = 0.0
         self.faults = EndpointFaults()
         self.port = 0
@@ -183,7 +189,7 @@
         self._server.close()
 
     def record(self, service, failure_domain="a", state=routes.EndpointState.READY):
-        """Return the entry that registers this endpoint.
+        """Return the record that registers this endpoint.
 
         :rtype: sequoiagap.routes.Endpoint
         """
@@ -201,36 +207,36 @@
         try:
             await self._answer(reader, writer)
         except (ConnectionError, asyncio.IncompleteReadError):
-            self.left += 1
+            self.disconnect_count += 1
         finally:
             writer.close()
 
     async def _answer(self, reader, writer):
         head = (await reader.readuntil(_HEAD_END)).decode("latin-1")
-        first, *lines = head.strip().split("\r\n")
-        method, path, _ = first.split(" ")
+        request_line, *lines = head.strip().split("\r\n")
+        method, path, _ = request_line.split(" ")
         headers = multidict.CIMultiDict(line.split(": ", 1) for line in lines)
         body = await reader.readexactly(int(headers.get("Content-Length", 0)))
         self.arrivals += 1
         request_id = headers.get("X-Request-Id", "")
-        mode = self.faults.take()
-        is_meant = headers.get("X-Endpoint") == self.endpoint_id
-        if not is_meant or mode in ("refuse", "blame"):
-            status = 503 if is_meant else MISDIRECTED_STATUS
-            more = {"X-Not-Run": "1"}
+        mode = self.faults.consume()
+        is_addressed = headers.get("X-Endpoint") == self.endpoint_id
+        if not is_addressed or mode in ("refuse", "blame"):
+            status = 503 if is_addressed else MISDIRECTED_STATUS
+            extra_headers = {"X-Not-Run": "1"}
             if mode == "blame":
-                more["X-Faulty"] = "another"
-            _write(writer, status, request_id, b"full", more, signed=False)
+                extra_headers["X-Faulty"] = "another"
+            _write(writer, status, request_id, b"full", extra_headers, signed=False)
             return
         self.seen.append((method, path, headers, body))
         await asyncio.sleep(self.work_s)
         if "stream" in path:
             await self._stream(writer, headers, mode)
         else:
-            await self._whole(writer, request_id, mode)
+            await self._answer_complete(writer, request_id, mode)
         await writer.drain()
 
-    async def _whole(self, writer, request_id, mode):
+    async def _answer_complete(self, writer, request_id, mode):
         answer = f"answer of {self.endpoint_id}".encode()
         if mode == "mute":
             await asyncio.sleep(60)
@@ -272,15 +278,15 @@
 
 
 def _reset(writer):
-    """Close a connection by a reset, not by its orderly end."""
+    """Close a connection with a TCP reset."""
     connection = writer.get_extra_info("socket")
-    linger = struct.pack("ii", 1, 0)  # on, with nothing left to wait for
+    linger = struct.pack("ii", 1, 0)  # enabled, with a timeout of 0 s
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
     writer.transport.abort()
 
 
-def _head(status, request_id, length, more=None, signed=True):
-    headers = {"X-Request-Id": request_id} | (more or {})
+def _head(status, request_id, length, extra_headers=None, signed=True):
+    headers = {"X-Request-Id": request_id} | (extra_headers or {})
     if signed:
         headers[SIGNATURE] = "s"
     if length is not None:
@@ -290,8 +296,8 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
-def _write(writer, status, request_id, body, more=None, signed=True):
-    writer.write(_head(status, request_id, len(body), more, signed) + body)
+def _write(writer, status, request_id, body, extra_headers=None, signed=True):
+    writer.write(_head(status, request_id, len(body), extra_headers, signed) + body)
 
 
 def _write_chunk(writer, data):
--- a/libs/standins/src/sequoiagap/standins/_fleet.py
+++ b/libs/standins/src/sequoiagap/standins/_fleet.py
@@ -1,4 +1,4 @@
-"""A fleet of real processes on one machine, with stand-ins around it."""
+"""Test fleet of real processes on one machine, with stand-ins for external systems."""
 
 import asyncio
 import json
@@ -17,13 +17,13 @@
 
 
 class Fleet:
-    """Starts, breaks and stops a fleet; an asynchronous context manager.
+    """Runs a fleet as an asynchronous context manager and injects faults into it.
 
-    :param FleetPlan plan: what it consists of.
-    :param pathlib.Path folder: where settings and logs go.
+    :param FleetPlan plan: composition of the fleet.
+    :param pathlib.Path folder: folder for settings and logs.
 
-    :ivar dict process_by_name: every process started, by name.
-    :ivar Relays relays_: relays of the links, empty unless the plan has them.
+    :ivar dict process_by_name: started processes, by name.
+    :ivar Relays relays_: relays of the connections, empty unless the plan has them.
     """
 
     def __init__(self, plan, folder):
@@ -34,7 +34,7 @@
         self.session_ = None
 
     async def __aenter__(self):
-        """Start everything and wait until requests can be served."""
+        """Start all processes; with a configuration, wait until the fleet is ready."""
         self.session_ = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         try:
             await self._start()
@@ -44,7 +44,7 @@
         return self
 
     async def __aexit__(self, *exc_info):
-        """Kill every process."""
+        """Kill all processes and close the relays."""
         for process in self.process_by_name.values():
             process.send_signal(signal.SIGKILL)
         for process in self.process_by_name.values():
@@ -54,7 +54,7 @@
         await self.session_.close()
 
     def url(self, name):
-        """Return the HTTP address of a process.
+        """Return the base URL of a process.
 
         :param str name: name of the process.
         :rtype: str
@@ -70,20 +70,20 @@
         return [f"entry-{i}" for i in range(self.plan.entries)]
 
     def endpoint_names(self):
-        """Return the names of the endpoints, which are those of their agents.
+        """Return the names of the endpoints, which equal those of their agents.
 
         :rtype: list[str]
         """
         return [name for name, _, _ in self._endpoints()]
 
     async def call(self, name, method, path, body=None, key=OPERATOR_KEY):
-        """Call a process and return status and JSON body.
+        """Send a request to a process and return status and JSON body.
 
         :param str name: name of the process.
         :param str method: HTTP method.
         :param str path: HTTP path.
         :param dict body: JSON body, or ``None``.
-        :param str key: key to show.
+        :param str key: key to authenticate with.
         :rtype: tuple[int, dict]
         """
         headers = {"Authorization": f"Bearer {key}"}
@@ -93,20 +93,21 @@
             return response.status, await response.json()
 
     async def set_faults(self, name, **switches):
-        """Change fault switches of a stand-in.
+        """Set fault switches of a stand-in.
 
-        :param str name: ``platform`` or an endpoint's stand-in, ``NAME-target``.
-        :param switches: new values by switch.
+        :param str name: ``platform``, or ``NAME-target`` for an endpoint's stand-in.
+        :param switches: new values by name of the switch.
+        :raises ValueError: if a switch does not exist.
         """
         status, document = await self.call(name, "POST", "/faults", switches)
         if status != 200:
             raise ValueError(document["error"])
 
     async def patch_config(self, changes, entry="entry-0"):
-        """Submit a patch against the current version.
+        """Submit a configuration patch against the current version.
 
         :param dict changes: merge patch.
-        :param str entry: entry to submit to.
+        :param str entry: name of the entry to submit to.
         :rtype: tuple[int, dict]
         """
         _, current = await self.call(entry, "GET", "/config")
@@ -114,7 +115,7 @@
         return await self.call(entry, "POST", "/config", body)
 
     async def executions(self):
-        """Return how often each request key was run, over all endpoints.
+        """Return the number of executions by request key, over all endpoints.
 
         :rtype: dict[str, int]
         """
@@ -126,35 +127,35 @@
         return total
 
     async def wait_until(self, condition, timeout_s):
-        """Poll a condition.
+        """Poll a condition until it holds.
 
-        :param condition: coroutine function that returns whether it holds.
-        :param float timeout_s: longest wait, in seconds.
-        :raises TimeoutError: if it does not hold in time.
+        :param condition: coroutine function that returns a bool.
+        :param float timeout_s: maximum wait, in seconds.
+        :raises TimeoutError: if the condition does not hold in time.
         """
         async with asyncio.timeout(timeout_s):
             while not await condition():  # noqa: ASYNC110 - state of other processes
                 await asyncio.sleep(POLL_S)
 
     async def wait_ready(self):
-        """Wait until every entry can reach every endpoint."""
+        """Wait until every entry can reach its endpoints, up to ``max_links``."""
         await self.wait_until(self._is_ready, READY_TIMEOUT_S)
 
     def first_config(self):
-        """Return the document of version 1 of the configuration.
+        """Return the document of configuration version 1.
 
         :rtype: dict
         """
         return _documents.first_config(self.plan)
 
     async def start_entry(self, index):
-        """Start an entry, or start it again.
+        """Start or restart an entry.
 
-        :param int index: number of the entry.
+        :param int index: index of the entry.
         """
         name = f"entry-{index}"
         domain = self.plan.domains[index % len(self.plan.domains)]
-        node = await self._node(name, domain)
+        node = await self._make_node_settings(name, domain)
         settings = node | {
             "role": "entry",
             "http_port": 0,
@@ -163,11 +164,11 @@
             **self.plan.entry,
         }
         await self._start_role("entry", name, settings)
-        host = await self._host(name, "entry", domain, [])
+        host = await self._make_host_entry(name, "entry", domain, [])
         await self.call("platform", "PUT", f"/hosts/{name}", host)
 
     async def start_agent(self, name):
-        """Start the agent of an endpoint, or start it again.
+        """Start or restart the agent of an endpoint.
 
         :param str name: name of the endpoint.
         """
@@ -180,18 +181,18 @@
             "warm_up_s": 1.0,
             **self.plan.endpoint,
         }
-        node = await self._node(name, domain)
+        node = await self._make_node_settings(name, domain)
         settings = node | {"role": "agent", "endpoint": endpoint, **self.plan.agent}
         await self._start_role("agent", name, settings)
-        host = await self._host(name, "agent", domain, serves)
+        host = await self._make_host_entry(name, "agent", domain, serves)
         await self.call("platform", "PUT", f"/hosts/{name}", host)
 
     async def start_stand_in(self, name, kind, parameters):
-        """Start a stand-in, or start it again.
+        """Start or restart a stand-in.
 
         :param str name: name of the process.
         :param str kind: ``platform``, ``engine`` or ``service``.
-        :param dict parameters: its parameters.
+        :param dict parameters: parameters of its class.
         """
         arguments = [kind, json.dumps(parameters)]
         command = [sys.executable, "-m", "sequoiagap.standins", *arguments]
@@ -217,24 +218,24 @@
     async def _is_ready(self):
         for name in self.entry_names():
             _, state = await self.call(name, "GET", "/state")
-            seen = [e for e in state["endpoints"].values() if e["limit"] > 0]
-            usable = [e for e in seen if e["connected"]]
-            wanted = len(self.endpoint_names())
-            wanted = min(wanted, self.plan.entry.get("max_links", wanted))
-            if not state["ready"] or len(usable) < wanted:
+            admitting = [e for e in state["endpoints"].values() if e["limit"] > 0]
+            usable = [e for e in admitting if e["connected"]]
+            expected = len(self.endpoint_names())
+            expected = min(expected, self.plan.entry.get("max_links", expected))
+            if not state["ready"] or len(usable) < expected:
                 return False
         return True
 
     def _endpoints(self):
-        rows = []
+        endpoints = []
         for domain in self.plan.domains:
             for i in range(self.plan.engines_per_domain):
-                rows.append((f"{domain}-model-{i}", "model", domain))
+                endpoints.append((f"{domain}-model-{i}", "model", domain))
             for i in range(self.plan.services_per_domain):
-                rows.append((f"{domain}-desk-{i}", "service", domain))
-        return rows
+                endpoints.append((f"{domain}-desk-{i}", "service", domain))
+        return endpoints
 
-    async def _node(self, name, domain):
+    async def _make_node_settings(self, name, domain):
         url = self.url("platform")
         if self.plan.relays:
             port = self.process_by_name["platform"].ready_["port"]
@@ -244,7 +245,7 @@
         return settings | {"seeds": self._seeds(name, domain)}
 
     def _seeds(self, name, domain):
-        """Return the addresses of the entries of a domain that run already."""
+        """Return the addresses of running entries in a failure domain."""
         ports = [
             self.relays_.peer_by_name[entry].port_
             if self.plan.relays
@@ -257,7 +258,7 @@
         return [{"address": "127.0.0.1", "port": port} for port in ports]
 
     def is_ready(self, name):
-        """Return whether a process was started and has named its ports.
+        """Return whether a process has started and reported its ports.
 
         :param str name: name of the process.
         :rtype: bool
@@ -266,7 +267,7 @@
         has_relay = not self.plan.relays or name in self.relays_.peer_by_name
         return process is not None and bool(process.ready_) and has_relay
 
-    async def _host(self, name, role, domain, serves):
+    async def _make_host_entry(self, name, role, domain, serves):
         port = self.process_by_name[name].ready_.get("port", 0)
         if self.plan.relays:
             port = await self.relays_.peer_port(name, port)
--- a/libs/standins/src/sequoiagap/standins/_plan.py
+++ b/libs/standins/src/sequoiagap/standins/_plan.py
@@ -1,4 +1,4 @@
-"""What a fleet consists of."""
+"""Composition of a test fleet."""
 
 import dataclasses
 import sys
@@ -6,26 +6,27 @@
 
 @dataclasses.dataclass(frozen=True)
 class FleetPlan:
-    """What a fleet consists of.
+    """Describes the processes of a test fleet and their settings.
 
-    :param tuple domains: failure domains.
-    :param int entries: entry processes, spread over the domains in turn.
-    :param int engines_per_domain: model endpoints in each domain.
-    :param int services_per_domain: plain service endpoints in each domain.
+    :param tuple domains: names of the failure domains.
+    :param int entries: number of entries, assigned to the domains round robin.
+    :param int engines_per_domain: number of model endpoints in each domain.
+    :param int services_per_domain: number of plain service endpoints in each domain.
     :param dict engine: parameters of the engine stand-ins.
     :param dict service: parameters of the service stand-ins.
-    :param dict endpoint: settings of the endpoints, over the defaults.
-    :param dict entry: settings of the entries, over the defaults.
-    :param dict node: settings of entries and agents, over the defaults.
-    :param bool configured: whether version 1 of the configuration exists at the
-        start; otherwise the fleet starts without waiting for it.
-    :param dict agent: settings of the agents, over the defaults.
-    :param dict config: merge patch over the default configuration.
+    :param dict endpoint: settings of the endpoints, merged over the defaults.
+    :param dict entry: settings of the entries, merged over the defaults.
+    :param dict node: settings of entries and agents, merged over the defaults.
+    :param bool configured: whether configuration version 1 exists at the
+        start; otherwise the fleet starts without one and does not wait until ready.
+    :param dict agent: settings of the agents, merged over the defaults.
+    :param dict config: top-level keys that replace those of the default
+        configuration.
     :param dict platform: parameters of the platform stand-in.
-    :param tuple program: the command that runs a role, with its arguments.
-    :param tuple accounts: client accounts; the key is ``NAME-key``.
-    :param bool relays: whether the links of every process pass through relays,
-        see :attr:`Fleet.relays_`.
+    :param tuple program: command line prefix that runs a role.
+    :param tuple accounts: client accounts; the key of each is ``NAME-key``.
+    :param bool relays: whether connections to and from each process pass through
+        relays, see :attr:`Fleet.relays_`.
     """
 
     domains: tuple = ("north", "middle", "south")
--- a/libs/standins/src/sequoiagap/standins/_platform.py
+++ b/libs/standins/src/sequoiagap/standins/_platform.py
@@ -1,4 +1,4 @@
-"""Stand-in for the platform: objects, watches and the lagging host list."""
+"""Stand-in for the platform: versioned objects, watches and a lagging host list."""
 
 import asyncio
 import copy
@@ -20,10 +20,10 @@
 
 
 class PlatformStandIn:
-    """Objects with versions in memory.
+    """Keeps versioned objects and the host list in memory.
 
-    :param float list_lag_s: how far the host list lags, in seconds.
-    :param int port: TCP port; 0 lets the system choose.
+    :param float list_lag_s: delay until the host list shows a change, in seconds.
+    :param int port: TCP port; 0 selects a free one.
     """
 
     def __init__(self, list_lag_s=0.5, port=0):
@@ -32,7 +32,7 @@
         self.faults_ = _faults.Faults()
         self.calls_by_method_ = {}
         self._object_by_name = {}
-        self._earlier_by_name = {}
+        self._previous_by_name = {}
         self._backup = ({}, 0)
         self._tasks = base.TaskSet()
         self._last_version = 0
@@ -40,9 +40,9 @@
         self._host_changes = []
 
     def add_routes(self, router):
-        """Register the handlers.
+        """Register the HTTP routes.
 
-        :param aiohttp.web.UrlDispatcher router: where to register.
+        :param aiohttp.web.UrlDispatcher router: router to add them to.
         """
         router.add_get("/objects/{name}", self._on_get)
         router.add_put("/objects/{name}", self._on_put)
@@ -87,11 +87,11 @@
         await self._write(name, body)
 
     async def _write(self, name, body):
-        """Apply a conditional update; tell whether it took effect."""
+        """Apply a conditional update and return whether it took effect."""
         if body["expected_version"] != self._version(name):
             return False
         self._last_version += 1
-        self._earlier_by_name[name] = self._object_by_name.get(name)
+        self._previous_by_name[name] = self._object_by_name.get(name)
         self._object_by_name[name] = _Object(self._last_version, body["value"])
         if not self.faults_.consume("gap_watches"):
             await self._notify()
@@ -99,7 +99,7 @@
 
     def _read(self, name):
         if self.faults_.stale_reads:
-            return self._earlier_by_name.get(name)
+            return self._previous_by_name.get(name)
         return self._object_by_name.get(name)
 
     async def _on_backup(self, request):
--- a/libs/standins/src/sequoiagap/standins/_rank_engine.py
+++ b/libs/standins/src/sequoiagap/standins/_rank_engine.py
@@ -1,4 +1,4 @@
-"""One rank's engine: which map it uses in each step, and the orders it takes."""
+"""Simulated engine of one rank: the expert map of each step, and map change orders."""
 
 from sequoiagap import base, experts
 
@@ -6,19 +6,19 @@
 
 
 class OrderRefused(base.SequoiagapError):
-    """The engine does not carry out an order."""
+    """Raised if the engine rejects an order."""
 
 
 class RankEngine:
-    """State of a rank's engine.
+    """Holds the expert maps, the fencing epoch and the staged weights of one engine.
 
-    :param str mode: how it changes its map, see :data:`MODES`.
-    :param bool checks_fencing: whether it refuses orders with an old number.
-    :param MapRef committed: map that it starts with.
+    :param str mode: how an armed map takes effect, see :data:`MODES`.
+    :param bool checks_fencing: whether it rejects orders of an older epoch.
+    :param MapRef committed: map that it starts with, or ``None``.
 
-    :ivar int starts_: how often it has started.
-    :ivar int step_: its next step.
-    :ivar set weights_: digests of the maps whose weights it has.
+    :ivar int starts_: number of starts.
+    :ivar int step_: number of its next step.
+    :ivar set weights_: digests of the maps whose weights it has loaded.
     """
 
     def __init__(self, mode="hold_at_step", checks_fencing=True, committed=None):
@@ -27,14 +27,14 @@
         self.starts_ = 0
         self.step_ = 0
         self.fence_ = 0
-        self._holds = MODES.get(mode)
+        self._stops_when_armed = MODES.get(mode)
         self.restart()
         if committed is not None:
             self.committed_ = committed
             self.weights_.add(committed.digest)
 
     def restart(self):
-        """Start anew without a map, weights or orders."""
+        """Restart without a map, weights or orders."""
         self.starts_ += 1
         self.fence_ = 0
         self.held_ = False
@@ -46,7 +46,7 @@
         self.staged_ = ""
 
     def stage(self, digest):
-        """Note that the weights of a map have come.
+        """Record that the weights of a map are loaded.
 
         :param str digest: digest of the map.
         """
@@ -54,13 +54,13 @@
         self.staged_ = digest
 
     def lose_staged(self):
-        """Forget staged weights; those of the map in use stay."""
+        """Drop all weights except those of the map in use."""
         current = self.current()
         self.staged_ = ""
         self.weights_ = {current.digest} if current else set()
 
     def view(self):
-        """Return what the engine tells its agent.
+        """Return the state that the engine reports to its agent.
 
         :rtype: sequoiagap.experts.EngineView
         """
@@ -74,11 +74,11 @@
             self.fence_,
         )
 
-    def take(self, order):
-        """Carry out an order.
+    def apply_order(self, order):
+        """Execute an order.
 
         :param sequoiagap.experts.Order order: the order.
-        :raises OrderRefused: if its number is old or it can't be carried out.
+        :raises OrderRefused: if its epoch is old or its map can't be armed.
         """
         if self.checks_fencing and order.epoch < self.fence_:
             raise OrderRefused(
@@ -100,7 +100,7 @@
             self.committed_ = order.target
 
     def current(self):
-        """Return the map of the next step, or ``None``.
+        """Return the map of the next step, or ``None`` if there is none.
 
         :rtype: sequoiagap.experts.MapRef | None
         """
@@ -109,7 +109,7 @@
         return current if current.version else None
 
     def missing(self):
-        """Return digests of the maps whose weights it needs and lacks.
+        """Return the digests of needed maps whose weights are not loaded.
 
         :rtype: list[str]
         """
@@ -119,14 +119,14 @@
         return [m.digest for m in needed if m.version and m.digest not in self.weights_]
 
     def can_step(self):
-        """Tell whether the engine could run its next step.
+        """Return whether the engine can run its next step.
 
         :rtype: bool
         """
         current = self.current()
         if self.held_ or current is None or current.digest not in self.weights_:
             return False
-        return not (self.armed_epoch_ and self._holds(self))
+        return not (self.armed_epoch_ and self._stops_when_armed(self))
 
     def _arm(self, order):
         if order.target.digest not in self.weights_:
@@ -138,18 +138,18 @@
 
 
 @MODES.register("hold_at_step")
-def _hold_at_step(engine):
-    """Run on with the old map until the step of the armed one."""
+def _stop_at_step(engine):
+    """Continue with the old map and stop before the step of the armed map."""
     return engine.step_ >= engine.armed_.at_step
 
 
 @MODES.register("switch_at_step")
-def _hold_at_once(engine):
-    """Stop where the order meets it: the engine can't wait for a later step."""
+def _stop_at_once(engine):
+    """Stop at once, as the engine can't defer a stop to a later step."""
     return True
 
 
 @MODES.register("switch_now")
-def _hold_now(engine):
-    """Stop where the order meets it."""
+def _stop_now(engine):
+    """Stop at once."""
     return True
--- a/libs/standins/src/sequoiagap/standins/_rank_fleet.py
+++ b/libs/standins/src/sequoiagap/standins/_rank_fleet.py
@@ -1,4 +1,4 @@
-"""A rank group of real agents around its stand-in, behind relays."""
+"""Test fleet of one rank group: real agents behind relays, with simulated engines."""
 
 import asyncio
 import dataclasses
@@ -16,16 +16,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class RankFleetPlan:
-    """What a group consists of.
-
-    :param tuple shape: layers, ranks, experts and slots.
-    :param dict group: settings of the group, over the defaults.
-    :param dict engine: parameters of the stand-in of the engines.
-    :param str mode: how the engines change their map.
-    :param float store_rate: bytes a second of the weight store.
-    :param bool platform_up: whether the platform runs.
-    :param str platform_url: platform to use; empty to start one.
-    :param str secret_file: secret to use; empty to make one.
+    """Describes a rank group and its settings.
+
+    :param tuple shape: numbers of layers, ranks, experts and slots per rank.
+    :param dict group: settings of the group, merged over the defaults.
+    :param dict engine: parameters of the engines' stand-in.
+    :param str mode: how an armed map takes effect in the engines.
+    :param float store_rate: rate of the weight store, in bytes per second.
+    :param bool platform_up: whether the platform answers at the start.
+    :param str platform_url: URL of the platform; empty to start a stand-in.
+    :param str secret_file: path of the secret; empty to create one.
     """
 
     shape: tuple = (2, 3, 6, 3)
@@ -39,13 +39,13 @@
 
 
 class RankFleet:
-    """Starts, breaks and stops a group; an asynchronous context manager.
+    """Runs a group as an asynchronous context manager and injects faults into it.
 
-    :param RankFleetPlan plan: what it consists of.
-    :param pathlib.Path folder: where settings and logs go.
+    :param RankFleetPlan plan: composition of the group.
+    :param pathlib.Path folder: folder for settings and logs.
 
-    :ivar dict process_by_name: every process, by name; agents are ``rank-N``.
-    :ivar list relays_: the relay before each rank's agent.
+    :ivar dict process_by_name: started processes, by name; agents are ``rank-N``.
+    :ivar list relays_: relay in front of each rank's agent.
     """
 
     def __init__(self, plan, folder):
@@ -56,7 +56,7 @@
         self.session_ = None
 
     async def __aenter__(self):
-        """Start everything."""
+        """Start all processes."""
         self.session_ = aiohttp.ClientSession()
         try:
             await self._start()
@@ -66,7 +66,7 @@
         return self
 
     async def __aexit__(self, *exc_info):
-        """Kill every process."""
+        """Kill all processes and close the relays."""
         for process in self.process_by_name.values():
             if process.child_ is not None:
                 await process.kill()
@@ -80,7 +80,7 @@
         return self.plan.shape[1]
 
     def url(self, name):
-        """Return the HTTP address of a stand-in.
+        """Return the base URL of a stand-in.
 
         :param str name: name of the process.
         :rtype: str
@@ -88,7 +88,7 @@
         return f"http://127.0.0.1:{self.process_by_name[name].ready_['port']}"
 
     async def group(self):
-        """Return what the group of engines says of itself.
+        """Return the state of the engine group.
 
         :rtype: dict
         """
@@ -96,20 +96,21 @@
             return await response.json()
 
     async def set_rank_faults(self, rank, **switches):
-        """Change the fault switches of a rank's engine.
+        """Set fault switches of a rank's engine.
 
         :param int rank: the rank.
-        :param switches: ``frozen``, ``slowness``, ``restart``, ``lose_staged``.
+        :param switches: new values of ``frozen``, ``slowness``, ``restart`` or
+            ``lose_staged``.
         """
         url = f"{self.url('ranks')}/ranks/{rank}/faults"
         async with self.session_.post(url, json=switches) as response:
             response.raise_for_status()
 
     async def set_faults(self, name, **switches):
-        """Change the fault switches of the platform or the weight store.
+        """Set fault switches of the platform or the weight store.
 
         :param str name: ``platform`` or ``weights``.
-        :param switches: new values by switch.
+        :param switches: new values by name of the switch.
         """
         url = f"{self.url(name)}/faults"
         async with self.session_.post(url, json=switches) as response:
@@ -118,11 +119,11 @@
     async def wait_until(self, condition, timeout_s):
         """Poll the group until a condition holds.
 
-        :param condition: function of what :meth:`group` returns.
-        :param float timeout_s: longest wait, in seconds.
-        :returns: what the group said last.
+        :param condition: function of the result of :meth:`group`.
+        :param float timeout_s: maximum wait, in seconds.
+        :returns: last result of :meth:`group`.
         :rtype: dict
-        :raises TimeoutError: if it does not hold in time.
+        :raises TimeoutError: if the condition does not hold in time.
         """
         async with asyncio.timeout(timeout_s):
             while True:
@@ -132,7 +133,7 @@
                 await asyncio.sleep(POLL_S)
 
     async def start_agent(self, rank, **group):
-        """Start the agent of a rank, or start it again.
+        """Start or restart the agent of a rank.
 
         :param int rank: the rank.
         :param group: settings of the group for this agent only.
@@ -146,7 +147,7 @@
         self.relays_[rank].target_port = process.ready_["port"]
 
     async def register(self, rank, serves=("desk-model",)):
-        """Put a rank's agent on the platform's list of hosts.
+        """Add a rank's agent to the platform's host list.
 
         :param int rank: the rank.
         :param tuple serves: models that it serves.
@@ -166,7 +167,7 @@
             response.raise_for_status()
 
     def log(self, rank):
-        """Return the log of a rank's agent.
+        """Return the log text of a rank's agent.
 
         :param int rank: the rank.
         :rtype: str
--- a/libs/standins/src/sequoiagap/standins/_ranks.py
+++ b/libs/standins/src/sequoiagap/standins/_ranks.py
@@ -1,4 +1,4 @@
-"""Stand-in for a group of rank engines that run in lock-step."""
+"""Stand-in for the engines of a rank group, which run their steps together."""
 
 import asyncio
 import base64
@@ -16,20 +16,22 @@
 
 
 class RankGroupStandIn:
-    """A group: a step needs all ranks, and each rank says which map it used.
+    """Simulates a rank group: each step needs all ranks and records the map of each.
 
-    :param list shape: layers, ranks, experts and slots.
-    :param float step_s: time of a step with even load, in seconds.
-    :param str trace: name of the trace of expert popularity.
-    :param str mode: how its engines change their map.
-    :param bool checks_fencing: whether its engines refuse old orders.
-    :param str weights_url: weight store; empty to load weights at once.
-    :param int expert_bytes: weights of one expert of one layer.
+    The duration of a step follows from the expert map, the trace and the rank speeds.
+
+    :param list shape: numbers of layers, ranks, experts and slots per rank.
+    :param float step_s: duration of a step with balanced load, in seconds.
+    :param str trace: name of the expert popularity trace.
+    :param str mode: how an armed map takes effect in its engines.
+    :param bool checks_fencing: whether its engines reject orders of an older epoch.
+    :param str weights_url: URL of the weight store; empty to load weights at once.
+    :param int expert_bytes: weights of one expert of one layer, in bytes.
     :param bool starts_with_map: whether the engines start with the initial map.
-    :param int tokens: steps that a request takes.
-    :param int port: TCP port; 0 lets the system choose.
+    :param int tokens: number of steps per request.
+    :param int port: TCP port; 0 selects a free one.
 
-    :ivar int violations_: steps in which ranks used different maps.
+    :ivar int violations_: number of steps in which ranks used different maps.
     """
 
     def __init__(
@@ -66,8 +68,8 @@
             TRACE_INTERVAL,
             random_state=1,
         )
-        self.slowness_ = [1.0] * self.shape.ranks
-        self.frozen_ = [False] * self.shape.ranks
+        self.slow_factors_ = [1.0] * self.shape.ranks
+        self.suspended_ = [False] * self.shape.ranks
         self.busy_s_ = [0.0] * self.shape.ranks
         self.counts_ = {}
         self.violations_ = 0
@@ -79,9 +81,9 @@
         self._task = None
 
     def add_routes(self, router):
-        """Register the handlers; each rank has a prefix of its own.
+        """Register the HTTP routes; each rank has its own path prefix.
 
-        :param aiohttp.web.UrlDispatcher router: where to register.
+        :param aiohttp.web.UrlDispatcher router: router to add them to.
         """
         router.add_get("/group", self._on_group)
         router.add_post("/ranks/{rank}/faults", self._on_faults)
@@ -92,7 +94,9 @@
             ("POST", "/group/stage", self._on_stage),
             ("POST", "/v1/chat/completions", self._on_complete),
         ):
-            router.add_route(method, "/ranks/{rank}" + path, self._thawed(handler))
+            router.add_route(
+                method, "/ranks/{rank}" + path, self._wait_while_suspended(handler)
+            )
         self._task = asyncio.get_running_loop().create_task(self._step_forever())
 
     async def _step_forever(self):
@@ -102,12 +106,12 @@
                 continue
             now = time.monotonic()
             self.longest_wait_s_ = max(self.longest_wait_s_, now - self.blocked_since_)
-            took_s = self._step()
-            await asyncio.sleep(took_s)
+            duration_s = self._step()
+            await asyncio.sleep(duration_s)
             self.blocked_since_ = time.monotonic()
 
     def _can_step(self):
-        return all(e.can_step() for e in self.engines_) and not any(self.frozen_)
+        return all(e.can_step() for e in self.engines_) and not any(self.suspended_)
 
     def _step(self):
         used = [engine.current() for engine in self.engines_]
@@ -118,14 +122,14 @@
             self.counts_ = {}
         step = self.engines_[0].step_
         shares = self.trace_.shares(step % TRACE_STEPS)
-        speeds = [1.0 / slowness for slowness in self.slowness_]
+        speeds = [1.0 / slowness for slowness in self.slow_factors_]
         rows = self.maps_[used[0].digest].rows
         slots = self.shape.slots
         times = [
             experts.rank_times(row, loads, speeds, slots)
             for row, loads in zip(rows, shares, strict=True)
         ]
-        self._count(rows, shares)
+        self._count_tokens(rows, shares)
         to_s = self.step_s * self.shape.ranks / self.shape.layers
         for rank in range(self.shape.ranks):
             self.busy_s_[rank] += sum(layer[rank] for layer in times) * to_s
@@ -133,20 +137,20 @@
         self.skews_.append(experts.step_skew(times))
         return sum(max(layer) for layer in times) * to_s
 
-    def _count(self, rows, shares):
+    def _count_tokens(self, rows, shares):
         for layer, (row, loads) in enumerate(zip(rows, shares, strict=True)):
             copies = [0] * self.shape.experts
             for expert in row:
                 copies[expert] += 1
             for slot, expert in enumerate(row):
                 key = (layer, slot)
-                more = loads[expert] / copies[expert] * 10_000
-                self.counts_[key] = self.counts_.get(key, 0.0) + more
+                tokens = loads[expert] / copies[expert] * 10_000
+                self.counts_[key] = self.counts_.get(key, 0.0) + tokens
 
-    def _thawed(self, handler):
+    def _wait_while_suspended(self, handler):
         async def handle(request):
             rank = int(request.match_info["rank"])
-            while self.frozen_[rank]:  # noqa: ASYNC110 - a fault switch
+            while self.suspended_[rank]:  # noqa: ASYNC110 - a fault switch
                 await asyncio.sleep(POLL_S)
             return await handler(request, rank)
 
@@ -169,8 +173,8 @@
     async def _on_faults(self, request):
         rank = int(request.match_info["rank"])
         switches = await request.json()
-        self.frozen_[rank] = switches.get("frozen", self.frozen_[rank])
-        self.slowness_[rank] = switches.get("slowness", self.slowness_[rank])
+        self.suspended_[rank] = switches.get("frozen", self.suspended_[rank])
+        self.slow_factors_[rank] = switches.get("slowness", self.slow_factors_[rank])
         if switches.get("restart"):
             self.engines_[rank].restart()
         if switches.get("lose_staged"):
@@ -221,7 +225,7 @@
             experts.MapRef.from_wire(body["previous"]),
         )
         try:
-            self.engines_[rank].take(order)
+            self.engines_[rank].apply_order(order)
         except _rank_engine.OrderRefused as error:
             return web.json_response({"error": str(error)}, status=409)
         return web.json_response({})
@@ -229,26 +233,26 @@
     async def _on_stage(self, request, rank):
         body = await request.json()
         content = base64.b64decode(body["content"])
-        wanted = experts.ExpertMap.from_bytes(self.shape, content)
+        new_map = experts.ExpertMap.from_bytes(self.shape, content)
         engine = self.engines_[rank]
         starts = engine.starts_
-        if wanted.digest not in engine.weights_:
-            error = await self._load_weights(rank, wanted)
+        if new_map.digest not in engine.weights_:
+            error = await self._load_weights(rank, new_map)
             if error or engine.starts_ != starts:
                 return web.json_response({"error": error or "restarted"}, status=503)
-        self.maps_[wanted.digest] = wanted
-        engine.stage(wanted.digest)
+        self.maps_[new_map.digest] = new_map
+        engine.stage(new_map.digest)
         return web.json_response({})
 
-    async def _load_weights(self, rank, wanted):
-        """Load what the rank lacks; return an error text or an empty one."""
+    async def _load_weights(self, rank, new_map):
+        """Load missing weights of a rank; return an error text, empty on success."""
         if not self.weights_url:
             return ""
         current = self.engines_[rank].current()
         if current is None:
             count = self.shape.layers * self.shape.slots
         else:
-            moves = experts.moves_between(self.maps_[current.digest], wanted)
+            moves = experts.moves_between(self.maps_[current.digest], new_map)
             count = sum(move.rank == rank for move in moves)
         url = f"{self.weights_url}/weights/{count * self.expert_bytes}"
         try:
@@ -262,8 +266,8 @@
 
     async def _on_complete(self, request, rank):
         self.completions_ += 1
-        goal = self.engines_[rank].step_ + self.tokens
-        while self.engines_[rank].step_ < goal:  # noqa: ASYNC110 - decoding
+        last_step = self.engines_[rank].step_ + self.tokens
+        while self.engines_[rank].step_ < last_step:  # noqa: ASYNC110 - decoding
             await asyncio.sleep(POLL_S)
         headers = {"X-Request-Id": request.headers.get("X-Request-Id", "")}
         return web.json_response({"choices": [{"message": {}}]}, headers=headers)
--- a/libs/standins/src/sequoiagap/standins/_relay.py
+++ b/libs/standins/src/sequoiagap/standins/_relay.py
@@ -1,4 +1,4 @@
-"""TCP relay whose links can be cut, silenced and delayed for each source."""
+"""TCP relay that can cut, silence and delay connections by source."""
 
 import asyncio
 import enum
@@ -7,11 +7,11 @@
 
 CHUNK_BYTES = 65536
 POLL_S = 0.02
-EVERY_SOURCE = ""
+ALL_SOURCES = ""
 
 
 class LinkMode(enum.StrEnum):
-    """What a relay does with the bytes of a link."""
+    """How a relay treats the connections of a source."""
 
     PASS = "pass"
     CUT = "cut"
@@ -19,15 +19,15 @@
 
 
 class Relay:
-    """Passes connections on to one target.
+    """Forwards TCP connections to one target.
 
     :param int target_port: TCP port of the target; may be changed later.
     :param bool framed: whether the first frame of a connection is a hello that
-        names its source; else only the mode of every source counts.
+        names its source; otherwise only the mode for all sources applies.
     :param str target_address: IP address of the target.
 
-    :ivar int port_: TCP port that the relay listens on, once started.
-    :ivar float delay_s: how long bytes are held, in seconds.
+    :ivar int port_: TCP port of the listener, once started.
+    :ivar float delay_s: delay before each chunk is forwarded, in seconds.
 
     .. code-block:: python
 
@@ -45,12 +45,12 @@
         self._mode_by_source = {}
         self._writers_by_source = {}
         self._accepted = 0
-        self._silent_up_to = 0
+        self._last_silenced = 0
         self._tasks = base.TaskSet()
         self._server = None
 
     async def start(self):
-        """Listen on a port of the system's choice."""
+        """Listen on a free port."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.port_ = self._server.sockets[0].getsockname()[1]
 
@@ -60,12 +60,12 @@
         self.cut_open()
         await self._tasks.close()
 
-    def set_mode(self, mode, source=EVERY_SOURCE):
-        """Change what happens to the links of a source.
+    def set_mode(self, mode, source=ALL_SOURCES):
+        """Set the mode of a source.
 
-        :param LinkMode mode: ``CUT`` closes open connections and refuses new
-            ones, ``SILENT`` leaves them open and passes nothing.
-        :param str source: node id of the connecting process; all by default.
+        :param LinkMode mode: ``CUT`` resets open connections and closes new
+            ones, ``SILENT`` keeps them open and forwards nothing.
+        :param str source: node id of the connecting process; all sources by default.
         """
         self._mode_by_source[source] = LinkMode(mode)
         if mode == LinkMode.CUT:
@@ -74,70 +74,72 @@
                 self._abort(name)
 
     def silence_open(self):
-        """Make the open connections silent for good; new ones pass."""
-        self._silent_up_to = self._accepted
+        """Silence the open connections permanently; new ones are forwarded."""
+        self._last_silenced = self._accepted
 
     def cut_open(self):
-        """Cut the open connections; new ones pass."""
+        """Reset the open connections; new ones are forwarded."""
         for source in list(self._writers_by_source):
             self._abort(source)
 
     @property
     def connections(self):
-        """How many connections are open."""
+        """Number of open connections."""
         return len(self.writers) // 2
 
     @property
     def writers(self):
-        """The writers of the open connections, to both sides."""
-        return [item for own in self._writers_by_source.values() for item in own]
+        """Writers of the open connections, for both directions."""
+        return [
+            opened for writers in self._writers_by_source.values() for opened in writers
+        ]
 
     def heal(self):
-        """Let every link pass again, also those that were silent."""
+        """Forward the connections of all sources again, including silent ones."""
         self._mode_by_source.clear()
 
     def _mode(self, source):
-        every = self._mode_by_source.get(EVERY_SOURCE, LinkMode.PASS)
-        return self._mode_by_source.get(source, every)
+        default_mode = self._mode_by_source.get(ALL_SOURCES, LinkMode.PASS)
+        return self._mode_by_source.get(source, default_mode)
 
     async def _serve(self, reader, writer):
         task = self._tasks.start(self._relay(reader, writer), "relay")
         await asyncio.wait([task])
 
     async def _relay(self, reader, writer):
-        source, first = EVERY_SOURCE, b""
-        own = []
+        source, hello_frame = ALL_SOURCES, b""
+        writers = []
         self._accepted += 1
         number = self._accepted
         try:
             if self.framed:
-                source, first = await _read_source(reader)
+                source, hello_frame = await _read_source(reader)
             if self._mode(source) == LinkMode.CUT:
                 return
-            onward = await asyncio.open_connection(
+            target = await asyncio.open_connection(
                 self.target_address, self.target_port
             )
-            own = [writer, onward[1]]
-            self._writers_by_source.setdefault(source, []).extend(own)
-            await self._pass_on(number, source, first, onward[1])
+            writers = [writer, target[1]]
+            self._writers_by_source.setdefault(source, []).extend(writers)
+            await self._forward(number, source, hello_frame, target[1])
             async with asyncio.TaskGroup() as group:
-                group.create_task(self._pump(number, source, reader, onward[1]))
-                group.create_task(self._pump(number, source, onward[0], writer))
+                group.create_task(self._forward_all(number, source, reader, target[1]))
+                group.create_task(self._forward_all(number, source, target[0], writer))
         except (OSError, base.WireError, ExceptionGroup):
             pass
         finally:
-            self._forget(source, own)
+            self._forget(source, writers)
             writer.transport.abort()
-            for item in own:
-                item.transport.abort()
+            for opened in writers:
+                opened.transport.abort()
 
-    async def _pump(self, number, source, reader, writer):
+    async def _forward_all(self, number, source, reader, writer):
         while data := await reader.read(CHUNK_BYTES):
-            await self._pass_on(number, source, data, writer)
+            await self._forward(number, source, data, writer)
         if writer.can_write_eof():
             writer.write_eof()
 
-    async def _pass_on(self, number, source, data, writer):
+    async def _forward(self, number, source, data, writer):
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
         while self._is_silent(number, source):  # noqa: ASYNC110 - test tool
@@ -146,7 +148,7 @@
         await writer.drain()
 
     def _is_silent(self, number, source):
-        if number <= self._silent_up_to:
+        if number <= self._last_silenced:
             return True
         return self._mode(source) == LinkMode.SILENT
 
@@ -155,17 +157,17 @@
             writer.transport.abort()
 
     def _forget(self, source, writers):
-        left = self._writers_by_source.get(source, [])
+        open_writers = self._writers_by_source.get(source, [])
         for writer in writers:
-            if writer in left:
-                left.remove(writer)
+            if writer in open_writers:
+                open_writers.remove(writer)
 
 
 async def _read_source(reader):
-    """Return the node id of a hello, and the frame that carried it."""
+    """Read the hello; return its node id and the whole frame."""
     payload = await wire.read_frame(reader)
     if payload is None:
-        raise base.WireError("the source closed before its hello", "Reconnect")
+        raise base.WireError("connection closed before its hello", "Reconnect")
     hello = wire.decode(payload)
     frame = len(payload).to_bytes(4, "big") + payload
-    return getattr(hello, "node_id", EVERY_SOURCE), frame
+    return getattr(hello, "node_id", ALL_SOURCES), frame
--- a/libs/standins/src/sequoiagap/standins/_report.py
+++ b/libs/standins/src/sequoiagap/standins/_report.py
@@ -1,26 +1,26 @@
-"""What became of the requests of a run, by phase and client account."""
+"""Results of load generation by phase and client account."""
 
 import dataclasses
 
 from sequoiagap import base
 
 ROW = "{:<18}{:<12}{:>7}{:>9}{:>8}{:>8}{:>6}{:>9}{:>9}{:>9}  {}"
-HEAD = ("phase", "account", "sent", "answered", "refused", "unknown", "cut")
+HEADER = ("phase", "account", "sent", "answered", "refused", "unknown", "cut")
 QUANTILES = (0.5, 0.95, 0.99)
 MILLISECONDS = 1000
-NOT_REFUSED = ("answered", "cut", "connection_lost")
+OTHER_RESULTS = ("answered", "cut", "connection_lost")
 
 
 @dataclasses.dataclass
 class LoadReport:
-    """What became of some requests.
+    """Aggregates the results of requests.
 
-    :param sequoiagap.base.Metrics metrics: ``first_byte_seconds`` and
+    :param sequoiagap.base.Metrics metrics: histograms ``first_byte_seconds`` and
         ``total_seconds``.
-    :param dict count_by_result: how many ended as ``answered``, ``cut``,
-        ``connection_lost`` or with a kind of refusal.
-    :param list retry_after_s: what refused callers were told, in seconds.
-    :param int unknown: refusals that leave open whether the request was run.
+    :param dict count_by_result: number of requests by result: ``answered``, ``cut``,
+        ``connection_lost`` or a kind of rejection.
+    :param list retry_after_s: retry delays given to rejected callers, in seconds.
+    :param int unknown: rejections that leave open whether the request was run.
     """
 
     metrics: base.Metrics = dataclasses.field(default_factory=base.Metrics)
@@ -36,9 +36,9 @@
         self.count_by_result[result] = self.count_by_result.get(result, 0) + 1
 
     def merge(self, other):
-        """Take over the counts and histograms of another report.
+        """Add the counts and histograms of another report.
 
-        :param LoadReport other: what to add.
+        :param LoadReport other: report to add.
         """
         for result, count in other.count_by_result.items():
             self.count_by_result[result] = self.count_by_result.get(result, 0) + count
@@ -53,41 +53,41 @@
 
     @property
     def sent(self):
-        """Requests sent."""
+        """Number of requests sent."""
         return sum(self.count_by_result.values())
 
     @property
     def answered(self):
-        """Requests that got the whole answer."""
+        """Number of requests that got the complete answer."""
         return self.count_by_result.get("answered", 0)
 
     @property
     def refused(self):
-        """Requests that were refused, of every kind."""
+        """Number of rejected requests, of every kind."""
         kinds = self.refusals()
         return sum(kinds.values())
 
     def refusals(self):
-        """Return how many were refused, by kind.
+        """Return the number of rejected requests by kind.
 
         :rtype: dict[str, int]
         """
         return {
             kind: count
             for kind, count in self.count_by_result.items()
-            if kind not in NOT_REFUSED
+            if kind not in OTHER_RESULTS
         }
 
     def first_byte_ms(self, fraction):
-        """Return a quantile of the time to the first byte, in milliseconds.
+        """Return a quantile of the time to first byte, in milliseconds.
 
-        :param float fraction: from 0 to 1.
+        :param float fraction: quantile, from 0 to 1.
         :rtype: float
         """
         return self.metrics.quantile("first_byte_seconds", fraction) * MILLISECONDS
 
     def to_document(self):
-        """Return the report as plain data.
+        """Return the report as a JSON-compatible dict.
 
         :rtype: dict
         """
@@ -100,14 +100,14 @@
         }
 
 
-class LoadBook:
-    """Reports by phase and client account.
+class LoadReports:
+    """Keeps reports by phase and client account.
 
     :ivar dict by_phase_and_account: report by ``(phase, account)``.
 
-    >>> book = LoadBook()
-    >>> book.get("normal", "guild").add("answered")
-    >>> book.total(phase="normal").answered
+    >>> reports = LoadReports()
+    >>> reports.get("normal", "guild").add("answered")
+    >>> reports.total(phase="normal").answered
     1
     """
 
@@ -115,7 +115,7 @@
         self.by_phase_and_account = {}
 
     def get(self, phase, account):
-        """Return the report of a phase and an account; made when new.
+        """Return the report of a phase and an account; create it if missing.
 
         :param str phase: name of the phase.
         :param str account: name of the client account.
@@ -124,20 +124,20 @@
         return self.by_phase_and_account.setdefault((phase, account), LoadReport())
 
     def total(self, phase=None, account=None):
-        """Return the sum over the phases and accounts that are not named.
+        """Return the sum of the reports, optionally of one phase or account.
 
-        :param str phase: only this phase.
-        :param str account: only this account.
+        :param str phase: phase to select, or ``None`` for all.
+        :param str account: account to select, or ``None`` for all.
         :rtype: LoadReport
         """
         total = LoadReport()
-        for (one_phase, one_account), report in self.by_phase_and_account.items():
-            if phase in (None, one_phase) and account in (None, one_account):
+        for (report_phase, report_account), report in self.by_phase_and_account.items():
+            if phase in (None, report_phase) and account in (None, report_account):
                 total.merge(report)
         return total
 
     def to_document(self):
-        """Return every report as plain data.
+        """Return all reports as a JSON-compatible list.
 
         :rtype: list[dict]
         """
@@ -147,11 +147,11 @@
         ]
 
     def to_table(self):
-        """Return a table for people.
+        """Return all reports as a text table.
 
         :rtype: str
         """
-        head = [*HEAD, *(f"p{int(q * 100)} ms" for q in QUANTILES), "refusals"]
+        head = [*HEADER, *(f"p{int(q * 100)} ms" for q in QUANTILES), "refusals"]
         lines = [ROW.format(*head)]
         for (phase, account), report in self.by_phase_and_account.items():
             lines.append(_row(phase, account, report))
--- a/libs/standins/src/sequoiagap/standins/_traces.py
+++ b/libs/standins/src/sequoiagap/standins/_traces.py
@@ -1,4 +1,4 @@
-"""Seeded traces of expert popularity."""
+"""Reproducible traces of expert popularity."""
 
 import math
 import random
@@ -6,21 +6,22 @@
 from sequoiagap import base
 
 TRACES = base.Registry("trace")
-POPULARITY_SIGMA = 0.5  # of the logarithm
+POPULARITY_SIGMA = 0.5  # standard deviation of the logarithm
 DRIFT_SIGMA = 0.6
-DRIFT_PERIOD_INTERVALS = 288  # a day of plans five minutes apart
+DRIFT_PERIOD_INTERVALS = 288  # one day with a plan every five minutes
 HOT_SHARE_OF_RANKS = 4.0
 
 
 class Trace:
-    """Popularity of experts over steps.
-
-    :param int layers: layers with experts.
-    :param int experts: experts in a layer.
-    :param int ranks: ranks of the group.
-    :param int steps: length of the trace.
-    :param int interval: steps between plans, which some traces play against.
-    :param int random_state: seed.
+    """Base class of expert popularity over steps.
+
+    :param int layers: number of layers with experts.
+    :param int experts: number of experts per layer.
+    :param int ranks: number of ranks of the group.
+    :param int steps: length of the trace, in steps.
+    :param int interval: steps between plans; the drift and the oscillation scale
+        with it.
+    :param int random_state: seed of the random generator.
     """
 
     def __init__(self, layers, experts, ranks, steps, interval, random_state):
@@ -31,11 +32,11 @@
         self.interval = interval
         self.random_state = random_state
         self._random = random.Random(random_state)
-        self._first = [self._draw() for _ in range(layers)]
-        self._second = [self._draw() for _ in range(layers)]
+        self._first = [self._draw_weights() for _ in range(layers)]
+        self._second = [self._draw_weights() for _ in range(layers)]
 
     def shares(self, step):
-        """Return the expected share of each expert, layer by layer.
+        """Return the expected load share of each expert, by layer.
 
         :param int step: number of the step, from 0.
         :rtype: list[list[float]]
@@ -44,11 +45,11 @@
         return [[weight / sum(row) for weight in row] for row in rows]
 
     def sample(self, step, assignments):
-        """Return the tokens that go to each expert in a step.
+        """Return the number of tokens routed to each expert in a step.
 
         :param int step: number of the step.
-        :param int assignments: tokens times experts for each token.
-        :returns: counts, layer by layer; the same for the same step and seed.
+        :param int assignments: number of tokens times experts per token.
+        :returns: counts by layer and expert, deterministic for a step and seed.
         :rtype: list[list[float]]
         """
         source = random.Random(self.random_state * 1_000_003 + step)
@@ -59,22 +60,22 @@
         return counts
 
     def weights(self, layer, step):
-        """Return unscaled popularity; traces override it.
+        """Return the unnormalized popularity of each expert; subclasses override it.
 
-        :param int layer: the layer.
+        :param int layer: index of the layer.
         :param int step: number of the step.
         :rtype: list[float]
         """
         raise NotImplementedError
 
-    def _draw(self):
+    def _draw_weights(self):
         draws = (self._random.gauss(0, POPULARITY_SIGMA) for _ in range(self.experts))
         return [math.exp(x) for x in draws]
 
 
 @TRACES.register("steady")
 class Steady(Trace):
-    """Popularity that never changes."""
+    """Keeps the popularity constant."""
 
     def weights(self, layer, step):
         """Return the same weights at each step."""
@@ -83,7 +84,7 @@
 
 @TRACES.register("slow_drift")
 class SlowDrift(Trace):
-    """Each expert's popularity swings once a day, out of phase."""
+    """Varies each expert's popularity as a sine over a day, with different phases."""
 
     def weights(self, layer, step):
         """Return the weights of a step."""
@@ -96,7 +97,7 @@
 
 @TRACES.register("sudden_flip")
 class SuddenFlip(Trace):
-    """Popularity changes at once, after a third and again after two thirds."""
+    """Changes the popularity abruptly after a third and back after two thirds."""
 
     def weights(self, layer, step):
         """Return the weights of a step."""
@@ -106,17 +107,17 @@
 
 @TRACES.register("oscillation")
 class Oscillation(Trace):
-    """Two popularities take turns, each a little shorter than the interval."""
+    """Alternates two popularities, each for slightly less than the plan interval."""
 
     def weights(self, layer, step):
         """Return the weights of a step."""
-        turn = int(step / (0.9 * self.interval)) % 2
-        return self._second[layer] if turn else self._first[layer]
+        phase = int(step / (0.9 * self.interval)) % 2
+        return self._second[layer] if phase else self._first[layer]
 
 
 @TRACES.register("hot_expert")
 class HotExpert(Trace):
-    """One expert takes four times a rank's fair share; another does later."""
+    """Gives one expert four times a rank's fair share, and later another one."""
 
     def weights(self, layer, step):
         """Return the weights of a step."""
--- a/libs/standins/src/sequoiagap/standins/load.py
+++ b/libs/standins/src/sequoiagap/standins/load.py
@@ -1,12 +1,13 @@
-"""Load and experiment tool.
+"""Generate load from several client accounts and report the results.
 
 Usage::
 
     python -m sequoiagap.standins.load --url URL [--url URL ...]
         --account NAME:RATE[:KEY] [--account ...] --phase NAME:SECONDS [...]
 
-Sends model requests of several client accounts at once and prints, for each
-phase and account, answers, refusals by kind and times to the first byte.
+Sends model requests of several client accounts concurrently and prints, for each
+phase and account, answers, rejections by kind and quantiles of the time to the
+first byte.
 """
 
 import argparse
@@ -21,7 +22,7 @@
 def parse_account(text):
     """Return name, rate and key of ``NAME:RATE[:KEY]``.
 
-    :param str text: the argument.
+    :param str text: command line argument.
     :rtype: tuple[str, float, str]
     :raises argparse.ArgumentTypeError: if it is malformed.
 
@@ -34,9 +35,9 @@
 
 
 def parse_phase(text):
-    """Return name and length of ``NAME:SECONDS``.
+    """Return name and duration in seconds of ``NAME:SECONDS``.
 
-    :param str text: the argument.
+    :param str text: command line argument.
     :rtype: tuple[str, float]
     :raises argparse.ArgumentTypeError: if it is malformed.
 
@@ -53,17 +54,17 @@
     except ValueError:
         value = 0.0
     if value <= 0:
-        raise argparse.ArgumentTypeError(f"{text!r} is wrong; give {expected}")
+        raise argparse.ArgumentTypeError(f"{text!r} is invalid; expected {expected}")
     return value
 
 
 def make_parser():
-    """Return the parser of the arguments.
+    """Return the parser of the command line.
 
     :rtype: argparse.ArgumentParser
     """
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    parser.add_argument("--url", action="append", required=True, help="an entry")
+    parser.add_argument("--url", action="append", required=True, help="URL of an entry")
     parser.add_argument("--account", type=parse_account, action="append", required=True)
     parser.add_argument("--phase", type=parse_phase, action="append")
     parser.add_argument("--model", default="desk-model")
@@ -73,15 +74,15 @@
     parser.add_argument("--prefixes", type=int, default=0)
     parser.add_argument("--timeout", type=float, default=_load.DEFAULT_TIMEOUT_S)
     parser.add_argument("--seed", type=int, default=0)
-    parser.add_argument("--json", action="store_true", help="for scripts")
+    parser.add_argument("--json", action="store_true", help="print JSON")
     return parser
 
 
 async def run(options):
-    """Run the phases one after the other and return the book.
+    """Run the phases one after another and return their reports.
 
-    :param argparse.Namespace options: parsed arguments.
-    :rtype: LoadBook
+    :param argparse.Namespace options: parsed command line.
+    :rtype: LoadReports
     """
     loads = [
         _load.AccountLoad(
@@ -102,18 +103,18 @@
     for name, seconds in options.phase or [("all", 10.0)]:
         generator.phase_ = name
         await generator.run(seconds)
-    return generator.book_
+    return generator.reports_
 
 
 def main():
-    """Run the tool; exit code 1 if nothing was answered."""
+    """Run the load generator; return 1 if no request was answered."""
     options = make_parser().parse_args()
-    book = asyncio.run(run(options))
+    reports = asyncio.run(run(options))
     if options.json:
-        print(json.dumps(book.to_document(), indent=2))
+        print(json.dumps(reports.to_document(), indent=2))
     else:
-        print(book.to_table())
-    return 0 if book.total().answered else 1
+        print(reports.to_table())
+    return 0 if reports.total().answered else 1
 
 
 if __name__ == "__main__":
--- a/libs/standins/src/sequoiagap/standins/quickstart.py
+++ b/libs/standins/src/sequoiagap/standins/quickstart.py
@@ -1,4 +1,4 @@
-"""Start a fleet on stand-ins, send traffic and move a failure domain.
+"""Start a fleet with stand-ins, send traffic and drain a failure domain.
 
 Usage: ``python -m sequoiagap.standins.quickstart [--seconds N] [--rate N]``.
 """
@@ -21,10 +21,10 @@
 
 
 async def run_operator_command(fleet, *words):
-    """Run an operators' command against the first entry and print its answer.
+    """Run an operator command against the first entry and print its output.
 
     :param Fleet fleet: the fleet.
-    :param words: the command.
+    :param words: subcommand and arguments.
     """
     command = [sys.executable, "-m", "sequoiagap.cli", *words]
     command += ["--entry", fleet.url("entry-0")]
@@ -37,7 +37,7 @@
 
 
 async def count_in_domain(fleet, domain):
-    """Return how many executions the endpoints of a failure domain have run.
+    """Return the number of executions at the endpoints of a failure domain.
 
     :param Fleet fleet: the fleet.
     :param str domain: the failure domain.
@@ -52,12 +52,12 @@
 
 
 async def run_phase(fleet, name, seconds, rate, random_state):
-    """Send traffic for one phase and print its row.
+    """Send traffic for one phase and print its results as a row.
 
     :param Fleet fleet: the fleet.
     :param str name: name of the phase.
-    :param float seconds: how long.
-    :param float rate: requests a second.
+    :param float seconds: duration of the phase, in seconds.
+    :param float rate: mean rate, in requests per second.
     :param random.Random random_state: source of randomness.
     """
     before = await count_in_domain(fleet, DOMAIN)
@@ -65,7 +65,7 @@
     report = await standins.run_load(urls, seconds, rate, random_state)
     answered = report.count_by_result.get("answered", 0)
     cut = report.count_by_result.get("cut", 0)
-    ran = await count_in_domain(fleet, DOMAIN) - before
+    executions = await count_in_domain(fleet, DOMAIN) - before
     metrics = report.metrics
     print(
         ROW.format(
@@ -76,16 +76,16 @@
             cut,
             f"{metrics.quantile('first_byte_seconds', 0.5) * 1000:.1f}",
             f"{metrics.quantile('first_byte_seconds', 0.99) * 1000:.1f}",
-            ran,
+            executions,
         )
     )
 
 
 async def create_config(fleet, path):
-    """Create version 1 of the configuration and wait until it is in use.
+    """Create configuration version 1 and wait until the fleet is ready.
 
     :param Fleet fleet: the fleet.
-    :param pathlib.Path path: where to write the document.
+    :param pathlib.Path path: file to write the document to.
     """
     path.write_text(json.dumps(fleet.first_config(), indent=2))
     await run_operator_command(fleet, "config", "init", str(path))
@@ -93,7 +93,7 @@
 
 
 async def call_service(fleet):
-    """File one order at a plain service and print the answer.
+    """Send one request to a plain service and print the answer.
 
     :param Fleet fleet: the fleet.
     """
@@ -111,7 +111,7 @@
     """Run the quick start."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--seconds", type=float, default=4.0, help="of each phase")
-    parser.add_argument("--rate", type=float, default=60.0, help="requests a second")
+    parser.add_argument("--rate", type=float, default=60.0, help="requests per second")
     options = parser.parse_args()
     random_state = random.Random(SEED)
     plan = standins.FleetPlan(engines_per_domain=2, configured=False)
--- a/simulations/group_world.py
+++ b/simulations/group_world.py
@@ -237,7 +237,7 @@
         for order in effects.orders:
             for wanted in (order.previous, order.target):
                 self.engines[receiver].stage(wanted.digest)
-            self.engines[receiver].take(order)
+            self.engines[receiver].apply_order(order)
         if effects.reply is not None:
             self.send(receiver, sender, effects.reply)
 
--- a/simulations/store_world.py
+++ b/simulations/store_world.py
@@ -101,7 +101,7 @@
         self._tasks.start(self._copy_forever(), "copies")
         await self._watch(duration_s)
         await self._tasks.close()
-        self.store.is_calm, self.store.is_away = True, False
+        self.store.is_calm, self.store.is_unreachable = True, False
         self._write_all()
         self._tasks.start(self.gateway.feed.run(), "feed")
         await self._watch(CALM_S)
@@ -117,7 +117,7 @@
     async def _change_forever(self):
         while True:
             await asyncio.sleep(2 * ACTION_S * self.random.random())
-            if self.store.is_away:
+            if self.store.is_unreachable:
                 continue
             self.random.choice(
                 (self._withdraw, self._switch_domain, self._join, self._leave)
@@ -127,7 +127,7 @@
         while True:
             self._copies.append((time.monotonic(), self.store.make_copy()))
             await asyncio.sleep(0.5 + COPY_AGE_S * self.random.random())
-            self.store.is_away = True
+            self.store.is_unreachable = True
             await asyncio.sleep(AWAY_S * self.random.random())
             recent = [
                 copy
@@ -136,10 +136,10 @@
             ]
             self._copies = []
             if recent:
-                self.store.come_back(self.random.choice(recent))
+                self.store.restore(self.random.choice(recent))
                 self.copies_ += 1
                 self._tasks.start(self._write_again(), "again")
-            self.store.is_away = False
+            self.store.is_unreachable = False
 
     async def _write_again(self):
         await asyncio.sleep(OPERATOR_S * self.random.random())
--- a/tests/agent/test_groups.py
+++ b/tests/agent/test_groups.py
@@ -94,19 +94,19 @@
     async def disturb(self, wait, copies, spread_s=0.0):
         """Disturb frames between ranks until the group got on three times."""
         for relay in self.fleet.relays_:
-            relay.passed_by_number.clear()
-            relay.crossed_ = 0
+            relay.sent_by_number.clear()
+            relay.reordered_ = 0
             relay.disturb(copies, spread_s)
         for _ in range(3):
             await wait()
         for relay in self.fleet.relays_:
             relay.disturb()
-        counts = (relay.passed_by_number for relay in self.fleet.relays_)
+        counts = (relay.sent_by_number for relay in self.fleet.relays_)
         passed = sum(counts, collections.Counter())
         for kind in ROUND_MESSAGES:
             self.assertGreater(passed[kind.NUMBER], 0, kind)
         if spread_s:
-            self.assertGreater(sum(r.crossed_ for r in self.fleet.relays_), 0)
+            self.assertGreater(sum(r.reordered_ for r in self.fleet.relays_), 0)
 
     async def fault_proposer_dies_at_each_point(self):
         for relay in self.fleet.relays_:
--- a/tests/gateway/test_keys.py
+++ b/tests/gateway/test_keys.py
@@ -17,7 +17,7 @@
         self.assertEqual((await self.call("/safe/"))[0], 401)
 
     async def test_gateway_without_proof_refuses_keys_and_serves_the_rest(self):
-        self.store.is_away = True
+        self.store.is_unreachable = True
         await asyncio.sleep(1.6)
         status, headers, body = await self.call("/safe/")
         self.assertEqual((status, self.ran()), (503, 0))
@@ -27,7 +27,7 @@
         self.assertFalse(self.gateway.is_ready())
 
     async def test_stale_configuration_does_not_report_unknown(self):
-        self.store.is_away = True
+        self.store.is_unreachable = True
         await asyncio.sleep(1.6)
         self.assertEqual((await self.call("/none/"))[0], 503)
         self.assertEqual((await self.call("/safe/", key="newer"))[0], 503)
@@ -70,7 +70,7 @@
         second = await self.start_gateway("g2", store=cut)
         await support.eventually(second.is_ready)
         await support.eventually(lambda: second.peers._connection_by_id)
-        cut.is_away = True
+        cut.is_unreachable = True
         await asyncio.sleep(2.2)
         self.assertTrue(second.is_ready())
         self.assertEqual((await self.call("/safe/", to=second))[0], 200)
--- a/tests/gateway/test_multiple_gateways.py
+++ b/tests/gateway/test_multiple_gateways.py
@@ -95,7 +95,7 @@
         self.assertEqual(status, 200)
 
     async def test_draining_endpoint_gets_nothing_after_a_reading_through_a_peer(self):
-        self.cut_store.is_away = True
+        self.cut_store.is_unreachable = True
         self.publish(e1=routes.EndpointState.DRAINING)
         self.cut_store.snapshot_by_topic = self.store.snapshot_by_topic
         # The time limit for removing draining endpoints.
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -159,10 +159,10 @@
         self.assertEqual((await self.call("/safe/"))[0], 200)
 
     async def test_endpoints_stay_while_the_store_is_away(self):
-        self.store.is_away = True
+        self.store.is_unreachable = True
         await asyncio.sleep(1.6)
         self.store.put("endpoints", {})  # lapsed in the meantime
-        self.store.is_away = False
+        self.store.is_unreachable = False
         await asyncio.sleep(1.0)
         self.assertEqual((await self.call("/safe/"))[0], 200)
         # They are removed by the first reading two seconds after the return.
--- a/tests/gateway/test_store_calls.py
+++ b/tests/gateway/test_store_calls.py
@@ -43,7 +43,7 @@
 
     async def test_store_outage_causes_no_storm_of_calls(self):
         shared = await self.start_gateways()
-        shared.is_away = True
+        shared.is_unreachable = True
         shared.reads = 0
         await asyncio.sleep(OUTAGE_S)
         self.assertLess(shared.reads, MAX_CALLS_PER_S * OUTAGE_S * TOPICS * GATEWAYS)
--- a/tests/gateway/test_store_copies.py
+++ b/tests/gateway/test_store_copies.py
@@ -14,7 +14,7 @@
 
     async def restore(self, copy):
         """Restore the store from a copy and wait until the gateway sees it."""
-        self.store.come_back(copy)
+        self.store.restore(copy)
         await support.eventually(lambda: self.gateway.feed.era_ == self.store.era)
 
     async def test_readings_after_a_copy_prove_keys_though_revisions_are_lower(self):
@@ -45,7 +45,7 @@
         self.store.put("config", gateway_case.table(2))
         await support.eventually(lambda: self.gateway.table.version == 2)
         await self.restore(copy)
-        self.store.come_back(copy)
+        self.store.restore(copy)
         self.store.put("config", gateway_case.table(2))
         await asyncio.sleep(_feed.SETTLE_S + 1.0)
         self.assertEqual(self.gateway.feed.era_, 2)
@@ -146,7 +146,7 @@
         second = await self.start_gateway("g2", store=store)
         await support.eventually(lambda: second.gateway_count() == 2)
         await support.eventually(second.is_ready)
-        store.is_away = True
+        store.is_unreachable = True
         return second
 
     async def test_cut_off_gateway_learns_of_the_return_through_a_peer(self):
@@ -154,7 +154,7 @@
         copy = self.store.make_copy()
         self.store.put("config", gateway_case.table(2, accounts=()))
         await support.eventually(lambda: second.table.version == 2)
-        self.store.come_back(copy)
+        self.store.restore(copy)
         await support.eventually(lambda: second.feed.era_ == 1, 6.0)
         await asyncio.sleep(_feed.SETTLE_S + 1.6)
         self.assertEqual(second.table.version, 2)
@@ -164,15 +164,15 @@
     async def test_cut_off_gateway_sees_two_returns_as_one(self):
         second = await self.start_cut_off()
         copy = self.store.make_copy()
-        self.store.come_back(copy)
-        self.store.come_back(copy)
+        self.store.restore(copy)
+        self.store.restore(copy)
         await support.eventually(lambda: second.feed.era_ == 2, 6.0)
         await asyncio.sleep(_feed.SETTLE_S + 1.6)
         self.assertEqual((await self.call("/safe/", to=second))[0], 200)
 
     async def test_a_gateway_that_starts_after_the_return_serves(self):
         copy = self.store.make_copy()
-        self.store.come_back(copy)
+        self.store.restore(copy)
         second = await self.start_gateway("g2")
         await support.eventually(second.is_ready)
         self.assertEqual(second.feed.era_, 1)
@@ -187,6 +187,6 @@
             **snapshots,
             "endpoints": dataclasses.replace(snapshots["endpoints"], value={}),
         }
-        self.store.come_back((revision, empty, nodes))
+        self.store.restore((revision, empty, nodes))
         await asyncio.sleep(_pool.RETURN_HOLD_S / 2)
         self.assertEqual(set(self.gateway.pool.load_by_id), known)
--- a/tests/standins/test_load.py
+++ b/tests/standins/test_load.py
@@ -20,20 +20,20 @@
 
     async def test_phases_and_accounts_are_counted_apart(self):
         engine, url = await self.start_engine(cold_s=0.0, capacity=100)
-        words = ["--url", url, "--account", "large:60", "--account", "small:20:k"]
-        words += ["--phase", "one:0.5", "--phase", "two:0.5"]
-        words += ["--prompt-kb", "2", "--prefixes", "2", "--seed", "3"]
-        book = await load.run(load.make_parser().parse_args(words))
+        arguments = ["--url", url, "--account", "large:60", "--account", "small:20:k"]
+        arguments += ["--phase", "one:0.5", "--phase", "two:0.5"]
+        arguments += ["--prompt-kb", "2", "--prefixes", "2", "--seed", "3"]
+        reports = await load.run(load.make_parser().parse_args(arguments))
         keys = {(p, a) for p in ("one", "two") for a in ("large", "small")}
-        self.assertEqual(set(book.by_phase_and_account), keys)
-        total = book.total()
+        self.assertEqual(set(reports.by_phase_and_account), keys)
+        total = reports.total()
         self.assertEqual(total.answered, total.sent)
         self.assertEqual(total.sent, sum(engine.executions_.count_by_key.values()))
-        parts = [book.total(account=name) for name in ("large", "small")]
+        parts = [reports.total(account=name) for name in ("large", "small")]
         self.assertEqual(total.sent, sum(part.sent for part in parts))
         self.assertGreater(parts[0].sent, parts[1].sent)
         self.assertGreater(total.first_byte_ms(0.5), 0.0)
-        self.assertIn("two", book.to_table())
+        self.assertIn("two", reports.to_table())
         self.assertGreater(engine._prefixes.hits_, engine._prefixes.misses_)
 
     async def test_bad_arguments_name_what_is_expected(self):
--- a/tests/standins/test_relay.py
+++ b/tests/standins/test_relay.py
@@ -87,4 +87,4 @@
         got = [wire.decode(await wire.read_frame(reader)).rank for _ in range(80)]
         self.assertEqual(sorted(got), sorted([j.rank for j in joins] * 4))
         self.assertNotEqual(got, sorted(got))
-        self.assertGreater(self.relay.crossed_, 0)
+        self.assertGreater(self.relay.reordered_, 0)
