--- a/benchmarks/map_change.py
+++ b/benchmarks/map_change.py
@@ -148,7 +148,9 @@
     def _receive(self, send):
         state, engine = self.states[send.rank], self.engines[send.rank]
         if self.mode == "switch_now" and isinstance(send.message, experts.Prepare):
-            engine.apply_order(experts.Order(experts.OrderKind.HOLD, send.message.epoch))
+            engine.apply_order(
+                experts.Order(experts.OrderKind.HOLD, send.message.epoch)
+            )
         state.view = engine.view()
         effects = getattr(state, group_world.HANDLERS[type(send.message)])(send.message)
         for order in effects.orders:
--- a/benchmarks/outages.py
+++ b/benchmarks/outages.py
@@ -22,7 +22,7 @@
     worlds = [outage_load.OutageWorld(seed, policy, outage_s).run() for seed in seeds]
     counts = sum((world.count_by_result_ for world in worlds), collections.Counter())
     total = sum(counts.values())
-    vain = sum(world.waited_in_vain_ for world in worlds) / len(worlds)
+    vain = sum(world.rejected_after_wait_ for world in worlds) / len(worlds)
     shares = [f"{100 * counts[column] / total:.1f}" for column in COLUMNS]
     return [f"{outage_s:g}", policy, *shares, f"{vain:.0f}"]
 
--- a/benchmarks/usage.py
+++ b/benchmarks/usage.py
@@ -58,11 +58,11 @@
         seen_at.update(dict.fromkeys(self._running_by_id[node_id], now))
         kept = {a: at for a, at in seen_at.items() if now - at <= INTEREST_S}
         self._seen_at_by_id[node_id] = kept
-        sheet = self.fleet.by_id[node_id].sheet
-        sheet.clear()
-        sheet.update(dict.fromkeys(kept, admission.RequestCount()))
+        count_by_account = self.fleet.by_id[node_id].count_by_account
+        count_by_account.clear()
+        count_by_account.update(dict.fromkeys(kept, admission.RequestCount()))
         for account in self._running_by_id[node_id]:
-            sheet[account] += admission.RequestCount(1, 1)
+            count_by_account[account] += admission.RequestCount(1, 1)
 
 
 def measure_neighbours(accounts):
@@ -90,7 +90,7 @@
     churn = Churn(fleet, accounts)
     fleet.run(SETTLE_S, churn.step)
     fleet.bytes_sent.clear()
-    fleet.bytes_taken.clear()
+    fleet.bytes_received.clear()
     fleet.run(options.seconds, churn.step)
     collectors = {i for ids in fleet.collectors_by_domain().values() for i in ids}
     print(f"neighbours: {measure_neighbours(accounts) / 1000:.1f} KB/s sent")
@@ -100,7 +100,7 @@
     ):
         for way, counter in (
             ("sent", fleet.bytes_sent),
-            ("taken", fleet.bytes_taken),
+            ("taken", fleet.bytes_received),
         ):
             rates = [counter[i] / options.seconds / 1000 for i in ids]
             print(
--- a/simulations/__init__.py
+++ b/simulations/__init__.py
@@ -1,1 +1,1 @@
-"""Worlds in memory around the real decision code, for tests and benchmarks."""
+"""In-memory simulations of the real decision code, for tests and benchmarks."""
--- a/simulations/claims_platform.py
+++ b/simulations/claims_platform.py
@@ -1,4 +1,4 @@
-"""Objects of claims in memory, with the faults of a platform."""
+"""In-memory platform for claim objects, with fault injection."""
 
 import asyncio
 
@@ -8,7 +8,14 @@
 
 
 class ClaimsPlatform:
-    """Objects in memory; the next writes may be lost, late or refused."""
+    """Keeps objects in memory and injects faults into calls.
+
+    :ivar list faults: faults of the next writes: ``late`` (applied 3.0 s later, no
+        answer), ``lost`` (applied, no answer) or ``None``.
+    :ivar bool down: whether every call fails.
+    :ivar set denied: kinds of calls that fail, from ``get``, ``put``, ``put_head`` and
+        ``delete``.
+    """
 
     def __init__(self):
         self.object_by_name = {}
@@ -18,12 +25,12 @@
         self.denied = set()
 
     async def get(self, name):
-        """Read an object."""
+        """Return an object, or ``None``."""
         await self._call("get")
         return self.object_by_name.get(name)
 
     async def put(self, name, value, expected_version):
-        """Write an object conditionally."""
+        """Write an object if its version is the expected one."""
         await self._call("put" if "-0-" in name else "put_head")
         fault = self.faults.pop(0) if self.faults else None
         if fault == "late":
@@ -36,7 +43,7 @@
         return stored
 
     async def delete(self, name, expected_version):
-        """Delete an object conditionally."""
+        """Delete an object if its version is the expected one."""
         await self._call("delete")
         if self._version(name) != expected_version:
             raise platform.ObjectConflict(name, self._version(name))
@@ -48,8 +55,8 @@
             raise base.PlatformError("down", "")
 
     def _version(self, name):
-        known = self.object_by_name.get(name)
-        return 0 if known is None else known.version
+        stored = self.object_by_name.get(name)
+        return 0 if stored is None else stored.version
 
     def _write_late(self, *write):
         try:
--- a/simulations/usage_fleet.py
+++ b/simulations/usage_fleet.py
@@ -1,4 +1,4 @@
-"""Entries in memory that exchange usage by way of collectors."""
+"""Simulates entries that exchange usage through collectors."""
 
 import collections
 import random
@@ -8,25 +8,25 @@
 TICK_S = 0.25
 ROUND_TICKS = 4
 SILENCE_S = 2.0
-FRAME_HEAD_BYTES = 4
+FRAME_HEADER_BYTES = 4
 
 
 class Entry:
-    """One entry: its own counts, and both parts of the exchange.
+    """Holds an entry's own counts and both sides of its usage exchange.
 
-    :param str node_id: its id.
-    :param str failure_domain: where it stands.
+    :param str node_id: id of the entry.
+    :param str failure_domain: failure domain of the entry.
     """
 
     def __init__(self, node_id, failure_domain):
         self.node_id = node_id
         self.failure_domain = failure_domain
-        self.sheet = {}
+        self.count_by_account = {}
         self.collected = admission.CollectedUsage(node_id)
         self.collector = admission.UsageCollector(node_id, failure_domain)
 
-    def take(self, message, now):
-        """Take a message of the exchange."""
+    def receive(self, message, now):
+        """Handle a message of the exchange."""
         if isinstance(message, admission.EntryUsage):
             self.collector.record_entry_usage(message, now)
         elif isinstance(message, admission.DomainUsage):
@@ -36,12 +36,12 @@
 
 
 class UsageFleet:
-    """Some dozen entries with a clock of their own; connections break by seed.
+    """Simulates many entries on a virtual clock, with random connection failures.
 
-    :param int entries: how many, spread over the failure domains.
-    :param tuple domains: the failure domains.
-    :param int seed: seed of everything random.
-    :param float loss: share of messages whose connection breaks under them.
+    :param int entries: number of entries, spread over the failure domains.
+    :param tuple domains: names of the failure domains.
+    :param int seed: seed of all random choices.
+    :param float loss: share of messages that are lost with their connection.
     """
 
     def __init__(self, entries, domains=("north", "middle", "south"), seed=1, loss=0.0):
@@ -50,18 +50,18 @@
         self.now = 100.0
         self.by_id = {}
         self.bytes_sent = collections.Counter()
-        self.bytes_taken = collections.Counter()
+        self.bytes_received = collections.Counter()
         for number in range(entries):
             domain = domains[number % len(domains)]
             self.by_id[f"{domain}-{number}"] = Entry(f"{domain}-{number}", domain)
         self.dead = set()
-        self.cut_off = set()
+        self.partitioned = set()
         self._cut_at = 0.0
         self._generation_by_pair = collections.Counter()
         self._connection_by_key = {}
 
     def collectors_by_domain(self):
-        """Return the collectors as every entry chooses them; the list lags."""
+        """Return the collectors that every entry selects; dead entries stay listed."""
         ids_by_domain = collections.defaultdict(list)
         for node_id, entry in self.by_id.items():
             ids_by_domain[entry.failure_domain].append(node_id)
@@ -71,49 +71,54 @@
         }
 
     def kill(self, node_id):
-        """Lose an entry; its connections end at once."""
+        """Stop an entry; its connections end at once."""
         self.dead.add(node_id)
 
     def cut(self, node_ids):
-        """Cut entries off; connections fall silent and end later."""
-        self.cut_off = set(node_ids)
+        """Partition entries; their connections become silent and end later."""
+        self.partitioned = set(node_ids)
         self._cut_at = self.now
 
     def run(self, seconds, each_tick=lambda: None):
-        """Let time pass; entries take their rounds at different moments."""
+        """Advance the clock; entries run their rounds at different times."""
         for _ in range(round(seconds / TICK_S)):
             self.now += TICK_S
             for number, entry in enumerate(self.by_id.values()):
                 is_due = (round(self.now / TICK_S) + number) % ROUND_TICKS == 0
                 if is_due and entry.node_id not in self.dead:
-                    self._take_round(entry)
+                    self._run_round(entry)
             each_tick()
 
-    def truth(self, entry):
-        """Return what the accounts of an entry have at all others that live."""
-        truth = collections.Counter()
+    def true_counts(self, entry):
+        """Return the true counts of an entry's accounts at all other live entries."""
+        true_counts = collections.Counter()
         for other in self.by_id.values():
             if other is not entry and other.node_id not in self.dead:
-                truth.update({a: c.in_flight for a, c in other.sheet.items()})
-        return {account: truth[account] for account in entry.sheet}
+                true_counts.update(
+                    {a: c.in_flight for a, c in other.count_by_account.items()}
+                )
+        return {account: true_counts[account] for account in entry.count_by_account}
 
     def errors(self, entry):
-        """Return by which share of the truth an entry's belief is off."""
-        others = entry.collected.remote_counts(self.now)
+        """Return the relative errors of an entry's estimates of remote counts."""
+        remote_counts = entry.collected.remote_counts(self.now)
         return [
-            abs(others.get(account, admission.RequestCount()).in_flight - value) / value
-            for account, value in self.truth(entry).items()
+            abs(remote_counts.get(account, admission.RequestCount()).in_flight - value)
+            / value
+            for account, value in self.true_counts(entry).items()
             if value
         ]
 
-    def _take_round(self, entry):
+    def _run_round(self, entry):
         collectors = self.collectors_by_domain()
 
         def find(receiver):
             return self._find_connection(entry.node_id, receiver)
 
-        own = collectors[entry.failure_domain]
-        messages = entry.collected.make_messages(self.now, entry.sheet, own, find)
+        collector_ids = collectors[entry.failure_domain]
+        messages = entry.collected.make_messages(
+            self.now, entry.count_by_account, collector_ids, find
+        )
         messages += entry.collector.make_messages(self.now, collectors, find)
         for receiver, message in messages:
             self._deliver(entry.node_id, receiver, message)
@@ -121,8 +126,8 @@
     def _find_connection(self, sender, receiver):
         if receiver in self.dead:
             return None
-        crosses = (sender in self.cut_off) != (receiver in self.cut_off)
-        if crosses and self.now - self._cut_at > SILENCE_S:
+        is_partitioned = (sender in self.partitioned) != (receiver in self.partitioned)
+        if is_partitioned and self.now - self._cut_at > SILENCE_S:
             self._generation_by_pair[sender, receiver] += 1
             return None
         key = (sender, receiver, self._generation_by_pair[sender, receiver])
@@ -130,12 +135,12 @@
 
     def _deliver(self, sender, receiver, message):
         if sender != receiver:
-            size = len(wire.encode(message)) + FRAME_HEAD_BYTES
+            size = len(wire.encode(message)) + FRAME_HEADER_BYTES
             self.bytes_sent[sender] += size
-            self.bytes_taken[receiver] += size
-        if (sender in self.cut_off) != (receiver in self.cut_off):
+            self.bytes_received[receiver] += size
+        if (sender in self.partitioned) != (receiver in self.partitioned):
             return
         if sender != receiver and self.random_state.random() < self.loss:
             self._generation_by_pair[sender, receiver] += 1
             return
-        self.by_id[receiver].take(wire.decode(wire.encode(message)), self.now)
+        self.by_id[receiver].receive(wire.decode(wire.encode(message)), self.now)
--- a/tests/admission/test_collectors.py
+++ b/tests/admission/test_collectors.py
@@ -23,7 +23,7 @@
         for number in random_state.sample(range(ACCOUNTS), ACCOUNTS // 2):
             running = random_state.randint(1, MAX_COUNT)
             waiting = random_state.randint(0, MAX_COUNT)
-            entry.sheet[f"account-{number}"] = admission.RequestCount(
+            entry.count_by_account[f"account-{number}"] = admission.RequestCount(
                 running, running + waiting
             )
 
@@ -83,8 +83,8 @@
         fleet = self.make_fleet()
         fleet.run(2 * SETTLE_S)
         first = fleet.collectors_by_domain()["north"][0]
-        kept = dict(fleet.by_id[first].sheet)
-        fleet.by_id[first].sheet.clear()
+        kept = dict(fleet.by_id[first].count_by_account)
+        fleet.by_id[first].count_by_account.clear()
         fleet.run(SETTLE_S)
         fleet.cut([first])
         rest = [e for e in fleet.by_id.values() if e.node_id != first]
@@ -97,7 +97,7 @@
                 )
         self.assertEqual(fleet.by_id[first].collected.remote_counts(fleet.now), {})
         fleet.cut([])
-        fleet.by_id[first].sheet.update(kept)
+        fleet.by_id[first].count_by_account.update(kept)
         fleet.run(support.FEW_SECONDS_S)
         self.assert_counts_known(fleet)
 
--- a/tests/gateway/test_outage_load.py
+++ b/tests/gateway/test_outage_load.py
@@ -22,7 +22,7 @@
     """Return the callers by result and the number of failed waits."""
     worlds = [outage_load.OutageWorld(seed, policy, outage_s).run() for seed in SEEDS]
     counts = sum((world.count_by_result_ for world in worlds), collections.Counter())
-    return counts, sum(world.waited_in_vain_ for world in worlds)
+    return counts, sum(world.rejected_after_wait_ for world in worlds)
 
 
 def score(counts):
