Reword the simulations of rank groups and requests

Renames that tests and benchmarks use, done token-wise: group_world.HANDLERS, ANSWERS -> METHOD_BY_REQUEST, METHOD_BY_ANSWER rank_world.World.carry_out_all_late -> execute_delayed_orders rank_world.World.released_alone -> local_releases rank_world.World._form_anew -> _reform_group requests_world.World.disturb -> inject_faults FIELD Engine.highest (rank_world) is used inside the simulation only.

--- a/benchmarks/map_change.py
+++ b/benchmarks/map_change.py
@@ -152,7 +152,9 @@
                 experts.Order(experts.OrderKind.HOLD, send.message.epoch)
             )
         state.view = engine.view()
-        effects = getattr(state, group_world.HANDLERS[type(send.message)])(send.message)
+        effects = getattr(state, group_world.METHOD_BY_REQUEST[type(send.message)])(
+            send.message
+        )
         for order in effects.orders:
             engine.apply_order(order)
         delay_s = LOCAL_CALL_S * len(effects.orders)
@@ -162,7 +164,9 @@
         self._at(delay_s, lambda: self._answer(effects.reply))
 
     def _answer(self, reply):
-        self._send_all(getattr(self.round, group_world.ANSWERS[type(reply)])(reply))
+        self._send_all(
+            getattr(self.round, group_world.METHOD_BY_ANSWER[type(reply)])(reply)
+        )
 
     def _count(self, item):
         self.messages += 1
--- a/simulations/group_exploration.py
+++ b/simulations/group_exploration.py
@@ -1,4 +1,4 @@
-"""Exhaustive exploration of the change protocol over its real decision code."""
+"""Exhaustive state space exploration of the map change protocol."""
 
 import copy
 
@@ -13,18 +13,20 @@
     engine_states=None,
     reduces=True,
 ):
-    """Visit every world that can be reached, in breadth.
+    """Visit every reachable world.
 
-    :param World world: where to start.
-    :param int max_worlds: stop after so many.
-    :param int max_step: no step beyond this one.
-    :param int check_progress_every: check progress from every so many-th world.
-    :param set engine_states: takes each state of the engines that was met.
-    :param bool reduces: whether worlds that can't differ in what follows are one.
-    :returns: how many worlds were visited, and whether that was all of them.
+    :param World world: initial world.
+    :param int max_worlds: maximum number of visited worlds.
+    :param int max_step: last step of the group that is explored.
+    :param int check_progress_every: check progress in each n-th world; 0 for none.
+    :param set engine_states: set that receives each state of the engines, or
+        ``None``.
+    :param bool reduces: whether to merge equivalent worlds, see
+        :func:`group_reduction.reduce_world`.
+    :returns: number of visited worlds, and whether they are all reachable ones.
     :rtype: tuple[int, bool]
-    :raises group_world.TwoMapsError: if a step can use two maps.
-    :raises AssertionError: if the group can't recover.
+    :raises group_world.TwoMapsError: if a reachable step uses two maps.
+    :raises AssertionError: if the group can't recover from a checked world.
     """
     seen = {hash(world.key())}
     queue = [world]
@@ -41,10 +43,10 @@
         for choice in current.choices():
             if choice[0] == "step" and current.engines[0].step_ >= max_step:
                 continue
-            following = current.following(choice)
-            group_reduction.reduce_world(following, reduces)
-            key = hash(following.key())
+            successor = current.successor(choice)
+            group_reduction.reduce_world(successor, reduces)
+            key = hash(successor.key())
             if key not in seen:
                 seen.add(key)
-                queue.append(following)
+                queue.append(successor)
     return visited, True
--- a/simulations/group_reduction.py
+++ b/simulations/group_reduction.py
@@ -1,11 +1,10 @@
-"""Takes worlds of a rank group that can't differ in what follows as one.
-
-Left out of a world are answers to a phase that is over, requests that their
-receiver will refuse for good, and rounds that wait for an answer that can't come
-any more. An answer that only adds to what a proposer has gathered touches no engine
-and commutes with every other choice, so it is delivered at once; whether an answer
-is such a one is found by giving it to a copy of the round, not taken from what a
-right round would do.
+"""State space reduction: maps worlds with equivalent futures to one.
+
+The reduction drops answers to a finished phase, requests that their receiver rejects
+in every future, and rounds that wait for an answer that can't arrive any more. An
+answer that only adds to those collected by a proposer affects no engine and commutes
+with every other choice, so it is delivered at once. Whether an answer is of this kind
+is tested on a copy of the round, so that faulty rounds are reduced correctly too.
 """
 
 from sequoiagap import experts
@@ -25,27 +24,27 @@
 
 
 def reduce_world(world, fully=True):
-    """Leave out of a world what can have no effect any more.
+    """Drop everything from a world that can have no effect any more.
 
-    :param World world: the world; it is changed.
-    :param bool fully: whether answers and requests that commute with all else, and
-        rounds without a way on, are left out as well.
+    :param World world: world, which is modified.
+    :param bool fully: whether to deliver commuting answers and to drop rejected
+        requests and rounds that can't continue as well.
     """
-    changed = _settle_answers(world, fully)
+    changed = _deliver_answers(world, fully)
     if fully:
-        changed |= _drop_dead_rounds(world)
-    world.note_changes(changed)
+        changed |= _drop_stuck_rounds(world)
+    world.update_rank_keys(changed)
 
 
-def _settle_answers(world, fully):
-    """Deliver answers that commute with every choice; return who got one."""
+def _deliver_answers(world, fully):
+    """Deliver answers that commute with every choice; return their receivers."""
     changed = set()
     _prune(world, fully)
     for message in sorted(world.messages) if fully else ():
         _, receiver, payload = message
         if type(group_world.decode_payload(payload)) not in ANSWERED_PHASE:
             continue
-        after = _gathered(world, receiver, payload)
+        after = _try_answer(world, receiver, payload)
         if after is not None:
             world.messages.remove(message)
             world.rounds[receiver] = after
@@ -54,19 +53,19 @@
     return changed
 
 
-def _gathered(world, receiver, payload):
-    """Return the round with one more answer, or ``None`` if more follows."""
+def _try_answer(world, receiver, payload):
+    """Return the round after an answer, or ``None`` if the answer has effects."""
     item = group_world.decode_payload(payload)
     after = group_world.copy_decisions(world.rounds[receiver])
     phase = after.phase_
-    sends = getattr(after, group_world.ANSWERS[type(item)])(item)
+    sends = getattr(after, group_world.METHOD_BY_ANSWER[type(item)])(item)
     if not sends and after.phase_ in (phase, experts.Phase.FAILED):
         return after
     return None
 
 
-def _drop_dead_rounds(world):
-    """Drop rounds that can do nothing any more; return their ranks."""
+def _drop_stuck_rounds(world):
+    """Drop rounds that can't continue and return their ranks."""
     dropped = set()
     awaited = {
         (type(item), item.rank, item.epoch)
@@ -75,14 +74,14 @@
         )
         if type(item) in ANSWERED_PHASE
     }
-    asked = {
+    requested = {
         (type(item), receiver, item.epoch)
         for _, receiver, payload in world.messages
         for item in (group_world.decode_payload(payload),)
         if type(item) in (experts.Prepare, experts.Arm)
     }
     for rank, current in enumerate(world.rounds):
-        if current is not None and not _may_go_on(current, asked, awaited):
+        if current is not None and not _can_continue(current, requested, awaited):
             world.rounds[rank] = None
             dropped.add(rank)
     if dropped:
@@ -92,10 +91,10 @@
 
 def _prune(world, fully):
     """Drop messages that can have no effect any more."""
-    world.messages = [m for m in world.messages if _matters(world, m, fully)]
+    world.messages = [m for m in world.messages if _has_effect(world, m, fully)]
 
 
-def _matters(world, message, fully):
+def _has_effect(world, message, fully):
     sender, receiver, payload = message
     item = group_world.decode_payload(payload)
     if type(item) in ANSWERED_PHASE:
@@ -105,9 +104,9 @@
     if world.crashes_left or type(item) not in REQUESTS or not fully:
         return True
     state = world.states[receiver]
-    if state is None or not _refuses_for_good(world, state, item):
+    if state is None or not _always_rejects(world, state, item):
         return True
-    # A refused ``Arm`` makes its proposer drop the round.
+    # The proposer drops its round if an ``Arm`` is rejected.
     return type(item) is experts.Arm and _is_in(
         world, sender, item, experts.Phase.ARMING
     )
@@ -121,30 +120,30 @@
     )
 
 
-def _refuses_for_good(world, state, item):
-    """Tell whether a rank refuses a request now and in all that may follow."""
+def _always_rejects(world, state, item):
+    """Return whether a rank rejects a request now and in every future."""
     if item.epoch < state.promised_:
         return True
     if state._is_current(item):
         return False
-    counted_on = world.incarnations[item.membership]
+    expected_incarnations = world.incarnations[item.membership]
     return any(
-        incarnation > counted_on[rank]
+        incarnation > expected_incarnations[rank]
         for rank, incarnation in state.incarnation_by_rank.items()
     )
 
 
-def _may_go_on(current, asked, awaited):
-    """Tell whether a round can still send something."""
+def _can_continue(current, requested, awaited):
+    """Return whether a round can still send messages."""
     if current.phase_ not in REQUEST_IN:
         return False
     request, answer = REQUEST_IN[current.phase_]
-    coming = [
-        (request, rank, current.epoch) in asked
+    expected = [
+        (request, rank, current.epoch) in requested
         or (answer, rank, current.epoch) in awaited
         for rank in range(group_world.RANKS)
         if rank not in current.answered_
     ]
     if current.phase_ == experts.Phase.PREPARING:
-        return all(coming)
-    return any(coming)
+        return all(expected)
+    return any(expected)
--- a/simulations/group_scenarios.py
+++ b/simulations/group_scenarios.py
@@ -1,4 +1,4 @@
-"""What may happen to a simulated rank group."""
+"""Scenarios for the exploration of a simulated rank group."""
 
 import dataclasses
 
@@ -7,11 +7,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Scenario:
-    """What may happen to a group.
+    """Limits the rounds, maps and crashes of a group.
 
-    :param tuple rounds: how many rounds each rank may start.
-    :param tuple wanted: digest of the map that each rank proposes, or empty.
-    :param tuple crashes: kinds of crash of which one may happen.
+    :param tuple rounds: maximum number of rounds that each rank starts.
+    :param tuple wanted: digest of the map that each rank proposes; empty for none.
+    :param tuple crashes: kinds of crash; at most one crash happens.
     :param tuple crash_ranks: ranks that may crash.
     """
 
@@ -22,9 +22,9 @@
 
 
 def make_world(scenario, **types):
-    """Return the first world of a scenario.
+    """Return the initial world of a scenario.
 
-    :param Scenario scenario: what may happen.
+    :param Scenario scenario: scenario to set up.
     :param types: parameters of :class:`group_world.World`.
     :rtype: World
     """
--- a/simulations/group_world.py
+++ b/simulations/group_world.py
@@ -1,8 +1,8 @@
-"""A rank group in memory whose change protocol runs its real decision code.
+"""State space model of a rank group that runs the real map change protocol.
 
-A world is three ranks with their engines, the proposers' rounds and every
-message in flight. Each choice (deliver any message, step, start a round, crash,
-restart) leads to another world; messages may come in any order or never.
+A world consists of three ranks with their engines, the proposers' rounds and every
+message in flight. Each choice (deliver a message, step, start a round, crash,
+restart) leads to a successor; messages can arrive in any order or be lost.
 """
 
 import copy
@@ -13,14 +13,14 @@
 
 RANKS = 3
 FIRST_MAP = experts.MapRef(1, "first", 0)
-HANDLERS = {
+METHOD_BY_REQUEST = {
     experts.Join: "on_join",
     experts.Joined: "on_joined",
     experts.Prepare: "on_prepare",
     experts.Arm: "on_arm",
     experts.Settle: "on_settle",
 }
-ANSWERS = {
+METHOD_BY_ANSWER = {
     experts.Promise: "on_promise",
     experts.Armed: "on_armed",
     experts.Settled: "on_settled",
@@ -28,14 +28,14 @@
 
 
 class TwoMapsError(Exception):
-    """Two ranks used different maps in one step."""
+    """Raised if two ranks use different maps in one step."""
 
 
 class World:
-    """One state of the group.
+    """Represents one state of the group.
 
-    :param type rank_type: class of the ranks' decisions.
-    :param type round_type: class of the proposers' decisions.
+    :param type rank_type: class that makes the decisions of ranks.
+    :param type round_type: class that makes the decisions of proposers.
     """
 
     def __init__(self, rank_type=experts.RankState, round_type=experts.Round):
@@ -61,13 +61,13 @@
         self.rank_keys = [self.rank_key(rank) for rank in range(RANKS)]
 
     def key(self):
-        """Return what tells this world from others."""
-        left = (tuple(self.rounds_left), self.crashes_left)
+        """Return a hashable key that identifies this world."""
+        remaining = (tuple(self.rounds_left), self.crashes_left)
         messages = tuple(sorted(self.messages))
-        return (tuple(self.rank_keys), messages, left)
+        return (tuple(self.rank_keys), messages, remaining)
 
-    def following(self, choice):
-        """Return the world that a choice leads to."""
+    def successor(self, choice):
+        """Return the successor of this world for a choice."""
         world = copy.copy(self)
         world.incarnations = dict(self.incarnations)
         for name in ("engines", "messages", "rounds", "starts", "rounds_left"):
@@ -76,28 +76,28 @@
         world.rank_keys = list(self.rank_keys)
         kind, argument = choice
         if kind == "step":
-            touched = range(RANKS)
+            changed_ranks = range(RANKS)
         else:
-            touched = (argument[1],) if kind == "deliver" else (argument,)
-        for rank in touched:
-            world.own(rank)
-        world.choose(choice)
-        world.note_changes(touched)
+            changed_ranks = (argument[1],) if kind == "deliver" else (argument,)
+        for rank in changed_ranks:
+            world.copy_rank(rank)
+        world.apply(choice)
+        world.update_rank_keys(changed_ranks)
         return world
 
-    def note_changes(self, ranks):
-        """Take what tells the states of changed ranks from others anew."""
+    def update_rank_keys(self, ranks):
+        """Update the keys of changed ranks."""
         for rank in ranks:
             self.rank_keys[rank] = self.rank_key(rank)
 
-    def own(self, rank):
-        """Copy what belongs to a rank, so that it may change."""
+    def copy_rank(self, rank):
+        """Copy the state of a rank so that it can be modified."""
         self.engines[rank] = copy_decisions(self.engines[rank])
         self.states[rank] = copy_decisions(self.states[rank])
         self.rounds[rank] = copy_decisions(self.rounds[rank])
 
     def rank_key(self, rank):
-        """Return what tells the state of one rank from others."""
+        """Return a hashable key that identifies the state of one rank."""
         state, engine, current = (
             self.states[rank],
             self.engines[rank],
@@ -133,7 +133,7 @@
         return (state_key, engine_key, round_key)
 
     def choices(self):
-        """Return every choice that leads on from here."""
+        """Return all choices that are possible in this world."""
         found = [("deliver", m) for m in sorted(set(self.messages))]
         for rank in range(RANKS):
             state = self.states[rank]
@@ -148,8 +148,8 @@
             found.append(("step", None))
         return found
 
-    def choose(self, choice):
-        """Carry out a choice."""
+    def apply(self, choice):
+        """Apply a choice to this world."""
         kind, argument = choice
         if kind == "deliver":
             self.messages.remove(argument)
@@ -164,22 +164,22 @@
             self.crash(argument, kind)
 
     def start(self, rank):
-        """Start a fresh incarnation of an agent."""
+        """Start a new incarnation of an agent."""
         self.starts[rank] += 1
         incarnation = f"{rank}.{self.starts[rank]}"
         view = self.engines[rank].view()
         self.states[rank] = self.rank_type("g", rank, RANKS, incarnation, view)
-        self.ask_to_join(rank)
+        self.send_joins(rank)
 
-    def ask_to_join(self, rank):
-        """Send a joining rank's question to the peers that have not answered."""
+    def send_joins(self, rank):
+        """Send a rank's join requests to the peers that have not acknowledged it."""
         state = self.states[rank]
         for peer in range(RANKS):
             if peer not in state.acknowledged_:
                 self.send(rank, peer, state.join(peer))
 
     def propose(self, rank):
-        """Start a round."""
+        """Start a round as the proposer."""
         state = self.states[rank]
         self.rounds_left[rank] -= 1
         epoch = experts.next_epoch(state.promised_, rank, RANKS)
@@ -191,7 +191,7 @@
         self.send_all(rank, self.rounds[rank].outstanding())
 
     def crash(self, rank, kind):
-        """End an agent, an engine, or both; a new engine is a fresh incarnation."""
+        """Stop an agent; unless the kind is ``crash_agent``, restart its engine."""
         self.crashes_left -= 1
         if kind != "crash_agent":
             self.engines[rank].restart()
@@ -199,7 +199,10 @@
         self.rounds[rank] = None
 
     def step(self):
-        """Run one step of the group; all ranks must use one map."""
+        """Run one step of the group.
+
+        :raises TwoMapsError: if ranks use different maps.
+        """
         used = {engine.current().digest for engine in self.engines}
         if len(used) != 1:
             raise TwoMapsError(f"step {self.engines[0].step_} used {sorted(used)}")
@@ -207,12 +210,12 @@
             engine.step_ += 1
 
     def send_all(self, sender, sends):
-        """Send messages; those to the sender itself are delivered at once."""
+        """Send messages to several ranks."""
         for send in sends:
             self.send(sender, send.rank, send.message)
 
     def send(self, sender, receiver, item):
-        """Put one message in flight."""
+        """Put a message in flight, or deliver it at once to the sender itself."""
         message = (sender, receiver, wire.encode(item))
         if sender == receiver:
             self.deliver(message)
@@ -220,20 +223,20 @@
             self.messages.append(message)
 
     def deliver(self, message):
-        """Deliver one message."""
+        """Deliver one message to its receiver; a stopped agent drops it."""
         sender, receiver, payload = message
         item = decode_payload(payload)
         state = self.states[receiver]
         if state is None:
             return
-        if type(item) in ANSWERS:
+        if type(item) in METHOD_BY_ANSWER:
             current = self.rounds[receiver]
             if current is not None:
-                sends = getattr(current, ANSWERS[type(item)])(item)
+                sends = getattr(current, METHOD_BY_ANSWER[type(item)])(item)
                 self.send_all(receiver, sends)
             return
         state.view = self.engines[receiver].view()
-        effects = getattr(state, HANDLERS[type(item)])(item)
+        effects = getattr(state, METHOD_BY_REQUEST[type(item)])(item)
         for order in effects.orders:
             for wanted in (order.previous, order.target):
                 self.engines[receiver].stage(wanted.digest)
@@ -242,19 +245,19 @@
             self.send(receiver, sender, effects.reply)
 
     def deliver_all(self):
-        """Deliver messages in order until none is left."""
+        """Deliver messages in order until none is in flight."""
         while self.messages:
             self.deliver(self.messages.pop(0))
 
     def recover(self):
-        """Go on without faults; return whether the group runs on one map."""
+        """Continue without faults and return whether the group runs on one map."""
         self.crashes_left = 0
         for rank in range(RANKS):
             if self.states[rank] is None:
                 self.start(rank)
         for _ in range(3):
             for rank in range(RANKS):
-                self.ask_to_join(rank)
+                self.send_joins(rank)
             self.deliver_all()
         for _ in range(4):
             self.wanted[0] = ""
@@ -276,7 +279,7 @@
 
 @functools.cache
 def decode_payload(payload):
-    """Return the message of a payload; every caller gets the same one.
+    """Decode a payload; the message is cached and shared between callers.
 
     :param bytes payload: an encoded message.
     """
@@ -284,14 +287,14 @@
 
 
 def copy_decisions(item):
-    """Return a copy whose sets, dicts and lists are its own.
+    """Return a copy of an object, with copies of its sets, dicts and lists.
 
-    :param item: an object of decision code, or ``None``.
+    :param item: object to copy, or ``None``.
     """
     if item is None:
         return None
     copied = object.__new__(type(item))
     for name, value in vars(item).items():
-        owned = type(value) in (set, dict, list)
-        copied.__dict__[name] = value.copy() if owned else value
+        is_container = type(value) in (set, dict, list)
+        copied.__dict__[name] = value.copy() if is_container else value
     return copied
--- a/simulations/rank_world.py
+++ b/simulations/rank_world.py
@@ -1,8 +1,8 @@
-"""A rank group in memory, with orders that are lost or carried out late.
+"""Simulates a rank group whose orders are lost or executed late.
 
-Its engines keep to what engines without a check of maps promise: each switches by
-itself, a hold stands until it is released, and nothing compares the ranks. Leaders
-run the real procedures of :mod:`sequoiagap.ranks`.
+The engines guarantee only what engines without a map check guarantee: each switches
+its map independently, a hold lasts until it is released, and nothing compares the
+ranks. Leaders run the real procedures of :mod:`sequoiagap.ranks`.
 """
 
 import dataclasses
@@ -14,31 +14,31 @@
 
 
 class TwoMapsError(AssertionError):
-    """A pass began with two maps."""
+    """Raised if a pass begins with two maps."""
 
 
 @dataclasses.dataclass
 class Engine:
-    """One rank's engine."""
+    """State of one rank's engine."""
 
     rank: int
     map_version: int = 0
     content: object = "first"
     prepared: int = 0
     prepared_content: object = None
-    highest: int = 0
+    highest_version: int = 0
     armed: tuple | None = None
     held: int = 0
 
-    def forget(self):
-        """Be as after the group has formed anew."""
+    def reset(self):
+        """Reset the engine as when the group is re-formed."""
         self.map_version, self.content = 0, "first"
-        self.prepared, self.prepared_content, self.highest = 0, None, 0
+        self.prepared, self.prepared_content, self.highest_version = 0, None, 0
         self.armed, self.held = None, 0
 
 
 class Leader:
-    """A leader that may be killed or paused at any moment."""
+    """Leads map changes; can be restarted or paused at any moment."""
 
     def __init__(self, world, rank):
         self.world = world
@@ -47,43 +47,43 @@
         self.start()
 
     def start(self):
-        """Begin as a fresh process."""
+        """Start as a new process."""
         first_step = self.world.step + ranks.STEP_GUARD
         self.keeper = ranks.Keeper(self.world.epoch, first_step)
-        self.question = None
+        self.query = None
         self.procedure = None
         self.change = None
-        self.waiting = {}
+        self.pending = {}
         self.replies = {}
         self.epoch = self.world.epoch
         self.first_step = self.world.step
         self.last_step = 0
 
-    def see_new_epoch(self):
-        """Begin with a group that has formed anew under this process's eyes."""
+    def enter_new_epoch(self):
+        """Start with a group that was re-formed while this process was running."""
         keeper = self.keeper
         self.start()
         self.keeper = keeper
         self.first_step = None
 
     def advance(self, choose):
-        """Do one thing: begin a procedure, or carry out one order of it."""
+        """Perform one action: begin a procedure, or send one query or order of it."""
         if self.procedure is None:
             self._begin(choose)
-        elif self.question is not None:
-            question, self.question = self.question, None
-            self._send(self.world.ask_keeper(self, question))
-        elif self.waiting:
-            rank = choose(sorted(self.waiting))
-            order = self.waiting.pop(rank)
-            self.replies[rank] = self.world.carry_out(rank, order, choose)
-            if not self.waiting:
+        elif self.query is not None:
+            query, self.query = self.query, None
+            self._send(self.world.request_agreement(self, query))
+        elif self.pending:
+            rank = choose(sorted(self.pending))
+            order = self.pending.pop(rank)
+            self.replies[rank] = self.world.send_order(rank, order, choose)
+            if not self.pending:
                 self._send(self.replies)
 
     def _begin(self, choose):
         world = self.world
         if self.epoch != world.epoch:
-            self.see_new_epoch()
+            self.enter_new_epoch()
         reports = {engine.rank: world.report(engine) for engine in world.engines}
         held = [r for r, report in reports.items() if report.held_step]
         plan = self._plan(reports, choose)
@@ -102,7 +102,7 @@
         unarmed = self.keeper.revoke_agreement() if rank == self.rank else None
         if unarmed is None or (unarmed.epoch, unarmed.step) != (self.epoch, step):
             return ranks.resolve_hold(rank, step, plan)
-        self.world.released_alone += 1
+        self.world.local_releases += 1
         return ranks.release([rank], step, self.epoch)
 
     def _plan(self, reports, choose):
@@ -134,17 +134,19 @@
         if self.change is not None:
             self.last_step = max(self.last_step, self.change.step_)
         if isinstance(step, ranks.KeeperQuery):
-            self.question = step
+            self.query = step
             return
-        self.waiting = dict(step.order_by_rank)
+        self.pending = dict(step.order_by_rank)
 
 
 class World:
-    """A group, its leaders, and the orders that are still on their way.
+    """Simulates a group, its leaders and delayed orders.
 
-    :param int seed: seed of every choice.
-    :param float loss: share of the orders that get no answer.
-    :param int size: ranks of the group.
+    :ivar int local_releases: holds that a leader released with its own keeper alone.
+
+    :param int seed: seed of all random choices.
+    :param float loss: share of orders that get no answer.
+    :param int size: number of ranks of the group.
     """
 
     def __init__(self, seed, loss=0.3, size=SIZE):
@@ -154,26 +156,26 @@
         self.step = 20
         self.epoch = 1
         self.engines = [Engine(rank) for rank in range(size)]
-        self.late = []
+        self.delayed = []
         self.results = []
         self.passes = 0
-        self.released_alone = 0
+        self.local_releases = 0
         self.is_idle = False
         self.leaders = [Leader(self, 0), Leader(self, 1)]
 
     def run(self, turns):
-        """Take a number of random turns.
+        """Perform a number of random actions.
 
-        :param int turns: how many.
+        :param int turns: number of actions.
         :raises TwoMapsError: if a pass begins with two maps.
         """
         for _ in range(turns):
-            self._turn()
+            self._run_random_action()
 
     def settle(self, turns):
-        """Let one leader go on under load without trouble, as after the last fault.
+        """Run one leader and the passes without further faults.
 
-        :param int turns: how many turns.
+        :param int turns: number of leader actions, each followed by a pass.
         """
         self.loss = 0.0
         self.leaders[1].procedure = None
@@ -182,7 +184,7 @@
             self.leaders[0].advance(self.random.choice)
             self.begin_pass()
 
-    def _turn(self):
+    def _run_random_action(self):
         draw = self.random.random()
         if draw < 0.62:
             leader = self.random.choice(self.leaders)
@@ -192,35 +194,38 @@
             if not self.is_idle:
                 self.begin_pass()
         elif draw < 0.92:
-            self._carry_out_late()
+            self._execute_delayed_order()
         elif draw < 0.96:
             leader = self.random.choice(self.leaders)
             leader.is_paused = not leader.is_paused
         elif draw < 0.985:
             self.random.choice(self.leaders).start()
         elif draw < 0.988:
-            self._form_anew()
+            self._reform_group()
         else:
             self.is_idle = not self.is_idle
 
     def begin_pass(self):
-        """Begin the next pass unless it is held, and check the maps in it."""
-        following = self.step + 1
-        if any(engine.held == following for engine in self.engines):
+        """Begin the next pass unless it is held, and check that its maps are equal.
+
+        :raises TwoMapsError: if they differ.
+        """
+        next_step = self.step + 1
+        if any(engine.held == next_step for engine in self.engines):
             return
-        self.step = following
+        self.step = next_step
         self.passes += 1
         for engine in self.engines:
-            if engine.armed is not None and engine.armed[1] == following:
+            if engine.armed is not None and engine.armed[1] == next_step:
                 engine.map_version = engine.armed[0]
                 engine.content = engine.prepared_content
                 engine.armed = None
         contents = {(e.map_version, repr(e.content)) for e in self.engines}
         if len(contents) > 1:
-            raise TwoMapsError(f"pass {following} begins with {contents}")
+            raise TwoMapsError(f"pass {next_step} begins with {contents}")
 
-    def carry_out(self, rank, order, choose):
-        """Give an order as a leader does, and return the reply."""
+    def send_order(self, rank, order, choose):
+        """Send an order to a rank and return the reply; it can be lost or delayed."""
         engine = self.engines[rank]
         if order is None:
             return ranks.RankReply(report=self._read(engine))
@@ -228,24 +233,24 @@
             if choose((True, False)):
                 self._execute(engine, order)
             else:
-                self.late.append((rank, order))
+                self.delayed.append((rank, order))
             return ranks.RankReply(report=self._read(engine))
         return ranks.RankReply(self._execute(engine, order), self._read(engine))
 
-    def ask_keeper(self, leader, question):
-        """Ask the agent of a rank, as a leader does; return whether it agreed.
+    def request_agreement(self, leader, query):
+        """Request agreement from a keeper and return whether it agreed.
 
-        Question or answer may be lost; an agent that is paused answers nobody, and
-        one that leads agrees with nobody else.
+        Query or answer may be lost. A paused agent does not answer, and an agent that
+        runs a procedure does not agree with another leader.
         """
-        agent = self.leaders[question.keeper]
+        agent = self.leaders[query.keeper]
         if agent is leader:
-            return agent.keeper.decide(question.change, question.wants_arming)
+            return agent.keeper.decide(query.change, query.wants_arming)
         if agent.is_paused or agent.procedure is not None:
             return False
         if self.random.random() < self.loss:
             return False
-        is_agreed = agent.keeper.decide(question.change, question.wants_arming)
+        is_agreed = agent.keeper.decide(query.change, query.wants_arming)
         return is_agreed and self.random.random() >= self.loss
 
     def report(self, engine):
@@ -270,20 +275,20 @@
             return None
         return self.report(engine)
 
-    def carry_out_all_late(self):
-        """Carry out every order that is still on its way."""
-        while self.late:
-            self._carry_out_late()
+    def execute_delayed_orders(self):
+        """Execute all delayed orders."""
+        while self.delayed:
+            self._execute_delayed_order()
 
-    def _carry_out_late(self):
-        if self.late:
-            rank, order = self.late.pop(self.random.randrange(len(self.late)))
+    def _execute_delayed_order(self):
+        if self.delayed:
+            rank, order = self.delayed.pop(self.random.randrange(len(self.delayed)))
             self._execute(self.engines[rank], order)
 
-    def _form_anew(self):
+    def _reform_group(self):
         self.epoch += 1
         for engine in self.engines:
-            engine.forget()
+            engine.reset()
 
     def _execute(self, engine, order):
         if order.epoch != self.epoch:
@@ -291,9 +296,9 @@
         return _EXECUTE_BY_KIND[order.kind](self, engine, order)
 
     def _prepare(self, engine, order):
-        if order.version <= engine.highest or engine.armed is not None:
+        if order.version <= engine.highest_version or engine.armed is not None:
             return ranks.OrderResult.CONFLICT
-        engine.highest = engine.prepared = order.version
+        engine.highest_version = engine.prepared = order.version
         engine.prepared_content = order.layers
         return ranks.OrderResult.DONE
 
--- a/simulations/requests_world.py
+++ b/simulations/requests_world.py
@@ -1,4 +1,4 @@
-"""A deployment in one process: real decisions, simulated network and platform."""
+"""Simulates a deployment: real decision code, simulated network and platform."""
 
 import asyncio
 import dataclasses
@@ -23,7 +23,7 @@
 
 @dataclasses.dataclass
 class Faults:
-    """How likely each fault is, from 0 to 1."""
+    """Probabilities of faults, from 0 to 1."""
 
     cut: float = 0.0
     crash: float = 0.0
@@ -37,7 +37,7 @@
 
 
 class Agent:
-    """An agent that crashes and pauses."""
+    """Runs an agent's executor; it can crash and pause."""
 
     def __init__(self, world, name):
         self.world = world
@@ -47,7 +47,7 @@
         self.start()
 
     def start(self):
-        """Start a fresh incarnation."""
+        """Start a new incarnation."""
         self.hello = wire.Hello(self.name, "agent", base.new_id("inc"))
         self.executor = _executor.Executor(
             requests_fakes.Endpoint(self.world, self),
@@ -61,10 +61,10 @@
         self.handlers = wire.HandlerTable()
         self.executor.attach(self.handlers)
 
-    async def awake(self):
-        """Wait until the process is not paused."""
+    async def wait_until_resumed(self):
+        """Wait until the process is resumed."""
         loop = asyncio.get_running_loop()
-        while self.paused_until > loop.time():  # noqa: ASYNC110 - it may grow
+        while self.paused_until > loop.time():  # noqa: ASYNC110 - it may increase
             await asyncio.sleep(self.paused_until - loop.time())
 
     async def serve(self, pipe):
@@ -73,7 +73,7 @@
         executor, handlers = self.executor, self.handlers
 
         async def handle(item):
-            await self.awake()
+            await self.wait_until_resumed()
             if executor is self.executor:
                 await handlers.handle(pipe, item)
 
@@ -86,11 +86,11 @@
             executor.forget_connection(pipe)
 
     async def crash(self):
-        """Lose everything and start again."""
+        """Lose all state and connections and start again."""
         old = self.executor
         for pipe in self.pipes:
             pipe.close()
-            pipe.far.close()
+            pipe.remote_end.close()
         self.pipes = []
         self.start()
         for task in old._tasks.tasks_ | old.answers_.tasks_.tasks_:
@@ -101,10 +101,10 @@
 
 
 class World:
-    """Entries, agents, endpoints and a platform.
+    """Simulates entries, agents, endpoints and a platform.
 
-    :param int seed: decides everything that is random.
-    :param Faults faults: what goes wrong, and how often.
+    :param int seed: seed of all random choices.
+    :param Faults faults: probabilities of faults.
     """
 
     def __init__(self, seed, faults):
@@ -116,35 +116,35 @@
         self.agent_by_port = {i: Agent(self, f"agent-{i}") for i in range(3)}
         self.dispatchers = [self._entry(f"entry-{i}") for i in range(2)]
 
-    def happens(self, likelihood):
-        """Draw whether a fault happens."""
-        return self.random.random() < likelihood
+    def draw_fault(self, probability):
+        """Return at random whether a fault happens."""
+        return self.random.random() < probability
 
     def delay(self):
-        """Draw the time of a message; most are quick."""
+        """Return a random message delay in seconds, with a mean of 0.01 s."""
         return self.random.expovariate(1 / 0.01)
 
     async def connect(self, address, port, own):
-        """Take the place of :func:`sequoiagap.wire.connect`."""
+        """Connect to an agent; replaces :func:`sequoiagap.wire.connect`."""
         agent = self.agent_by_port[port]
         await asyncio.sleep(self.delay())
-        await agent.awake()
-        near, far = (
+        await agent.wait_until_resumed()
+        local_end, remote_end = (
             requests_fakes.Pipe(self, own, agent.hello),
             requests_fakes.Pipe(self, agent.hello, own),
         )
-        near.far, far.far = far, near
-        self._serving = asyncio.create_task(agent.serve(far))
-        return near
+        local_end.remote_end, remote_end.remote_end = remote_end, local_end
+        self._serving = asyncio.create_task(agent.serve(remote_end))
+        return local_end
 
-    async def disturb(self):
-        """Crash and pause agents until cancelled."""
+    async def inject_faults(self):
+        """Crash and pause agents at random until cancelled."""
         while True:
             await asyncio.sleep(0.5)
             for agent in self.agent_by_port.values():
-                if self.happens(self.faults.crash):
+                if self.draw_fault(self.faults.crash):
                     await agent.crash()
-                if self.happens(self.faults.pause):
+                if self.draw_fault(self.faults.pause):
                     pause = self.random.uniform(0, 1.5 * DEADLINE_S)
                     now = asyncio.get_running_loop().time()
                     agent.paused_until = now + pause
@@ -157,8 +157,8 @@
         )
 
 
-class _NoSpread:
-    """Configuration and reports do not spread in a simulation."""
+class _NoExchange:
+    """Replaces the exchange of configuration and reports, which is not simulated."""
 
     def attach(self, handlers):
         pass
@@ -181,8 +181,8 @@
                 members.Member(host),
                 view,
                 lambda: wire.Hello(name, "entry", name),
-                _NoSpread(),
-                _NoSpread(),
+                _NoExchange(),
+                _NoExchange(),
             )
             self.by_id[agent.name] = link
 
@@ -191,7 +191,7 @@
         self.tasks = [asyncio.create_task(link.run()) for link in self.by_id.values()]
 
     async def ensure_reachable(self, target, tried=(), endpoint_id=""):
-        """Every agent is linked."""
+        """Do nothing, as every agent has a link."""
 
     def candidates(self, target, tried=(), endpoint_id=""):
         """Return the connected endpoints."""
--- a/simulations/store_world.py
+++ b/simulations/store_world.py
@@ -27,7 +27,7 @@
 
 
 class InvariantError(AssertionError):
-    """Raised if the gateway uses revoked keys, drained domains or departed endpoints."""
+    """Raised if the gateway uses a revoked key, drained domain or departed endpoint."""
 
 
 class UnreliableStore(standins.DirectStore):
--- a/tests/entry/test_requests_interleaved.py
+++ b/tests/entry/test_requests_interleaved.py
@@ -105,7 +105,7 @@
         for dispatcher in world.dispatchers:
             dispatcher.links.run()
         await asyncio.sleep(0.5)
-        disturbing = asyncio.create_task(world.disturb())
+        disturbing = asyncio.create_task(world.inject_faults())
         calls = [_call(world, number) for number in range(REQUESTS)]
         await asyncio.gather(*(_send(world, call) for call in calls))
         await asyncio.sleep(SETTLE_S)
--- a/tests/ranks/test_change_model.py
+++ b/tests/ranks/test_change_model.py
@@ -17,17 +17,17 @@
 
 class ChangeModelTest(unittest.TestCase):
     def test_no_pass_has_two_maps_and_changes_are_made(self):
-        results, released_alone = [], 0
+        results, local_releases = [], 0
         for seed in range(SEEDS):
             world = rank_world.World(seed)
             world.run(change_search.TURNS)
             results += world.results
-            released_alone += world.released_alone
+            local_releases += world.local_releases
         for result in ranks.ChangeResult:
             if result != ranks.ChangeResult.NOT_PREPARED:
                 self.assertIn(result, results)
         self.assertGreater(results.count(ranks.ChangeResult.DONE), SEEDS // 2)
-        self.assertGreater(released_alone, SEEDS // 100)
+        self.assertGreater(local_releases, SEEDS // 100)
 
     def test_no_pass_has_two_maps_with_a_short_lead(self):
         with change_search.short_lead():
@@ -47,7 +47,7 @@
         for seed in range(SEEDS // 3):
             world = rank_world.World(seed)
             world.run(change_search.TURNS)
-            world.carry_out_all_late()
+            world.execute_delayed_orders()
             world.settle(SETTLE_TURNS)
             before = world.passes
             world.settle(SETTLE_TURNS)
--- a/tests/ranks/test_leader.py
+++ b/tests/ranks/test_leader.py
@@ -162,7 +162,7 @@
     async def test_map_of_a_re_formed_group_is_determined_again(self):
         await self.run_cycles(self.leader)
         world = self.group.world
-        world._form_anew()
+        world._reform_group()
         for engine in world.engines:
             engine.content = LAYERS
         before = self.leader.changes_
@@ -175,7 +175,7 @@
     async def test_re_formed_group_has_a_good_map_before_its_next_passes(self):
         await self.run_cycles(self.leader)
         world = self.group.world
-        world._form_anew()
+        world._reform_group()
         for engine in world.engines:
             engine.content = LAYERS
         await asyncio.sleep(2 * _leader.CHANGE_COOLDOWN_S)
