--- a/libs/standins/src/sequoiagap/standins/_direct.py
+++ b/libs/standins/src/sequoiagap/standins/_direct.py
@@ -1,4 +1,4 @@
-"""In-process stand-ins for the surroundings of a gateway: store and endpoints."""
+"""In-process stand-ins for the header dialect, store and endpoints of a gateway."""
 
 import asyncio
 import dataclasses
--- a/libs/standins/src/sequoiagap/standins/_rank_fleet.py
+++ b/libs/standins/src/sequoiagap/standins/_rank_fleet.py
@@ -206,7 +206,7 @@
         return process
 
     def _settings(self, rank):
-        layers, _, count, slots = self.plan.shape
+        layers, _, experts, slots = self.plan.shape
         peers = [{"address": "127.0.0.1", "port": r.port_} for r in self.relays_]
         return {
             "role": "agent",
@@ -232,7 +232,7 @@
                 "rank": rank,
                 "peers": peers,
                 "layers": layers,
-                "experts": count,
+                "experts": experts,
                 "slots": slots,
                 "interval_s": 0.5,
                 "report_interval_s": 0.1,
--- a/libs/standins/src/sequoiagap/standins/_relay.py
+++ b/libs/standins/src/sequoiagap/standins/_relay.py
@@ -164,7 +164,7 @@
 
 
 async def _read_source(reader):
-    """Read the hello; return its node id and the whole frame."""
+    """Read the hello; return its node id and the complete frame."""
     payload = await wire.read_frame(reader)
     if payload is None:
         raise base.WireError("connection closed before its hello", "Reconnect")
--- a/simulations/group_world.py
+++ b/simulations/group_world.py
@@ -238,8 +238,8 @@
         state.view = self.engines[receiver].view()
         effects = getattr(state, METHOD_BY_REQUEST[type(item)])(item)
         for order in effects.orders:
-            for wanted in (order.previous, order.target):
-                self.engines[receiver].stage(wanted.digest)
+            for map_ref in (order.previous, order.target):
+                self.engines[receiver].stage(map_ref.digest)
             self.engines[receiver].apply_order(order)
         if effects.reply is not None:
             self.send(receiver, sender, effects.reply)
--- a/simulations/rank_world.py
+++ b/simulations/rank_world.py
@@ -142,11 +142,13 @@
 class World:
     """Simulates a group, its leaders and delayed orders.
 
-    :ivar int local_releases: holds that a leader released with its own keeper alone.
-
     :param int seed: seed of all random choices.
     :param float loss: share of orders that get no answer.
     :param int size: number of ranks of the group.
+
+    :ivar int passes: number of passes that have begun.
+    :ivar int local_releases: number of holds that a leader released by revoking its
+        own keeper's agreement.
     """
 
     def __init__(self, seed, loss=0.3, size=SIZE):
@@ -185,22 +187,22 @@
             self.begin_pass()
 
     def _run_random_action(self):
-        draw = self.random.random()
-        if draw < 0.62:
+        value = self.random.random()
+        if value < 0.62:
             leader = self.random.choice(self.leaders)
             if not leader.is_paused:
                 leader.advance(self.random.choice)
-        elif draw < 0.82:
+        elif value < 0.82:
             if not self.is_idle:
                 self.begin_pass()
-        elif draw < 0.92:
+        elif value < 0.92:
             self._execute_delayed_order()
-        elif draw < 0.96:
+        elif value < 0.96:
             leader = self.random.choice(self.leaders)
             leader.is_paused = not leader.is_paused
-        elif draw < 0.985:
+        elif value < 0.985:
             self.random.choice(self.leaders).start()
-        elif draw < 0.988:
+        elif value < 0.988:
             self._reform_group()
         else:
             self.is_idle = not self.is_idle
--- a/tests/standins/test_faults.py
+++ b/tests/standins/test_faults.py
@@ -1,4 +1,4 @@
-"""Each fault switch of the stand-ins does what it says, and nothing before."""
+"""Tests that each fault switch has its documented effect, and only while it is set."""
 
 import asyncio
 import dataclasses
@@ -10,8 +10,8 @@
 
 from sequoiagap.standins import _engine, _faults, _platform, _serve, _service
 
-# Within ANSWER_S whatever answers has answered, also on a busy machine; what is
-# silent for SILENCE_S is taken to be silent.
+# ANSWER_S bounds any answer, also on a busy machine. A call without an answer for
+# SILENCE_S counts as unanswered.
 ANSWER_S = 15.0
 SILENCE_S = 0.5
 PAUSE_S = 0.3
@@ -41,9 +41,9 @@
     async def call(
         self, kind, method, path, body=None, headers=None, timeout_s=ANSWER_S
     ):
-        """Call a stand-in; return status, body and headers.
+        """Send a request to a stand-in; return status, body and headers.
 
-        :raises TimeoutError: if no whole answer comes in time.
+        :raises TimeoutError: if no complete answer arrives in time.
         """
         url = self.url_by_kind[kind] + path
         async with asyncio.timeout(timeout_s):
@@ -52,8 +52,8 @@
             ) as answer:
                 return answer.status, await answer.text(), answer.headers
 
-    async def timed(self, *arguments):
-        """Call a stand-in; return the seconds until the whole answer."""
+    async def measure_call(self, *arguments):
+        """Send a request; return the seconds until the complete answer."""
         began = time.monotonic()
         await self.call(*arguments)
         return time.monotonic() - began
@@ -66,7 +66,7 @@
         return status
 
     async def get(self, name):
-        """Return what an object of the platform holds, or ``None``."""
+        """Return the value of an object of the platform, or ``None``."""
         url = f"{self.url_by_kind['platform']}/objects/{name}"
         async with self.session.get(url) as answer:
             return (await answer.json()).get("value")
@@ -74,17 +74,17 @@
     async def wait_for(self, name):
         """Wait until an object of the platform exists."""
         async with asyncio.timeout(ANSWER_S):
-            while await self.get(name) is None:  # noqa: ASYNC110 - asked by HTTP
+            while await self.get(name) is None:  # noqa: ASYNC110 - polls over HTTP
                 await asyncio.sleep(0.01)
 
-    async def executed(self, kind):
-        """Return how many executions a stand-in has counted."""
+    async def count_executions(self, kind):
+        """Return the number of executions at a stand-in."""
         url = f"{self.url_by_kind[kind]}/executions"
         async with self.session.get(url) as answer:
             return sum((await answer.json()).values())
 
     async def set_faults(self, kind, **switches):
-        """Set switches of a stand-in."""
+        """Set fault switches of a stand-in."""
         url = f"{self.url_by_kind[kind]}/faults"
         async with self.session.post(url, json=switches) as answer:
             self.assertEqual(answer.status, 200)
@@ -108,7 +108,7 @@
                     status, _, _ = await self.call(*call)
                     self.assertEqual(status, 200, f"after {field.name}")
 
-    async def test_unknown_switch_is_refused(self):
+    async def test_unknown_switch_is_rejected(self):
         for kind in self.url_by_kind:
             status, text, _ = await self.call(kind, "POST", "/faults", {"dwon": True})
             self.assertEqual((status, "dwon" in text), (400, True))
@@ -122,7 +122,7 @@
     async def check_slow_s(self):
         for call in self.CALLS:
             await self.set_faults(call[0], slow_s=PAUSE_S)
-            self.assertGreaterEqual(await self.timed(*call), PAUSE_S)
+            self.assertGreaterEqual(await self.measure_call(*call), PAUSE_S)
             await self.set_faults(call[0], slow_s=0.0)
 
     async def check_silent(self):
@@ -143,11 +143,11 @@
             await self.put("lost", 0, timeout_s=SILENCE_S)
         self.assertEqual(await self.get("lost"), {"n": 1})
         self.assertEqual(await self.put("next", 0), 200)
-        before = await self.executed("service")
+        before = await self.count_executions("service")
         await self.set_faults("service", lose_answers=1)
         with self.assertRaises(aiohttp.ClientError):
             await self.call("service", "POST", "/file", {"n": 1})
-        self.assertEqual(await self.executed("service"), before + 1)
+        self.assertEqual(await self.count_executions("service"), before + 1)
 
     async def check_late_s(self):
         await self.set_faults("platform", late_s=EFFECT_DELAY_S)
@@ -159,10 +159,10 @@
     async def check_stall_s(self):
         for kind, path in (("engine", COMPLETE), ("service", "/file")):
             await self.set_faults(kind, stall_s=PAUSE_S)
-            before = await self.executed(kind)
-            elapsed = await self.timed(kind, "POST", path, {"messages": []})
+            before = await self.count_executions(kind)
+            elapsed = await self.measure_call(kind, "POST", path, {"messages": []})
             self.assertGreaterEqual(elapsed, PAUSE_S)
-            self.assertEqual(await self.executed(kind), before + 1)
+            self.assertEqual(await self.count_executions(kind), before + 1)
 
     async def check_cut_answers(self):
         await self.set_faults("engine", cut_answers=1)
@@ -212,12 +212,12 @@
             return await answer.json()
 
     async def _watch_change(self, name, timeout_s=SILENCE_S):
-        """Change an object under a watch; return its answer or ``None``."""
+        """Change a watched object; return the answer of the watch, or ``None``."""
         path = f"/objects/{name}/watch?after=0&timeout_s={ANSWER_S}"
-        before = await self._watches()
+        before = await self._count_watches()
         watch = asyncio.create_task(self.call("platform", "GET", path))
         async with asyncio.timeout(ANSWER_S):
-            while await self._watches() == before:  # noqa: ASYNC110 - asked by HTTP
+            while await self._count_watches() == before:  # noqa: ASYNC110 - polls over HTTP
                 await asyncio.sleep(0.01)
         self.assertEqual(await self.put(name, 0), 200)
         done, _ = await asyncio.wait([watch], timeout=timeout_s)
@@ -225,20 +225,20 @@
             watch.cancel()
         return watch.result() if done else None
 
-    async def _watches(self):
-        """Return how many watches the platform has been asked for."""
+    async def _count_watches(self):
+        """Return the number of watch requests to the platform."""
         _, text, _ = await self.call("platform", "GET", "/calls")
         return json.loads(text).get("watch", 0)
 
 
 class BehaviourTest(StandInCase):
-    """What the stand-ins do without a switch, as the platform and engines do."""
+    """Tests behaviour without faults that the platform and engines have too."""
 
     async def test_host_list_lags(self):
         await self.call("platform", "PUT", "/hosts/h1", {"host_id": "h1"})
         self.assertNotIn("h1", (await self.call("platform", "GET", "/hosts"))[1])
         async with asyncio.timeout(ANSWER_S):
-            while not await self._is_listed("h1"):  # noqa: ASYNC110 - asked by HTTP
+            while not await self._is_listed("h1"):  # noqa: ASYNC110 - polls over HTTP
                 await asyncio.sleep(0.05)
 
     async def _is_listed(self, name):
@@ -249,7 +249,7 @@
         self.assertEqual(await self.put("a", 0), 409)
         self.assertEqual(await self.get("a"), {"n": 1})
 
-    async def test_cold_engine_falls_over_and_recovers(self):
+    async def test_overloaded_cold_engine_fails_and_recovers(self):
         engine = _engine.EngineStandIn(cold_s=60.0, cold_capacity=1, recover_s=PAUSE_S)
         runner, port = await _serve.start(engine)
         self.addAsyncCleanup(runner.cleanup)
--- a/tests/standins/test_load.py
+++ b/tests/standins/test_load.py
@@ -1,4 +1,4 @@
-"""The load tool counts truly, and the engine's cold start does harm."""
+"""Tests the counts of the load generator and the overload of a cold engine."""
 
 import asyncio
 import unittest
@@ -8,17 +8,22 @@
 from sequoiagap import standins
 from sequoiagap.standins import _engine, load
 
-COLD = {"cold_capacity": 2, "capacity": 8, "step_s": 0.01, "recover_s": 0.3}
+ENGINE_PARAMETERS = {
+    "cold_capacity": 2,
+    "capacity": 8,
+    "step_s": 0.01,
+    "recover_s": 0.3,
+}
 
 
 class LoadToolTest(unittest.IsolatedAsyncioTestCase):
     async def start_engine(self, **parameters):
-        engine = _engine.EngineStandIn(**COLD | parameters)
+        engine = _engine.EngineStandIn(**ENGINE_PARAMETERS | parameters)
         runner, port = await standins.start(engine)
         self.addAsyncCleanup(runner.cleanup)
         return engine, f"http://127.0.0.1:{port}"
 
-    async def test_phases_and_accounts_are_counted_apart(self):
+    async def test_phases_and_accounts_are_counted_separately(self):
         engine, url = await self.start_engine(cold_s=0.0, capacity=100)
         arguments = ["--url", url, "--account", "large:60", "--account", "small:20:k"]
         arguments += ["--phase", "one:0.5", "--phase", "two:0.5"]
@@ -41,10 +46,10 @@
             with self.subTest(text), self.assertRaisesRegex(Exception, "NAME:RATE"):
                 load.parse_account(text)
 
-    async def test_cold_engine_falls_over_above_its_cold_capacity(self):
+    async def test_cold_engine_is_overloaded_above_its_cold_capacity(self):
         cases = {
             "just started": ({"cold_s": 5.0}, 0.0),
-            "turned cold without a word": ({"cold_s": 0.0}, 5.0),
+            "cold without reporting it": ({"cold_s": 0.0}, 5.0),
         }
         for name, (parameters, chill_s) in cases.items():
             with self.subTest(name):
--- a/tests/standins/test_relay.py
+++ b/tests/standins/test_relay.py
@@ -1,4 +1,4 @@
-"""The relay cuts, silences and delays as it is told."""
+"""Tests that the relays cut, silence, duplicate and reorder as configured."""
 
 import asyncio
 import unittest
@@ -30,7 +30,7 @@
         wire.write_frame(writer, wire.encode(hello))
         return reader, writer
 
-    async def answers(self, reader):
+    async def is_answered(self, reader):
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 return bool(await reader.read(1024))
@@ -43,30 +43,30 @@
                 self.relay.set_mode(mode, "entry-a")
                 cut, _ = await self.connect("entry-a")
                 other, _ = await self.connect("entry-b")
-                self.assertFalse(await self.answers(cut))
-                self.assertTrue(await self.answers(other))
+                self.assertFalse(await self.is_answered(cut))
+                self.assertTrue(await self.is_answered(other))
                 self.relay.heal()
                 healed, _ = await self.connect("entry-a")
-                self.assertTrue(await self.answers(healed))
+                self.assertTrue(await self.is_answered(healed))
 
     async def test_cut_ends_open_connections(self):
         reader, _ = await self.connect("entry-a")
-        self.assertTrue(await self.answers(reader))
+        self.assertTrue(await self.is_answered(reader))
         self.relay.set_mode(standins.LinkMode.CUT)
-        self.assertFalse(await self.answers(reader))
+        self.assertFalse(await self.is_answered(reader))
 
-    async def test_open_connections_go_silent_while_new_ones_pass(self):
+    async def test_open_connections_are_silenced_while_new_ones_pass(self):
         reader, writer = await self.connect("entry-a")
-        self.assertTrue(await self.answers(reader))
+        self.assertTrue(await self.is_answered(reader))
         self.relay.silence_open()
         writer.write(b"more")
-        self.assertFalse(await self.answers(reader))
+        self.assertFalse(await self.is_answered(reader))
         fresh, _ = await self.connect("entry-a")
-        self.assertTrue(await self.answers(fresh))
+        self.assertTrue(await self.is_answered(fresh))
 
 
 class FrameRelayTest(RelayTest):
-    """The frames of the group protocol come twice and crossed; others as ever."""
+    """Runs the relay tests with FrameRelay, and checks how it disturbs frames."""
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
@@ -74,7 +74,7 @@
         await self.relay.start()
         self.addAsyncCleanup(self.relay.close)
 
-    async def test_frames_between_ranks_are_doubled_and_crossed(self):
+    async def test_frames_between_ranks_are_duplicated_and_reordered(self):
         self.relay.disturb(copies=2, spread_s=0.05)
         reader, writer = await self.connect("rank-1")
         hello = wire.decode(await wire.read_frame(reader))
@@ -83,7 +83,7 @@
         for join in joins:
             wire.write_frame(writer, wire.encode(join))
         writer.write_eof()
-        # Each comes twice to the echo, and each of these twice back.
+        # Each join reaches the echo server twice, and each of these returns twice.
         got = [wire.decode(await wire.read_frame(reader)).rank for _ in range(80)]
         self.assertEqual(sorted(got), sorted([j.rank for j in joins] * 4))
         self.assertNotEqual(got, sorted(got))
