--- a/libs/standins/src/sequoiagap/standins/_engine.py
+++ b/libs/standins/src/sequoiagap/standins/_engine.py
@@ -121,7 +121,7 @@
         return self._reports_cold() or time.monotonic() < self._silently_cold_until
 
     def _role(self):
-        """Return the current role; after a change, running requests are rejected."""
+        """Return the current role; requests that run when it changes are ended."""
         order = self.orders_.state_by_kind.get("change_role", {})
         return order.get("role", FULL_ROLE)
 
