--- a/simulations/requests_world.py
+++ b/simulations/requests_world.py
@@ -163,7 +163,7 @@
     def attach(self, handlers):
         pass
 
-    async def greet(self, connection):
+    async def send_offer(self, connection):
         pass
 
     def forget(self, node_id):
