--- a/benchmarks/domain_move.py
+++ b/benchmarks/domain_move.py
@@ -148,7 +148,7 @@
 
     :param Run run: parameters of the run.
     :returns: results of the load, and attempts sent to agents by phase.
-    :rtype: tuple[sequoiagap.standins.LoadBook, dict]
+    :rtype: tuple[sequoiagap.standins.LoadReports, dict]
     """
     with tempfile.TemporaryDirectory() as folder:
         plan = make_plan(run.policy)
--- a/benchmarks/map_change.py
+++ b/benchmarks/map_change.py
@@ -115,7 +115,7 @@
                 experts.OrderKind.LOAD, version, target, engine.committed_
             )
             delay = self._delay_s() + (LEADER_PAUSE_S if rank >= half else 0.0)
-            self._schedule(delay, lambda e=engine, o=order: e.take(o))
+            self._schedule(delay, lambda e=engine, o=order: e.apply_order(o))
         while not self._is_in_force(version):
             self._run_one()
 
@@ -163,11 +163,15 @@
     def _receive(self, send):
         state, engine = self.states[send.rank], self.engines[send.rank]
         if self.mode == "switch_now" and isinstance(send.message, experts.Prepare):
-            engine.take(experts.Order(experts.OrderKind.HOLD, send.message.epoch))
+            engine.apply_order(
+                experts.Order(experts.OrderKind.HOLD, send.message.epoch)
+            )
         state.view = engine.view()
-        effects = getattr(state, group_world.HANDLERS[type(send.message)])(send.message)
+        effects = getattr(state, group_world.METHOD_BY_REQUEST[type(send.message)])(
+            send.message
+        )
         for order in effects.orders:
-            engine.take(order)
+            engine.apply_order(order)
         delay_s = LOCAL_CALL_S * len(effects.orders)
         if send.rank:
             self._count_message(effects.reply)
@@ -175,7 +179,9 @@
         self._schedule(delay_s, lambda: self._handle_reply(effects.reply))
 
     def _handle_reply(self, reply):
-        self._send_all(getattr(self.round, group_world.ANSWERS[type(reply)])(reply))
+        self._send_all(
+            getattr(self.round, group_world.METHOD_BY_ANSWER[type(reply)])(reply)
+        )
 
     def _count_message(self, item):
         self.messages += 1
--- a/benchmarks/outages.py
+++ b/benchmarks/outages.py
@@ -25,7 +25,7 @@
         (world.count_by_result_ for world in worlds), collections.Counter()
     )
     total = sum(count_by_result.values())
-    waits_in_vain = sum(world.waited_in_vain_ for world in worlds) / len(worlds)
+    waits_in_vain = sum(world.rejected_after_wait_ for world in worlds) / len(worlds)
     shares = [f"{100 * count_by_result[column] / total:.1f}" for column in COLUMNS]
     return [f"{outage_s:g}", policy, *shares, f"{waits_in_vain:.0f}"]
 
--- a/tests/entry/test_requests_interleaved.py
+++ b/tests/entry/test_requests_interleaved.py
@@ -107,7 +107,7 @@
         for dispatcher in world.dispatchers:
             dispatcher.links.run()
         await asyncio.sleep(0.5)
-        fault_injection = asyncio.create_task(world.disturb())
+        fault_injection = asyncio.create_task(world.inject_faults())
         calls = [_make_call(world, number) for number in range(REQUESTS)]
         await asyncio.gather(*(_send(world, call) for call in calls))
         await asyncio.sleep(RECOVERY_S)
