--- a/libs/cli/src/sequoiagap/cli/_operator_commands.py
+++ b/libs/cli/src/sequoiagap/cli/_operator_commands.py
@@ -43,7 +43,7 @@
 
     def _print(self, document):
         domain, number = document["failure_domain"], document["against"]
-        self.line(f"{domain} is out of service here until a version above {number}")
+        self.line(f"{domain} is out here until a version above {number}")
 
 
 class DomainInCommand(_DomainCommand):
