Review case 3: a planned stop cuts large answers that are being written

Seen: a gateway gets SIGTERM while callers read 10 MB answers at 1.4 MB a second; it ends after 4 s, with half of its grace period left, and cuts all of them.

--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -75,6 +75,18 @@
             self._process.wait()
             self._process = None
 
+    def send(self, number):
+        """Send a signal to the process."""
+        self._process.send_signal(number)
+
+    def wait_end(self, timeout_s):
+        """Wait until the process has ended by itself; return whether it has."""
+        try:
+            self._process.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            return False
+        return True
+
     def log(self):
         """Return what the process has logged."""
         return (self.folder / f"{self.name}.log").read_text(errors="replace")
