--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import os
+import signal
 import traceback
 
 from standins_2 import clients, programs, servers, store
 
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 MAX_RUN_S = 112
+SETTLE_S = 0.2
 EXIT_BROKEN, EXIT_HELD, EXIT_NOT_RUN = 1, 0, 2
 LIMITS = {
     "MaxHeaderBytes": 16384,
@@ -129,6 +131,7 @@
             await program.stop()
         for server in self.servers:
             await server.stop()
+        await asyncio.sleep(SETTLE_S)  # until connections that were ended are noticed
 
     def ids_run(self):
         """Return the ids of all requests that began to run."""
@@ -140,6 +143,9 @@
 
 
 async def _run(play, record):
+    loop, own = asyncio.get_running_loop(), asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, own.cancel)
     with programs.temporary_folder() as folder:
         deployment = Deployment(record, folder)
         try:
@@ -160,7 +166,7 @@
     record.write("begin", trouble=HAS_TROUBLE)
     try:
         is_broken, seen = asyncio.run(_run(play, record))
-    except Exception:
+    except (Exception, asyncio.CancelledError):
         record.write("error", error=traceback.format_exc())
         print("the case couldn't run:", traceback.format_exc())
         return EXIT_NOT_RUN
--- a/review/standins_2/servers.py
+++ b/review/standins_2/servers.py
@@ -21,12 +21,15 @@
     :param Record record: where arrivals and runs are written.
 
     :ivar int events: events of each stream.
+    :ivar int first_id: id of a stream's first event.
     :ivar int event_bytes: size of each event; 0 for short ones.
     :ivar float event_s: time between two events, in seconds.
     :ivar int answer_bytes: size of a plain answer's body; 0 for a short document.
     :ivar float work_s: time before an answer begins, in seconds.
     :ivar str state: its state, as registered.
     :ivar float left_at: when the store acknowledged that it drains, or ``None``.
+    :ivar str limit: rate limit that it names in its answers; empty for none.
+    :ivar float named_at: when it first named one, monotonic seconds, or ``None``.
     :ivar str group: name of its group.
     :ivar int rank: its rank there.
     :ivar int group_size: number of ranks of the group.
@@ -49,8 +52,11 @@
         self.work_s = 0.03
         self.answer_bytes = 0
         self.event_bytes = 0
+        self.first_id = 1
         self.state = "ready"
         self.left_at = None
+        self.limit = ""
+        self.named_at = None
         self.group = f"group-{name}"
         self.rank = 0
         self.group_size = 1
@@ -226,6 +232,9 @@
         if crashing := parts & self.crashing_parts:
             self._tasks.add(asyncio.ensure_future(self.crash(min(crashing))))
             return
+        if self.limit:
+            echo = [*echo, ("Server-Limit", self.limit)]
+            self.named_at = self.named_at or time.monotonic()
         load = f"{self._running},0,{self.slots}"
         headers = [*echo, ("Server-Seal", "s"), ("Server-Load", load)]
         if "/stream" not in path:
@@ -239,8 +248,8 @@
         ]
         lines = ["HTTP/1.1 200 OK", *(f"{name}: {value}" for name, value in headers)]
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
-        first = int(message.get("Last-Event-Id", "0")) + 1
-        for number in range(first, self.events + 1):
+        last_id = int(message.get("Last-Event-Id", self.first_id - 1))
+        for number in range(last_id + 1, self.first_id + self.events):
             padding = "." * (self.event_bytes - 20)
             event = f"id: {number}\ndata: {number}{padding}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
