--- a/review/standins_2/servers.py
+++ b/review/standins_2/servers.py
@@ -34,6 +34,7 @@
     :ivar int rank: its rank there.
     :ivar int group_size: number of ranks of the group.
     :ivar set crashing_parts: prompt parts that crash it as it begins to answer.
+    :ivar set crashing_paths: paths that crash it as it begins to run them.
     :ivar float back_s: time after which it is back, in seconds.
     :ivar list arrivals: time and request of each arrival.
     :ivar list runs: the same of each request that began to run.
@@ -62,6 +63,7 @@
         self.group_size = 1
         self.slots = 6
         self.crashing_parts = set()
+        self.crashing_paths = set()
         self.back_s = 4.0
         self.arrivals = []
         self.runs = []
@@ -192,6 +194,10 @@
             tenant=message.get("Tenant"),
             bytes=len(message.body),
         )
+        if path in self.crashing_paths:
+            self._running -= 1
+            self._tasks.add(asyncio.ensure_future(self.crash(path)))
+            return
         try:
             await asyncio.sleep(self.work_s)
             await self._write_answer(message, path, echo, writer)
