--- a/review/7/case.py
+++ b/review/7/case.py
@@ -30,16 +30,16 @@
     )
 
 
-async def follow(front, last_id, record):
+async def follow(front, prompt, last_id, deadline_s, record):
     """Read one stream; return its event ids and whether it ended as complete."""
     request_id = secrets.token_hex(8)
     headers = [
         ("Host", clients.HOST),
         ("Request-Id", request_id),
-        ("Deadline-Ms", int(DEADLINE_S * 1000)),
+        ("Deadline-Ms", int(deadline_s * 1000)),
         ("Model", "m"),
         ("Token-Counts", "600,60"),
-        ("Prompt-Prefix", f"5c1e07a2:400,{secrets.token_hex(4)}:200"),
+        ("Prompt-Prefix", prompt),
         ("Authorization", f"Token {KEY}"),
     ]
     if last_id is not None:
@@ -49,7 +49,7 @@
     record.write("sent", id=request_id, to=front, last_event_id=last_id)
     data, is_complete, status = b"", False, 0
     try:
-        async with asyncio.timeout(DEADLINE_S):
+        async with asyncio.timeout(deadline_s):
             head = await http.read_head(reader)
             status = head.status if head is not None else 0
             while piece := await http.read_chunk(reader):
@@ -77,10 +77,14 @@
     :returns: the ids of all events in the order they came, and whether the last
         answer ended as complete.
     """
-    ids, is_complete = await follow(fronts[0], None, record)
+    prompt = f"5c1e07a2:400,{secrets.token_hex(4)}:200"
+    began = record.now()
+    ids, is_complete = await follow(fronts[0], prompt, None, DEADLINE_S, record)
     if is_complete:
         return ids, True
-    more, is_complete = await follow(fronts[1], ids[-1] if ids else None, record)
+    last_id = ids[-1] if ids else None
+    left_s = began + DEADLINE_S - record.now()
+    more, is_complete = await follow(fronts[1], prompt, last_id, left_s, record)
     return ids + more, is_complete
 
 
--- a/review/standins_2/programs.py
+++ b/review/standins_2/programs.py
@@ -11,16 +11,12 @@
 import random
 import re
 import signal
+import socket
 import tempfile
 import time
 import tomllib
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-FRONT_PORT = 8227
-READY_PORT = 8220
-INTERNAL_PORT = 7340
-STORE_PORT = 8223
-SERVER_PORT = 8080
 STOP_S = 5.0
 ZONES = ("pnw-a", "pnw-b", "pnw-c")
 BOUNDS = {  # those of the small sites
@@ -32,9 +28,34 @@
     "ColdOvershoot": 1.5,
     "ColdSlack": 5,
 }
+_METRICS_PORT = re.compile(r'"metrics_port": \d+')
 _PLACEHOLDER = re.compile(r"\{\{([A-Za-z0-9_.]+)(\|json)?\}\}")
 
 
+def _free_port():
+    """Return a port that is free at all addresses, for TCP and UDP."""
+    while True:
+        with (
+            socket.socket() as stream,
+            socket.socket(type=socket.SOCK_DGRAM) as datagrams,
+        ):
+            stream.bind(("", 0))
+            port = stream.getsockname()[1]
+            try:
+                datagrams.bind(("", port))
+            except OSError:
+                continue
+            return port
+
+
+FRONT_PORT = _free_port()
+READY_PORT = _free_port()
+INTERNAL_PORT = _free_port()
+METRICS_PORT = _free_port()
+STORE_PORT = _free_port()
+SERVER_PORT = _free_port()
+
+
 class Addresses:
     """Hands out loopback addresses that no other run has."""
 
@@ -181,4 +202,5 @@
             value = value[int(part)] if part.isdigit() else value[part]
         return json.dumps(value) if match.group(2) else str(value)
 
-    return _PLACEHOLDER.sub(fill, template)
+    text = _PLACEHOLDER.sub(fill, template)
+    return _METRICS_PORT.sub(f'"metrics_port": {METRICS_PORT}', text)
