--- a/tests/platform_site/test_headers.py
+++ b/tests/platform_site/test_headers.py
@@ -48,6 +48,28 @@
                 self.assertEqual(head.prompt_parts, expected)
         self.assertEqual(self.dialect.read_request({}).prompt_parts, ())
 
+    def test_event_ids_are_exact_at_any_length(self):
+        # Guards against events lost or repeated as a caller's id was rounded.
+        for text in ("0", "9007199254740993", "1790000000000000149", "9" * 40):
+            with self.subTest(text):
+                head = self.dialect.read_request({"Last-Event-Id": text})
+                self.assertEqual(head.last_event_id, int(text))
+                forward_head = gateway.ForwardHead(
+                    "i1", 0.75, resume_after=head.last_event_id
+                )
+                written = self.dialect.write_request(
+                    multidict.CIMultiDict(), forward_head
+                )
+                self.assertEqual(written["Last-Event-Id"], text)
+
+    def test_error_names_the_invalid_event_id(self):
+        for text in ("12.5", "1e3", "-1", "nan", "1_0", "\u0663", "", "9" * 5000):
+            with (
+                self.subTest(text[:9]),
+                self.assertRaisesRegex(ValueError, "Last-Event-Id"),
+            ):
+                self.dialect.read_request({"Last-Event-Id": text})
+
     def test_error_names_the_invalid_deadline(self):
         for value in ("soon", "-5", "inf", ""):
             with self.subTest(value), self.assertRaisesRegex(ValueError, "Deadline-Ms"):
