Answers without end no longer fill the memory of their readers

A faulty server writes without end, in a head or in a body. A client of engines or of the store took what came within its time, 1.3 GB over loopback in the test.

Cause: each answer had a limit, their sum had none; the readers of engines and of the store had a limit of time alone; chunk extensions and sizes had none at all and lasted until the deadline.

wire.BoundedResponse counts bytes before they are parsed, so that heads and framing are bounded as a whole, and bodies where the client states a limit. The buffered answers of a gateway share 64 MiB, of which one endpoint holds half at most: an announced length is reserved before reading, and the largest answer without one fails if none is left. Large answers go to the caller block by block. The end of a handled request is logged once it has been written.

--- a/libs/agent/src/sequoiagap/agent/_endpoint.py
+++ b/libs/agent/src/sequoiagap/agent/_endpoint.py
@@ -8,6 +8,7 @@
 from sequoiagap.agent import _first_bytes, _load_report, _observer
 
 CHUNK_BYTES = 16384
+MAX_REPORT_BYTES = 64 * 1024
 PROBE_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 1.0
 CANCEL_TIMEOUT_S = 1.0
@@ -103,6 +104,7 @@
                     asyncio.timeout(PROBE_TIMEOUT_S),
                     session.get(url) as response,
                 ):
+                    response.limit_body(MAX_REPORT_BYTES)
                     report = _load_report.from_document(await response.json())
             except (aiohttp.ClientError, TimeoutError) as error:
                 self._discard_connections(session, error)
--- a/libs/agent/src/sequoiagap/agent/_orders.py
+++ b/libs/agent/src/sequoiagap/agent/_orders.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 
 import aiohttp
 
@@ -13,6 +14,11 @@
 IDLE_POLL_INTERVAL_S = 0.1
 STATUS_TIMEOUT_S = 1.0
 NOT_FOUND_STATUS = 404
+MAX_ANSWER_BYTES = 64 * 1024
+
+_BOUNDED_RESPONSE = functools.partial(
+    wire.BoundedResponse, max_body_bytes=MAX_ANSWER_BYTES
+)
 
 _log = base.get_logger("orders")
 
@@ -189,5 +195,5 @@
 
 def _open_session():
     return aiohttp.ClientSession(
-        timeout=platform.UNTIMED, response_class=wire.BoundedResponse
+        timeout=platform.UNTIMED, response_class=_BOUNDED_RESPONSE
     )
--- a/libs/agent/src/sequoiagap/agent/_rank_engine.py
+++ b/libs/agent/src/sequoiagap/agent/_rank_engine.py
@@ -3,12 +3,18 @@
 import asyncio
 import base64
 import dataclasses
+import functools
 
 import aiohttp
 
 from sequoiagap import base, experts, platform, wire
 
 CALL_TIMEOUT_S = 1.0
+MAX_ANSWER_BYTES = 512 * 1024
+
+_BOUNDED_RESPONSE = functools.partial(
+    wire.BoundedResponse, max_body_bytes=MAX_ANSWER_BYTES
+)
 
 ENGINE_KINDS = base.Registry("engine kind")
 
@@ -112,7 +118,7 @@
     async def open(self):
         """Open the client session."""
         self._session = aiohttp.ClientSession(
-            timeout=platform.UNTIMED, response_class=wire.BoundedResponse
+            timeout=platform.UNTIMED, response_class=_BOUNDED_RESPONSE
         )
 
     async def close(self):
--- a/libs/gateway/src/sequoiagap/gateway/_attempt.py
+++ b/libs/gateway/src/sequoiagap/gateway/_attempt.py
@@ -12,7 +12,7 @@
 import yarl
 
 from sequoiagap import wire
-from sequoiagap.gateway import _event_stream
+from sequoiagap.gateway import _answer_memory, _event_stream
 
 CONNECT_TIMEOUT_S = 0.5
 FIRST_REDIRECT_STATUS = 300
@@ -41,12 +41,12 @@
 
     :param int status: HTTP status.
     :param headers: multi-value map of its headers.
-    :param bytes body: its body.
+    :param AnswerBody body: its body.
     """
 
     status: int
     headers: object
-    body: bytes
+    body: _answer_memory.AnswerBody
 
     @property
     def is_success(self):
@@ -81,6 +81,8 @@
     :param aiohttp.ClientSession session: opens the connection.
     :param Dialect dialect: names of headers.
     :param Outgoing outgoing: what to send, and where.
+    :param AnswerLease lease: memory for what is buffered of the answer; the caller
+        releases that of a complete answer.
     :param float first_byte_timeout_s: longest wait for the head of the answer, in
         seconds.
     :param float idle_timeout_s: longest wait for progress, in seconds: any bytes of a
@@ -103,6 +105,7 @@
         session,
         dialect,
         outgoing,
+        lease,
         first_byte_timeout_s,
         idle_timeout_s,
         handle_head=lambda head: None,
@@ -110,6 +113,7 @@
         self.session = session
         self.dialect = dialect
         self.outgoing = outgoing
+        self.lease = lease
         self.first_byte_timeout_s = first_byte_timeout_s
         self.idle_timeout_s = idle_timeout_s
         self.handle_head = handle_head
@@ -157,10 +161,14 @@
             is_malformed = isinstance(error, aiohttp.ClientResponseError)
             self.is_disconnected_ = self.is_sent_ and not is_malformed
             return self._failed(f"{type(error).__name__}: {error}"[:160])
-        except _event_stream.EventStreamError as error:
+        except (
+            _event_stream.EventStreamError,
+            _answer_memory.AnswerMemoryError,
+        ) as error:
             return self._failed(str(error))
         except asyncio.CancelledError:
             self._reset()
+            self.lease.release()
             raise
 
     def abandon(self, reason):
@@ -194,8 +202,12 @@
                 self._closed = connection.protocol.closed
             if self._closed is not None:
                 self._closed.add_done_callback(_retrieve_exception)
+            self.lease.on_evicted = lambda: response.content.set_exception(
+                _answer_memory.AnswerMemoryError("a smaller answer needs the memory")
+            )
             return await self._receive(response, sink)
         finally:
+            self.lease.on_evicted = None
             response.close()
 
     async def _receive(self, response, sink):
@@ -216,18 +228,25 @@
         return await self._buffer_answer(response, head)
 
     async def _buffer_answer(self, response, head):
-        pieces, size = [], 0
+        announced, body = response.content_length, _answer_memory.AnswerBody()
+        if announced is not None and announced > MAX_ANSWER_BYTES:
+            return self._failed(f"the answer exceeds {MAX_ANSWER_BYTES} bytes")
+        if announced is not None:
+            await self.lease.reserve(announced)
+            self._progress_at = time.monotonic()
         async for piece in self._pieces(response):
             self._progress_at = self.last_byte_at_
-            pieces.append(piece)
-            size += len(piece)
-            if size > MAX_ANSWER_BYTES:
+            body.append(piece)
+            if len(body) > MAX_ANSWER_BYTES:
                 return self._failed(f"the answer exceeds {MAX_ANSWER_BYTES} bytes")
+            if announced is None:
+                await self.lease.grow_to(len(body))
+                self._progress_at = time.monotonic()
         if not self._is_complete(response):
             return self._failed("the answer was cut off")
         if not head.is_sealed:
             return self._failed(f"unsigned answer with status {response.status}")
-        answer = Answer(response.status, response.headers, b"".join(pieces))
+        answer = Answer(response.status, response.headers, body)
         if response.status >= SERVER_ERROR_STATUS:
             reason = f"the endpoint failed with status {response.status}"
             return AttemptResult(AttemptOutcome.UNKNOWN, reason, answer)
@@ -239,6 +258,7 @@
         splitter = _event_stream.EventSplitter(self.outgoing.resume_after)
         async for piece in self._pieces(response):
             events = splitter.feed(piece)
+            await self.lease.grow_to(splitter.rest_bytes_)
             if any(map(_event_stream.has_content, events)):
                 self._progress_at = self.output_at_ = self.last_byte_at_
             if events:
@@ -281,6 +301,7 @@
 
     def _failed(self, reason):
         self._reset()
+        self.lease.release()
         if not self.is_sent_:
             return AttemptResult(AttemptOutcome.NOT_SENT, f"no connection: {reason}")
         return AttemptResult(AttemptOutcome.UNKNOWN, reason)
--- a/libs/gateway/src/sequoiagap/gateway/_dispatch.py
+++ b/libs/gateway/src/sequoiagap/gateway/_dispatch.py
@@ -5,6 +5,7 @@
 
 from sequoiagap import base, routes
 from sequoiagap.gateway import (
+    _answer_memory,
     _attempt,
     _attempt_log,
     _endpoint_feedback,
@@ -41,6 +42,7 @@
     :param base.Metrics metrics: metrics of the process.
     :param random.Random random_state: adds jitter to retry delays.
 
+    :ivar AnswerMemory answer_memory: memory of the answers that are buffered.
     :ivar Reachability reachability: whether endpoints can be reached from here.
     """
 
@@ -71,6 +73,7 @@
         self._feedback = _endpoint_feedback.EndpointFeedback(
             state, self._selector, rate_limits, crash_evidence
         )
+        self.answer_memory = _answer_memory.AnswerMemory()
         self._session = None
         self._open_timeouts = set()
         self.reachability = _reachability.Reachability()
@@ -163,10 +166,13 @@
             request, remaining_s, progress
         )
         asked_at = routes.suspend_aware_time()
+        lease = self.answer_memory.lease(endpoint.endpoint_id)
+        request.resources.callback(lease.release)
         attempt = _attempt.Attempt(
             self._session,
             self.dialect,
             outgoing,
+            lease,
             first_byte_timeout_s,
             idle_timeout_s,
             lambda head: self._feedback.record_head(load, head, asked_at),
--- a/libs/gateway/src/sequoiagap/gateway/_event_stream.py
+++ b/libs/gateway/src/sequoiagap/gateway/_event_stream.py
@@ -48,6 +48,11 @@
             raise EventStreamError(f"event exceeds {MAX_EVENT_BYTES} bytes")
         return events
 
+    @property
+    def rest_bytes_(self):
+        """Number of bytes of the incomplete event that remains."""
+        return len(self._rest)
+
     def is_at_end(self):
         """Return whether no incomplete event remains."""
         return not self._rest
--- a/libs/gateway/src/sequoiagap/gateway/_front.py
+++ b/libs/gateway/src/sequoiagap/gateway/_front.py
@@ -8,6 +8,7 @@
 
 from sequoiagap import base, routes
 from sequoiagap.gateway import (
+    _answer_memory,
     _attempt,
     _dispatch,
     _headers,
@@ -118,12 +119,13 @@
             )
             return self._refuse(refusal, request_id, began)
         sink = _stream_sink.StreamSink(http_request)
-        try:
-            result = await self.dispatcher.dispatch(request, sink)
-        except (asyncio.CancelledError, ConnectionError) as error:
-            self._request_log.record_caller_left(request, sink, began, error)
-            raise
-        return await self._finish(request, sink, result, began)
+        with request.resources:
+            try:
+                result = await self.dispatcher.dispatch(request, sink)
+                return await self._finish(http_request, request, sink, result, began)
+            except (asyncio.CancelledError, ConnectionError) as error:
+                self._request_log.record_caller_left(request, sink, began, error)
+                raise
 
     async def _admit(self, http_request, head, began):
         table = self.state.table
@@ -213,24 +215,20 @@
         (picked,) = self.random_state.choices(route.targets, weights)
         return picked.service
 
-    async def _finish(self, request, sink, result, began):
+    async def _finish(self, http_request, request, sink, result, began):
         if isinstance(result, base.Refusal):
             if sink.started:
                 self._request_log.record_cut(request, result, began)
                 sink.abort()
                 return sink.response_
             return self._refuse(result, request.request_id, began)
+        if isinstance(result, _attempt.Answer) and sink.started:
+            sink.abort()
+        elif isinstance(result, _attempt.Answer):
+            sink.response_ = await _write_answer(http_request, result)
+        else:
+            await sink.response_.write_eof()
         self._request_log.record_answered(request, result, began)
-        if isinstance(result, _attempt.Answer):
-            if sink.started:
-                sink.abort()
-                return sink.response_
-            return web.Response(
-                status=result.status,
-                headers=_headers.end_to_end(result.headers),
-                body=result.body,
-            )
-        await sink.response_.write_eof()
         return sink.response_
 
     def _refuse(self, refusal, request_id, began):
@@ -281,6 +279,22 @@
         )
 
 
+async def _write_answer(http_request, answer):
+    """Return the response with an answer; a large one is written block by block."""
+    headers = _headers.end_to_end(answer.headers)
+    if len(answer.body) <= _answer_memory.BLOCK_BYTES:
+        return web.Response(
+            status=answer.status, headers=headers, body=answer.body.to_bytes()
+        )
+    response = web.StreamResponse(status=answer.status, headers=headers)
+    response.content_length = len(answer.body)
+    await response.prepare(http_request)
+    for block in answer.body:
+        await response.write(block)
+    await response.write_eof()
+    return response
+
+
 class RefusedError(Exception):
     """A request that is refused before it is sent to any endpoint.
 
--- a/libs/gateway/src/sequoiagap/gateway/_request.py
+++ b/libs/gateway/src/sequoiagap/gateway/_request.py
@@ -1,5 +1,6 @@
 """An admitted request and the progress of its attempts."""
 
+import contextlib
 import dataclasses
 import functools
 import hashlib
@@ -27,6 +28,7 @@
     :param float arrived_at: when it arrived, monotonic seconds.
     :param float deadline: when the final answer is due, monotonic seconds.
     :param RequestHead head: its decoded headers.
+    :param contextlib.ExitStack resources: what to release once it has been answered.
     """
 
     request_id: str
@@ -41,6 +43,9 @@
     arrived_at: float
     deadline: float
     head: _ports.RequestHead
+    resources: contextlib.ExitStack = dataclasses.field(
+        default_factory=contextlib.ExitStack, repr=False
+    )
 
     @property
     def is_stream(self):
--- a/libs/platform/src/sequoiagap/platform/_client.py
+++ b/libs/platform/src/sequoiagap/platform/_client.py
@@ -10,6 +10,7 @@
 
 WATCH_TIMEOUT_S = 20.0
 MAX_VALUE_BYTES = 1_000_000
+MAX_ANSWER_BYTES = 16 * 1024 * 1024  # a list of all hosts at the design size
 _PLATFORM_REMEDY = "Check the platform and the network to it"
 
 
@@ -81,7 +82,7 @@
         self.url = url
         self.timeout_s = timeout_s
         self.calls_ = 0
-        self._sessions = _sessions.HttpSessions()
+        self._sessions = _sessions.HttpSessions(max_body_bytes=MAX_ANSWER_BYTES)
 
     async def close(self):
         """Close all connections to the platform."""
--- a/libs/platform/src/sequoiagap/platform/_sessions.py
+++ b/libs/platform/src/sequoiagap/platform/_sessions.py
@@ -1,5 +1,7 @@
 """HTTP sessions whose kept-alive connections are replaced together on failure."""
 
+import functools
+
 import aiohttp
 
 from sequoiagap import base, wire
@@ -21,6 +23,7 @@
         connector and timeout.
     :param socket_factory: function that opens a socket for an address info; that
         of aiohttp by default.
+    :param int max_body_bytes: longest body of an answer, or ``None`` for no limit.
 
     .. code-block:: python
 
@@ -29,9 +32,10 @@
                 ...
     """
 
-    def __init__(self, options=None, socket_factory=None):
+    def __init__(self, options=None, socket_factory=None, max_body_bytes=None):
         self.options = options or {}
         self.socket_factory = socket_factory
+        self.max_body_bytes = max_body_bytes
         self._current = None
         self._count_by_session = {}
         self._closing = base.TaskSet()
@@ -48,7 +52,9 @@
             self._current = aiohttp.ClientSession(
                 connector=connector,
                 timeout=UNTIMED,
-                response_class=wire.BoundedResponse,
+                response_class=functools.partial(
+                    wire.BoundedResponse, max_body_bytes=self.max_body_bytes
+                ),
                 **self.options,
             )
         return _BorrowedSession(self, self._current)
