One gate holds requests back from endpoints that leave or pause

The adapter decodes both headers once. That a start of an endpoint leaves is kept in one place, whoever told it: the store, an answer's head, an agent's report, another gateway; only another start lifts it. One gate decides for every attempt, together with rate limits and the rate of cold endpoints, and a refusal names the reason and the time at which the first endpoint is free.

--- a/libs/base/src/sequoiagap/base/_events.py
+++ b/libs/base/src/sequoiagap/base/_events.py
@@ -83,6 +83,9 @@
     CRASH_CALL_FAILED = 1412
     ENDPOINT_LIMITED = 1413
     RATE_LIMIT_INVALID = 1414
+    ENDPOINT_LEAVES = 1415
+    ENDPOINT_PAUSED = 1416
+    ANSWER_HEADER_INVALID = 1417
     ENDPOINT_SUSPECT = 1420
     ENDPOINT_LEAVING = 1421
     PEER_OPENED = 1422
@@ -194,6 +197,9 @@
     Event.CRASH_CALL_FAILED: "Crashes could not be saved in the store, or read.",
     Event.ENDPOINT_LIMITED: "An endpoint states another rate limit, or none any more.",
     Event.RATE_LIMIT_INVALID: "The rate limit in an answer is invalid and is ignored.",
+    Event.ENDPOINT_LEAVES: "A start of an endpoint will end and gets no new requests.",
+    Event.ENDPOINT_PAUSED: "An endpoint wants no requests from here for a time.",
+    Event.ANSWER_HEADER_INVALID: "A header of an answer is invalid and is ignored.",
     Event.ENDPOINT_SUSPECT: "An agent's reports stopped; it gets no new work.",
     Event.ENDPOINT_LEAVING: "An endpoint's agent announced that it is leaving.",
     Event.PEER_OPENED: "A connection to another entry is open.",
--- a/libs/gateway/src/sequoiagap/gateway/_admission.py
+++ b/libs/gateway/src/sequoiagap/gateway/_admission.py
@@ -17,6 +17,7 @@
 COLD_RETRY_S = 0.9  # by then the next second's share is available
 RETRY_WAIT_FACTOR = 4.0  # times the current wait; overload outlasts one queue
 MAX_FULL_RETRY_S = 2.4
+MAX_PAUSE_RETRY_S = 60.0  # an endpoint may start anew before a long pause ends
 RETRY_SPREAD = 0.5  # jitter, as a share of the retry delay
 
 
@@ -102,6 +103,19 @@
         retry_s = wait_s if math.isfinite(wait_s) else 0.0
         return self._reject(reason, min(max(retry_s, FULL_RETRY_S), MAX_FULL_RETRY_S))
 
+    def refuse_paused(self, wait_s):
+        """Return the refusal of a request for which all endpoints are paused.
+
+        Callers come back after the end of the first pause, and not all at once.
+
+        :param float wait_s: time until the first pause ends, in seconds.
+        :rtype: AdmissionDecision
+        """
+        reason = "all endpoints want no requests for now"
+        retry_s = max(min(wait_s, MAX_PAUSE_RETRY_S), FULL_RETRY_S)
+        spread = 1.0 + RETRY_SPREAD * self.random_state.random()
+        return AdmissionDecision(False, reason, retry_s * spread)
+
     def _wait(self, load, now):
         """Return how long a request would wait for a slot, in seconds."""
         slots = max(load.endpoint.slots, 1)
--- a/libs/gateway/src/sequoiagap/gateway/_dispatch.py
+++ b/libs/gateway/src/sequoiagap/gateway/_dispatch.py
@@ -13,11 +13,13 @@
     _host_watch,
     _loads,
     _outage,
+    _pauses,
     _ports,
     _reachability,
     _refusals,
     _request,
     _selection,
+    _send_gate,
 )
 
 MAX_ENDPOINTS_PER_REQUEST = 4  # unreachable ones included
@@ -42,6 +44,7 @@
     :param base.Metrics metrics: metrics of the process.
     :param random.Random random_state: adds jitter to retry delays.
 
+    :ivar EndpointPauses pauses: endpoints that want no requests for now.
     :ivar AnswerMemory answer_memory: memory of the answers that are buffered.
     :ivar Reachability reachability: whether endpoints can be reached from here.
     """
@@ -64,14 +67,19 @@
         self.crash_evidence = crash_evidence
         self.metrics = metrics
         self.random_state = random_state
+        self.pauses = _pauses.EndpointPauses()
         self._attempt_log = _attempt_log.AttemptLog(
             metrics, lambda: state.table.version
         )
         self._selector = _selection.EndpointSelector(
-            state, chooser, budgets, rate_limits, self._attempt_log, random_state
+            state,
+            chooser,
+            _send_gate.SendGate(self.pauses, rate_limits, budgets),
+            self._attempt_log,
+            random_state,
         )
         self._feedback = _endpoint_feedback.EndpointFeedback(
-            state, self._selector, rate_limits, crash_evidence
+            state, self._selector, rate_limits, self.pauses, crash_evidence
         )
         self.answer_memory = _answer_memory.AnswerMemory()
         self._session = None
--- a/libs/gateway/src/sequoiagap/gateway/_endpoint_feedback.py
+++ b/libs/gateway/src/sequoiagap/gateway/_endpoint_feedback.py
@@ -7,28 +7,37 @@
 
 
 class EndpointFeedback:
-    """Records load, rate limit, failures and crashes that attempts show.
+    """Records load, limits, pauses, departures, failures and crashes.
 
     :param state: object with ``pool`` in force, and with
         ``record_misdirected(endpoint_id)``.
     :param EndpointSelector selector: learns how long answers take.
     :param RateLimits rate_limits: limits that endpoints state.
+    :param EndpointPauses pauses: endpoints that want no requests for now.
     :param CrashEvidence crash_evidence: tells which requests crash endpoints.
     """
 
-    def __init__(self, state, selector, rate_limits, crash_evidence):
+    def __init__(self, state, selector, rate_limits, pauses, crash_evidence):
         self.state = state
+        self.pauses = pauses
         self.selector = selector
         self.rate_limits = rate_limits
         self.crash_evidence = crash_evidence
 
     def record_head(self, load, head, asked_at):
-        """Record the rate limit that an endpoint states in the head of an answer.
+        """Record what an endpoint states of itself in the head of an answer.
 
         :param EndpointLoad load: load of the endpoint.
         :param AnswerHead head: decoded head of the answer.
         :param float asked_at: when the request was sent, suspend-aware seconds.
         """
+        if head.is_leaving:
+            self.state.pool.record_leaving(
+                head.leaving_endpoint or load.endpoint.endpoint_id, "answer"
+            )
+        if head.pause_s:
+            now = routes.suspend_aware_time()
+            self.pauses.record(load.endpoint, head.pause_s, now)
         if not head.is_misdirected:
             self.rate_limits.record_answer(load, head.max_requests_s, asked_at)
 
--- a/libs/gateway/src/sequoiagap/gateway/_gateway.py
+++ b/libs/gateway/src/sequoiagap/gateway/_gateway.py
@@ -12,6 +12,7 @@
     _dispatch,
     _feed,
     _front,
+    _leaving,
     _listener,
     _loads,
     _peers,
@@ -48,7 +49,8 @@
         self.store = store
         self.dialect = dialect
         self.table = routes.RouteTable()
-        self.pool = _pool.EndpointPool()
+        self.leaving = _leaving.LeavingEndpoints(lambda item: self.peers.share(item))
+        self.pool = _pool.EndpointPool(self.leaving)
         self.freshness = routes.Freshness(
             settings.key_proof_ms / MILLISECONDS * PROOF_SHARE
         )
@@ -77,7 +79,7 @@
             self.store,
             self._hello,
             lambda query: self.feed.answer_peer(query),
-            lambda: (self.crash_evidence, self.rate_limits),
+            lambda: (self.crash_evidence, self.rate_limits, self.leaving),
         )
         self._crash_archive = _crash_archive.CrashArchive(self.store)
         self.crash_evidence = _crash_evidence.CrashEvidence(
@@ -208,18 +210,30 @@
         """
         return self.peers.linked_count() + 1
 
+    def set_endpoint_gauges(self):
+        """Set the metrics that count endpoints which get no requests."""
+        now = routes.suspend_aware_time()
+        endpoints = [load.endpoint for load in self.pool.load_by_id.values()]
+        pauses_s = [self.dispatcher.pauses.remaining_s(e, now) for e in endpoints]
+        leaving = sum(map(self.leaving.includes, endpoints))
+        self.metrics.set_gauge("endpoints_leaving", leaving)
+        self.metrics.set_gauge("endpoints_paused", sum(s > 0 for s in pauses_s))
+        self.metrics.set_gauge("longest_pause_seconds", max(pauses_s, default=0.0))
+
     def dump_state(self):
         """Return the state of the process as plain data.
 
         :rtype: dict
         """
-        now = time.monotonic()
+        now, at = time.monotonic(), routes.suspend_aware_time()
+        pauses = self.dispatcher.pauses
         return {
             "config_version": self.table.version,
             "routes": len(self.table.routes),
             "proof_age_s": self.freshness.age(routes.suspend_aware_time()),
             "ready": self.is_ready(),
             "in_flight": self.front.in_flight_,
+            "answer_bytes": self.dispatcher.answer_memory.used_,
             "domains_out": sorted(self.pool.domains_out_),
             "quarantined_parts": sorted(
                 self.crash_evidence.quarantine.suspicion_by_part
@@ -233,6 +247,8 @@
                     "own": len(load.sent_at_by_attempt),
                     "failures": load.failures,
                     "max_requests_s": _stated_limit(load),
+                    "leaving": self.leaving.includes(load.endpoint),
+                    "paused_s": round(pauses.remaining_s(load.endpoint, at), 1),
                 }
                 for endpoint_id, load in self.pool.load_by_id.items()
             },
--- a/libs/gateway/src/sequoiagap/gateway/_messages.py
+++ b/libs/gateway/src/sequoiagap/gateway/_messages.py
@@ -54,6 +54,7 @@
     :param int started_ms: when the endpoint started, Unix milliseconds; 0 if not known.
     :param float max_requests_s: requests per second that the endpoint takes from all
         gateways together; infinity for no limit, 0 if not known.
+    :param bool is_leaving: whether the endpoint states that it is about to end.
     """
 
     endpoint: str
@@ -68,6 +69,7 @@
     slowness: float = 1.0
     started_ms: int = 0
     max_requests_s: float = 0.0
+    is_leaving: bool = False
 
 
 @wire.message(604)
@@ -114,3 +116,15 @@
     started_ms: int
     max_requests_s: float
     age_s: float
+
+
+@wire.message(607)
+class EndpointLeaving:
+    """Tells other gateways that an endpoint has stated that it is about to end.
+
+    :param str endpoint: id of the endpoint.
+    :param int started_ms: when it started, Unix milliseconds; 0 if not known.
+    """
+
+    endpoint: str
+    started_ms: int
--- a/libs/gateway/src/sequoiagap/gateway/_pool.py
+++ b/libs/gateway/src/sequoiagap/gateway/_pool.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from sequoiagap import base, routes
-from sequoiagap.gateway import _loads, _ports
+from sequoiagap.gateway import _leaving, _loads, _ports
 
 RETURN_HOLD_S = 2.0  # by then owners have written lapsed entries again
 IGNORE_DEPARTED_S = 5.0  # by then a copy's entries of departed endpoints have lapsed
@@ -18,11 +18,14 @@
     An endpoint whose entry lapsed while the store was unreachable is kept until the
     store has been reachable for a while, because its entry may be written again.
 
+    :param LeavingEndpoints leaving: endpoints that are about to end.
+
     :ivar dict load_by_id: :class:`EndpointLoad` of each known endpoint.
     :ivar frozenset domains_out_: failure domains that receive no requests.
     """
 
-    def __init__(self):
+    def __init__(self, leaving=None):
+        self.leaving = leaving or _leaving.LeavingEndpoints()
         self.load_by_id = {}
         self.domains_out_ = frozenset()
         self._load_by_address = {}
@@ -52,12 +55,9 @@
         :param float now: monotonic time in seconds.
         """
         for endpoint_id, endpoint in endpoint_by_id.items():
-            if now >= self._ignore_departed_until:
+            is_settled = now >= self._ignore_departed_until
+            if is_settled or not self._has_departed(endpoint_id, endpoint):
                 self._add_or_update(endpoint_id, endpoint)
-            elif not self._has_departed(endpoint_id, endpoint):
-                self._add_or_update(
-                    endpoint_id, self._keep_draining(endpoint_id, endpoint)
-                )
         for endpoint_id in list(self.load_by_id.keys() - endpoint_by_id.keys()):
             if now >= self._hold_until or self._is_replaced(endpoint_id):
                 self._record_departure(endpoint_id, now)
@@ -108,6 +108,9 @@
         sample = _ports.LoadSample(report.running, report.waiting, report.slots)
         load.record_sample(sample, now)
         load.slowness = max(report.slowness, 1.0)
+        registered_ms = load.endpoint.started_ms
+        if report.is_leaving and report.started_ms in (0, registered_ms):
+            self.leaving.record(load.endpoint, "report")
         is_new_start = load.record_start(report.started_ms, now)
         if not report.group:
             return is_new_start
@@ -144,12 +147,28 @@
             load
             for load in self.load_by_id.values()
             if load.endpoint.service == service
-            and load.endpoint.state == routes.EndpointState.READY
+            and not self.leaving.includes(load.endpoint)
             and load.endpoint.failure_domain not in self.domains_out_
             and self._load_by_address.get(load.endpoint.host_and_port) is load
         ]
 
+    def record_leaving(self, endpoint_id, source):
+        """Record that the present start of an endpoint is about to end.
+
+        :param str endpoint_id: the endpoint.
+        :param str source: who has told it.
+        """
+        load = self.load_by_id.get(endpoint_id)
+        if load is not None:
+            self.leaving.record(load.endpoint, source)
+
     def _add_or_update(self, endpoint_id, endpoint):
+        if endpoint.state == routes.EndpointState.DRAINING:
+            self.leaving.record(endpoint, "store")
+        elif self.leaving.includes(endpoint):
+            endpoint = dataclasses.replace(
+                endpoint, state=routes.EndpointState.DRAINING
+            )
         current = self.load_by_id.get(endpoint_id)
         if current is None or current.endpoint.started_ms != endpoint.started_ms:
             load = _loads.EndpointLoad(endpoint)
@@ -178,15 +197,6 @@
         """Return whether this start of an endpoint was removed before."""
         return (endpoint_id, endpoint.started_ms) in self._departed_at_by_start
 
-    def _keep_draining(self, endpoint_id, endpoint):
-        """Return an endpoint as draining if this start of it drained before."""
-        current = self.load_by_id.get(endpoint_id)
-        if current is None or current.endpoint.started_ms != endpoint.started_ms:
-            return endpoint
-        if current.endpoint.state != routes.EndpointState.DRAINING:
-            return endpoint
-        return dataclasses.replace(endpoint, state=routes.EndpointState.DRAINING)
-
     def _record_departure(self, endpoint_id, now):
         departed_at = self._departed_at_by_start
         departed_at[endpoint_id, self.load_by_id[endpoint_id].endpoint.started_ms] = now
--- a/libs/gateway/src/sequoiagap/gateway/_ports.py
+++ b/libs/gateway/src/sequoiagap/gateway/_ports.py
@@ -57,6 +57,11 @@
     :param LoadSample load: the endpoint's load, if given.
     :param float max_requests_s: requests per second that the endpoint takes from all
         gateways together; infinity if it states no limit, 0 if that is not known.
+    :param bool is_leaving: whether the endpoint states that it is about to end.
+    :param str leaving_endpoint: id of the endpoint that states this, if it is not the
+        one that the request was sent to.
+    :param float pause_s: for how long the endpoint wants no further request from this
+        gateway, in seconds; 0 if it does not say.
     """
 
     request_id: str = ""
@@ -66,6 +71,9 @@
     faulty_endpoint: str = ""
     load: LoadSample | None = None
     max_requests_s: float = 0.0
+    is_leaving: bool = False
+    leaving_endpoint: str = ""
+    pause_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/libs/gateway/src/sequoiagap/gateway/_selection.py
+++ b/libs/gateway/src/sequoiagap/gateway/_selection.py
@@ -3,7 +3,6 @@
 import asyncio
 import time
 
-from sequoiagap import routes
 from sequoiagap.gateway import _admission, _loads, _outage, _refusals
 
 
@@ -13,17 +12,15 @@
     :param state: object with ``table`` and ``pool`` in force, and with
         ``gateway_count()``.
     :param EndpointChooser chooser: chooses among endpoints.
-    :param SharedBudgets budgets: limits shared with other gateways.
-    :param RateLimits rate_limits: limits that endpoints state.
+    :param SendGate gate: tells which endpoints may receive a request.
     :param AttemptLog attempt_log: records waits.
     :param random.Random random_state: adds jitter to retry delays.
     """
 
-    def __init__(self, state, chooser, budgets, rate_limits, attempt_log, random_state):
+    def __init__(self, state, chooser, gate, attempt_log, random_state):
         self.state = state
         self.chooser = chooser
-        self.budgets = budgets
-        self.rate_limits = rate_limits
+        self.gate = gate
         self.attempt_log = attempt_log
         self.random_state = random_state
         self._admission_by_service = {}
@@ -66,9 +63,9 @@
         """
         now = time.monotonic()
         all_loads = self.state.pool.candidates(request.service)
-        within_limits = self.rate_limits.keep(all_loads, routes.suspend_aware_time())
-        candidates = self._usable(request.service, within_limits, now)
-        decision = self._decide(request, candidates, within_limits, all_loads, now)
+        options = self._options(request.service, all_loads, now)
+        candidates = options.usable
+        decision = self._decide(request, options, now)
         is_first = not progress.sent
         cannot_serve = not candidates or _loads.is_down(candidates, now)
         if not decision.is_admitted and (is_first or cannot_serve):
@@ -76,15 +73,19 @@
         open_loads = [load for load in candidates if not load.is_closed(now)]
         return self.chooser.choose(open_loads or candidates, now, progress.tried)
 
-    def _decide(self, request, candidates, within_limits, all_loads, now):
+    def _decide(self, request, options, now):
         service_admission = self.admission(request.service)
+        within_limits = options.usable + options.at_cold_rate
         if all(load.is_closed(now) for load in within_limits):
-            limited = [load for load in all_loads if not load.is_closed(now)]
+            limited = _open(options.at_rate_limit, now)
             if limited:
-                wait_s = self.rate_limits.wait_s(limited, routes.suspend_aware_time())
+                wait_s = self.gate.limit_wait_s(limited)
                 return service_admission.refuse_limited(wait_s)
+            paused = _open(options.paused, now)
+            if paused:
+                return service_admission.refuse_paused(self.gate.pause_wait_s(paused))
         return service_admission.decide(
-            candidates,
+            options.usable,
             request.route.target_latency_s,
             now,
             request.deadline - now,
@@ -121,11 +122,16 @@
             return None
         if _loads.is_down(loads, now):
             return max(load.closed_for(now) for load in loads)
-        if all(load.is_closed(now) for load in self._usable(service_name, loads, now)):
+        options = self._options(service_name, loads, now)
+        if _open(options.at_cold_rate, now) and not _open(options.usable, now):
             return _loads.UNKNOWN_OUTAGE_S
         return None
 
-    def _usable(self, service_name, loads, now):
-        """Return the endpoints that have not used up their share of this second."""
+    def _options(self, service_name, loads, now):
         service = self.state.table.service_by_name.get(service_name)
-        return self.budgets.keep_cold_rate(service, loads, now)
+        return self.gate.options(service, loads, now)
+
+
+def _open(loads, now):
+    """Return the endpoints whose group serves."""
+    return [load for load in loads if not load.is_closed(now)]
--- a/libs/gateway/src/sequoiagap/gateway/_status.py
+++ b/libs/gateway/src/sequoiagap/gateway/_status.py
@@ -8,7 +8,8 @@
 class StatusServer:
     """Answers readiness checks and serves the metrics.
 
-    :param gateway: object with ``is_ready()``, ``metrics`` and ``front``.
+    :param gateway: object with ``is_ready()``, ``set_endpoint_gauges()``, ``metrics``
+        and ``front``.
     """
 
     def __init__(self, gateway):
@@ -30,6 +31,7 @@
 
     async def _metrics(self, http_request):
         metrics = self.gateway.metrics
+        self.gateway.set_endpoint_gauges()
         metrics.set_gauge("requests_in_flight", self.gateway.front.in_flight_)
         # Imported on first use, as most processes never serve metrics.
         from sequoiagap.base import exposition
--- a/libs/ranks/src/sequoiagap/ranks/_ports.py
+++ b/libs/ranks/src/sequoiagap/ranks/_ports.py
@@ -29,6 +29,7 @@
         an engine of usual speed.
     :param float max_requests_s: requests per second that the engine takes from all
         gateways together; infinity if it states no limit, 0 if that is not known.
+    :param bool is_leaving: whether the engine states that it is about to end.
     """
 
     group: str = ""
@@ -47,6 +48,7 @@
     started_ms: int = 0
     slowness: float = 1.0
     max_requests_s: float = 0.0
+    is_leaving: bool = False
 
 
 def write_report(report):
--- a/libs/ranks/src/sequoiagap/ranks/_reporter.py
+++ b/libs/ranks/src/sequoiagap/ranks/_reporter.py
@@ -83,6 +83,7 @@
             report.slowness,
             report.started_ms,
             report.max_requests_s,
+            report.is_leaving,
         )
         if (
             values == self._last_values
@@ -107,6 +108,7 @@
             slowness=report.slowness,
             started_ms=report.started_ms,
             max_requests_s=report.max_requests_s,
+            is_leaving=report.is_leaving,
         )
 
     def _send(self, message):
--- a/libs/standins/src/sequoiagap/standins/_direct.py
+++ b/libs/standins/src/sequoiagap/standins/_direct.py
@@ -12,9 +12,12 @@
 from sequoiagap import base, gateway, routes
 
 MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
 FIRST_START_MS = 1000
 SIGNATURE = "X-Signature"
 PROMPT_PARTS = "X-Prompt-Parts"
+LEAVING = "X-Leaving"
+PAUSE_S = "X-Pause-S"
 MAX_REQUESTS_S = "X-Max-Requests-S"
 _OWN_HEADERS = ("X-Key", "X-Account", "X-Endpoint", "X-Remaining-Ms")
 _HEAD_END = b"\r\n\r\n"
@@ -57,6 +60,8 @@
             is_misdirected=status == MISDIRECTED_STATUS,
             faulty_endpoint=headers.get("X-Faulty", ""),
             max_requests_s=float(headers.get(MAX_REQUESTS_S, math.inf)),
+            is_leaving=LEAVING in headers,
+            pause_s=float(headers.get(PAUSE_S, 0.0)),
         )
 
     def write_refusal(self, request_id, refusal):
@@ -198,6 +203,9 @@
     :ivar int crashes: number of crashes.
     :ivar list arrived_at: when each request was received, monotonic seconds.
     :ivar float max_requests_s: rate limit that it states in its answers; 0 for none.
+    :ivar bool is_leaving: whether it states in its answers that it is about to end.
+    :ivar float pause_s: time for which it wants no requests, as it states when it turns
+        one away; 0 for none.
     :ivar set crashing_parts: prompt parts that crash it. It then ends all connections
         and starts again under another id.
     :ivar set crashing_paths: paths that crash it as well.
@@ -214,6 +222,8 @@
         self.arrivals = 0
         self.arrived_at = []
         self.max_requests_s = 0.0
+        self.is_leaving = False
+        self.pause_s = 0.0
         self.disconnect_count = 0
         self.work_s = 0.0
         self.faults = EndpointFaults()
@@ -288,8 +298,10 @@
         mode = self.faults.consume()
         is_addressed = headers.get("X-Endpoint") == self.endpoint_id
         if not is_addressed or mode in ("refuse", "blame"):
-            status = 503 if is_addressed else MISDIRECTED_STATUS
-            extra_headers = self._limit_headers() | {"X-Not-Run": "1"}
+            status = UNAVAILABLE_STATUS if is_addressed else MISDIRECTED_STATUS
+            extra_headers = self._stated_headers() | {"X-Not-Run": "1"}
+            if self.pause_s and status == UNAVAILABLE_STATUS:
+                extra_headers[PAUSE_S] = str(self.pause_s)
             if mode == "blame":
                 extra_headers["X-Faulty"] = "another"
             _write(writer, status, request_id, b"full", extra_headers, signed=False)
@@ -306,11 +318,14 @@
             await self._answer_complete(writer, request_id, mode)
         await writer.drain()
 
-    def _limit_headers(self):
-        """Return the headers that state the rate limit, if there is one."""
-        if not self.max_requests_s:
-            return {}
-        return {MAX_REQUESTS_S: str(self.max_requests_s)}
+    def _stated_headers(self):
+        """Return the headers by which it states its limit and its leaving."""
+        stated = {}
+        if self.max_requests_s:
+            stated[MAX_REQUESTS_S] = str(self.max_requests_s)
+        if self.is_leaving:
+            stated[LEAVING] = "1"
+        return stated
 
     async def _answer_complete(self, writer, request_id, mode):
         answer = f"answer of {self.endpoint_id}".encode()
@@ -319,7 +334,7 @@
         elif mode == "reset":
             reset_connection(writer)
         elif mode == "fail":
-            _write(writer, 500, request_id, b"failed", self._limit_headers())
+            _write(writer, 500, request_id, b"failed", self._stated_headers())
         elif mode == "short":
             writer.write(_head(200, request_id, len(answer) + 9) + answer)
         elif mode == "unframed_reset":
@@ -330,13 +345,13 @@
         elif mode == "crossed":
             _write(writer, 200, "another", answer)
         else:
-            _write(writer, 200, request_id, answer, self._limit_headers())
+            _write(writer, 200, request_id, answer, self._stated_headers())
             if mode == "extra":
                 _write(writer, 200, "another", b"nobody asked")
 
     async def _stream(self, writer, headers, mode):
         kind = {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
-        kind |= self._limit_headers()
+        kind |= self._stated_headers()
         writer.write(_head(200, headers.get("X-Request-Id", ""), None, kind))
         after = int(headers.get("Last-Event-Id", 0))
         for number in range(after + 1, self.events + 1):
--- a/tests/platform_site/test_headers.py
+++ b/tests/platform_site/test_headers.py
@@ -1,8 +1,12 @@
 """Reading and writing of the platform's HTTP headers."""
 
+import contextlib
+import email.utils
 import math
 import sys
+import time
 import unittest
+from unittest import mock
 
 import multidict
 
@@ -156,3 +160,80 @@
         )
         written = self.dialect.write_refusal("r1", refusal)
         self.assertEqual(written, {"Request-Id": "r1", "Retry-After": "0.250"})
+
+    def read_answer(self, status, *pairs):
+        """Return the head of an answer with some headers."""
+        return self.dialect.read_answer(status, multidict.CIMultiDict(pairs))
+
+    def test_leaving(self):
+        for status in (200, 404, 500, 503, 421):
+            head = self.read_answer(status, ("server-leaving", "1"))
+            self.assertTrue(head.is_leaving)
+            self.assertEqual(head.leaving_endpoint, "")
+        self.assertFalse(self.read_answer(200).is_leaving)
+        twice = [("Server-Leaving", "1"), ("Server-Leaving", " 1 ")]
+        self.assertTrue(self.read_answer(200, *twice).is_leaving)
+
+    def test_misdirected_answer_names_the_one_that_leaves(self):
+        pairs = [("Server-Leaving", "1"), ("At-Server", "i-2")]
+        self.assertEqual(self.read_answer(421, *pairs).leaving_endpoint, "i-2")
+        self.assertEqual(self.read_answer(503, *pairs).leaving_endpoint, "")
+
+    def test_invalid_leaving_is_logged_and_ignored(self):
+        for values in (("0",), ("true",), ("",), ("1" * 10_240,), ("1", "0")):
+            with self.subTest(values[0][:9]), self.assert_logs_invalid():
+                pairs = [("Server-Leaving", value) for value in values]
+                self.assertFalse(self.read_answer(200, *pairs).is_leaving)
+
+    def test_pause(self):
+        table = {
+            "0": 0.0,
+            "2": 2.0,
+            "1.5": 1.5,
+            "3600": 3600.0,
+            "0." + "3" * 30: 1 / 3,
+            "9" * 400: headers.MAX_PAUSE_S,
+        }
+        for text, expected in table.items():
+            with self.subTest(text[:9]):
+                head = self.read_answer(503, ("Retry-After", text))
+                self.assertAlmostEqual(head.pause_s, expected)
+                self.assertEqual(
+                    self.read_answer(429, ("Retry-After", text)).pause_s, 0
+                )
+        self.assertEqual(self.read_answer(503).pause_s, 0.0)
+
+    def test_pause_until_a_date(self):
+        date, until = (f"Sun, 06 Dec 2026 10:00:{second:02} GMT" for second in (0, 7))
+        head = self.read_answer(503, ("Date", date), ("Retry-After", until))
+        self.assertEqual(head.pause_s, 7.0)
+        head = self.read_answer(503, ("Date", until), ("Retry-After", date))
+        self.assertEqual(head.pause_s, 0.0)
+        soon = email.utils.formatdate(time.time() + 30.0, usegmt=True)
+        head = self.read_answer(503, ("Retry-After", soon))
+        self.assertAlmostEqual(head.pause_s, 30.0, delta=2.0)
+
+    def test_invalid_pause_is_logged_and_ignored(self):
+        for text in ("-1", "nan", "inf", "1e309", "1e3", "", "soon", "1_0", "\u0663"):
+            with self.subTest(text), self.assert_logs_invalid():
+                head = self.read_answer(503, ("Retry-After", text))
+                self.assertEqual(head.pause_s, 0.0)
+        for text in ("x" * 10_240, "Sun, 99 Foo 2026 10:00:00 GMT"):
+            with self.subTest(text[:9]), self.assert_logs_invalid():
+                head = self.read_answer(503, ("Retry-After", text))
+                self.assertEqual(head.pause_s, 0.0)
+
+    def test_longest_valid_pause_holds(self):
+        pairs = [("Retry-After", value) for value in ("1", "3", "2")]
+        self.assertEqual(self.read_answer(503, *pairs).pause_s, 3.0)
+        with self.assert_logs_invalid():
+            pairs.append(("Retry-After", "nan"))
+            self.assertEqual(self.read_answer(503, *pairs).pause_s, 3.0)
+
+    @contextlib.contextmanager
+    def assert_logs_invalid(self):
+        """Assert that an invalid header is logged."""
+        with mock.patch.object(headers, "_log") as log:
+            yield
+        events = [call.args[0] for call in log.emit.call_args_list]
+        self.assertIn(base.Event.ANSWER_HEADER_INVALID, events)
