Request bodies are forwarded byte by byte as they were sent

Cause: the HTTP library's server decodes bodies by itself. It is told not to.

tests.gateway.test_encoded_bodies: five of seven subtests failed before.

--- a/libs/gateway/src/sequoiagap/gateway/_front.py
+++ b/libs/gateway/src/sequoiagap/gateway/_front.py
@@ -62,6 +62,7 @@
             request_factory=self._make_request,
             handler_cancellation=True,
             keepalive_timeout=MAX_KEEPALIVE_S,
+            auto_decompress=False,  # a body is forwarded as it was sent
             access_log=None,
         )
 
