--- a/tests/platform_site/test_documents.py
+++ b/tests/platform_site/test_documents.py
@@ -40,6 +40,14 @@
                 document = documents.parse(b'{"a": ' + value + b', "b": 7}')
                 self.assertEqual(document["b"], 7)
 
+    def test_control_characters_spoil_no_other(self):
+        # Guards against one entry that hides all others of its list.
+        for code in range(0x20):
+            with self.subTest(code):
+                text = b'{"a": "x' + bytes([code]) + b'y", "b": 7}'
+                document = documents.parse(text)
+                self.assertEqual(document, {"a": f"x{chr(code)}y", "b": 7})
+
     def test_valid_documents_are_unchanged(self):
         random_state = random.Random(1)
 
--- a/tests/platform_site/test_records.py
+++ b/tests/platform_site/test_records.py
@@ -145,6 +145,16 @@
             "no address": json.dumps(item("x", Address="10.0.0.999:80")),
             "negative start": json.dumps(item("x", born=-1)),
             "late start": json.dumps(item("x", born=10**30)),
+            "control character": json.dumps(item("x", Service="S?")).replace(
+                "?", "\x01"
+            ),
+            "control character in the name": json.dumps(item("x?")).replace(
+                "?", "\x00"
+            ),
+            "control character in the zone": json.dumps(item("x", Zone="?")).replace(
+                '"?"', '"\x1f"'
+            ),
+            "lone surrogate": json.dumps(item("x", Service="\ud800")),
             "line break in the name": json.dumps(item("x\r\ny")),
         }
         for name, odd in table.items():
--- a/tests/platform_site/test_store.py
+++ b/tests/platform_site/test_store.py
@@ -97,6 +97,26 @@
         found = self.store.decode("endpoints", reading.content).value
         self.assertEqual(sorted(found), ["i0", "i1", "i2", "i3", "i4"])
 
+    async def test_odd_entry_at_the_end_of_a_page_hides_no_later_page(self):
+        # Guards against a list that can't be continued after such an entry.
+        spec = {"Service": "s", "Address": "10.0.0.1:80", "Zone": "z", "State": "ready"}
+        for odd in ({}, {"Metadata": None}, {"Metadata": {"Name": 7}}, "text"):
+            with self.subTest(odd):
+                names = ("a", "b", "c", "d & e=#", "f")
+                self.stand_in.by_kind["servers"] = {
+                    name: {"Metadata": {"Name": name}, "Spec": spec} for name in names
+                }
+                self.stand_in.by_kind["servers"]["b"] = odd
+                reading = await self.store.read("endpoints")
+                found = self.store.decode("endpoints", reading.content).value
+                self.assertEqual(set(found), set(names) - {"b"})
+
+    async def test_page_without_any_name_is_an_error(self):
+        for name in ("a", "b", "c"):
+            self.stand_in.by_kind["servers"][name] = {"Spec": {}}
+        with self.assertRaises(base.PlatformError):
+            await self.store.read("endpoints")
+
     async def test_missing_configuration(self):
         reading = await self.store.read("config")
         self.assertIsNone(self.store.decode("config", reading.content).value)
