Entries of an unknown service hide no server

Another writer's copies of the servers' entries under a service that no configuration names hid all servers of a service: each request got 503.

Cause: of several entries with one address the latest start owned it, whatever its service. An entry of a service that no configuration names now owns an address only if no other entry has it.

tests.gateway.test_foreign_entries: two of three subtests failed before.

--- a/libs/gateway/src/sequoiagap/gateway/_gateway.py
+++ b/libs/gateway/src/sequoiagap/gateway/_gateway.py
@@ -50,7 +50,7 @@
         self.dialect = dialect
         self.table = routes.RouteTable()
         self.leaving = _leaving.LeavingEndpoints(lambda item: self.peers.share(item))
-        self.pool = _pool.EndpointPool(self.leaving)
+        self.pool = _pool.EndpointPool(self.leaving, lambda: self.table.service_by_name)
         self.freshness = routes.Freshness(
             settings.key_proof_ms / MILLISECONDS * PROOF_SHARE
         )
--- a/libs/gateway/src/sequoiagap/gateway/_pool.py
+++ b/libs/gateway/src/sequoiagap/gateway/_pool.py
@@ -19,13 +19,15 @@
     store has been reachable for a while, because its entry may be written again.
 
     :param LeavingEndpoints leaving: endpoints that are about to end.
+    :param service_names: function that returns the names of the configured services.
 
     :ivar dict load_by_id: :class:`EndpointLoad` of each known endpoint.
     :ivar frozenset domains_out_: failure domains that receive no requests.
     """
 
-    def __init__(self, leaving=None):
+    def __init__(self, leaving=None, service_names=frozenset):
         self.leaving = leaving or _leaving.LeavingEndpoints()
+        self.service_names = service_names
         self.load_by_id = {}
         self.domains_out_ = frozenset()
         self._load_by_address = {}
@@ -62,13 +64,7 @@
             if now >= self._hold_until or self._is_replaced(endpoint_id):
                 self._record_departure(endpoint_id, now)
                 self._remove(endpoint_id)
-        # Of several entries with one address, the latest start owns it.
-        loads_by_start = sorted(
-            self.load_by_id.values(), key=lambda load: load.endpoint.started_ms
-        )
-        self._load_by_address = {
-            load.endpoint.host_and_port: load for load in loads_by_start
-        }
+        self._load_by_address = self._find_owners()
 
     def set_domains_out(self, domains_out):
         """Set the failure domains that operators took out of service.
@@ -193,6 +189,20 @@
             current.cold_until = _cold_until(endpoint)
         current.endpoint = endpoint
 
+    def _find_owners(self):
+        """Return the load of the endpoint at each address.
+
+        Of several entries with one address, the latest start owns it. An entry of a
+        service that no configuration names is another writer's, and owns none.
+        """
+        names = self.service_names()
+
+        def rank(load):
+            return load.endpoint.service in names, load.endpoint.started_ms
+
+        loads = sorted(self.load_by_id.values(), key=rank)
+        return {load.endpoint.host_and_port: load for load in loads}
+
     def _has_departed(self, endpoint_id, endpoint):
         """Return whether this start of an endpoint was removed before."""
         return (endpoint_id, endpoint.started_ms) in self._departed_at_by_start
