Streams to callers that pause are whole

Cause: the gateway took the pause of the caller for the endpoint's silence and moved the stream; the cancelled write had handed its bytes over, but their id was counted after it; and the HTTP library fails all later writes of a connection if the wait of one is cancelled.

--- a/libs/gateway/src/sequoiagap/gateway/_attempt.py
+++ b/libs/gateway/src/sequoiagap/gateway/_attempt.py
@@ -92,10 +92,11 @@
 
     :ivar bool is_sent_: whether the request may have reached the endpoint.
     :ivar bool is_disconnected_: whether the connection ended before the answer did.
+    :ivar bool is_blocked_: whether the endpoint isn't read, as the caller doesn't read.
     :ivar AnswerHead head_: decoded headers of the answer, once they have arrived.
     :ivar float first_byte_s_: time until the headers arrived, in seconds.
-    :ivar float last_byte_at_: when the last byte arrived, or the attempt began,
-        monotonic seconds.
+    :ivar float last_byte_at_: when the last byte arrived and was passed on, or the
+        attempt began, monotonic seconds.
     :ivar float output_at_: when the newest event of a stream arrived, monotonic
         seconds, or ``None``.
     """
@@ -119,6 +120,7 @@
         self.handle_head = handle_head
         self.is_sent_ = False
         self.is_disconnected_ = False
+        self.is_blocked_ = False
         self.head_ = None
         self.first_byte_s_ = 0.0
         self.last_byte_at_ = time.monotonic()
@@ -262,13 +264,24 @@
             if any(map(_event_stream.has_content, events)):
                 self._progress_at = self.output_at_ = self.last_byte_at_
             if events:
-                await sink.send_head(response.status, response.headers)
-                await sink.send_events(events, splitter.last_id_)
+                await self._send(sink, response, events, splitter.last_id_)
         if not splitter.is_at_end() or not self._is_complete(response):
             return self._failed("the stream was cut off")
         await sink.send_head(response.status, response.headers)
         return AttemptResult(AttemptOutcome.ANSWERED)
 
+    async def _send(self, sink, response, events, last_id):
+        """Send events to the caller; the time that it takes is not the endpoint's."""
+        began = time.monotonic()
+        self.is_blocked_ = True
+        try:
+            await sink.send_head(response.status, response.headers)
+            await sink.send_events(events, last_id)
+        finally:
+            self.is_blocked_ = False
+        self.last_byte_at_ = time.monotonic()
+        self._progress_at += self.last_byte_at_ - began
+
     async def _pieces(self, response):
         while True:
             waited_s = time.monotonic() - self._progress_at
--- a/libs/gateway/src/sequoiagap/gateway/_front.py
+++ b/libs/gateway/src/sequoiagap/gateway/_front.py
@@ -228,6 +228,7 @@
         elif isinstance(result, _attempt.Answer):
             sink.response_ = await _write_answer(http_request, result)
         else:
+            await sink.wait_written()
             await sink.response_.write_eof()
         self._request_log.record_answered(request, result, began)
         return sink.response_
--- a/libs/gateway/src/sequoiagap/gateway/_host_watch.py
+++ b/libs/gateway/src/sequoiagap/gateway/_host_watch.py
@@ -38,5 +38,7 @@
 
 
 def _is_stuck(attempt, load):
+    if attempt.is_blocked_:
+        return False  # nothing can arrive before the caller reads
     now = time.monotonic()
     return now - attempt.last_byte_at_ >= QUIET_S and load.is_silent(now, SILENT_S)
