A planned stop waits until its answers have left the process

Cause: a request counted as handled once its answer was given to the HTTP library, and the listener closed what was still being written after 0.5 s. A stop now also waits until the kernel has taken the bytes of all connections, within the grace.

The new test of test_planned_stop passes without the wait too, as the event loop of a test lives on; it guards the handler's part.

--- a/libs/gateway/src/sequoiagap/gateway/_gateway.py
+++ b/libs/gateway/src/sequoiagap/gateway/_gateway.py
@@ -179,6 +179,7 @@
         await listener.stop_accepting()
         await asyncio.sleep(CONNECTION_DRAIN_S)
         await self.front.wait_idle(deadline - time.monotonic())
+        await listener.wait_flushed(deadline - time.monotonic())
 
     def reload(self):
         """Do nothing: the store is read continuously, so no reload is needed."""
--- a/libs/gateway/src/sequoiagap/gateway/_listener.py
+++ b/libs/gateway/src/sequoiagap/gateway/_listener.py
@@ -8,6 +8,7 @@
 BACKLOG = 1024  # connections in the accept queue
 ACCEPT_TURNS = 3  # event loop turns until an accepted connection has its handler
 SHUTDOWN_TIMEOUT_S = 0.5
+FLUSH_CHECK_S = 0.02
 
 
 class HttpListener:
@@ -62,6 +63,24 @@
             connection.setblocking(False)
             accepted.append(connection)
 
+    async def wait_flushed(self, timeout_s):
+        """Wait until the kernel has taken all bytes that were written to callers.
+
+        :param float timeout_s: longest wait in seconds.
+        """
+        for _ in range(int(max(timeout_s, 0.0) / FLUSH_CHECK_S)):
+            if not self._has_unsent_bytes():
+                return
+            await asyncio.sleep(FLUSH_CHECK_S)
+
+    def _has_unsent_bytes(self):
+        transports = [protocol.transport for protocol in self.server.connections]
+        return any(
+            transport.get_write_buffer_size()
+            for transport in transports
+            if transport is not None
+        )
+
     async def close(self):
         """Close the listener and all connections; busy ones after a short timeout."""
         await self._runner.cleanup()
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import socket
 import time
 from unittest import mock
 
@@ -14,6 +15,9 @@
 REFUSE_AFTER_S = 0.4
 GRACE_S = 1.2
 PIPELINED = 3
+SLOW_GRACE_S = 6.0
+READ_BYTES = 64 * 1024
+READ_INTERVAL_S = 0.02
 HEAD_END = b"\r\n\r\n"
 
 
@@ -28,6 +32,32 @@
     return "\r\n".join(lines).encode() + HEAD_END
 
 
+class LargeEndpoint(gateway_case.RawEndpoint):
+    """Answers each request at once with a number of bytes.
+
+    :ivar asyncio.Event answered: set once the whole answer has been read.
+    """
+
+    def __init__(self, size):
+        super().__init__()
+        self.size = size
+        self.answered = asyncio.Event()
+        self.reading = None
+
+    async def serve(self, reader, writer):
+        head = await reader.readuntil(HEAD_END)
+        request_id = head.lower().partition(b"x-request-id:")[2].split()[0]
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Request-Id: %s\r\n"
+            b"Content-Length: %d\r\n\r\n" % (request_id, self.size)
+        )
+        writer.write(b"s" * self.size)
+        await writer.drain()
+        writer.close()
+        await writer.wait_closed()
+        self.answered.set()
+
+
 class Caller:
     """Sends requests one after the other until the gateway stops listening.
 
@@ -111,6 +141,41 @@
             self.assertEqual(status, 504)
             self.assertIn(b"outcome_unknown", body)
 
+    @mock.patch.object(_front, "REFUSE_AFTER_STOP_S", REFUSE_AFTER_S)
+    async def test_large_answers_to_slow_callers_are_whole(self):
+        # Guards against answers that are cut as soon as the HTTP library has them.
+        shorter = {"grace_s": SLOW_GRACE_S}
+        self.gateway.settings = self.gateway.settings.model_copy(update=shorter)
+        sizes = (60_000, 500_000, 4_000_000, 10_000_000)
+        large = [LargeEndpoint(size) for size in sizes]
+        for endpoint in large:
+            await self.serve_only(endpoint)
+            endpoint.reading = asyncio.create_task(self.read_slowly())
+            await asyncio.wait_for(endpoint.answered.wait(), 1.0)
+        await asyncio.sleep(WARM_UP_S)
+        began = time.monotonic()
+        await self.gateway.stop()
+        self.assertLess(time.monotonic() - began, SLOW_GRACE_S)
+        lengths = [await endpoint.reading for endpoint in large]
+        self.assertEqual(lengths, list(sizes))
+
+    async def read_slowly(self):
+        """Request an answer and read it at a steady, slow rate; return its length."""
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, READ_BYTES)
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(sock, ("127.0.0.1", self.port))
+        reader, writer = await asyncio.open_connection(sock=sock, limit=READ_BYTES)
+        writer.write(make_request(next(self.numbers)))
+        await reader.readuntil(HEAD_END)
+        length = 0
+        while data := await reader.read(READ_BYTES):
+            length += len(data)
+            await asyncio.sleep(READ_INTERVAL_S)
+        writer.close()
+        return length
+
     @mock.patch.object(_front, "REFUSE_AFTER_STOP_S", REFUSE_AFTER_S)
     async def test_requests_that_wait_for_an_endpoint_at_the_end_have_not_run(self):
         for load in self.gateway.pool.load_by_id.values():
