A rate limit may have any number of decimals

Cause: the adapter took a number with more than twelve decimals for invalid.

test_rate_limit_with_many_decimals: its four subtests failed before.

--- a/tests/platform_site/test_headers.py
+++ b/tests/platform_site/test_headers.py
@@ -135,6 +135,14 @@
         self.assertEqual(self.read_limit(" 40 "), 40.0)
         self.assertEqual(self.read_limit(), math.inf)
 
+    def test_rate_limit_with_many_decimals(self):
+        # Guards against a limit that is dropped for its number of decimals.
+        table = {"1.6666666666666667": 5 / 3, "0." + "3" * 400: 1 / 3}
+        table |= {"000000000001." + "0" * 30: 1.0, "2." + "5" * 10_240: 23 / 9}
+        for text, expected in table.items():
+            with self.subTest(text[:20]):
+                self.assertAlmostEqual(self.read_limit(text), expected)
+
     def test_invalid_rate_limit_is_ignored(self):
         odd = (
             "0",
