Names of gone hosts no longer take all links between gateways

Cause: a gateway linked to the first eight registered names, and only the end of an entry gave a place free; nothing removes the entries of hosts that are gone. One that has not answered three times in a row now loses its place to another, and those that could not be reached are tried last.

test_names_of_gone_hosts_take_no_links_for_good failed before (no link within 20 s with 24 such names).

--- a/libs/gateway/src/sequoiagap/gateway/_peers.py
+++ b/libs/gateway/src/sequoiagap/gateway/_peers.py
@@ -15,6 +15,7 @@
 MISSING_KEPT_S = 10.0  # until a process that is no longer listed counts as gone
 RECONNECT_S = 0.5
 MAX_PEERS = 8  # more connections do not make the store easier to reach
+MAX_CONNECT_FAILURES = 3  # in a row, until another gateway gets the place
 LINK_PING_S = 1.0
 
 _log = base.get_logger("peers")
@@ -47,6 +48,7 @@
         self._pending_requests = wire.PendingRequests()
         self._tasks = base.TaskSet()
         self._linked = set()
+        self._unreachable_at_by_id = {}
         self._registration = _registration.Registration(own, store)
         self._seen_at_by_id = {}
         self._last_responder = None
@@ -166,15 +168,26 @@
             for node_id, node in node_by_id.items()
             if node.role == self.own.role
         )
-        for node_id, node in sorted(node_by_id.items()):
-            is_peer = node.role == self.own.role and node_id != self.own.node_id
-            if is_peer and node_id not in self._linked:
-                if len(self._linked) >= MAX_PEERS:
-                    return
-                self._linked.add(node_id)
-                self._tasks.start(self._keep_link(node_id), f"peer-{node_id}")
+        self._open_links()
+
+    def _open_links(self):
+        """Start links until there are enough, or one to each gateway."""
+        for node_id in self._unlinked_ids()[: MAX_PEERS - len(self._linked)]:
+            self._linked.add(node_id)
+            self._tasks.start(self._keep_link(node_id), f"peer-{node_id}")
+
+    def _unlinked_ids(self):
+        """Return the other gateways without a link, the ones to link to first.
+
+        Entries of hosts that are gone stay in the store, so those that could not be
+        reached come last, the latest ones behind the others.
+        """
+        unlinked = self._registered_ids - self._linked - {self.own.node_id}
+        tried_at = self._unreachable_at_by_id
+        return sorted(unlinked, key=lambda i: (tried_at.get(i, float("-inf")), i))
 
     async def _keep_link(self, node_id):
+        failures = 0
         while node_id in self.node_by_id:
             node = self.node_by_id[node_id]
             try:
@@ -182,8 +195,14 @@
                     node.address, node.port, self.make_hello()
                 )
             except base.WireError:
+                failures += 1
+                if failures >= MAX_CONNECT_FAILURES and self._unlinked_ids():
+                    self._unreachable_at_by_id[node_id] = time.monotonic()
+                    break
                 await asyncio.sleep(RECONNECT_S)
                 continue
+            failures = 0
+            self._unreachable_at_by_id.pop(node_id, None)
             connection.idle_interval_s = LINK_PING_S
             self._connection_by_id[node_id] = connection
             _log.emit(base.Event.PEER_OPENED, peer=node_id)
@@ -194,6 +213,7 @@
             _log.emit(base.Event.PEER_CLOSED, peer=node_id, reason=reason)
             await asyncio.sleep(RECONNECT_S)
         self._linked.discard(node_id)
+        self._open_links()
 
     def share(self, item, received_over=None):
         """Send a message to all connected gateways, those that connected included.
