Complete answers keep their memory, and callers that never read lose it

Found by reading again: the memory of a complete answer without an announced length could be given to others while it was still being written, and a caller that never reads its answer kept its memory for good.

--- a/libs/gateway/src/sequoiagap/gateway/_answer_memory.py
+++ b/libs/gateway/src/sequoiagap/gateway/_answer_memory.py
@@ -159,7 +159,7 @@
     :param str endpoint_id: the endpoint that sends the answer.
 
     :ivar int size_: bytes taken.
-    :ivar bool is_sized_: whether the length of the answer was announced.
+    :ivar bool is_sized_: whether the length of the answer is known.
     :ivar bool is_evicted_: whether the answer has to fail to make room.
     :ivar on_evicted: function that is called when it has to fail, or ``None``.
     """
@@ -191,6 +191,10 @@
         elif size < self.size_:
             self.memory.give_back(self, self.size_ - size)
 
+    def keep(self):
+        """Keep the memory of an answer that is complete, and can't fail any more."""
+        self.is_sized_ = True
+
     def evict(self):
         """Make the answer fail and give its memory back."""
         self.is_evicted_ = True
--- a/libs/gateway/src/sequoiagap/gateway/_attempt.py
+++ b/libs/gateway/src/sequoiagap/gateway/_attempt.py
@@ -248,6 +248,7 @@
             return self._failed("the answer was cut off")
         if not head.is_sealed:
             return self._failed(f"unsigned answer with status {response.status}")
+        self.lease.keep()
         answer = Answer(response.status, response.headers, body)
         if response.status >= SERVER_ERROR_STATUS:
             reason = f"the endpoint failed with status {response.status}"
--- a/libs/gateway/src/sequoiagap/gateway/_front.py
+++ b/libs/gateway/src/sequoiagap/gateway/_front.py
@@ -21,6 +21,7 @@
 BODY_TIMEOUT_S = 10.0
 MAX_KEEPALIVE_S = 75.0
 DEFAULT_TIMEOUT_S = 30.0
+BLOCK_TIMEOUT_S = 15.0  # for a caller to read one block of a large answer
 REFUSE_AFTER_STOP_S = 2.6  # by then the balancer has stopped sending new callers here
 
 
@@ -292,11 +293,25 @@
     response.content_length = len(answer.body)
     await response.prepare(http_request)
     for block in answer.body:
-        await response.write(block)
+        await _write_block(http_request, response, block)
     await response.write_eof()
     return response
 
 
+async def _write_block(http_request, response, block):
+    """Write a block; give up a caller that does not read, as its answer takes memory.
+
+    :raises ConnectionError: if the caller does not read it in time.
+    """
+    try:
+        async with asyncio.timeout(BLOCK_TIMEOUT_S):
+            await response.write(block)
+    except TimeoutError as error:
+        if http_request.transport is not None:
+            http_request.transport.abort()
+        raise ConnectionResetError("the caller does not read its answer") from error
+
+
 class RefusedError(Exception):
     """A request that is refused before it is sent to any endpoint.
 
--- a/tests/gateway/test_answer_memory.py
+++ b/tests/gateway/test_answer_memory.py
@@ -89,6 +89,16 @@
         held[1].release()
         await asyncio.wait_for(task, 1.0)
 
+    async def test_complete_answer_is_not_evicted(self):
+        complete = self.lease("e1")
+        await complete.grow_to(SHARE)
+        complete.keep()
+        await self.lease("e2").reserve(SHARE)
+        task = await self.start(self.lease("e3").reserve(2 * SMALL))
+        self.assertFalse(task.done() or complete.is_evicted_)
+        complete.release()
+        await asyncio.wait_for(task, 1.0)
+
     async def test_release_twice_gives_back_once(self):
         lease = self.lease()
         await lease.reserve(3 * SMALL)
