Results of attempts and the state dump get modules of their own

Moves only: what an attempt sends and gives is in _attempt_result.py, the state dump and the gauges read from it in _state_dump.py. Behaviour is the same.

--- a/libs/gateway/src/sequoiagap/gateway/_attempt.py
+++ b/libs/gateway/src/sequoiagap/gateway/_attempt.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import contextvars
-import dataclasses
-import enum
 import socket
 import struct
 import time
@@ -12,10 +10,9 @@
 import yarl
 
 from sequoiagap import wire
-from sequoiagap.gateway import _answer_memory, _event_stream
+from sequoiagap.gateway import _answer_memory, _attempt_result, _event_stream
 
 CONNECT_TIMEOUT_S = 0.5
-FIRST_REDIRECT_STATUS = 300
 SERVER_ERROR_STATUS = 500
 MAX_HEADER_BYTES = 64 * 1024
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
@@ -26,49 +23,6 @@
 _current_attempt = contextvars.ContextVar("attempt")
 
 
-class AttemptOutcome(enum.StrEnum):
-    """What is proved about an attempt."""
-
-    ANSWERED = "answered"
-    NOT_SENT = "not_sent"
-    NOT_RUN = "not_run"
-    UNKNOWN = "unknown"
-
-
-@dataclasses.dataclass(frozen=True)
-class Answer:
-    """A complete answer of an endpoint, buffered in memory.
-
-    :param int status: HTTP status.
-    :param headers: multi-value map of its headers.
-    :param AnswerBody body: its body.
-    """
-
-    status: int
-    headers: object
-    body: _answer_memory.AnswerBody
-
-    @property
-    def is_success(self):
-        """Whether its status says that the request succeeded."""
-        return self.status < FIRST_REDIRECT_STATUS
-
-
-@dataclasses.dataclass(frozen=True)
-class AttemptResult:
-    """Result of an attempt.
-
-    :param AttemptOutcome outcome: what is proved about the attempt.
-    :param str reason: why there is no complete answer; empty for one.
-    :param Answer answer: the answer, unless it was forwarded as a stream. A server
-        error that the endpoint signed comes with ``UNKNOWN``.
-    """
-
-    outcome: AttemptOutcome
-    reason: str = ""
-    answer: Answer | None = None
-
-
 class Attempt:
     """Sends a request to an endpoint and receives its answer.
 
@@ -220,11 +174,13 @@
         self.handle_head(head)
         if head.is_not_run:
             reason = f"refused by the endpoint with status {response.status}"
-            return AttemptResult(AttemptOutcome.NOT_RUN, reason)
+            return _attempt_result.AttemptResult(
+                _attempt_result.AttemptOutcome.NOT_RUN, reason
+            )
         if "Content-Encoding" in response.headers:
             return self._failed("the answer has an encoding that was not requested")
         is_stream = response.headers.get("Content-Type", "").startswith("text/event")
-        is_success = response.status < FIRST_REDIRECT_STATUS
+        is_success = response.status < _attempt_result.FIRST_REDIRECT_STATUS
         if sink is not None and is_success and is_stream:
             return await self._forward_stream(response, sink)
         return await self._buffer_answer(response, head)
@@ -249,11 +205,15 @@
         if not head.is_sealed:
             return self._failed(f"unsigned answer with status {response.status}")
         self.lease.keep()
-        answer = Answer(response.status, response.headers, body)
+        answer = _attempt_result.Answer(response.status, response.headers, body)
         if response.status >= SERVER_ERROR_STATUS:
             reason = f"the endpoint failed with status {response.status}"
-            return AttemptResult(AttemptOutcome.UNKNOWN, reason, answer)
-        return AttemptResult(AttemptOutcome.ANSWERED, answer=answer)
+            return _attempt_result.AttemptResult(
+                _attempt_result.AttemptOutcome.UNKNOWN, reason, answer
+            )
+        return _attempt_result.AttemptResult(
+            _attempt_result.AttemptOutcome.ANSWERED, answer=answer
+        )
 
     async def _forward_stream(self, response, sink):
         if not self.head_.is_sealed:
@@ -269,7 +229,7 @@
         if not splitter.is_at_end() or not self._is_complete(response):
             return self._failed("the stream was cut off")
         await sink.send_head(response.status, response.headers)
-        return AttemptResult(AttemptOutcome.ANSWERED)
+        return _attempt_result.AttemptResult(_attempt_result.AttemptOutcome.ANSWERED)
 
     async def _send(self, sink, response, events, last_id):
         """Send events to the caller; the time that it takes is not the endpoint's."""
@@ -317,28 +277,12 @@
         self._reset()
         self.lease.release()
         if not self.is_sent_:
-            return AttemptResult(AttemptOutcome.NOT_SENT, f"no connection: {reason}")
-        return AttemptResult(AttemptOutcome.UNKNOWN, reason)
-
-
-@dataclasses.dataclass(frozen=True)
-class Outgoing:
-    """A request as it is sent to an endpoint.
-
-    :param str request_id: the caller's id.
-    :param str method: HTTP method.
-    :param str url: address, path and query, as they are sent.
-    :param headers: multi-value map of headers.
-    :param bytes body: its body.
-    :param int resume_after: id of the last event that the caller has, or ``None``.
-    """
-
-    request_id: str
-    method: str
-    url: str
-    headers: object
-    body: bytes
-    resume_after: int | None = None
+            return _attempt_result.AttemptResult(
+                _attempt_result.AttemptOutcome.NOT_SENT, f"no connection: {reason}"
+            )
+        return _attempt_result.AttemptResult(
+            _attempt_result.AttemptOutcome.UNKNOWN, reason
+        )
 
 
 def open_session():
--- a/libs/gateway/src/sequoiagap/gateway/_attempt_log.py
+++ b/libs/gateway/src/sequoiagap/gateway/_attempt_log.py
@@ -4,7 +4,7 @@
 import time
 
 from sequoiagap import base
-from sequoiagap.gateway import _attempt
+from sequoiagap.gateway import _attempt_result
 
 CLOSE_CHECK_S = 0.1  # by then an abandoned attempt has closed its connection
 MILLISECONDS = 1000
@@ -99,10 +99,10 @@
         :param Attempt attempt: the attempt.
         :param float began: when it began, monotonic seconds.
         """
-        outcome = _attempt.AttemptOutcome.UNKNOWN
+        outcome = _attempt_result.AttemptOutcome.UNKNOWN
         if not attempt.is_sent_:
-            outcome = _attempt.AttemptOutcome.NOT_SENT
-        result = _attempt.AttemptResult(outcome, "the request was cancelled")
+            outcome = _attempt_result.AttemptOutcome.NOT_SENT
+        result = _attempt_result.AttemptResult(outcome, "the request was cancelled")
         self.record_end(request, attempt_id, load, attempt, result, began)
         loop = asyncio.get_running_loop()
         loop.call_later(CLOSE_CHECK_S, _log_lingering, request, attempt_id, attempt)
--- a/libs/gateway/src/sequoiagap/gateway/_dispatch.py
+++ b/libs/gateway/src/sequoiagap/gateway/_dispatch.py
@@ -8,6 +8,7 @@
     _answer_memory,
     _attempt,
     _attempt_log,
+    _attempt_result,
     _endpoint_feedback,
     _headers,
     _host_watch,
@@ -140,7 +141,7 @@
             if isinstance(load, base.Refusal):
                 return _refusals.final_refusal(progress, load)
             result = await self._attempt(request, load, sink, progress)
-            if result.outcome == _attempt.AttemptOutcome.ANSWERED:
+            if result.outcome == _attempt_result.AttemptOutcome.ANSWERED:
                 return result.answer
             if not self._may_retry(request, result, progress):
                 break
@@ -212,7 +213,7 @@
             progress.sent += attempt.is_sent_
             if attempt.is_sent_:
                 progress.may_have_run = True
-        if result.outcome == _attempt.AttemptOutcome.NOT_RUN:
+        if result.outcome == _attempt_result.AttemptOutcome.NOT_RUN:
             progress.may_have_run = may_have_run
         self.reachability.record(attempt.is_sent_)
         self._feedback.record_end(load, attempt, result, time.monotonic() - now)
@@ -233,7 +234,7 @@
             account=request.account,
             resume_after=resume_after if request.is_stream else None,
         )
-        return _attempt.Outgoing(
+        return _attempt_result.Outgoing(
             request_id=request.request_id,
             method=request.method,
             url=f"http://{endpoint.host_and_port}{request.path}",
@@ -264,11 +265,11 @@
 
     def _may_retry(self, request, result, progress):
         """Return whether the request may be sent to another endpoint."""
-        if result.outcome == _attempt.AttemptOutcome.NOT_SENT:
+        if result.outcome == _attempt_result.AttemptOutcome.NOT_SENT:
             return True
         if progress.sent >= request.route.max_attempts:
             return False
-        is_unknown = result.outcome == _attempt.AttemptOutcome.UNKNOWN
+        is_unknown = result.outcome == _attempt_result.AttemptOutcome.UNKNOWN
         if is_unknown and not request.route.is_idempotent:
             return False
         if request.deadline - time.monotonic() < MIN_ATTEMPT_S:
--- a/libs/gateway/src/sequoiagap/gateway/_endpoint_feedback.py
+++ b/libs/gateway/src/sequoiagap/gateway/_endpoint_feedback.py
@@ -3,7 +3,7 @@
 import time
 
 from sequoiagap import routes
-from sequoiagap.gateway import _attempt, _endpoint_check
+from sequoiagap.gateway import _attempt_result, _endpoint_check
 
 
 class EndpointFeedback:
@@ -57,7 +57,7 @@
             self.state.record_misdirected(load.endpoint.endpoint_id)
         if head is not None and _blames_other_rank(head, load.endpoint):
             self.state.pool.record_group_down(load, now)
-        if result.outcome == _attempt.AttemptOutcome.ANSWERED:
+        if result.outcome == _attempt_result.AttemptOutcome.ANSWERED:
             load.record_success()
             self.selector.admission(load.endpoint.service).record_answer(elapsed_s)
         elif result.answer is None:
@@ -78,7 +78,10 @@
             self.crash_evidence.record_served(parts, now - age_s, now)
         elif result.answer is not None and result.answer.is_success:
             self.crash_evidence.record_served(parts, now, now)
-        elif result.outcome == _attempt.AttemptOutcome.UNKNOWN and not result.answer:
+        elif (
+            result.outcome == _attempt_result.AttemptOutcome.UNKNOWN
+            and not result.answer
+        ):
             self.crash_evidence.record_cut(load.endpoint, parts, now)
             if attempt.is_disconnected_:
                 await self._check_endpoint(load.endpoint)
--- a/libs/gateway/src/sequoiagap/gateway/_front.py
+++ b/libs/gateway/src/sequoiagap/gateway/_front.py
@@ -9,7 +9,7 @@
 from sequoiagap import base, routes
 from sequoiagap.gateway import (
     _answer_memory,
-    _attempt,
+    _attempt_result,
     _dispatch,
     _headers,
     _refusals,
@@ -224,9 +224,9 @@
                 sink.abort()
                 return sink.response_
             return self._refuse(result, request.request_id, began)
-        if isinstance(result, _attempt.Answer) and sink.started:
+        if isinstance(result, _attempt_result.Answer) and sink.started:
             sink.abort()
-        elif isinstance(result, _attempt.Answer):
+        elif isinstance(result, _attempt_result.Answer):
             sink.response_ = await _write_answer(http_request, result)
         else:
             await sink.wait_written()
--- a/libs/gateway/src/sequoiagap/gateway/_gateway.py
+++ b/libs/gateway/src/sequoiagap/gateway/_gateway.py
@@ -20,6 +20,7 @@
     _ports,
     _rate_limits,
     _report_inbox,
+    _state_dump,
     _status,
 )
 
@@ -211,49 +212,12 @@
         """
         return self.peers.linked_count() + 1
 
-    def set_endpoint_gauges(self):
-        """Set the metrics that count endpoints which get no requests."""
-        now = routes.suspend_aware_time()
-        endpoints = [load.endpoint for load in self.pool.load_by_id.values()]
-        pauses_s = [self.dispatcher.pauses.remaining_s(e, now) for e in endpoints]
-        leaving = sum(map(self.leaving.includes, endpoints))
-        self.metrics.set_gauge("endpoints_leaving", leaving)
-        self.metrics.set_gauge("endpoints_paused", sum(s > 0 for s in pauses_s))
-        self.metrics.set_gauge("longest_pause_seconds", max(pauses_s, default=0.0))
-
     def dump_state(self):
         """Return the state of the process as plain data.
 
         :rtype: dict
         """
-        now, at = time.monotonic(), routes.suspend_aware_time()
-        pauses = self.dispatcher.pauses
-        return {
-            "config_version": self.table.version,
-            "routes": len(self.table.routes),
-            "proof_age_s": self.freshness.age(routes.suspend_aware_time()),
-            "ready": self.is_ready(),
-            "in_flight": self.front.in_flight_,
-            "answer_bytes": self.dispatcher.answer_memory.used_,
-            "domains_out": sorted(self.pool.domains_out_),
-            "quarantined_parts": sorted(
-                self.crash_evidence.quarantine.suspicion_by_part
-            ),
-            "nodes": sorted(self.peers.node_by_id),
-            "endpoints": {
-                endpoint_id: {
-                    "service": load.endpoint.service,
-                    "state": str(load.endpoint.state),
-                    "expected": load.expected(now),
-                    "own": len(load.sent_at_by_attempt),
-                    "failures": load.failures,
-                    "max_requests_s": _stated_limit(load),
-                    "leaving": self.leaving.includes(load.endpoint),
-                    "paused_s": round(pauses.remaining_s(load.endpoint, at), 1),
-                }
-                for endpoint_id, load in self.pool.load_by_id.items()
-            },
-        }
+        return _state_dump.dump(self)
 
     def _handle_store_return(self, is_copy):
         """Hold lapsed entries: the store answers again, perhaps from a copy."""
@@ -339,12 +303,6 @@
         )
 
 
-def _stated_limit(load):
-    """Return the rate limit that an endpoint states, or ``None``."""
-    limit = load.rate_limit
-    return limit.requests_s if limit is not None and limit.is_limited else None
-
-
 async def run(gateway_settings, store, dialect):
     """Run a gateway until it receives a stop signal.
 
--- a/libs/gateway/src/sequoiagap/gateway/_request_log.py
+++ b/libs/gateway/src/sequoiagap/gateway/_request_log.py
@@ -3,7 +3,7 @@
 import time
 
 from sequoiagap import base, routes
-from sequoiagap.gateway import _attempt
+from sequoiagap.gateway import _attempt_result
 
 MILLISECONDS = 1000
 MAX_PROOF_AGE_S = 1e6  # in the log, for a configuration that was never proved
@@ -69,7 +69,7 @@
         :param result: its :class:`Answer`, or ``None`` for a stream.
         :param float began: when it arrived, monotonic seconds.
         """
-        status = result.status if isinstance(result, _attempt.Answer) else 200
+        status = result.status if isinstance(result, _attempt_result.Answer) else 200
         elapsed_s = time.monotonic() - began
         self.metrics.count("answered_total")
         self.metrics.observe("request_seconds", elapsed_s, target=request.service)
--- a/libs/gateway/src/sequoiagap/gateway/_status.py
+++ b/libs/gateway/src/sequoiagap/gateway/_status.py
@@ -3,13 +3,13 @@
 from aiohttp import web
 
 from sequoiagap import base
+from sequoiagap.gateway import _state_dump
 
 
 class StatusServer:
     """Answers readiness checks and serves the metrics.
 
-    :param gateway: object with ``is_ready()``, ``set_endpoint_gauges()``, ``metrics``
-        and ``front``.
+    :param Gateway gateway: the gateway.
     """
 
     def __init__(self, gateway):
@@ -31,7 +31,7 @@
 
     async def _metrics(self, http_request):
         metrics = self.gateway.metrics
-        self.gateway.set_endpoint_gauges()
+        _state_dump.set_endpoint_gauges(self.gateway)
         metrics.set_gauge("requests_in_flight", self.gateway.front.in_flight_)
         # Imported on first use, as most processes never serve metrics.
         from sequoiagap.base import exposition
