--- a/tests/platform_site/test_records.py
+++ b/tests/platform_site/test_records.py
@@ -1,6 +1,7 @@
 """Decoding of stored objects; invalid objects do not affect valid ones."""
 
 import json
+import random
 import sys
 import unittest
 
@@ -164,6 +165,21 @@
                 found = records.decode_endpoints([content.encode()])
                 self.assertEqual((set(found.value), found.revision), ({"i1"}, 9))
 
+    def test_any_bytes_in_a_string_of_one_entry_spoil_no_other(self):
+        random_state = random.Random(1)
+        sound = [item("i1"), item("i2", Address="10.0.0.8:80")]
+        expected = records.decode_endpoints([page(*sound)]).value
+        for _ in range(300):
+            field = random_state.choice(("Service", "Zone", "State", "Address"))
+            odd = random_state.randbytes(random_state.randrange(1, 40))
+            odd = odd.replace(b'"', b"").replace(b"\\", b"")
+            content = page(sound[0], item("x", **{field: "MARK"}), sound[1])
+            content = content.replace(b"MARK", odd)
+            with self.subTest(field, odd=odd):
+                found = records.decode_endpoints([content]).value
+                found.pop("x", None)
+                self.assertEqual(found, expected)
+
     def test_odd_start_beside_an_entry_is_not_used(self):
         for born in (-1, 10**30, "soon"):
             with self.subTest(born):
